contract: messages, events and effects of the live path

Cause: the parts are built side by side and need one vocabulary first. Conclusion: the base on which the thin path is built.

--- /dev/null
+++ b/internal/message/gate.go
@@ -0,0 +1,200 @@
+package message
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Kinds of the messages between an entry and a gate.
+const (
+	KindReserve     Kind = "reserve"
+	KindOffer       Kind = "offer"
+	KindGrant       Kind = "grant"
+	KindRefusal     Kind = "refusal"
+	KindRelease     Kind = "release"
+	KindPrefill     Kind = "prefill"
+	KindPrefilled   Kind = "prefilled"
+	KindDecode      Kind = "decode"
+	KindPart        Kind = "part"
+	KindCall        Kind = "call"
+	KindCallAnswer  Kind = "callAnswer"
+	KindStatusQuery Kind = "statusQuery"
+)
+
+// Reserve opens a session: it asks a gate to hold room for one attempt.
+type Reserve struct {
+	Attempt      Attempt            `cbor:"attempt"`
+	Phase        Phase              `cbor:"phase"`
+	Entry        string             `cbor:"entry"`
+	Organisation string             `cbor:"organisation"`
+	Urgency      oriolebend.Urgency `cbor:"urgency"`
+	Model        string             `cbor:"model,omitempty"`
+	Version      string             `cbor:"version,omitempty"`
+	Adapter      string             `cbor:"adapter,omitempty"`
+	Service      string             `cbor:"service,omitempty"`
+	// PromptTokens and MaxTokens size the memory to hold.
+	PromptTokens int `cbor:"promptTokens,omitempty"`
+	MaxTokens    int `cbor:"maxTokens,omitempty"`
+	// Prefix holds one hash for each leading block of the prompt, longest last.
+	Prefix []uint64 `cbor:"prefix,omitempty"`
+	// StartIn is when the room is needed, from now; decode room is asked for
+	// the predicted end of the prefill.
+	StartIn time.Duration `cbor:"startIn,omitempty"`
+	// Deadline is how long the caller still waits for the first token, from
+	// now; zero means no bound.
+	Deadline time.Duration `cbor:"deadline,omitempty"`
+	// Waited is how long the request has waited since it was accepted; gates
+	// age patient work by it.
+	Waited time.Duration `cbor:"waited,omitempty"`
+	// Hold is true when the entry will wait in the gate's queue, false when
+	// a gate that can't grant now should refuse.
+	Hold bool `cbor:"hold,omitempty"`
+	// Once is true for work that may run at most once: the gate then lets the
+	// attempt through one time only.
+	Once bool `cbor:"once,omitempty"`
+}
+
+// Offer is the gate's true state for one Reserve. If Granted is false the
+// reservation waits in the gate's queue and a Grant follows.
+type Offer struct {
+	Attempt Attempt `cbor:"attempt"`
+	Granted bool    `cbor:"granted"`
+	// StartIn is the predicted wait until the work could start.
+	StartIn time.Duration `cbor:"startIn"`
+	// Took is the predicted time of the work itself, for a prefill.
+	Took time.Duration `cbor:"took,omitempty"`
+	// Queued counts reservations ahead of this one.
+	Queued int `cbor:"queued"`
+	// CachedTokens is how much of the prefix the engine holds.
+	CachedTokens int `cbor:"cachedTokens,omitempty"`
+	// FreeTokens is the free KV memory in tokens.
+	FreeTokens int `cbor:"freeTokens,omitempty"`
+	// LinkBytes is the rate that the server's link has left, bytes a second.
+	LinkBytes float64 `cbor:"linkBytes,omitempty"`
+	// LeaseFor is how long the reservation lives without renewal.
+	LeaseFor time.Duration `cbor:"leaseFor"`
+}
+
+// Grant tells a waiting reservation that its room is held from now.
+type Grant struct {
+	Attempt  Attempt       `cbor:"attempt"`
+	LeaseFor time.Duration `cbor:"leaseFor"`
+}
+
+// Refusal answers any message of a session that the gate did not carry out,
+// or tells of work that failed. The session is over.
+type Refusal struct {
+	Attempt Attempt           `cbor:"attempt"`
+	Reason  oriolebend.Reason `cbor:"reason"`
+	// Ran is "no" only if the work did not run and the gate will never let
+	// this attempt through.
+	Ran        oriolebend.Ran `cbor:"ran"`
+	RetryAfter time.Duration  `cbor:"retryAfter,omitempty"`
+	Detail     string         `cbor:"detail,omitempty"`
+}
+
+// Release gives a reservation back and cancels its work. The gate remembers
+// the attempt as closed and refuses it should it arrive later.
+type Release struct {
+	Attempt Attempt           `cbor:"attempt"`
+	Reason  oriolebend.Reason `cbor:"reason,omitempty"`
+}
+
+// Prefill starts the prefill that the session reserved.
+type Prefill struct {
+	Attempt Attempt `cbor:"attempt"`
+	Prompt  string  `cbor:"prompt"`
+}
+
+// Prefilled tells that a prefill ended and where its KV cache can be fetched.
+type Prefilled struct {
+	Attempt   Attempt `cbor:"attempt"`
+	SourceURL string  `cbor:"sourceURL"`
+	KVBytes   int64   `cbor:"kvBytes"`
+	// CachedTokens is how much of the prompt the engine did not recompute.
+	CachedTokens int `cbor:"cachedTokens"`
+	// LivesFor is how long the engine holds the result.
+	LivesFor time.Duration `cbor:"livesFor"`
+	// Took is the time that the engine spent.
+	Took time.Duration `cbor:"took"`
+}
+
+// Decode starts the transfer and the generation that the session reserved.
+type Decode struct {
+	Attempt   Attempt `cbor:"attempt"`
+	SourceURL string  `cbor:"sourceURL"`
+	KVBytes   int64   `cbor:"kvBytes"`
+	Prompt    string  `cbor:"prompt"`
+	// Delivered is the output that the caller already has; generation goes on
+	// behind it.
+	Delivered string `cbor:"delivered,omitempty"`
+	// Offset is the number of output tokens in Delivered.
+	Offset    int `cbor:"offset,omitempty"`
+	MaxTokens int `cbor:"maxTokens"`
+	// TransferWithin is the deadline of the transfer, from now.
+	TransferWithin time.Duration `cbor:"transferWithin"`
+}
+
+// FinishReason says why generation ended.
+type FinishReason string
+
+const (
+	// FinishStop is a natural end.
+	FinishStop FinishReason = "stop"
+	// FinishLength is the bound on output tokens.
+	FinishLength FinishReason = "length"
+)
+
+// Part is a run of output tokens of one attempt.
+type Part struct {
+	Attempt Attempt `cbor:"attempt"`
+	// Offset is the number of output tokens before this part.
+	Offset int    `cbor:"offset"`
+	Tokens int    `cbor:"tokens"`
+	Text   string `cbor:"text"`
+	// Finish is set on the last part.
+	Finish FinishReason `cbor:"finish,omitempty"`
+}
+
+// Call runs one call of a plain service that the session reserved.
+type Call struct {
+	Attempt Attempt `cbor:"attempt"`
+	Method  string  `cbor:"method"`
+	Path    string  `cbor:"path"`
+	// Header holds the caller's headers that may pass, first values only.
+	Header map[string]string `cbor:"header,omitempty"`
+	Body   []byte            `cbor:"body,omitempty"`
+	// Identity is the stable downstream identity of the operation; it is the
+	// same for every attempt and is sent to the service as Idempotency-Key.
+	Identity string `cbor:"identity"`
+}
+
+// CallAnswer is the whole answer of a plain service.
+type CallAnswer struct {
+	Attempt Attempt           `cbor:"attempt"`
+	Status  int               `cbor:"status"`
+	Header  map[string]string `cbor:"header,omitempty"`
+	Body    []byte            `cbor:"body,omitempty"`
+}
+
+// StatusQuery asks a gate to ask its service for the outcome of an operation
+// whose answer was lost. It is answered by CallAnswer or Refusal.
+type StatusQuery struct {
+	Attempt  Attempt `cbor:"attempt"`
+	Path     string  `cbor:"path"`
+	Identity string  `cbor:"identity"`
+}
+
+func (Reserve) Kind() Kind     { return KindReserve }
+func (Offer) Kind() Kind       { return KindOffer }
+func (Grant) Kind() Kind       { return KindGrant }
+func (Refusal) Kind() Kind     { return KindRefusal }
+func (Release) Kind() Kind     { return KindRelease }
+func (Prefill) Kind() Kind     { return KindPrefill }
+func (Prefilled) Kind() Kind   { return KindPrefilled }
+func (Decode) Kind() Kind      { return KindDecode }
+func (Part) Kind() Kind        { return KindPart }
+func (Call) Kind() Kind        { return KindCall }
+func (CallAnswer) Kind() Kind  { return KindCallAnswer }
+func (StatusQuery) Kind() Kind { return KindStatusQuery }
--- /dev/null
+++ b/internal/message/record.go
@@ -0,0 +1,128 @@
+package message
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Kinds of the messages between an entry and the control VMs about requests.
+const (
+	KindClaim       Kind = "claim"
+	KindClaimAnswer Kind = "claimAnswer"
+	KindSettle      Kind = "settle"
+	KindSettled     Kind = "settled"
+	KindQuery       Kind = "query"
+)
+
+// RecordState is the state of a request record.
+type RecordState string
+
+const (
+	// RecordClaimed is owned by an entry; no attempt was dispatched.
+	RecordClaimed RecordState = "claimed"
+	// RecordRunning has a dispatched attempt.
+	RecordRunning RecordState = "running"
+	// RecordAnswered holds the whole answer.
+	RecordAnswered RecordState = "answered"
+	// RecordFailed holds a failure that is replayed to retries.
+	RecordFailed RecordState = "failed"
+	// RecordNotRun is closed: no attempt ran and none ever will.
+	RecordNotRun RecordState = "notRun"
+	// RecordUnknown was dispatched once and its outcome is lost.
+	RecordUnknown RecordState = "unknown"
+)
+
+// Scope is what makes a request the same request.
+type Scope struct {
+	Organisation string `cbor:"organisation"`
+	Operation    string `cbor:"operation"`
+	Key          string `cbor:"key"`
+}
+
+// Answer is a stored answer, kept for replay.
+type Answer struct {
+	Status int               `cbor:"status"`
+	Header map[string]string `cbor:"header,omitempty"`
+	Body   []byte            `cbor:"body,omitempty"`
+	Tokens int               `cbor:"tokens,omitempty"`
+	Finish FinishReason      `cbor:"finish,omitempty"`
+	// Reason is set for a stored failure.
+	Reason oriolebend.Reason `cbor:"reason,omitempty"`
+}
+
+// Claim asks for the ownership of a scope. The first claim owns it; a claim
+// of the same owner is answered as the first was.
+type Claim struct {
+	Scope       Scope  `cbor:"scope"`
+	RequestID   string `cbor:"requestID"`
+	Fingerprint string `cbor:"fingerprint"`
+	// Owner is the name and start of the claiming entry.
+	Owner string `cbor:"owner"`
+	// Once is true for a request that may run at most once.
+	Once bool `cbor:"once"`
+	// LeaseFor is how long the ownership lasts without renewal.
+	LeaseFor time.Duration `cbor:"leaseFor"`
+}
+
+// ClaimOutcome says what a claim met.
+type ClaimOutcome string
+
+const (
+	// ClaimOwned means that the claimer owns the request and may run it.
+	ClaimOwned ClaimOutcome = "owned"
+	// ClaimAttach means that another entry runs it.
+	ClaimAttach ClaimOutcome = "attach"
+	// ClaimReplay means that the record holds a final answer or failure.
+	ClaimReplay ClaimOutcome = "replay"
+	// ClaimConflict means that the key holds another command.
+	ClaimConflict ClaimOutcome = "conflict"
+	// ClaimUnknown means that the outcome of the one dispatch is lost.
+	ClaimUnknown ClaimOutcome = "unknown"
+)
+
+// ClaimAnswer is the record as a claim or query found it.
+type ClaimAnswer struct {
+	Outcome   ClaimOutcome `cbor:"outcome"`
+	RequestID string       `cbor:"requestID"`
+	State     RecordState  `cbor:"state"`
+	// Owner runs the request, for ClaimAttach.
+	Owner string `cbor:"owner,omitempty"`
+	// OwnerAddress is where the owner's peers reach it.
+	OwnerAddress string `cbor:"ownerAddress,omitempty"`
+	// Attempt is the number that the next dispatch must carry.
+	Attempt uint32  `cbor:"attempt,omitempty"`
+	Answer  *Answer `cbor:"answer,omitempty"`
+}
+
+// Settle moves a record on: to running before a dispatch, to its outcome
+// after it.
+type Settle struct {
+	RequestID string      `cbor:"requestID"`
+	Scope     Scope       `cbor:"scope"`
+	Owner     string      `cbor:"owner"`
+	Attempt   uint32      `cbor:"attempt"`
+	State     RecordState `cbor:"state"`
+	Server    string      `cbor:"server,omitempty"`
+	Answer    *Answer     `cbor:"answer,omitempty"`
+}
+
+// Settled answers a Settle once it is durable on a quorum. If Accepted is
+// false the record had moved on; State tells where.
+type Settled struct {
+	RequestID string      `cbor:"requestID"`
+	Accepted  bool        `cbor:"accepted"`
+	State     RecordState `cbor:"state"`
+}
+
+// Query asks for the record of a request. It is answered by ClaimAnswer.
+type Query struct {
+	RequestID    string `cbor:"requestID"`
+	Organisation string `cbor:"organisation"`
+}
+
+func (Claim) Kind() Kind       { return KindClaim }
+func (ClaimAnswer) Kind() Kind { return KindClaimAnswer }
+func (Settle) Kind() Kind      { return KindSettle }
+func (Settled) Kind() Kind     { return KindSettled }
+func (Query) Kind() Kind       { return KindQuery }
--- /dev/null
+++ b/internal/reducer/entry/event.go
@@ -0,0 +1,124 @@
+// Package entry is the reducer of the entry: it takes each request from its
+// arrival through claim, reservation, prefill, transfer and decode to one
+// whole answer. It is pure: no clock, socket or unseeded randomness.
+package entry
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Event is something that happened to the entry. At is when, by the clock of
+// the entry's own process.
+type Event interface{ entryEvent() }
+
+// Request is one validated request of a caller.
+type Request struct {
+	ID           string
+	Scope        message.Scope
+	Fingerprint  string
+	Urgency      oriolebend.Urgency
+	Model        string
+	Version      string
+	Adapter      string
+	Prompt       string
+	PromptTokens int
+	// Prefix holds one hash for each leading block of the prompt.
+	Prefix    []uint64
+	MaxTokens int
+	// Once is true if the request may run at most once.
+	Once bool
+	// Call is set for a plain service, and Service names it. The attempt in
+	// Call is filled in by the reducer.
+	Service string
+	Call    *message.Call
+	// StatusPath is the service's status call, if it has one.
+	StatusPath string
+	// FirstWithin and BetweenWithin are the two latency targets.
+	FirstWithin   time.Duration
+	BetweenWithin time.Duration
+	// Deadline is when the caller stops waiting; zero if it never does.
+	Deadline time.Time
+	// KeepRunning is true if the request goes on after its caller left.
+	KeepRunning bool
+}
+
+// SessionKey names one session of an entry with a gate.
+type SessionKey struct {
+	Attempt message.Attempt
+	Phase   message.Phase
+	Server  string
+}
+
+// Arrived is a new request.
+type Arrived struct {
+	At      time.Time
+	Request Request
+}
+
+// CallerGone tells that the caller of a request left before its answer ended.
+type CallerGone struct {
+	At        time.Time
+	RequestID string
+}
+
+// Claimed is the answer of the control VMs to a Claim.
+type Claimed struct {
+	At        time.Time
+	RequestID string
+	Answer    message.ClaimAnswer
+	// Problem is set instead if no quorum answered.
+	Problem *oriolebend.Problem
+}
+
+// Settled is the answer of the control VMs to a Settle.
+type Settled struct {
+	At        time.Time
+	RequestID string
+	State     message.RecordState
+	Accepted  bool
+	// Problem is set instead if no quorum answered.
+	Problem *oriolebend.Problem
+}
+
+// Received is a message that a gate sent over a session.
+type Received struct {
+	At      time.Time
+	Session SessionKey
+	Message message.Message
+}
+
+// SessionLost tells that a session could not be opened, or ended from the
+// other side or with its connection.
+type SessionLost struct {
+	At      time.Time
+	Session SessionKey
+	// Opened is false if nothing of the session reached the gate.
+	Opened bool
+}
+
+// ServersChanged tells of servers that are new, changed or gone.
+type ServersChanged struct {
+	At      time.Time
+	Servers []oriolebend.Server
+	// Whole is true if Servers is the whole membership.
+	Whole bool
+}
+
+// Stopping tells that the entry was asked to stop gracefully.
+type Stopping struct{ At time.Time }
+
+// Ticked passes time; it comes at least every TickEvery.
+type Ticked struct{ At time.Time }
+
+func (Arrived) entryEvent()        {}
+func (CallerGone) entryEvent()     {}
+func (Claimed) entryEvent()        {}
+func (Settled) entryEvent()        {}
+func (Received) entryEvent()       {}
+func (SessionLost) entryEvent()    {}
+func (ServersChanged) entryEvent() {}
+func (Stopping) entryEvent()       {}
+func (Ticked) entryEvent()         {}
--- /dev/null
+++ b/pkg/oriolebend/urgency.go
@@ -0,0 +1,17 @@
+package oriolebend
+
+// Urgency orders a request against others that wait for the same server.
+type Urgency string
+
+const (
+	// Urgent requests (pings) are served before every patient one.
+	Urgent Urgency = "urgent"
+	// Patient requests (briefs, tab histories) may wait but are never dropped
+	// once accepted.
+	Patient Urgency = "patient"
+)
+
+// Valid reports whether u is one of the defined urgencies.
+func (u Urgency) Valid() bool {
+	return u == Urgent || u == Patient
+}
