--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -54,8 +54,17 @@
 	Revision uint64 `cbor:"revision"`
 }
 
-func (Announce) Kind() Kind  { return KindAnnounce }
+// Kind implements Message.
+func (Announce) Kind() Kind { return KindAnnounce }
+
+// Kind implements Message.
 func (Announced) Kind() Kind { return KindAnnounced }
-func (Watch) Kind() Kind     { return KindWatch }
-func (Update) Kind() Kind    { return KindUpdate }
-func (Reached) Kind() Kind   { return KindReached }
+
+// Kind implements Message.
+func (Watch) Kind() Kind { return KindWatch }
+
+// Kind implements Message.
+func (Update) Kind() Kind { return KindUpdate }
+
+// Kind implements Message.
+func (Reached) Kind() Kind { return KindReached }
--- a/internal/message/gate.go
+++ b/internal/message/gate.go
@@ -186,15 +186,38 @@
 	Identity string  `cbor:"identity"`
 }
 
-func (Reserve) Kind() Kind     { return KindReserve }
-func (Offer) Kind() Kind       { return KindOffer }
-func (Grant) Kind() Kind       { return KindGrant }
-func (Refusal) Kind() Kind     { return KindRefusal }
-func (Release) Kind() Kind     { return KindRelease }
-func (Prefill) Kind() Kind     { return KindPrefill }
-func (Prefilled) Kind() Kind   { return KindPrefilled }
-func (Decode) Kind() Kind      { return KindDecode }
-func (Part) Kind() Kind        { return KindPart }
-func (Call) Kind() Kind        { return KindCall }
-func (CallAnswer) Kind() Kind  { return KindCallAnswer }
+// Kind implements Message.
+func (Reserve) Kind() Kind { return KindReserve }
+
+// Kind implements Message.
+func (Offer) Kind() Kind { return KindOffer }
+
+// Kind implements Message.
+func (Grant) Kind() Kind { return KindGrant }
+
+// Kind implements Message.
+func (Refusal) Kind() Kind { return KindRefusal }
+
+// Kind implements Message.
+func (Release) Kind() Kind { return KindRelease }
+
+// Kind implements Message.
+func (Prefill) Kind() Kind { return KindPrefill }
+
+// Kind implements Message.
+func (Prefilled) Kind() Kind { return KindPrefilled }
+
+// Kind implements Message.
+func (Decode) Kind() Kind { return KindDecode }
+
+// Kind implements Message.
+func (Part) Kind() Kind { return KindPart }
+
+// Kind implements Message.
+func (Call) Kind() Kind { return KindCall }
+
+// Kind implements Message.
+func (CallAnswer) Kind() Kind { return KindCallAnswer }
+
+// Kind implements Message.
 func (StatusQuery) Kind() Kind { return KindStatusQuery }
--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -121,8 +121,17 @@
 	Organisation string `cbor:"organisation"`
 }
 
-func (Claim) Kind() Kind       { return KindClaim }
+// Kind implements Message.
+func (Claim) Kind() Kind { return KindClaim }
+
+// Kind implements Message.
 func (ClaimAnswer) Kind() Kind { return KindClaimAnswer }
-func (Settle) Kind() Kind      { return KindSettle }
-func (Settled) Kind() Kind     { return KindSettled }
-func (Query) Kind() Kind       { return KindQuery }
+
+// Kind implements Message.
+func (Settle) Kind() Kind { return KindSettle }
+
+// Kind implements Message.
+func (Settled) Kind() Kind { return KindSettled }
+
+// Kind implements Message.
+func (Query) Kind() Kind { return KindQuery }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,226 @@
+// Package settings reads and checks the TOML settings of every role. All
+// errors are found at once, each with its file and line, before a process
+// listens anywhere.
+package settings
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Settings is one process's settings file. Each role reads the tables it
+// needs; the others may be left out.
+type Settings struct {
+	Node          Node           `toml:"node"`
+	Log           Log            `toml:"log"`
+	TLS           TLS            `toml:"tls"`
+	Peer          Peer           `toml:"peer"`
+	Caller        Caller         `toml:"caller"`
+	Operator      Operator       `toml:"operator"`
+	Metrics       Metrics        `toml:"metrics"`
+	Control       Control        `toml:"control"`
+	Sidecar       Sidecar        `toml:"sidecar"`
+	Policy        Policy         `toml:"policy"`
+	Organisations []Organisation `toml:"organisations"`
+	Operations    []Operation    `toml:"operations"`
+	Services      []ServiceRoute `toml:"services"`
+	Dev           Dev            `toml:"dev"`
+}
+
+// Node says which process this is and where it stands.
+type Node struct {
+	Name          string `toml:"name"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failureDomain"`
+}
+
+// Log sets what is logged and how.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error"; empty means "info".
+	Level string `toml:"level"`
+	// Format is "text" or "json"; empty means "text".
+	Format string `toml:"format"`
+}
+
+// TLS names the files of this process's certificate and of the authority
+// that signed those of its peers.
+type TLS struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
+}
+
+// Peer sets where the system's own processes reach this one.
+type Peer struct {
+	// Listen is an IP:port for UDP.
+	Listen string `toml:"listen"`
+}
+
+// Caller sets the HTTP side towards callers.
+type Caller struct {
+	Listen string `toml:"listen"`
+	// MaxBodyBytes bounds a request's body; zero means 8 MiB.
+	MaxBodyBytes int64 `toml:"maxBodyBytes"`
+	// MaxPromptTokens bounds a prompt; zero means 65,536.
+	MaxPromptTokens int `toml:"maxPromptTokens"`
+	// MaxOutputTokens bounds an output; zero means 4,096.
+	MaxOutputTokens int `toml:"maxOutputTokens"`
+	// HeaderTimeout and BodyTimeout end slow callers; zero means 5s and 30s.
+	HeaderTimeout Duration `toml:"headerTimeout"`
+	BodyTimeout   Duration `toml:"bodyTimeout"`
+	// StopDelay is how long /readyz fails before a stopping entry closes its
+	// port, so that the balancer looks away first; zero means 3s.
+	StopDelay Duration `toml:"stopDelay"`
+	// Open lets callers in without a token; only dev sets it.
+	Open bool `toml:"open"`
+}
+
+// Operator sets the HTTP side towards operators, on control VMs.
+type Operator struct {
+	Listen string   `toml:"listen"`
+	Tokens []string `toml:"tokens"`
+	// Open lets operators in without a token; only dev sets it.
+	Open bool `toml:"open"`
+}
+
+// Metrics sets where metrics and health are served.
+type Metrics struct {
+	Listen string `toml:"listen"`
+}
+
+// Control names the control VMs and, on one of them, its own part.
+type Control struct {
+	// Members lists every control VM.
+	Members []Member `toml:"members"`
+	// DataFolder holds the log and snapshots; only control VMs set it.
+	DataFolder string `toml:"dataFolder"`
+}
+
+// Member is one control VM.
+type Member struct {
+	Name          string `toml:"name"`
+	Address       string `toml:"address"`
+	FailureDomain string `toml:"failureDomain"`
+}
+
+// Sidecar sets what stands behind a gate: an engine or a plain service.
+type Sidecar struct {
+	// Server is the name of the backend server.
+	Server string `toml:"server"`
+	// Engine is the engine's base URL.
+	Engine string `toml:"engine"`
+	// Service is the plain service's name, and ServiceURL its base URL.
+	Service    string `toml:"service"`
+	ServiceURL string `toml:"serviceURL"`
+	// Concurrency bounds the calls of a plain service in progress; zero means
+	// 64.
+	Concurrency int `toml:"concurrency"`
+}
+
+// Policy sets latency targets and limits of routing.
+type Policy struct {
+	// Route is "reserve", "random", "roundRobin", "leastLoad" or "affinity";
+	// empty means "reserve".
+	Route string `toml:"route"`
+	// FirstWithin is the target of the time to the first token; zero means
+	// 1.2s.
+	FirstWithin Duration `toml:"firstWithin"`
+	// BetweenWithin is the target of the time between tokens; zero means 41ms.
+	BetweenWithin Duration `toml:"betweenWithin"`
+	// Lease is how long a reservation lives unrenewed; zero means 3s.
+	Lease Duration `toml:"lease"`
+	// KeepRecords is how long a settled record is kept; zero means 24h.
+	KeepRecords Duration `toml:"keepRecords"`
+	// KeepAnswers is how long a stored answer is kept; zero means 1h.
+	KeepAnswers Duration `toml:"keepAnswers"`
+}
+
+// Organisation is one organisation of callers.
+type Organisation struct {
+	Name   string   `toml:"name"`
+	Tokens []string `toml:"tokens"`
+	// Share weighs the organisation in queues; zero means 1.
+	Share float64 `toml:"share"`
+}
+
+// Operation sets how requests of one name are treated. Callers name it in the
+// Oriolebend-Operation header; unnamed requests are "completion".
+type Operation struct {
+	Name    string             `toml:"name"`
+	Urgency oriolebend.Urgency `toml:"urgency"`
+	// KeepRunning lets a request go on after its caller left.
+	KeepRunning bool     `toml:"keepRunning"`
+	FirstWithin Duration `toml:"firstWithin"`
+}
+
+// ServiceRoute sets how calls of one plain service are treated.
+type ServiceRoute struct {
+	Name  string      `toml:"name"`
+	Calls []CallRoute `toml:"calls"`
+}
+
+// CallRoute sets how calls of one method and path prefix are treated. Calls
+// that match none may run at most once.
+type CallRoute struct {
+	Method string `toml:"method"`
+	Path   string `toml:"path"`
+	// Repeatable is true if the call may be run again after a failure.
+	Repeatable bool               `toml:"repeatable"`
+	Urgency    oriolebend.Urgency `toml:"urgency"`
+	// StatusPath is the call that tells the outcome of an earlier one by its
+	// identity; "{identity}" in it is replaced.
+	StatusPath string `toml:"statusPath"`
+}
+
+// Dev describes the stand-ins that "oriolebend dev" runs.
+type Dev struct {
+	Entries  int         `toml:"entries"`
+	Controls int         `toml:"controls"`
+	Servers  []DevServer `toml:"servers"`
+}
+
+// DevServer describes stand-in backend servers that are alike.
+type DevServer struct {
+	// NamePrefix is followed by a number from 1.
+	NamePrefix     string              `toml:"namePrefix"`
+	Count          int                 `toml:"count"`
+	Role           oriolebend.PoolRole `toml:"role"`
+	FailureDomains []string            `toml:"failureDomains"`
+	Model          string              `toml:"model"`
+	Version        string              `toml:"version"`
+	Adapters       []string            `toml:"adapters"`
+	Service        string              `toml:"service"`
+	// PrefillTokens is how many prompt tokens a second a prefill computes;
+	// zero means 20,000.
+	PrefillTokens float64 `toml:"prefillTokens"`
+	// DecodeStep is the time between output tokens; zero means 25ms.
+	DecodeStep Duration `toml:"decodeStep"`
+	// KVTokens is the size of the KV memory in tokens; zero means 160,000.
+	KVTokens int `toml:"kvTokens"`
+	// LinkBytes is the link's rate in bytes a second; zero means 2e9.
+	LinkBytes float64 `toml:"linkBytes"`
+	// IgnoresFencing makes the engine accept outdated orders.
+	IgnoresFencing bool `toml:"ignoresFencing"`
+}
+
+// Duration is a time.Duration written as text, such as "1.2s" or "41ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Or returns d, or the other if d is zero.
+func (d Duration) Or(other time.Duration) time.Duration {
+	if d == 0 {
+		return other
+	}
+	return time.Duration(d)
+}
