caller: completions, chat, services, records and problems over HTTP

Cause: callers had a contract and no way in. Change: echo routes for both forms of the completions protocol, plain services, models, records, re-attachment, health and readiness; tokens of organisations, scoped keys, urgency and deadline from headers; problem documents from one table of reasons; bounds of body, head, nesting, time and connections. Router gains Attach, Chunk the ID of the record it belongs to, message.Answer whether a stored failure ran.

--- /dev/null
+++ b/internal/caller/body.go
@@ -0,0 +1,72 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const defaultBodyTimeout = 30 * time.Second
+
+// readBody returns the whole body of a request. It refuses a body over the
+// bound without reading it, and ends a caller that sends too slowly: such
+// callers would otherwise hold a connection and its memory for ever.
+func (h *handler) readBody(c *echo.Context) ([]byte, error) {
+	r := c.Request()
+	limit := h.Caller.MaxBodyBytes
+	limited := http.MaxBytesReader(c.Response(), r.Body, limit)
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	control := http.NewResponseController(c.Response())
+	h.ignoreUnsupported(control.SetReadDeadline(time.Now().Add(h.Caller.BodyTimeout.Or(defaultBodyTimeout))))
+	body, err := io.ReadAll(limited)
+	if err != nil {
+		return nil, bodyProblem(err, limit)
+	}
+	// The deadline must go once the body is there: while the answer is written
+	// the server still reads, to notice a caller that leaves, and would take a
+	// passed deadline for that.
+	h.ignoreUnsupported(control.SetReadDeadline(time.Time{}))
+	return body, nil
+}
+
+// ignoreUnsupported logs an error of a connection's deadline. Recorders in
+// tests have no deadlines; on a real connection it means that the caller left,
+// which the next read or write tells too.
+func (h *handler) ignoreUnsupported(err error) {
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		h.Logger.Debug("no deadline on a caller's connection", "cause", err.Error())
+	}
+}
+
+func bodyProblem(err error, limit int64) error {
+	var overLimit *http.MaxBytesError
+	if errors.As(err, &overLimit) {
+		return tooLarge(limit)
+	}
+	problem := refuse(oriolebend.ReasonMalformed, "the body ended early")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		problem = refuse(oriolebend.ReasonDeadline, "the body came too slowly")
+	}
+	problem.Cause = err
+	return problem
+}
+
+func tooLarge(limit int64) error {
+	return refuse(oriolebend.ReasonTooLarge, fmt.Sprintf("the body is over %d bytes", limit))
+}
+
+// extendWrite gives the caller time to take the next write. A caller that
+// takes none is noticed by the failed write, and its request then cancelled.
+func (h *handler) extendWrite(c *echo.Context) {
+	control := http.NewResponseController(c.Response())
+	h.ignoreUnsupported(control.SetWriteDeadline(time.Now().Add(h.WriteTimeout)))
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -14,8 +14,12 @@
 type Router interface {
 	// Submit starts a request. The channel carries its answer: Chunks, the
 	// last of which has End, Call, Replay or Problem set. Ending ctx tells
-	// that the caller left.
+	// that the caller left; nothing is read from the channel after that.
 	Submit(ctx context.Context, r entry.Request) <-chan Chunk
+	// Attach follows a request of the organisation; the channel carries what
+	// Submit's would, from the first token on. Ending ctx leaves the request
+	// itself as it was.
+	Attach(ctx context.Context, organisation, requestID string) <-chan Chunk
 	// Models lists the models that callers may name now.
 	Models() []oriolebend.LoadedModel
 	// Record looks a request of an organisation up.
@@ -26,6 +30,10 @@
 
 // Chunk is one step of an answer. Exactly one of its parts is set.
 type Chunk struct {
+	// RequestID names the record that the answer belongs to. It is set on the
+	// first chunk of an answer that belongs to an earlier request with the same
+	// key, and may be empty otherwise.
+	RequestID string
 	// Text is output behind Offset tokens; Tokens counts those in it.
 	Text   string
 	Tokens int
--- /dev/null
+++ b/internal/caller/fingerprint.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"strconv"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+)
+
+// fingerprintVersion begins every provisional fingerprint.
+const fingerprintVersion = "provisional-1"
+
+// ProvisionalFingerprint identifies the command of a request: what would run,
+// and nothing of how its answer is delivered or how long the caller waits.
+func ProvisionalFingerprint(r entry.Request) string {
+	sum := sha256.New()
+	writeParts(sum, fingerprintVersion, r.Model, r.Version, r.Adapter, r.Prompt, strconv.Itoa(r.MaxTokens), r.Service)
+	if r.Call != nil {
+		writeParts(sum, r.Call.Method, r.Call.Path, r.Call.Header["Content-Type"], string(r.Call.Body))
+	}
+	return fingerprintVersion + ":" + hex.EncodeToString(sum.Sum(nil))
+}
+
+// identityOf returns the identity under which a service knows an operation,
+// the same for every attempt and every retry with the same key.
+func identityOf(s message.Scope) string {
+	const identityBytes = 16
+	sum := sha256.New()
+	writeParts(sum, s.Organisation, s.Operation, s.Key)
+	return hex.EncodeToString(sum.Sum(nil)[:identityBytes])
+}
+
+// writeParts writes each part behind its length, so that no two lists of parts
+// are written alike.
+func writeParts(sum hash.Hash, parts ...string) {
+	var length [8]byte
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		sum.Write(length[:])
+		sum.Write([]byte(part))
+	}
+}
--- /dev/null
+++ b/internal/caller/handler.go
@@ -0,0 +1,201 @@
+package caller
+
+import (
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Headers of the callers' protocol.
+const (
+	HeaderKey          = "Idempotency-Key"
+	HeaderReplayed     = "Idempotent-Replayed"
+	HeaderOperation    = "Oriolebend-Operation"
+	HeaderUrgency      = "Oriolebend-Urgency"
+	HeaderDeadline     = "Oriolebend-Deadline"
+	HeaderOrganisation = "Oriolebend-Organisation"
+	HeaderRequestID    = "Oriolebend-Request-Id"
+)
+
+// Metrics counts what the handler refuses on its own, before a request reaches
+// the Router; the Router counts the rest.
+type Metrics interface {
+	Refused(reason oriolebend.Reason)
+}
+
+// Config sets up the handler towards callers. Router is required; the zero
+// value of every other field is useful.
+type Config struct {
+	Router Router
+	// Caller bounds requests and says who is let in.
+	Caller settings.Caller
+	// Organisations lists who may call, and with which tokens.
+	Organisations []settings.Organisation
+	// Operations lists the operations that callers may name besides the
+	// default one.
+	Operations []settings.Operation
+	// Services lists the plain services that callers may call.
+	Services []settings.ServiceRoute
+	// Policy gives the latency targets of operations that set none.
+	Policy settings.Policy
+	// Logger gets a line for each refusal and failure; nil logs nothing.
+	Logger *slog.Logger
+	// Metrics counts refusals; nil counts nothing.
+	Metrics Metrics
+	// Fingerprint identifies the command of a request, without its scope; nil
+	// means ProvisionalFingerprint.
+	Fingerprint func(entry.Request) string
+	// CountTokens sizes a prompt; nil estimates four bytes a token.
+	CountTokens func(prompt string) int
+	// Prefix hashes the leading blocks of a prompt; nil means no hashes.
+	Prefix func(prompt string) []uint64
+	// WriteTimeout ends a caller that takes no output for so long; zero means
+	// 10s.
+	WriteTimeout time.Duration
+}
+
+// Defaults of settings.Caller and Config.
+const (
+	defaultBodyBytes    = 8 << 20
+	defaultPromptTokens = 65536
+	defaultOutputTokens = 4096
+	// unsaidOutputTokens bounds the output of a request that does not say.
+	unsaidOutputTokens  = 256
+	defaultWriteTimeout = 10 * time.Second
+	defaultFirst        = 1200 * time.Millisecond
+	defaultBetween      = 41 * time.Millisecond
+)
+
+type handler struct {
+	Config
+	organisations identities
+	operations    map[string]settings.Operation
+	services      map[string]settings.ServiceRoute
+}
+
+// New returns the HTTP handler towards callers.
+func New(c Config) http.Handler {
+	h := newHandler(c)
+	e := echo.NewWithConfig(echo.Config{
+		Logger:           h.Logger,
+		HTTPErrorHandler: h.writeError,
+	})
+	e.GET("/healthz", h.health)
+	e.GET("/readyz", h.readiness)
+	e.GET("/v1/models", h.models)
+	e.POST("/v1/completions", h.completions)
+	e.POST("/v1/chat/completions", h.chat)
+	e.GET("/v1/requests/:id", h.record)
+	e.GET("/v1/requests/:id/stream", h.attach)
+	e.Any("/services/:service", h.call)
+	e.Any("/services/:service/*", h.call)
+	return e
+}
+
+func newHandler(c Config) *handler {
+	h := &handler{Config: withDefaults(c)}
+	h.organisations = newIdentities(c.Organisations)
+	h.operations = map[string]settings.Operation{}
+	for _, o := range c.Operations {
+		h.operations[o.Name] = o
+	}
+	h.services = map[string]settings.ServiceRoute{}
+	for _, s := range c.Services {
+		h.services[s.Name] = s
+	}
+	return h
+}
+
+func withDefaults(c Config) Config {
+	if c.Caller.MaxBodyBytes == 0 {
+		c.Caller.MaxBodyBytes = defaultBodyBytes
+	}
+	if c.Caller.MaxPromptTokens == 0 {
+		c.Caller.MaxPromptTokens = defaultPromptTokens
+	}
+	if c.Caller.MaxOutputTokens == 0 {
+		c.Caller.MaxOutputTokens = defaultOutputTokens
+	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = defaultWriteTimeout
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return withFunctions(c)
+}
+
+func withFunctions(c Config) Config {
+	if c.Fingerprint == nil {
+		c.Fingerprint = ProvisionalFingerprint
+	}
+	if c.CountTokens == nil {
+		c.CountTokens = estimateTokens
+	}
+	if c.Prefix == nil {
+		c.Prefix = func(string) []uint64 { return nil }
+	}
+	return c
+}
+
+// estimateTokens is the usual rule of thumb for a prompt whose tokeniser is
+// not at hand: four bytes a token.
+func estimateTokens(prompt string) int {
+	const bytesPerToken = 4
+	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
+}
+
+// health answers as long as the process serves at all.
+func (h *handler) health(c *echo.Context) error {
+	return c.String(http.StatusOK, "alive\n")
+}
+
+// readiness tells the platform's balancer whether to send new callers here.
+func (h *handler) readiness(c *echo.Context) error {
+	if !h.Router.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// writeError answers with the problem document of an error that a route
+// returned. Nothing can be told any more once the answer's head is sent.
+func (h *handler) writeError(c *echo.Context, err error) {
+	response, unwrapErr := echo.UnwrapResponse(c.Response())
+	if unwrapErr == nil && response.Committed {
+		return
+	}
+	h.writeProblem(c, problemOf(err))
+}
+
+// problemOf returns the problem in err, or the one that fits an error of the
+// HTTP library.
+func problemOf(err error) *oriolebend.Problem {
+	var problem *oriolebend.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	status := echo.StatusCode(err)
+	if status == http.StatusNotFound || status == http.StatusMethodNotAllowed {
+		return refuse(oriolebend.ReasonUnknownService, "no such path, or not with this method; see docs/callers.md")
+	}
+	return &oriolebend.Problem{
+		Reason: oriolebend.ReasonInternal,
+		Ran:    oriolebend.RanUnknown,
+		Detail: "the router failed; its log tells more",
+		Cause:  err,
+	}
+}
+
+// refuse returns the problem of a request that the handler turns away before
+// the Router has seen it, so that it certainly never ran.
+func refuse(reason oriolebend.Reason, detail string) *oriolebend.Problem {
+	return &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanNo, Detail: detail}
+}
--- /dev/null
+++ b/internal/caller/identity.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// devOrganisation is who an open entry takes a caller to be that names none.
+const devOrganisation = "dev"
+
+// identities knows the organisations by the hashes of their tokens.
+type identities struct {
+	byName map[string]settings.Organisation
+	tokens []tokenOwner
+}
+
+type tokenOwner struct {
+	hash         [sha256.Size]byte
+	organisation settings.Organisation
+}
+
+func newIdentities(organisations []settings.Organisation) identities {
+	known := identities{byName: map[string]settings.Organisation{}}
+	for _, o := range organisations {
+		known.byName[o.Name] = o
+		for _, token := range o.Tokens {
+			known.tokens = append(known.tokens, tokenOwner{sha256.Sum256([]byte(token)), o})
+		}
+	}
+	return known
+}
+
+// owner returns the organisation of a token. It compares hashes in constant
+// time and always all of them: otherwise the time of a refusal would tell how
+// much of a guessed token is right.
+func (i identities) owner(token string) (settings.Organisation, bool) {
+	hash := sha256.Sum256([]byte(token))
+	var owner settings.Organisation
+	found := false
+	for _, t := range i.tokens {
+		if subtle.ConstantTimeCompare(hash[:], t.hash[:]) == 1 {
+			owner, found = t.organisation, true
+		}
+	}
+	return owner, found && token != ""
+}
+
+// identify returns the organisation that a request comes from.
+func (h *handler) identify(r *http.Request) (settings.Organisation, error) {
+	token := bearerToken(r)
+	if owner, found := h.organisations.owner(token); found {
+		return owner, nil
+	}
+	if !h.Caller.Open {
+		return settings.Organisation{}, refuse(oriolebend.ReasonUnauthorized,
+			"send the organisation's token as \"Authorization: Bearer TOKEN\"")
+	}
+	return h.openOrganisation(r)
+}
+
+// openOrganisation takes the caller's word for who it is; only dev is open.
+func (h *handler) openOrganisation(r *http.Request) (settings.Organisation, error) {
+	name := r.Header.Get(HeaderOrganisation)
+	if name == "" {
+		name = devOrganisation
+	}
+	if !validKey(name) {
+		return settings.Organisation{}, refuse(oriolebend.ReasonMalformed, HeaderOrganisation+": "+keyRule)
+	}
+	if known, found := h.organisations.byName[name]; found {
+		return known, nil
+	}
+	return settings.Organisation{Name: name}, nil
+}
+
+func bearerToken(r *http.Request) string {
+	const scheme = "bearer "
+	value := r.Header.Get("Authorization")
+	if len(value) < len(scheme) || !strings.EqualFold(value[:len(scheme)], scheme) {
+		return ""
+	}
+	return strings.TrimSpace(value[len(scheme):])
+}
--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -49,6 +49,8 @@
 	Finish FinishReason      `cbor:"finish,omitempty"`
 	// Reason is set for a stored failure.
 	Reason oriolebend.Reason `cbor:"reason,omitempty"`
+	// Ran is set with Reason; empty means unknown.
+	Ran oriolebend.Ran `cbor:"ran,omitempty"`
 }
 
 // Claim asks for the ownership of a scope. The first claim owns it; a claim
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,8 @@
 	// StopDelay is how long /readyz fails before a stopping entry closes its
 	// port, so that the balancer looks away first; zero means 3s.
 	StopDelay Duration `toml:"stopDelay"`
+	// MaxConnections bounds the callers' connections; zero means 4,096.
+	MaxConnections int `toml:"maxConnections"`
 	// Open lets callers in without a token; only dev sets it.
 	Open bool `toml:"open"`
 }
@@ -142,6 +144,10 @@
 	Tokens []string `toml:"tokens"`
 	// Share weighs the organisation in queues; zero means 1.
 	Share float64 `toml:"share"`
+	// Operations lists what the organisation may ask for; empty means all.
+	Operations []string `toml:"operations"`
+	// Urgencies lists what the organisation may ask for; empty means both.
+	Urgencies []oriolebend.Urgency `toml:"urgencies"`
 }
 
 // Operation sets how requests of one name are treated. Callers name it in the
