--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -13,7 +13,11 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-const defaultBodyTimeout = 30 * time.Second
+const (
+	defaultBodyTimeout = 30 * time.Second
+	// retryHeld is when a caller comes back that found no memory for its body.
+	retryHeld = time.Second
+)
 
 // readBody returns the whole body of a request. It refuses a body over the
 // bound without reading it, and ends a caller that sends too slowly: such
@@ -38,6 +42,35 @@
 	return body, nil
 }
 
+// holdBody bounds the memory of all bodies together, from before one is read to
+// the end of its answer. Without it, callers that each stay within the bound of
+// one body could together take all memory of the entry, and every request in
+// progress would be lost with it.
+func (h *handler) holdBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		size := c.Request().ContentLength
+		if size < 0 || size > h.Caller.MaxBodyBytes {
+			size = min(h.Caller.MaxBodyBytes, h.Caller.MaxHeldBytes)
+		}
+		if !h.bodies.TryAcquire(size) {
+			return overloadedBodies(c.Request())
+		}
+		defer h.bodies.Release(size)
+		return next(c)
+	}
+}
+
+// overloadedBodies does not say that a request with a key of its caller's own
+// did not run: it may be a retry of one that did, and no record was looked at.
+func overloadedBodies(r *http.Request) error {
+	problem := refuse(oriolebend.ReasonOverloaded, "the bodies of requests in progress take all memory set aside")
+	problem.RetryAfter = retryHeld
+	if r.Header.Get(HeaderKey) != "" {
+		problem.Ran = oriolebend.RanUnknown
+	}
+	return problem
+}
+
 // ignoreUnsupported logs an error of a connection's deadline. Recorders in
 // tests have no deadlines; on a real connection it means that the caller left,
 // which the next read or write tells too.
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -28,6 +28,9 @@
 	"Etag", "Last-Modified", "Location", "Retry-After",
 }
 
+// maxStatus is the highest status that HTTP defines.
+const maxStatus = 599
+
 // call takes a call of a plain service from its headers to its answer.
 func (h *handler) call(c *echo.Context) error {
 	r := c.Request()
@@ -40,7 +43,7 @@
 	if !found {
 		return refuse(oriolebend.ReasonUnknownService, "no service of this name is set")
 	}
-	path, err := servicePath(r.URL)
+	path, err := servicePathOf(r.URL)
 	if err != nil {
 		return err
 	}
@@ -57,8 +60,8 @@
 // fillCall puts the call into the request. A call that the settings do not
 // name may run at most once: to repeat a payment is worse than not to repeat
 // a query.
-func (h *handler) fillCall(request *entry.Request, r *http.Request, service settings.ServiceRoute, path string) {
-	route := matchRoute(service.Calls, r.Method, r.URL.Path[len("/services/"+service.Name):])
+func (h *handler) fillCall(request *entry.Request, r *http.Request, service settings.ServiceRoute, path servicePath) {
+	route := matchRoute(service.Calls, r.Method, path.Plain)
 	request.Service = service.Name
 	request.Once = !route.Repeatable
 	request.StatusPath = route.StatusPath
@@ -67,7 +70,7 @@
 	}
 	request.Call = &message.Call{
 		Method:   r.Method,
-		Path:     path,
+		Path:     path.Sent,
 		Header:   pick(requestHeaders, r.Header.Get),
 		Identity: identityOf(request.Scope),
 	}
@@ -92,24 +95,40 @@
 	return path == prefix || strings.HasPrefix(path, prefix+"/")
 }
 
-// servicePath returns the path and query to ask of the service. It refuses
-// paths that a service might read as another path than the one that the
-// settings were matched against: a call that may not be repeated could
-// otherwise pass as one that may.
-func servicePath(u *url.URL) (string, error) {
-	escaped := u.EscapedPath()
-	rest := strings.SplitN(escaped, "/", 4)
-	if len(rest) < 4 {
-		return "/", nil
-	}
-	for _, segment := range strings.Split(rest[3], "/") {
-		if !plainSegment(segment) {
-			return "", refuse(oriolebend.ReasonMalformed, "the path holds an empty or dot segment, an escaped slash or a control character")
+// servicePath is the path of a call behind the service's name.
+type servicePath struct {
+	// Plain is the path that the settings are matched against.
+	Plain string
+	// Sent is the path and query to ask of the service, escaped as the caller
+	// had it.
+	Sent string
+}
+
+// servicePathOf refuses paths that a service might read as another path than
+// the one that the settings are matched against: a call that may not be
+// repeated could otherwise pass as one that may.
+func servicePathOf(u *url.URL) (servicePath, error) {
+	const partsBefore = 3 // "", "services" and the name
+	parts := strings.Split(u.EscapedPath(), "/")
+	segments := parts[min(partsBefore, len(parts)):]
+	for i, segment := range segments {
+		last := i == len(segments)-1
+		if !plainSegment(segment) && !(last && segment == "") {
+			return servicePath{}, refuse(oriolebend.ReasonMalformed,
+				"the path holds an empty or dot segment, an escaped slash or a control character")
 		}
 	}
-	path := "/" + rest[3]
+	escaped := "/" + strings.Join(segments, "/")
+	plain, err := url.PathUnescape(escaped)
+	if err != nil {
+		return servicePath{}, refuse(oriolebend.ReasonMalformed, "the path can't be read")
+	}
+	if strings.ContainsFunc(u.RawQuery, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return servicePath{}, refuse(oriolebend.ReasonMalformed, "the query holds a space or a control character")
+	}
+	path := servicePath{Plain: plain, Sent: escaped}
 	if u.RawQuery != "" {
-		path += "?" + u.RawQuery
+		path.Sent += "?" + u.RawQuery
 	}
 	return path, nil
 }
@@ -151,6 +170,13 @@
 }
 
 func (h *handler) writeCall(c *echo.Context, a *message.CallAnswer) error {
+	if a.Status < http.StatusOK || a.Status > maxStatus {
+		return &oriolebend.Problem{
+			Reason: oriolebend.ReasonInternal,
+			Ran:    oriolebend.RanYes,
+			Detail: "the service answered with a status that can't be passed on",
+		}
+	}
 	header := c.Response().Header()
 	for name, value := range a.Header {
 		canonical := http.CanonicalHeaderKey(name)
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -72,6 +72,17 @@
 	return f.requests
 }
 
+// endingRouter tells when the context of a request ends.
+type endingRouter struct {
+	*fakeRouter
+	ended chan struct{}
+}
+
+func (e endingRouter) Submit(ctx context.Context, r entry.Request) <-chan Chunk {
+	context.AfterFunc(ctx, func() { close(e.ended) })
+	return e.fakeRouter.Submit(ctx, r)
+}
+
 // testConfig has two organisations, one of which may do little, and a service
 // with a query that may be repeated.
 func testConfig(router Router) Config {
@@ -80,6 +91,7 @@
 		Caller: settings.Caller{MaxBodyBytes: 4096, MaxPromptTokens: 500, MaxOutputTokens: 100},
 		Organisations: []settings.Organisation{
 			{Name: "lintang", Tokens: []string{"lintang-token"}},
+			{Name: "careless", Tokens: []string{""}},
 			{
 				Name: "camp", Tokens: []string{"camp-token"},
 				Operations: []string{"completion"}, Urgencies: []oriolebend.Urgency{oriolebend.Patient},
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/labstack/echo/v5"
+	"github.com/labstack/echo/v5/middleware"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 	"github.com/oriolebend/oriolebend/internal/settings"
@@ -64,6 +66,7 @@
 // Defaults of settings.Caller and Config.
 const (
 	defaultBodyBytes    = 8 << 20
+	defaultHeldBytes    = 512 << 20
 	defaultPromptTokens = 65536
 	defaultOutputTokens = 4096
 	// unsaidOutputTokens bounds the output of a request that does not say.
@@ -78,6 +81,8 @@
 	organisations identities
 	operations    map[string]settings.Operation
 	services      map[string]settings.ServiceRoute
+	// bodies is the memory that requests in progress may take.
+	bodies *semaphore.Weighted
 }
 
 // New returns the HTTP handler towards callers.
@@ -87,20 +92,22 @@
 		Logger:           h.Logger,
 		HTTPErrorHandler: h.writeError,
 	})
+	e.Use(middleware.Recover())
 	e.GET("/healthz", h.health)
 	e.GET("/readyz", h.readiness)
 	e.GET("/v1/models", h.models)
-	e.POST("/v1/completions", h.completions)
-	e.POST("/v1/chat/completions", h.chat)
+	e.POST("/v1/completions", h.completions, h.holdBody)
+	e.POST("/v1/chat/completions", h.chat, h.holdBody)
 	e.GET("/v1/requests/:id", h.record)
 	e.GET("/v1/requests/:id/stream", h.attach)
-	e.Any("/services/:service", h.call)
-	e.Any("/services/:service/*", h.call)
+	e.Any("/services/:service", h.call, h.holdBody)
+	e.Any("/services/:service/*", h.call, h.holdBody)
 	return e
 }
 
 func newHandler(c Config) *handler {
 	h := &handler{Config: withDefaults(c)}
+	h.bodies = semaphore.NewWeighted(h.Caller.MaxHeldBytes)
 	h.organisations = newIdentities(c.Organisations)
 	h.operations = map[string]settings.Operation{}
 	for _, o := range c.Operations {
@@ -117,6 +124,9 @@
 	if c.Caller.MaxBodyBytes == 0 {
 		c.Caller.MaxBodyBytes = defaultBodyBytes
 	}
+	if c.Caller.MaxHeldBytes == 0 {
+		c.Caller.MaxHeldBytes = defaultHeldBytes
+	}
 	if c.Caller.MaxPromptTokens == 0 {
 		c.Caller.MaxPromptTokens = defaultPromptTokens
 	}
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -52,16 +53,26 @@
 	}
 }
 
+// aboutRecord takes back that nothing ran from the refusal of a question about
+// an earlier request: its caller would read "not run" as told of that request.
+func aboutRecord(err error) error {
+	var problem *oriolebend.Problem
+	if errors.As(err, &problem) {
+		problem.Ran = oriolebend.RanUnknown
+	}
+	return err
+}
+
 // identifyRequest returns the caller's organisation and the request that its
 // path names.
 func (h *handler) identifyRequest(c *echo.Context) (organisation, requestID string, err error) {
 	owner, err := h.identify(c.Request())
 	if err != nil {
-		return "", "", err
+		return "", "", aboutRecord(err)
 	}
 	requestID = c.Param("id")
 	if !validKey(requestID) {
-		return "", "", refuse(oriolebend.ReasonMalformed, "the request ID: "+keyRule)
+		return "", "", aboutRecord(refuse(oriolebend.ReasonMalformed, "the request ID: "+keyRule))
 	}
 	return owner.Name, requestID, nil
 }
@@ -102,11 +113,11 @@
 	}
 	offset, err := offsetOf(c)
 	if err != nil {
-		return err
+		return aboutRecord(err)
 	}
 	asked, err := attachedCommand(c)
 	if err != nil {
-		return err
+		return aboutRecord(err)
 	}
 	ctx, cancel := context.WithCancel(c.Request().Context())
 	defer cancel()
--- a/internal/caller/script_test.go
+++ b/internal/caller/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -23,6 +24,8 @@
 //
 //	router [hold] [notReady] [state=S]  the chunks of every answer from here on, one a line
 //	http                                one request as it is sent; prints the answer
+//	refusals                            requests one a line, as METHOD PATH | HEADER | -- BODY;
+//	                                    prints the status, reason, ran and detail of each
 //	asked                               prints the last request that the Router got
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -35,6 +38,8 @@
 				return ""
 			case "http":
 				return exchange(t, handler, d.Input)
+			case "refusals":
+				return refusals(t, handler, d.Input)
 			case "asked":
 				return lastAsked(router)
 			}
@@ -63,7 +68,7 @@
 
 // chunkOf reads "text OFFSET TOKENS QUOTED", "end REASON TOKENS", "call STATUS
 // HEADER=VALUE BODY", "problem REASON RAN RETRYAFTER", "replay TOKENS FINISH
-// TEXT" or "failed REASON RAN".
+// TEXT" or "failed REASON [RAN]".
 func chunkOf(t *testing.T, words []string) Chunk {
 	number := func(i int) int {
 		n, err := strconv.Atoi(words[i])
@@ -93,9 +98,11 @@
 			Tokens: number(1), Finish: message.FinishReason(words[2]), Body: []byte(words[3]),
 		}}
 	case "failed":
-		return Chunk{RequestID: "first", Replay: &message.Answer{
-			Reason: oriolebend.Reason(words[1]), Ran: oriolebend.Ran(words[2]),
-		}}
+		stored := &message.Answer{Reason: oriolebend.Reason(words[1])}
+		if len(words) > 2 {
+			stored.Ran = oriolebend.Ran(words[2])
+		}
+		return Chunk{RequestID: "first", Replay: stored}
 	}
 	t.Fatalf("unknown chunk %q", words)
 	return Chunk{}
@@ -131,6 +138,22 @@
 	return anyCreated.ReplaceAllString(strings.TrimSpace(text), `"created":<time>`)
 }
 
+func refusals(t *testing.T, handler http.Handler, input string) string {
+	var out strings.Builder
+	for _, line := range strings.Split(input, "\n") {
+		answer := exchange(t, handler, strings.Replace(strings.ReplaceAll(line, " | ", "\n"), "\n-- ", "\n\n", 1))
+		status, _, _ := strings.Cut(answer, "\n")
+		var document Document
+		_, body, _ := strings.Cut(answer, "\n{")
+		if err := json.Unmarshal([]byte("{"+body), &document); err != nil {
+			fmt.Fprintf(&out, "%s not a problem: %v\n", status, err)
+			continue
+		}
+		fmt.Fprintf(&out, "%s %s ran=%s %s\n", status, document.Reason, document.Ran, document.Detail)
+	}
+	return out.String()
+}
+
 func sortedNames(header http.Header) []string {
 	names := make([]string, 0, len(header))
 	for name := range header {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -17,6 +17,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 16 << 10
+	// maxStreams bounds the requests in progress on one HTTP/2 connection.
+	maxStreams = 64
 	// defaultMaxConnections bounds the callers' connections of one entry.
 	defaultMaxConnections = 4096
 )
@@ -42,6 +44,7 @@
 		ReadHeaderTimeout: c.HeaderTimeout.Or(defaultHeaderTimeout),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 	if logger != nil {
 		server.ErrorLog = slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -69,7 +69,7 @@
 func (s *stream) part(next step) error {
 	text, fits := s.answer.cut.take(next.Text, next.Finish != "")
 	if !fits {
-		return badField("offset", "ends inside a character, or behind the end of the output")
+		return aboutRecord(badField("offset", "ends inside a character, or behind the end of the output"))
 	}
 	if text == "" && next.Finish == "" {
 		return nil
--- a/internal/caller/text.go
+++ b/internal/caller/text.go
@@ -12,7 +12,10 @@
 	skip int
 	// position is how many bytes of the whole text are given or left out.
 	position int
-	held     string
+	// inside is true from the first byte left out to the first one given: only
+	// then can skip end inside a character.
+	inside bool
+	held   string
 }
 
 // take returns what can be given out after another run; all of it if the run
@@ -25,9 +28,11 @@
 	t.skip -= left
 	t.position += left
 	text = text[left:]
-	if left > 0 && text != "" && !utf8.RuneStart(text[0]) {
+	t.inside = t.inside || left > 0
+	if t.inside && text != "" && !utf8.RuneStart(text[0]) {
 		return "", false
 	}
+	t.inside = t.inside && text == ""
 	if last {
 		t.position += len(text)
 		return text, t.skip == 0
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,9 @@
 	Listen string `toml:"listen"`
 	// MaxBodyBytes bounds a request's body; zero means 8 MiB.
 	MaxBodyBytes int64 `toml:"maxBodyBytes"`
+	// MaxHeldBytes bounds the bodies of all requests in progress; zero means
+	// 512 MiB.
+	MaxHeldBytes int64 `toml:"maxHeldBytes"`
 	// MaxPromptTokens bounds a prompt; zero means 65,536.
 	MaxPromptTokens int `toml:"maxPromptTokens"`
 	// MaxOutputTokens bounds an output; zero means 4,096.
