--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -45,3 +45,8 @@
 	Finish message.FinishReason
 	Tokens int
 }
+
+// Last reports whether nothing follows the chunk.
+func (c Chunk) Last() bool {
+	return c.End != nil || c.Call != nil || c.Replay != nil || c.Problem != nil
+}
--- /dev/null
+++ b/internal/cli/version.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/peterbourgon/ff/v4"
+)
+
+func versionCommand(out io.Writer) *ff.Command {
+	return &ff.Command{
+		Name:      "version",
+		Usage:     "oriolebend version",
+		ShortHelp: "print the version of the program",
+		LongHelp:  "Example:\n  oriolebend version",
+		Flags:     ff.NewFlagSet("version"),
+		Exec: func(context.Context, []string) error {
+			fmt.Fprintln(out, version())
+			return nil
+		},
+	}
+}
+
+// version names the module version and Go version that the program was built
+// with.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "oriolebend (built without module information)"
+	}
+	return fmt.Sprintf("oriolebend %s %s", info.Main.Version, info.GoVersion)
+}
--- /dev/null
+++ b/internal/role/dispatch.go
@@ -0,0 +1,50 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+)
+
+// Dispatch serves each session by the kind of its first message.
+type Dispatch struct {
+	Logger   *slog.Logger
+	Handlers map[message.Kind]peer.Handler
+}
+
+// Serve is a peer.Handler.
+func (d Dispatch) Serve(ctx context.Context, s peer.Stream) {
+	first, err := s.Receive()
+	if err != nil {
+		return
+	}
+	handler, ok := d.Handlers[first.Kind()]
+	if !ok {
+		d.Logger.Warn("a peer opened a session that this role does not serve", "peer", s.Peer(), "kind", first.Kind())
+		return
+	}
+	handler(ctx, &replayed{Stream: s, first: first})
+}
+
+// replayed gives the first message of a stream back to its handler.
+type replayed struct {
+	peer.Stream
+	once  sync.Once
+	first message.Message
+}
+
+// Receive implements peer.Stream.
+func (r *replayed) Receive() (message.Message, error) {
+	var first message.Message
+	r.once.Do(func() {
+		first = r.first
+		r.first = nil
+	})
+	if first != nil {
+		return first, nil
+	}
+	return r.Stream.Receive()
+}
--- /dev/null
+++ b/internal/role/enginewatch.go
@@ -0,0 +1,98 @@
+package role
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+)
+
+const (
+	// watchEvery is how often the sidecar asks its engine for load and cache
+	// events; both are hints only.
+	watchEvery = 250 * time.Millisecond
+	// watchWithin bounds one question to the engine.
+	watchWithin = 2 * time.Second
+	// lostAfter is how many questions in a row may fail before the engine
+	// counts as lost; one lost answer is not yet a dead engine.
+	lostAfter = 3
+)
+
+// engineWatch asks the engine what it is, its load and its cache events.
+type engineWatch struct {
+	engine      engine.Engine
+	post        func(gate.Event)
+	known       func(engine.Info)
+	failures int
+	info     engine.Info
+	after    uint64
+}
+
+// watchEngine follows the engine until ctx ends.
+func (s *Sidecar) watchEngine(ctx context.Context) {
+	w := &engineWatch{engine: s.config.Engine, post: s.loop.Post, known: s.engineKnown}
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		w.ask(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// engineKnown fills what the engine told into the announcement.
+func (s *Sidecar) engineKnown(info engine.Info) {
+	s.mu.Lock()
+	s.server.Role = info.Role
+	s.server.Models = info.Models
+	s.server.KVTokens = info.KVTokens
+	s.server.LinkBytes = info.LinkBytes
+	s.mu.Unlock()
+}
+
+func (w *engineWatch) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, watchWithin)
+	defer cancel()
+	info, err := w.engine.Info(ctx)
+	if err != nil {
+		w.fail()
+		return
+	}
+	w.know(info)
+	if report, err := w.engine.Load(ctx); err == nil {
+		w.post(gate.LoadReported{At: time.Now(), Report: report})
+	}
+	events, err := w.engine.CacheEvents(ctx, w.after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	w.after = events[len(events)-1].Sequence
+	w.post(gate.CacheChanged{At: time.Now(), Events: events})
+}
+
+// know tells of an engine that is new, changed, restarted or back.
+func (w *engineWatch) know(info engine.Info) {
+	back := w.failures >= lostAfter
+	w.failures = 0
+	if reflect.DeepEqual(info, w.info) && !back {
+		return
+	}
+	if info.Incarnation != w.info.Incarnation {
+		w.after = 0
+	}
+	w.info = info
+	w.known(info)
+	w.post(gate.EngineKnown{At: time.Now(), Info: info})
+}
+
+func (w *engineWatch) fail() {
+	w.failures++
+	if w.failures == lostAfter {
+		w.post(gate.EngineLost{At: time.Now()})
+	}
+}
--- /dev/null
+++ b/internal/role/enginework.go
@@ -0,0 +1,162 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/service"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// cancelWithin bounds one cancel call; the gate asks again if it fails.
+const cancelWithin = 2 * time.Second
+
+// workKey names one piece of work in progress.
+type workKey struct {
+	attempt message.Attempt
+	phase   message.Phase
+}
+
+// engineWork carries the gate's effects out against its engine or service,
+// and posts their outcome.
+type engineWork struct {
+	engine  engine.Engine
+	service service.Service
+	post    func(gate.Event)
+	ctx     context.Context
+
+	mu      sync.Mutex
+	cancels map[workKey]context.CancelFunc
+}
+
+func newEngineWork(e engine.Engine, s service.Service, post func(gate.Event)) *engineWork {
+	return &engineWork{engine: e, service: s, post: post, cancels: map[workKey]context.CancelFunc{}}
+}
+
+func (w *engineWork) perform(effect gate.Effect) {
+	switch f := effect.(type) {
+	case gate.RunPrefill:
+		w.start(workKey{f.Request.Attempt, message.PhasePrefill}, func(ctx context.Context) { w.prefill(ctx, f.Request) })
+	case gate.RunDecode:
+		w.start(workKey{f.Request.Attempt, message.PhaseDecode}, func(ctx context.Context) { w.decode(ctx, f.Request) })
+	case gate.RunCall:
+		go w.call(f.Call)
+	case gate.AskStatus:
+		go w.status(f.Query)
+	case gate.CancelWork:
+		go w.cancel(f.Attempt)
+	case gate.ListWork:
+		go w.listWork()
+	case gate.ListCache:
+		go w.listCache()
+	}
+}
+
+// start runs work in a goroutine under a context that cancel can end.
+func (w *engineWork) start(key workKey, run func(context.Context)) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	w.mu.Lock()
+	w.cancels[key] = cancel
+	w.mu.Unlock()
+	go func() {
+		run(ctx)
+		cancel()
+		w.mu.Lock()
+		delete(w.cancels, key)
+		w.mu.Unlock()
+	}()
+}
+
+func (w *engineWork) prefill(ctx context.Context, r engine.PrefillRequest) {
+	result, err := w.engine.Prefill(ctx, r)
+	if err != nil {
+		w.failed(r.Attempt, message.PhasePrefill, err)
+		return
+	}
+	w.post(gate.EnginePrefilled{At: time.Now(), Attempt: r.Attempt, Result: result})
+}
+
+func (w *engineWork) decode(ctx context.Context, r engine.DecodeRequest) {
+	err := w.engine.Decode(ctx, r, func(p message.Part) error {
+		w.post(gate.EnginePart{At: time.Now(), Part: p})
+		return ctx.Err()
+	})
+	if err != nil {
+		w.failed(r.Attempt, message.PhaseDecode, err)
+	}
+}
+
+// call runs a call of a plain service to its end, also when the caller left:
+// a call that may run at most once can't be taken back by hanging up.
+func (w *engineWork) call(c message.Call) {
+	answer, err := w.service.Call(w.ctx, c)
+	if err != nil {
+		w.failed(c.Attempt, message.PhaseCall, err)
+		return
+	}
+	w.post(gate.ServiceAnswered{At: time.Now(), Answer: answer})
+}
+
+func (w *engineWork) status(q message.StatusQuery) {
+	answer, err := w.service.Status(w.ctx, q)
+	if err != nil {
+		w.failed(q.Attempt, message.PhaseCall, err)
+		return
+	}
+	w.post(gate.ServiceAnswered{At: time.Now(), Answer: answer})
+}
+
+func (w *engineWork) cancel(a message.Attempt) {
+	w.mu.Lock()
+	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode} {
+		if cancel := w.cancels[workKey{a, phase}]; cancel != nil {
+			cancel()
+		}
+	}
+	w.mu.Unlock()
+	if w.engine == nil {
+		w.post(gate.Cancelled{At: time.Now(), Attempt: a})
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, cancelWithin)
+	defer cancel()
+	err := w.engine.Cancel(ctx, a)
+	w.post(gate.Cancelled{At: time.Now(), Attempt: a, Failed: err != nil})
+}
+
+func (w *engineWork) listWork() {
+	work, err := w.engine.Work(w.ctx)
+	if err != nil {
+		w.post(gate.EngineLost{At: time.Now()})
+		return
+	}
+	w.post(gate.WorkListed{At: time.Now(), Work: work})
+}
+
+func (w *engineWork) listCache() {
+	index, err := w.engine.CacheIndex(w.ctx)
+	if err != nil {
+		return
+	}
+	w.post(gate.CacheListed{At: time.Now(), Index: index})
+}
+
+// failed posts the end of work without its result.
+func (w *engineWork) failed(a message.Attempt, phase message.Phase, err error) {
+	event := gate.WorkFailed{At: time.Now(), Attempt: a, Phase: phase, Reason: oriolebend.ReasonEngineFailed, Ran: oriolebend.RanUnknown, Detail: err.Error()}
+	var engineError *engine.Error
+	if errors.As(err, &engineError) {
+		event.Reason = engineError.Reason
+	}
+	var serviceError *service.Error
+	if errors.As(err, &serviceError) {
+		event.Reason = serviceError.Reason
+		event.Ran = serviceError.Ran
+	}
+	w.post(event)
+}
--- /dev/null
+++ b/internal/role/entry.go
@@ -0,0 +1,315 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Records is the entry's view of the request records on the control VMs.
+// Errors are *oriolebend.Problem values, whose Ran is truthful.
+type Records interface {
+	Claim(ctx context.Context, c message.Claim) (message.ClaimAnswer, error)
+	Settle(ctx context.Context, s message.Settle) (message.Settled, error)
+	Query(ctx context.Context, q message.Query) (message.ClaimAnswer, error)
+}
+
+// Observer is told of counts and measures; metrics implement it.
+type Observer interface {
+	// Count adds one to a counter.
+	Count(what string, reason oriolebend.Reason, organisation string)
+	// Observe records a measure of one request.
+	Observe(what string, urgency oriolebend.Urgency, value float64)
+}
+
+// recordWithin bounds one call to the control VMs. It is longer than an
+// election takes, so that a leader change delays a request and does not fail
+// it.
+const recordWithin = 5 * time.Second
+
+// EntryConfig sets up an Entry.
+type EntryConfig struct {
+	Reducer  entry.Config
+	Dialer   peer.Dialer
+	Records  Records
+	Observer Observer
+	Logger   *slog.Logger
+}
+
+// Entry is the role that takes callers' requests; it implements
+// caller.Router.
+type Entry struct {
+	config EntryConfig
+	loop   Loop[entry.Event, entry.Effect]
+	ctx    context.Context
+	// drained is closed once a stopping entry has no request left.
+	drained     chan struct{}
+	drainedOnce sync.Once
+
+	mu       sync.Mutex
+	callers  map[string]*Mailbox[caller.Chunk]
+	sessions map[entry.SessionKey]*entrySession
+	servers  map[string]oriolebend.Server
+	stopping bool
+}
+
+// NewEntry returns an entry; Run starts it.
+func NewEntry(c EntryConfig) *Entry {
+	e := &Entry{
+		config:   c,
+		drained:  make(chan struct{}),
+		callers:  map[string]*Mailbox[caller.Chunk]{},
+		sessions: map[entry.SessionKey]*entrySession{},
+		servers:  map[string]oriolebend.Server{},
+	}
+	state := entry.New(c.Reducer)
+	e.loop = Loop[entry.Event, entry.Effect]{
+		Reduce:  func(event entry.Event) []entry.Effect { return entry.Reduce(state, event) },
+		Perform: e.perform,
+		Tick:    func(at time.Time) entry.Event { return entry.Ticked{At: at} },
+	}
+	e.loop.Prepare()
+	return e
+}
+
+// Run serves requests until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	e.ctx = ctx
+	e.loop.Run(ctx)
+}
+
+// Stop refuses new requests and returns once those in progress have ended, or
+// ctx has.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.mu.Lock()
+	e.stopping = true
+	e.mu.Unlock()
+	e.loop.Post(entry.Stopping{At: time.Now()})
+	select {
+	case <-e.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Ready implements caller.Router.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.stopping && len(e.servers) > 0
+}
+
+// Servers tells the entry of servers that are new, changed or gone.
+func (e *Entry) Servers(servers []oriolebend.Server, whole bool) {
+	e.mu.Lock()
+	if whole {
+		clear(e.servers)
+	}
+	for _, s := range servers {
+		if s.State == oriolebend.ServerGone {
+			delete(e.servers, s.Name)
+			continue
+		}
+		e.servers[s.Name] = s
+	}
+	e.mu.Unlock()
+	e.loop.Post(entry.ServersChanged{At: time.Now(), Servers: servers, Whole: whole})
+}
+
+// Models implements caller.Router.
+func (e *Entry) Models() []oriolebend.LoadedModel {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return uniqueModels(e.servers)
+}
+
+// Record implements caller.Router.
+func (e *Entry) Record(ctx context.Context, organisation, requestID string) (message.ClaimAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordWithin)
+	defer cancel()
+	return e.config.Records.Query(ctx, message.Query{RequestID: requestID, Organisation: organisation})
+}
+
+// Submit implements caller.Router.
+func (e *Entry) Submit(ctx context.Context, r entry.Request) <-chan caller.Chunk {
+	box := NewMailbox[caller.Chunk]()
+	e.mu.Lock()
+	e.callers[r.ID] = box
+	e.mu.Unlock()
+	out := make(chan caller.Chunk)
+	e.loop.Post(entry.Arrived{At: time.Now(), Request: r})
+	go e.deliver(ctx, r.ID, box, out)
+	return out
+}
+
+// deliver hands the chunks of an answer to its caller, until the last one or
+// until the caller left.
+func (e *Entry) deliver(ctx context.Context, requestID string, box *Mailbox[caller.Chunk], out chan<- caller.Chunk) {
+	defer close(out)
+	defer e.forget(requestID)
+	for {
+		select {
+		case <-ctx.Done():
+			e.loop.Post(entry.CallerGone{At: time.Now(), RequestID: requestID})
+			return
+		case <-e.loop.Done():
+			out <- caller.Chunk{Problem: &oriolebend.Problem{Reason: oriolebend.ReasonStopping, Ran: oriolebend.RanUnknown, RequestID: requestID}}
+			return
+		case <-box.Wait():
+		}
+		for _, chunk := range box.Take() {
+			select {
+			case out <- chunk:
+			case <-ctx.Done():
+				e.loop.Post(entry.CallerGone{At: time.Now(), RequestID: requestID})
+				return
+			}
+			if chunk.Last() {
+				return
+			}
+		}
+	}
+}
+
+func (e *Entry) forget(requestID string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.callers, requestID)
+}
+
+// answer queues a chunk for the caller of a request, if it is still there.
+func (e *Entry) answer(requestID string, chunk caller.Chunk) {
+	e.mu.Lock()
+	box := e.callers[requestID]
+	e.mu.Unlock()
+	if box != nil {
+		box.Put(chunk)
+	}
+}
+
+// perform carries one effect of the reducer out.
+func (e *Entry) perform(effect entry.Effect) {
+	switch f := effect.(type) {
+	case entry.AskClaim:
+		go e.claim(f.Claim)
+	case entry.AskSettle:
+		go e.settle(f.Settle)
+	case entry.OpenSession:
+		e.open(f)
+	case entry.Send:
+		e.send(f)
+	case entry.CloseSession:
+		e.closeSession(f.Session)
+	case entry.Count:
+		e.config.Observer.Count(f.What, f.Reason, f.Organisation)
+	case entry.Observe:
+		e.config.Observer.Observe(f.What, f.Urgency, f.Value)
+	case entry.Drained:
+		e.drainedOnce.Do(func() { close(e.drained) })
+	default:
+		e.performAnswer(effect)
+	}
+}
+
+// performAnswer carries the effects towards callers out.
+func (e *Entry) performAnswer(effect entry.Effect) {
+	switch f := effect.(type) {
+	case entry.AnswerPart:
+		e.answer(f.RequestID, caller.Chunk{Text: f.Text, Tokens: f.Tokens, Offset: f.Offset})
+	case entry.AnswerEnd:
+		e.answer(f.RequestID, caller.Chunk{End: &caller.End{Finish: f.Finish, Tokens: f.Tokens}})
+	case entry.AnswerCall:
+		e.answer(f.RequestID, caller.Chunk{Call: &f.Answer})
+	case entry.AnswerReplay:
+		e.answer(f.RequestID, caller.Chunk{Replay: &f.Answer})
+	case entry.AnswerProblem:
+		e.config.Logger.Info("request refused or failed", "requestID", f.RequestID, "reason", f.Problem.Reason, "ran", f.Problem.Ran, "detail", f.Problem.Detail)
+		e.answer(f.RequestID, caller.Chunk{Problem: f.Problem})
+	case entry.AnswerAttach:
+		e.attach(f)
+	}
+}
+
+func (e *Entry) claim(c message.Claim) {
+	ctx, cancel := context.WithTimeout(e.ctx, recordWithin)
+	defer cancel()
+	answer, err := e.config.Records.Claim(ctx, c)
+	e.loop.Post(entry.Claimed{At: time.Now(), RequestID: c.RequestID, Answer: answer, Problem: asProblem(err, c.RequestID)})
+}
+
+func (e *Entry) settle(s message.Settle) {
+	ctx, cancel := context.WithTimeout(e.ctx, recordWithin)
+	defer cancel()
+	settled, err := e.config.Records.Settle(ctx, s)
+	event := entry.Settled{At: time.Now(), RequestID: s.RequestID, State: s.State, Accepted: settled.Accepted, Problem: asProblem(err, s.RequestID)}
+	e.loop.Post(event)
+}
+
+func (e *Entry) open(f entry.OpenSession) {
+	s := &entrySession{key: f.Session, out: NewMailbox[message.Message](), post: e.loop.Post}
+	e.mu.Lock()
+	e.sessions[f.Session] = s
+	e.mu.Unlock()
+	go func() {
+		s.run(e.ctx, e.config.Dialer, f.Address, f.Reserve)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.sessions[f.Session] == s {
+			delete(e.sessions, f.Session)
+		}
+	}()
+}
+
+func (e *Entry) send(f entry.Send) {
+	e.mu.Lock()
+	s := e.sessions[f.Session]
+	e.mu.Unlock()
+	if s != nil {
+		s.send(f.Message)
+	}
+}
+
+func (e *Entry) closeSession(key entry.SessionKey) {
+	e.mu.Lock()
+	s := e.sessions[key]
+	delete(e.sessions, key)
+	e.mu.Unlock()
+	if s != nil {
+		s.close()
+	}
+}
+
+// attach tells the caller who runs its request; the caller asks again and is
+// then answered from the record.
+func (e *Entry) attach(f entry.AnswerAttach) {
+	problem := &oriolebend.Problem{
+		Reason:     oriolebend.ReasonConcurrency,
+		Ran:        oriolebend.RanUnknown,
+		RequestID:  f.RequestID,
+		RetryAfter: time.Second,
+		Detail:     "the same request is in progress at " + f.Owner,
+	}
+	e.answer(f.RequestID, caller.Chunk{Problem: problem})
+}
+
+// asProblem returns err as a problem; an error of another type becomes one
+// whose outcome is unknown.
+func asProblem(err error, requestID string) *oriolebend.Problem {
+	if err == nil {
+		return nil
+	}
+	var p *oriolebend.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return &oriolebend.Problem{Reason: oriolebend.ReasonControlAway, Ran: oriolebend.RanUnknown, RequestID: requestID, Cause: err}
+}
--- /dev/null
+++ b/internal/role/entrysession.go
@@ -0,0 +1,115 @@
+package role
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+)
+
+// openWithin bounds the time to open a session with a gate. A gate that does
+// not answer by then is treated as lost for this attempt; without the bound a
+// request would wait for a VM that is gone until QUIC's own handshake limit.
+const openWithin = time.Second
+
+// entrySession is one session of an entry with a gate. Its writer sends what
+// the reducer queues, its reader posts what the gate sends.
+type entrySession struct {
+	key  entry.SessionKey
+	out  *Mailbox[message.Message]
+	post func(entry.Event)
+
+	mu sync.Mutex
+	// closing is set once the reducer closed the session; what comes from the
+	// gate after that is not posted.
+	closing bool
+}
+
+// send queues a message for the gate.
+func (s *entrySession) send(m message.Message) {
+	s.out.Put(m)
+}
+
+// close ends the session after the messages queued so far.
+func (s *entrySession) close() {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	s.out.Put(nil)
+}
+
+func (s *entrySession) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+// run opens the session and serves it until either side ends it.
+func (s *entrySession) run(ctx context.Context, dialer peer.Dialer, address string, reserve message.Reserve) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.open(ctx, dialer, address)
+	if err != nil {
+		s.lost(false)
+		return
+	}
+	defer stream.Close()
+	if s.isClosing() {
+		return
+	}
+	if err := stream.Send(reserve); err != nil {
+		s.lost(false)
+		return
+	}
+	go s.write(ctx, stream)
+	s.read(stream)
+}
+
+func (s *entrySession) open(ctx context.Context, dialer peer.Dialer, address string) (peer.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, openWithin)
+	defer cancel()
+	return dialer.Open(ctx, address)
+}
+
+func (s *entrySession) write(ctx context.Context, stream peer.Stream) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.out.Wait():
+		}
+		for _, m := range s.out.Take() {
+			if m == nil {
+				stream.Close()
+				return
+			}
+			if err := stream.Send(m); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *entrySession) read(stream peer.Stream) {
+	for {
+		m, err := stream.Receive()
+		if s.isClosing() {
+			return
+		}
+		if err != nil {
+			s.lost(true)
+			return
+		}
+		s.post(entry.Received{At: time.Now(), Session: s.key, Message: m})
+	}
+}
+
+func (s *entrySession) lost(opened bool) {
+	if s.isClosing() {
+		return
+	}
+	s.post(entry.SessionLost{At: time.Now(), Session: s.key, Opened: opened})
+}
--- /dev/null
+++ b/internal/role/mailbox.go
@@ -0,0 +1,50 @@
+package role
+
+import "sync"
+
+// Mailbox is an unbounded queue between goroutines. Putting never blocks, so
+// that the loop of a role can't wait for a slow caller or peer; what bounds
+// its length is admission, which limits the requests in progress.
+type Mailbox[T any] struct {
+	mu     sync.Mutex
+	items  []T
+	signal chan struct{}
+}
+
+// NewMailbox returns an empty mailbox.
+func NewMailbox[T any]() *Mailbox[T] {
+	return &Mailbox[T]{signal: make(chan struct{}, 1)}
+}
+
+// Put appends an item.
+func (m *Mailbox[T]) Put(item T) {
+	m.mu.Lock()
+	m.items = append(m.items, item)
+	m.mu.Unlock()
+	select {
+	case m.signal <- struct{}{}:
+	default:
+	}
+}
+
+// Take removes and returns everything in the mailbox.
+func (m *Mailbox[T]) Take() []T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	items := m.items
+	m.items = nil
+	return items
+}
+
+// Wait returns a channel that receives after something was put. One receive
+// may stand for several items, and for items that were taken already.
+func (m *Mailbox[T]) Wait() <-chan struct{} {
+	return m.signal
+}
+
+// Len returns the number of items in the mailbox.
+func (m *Mailbox[T]) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.items)
+}
--- /dev/null
+++ b/internal/role/process.go
@@ -0,0 +1,86 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/settings"
+)
+
+// Process is what every role needs to start.
+type Process struct {
+	Settings    settings.Settings
+	Credentials peer.Credentials
+	Logger      *slog.Logger
+}
+
+// controlAddresses lists the peer addresses of the control VMs.
+func (p Process) controlAddresses() []string {
+	addresses := make([]string, 0, len(p.Settings.Control.Members))
+	for _, m := range p.Settings.Control.Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+// listen opens the process's endpoint towards its peers.
+func (p Process) listen(handlers map[message.Kind]peer.Handler) (*peer.Endpoint, error) {
+	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers}
+	return peer.Listen(peer.Config{
+		Address:     p.Settings.Peer.Listen,
+		Credentials: p.Credentials,
+		Handler:     dispatch.Serve,
+		Logger:      p.Logger,
+	})
+}
+
+// httpServer is one HTTP server of a process and the port that it listens on.
+type httpServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// serveHTTP starts a server on address; an empty address starts none.
+func serveHTTP(address string, server *http.Server, logger *slog.Logger) (*httpServer, error) {
+	if address == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("an HTTP server ended", "address", address, "error", err)
+		}
+	}()
+	return &httpServer{server: server, listener: listener}, nil
+}
+
+// address is where the server listens, empty if there is none.
+func (h *httpServer) address() string {
+	if h == nil {
+		return ""
+	}
+	return h.listener.Addr().String()
+}
+
+// stop lets the requests in progress end, until ctx does.
+func (h *httpServer) stop(ctx context.Context) error {
+	if h == nil {
+		return nil
+	}
+	return h.server.Shutdown(ctx)
+}
+
+// newIncarnation numbers a start of a process: a later start has a higher
+// number as long as the VM's clock does not go back between them.
+func newIncarnation() uint64 {
+	return uint64(time.Now().UnixNano())
+}
--- /dev/null
+++ b/internal/role/sidecar.go
@@ -0,0 +1,224 @@
+package role
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/service"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// SidecarConfig sets up a Sidecar.
+type SidecarConfig struct {
+	Reducer gate.Config
+	// Server is what the sidecar announces; its role, models and memory are
+	// filled in from the engine.
+	Server oriolebend.Server
+	// Engine is what stands behind the gate; nil for a plain service.
+	Engine engine.Engine
+	// Service is what stands behind the gate; nil for an engine.
+	Service service.Service
+	// Announce carries the server's state to the control VMs.
+	Announce func(oriolebend.Server)
+	Observer Observer
+	Logger   *slog.Logger
+}
+
+// Sidecar is the role beside one backend server: its gate.
+type Sidecar struct {
+	config   SidecarConfig
+	loop     Loop[gate.Event, gate.Effect]
+	ctx      context.Context
+	sessions atomic.Uint64
+	drained  chan struct{}
+	once     sync.Once
+	work     *engineWork
+
+	mu     sync.Mutex
+	open   map[gate.SessionID]*gateSession
+	server oriolebend.Server
+}
+
+// renewEvery is how often the sidecar renews the leases of sessions whose
+// connection lives. The connection's own idle timeout ends sessions of a peer
+// that is gone, so no message is spent on renewal.
+const renewEvery = 500 * time.Millisecond
+
+// NewSidecar returns a sidecar; Run starts it.
+func NewSidecar(c SidecarConfig) *Sidecar {
+	s := &Sidecar{
+		config:  c,
+		drained: make(chan struct{}),
+		open:    map[gate.SessionID]*gateSession{},
+		server:  c.Server,
+	}
+	state := gate.New(c.Reducer)
+	s.loop = Loop[gate.Event, gate.Effect]{
+		Reduce:  func(event gate.Event) []gate.Effect { return gate.Reduce(state, event) },
+		Perform: s.perform,
+		Tick:    func(at time.Time) gate.Event { return gate.Ticked{At: at} },
+	}
+	s.loop.Prepare()
+	s.work = newEngineWork(c.Engine, c.Service, s.loop.Post)
+	return s
+}
+
+// Run serves the gate until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) {
+	s.ctx = ctx
+	s.work.ctx = ctx
+	go s.renew(ctx)
+	if s.config.Engine != nil {
+		go s.watchEngine(ctx)
+	} else {
+		s.announce(oriolebend.ServerServing)
+	}
+	s.loop.Run(ctx)
+}
+
+// Declare tells the gate which state the operators declared for its server.
+func (s *Sidecar) Declare(state oriolebend.ServerState) {
+	s.loop.Post(gate.Declared{At: time.Now(), State: state})
+}
+
+// Stop refuses new work and returns once the work in progress has ended, or
+// ctx has.
+func (s *Sidecar) Stop(ctx context.Context) error {
+	s.loop.Post(gate.Stopping{At: time.Now()})
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Serve is the peer.Handler for sessions that entries open.
+func (s *Sidecar) Serve(_ context.Context, stream peer.Stream) {
+	id := gate.SessionID(fmt.Sprintf("%s/%d", stream.Peer(), s.sessions.Add(1)))
+	session := &gateSession{stream: stream, out: NewMailbox[message.Message]()}
+	s.mu.Lock()
+	s.open[id] = session
+	s.mu.Unlock()
+	go session.write()
+	session.read(func(m message.Message) {
+		s.loop.Post(gate.Received{At: time.Now(), Session: id, Message: m})
+	})
+	s.mu.Lock()
+	delete(s.open, id)
+	s.mu.Unlock()
+	s.loop.Post(gate.Closed{At: time.Now(), Session: id})
+	session.end()
+}
+
+// renew renews the lease of every session whose connection lives.
+func (s *Sidecar) renew(ctx context.Context) {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case at := <-ticker.C:
+			s.mu.Lock()
+			for id := range s.open {
+				s.loop.Post(gate.Renewed{At: at, Session: id})
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// announce tells the control VMs of the server in a state.
+func (s *Sidecar) announce(state oriolebend.ServerState) {
+	s.mu.Lock()
+	s.server.State = state
+	server := s.server
+	s.mu.Unlock()
+	s.config.Announce(server)
+}
+
+// perform carries one effect of the reducer out.
+func (s *Sidecar) perform(effect gate.Effect) {
+	switch f := effect.(type) {
+	case gate.Reply:
+		s.reply(f)
+	case gate.EndSession:
+		s.endSession(f.Session)
+	case gate.Announce:
+		s.announce(f.State)
+	case gate.Count:
+		s.config.Observer.Count(f.What, f.Reason, "")
+	case gate.Drained:
+		s.once.Do(func() { close(s.drained) })
+	default:
+		s.work.perform(effect)
+	}
+}
+
+func (s *Sidecar) reply(f gate.Reply) {
+	s.mu.Lock()
+	session := s.open[f.Session]
+	s.mu.Unlock()
+	if session != nil {
+		session.out.Put(f.Message)
+	}
+}
+
+func (s *Sidecar) endSession(id gate.SessionID) {
+	s.mu.Lock()
+	session := s.open[id]
+	s.mu.Unlock()
+	if session != nil {
+		session.end()
+	}
+}
+
+// gateSession is one session that an entry opened.
+type gateSession struct {
+	stream peer.Stream
+	out    *Mailbox[message.Message]
+}
+
+// end closes the session after the messages queued so far.
+func (g *gateSession) end() {
+	g.out.Put(nil)
+}
+
+func (g *gateSession) write() {
+	for {
+		select {
+		case <-g.stream.Done():
+			return
+		case <-g.out.Wait():
+		}
+		for _, m := range g.out.Take() {
+			if m == nil {
+				g.stream.Close()
+				return
+			}
+			if err := g.stream.Send(m); err != nil {
+				g.stream.Close()
+				return
+			}
+		}
+	}
+}
+
+func (g *gateSession) read(post func(message.Message)) {
+	for {
+		m, err := g.stream.Receive()
+		if err != nil {
+			return
+		}
+		post(m)
+	}
+}
