--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -13,6 +13,8 @@
 	KindSettle      Kind = "settle"
 	KindSettled     Kind = "settled"
 	KindQuery       Kind = "query"
+	KindRenew       Kind = "renew"
+	KindRenewed     Kind = "renewed"
 )
 
 // RecordState is the state of a request record.
@@ -63,6 +65,22 @@
 	Once bool `cbor:"once"`
 	// LeaseFor is how long the ownership lasts without renewal.
 	LeaseFor time.Duration `cbor:"leaseFor"`
+	// OwnerAddress is where the owner's peers reach it, told to attachers.
+	OwnerAddress string `cbor:"ownerAddress,omitempty"`
+	// Status is the call that tells the outcome of a lost dispatch, if the
+	// service has one.
+	Status *StatusCall `cbor:"status,omitempty"`
+	// Ticket matches the answer to the claim on a shared stream.
+	Ticket uint64 `cbor:"ticket,omitempty"`
+}
+
+// StatusCall is how a service is asked for the outcome of an operation.
+type StatusCall struct {
+	Service string `cbor:"service"`
+	Path    string `cbor:"path"`
+	// Identity is the stable downstream identity of the operation; empty
+	// means the request's id.
+	Identity string `cbor:"identity,omitempty"`
 }
 
 // ClaimOutcome says what a claim met.
@@ -79,13 +97,19 @@
 	ClaimConflict ClaimOutcome = "conflict"
 	// ClaimUnknown means that the outcome of the one dispatch is lost.
 	ClaimUnknown ClaimOutcome = "unknown"
+	// ClaimRefused means that nothing was claimed; Reason says why.
+	ClaimRefused ClaimOutcome = "refused"
+	// ClaimNone means that a query found no record.
+	ClaimNone ClaimOutcome = "none"
 )
 
 // ClaimAnswer is the record as a claim or query found it.
 type ClaimAnswer struct {
-	Outcome   ClaimOutcome `cbor:"outcome"`
-	RequestID string       `cbor:"requestID"`
-	State     RecordState  `cbor:"state"`
+	Outcome ClaimOutcome `cbor:"outcome"`
+	// RequestID is the record's own: whoever owns, attaches or settles uses it
+	// in place of the one that it claimed with.
+	RequestID string      `cbor:"requestID"`
+	State     RecordState `cbor:"state"`
 	// Owner runs the request, for ClaimAttach.
 	Owner string `cbor:"owner,omitempty"`
 	// OwnerAddress is where the owner's peers reach it.
@@ -93,6 +117,12 @@
 	// Attempt is the number that the next dispatch must carry.
 	Attempt uint32  `cbor:"attempt,omitempty"`
 	Answer  *Answer `cbor:"answer,omitempty"`
+	// Reason says why there is no answer to replay, or no claim.
+	Reason oriolebend.Reason `cbor:"reason,omitempty"`
+	// Once repeats whether the request may run at most once.
+	Once bool `cbor:"once,omitempty"`
+	// Ticket is the claim's or the query's.
+	Ticket uint64 `cbor:"ticket,omitempty"`
 }
 
 // Settle moves a record on: to running before a dispatch, to its outcome
@@ -105,6 +135,8 @@
 	State     RecordState `cbor:"state"`
 	Server    string      `cbor:"server,omitempty"`
 	Answer    *Answer     `cbor:"answer,omitempty"`
+	// Ticket matches the answer to the settle on a shared stream.
+	Ticket uint64 `cbor:"ticket,omitempty"`
 }
 
 // Settled answers a Settle once it is durable on a quorum. If Accepted is
@@ -113,12 +145,35 @@
 	RequestID string      `cbor:"requestID"`
 	Accepted  bool        `cbor:"accepted"`
 	State     RecordState `cbor:"state"`
+	// Attempt is the record's: once the state is notRun, that attempt and
+	// every lower one is closed and gates may refuse it.
+	Attempt uint32 `cbor:"attempt,omitempty"`
+	// Ticket is the settle's.
+	Ticket uint64 `cbor:"ticket,omitempty"`
 }
 
 // Query asks for the record of a request. It is answered by ClaimAnswer.
 type Query struct {
 	RequestID    string `cbor:"requestID"`
 	Organisation string `cbor:"organisation"`
+	// Ticket matches the answer to the query on a shared stream.
+	Ticket uint64 `cbor:"ticket,omitempty"`
+}
+
+// Renew lengthens the lease of everything that an owner holds. Claims and
+// settles of the owner do so too.
+type Renew struct {
+	Owner    string        `cbor:"owner"`
+	Address  string        `cbor:"address,omitempty"`
+	LeaseFor time.Duration `cbor:"leaseFor"`
+	// Ended is true if the owner stops and holds nothing any more.
+	Ended  bool   `cbor:"ended,omitempty"`
+	Ticket uint64 `cbor:"ticket,omitempty"`
+}
+
+// Renewed answers a Renew once it is durable on a quorum.
+type Renewed struct {
+	Ticket uint64 `cbor:"ticket,omitempty"`
 }
 
 // Kind implements Message.
@@ -135,3 +190,9 @@
 
 // Kind implements Message.
 func (Query) Kind() Kind { return KindQuery }
+
+// Kind implements Message.
+func (Renew) Kind() Kind { return KindRenew }
+
+// Kind implements Message.
+func (Renewed) Kind() Kind { return KindRenewed }
--- /dev/null
+++ b/internal/reducer/record/request.go
@@ -0,0 +1,111 @@
+package record
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// recordOverhead is the memory of one record beside its own strings, in
+// bytes: the struct, both index entries and the allocator's rounding.
+const recordOverhead = 420
+
+// attemptsPerOwner is the distance between the attempt numbers of successive
+// owners. An owner of a repeatable request counts its attempts up by itself;
+// the distance keeps them apart from those of the next owner at the gates.
+const attemptsPerOwner = 1 << 12
+
+// digest identifies a scope or a request id in the indexes. Callers choose
+// keys, so it is cut from a cryptographic hash.
+type digest [16]byte
+
+func scopeHash(s message.Scope) digest {
+	return hashOf(s.Organisation, s.Operation, s.Key)
+}
+
+func hashOf(parts ...string) digest {
+	h := sha256.New()
+	var size [8]byte
+	for _, p := range parts {
+		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
+		h.Write(size[:])
+		h.Write([]byte(p))
+	}
+	var out digest
+	copy(out[:], h.Sum(nil))
+	return out
+}
+
+// request is one record.
+type request struct {
+	scope       message.Scope
+	requestID   string
+	fingerprint string
+	// claimID is the request id of the claim that owns or owned the record
+	// last; it tells a resent claim from a caller's retry.
+	claimID string
+	owner   string
+	server  string
+	status  *message.StatusCall
+	answer  *message.Answer
+	state   message.RecordState
+	// reason says why a record failed or has no answer to replay.
+	reason oriolebend.Reason
+	// changed is when the state last changed, in nanoseconds since 1970.
+	changed  int64
+	attempt  uint32
+	once     bool
+	orphaned bool
+
+	in             *list
+	previous, next *request
+}
+
+// open reports whether an owner may still run the request.
+func (r *request) open() bool {
+	return r.state == message.RecordClaimed || r.state == message.RecordRunning
+}
+
+// reopens reports whether a retry may run the request again: it never ran, or
+// it may be repeated and its owner is gone.
+func (r *request) reopens() bool {
+	return r.state == message.RecordNotRun || r.orphaned
+}
+
+// ownedSince reports whether the attempt belongs to the record's present or
+// last ownership, and not to an earlier one.
+func (r *request) ownedSince(attempt uint32) bool {
+	return attempt/attemptsPerOwner == r.attempt/attemptsPerOwner
+}
+
+// nextOwnership moves the attempt number behind all that were given out.
+func (r *request) nextOwnership() {
+	r.attempt = (r.attempt/attemptsPerOwner+1)*attemptsPerOwner + 1
+}
+
+func (r *request) cost() int64 {
+	size := recordOverhead + len(r.scope.Key) + len(r.requestID) + len(r.fingerprint)
+	if r.claimID != r.requestID {
+		size += len(r.claimID)
+	}
+	if r.status != nil {
+		size += len(r.status.Path) + len(r.status.Identity)
+	}
+	return int64(size)
+}
+
+func answerBytes(a *message.Answer) int64 {
+	if a == nil {
+		return 0
+	}
+	size := len(a.Body)
+	for k, v := range a.Header {
+		size += len(k) + len(v)
+	}
+	return int64(size)
+}
+
+func nanos(d time.Duration) int64 { return int64(d) }
--- /dev/null
+++ b/internal/reducer/record/script_test.go
@@ -0,0 +1,262 @@
+package record
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// scriptStart is when scripts begin.
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// script runs one data file on two states: one that lives on and one that is
+// restored from a snapshot after each command. They must not differ.
+type script struct {
+	t       *testing.T
+	now     time.Time
+	index   uint64
+	state   *State
+	restore *State
+}
+
+// TestScripts plays the second requests × states of the first, and the moves.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{t: t, now: scriptStart, state: New(), restore: New()}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+// run plays each line of a block as one command of its own; "group" as the
+// block's command puts all lines into one.
+func (s *script) run(_ *testing.T, d *datadriven.TestData) string {
+	var out strings.Builder
+	lines := strings.Split(strings.TrimSpace(d.Input), "\n")
+	if d.Cmd == "group" {
+		var c Command
+		for _, line := range lines {
+			s.parse(line, &c)
+		}
+		s.apply(c, &out)
+		return out.String()
+	}
+	for _, line := range lines {
+		s.line(line, &out)
+	}
+	return out.String()
+}
+
+func (s *script) line(line string, out *strings.Builder) {
+	args := fields(line)
+	switch args.verb {
+	case "pass":
+		s.pass(args.duration("for"), out)
+	case "jump":
+		s.now = s.now.Add(args.duration("for"))
+	case "query":
+		writeAnswer(out, s.state.Query(message.Query{RequestID: args.get("id"), Organisation: args.get("org")}))
+	case "sizes":
+		z := s.state.Sizes()
+		fmt.Fprintf(out, "records=%d unknown=%d answerBytes=%d\n", z.Records, z.Unknown, z.AnswerBytes)
+	case "unknown":
+		for _, u := range s.state.Unknown(10) {
+			fmt.Fprintf(out, "%s attempt=%d server=%s\n", u.RequestID, u.Attempt, u.Server)
+		}
+	default:
+		var c Command
+		s.parse(line, &c)
+		s.apply(c, out)
+	}
+}
+
+// pass lets time go by as a leader does, with an Expire each second.
+func (s *script) pass(d time.Duration, out *strings.Builder) {
+	step := time.Second
+	if d > time.Hour {
+		step = 4 * time.Second
+	}
+	var total Expired
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(step)
+		total = sum(total, s.one(Command{Expire: &Expire{Limit: 1000}}).Expired)
+	}
+	if total != (Expired{}) {
+		fmt.Fprintf(out, "%s\n", strings.ReplaceAll(fmt.Sprintf("%+v", total), " More:false", ""))
+	}
+}
+
+func sum(a, b Expired) Expired {
+	return Expired{
+		Owners: a.Owners + b.Owners, NotRun: a.NotRun + b.NotRun, Unknown: a.Unknown + b.Unknown,
+		Failed: a.Failed + b.Failed, Answers: a.Answers + b.Answers, Records: a.Records + b.Records,
+	}
+}
+
+// one applies a command to both states and compares them.
+func (s *script) one(c Command) Result {
+	s.t.Helper()
+	c.At = s.now
+	s.index++
+	result := s.state.Apply(s.index, c)
+	other := s.restore.Apply(s.index, c)
+	if !reflect.DeepEqual(result, other) {
+		s.t.Fatalf("restored state answers otherwise: %+v, want %+v", other, result)
+	}
+	return result
+}
+
+func (s *script) apply(c Command, out *strings.Builder) {
+	s.t.Helper()
+	result := s.one(c)
+	for _, t := range result.Settled {
+		writeSettled(out, t)
+	}
+	for _, t := range result.Resolved {
+		writeSettled(out, t)
+	}
+	for _, a := range result.Claimed {
+		writeAnswer(out, a)
+	}
+	if c.Expire != nil {
+		fmt.Fprintf(out, "%+v\n", result.Expired)
+	}
+	s.restart()
+}
+
+// restart replaces the second state by one restored from its snapshot.
+func (s *script) restart() {
+	s.t.Helper()
+	shot, err := s.state.Snapshot()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	other, err := s.restore.Snapshot()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if string(shot) != string(other) {
+		s.t.Fatal("restored state has another snapshot")
+	}
+	s.restore = New()
+	if err := s.restore.Restore(other); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *script) parse(line string, c *Command) {
+	a := fields(line)
+	switch a.verb {
+	case "claim":
+		c.Claim = append(c.Claim, message.Claim{
+			Scope:     a.scope(),
+			RequestID: a.get("id"), Fingerprint: a.get("fp"), Owner: a.get("by"),
+			Once: a.has("once"), LeaseFor: 10 * time.Second, OwnerAddress: a.get("by") + ":1",
+		})
+	case "settle":
+		c.Settle = append(c.Settle, message.Settle{
+			Scope:     a.scope(),
+			RequestID: a.get("id"), Owner: a.get("by"), Attempt: a.number("n"),
+			State: message.RecordState(a.get("to")), Server: a.get("server"), Answer: a.answer(),
+		})
+	case "resolve":
+		c.Resolve = append(c.Resolve, Resolve{
+			RequestID: a.get("id"), Attempt: a.number("n"),
+			State: message.RecordState(a.get("to")), Answer: a.answer(),
+		})
+	case "renew":
+		c.Renew = append(c.Renew, message.Renew{Owner: a.get("by"), LeaseFor: 10 * time.Second, Ended: a.has("ended")})
+	case "expire":
+		c.Expire = &Expire{Limit: int(a.number("limit"))}
+	case "limits":
+		c.Limits = &Limits{
+			MaxRecords: int(a.number("records")), MaxAnswerBytes: int(a.number("answer")),
+			MaxAnswersBytes: int64(a.number("answers")), KeepRepeatable: a.duration("keepRepeatable"),
+		}
+	default:
+		s.t.Fatalf("unknown line %q", line)
+	}
+}
+
+// line is one line of a script: a verb and name=value words.
+type scriptLine struct {
+	verb   string
+	values map[string]string
+}
+
+func fields(line string) scriptLine {
+	words := strings.Fields(line)
+	a := scriptLine{verb: words[0], values: map[string]string{
+		"org": "asociacion", "op": "tip", "key": "k1", "fp": "v1:aa", "id": "r1", "by": "e1", "n": "1",
+	}}
+	for _, word := range words[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		a.values[name] = value
+	}
+	return a
+}
+
+func (a scriptLine) get(name string) string { return a.values[name] }
+
+func (a scriptLine) has(name string) bool {
+	_, ok := a.values[name]
+	return ok
+}
+
+func (a scriptLine) number(name string) uint32 {
+	var n uint32
+	_, _ = fmt.Sscan(a.values[name], &n)
+	return n
+}
+
+func (a scriptLine) duration(name string) time.Duration {
+	d, _ := time.ParseDuration(a.values[name])
+	return d
+}
+
+func (a scriptLine) scope() message.Scope {
+	return message.Scope{Organisation: a.get("org"), Operation: a.get("op"), Key: a.get("key")}
+}
+
+func (a scriptLine) answer() *message.Answer {
+	if !a.has("body") && !a.has("reason") {
+		return nil
+	}
+	return &message.Answer{Status: 200, Body: []byte(a.get("body")), Reason: oriolebend.Reason(a.get("reason"))}
+}
+
+func writeAnswer(out *strings.Builder, a message.ClaimAnswer) {
+	fmt.Fprintf(out, "%s %s", a.Outcome, a.RequestID)
+	writeWord(out, "", string(a.State))
+	if a.Attempt != 0 {
+		fmt.Fprintf(out, " n=%d", a.Attempt)
+	}
+	writeWord(out, "at=", a.OwnerAddress)
+	writeWord(out, "reason=", string(a.Reason))
+	if a.Answer != nil {
+		fmt.Fprintf(out, " body=%s", a.Answer.Body)
+	}
+	out.WriteByte('\n')
+}
+
+func writeSettled(out *strings.Builder, t message.Settled) {
+	word := "refused"
+	if t.Accepted {
+		word = "accepted"
+	}
+	fmt.Fprintf(out, "%s", word)
+	writeWord(out, "", string(t.State))
+	fmt.Fprintf(out, " n=%d\n", t.Attempt)
+}
+
+func writeWord(out *strings.Builder, name, value string) {
+	if value != "" {
+		fmt.Fprintf(out, " %s%s", name, value)
+	}
+}
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -50,5 +50,7 @@
 	ReasonAttemptUsed     Reason = "attemptUsed"     // the attempt was let through once already
 	ReasonOutdatedOrder   Reason = "outdatedOrder"   // the fencing number is older than one seen
 	ReasonOutcomeLost     Reason = "outcomeLost"     // dispatched, and the outcome is not known
+	ReasonRecordsFull     Reason = "recordsFull"     // the request records are at their bound
+	ReasonAnswerNotKept   Reason = "answerNotKept"   // answered before; the answer is not kept any more
 	ReasonInternal        Reason = "internal"        // a fault of the router itself
 )
