--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -13,6 +13,8 @@
 	KindWatch     Kind = "watch"
 	KindUpdate    Kind = "update"
 	KindReached   Kind = "reached"
+	KindPermit    Kind = "permit"
+	KindPermitted Kind = "permitted"
 )
 
 // Announce tells the control VMs of a backend server, and renews its
@@ -21,8 +23,37 @@
 	Server oriolebend.Server `cbor:"server"`
 	// Reached is the declared revision that the sidecar has in force.
 	Reached uint64 `cbor:"reached"`
+	// Progress says how far the server is with what is declared for it.
+	Progress Progress `cbor:"progress,omitempty"`
+	// Detail is one sentence for a person on Progress.
+	Detail string `cbor:"detail,omitempty"`
 }
 
+// Progress says how far a backend server is with what is declared for it.
+type Progress string
+
+const (
+	// ProgressSettled is as declared.
+	ProgressSettled Progress = "settled"
+	// ProgressLearning asks the engine what it is and holds.
+	ProgressLearning Progress = "learning"
+	// ProgressQuiet waits until no order of an earlier life can still act.
+	ProgressQuiet Progress = "quiet"
+	// ProgressWaiting waits for a permit to leave work or load weights.
+	ProgressWaiting Progress = "waiting"
+	// ProgressDraining waits for the work in progress to end.
+	ProgressDraining Progress = "draining"
+	// ProgressOrdering waits for the engine to carry an order out.
+	ProgressOrdering Progress = "ordering"
+	// ProgressFailing retries an order that the engine refused.
+	ProgressFailing Progress = "failing"
+	// ProgressOutdated waits for declared state that is not older than what
+	// the engine has seen.
+	ProgressOutdated Progress = "outdated"
+	// ProgressLeft has left work as declared.
+	ProgressLeft Progress = "left"
+)
+
 // Announced answers an Announce.
 type Announced struct {
 	LeaseFor time.Duration `cbor:"leaseFor"`
@@ -40,6 +71,13 @@
 // Update carries a snapshot or the changes after the follower's revision.
 type Update struct {
 	Revision uint64 `cbor:"revision"`
+	// From is the revision that the changes come after; a follower that has
+	// not reached it missed an update.
+	From uint64 `cbor:"from,omitempty"`
+	// Confirmed is true if the sender knew from a quorum, Age ago, that it
+	// held every accepted change. A control VM that is cut off can't say so.
+	Confirmed bool          `cbor:"confirmed,omitempty"`
+	Age       time.Duration `cbor:"age,omitempty"`
 	// Snapshot is true if Servers and Resources are the whole state.
 	Snapshot bool `cbor:"snapshot,omitempty"`
 	// Servers that changed; a server in state "gone" is to be forgotten.
@@ -54,6 +92,30 @@
 	Revision uint64 `cbor:"revision"`
 }
 
+// Permit asks the leading control VM for leave to take a server out of work
+// or to load weights, renews such leave, or gives it back.
+type Permit struct {
+	Server      string `cbor:"server"`
+	Incarnation uint64 `cbor:"incarnation"`
+	// Out is true to leave work, Load to load weights.
+	Out  bool `cbor:"out,omitempty"`
+	Load bool `cbor:"load,omitempty"`
+	// Held is true if the sidecar acts on a permit given before; the leader,
+	// perhaps a new one, then counts it without weighing it again.
+	Held bool `cbor:"held,omitempty"`
+	// Done is true to give the permit back.
+	Done bool `cbor:"done,omitempty"`
+}
+
+// Permitted answers a Permit.
+type Permitted struct {
+	Granted  bool          `cbor:"granted"`
+	LeaseFor time.Duration `cbor:"leaseFor,omitempty"`
+	// Detail says why a permit is not granted.
+	Detail     string        `cbor:"detail,omitempty"`
+	RetryAfter time.Duration `cbor:"retryAfter,omitempty"`
+}
+
 // Kind implements Message.
 func (Announce) Kind() Kind { return KindAnnounce }
 
@@ -68,3 +130,9 @@
 
 // Kind implements Message.
 func (Reached) Kind() Kind { return KindReached }
+
+// Kind implements Message.
+func (Permit) Kind() Kind { return KindPermit }
+
+// Kind implements Message.
+func (Permitted) Kind() Kind { return KindPermitted }
--- /dev/null
+++ b/pkg/oriolebend/resource.go
@@ -0,0 +1,117 @@
+package oriolebend
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Resource is one declared resource: what an operator wants to be so.
+type Resource struct {
+	Kind ResourceKind
+	Name string
+	// Revision is the revision of the whole declared state at which this
+	// resource last changed. Writers leave it zero.
+	Revision uint64
+	// Deleted marks what is left of a deleted resource in a change feed; Spec
+	// is then nil.
+	Deleted bool
+	// Spec is the part that an operator writes; its type follows from Kind.
+	Spec Spec
+}
+
+// Key returns the name of the resource.
+func (r Resource) Key() ResourceKey {
+	return ResourceKey{Kind: r.Kind, Name: r.Name}
+}
+
+// resourceForm is the encoded form of a Resource; S holds the encoded spec.
+type resourceForm[S any] struct {
+	Kind     ResourceKind `json:"kind" cbor:"kind"`
+	Name     string       `json:"name" cbor:"name"`
+	Revision uint64       `json:"revision,omitempty" cbor:"revision,omitempty"`
+	Deleted  bool         `json:"deleted,omitempty" cbor:"deleted,omitempty"`
+	Spec     S            `json:"spec,omitempty" cbor:"spec,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r Resource) MarshalJSON() ([]byte, error) {
+	return json.Marshal(resourceForm[Spec](r))
+}
+
+// UnmarshalJSON implements json.Unmarshaler. A field that the kind does not
+// have is an error.
+func (r *Resource) UnmarshalJSON(data []byte) error {
+	var form resourceForm[json.RawMessage]
+	if err := strictJSON(data, &form); err != nil {
+		return &InvalidError{Fields: []FieldError{{Field: "resource", Problem: err.Error()}}}
+	}
+	*r = Resource{Kind: form.Kind, Name: form.Name, Revision: form.Revision, Deleted: form.Deleted}
+	if form.Deleted {
+		return nil
+	}
+	spec, err := DecodeSpec(form.Kind, form.Spec)
+	r.Spec = spec
+	return err
+}
+
+// DecodeSpec reads the JSON form of a spec of the kind; empty data gives the
+// zero spec. It returns an *InvalidError.
+func DecodeSpec(kind ResourceKind, data []byte) (Spec, error) {
+	spec, err := newSpec(kind)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) == 0 {
+		return spec, nil
+	}
+	if err := strictJSON(data, spec); err != nil {
+		return nil, &InvalidError{Fields: []FieldError{{Field: "spec", Problem: err.Error()}}}
+	}
+	return spec, nil
+}
+
+func strictJSON(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
+
+// Equal encodings must mean equal values on every control VM, so maps are
+// written in sorted order.
+var resourceEncoding = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the library's own options are valid
+	}
+	return mode
+}()
+
+// MarshalCBOR implements cbor.Marshaler; equal resources encode equally.
+func (r Resource) MarshalCBOR() ([]byte, error) {
+	return resourceEncoding.Marshal(resourceForm[Spec](r))
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (r *Resource) UnmarshalCBOR(data []byte) error {
+	var form resourceForm[cbor.RawMessage]
+	if err := cbor.Unmarshal(data, &form); err != nil {
+		return err
+	}
+	*r = Resource{Kind: form.Kind, Name: form.Name, Revision: form.Revision, Deleted: form.Deleted}
+	if form.Deleted {
+		return nil
+	}
+	spec, err := newSpec(form.Kind)
+	if err != nil {
+		return err
+	}
+	if len(form.Spec) > 0 {
+		if err := cbor.Unmarshal(form.Spec, spec); err != nil {
+			return err
+		}
+	}
+	r.Spec = spec
+	return nil
+}
--- a/pkg/oriolebend/server.go
+++ b/pkg/oriolebend/server.go
@@ -22,6 +22,8 @@
 	ServerLoading ServerState = "loading"
 	// ServerLeaving takes no new work and ends the work that it has.
 	ServerLeaving ServerState = "leaving"
+	// ServerStopping leaves, and its sidecar stops once its work has ended.
+	ServerStopping ServerState = "stopping"
 	// ServerGone no longer holds its membership lease.
 	ServerGone ServerState = "gone"
 )
