standin: engine, service, weight store and links, with clients for them

Cause: the whole path needs something to run against before there are engines. Change: HTTP clients of the engine and service interfaces; stand-ins that serve them, with bounded memory, exports that expire, lagging reports, late cache events, fencing and faults. message.Attempt has JSON names, additive. service.Error says whether a call can have run.

--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Bounds that stand in for zero values of Config.
+const (
+	defaultCallWithin    = 2 * time.Second
+	defaultSilenceWithin = 5 * time.Second
+	defaultMaxLineBytes  = 1 << 20
+	defaultMaxBodyBytes  = 16 << 20
+	defaultConnections   = 256
+)
+
+// Config sets how a Client reaches its engine.
+type Config struct {
+	// BaseURL is the engine's address, such as "http://127.0.0.1:9000".
+	BaseURL string
+	// CallWithin bounds each short call; zero means 2s.
+	CallWithin time.Duration
+	// SilenceWithin is how long a long call may bring nothing, not even an
+	// empty line, before the engine counts as lost; zero means 5s.
+	SilenceWithin time.Duration
+	// MaxLineBytes bounds one line of a long call; zero means 1 MiB.
+	MaxLineBytes int
+	// MaxBodyBytes bounds the answer of a short call; zero means 16 MiB.
+	MaxBodyBytes int64
+	// Transport carries the requests; nil means one of the client's own.
+	Transport http.RoundTripper
+}
+
+// Client speaks to one engine over HTTP. Its methods may be called from
+// several goroutines.
+type Client struct {
+	config Config
+	http   *http.Client
+}
+
+var _ Engine = (*Client)(nil)
+
+// NewClient returns a client; it opens no connection yet.
+func NewClient(c Config) *Client {
+	c.BaseURL = strings.TrimRight(c.BaseURL, "/")
+	c.CallWithin = cmp.Or(c.CallWithin, defaultCallWithin)
+	c.SilenceWithin = cmp.Or(c.SilenceWithin, defaultSilenceWithin)
+	c.MaxLineBytes = cmp.Or(c.MaxLineBytes, defaultMaxLineBytes)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, defaultMaxBodyBytes)
+	if c.Transport == nil {
+		c.Transport = newTransport()
+	}
+	return &Client{config: c, http: &http.Client{Transport: c.Transport}}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: defaultConnections,
+		DisableCompression:  true,
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Prefill implements Engine.
+func (c *Client) Prefill(ctx context.Context, r PrefillRequest) (PrefillResult, error) {
+	var result *PrefillResult
+	err := c.stream(ctx, PathPrefill, r, func(l Line) (bool, error) {
+		result = l.Result
+		if result == nil {
+			return false, unexpected(l)
+		}
+		return true, nil
+	})
+	if err != nil {
+		return PrefillResult{}, err
+	}
+	return *result, nil
+}
+
+// Decode implements Engine. It refuses parts that do not follow each other
+// without gap or repeat.
+func (c *Client) Decode(ctx context.Context, r DecodeRequest, emit func(message.Part) error) error {
+	next := r.Offset
+	return c.stream(ctx, PathDecode, r, func(l Line) (bool, error) {
+		if l.Part == nil {
+			return false, unexpected(l)
+		}
+		if l.Part.Offset != next || l.Part.Tokens < 0 {
+			return false, failed("part at offset %d where %d was next", l.Part.Offset, next)
+		}
+		next += l.Part.Tokens
+		if err := emit(l.Part.of(r.Attempt)); err != nil {
+			return false, &Error{Reason: oriolebend.ReasonCallerCancelled, Cause: err}
+		}
+		return l.Part.Finish != "", nil
+	})
+}
+
+func (p *LinePart) of(a message.Attempt) message.Part {
+	return message.Part{Attempt: a, Offset: p.Offset, Tokens: p.Tokens, Text: p.Text, Finish: p.Finish}
+}
+
+// Order implements Engine. It returns once the order is in force; the engine
+// carries it out to its end also if the connection breaks.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	return c.stream(ctx, PathOrders, o, func(l Line) (bool, error) {
+		if !l.Done {
+			return false, unexpected(l)
+		}
+		return true, nil
+	})
+}
+
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, a message.Attempt) error {
+	return c.call(ctx, http.MethodPost, PathCancel, CancelRequest{Attempt: a}, nil)
+}
+
+// Work implements Engine.
+func (c *Client) Work(ctx context.Context) ([]Work, error) {
+	var work []Work
+	err := c.call(ctx, http.MethodGet, PathWork, nil, &work)
+	return work, err
+}
+
+// Load implements Engine.
+func (c *Client) Load(ctx context.Context) (LoadReport, error) {
+	var report LoadReport
+	err := c.call(ctx, http.MethodGet, PathLoad, nil, &report)
+	return report, err
+}
+
+// CacheEvents implements Engine.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	path := fmt.Sprintf("%s?after=%d", PathCacheEvents, after)
+	err := c.call(ctx, http.MethodGet, path, nil, &events)
+	return events, err
+}
+
+// CacheIndex implements Engine.
+func (c *Client) CacheIndex(ctx context.Context) (CacheIndex, error) {
+	var index CacheIndex
+	err := c.call(ctx, http.MethodGet, PathCacheIndex, nil, &index)
+	return index, err
+}
+
+// Info implements Engine.
+func (c *Client) Info(ctx context.Context) (Info, error) {
+	var info Info
+	err := c.call(ctx, http.MethodGet, PathInfo, nil, &info)
+	return info, err
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -12,8 +12,8 @@
 // Attempt names one try of one request. Numbers start at 1 and grow by one
 // for each dispatch of the request's work.
 type Attempt struct {
-	RequestID string `cbor:"requestID"`
-	Number    uint32 `cbor:"number"`
+	RequestID string `cbor:"requestID" json:"requestID"`
+	Number    uint32 `cbor:"number" json:"number"`
 }
 
 // Phase is the part of a request's work that a session is for.
--- /dev/null
+++ b/internal/standin/answer/words.go
@@ -0,0 +1,14 @@
+package answer
+
+// words are the tokens after the first; each begins with its space. It is
+// read and never changed.
+var words = [...]string{
+	" the", " route", " by", " road", " is", " open", " to", " trucks",
+	" under", " ten", " tonnes", " until", " noon", " bridge", " load", " allows",
+	" two", " axles", " convoy", " leaves", " depot", " with", " medicine", " water",
+	" and", " tents", " for", " camp", " north", " south", " east", " west",
+	" hold", " at", " checkpoint", " then", " follow", " river", " detour", " after",
+	" landslide", " report", " of", " this", " morning", " fuel", " stop", " near",
+	" market", " tab", " split", " evenly", " tip", " goes", " waiter", " table",
+	" card", " total", " disputed", " item", " refund", " patron", " settled", " tonight",
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// headerTimeout ends connections that send no request header.
+const headerTimeout = 5 * time.Second
+
+// ListenError tells that a stand-in could not listen.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("standin: listen on %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the error beneath.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Server serves a stand-in on loopback, and can be killed and started again on
+// the same port, as a VM that restarts.
+type Server struct {
+	handler http.Handler
+	address string
+	server  *http.Server
+}
+
+// Serve serves a handler on a free port of 127.0.0.1. The error is a
+// *ListenError.
+func Serve(h http.Handler) (*Server, error) {
+	s := &Server{handler: h, address: "127.0.0.1:0"}
+	return s, s.Start()
+}
+
+// Start listens again after Close, on the same port.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return &ListenError{Address: s.address, Cause: err}
+	}
+	s.address = listener.Addr().String()
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+// URL returns the base URL.
+func (s *Server) URL() string {
+	return "http://" + s.address
+}
+
+// Close stops listening and breaks every connection off at once.
+func (s *Server) Close() error {
+	return s.server.Close()
+}
