--- a/internal/reducer/control/command.go
+++ b/internal/reducer/control/command.go
@@ -17,6 +17,7 @@
 // Parts of the replicated state machine.
 const (
 	PartDeclared PartName = "declared"
+	PartRecords  PartName = "records"
 )
 
 // Typed is a part of the state machine that takes commands of type C and
--- /dev/null
+++ b/internal/role/entryprocess.go
@@ -0,0 +1,135 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/caller"
+	controlpeer "github.com/oriolebend/oriolebend/internal/control"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/prefix"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+)
+
+// defaultStopDelay is how long a stopping entry fails its balancer check
+// before it refuses connections.
+const defaultStopDelay = 3 * time.Second
+
+// EntryProcess is a running entry with its ports.
+type EntryProcess struct {
+	process  Process
+	entry    *Entry
+	endpoint *peer.Endpoint
+	callers  *httpServer
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// StartEntry starts an entry; Stop ends it.
+func StartEntry(p Process) (*EntryProcess, error) {
+	endpoint, err := p.listen(map[message.Kind]peer.Handler{})
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	owner := fmt.Sprintf("%s/%d", p.Settings.Node.Name, newIncarnation())
+	records := controlpeer.NewClient(controlpeer.ClientConfig{
+		Dialer:       endpoint,
+		Members:      p.controlAddresses(),
+		Owner:        owner,
+		OwnerAddress: endpoint.Address(),
+	})
+	e := NewEntry(EntryConfig{
+		Reducer:  p.entryReducer(owner),
+		Dialer:   endpoint,
+		Records:  records,
+		Observer: p.observer(),
+		Logger:   p.Logger,
+	})
+	handler := caller.New(caller.Config{
+		Router:        e,
+		Caller:        p.Settings.Caller,
+		Organisations: p.Settings.Organisations,
+		Operations:    p.Settings.Operations,
+		Services:      p.Settings.Services,
+		Policy:        p.Settings.Policy,
+		Logger:        p.Logger,
+		CountTokens:   prefix.CountTokens,
+		Prefix: func(model, prompt string) []uint64 {
+			return prefix.Hashes(model, prompt, prefix.BlockTokens, prefix.MaxHashes)
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	process := &EntryProcess{process: p, entry: e, endpoint: endpoint, cancel: cancel, done: make(chan struct{})}
+	process.callers, err = p.serveCallers(handler)
+	if err != nil {
+		cancel()
+		return nil, errors.Join(err, endpoint.Close())
+	}
+	follower := &Follower{
+		Node:    p.Settings.Node.Name,
+		Dialer:  endpoint,
+		Control: p.controlAddresses(),
+		Apply:   func(u message.Update) { e.Servers(u.Servers, u.Snapshot) },
+		Logger:  p.Logger,
+	}
+	go records.Run(ctx)
+	go follower.Run(ctx)
+	go func() {
+		defer close(process.done)
+		e.Run(ctx)
+	}()
+	return process, nil
+}
+
+func (p Process) serveCallers(handler http.Handler) (*httpServer, error) {
+	server := caller.Server(p.Settings.Caller, handler, p.Logger)
+	listening, err := serveHTTP(p.Settings.Caller.Listen, server, p.Logger)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	return listening, nil
+}
+
+func (p Process) entryReducer(owner string) entry.Config {
+	organisations := map[string]entry.Organisation{}
+	for _, o := range p.Settings.Organisations {
+		organisations[o.Name] = entry.Organisation{Share: o.Share}
+	}
+	return entry.Config{
+		Name:          p.Settings.Node.Name,
+		Owner:         owner,
+		Region:        p.Settings.Node.Region,
+		FailureDomain: p.Settings.Node.FailureDomain,
+		Seed:          newIncarnation(),
+		Route:         p.route(),
+		FirstWithin:   time.Duration(p.Settings.Policy.FirstWithin),
+		BetweenWithin: time.Duration(p.Settings.Policy.BetweenWithin),
+		Organisations: organisations,
+	}
+}
+
+// Address is where callers reach the entry.
+func (p *EntryProcess) Address() string { return p.callers.address() }
+
+// Ready reports whether the entry can route.
+func (p *EntryProcess) Ready() bool { return p.entry.Ready() }
+
+// Stop ends the entry gracefully: the balancer looks away first, then the
+// requests in progress end, then the ports close. It returns when all is
+// ended, or with an error when ctx ends first.
+func (p *EntryProcess) Stop(ctx context.Context) error {
+	delay := p.process.Settings.Caller.StopDelay.Or(defaultStopDelay)
+	drained := p.entry.Stop(ctx)
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+	closed := p.callers.stop(ctx)
+	p.cancel()
+	<-p.done
+	return errors.Join(drained, closed, p.endpoint.Stop(ctx))
+}
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -84,3 +84,14 @@
 func newIncarnation() uint64 {
 	return uint64(time.Now().UnixNano())
 }
+
+// shares maps organisations to their weight in queues.
+func shares(organisations []settings.Organisation) map[string]float64 {
+	weights := map[string]float64{}
+	for _, o := range organisations {
+		if o.Share > 0 {
+			weights[o.Name] = o.Share
+		}
+	}
+	return weights
+}
--- /dev/null
+++ b/internal/role/sidecarprocess.go
@@ -0,0 +1,98 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/service"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// SidecarProcess is a running sidecar with its ports.
+type SidecarProcess struct {
+	process  Process
+	sidecar  *Sidecar
+	endpoint *peer.Endpoint
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// StartSidecar starts a sidecar; Stop ends it.
+func StartSidecar(p Process) (*SidecarProcess, error) {
+	process := &SidecarProcess{process: p, done: make(chan struct{})}
+	serve := func(ctx context.Context, s peer.Stream) { process.sidecar.Serve(ctx, s) }
+	ready := make(chan struct{})
+	gated := func(ctx context.Context, s peer.Stream) { <-ready; serve(ctx, s) }
+	endpoint, err := p.listen(map[message.Kind]peer.Handler{
+		message.KindReserve:     gated,
+		message.KindStatusQuery: gated,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	process.endpoint = endpoint
+	announcer := &Announcer{Dialer: endpoint, Control: p.controlAddresses(), Logger: p.Logger}
+	announcer.Prepare()
+	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer.Announce))
+	close(ready)
+	ctx, cancel := context.WithCancel(context.Background())
+	process.cancel = cancel
+	go announcer.Run(ctx)
+	go func() {
+		defer close(process.done)
+		process.sidecar.Run(ctx)
+	}()
+	return process, nil
+}
+
+func (p Process) sidecarConfig(address string, announce func(oriolebend.Server)) SidecarConfig {
+	s := p.Settings
+	config := SidecarConfig{
+		Reducer: gate.Config{
+			Lease:         s.Policy.Lease.Or(0),
+			BetweenWithin: s.Policy.BetweenWithin.Or(0),
+			Concurrency:   s.Sidecar.Concurrency,
+			Shares:        shares(s.Organisations),
+		},
+		Server: oriolebend.Server{
+			Name:          s.Sidecar.Server,
+			Region:        s.Node.Region,
+			FailureDomain: s.Node.FailureDomain,
+			GateAddress:   address,
+			Incarnation:   newIncarnation(),
+		},
+		Announce: announce,
+		Observer: p.observer(),
+		Logger:   p.Logger,
+	}
+	if s.Sidecar.Service != "" {
+		config.Reducer.Role = oriolebend.Service
+		config.Reducer.Service = s.Sidecar.Service
+		config.Server.Role = oriolebend.Service
+		config.Server.Service = s.Sidecar.Service
+		config.Service = service.NewClient(service.Config{BaseURL: s.Sidecar.ServiceURL})
+		return config
+	}
+	config.Engine = engine.NewClient(engine.Config{BaseURL: s.Sidecar.Engine})
+	return config
+}
+
+// Stop ends the sidecar gracefully: no new work, then the work in progress
+// ends, then the port closes.
+func (p *SidecarProcess) Stop(ctx context.Context) error {
+	drained := p.sidecar.Stop(ctx)
+	p.cancel()
+	<-p.done
+	return errors.Join(drained, p.endpoint.Stop(ctx))
+}
+
+// Kill ends the sidecar at once, as a process that dies.
+func (p *SidecarProcess) Kill() error {
+	p.cancel()
+	return p.endpoint.Close()
+}
