--- /dev/null
+++ b/internal/control/session.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// clientQueue bounds the requests that wait to be written to a stream.
+const clientQueue = 1024
+
+// clientSession is the stream to one control VM. It carries the requests of
+// many callers at a time.
+type clientSession struct {
+	stream peer.Stream
+	out    chan outgoing
+	over   chan struct{}
+	end    sync.Once
+
+	mu      sync.Mutex
+	pending map[uint64]*call
+	// stale is true once the peer said that it can't serve; no new request is
+	// sent, and the session ends with the last answer or refusal.
+	stale bool
+	// leader is where the peer says that the leader is.
+	leader string
+}
+
+// call is one request on one session.
+type call struct {
+	answer chan message.Message
+	// sent is true once any of the request may have reached the peer.
+	sent bool
+}
+
+type outgoing struct {
+	ticket  uint64
+	message message.Message
+}
+
+func newClientSession(stream peer.Stream) *clientSession {
+	s := &clientSession{
+		stream:  stream,
+		out:     make(chan outgoing, clientQueue),
+		over:    make(chan struct{}),
+		pending: map[uint64]*call{},
+	}
+	go s.read()
+	go s.write()
+	return s
+}
+
+func (s *clientSession) read() {
+	for {
+		m, err := s.stream.Receive()
+		if err != nil {
+			s.close()
+			return
+		}
+		s.deliver(m)
+	}
+}
+
+// deliver hands an answer to its caller; one that nobody waits for any more,
+// because it came late, is dropped.
+func (s *clientSession) deliver(m message.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, refused := m.(message.Refusal); refused {
+		s.stale = true
+		s.leader = r.Detail
+	}
+	ticket := ticketOf(m)
+	waiting, ok := s.pending[ticket]
+	if !ok {
+		return
+	}
+	delete(s.pending, ticket)
+	waiting.answer <- m
+	if s.stale && len(s.pending) == 0 {
+		go s.close()
+	}
+}
+
+func (s *clientSession) write() {
+	for {
+		select {
+		case <-s.over:
+			return
+		case m := <-s.out:
+			if !s.markSent(m.ticket) {
+				continue
+			}
+			if err := s.stream.Send(m.message); err != nil {
+				s.close()
+				return
+			}
+		}
+	}
+}
+
+// markSent notes that a request is about to leave. A request whose caller gave
+// up before is not sent: the caller was told that it had not been.
+func (s *clientSession) markSent(ticket uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting, ok := s.pending[ticket]
+	if ok {
+		waiting.sent = true
+	}
+	return ok
+}
+
+func (s *clientSession) close() {
+	s.end.Do(func() {
+		close(s.over)
+		_ = s.stream.Close()
+	})
+}
+
+// ask sends a request and waits for its answer, at most for the given time. A
+// silent peer ends the session: it may be cut off without knowing it.
+func (s *clientSession) ask(ctx context.Context, ticket uint64, m message.Message, within time.Duration) (message.Message, *oriolebend.Problem) {
+	waiting := &call{answer: make(chan message.Message, 1)}
+	s.mu.Lock()
+	s.pending[ticket] = waiting
+	s.mu.Unlock()
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	out := s.out
+	for {
+		select {
+		case out <- outgoing{ticket: ticket, message: m}:
+			out = nil
+		case answer := <-waiting.answer:
+			return answered(answer)
+		case <-s.over:
+			return nil, s.giveUp(ticket, waiting, oriolebend.ReasonControlAway)
+		case <-timer.C:
+			s.close()
+			return nil, s.giveUp(ticket, waiting, oriolebend.ReasonDeadline)
+		case <-ctx.Done():
+			return nil, s.giveUp(ticket, waiting, oriolebend.ReasonDeadline)
+		}
+	}
+}
+
+// answered tells an answer from a refusal; the peer says whether a refused
+// request may still be carried out.
+func answered(m message.Message) (message.Message, *oriolebend.Problem) {
+	r, refused := m.(message.Refusal)
+	if !refused {
+		return m, nil
+	}
+	ran := oriolebend.RanUnknown
+	if r.Ran == oriolebend.RanNo {
+		ran = oriolebend.RanNo
+	}
+	return nil, &oriolebend.Problem{Reason: r.Reason, Ran: ran}
+}
+
+// giveUp forgets a request and says whether it may have been carried out.
+func (s *clientSession) giveUp(ticket uint64, waiting *call, reason oriolebend.Reason) *oriolebend.Problem {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, ticket)
+	ran := oriolebend.RanNo
+	if waiting.sent {
+		ran = oriolebend.RanUnknown
+	}
+	return &oriolebend.Problem{Reason: reason, Ran: ran}
+}
+
+// usable reports whether new requests may use the session.
+func (s *clientSession) usable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.over:
+		return false
+	default:
+		return !s.stale
+	}
+}
+
+func (s *clientSession) namedLeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
+// dialing is an attempt to open a session that several calls wait for.
+type dialing struct {
+	done    chan struct{}
+	session *clientSession
+	err     error
+}
+
+// try sends a request over the present session, or a new one.
+func (c *Client) try(ctx context.Context, ticket uint64, m message.Message) (message.Message, *oriolebend.Problem) {
+	session, err := c.acquire(ctx)
+	if err != nil {
+		return nil, &oriolebend.Problem{Reason: oriolebend.ReasonControlAway, Ran: oriolebend.RanNo, Cause: err}
+	}
+	return session.ask(ctx, ticket, m, c.config.TryFor)
+}
+
+// acquire returns the present session or waits for a new one.
+func (c *Client) acquire(ctx context.Context) (*clientSession, error) {
+	c.mu.Lock()
+	if c.session != nil && c.session.usable() {
+		defer c.mu.Unlock()
+		return c.session, nil
+	}
+	d := c.dialing
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		c.dialing = d
+		go c.dial(d, c.nextAddress())
+	}
+	c.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-d.done:
+		return d.session, d.err
+	}
+}
+
+// nextAddress is the leader that the last session named, or else the next
+// member in turn. A named leader is tried once: it may be dead, or the one
+// that named it may know less than others.
+func (c *Client) nextAddress() string {
+	last := c.session
+	c.session = nil
+	if last != nil && last.namedLeader() != "" {
+		return last.namedLeader()
+	}
+	address := c.config.Members[c.member%len(c.config.Members)]
+	c.member++
+	return address
+}
+
+func (c *Client) dial(d *dialing, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.config.TryFor)
+	defer cancel()
+	stream, err := c.config.Dialer.Open(ctx, address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialing = nil
+	d.err = err
+	if err == nil {
+		d.session = newClientSession(stream)
+		c.session = d.session
+	}
+	close(d.done)
+}
+
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session != nil {
+		c.session.close()
+	}
+}
--- a/internal/message/gate.go
+++ b/internal/message/gate.go
@@ -92,6 +92,10 @@
 	Ran        oriolebend.Ran `cbor:"ran"`
 	RetryAfter time.Duration  `cbor:"retryAfter,omitempty"`
 	Detail     string         `cbor:"detail,omitempty"`
+	// Ticket is set by control VMs, where one stream carries many requests:
+	// the refusal is of that request only and the session goes on. Detail is
+	// then the address of the leader, if it is known.
+	Ticket uint64 `cbor:"ticket,omitempty"`
 }
 
 // Release gives a reservation back and cancels its work. The gate remembers
