settings: load strict TOML and report every fault with its line

Cause: roles need their settings before they listen, and an operator needs all faults of a file at once. Change: the shape of the decoded file is compared with the structs, what fits is decoded strictly, and common and per-role checks follow; each fault is placed by an index of the file's syntax tree. Settings gain an unexported origin.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,257 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Values that the settings' enums allow.
+var (
+	logLevels  = []string{"debug", "info", "warn", "error"}
+	logFormats = []string{"text", "json"}
+	routes     = []string{"reserve", "random", "roundRobin", "leastLoad", "affinity"}
+	urgencies  = []string{string(oriolebend.Urgent), string(oriolebend.Patient)}
+	poolRoles  = []string{string(oriolebend.Prefill), string(oriolebend.Decode), string(oriolebend.Service)}
+	methods    = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
+)
+
+// identityMark is replaced by an operation's identity in a status path.
+const identityMark = "{identity}"
+
+// common finds the faults that hold for every role.
+func (f *faults) common(s Settings) {
+	f.enum("log.level", s.Log.Level, logLevels)
+	f.enum("log.format", s.Log.Format, logFormats)
+	f.address("peer.listen", s.Peer.Listen)
+	f.address("caller.listen", s.Caller.Listen)
+	f.address("operator.listen", s.Operator.Listen)
+	f.address("metrics.listen", s.Metrics.Listen)
+	f.portClash(s)
+	f.caller(s.Caller)
+	f.members(s.Control.Members)
+	f.sidecar(s.Sidecar)
+	f.policy(s.Policy)
+	f.organisations(s.Organisations)
+	f.operations(s.Operations)
+	f.services(s.Services)
+	f.dev(s)
+}
+
+// enum checks a value that may be left out.
+func (f *faults) enum(key, value string, values []string) {
+	if value != "" && !slices.Contains(values, value) {
+		f.add(key, CodeNotAllowed, "%q is not known; %s", value, allowed(value, values))
+	}
+}
+
+// address checks an IP:port that may be left out.
+func (f *faults) address(key, value string) {
+	if value == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		f.add(key, CodeBadAddress, `%q is no address; allowed is IP:port, such as "127.0.0.1:8080" or "[::1]:8080"`, value)
+	}
+}
+
+func (f *faults) url(key, value string) {
+	if value == "" {
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		f.add(key, CodeBadAddress, `%q is no base URL; allowed is http:// or https:// with a host, such as "http://127.0.0.1:9000"`, value)
+	}
+}
+
+// atLeast checks a number against its smallest value.
+func atLeast[N int | int64 | float64 | Duration](f *faults, key string, value, least N) {
+	if value >= least {
+		return
+	}
+	if d, ok := any(value).(Duration); ok {
+		f.add(key, CodeNotAllowed, "%s is too short; allowed are durations from 0s, where 0s means the default", d)
+		return
+	}
+	f.add(key, CodeNotAllowed, "%v is too small; allowed are numbers from %v", value, least)
+}
+
+// portClash compares the TCP addresses; peers use UDP, whose ports are apart.
+func (f *faults) portClash(s Settings) {
+	type listener struct{ key, address string }
+	listeners := []listener{
+		{"caller.listen", s.Caller.Listen},
+		{"operator.listen", s.Operator.Listen},
+		{"metrics.listen", s.Metrics.Listen},
+	}
+	for i, a := range listeners {
+		for _, b := range listeners[:i] {
+			if overlap(a.address, b.address) {
+				f.add(a.key, CodeClash, "%s is taken by %s (%s); each needs a port of its own", a.address, b.key, b.address)
+			}
+		}
+	}
+}
+
+// overlap reports whether two addresses can't both be listened on.
+func overlap(a, b string) bool {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	if errX != nil || errY != nil || x.Port() != y.Port() || x.Port() == 0 {
+		return false
+	}
+	return x.Addr() == y.Addr() || x.Addr().IsUnspecified() || y.Addr().IsUnspecified()
+}
+
+func (f *faults) caller(c Caller) {
+	atLeast(f, "caller.maxBodyBytes", c.MaxBodyBytes, 0)
+	atLeast(f, "caller.maxPromptTokens", c.MaxPromptTokens, 0)
+	atLeast(f, "caller.maxOutputTokens", c.MaxOutputTokens, 0)
+	atLeast(f, "caller.headerTimeout", c.HeaderTimeout, 0)
+	atLeast(f, "caller.bodyTimeout", c.BodyTimeout, 0)
+	atLeast(f, "caller.stopDelay", c.StopDelay, 0)
+}
+
+// maxMembers is how many VMs may be set aside for control.
+const maxMembers = 6
+
+func (f *faults) members(members []Member) {
+	names, addresses := f.unique("name"), f.unique("address")
+	for i, m := range members {
+		path := elementPath("control.members", i)
+		f.required(joinPath(path, "name"), m.Name)
+		f.required(joinPath(path, "address"), m.Address)
+		f.required(joinPath(path, "failureDomain"), m.FailureDomain)
+		f.address(joinPath(path, "address"), m.Address)
+		names.see(joinPath(path, "name"), m.Name)
+		addresses.see(joinPath(path, "address"), m.Address)
+	}
+	if len(members) > maxMembers {
+		f.add("control.members", CodeNotAllowed, "%d control VMs; allowed are 1 to %d", len(members), maxMembers)
+	}
+}
+
+func (f *faults) sidecar(s Sidecar) {
+	f.url("sidecar.engine", s.Engine)
+	f.url("sidecar.serviceURL", s.ServiceURL)
+	atLeast(f, "sidecar.concurrency", s.Concurrency, 0)
+}
+
+func (f *faults) policy(p Policy) {
+	f.enum("policy.route", p.Route, routes)
+	atLeast(f, "policy.firstWithin", p.FirstWithin, 0)
+	atLeast(f, "policy.betweenWithin", p.BetweenWithin, 0)
+	atLeast(f, "policy.lease", p.Lease, 0)
+	atLeast(f, "policy.keepRecords", p.KeepRecords, 0)
+	atLeast(f, "policy.keepAnswers", p.KeepAnswers, 0)
+	if p.KeepRecords > 0 && p.KeepAnswers > p.KeepRecords {
+		f.add("policy.keepAnswers", CodeClash, "an answer can't be kept longer than its record (policy.keepRecords is %s)", p.KeepRecords)
+	}
+}
+
+func (f *faults) organisations(list []Organisation) {
+	names, tokens := f.unique("name"), f.unique("token")
+	tokens.secret = true
+	for i, o := range list {
+		path := elementPath("organisations", i)
+		f.required(joinPath(path, "name"), o.Name)
+		names.see(joinPath(path, "name"), o.Name)
+		atLeast(f, joinPath(path, "share"), o.Share, 0)
+		for j, token := range o.Tokens {
+			tokens.see(elementPath(joinPath(path, "tokens"), j), token)
+		}
+	}
+}
+
+func (f *faults) operations(list []Operation) {
+	names := f.unique("name")
+	for i, o := range list {
+		path := elementPath("operations", i)
+		f.required(joinPath(path, "name"), o.Name)
+		names.see(joinPath(path, "name"), o.Name)
+		f.enum(joinPath(path, "urgency"), string(o.Urgency), urgencies)
+		atLeast(f, joinPath(path, "firstWithin"), o.FirstWithin, 0)
+	}
+}
+
+func (f *faults) services(list []ServiceRoute) {
+	names := f.unique("name")
+	for i, s := range list {
+		path := elementPath("services", i)
+		f.required(joinPath(path, "name"), s.Name)
+		names.see(joinPath(path, "name"), s.Name)
+		f.calls(joinPath(path, "calls"), s.Calls)
+	}
+}
+
+func (f *faults) calls(list string, calls []CallRoute) {
+	routes := f.unique("method and path")
+	for i, c := range calls {
+		path := elementPath(list, i)
+		f.required(joinPath(path, "method"), c.Method)
+		f.enum(joinPath(path, "method"), c.Method, methods)
+		f.enum(joinPath(path, "urgency"), string(c.Urgency), urgencies)
+		f.path(joinPath(path, "path"), c.Path)
+		f.path(joinPath(path, "statusPath"), c.StatusPath)
+		if c.StatusPath != "" && !strings.Contains(c.StatusPath, identityMark) {
+			f.add(joinPath(path, "statusPath"), CodeNotAllowed, "%q asks for no operation; allowed is a path with %s in it", c.StatusPath, identityMark)
+		}
+		routes.see(joinPath(path, "path"), c.Method+" "+c.Path)
+	}
+}
+
+func (f *faults) path(key, value string) {
+	if value != "" && !strings.HasPrefix(value, "/") {
+		f.add(key, CodeNotAllowed, `%q is no path; allowed are paths that begin with "/"`, value)
+	}
+}
+
+// required checks a value that must not be left out.
+func (f *faults) required(key, value string) {
+	if value == "" {
+		f.missing(key, "is missing")
+	}
+}
+
+// missing reports a setting that is not there, unless it is there and was
+// refused already.
+func (f *faults) missing(key, format string, a ...any) {
+	for _, known := range f.list {
+		if known.Key == key || strings.HasPrefix(key, known.Key+".") || strings.HasPrefix(known.Key, key+"[") {
+			return
+		}
+	}
+	f.add(key, CodeMissing, format, a...)
+}
+
+// unique finds values that are given twice.
+type unique struct {
+	faults *faults
+	what   string
+	seen   map[string]string
+	// secret keeps the values out of the messages.
+	secret bool
+}
+
+func (f *faults) unique(what string) *unique {
+	return &unique{faults: f, what: what, seen: map[string]string{}}
+}
+
+func (u *unique) see(key, value string) {
+	if value == "" {
+		return
+	}
+	first, taken := u.seen[value]
+	if !taken {
+		u.seen[value] = key
+		return
+	}
+	if u.secret {
+		value = "this " + u.what
+	}
+	u.faults.add(key, CodeDuplicate, "%s is given to %s already; each %s must be its own", value, first, u.what)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,10 @@
 	Operations    []Operation    `toml:"operations"`
 	Services      []ServiceRoute `toml:"services"`
 	Dev           Dev            `toml:"dev"`
+
+	// origin tells where each setting came from; nil for settings that were
+	// not read from a file.
+	origin *origin
 }
 
 // Node says which process this is and where it stands.
@@ -217,6 +221,16 @@
 	return nil
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// String writes the duration as it stands in a settings file.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
 // Or returns d, or the other if d is zero.
 func (d Duration) Or(other time.Duration) time.Duration {
 	if d == 0 {
