--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -55,7 +55,7 @@
 	// CountTokens sizes a prompt; nil estimates four bytes a token.
 	CountTokens func(prompt string) int
 	// Prefix hashes the leading blocks of a prompt; nil means no hashes.
-	Prefix func(prompt string) []uint64
+	Prefix func(model, prompt string) []uint64
 	// WriteTimeout ends a caller that takes no output for so long; zero means
 	// 10s.
 	WriteTimeout time.Duration
@@ -140,7 +140,7 @@
 		c.CountTokens = estimateTokens
 	}
 	if c.Prefix == nil {
-		c.Prefix = func(string) []uint64 { return nil }
+		c.Prefix = func(string, string) []uint64 { return nil }
 	}
 	return c
 }
--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -53,7 +53,7 @@
 	}
 	r.Model, r.Version, r.Adapter = asked.Model.Model, asked.Model.Version, asked.Model.Adapter
 	r.Prompt = asked.Prompt
-	r.Prefix = h.Prefix(asked.Prompt)
+	r.Prefix = h.Prefix(asked.Model.Model, asked.Prompt)
 	r.MaxTokens = asked.MaxTokens
 	if r.MaxTokens == 0 {
 		r.MaxTokens = min(unsaidOutputTokens, h.Caller.MaxOutputTokens)
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/oriolebend/oriolebend/internal/role"
+	"github.com/oriolebend/oriolebend/internal/settings"
+)
+
+// devReadyWithin bounds the start of dev.
+const devReadyWithin = 10 * time.Second
+
+func devCommand(out io.Writer) *ff.Command {
+	flags := ff.NewFlagSet("dev")
+	overrides := settings.Flags(flags)
+	return &ff.Command{
+		Name:      "dev",
+		Usage:     "oriolebend dev [--settings FILE]",
+		ShortHelp: "run every role and stand-in engines in one process, for a first try",
+		LongHelp:  "Example:\n  oriolebend dev --settings examples/lintang.toml",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			s, err := overrides.Load(settings.RoleDev)
+			if err != nil {
+				return err
+			}
+			return runDev(ctx, out, s)
+		},
+	}
+}
+
+func runDev(ctx context.Context, out io.Writer, s settings.Settings) error {
+	started := time.Now()
+	d, err := role.StartDev(s, newLogger(s.Log, out))
+	if err != nil {
+		return err
+	}
+	waiting, cancel := context.WithTimeout(ctx, devReadyWithin)
+	defer cancel()
+	if err := d.Ready(waiting); err != nil {
+		return fmt.Errorf("wait for the stand-ins: %w", err)
+	}
+	invite(out, d, s, time.Since(started))
+	<-ctx.Done()
+	fmt.Fprintln(out, "stopping; requests in progress end first")
+	return stop(d)
+}
+
+// invite says what runs and what to try.
+func invite(out io.Writer, d *role.Dev, s settings.Settings, took time.Duration) {
+	address := d.Entries[0].Address()
+	fmt.Fprintf(out, "ready after %s: %d servers, %d entries\n", took.Round(time.Millisecond), len(d.Sidecars), len(d.Entries))
+	model := firstModel(s)
+	if model == "" {
+		return
+	}
+	fmt.Fprintf(out, `try, in another terminal:
+  curl -s http://%s/v1/completions -H 'Idempotency-Key: first-try' \
+    -d '{"model": %q, "prompt": "Plan the corridor from the depot to the camp.", "max_tokens": 40}'
+stop with Ctrl-C
+`, address, model)
+}
+
+func firstModel(s settings.Settings) string {
+	for _, group := range s.Dev.Servers {
+		if group.Model != "" {
+			return group.Model
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/role/dev.go
@@ -0,0 +1,241 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/internal/standin"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// loopback lets the system choose a port on loopback.
+	loopback = "127.0.0.1:0"
+	// readyEvery is how often Dev looks whether its entries can route.
+	readyEvery = 10 * time.Millisecond
+	// devStopDelay replaces the wait for a balancer, which dev has none of.
+	devStopDelay = time.Millisecond
+)
+
+// Dev is every role and the stand-ins in one process, over real sockets on
+// loopback.
+type Dev struct {
+	settings  settings.Settings
+	logger    *slog.Logger
+	authority *peer.Authority
+	folder    string
+	standins  []*standin.Server
+
+	Engines  map[string]*standin.Engine
+	Services map[string]*standin.Service
+	Controls []*ControlProcess
+	Sidecars map[string]*SidecarProcess
+	Entries  []*EntryProcess
+}
+
+// StartDev starts everything that the settings' dev table describes; Stop
+// ends it and removes what it wrote.
+func StartDev(s settings.Settings, logger *slog.Logger) (*Dev, error) {
+	authority, err := peer.DevAuthority()
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "oriolebend-dev-")
+	if err != nil {
+		return nil, err
+	}
+	d := &Dev{
+		settings:  s,
+		logger:    logger,
+		authority: authority,
+		folder:    folder,
+		Engines:   map[string]*standin.Engine{},
+		Services:  map[string]*standin.Service{},
+		Sidecars:  map[string]*SidecarProcess{},
+	}
+	if err := d.start(); err != nil {
+		stopContext, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return nil, errors.Join(err, d.Stop(stopContext))
+	}
+	return d, nil
+}
+
+func (d *Dev) start() error {
+	if err := d.startControls(); err != nil {
+		return err
+	}
+	for _, group := range d.settings.Dev.Servers {
+		for n := range group.Count {
+			if err := d.startServer(group, n); err != nil {
+				return err
+			}
+		}
+	}
+	for n := range max(1, d.settings.Dev.Entries) {
+		if err := d.startEntry(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// process makes the settings and credentials of one role's process.
+func (d *Dev) process(role, name, failureDomain string) (Process, error) {
+	material, err := d.authority.Issue(peer.Identity{Role: role, Name: name})
+	if err != nil {
+		return Process{}, err
+	}
+	s := d.settings
+	s.Node = settings.Node{Name: name, Region: s.Node.Region, FailureDomain: failureDomain}
+	s.Peer.Listen = loopback
+	return Process{Settings: s, Credentials: peer.Fixed(material), Logger: d.logger.With("node", name)}, nil
+}
+
+// startControls starts one control VM's process and tells the others of its
+// address.
+func (d *Dev) startControls() error {
+	p, err := d.process("control", "control-1", "")
+	if err != nil {
+		return err
+	}
+	p.Settings.Control.DataFolder = filepath.Join(d.folder, "control-1")
+	p.Settings.Control.Members = []settings.Member{{Name: "control-1", Address: loopback}}
+	c, err := StartControl(p)
+	if err != nil {
+		return fmt.Errorf("start control-1: %w", err)
+	}
+	d.Controls = append(d.Controls, c)
+	d.settings.Control.Members = []settings.Member{{Name: "control-1", Address: c.Address()}}
+	return nil
+}
+
+// startServer starts one stand-in with its sidecar.
+func (d *Dev) startServer(group settings.DevServer, n int) error {
+	name := fmt.Sprintf("%s%d", group.NamePrefix, n+1)
+	domain := ""
+	if len(group.FailureDomains) > 0 {
+		domain = group.FailureDomains[n%len(group.FailureDomains)]
+	}
+	p, err := d.process("sidecar", name+"-sidecar", domain)
+	if err != nil {
+		return err
+	}
+	p.Settings.Sidecar = settings.Sidecar{Server: name}
+	if err := d.startStandin(group, name, &p.Settings.Sidecar); err != nil {
+		return fmt.Errorf("start the stand-in %s: %w", name, err)
+	}
+	sidecar, err := StartSidecar(p)
+	if err != nil {
+		return fmt.Errorf("start the sidecar of %s: %w", name, err)
+	}
+	d.Sidecars[name] = sidecar
+	return nil
+}
+
+func (d *Dev) startStandin(group settings.DevServer, name string, s *settings.Sidecar) error {
+	if group.Role == oriolebend.Service {
+		fake := standin.NewService(standin.ServiceConfig{Name: name})
+		server, err := standin.Serve(fake.Handler())
+		if err != nil {
+			return err
+		}
+		d.standins = append(d.standins, server)
+		d.Services[name] = fake
+		s.Service, s.ServiceURL = group.Service, server.URL()
+		return nil
+	}
+	fake := standin.NewEngine(engineConfig(group, name))
+	server, err := standin.Serve(fake.Handler())
+	if err != nil {
+		return err
+	}
+	d.standins = append(d.standins, server)
+	d.Engines[name] = fake
+	s.Engine = server.URL()
+	return nil
+}
+
+func engineConfig(group settings.DevServer, name string) standin.EngineConfig {
+	return standin.EngineConfig{
+		Name:           name,
+		Role:           group.Role,
+		Models:         []oriolebend.LoadedModel{{Model: group.Model, Version: group.Version, Adapters: group.Adapters}},
+		PrefillTokens:  group.PrefillTokens,
+		DecodeStep:     time.Duration(group.DecodeStep),
+		KVTokens:       group.KVTokens,
+		LinkBytes:      group.LinkBytes,
+		IgnoresFencing: group.IgnoresFencing,
+	}
+}
+
+// startEntry starts one entry; the first listens where the settings say.
+func (d *Dev) startEntry(n int) error {
+	p, err := d.process("entry", fmt.Sprintf("entry-%d", n+1), "")
+	if err != nil {
+		return err
+	}
+	p.Settings.Caller.StopDelay = settings.Duration(devStopDelay)
+	if n > 0 || p.Settings.Caller.Listen == "" {
+		p.Settings.Caller.Listen = loopback
+	}
+	e, err := StartEntry(p)
+	if err != nil {
+		return fmt.Errorf("start entry-%d: %w", n+1, err)
+	}
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+// Ready waits until every entry can route to every server.
+func (d *Dev) Ready(ctx context.Context) error {
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (d *Dev) ready() bool {
+	for _, e := range d.Entries {
+		if e.entry.serving() < len(d.Sidecars) {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends everything gracefully, entries first, and removes the temporary
+// folder.
+func (d *Dev) Stop(ctx context.Context) error {
+	var errs []error
+	for _, e := range d.Entries {
+		errs = append(errs, e.Stop(ctx))
+	}
+	for _, s := range d.Sidecars {
+		errs = append(errs, s.Stop(ctx))
+	}
+	for _, c := range d.Controls {
+		errs = append(errs, c.Stop(ctx))
+	}
+	for _, e := range d.Engines {
+		e.Close()
+	}
+	for _, s := range d.standins {
+		errs = append(errs, s.Close())
+	}
+	errs = append(errs, os.RemoveAll(d.folder))
+	return errors.Join(errs...)
+}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -108,6 +108,19 @@
 	return !e.stopping && len(e.servers) > 0
 }
 
+// serving counts the servers that take new work.
+func (e *Entry) serving() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, s := range e.servers {
+		if s.State == oriolebend.ServerServing {
+			count++
+		}
+	}
+	return count
+}
+
 // Servers tells the entry of servers that are new, changed or gone.
 func (e *Entry) Servers(servers []oriolebend.Server, whole bool) {
 	e.mu.Lock()
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -11,6 +11,7 @@
 	controlpeer "github.com/oriolebend/oriolebend/internal/control"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 )
@@ -105,7 +106,7 @@
 		Region:        p.Settings.Node.Region,
 		FailureDomain: p.Settings.Node.FailureDomain,
 		Seed:          newIncarnation(),
-		Route:         p.route(),
+		Route:         policy.Name(p.Settings.Policy.Route),
 		FirstWithin:   time.Duration(p.Settings.Policy.FirstWithin),
 		BetweenWithin: time.Duration(p.Settings.Policy.BetweenWithin),
 		Organisations: organisations,
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -11,6 +11,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Process is what every role needs to start.
@@ -18,8 +19,26 @@
 	Settings    settings.Settings
 	Credentials peer.Credentials
 	Logger      *slog.Logger
+	// Observer takes counts and measures; nil takes none.
+	Observer Observer
 }
 
+func (p Process) observer() Observer {
+	if p.Observer == nil {
+		return unobserved{}
+	}
+	return p.Observer
+}
+
+// unobserved is an Observer that keeps nothing.
+type unobserved struct{}
+
+// Count implements Observer.
+func (unobserved) Count(string, oriolebend.Reason, string) {}
+
+// Observe implements Observer.
+func (unobserved) Observe(string, oriolebend.Urgency, float64) {}
+
 // controlAddresses lists the peer addresses of the control VMs.
 func (p Process) controlAddresses() []string {
 	addresses := make([]string, 0, len(p.Settings.Control.Members))
