entry: route requests from claim to whole answer

Cause: the contract of the entry had no reducer behind it. Change: policies over generic pools; retry budgets, adaptive limits; the entry reducer from arrival through claim, reservation of prefill and decode room, prefill, transfer, decode and settlement, calls of plain services, loss and retry, cancel, drain. Additive to the contract: Request.Generated, and the events Attached and Detached.

--- /dev/null
+++ b/internal/policy/roundrobin.go
@@ -0,0 +1,24 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// roundRobin takes one server after the other, in the order of their names.
+type roundRobin[T Member] struct{ plain }
+
+// Pick implements Policy.
+func (roundRobin[T]) Pick(p *Pool[T], w Want, _ *rand.Rand, picked []T) []T {
+	for range p.members {
+		if len(picked) >= w.Count {
+			break
+		}
+		m := p.members[p.next%len(p.members)]
+		p.next++
+		if !slices.Contains(picked, m) {
+			picked = append(picked, m)
+		}
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/reducer/entry/admit.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// comeBack is the Retry-After of refusals that no better estimate exists for.
+const comeBack = time.Second
+
+// arrived takes a new request in.
+//
+// A request with a key that its caller gave is claimed first and admitted
+// after: the key may belong to an earlier request which ran, so that only the
+// claim can tell whether "not run" is true. A request whose key the entry made
+// is admitted first, since nothing can have run under that key.
+func (s *State) arrived(q Request) {
+	if s.requests[q.ID] != nil {
+		return
+	}
+	r := s.newRequest(q)
+	if len(s.requests) >= s.config.MaxRequests {
+		s.refuseUnclaimed(r, oriolebend.ReasonOverloaded, comeBack)
+		return
+	}
+	if q.Generated {
+		if reason, after := s.admit(r); reason != "" {
+			s.refuseUnclaimed(r, reason, after)
+			return
+		}
+	}
+	s.requests[r.ID] = r
+	if !r.Deadline.IsZero() {
+		s.setAlarmAt(r, alarmDeadline, r.Deadline)
+	}
+	s.claim(r)
+}
+
+func (s *State) newRequest(q Request) *request {
+	q.FirstWithin = or(q.FirstWithin, s.config.FirstWithin)
+	q.BetweenWithin = or(q.BetweenWithin, s.config.BetweenWithin)
+	return &request{
+		Request: q,
+		step:    stepClaiming,
+		arrived: s.now,
+		org:     s.organisation(q.Scope.Organisation),
+		lane:    s.lane(q),
+	}
+}
+
+// refuseUnclaimed refuses a request that holds nothing. Under a key that the
+// caller gave an earlier request may have run.
+func (s *State) refuseUnclaimed(r *request, reason oriolebend.Reason, after time.Duration) {
+	ran := oriolebend.RanUnknown
+	if r.Generated {
+		ran = oriolebend.RanNo
+	}
+	s.count("refusal", reason, r)
+	s.emit(AnswerProblem{RequestID: r.ID, Problem: &oriolebend.Problem{
+		Reason:     reason,
+		Ran:        ran,
+		RequestID:  r.ID,
+		RetryAfter: after,
+	}})
+}
+
+// admit decides whether a request is taken in. It returns the reason of a
+// refusal and when to come back, or no reason.
+func (s *State) admit(r *request) (oriolebend.Reason, time.Duration) {
+	if s.stopping {
+		return oriolebend.ReasonStopping, comeBack
+	}
+	if s.pool(r.pool(r.firstRole())).Len() == 0 {
+		return oriolebend.ReasonNoServer, comeBack
+	}
+	if after, allowed := r.org.rate.Allow(s.now); !allowed {
+		return oriolebend.ReasonRateLimited, after
+	}
+	if s.waiting >= s.config.MaxWaiting {
+		return oriolebend.ReasonQueueFull, comeBack
+	}
+	if s.waitingBytes+len(r.Prompt) > s.config.MaxWaitingBytes {
+		return oriolebend.ReasonQueueFull, comeBack
+	}
+	if late := r.lane.late(r, s.now); late > 0 {
+		return oriolebend.ReasonOverloaded, late
+	}
+	return "", 0
+}
+
+func (r *request) firstRole() oriolebend.PoolRole {
+	if r.Call != nil {
+		return oriolebend.Service
+	}
+	return oriolebend.Prefill
+}
--- /dev/null
+++ b/internal/reducer/entry/config.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/policy"
+)
+
+// Config sets up an entry. Every field but Name has a useful zero value.
+type Config struct {
+	// Name is the entry's process name; gates see it in each reservation.
+	Name string
+	// Owner is the name and start of this process, unique to this run; empty
+	// means Name.
+	Owner string
+	// Region and FailureDomain say where the entry stands.
+	Region        string
+	FailureDomain string
+	// Seed starts the random numbers of jitter and of random candidates.
+	Seed uint64
+
+	// Route is the policy that picks candidates; empty means reserve.
+	Route policy.Name
+	// Probes is how many prefill gates or services are asked for one request;
+	// zero means 2.
+	Probes int
+	// DecodeProbes is how many decode gates are asked; zero means 2.
+	DecodeProbes int
+	// FirstWithin is the target of the time to the first token for requests
+	// that carry none; zero means 1.2s.
+	FirstWithin time.Duration
+	// BetweenWithin is the target of the time between tokens for requests that
+	// carry none; zero means 41ms.
+	BetweenWithin time.Duration
+
+	// MaxRequests bounds the requests that the entry holds; zero means 4,096.
+	MaxRequests int
+	// MaxWaiting bounds the accepted requests that wait for room; zero means
+	// 2,048.
+	MaxWaiting int
+	// MaxWaitingBytes bounds the prompts of waiting requests; zero means
+	// 64 MiB.
+	MaxWaitingBytes int
+	// Organisations sets the share and rate of organisations by name; those
+	// not listed have share 1 and no rate limit.
+	Organisations map[string]Organisation
+	// RetryShare is how many retries the budget gains for each success; zero
+	// means 0.2.
+	RetryShare float64
+	// RetryFloor is how many retries a second a budget gains without any
+	// success, so that accepted work always advances; zero means 0.5.
+	RetryFloor float64
+	// RetryBurst bounds a retry budget; zero means 10.
+	RetryBurst float64
+	// MaxConcurrency bounds the adaptive concurrency limit of a pool; zero
+	// means 1,024.
+	MaxConcurrency int
+
+	// ClaimLease is how long a claim lasts unrenewed; zero means 30s.
+	ClaimLease time.Duration
+	// ClaimWithin is how long a claim may stay unanswered; zero means 3s.
+	ClaimWithin time.Duration
+	// OfferWithin is how long a round waits for further offers after the
+	// first one; zero means 20ms.
+	OfferWithin time.Duration
+	// ProbeWithin is how long a gate may leave a reservation unanswered; zero
+	// means 500ms.
+	ProbeWithin time.Duration
+	// HoldPrefill is how long granted prefill room is held idle while decode
+	// room is awaited; zero means 100ms.
+	HoldPrefill time.Duration
+	// StallWithin is how long dispatched work may show no progress before it
+	// is run elsewhere; zero means 10s.
+	StallWithin time.Duration
+	// CallWithin is how long a call of a plain service may take; zero means
+	// 30s.
+	CallWithin time.Duration
+	// SettleWithin is how long the end of an answer waits for its record;
+	// zero means 2s.
+	SettleWithin time.Duration
+	// SettleEvery is the pause between two tries to settle a record; zero
+	// means 1s.
+	SettleEvery time.Duration
+	// SettleFor is how long a record is tried to be settled; zero means 1m.
+	SettleFor time.Duration
+	// StatusWithin is how long the outcome of a lost call is asked for; zero
+	// means 2s.
+	StatusWithin time.Duration
+	// RetryBase and RetryMax bound the full jitter of retries; zero means
+	// 20ms and 2s.
+	RetryBase time.Duration
+	RetryMax  time.Duration
+	// MaxEngineFailures ends a request after so many failures in a row that
+	// engines reported without any progress; zero means 8.
+	MaxEngineFailures int
+}
+
+// Organisation sets what one organisation may use.
+type Organisation struct {
+	// Share weighs the organisation in the queue; zero means 1.
+	Share float64
+	// Rate bounds its new requests a second; zero means no bound.
+	Rate float64
+	// Burst is how many may come at once; zero means Rate.
+	Burst float64
+}
+
+func (c Config) filled() Config {
+	c.Owner = or(c.Owner, c.Name)
+	c.Route = or(c.Route, policy.Reserve)
+	c.Probes = or(c.Probes, 2)
+	c.DecodeProbes = or(c.DecodeProbes, 2)
+	c.FirstWithin = or(c.FirstWithin, 1200*time.Millisecond)
+	c.BetweenWithin = or(c.BetweenWithin, 41*time.Millisecond)
+	c.MaxRequests = or(c.MaxRequests, 4096)
+	c.MaxWaiting = or(c.MaxWaiting, 2048)
+	c.MaxWaitingBytes = or(c.MaxWaitingBytes, 64<<20)
+	c.RetryShare = or(c.RetryShare, 0.2)
+	c.RetryFloor = or(c.RetryFloor, 0.5)
+	c.RetryBurst = or(c.RetryBurst, 10)
+	c.MaxConcurrency = or(c.MaxConcurrency, 1024)
+	c.ClaimLease = or(c.ClaimLease, 30*time.Second)
+	c.ClaimWithin = or(c.ClaimWithin, 3*time.Second)
+	c.OfferWithin = or(c.OfferWithin, 20*time.Millisecond)
+	c.ProbeWithin = or(c.ProbeWithin, 500*time.Millisecond)
+	c.HoldPrefill = or(c.HoldPrefill, 100*time.Millisecond)
+	c.StallWithin = or(c.StallWithin, 10*time.Second)
+	c.CallWithin = or(c.CallWithin, 30*time.Second)
+	c.SettleWithin = or(c.SettleWithin, 2*time.Second)
+	c.SettleEvery = or(c.SettleEvery, time.Second)
+	c.SettleFor = or(c.SettleFor, time.Minute)
+	c.StatusWithin = or(c.StatusWithin, 2*time.Second)
+	c.RetryBase = or(c.RetryBase, 20*time.Millisecond)
+	c.RetryMax = or(c.RetryMax, 2*time.Second)
+	c.MaxEngineFailures = or(c.MaxEngineFailures, 8)
+	return c
+}
+
+func or[T comparable](value, zeroMeans T) T {
+	var zero T
+	if value == zero {
+		return zeroMeans
+	}
+	return value
+}
--- a/internal/reducer/entry/event.go
+++ b/internal/reducer/entry/event.go
@@ -16,8 +16,11 @@
 
 // Request is one validated request of a caller.
 type Request struct {
-	ID           string
-	Scope        message.Scope
+	ID    string
+	Scope message.Scope
+	// Generated is true if the entry made Scope.Key because the caller gave
+	// none: no earlier request can have used it.
+	Generated    bool
 	Fingerprint  string
 	Urgency      oriolebend.Urgency
 	Model        string
@@ -64,6 +67,19 @@
 	RequestID string
 }
 
+// Attached tells that one more caller follows a request of this entry; it
+// goes on for as long as any of them stays.
+type Attached struct {
+	At        time.Time
+	RequestID string
+}
+
+// Detached tells that a caller which had attached left.
+type Detached struct {
+	At        time.Time
+	RequestID string
+}
+
 // Claimed is the answer of the control VMs to a Claim.
 type Claimed struct {
 	At        time.Time
@@ -115,6 +131,8 @@
 
 func (Arrived) entryEvent()        {}
 func (CallerGone) entryEvent()     {}
+func (Attached) entryEvent()       {}
+func (Detached) entryEvent()       {}
 func (Claimed) entryEvent()        {}
 func (Settled) entryEvent()        {}
 func (Received) entryEvent()       {}
--- /dev/null
+++ b/internal/reducer/limit/limit.go
@@ -0,0 +1,90 @@
+// Package limit bounds what an entry has in progress and takes in: an adaptive
+// concurrency limit for each pool and a rate for each organisation.
+package limit
+
+import "time"
+
+// Config sets up a Concurrency limit.
+type Config struct {
+	// Start is the first limit; zero means 64.
+	Start float64
+	// Min and Max bound the limit; zero means 4 and 1,024.
+	Min, Max float64
+	// Backoff multiplies the limit when work was refused for lack of room;
+	// zero means 0.85.
+	Backoff float64
+	// Every is the shortest time between two decreases; zero means 500ms.
+	Every time.Duration
+}
+
+// Concurrency is a limit on work in progress that grows by one for each limit
+// of successes and shrinks by a factor when servers refuse for lack of room.
+//
+// With a fixed limit an entry keeps asking full servers when the fleet shrinks
+// and leaves them idle when it grows; one would notice refusals of gates, or
+// requests that wait in the entry while gates are free.
+type Concurrency struct {
+	config  Config
+	limit   float64
+	running int
+	shrunk  time.Time
+}
+
+// NewConcurrency returns a limit at its start.
+func NewConcurrency(c Config) *Concurrency {
+	fill(&c.Start, 64)
+	fill(&c.Min, 4)
+	fill(&c.Max, 1024)
+	fill(&c.Backoff, 0.85)
+	if c.Every == 0 {
+		c.Every = 500 * time.Millisecond
+	}
+	return &Concurrency{config: c, limit: min(c.Start, c.Max)}
+}
+
+func fill(value *float64, zeroMeans float64) {
+	if *value == 0 {
+		*value = zeroMeans
+	}
+}
+
+// Acquire takes one place if there is one.
+func (c *Concurrency) Acquire() bool {
+	if !c.Free() {
+		return false
+	}
+	c.running++
+	return true
+}
+
+// Free reports whether there is a place.
+func (c *Concurrency) Free() bool { return float64(c.running) < c.limit }
+
+// Release gives one place back.
+func (c *Concurrency) Release() { c.running-- }
+
+// Running is how many places are taken.
+func (c *Concurrency) Running() int { return c.running }
+
+// Limit is the limit now.
+func (c *Concurrency) Limit() float64 { return c.limit }
+
+// Succeeded grows the limit, but only while it is what holds work back.
+func (c *Concurrency) Succeeded() {
+	if float64(c.running) < c.limit/2 {
+		return
+	}
+	c.limit = min(c.config.Max, c.limit+1/c.limit)
+}
+
+// Refused shrinks the limit, once for the refusals of one period.
+func (c *Concurrency) Refused(now time.Time) {
+	if !c.shrunk.IsZero() && now.Sub(c.shrunk) < c.config.Every {
+		return
+	}
+	c.shrunk = now
+	// Work in progress is what the servers carry now; a limit far over it
+	// would take many decreases to have any effect.
+	c.limit = min(c.limit, float64(c.running)+1)
+	c.limit = max(c.config.Min, c.limit*c.config.Backoff)
+}
