role: attached callers read the whole answer at its owner

Cause: a second request with the same key must get the first's whole answer. Change: answers are kept as logs while they are made; entries follow the owner over a session, or the record once it is settled.

--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -48,6 +48,7 @@
 	case message.ClaimAttach:
 		s.endUnowned(r, AnswerAttach{
 			RequestID:    r.ID,
+			Record:       e.Answer.RequestID,
 			Owner:        e.Answer.Owner,
 			OwnerAddress: e.Answer.OwnerAddress,
 		})
@@ -130,7 +131,7 @@
 		// output is no longer kept.
 		s.refuseClaimed(r, oriolebend.ReasonResultExpired, oriolebend.RanYes, 0)
 	default:
-		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Answer: *a.Answer})
+		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Record: a.RequestID, Answer: *a.Answer})
 	}
 }
 
--- a/internal/reducer/entry/effect.go
+++ b/internal/reducer/entry/effect.go
@@ -56,12 +56,16 @@
 // AnswerReplay gives the caller a stored answer.
 type AnswerReplay struct {
 	RequestID string
+	// Record is the request that first used the key.
+	Record string
 	Answer    message.Answer
 }
 
 // AnswerAttach has the caller follow the request at its owner.
 type AnswerAttach struct {
-	RequestID    string
+	RequestID string
+	// Record is the request that runs under the key.
+	Record       string
 	Owner        string
 	OwnerAddress string
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -55,7 +55,7 @@
 	drainedOnce sync.Once
 
 	mu       sync.Mutex
-	callers  map[string]*Mailbox[caller.Chunk]
+	answers  map[string]*answerLog
 	sessions map[entry.SessionKey]*entrySession
 	servers  map[string]oriolebend.Server
 	stopping bool
@@ -66,7 +66,7 @@
 	e := &Entry{
 		config:   c,
 		drained:  make(chan struct{}),
-		callers:  map[string]*Mailbox[caller.Chunk]{},
+		answers:  map[string]*answerLog{},
 		sessions: map[entry.SessionKey]*entrySession{},
 		servers:  map[string]oriolebend.Server{},
 	}
@@ -154,58 +154,51 @@
 
 // Submit implements caller.Router.
 func (e *Entry) Submit(ctx context.Context, r entry.Request) <-chan caller.Chunk {
-	box := NewMailbox[caller.Chunk]()
+	log := newAnswerLog(r.Scope.Organisation, r.KeepRunning || r.Once)
 	e.mu.Lock()
-	e.callers[r.ID] = box
+	e.answers[r.ID] = log
 	e.mu.Unlock()
 	out := make(chan caller.Chunk)
 	e.loop.Post(entry.Arrived{At: time.Now(), Request: r})
-	go e.deliver(ctx, r.ID, box, out)
+	go e.deliver(ctx, r.ID, log, out)
 	return out
 }
 
 // deliver hands the chunks of an answer to its caller, until the last one or
 // until the caller left.
-func (e *Entry) deliver(ctx context.Context, requestID string, box *Mailbox[caller.Chunk], out chan<- caller.Chunk) {
+func (e *Entry) deliver(ctx context.Context, requestID string, log *answerLog, out chan<- caller.Chunk) {
 	defer close(out)
-	defer e.forget(requestID)
-	for {
+	e.read(ctx, requestID, log, func(c caller.Chunk) {
 		select {
+		case out <- c:
 		case <-ctx.Done():
-			e.loop.Post(entry.CallerGone{At: time.Now(), RequestID: requestID})
-			return
-		case <-e.loop.Done():
-			out <- caller.Chunk{Problem: &oriolebend.Problem{Reason: oriolebend.ReasonStopping, Ran: oriolebend.RanUnknown, RequestID: requestID}}
-			return
-		case <-box.Wait():
 		}
-		for _, chunk := range box.Take() {
-			select {
-			case out <- chunk:
-			case <-ctx.Done():
-				e.loop.Post(entry.CallerGone{At: time.Now(), RequestID: requestID})
-				return
-			}
-			if chunk.Last() {
-				return
-			}
-		}
-	}
+	})
 }
 
-func (e *Entry) forget(requestID string) {
+// forget drops an answer that nobody reads, unless its request goes on. A
+// reader that found it just before is told so; it would wait for ever else.
+func (e *Entry) forget(requestID string, log *answerLog) {
+	if log.keep {
+		return
+	}
+	log.append(problemChunk(requestID, oriolebend.ReasonCallerCancelled, oriolebend.RanUnknown, "the caller that ran this request left"))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.callers, requestID)
+	delete(e.answers, requestID)
 }
 
-// answer queues a chunk for the caller of a request, if it is still there.
+// answer adds a chunk to the answer of a request. The last one takes the
+// answer out of reach of others, who then find it in the record.
 func (e *Entry) answer(requestID string, chunk caller.Chunk) {
 	e.mu.Lock()
-	box := e.callers[requestID]
+	log := e.answers[requestID]
+	if chunk.Last() {
+		delete(e.answers, requestID)
+	}
 	e.mu.Unlock()
-	if box != nil {
-		box.Put(chunk)
+	if log != nil {
+		log.append(chunk)
 	}
 }
 
@@ -243,12 +236,12 @@
 	case entry.AnswerCall:
 		e.answer(f.RequestID, caller.Chunk{Call: &f.Answer})
 	case entry.AnswerReplay:
-		e.answer(f.RequestID, caller.Chunk{Replay: &f.Answer})
+		e.answer(f.RequestID, caller.Chunk{RequestID: f.Record, Replay: &f.Answer})
 	case entry.AnswerProblem:
 		e.config.Logger.Info("request refused or failed", "requestID", f.RequestID, "reason", f.Problem.Reason, "ran", f.Problem.Ran, "detail", f.Problem.Detail)
 		e.answer(f.RequestID, caller.Chunk{Problem: f.Problem})
 	case entry.AnswerAttach:
-		e.attach(f)
+		go e.attach(f)
 	}
 }
 
@@ -301,19 +294,6 @@
 	}
 }
 
-// attach tells the caller who runs its request; the caller asks again and is
-// then answered from the record.
-func (e *Entry) attach(f entry.AnswerAttach) {
-	problem := &oriolebend.Problem{
-		Reason:     oriolebend.ReasonConcurrency,
-		Ran:        oriolebend.RanUnknown,
-		RequestID:  f.RequestID,
-		RetryAfter: time.Second,
-		Detail:     "the same request is in progress at " + f.Owner,
-	}
-	e.answer(f.RequestID, caller.Chunk{Problem: problem})
-}
-
 // asProblem returns err as a problem; an error of another type becomes one
 // whose outcome is unknown.
 func asProblem(err error, requestID string) *oriolebend.Problem {
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -32,7 +32,11 @@
 
 // StartEntry starts an entry; Stop ends it.
 func StartEntry(p Process) (*EntryProcess, error) {
-	endpoint, err := p.listen(map[message.Kind]peer.Handler{})
+	process := &EntryProcess{process: p, done: make(chan struct{})}
+	ready := make(chan struct{})
+	endpoint, err := p.listen(map[message.Kind]peer.Handler{
+		message.KindFollow: func(ctx context.Context, s peer.Stream) { <-ready; process.entry.ServeFollow(ctx, s) },
+	})
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
@@ -64,7 +68,8 @@
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	process := &EntryProcess{process: p, entry: e, endpoint: endpoint, cancel: cancel, done: make(chan struct{})}
+	process.entry, process.endpoint, process.cancel = e, endpoint, cancel
+	close(ready)
 	process.callers, err = p.serveCallers(handler)
 	if err != nil {
 		cancel()
