--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -174,3 +174,13 @@
 	}
 	return Agreement{}, false
 }
+
+var (
+	_ = Register[Append]()
+	_ = Register[AppendAnswer]()
+	_ = Register[Vote]()
+	_ = Register[VoteAnswer]()
+	_ = Register[Chunk]()
+	_ = Register[ChunkAnswer]()
+	_ = Register[Campaign]()
+)
--- a/internal/peer/endpoint_test.go
+++ b/internal/peer/endpoint_test.go
@@ -1,34 +1,32 @@
 package peer_test
 
 import (
-	"context"
-	"io"
 	"testing"
 
 	"github.com/matryer/is"
 
-	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/peer/peercontract"
 )
 
-func echo(_ context.Context, s peer.Stream) {
-	for {
-		m, err := s.Receive()
-		if err != nil {
-			return
-		}
-		if err := s.Send(m); err != nil {
-			return
-		}
-	}
+// site makes processes that one authority signed for.
+type site struct {
+	authority *peer.Authority
+}
+
+func newSite(t testing.TB) site {
+	t.Helper()
+	a, err := peer.DevAuthority()
+	is.New(t).NoErr(err)
+	return site{authority: a}
 }
 
-func listen(t testing.TB, a *peer.Authority, name string, edit func(*peer.Config)) *peer.Endpoint {
+func (s site) listen(t testing.TB, name string, edit func(*peer.Config)) *peer.Endpoint {
 	t.Helper()
 	i := is.New(t)
-	material, err := a.Issue(peer.Identity{Name: name, Role: "entry"})
+	material, err := s.authority.Issue(peer.Identity{Name: name, Role: "sidecar"})
 	i.NoErr(err)
-	c := peer.Config{Address: "127.0.0.1:0", Credentials: peer.Fixed(material), Handler: echo}
+	c := peer.Config{Address: "127.0.0.1:0", Credentials: peer.Fixed(material), Handler: peercontract.Echo}
 	if edit != nil {
 		edit(&c)
 	}
@@ -38,23 +36,15 @@
 	return e
 }
 
-func TestEcho(t *testing.T) {
-	i := is.New(t)
-	a, err := peer.DevAuthority()
-	i.NoErr(err)
-	gate := listen(t, a, "gate-1", nil)
-	entry := listen(t, a, "entry-1", nil)
-	s, err := entry.Open(t.Context(), gate.Address())
-	i.NoErr(err)
-	want := message.Part{Attempt: message.Attempt{RequestID: "r", Number: 1}, Text: "a\xff"}
-	i.NoErr(s.Send(want))
-	got, err := s.Receive()
-	i.NoErr(err)
-	i.Equal(got, want)
-	i.Equal(s.Peer(), "gate-1")
-	i.NoErr(s.Close())
-	<-s.Done()
-	_, err = s.Receive()
-	i.True(err != nil && err != io.EOF)
-	i.Equal(peer.CodeOf(err), peer.CodeClosed)
+func TestContract(t *testing.T) {
+	peercontract.Run(t, func(t *testing.T, handler peer.Handler) peercontract.Network {
+		s := newSite(t)
+		gate := s.listen(t, peercontract.GateName, func(c *peer.Config) { c.Handler = handler })
+		entry := s.listen(t, peercontract.EntryName, nil)
+		return peercontract.Network{
+			Entry:       entry,
+			GateAddress: gate.Address(),
+			KillGate:    func() { _ = gate.Close() },
+		}
+	})
 }
