--- a/internal/reducer/entry/effect.go
+++ b/internal/reducer/entry/effect.go
@@ -58,7 +58,7 @@
 	RequestID string
 	// Record is the request that first used the key.
 	Record string
-	Answer    message.Answer
+	Answer message.Answer
 }
 
 // AnswerAttach has the caller follow the request at its owner.
--- a/internal/role/enginewatch.go
+++ b/internal/role/enginewatch.go
@@ -22,9 +22,9 @@
 
 // engineWatch asks the engine what it is, its load and its cache events.
 type engineWatch struct {
-	engine      engine.Engine
-	post        func(gate.Event)
-	known       func(engine.Info)
+	engine   engine.Engine
+	post     func(gate.Event)
+	known    func(engine.Info)
 	failures int
 	info     engine.Info
 	after    uint64
