logging: lines without content, shared attributes; every reason in one list

Cause: callers' logs used names of their own, and nothing kept a prompt that is passed to the log by mistake out of it; reasons were listed by parsing in one test only.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -76,7 +77,7 @@
 // which the next read or write tells too.
 func (h *handler) ignoreUnsupported(err error) {
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		h.Logger.Debug("no deadline on a caller's connection", "cause", err.Error())
+		h.Logger.Debug("no deadline on a caller's connection", logging.Cause(err))
 	}
 }
 
--- a/internal/caller/header.go
+++ b/internal/caller/header.go
@@ -42,7 +42,7 @@
 		BetweenWithin: h.Policy.BetweenWithin.Or(defaultBetween),
 		KeepRunning:   operation.KeepRunning,
 	}
-	if request.Scope.Key, err = keyOf(r); err != nil {
+	if request.Scope.Key, request.Generated, err = keyOf(r); err != nil {
 		return entry.Request{}, err
 	}
 	if request.Urgency, err = urgencyOf(r, organisation, operation.Urgency); err != nil {
@@ -75,15 +75,15 @@
 
 // keyOf returns the caller's idempotency key, or a new one: every request has
 // a key, so that a caller can learn it from the answer and retry safely.
-func keyOf(r *http.Request) (string, error) {
+func keyOf(r *http.Request) (key string, generated bool, err error) {
 	values := r.Header.Values(HeaderKey)
 	if len(values) == 0 {
-		return newID(), nil
+		return newID(), true, nil
 	}
 	if len(values) > 1 || !validKey(values[0]) {
-		return "", refuse(oriolebend.ReasonMalformed, HeaderKey+": one value; "+keyRule)
+		return "", false, refuse(oriolebend.ReasonMalformed, HeaderKey+": one value; "+keyRule)
 	}
-	return values[0], nil
+	return values[0], false, nil
 }
 
 func validKey(key string) bool {
--- a/internal/caller/output.go
+++ b/internal/caller/output.go
@@ -38,6 +38,9 @@
 		case <-ctx.Done():
 			return step{}, o.problem(oriolebend.ReasonCallerCancelled, "the caller left")
 		case chunk, open := <-o.chunks:
+			if !open && ctx.Err() != nil {
+				return step{}, o.problem(oriolebend.ReasonCallerCancelled, "the caller left")
+			}
 			if !open {
 				return step{}, o.problem(oriolebend.ReasonInternal, "the answer broke off without an outcome")
 			}
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -94,7 +95,7 @@
 	}
 	h.extendWrite(c)
 	if err := c.Blob(document.Status, typeProblem, body); err != nil {
-		h.Logger.Debug("caller left before its refusal", "reason", p.Reason)
+		h.Logger.Debug("caller left before its refusal", logging.Reason(p.Reason))
 	}
 }
 
@@ -118,13 +119,9 @@
 	if p.Reason == oriolebend.ReasonInternal {
 		level = slog.LevelError
 	}
-	attributes := []slog.Attr{
-		slog.String("requestID", p.RequestID),
-		slog.String("reason", string(p.Reason)),
-		slog.String("ran", string(p.Ran)),
+	logged := *p
+	if errors.Is(p.Cause, context.Canceled) {
+		logged.Cause = nil
 	}
-	if p.Cause != nil && !errors.Is(p.Cause, context.Canceled) {
-		attributes = append(attributes, slog.String("cause", p.Cause.Error()))
-	}
-	h.Logger.LogAttrs(ctx, level, "request refused or failed", attributes...)
+	h.Logger.LogAttrs(ctx, level, "request refused or failed", logging.Problem(&logged))
 }
--- a/internal/caller/reasons_test.go
+++ b/internal/caller/reasons_test.go
@@ -1,9 +1,6 @@
 package caller
 
 import (
-	"go/ast"
-	"go/parser"
-	"go/token"
 	"os"
 	"strconv"
 	"strings"
@@ -14,29 +11,10 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// declaredReasons reads the reasons from the source that declares them, so that
-// a new one cannot be forgotten here.
-func declaredReasons(t *testing.T) []oriolebend.Reason {
-	file, err := parser.ParseFile(token.NewFileSet(), "../../pkg/oriolebend/reason.go", nil, 0)
-	is.New(t).NoErr(err)
-	var reasons []oriolebend.Reason
-	ast.Inspect(file, func(n ast.Node) bool {
-		literal, ok := n.(*ast.BasicLit)
-		if ok && literal.Kind == token.STRING {
-			text, err := strconv.Unquote(literal.Value)
-			is.New(t).NoErr(err)
-			reasons = append(reasons, oriolebend.Reason(text))
-		}
-		return true
-	})
-	return reasons
-}
-
 func TestEveryReasonHasAStatus(t *testing.T) {
 	is := is.New(t)
-	reasons := declaredReasons(t)
-	is.Equal(len(reasons), len(statuses))
-	for _, reason := range reasons {
+	is.Equal(len(oriolebend.Reasons()), len(statuses))
+	for _, reason := range oriolebend.Reasons() {
 		known, found := statuses[reason]
 		is.True(found) // a reason without status is told as a fault of the router
 		is.True(known.Status >= 400 && known.Status < 600)
@@ -50,7 +28,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/callers.md")
 	is.NoErr(err)
-	for _, reason := range declaredReasons(t) {
+	for _, reason := range oriolebend.Reasons() {
 		status, _ := statusOf(reason)
 		is.True(strings.Contains(string(page), "| `"+string(reason)+"` | "+strconv.Itoa(status)+" |"))
 	}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -153,7 +154,7 @@
 		return nil
 	}
 	if err := s.send(documentOf(problem)); err != nil {
-		s.handler.Logger.Debug("caller left before its failure", "requestID", problem.RequestID)
+		s.handler.Logger.Debug("caller left before its failure", logging.RequestID(problem.RequestID))
 	}
 	return nil
 }
