--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -97,7 +97,7 @@
 		return slog.StringValue(string(v))
 	case oriolebend.Ran:
 		return slog.StringValue(string(v))
-	case slog.Level, *slog.Source:
+	case *slog.Source:
 		return slog.AnyValue(v)
 	case message.Attempt:
 		return slog.StringValue(fmt.Sprintf("%s/%d", v.RequestID, v.Number))
--- /dev/null
+++ b/internal/metrics/name.go
@@ -0,0 +1,82 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Names under which reducers count and measure, and that need more than a
+// metric of their own.
+const (
+	whatRefusal      = "refusal"
+	whatWastedTokens = "wastedPrefillTokens"
+)
+
+var urgencies = []oriolebend.Urgency{oriolebend.Urgent, oriolebend.Patient}
+
+// described is the name of a metric, without the prefix, and what it says.
+type described struct {
+	Name    string
+	Help    string
+	Buckets []float64
+}
+
+// reasonCounters gives what reducers count with a reason its own counter.
+var reasonCounters = map[string]described{
+	whatRefusal:        {Name: "refusals_total", Help: "Requests or reservations refused, by reason."},
+	"refused":          {Name: "gate_refusals_total", Help: "Refusals of gates that an entry met, by reason."},
+	"retry":            {Name: "retries_total", Help: "Attempts made again, by the reason of the one before."},
+	"retryDelayed":     {Name: "retries_delayed_total", Help: "Retries put off, by reason."},
+	"outcomeLost":      {Name: "outcomes_lost_total", Help: "Calls that may run once whose outcome is lost, by what lost it."},
+	"outcomeResolved":  {Name: "outcomes_resolved_total", Help: "Lost outcomes that the service's status call told."},
+	"prefillWasted":    {Name: "prefills_wasted_total", Help: "Prefills computed and not used, by reason."},
+	"prefillReleased":  {Name: "prefills_released_total", Help: "Prefill reservations given back before they were paid for."},
+	"givenUp":          {Name: "given_up_total", Help: "Accepted requests that ended without an answer, by reason."},
+	"renewalFailed":    {Name: "renewals_failed_total", Help: "Renewals of a claim that failed, by reason."},
+	"unclaimed":        {Name: "unclaimed_total", Help: "Requests that could not be claimed, by reason."},
+	"settleLost":       {Name: "settles_lost_total", Help: "Settles whose answer was lost and that were sent again."},
+	"settleFailed":     {Name: "settles_failed_total", Help: "Settles that failed, by reason."},
+	"settleLate":       {Name: "settles_late_total", Help: "Answers told before their settle was known to be durable."},
+	"settledElsewhere": {Name: "settled_elsewhere_total", Help: "Requests whose record another entry had moved on."},
+}
+
+// events are what reducers count without a reason.
+var events = []string{
+	"cacheGap", "cacheRepaired", "cancel", "cancelledByList", "closedForgotten", "doubled",
+	"duplicatePart", "outdatedMessage", "stray", "unowned",
+}
+
+var knownEvents = func() map[string]bool {
+	known := map[string]bool{}
+	for _, event := range events {
+		known[event] = true
+	}
+	return known
+}()
+
+// measures gives what reducers measure its histogram. The targets of the
+// latencies, 1.2 s and 41 ms, are bounds of buckets, so that goodput is read off
+// exactly.
+var measures = map[string]described{
+	"firstToken": {
+		Name: "time_to_first_token_seconds", Help: "Time from arrival to the first output.",
+		Buckets: []float64{0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.2, 1.6, 2.4, 5, 10, 30, 60},
+	},
+	"betweenTokens": {
+		Name: "time_between_tokens_seconds", Help: "Time between two tokens of an output.",
+		Buckets: []float64{0.005, 0.01, 0.02, 0.03, 0.041, 0.05, 0.07, 0.1, 0.2, 0.5, 1},
+	},
+	"answer": {
+		Name: "service_answer_seconds", Help: "Time from arrival to the answer of a plain service.",
+		Buckets: prometheus.DefBuckets,
+	},
+	"prefill": {
+		Name: "prefill_seconds", Help: "Time that engines spent on a prefill.",
+		Buckets: []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4},
+	},
+	"prefillPrediction": {
+		Name: "prefill_prediction_ratio", Help: "Time of a prefill over the time that its gate predicted.",
+		Buckets: []float64{0.25, 0.5, 0.75, 0.9, 1, 1.1, 1.25, 1.5, 2, 4},
+	},
+}
