--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -106,7 +106,13 @@
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
 	c.cancel()
-	return errors.Join(<-c.done, c.endpoint.Stop(ctx))
+	var ended error
+	select {
+	case ended = <-c.done:
+	case <-ctx.Done():
+		ended = ctx.Err()
+	}
+	return errors.Join(ended, closeEndpoint(c.endpoint))
 }
 
 func members(list []settings.Member) []message.Member {
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/peer"
@@ -221,15 +224,9 @@
 // folder.
 func (d *Dev) Stop(ctx context.Context) error {
 	var errs []error
-	for _, e := range d.Entries {
-		errs = append(errs, e.Stop(ctx))
-	}
-	for _, s := range d.Sidecars {
-		errs = append(errs, s.Stop(ctx))
-	}
-	for _, c := range d.Controls {
-		errs = append(errs, c.Stop(ctx))
-	}
+	errs = append(errs, stopAll(ctx, d.Entries))
+	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars))))
+	errs = append(errs, stopAll(ctx, d.Controls))
 	for _, e := range d.Engines {
 		e.Close()
 	}
@@ -239,3 +236,14 @@
 	errs = append(errs, os.RemoveAll(d.folder))
 	return errors.Join(errs...)
 }
+
+// stopAll stops processes of one role side by side.
+func stopAll[P interface{ Stop(context.Context) error }](ctx context.Context, processes []P) error {
+	errs := make([]error, len(processes))
+	var all sync.WaitGroup
+	for i, p := range processes {
+		all.Go(func() { errs[i] = p.Stop(ctx) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -137,5 +137,5 @@
 	closed := p.callers.stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closed, p.endpoint.Stop(ctx))
+	return errors.Join(drained, closed, closeEndpoint(p.endpoint))
 }
--- a/internal/role/follower.go
+++ b/internal/role/follower.go
@@ -48,6 +48,7 @@
 		return err
 	}
 	defer s.Close()
+	defer context.AfterFunc(ctx, func() { s.Close() })()
 	if err := s.Send(message.Watch{Node: f.Node, From: f.revision}); err != nil {
 		return err
 	}
@@ -103,6 +104,7 @@
 		return err
 	}
 	defer s.Close()
+	defer context.AfterFunc(ctx, func() { s.Close() })()
 	ticker := time.NewTicker(announceEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -59,6 +59,22 @@
 	})
 }
 
+// closeWithin bounds the wait for sessions that peers still hold when a role
+// has drained: what they carry then are watches and renewals, which their
+// peers open anew elsewhere.
+const closeWithin = time.Second
+
+// closeEndpoint ends a process's endpoint once its role has drained.
+func closeEndpoint(e *peer.Endpoint) error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	err := e.Stop(ctx)
+	if peer.CodeOf(err) == peer.CodeCancelled {
+		return nil
+	}
+	return err
+}
+
 // httpServer is one HTTP server of a process and the port that it listens on.
 type httpServer struct {
 	server   *http.Server
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -88,7 +88,7 @@
 	drained := p.sidecar.Stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, p.endpoint.Stop(ctx))
+	return errors.Join(drained, closeEndpoint(p.endpoint))
 }
 
 // Kill ends the sidecar at once, as a process that dies.
