--- a/internal/reducer/gate/event.go
+++ b/internal/reducer/gate/event.go
@@ -15,7 +15,7 @@
 
 // Event is something that happened to the gate. At is when, by the clock of
 // the sidecar's own process.
-type Event interface{ gateEvent() }
+type Event interface{ occurred() time.Time }
 
 // Received is a message that came over a session.
 type Received struct {
@@ -121,20 +121,20 @@
 // Ticked passes time; it comes at least every TickEvery.
 type Ticked struct{ At time.Time }
 
-func (Received) gateEvent()        {}
-func (Renewed) gateEvent()         {}
-func (Closed) gateEvent()          {}
-func (EnginePrefilled) gateEvent() {}
-func (EnginePart) gateEvent()      {}
-func (WorkFailed) gateEvent()      {}
-func (ServiceAnswered) gateEvent() {}
-func (Cancelled) gateEvent()       {}
-func (LoadReported) gateEvent()    {}
-func (WorkListed) gateEvent()      {}
-func (CacheChanged) gateEvent()    {}
-func (CacheListed) gateEvent()     {}
-func (EngineKnown) gateEvent()     {}
-func (EngineLost) gateEvent()      {}
-func (Declared) gateEvent()        {}
-func (Stopping) gateEvent()        {}
-func (Ticked) gateEvent()          {}
+func (e Received) occurred() time.Time        { return e.At }
+func (e Renewed) occurred() time.Time         { return e.At }
+func (e Closed) occurred() time.Time          { return e.At }
+func (e EnginePrefilled) occurred() time.Time { return e.At }
+func (e EnginePart) occurred() time.Time      { return e.At }
+func (e WorkFailed) occurred() time.Time      { return e.At }
+func (e ServiceAnswered) occurred() time.Time { return e.At }
+func (e Cancelled) occurred() time.Time       { return e.At }
+func (e LoadReported) occurred() time.Time    { return e.At }
+func (e WorkListed) occurred() time.Time      { return e.At }
+func (e CacheChanged) occurred() time.Time    { return e.At }
+func (e CacheListed) occurred() time.Time     { return e.At }
+func (e EngineKnown) occurred() time.Time     { return e.At }
+func (e EngineLost) occurred() time.Time      { return e.At }
+func (e Declared) occurred() time.Time        { return e.At }
+func (e Stopping) occurred() time.Time        { return e.At }
+func (e Ticked) occurred() time.Time          { return e.At }
--- a/internal/reducer/gate/gate_test.go
+++ b/internal/reducer/gate/gate_test.go
@@ -19,6 +19,9 @@
 // an event; its output are the effects.
 type script struct {
 	state *State
+	// gates holds the gates of a script that has several, by name.
+	gates map[string]*State
+	name  string
 	now   time.Time
 }
 
@@ -27,7 +30,7 @@
 
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		r := &script{state: New(Config{}), now: epoch}
+		r := &script{state: New(Config{}), gates: map[string]*State{}, now: epoch}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return r.run(t, arguments{d: d})
 		})
@@ -119,6 +122,14 @@
 		})
 		r.now = epoch
 		return ""
+	case "gate":
+		r.gates[r.name] = r.state
+		r.name = a.text("name", "")
+		if r.gates[r.name] == nil {
+			r.gates[r.name] = New(Config{})
+		}
+		r.state = r.gates[r.name]
+		return ""
 	case "wait":
 		return r.wait(a)
 	case "state":
@@ -145,7 +156,8 @@
 			continue
 		}
 		for _, line := range strings.SplitAfter(render(effects), "\n") {
-			if line != "" && line != "listWork\n" {
+			lists := line == "listWork\n" || line == "listCache\n"
+			if line != "" && (!lists || a.has("lists")) {
 				fmt.Fprintf(&out, "%s %s", r.now.Sub(epoch), line)
 			}
 		}
--- a/internal/reducer/gate/lease.go
+++ b/internal/reducer/gate/lease.go
@@ -43,7 +43,7 @@
 	for _, r := range s.inOrder() {
 		switch r.stage {
 		case stageGranted:
-			if s.now.Sub(r.from) > s.config.StartWithin {
+			if s.now.Sub(r.from)-(s.paused-r.paused) > s.config.StartWithin {
 				s.refuseWaiting(r, message.Refusal{Reason: oriolebend.ReasonLeaseEnded})
 			}
 		case stageArrived:
@@ -80,7 +80,6 @@
 func (s *State) cancel(r *reservation) {
 	s.closed.add(s, r.reserve.Attempt, true)
 	r.stage = stageCancelling
-	r.computing = false
 	r.cancelledAt = s.now
 	s.askCancel(r)
 }
@@ -123,6 +122,9 @@
 	default:
 		s.memory.remove(r)
 	}
+	if r.computing && !r.startedAt.IsZero() {
+		s.predict.prefillBroken(s.now)
+	}
 	r.stage = stageOver
 	s.queue.changed = true
 	delete(s.attempts, r.reserve.Attempt)
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -7,6 +7,14 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+const (
+	// urgentPart is the part of a decode engine's memory that is kept for
+	// urgent work, one in so many.
+	urgentPart = 16
+	// urgentSeen is how long after the latest urgent reservation it is kept.
+	urgentSeen = time.Minute
+)
+
 // memory holds the reservations that have room, from their grant until the
 // server gave it back. Sums are taken anew from the holders, of which there
 // are some tens: no counter can drift from the truth.
@@ -105,16 +113,16 @@
 // their priority, and a ping needn't wait for the end of a long brief.
 func (s *State) fitsPrefill(r *reservation) bool {
 	held := s.committed()
-	slots := s.config.PrefillSlots
-	budget := s.config.PrefillBudget
+	if held.tokens+r.tokens > s.engine.info.KVTokens {
+		return false
+	}
 	if r.reserve.Urgency == oriolebend.Urgent {
-		slots += s.config.UrgentSlots
-		budget += r.compute
+		return held.slots < s.config.PrefillSlots+s.config.UrgentSlots
 	}
-	if held.slots >= slots || held.tokens+r.tokens > s.engine.info.KVTokens {
+	if held.slots >= s.config.PrefillSlots {
 		return false
 	}
-	return held.slots == 0 || held.compute+r.compute <= budget
+	return held.slots == 0 || held.compute+r.compute <= s.config.PrefillBudget
 }
 
 // fitsAt reports whether a decode's room is free from a moment to the
@@ -134,15 +142,35 @@
 
 // fitsMoment reports whether a decode's room is free at one moment.
 func (s *State) fitsMoment(r *reservation, at time.Time) bool {
-	tokens := r.tokens
-	slots := 1
+	tokens, patient, slots := r.tokens, 0, 1
+	if r.reserve.Urgency == oriolebend.Patient {
+		patient = r.tokens
+	}
 	for _, held := range s.memory.holders {
-		if s.holdsAt(held, at) {
-			tokens += held.tokens
-			slots++
+		if !s.holdsAt(held, at) {
+			continue
 		}
+		tokens += held.tokens
+		slots++
+		if held.reserve.Urgency != oriolebend.Urgent {
+			patient += held.tokens
+		}
+	}
+	if tokens > s.engine.info.KVTokens || slots > s.limit.slots() {
+		return false
+	}
+	return patient <= s.patientTokens(r)
+}
+
+// patientTokens is the memory that patient decodes may take together. While
+// urgent work comes a part is kept for it: all memory would otherwise be held
+// by long generations, and each ping would wait for the end of one of them.
+func (s *State) patientTokens(r *reservation) int {
+	whole := s.engine.info.KVTokens
+	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
+		return whole
 	}
-	return tokens <= s.engine.info.KVTokens && slots <= s.limit.slots()
+	return max(whole-whole/urgentPart, min(r.tokens, whole))
 }
 
 // holdsAt predicts whether a holder has its room at a moment that is not in
--- a/internal/reducer/gate/once.go
+++ b/internal/reducer/gate/once.go
@@ -13,10 +13,21 @@
 	at      time.Time
 	// endedAt is when its room was given back.
 	endedAt time.Time
+	// held is true if a reservation of this incarnation was for it.
+	held bool
 	// used is true if its work went to the server.
 	used bool
 }
 
+// ran says whether the attempt ran at this gate. One that no reservation was
+// for may have run before the gate restarted.
+func (c closedAttempt) ran() oriolebend.Ran {
+	if c.held && !c.used {
+		return oriolebend.RanNo
+	}
+	return oriolebend.RanUnknown
+}
+
 // reason names why the attempt is refused.
 func (c closedAttempt) reason() oriolebend.Reason {
 	if c.used {
@@ -63,12 +74,13 @@
 
 // add remembers an attempt as closed; one that was used stays used.
 func (c *closedMemory) add(s *State, a message.Attempt, used bool) {
+	held := s.attempts[a] != nil
 	if known, found := c.known[a]; found {
 		known.used = known.used || used
 		c.known[a] = known
 		return
 	}
-	known := closedAttempt{attempt: a, at: s.now, endedAt: s.now, used: used}
+	known := closedAttempt{attempt: a, at: s.now, endedAt: s.now, held: held, used: used}
 	c.known[a] = known
 	c.line = append(c.line, known)
 	if len(c.line)-c.first > c.bound {
--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -179,13 +179,49 @@
 		return asked
 	}
 	ahead := s.queue.costAhead(r)
+	if r.reserve.Phase == message.PhaseDecode {
+		return s.earliest(r).Sub(s.now) + s.waitBehind(r, ahead)
+	}
+	return s.waitBehind(r, ahead)
+}
+
+// waitBehind predicts how long a reservation waits behind work of this cost
+// and what runs now.
+func (s *State) waitBehind(r *reservation, ahead float64) time.Duration {
 	switch r.reserve.Phase {
 	case message.PhasePrefill:
-		return seconds((float64(s.committed().compute) + ahead) / s.predict.prefill.value())
+		return seconds((s.computing(r.reserve.Urgency) + ahead) / s.predict.prefill.value())
 	case message.PhaseDecode:
-		passing := ahead / float64(max(s.engine.info.KVTokens, 1))
-		return s.earliest(r).Sub(s.now) + time.Duration(passing*float64(r.took))
+		return seconds(ahead / float64(max(s.engine.info.KVTokens, 1)) * r.took.Seconds())
 	default:
-		return time.Duration((ahead + 1) / float64(s.limit.slots()) * float64(r.took))
+		return seconds((ahead + 1) / float64(s.limit.slots()) * r.took.Seconds())
+	}
+}
+
+// sharedTook predicts the time of a prefill that shares the engine with those
+// that run.
+func (s *State) sharedTook(r *reservation) time.Duration {
+	others := s.computing(r.reserve.Urgency)
+	if r.computing {
+		others -= float64(r.compute)
+	}
+	return r.took + seconds(max(others, 0)/s.predict.prefill.value())
+}
+
+// computing sums the uncached tokens that running prefills have left and that
+// come before one of this urgency: the engine honours priorities, so patient
+// prefills don't delay urgent ones.
+func (s *State) computing(u oriolebend.Urgency) float64 {
+	left := 0.0
+	for _, held := range s.memory.holders {
+		if !held.computing || (u == oriolebend.Urgent && held.reserve.Urgency != oriolebend.Urgent) {
+			continue
+		}
+		done := 0.0
+		if !held.startedAt.IsZero() {
+			done = s.now.Sub(held.startedAt).Seconds() * s.predict.prefill.value()
+		}
+		left += max(float64(held.compute)-done, 0)
 	}
+	return left
 }
--- a/internal/reducer/gate/queue.go
+++ b/internal/reducer/gate/queue.go
@@ -10,9 +10,14 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// backfillDepth is how many reservations behind the first that doesn't fit
-// are tried as well.
-const backfillDepth = 8
+const (
+	// backfillDepth is how many reservations behind the first that doesn't
+	// fit are tried as well.
+	backfillDepth = 8
+	// passedFor is for how many times AgeAfter urgent prefills may pass an
+	// aged patient one that has no room.
+	passedFor = 4
+)
 
 // queue holds the reservations that wait: urgent ones before patient ones,
 // within each by weighted fair queueing over the organisations, within each
@@ -47,6 +52,14 @@
 }
 
 func (q *queue) add(r *reservation) {
+	c := q.class(r.reserve.Urgency)
+	c.arrive(r.reserve.Organisation)
+	c.add(r)
+	q.length++
+}
+
+// putBack adds one that was passed over; its organisation keeps its turn.
+func (q *queue) putBack(r *reservation) {
 	q.class(r.reserve.Urgency).add(r)
 	q.length++
 }
@@ -127,20 +140,38 @@
 	return all
 }
 
-// overdue returns those whose first token can't come before its deadline even
-// if they were granted now.
-func (q *queue) overdue(now time.Time, p *predictor) []*reservation {
-	var late []*reservation
+// lateReservation is one that waits and is predicted to start too late.
+type lateReservation struct {
+	reservation *reservation
+	wait        time.Duration
+}
+
+// late returns the waiting reservations whose first result can't come before
+// their deadline: for certain, or by a prediction that misses it by half.
+func (q *queue) late(s *State) []lateReservation {
+	var late []lateReservation
+	before := 0.0
 	for _, c := range []*class{&q.urgent, &q.patient} {
 		for _, l := range c.active {
+			own := 0.0
 			for _, r := range l.waiting {
-				if !r.deadlineAt.IsZero() && later(r.from, now).Add(p.first(r)).After(r.deadlineAt) {
-					late = append(late, r)
+				ahead := before + min(c.cost-r.cost, own*float64(len(c.active)))
+				own += r.cost
+				if r.deadlineAt.IsZero() {
+					continue
+				}
+				wait := s.waitBehind(r, ahead)
+				left := r.deadlineAt.Sub(later(r.from, s.now)) - s.predict.first(r)
+				if left < 0 || wait > left+left/2 {
+					late = append(late, lateReservation{reservation: r, wait: wait})
 				}
 			}
 		}
+		before = c.cost
 	}
-	slices.SortFunc(late, func(a, b *reservation) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(late, func(a, b lateReservation) int {
+		return cmp.Compare(a.reservation.order, b.reservation.order)
+	})
 	return late
 }
 
@@ -150,8 +181,6 @@
 // for it, and what waits behind may only take room that this promise leaves.
 // Without the promise small reservations would pass a large one for ever; if
 // they might not pass at all, memory would lie idle until the large one fits.
-// Prefills and calls aren't passed: their slots come free one by one, and who
-// takes them is the queue's order.
 func (s *State) grantQueued() {
 	if !s.queue.changed {
 		return
@@ -167,14 +196,17 @@
 		if r == nil {
 			break
 		}
+		if len(passed) > 0 && r.reserve.Urgency == oriolebend.Patient && r.reserve.Phase != message.PhaseDecode {
+			break
+		}
 		if s.fits(r) {
 			s.grant(r)
 			continue
 		}
-		if r.reserve.Phase != message.PhaseDecode {
+		if !s.mayPass(r) {
 			break
 		}
-		if promise == nil {
+		if promise == nil && r.reserve.Phase == message.PhaseDecode {
 			promise = s.promise(r)
 		}
 		s.queue.remove(r)
@@ -184,8 +216,40 @@
 		s.memory.remove(promise)
 	}
 	for _, r := range passed {
-		s.queue.add(r)
+		s.queue.putBack(r)
+	}
+}
+
+// mayPass reports whether others may be tried behind a reservation that has no
+// room. Slots come free one by one and who takes them is the queue's order, so
+// prefills and calls aren't passed, with one exception: an aged patient prefill
+// whose turn has come would keep pings waiting for the end of another brief, so
+// they may pass it while a brief is computed or only memory lacks. This too
+// has its end, or pings could keep the memory short for ever.
+func (s *State) mayPass(r *reservation) bool {
+	switch r.reserve.Phase {
+	case message.PhaseDecode:
+		return true
+	case message.PhaseCall:
+		return false
+	}
+	if r.reserve.Urgency == oriolebend.Urgent || s.queue.urgent.length == 0 {
+		return false
+	}
+	if s.now.Sub(r.acceptedAt) > passedFor*s.config.AgeAfter {
+		return false
 	}
+	return s.computesPatient() || s.committed().slots < s.config.PrefillSlots
+}
+
+// computesPatient reports whether a patient prefill takes a slot now.
+func (s *State) computesPatient() bool {
+	for _, held := range s.memory.holders {
+		if held.computing && held.reserve.Urgency == oriolebend.Patient {
+			return true
+		}
+	}
+	return false
 }
 
 // promise holds the earliest room that is predicted for r, by a stand-in that
@@ -206,6 +270,7 @@
 	r.stage = stageGranted
 	r.from = later(r.from, s.now)
 	r.until = r.from.Add(r.took)
+	r.paused = s.paused
 	r.computing = r.reserve.Phase == message.PhasePrefill
 	s.memory.add(r)
 	if r.offered {
@@ -253,20 +318,28 @@
 	return c.active[0].waiting[0]
 }
 
-func (c *class) add(r *reservation) {
-	l := c.lines[r.reserve.Organisation]
+// arrive readies an organisation's line for one more; after having been empty
+// it starts from the present virtual time.
+func (c *class) arrive(organisation string) {
+	l := c.lines[organisation]
 	if l == nil {
 		c.forgetIdle()
-		l = &line{organisation: r.reserve.Organisation}
-		c.lines[l.organisation] = l
+		l = &line{organisation: organisation}
+		c.lines[organisation] = l
 	}
+	if len(l.waiting) == 0 {
+		l.virtual = max(l.virtual, c.virtual)
+	}
+}
+
+func (c *class) add(r *reservation) {
+	l := c.lines[r.reserve.Organisation]
 	at, _ := slices.BinarySearchFunc(l.waiting, r, byAcceptance)
 	l.waiting = slices.Insert(l.waiting, at, r)
 	l.cost += r.cost
 	c.cost += r.cost
 	c.length++
 	if len(l.waiting) == 1 {
-		l.virtual = max(l.virtual, c.virtual)
 		heap.Push(&c.active, l)
 		return
 	}
--- a/internal/reducer/gate/rebuild.go
+++ b/internal/reducer/gate/rebuild.go
@@ -1,13 +1,20 @@
 package gate
 
 import (
+	"time"
+
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// listsLost is after how many periods an unanswered ListWork counts as lost.
-const listsLost = 3
+const (
+	// mostLists bounds the ListWork that are out.
+	mostLists = 4
+	// listsLost is after how many periods the oldest of so many counts as
+	// lost.
+	listsLost = 10
+)
 
 // engineKnown takes in what the engine is. After the gate's own start, and
 // after the engine was away, the gate grants nothing before it has read what
@@ -38,7 +45,7 @@
 		return
 	}
 	s.engine.listed = false
-	s.engine.listsStale = s.engine.listsOut
+	s.engine.listsStale = len(s.engine.listsAsked)
 	s.listWork()
 	s.resetCache()
 }
@@ -62,7 +69,7 @@
 // engineLost ends everything: nothing can be started, and whether what was
 // started still runs is found out from the work list once the engine answers.
 func (s *State) engineLost() {
-	s.engine.listsOut = 0
+	s.engine.listsAsked = nil
 	s.engine.listsStale = 0
 	if s.engine.lost {
 		return
@@ -97,7 +104,6 @@
 			Ran:     oriolebend.RanUnknown,
 		})
 	}
-	s.predict.running = 0
 }
 
 // askWork reads the engine's work from time to time.
@@ -106,18 +112,36 @@
 		return
 	}
 	since := s.now.Sub(s.engine.listAskedAt)
-	if s.engine.listsOut > 0 && since < listsLost*s.config.ListEvery {
-		return
+	if len(s.engine.listsAsked) >= mostLists {
+		if since < listsLost*s.config.ListEvery {
+			return
+		}
+		s.listAnswered()
 	}
 	if since >= s.config.ListEvery {
-		s.engine.listsOut = 0
-		s.engine.listsStale = 0
 		s.listWork()
 	}
 }
 
+// listAnswered returns when the oldest ListWork went that is out, and whether
+// its answer counts. If an answer was lost, the next counts as the one that
+// was lost: a list is then taken for older than it is, never for newer, and
+// what ended meanwhile is left to the next list.
+func (s *State) listAnswered() (asked time.Time, counts bool) {
+	e := &s.engine
+	if len(e.listsAsked) > 0 {
+		asked = e.listsAsked[0]
+		e.listsAsked = e.listsAsked[1:]
+	}
+	if e.listsStale > 0 {
+		e.listsStale--
+		return asked, false
+	}
+	return asked, e.known && !e.lost
+}
+
 func (s *State) listWork() {
-	s.engine.listsOut++
+	s.engine.listsAsked = append(s.engine.listsAsked, s.now)
 	s.engine.listAskedAt = s.now
 	s.emit(ListWork{})
 }
@@ -127,24 +151,20 @@
 // gate, and its entry may be gone. What the gate cancelled and the engine no
 // longer lists is free.
 func (s *State) workListed(e WorkListed) {
-	s.engine.listsOut = max(s.engine.listsOut-1, 0)
-	if s.engine.listsStale > 0 {
-		s.engine.listsStale--
-		return
-	}
-	if !s.engine.known || s.engine.lost {
+	asked, counts := s.listAnswered()
+	if !counts {
 		return
 	}
 	listed := map[message.Attempt]bool{}
 	for _, w := range e.Work {
 		listed[w.Attempt] = true
-		s.cancelUnowned(w)
+		s.cancelUnowned(w, asked)
 	}
 	for _, r := range s.inOrder() {
 		if r.stage != stageCancelling || listed[r.reserve.Attempt] {
 			continue
 		}
-		if r.cancelledAt.Before(s.engine.listAskedAt) {
+		if r.cancelledAt.Before(asked) {
 			s.count("cancelledByList", "")
 			s.drop(r)
 		}
@@ -154,12 +174,15 @@
 }
 
 // cancelUnowned cancels work that no reservation owns. The list may have been
-// read before an attempt ended, so one that ended since is left to the next.
-func (s *State) cancelUnowned(w engine.Work) {
+// read before an attempt ended, so one that ended since is left to the next;
+// but not in the first list of an engine that was away, whose work was given
+// up and not ended.
+func (s *State) cancelUnowned(w engine.Work, asked time.Time) {
 	if s.attempts[w.Attempt] != nil {
 		return
 	}
-	if ended, found := s.closed.find(w.Attempt); found && !ended.endedAt.Before(s.engine.listAskedAt) {
+	ended, found := s.closed.find(w.Attempt)
+	if found && s.engine.listed && !ended.endedAt.Before(asked) {
 		return
 	}
 	s.orders++
@@ -181,7 +204,7 @@
 // the gate does not know of; the gate's own sums come first.
 func (s *State) loadReported(e LoadReported) {
 	used := e.Report.TotalTokens - e.Report.FreeTokens
-	if used <= s.usedTokens() || s.engine.listsOut > 0 {
+	if used <= s.usedTokens() || len(s.engine.listsAsked) > 0 {
 		return
 	}
 	if s.now.Sub(s.engine.listAskedAt) >= s.config.RepairEvery && s.ready() {
--- a/internal/reducer/gate/reduce.go
+++ b/internal/reducer/gate/reduce.go
@@ -9,6 +9,7 @@
 // order. Events may come in any order; time never goes back.
 func Reduce(s *State, e Event) []Effect {
 	s.effects = nil
+	s.advance(e.occurred())
 	s.dispatch(e)
 	s.startArrived()
 	s.grantQueued()
@@ -19,31 +20,22 @@
 func (s *State) dispatch(e Event) {
 	switch e := e.(type) {
 	case Received:
-		s.advance(e.At)
 		s.received(e)
 	case Renewed:
-		s.advance(e.At)
 		s.renew(e.Session)
 	case Closed:
-		s.advance(e.At)
 		s.sessionClosed(e.Session)
 	case EnginePrefilled:
-		s.advance(e.At)
 		s.prefilled(e)
 	case EnginePart:
-		s.advance(e.At)
 		s.part(e)
 	case WorkFailed:
-		s.advance(e.At)
 		s.workFailed(e)
 	case ServiceAnswered:
-		s.advance(e.At)
 		s.serviceAnswered(e)
 	case Cancelled:
-		s.advance(e.At)
 		s.cancelled(e)
 	case Ticked:
-		s.advance(e.At)
 		s.tick()
 	default:
 		s.dispatchServer(e)
@@ -54,28 +46,20 @@
 func (s *State) dispatchServer(e Event) {
 	switch e := e.(type) {
 	case LoadReported:
-		s.advance(e.At)
 		s.loadReported(e)
 	case WorkListed:
-		s.advance(e.At)
 		s.workListed(e)
 	case CacheChanged:
-		s.advance(e.At)
 		s.cacheChanged(e)
 	case CacheListed:
-		s.advance(e.At)
 		s.cacheListed(e)
 	case EngineKnown:
-		s.advance(e.At)
 		s.engineKnown(e)
 	case EngineLost:
-		s.advance(e.At)
 		s.engineLost()
 	case Declared:
-		s.advance(e.At)
 		s.declared(e)
 	case Stopping:
-		s.advance(e.At)
 		s.stopping()
 	}
 }
@@ -97,7 +81,9 @@
 	}
 	step := at.Sub(s.now)
 	s.now = at
-	s.awake += min(step, longestStep*s.config.TickEvery)
+	awake := min(step, longestStep*s.config.TickEvery)
+	s.awake += awake
+	s.paused += step - awake
 }
 
 // tick does what only time brings about.
--- a/internal/reducer/gate/reserve.go
+++ b/internal/reducer/gate/reserve.go
@@ -16,16 +16,19 @@
 		s.reserveAgain(k, m)
 		return
 	}
-	if refusal, refused := s.unfit(m); refused {
+	refusal, refused := s.unfit(m)
+	if refused {
 		s.refuseSession(k.id, refusal)
 		return
 	}
 	r := s.newReservation(k, m)
-	if refusal, refused := s.hopeless(r); refused {
+	wait := s.predictedWait(r)
+	refusal, refused = s.hopeless(r, wait)
+	if refused {
 		s.refuseSession(k.id, refusal)
 		return
 	}
-	s.admit(k, r)
+	s.admit(k, r, wait)
 }
 
 // reserveAgain takes a second Reserve of one session: a doubled one is
@@ -46,9 +49,8 @@
 }
 
 // admit puts a reservation in the queue and offers what comes of it.
-func (s *State) admit(k *session, r *reservation) {
+func (s *State) admit(k *session, r *reservation, wait time.Duration) {
 	full := s.queue.length >= s.config.QueueBound
-	wait := s.predictedWait(r)
 	k.held = r
 	s.attempts[r.reserve.Attempt] = r
 	r.stage = stageQueued
@@ -180,6 +182,9 @@
 	if m.Phase != message.PhaseDecode {
 		r.from = s.now
 	}
+	if m.Urgency == oriolebend.Urgent {
+		s.urgentAt = s.now
+	}
 	if m.Deadline > 0 {
 		r.deadlineAt = s.now.Add(m.Deadline)
 	}
@@ -219,13 +224,16 @@
 	}
 	if r.reserve.Phase == message.PhasePrefill {
 		m.Took = r.took
+		if m.Granted {
+			m.Took = s.sharedTook(r)
+		}
 	}
 	return m
 }
 
 // hopeless refuses early what can't meet its deadline: the entry may then
 // answer or go elsewhere at once, and nothing is paid for in vain.
-func (s *State) hopeless(r *reservation) (message.Refusal, bool) {
+func (s *State) hopeless(r *reservation, wait time.Duration) (message.Refusal, bool) {
 	if r.deadlineAt.IsZero() {
 		return message.Refusal{}, false
 	}
@@ -236,7 +244,6 @@
 		refusal.Reason = oriolebend.ReasonDeadline
 		return refusal, true
 	}
-	wait := s.predictedWait(r)
 	if wait <= left {
 		return message.Refusal{}, false
 	}
@@ -245,12 +252,14 @@
 	return refusal, true
 }
 
-// endHopeless refuses what waits and can't meet its deadline any more.
+// endHopeless refuses what waits and won't meet its deadline, as soon as that
+// is clear: held back until its deadline, a caller would have lost the time in
+// which it could still have gone elsewhere.
 func (s *State) endHopeless() {
-	for _, r := range s.queue.overdue(s.now, &s.predict) {
-		s.refuseWaiting(r, message.Refusal{
+	for _, late := range s.queue.late(s) {
+		s.refuseWaiting(late.reservation, message.Refusal{
 			Reason:     oriolebend.ReasonDeadline,
-			RetryAfter: max(s.predictedWait(r), shortestRetry),
+			RetryAfter: max(late.wait, shortestRetry),
 		})
 	}
 }
--- a/internal/reducer/gate/session.go
+++ b/internal/reducer/gate/session.go
@@ -86,32 +86,31 @@
 	return known.held
 }
 
-// refuseWork refuses work that came without the reservation it needs.
+// refuseWork refuses work that came without the reservation it needs, and
+// ends what the session holds instead. The attempt is closed: a Reserve that
+// comes after its own work is out of order.
 func (s *State) refuseWork(id SessionID, a message.Attempt) {
-	refusal := message.Refusal{Attempt: a, Reason: oriolebend.ReasonNotReserved, Ran: s.ranOf(a)}
+	reason := oriolebend.ReasonNotReserved
 	if known, found := s.closed.find(a); found {
-		refusal.Reason = known.reason()
+		reason = known.reason()
 	}
-	if refusal.Ran == oriolebend.RanNo {
-		s.closed.add(s, a, false)
+	if known := s.sessions[id]; known != nil && known.held != nil {
+		s.letGo(known.held)
 	}
-	held := s.sessions[id]
-	s.refuseSession(id, refusal)
-	if held != nil && held.held != nil {
-		s.letGo(held.held)
+	if s.attempts[a] == nil {
+		s.closed.add(s, a, false)
 	}
+	s.refuseSession(id, message.Refusal{Attempt: a, Reason: reason, Ran: s.ranOf(a)})
 }
 
-// ranOf says whether an attempt ran at this gate: "no" only if no message of
-// it was let through and no session holds it that could let one through.
+// ranOf says whether an attempt ran at this gate, as far as it is known: "no"
+// only if its reservation is closed and nothing was let through by it.
 func (s *State) ranOf(a message.Attempt) oriolebend.Ran {
-	if s.attempts[a] != nil {
+	known, found := s.closed.find(a)
+	if !found || s.attempts[a] != nil {
 		return oriolebend.RanUnknown
 	}
-	if known, found := s.closed.find(a); found && known.used {
-		return oriolebend.RanUnknown
-	}
-	return oriolebend.RanNo
+	return known.ran()
 }
 
 // sessionClosed lets go of what a session held.
@@ -142,6 +141,9 @@
 // releaseOther closes an attempt that another session holds, or none.
 func (s *State) releaseOther(id SessionID, m message.Release) {
 	live := s.attempts[m.Attempt]
+	if s.sessions[id] == nil {
+		s.emit(EndSession{Session: id})
+	}
 	if live == nil {
 		s.closed.add(s, m.Attempt, false)
 		return
--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -54,9 +54,12 @@
 	// from and until bound the time for which the room is held; until is a
 	// prediction.
 	from, until time.Time
-	// decode waits for room, until startBy.
-	decode  message.Decode
-	startBy time.Time
+	// paused is how long the gate had paused at the time of the grant.
+	paused time.Duration
+	// decode waits for room, until startBy; promisedAt is when it was due.
+	decode     message.Decode
+	startBy    time.Time
+	promisedAt time.Time
 	// startedAt is when the work went to the server.
 	startedAt time.Time
 	// computing is true while a prefill takes a slot.
@@ -89,6 +92,10 @@
 	started time.Time
 	// awake is how long the gate has run, without pauses of its process.
 	awake time.Duration
+	// paused is how long those pauses were.
+	paused time.Duration
+	// urgentAt is when the latest urgent reservation came.
+	urgentAt time.Time
 
 	sessions map[SessionID]*session
 	// leases holds the sessions, the one heard of longest ago first.
@@ -119,11 +126,12 @@
 	// listed is true once the work list was read in this incarnation.
 	listed bool
 	info   engine.Info
-	// listsOut counts the ListWork that weren't answered, listAskedAt is when
-	// the latest went. The next listsStale answers were asked for before the
-	// engine came back and are of no use.
-	listsOut    int
-	listsStale  int
+	// listsAsked holds when each ListWork went that wasn't answered; answers
+	// come in the same order. The next listsStale of them were asked for
+	// before the engine came back and are of no use.
+	listsAsked []time.Time
+	listsStale int
+	// listAskedAt is when the latest ListWork went.
 	listAskedAt time.Time
 }
 
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -63,6 +63,7 @@
 	r.stage = stageArrived
 	r.decode = m
 	r.startBy = s.now.Add(within)
+	r.promisedAt = r.from
 	r.from = s.now
 	r.until = s.now.Add(r.took)
 	at, _ := slices.BinarySearchFunc(s.arrived, r, byArrival)
@@ -89,7 +90,7 @@
 func (s *State) startArrived() {
 	for len(s.arrived) > 0 {
 		r := s.arrived[0]
-		if s.usedTokens()+r.tokens > s.engine.info.KVTokens {
+		if !s.mayStart(r) {
 			return
 		}
 		s.arrived = s.arrived[1:]
@@ -97,6 +98,15 @@
 	}
 }
 
+// mayStart reports whether a decode's room is free. One that comes before the
+// time it was promised must leave room for those whose time it is.
+func (s *State) mayStart(r *reservation) bool {
+	if s.now.Before(r.promisedAt) {
+		return s.committed().tokens <= s.engine.info.KVTokens
+	}
+	return s.usedTokens()+r.tokens <= s.engine.info.KVTokens
+}
+
 func (s *State) runDecode(r *reservation) {
 	m := r.decode
 	r.decode = message.Decode{}
@@ -264,6 +274,5 @@
 		s.drop(r)
 		return
 	}
-	s.predict.prefillBroken(s.now)
 	s.cancel(r)
 }
