--- a/internal/reducer/entry/property_test.go
+++ b/internal/reducer/entry/property_test.go
@@ -207,5 +207,8 @@
 		if r.state == message.RecordNotRun && c.request.Once && w.executions[id] > 0 {
 			t.Fatalf("%s: recorded as not run, and ran", id)
 		}
+		if r.state == message.RecordFailed && c.request.Once && w.executions[id] > 0 {
+			t.Fatalf("%s: recorded as failed, and ran", id)
+		}
 	}
 }
--- a/internal/reducer/entry/world_test.go
+++ b/internal/reducer/entry/world_test.go
@@ -28,6 +28,8 @@
 	callers map[string]*fakeCaller
 	// executions counts calls by their downstream identity.
 	executions map[string]int
+	// ran names the requests of which an engine did some work.
+	ran map[string]bool
 	drained    bool
 	// calm is true once nothing fails any more.
 	calm bool
@@ -43,6 +45,7 @@
 	prefill bool
 	decode  *message.Decode
 	sent    int
+	last    int
 }
 
 type fakeRecord struct {
@@ -80,7 +83,7 @@
 		state: New(c), now: scriptStart, rng: rand.New(rand.NewPCG(seed, 1)),
 		gates:   map[SessionKey]*fakeSession{},
 		records: map[message.Scope]*fakeRecord{}, owners: map[string]*fakeRecord{},
-		callers: map[string]*fakeCaller{}, executions: map[string]int{},
+		callers: map[string]*fakeCaller{}, executions: map[string]int{}, ran: map[string]bool{},
 	}
 	w.reduce(ServersChanged{
 		At: w.now, Whole: true,
@@ -148,6 +151,7 @@
 	if len(c.ends) > 1 {
 		t.Fatalf("%s: answered twice: %#v", id, c.ends)
 	}
+	w.checkNotRun(id, e, t)
 	if end, whole := e.(AnswerEnd); whole {
 		if end.Tokens != worldTokens || c.text.String() != wholeOutput() {
 			t.Fatalf("%s: ended with %q", id, c.text.String())
@@ -155,6 +159,21 @@
 	}
 }
 
+// checkNotRun holds that "not run" is true, and that the record says so if the
+// entry knows of one.
+func (w *world) checkNotRun(id string, e Effect, t *rapid.T) {
+	p, isProblem := e.(AnswerProblem)
+	if !isProblem || p.Problem.Ran != oriolebend.RanNo {
+		return
+	}
+	if w.ran[id] || w.executions[id] > 0 {
+		t.Fatalf("%s: told %s not run, and it ran", id, p.Problem.Reason)
+	}
+	if r := w.owners[id]; r != nil && r.told && r.state != message.RecordNotRun {
+		t.Fatalf("%s: told not run, and its record says %s", id, r.state)
+	}
+}
+
 // claim answers as the control VMs do; sometimes no quorum does.
 func (w *world) claim(c message.Claim, t *rapid.T) {
 	e := Claimed{At: w.now, RequestID: c.RequestID}
@@ -316,6 +335,7 @@
 }
 
 func (w *world) workPrefill(g *fakeSession, t *rapid.T) {
+	w.ran[g.key.Attempt.RequestID] = true
 	switch w.draw("ok", "ok", "ok", "fail", "lost") {
 	case "ok":
 		w.reply(g, message.Prefilled{
@@ -330,7 +350,7 @@
 
 func (w *world) workDecode(g *fakeSession, t *rapid.T) {
 	left := worldTokens - g.decode.Offset - g.sent
-	switch w.draw("ok", "ok", "ok", "ok", "ok", "ok", "ok", "stalled", "lost", "skip") {
+	switch w.draw("ok", "ok", "ok", "ok", "ok", "ok", "ok", "stalled", "lost", "skip", "overlap", "stale") {
 	case "stalled":
 		w.refuse(g, oriolebend.ReasonTransferStalled, oriolebend.RanUnknown, t)
 		return
@@ -339,11 +359,19 @@
 		return
 	case "skip":
 		return
+	case "stale":
+		old := message.Attempt{RequestID: g.key.Attempt.RequestID, Number: g.key.Attempt.Number + 50}
+		w.reply(g, message.Part{Attempt: old, Offset: g.decode.Offset + g.sent, Tokens: 1, Text: "old"}, t)
+		return
+	case "overlap":
+		g.sent -= g.last
+		left += g.last
 	}
 	n := min(left, 1+w.number(2))
 	offset := g.decode.Offset + g.sent
 	m := message.Part{Attempt: g.key.Attempt, Offset: offset, Tokens: n, Text: outputFrom(offset, n)}
 	g.sent += n
+	g.last = n
 	if n == left {
 		m.Finish = message.FinishStop
 		g.closed = true
