--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -139,6 +139,8 @@
 func newLineWriter(e *Engine, w http.ResponseWriter) *lineWriter {
 	l := &lineWriter{engine: e, w: w, json: json.NewEncoder(w)}
 	w.Header().Set("Content-Type", "application/x-ndjson")
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.timer = time.AfterFunc(heartbeat, l.beat)
 	return l
 }
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
@@ -157,7 +158,7 @@
 	if response.StatusCode != http.StatusOK {
 		return 0, fail(oriolebend.ReasonEngineFailed, "weight store answered %s", response.Status)
 	}
-	return response.ContentLength, nil
+	return strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
 }
 
 func (e *Engine) readRange(ctx context.Context, w weights, from, to int64) error {
