--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -71,10 +71,10 @@
 
 // newTransport returns a transport that never sends a request twice.
 //
-// The standard transport sends some requests again by itself when a kept
-// connection turns out to be closed. A call that may run at most once could
-// then run twice with no sign but the service's own count. Connections are
-// therefore used for one request each.
+// The standard transport sends a request that carries an Idempotency-Key again
+// by itself when a kept connection ends before the answer began. A call that
+// may run at most once could then run twice, with no sign but the service's
+// own count. Connections are therefore used for one request each.
 func newTransport() *http.Transport {
 	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxConnsPerHost: defaultConnections}
 }
