--- a/internal/standin/decode.go
+++ b/internal/standin/decode.go
@@ -141,7 +141,7 @@
 
 // receive reads the body of a transfer at the rate of the engine's own link.
 func (e *Engine) receive(ctx context.Context, response *http.Response) error {
-	buffer := make([]byte, max(e.link.Chunk()/e.config.BodyScale, 1))
+	buffer := e.transferBuffer()
 	for {
 		n, err := response.Body.Read(buffer)
 		if passed := e.link.Pass(ctx, int64(n)*e.config.BodyScale); passed != nil {
--- a/internal/standin/export.go
+++ b/internal/standin/export.go
@@ -20,6 +20,9 @@
 	headerKVDigest = "Kv-Digest"
 )
 
+// maxTransferBuffer bounds the memory of one end of a transfer, in bytes.
+const maxTransferBuffer = 64 << 10
+
 // export is a prefill result that waits to be fetched and still holds the
 // memory of its sequence.
 type export struct {
@@ -140,7 +143,7 @@
 	w.Header().Set(headerKVBytes, strconv.FormatInt(modelled, 10))
 	w.Header().Set(headerKVDigest, strconv.FormatUint(x.digest, 16))
 	w.Header().Set("Content-Length", strconv.FormatInt(rest, 10))
-	chunk := make([]byte, max(e.link.Chunk()/e.config.BodyScale, 1))
+	chunk := e.transferBuffer()
 	for rest > 0 {
 		part := chunk[:min(rest, int64(len(chunk)))]
 		if err := e.link.Pass(ctx, int64(len(part))*e.config.BodyScale); err != nil {
@@ -155,6 +158,12 @@
 	return nil
 }
 
+// transferBuffer returns a buffer for what the link passes at a time.
+func (e *Engine) transferBuffer() []byte {
+	bytes := e.link.Chunk() / e.config.BodyScale
+	return make([]byte, min(max(bytes, 1), maxTransferBuffer))
+}
+
 // bodyBytes returns how many bytes stand in the body for so many of KV cache.
 func (e *Engine) bodyBytes(modelled int64) int64 {
 	return max(modelled/e.config.BodyScale, 1)
