--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,10 @@
 	Operations    []Operation    `toml:"operations"`
 	Services      []ServiceRoute `toml:"services"`
 	Dev           Dev            `toml:"dev"`
+
+	// origin tells where each setting came from; nil for settings that were
+	// not read from a file.
+	origin *origin
 }
 
 // Node says which process this is and where it stands.
@@ -72,6 +76,8 @@
 	// StopDelay is how long /readyz fails before a stopping entry closes its
 	// port, so that the balancer looks away first; zero means 3s.
 	StopDelay Duration `toml:"stopDelay"`
+	// MaxConnections bounds the callers' connections; zero means 4,096.
+	MaxConnections int `toml:"maxConnections"`
 	// Open lets callers in without a token; only dev sets it.
 	Open bool `toml:"open"`
 }
@@ -142,6 +148,10 @@
 	Tokens []string `toml:"tokens"`
 	// Share weighs the organisation in queues; zero means 1.
 	Share float64 `toml:"share"`
+	// Operations lists what the organisation may ask for; empty means all.
+	Operations []string `toml:"operations"`
+	// Urgencies lists what the organisation may ask for; empty means both.
+	Urgencies []oriolebend.Urgency `toml:"urgencies"`
 }
 
 // Operation sets how requests of one name are treated. Callers name it in the
@@ -217,6 +227,16 @@
 	return nil
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// String writes the duration as it stands in a settings file.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
 // Or returns d, or the other if d is zero.
 func (d Duration) Or(other time.Duration) time.Duration {
 	if d == 0 {
