order, member, follow, reached: first versions of the reducers around the declared state

Cause: engines have to become what is declared without an older order acting after a newer one, servers announce themselves, followers must never go back. Change: sidecar's order reducer with one order in flight and a quiet time after a lost one; leader's leases, damping and permits; follower that takes a first state only when a quorum confirms it; table of what followers reached. Conclusion: the shortcut 'effect shows, so the order acted' needed the engine's incarnation and an age for what was asked; the property test found both.

--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -13,6 +13,7 @@
 	KindWatch     Kind = "watch"
 	KindUpdate    Kind = "update"
 	KindReached   Kind = "reached"
+	KindFollowers Kind = "followers"
 	KindPermit    Kind = "permit"
 	KindPermitted Kind = "permitted"
 )
@@ -54,9 +55,13 @@
 	ProgressLeft Progress = "left"
 )
 
-// Announced answers an Announce.
+// Announced answers an Announce. LeaseFor is zero if the control VM does not
+// lead; the announcement then counts for nothing.
 type Announced struct {
 	LeaseFor time.Duration `cbor:"leaseFor"`
+	// Incarnation is set if a later start of the server is known; a sidecar
+	// whose VM's clock went back then counts on from there.
+	Incarnation uint64 `cbor:"incarnation,omitempty"`
 }
 
 // Watch asks for the declared state and the membership from a revision on.
@@ -86,10 +91,29 @@
 	Resources [][]byte `cbor:"resources,omitempty"`
 }
 
-// Reached tells a control VM which revision a follower has in force.
+// Reached tells a control VM which revision a follower has in force. It is
+// sent when that changes, and now and then to say that the follower lives.
 type Reached struct {
 	Node     string `cbor:"node"`
 	Revision uint64 `cbor:"revision"`
+	// Role is the role of the process, such as "entry" or "sidecar".
+	Role string `cbor:"role,omitempty"`
+}
+
+// Followers tells the other control VMs what the followers of one have in
+// force. It replaces what that control VM told before.
+type Followers struct {
+	Control string     `cbor:"control"`
+	List    []Follower `cbor:"list"`
+}
+
+// Follower is one process that follows the declared state.
+type Follower struct {
+	Node     string `cbor:"node"`
+	Role     string `cbor:"role,omitempty"`
+	Revision uint64 `cbor:"revision"`
+	// Age is how long ago, when this was sent, the follower reported.
+	Age time.Duration `cbor:"age"`
 }
 
 // Permit asks the leading control VM for leave to take a server out of work
@@ -100,16 +124,18 @@
 	// Out is true to leave work, Load to load weights.
 	Out  bool `cbor:"out,omitempty"`
 	Load bool `cbor:"load,omitempty"`
-	// Held is true if the sidecar acts on a permit given before; the leader,
-	// perhaps a new one, then counts it without weighing it again.
-	Held bool `cbor:"held,omitempty"`
+	// HeldOut and HeldLoad are true if the sidecar acts on a permit given
+	// before; the leader, perhaps a new one, counts that without weighing it.
+	HeldOut  bool `cbor:"heldOut,omitempty"`
+	HeldLoad bool `cbor:"heldLoad,omitempty"`
 	// Done is true to give the permit back.
 	Done bool `cbor:"done,omitempty"`
 }
 
 // Permitted answers a Permit.
 type Permitted struct {
-	Granted  bool          `cbor:"granted"`
+	Granted bool `cbor:"granted"`
+	// LeaseFor is how long what is granted, or was held, lives unrenewed.
 	LeaseFor time.Duration `cbor:"leaseFor,omitempty"`
 	// Detail says why a permit is not granted.
 	Detail     string        `cbor:"detail,omitempty"`
@@ -136,3 +162,6 @@
 
 // Kind implements Message.
 func (Permitted) Kind() Kind { return KindPermitted }
+
+// Kind implements Message.
+func (Followers) Kind() Kind { return KindFollowers }
--- a/internal/reducer/declared/state_test.go
+++ b/internal/reducer/declared/state_test.go
@@ -18,7 +18,7 @@
 // TestScripts runs the races, resent orders and memberships of testdata. Every
 // command passes through its encoding, as it does through the log.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := New()
 		at := time.Unix(1000, 0)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/reducer/declared/view.go
+++ b/internal/reducer/declared/view.go
@@ -207,3 +207,23 @@
 	}
 	return target
 }
+
+// Merge brings the view to a revision by what changed: deleted resources and
+// servers that are gone are dropped.
+func (v *View) Merge(revision uint64, servers []oriolebend.Server, resources []oriolebend.Resource) {
+	v.Revision = revision
+	for _, server := range servers {
+		if server.State == oriolebend.ServerGone {
+			delete(v.Servers, server.Name)
+			continue
+		}
+		v.Servers[server.Name] = server
+	}
+	for _, r := range resources {
+		if r.Deleted {
+			delete(v.Resources, r.Key())
+			continue
+		}
+		v.Resources[r.Key()] = r
+	}
+}
--- /dev/null
+++ b/internal/reducer/order/state_test.go
@@ -0,0 +1,150 @@
+package order
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// TestScripts runs testdata; each step prints the effects that it had.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		var w *world
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "start" {
+				w = newWorld(Config{Server: "s", ChecksFencing: d.HasArg("checks")})
+			} else {
+				w.log = nil
+				runScript(t, w, d)
+			}
+			return renderLog(w.log) + fmt.Sprintf("= %s %s %s %v %v\n", w.gate, w.sidecar.report.Progress, w.info.Role, w.info.Models, w.faults)
+		})
+	})
+}
+
+// renderLog leaves out questions to the engine and mere renewals of permits.
+func renderLog(log []string) string {
+	var lines strings.Builder
+	for _, line := range log {
+		if !strings.HasPrefix(line, "AskEngine") && !strings.Contains(line, "HeldOut:true HeldLoad:false") {
+			lines.WriteString(line + "\n")
+		}
+	}
+	return lines.String()
+}
+
+func runScript(t *testing.T, w *world, d *datadriven.TestData) {
+	switch d.Cmd {
+	case "want":
+		var role, version string
+		d.ScanArgs(t, "role", &role)
+		d.ScanArgs(t, "version", &version)
+		var adapters []string
+		if d.HasArg("adapter") {
+			adapters = make([]string, 1)
+			d.ScanArgs(t, "adapter", &adapters[0])
+		}
+		w.want(poolTarget(oriolebend.PoolRole(role), version, adapters...))
+	case "state":
+		target := w.target
+		target.State = oriolebend.ServerState(d.CmdArgs[0].Key)
+		w.want(target)
+	case "deny":
+		w.deny = true
+	case "grant":
+		w.deny = false
+	case "busy":
+		w.busy = true
+	case "idle":
+		w.busy = false
+	case "lose": // the next orders act after a time, their answers are lost
+		var after int
+		d.ScanArgs(t, "after", &after)
+		w.fate = func(engine.Order) (time.Duration, bool) { return time.Duration(after) * time.Second, true }
+	case "heal":
+		w.fate = func(engine.Order) (time.Duration, bool) { return time.Second, false }
+	case "restart":
+		w.restart()
+	case "pass":
+		var seconds int
+		d.ScanArgs(t, "s", &seconds)
+		w.pass(time.Duration(seconds) * time.Second)
+	default:
+		t.Fatalf("no command %q", d.Cmd)
+	}
+}
+
+// TestOlderOrderNeverActsLater runs random lives of a sidecar beside engines
+// that check fencing numbers and engines that ignore them.
+//
+// Symptom: an engine goes back to a version that operators had replaced, or
+// drops its model in mid-work. Sequence: an order's answer is lost or the
+// sidecar dies; a newer order is issued; the older acts after it. Cause: the
+// newer was issued, or work taken, while the older could still act.
+func TestOlderOrderNeverActsLater(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		quiet := 20 * time.Second
+		w := newWorld(Config{Server: "s", ChecksFencing: rapid.Bool().Draw(t, "checks"), QuietFor: quiet})
+		w.fate = func(engine.Order) (time.Duration, bool) {
+			delay := rapid.IntRange(0, int(quiet/time.Second)-1).Draw(t, "delay")
+			return time.Duration(delay) * time.Second, rapid.Bool().Draw(t, "lost")
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			randomStep(t, w)
+		}
+		if len(w.faults) > 0 {
+			t.Fatalf("%v", w.faults)
+		}
+		w.deny, w.busy = false, false
+		w.fate = func(engine.Order) (time.Duration, bool) { return time.Second, false }
+		w.pass(5 * time.Minute)
+		if len(w.faults) > 0 || !w.sidecar.Settled() || len(steps(w.target, w.info)) > 0 {
+			t.Fatalf("%v, %+v, target %+v, engine %+v", w.faults, w.sidecar.report, w.target, w.info)
+		}
+	})
+}
+
+func randomStep(t *rapid.T, w *world) {
+	switch rapid.IntRange(0, 7).Draw(t, "step") {
+	case 0, 1:
+		role := rapid.SampledFrom([]oriolebend.PoolRole{oriolebend.Prefill, oriolebend.Decode}).Draw(t, "role")
+		w.want(poolTarget(role, rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")))
+	case 2:
+		w.restart()
+	case 3:
+		w.deny = !w.deny
+	case 4:
+		w.busy = !w.busy
+	case 5: // the engine restarts empty, and what was on its way is gone
+		w.info = engine.Info{Role: oriolebend.Decode, Incarnation: w.info.Incarnation + 1}
+		lost := len(w.way)
+		w.way = nil
+		if lost > 0 && w.sidecar.inFlight != nil {
+			w.reduce(OrderEnded{At: w.now, Unsure: true, Reason: oriolebend.ReasonOutcomeLost})
+		}
+	default:
+		w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
+	}
+}
+
+func TestOutdatedSidecarOrdersNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(Config{Server: "s", ChecksFencing: true})
+	w.info.Fencing = 90 // the engine has seen what this sidecar has not
+	w.want(poolTarget(oriolebend.Decode, "v1"))
+	w.pass(3 * time.Minute)
+	is.Equal(len(w.acted), 0)
+	is.Equal(string(w.sidecar.report.Progress), "outdated")
+	w.revision = 95
+	w.declare()
+	w.pass(time.Minute)
+	is.True(w.sidecar.Settled())
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,11 +3,7 @@
 // listens anywhere.
 package settings
 
-import (
-	"time"
-
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
-)
+import "github.com/oriolebend/oriolebend/pkg/oriolebend"
 
 // Settings is one process's settings file. Each role reads the tables it
 // needs; the others may be left out.
@@ -205,22 +201,4 @@
 }
 
 // Duration is a time.Duration written as text, such as "1.2s" or "41ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return err
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// Or returns d, or the other if d is zero.
-func (d Duration) Or(other time.Duration) time.Duration {
-	if d == 0 {
-		return other
-	}
-	return time.Duration(d)
-}
+type Duration = oriolebend.Duration
