--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -63,22 +63,31 @@
 	Entries   []LogEntry `cbor:"entries,omitempty"`
 	Commit    uint64     `cbor:"commit"`
 	// Last is the index of the leader's last entry.
-	Last uint64 `cbor:"last"`
-	// Round numbers the leader's rounds of heartbeats; the answer repeats it.
-	Round uint64 `cbor:"round"`
+	Last  uint64 `cbor:"last"`
+	Round Round  `cbor:"round"`
+}
+
+// Round is one round of messages from the leader to all members; answers
+// repeat it, so that the leader knows since when a quorum follows it.
+type Round struct {
+	Number uint64 `cbor:"number"`
+	// Tick is when the round began, by the leader's own clock.
+	Tick uint64 `cbor:"tick"`
 }
 
 // AppendAnswer answers an Append once its entries are synced.
 type AppendAnswer struct {
 	Agreement
 	Accepted bool `cbor:"accepted"`
+	// PrevIndex repeats the one of the Append.
+	PrevIndex uint64 `cbor:"prevIndex"`
 	// Match is the last index known to equal the leader's, if accepted.
 	Match uint64 `cbor:"match"`
 	// HintIndex and HintTerm help the leader to step back, if not accepted:
 	// the last index at or before PrevIndex whose term is HintTerm or lower.
 	HintIndex uint64 `cbor:"hintIndex,omitempty"`
 	HintTerm  uint64 `cbor:"hintTerm,omitempty"`
-	Round     uint64 `cbor:"round"`
+	Round     Round  `cbor:"round"`
 }
 
 // Vote asks for a vote or, with Pre set, whether one would be given.
@@ -112,7 +121,7 @@
 	Last bool `cbor:"last,omitempty"`
 	// LogEnd is the index of the leader's last entry.
 	LogEnd uint64 `cbor:"logEnd"`
-	Round  uint64 `cbor:"round"`
+	Round  Round  `cbor:"round"`
 }
 
 // ChunkAnswer tells how much of a snapshot has arrived.
@@ -122,8 +131,8 @@
 	// Offset is the next byte wanted.
 	Offset int64 `cbor:"offset"`
 	// Done is true once the snapshot, or more, is durable.
-	Done  bool   `cbor:"done,omitempty"`
-	Round uint64 `cbor:"round"`
+	Done  bool  `cbor:"done,omitempty"`
+	Round Round `cbor:"round"`
 }
 
 // Campaign asks a member to stand for election at once, because the leader
--- /dev/null
+++ b/internal/reducer/agreement/propose.go
@@ -0,0 +1,89 @@
+package agreement
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Times after which a refused caller may come back.
+const (
+	// retryFull is for a full queue of proposals.
+	retryFull = 100 * time.Millisecond
+	// retryLeader is for a group that has no leader here.
+	retryLeader = 500 * time.Millisecond
+)
+
+// proposed appends the commands that there is room for.
+func (s *State) proposed(proposals []Proposal) {
+	var entries []message.LogEntry
+	index := s.log.last()
+	bytes := s.unappliedBytes()
+	for _, p := range proposals {
+		if !s.admit(p, index-s.Applied, bytes) {
+			continue
+		}
+		index++
+		e := message.LogEntry{
+			Index: index, Term: s.Hard.Term, Type: message.EntryCommand, Command: p.Command,
+		}
+		bytes += entryBytes(e)
+		entries = append(entries, e)
+		s.lead.waiting[index] = p.ID
+	}
+	s.appendEntries(entries...)
+}
+
+// admit refuses a proposal that can't be appended now.
+func (s *State) admit(p Proposal, unapplied uint64, bytes int) bool {
+	refused := Refused{ID: p.ID, Ran: oriolebend.RanNo}
+	switch {
+	case s.Role != Leader:
+		s.refuseNotLeader(p.ID)
+		return false
+	case s.founding():
+		refused.Reason = oriolebend.ReasonControlAway
+		refused.Detail = "not every founding member has been heard of"
+		refused.RetryAfter = retryLeader
+	case s.lead.transferTo != "":
+		refused.Reason = oriolebend.ReasonStopping
+		refused.Detail = "leadership is being handed over"
+		refused.RetryAfter = retryLeader
+	case len(p.Command) > s.Config.MaxCommandBytes:
+		refused.Reason = oriolebend.ReasonTooLarge
+		refused.Detail = "the command is larger than an entry may be"
+	case unapplied >= s.Config.MaxUnapplied || bytes >= s.Config.MaxUnappliedBytes:
+		refused.Reason = oriolebend.ReasonQueueFull
+		refused.Detail = "too many commands wait to be applied"
+		refused.RetryAfter = retryFull
+	default:
+		return true
+	}
+	s.emit(refused)
+	return false
+}
+
+func (s *State) unappliedBytes() int {
+	size := 0
+	for i := max(s.Applied, s.log.base) + 1; i <= s.log.last(); i++ {
+		size += entryBytes(s.log.at(i))
+	}
+	return size
+}
+
+func (s *State) refuseNotLeader(id uint64) {
+	s.emit(Refused{
+		ID:         id,
+		Reason:     oriolebend.ReasonNotLeader,
+		Ran:        oriolebend.RanNo,
+		Detail:     "this control VM does not lead",
+		RetryAfter: retryLeader,
+	})
+}
+
+// applied notes how far the machine is.
+func (s *State) applied(index uint64) {
+	s.Applied = max(s.Applied, index)
+	s.answerReads()
+}
--- /dev/null
+++ b/internal/reducer/agreement/sim_test.go
@@ -0,0 +1,346 @@
+package agreement
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// sim runs a group by hand: messages wait to be delivered, writes wait to be
+// synced, and every promise is checked after each event.
+type sim struct {
+	config  Config
+	vms     []*vm
+	now     uint64
+	wires   []wire
+	cut     map[[2]string]bool
+	leaders map[uint64]string
+	// agreed holds the hash of the log up to each index.
+	agreed map[uint64]uint64
+	// acked is the highest index whose proposer was told, or that a confirmed
+	// read has seen.
+	acked   uint64
+	nextID  uint64
+	reads   map[uint64]uint64
+	refused map[string]int
+	failure string
+}
+
+type wire struct {
+	from, to string
+	m        message.Message
+}
+
+type vm struct {
+	name    string
+	state   *State
+	alive   bool
+	noSync  bool
+	durable Restored
+	stored  []Snapshot
+	pending []Persist
+	machine Snapshot
+	hash    uint64
+	index   uint64
+}
+
+func newSim(names []string, founders int, config Config) *sim {
+	s := &sim{
+		config: config, now: 1, cut: map[[2]string]bool{}, leaders: map[uint64]string{},
+		agreed: map[uint64]uint64{}, reads: map[uint64]uint64{}, refused: map[string]int{},
+	}
+	for i, name := range names {
+		if i < founders {
+			s.config.Founders = append(s.config.Founders,
+				message.Member{Name: name, Address: name, Voter: true})
+		}
+		s.vms = append(s.vms, &vm{name: name})
+	}
+	for _, v := range s.vms[:founders] {
+		s.start(v)
+	}
+	return s
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.failure == "" {
+		s.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) vm(name string) *vm {
+	at := slices.IndexFunc(s.vms, func(v *vm) bool { return v.name == name })
+	return s.vms[at]
+}
+
+func (s *sim) start(v *vm) {
+	config := s.config
+	config.Name = v.name
+	config.Seed = uint64(v.name[0]) + s.now
+	v.alive = true
+	v.pending = nil
+	v.index, v.hash = 0, 0
+	if len(v.stored) > 0 {
+		v.restore(v.stored[len(v.stored)-1].Data)
+	}
+	restored := v.durable
+	restored.Entries = slices.Clone(restored.Entries)
+	v.state = New(config, restored, s.now)
+}
+
+// crash loses what was not written; written tells how much was, though no
+// sync had confirmed it.
+func (s *sim) crash(v *vm, written int) {
+	for _, p := range v.pending[:min(written, len(v.pending))] {
+		v.write(p)
+	}
+	v.alive, v.pending = false, nil
+	s.wires = slices.DeleteFunc(s.wires, func(w wire) bool { return w.from == v.name })
+}
+
+func (s *sim) wipe(v *vm) {
+	s.crash(v, 0)
+	v.durable, v.stored = Restored{}, nil
+}
+
+func (s *sim) feed(v *vm, e Event) {
+	if !v.alive || s.failure != "" {
+		return
+	}
+	for _, effect := range Reduce(v.state, e) {
+		s.carry(v, effect)
+	}
+	s.checkLeaders()
+}
+
+func (s *sim) carry(v *vm, effect Effect) {
+	switch e := effect.(type) {
+	case Send:
+		s.wires = append(s.wires, wire{v.name, e.To.Name, e.Message})
+	case SendChunk:
+		s.sendChunk(v, e)
+	case Persist:
+		v.pending = append(v.pending, e)
+	case Compact:
+		v.durable.Entries = slices.DeleteFunc(v.durable.Entries,
+			func(entry message.LogEntry) bool { return entry.Index <= e.Through })
+	case Apply:
+		s.apply(v, e)
+	case Restore:
+		v.restore(e.Snapshot.Data)
+		s.checkHash(v)
+		s.feed(v, Applied{s.now, v.index})
+	case Confirmed:
+		if v.index < s.reads[e.ID] {
+			s.fail("%s confirmed a read at %d, %d was told before", v.name, v.index, s.reads[e.ID])
+		}
+		s.acked = max(s.acked, v.index)
+	case Refused:
+		s.refused[string(e.Reason)+" "+string(e.Ran)]++
+	case Led:
+		s.led(v, e)
+	case Fatal:
+		s.fail("%s: fatal: %s", v.name, e.Detail)
+	}
+}
+
+func (s *sim) led(v *vm, e Led) {
+	if e.Role != Leader {
+		return
+	}
+	if other, ok := s.leaders[e.Term]; ok && other != v.name {
+		s.fail("term %d has the leaders %s and %s", e.Term, other, v.name)
+	}
+	s.leaders[e.Term] = v.name
+}
+
+// checkLeaders checks that no two members hold a lease at the same time.
+func (s *sim) checkLeaders() {
+	leading := ""
+	for _, v := range s.vms {
+		if !v.alive || v.state.Role != Leader {
+			continue
+		}
+		since := v.state.nth(s.now, func(p *progress) uint64 { return p.ackTick })
+		if s.now-since >= v.state.Config.LeaseTicks {
+			continue
+		}
+		if leading != "" {
+			s.fail("%s and %s answer as leader at tick %d", leading, v.name, s.now)
+		}
+		leading = v.name
+	}
+}
+
+func (s *sim) apply(v *vm, e Apply) {
+	for _, c := range e.Entries {
+		if c.Entry.Index != v.index+1 {
+			s.fail("%s applies %d after %d", v.name, c.Entry.Index, v.index)
+		}
+		h := fnv.New64a()
+		fmt.Fprint(h, v.hash, c.Entry.Term, c.Entry.Type, string(c.Entry.Command), c.Entry.Members)
+		v.index, v.hash = c.Entry.Index, h.Sum64()
+		s.checkHash(v)
+		if c.ID != 0 {
+			s.acked = max(s.acked, v.index)
+		}
+	}
+	s.feed(v, Applied{s.now, v.index})
+}
+
+func (s *sim) checkHash(v *vm) {
+	if agreed, ok := s.agreed[v.index]; ok && agreed != v.hash {
+		s.fail("%s differs from what was agreed up to %d", v.name, v.index)
+	}
+	s.agreed[v.index] = v.hash
+}
+
+func (v *vm) restore(data []byte) {
+	v.index = binary.BigEndian.Uint64(data)
+	v.hash = binary.BigEndian.Uint64(data[8:])
+}
+
+func (v *vm) snapshot() []byte {
+	data := binary.BigEndian.AppendUint64(nil, v.index)
+	return binary.BigEndian.AppendUint64(data, v.hash)
+}
+
+func (s *sim) sendChunk(v *vm, e SendChunk) {
+	for _, stored := range v.stored {
+		if stored.Meta.Index != e.Chunk.Index {
+			continue
+		}
+		rest := stored.Data[e.Chunk.Offset:]
+		e.Chunk.Data = rest[:min(len(rest), e.Bytes)]
+		e.Chunk.Last = len(e.Chunk.Data) == len(rest)
+		s.wires = append(s.wires, wire{v.name, e.To.Name, e.Chunk})
+	}
+}
+
+func (v *vm) write(p Persist) {
+	d := &v.durable
+	if p.Snapshot != nil {
+		d.Snapshot, d.Entries = p.Snapshot.Meta, nil
+		v.keep(*p.Snapshot)
+	}
+	if len(p.Entries) > 0 {
+		first := p.Entries[0].Index
+		d.Entries = slices.DeleteFunc(slices.Clone(d.Entries),
+			func(e message.LogEntry) bool { return e.Index >= first })
+		d.Entries = append(d.Entries, p.Entries...)
+	}
+	if p.Hard != nil {
+		d.Hard = *p.Hard
+	}
+}
+
+func (v *vm) keep(snapshot Snapshot) {
+	v.stored = append(v.stored, snapshot)
+	v.stored = v.stored[max(0, len(v.stored)-2):]
+}
+
+func (s *sim) sync(v *vm, count int) {
+	if !v.alive || len(v.pending) == 0 {
+		return
+	}
+	done := v.pending[:min(count, len(v.pending))]
+	v.pending = v.pending[len(done):]
+	for _, p := range done {
+		v.write(p)
+	}
+	s.feed(v, Persisted{s.now, done[len(done)-1].Sequence})
+}
+
+func (s *sim) makeSnapshot(v *vm) {
+	if !v.alive || v.index <= v.durable.Snapshot.Index {
+		return
+	}
+	meta := SnapshotMeta{Index: v.index, Members: v.state.membersAt(v.index)}
+	meta.Term, _ = v.state.log.term(v.index)
+	v.keep(Snapshot{Meta: meta, Data: v.snapshot()})
+	v.durable.Snapshot = meta
+	s.feed(v, SnapshotMade{s.now, meta})
+}
+
+// membersAt returns the members in force at an index that is held.
+func (s *State) membersAt(index uint64) []message.Member {
+	for i := index; i > s.log.base; i-- {
+		if e := s.log.at(i); e.Type == message.EntryMembers {
+			return e.Members
+		}
+	}
+	if s.Snapshot.Index > 0 {
+		return s.Snapshot.Members
+	}
+	return s.Config.Founders
+}
+
+func (s *sim) deliver(i int) {
+	w := s.wires[i]
+	s.wires = slices.Delete(s.wires, i, i+1)
+	if s.cut[[2]string{w.from, w.to}] {
+		return
+	}
+	s.feed(s.vm(w.to), Received{s.now, w.m})
+}
+
+func (s *sim) propose(v *vm, count int) {
+	if !v.alive {
+		return
+	}
+	var proposals []Proposal
+	for range count {
+		s.nextID++
+		proposals = append(proposals, Proposal{s.nextID, fmt.Appendf(nil, "%s%d", v.name, s.nextID)})
+	}
+	s.feed(v, Proposed{s.now, proposals})
+}
+
+func (s *sim) confirm(v *vm) {
+	s.nextID++
+	s.reads[s.nextID] = s.acked
+	s.feed(v, ConfirmAsked{s.now, s.nextID})
+}
+
+func (s *sim) change(v *vm, action ChangeAction, name string) {
+	s.nextID++
+	s.feed(v, ChangeAsked{s.now, s.nextID, action, message.Member{Name: name, Address: name}})
+}
+
+// run passes ticks in which every message arrives and every write is synced.
+func (s *sim) run(ticks int) {
+	for range ticks {
+		s.now++
+		for _, v := range s.vms {
+			s.feed(v, Ticked{s.now})
+		}
+		for range 6 {
+			for n := len(s.wires); n > 0; n-- {
+				s.deliver(0)
+			}
+			for _, v := range s.vms {
+				if !v.noSync {
+					s.sync(v, len(v.pending))
+				}
+			}
+		}
+	}
+}
+
+func (s *sim) leader() *vm {
+	for _, v := range s.vms {
+		if v.alive && v.state.Role == Leader {
+			return v
+		}
+	}
+	return nil
+}
+
+// healthy tells whether a member holds all that it ever promised.
+func (v *vm) healthy() bool {
+	d := v.durable
+	return d.Hard.RecoverTo == 0 && (d.Snapshot.Index > 1 || len(d.Entries) > 1)
+}
--- /dev/null
+++ b/internal/reducer/agreement/snapshot.go
@@ -0,0 +1,151 @@
+package agreement
+
+import "github.com/oriolebend/oriolebend/internal/message"
+
+// chunkProgress is a snapshot under way to one member.
+type chunkProgress struct {
+	index  uint64
+	offset int64
+	sent   uint64
+}
+
+// incoming is a snapshot that is arriving, in parts.
+type incoming struct {
+	index, term uint64
+	data        []byte
+}
+
+// snapshotMade notes a new own snapshot and drops entries before it.
+func (s *State) snapshotMade(meta SnapshotMeta) {
+	if meta.Index <= s.Snapshot.Index || meta.Index > s.Handed {
+		return
+	}
+	s.Snapshot = meta
+	if meta.Index <= s.Config.TailEntries {
+		return
+	}
+	through := meta.Index - s.Config.TailEntries
+	if through <= s.log.base {
+		return
+	}
+	s.log.compact(through)
+	s.emit(Compact{Through: through})
+}
+
+// beginChunks starts to send the newest snapshot to a member whose next entry
+// is no longer held.
+func (s *State) beginChunks(m message.Member, p *progress) {
+	p.chunk = &chunkProgress{index: s.Snapshot.Index}
+	s.sendChunk(m, p)
+}
+
+func (s *State) sendChunk(m message.Member, p *progress) {
+	p.chunk.sent = s.now
+	s.emit(SendChunk{
+		To: m,
+		Chunk: message.Chunk{
+			Agreement: s.part(),
+			Index:     s.Snapshot.Index,
+			IndexTerm: s.Snapshot.Term,
+			Members:   s.Snapshot.Members,
+			Offset:    p.chunk.offset,
+			LogEnd:    s.log.last(),
+			Round:     s.lead.round,
+		},
+		Bytes: s.Config.ChunkBytes,
+	})
+}
+
+// retryChunk sends a chunk again that was not answered, or begins anew if the
+// leader has a newer snapshot by now.
+func (s *State) retryChunk(m message.Member, p *progress) {
+	if s.now < p.chunk.sent+s.Config.ElectionTicks {
+		return
+	}
+	if p.chunk.index != s.Snapshot.Index {
+		p.chunk = &chunkProgress{index: s.Snapshot.Index}
+	}
+	s.sendChunk(m, p)
+}
+
+func (s *State) chunkAnswered(m message.ChunkAnswer) {
+	p := s.lead.progress[m.From]
+	if s.Role != Leader || p == nil {
+		return
+	}
+	s.acknowledged(p, m.Round)
+	if p.chunk == nil || p.chunk.index != m.Index {
+		return
+	}
+	if m.Done {
+		p.chunk = nil
+		p.match = max(p.match, m.Index)
+		p.matchRound = max(p.matchRound, m.Round.Number)
+		p.next = p.match + 1
+		p.probing = true
+		s.matchMoved(m.From, p)
+		return
+	}
+	if m.Offset == p.chunk.offset {
+		// A doubled answer; following it would double every further chunk.
+		return
+	}
+	if m.Index != s.Snapshot.Index {
+		p.chunk = &chunkProgress{index: s.Snapshot.Index}
+	} else {
+		p.chunk.offset = m.Offset
+	}
+	member, _ := s.Member(m.From)
+	s.sendChunk(member, p)
+}
+
+// chunkReceived takes a part of a leader's snapshot.
+func (s *State) chunkReceived(m message.Chunk) {
+	if !s.obey(m.From) {
+		return
+	}
+	answer := message.ChunkAnswer{Agreement: s.part(), Index: m.Index, Round: m.Round}
+	if term, ok := s.log.term(m.Index); m.Index <= s.Commit || (ok && term == m.IndexTerm) {
+		// The entries after it may count for a quorum already; replacing the
+		// log by the snapshot would lose them.
+		s.Commit = max(s.Commit, m.Index)
+		answer.Done = true
+		s.send(m.From, answer, afterAll)
+		return
+	}
+	in := &s.incoming
+	if in.index != m.Index || in.term != m.IndexTerm {
+		*in = incoming{index: m.Index, term: m.IndexTerm}
+	}
+	if m.Offset == int64(len(in.data)) {
+		in.data = append(in.data, m.Data...)
+		if m.Last {
+			s.install(m)
+			answer.Done = true
+		}
+	}
+	answer.Offset = int64(len(in.data))
+	s.send(m.From, answer, afterAll)
+}
+
+// install replaces log and machine by a complete snapshot.
+func (s *State) install(m message.Chunk) {
+	snapshot := Snapshot{
+		Meta: SnapshotMeta{Index: m.Index, Term: m.IndexTerm, Members: m.Members},
+		Data: s.incoming.data,
+	}
+	s.incoming = incoming{}
+	s.beginRecovery(m.LogEnd, true)
+	s.Snapshot = snapshot.Meta
+	s.log = entryLog{base: m.Index, baseTerm: m.IndexTerm}
+	s.Synced = 0
+	for i := range s.saving.logs {
+		s.saving.logs[i].last = 0
+	}
+	s.saving.dirtyFrom = 0
+	s.saving.snapshot = &snapshot
+	s.Commit = m.Index
+	s.Handed = m.Index
+	s.adoptMembers()
+	s.emit(Restore{Snapshot: snapshot})
+}
