--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -163,6 +163,7 @@
 	_ = Register[Watch]()
 	_ = Register[Update]()
 	_ = Register[Reached]()
+	_ = Register[Followers]()
 	_ = Register[Permit]()
 	_ = Register[Permitted]()
 )
--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -137,7 +137,7 @@
 	case a.Answer == nil:
 		// The record outlives the stored answer: the request ran and its
 		// output is no longer kept.
-		s.refuseClaimed(r, oriolebend.ReasonResultExpired, oriolebend.RanYes, 0)
+		s.refuseClaimed(r, oriolebend.ReasonAnswerNotKept, oriolebend.RanYes, 0)
 	default:
 		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Record: a.RequestID, Answer: *a.Answer})
 	}
