load: report, table, comparison, plots, command and example loads

Cause: goodput under both targets and faults of answers were not measured from the caller's side. Change: oriolebend load with compare and plot, exported as load.Command; a report per class, counters of the router before and after, a schedule of failures that is posted to dev; examples for both users. Measured: go test -race ./internal/load, 3 s; each of nine faults of a fake entry shows as what it is. Conclusion: to be wired into the command line; dev has to serve failuresURL.

--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -55,8 +55,6 @@
 	oriolebend.ReasonAttemptUsed:     {http.StatusBadGateway, "The attempt was let through once already"},
 	oriolebend.ReasonOutdatedOrder:   {http.StatusConflict, "The fencing number is outdated"},
 	oriolebend.ReasonOutcomeLost:     {http.StatusBadGateway, "The outcome of the request is lost"},
-	oriolebend.ReasonRecordsFull:     {http.StatusServiceUnavailable, "The request records are at their bound"},
-	oriolebend.ReasonAnswerNotKept:   {http.StatusGone, "The stored answer is not kept any more"},
 	oriolebend.ReasonInternal:        {http.StatusInternalServerError, "A fault of the router"},
 }
 
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,133 @@
+package load
+
+import (
+	"fmt"
+	"image/color"
+	"sort"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// PlotTimeline writes PREFIX.png and PREFIX.svg: percentiles of the time to the
+// first token against time, requests without a whole answer, and a line at each
+// failure of the schedule.
+func PlotTimeline(prefix string, r Report) error {
+	p := plot.New()
+	p.Title.Text = "time to first token, run " + r.Run
+	p.X.Label.Text = "seconds from the start"
+	p.Y.Label.Text = "milliseconds"
+	lines := []struct {
+		name  string
+		value func(Second) float64
+	}{
+		{"p50", func(s Second) float64 { return s.FirstToken.P50 }},
+		{"p95", func(s Second) float64 { return s.FirstToken.P95 }},
+		{"p99", func(s Second) float64 { return s.FirstToken.P99 }},
+		{"no whole answer (count)", func(s Second) float64 { return float64(s.NotWhole) }},
+	}
+	for i, line := range lines {
+		if err := addLine(p, i, line.name, timePoints(r.Timeline, line.value)); err != nil {
+			return err
+		}
+	}
+	for _, failure := range r.Failures {
+		if err := markFailure(p, failure); err != nil {
+			return err
+		}
+	}
+	return save(p, prefix)
+}
+
+func timePoints(seconds []Second, value func(Second) float64) plotter.XYs {
+	points := make(plotter.XYs, 0, len(seconds))
+	for _, s := range seconds {
+		points = append(points, plotter.XY{X: float64(s.Second), Y: value(s)})
+	}
+	return points
+}
+
+func addLine(p *plot.Plot, number int, name string, points plotter.XYs) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, marks, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", name, err)
+	}
+	line.Color = plotutil.Color(number)
+	marks.Color = plotutil.Color(number)
+	marks.Radius = vg.Points(1.5)
+	p.Add(line, marks)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+// markFailure draws an upright line from the bottom to the top of the data.
+func markFailure(p *plot.Plot, f Failure) error {
+	at := time.Duration(f.At).Seconds()
+	top := plotter.XY{X: at, Y: p.Y.Max}
+	line, err := plotter.NewLine(plotter.XYs{{X: at, Y: p.Y.Min}, top})
+	if err != nil {
+		return fmt.Errorf("plot a failure: %w", err)
+	}
+	line.Color = color.Gray{Y: 96}
+	line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	label, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{top}, Labels: []string{f.Do + " " + f.Target}})
+	if err != nil {
+		return fmt.Errorf("plot a failure: %w", err)
+	}
+	label.TextStyle[0].YAlign = draw.YTop
+	p.Add(line, label)
+	return nil
+}
+
+// PlotGoodput writes PREFIX.png and PREFIX.svg: goodput against the offered
+// load, a line for each class that the reports have.
+func PlotGoodput(prefix string, reports []Report) error {
+	sort.Slice(reports, func(i, j int) bool { return reports[i].OfferedRate < reports[j].OfferedRate })
+	p := plot.New()
+	p.Title.Text = "goodput under both targets"
+	p.X.Label.Text = "requests a second offered"
+	p.Y.Label.Text = "share of requests"
+	p.Y.Min, p.Y.Max = 0, 1
+	for i, class := range reports[0].Classes {
+		if err := addLine(p, i, class.Name, goodputPoints(reports, class.Name)); err != nil {
+			return err
+		}
+	}
+	return save(p, prefix)
+}
+
+func goodputPoints(reports []Report, class string) plotter.XYs {
+	var points plotter.XYs
+	for _, r := range reports {
+		for _, c := range r.Classes {
+			if c.Name == class {
+				points = append(points, plotter.XY{X: r.OfferedRate, Y: c.GoodShare})
+			}
+		}
+	}
+	return points
+}
+
+func save(p *plot.Plot, prefix string) error {
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for _, format := range []string{".png", ".svg"} {
+		if err := p.Save(plotWidth, plotHeight, prefix+format); err != nil {
+			return fmt.Errorf("save a plot: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,313 @@
+package load
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Report is what came of a load. Times are in milliseconds and count from when
+// a request was due.
+type Report struct {
+	Run         string    `json:"run"`
+	Seed        uint64    `json:"seed"`
+	Started     time.Time `json:"started"`
+	TookSeconds float64   `json:"tookSeconds"`
+	// OfferedRate is the requests a second of the description.
+	OfferedRate float64 `json:"offeredRate"`
+	// Classes has one entry for each class and, last, one for all.
+	Classes []ClassReport `json:"classes"`
+	// Counters are the rises of the router's counters, by name and reason.
+	Counters map[string]float64 `json:"counters,omitempty"`
+	// PromptTokens counts those of all requests sent, to hold waste against.
+	PromptTokens int      `json:"promptTokens"`
+	Timeline     []Second `json:"timeline"`
+	// Failures are those of the schedule, NotMade those that were not made.
+	Failures []Failure `json:"failures,omitempty"`
+	NotMade  []string  `json:"notMade,omitempty"`
+	// Faults tells the first of the lost, doubled and damaged requests.
+	Faults []Fault `json:"faults,omitempty"`
+}
+
+// ClassReport is what came of the requests of one class.
+type ClassReport struct {
+	Name      string `json:"name"`
+	Due       int    `json:"due"`
+	Unsent    int    `json:"unsent"`
+	Answered  int    `json:"answered"`
+	Refused   int    `json:"refused"`
+	Failed    int    `json:"failed"`
+	Cancelled int    `json:"cancelled"`
+	Lost      int    `json:"lost"`
+	Damaged   int    `json:"damaged"`
+	Doubled   int    `json:"doubled"`
+	Replayed  int    `json:"replayed"`
+	// Good were answered whole, once and within both targets. GoodShare is
+	// their share of those due and not cancelled.
+	Good          int     `json:"good"`
+	GoodShare     float64 `json:"goodShare"`
+	GoodPerSecond float64 `json:"goodPerSecond"`
+	// FirstToken is the time to the first output, or to a call's answer.
+	// BetweenTokens is the time before each later token.
+	FirstToken    Percentiles `json:"firstTokenMillis"`
+	BetweenTokens Percentiles `json:"betweenTokensMillis"`
+	// Refusals, Failures, Losses and Retries count by reason.
+	Refusals map[oriolebend.Reason]int `json:"refusals,omitempty"`
+	Failures map[oriolebend.Reason]int `json:"failures,omitempty"`
+	Losses   map[oriolebend.Reason]int `json:"losses,omitempty"`
+	Retries  map[oriolebend.Reason]int `json:"retries,omitempty"`
+}
+
+// Percentiles of a time, in milliseconds.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// Second is what came of the requests that were due in one second.
+type Second struct {
+	Second     int         `json:"second"`
+	Due        int         `json:"due"`
+	Good       int         `json:"good"`
+	NotWhole   int         `json:"notWhole"`
+	FirstToken Percentiles `json:"firstTokenMillis"`
+}
+
+// Fault is one request that was lost, doubled or damaged.
+type Fault struct {
+	Request int    `json:"request"`
+	Class   string `json:"class"`
+	Key     string `json:"key"`
+	What    string `json:"what"`
+	Detail  string `json:"detail"`
+}
+
+const (
+	// maxFaults bounds the faults that a report tells one by one.
+	maxFaults = 20
+	// highestMicros and digits size the histograms: to ten minutes, to a
+	// thousandth of each value.
+	highestMicros = int64(10 * time.Minute / time.Microsecond)
+	digits        = 3
+)
+
+// timer gathers times into a histogram.
+type timer struct{ histogram *hdrhistogram.Histogram }
+
+func newTimer() timer {
+	return timer{histogram: hdrhistogram.New(1, highestMicros, digits)}
+}
+
+func (t timer) add(took time.Duration, count int) {
+	micros := min(max(took.Microseconds(), 1), highestMicros)
+	_ = t.histogram.RecordValues(micros, int64(count)) // never above the bound
+}
+
+func (t timer) percentiles() Percentiles {
+	if t.histogram.TotalCount() == 0 {
+		return Percentiles{}
+	}
+	at := func(percentile float64) float64 {
+		const microsPerMilli = 1000
+		return float64(t.histogram.ValueAtPercentile(percentile)) / microsPerMilli
+	}
+	return Percentiles{Count: t.histogram.TotalCount(), P50: at(50), P90: at(90), P95: at(95), P99: at(99), Max: at(100)}
+}
+
+// tally gathers the results of one class.
+type tally struct {
+	report         ClassReport
+	first, between timer
+}
+
+func newTally(name string) *tally {
+	return &tally{
+		report: ClassReport{
+			Name:     name,
+			Refusals: map[oriolebend.Reason]int{},
+			Failures: map[oriolebend.Reason]int{},
+			Losses:   map[oriolebend.Reason]int{},
+			Retries:  map[oriolebend.Reason]int{},
+		},
+		first:   newTimer(),
+		between: newTimer(),
+	}
+}
+
+func (t *tally) add(r Result, class Class) {
+	t.report.Due++
+	t.addOutcome(r)
+	for _, reason := range r.Retries {
+		t.report.Retries[reason]++
+	}
+	if r.Damage != "" {
+		t.report.Damaged++
+	}
+	if r.Doubled != "" {
+		t.report.Doubled++
+	}
+	if r.Replayed {
+		t.report.Replayed++
+	}
+	if r.good(class) {
+		t.report.Good++
+	}
+	if r.First > 0 {
+		t.first.add(r.First, 1)
+	}
+	for _, g := range r.gaps {
+		t.between.add(g.took, g.tokens)
+	}
+}
+
+func (t *tally) addOutcome(r Result) {
+	switch r.Outcome {
+	case OutcomeAnswered:
+		t.report.Answered++
+	case OutcomeRefused:
+		t.report.Refused++
+		t.report.Refusals[r.Reason]++
+	case OutcomeFailed:
+		t.report.Failed++
+		t.report.Failures[r.Reason]++
+	case OutcomeCancelled:
+		t.report.Cancelled++
+	case OutcomeLost:
+		t.report.Lost++
+		t.report.Losses[r.Reason]++
+	case OutcomeUnsent:
+		t.report.Unsent++
+	}
+}
+
+// good reports whether the request met both targets with a whole answer. The
+// time between tokens is their mean, over everything that came between.
+func (r *Result) good(class Class) bool {
+	whole := r.Outcome == OutcomeAnswered && r.Damage == "" && r.Doubled == ""
+	if !whole || r.First > time.Duration(class.FirstWithin) {
+		return false
+	}
+	if class.Kind == KindCall || r.Tokens < 2 {
+		return true
+	}
+	return (r.Last-r.First)/time.Duration(r.Tokens-1) <= time.Duration(class.BetweenWithin)
+}
+
+func (t *tally) finish(took time.Duration) ClassReport {
+	t.report.FirstToken = t.first.percentiles()
+	t.report.BetweenTokens = t.between.percentiles()
+	if wanted := t.report.Due - t.report.Cancelled; wanted > 0 {
+		t.report.GoodShare = float64(t.report.Good) / float64(wanted)
+	}
+	if took > 0 {
+		t.report.GoodPerSecond = float64(t.report.Good) / took.Seconds()
+	}
+	return t.report
+}
+
+// report makes the report of a run that has ended.
+func (r *runner) report(before, after map[string]float64) Report {
+	d := r.config.Description
+	report := Report{
+		Run:         r.config.Run,
+		Seed:        d.Seed,
+		Started:     r.sender.start,
+		TookSeconds: r.took.Seconds(),
+		OfferedRate: d.Rate,
+		Counters:    rises(before, after),
+		Failures:    d.Failures,
+		NotMade:     r.failed,
+	}
+	sort.Slice(r.results, func(i, j int) bool { return r.results[i].Request.Number < r.results[j].Request.Number })
+	all := newTally("all")
+	tallies := make([]*tally, len(d.Classes))
+	for i, class := range d.Classes {
+		tallies[i] = newTally(class.Name)
+	}
+	for _, result := range r.results {
+		class := d.Classes[result.Request.Class]
+		tallies[result.Request.Class].add(result, class)
+		all.add(result, class)
+		report.PromptTokens += result.Request.PromptTokens
+		report.addFault(result, class)
+	}
+	for _, t := range append(tallies, all) {
+		report.Classes = append(report.Classes, t.finish(r.took))
+	}
+	report.Timeline = timeline(d, r.results)
+	return report
+}
+
+func (r *Report) addFault(result Result, class Class) {
+	fault := Fault{Request: result.Request.Number, Class: class.Name, Key: keyOf(r.Run, result.Request)}
+	switch {
+	case len(r.Faults) >= maxFaults:
+		return
+	case result.Doubled != "":
+		fault.What, fault.Detail = "doubled", result.Doubled
+	case result.Damage != "":
+		fault.What, fault.Detail = "damaged", result.Damage
+	case result.Outcome == OutcomeLost:
+		fault.What, fault.Detail = "lost", string(result.Reason)
+	default:
+		return
+	}
+	r.Faults = append(r.Faults, fault)
+}
+
+func timeline(d Description, results []Result) []Second {
+	var seconds []Second
+	var timers []timer
+	for _, result := range results {
+		at := int(result.Request.At / time.Second)
+		for len(seconds) <= at {
+			seconds = append(seconds, Second{Second: len(seconds)})
+			timers = append(timers, newTimer())
+		}
+		second := &seconds[at]
+		second.Due++
+		if result.good(d.Classes[result.Request.Class]) {
+			second.Good++
+		}
+		if result.Outcome != OutcomeAnswered && result.Outcome != OutcomeCancelled {
+			second.NotWhole++
+		}
+		if result.First > 0 {
+			timers[at].add(result.First, 1)
+		}
+	}
+	for i := range seconds {
+		seconds[i].FirstToken = timers[i].percentiles()
+	}
+	return seconds
+}
+
+// All returns the class report of all requests.
+func (r *Report) All() ClassReport {
+	return r.Classes[len(r.Classes)-1]
+}
+
+// BrokenError tells that requests were lost, doubled or damaged.
+type BrokenError struct{ Lost, Doubled, Damaged int }
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("%d requests lost, %d doubled, %d damaged", e.Lost, e.Doubled, e.Damaged)
+}
+
+// Broken returns a *BrokenError if any request was lost, doubled or damaged.
+func (r *Report) Broken() error {
+	all := r.All()
+	if all.Lost+all.Doubled+all.Damaged == 0 {
+		return nil
+	}
+	return &BrokenError{Lost: all.Lost, Doubled: all.Doubled, Damaged: all.Damaged}
+}
--- /dev/null
+++ b/internal/load/run_test.go
@@ -0,0 +1,311 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/caller"
+	msg "github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/metrics"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/internal/standin/answer"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// fakeEntry answers as a whole system would, but for one fault. Several entries
+// that share it know each other's records.
+type fakeEntry struct {
+	fault string
+	mu    sync.Mutex
+	known map[msg.Scope]string
+	seen  map[string]int
+}
+
+func (f *fakeEntry) Submit(_ context.Context, r entry.Request) <-chan caller.Chunk {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first, again := f.known[r.Scope]
+	if !again {
+		f.known[r.Scope] = r.ID
+	}
+	f.seen[r.Scope.Key]++
+	chunks := f.answer(r, f.seen[r.Scope.Key])
+	if again && f.fault != "doubled" && len(chunks) > 0 {
+		chunks[0].RequestID = first
+	}
+	out := make(chan caller.Chunk, len(chunks))
+	for _, c := range chunks {
+		out <- c
+	}
+	if f.fault != "silent" {
+		close(out)
+	}
+	return out
+}
+
+func (f *fakeEntry) answer(r entry.Request, sending int) []caller.Chunk {
+	refusal := &oriolebend.Problem{Reason: oriolebend.ReasonOverloaded, Ran: oriolebend.RanNo, RetryAfter: time.Millisecond}
+	lost := &oriolebend.Problem{Reason: oriolebend.ReasonOutcomeLost, Ran: oriolebend.RanUnknown}
+	switch {
+	case f.fault == "silent":
+		return nil
+	case f.fault == "refused" || f.fault == "refused once" && sending == 1:
+		return []caller.Chunk{{Problem: refusal}}
+	case f.fault == "unknown":
+		return []caller.Chunk{{Problem: lost}}
+	case r.Call != nil:
+		execution := 1
+		if f.fault == "executed twice" {
+			execution = 2
+		}
+		return []caller.Chunk{{Call: &msg.CallAnswer{Status: 200, Body: fmt.Appendf(nil, `{"execution":%d}`, execution)}}}
+	}
+	return f.stream(r)
+}
+
+func (f *fakeEntry) stream(r entry.Request) []caller.Chunk {
+	source := answer.Of(r.Model, r.Adapter, r.Prompt)
+	tokens, finish := source.Length(r.MaxTokens)
+	var chunks []caller.Chunk
+	for i := range tokens {
+		text := source.Token(i)
+		if f.fault == "damaged" && i == 2 {
+			text = " other"
+		}
+		chunks = append(chunks, caller.Chunk{Offset: i, Tokens: 1, Text: text})
+	}
+	if f.fault == "broken off" {
+		return append(chunks[:2], caller.Chunk{Problem: &oriolebend.Problem{Reason: oriolebend.ReasonServerLost, Ran: oriolebend.RanUnknown}})
+	}
+	return append(chunks, caller.Chunk{End: &caller.End{Finish: finish, Tokens: tokens}})
+}
+
+func (f *fakeEntry) Attach(context.Context, string, string) <-chan caller.Chunk { return nil }
+
+func (f *fakeEntry) Models() []oriolebend.LoadedModel {
+	return []oriolebend.LoadedModel{{Model: "planner-lm", Version: "v3"}}
+}
+
+func (f *fakeEntry) Record(context.Context, string, string) (msg.ClaimAnswer, error) {
+	return msg.ClaimAnswer{}, nil
+}
+
+func (f *fakeEntry) Ready() bool { return true }
+
+// entries serves a fake behind two ports. The fault "connection" breaks every
+// second connection off after the request was read.
+func entries(t *testing.T, fault string) []string {
+	fake := &fakeEntry{fault: fault, known: map[msg.Scope]string{}, seen: map[string]int{}}
+	handler := caller.New(caller.Config{
+		Router:   fake,
+		Caller:   settings.Caller{Open: true},
+		Services: []settings.ServiceRoute{{Name: "dispatch-api"}},
+	})
+	var mu sync.Mutex
+	served := 0
+	breaking := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		served++
+		lose := fault == "connection" && served%2 == 0
+		mu.Unlock()
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	})
+	var urls []string
+	for range 2 {
+		server := httptest.NewServer(breaking)
+		t.Cleanup(server.Close)
+		urls = append(urls, server.URL)
+	}
+	return urls
+}
+
+func shortDescription(entries []string) Description {
+	spread := Spread{5, 10, 20}
+	within := settings.Duration(5 * time.Second)
+	d := Description{
+		Seed: 1, Entries: entries, Rate: 500, Requests: 60, Tries: 20,
+		Classes: []Class{
+			{Name: "brief", Kind: KindCompletion, Share: 1, Model: "planner-lm", PromptTokens: spread, OutputTokens: spread, AgainShare: 0.5, FirstWithin: within, BetweenWithin: within},
+			{Name: "chat", Kind: KindChat, Share: 1, Model: "planner-lm", PromptTokens: spread, OutputTokens: spread, FirstWithin: within, BetweenWithin: within},
+			{Name: "ping", Kind: KindCall, Share: 1, Path: "/services/dispatch-api/arrivals", PromptTokens: spread, AgainShare: 0.5, FirstWithin: within},
+		},
+	}
+	d.fillDefaults()
+	return d
+}
+
+// TestFaultsShow: each fault of an entry shows as what it is.
+func TestFaultsShow(t *testing.T) {
+	for _, c := range []struct {
+		fault string
+		good  func(all ClassReport) bool
+	}{
+		{"", func(a ClassReport) bool {
+			return a.Good == 60 && a.Lost+a.Doubled+a.Damaged == 0 && len(a.Retries) == 0
+		}},
+		{"damaged", func(a ClassReport) bool { return a.Damaged > 20 && a.Good == 60-a.Damaged && a.Doubled == 0 }},
+		{"doubled", func(a ClassReport) bool { return a.Doubled > 10 && a.Good == 60-a.Doubled }},
+		{"executed twice", func(a ClassReport) bool { return a.Doubled > 10 && a.Good == 60-a.Doubled }},
+		{"refused", func(a ClassReport) bool { return a.Refused == 60 && a.Refusals[oriolebend.ReasonOverloaded] == 60 }},
+		{"refused once", func(a ClassReport) bool { return a.Good == 60 && a.Retries[oriolebend.ReasonOverloaded] >= 60 }},
+		{"unknown", func(a ClassReport) bool { return a.Failed == 60 && a.Failures[oriolebend.ReasonOutcomeLost] == 60 }},
+		{"broken off", func(a ClassReport) bool { return a.Failed > 20 && a.Failed+a.Good == 60 }},
+		{"connection", func(a ClassReport) bool { return a.Good == 60 && a.Retries[reasonConnection] > 0 && a.Lost == 0 }},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			is := is.New(t)
+			d := shortDescription(entries(t, c.fault))
+			if c.fault == "refused" {
+				d.Tries = 1
+			}
+			report, err := Run(t.Context(), Config{Description: d})
+			is.NoErr(err)
+			all := report.All()
+			is.Equal(all.Due, 60)
+			if !c.good(all) {
+				t.Fatalf("%+v\n%v", all, report.Faults)
+			}
+			is.Equal(report.Broken() != nil, all.Doubled+all.Damaged > 0)
+		})
+	}
+}
+
+// Symptom: a router that answers nothing looks like a quiet one. Sequence: the
+// entry takes requests and never answers. Cause: counts of answered requests
+// only.
+func TestSilentEntry(t *testing.T) {
+	is := is.New(t)
+	d := shortDescription(entries(t, "silent"))
+	d.Requests, d.InFlight, d.Within = 20, 15, settings.Duration(50*time.Millisecond)
+	report, err := Run(t.Context(), Config{Description: d})
+	is.NoErr(err)
+	all := report.All()
+	is.True(all.Unsent > 0)
+	is.Equal(all.Losses[reasonGaveUp]+all.Unsent, 20)
+	var broken *BrokenError
+	is.True(errors.As(report.Broken(), &broken))
+}
+
+// TestCancelled: what the load cancels itself is not held against the router.
+func TestCancelled(t *testing.T) {
+	is := is.New(t)
+	d := shortDescription(entries(t, "silent"))
+	for i := range d.Classes {
+		d.Classes[i].CancelShare, d.Classes[i].AgainShare = 1, 0
+		d.Classes[i].CancelAfter = settings.Duration(10 * time.Millisecond)
+	}
+	report, err := Run(t.Context(), Config{Description: d})
+	is.NoErr(err)
+	is.Equal(report.All().Cancelled, 60)
+	is.NoErr(report.Broken())
+}
+
+// TestFailuresAndCounters: the schedule is asked for, and counters are taken
+// before and after.
+func TestFailuresAndCounters(t *testing.T) {
+	is := is.New(t)
+	counters := metrics.New(metrics.Config{Role: "entry", Node: "a"})
+	counters.Observe("wastedPrefillTokens", oriolebend.Patient, 5)
+	var asked bytes.Buffer
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics.Handler(metrics.HandlerConfig{Metrics: []*metrics.Metrics{counters}}))
+	mux.HandleFunc("/fail", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = asked.ReadFrom(r.Body)
+		counters.Observe("wastedPrefillTokens", oriolebend.Patient, 30)
+		counters.Count("retry", oriolebend.ReasonServerLost, "")
+		if strings.Contains(asked.String(), "cutControl") {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	d := shortDescription(entries(t, ""))
+	d.MetricsURLs, d.FailuresURL = []string{server.URL + "/metrics"}, server.URL+"/fail"
+	d.Failures = []Failure{
+		{At: settings.Duration(10 * time.Millisecond), Do: "killEngine", Target: "planner-1"},
+		{At: settings.Duration(20 * time.Millisecond), Do: "cutControl"},
+	}
+	report, err := Run(t.Context(), Config{Description: d})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(asked.String(), `{"at":"10ms","do":"killEngine","target":"planner-1"`))
+	is.Equal(len(report.NotMade), 1)
+	is.Equal(report.Counters, map[string]float64{"wasted_prefill_tokens_total": 60, "retries_total/serverLost": 2})
+}
+
+// run runs the command as a user would.
+func run(t *testing.T, arguments ...string) (string, error) {
+	var out bytes.Buffer
+	err := Command(&out, &out).ParseAndRun(t.Context(), arguments)
+	return out.String(), err
+}
+
+func TestCommand(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	file := func(name string) string { return filepath.Join(folder, name) }
+	text := "rate = 400\nrequests = 20\n[[classes]]\nname = \"brief\"\nkind = \"completion\"\nshare = 1\nmodel = \"planner-lm\"\n" +
+		"promptTokens = {min = 5, median = 6, max = 7}\noutputTokens = {min = 5, median = 6, max = 7}\n"
+	is.NoErr(os.WriteFile(file("a.toml"), []byte(text), 0o600))
+	var urls []string
+	for _, url := range entries(t, "") {
+		urls = append(urls, "--entry", url)
+	}
+	out, err := run(t, append(urls, "--json", file("a.json"), "--plot", file("a"), file("a.toml"))...)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "brief"))
+	_, err = run(t, append(urls, "--json", file("b.json"), "--rate", "800", "--quiet", file("a.toml"))...)
+	is.NoErr(err)
+	out, err = run(t, "compare", file("a.json"), file("b.json"))
+	is.NoErr(err)
+	is.True(strings.Contains(out, "good share"))
+	out, err = run(t, "plot", file("goodput"), file("a.json"), file("b.json"))
+	is.NoErr(err)
+	is.True(strings.Contains(out, "goodput.svg"))
+	for _, name := range []string{"a.png", "a.svg", "goodput.png", "goodput.svg"} {
+		info, err := os.Stat(file(name))
+		is.NoErr(err)
+		is.True(info.Size() > 1000)
+	}
+}
+
+func TestCommandFaults(t *testing.T) {
+	is := is.New(t)
+	_, err := run(t)
+	var usage *UsageError
+	is.True(errors.As(err, &usage))
+	_, err = run(t, filepath.Join(t.TempDir(), "missing.toml"))
+	var description *DescriptionError
+	is.True(errors.As(err, &description))
+	_, err = run(t, "compare", "run_test.go", "run_test.go")
+	var file *FileError
+	is.True(errors.As(err, &file))
+}
+
+// TestExamples: the example loads are good descriptions.
+func TestExamples(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../examples/load/*.toml")
+	is.NoErr(err)
+	is.Equal(len(files), 2)
+	for _, file := range files {
+		d, err := Read(file)
+		is.NoErr(err)
+		is.True(len(Plan(d)) > 100)
+	}
+}
--- /dev/null
+++ b/internal/load/sender.go
@@ -0,0 +1,265 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/standin/answer"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Result is what came of one planned request.
+type Result struct {
+	Request Request
+	Outcome Outcome
+	// Reason is why it was not answered.
+	Reason oriolebend.Reason
+	// Retries counts the reasons for which it was sent again.
+	Retries []oriolebend.Reason
+	// First is the time from when it was due to its first output, Last to its
+	// last.
+	First, Last time.Duration
+	Tokens      int
+	gaps        []gap
+	// Replayed is true for a stored answer.
+	Replayed bool
+	// Damage tells how the answer differs from the whole one; empty if not.
+	Damage string
+	// Doubled tells how a second execution or answer shows; empty if not.
+	Doubled string
+}
+
+// sender sends the requests of one load.
+type sender struct {
+	description Description
+	client      *http.Client
+	// run tells the keys of this run from those of others.
+	run   string
+	start time.Time
+}
+
+// retryPause is how long a caller waits that lost its connection.
+const retryPause = 50 * time.Millisecond
+
+// deliver sends a request until it has an outcome.
+func (s *sender) deliver(ctx context.Context, r Request) Result {
+	due := s.start.Add(r.At)
+	ctx, cancel := context.WithDeadline(ctx, due.Add(time.Duration(s.description.Within)))
+	defer cancel()
+	if r.CancelAfter > 0 {
+		return s.deliverCancelled(ctx, r)
+	}
+	if !r.Again {
+		return s.deliverWhole(ctx, r)
+	}
+	return s.deliverTwice(ctx, r)
+}
+
+func (s *sender) deliverWhole(ctx context.Context, r Request) Result {
+	result, _ := s.try(ctx, r, 0)
+	return result
+}
+
+// deliverCancelled sends a request and cancels it, if it is not answered before.
+func (s *sender) deliverCancelled(ctx context.Context, r Request) Result {
+	ctx, cancel := context.WithDeadline(ctx, s.start.Add(r.At+r.CancelAfter))
+	defer cancel()
+	result, _ := s.try(ctx, r, 0)
+	if result.Outcome == OutcomeLost && ctx.Err() != nil {
+		result.Outcome, result.Reason = OutcomeCancelled, ""
+	}
+	return result
+}
+
+// deliverTwice sends a request to two entries with the same key. Both must get
+// the same answer of the same record.
+func (s *sender) deliverTwice(ctx context.Context, r Request) Result {
+	var second Result
+	var secondAttempt attempt
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		if sleep(ctx, time.Duration(s.description.Classes[r.Class].AgainAfter)) {
+			second, secondAttempt = s.try(ctx, r, 1)
+		}
+	})
+	result, first := s.try(ctx, r, 0)
+	wait.Wait()
+	result.Retries = append(result.Retries, second.Retries...)
+	if result.Doubled == "" {
+		result.Doubled = second.Doubled
+	}
+	if result.Damage == "" {
+		result.Damage = second.Damage
+	}
+	if result.Outcome != OutcomeAnswered || second.Outcome != OutcomeAnswered {
+		return result
+	}
+	switch {
+	case first.requestID != secondAttempt.requestID:
+		result.Doubled = fmt.Sprintf("answered as %s and %s", first.requestID, secondAttempt.requestID)
+	case first.text != secondAttempt.text:
+		result.Doubled = "two different answers"
+	}
+	return result
+}
+
+// try sends a request, first to the entry of its turn and an offset, and again
+// with the same key as often as a caller would.
+func (s *sender) try(ctx context.Context, r Request, offset int) (Result, attempt) {
+	result := Result{Request: r}
+	message := s.message(r)
+	entries := s.description.Entries
+	for number := 1; ; number++ {
+		entry := entries[(r.Number+offset+number-1)%len(entries)]
+		a := send(ctx, s.client, entry, message)
+		s.take(&result, a)
+		if number == s.description.Tries || !a.mayRetry() || ctx.Err() != nil {
+			s.finish(&result, a)
+			return result, a
+		}
+		result.Retries = append(result.Retries, a.reason)
+		if !sleep(ctx, max(a.retryAfter, retryPause)) {
+			s.finish(&result, a)
+			return result, a
+		}
+	}
+}
+
+// take adds the times of one sending. The first output of any counts.
+func (s *sender) take(result *Result, a attempt) {
+	if a.first.IsZero() {
+		return
+	}
+	due := s.start.Add(result.Request.At)
+	if result.First == 0 {
+		result.First = a.first.Sub(due)
+	}
+	result.Last = a.last.Sub(due)
+	result.gaps = append(result.gaps, a.gaps...)
+}
+
+func (s *sender) finish(result *Result, a attempt) {
+	result.Outcome, result.Reason = a.outcome, a.reason
+	result.Tokens, result.Replayed = a.tokens, a.replayed
+	if a.outcome != OutcomeAnswered {
+		return
+	}
+	class := s.description.Classes[result.Request.Class]
+	if !class.Unchecked {
+		s.verify(result, class, a)
+	}
+}
+
+// verify holds an answer against the one that the stand-ins give.
+func (s *sender) verify(result *Result, class Class, a attempt) {
+	var err error
+	r := result.Request
+	switch class.Kind {
+	case KindCall:
+		result.Damage, result.Doubled = verifyCall(a.text)
+	case KindChat:
+		err = answer.CheckText(a.text, r.OutputTokens)
+	case KindCompletion:
+		name, _ := oriolebend.ParseModelName(class.Model)
+		err = answer.Check(name.Model, name.Adapter, s.description.prompt(r), r.OutputTokens, a.text)
+	}
+	if err != nil {
+		result.Damage = err.Error()
+	}
+}
+
+// verifyCall reads the answer of a stand-in service, which counts executions.
+func verifyCall(text string) (damage, doubled string) {
+	var answered struct {
+		Execution int `json:"execution"`
+	}
+	if err := json.Unmarshal([]byte(text), &answered); err != nil || answered.Execution == 0 {
+		return "not the answer of a stand-in service", ""
+	}
+	if answered.Execution > 1 {
+		return "", fmt.Sprintf("executed %d times", answered.Execution)
+	}
+	return "", ""
+}
+
+// keyOf returns the idempotency key of a request.
+func keyOf(run string, r Request) string {
+	return fmt.Sprintf("%s-%d", run, r.Number)
+}
+
+// message builds what is sent for a request.
+func (s *sender) message(r Request) message {
+	class, organisation := s.description.Classes[r.Class], s.description.Organisations[r.Organisation]
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set(caller.HeaderKey, keyOf(s.run, r))
+	header.Set(caller.HeaderOrganisation, organisation.Name)
+	set := func(name, value string) {
+		if value != "" {
+			header.Set(name, value)
+		}
+	}
+	if organisation.Token != "" {
+		header.Set("Authorization", "Bearer "+organisation.Token)
+	}
+	set(caller.HeaderOperation, class.Operation)
+	set(caller.HeaderUrgency, string(class.Urgency))
+	if class.Deadline > 0 {
+		header.Set(caller.HeaderDeadline, time.Duration(class.Deadline).String())
+	}
+	return message{kind: class.Kind, path: class.path(), header: header, body: s.body(r, class)}
+}
+
+func (c Class) path() string {
+	switch c.Kind {
+	case KindCall:
+		return c.Path
+	case KindChat:
+		return "/v1/chat/completions"
+	}
+	return "/v1/completions"
+}
+
+func (s *sender) body(r Request, class Class) []byte {
+	type chatMessage struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	content := struct {
+		Model     string        `json:"model,omitempty"`
+		Prompt    string        `json:"prompt,omitempty"`
+		Messages  []chatMessage `json:"messages,omitempty"`
+		MaxTokens int           `json:"max_tokens,omitempty"`
+		Stream    bool          `json:"stream,omitempty"`
+		Text      string        `json:"text,omitempty"`
+	}{Model: class.Model, MaxTokens: r.OutputTokens, Stream: class.Kind != KindCall}
+	prompt := s.description.prompt(r)
+	switch class.Kind {
+	case KindCall:
+		content.Text = strings.TrimSpace(prompt)
+	case KindChat:
+		content.Messages = []chatMessage{{Role: "user", Content: prompt}}
+	default:
+		content.Prompt = prompt
+	}
+	data, _ := json.Marshal(content) // plain text and numbers always encode
+	return data
+}
+
+// sleep waits and reports whether ctx still lives.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
