load: times on a logarithmic axis, marks where answers are missing

Cause: seen on a run against dev, the counts drowned at the foot of an axis of seconds, and the median was a line at zero. Change: logarithmic axis, crosses at the top. Measured: looked at the plot of that run.

--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -17,6 +17,10 @@
 const (
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 12 * vg.Centimeter
+	// lowestMillis is where the axis of times begins, and headroom the factor
+	// above the longest time at which marks stand.
+	lowestMillis = 1
+	headroom     = 2
 )
 
 // PlotTimeline writes PREFIX.png and PREFIX.svg: percentiles of the time to the
@@ -27,6 +31,7 @@
 	p.Title.Text = "time to first token, run " + r.Run
 	p.X.Label.Text = "seconds from the start"
 	p.Y.Label.Text = "milliseconds"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	lines := []struct {
 		name  string
 		value func(Second) float64
@@ -34,13 +39,17 @@
 		{"p50", func(s Second) float64 { return s.FirstToken.P50 }},
 		{"p95", func(s Second) float64 { return s.FirstToken.P95 }},
 		{"p99", func(s Second) float64 { return s.FirstToken.P99 }},
-		{"no whole answer (count)", func(s Second) float64 { return float64(s.NotWhole) }},
 	}
+	p.Y.Min, p.Y.Max = lowestMillis, lowestMillis
 	for i, line := range lines {
 		if err := addLine(p, i, line.name, timePoints(r.Timeline, line.value)); err != nil {
 			return err
 		}
 	}
+	p.Y.Max *= headroom
+	if err := markNotWhole(p, r.Timeline); err != nil {
+		return err
+	}
 	for _, failure := range r.Failures {
 		if err := markFailure(p, failure); err != nil {
 			return err
@@ -52,11 +61,35 @@
 func timePoints(seconds []Second, value func(Second) float64) plotter.XYs {
 	points := make(plotter.XYs, 0, len(seconds))
 	for _, s := range seconds {
-		points = append(points, plotter.XY{X: float64(s.Second), Y: value(s)})
+		if s.FirstToken.Count > 0 {
+			points = append(points, plotter.XY{X: float64(s.Second), Y: value(s)})
+		}
 	}
 	return points
 }
 
+// markNotWhole marks, at the top, each second in which requests were due that
+// got no whole answer.
+func markNotWhole(p *plot.Plot, seconds []Second) error {
+	var points plotter.XYs
+	for _, s := range seconds {
+		if s.NotWhole > 0 {
+			points = append(points, plotter.XY{X: float64(s.Second), Y: p.Y.Max})
+		}
+	}
+	if len(points) == 0 {
+		return nil
+	}
+	marks, err := plotter.NewScatter(points)
+	if err != nil {
+		return fmt.Errorf("plot requests without a whole answer: %w", err)
+	}
+	marks.Shape, marks.Color = draw.CrossGlyph{}, color.RGBA{R: 200, A: 255}
+	p.Add(marks)
+	p.Legend.Add("no whole answer", marks)
+	return nil
+}
+
 func addLine(p *plot.Plot, number int, name string, points plotter.XYs) error {
 	if len(points) == 0 {
 		return nil
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -271,6 +271,8 @@
 	is.True(strings.Contains(out, "brief"))
 	_, err = run(t, append(urls, "--json", file("b.json"), "--rate", "800", "--quiet", file("a.toml"))...)
 	is.NoErr(err)
+	// A report without any output, with a failure, is plotted too.
+	is.NoErr(PlotTimeline(file("empty"), Report{Timeline: []Second{{NotWhole: 1}}, Failures: []Failure{{Do: "killEngine"}}}))
 	out, err = run(t, "compare", file("a.json"), file("b.json"))
 	is.NoErr(err)
 	is.True(strings.Contains(out, "good share"))
