--- a/internal/reducer/gate/drain.go
+++ b/internal/reducer/gate/drain.go
@@ -31,7 +31,12 @@
 // draining reports whether the server is to end its work and take no more.
 func (s *State) draining() bool {
 	d := s.drain
-	return d.stopping || d.declared == oriolebend.ServerLeaving || d.declared == oriolebend.ServerGone
+	switch d.declared {
+	case oriolebend.ServerLeaving, oriolebend.ServerStopping, oriolebend.ServerGone:
+		return true
+	default:
+		return d.stopping
+	}
 }
 
 // undeclared reports whether the gate still waits for its declared state. A
@@ -48,6 +53,9 @@
 
 func (s *State) stopping() {
 	s.drain.stopping = true
+	// A server that had left before is told to be drained once more: the
+	// process that stops waits for it.
+	s.drain.told = false
 	s.refuseQueued()
 }
 
--- a/internal/role/follower.go
+++ b/internal/role/follower.go
@@ -2,138 +2,136 @@
 
 import (
 	"context"
-	"log/slog"
-	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 )
 
-const (
-	// reconnectLeast and reconnectMost bound the random wait before a process
-	// tries the next control VM.
-	reconnectLeast = 100 * time.Millisecond
-	reconnectMost  = 500 * time.Millisecond
-	// announceEvery renews the membership lease three times within it.
-	announceEvery = memberLease / 3
-)
+// FollowerConfig sets up a Follower.
+type FollowerConfig struct {
+	Reducer follow.Config
+	Dialer  peer.Dialer
+	// Apply takes each state that is in force from then on; view is not
+	// changed afterwards.
+	Apply    func(view declared.View, changed follow.Changed)
+	Observer Observer
+}
 
-// Follower keeps a process up to date from the control VMs.
+// Follower keeps a process up to date with the declared state and the
+// membership.
 type Follower struct {
-	Node    string
-	Dialer  peer.Dialer
-	Control []string
-	Apply   func(message.Update)
-	Logger  *slog.Logger
+	config FollowerConfig
+	loop   Loop[follow.Event, follow.Effect]
+	state  *follow.State
+	ctx    context.Context
 
-	revision uint64
+	mu    sync.Mutex
+	links map[follow.Link]*followLink
+	age   time.Duration
 }
 
-// Run follows until ctx ends, one control VM after another.
-func (f *Follower) Run(ctx context.Context) {
-	for next := 0; ctx.Err() == nil; next++ {
-		address := f.Control[next%len(f.Control)]
-		if err := f.follow(ctx, address); err != nil && ctx.Err() == nil {
-			f.Logger.Debug("a control VM is not followed any longer", "address", address, "error", err)
-		}
-		pause(ctx)
+// NewFollower returns a follower; Run starts it.
+func NewFollower(c FollowerConfig) *Follower {
+	f := &Follower{config: c, state: follow.New(c.Reducer), links: map[follow.Link]*followLink{}}
+	f.loop = Loop[follow.Event, follow.Effect]{
+		Reduce:    f.reduce,
+		Perform:   f.perform,
+		Tick:      func(at time.Time) follow.Event { return follow.Ticked{At: at} },
+		TickEvery: follow.TickEvery,
 	}
+	f.loop.Prepare()
+	return f
 }
 
-func (f *Follower) follow(ctx context.Context, address string) error {
-	s, err := f.Dialer.Open(ctx, address)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	defer context.AfterFunc(ctx, func() { s.Close() })()
-	if err := s.Send(message.Watch{Node: f.Node, From: f.revision}); err != nil {
-		return err
-	}
-	for {
-		m, err := s.Receive()
-		if err != nil {
-			return err
-		}
-		update, ok := m.(message.Update)
-		if !ok || update.Revision < f.revision {
-			continue
-		}
-		f.revision = update.Revision
-		f.Apply(update)
-	}
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.ctx = ctx
+	f.loop.Post(follow.Started{At: time.Now()})
+	f.loop.Run(ctx)
 }
 
-// Announcer keeps the control VMs told of one backend server.
-type Announcer struct {
-	Dialer  peer.Dialer
-	Control []string
-	Logger  *slog.Logger
+// Age tells how long ago the state in force was known to be the newest, as of
+// the last event.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age
+}
 
-	servers *Mailbox[oriolebend.Server]
+func (f *Follower) reduce(e follow.Event) []follow.Effect {
+	effects := follow.Reduce(f.state, e)
+	f.mu.Lock()
+	f.age = f.state.Age(time.Now())
+	f.mu.Unlock()
+	return effects
 }
 
-// Prepare makes the announcer ready for Announce; it must be called before
-// Run.
-func (a *Announcer) Prepare() {
-	a.servers = NewMailbox[oriolebend.Server]()
+func (f *Follower) perform(effect follow.Effect) {
+	switch e := effect.(type) {
+	case follow.Open:
+		f.open(e)
+	case follow.Send:
+		if l := f.links[e.Link]; l != nil {
+			l.put(e.Message)
+		}
+	case follow.Close:
+		if l := f.links[e.Link]; l != nil {
+			delete(f.links, e.Link)
+			l.cancel()
+		}
+	case follow.Changed:
+		f.config.Apply(f.state.View().Copy(), e)
+	case follow.Count:
+		f.config.Observer.Count("follow."+string(e.What), "", "")
+	}
 }
 
-// Announce sends the server's state at once and renews it from then on.
-func (a *Announcer) Announce(s oriolebend.Server) {
-	a.servers.Put(s)
+// followLink is one watch of one control VM. Messages may be put before it is
+// open.
+type followLink struct {
+	cancel context.CancelFunc
+	queue  *Mailbox[message.Message]
 }
 
-// Run announces until ctx ends.
-func (a *Announcer) Run(ctx context.Context) {
-	var last *oriolebend.Server
-	for next := 0; ctx.Err() == nil; next++ {
-		address := a.Control[next%len(a.Control)]
-		if err := a.announce(ctx, address, &last); err != nil && ctx.Err() == nil {
-			a.Logger.Debug("a control VM does not take announcements", "address", address, "error", err)
-		}
-		pause(ctx)
-	}
+func (l *followLink) put(m message.Message) {
+	l.queue.Put(m)
 }
 
-func (a *Announcer) announce(ctx context.Context, address string, last **oriolebend.Server) error {
-	s, err := a.Dialer.Open(ctx, address)
+func (f *Follower) open(e follow.Open) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	l := &followLink{cancel: cancel, queue: NewMailbox[message.Message]()}
+	f.links[e.Link] = l
+	l.put(e.Watch)
+	go func() {
+		defer cancel()
+		f.watch(ctx, e, l)
+		f.loop.Post(follow.Lost{At: time.Now(), Link: e.Link})
+	}()
+}
+
+// watch carries one watch until either side ends it.
+func (f *Follower) watch(ctx context.Context, e follow.Open, l *followLink) {
+	opening, cancel := context.WithTimeout(ctx, openWithin)
+	defer cancel()
+	s, err := f.config.Dialer.Open(opening, e.Address)
 	if err != nil {
-		return err
+		return
 	}
 	defer s.Close()
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	ticker := time.NewTicker(announceEvery)
-	defer ticker.Stop()
+	out := &outbox{stream: s, queue: l.queue}
+	go out.write()
 	for {
-		for _, server := range a.servers.Take() {
-			*last = &server
-		}
-		if *last != nil {
-			if err := s.Send(message.Announce{Server: **last}); err != nil {
-				return err
-			}
-			if _, err := s.Receive(); err != nil {
-				return err
-			}
+		m, err := s.Receive()
+		if err != nil {
+			return
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-a.servers.Wait():
-		case <-ticker.C:
+		if update, ok := m.(message.Update); ok {
+			f.loop.Post(follow.Received{At: time.Now(), Link: e.Link, Update: update})
 		}
 	}
 }
-
-// pause waits a random while, so that the processes that lost one control VM
-// do not all turn to the next at one instant.
-func pause(ctx context.Context) {
-	wait := reconnectLeast + rand.N(reconnectMost-reconnectLeast)
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- /dev/null
+++ b/internal/role/memberleader.go
@@ -0,0 +1,182 @@
+package role
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/control"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/member"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// leadEvery is how often a control VM looks whether it leads.
+	leadEvery = 50 * time.Millisecond
+	// proposeWithin bounds one change of the membership.
+	proposeWithin = 5 * time.Second
+)
+
+// MemberLeader holds the membership leases while its control VM leads.
+type MemberLeader struct {
+	Self     string
+	Log      control.Log
+	Machine  *DeclaredMachine
+	Observer Observer
+	Logger   *slog.Logger
+
+	loop     Loop[member.Event, member.Effect]
+	sessions atomic.Uint64
+	leads    atomic.Bool
+
+	mu   sync.Mutex
+	open map[member.SessionID]*outbox
+	ctx  context.Context
+}
+
+// Prepare makes the leader ready for Serve; it must be called before Run.
+func (m *MemberLeader) Prepare() {
+	state := member.New(member.Config{})
+	m.open = map[member.SessionID]*outbox{}
+	m.loop = Loop[member.Event, member.Effect]{
+		Reduce:    func(e member.Event) []member.Effect { return member.Reduce(state, e) },
+		Perform:   m.perform,
+		Tick:      func(at time.Time) member.Event { return member.Ticked{At: at} },
+		TickEvery: member.TickEvery,
+	}
+	m.loop.Prepare()
+}
+
+// Run holds leases until ctx ends.
+func (m *MemberLeader) Run(ctx context.Context) {
+	m.ctx = ctx
+	go m.watchLeadership(ctx)
+	m.loop.Run(ctx)
+}
+
+// watchLeadership tells the reducer when this control VM begins and ends to
+// lead, and of every change of the state in between.
+func (m *MemberLeader) watchLeadership(ctx context.Context) {
+	ticker := time.NewTicker(leadEvery)
+	defer ticker.Stop()
+	for {
+		view, changed := m.Machine.View()
+		if m.leads.Load() {
+			m.loop.Post(member.Committed{At: time.Now(), View: view})
+		}
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+				waiting = false
+			case <-ticker.C:
+				m.checkLeadership(ctx)
+			}
+		}
+	}
+}
+
+func (m *MemberLeader) checkLeadership(ctx context.Context) {
+	name, _ := m.Log.Leader()
+	leads := name == m.Self
+	if leads == m.leads.Load() {
+		return
+	}
+	if !leads {
+		m.leads.Store(false)
+		m.loop.Post(member.Deposed{At: time.Now()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeWithin)
+	defer cancel()
+	if err := m.Log.Confirm(ctx); err != nil {
+		return
+	}
+	m.leads.Store(true)
+	view, _ := m.Machine.View()
+	m.loop.Post(member.Led{At: time.Now(), View: view})
+}
+
+// Serve is the peer.Handler for sidecars that announce their server and ask
+// for permits.
+func (m *MemberLeader) Serve(_ context.Context, s peer.Stream) {
+	id := member.SessionID(fmt.Sprintf("%s/%d", s.Peer(), m.sessions.Add(1)))
+	out := newOutbox(s)
+	m.mu.Lock()
+	m.open[id] = out
+	m.mu.Unlock()
+	go out.write()
+	defer func() {
+		out.end()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.open, id)
+	}()
+	for {
+		received, err := s.Receive()
+		if err != nil {
+			return
+		}
+		if !m.leads.Load() {
+			out.put(message.Announced{})
+			return
+		}
+		switch f := received.(type) {
+		case message.Announce:
+			m.loop.Post(member.Announced{At: time.Now(), Session: id, Announce: f})
+		case message.Permit:
+			m.loop.Post(member.Asked{At: time.Now(), Session: id, Permit: f})
+		default:
+			return
+		}
+	}
+}
+
+func (m *MemberLeader) perform(effect member.Effect) {
+	switch f := effect.(type) {
+	case member.Reply:
+		m.mu.Lock()
+		s := m.open[f.Session]
+		m.mu.Unlock()
+		if s != nil {
+			s.put(f.Message)
+		}
+	case member.Propose:
+		go m.propose(f.Members)
+	case member.Count:
+		m.Observer.Count("member."+string(f.What), "", "")
+	}
+}
+
+func (m *MemberLeader) propose(members declared.Members) {
+	err := m.commit(members)
+	if err != nil {
+		m.Logger.Warn("a change of the membership was not accepted", "error", err)
+	}
+	// The change itself must reach the reducer before its outcome does.
+	view, _ := m.Machine.View()
+	m.loop.Post(member.Committed{At: time.Now(), View: view})
+	m.loop.Post(member.Proposed{At: time.Now(), Failed: err != nil})
+}
+
+func (m *MemberLeader) commit(members declared.Members) error {
+	command, err := control.Encode(control.PartDeclared, declared.Command{At: time.Now(), Members: &members})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, proposeWithin)
+	defer cancel()
+	reply, err := m.Log.Propose(ctx, command)
+	if err != nil {
+		return fmt.Errorf("propose members: %w", err)
+	}
+	_, err = control.Decode[oriolebend.ChangeResult](reply)
+	return err
+}
--- /dev/null
+++ b/internal/role/orders.go
@@ -0,0 +1,124 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// orderWithin bounds one order; a load waits for the weight store.
+const orderWithin = 10 * time.Minute
+
+// Orders has a backend server's engine become what is declared for it.
+type Orders struct {
+	Config order.Config
+	// Engine is nil beside a plain service, which takes no orders.
+	Engine    engine.Engine
+	Announcer *Announcer
+	// SetState tells the gate whether to take new work.
+	SetState func(oriolebend.ServerState)
+	// Left is called when a server that is declared stopping has no work left.
+	Left     func()
+	Observer Observer
+
+	loop Loop[order.Event, order.Effect]
+	ctx  context.Context
+}
+
+// Prepare makes the orders ready for events; it must be called before Run.
+func (o *Orders) Prepare() {
+	state := order.New(o.Config)
+	o.loop = Loop[order.Event, order.Effect]{
+		Reduce:    func(e order.Event) []order.Effect { return order.Reduce(state, e) },
+		Perform:   o.perform,
+		Tick:      func(at time.Time) order.Event { return order.Ticked{At: at} },
+		TickEvery: order.TickEvery,
+	}
+	o.loop.Prepare()
+}
+
+// Run gives orders until ctx ends.
+func (o *Orders) Run(ctx context.Context) {
+	o.ctx = ctx
+	o.loop.Post(order.Started{At: time.Now()})
+	o.loop.Run(ctx)
+}
+
+// Declared tells of the declared state in force.
+func (o *Orders) Declared(view declared.View, server oriolebend.Server) {
+	event := order.Declared{At: time.Now(), Revision: view.Revision, Target: view.TargetOf(server)}
+	if self, ok := view.Servers[server.Name]; ok {
+		event.Self = &self
+	}
+	o.loop.Post(event)
+}
+
+// WorkEnded tells that the gate has no work left.
+func (o *Orders) WorkEnded() {
+	o.loop.Post(order.WorkEnded{At: time.Now()})
+}
+
+// Stopping tells that the sidecar was asked to stop.
+func (o *Orders) Stopping() {
+	o.loop.Post(order.Stopping{At: time.Now()})
+}
+
+func (o *Orders) perform(effect order.Effect) {
+	switch f := effect.(type) {
+	case order.SetState:
+		o.SetState(f.State)
+	case order.AskEngine:
+		go o.ask(f.Number)
+	case order.Issue:
+		go o.issue(f.Order)
+	case order.AskPermit:
+		o.Announcer.Ask(f.Permit, o.permitted)
+	case order.Report:
+		o.Announcer.Progress(f.Progress, f.Detail)
+	case order.Left:
+		o.Left()
+	case order.Count:
+		o.Observer.Count("order."+string(f.What), f.Reason, "")
+	}
+}
+
+func (o *Orders) permitted(answer *message.Permitted) {
+	if answer == nil {
+		o.loop.Post(order.PermitLost{At: time.Now()})
+		return
+	}
+	o.loop.Post(order.PermitAnswered{At: time.Now(), Answer: *answer})
+}
+
+func (o *Orders) ask(number uint64) {
+	ctx, cancel := context.WithTimeout(o.ctx, watchWithin)
+	defer cancel()
+	info, err := o.Engine.Info(ctx)
+	if err != nil {
+		o.loop.Post(order.EngineLost{At: time.Now(), Number: number})
+		return
+	}
+	o.loop.Post(order.EngineKnown{At: time.Now(), Number: number, Info: info})
+}
+
+func (o *Orders) issue(f engine.Order) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderWithin)
+	defer cancel()
+	err := o.Engine.Order(ctx, f)
+	ended := order.OrderEnded{At: time.Now()}
+	if err != nil {
+		ended.Reason, ended.Detail, ended.Unsure = oriolebend.ReasonEngineFailed, err.Error(), true
+	}
+	var refused *engine.Error
+	if errors.As(err, &refused) {
+		ended.Reason = refused.Reason
+		ended.Unsure = refused.Reason == oriolebend.ReasonServerLost
+	}
+	o.loop.Post(ended)
+}
--- a/internal/role/sidecar.go
+++ b/internal/role/sidecar.go
@@ -43,7 +43,7 @@
 	work     *engineWork
 
 	mu     sync.Mutex
-	open   map[gate.SessionID]*gateSession
+	open   map[gate.SessionID]*outbox
 	server oriolebend.Server
 }
 
@@ -57,7 +57,7 @@
 	s := &Sidecar{
 		config:  c,
 		drained: make(chan struct{}),
-		open:    map[gate.SessionID]*gateSession{},
+		open:    map[gate.SessionID]*outbox{},
 		server:  c.Server,
 	}
 	state := gate.New(c.Reducer)
@@ -104,14 +104,18 @@
 // Serve is the peer.Handler for sessions that entries open.
 func (s *Sidecar) Serve(_ context.Context, stream peer.Stream) {
 	id := gate.SessionID(fmt.Sprintf("%s/%d", stream.Peer(), s.sessions.Add(1)))
-	session := &gateSession{stream: stream, out: NewMailbox[message.Message]()}
+	session := newOutbox(stream)
 	s.mu.Lock()
 	s.open[id] = session
 	s.mu.Unlock()
 	go session.write()
-	session.read(func(m message.Message) {
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			break
+		}
 		s.loop.Post(gate.Received{At: time.Now(), Session: id, Message: m})
-	})
+	}
 	s.mu.Lock()
 	delete(s.open, id)
 	s.mu.Unlock()
@@ -169,7 +173,7 @@
 	session := s.open[f.Session]
 	s.mu.Unlock()
 	if session != nil {
-		session.out.Put(f.Message)
+		session.put(f.Message)
 	}
 }
 
@@ -181,44 +185,3 @@
 		session.end()
 	}
 }
-
-// gateSession is one session that an entry opened.
-type gateSession struct {
-	stream peer.Stream
-	out    *Mailbox[message.Message]
-}
-
-// end closes the session after the messages queued so far.
-func (g *gateSession) end() {
-	g.out.Put(nil)
-}
-
-func (g *gateSession) write() {
-	for {
-		select {
-		case <-g.stream.Done():
-			return
-		case <-g.out.Wait():
-		}
-		for _, m := range g.out.Take() {
-			if m == nil {
-				g.stream.Close()
-				return
-			}
-			if err := g.stream.Send(m); err != nil {
-				g.stream.Close()
-				return
-			}
-		}
-	}
-}
-
-func (g *gateSession) read(post func(message.Message)) {
-	for {
-		m, err := g.stream.Receive()
-		if err != nil {
-			return
-		}
-		post(m)
-	}
-}
--- /dev/null
+++ b/internal/role/watchserver.go
@@ -0,0 +1,87 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+)
+
+// freshEvery is how often a follower is told that its state is still the
+// newest; an update that carries changes tells it as well.
+const freshEvery = 2 * time.Second
+
+// WatchServer feeds the followers of one control VM.
+type WatchServer struct {
+	Machine   *DeclaredMachine
+	Confirmer *Confirmer
+	Reached   *ReachedTable
+	Logger    *slog.Logger
+}
+
+// Serve is the peer.Handler for followers.
+func (w *WatchServer) Serve(ctx context.Context, s peer.Stream) {
+	first, err := s.Receive()
+	if err != nil {
+		return
+	}
+	watch, ok := first.(message.Watch)
+	if !ok {
+		return
+	}
+	go w.hear(s)
+	w.feed(ctx, s, watch)
+}
+
+// hear takes the follower's word of what it has in force.
+func (w *WatchServer) hear(s peer.Stream) {
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			return
+		}
+		if r, ok := m.(message.Reached); ok {
+			w.Reached.Heard(r)
+		}
+	}
+}
+
+func (w *WatchServer) feed(ctx context.Context, s peer.Stream, watch message.Watch) {
+	from := watch.From
+	for {
+		update, changed, err := w.Machine.Update(from)
+		if err != nil {
+			// The follower has seen a later revision than this control VM: it
+			// must not be fed, for its state would go back.
+			w.Logger.Warn("a follower is ahead of this control VM", "follower", watch.Node, "error", err)
+			return
+		}
+		update.Age, update.Confirmed = w.Confirmer.Age(time.Now())
+		if err := s.Send(update); err != nil {
+			return
+		}
+		from = update.Revision
+		if !w.sleep(ctx, s, changed) {
+			return
+		}
+	}
+}
+
+// sleep waits for a change or for the time to tell of freshness; it is false
+// once the session ended.
+func (w *WatchServer) sleep(ctx context.Context, s peer.Stream, changed <-chan struct{}) bool {
+	timer := time.NewTimer(freshEvery)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-s.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
