--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -8,6 +8,13 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// openDecodeFor asks for decode room unless a pause before it is not over.
+func (s *State) openDecodeFor(r *request, startIn time.Duration) {
+	if r.due[alarmReserve].IsZero() {
+		s.openDecode(r, startIn)
+	}
+}
+
 // openDecode asks for decode room that is needed after a while.
 func (s *State) openDecode(r *request, startIn time.Duration) {
 	reserve := s.decodeReservation(r, startIn)
@@ -42,7 +49,7 @@
 func (s *State) advanceDecode(r *request) {
 	if r.decode == nil {
 		if r.standby == nil {
-			s.openDecode(r, 0)
+			s.openDecodeFor(r, 0)
 		}
 		return
 	}
@@ -71,7 +78,7 @@
 		MaxTokens:      r.MaxTokens,
 		TransferWithin: within,
 	}})
-	s.setAlarm(r, alarmHedge, within/2)
+	s.setAlarm(r, alarmHedge, max(within/2, transferTime(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
 	s.setAlarm(r, alarmTransfer, within+2*r.BetweenWithin)
 	s.setAlarm(r, alarmStall, s.config.StallWithin)
 }
@@ -121,8 +128,11 @@
 // standbyReady is met when a second server holds room: it takes the result if
 // the first was lost meanwhile.
 func (s *State) standbyReady(r *request) {
-	if r.decode == nil {
+	switch {
+	case r.decode == nil:
 		s.promoteStandby(r)
+	case r.due[alarmTransfer].IsZero():
+		s.transferLate(r)
 	}
 }
 
@@ -143,6 +153,10 @@
 // transferLate has a second server fetch the result if one is ready. Without
 // one the transfer goes on: it may yet end well.
 func (s *State) transferLate(r *request) {
+	if r.decode == nil || r.decode.sent.IsZero() {
+		s.resultExpired(r)
+		return
+	}
 	ready := r.standby != nil && r.standby.granted
 	if r.result == nil || !ready || !s.now.Before(r.expires) {
 		return
@@ -158,8 +172,7 @@
 		r.decode.chosen.server.health.Fail(s.now)
 	}
 	s.closeRound(r, r.decode)
-	r.org.budget.Take(s.now)
-	r.lane.budget.Take(s.now)
+	s.takeRetry(r)
 	s.promoteStandby(r)
 }
 
@@ -200,8 +213,7 @@
 
 func (s *State) decodeElsewhere(r *request, l loss, lostServer string) {
 	s.count("retry", l.reason, r)
-	r.org.budget.Take(s.now)
-	r.lane.budget.Take(s.now)
+	s.takeRetry(r)
 	reserve := s.decodeReservation(r, 0)
 	reserve.Hold = false
 	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes, Except: lostServer}
@@ -211,16 +223,36 @@
 	}
 }
 
-// decodeAgain asks for decode room once more while a prefill result lives; it
-// reports whether it did.
-func (s *State) decodeAgain(r *request) bool {
-	if !s.resultLives(r) {
+// decodeLater has decode room asked for once more after a short pause, while a
+// prefill runs or its result lives; it reports whether it did.
+//
+// To cancel the prefill because its decode room was lost would throw away
+// what is the dearest part of the request.
+func (s *State) decodeLater(r *request) bool {
+	running := r.prefill != nil && !r.prefill.sent.IsZero() && r.result == nil
+	if !running && !s.resultLives(r) {
 		return false
 	}
-	s.openDecode(r, 0)
+	s.setAlarm(r, alarmReserve, s.jitter(r))
+	r.tries++
 	return true
 }
 
+func (s *State) reserveAgain(r *request) {
+	if r.result != nil && !s.resultLives(r) {
+		s.resultExpired(r)
+		return
+	}
+	s.advance(r)
+}
+
+// resultExpired is met when no decode room was found while the result lived.
+func (s *State) resultExpired(r *request) {
+	if r.result != nil {
+		s.retryWork(r, oriolebend.ReasonResultExpired)
+	}
+}
+
 // part takes output. Only the session of the live attempt passes any on.
 func (s *State) part(p *probe, m message.Part) {
 	r, g := p.request, p.round
--- a/internal/reducer/entry/loss.go
+++ b/internal/reducer/entry/loss.go
@@ -99,12 +99,12 @@
 		s.statusFailed(r)
 		return
 	}
-	if hopeless(reason) {
+	if s.hopeless(r, reason) {
 		s.giveUp(r, reason, 0)
 		return
 	}
 	r.lastReason = reason
-	if isDecode && r.result != nil && s.decodeAgain(r) {
+	if isDecode && s.decodeLater(r) {
 		return
 	}
 	s.dropWasted(r)
@@ -113,8 +113,26 @@
 }
 
 // hopeless tells refusals that no other server and no later time would change.
-func hopeless(reason oriolebend.Reason) bool {
-	return reason == oriolebend.ReasonTooLarge || reason == oriolebend.ReasonMalformed
+func (s *State) hopeless(r *request, reason oriolebend.Reason) bool {
+	switch reason {
+	case oriolebend.ReasonMalformed:
+		return true
+	case oriolebend.ReasonTooLarge:
+		return !s.fitsAnywhere(r, oriolebend.Prefill) || !s.fitsAnywhere(r, oriolebend.Decode)
+	default:
+		return false
+	}
+}
+
+// fitsAnywhere reports whether some server's memory is large enough for a
+// request that another one refused as too large.
+func (s *State) fitsAnywhere(r *request, role oriolebend.PoolRole) bool {
+	for _, v := range s.pool(r.pool(role)).Members() {
+		if v.KVTokens >= r.PromptTokens+r.MaxTokens {
+			return true
+		}
+	}
+	return false
 }
 
 // pause has a request wait for a random while that grows with its tries.
--- a/internal/reducer/entry/prefill.go
+++ b/internal/reducer/entry/prefill.go
@@ -71,6 +71,7 @@
 	r.clearAlarm(alarmPrefill)
 	r.result = &m
 	r.expires = s.now.Add(m.LivesFor)
+	s.setAlarmAt(r, alarmTransfer, r.expires)
 	s.advance(r)
 }
 
--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -75,17 +75,35 @@
 // enqueue lets an accepted request wait for its turn. It goes on at once if
 // its lane has a place: pump runs at the end of each event.
 func (s *State) enqueue(r *request) {
-	r.step = stepWaiting
+	s.startWaiting(r)
 	if r.queued || !r.due[alarmWake].IsZero() {
 		return
 	}
 	r.queued = true
-	s.waiting++
-	s.waitingBytes += len(r.Prompt)
 	r.lane.queue.Push(r.Urgency == oriolebend.Urgent, r.Scope.Organisation, r.org.share, r)
 	s.ready(r.lane)
 }
 
+// startWaiting counts a request that holds no room, whether it stands in its
+// lane's queue or pauses before it does.
+func (s *State) startWaiting(r *request) {
+	if r.step == stepWaiting {
+		return
+	}
+	r.step = stepWaiting
+	s.waiting++
+	s.waitingBytes += len(r.Prompt)
+}
+
+func (s *State) stopWaiting(r *request) {
+	if r.step != stepWaiting {
+		return
+	}
+	r.step = ""
+	s.waiting--
+	s.waitingBytes -= len(r.Prompt)
+}
+
 // ready marks a lane whose queue may go on.
 func (s *State) ready(l *lane) {
 	if !slices.Contains(s.readyLanes, l) {
@@ -110,25 +128,20 @@
 		if !found {
 			return
 		}
-		s.unqueued(r)
+		r.queued = false
 		s.takePlace(r)
 		s.begin(r)
 	}
 }
 
-func (s *State) unqueued(r *request) {
-	r.queued = false
-	s.waiting--
-	s.waitingBytes -= len(r.Prompt)
-}
-
+// leaveQueue takes a request that ends out of all waiting.
 func (s *State) leaveQueue(r *request) {
 	r.clearAlarm(alarmWake)
-	if !r.queued {
-		return
+	s.stopWaiting(r)
+	if r.queued {
+		r.queued = false
+		r.lane.queue.Remove(r.Urgency == oriolebend.Urgent, r.Scope.Organisation, r)
 	}
-	r.lane.queue.Remove(r.Urgency == oriolebend.Urgent, r.Scope.Organisation, r)
-	s.unqueued(r)
 }
 
 func (s *State) takePlace(r *request) {
@@ -150,7 +163,7 @@
 // waitFor has a request that found no room try again after a while. It gives
 // its place in the lane to others meanwhile.
 func (s *State) waitFor(r *request, pause time.Duration) {
-	r.step = stepWaiting
+	s.startWaiting(r)
 	s.releasePlace(r)
 	s.setAlarm(r, alarmWake, pause)
 }
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -41,6 +41,7 @@
 
 // begin starts a request that got its turn.
 func (s *State) begin(r *request) {
+	s.stopWaiting(r)
 	r.step = stepRouting
 	s.advance(r)
 }
@@ -70,7 +71,7 @@
 	case !s.route.ReservesDecode():
 		s.sendPrefill(r)
 	case r.decode == nil:
-		s.openDecode(r, s.prefillEnds(r))
+		s.openDecodeFor(r, s.prefillEnds(r))
 	case r.decode.granted:
 		s.sendPrefill(r)
 	}
@@ -251,13 +252,14 @@
 	case !g.sent.IsZero():
 		s.stalled(r)
 	case g.chosen != nil:
-		s.count("retry", oriolebend.ReasonQueueFull, r)
+		s.count("refused", oriolebend.ReasonQueueFull, r)
 		s.roundFailed(r, g, oriolebend.ReasonQueueFull, 0)
 	case g.anyOffer():
 		s.choose(r, g)
 	default:
 		for _, p := range g.probes {
 			p.server.health.Fail(s.now)
+			s.count("refused", oriolebend.ReasonServerLost, r)
 		}
 		s.roundFailed(r, g, or(g.reason, oriolebend.ReasonServerLost), g.retryAfter)
 	}
@@ -332,7 +334,7 @@
 	s.closeRound(r, r.prefill)
 	s.closeRound(r, r.call)
 	s.dropResult(r)
-	for _, a := range []alarm{alarmHold, alarmHedge, alarmTransfer, alarmStall, alarmStatus} {
+	for _, a := range []alarm{alarmReserve, alarmHold, alarmHedge, alarmTransfer, alarmStall, alarmStatus} {
 		r.clearAlarm(a)
 	}
 }
--- a/internal/reducer/entry/retry.go
+++ b/internal/reducer/entry/retry.go
@@ -23,7 +23,7 @@
 	if reason == oriolebend.ReasonEngineFailed {
 		r.engineFailures++
 		if r.engineFailures >= s.config.MaxEngineFailures {
-			s.giveUp(r, reason, 0)
+			s.giveUp(r, reason, comeBack)
 			return
 		}
 	}
@@ -35,9 +35,14 @@
 		s.giveUp(r, oriolebend.ReasonRetryBudget, wait)
 		return
 	}
+	s.takeRetry(r)
+	s.pause(r, wait)
+}
+
+// takeRetry spends one retry of the organisation's and of the lane's budget.
+func (s *State) takeRetry(r *request) {
 	r.org.budget.Take(s.now)
 	r.lane.budget.Take(s.now)
-	s.pause(r, wait)
 }
 
 // progressed notes that a request came forward: its next failure starts with
--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -212,10 +212,10 @@
 // giveUp ends a request without an answer, and tells so at once where that is
 // true without the record.
 func (s *State) giveUp(r *request, reason oriolebend.Reason, after time.Duration) {
-	s.count("givenUp", reason, r)
 	if s.leaveCallRunning(r, reason, after) {
 		return
 	}
+	s.count("givenUp", reason, r)
 	r.lastReason = reason
 	problem := &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanNo, RetryAfter: after}
 	r.outcome.problem = problem
@@ -238,6 +238,7 @@
 	if r.outcome.told {
 		return true
 	}
+	s.count("givenUp", reason, r)
 	r.outcome.problem = &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanUnknown, RetryAfter: after}
 	s.tell(r)
 	r.outcome.problem = nil
--- a/internal/reducer/entry/timer.go
+++ b/internal/reducer/entry/timer.go
@@ -16,6 +16,7 @@
 	alarmDecode                // the decode round: offers, grant
 	alarmStandby               // the second decode round: offers
 	alarmCall                  // the call round: offers, grant
+	alarmReserve               // decode room is to be asked for once more
 	alarmHold                  // prefill room was held idle for long enough
 	alarmHedge                 // the transfer is slow: get a second server ready
 	alarmTransfer              // the transfer is late
@@ -104,6 +105,8 @@
 		s.roundDue(r, r.standby)
 	case alarmCall:
 		s.roundDue(r, r.call)
+	case alarmReserve:
+		s.reserveAgain(r)
 	case alarmHold:
 		s.releasePrefillHold(r)
 	case alarmHedge:
--- a/internal/reducer/entry/world_test.go
+++ b/internal/reducer/entry/world_test.go
@@ -29,8 +29,8 @@
 	// executions counts calls by their downstream identity.
 	executions map[string]int
 	// ran names the requests of which an engine did some work.
-	ran map[string]bool
-	drained    bool
+	ran     map[string]bool
+	drained bool
 	// calm is true once nothing fails any more.
 	calm bool
 	next int
