policy, retry, limit: tests; retries wait for budgets that successes refill

Cause: a retry booked its place in an empty budget at the floor's rate, up to minutes ahead, also when successes had filled the budget since. Change: a request that owes a retry looks again after a jittered pause and pays when it gets its turn. Default burst 32 (more than one decode server holds).

--- /dev/null
+++ b/internal/policy/fairqueue_test.go
@@ -0,0 +1,123 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Symptom: a brief waits forever under a steady load of pings.
+func TestPatientAdvancesUnderUrgent(t *testing.T) {
+	is := is.New(t)
+	var q FairQueue[string]
+	q.Push(false, "org", 1, "brief")
+	taken := 0
+	for {
+		q.Push(true, "org", 1, "ping")
+		item, _ := q.Pop()
+		if item == "brief" {
+			break
+		}
+		taken++
+	}
+	is.Equal(taken, urgentRun)
+}
+
+// Symptom: one organisation's flood makes all others wait.
+func TestSharesOfOrganisations(t *testing.T) {
+	is := is.New(t)
+	var q FairQueue[string]
+	for range 100 {
+		q.Push(false, "flood", 1, "flood")
+	}
+	for range 20 {
+		q.Push(false, "double", 2, "double")
+		q.Push(false, "small", 1, "small")
+	}
+	got := map[string]int{}
+	for range 40 {
+		item, _ := q.Pop()
+		got[item]++
+	}
+	is.Equal(got["double"], 20)
+	is.True(got["small"] >= 9 && got["small"] <= 11)
+	is.True(got["flood"] >= 9 && got["flood"] <= 11)
+}
+
+// An organisation that was away has no turns saved up.
+func TestComingBackSavesNoTurns(t *testing.T) {
+	is := is.New(t)
+	var q FairQueue[string]
+	for range 50 {
+		q.Push(false, "steady", 1, "steady")
+		_, _ = q.Pop()
+	}
+	for range 10 {
+		q.Push(false, "steady", 1, "steady")
+		q.Push(false, "back", 1, "back")
+	}
+	got := map[string]int{}
+	for range 10 {
+		item, _ := q.Pop()
+		got[item]++
+	}
+	is.True(got["steady"] >= 4)
+}
+
+// Nothing is lost, doubled or reordered within an organisation and urgency.
+func TestFairQueueKeepsItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q FairQueue[string]
+		held := map[string]bool{}
+		lastOf := map[string]int{}
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			org := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org")
+			urgent := rapid.Bool().Draw(t, "urgent")
+			switch rapid.IntRange(0, 3).Draw(t, "do") {
+			case 0, 1:
+				item := fmt.Sprintf("%v %s %d", urgent, org, i)
+				q.Push(urgent, org, 1, item)
+				held[item] = true
+			case 2:
+				item, found := q.Pop()
+				if found != (len(held) > 0) || found && !held[item] {
+					t.Fatalf("popped %q of %d", item, len(held))
+				}
+				delete(held, item)
+				checkOrder(t, item, lastOf)
+			default:
+				for item := range held {
+					var was bool
+					var of string
+					var n int
+					_, _ = fmt.Sscanf(item, "%t %s %d", &was, &of, &n)
+					if !q.Remove(was, of, item) {
+						t.Fatalf("%q not found", item)
+					}
+					delete(held, item)
+					break
+				}
+			}
+			if q.Len() != len(held) {
+				t.Fatalf("length %d of %d", q.Len(), len(held))
+			}
+		}
+	})
+}
+
+func checkOrder(t *rapid.T, item string, lastOf map[string]int) {
+	if item == "" {
+		return
+	}
+	var urgent bool
+	var org string
+	var n int
+	_, _ = fmt.Sscanf(item, "%t %s %d", &urgent, &org, &n)
+	key := fmt.Sprint(urgent, org)
+	if last, seen := lastOf[key]; seen && n < last {
+		t.Fatalf("%q after %d", item, last)
+	}
+	lastOf[key] = n
+}
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -48,9 +48,10 @@
 	// means 0.2.
 	RetryShare float64
 	// RetryFloor is how many retries a second a budget gains without any
-	// success, so that accepted work always advances; zero means 0.5.
+	// success, so that accepted work always advances; zero means 1.
 	RetryFloor float64
-	// RetryBurst bounds a retry budget; zero means 10.
+	// RetryBurst bounds a retry budget; zero means 32, which is more than the
+	// requests that one decode server holds.
 	RetryBurst float64
 	// MaxConcurrency bounds the adaptive concurrency limit of a pool; zero
 	// means 1,024.
@@ -116,8 +117,8 @@
 	c.MaxWaiting = or(c.MaxWaiting, 2048)
 	c.MaxWaitingBytes = or(c.MaxWaitingBytes, 64<<20)
 	c.RetryShare = or(c.RetryShare, 0.2)
-	c.RetryFloor = or(c.RetryFloor, 0.5)
-	c.RetryBurst = or(c.RetryBurst, 10)
+	c.RetryFloor = or(c.RetryFloor, 1)
+	c.RetryBurst = or(c.RetryBurst, 32)
 	c.MaxConcurrency = or(c.MaxConcurrency, 1024)
 	c.ClaimLease = or(c.ClaimLease, 30*time.Second)
 	c.ClaimWithin = or(c.ClaimWithin, 3*time.Second)
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -60,7 +60,9 @@
 	case r.output.tokens == 0:
 		took := s.now.Sub(r.arrived)
 		s.observe("firstToken", r, took.Seconds())
-		r.lane.first.observe(r, took, s.now)
+		if r.Urgency == oriolebend.Urgent {
+			r.lane.first.observe(r, took, s.now)
+		}
 	case tokens > 0:
 		s.observe("betweenTokens", r, s.now.Sub(r.lastOutput).Seconds()/float64(tokens))
 	}
--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -129,6 +129,9 @@
 			return
 		}
 		r.queued = false
+		if !s.mayRetry(r) {
+			continue
+		}
 		s.takePlace(r)
 		s.begin(r)
 	}
--- a/internal/reducer/entry/retry.go
+++ b/internal/reducer/entry/retry.go
@@ -27,16 +27,43 @@
 			return
 		}
 	}
-	wait := max(r.org.budget.Wait(s.now), r.lane.budget.Wait(s.now))
-	if wait > 0 {
-		s.count("retryDelayed", oriolebend.ReasonRetryBudget, r)
+	r.owesRetry = true
+	if wait := s.retryWait(r); wait > 0 {
+		s.delayRetry(r, wait)
+		return
 	}
+	s.pause(r, 0)
+}
+
+// retryWait is how long the budgets keep a request from trying again.
+func (s *State) retryWait(r *request) time.Duration {
+	return max(r.org.budget.Wait(s.now), r.lane.budget.Wait(s.now))
+}
+
+// delayRetry has a request wait for a budget. It looks again after a random
+// pause: successes may fill the budget sooner than its floor.
+func (s *State) delayRetry(r *request, wait time.Duration) {
 	if !r.Deadline.IsZero() && s.now.Add(wait).After(r.Deadline) {
 		s.giveUp(r, oriolebend.ReasonRetryBudget, wait)
 		return
 	}
+	s.count("retryDelayed", oriolebend.ReasonRetryBudget, r)
+	s.waitFor(r, retry.FullJitter(s.rng, s.config.RetryMax, s.config.RetryMax, 0))
+}
+
+// mayRetry pays for the retry of a request that got its turn; it reports false
+// if the budgets are empty, and the request waits on.
+func (s *State) mayRetry(r *request) bool {
+	if !r.owesRetry {
+		return true
+	}
+	if wait := s.retryWait(r); wait > 0 {
+		s.delayRetry(r, wait)
+		return false
+	}
+	r.owesRetry = false
 	s.takeRetry(r)
-	s.pause(r, wait)
+	return true
 }
 
 // takeRetry spends one retry of the organisation's and of the lane's budget.
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -141,6 +141,8 @@
 	tries          int
 	engineFailures int
 	lastReason     oriolebend.Reason
+	// owesRetry is true while a retry is not yet taken off the budgets.
+	owesRetry bool
 
 	outcome outcome
 }
--- a/internal/reducer/limit/limit.go
+++ b/internal/reducer/limit/limit.go
@@ -10,6 +10,10 @@
 	Start float64
 	// Min and Max bound the limit; zero means 4 and 1,024.
 	Min, Max float64
+	// Grow is what one success adds while the limit holds work back; zero means
+	// 0.5: an entry with a few requests a second has to win back in seconds
+	// what one period of refusals took.
+	Grow float64
 	// Backoff multiplies the limit when work was refused for lack of room;
 	// zero means 0.85.
 	Backoff float64
@@ -17,8 +21,8 @@
 	Every time.Duration
 }
 
-// Concurrency is a limit on work in progress that grows by one for each limit
-// of successes and shrinks by a factor when servers refuse for lack of room.
+// Concurrency is a limit on work in progress that grows by a step with each
+// success and shrinks by a factor when servers refuse for lack of room.
 //
 // With a fixed limit an entry keeps asking full servers when the fleet shrinks
 // and leaves them idle when it grows; one would notice refusals of gates, or
@@ -35,6 +39,7 @@
 	fill(&c.Start, 64)
 	fill(&c.Min, 4)
 	fill(&c.Max, 1024)
+	fill(&c.Grow, 0.5)
 	fill(&c.Backoff, 0.85)
 	if c.Every == 0 {
 		c.Every = 500 * time.Millisecond
@@ -74,7 +79,7 @@
 	if float64(c.running) < c.limit/2 {
 		return
 	}
-	c.limit = min(c.config.Max, c.limit+1/c.limit)
+	c.limit = min(c.config.Max, c.limit+c.config.Grow)
 }
 
 // Refused shrinks the limit, once for the refusals of one period.
--- /dev/null
+++ b/internal/reducer/limit/limit_test.go
@@ -0,0 +1,59 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// The limit shrinks to what the servers carry, once for each period, and grows
+// back while it is what holds work back.
+func TestConcurrencyAdapts(t *testing.T) {
+	is := is.New(t)
+	c := NewConcurrency(Config{Start: 40})
+	for range 20 {
+		is.True(c.Acquire())
+	}
+	c.Refused(start)
+	shrunk := c.Limit()
+	is.True(shrunk < 20)
+	is.True(!c.Acquire())
+	c.Refused(start.Add(time.Millisecond))
+	is.Equal(c.Limit(), shrunk)
+	now := start
+	for range 100 {
+		now = now.Add(time.Hour)
+		c.Refused(now)
+	}
+	is.Equal(c.Limit(), 4.0) // work always goes on
+	for range 200 {
+		c.Succeeded()
+	}
+	is.True(c.Limit() > 40 && c.Limit() < 41) // 20 run: it holds nothing back
+	for range 20 {
+		c.Release()
+	}
+	is.Equal(c.Running(), 0)
+}
+
+func TestRate(t *testing.T) {
+	is := is.New(t)
+	var free Rate
+	for range 100 {
+		_, allowed := free.Allow(start)
+		is.True(allowed)
+	}
+	r := Rate{PerSecond: 2, Burst: 3}
+	for range 3 {
+		_, allowed := r.Allow(start)
+		is.True(allowed)
+	}
+	after, allowed := r.Allow(start)
+	is.True(!allowed)
+	is.Equal(after, 500*time.Millisecond)
+	_, allowed = r.Allow(start.Add(after))
+	is.True(allowed)
+}
--- a/internal/reducer/retry/budget.go
+++ b/internal/reducer/retry/budget.go
@@ -12,9 +12,9 @@
 	// Share is how many retries one success earns; zero means 0.2.
 	Share float64
 	// Floor is how many retries a second come without any success, so that
-	// accepted work always advances; zero means 0.5.
+	// accepted work always advances; zero means 1.
 	Floor float64
-	// Burst bounds what is saved up, and is there at the start; zero means 10.
+	// Burst bounds what is saved up, and is there at the start; zero means 32.
 	Burst float64
 }
 
@@ -35,10 +35,10 @@
 		c.Share = 0.2
 	}
 	if c.Floor == 0 {
-		c.Floor = 0.5
+		c.Floor = 1
 	}
 	if c.Burst == 0 {
-		c.Burst = 10
+		c.Burst = 32
 	}
 	return &Budget{config: c, tokens: c.Burst}
 }
@@ -59,9 +59,8 @@
 	return time.Duration((1 - b.tokens) / b.config.Floor * float64(time.Second))
 }
 
-// Take spends one retry. The tokens may go below zero: each retry that has to
-// wait for the floor books its own place, so that waiters do not all come at
-// the same time.
+// Take spends one retry. The tokens may go below zero, for a retry that is
+// cheaper now than later; the next ones then wait longer.
 func (b *Budget) Take(now time.Time) {
 	b.refill(now)
 	b.tokens--
