standin: servers of one service share a ledger; a running call is no outcome

Cause: a status call may reach another server of the service than the call did, and 202 for a call that still runs was read as its answer by the entry. Change: Ledger counts over all servers; the status of a running call is 409. A test that relied on a port staying free after its server closed failed when another process took the port; it uses port 1 now.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -143,10 +143,8 @@
 }
 
 func TestNobodyListens(t *testing.T) {
-	is := is.New(t)
-	server, err := standin.Serve(http.NotFoundHandler())
-	is.NoErr(err)
-	is.NoErr(server.Close())
-	_, err = engine.NewClient(engine.Config{BaseURL: server.URL()}).Info(t.Context())
-	is.Equal(reasonOf(t, err), oriolebend.ReasonServerLost)
+	// Port 1 is never given to a process that asks for any free port.
+	client := engine.NewClient(engine.Config{BaseURL: "http://127.0.0.1:1"})
+	_, err := client.Info(t.Context())
+	is.New(t).Equal(reasonOf(t, err), oriolebend.ReasonServerLost)
 }
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -28,19 +28,23 @@
 	Identity: "acme/tips/k1",
 }
 
+// nobody is an address on which nothing listens. A port that a test gave up
+// may be taken by another process.
+const nobody = "http://127.0.0.1:1"
+
 // serve serves a stand-in service over loopback and returns a client of it.
-func serve(t *testing.T) (*standin.Service, *standin.Server, *service.Client) {
+func serve(t *testing.T) (*standin.Service, *service.Client) {
 	t.Helper()
 	stand := standin.NewService(standin.ServiceConfig{Name: "liquidacion"})
 	server, err := standin.Serve(stand.Handler())
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = server.Close() })
-	return stand, server, service.NewClient(service.Config{BaseURL: server.URL(), MaxBodyBytes: 1 << 10})
+	return stand, service.NewClient(service.Config{BaseURL: server.URL(), MaxBodyBytes: 1 << 10})
 }
 
 func TestCallAndStatus(t *testing.T) {
 	is := is.New(t)
-	stand, _, client := serve(t)
+	stand, client := serve(t)
 	got, err := client.Call(t.Context(), tip)
 	is.NoErr(err)
 	is.Equal(got.Attempt, tip.Attempt)
@@ -88,20 +92,23 @@
 func TestWhatIsToldOfALostCall(t *testing.T) {
 	for _, row := range []struct {
 		name   string
-		fault  func(*standin.Service, *standin.Server)
+		fault  standin.Fault
 		reason oriolebend.Reason
 		ran    oriolebend.Ran
 		count  int
 	}{
-		{"nobody listens", func(_ *standin.Service, v *standin.Server) { _ = v.Close() }, oriolebend.ReasonServerLost, oriolebend.RanNo, 0},
-		{"lost before the execution", func(s *standin.Service, _ *standin.Server) { s.FailNext(standin.FaultBefore) }, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 0},
-		{"lost after the execution", func(s *standin.Service, _ *standin.Server) { s.FailNext(standin.FaultAfter) }, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 1},
-		{"lost in the answer", func(s *standin.Service, _ *standin.Server) { s.FailNext(standin.FaultHalf) }, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 1},
+		{"lost before the execution", standin.FaultBefore, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 0},
+		{"lost after the execution", standin.FaultAfter, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 1},
+		{"lost in the answer", standin.FaultHalf, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 1},
+		{"nobody listens", "", oriolebend.ReasonServerLost, oriolebend.RanNo, 0},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
-			stand, server, client := serve(t)
-			row.fault(stand, server)
+			stand, client := serve(t)
+			stand.FailNext(row.fault)
+			if row.fault == "" {
+				client = service.NewClient(service.Config{BaseURL: nobody})
+			}
 			_, err := client.Call(t.Context(), tip)
 			var typed *service.Error
 			is.True(errors.As(err, &typed))
@@ -117,7 +124,7 @@
 // net/http sends a request that carries an Idempotency-Key again by itself.
 func TestKeptConnectionDies(t *testing.T) {
 	is := is.New(t)
-	stand, _, client := serve(t)
+	stand, client := serve(t)
 	_, err := client.Call(t.Context(), tip)
 	is.NoErr(err)
 	stand.FailNext(standin.FaultAfter)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -18,9 +18,6 @@
 // HeaderIdentity carries the identity of a call.
 const HeaderIdentity = "Idempotency-Key"
 
-// keptOutcomes bounds the calls whose outcome a service remembers.
-const keptOutcomes = 100_000
-
 // maxCallBytes bounds the body of a call.
 const maxCallBytes = 8 << 20
 
@@ -30,6 +27,9 @@
 	Name string
 	// Delay is how long an execution takes.
 	Delay time.Duration
+	// Ledger is shared by the servers of one service, as their database; nil
+	// means one of the server's own.
+	Ledger *Ledger
 }
 
 // ServiceAnswer is the body of a service's answer.
@@ -63,27 +63,20 @@
 // it, also one that it has seen before, and counts: a call that the router
 // lets through twice shows. An execution goes on when its caller is gone.
 type Service struct {
+	*Ledger
 	config ServiceConfig
 
-	mu         sync.Mutex
-	delay      time.Duration
-	faults     []Fault
-	total      int
-	byIdentity map[string]int
-	byPayload  map[string]int
-	outcomes   map[string]*ServiceAnswer // nil while the call runs
-	kept       []string
+	mu     sync.Mutex
+	delay  time.Duration
+	faults []Fault
 }
 
 // NewService returns a service.
 func NewService(c ServiceConfig) *Service {
-	return &Service{
-		config:     c,
-		delay:      c.Delay,
-		byIdentity: make(map[string]int),
-		byPayload:  make(map[string]int),
-		outcomes:   make(map[string]*ServiceAnswer),
+	if c.Ledger == nil {
+		c.Ledger = NewLedger()
 	}
+	return &Service{Ledger: c.Ledger, config: c, delay: c.Delay}
 }
 
 // Handler serves the service over HTTP. GET and HEAD have no side effect and
@@ -95,40 +88,6 @@
 	return mux
 }
 
-// Total returns how many calls with side effects were executed.
-func (s *Service) Total() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.total
-}
-
-// ByIdentity returns how many executions carried an identity.
-func (s *Service) ByIdentity(identity string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.byIdentity[identity]
-}
-
-// ByPayload returns how many executions carried a body.
-func (s *Service) ByPayload(body []byte) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.byPayload[payloadHash(body)]
-}
-
-// Doubled returns the identities that were executed more than once.
-func (s *Service) Doubled() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var doubled []string
-	for _, identity := range s.kept {
-		if s.byIdentity[identity] > 1 {
-			doubled = append(doubled, identity)
-		}
-	}
-	return doubled
-}
-
 // SetDelay changes how long an execution takes.
 func (s *Service) SetDelay(d time.Duration) {
 	s.mu.Lock()
@@ -172,31 +131,12 @@
 
 // execute spends the time of a call and counts it.
 func (s *Service) execute(a *ServiceAnswer) {
-	delay := s.begin(a.Identity)
-	time.Sleep(delay)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.total++
-	s.byIdentity[a.Identity]++
-	s.byPayload[a.Payload]++
-	a.Execution = s.byIdentity[a.Identity]
-	outcome := *a
-	s.outcomes[a.Identity] = &outcome
-}
-
-// begin remembers a call as running and returns how long it takes.
-func (s *Service) begin(identity string) time.Duration {
+	s.begin(a.Identity)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.outcomes[identity]; !ok {
-		s.outcomes[identity] = nil
-		s.kept = append(s.kept, identity)
-	}
-	if len(s.kept) > keptOutcomes {
-		delete(s.outcomes, s.kept[0])
-		s.kept = s.kept[1:]
-	}
-	return s.delay
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	s.end(a)
 }
 
 func (s *Service) nextFault() Fault {
@@ -226,16 +166,14 @@
 }
 
 // serveStatus tells the outcome of an earlier call: 200 with its answer once
-// it was executed, 202 while it runs, 404 if it never came.
+// it was executed, 409 while it runs, 404 if it never came.
 func (s *Service) serveStatus(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	outcome, ok := s.outcomes[r.PathValue("identity")]
-	s.mu.Unlock()
+	outcome, known := s.outcome(r.PathValue("identity"))
 	switch {
-	case !ok:
+	case !known:
 		http.Error(w, "no such call", http.StatusNotFound)
 	case outcome == nil:
-		w.WriteHeader(http.StatusAccepted)
+		http.Error(w, "the call runs", http.StatusConflict)
 	default:
 		s.answer(w, *outcome, "")
 	}
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -26,7 +26,7 @@
 		request.Header.Set(HeaderIdentity, "k1")
 		_, err = client.Do(request)
 		is.True(err != nil)
-		is.Equal(status(t, client, "k1"), http.StatusAccepted) // it runs
+		is.Equal(status(t, client, "k1"), http.StatusConflict) // it runs
 		is.Equal(status(t, client, "k2"), http.StatusNotFound)
 		time.Sleep(time.Minute)
 		is.Equal(s.ByIdentity("k1"), 1)
@@ -34,6 +34,26 @@
 	})
 }
 
+// TestServersShareALedger: symptom: a tip is paid twice and no count shows it.
+// Sequence: one call goes to two servers of a service. Cause: each would count
+// one execution.
+func TestServersShareALedger(t *testing.T) {
+	is := is.New(t)
+	ledger := NewLedger()
+	for range 2 {
+		s := NewService(ServiceConfig{Ledger: ledger})
+		client := http.Client{Transport: MemoryNetwork{"s": s.Handler()}}
+		request, err := http.NewRequest(http.MethodPost, "http://s/tips", strings.NewReader("{}"))
+		is.NoErr(err)
+		request.Header.Set(HeaderIdentity, "k1")
+		response, err := client.Do(request)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+	is.Equal(ledger.Doubled(), []string{"k1"})
+	is.Equal(ledger.ByPayload([]byte("{}")), 2)
+}
+
 func status(t *testing.T, c http.Client, identity string) int {
 	t.Helper()
 	response, err := c.Get("http://s" + PathStatus + identity)
