peer: bring about the faults of endpoints, certificates and frames

Cause: the first Stop never told the other side: a datagram read without waiting is not seen while the connection is busy, so a stop hung. Change: each connection reads its datagrams in a goroutine; health of a connection is a struct of its own that is tested without sockets; a dial that completes beside Close ends its connection.

--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -51,10 +51,11 @@
 
 // Issue makes a key and a certificate for a process.
 func (a *Authority) Issue(identity Identity) (Material, error) {
-	return a.issueFor(identity, certificateLife)
+	return a.IssueFor(identity, certificateLife)
 }
 
-func (a *Authority) issueFor(identity Identity, life time.Duration) (Material, error) {
+// IssueFor is Issue for a certificate that is valid for a time from now.
+func (a *Authority) IssueFor(identity Identity, life time.Duration) (Material, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return Material{}, errorf(CodeMalformedFile, identity.Name, err, "make the key")
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+func TestCodecRefuses(t *testing.T) {
+	whole, err := Codec{}.Append(nil, message.Part{Text: "abc"})
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name  string
+		bytes []byte
+		want  Code
+	}{
+		{"lengthBreaksOff", []byte{0x80}, CodeGarbled},
+		{"lengthTooLong", []byte{0x80, 0x80, 0x80, 0x80, 0x80, 0x01}, CodeGarbled},
+		{"tooLarge", []byte{0xff, 0xff, 0xff, 0xff, 0x0f}, CodeTooLarge},
+		{"empty", []byte{0}, CodeGarbled},
+		{"frameBreaksOff", whole[:len(whole)-1], CodeGarbled},
+		{"kindBreaksOff", []byte{2, 4, 'p'}, CodeGarbled},
+		{"kindTooLong", append([]byte{100, 99}, make([]byte, 99)...), CodeGarbled},
+		{"bodyMissing", []byte{5, 4, 'p', 'a', 'r', 't'}, CodeGarbled},
+		{"unknownKind", []byte{3, 1, 'x', 0xa0}, CodeUnknownKind},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Codec{}.Read(bytes.NewReader(c.bytes))
+			is.New(t).Equal(CodeOf(err), c.want)
+		})
+	}
+}
+
+func TestCodecEnd(t *testing.T) {
+	_, err := Codec{}.Read(bytes.NewReader(nil))
+	is.New(t).True(errors.Is(err, io.EOF))
+}
+
+// Symptom: a four-byte frame makes the process allocate megabytes. Cause: the
+// announced length was believed before its bytes came.
+func TestAnnouncedLengthIsNotAllocated(t *testing.T) {
+	i := is.New(t)
+	announced := []byte{0xff, 0xff, 0xff, 0x07} // 16 MiB - 1
+	bytesPerRun := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = Codec{}.Read(bytes.NewReader(announced))
+		}
+	}).AllocedBytesPerOp()
+	i.True(bytesPerRun < 4*readStep)
+}
+
+// Every kind travels: its zero value comes back as the type it was.
+func TestEveryKindTravels(t *testing.T) {
+	for _, kind := range message.Kinds() {
+		i := is.New(t)
+		zero, err := message.DecodeBody(kind, []byte{0xa0}, decodeMode.Unmarshal)
+		i.NoErr(err)
+		frame, err := Codec{}.Append(nil, zero)
+		i.NoErr(err)
+		got, err := Codec{}.Read(bytes.NewReader(frame))
+		i.NoErr(err)
+		i.Equal(got, zero)
+	}
+}
+
+func FuzzCodecRead(f *testing.F) {
+	for _, m := range []message.Message{
+		message.Reserve{Prefix: []uint64{1, 2}},
+		message.Offer{LinkBytes: 1},
+		message.Part{Text: "a\xff"},
+		message.Update{Resources: [][]byte{{1}}},
+		message.Append{Entries: []message.LogEntry{{Index: 1}}},
+	} {
+		frame, err := Codec{}.Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := Codec{MaxFrameBytes: 1 << 16}.Read(bytes.NewReader(frame))
+		if err != nil {
+			if CodeOf(err) == "" && !errors.Is(err, io.EOF) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		again, err := Codec{}.Append(nil, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := (Codec{}).Read(bytes.NewReader(again)); err != nil {
+			t.Fatalf("what was read can't be read again: %v", err)
+		}
+	})
+}
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -25,12 +25,8 @@
 	address  string
 	side     string
 
-	lock      sync.Mutex
-	sessions  int
-	idleSince time.Time
-	bye       bool
-	packets   uint64
-	silent    int
+	lock   sync.Mutex
+	health health
 }
 
 func newConnection(e *Endpoint, q *quic.Conn, side string) (*connection, error) {
@@ -44,7 +40,12 @@
 	}
 	return &connection{
 		endpoint: e, quic: q, peer: identity, side: side,
-		address: q.RemoteAddr().String(), idleSince: time.Now(),
+		address: q.RemoteAddr().String(),
+		health: health{
+			dialled:   side == sideOpened,
+			idleAfter: e.config.IdleAfter,
+			idleSince: time.Now(),
+		},
 	}, nil
 }
 
@@ -64,76 +65,32 @@
 func (c *connection) began() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.sessions++
-	if c.sessions == 1 {
-		c.silent = 0
-	}
+	c.health.began()
 }
 
 func (c *connection) ended() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.sessions--
-	c.idleSince = time.Now()
+	c.health.ended(time.Now())
 }
 
 // usable reports whether new sessions may be opened.
 func (c *connection) usable() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	return !c.bye && c.quic.Context().Err() == nil
+	return !c.health.bye && c.quic.Context().Err() == nil
 }
 
-// verdict is what the watcher does with a connection.
-type verdict string
-
-const (
-	verdictKeep   verdict = "keep"
-	verdictPing   verdict = "ping"
-	verdictSilent verdict = "silent"
-	verdictIdle   verdict = "idle"
-)
-
-// judge is called at each tick with the number of packets received so far.
-// Ticks are counted rather than time, so that a process that was itself
-// paused hears its peers before it calls them silent.
-func (c *connection) judge(packets uint64, now time.Time, stopping bool) verdict {
+func (c *connection) judge(now time.Time, stopping bool) verdict {
+	packets := c.quic.ConnectionStats().PacketsReceived
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	heard := packets != c.packets
-	c.packets = packets
-	if heard {
-		c.silent = 0
-	} else {
-		c.silent++
-	}
-	switch {
-	case c.sessions == 0 && c.bye:
-		return verdictIdle
-	case c.sessions == 0 && !stopping:
-		return c.judgeIdle(now)
-	case c.silent >= ticksOfSilence-1:
-		return verdictSilent
-	case !heard:
-		return verdictPing
-	default:
-		return verdictKeep
-	}
-}
-
-// judgeIdle ends only the connections that this side dialled; see quicConfig.
-func (c *connection) judgeIdle(now time.Time) verdict {
-	c.silent = 0
-	if c.side == sideOpened && now.Sub(c.idleSince) >= c.endpoint.config.IdleAfter {
-		return verdictIdle
-	}
-	return verdictKeep
+	return c.health.judge(packets, now, stopping)
 }
 
 // tick carries a verdict out.
 func (c *connection) tick(now time.Time, stopping bool) {
-	c.drainDatagrams()
-	switch c.judge(c.quic.ConnectionStats().PacketsReceived, now, stopping) {
+	switch c.judge(now, stopping) {
 	case verdictPing:
 		c.sendDatagram(datagramPing)
 	case verdictIdle:
@@ -154,28 +111,21 @@
 	_ = c.quic.SendDatagram([]byte{kind})
 }
 
-// drainDatagrams reads what has arrived without waiting.
-func (c *connection) drainDatagrams() {
+// receiveDatagrams reads datagrams until the connection ends.
+func (c *connection) receiveDatagrams() {
 	for {
-		datagram, err := c.quic.ReceiveDatagram(ended)
+		datagram, err := c.quic.ReceiveDatagram(context.Background())
 		if err != nil {
 			return
 		}
 		if len(datagram) == 1 && datagram[0] == datagramBye {
 			c.lock.Lock()
-			c.bye = true
+			c.health.bye = true
 			c.lock.Unlock()
 		}
 	}
 }
 
-// ended is a context that has ended, for calls that must not wait.
-var ended = func() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}()
-
 func (c *connection) close(code quic.ApplicationErrorCode, text string) {
 	_ = c.quic.CloseWithError(code, text)
 }
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -28,6 +28,7 @@
 
 	lock        sync.Mutex
 	connections map[*connection]struct{}
+	closed      bool
 }
 
 // Listen opens the socket and begins to accept sessions. It returns an *Error
@@ -121,7 +122,9 @@
 		_ = q.CloseWithError(connectionRefused, "certificate")
 		return nil, err
 	}
-	e.keep(c)
+	if !e.keep(c) {
+		return nil, errorf(CodeStopping, address, nil, "this process is stopping")
+	}
 	return c, nil
 }
 
@@ -134,22 +137,34 @@
 	return typed
 }
 
-// keep watches a connection until it ends.
-func (e *Endpoint) keep(c *connection) {
+// keep watches a connection until it ends. It returns false, and ends the
+// connection, if the endpoint was closed meanwhile: a dial that completes
+// beside Close would otherwise leave a connection that nobody ever ends.
+func (e *Endpoint) keep(c *connection) bool {
 	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.closed {
+		c.close(connectionStopping, "stopping")
+		return false
+	}
 	e.connections[c] = struct{}{}
-	e.lock.Unlock()
-	gauge := e.config.Metrics.Connections.WithLabelValues(c.side)
-	gauge.Inc()
+	e.tasks.Go(c.receiveDatagrams)
+	if c.side == sideAccepted {
+		e.tasks.Go(func() { e.serve(c) })
+	}
+	e.config.Metrics.Connections.WithLabelValues(c.side).Inc()
 	e.config.Logger.Debug("connected", "peer", c.peer.Name, "address", c.address, "side", c.side)
-	context.AfterFunc(c.quic.Context(), func() {
-		gauge.Dec()
-		e.lock.Lock()
-		delete(e.connections, c)
-		e.lock.Unlock()
-		e.config.Logger.Debug("disconnected", "peer", c.peer.Name, "address", c.address,
-			"side", c.side, "cause", context.Cause(c.quic.Context()))
-	})
+	context.AfterFunc(c.quic.Context(), func() { e.forget(c) })
+	return true
+}
+
+func (e *Endpoint) forget(c *connection) {
+	e.lock.Lock()
+	delete(e.connections, c)
+	e.lock.Unlock()
+	e.config.Metrics.Connections.WithLabelValues(c.side).Dec()
+	e.config.Logger.Debug("disconnected", "peer", c.peer.Name, "address", c.address,
+		"side", c.side, "cause", context.Cause(c.quic.Context()))
 }
 
 func (e *Endpoint) kept() []*connection {
@@ -175,7 +190,6 @@
 			continue
 		}
 		e.keep(c)
-		e.tasks.Go(func() { e.serve(c) })
 	}
 }
 
@@ -244,6 +258,9 @@
 // Close ends the endpoint at once and cuts its sessions.
 func (e *Endpoint) Close() error {
 	e.stopping.Store(true)
+	e.lock.Lock()
+	e.closed = true
+	e.lock.Unlock()
 	for _, c := range e.kept() {
 		c.close(connectionStopping, "stopping")
 	}
@@ -257,3 +274,8 @@
 	}
 	return nil
 }
+
+// Connections counts the connections that are open, in both directions.
+func (e *Endpoint) Connections() int {
+	return len(e.kept())
+}
--- /dev/null
+++ b/internal/peer/health_test.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestJudge(t *testing.T) {
+	const idleAfter = time.Minute
+	now := time.Unix(1_000, 0)
+	cases := []struct {
+		name     string
+		h        health
+		packets  uint64
+		stopping bool
+		want     verdict
+	}{
+		{name: "heard", h: health{sessions: 1, packets: 4, silent: 4}, packets: 5, want: verdictKeep},
+		{name: "quiet", h: health{sessions: 1, packets: 5}, packets: 5, want: verdictPing},
+		{name: "stillQuiet", h: health{sessions: 1, packets: 5, silent: 3}, packets: 5, want: verdictPing},
+		{name: "silent", h: health{sessions: 1, packets: 5, silent: 4}, packets: 5, want: verdictSilent},
+		{name: "noSessions", h: health{packets: 5, silent: 9, idleSince: now}, packets: 5, want: verdictKeep},
+		{name: "idle", h: health{dialled: true, idleSince: now.Add(-idleAfter)}, want: verdictIdle},
+		{name: "notIdleYet", h: health{dialled: true, idleSince: now.Add(1 - idleAfter)}, want: verdictKeep},
+		{name: "idleButAccepted", h: health{idleSince: now.Add(-idleAfter)}, want: verdictKeep},
+		{name: "bye", h: health{bye: true}, want: verdictIdle},
+		{name: "byeWithSessions", h: health{bye: true, sessions: 1, packets: 5}, packets: 6, want: verdictKeep},
+		{name: "stoppingIsWatched", h: health{packets: 5, silent: 4}, packets: 5, stopping: true, want: verdictSilent},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.h.idleAfter = idleAfter
+			is.New(t).Equal(c.h.judge(c.packets, now, c.stopping), c.want)
+		})
+	}
+}
+
+// Symptom: a new session on a connection that was idle for long is cut at
+// once. Cause: the silence from before it was counted.
+func TestFirstSessionForgetsSilence(t *testing.T) {
+	h := health{silent: 4, packets: 5}
+	h.began()
+	is.New(t).Equal(h.judge(5, time.Unix(0, 0), false), verdictPing)
+}
