--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -164,16 +164,16 @@
 	if c.wasGivenUp(m.RequestID) {
 		return message.ClaimAnswer{}, &oriolebend.Problem{Reason: oriolebend.ReasonAttemptClosed, Ran: oriolebend.RanNo}
 	}
-	answer, err := c.ask(ctx, m)
-	if err != nil {
-		if err.Ran != oriolebend.RanNo {
+	answer, failed := c.ask(ctx, m)
+	if failed != nil {
+		if failed.Ran != oriolebend.RanNo {
 			c.giveUp(m)
 		}
-		return message.ClaimAnswer{}, err
+		return message.ClaimAnswer{}, failed
 	}
-	claimed, ok := answer.(message.ClaimAnswer)
-	if !ok {
-		return message.ClaimAnswer{}, unexpected(answer)
+	claimed, err := answerAs[message.ClaimAnswer](answer)
+	if err != nil {
+		return message.ClaimAnswer{}, err
 	}
 	if claimed.Outcome == message.ClaimRefused {
 		return claimed, &oriolebend.Problem{
@@ -200,11 +200,7 @@
 		}
 		return message.Settled{}, err
 	}
-	settled, ok := answer.(message.Settled)
-	if !ok {
-		return message.Settled{}, unexpected(answer)
-	}
-	return settled, nil
+	return answerAs[message.Settled](answer)
 }
 
 // Query looks a record up. Its answer is current: the leader confirms with a
@@ -214,19 +210,20 @@
 	if err != nil {
 		return message.ClaimAnswer{}, err
 	}
-	found, ok := answer.(message.ClaimAnswer)
-	if !ok {
-		return message.ClaimAnswer{}, unexpected(answer)
-	}
-	return found, nil
+	return answerAs[message.ClaimAnswer](answer)
 }
 
-func unexpected(m message.Message) *oriolebend.Problem {
-	return &oriolebend.Problem{
-		Reason: oriolebend.ReasonInternal,
-		Ran:    oriolebend.RanUnknown,
-		Detail: "unexpected answer of kind " + string(m.Kind()),
+// answerAs returns an answer as the kind that its request is answered by.
+func answerAs[T message.Message](m message.Message) (T, error) {
+	answer, ok := m.(T)
+	if !ok {
+		return answer, &oriolebend.Problem{
+			Reason: oriolebend.ReasonInternal,
+			Ran:    oriolebend.RanUnknown,
+			Detail: "unexpected answer of kind " + string(m.Kind()),
+		}
 	}
+	return answer, nil
 }
 
 // ask sends a request until it is answered or ctx ends. It goes on to another
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -62,11 +62,12 @@
 	return r.state.Query(q)
 }
 
-// Unknown lists the oldest records whose outcome is lost.
-func (r *Records) Unknown(limit int) []record.UnknownRequest {
+// Unknown lists the oldest records whose outcome is lost; with askable only
+// those whose service can tell it.
+func (r *Records) Unknown(limit int, askable bool) []record.UnknownRequest {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.state.Unknown(limit)
+	return r.state.Unknown(limit, askable)
 }
 
 // Sizes counts what is held, for gauges.
--- a/internal/reducer/record/claim.go
+++ b/internal/reducer/record/claim.go
@@ -22,7 +22,7 @@
 	switch {
 	case r.open():
 		return s.view(r, message.ClaimAttach, m.Ticket)
-	case r.reopens():
+	case r.reopens(m.Once):
 		return s.takeOver(r, m)
 	case r.state == message.RecordUnknown:
 		return s.view(r, message.ClaimUnknown, m.Ticket)
@@ -94,6 +94,7 @@
 func (s *State) takeOver(r *request, m message.Claim) message.ClaimAnswer {
 	s.bytes -= r.cost()
 	r.nextOwnership()
+	r.once = r.once || m.Once
 	s.own(r, m)
 	s.bytes += r.cost()
 	return s.view(r, message.ClaimOwned, m.Ticket)
--- a/internal/reducer/record/query.go
+++ b/internal/reducer/record/query.go
@@ -57,10 +57,14 @@
 	Since time.Time
 }
 
-// Unknown lists at most limit unknown records, the oldest first.
-func (s *State) Unknown(limit int) []UnknownRequest {
+// Unknown lists at most limit unknown records, the oldest first. With askable
+// it lists only those whose service can tell the outcome.
+func (s *State) Unknown(limit int, askable bool) []UnknownRequest {
 	var found []UnknownRequest
 	for r := s.unknown.head; r != nil && len(found) < limit; r = r.next {
+		if askable && r.status == nil {
+			continue
+		}
 		found = append(found, UnknownRequest{
 			RequestID: r.requestID,
 			Scope:     r.scope,
--- a/internal/reducer/record/request.go
+++ b/internal/reducer/record/request.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -18,6 +19,10 @@
 // the distance keeps them apart from those of the next owner at the gates.
 const attemptsPerOwner = 1 << 12
 
+// maxAttempt is where a record stops to be reopened, before its attempt
+// numbers would begin anew and pass the fences of old ones.
+const maxAttempt = math.MaxUint32 - 2*attemptsPerOwner
+
 // digest identifies a scope or a request id in the indexes. Callers choose
 // keys, so it is cut from a cryptographic hash.
 type digest [16]byte
@@ -70,9 +75,14 @@
 }
 
 // reopens reports whether a retry may run the request again: it never ran, or
-// it may be repeated and its owner is gone.
-func (r *request) reopens() bool {
-	return r.state == message.RecordNotRun || r.orphaned
+// it may be repeated and its owner is gone. A claim that counts the command as
+// one to run once, because its route was declared anew in between, does not
+// reopen what may have run.
+func (r *request) reopens(once bool) bool {
+	if r.attempt >= maxAttempt {
+		return false
+	}
+	return r.state == message.RecordNotRun || (r.orphaned && !once)
 }
 
 // ownedSince reports whether the attempt belongs to the record's present or
--- a/internal/reducer/record/script_test.go
+++ b/internal/reducer/record/script_test.go
@@ -66,7 +66,7 @@
 		z := s.state.Sizes()
 		fmt.Fprintf(out, "records=%d unknown=%d answerBytes=%d\n", z.Records, z.Unknown, z.AnswerBytes)
 	case "unknown":
-		for _, u := range s.state.Unknown(10) {
+		for _, u := range s.state.Unknown(10, false) {
 			fmt.Fprintf(out, "%s attempt=%d server=%s\n", u.RequestID, u.Attempt, u.Server)
 		}
 	default:
--- a/internal/reducer/record/settle.go
+++ b/internal/reducer/record/settle.go
@@ -117,6 +117,9 @@
 func (s *State) outcome(r *request, to message.RecordState, a *message.Answer) {
 	r.orphaned = false
 	r.reason = ""
+	if a != nil {
+		r.reason = a.Reason
+	}
 	if to == message.RecordUnknown {
 		r.reason = oriolebend.ReasonOutcomeLost
 	}
@@ -133,9 +136,6 @@
 		r.reason = oriolebend.ReasonAnswerNotKept
 		return
 	}
-	if a.Reason != "" {
-		r.reason = a.Reason
-	}
 	size := answerBytes(a)
 	if size > int64(s.limits.MaxAnswerBytes) || s.answerBytes+size > s.limits.MaxAnswersBytes {
 		r.reason = oriolebend.ReasonAnswerNotKept
