agreement: interleavings drawn evenly from a seed

Cause: rapid prefers small numbers, so most actions were rare and six of nine rules could be broken unseen. Change: rapid draws the seed and length, a generator of that seed the steps.

--- a/internal/reducer/agreement/random_test.go
+++ b/internal/reducer/agreement/random_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -35,12 +37,13 @@
 func TestRandomInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"a", "b", "c", "d", "e"}
-		founders := rapid.SampledFrom([]int{1, 3, 3, 3, 5}).Draw(t, "founders")
-		s := newSim(names, founders, smallConfig())
+		seed := rapid.SliceOfN(rapid.Byte(), chachaSeedBytes, chachaSeedBytes).Draw(t, "seed")
+		d := dice{rand.New(rand.NewChaCha8([chachaSeedBytes]byte(seed)))}
+		s := newSim(names, []int{1, 3, 3, 3, 5}[d.IntN(5)], smallConfig())
 		s.run(40)
-		steps := rapid.IntRange(50, 300).Draw(t, "steps")
-		for range steps {
-			s.step(t)
+		weights := drawWeights(d)
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			s.step(d, weights)
 			if s.failure != "" {
 				t.Fatalf("tick %d: %s", s.now, s.failure)
 			}
@@ -61,7 +64,7 @@
 	s.run(150)
 	leader := s.leader()
 	if s.failure != "" || leader == nil {
-		t.Fatalf("after healing: leader %v, %s", leader, s.failure)
+		t.Fatalf("after healing: led %t, %s", leader != nil, s.failure)
 	}
 	s.propose(leader, 1)
 	s.confirm(leader)
@@ -72,61 +75,98 @@
 	}
 }
 
-func (s *sim) step(t *rapid.T) {
-	v := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "vm")]
+// dice draws the interleaving. The seed comes from rapid; the draws do not,
+// since rapid prefers small numbers, which would make most actions rare.
+type dice struct{ *rand.Rand }
+
+const chachaSeedBytes = 32
+
+// one is true once in n times.
+func (d dice) one(n int) bool { return d.IntN(n) == 0 }
+
+// action is one kind of step; weights give each run a taste of its own.
+type action int
+
+const (
+	actPass action = iota
+	actWire
+	actSync
+	actPropose
+	actConfirm
+	actSnapshot
+	actRestart
+	actTransfer
+	actChange
+	actCut
+	actQuiet
+	actions
+)
+
+func drawWeights(d dice) []action {
+	usual := [actions]int{25, 30, 15, 8, 4, 3, 4, 1, 3, 3, 2}
+	var drawn []action
+	for a, weight := range usual {
+		for range weight * []int{0, 1, 1, 3}[d.IntN(4)] {
+			drawn = append(drawn, action(a))
+		}
+	}
+	return append(drawn, actPass, actWire, actSync, actPropose)
+}
+
+func (s *sim) step(d dice, weights []action) {
+	v := s.vms[d.IntN(len(s.vms))]
 	if v.state == nil {
 		s.start(v)
 		return
 	}
-	action := rapid.IntRange(0, 99).Draw(t, "action")
-	switch {
-	case action < 25:
-		s.pass(t)
-	case action < 55:
-		s.wire(t)
-	case action < 70:
-		s.sync(v, rapid.IntRange(1, 4).Draw(t, "syncs"))
-	case action < 78:
-		s.propose(v, rapid.IntRange(1, 3).Draw(t, "commands"))
-	case action < 82:
+	switch weights[d.IntN(len(weights))] {
+	case actPass:
+		s.pass(d)
+	case actWire:
+		s.wire(d)
+	case actSync:
+		s.sync(v, 1+d.IntN(4))
+	case actPropose:
+		s.propose(v, 1+d.IntN(3))
+	case actConfirm:
 		s.confirm(v)
-	case action < 85:
+	case actSnapshot:
 		s.makeSnapshot(v)
-	case action < 89:
-		s.restart(t, v)
-	case action < 91:
+	case actRestart:
+		s.restart(d, v)
+	case actTransfer:
 		s.feed(v, TransferAsked{s.now})
-	case action < 95:
-		s.changeSome(t, v)
-	case action < 98:
-		s.toggleCut(t, v)
-	default:
-		s.run(rapid.IntRange(1, 15).Draw(t, "quiet"))
+	case actChange:
+		s.changeSome(d, v)
+	case actCut:
+		s.toggleCut(d, v)
+	case actQuiet:
+		s.run(1 + d.IntN(15))
 	}
 }
 
 // pass lets time go on; members that see no tick are paused.
-func (s *sim) pass(t *rapid.T) {
-	s.now += uint64(rapid.SampledFrom([]int{1, 1, 1, 3, 14}).Draw(t, "ticks"))
+func (s *sim) pass(d dice) {
+	s.now += []uint64{1, 1, 1, 3, 14}[d.IntN(5)]
 	for _, v := range s.vms {
-		if rapid.IntRange(0, 4).Draw(t, "paused") > 0 {
+		if !d.one(5) {
 			s.feed(v, Ticked{s.now})
 		}
 	}
 }
 
-func (s *sim) wire(t *rapid.T) {
-	for range rapid.IntRange(1, 8).Draw(t, "wires") {
+func (s *sim) wire(d dice) {
+	for range 1 + d.IntN(8) {
 		if len(s.wires) == 0 {
 			return
 		}
-		i := rapid.IntRange(0, len(s.wires)-1).Draw(t, "wire")
-		switch rapid.IntRange(0, 19).Draw(t, "fate") {
+		i := d.IntN(len(s.wires))
+		switch d.IntN(20) {
 		case 0:
 			s.wires = append(s.wires, s.wires[i])
 			s.deliver(i)
 		case 1:
-			s.cutOff(i)
+			s.wires = slices.Delete(s.wires, i, i+1)
 		case 2, 3, 4:
 			s.deliver(i)
 		default:
@@ -135,20 +175,16 @@
 	}
 }
 
-func (s *sim) cutOff(i int) {
-	s.wires = append(s.wires[:i:i], s.wires[i+1:]...)
-}
-
-func (s *sim) restart(t *rapid.T, v *vm) {
+func (s *sim) restart(d dice, v *vm) {
 	if !v.alive {
 		s.start(v)
 		return
 	}
-	if rapid.IntRange(0, 3).Draw(t, "wipe") == 0 && s.mayWipe(v) {
+	if d.one(3) && s.mayWipe(v) {
 		s.wipe(v)
 		return
 	}
-	s.crash(v, rapid.IntRange(0, 3).Draw(t, "written"))
+	s.crash(v, d.IntN(4))
 }
 
 // mayWipe allows one lost folder at a time: the second only after the first
@@ -178,17 +214,17 @@
 	return false
 }
 
-func (s *sim) changeSome(t *rapid.T, v *vm) {
-	other := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "other")]
+func (s *sim) changeSome(d dice, v *vm) {
+	other := s.vms[d.IntN(len(s.vms))]
 	if other.state == nil {
 		s.start(other)
 	}
-	action := rapid.SampledFrom([]ChangeAction{ChangeAdd, ChangeRemove}).Draw(t, "change")
+	action := []ChangeAction{ChangeAdd, ChangeRemove}[d.IntN(2)]
 	s.change(v, action, other.name)
 }
 
-func (s *sim) toggleCut(t *rapid.T, v *vm) {
-	other := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "to")]
+func (s *sim) toggleCut(d dice, v *vm) {
+	other := s.vms[d.IntN(len(s.vms))]
 	pair := [2]string{v.name, other.name}
 	s.cut[pair] = !s.cut[pair]
 }
