--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -83,6 +83,9 @@
 	// held every accepted change. A control VM that is cut off can't say so.
 	Confirmed bool          `cbor:"confirmed,omitempty"`
 	Age       time.Duration `cbor:"age,omitempty"`
+	// Fresh is true if the sender asked that quorum after the Watch came. Only
+	// then does the state hold all that was accepted before the Watch.
+	Fresh bool `cbor:"fresh,omitempty"`
 	// Snapshot is true if Servers and Resources are the whole state.
 	Snapshot bool `cbor:"snapshot,omitempty"`
 	// Servers that changed; a server in state "gone" is to be forgotten.
--- a/internal/reducer/follow/state.go
+++ b/internal/reducer/follow/state.go
@@ -297,7 +297,9 @@
 // have had a newer one before it restarted and can't know; a control VM that
 // is cut off would hand it an old one in good faith. So only a state is taken
 // that the control VM confirmed with a quorum after it was asked: it holds all
-// that was accepted, hence all that was ever in force here.
+// that was accepted, hence all that was ever in force here. The control VM
+// says so itself; its Age would not do, since a message that was long on its
+// way looks younger than it is.
 func (s *State) first(at time.Time, u message.Update) []Effect {
 	if err := s.watch.consider(u); err != nil {
 		return s.leave(at, CountMalformed)
@@ -306,7 +308,7 @@
 	if candidate == nil || candidate.Revision != u.Revision {
 		return nil
 	}
-	if u.Confirmed && u.Age < at.Sub(s.watch.openAt) {
+	if u.Confirmed && u.Fresh {
 		effects := s.adopt(*candidate)
 		s.confirm(at, u)
 		return append(effects, s.report(at)...)
--- a/internal/reducer/follow/world_test.go
+++ b/internal/reducer/follow/world_test.go
@@ -22,6 +22,8 @@
 	// confirmedAt is when it last had a quorum's word.
 	confirmedAt time.Time
 	confirmed   bool
+	// confirms counts its quorum's words.
+	confirms int
 }
 
 // world is one follower beside several control VMs.
@@ -34,6 +36,7 @@
 	// The watch that is open, and what was sent to the follower on it.
 	open     *Open
 	sentTo   uint64
+	confirms int // of the control VM when the watch came
 	way      []Received
 	effects  []Effect
 	highest  uint64 // that was ever in force, over all lives
@@ -83,6 +86,7 @@
 			v.state.Apply(0, w.log[v.applied])
 		}
 		v.confirmed = true
+		v.confirms++
 		v.confirmedAt = w.now
 	}
 }
@@ -113,6 +117,8 @@
 	}
 	w.open = &o
 	w.sentTo = o.Watch.From
+	w.confirms = w.vms[o.Control].confirms
+	w.replicate()
 	w.send(true)
 }
 
@@ -129,6 +135,7 @@
 		update.Snapshot = false
 	}
 	update.Confirmed = v.confirmed
+	update.Fresh = v.confirms > w.confirms
 	update.Age = w.now.Sub(v.confirmedAt)
 	w.sentTo = max(w.sentTo, update.Revision)
 	w.way = append(w.way, Received{Link: w.open.Link, Update: update})
