--- /dev/null
+++ b/internal/operator/read.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/reached"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// outcomeOK counts reads that were answered.
+const outcomeOK = "ok"
+
+// listAnswer is the body of lists.
+type listAnswer[T any] struct {
+	// Revision is what the list was true for.
+	Revision uint64 `json:"revision"`
+	Items    []T    `json:"items"`
+}
+
+// read returns the state as it is here. With ?current=true it is first made
+// sure that this VM leads, so that no accepted change is missing.
+func (a *api) read(c *echo.Context) (declared.View, error) {
+	if c.QueryParam("current") == "true" {
+		if err := a.Log.Confirm(c.Request().Context()); err != nil {
+			return declared.View{}, a.refused(c, err, "")
+		}
+	}
+	view := a.Store.View()
+	c.Response().Header().Set(oriolebend.HeaderRevision, strconv.FormatUint(view.Revision, 10))
+	return view, nil
+}
+
+func (a *api) list(c *echo.Context) error {
+	view, err := a.read(c)
+	if err != nil {
+		return err
+	}
+	items := view.List(oriolebend.ResourceKind(c.Param("kind")))
+	return a.done(c, outcomeOK, listAnswer[oriolebend.Resource]{Revision: view.Revision, Items: items})
+}
+
+func keyOf(c *echo.Context) oriolebend.ResourceKey {
+	return oriolebend.ResourceKey{Kind: oriolebend.ResourceKind(c.Param("kind")), Name: c.Param("name")}
+}
+
+func (a *api) get(c *echo.Context) error {
+	view, err := a.read(c)
+	if err != nil {
+		return err
+	}
+	r, found := view.Resources[keyOf(c)]
+	if !found {
+		return notFound(keyOf(c))
+	}
+	return a.done(c, outcomeOK, r)
+}
+
+func notFound(key oriolebend.ResourceKey) error {
+	return refuse(oriolebend.ReasonUnknownRequest, key.String()+" is not declared")
+}
+
+// known gathers what a status is drawn from.
+func (a *api) known(c *echo.Context) (reached.Known, error) {
+	view, err := a.read(c)
+	if err != nil {
+		return reached.Known{}, err
+	}
+	k := reached.Known{At: time.Now(), View: view}
+	if a.Reports != nil {
+		k.Reports = a.Reports()
+	}
+	if a.Announcements != nil {
+		k.Announcements = a.Announcements()
+	}
+	return k, nil
+}
+
+func (a *api) status(c *echo.Context) error {
+	k, err := a.known(c)
+	if err != nil {
+		return err
+	}
+	status := k.Status()
+	status.Control = a.Node
+	status.Leader, _ = a.Log.Leader()
+	return a.done(c, outcomeOK, status)
+}
+
+func (a *api) servers(c *echo.Context) error {
+	k, err := a.known(c)
+	if err != nil {
+		return err
+	}
+	answer := listAnswer[oriolebend.ServerStatus]{Revision: k.View.Revision, Items: k.Servers()}
+	return a.done(c, outcomeOK, answer)
+}
+
+func (a *api) explain(c *echo.Context) error {
+	k, err := a.known(c)
+	if err != nil {
+		return err
+	}
+	explanation, found := k.Explain(keyOf(c))
+	if !found {
+		return notFound(keyOf(c))
+	}
+	return a.done(c, outcomeOK, explanation)
+}
+
+func (a *api) audit(c *echo.Context) error {
+	after, err := numberParam(c, "after")
+	if err != nil {
+		return err
+	}
+	var answer listAnswer[oriolebend.AuditEntry]
+	a.Store.Read(func(d *declared.State) {
+		answer.Revision = d.Revision()
+		answer.Items = append(answer.Items, d.Audit(after)...)
+	})
+	return a.done(c, outcomeOK, answer)
+}
+
+// numberParam reads a query parameter; zero if it is absent.
+func numberParam(c *echo.Context, name string) (uint64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, refuse(oriolebend.ReasonMalformed, "?"+name+"= takes a revision, a whole number")
+	}
+	return number, nil
+}
+
+// refused turns an error of the log into an answer. If another VM leads, the
+// operator's program is sent there with a 307, which keeps method and body: the
+// leader checks the token itself, and no hop between hides a lost answer.
+func (a *api) refused(c *echo.Context, err error, orderID string) error {
+	r := a.asRefusal(err)
+	r.orderID = orderID
+	if r.Reason != oriolebend.ReasonNotLeader || r.Ran != oriolebend.RanNo || a.OperatorURL == nil {
+		return r
+	}
+	leader, _ := a.Log.Leader()
+	if leader == "" || leader == a.Node {
+		return r
+	}
+	base := a.OperatorURL(leader)
+	if base == "" {
+		return r
+	}
+	a.outcomes.WithLabelValues(operation(c), "redirected").Inc()
+	return c.Redirect(http.StatusTemporaryRedirect, base+c.Request().URL.RequestURI())
+}
--- /dev/null
+++ b/internal/operator/write.go
@@ -0,0 +1,209 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v5"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/control"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// maxOrderIDBytes bounds an order id, since answers are kept under it.
+const maxOrderIDBytes = 128
+
+// putBody is the body of a PUT: a resource as GET gives it, or only its spec.
+type putBody struct {
+	Kind     oriolebend.ResourceKind `json:"kind"`
+	Name     string                  `json:"name"`
+	Revision *uint64                 `json:"revision"`
+	Spec     json.RawMessage         `json:"spec"`
+}
+
+func (a *api) put(c *echo.Context) error {
+	order, err := a.newOrder(c, oriolebend.ActionApply, keyOf(c))
+	if err != nil {
+		return err
+	}
+	body, err := readBody(c, order.Key())
+	if err != nil {
+		return err
+	}
+	if order.Expect == nil {
+		order.Expect = body.Revision
+	}
+	resource, err := oriolebend.ReadSpec(order.Key(), body.Spec)
+	if err != nil {
+		return a.invalid(order, err)
+	}
+	order.Resource = &resource
+	return a.carryOut(c, order)
+}
+
+func readBody(c *echo.Context, key oriolebend.ResourceKey) (putBody, error) {
+	var body putBody
+	data, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return body, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return body, refuse(oriolebend.ReasonMalformed, "the body is not a resource: "+err.Error())
+	}
+	named := oriolebend.ResourceKey{Kind: body.Kind, Name: body.Name}
+	if (body.Kind != "" || body.Name != "") && named != key {
+		return body, refuse(oriolebend.ReasonMalformed, fmt.Sprintf("the body is of %s, the path of %s", named, key))
+	}
+	return body, nil
+}
+
+// invalid answers a resource that fails its checks with all that is wrong.
+func (a *api) invalid(o declared.Order, err error) error {
+	var fields *oriolebend.InvalidError
+	if !errors.As(err, &fields) {
+		return err
+	}
+	result := oriolebend.ChangeResult{
+		Outcome: oriolebend.ChangeInvalid, OrderID: o.OrderID, Problems: fields.Fields,
+	}
+	a.Store.Read(func(d *declared.State) { result.Revision = d.Revision() })
+	return resultRefusal(result)
+}
+
+func (a *api) remove(c *echo.Context) error {
+	order, err := a.newOrder(c, oriolebend.ActionDelete, keyOf(c))
+	if err != nil {
+		return err
+	}
+	return a.carryOut(c, order)
+}
+
+// newOrder reads what all orders have in common.
+func (a *api) newOrder(c *echo.Context, action oriolebend.ChangeAction, key oriolebend.ResourceKey) (declared.Order, error) {
+	order := declared.Order{Action: action, Kind: key.Kind, Name: key.Name}
+	order.Who, _ = c.Get(whoKey).(string)
+	order.OrderID = c.Request().Header.Get(oriolebend.HeaderOrderID)
+	if len(order.OrderID) > maxOrderIDBytes {
+		return order, refuse(oriolebend.ReasonMalformed,
+			oriolebend.HeaderOrderID+" is longer than "+strconv.Itoa(maxOrderIDBytes)+" bytes")
+	}
+	if order.OrderID == "" {
+		order.OrderID = uuid.NewString()
+	}
+	c.Response().Header().Set(oriolebend.HeaderOrderID, order.OrderID)
+	if c.QueryParam("expect") != "" {
+		expect, err := numberParam(c, "expect")
+		if err != nil {
+			return order, err
+		}
+		order.Expect = &expect
+	}
+	return order, nil
+}
+
+// carryOut proposes an order, or tries it if a dry run was asked for.
+func (a *api) carryOut(c *echo.Context, order declared.Order) error {
+	if c.QueryParam("dryRun") == "true" {
+		return a.answer(c, a.dryRun(order))
+	}
+	result, err := a.propose(c.Request().Context(), order)
+	if err != nil {
+		return a.refused(c, err, order.OrderID)
+	}
+	return a.answer(c, result)
+}
+
+func (a *api) dryRun(order declared.Order) oriolebend.ChangeResult {
+	var result oriolebend.ChangeResult
+	a.Store.Read(func(d *declared.State) { result = d.DryRun(order) })
+	return result
+}
+
+// propose has the log carry an order out. An operator who leaves, or whose
+// connection breaks, does not end it: half an order is worse than a whole one.
+func (a *api) propose(ctx context.Context, order declared.Order) (oriolebend.ChangeResult, error) {
+	var result oriolebend.ChangeResult
+	command, err := control.Encode(control.PartDeclared, declared.Command{At: time.Now(), Order: &order})
+	if err != nil {
+		return result, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.WriteWithin)
+	defer cancel()
+	reply, err := a.Log.Propose(ctx, command)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return result, outcomeLost(err)
+	}
+	if err != nil {
+		return result, err
+	}
+	return control.Decode[oriolebend.ChangeResult](reply)
+}
+
+func outcomeLost(cause error) error {
+	return &oriolebend.Problem{
+		Reason: oriolebend.ReasonOutcomeLost, Ran: oriolebend.RanUnknown, Cause: cause,
+		Detail: "the order may have been accepted; resend it under the same order id",
+	}
+}
+
+// answer tells an operator what an order met.
+func (a *api) answer(c *echo.Context, result oriolebend.ChangeResult) error {
+	if result.Done() {
+		outcome := string(result.Outcome)
+		if result.Resent {
+			outcome += "Resent"
+		}
+		return a.done(c, outcome, result)
+	}
+	return resultRefusal(result)
+}
+
+// resultRefusal makes the problem document of an order that was refused.
+func resultRefusal(result oriolebend.ChangeResult) error {
+	r := refuse(resultReasons[result.Outcome], resultDetail(result))
+	r.result = &result
+	r.orderID = result.OrderID
+	if result.Outcome == oriolebend.ChangeInUse {
+		r.status = statusOf(oriolebend.ReasonRevisionRace)
+	}
+	return r
+}
+
+var resultReasons = map[oriolebend.ChangeOutcome]oriolebend.Reason{
+	oriolebend.ChangeRaced:       oriolebend.ReasonRevisionRace,
+	oriolebend.ChangeMissing:     oriolebend.ReasonUnknownRequest,
+	oriolebend.ChangeInvalid:     oriolebend.ReasonInvalidResource,
+	oriolebend.ChangeInUse:       oriolebend.ReasonInvalidResource,
+	oriolebend.ChangeOrderReused: oriolebend.ReasonKeyReused,
+}
+
+func resultDetail(result oriolebend.ChangeResult) string {
+	switch result.Outcome {
+	case oriolebend.ChangeRaced:
+		return racedDetail(result)
+	case oriolebend.ChangeMissing:
+		return "there is no such resource"
+	case oriolebend.ChangeOrderReused:
+		return "the order id was used for another order"
+	}
+	return fmt.Sprintf("%d problems", len(result.Problems))
+}
+
+func racedDetail(result oriolebend.ChangeResult) string {
+	if result.Winner == nil {
+		return fmt.Sprintf("the resource is at revision %d", result.Revision)
+	}
+	w := result.Winner
+	return fmt.Sprintf("%s by %s won at revision %d, on %s",
+		w.Action, w.Who, w.Revision, w.At.UTC().Format(time.RFC3339))
+}
--- a/internal/reducer/declared/state.go
+++ b/internal/reducer/declared/state.go
@@ -107,6 +107,13 @@
 	return result
 }
 
+// Answered returns the answer that an operator's order got, if it is kept.
+func (s *State) Answered(who, orderID string) (oriolebend.ChangeResult, bool) {
+	known, found := s.answers.find(Order{Who: who, OrderID: orderID})
+	known.Result.Resent = found
+	return known.Result, found
+}
+
 // DryRun tells what an order would meet now, without carrying it out.
 func (s *State) DryRun(o Order) oriolebend.ChangeResult {
 	if known, found := s.answers.find(o); found {
--- a/internal/reducer/declared/view.go
+++ b/internal/reducer/declared/view.go
@@ -187,11 +187,16 @@
 
 // TargetOf works out what a server is declared to be.
 func (v View) TargetOf(s oriolebend.Server) Target {
+	return v.TargetIn(s, v.PoolOf(s))
+}
+
+// TargetIn works out what a server of a pool is declared to be; it spares
+// the search for the pool.
+func (v View) TargetIn(s oriolebend.Server, name string) Target {
 	target := Target{State: oriolebend.ServerServing}
 	if d := v.Server(s.Name); d != nil && d.State != "" {
 		target.State = d.State
 	}
-	name := v.PoolOf(s)
 	pool := v.Pool(name)
 	if pool == nil {
 		return target
--- a/pkg/oriolebend/check.go
+++ b/pkg/oriolebend/check.go
@@ -49,6 +49,14 @@
 // resource by itself; what it refers to is checked when it is applied.
 func (r Resource) Check() error {
 	c := &checker{}
+	r.check(c)
+	if len(c.fields) == 0 {
+		return nil
+	}
+	return &InvalidError{Fields: c.fields}
+}
+
+func (r Resource) check(c *checker) {
 	c.name("name", r.Name)
 	if !slices.Contains(ResourceKinds(), r.Kind) {
 		c.add("kind", fmt.Sprintf("%q is not known", r.Kind), allowedKinds())
@@ -61,10 +69,6 @@
 	default:
 		r.Spec.check(c, r.Name)
 	}
-	if len(c.fields) == 0 {
-		return nil
-	}
-	return &InvalidError{Fields: c.fields}
 }
 
 func allowedKinds() string {
--- a/pkg/oriolebend/resource.go
+++ b/pkg/oriolebend/resource.go
@@ -1,7 +1,6 @@
 package oriolebend
 
 import (
-	"bytes"
 	"encoding/json"
 
 	"github.com/fxamacker/cbor/v2"
@@ -51,31 +50,18 @@
 	if form.Deleted {
 		return nil
 	}
-	spec, err := DecodeSpec(form.Kind, form.Spec)
-	r.Spec = spec
-	return err
-}
-
-// DecodeSpec reads the JSON form of a spec of the kind; empty data gives the
-// zero spec. It returns an *InvalidError.
-func DecodeSpec(kind ResourceKind, data []byte) (Spec, error) {
-	spec, err := newSpec(kind)
+	spec, err := newSpec(form.Kind)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if len(data) == 0 {
-		return spec, nil
+	r.Spec = spec
+	if len(form.Spec) == 0 {
+		return nil
 	}
-	if err := strictJSON(data, spec); err != nil {
-		return nil, &InvalidError{Fields: []FieldError{{Field: "spec", Problem: err.Error()}}}
+	if wrong := decodeFields("spec", form.Spec, spec); len(wrong) > 0 {
+		return &InvalidError{Fields: wrong}
 	}
-	return spec, nil
-}
-
-func strictJSON(data []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	return decoder.Decode(into)
+	return nil
 }
 
 // Equal encodings must mean equal values on every control VM, so maps are
