--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -160,6 +160,17 @@
 // Kind implements Message.
 func (Reached) Kind() Kind { return KindReached }
 
+var (
+	_ = Register[Announce]()
+	_ = Register[Announced]()
+	_ = Register[Watch]()
+	_ = Register[Update]()
+	_ = Register[Reached]()
+	_ = Register[Followers]()
+	_ = Register[Permit]()
+	_ = Register[Permitted]()
+)
+
 // Kind implements Message.
 func (Permit) Kind() Kind { return KindPermit }
 
--- a/internal/reducer/entry/event.go
+++ b/internal/reducer/entry/event.go
@@ -12,12 +12,15 @@
 
 // Event is something that happened to the entry. At is when, by the clock of
 // the entry's own process.
-type Event interface{ entryEvent() }
+type Event interface{ when() time.Time }
 
 // Request is one validated request of a caller.
 type Request struct {
-	ID           string
-	Scope        message.Scope
+	ID    string
+	Scope message.Scope
+	// Generated is true if the entry made Scope.Key because the caller gave
+	// none: no earlier request can have used it.
+	Generated    bool
 	Fingerprint  string
 	Urgency      oriolebend.Urgency
 	Model        string
@@ -64,6 +67,19 @@
 	RequestID string
 }
 
+// Attached tells that one more caller follows a request of this entry; it
+// goes on for as long as any of them stays.
+type Attached struct {
+	At        time.Time
+	RequestID string
+}
+
+// Detached tells that a caller which had attached left.
+type Detached struct {
+	At        time.Time
+	RequestID string
+}
+
 // Claimed is the answer of the control VMs to a Claim.
 type Claimed struct {
 	At        time.Time
@@ -113,12 +129,14 @@
 // Ticked passes time; it comes at least every TickEvery.
 type Ticked struct{ At time.Time }
 
-func (Arrived) entryEvent()        {}
-func (CallerGone) entryEvent()     {}
-func (Claimed) entryEvent()        {}
-func (Settled) entryEvent()        {}
-func (Received) entryEvent()       {}
-func (SessionLost) entryEvent()    {}
-func (ServersChanged) entryEvent() {}
-func (Stopping) entryEvent()       {}
-func (Ticked) entryEvent()         {}
+func (e Arrived) when() time.Time        { return e.At }
+func (e CallerGone) when() time.Time     { return e.At }
+func (e Attached) when() time.Time       { return e.At }
+func (e Detached) when() time.Time       { return e.At }
+func (e Claimed) when() time.Time        { return e.At }
+func (e Settled) when() time.Time        { return e.At }
+func (e Received) when() time.Time       { return e.At }
+func (e SessionLost) when() time.Time    { return e.At }
+func (e ServersChanged) when() time.Time { return e.At }
+func (e Stopping) when() time.Time       { return e.At }
+func (e Ticked) when() time.Time         { return e.At }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,10 @@
 	Operations    []Operation    `toml:"operations"`
 	Services      []ServiceRoute `toml:"services"`
 	Dev           Dev            `toml:"dev"`
+
+	// origin tells where each setting came from; nil for settings that were
+	// not read from a file.
+	origin *origin
 }
 
 // Node says which process this is and where it stands.
@@ -58,6 +62,9 @@
 	Listen string `toml:"listen"`
 	// MaxBodyBytes bounds a request's body; zero means 8 MiB.
 	MaxBodyBytes int64 `toml:"maxBodyBytes"`
+	// MaxHeldBytes bounds the bodies of all requests in progress; zero means
+	// 512 MiB.
+	MaxHeldBytes int64 `toml:"maxHeldBytes"`
 	// MaxPromptTokens bounds a prompt; zero means 65,536.
 	MaxPromptTokens int `toml:"maxPromptTokens"`
 	// MaxOutputTokens bounds an output; zero means 4,096.
@@ -68,6 +75,8 @@
 	// StopDelay is how long /readyz fails before a stopping entry closes its
 	// port, so that the balancer looks away first; zero means 3s.
 	StopDelay Duration `toml:"stopDelay"`
+	// MaxConnections bounds the callers' connections; zero means 4,096.
+	MaxConnections int `toml:"maxConnections"`
 	// Open lets callers in without a token; only dev sets it.
 	Open bool `toml:"open"`
 }
@@ -138,6 +147,10 @@
 	Tokens []string `toml:"tokens"`
 	// Share weighs the organisation in queues; zero means 1.
 	Share float64 `toml:"share"`
+	// Operations lists what the organisation may ask for; empty means all.
+	Operations []string `toml:"operations"`
+	// Urgencies lists what the organisation may ask for; empty means both.
+	Urgencies []oriolebend.Urgency `toml:"urgencies"`
 }
 
 // Operation sets how requests of one name are treated. Callers name it in the
--- a/pkg/oriolebend/duration.go
+++ b/pkg/oriolebend/duration.go
@@ -21,6 +21,11 @@
 	return nil
 }
 
+// String writes the duration as it stands in a settings file.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
 // Or returns d, or the other if d is zero.
 func (d Duration) Or(other time.Duration) time.Duration {
 	if d == 0 {
