role: declared state, membership and orders joined to the processes

Cause: the first membership was a stand-in for the declared state. Change: followers, announcer, orders, watches, confirmation and operators' API run on the reducers; dev starts any number of control VMs.

--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -46,8 +46,6 @@
 	oriolebend.ReasonServerLost:      {http.StatusBadGateway, "The backend server is gone"},
 	oriolebend.ReasonEngineFailed:    {http.StatusBadGateway, "The engine failed"},
 	oriolebend.ReasonTransferStalled: {http.StatusBadGateway, "The KV transfer stalled"},
-	oriolebend.ReasonRecordsFull:     {http.StatusServiceUnavailable, "The request records are at their bound"},
-	oriolebend.ReasonAnswerNotKept:   {http.StatusGone, "The request was answered and its answer is not kept any more"},
 	oriolebend.ReasonResultExpired:   {http.StatusBadGateway, "The prefill result is no longer held"},
 	oriolebend.ReasonLeaseEnded:      {http.StatusBadGateway, "The lease of the reservation ended"},
 	oriolebend.ReasonNotReserved:     {http.StatusBadGateway, "The attempt holds no reservation"},
--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -193,3 +193,8 @@
 	_ = Register[ChunkAnswer]()
 	_ = Register[Campaign]()
 )
+
+// AgreementKinds lists the kinds with which a member opens a session.
+func AgreementKinds() []Kind {
+	return []Kind{KindAppend, KindAppendAnswer, KindVote, KindVoteAnswer, KindChunk, KindChunkAnswer, KindCampaign}
+}
--- a/internal/reducer/control/mux.go
+++ b/internal/reducer/control/mux.go
@@ -82,3 +82,18 @@
 	}
 	return p.Log.Propose(ctx, envelope)
 }
+
+// Enveloped is a Machine of a Mux that reads whole envelopes itself.
+type Enveloped struct {
+	Machine
+	Part PartName
+}
+
+// Apply implements Machine.
+func (e Enveloped) Apply(index uint64, body []byte) []byte {
+	command, err := cbor.Marshal(Envelope{Part: e.Part, Body: body})
+	if err != nil {
+		return nil
+	}
+	return e.Machine.Apply(index, command)
+}
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	controlpeer "github.com/oriolebend/oriolebend/internal/control"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
@@ -15,23 +17,26 @@
 	"github.com/oriolebend/oriolebend/internal/settings"
 )
 
-// expireEvery is how often ended membership leases are looked for.
-const expireEvery = 500 * time.Millisecond
+// operatorHeaderTimeout ends operators' clients that send their head slowly.
+const operatorHeaderTimeout = 5 * time.Second
 
 // ControlProcess is a running control VM's process with its ports.
 type ControlProcess struct {
-	process    Process
-	endpoint   *peer.Endpoint
-	replica    *replica.Replica
-	records    *controlpeer.Server
-	membership *Membership
-	cancel     context.CancelFunc
-	done       chan error
+	process   Process
+	endpoint  *peer.Endpoint
+	operators *httpServer
+	replica   *replica.Replica
+	records   *controlpeer.Server
+	confirmer *Confirmer
+	watches   *WatchServer
+	members   *MemberLeader
+	cancel    context.CancelFunc
+	done      chan error
 }
 
 // StartControl starts a control VM's process; Stop ends it.
 func StartControl(p Process) (*ControlProcess, error) {
-	process := &ControlProcess{process: p, membership: NewMembership(), done: make(chan error, 1)}
+	process := &ControlProcess{process: p, done: make(chan error, 1)}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(process.handlers(ready))
 	if err != nil {
@@ -45,7 +50,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
 	go process.records.Run(ctx)
-	go process.expire(ctx)
+	go process.confirmer.Run(ctx)
+	go process.members.Run(ctx)
 	go func() { process.done <- process.replica.Run(ctx) }()
 	return process, nil
 }
@@ -53,66 +59,116 @@
 // handlers serves peers once the process is built.
 func (c *ControlProcess) handlers(ready <-chan struct{}) map[message.Kind]peer.Handler {
 	records := func(ctx context.Context, s peer.Stream) { <-ready; c.records.Serve(ctx, s) }
-	return map[message.Kind]peer.Handler{
+	members := func(ctx context.Context, s peer.Stream) { <-ready; c.members.Serve(ctx, s) }
+	agreement := func(ctx context.Context, s peer.Stream) { <-ready; c.replica.Serve(ctx, s) }
+	handlers := map[message.Kind]peer.Handler{
 		message.KindClaim:    records,
 		message.KindSettle:   records,
 		message.KindQuery:    records,
 		message.KindRenew:    records,
-		message.KindAnnounce: c.membership.ServeAnnounce,
-		message.KindWatch:    c.membership.ServeWatch,
+		message.KindAnnounce: members,
+		message.KindPermit:   members,
+		message.KindWatch:    func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
+		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
+	for _, kind := range message.AgreementKinds() {
+		handlers[kind] = agreement
+	}
+	return handlers
 }
 
 // build joins the log with the machines that it feeds.
 func (c *ControlProcess) build() error {
+	p := c.process
+	name := p.Settings.Node.Name
 	records := controlpeer.NewRecords()
+	store := operator.NewStore()
 	log, err := replica.New(replica.Config{
-		Name:       c.process.Settings.Node.Name,
-		Members:    members(c.process.Settings.Control.Members),
-		DataFolder: c.process.Settings.Control.DataFolder,
+		Name:       name,
+		Members:    members(p.Settings.Control.Members),
+		DataFolder: p.Settings.Control.DataFolder,
 		Dialer:     c.endpoint,
-		Machine:    control.NewMux(map[control.PartName]control.Machine{control.PartRecords: records}),
-		Logger:     c.process.Logger,
+		Machine: control.NewMux(map[control.PartName]control.Machine{
+			control.PartRecords:  records,
+			control.PartDeclared: control.Enveloped{Machine: store, Part: control.PartDeclared},
+		}),
+		Logger: p.Logger,
 	})
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
 	}
 	c.replica = log
 	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
-		Self:    c.process.Settings.Node.Name,
+		Self:    name,
 		Log:     control.PartLog{Log: log, Part: control.PartRecords},
 		Records: records,
-		Limits:  recordLimits(c.process.Settings.Policy),
+		Limits:  recordLimits(p.Settings.Policy),
 	})
+	reached := NewReachedTable(name)
+	c.confirmer = &Confirmer{Self: name, Replica: log, Dialer: c.endpoint, Reached: reached}
+	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
+	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
+	c.members.Prepare()
+	return c.serveOperators(store, reached)
+}
+
+func (c *ControlProcess) serveOperators(store *operator.Store, reached *ReachedTable) error {
+	s := c.process.Settings
+	handler := operator.New(operator.Config{
+		Node:        s.Node.Name,
+		Log:         c.replica,
+		Store:       store,
+		Reports:     reached.List,
+		Confirmed:   func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
+		OperatorURL: operatorURL(s.Control.Members),
+		Tokens:      s.Operator.Tokens,
+		Open:        s.Operator.Open,
+		Logger:      c.process.Logger,
+	})
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	var err error
+	c.operators, err = serveHTTP(s.Operator.Listen, server, c.process.Logger)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
 	return nil
 }
 
-func (c *ControlProcess) expire(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case at := <-ticker.C:
-			c.membership.Expire(at)
+// operatorURL finds the operators' address of a control VM by its name.
+func operatorURL(members []settings.Member) func(string) string {
+	return func(node string) string {
+		for _, m := range members {
+			if m.Name == node && m.OperatorAddress != "" {
+				return "http://" + m.OperatorAddress
+			}
 		}
+		return ""
 	}
 }
 
 // Address is where peers reach the process.
 func (c *ControlProcess) Address() string { return c.endpoint.Address() }
 
+// OperatorAddress is where operators reach the process.
+func (c *ControlProcess) OperatorAddress() string { return c.operators.address() }
+
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
 	c.cancel()
+	closed := c.operators.close()
 	var ended error
 	select {
 	case ended = <-c.done:
 	case <-ctx.Done():
 		ended = ctx.Err()
 	}
-	return errors.Join(ended, closeEndpoint(c.endpoint))
+	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
+}
+
+// Kill ends the process at once, as one that dies.
+func (c *ControlProcess) Kill() error {
+	c.cancel()
+	return errors.Join(c.operators.close(), c.endpoint.Close(), <-c.done)
 }
 
 func members(list []settings.Member) []message.Member {
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -99,27 +100,78 @@
 	s := d.settings
 	s.Node = settings.Node{Name: name, Region: s.Node.Region, FailureDomain: failureDomain}
 	s.Peer.Listen = loopback
+	s.Control.Members = slices.Clone(d.settings.Control.Members)
 	return Process{Settings: s, Credentials: peer.Fixed(material), Logger: d.logger.With("node", name)}, nil
 }
 
-// startControls starts one control VM's process and tells the others of its
-// address.
+// startControls starts the control VMs' processes. Each needs the addresses of
+// all, so ports are chosen before the first one starts.
 func (d *Dev) startControls() error {
-	p, err := d.process("control", "control-1", "")
+	count := max(1, d.settings.Dev.Controls)
+	domains := failureDomains(d.settings.Dev.Servers)
+	for n := range count {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), Address: address}
+		if len(domains) > 0 {
+			m.FailureDomain = domains[n%len(domains)]
+		}
+		d.settings.Control.Members = append(d.settings.Control.Members, m)
+	}
+	for n := range count {
+		if err := d.startControl(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startControl starts one control VM's process; the first listens for
+// operators where the settings say.
+func (d *Dev) startControl(n int) error {
+	m := d.settings.Control.Members[n]
+	p, err := d.process("control", m.Name, m.FailureDomain)
 	if err != nil {
 		return err
 	}
-	p.Settings.Control.DataFolder = filepath.Join(d.folder, "control-1")
-	p.Settings.Control.Members = []settings.Member{{Name: "control-1", Address: loopback}}
+	p.Settings.Peer.Listen = m.Address
+	p.Settings.Control.DataFolder = filepath.Join(d.folder, m.Name)
+	if n > 0 || p.Settings.Operator.Listen == "" {
+		p.Settings.Operator.Listen = loopback
+	}
 	c, err := StartControl(p)
 	if err != nil {
-		return fmt.Errorf("start control-1: %w", err)
+		return fmt.Errorf("start %s: %w", m.Name, err)
 	}
 	d.Controls = append(d.Controls, c)
-	d.settings.Control.Members = []settings.Member{{Name: "control-1", Address: c.Address()}}
 	return nil
 }
 
+// freeAddress finds a UDP port on loopback that nobody listens on now.
+func freeAddress() (string, error) {
+	socket, err := net.ListenPacket("udp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String(), nil
+}
+
+// failureDomains lists the failure domains of the stand-ins, each once.
+func failureDomains(groups []settings.DevServer) []string {
+	var domains []string
+	for _, group := range groups {
+		for _, domain := range group.FailureDomains {
+			if !slices.Contains(domains, domain) {
+				domains = append(domains, domain)
+			}
+		}
+	}
+	return domains
+}
+
 // startServer starts one stand-in with its sidecar.
 func (d *Dev) startServer(group settings.DevServer, n int) error {
 	name := fmt.Sprintf("%s%d", group.NamePrefix, n+1)
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -13,7 +13,9 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -75,13 +77,9 @@
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	follower := &Follower{
-		Node:    p.Settings.Node.Name,
-		Dialer:  endpoint,
-		Control: p.controlAddresses(),
-		Apply:   func(u message.Update) { e.Servers(u.Servers, u.Snapshot) },
-		Logger:  p.Logger,
-	}
+	follower := p.follower("entry", endpoint, func(_ declared.View, c follow.Changed) {
+		e.Servers(c.Servers, c.Whole)
+	})
 	go records.Run(ctx)
 	go follower.Run(ctx)
 	go func() {
--- a/internal/role/memberleader.go
+++ b/internal/role/memberleader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
@@ -27,7 +28,7 @@
 type MemberLeader struct {
 	Self     string
 	Log      control.Log
-	Machine  *DeclaredMachine
+	Store    *operator.Store
 	Observer Observer
 	Logger   *slog.Logger
 
@@ -66,7 +67,8 @@
 	ticker := time.NewTicker(leadEvery)
 	defer ticker.Stop()
 	for {
-		view, changed := m.Machine.View()
+		var view declared.View
+		changed := m.Store.Read(func(d *declared.State) { view = d.View().Copy() })
 		if m.leads.Load() {
 			m.loop.Post(member.Committed{At: time.Now(), View: view})
 		}
@@ -100,8 +102,7 @@
 		return
 	}
 	m.leads.Store(true)
-	view, _ := m.Machine.View()
-	m.loop.Post(member.Led{At: time.Now(), View: view})
+	m.loop.Post(member.Led{At: time.Now(), View: m.Store.View()})
 }
 
 // Serve is the peer.Handler for sidecars that announce their server and ask
@@ -161,8 +162,7 @@
 		m.Logger.Warn("a change of the membership was not accepted", "error", err)
 	}
 	// The change itself must reach the reducer before its outcome does.
-	view, _ := m.Machine.View()
-	m.loop.Post(member.Committed{At: time.Now(), View: view})
+	m.loop.Post(member.Committed{At: time.Now(), View: m.Store.View()})
 	m.loop.Post(member.Proposed{At: time.Now(), Failed: err != nil})
 }
 
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -10,6 +10,8 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -48,6 +50,25 @@
 	return addresses
 }
 
+// follower makes the process's follower of the declared state.
+func (p Process) follower(role string, dialer peer.Dialer, apply func(declared.View, follow.Changed)) *Follower {
+	var controls []follow.Control
+	for _, m := range p.Settings.Control.Members {
+		controls = append(controls, follow.Control{Name: m.Name, Address: m.Address})
+	}
+	return NewFollower(FollowerConfig{
+		Reducer: follow.Config{
+			Node:     p.Settings.Node.Name,
+			Role:     role,
+			Controls: controls,
+			Seed:     newIncarnation(),
+		},
+		Dialer:   dialer,
+		Apply:    apply,
+		Observer: p.observer(),
+	})
+}
+
 // listen opens the process's endpoint towards its peers.
 func (p Process) listen(handlers map[message.Kind]peer.Handler) (*peer.Endpoint, error) {
 	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers}
@@ -114,6 +135,15 @@
 	return h.server.Shutdown(ctx)
 }
 
+// close ends the server and cuts what is in progress; watches of operators
+// never end by themselves, and are resumed elsewhere.
+func (h *httpServer) close() error {
+	if h == nil {
+		return nil
+	}
+	return h.server.Close()
+}
+
 // newIncarnation numbers a start of a process: a later start has a higher
 // number as long as the VM's clock does not go back between them.
 func newIncarnation() uint64 {
--- a/internal/role/sidecar.go
+++ b/internal/role/sidecar.go
@@ -9,9 +9,10 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
-	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -26,8 +27,12 @@
 	Engine engine.Engine
 	// Service is what stands behind the gate; nil for an engine.
 	Service service.Service
-	// Announce carries the server's state to the control VMs.
-	Announce func(oriolebend.Server)
+	// Announcer carries the server's state to the control VMs.
+	Announcer *Announcer
+	// Orders sets up the orders to the engine.
+	Orders order.Config
+	// Left is called when a server that was declared stopping has left.
+	Left     func()
 	Observer Observer
 	Logger   *slog.Logger
 }
@@ -41,10 +46,14 @@
 	drained  chan struct{}
 	once     sync.Once
 	work     *engineWork
+	orders   *Orders
 
 	mu     sync.Mutex
 	open   map[gate.SessionID]*outbox
 	server oriolebend.Server
+	// stopping is true once Stop was called, leaves once a plain service is
+	// declared stopping.
+	stopping, leaves bool
 }
 
 // renewEvery is how often the sidecar renews the leases of sessions whose
@@ -68,6 +77,15 @@
 	}
 	s.loop.Prepare()
 	s.work = newEngineWork(c.Engine, c.Service, s.loop.Post)
+	s.orders = &Orders{
+		Config:    c.Orders,
+		Engine:    c.Engine,
+		Announcer: c.Announcer,
+		SetState:  s.declare,
+		Left:      c.Left,
+		Observer:  c.Observer,
+	}
+	s.orders.Prepare()
 	return s
 }
 
@@ -78,20 +96,59 @@
 	go s.renew(ctx)
 	if s.config.Engine != nil {
 		go s.watchEngine(ctx)
-	} else {
-		s.announce(oriolebend.ServerServing)
+		go s.orders.Run(ctx)
 	}
 	s.loop.Run(ctx)
 }
 
-// Declare tells the gate which state the operators declared for its server.
-func (s *Sidecar) Declare(state oriolebend.ServerState) {
+// Declared tells of the declared state in force.
+func (s *Sidecar) Declared(view declared.View) {
+	s.config.Announcer.Reached(view.Revision)
+	s.mu.Lock()
+	server := s.server
+	s.mu.Unlock()
+	if s.config.Engine != nil {
+		s.orders.Declared(view, server)
+		return
+	}
+	// A plain service takes no orders; only whether it takes work is declared.
+	state := view.TargetOf(server).State
+	s.mu.Lock()
+	s.leaves = state == oriolebend.ServerStopping
+	s.mu.Unlock()
+	s.declare(state)
+}
+
+// declare tells the gate whether to take new work.
+func (s *Sidecar) declare(state oriolebend.ServerState) {
 	s.loop.Post(gate.Declared{At: time.Now(), State: state})
 }
 
+// workEnded tells those who wait for it that the gate has no work left.
+func (s *Sidecar) workEnded() {
+	s.mu.Lock()
+	stopping, leaves := s.stopping, s.leaves
+	s.mu.Unlock()
+	if stopping {
+		s.once.Do(func() { close(s.drained) })
+		return
+	}
+	if s.config.Engine != nil {
+		s.orders.WorkEnded()
+		return
+	}
+	if leaves {
+		s.config.Left()
+	}
+}
+
 // Stop refuses new work and returns once the work in progress has ended, or
 // ctx has.
 func (s *Sidecar) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.orders.Stopping()
 	s.loop.Post(gate.Stopping{At: time.Now()})
 	select {
 	case <-s.drained:
@@ -147,7 +204,7 @@
 	s.server.State = state
 	server := s.server
 	s.mu.Unlock()
-	s.config.Announce(server)
+	s.config.Announcer.Server(server)
 }
 
 // perform carries one effect of the reducer out.
@@ -162,7 +219,7 @@
 	case gate.Count:
 		s.config.Observer.Count(f.What, f.Reason, "")
 	case gate.Drained:
-		s.once.Do(func() { close(s.drained) })
+		s.workEnded()
 	default:
 		s.work.perform(effect)
 	}
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -8,7 +8,10 @@
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -38,11 +41,15 @@
 	process.endpoint = endpoint
 	announcer := &Announcer{Dialer: endpoint, Control: p.controlAddresses(), Logger: p.Logger}
 	announcer.Prepare()
-	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer.Announce))
+	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer))
 	close(ready)
+	follower := p.follower("sidecar", endpoint, func(view declared.View, _ follow.Changed) {
+		process.sidecar.Declared(view)
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
 	go announcer.Run(ctx)
+	go follower.Run(ctx)
 	go func() {
 		defer close(process.done)
 		process.sidecar.Run(ctx)
@@ -50,8 +57,9 @@
 	return process, nil
 }
 
-func (p Process) sidecarConfig(address string, announce func(oriolebend.Server)) SidecarConfig {
+func (p Process) sidecarConfig(address string, announcer *Announcer) SidecarConfig {
 	s := p.Settings
+	incarnation := newIncarnation()
 	config := SidecarConfig{
 		Reducer: gate.Config{
 			Lease:         s.Policy.Lease.Or(0),
@@ -59,16 +67,23 @@
 			Concurrency:   s.Sidecar.Concurrency,
 			Shares:        shares(s.Organisations),
 		},
+		Orders: order.Config{
+			Server:        s.Sidecar.Server,
+			Incarnation:   incarnation,
+			ChecksFencing: s.Sidecar.ChecksFencing,
+			Seed:          incarnation,
+		},
 		Server: oriolebend.Server{
 			Name:          s.Sidecar.Server,
 			Region:        s.Node.Region,
 			FailureDomain: s.Node.FailureDomain,
 			GateAddress:   address,
-			Incarnation:   newIncarnation(),
+			Incarnation:   incarnation,
 		},
-		Announce: announce,
-		Observer: p.observer(),
-		Logger:   p.Logger,
+		Announcer: announcer,
+		Left:      func() { p.Logger.Info("the server has left; this process may end") },
+		Observer:  p.observer(),
+		Logger:    p.Logger,
 	}
 	if s.Sidecar.Service != "" {
 		config.Reducer.Role = oriolebend.Service
--- a/internal/role/watchserver.go
+++ b/internal/role/watchserver.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 )
 
 // freshEvery is how often a follower is told that its state is still the
@@ -15,7 +17,7 @@
 
 // WatchServer feeds the followers of one control VM.
 type WatchServer struct {
-	Machine   *DeclaredMachine
+	Store     *operator.Store
 	Confirmer *Confirmer
 	Reached   *ReachedTable
 	Logger    *slog.Logger
@@ -51,7 +53,9 @@
 func (w *WatchServer) feed(ctx context.Context, s peer.Stream, watch message.Watch) {
 	from := watch.From
 	for {
-		update, changed, err := w.Machine.Update(from)
+		var update message.Update
+		var err error
+		changed := w.Store.Read(func(d *declared.State) { update, err = d.Update(from) })
 		if err != nil {
 			// The follower has seen a later revision than this control VM: it
 			// must not be fed, for its state would go back.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,6 +107,9 @@
 	Name          string `toml:"name"`
 	Address       string `toml:"address"`
 	FailureDomain string `toml:"failureDomain"`
+	// OperatorAddress is where operators reach it, IP:port; another control VM
+	// redirects orders there. Empty means that it tells them to try the next.
+	OperatorAddress string `toml:"operatorAddress"`
 }
 
 // Sidecar sets what stands behind a gate: an engine or a plain service.
@@ -118,6 +121,9 @@
 	// Service is the plain service's name, and ServiceURL its base URL.
 	Service    string `toml:"service"`
 	ServiceURL string `toml:"serviceURL"`
+	// ChecksFencing is true if the engine refuses orders that carry an old
+	// fencing number.
+	ChecksFencing bool `toml:"checksFencing"`
 	// Concurrency bounds the calls of a plain service in progress; zero means
 	// 64.
 	Concurrency int `toml:"concurrency"`
