--- a/internal/reducer/gate/gate_test.go
+++ b/internal/reducer/gate/gate_test.go
@@ -15,8 +15,8 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// script runs the commands of one data file against one gate. Each command is
-// an event; its output are the effects.
+// script runs the lines of one data file against one gate, or several. Each
+// line is an event; the output gives the effects of each by its number.
 type script struct {
 	state *State
 	// gates holds the gates of a script that has several, by name.
@@ -32,17 +32,29 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		r := &script{state: New(Config{}), gates: map[string]*State{}, now: epoch}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			return r.run(t, arguments{d: d})
+			var out strings.Builder
+			for i, line := range strings.Split(d.Input, "\n") {
+				command, args, err := datadriven.ParseLine(line)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, text := range r.run(t, arguments{command: command, args: args}) {
+					fmt.Fprintf(&out, "%d %s\n", i+1, text)
+				}
+			}
+			return out.String()
 		})
 	})
 }
 
-// arguments reads the arguments of a command, with defaults that fit most
-// scripts.
-type arguments struct{ d *datadriven.TestData }
+// arguments reads the arguments of a line, with defaults that fit most.
+type arguments struct {
+	command string
+	args    []datadriven.CmdArg
+}
 
 func (a arguments) text(key, missing string) string {
-	for _, arg := range a.d.CmdArgs {
+	for _, arg := range a.args {
 		if arg.Key == key && len(arg.Vals) > 0 {
 			return arg.Vals[0]
 		}
@@ -51,7 +63,7 @@
 }
 
 func (a arguments) has(key string) bool {
-	for _, arg := range a.d.CmdArgs {
+	for _, arg := range a.args {
 		if arg.Key == key {
 			return true
 		}
@@ -62,7 +74,7 @@
 func (a arguments) number(key string, missing int) int {
 	value, err := strconv.Atoi(a.text(key, strconv.Itoa(missing)))
 	if err != nil {
-		a.d.Fatalf(nil, "%s: %v", key, err)
+		panic(err)
 	}
 	return value
 }
@@ -109,8 +121,9 @@
 	return blocks
 }
 
-func (r *script) run(t *testing.T, a arguments) string {
-	switch a.d.Cmd {
+// run returns the lines of output of one line of input.
+func (r *script) run(t *testing.T, a arguments) []string {
+	switch a.command {
 	case "new":
 		r.state = New(Config{
 			Role:           oriolebend.PoolRole(a.text("role", "")),
@@ -121,7 +134,7 @@
 			DeclaredWithin: a.span("declaredWithin"),
 		})
 		r.now = epoch
-		return ""
+		return nil
 	case "gate":
 		r.gates[r.name] = r.state
 		r.name = a.text("name", "")
@@ -129,7 +142,7 @@
 			r.gates[r.name] = New(Config{})
 		}
 		r.state = r.gates[r.name]
-		return ""
+		return nil
 	case "wait":
 		return r.wait(a)
 	case "state":
@@ -137,36 +150,34 @@
 	}
 	e := r.event(a)
 	if e == nil {
-		t.Fatalf("unknown command %s", a.d.Cmd)
+		t.Fatalf("unknown command %s", a.command)
+	}
+	if effects := render(Reduce(r.state, e), true); effects != "" {
+		return []string{effects}
 	}
-	return render(Reduce(r.state, e))
+	return nil
 }
 
 // wait passes time in ticks and renews the sessions named by "renew".
-func (r *script) wait(a arguments) string {
-	var out strings.Builder
+func (r *script) wait(a arguments) []string {
+	var out []string
 	end := r.now.Add(a.span("for"))
 	for r.now.Before(end) {
 		r.now = r.now.Add(r.state.config.TickEvery)
-		for _, id := range strings.Fields(strings.ReplaceAll(a.text("renew", ""), "+", " ")) {
-			Reduce(r.state, Renewed{At: r.now, Session: SessionID(id)})
+		var effects []Effect
+		for _, id := range strings.FieldsFunc(a.text("renew", ""), plus) {
+			effects = append(effects, Reduce(r.state, Renewed{At: r.now, Session: SessionID(id)})...)
 		}
-		effects := Reduce(r.state, Ticked{At: r.now})
-		if a.has("quiet") {
-			continue
-		}
-		for _, line := range strings.SplitAfter(render(effects), "\n") {
-			lists := line == "listWork\n" || line == "listCache\n"
-			if line != "" && (!lists || a.has("lists")) {
-				fmt.Fprintf(&out, "%s %s", r.now.Sub(epoch), line)
-			}
+		effects = append(effects, Reduce(r.state, Ticked{At: r.now})...)
+		if text := render(effects, a.has("lists")); text != "" && !a.has("quiet") {
+			out = append(out, fmt.Sprintf("@%s %s", r.now.Sub(epoch), text))
 		}
 	}
-	return out.String()
+	return out
 }
 
 func (r *script) event(a arguments) Event {
-	switch a.d.Cmd {
+	switch a.command {
 	case "renew":
 		return Renewed{At: r.now, Session: r.session(a)}
 	case "close":
@@ -190,7 +201,7 @@
 func (r *script) session(a arguments) SessionID { return SessionID(a.text("session", "")) }
 
 func (r *script) message(a arguments) message.Message {
-	switch a.d.Cmd {
+	switch a.command {
 	case "reserve":
 		return r.reserve(a)
 	case "release":
@@ -232,7 +243,7 @@
 }
 
 func (r *script) serverEvent(a arguments) Event {
-	switch a.d.Cmd {
+	switch a.command {
 	case "known":
 		return EngineKnown{At: r.now, Info: engine.Info{
 			Role:        oriolebend.PoolRole(a.text("role", "")),
@@ -277,26 +288,26 @@
 	return nil
 }
 
-// works reads lines of "attempt tokens".
+// works reads "attempt:tokens+attempt:tokens".
 func works(a arguments) []engine.Work {
 	var all []engine.Work
-	for _, line := range strings.Split(a.d.Input, "\n") {
-		name, tokens, found := strings.Cut(line, " ")
-		if !found {
-			continue
+	for _, part := range strings.FieldsFunc(a.text("work", ""), plus) {
+		name, tokens, _ := strings.Cut(part, ":")
+		held, err := strconv.Atoi(tokens)
+		if err != nil {
+			panic(err)
 		}
-		held, _ := strconv.Atoi(tokens)
 		all = append(all, engine.Work{Attempt: parseAttempt(name), Tokens: held})
 	}
 	return all
 }
 
-// cacheEvents reads lines of "sequence change block".
+// cacheEvents reads "sequence:change:block+sequence:change:block".
 func cacheEvents(a arguments) []engine.CacheEvent {
 	var all []engine.CacheEvent
-	for _, line := range strings.Split(a.d.Input, "\n") {
+	for _, part := range strings.FieldsFunc(a.text("events", ""), plus) {
 		var e engine.CacheEvent
-		if _, err := fmt.Sscan(line, &e.Sequence, &e.Change, &e.Block); err != nil {
+		if _, err := fmt.Sscan(strings.ReplaceAll(part, ":", " "), &e.Sequence, &e.Change, &e.Block); err != nil {
 			panic(err)
 		}
 		all = append(all, e)
@@ -304,8 +315,10 @@
 	return all
 }
 
+func plus(r rune) bool { return r == '+' }
+
 // describe tells what is held, in the order of attempts.
-func (r *script) describe() string {
+func (r *script) describe() []string {
 	s := r.state
 	var lines []string
 	for a, held := range s.attempts {
@@ -313,7 +326,7 @@
 	}
 	sort.Strings(lines)
 	lines = append(lines, fmt.Sprintf("free=%d queued=%d state=%s", s.freeTokens(), s.queue.length, s.state()))
-	return strings.Join(lines, "\n")
+	return []string{strings.Join(lines, "; ")}
 }
 
 func name(a message.Attempt) string {
@@ -323,14 +336,19 @@
 	return fmt.Sprintf("%s/%d", a.RequestID, a.Number)
 }
 
-// render writes one line for each effect.
-func render(effects []Effect) string {
-	var out strings.Builder
+// render writes effects in one line, those that only read lists if asked to.
+func render(effects []Effect, lists bool) string {
+	var texts []string
 	for _, e := range effects {
-		out.WriteString(renderEffect(e))
-		out.WriteByte('\n')
+		switch e.(type) {
+		case ListWork, ListCache:
+			if !lists {
+				continue
+			}
+		}
+		texts = append(texts, renderEffect(e))
 	}
-	return out.String()
+	return strings.Join(texts, "; ")
 }
 
 func renderEffect(e Effect) string {
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -59,6 +59,18 @@
 	return used
 }
 
+// dueTokens is the memory of granted reservations whose time has come and whose
+// work has not.
+func (s *State) dueTokens() int {
+	due := 0
+	for _, held := range s.memory.holders {
+		if held.stage == stageGranted && !held.from.After(s.now) {
+			due += held.tokens
+		}
+	}
+	return due
+}
+
 // committed sums what is held now, with granted reservations that are due.
 func (s *State) committed() load {
 	var sum load
--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -157,7 +157,7 @@
 		if len(p.outputs) >= mostKinds {
 			return
 		}
-		known = &quantile{value: p.guess}
+		known = &quantile{value: float64(max(r.output, 1))}
 		p.outputs[kind] = known
 	}
 	known.observe(float64(max(r.output, 1)))
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -101,10 +101,11 @@
 // mayStart reports whether a decode's room is free. One that comes before the
 // time it was promised must leave room for those whose time it is.
 func (s *State) mayStart(r *reservation) bool {
+	used := s.usedTokens() + r.tokens
 	if s.now.Before(r.promisedAt) {
-		return s.committed().tokens <= s.engine.info.KVTokens
+		used += s.dueTokens()
 	}
-	return s.usedTokens()+r.tokens <= s.engine.info.KVTokens
+	return used <= s.engine.info.KVTokens
 }
 
 func (s *State) runDecode(r *reservation) {
