--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -48,6 +48,7 @@
 	case message.ClaimAttach:
 		s.endUnowned(r, AnswerAttach{
 			RequestID:    r.ID,
+			Record:       e.Answer.RequestID,
 			Owner:        e.Answer.Owner,
 			OwnerAddress: e.Answer.OwnerAddress,
 		})
@@ -136,9 +137,9 @@
 	case a.Answer == nil:
 		// The record outlives the stored answer: the request ran and its
 		// output is no longer kept.
-		s.refuseClaimed(r, oriolebend.ReasonResultExpired, oriolebend.RanYes, 0)
+		s.refuseClaimed(r, oriolebend.ReasonAnswerNotKept, oriolebend.RanYes, 0)
 	default:
-		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Answer: *a.Answer})
+		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Record: a.RequestID, Answer: *a.Answer})
 	}
 }
 
