entry: follow the record machine and the gate as they came to be

Change: records and attempts as ClaimAnswer gives them; Settled names the attempt it answers; OpenSession.Status opens a status session at the gate that had the call; Answer.Reopens lets a retry run again what was given up; pings that no gate takes in are refused at their first round by the gates' own prediction; a prompt larger than every memory is refused before acceptance; a request without a quorum is refused (it may not run unrecorded: the client closes its claim as not run).

--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -51,6 +51,9 @@
 	Finish FinishReason      `cbor:"finish,omitempty"`
 	// Reason is set for a stored failure.
 	Reason oriolebend.Reason `cbor:"reason,omitempty"`
+	// Reopens is true for a failure of a repeatable request that speaks of its
+	// attempts and not of the request itself: a retry may run it again.
+	Reopens bool `cbor:"reopens,omitempty"`
 	// Ran is set with Reason; empty means unknown.
 	Ran oriolebend.Ran `cbor:"ran,omitempty"`
 }
--- a/internal/reducer/entry/admit.go
+++ b/internal/reducer/entry/admit.go
@@ -21,12 +21,12 @@
 	}
 	r := s.newRequest(q)
 	if len(s.requests) >= s.config.MaxRequests {
-		s.refuseUnclaimed(r, oriolebend.ReasonOverloaded, comeBack)
+		s.refuse(r, oriolebend.ReasonOverloaded, r.unclaimedRan(), comeBack)
 		return
 	}
 	if q.Generated {
 		if reason, after := s.admit(r); reason != "" {
-			s.refuseUnclaimed(r, reason, after)
+			s.refuse(r, reason, r.unclaimedRan(), after)
 			return
 		}
 	}
@@ -49,12 +49,10 @@
 	}
 }
 
-// refuseUnclaimed refuses a request that holds nothing. Under a key that the
-// caller gave an earlier request may have run.
-func (s *State) refuseUnclaimed(r *request, reason oriolebend.Reason, after time.Duration) {
-	ran := oriolebend.RanUnknown
-	if r.Generated {
-		ran = oriolebend.RanNo
+// refuse tells the caller of a request that holds nothing that it is refused.
+func (s *State) refuse(r *request, reason oriolebend.Reason, ran oriolebend.Ran, after time.Duration) {
+	if r.gone {
+		return
 	}
 	s.count("refusal", reason, r)
 	s.emit(AnswerProblem{RequestID: r.ID, Problem: &oriolebend.Problem{
@@ -65,6 +63,15 @@
 	}})
 }
 
+// unclaimedRan is what is known of a request without its record: under a key
+// that the caller gave an earlier request may have run.
+func (r *request) unclaimedRan() oriolebend.Ran {
+	if r.Generated {
+		return oriolebend.RanNo
+	}
+	return oriolebend.RanUnknown
+}
+
 // admit decides whether a request is taken in. It returns the reason of a
 // refusal and when to come back, or no reason.
 func (s *State) admit(r *request) (oriolebend.Reason, time.Duration) {
@@ -74,6 +81,9 @@
 	if s.pool(r.pool(r.firstRole())).Len() == 0 {
 		return oriolebend.ReasonNoServer, comeBack
 	}
+	if !s.fitsAnywhere(r) {
+		return oriolebend.ReasonTooLarge, 0
+	}
 	if after, allowed := r.org.rate.Allow(s.now); !allowed {
 		return oriolebend.ReasonRateLimited, after
 	}
@@ -95,3 +105,13 @@
 	}
 	return oriolebend.Prefill
 }
+
+// fitsAnywhere reports whether the pools have servers whose memory is large
+// enough for the request, as far as their sizes are known.
+func (s *State) fitsAnywhere(r *request) bool {
+	if r.Call != nil {
+		return true
+	}
+	return s.pool(r.pool(oriolebend.Prefill)).fits(r.PromptTokens) &&
+		s.pool(r.pool(oriolebend.Decode)).fits(r.PromptTokens+r.MaxTokens)
+}
--- a/internal/reducer/entry/call.go
+++ b/internal/reducer/entry/call.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -12,7 +14,7 @@
 	case r.call == nil:
 		s.openCall(r)
 	case !r.call.granted || !r.call.sent.IsZero():
-	case r.Once && !r.unrecorded:
+	case r.Once:
 		s.startCall(r)
 	default:
 		s.sendCall(r)
@@ -54,6 +56,8 @@
 	g := r.call
 	g.sent = s.now
 	r.dispatched = true
+	r.sentCall = g.chosen.key.Attempt.Number
+	r.calledAt = g.chosen.server.Name
 	call := *r.Call
 	call.Attempt = g.chosen.key.Attempt
 	s.emit(Send{Session: g.chosen.key, Message: call})
@@ -91,7 +95,7 @@
 // that may run once.
 func (s *State) callLost(r *request, g *round, l loss) {
 	if r.step == stepAsking {
-		s.statusFailed(r)
+		s.statusFailed(r, l.retryAfter)
 		return
 	}
 	s.closeRound(r, g)
@@ -111,7 +115,7 @@
 // retryUnlessGone tries again, unless the caller was told or left while the
 // call went on.
 func (s *State) retryUnlessGone(r *request, reason oriolebend.Reason) {
-	if r.outcome.told || !r.hasAudience() {
+	if r.outcome.told || r.gone {
 		s.giveUp(r, oriolebend.ReasonCallerCancelled, 0)
 		return
 	}
@@ -130,44 +134,54 @@
 	r.step = stepAsking
 	r.tries = 0
 	s.setAlarm(r, alarmStatus, s.config.StatusWithin)
-	s.openStatus(r)
-}
-
-func (s *State) openStatus(r *request) {
-	r.attempt++
-	reserve := s.reservation(r, message.PhaseCall)
-	want := policy.Want{Domain: s.config.FailureDomain, Count: 1}
-	r.call = s.ask(r, alarmCall, reserve, want, r.pool(oriolebend.Service))
-	if r.call == nil {
-		s.statusFailed(r)
-	}
+	s.askStatus(r)
 }
 
-// sendStatus asks for the outcome under the identity that the call carried.
-func (s *State) sendStatus(r *request) {
-	g := r.call
-	if g == nil || !g.granted || !g.sent.IsZero() {
+// askStatus asks for the outcome under the identity that the call carried. The
+// gate that had the call is asked first: it closes the attempt before it asks
+// its service, so that the call can't run behind the answer.
+func (s *State) askStatus(r *request) {
+	v := s.statusServer(r)
+	if v == nil {
+		s.statusFailed(r, 0)
 		return
 	}
-	g.sent = s.now
-	s.emit(Send{Session: g.chosen.key, Message: message.StatusQuery{
-		Attempt:  g.chosen.key.Attempt,
+	key := SessionKey{
+		Attempt: message.Attempt{RequestID: r.record, Number: r.sentCall},
+		Phase:   message.PhaseCall,
+		Server:  v.Name,
+	}
+	g := &round{phase: message.PhaseCall, alarm: alarmCall, granted: true, sent: s.now, done: true}
+	p := &probe{key: key, request: r, round: g, server: v}
+	g.probes = append(g.probes, p)
+	g.chosen = p
+	r.call = g
+	s.sessions[key] = p
+	s.emit(OpenSession{Session: key, Address: v.GateAddress, Status: &message.StatusQuery{
+		Attempt:  key.Attempt,
 		Path:     r.StatusPath,
 		Identity: r.Call.Identity,
 	}})
 }
 
-// maxStatusTries bounds how often a lost outcome is asked for.
-const maxStatusTries = 3
+func (s *State) statusServer(r *request) *server {
+	if v := s.servers[r.calledAt]; v != nil && r.tries == 0 {
+		return v
+	}
+	p := s.pool(r.pool(oriolebend.Service))
+	if p.Len() == 0 {
+		return nil
+	}
+	s.pick(p.Pool, policy.Want{Domain: s.config.FailureDomain, Count: 1})
+	return s.picked[0]
+}
 
-func (s *State) statusFailed(r *request) {
+// statusFailed has the outcome asked for again after a pause, until that took
+// too long.
+func (s *State) statusFailed(r *request, after time.Duration) {
 	s.closeRound(r, r.call)
+	s.setAlarm(r, alarmReserve, max(after, s.jitter(r)))
 	r.tries++
-	if r.tries >= maxStatusTries {
-		s.unknown(r)
-		return
-	}
-	s.openStatus(r)
 }
 
 // statusAnswered takes the service's word for the outcome. Any answer but a
--- a/internal/reducer/entry/cancel.go
+++ b/internal/reducer/entry/cancel.go
@@ -14,27 +14,12 @@
 	s.endUnheard(r)
 }
 
-func (s *State) attached(id string) {
-	if r := s.requests[id]; r != nil {
-		r.followers++
-	}
-}
-
-func (s *State) detached(id string) {
-	r := s.requests[id]
-	if r == nil || r.followers == 0 {
-		return
-	}
-	r.followers--
-	s.endUnheard(r)
-}
-
 // endUnheard cancels a request that nobody waits for. All its sessions are
 // closed in the same event, so that no engine memory stays held. One that is
 // still being claimed is kept until the answer: its record is then closed,
 // else a retry of the caller would find a claim that nobody works on.
 func (s *State) endUnheard(r *request) {
-	if r.hasAudience() || r.KeepRunning {
+	if !r.gone || r.KeepRunning {
 		return
 	}
 	if r.step == stepClaiming || r.step == stepSettling {
@@ -48,7 +33,7 @@
 	switch r.step {
 	case stepSettling:
 	case stepClaiming:
-		s.endUnclaimed(r)
+		s.endUnclaimed(r, oriolebend.ReasonDeadline)
 	case stepAsking:
 		s.unknown(r)
 	default:
@@ -56,10 +41,12 @@
 	}
 }
 
-// endUnclaimed tells the caller of a request in claim that its deadline
-// passed; the claim is closed when it is answered.
-func (s *State) endUnclaimed(r *request) {
-	s.refuseUnclaimed(r, oriolebend.ReasonDeadline, comeBack)
+// endUnclaimed refuses a request whose claim is unanswered. The request is
+// kept until the answer: if it is owned by then its record is closed, else no
+// other entry could ever run what this one holds and does not work on.
+func (s *State) endUnclaimed(r *request, reason oriolebend.Reason) {
+	s.refuse(r, reason, r.unclaimedRan(), comeBack)
 	r.outcome.told = true
 	r.gone = true
+	r.clearAlarm(alarmClaim)
 }
--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -7,39 +7,41 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// claim asks for the ownership of a request's key. The lease of what an entry
+// owns is the process's own and is renewed beside the reducer.
 func (s *State) claim(r *request) {
-	s.emit(AskClaim{Claim: message.Claim{
+	c := message.Claim{
 		Scope:       r.Scope,
 		RequestID:   r.ID,
 		Fingerprint: r.Fingerprint,
 		Owner:       s.config.Owner,
 		Once:        r.Once,
-		LeaseFor:    s.config.ClaimLease,
-	}})
+	}
+	if r.StatusPath != "" {
+		c.Status = &message.StatusCall{
+			Service:  r.Service,
+			Path:     r.StatusPath,
+			Identity: r.Call.Identity,
+		}
+	}
+	s.emit(AskClaim{Claim: c})
 	s.setAlarm(r, alarmClaim, s.config.ClaimWithin)
 }
 
-// claimDue asks again: the claim is unanswered, or its lease has used up a
-// third of its time. A claim of the same owner is answered as the first was.
+// claimDue is met when a claim stays unanswered. The caller is refused now;
+// the request is kept until the answer, whose claim has then to be closed.
 func (s *State) claimDue(r *request) {
-	if r.step == stepClaiming && s.now.Sub(r.arrived) >= s.config.ClaimWithin {
-		s.claimProblem(r)
-		return
-	}
-	s.claim(r)
+	s.endUnclaimed(r, oriolebend.ReasonControlAway)
 }
 
 func (s *State) claimed(e Claimed) {
 	r := s.requests[e.RequestID]
-	if r == nil {
-		return
-	}
-	if r.step != stepClaiming {
-		s.renewed(r, e)
+	if r == nil || r.step != stepClaiming {
 		return
 	}
+	r.clearAlarm(alarmClaim)
 	if e.Problem != nil {
-		s.claimProblem(r)
+		s.claimProblem(r, e.Problem)
 		return
 	}
 	switch e.Answer.Outcome {
@@ -56,109 +58,68 @@
 		s.replay(r, e.Answer)
 	case message.ClaimConflict:
 		s.refuseClaimed(r, oriolebend.ReasonKeyReused, oriolebend.RanNo, 0)
+	case message.ClaimRefused:
+		s.refuseClaimed(r, e.Answer.Reason, oriolebend.RanNo, comeBack)
 	default:
 		s.refuseClaimed(r, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 0)
 	}
 }
 
-// renewed takes the answer to a renewal. Until the record is settled the work
-// goes on, also if no quorum answers: the settlement decides whose answer
-// counts, and a call that may run once was recorded as running before.
-func (s *State) renewed(r *request, e Claimed) {
-	if r.step == stepSettling {
-		return
-	}
-	s.setAlarm(r, alarmClaim, s.config.ClaimLease/3)
-	if e.Problem != nil {
-		s.count("renewalFailed", e.Problem.Reason, r)
-		return
-	}
-	if r.unrecorded && e.Answer.Outcome == message.ClaimOwned {
-		// The claim was only late: the request has a record after all.
-		r.unrecorded = false
-	}
-}
-
-// owned accepts the request: from here on it is never dropped.
+// owned takes a request on whose key is this entry's now. One whose key the
+// caller gave is admitted here.
 func (s *State) owned(r *request, a message.ClaimAnswer) {
-	r.attempt = max(a.Attempt, 1) - 1
-	s.setAlarm(r, alarmClaim, s.config.ClaimLease/3)
+	r.record = or(a.RequestID, r.ID)
+	r.first = max(a.Attempt, 1)
+	r.attempt = r.first - 1
 	if r.gone {
-		r.owned = true
 		s.giveUp(r, oriolebend.ReasonCallerCancelled, 0)
 		return
 	}
 	if !r.Generated {
 		if reason, after := s.admit(r); reason != "" {
 			s.count("refusal", reason, r)
-			r.owned = true
 			s.giveUp(r, reason, after)
 			return
 		}
 	}
-	r.owned = true
+	r.accepted = r.Urgency != oriolebend.Urgent
 	s.enqueue(r)
 }
 
-// claimProblem is met when no quorum of control VMs answered.
+// claimProblem is met when no quorum of control VMs answered: the request is
+// refused. Under a key that the entry made nothing ran and nothing will. Under
+// a key that the caller gave an earlier request may have run, which only a
+// quorum could tell.
 //
-// A repeatable request under a key that the entry made runs all the same: no
-// other request can hold its key, its work may be repeated, and without it one
-// lost quorum would stop all pings. It has no record, so that a later look-up
-// by its ID finds none. Any other request is refused: its key may belong to an
-// earlier one, or its call may run once at most, which only a quorum can tell.
-func (s *State) claimProblem(r *request) {
-	if r.gone {
-		s.forget(r)
-		return
-	}
-	if r.Generated && !r.Once {
-		s.count("unclaimed", oriolebend.ReasonControlAway, r)
-		r.owned = true
-		r.unrecorded = true
-		r.clearAlarm(alarmClaim)
-		s.enqueue(r)
-		return
-	}
-	ran := oriolebend.RanUnknown
-	if r.Generated {
+// To run a repeatable request without its record would keep answering while
+// no quorum is there, but its caller could be told "not run" later by a record
+// that was closed behind a claim whose answer was lost.
+func (s *State) claimProblem(r *request, p *oriolebend.Problem) {
+	ran := r.unclaimedRan()
+	if p.Reason == oriolebend.ReasonRecordsFull {
 		ran = oriolebend.RanNo
 	}
-	s.refuseClaimed(r, oriolebend.ReasonControlAway, ran, comeBack)
+	s.refuseClaimed(r, p.Reason, ran, or(p.RetryAfter, comeBack))
 }
 
 // replay gives the caller what the record holds.
 func (s *State) replay(r *request, a message.ClaimAnswer) {
 	switch {
 	case a.State == message.RecordNotRun:
-		s.refuseClaimed(r, storedReason(a.Answer), oriolebend.RanNo, comeBack)
-	case a.State == message.RecordUnknown:
-		s.refuseClaimed(r, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, 0)
+		s.refuseClaimed(r, or(a.Reason, oriolebend.ReasonOverloaded), oriolebend.RanNo, comeBack)
 	case a.Answer == nil:
 		// The record outlives the stored answer: the request ran and its
 		// output is no longer kept.
-		s.refuseClaimed(r, oriolebend.ReasonAnswerNotKept, oriolebend.RanYes, 0)
+		s.refuseClaimed(r, or(a.Reason, oriolebend.ReasonAnswerNotKept), oriolebend.RanYes, 0)
 	default:
 		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Record: a.RequestID, Answer: *a.Answer})
 	}
 }
 
-func storedReason(a *message.Answer) oriolebend.Reason {
-	if a == nil || a.Reason == "" {
-		return oriolebend.ReasonOverloaded
-	}
-	return a.Reason
-}
-
 // refuseClaimed refuses a request that the entry does not own.
 func (s *State) refuseClaimed(r *request, reason oriolebend.Reason, ran oriolebend.Ran, after time.Duration) {
-	s.count("refusal", reason, r)
-	s.endUnowned(r, AnswerProblem{RequestID: r.ID, Problem: &oriolebend.Problem{
-		Reason:     reason,
-		Ran:        ran,
-		RequestID:  r.ID,
-		RetryAfter: after,
-	}})
+	s.refuse(r, reason, ran, after)
+	s.forget(r)
 }
 
 func (s *State) endUnowned(r *request, e Effect) {
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -60,9 +60,9 @@
 	// means 1,024.
 	MaxConcurrency int
 
-	// ClaimLease is how long a claim lasts unrenewed; zero means 30s.
-	ClaimLease time.Duration
-	// ClaimWithin is how long a claim may stay unanswered; zero means 3s.
+	// ClaimWithin is how long a claim may stay unanswered before its caller is
+	// refused; it is longer than an election and than one call to the control
+	// VMs may take. Zero means 6s.
 	ClaimWithin time.Duration
 	// OfferWithin is how long a round waits for an offer before it asks the
 	// next candidate, or takes the best one that it has; zero means 20ms.
@@ -82,9 +82,10 @@
 	// SettleWithin is how long the end of an answer waits for its record;
 	// zero means 2s.
 	SettleWithin time.Duration
-	// SettleEvery is the pause between two tries to settle a record; zero
-	// means 1s.
-	SettleEvery time.Duration
+	// SettleEvery is the pause between two tries to settle a record, and
+	// SettleSilence how long one try may stay unanswered; zero means 1s and 6s.
+	SettleEvery   time.Duration
+	SettleSilence time.Duration
 	// SettleFor is how long a record is tried to be settled; zero means 1m.
 	SettleFor time.Duration
 	// StatusWithin is how long the outcome of a lost call is asked for; zero
@@ -123,8 +124,7 @@
 	c.RetryFloor = or(c.RetryFloor, 1)
 	c.RetryBurst = or(c.RetryBurst, 32)
 	c.MaxConcurrency = or(c.MaxConcurrency, 1024)
-	c.ClaimLease = or(c.ClaimLease, 30*time.Second)
-	c.ClaimWithin = or(c.ClaimWithin, 3*time.Second)
+	c.ClaimWithin = or(c.ClaimWithin, 6*time.Second)
 	c.OfferWithin = or(c.OfferWithin, 20*time.Millisecond)
 	c.ProbeWithin = or(c.ProbeWithin, 500*time.Millisecond)
 	c.HoldPrefill = or(c.HoldPrefill, 100*time.Millisecond)
@@ -132,6 +132,7 @@
 	c.CallWithin = or(c.CallWithin, 30*time.Second)
 	c.SettleWithin = or(c.SettleWithin, 2*time.Second)
 	c.SettleEvery = or(c.SettleEvery, time.Second)
+	c.SettleSilence = or(c.SettleSilence, 6*time.Second)
 	c.SettleFor = or(c.SettleFor, time.Minute)
 	c.StatusWithin = or(c.StatusWithin, 2*time.Second)
 	c.RetryBase = or(c.RetryBase, 20*time.Millisecond)
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -239,6 +239,10 @@
 }
 
 func (s *State) reserveAgain(r *request) {
+	if r.step == stepAsking {
+		s.askStatus(r)
+		return
+	}
 	if r.result != nil && !s.resultLives(r) {
 		s.resultExpired(r)
 		return
--- a/internal/reducer/entry/effect.go
+++ b/internal/reducer/entry/effect.go
@@ -15,11 +15,13 @@
 // AskSettle sends a record's next state to the control VMs; Settled follows.
 type AskSettle struct{ Settle message.Settle }
 
-// OpenSession opens a session with a gate and sends the reservation.
+// OpenSession opens a session with a gate and sends the reservation, or the
+// status query in its place if that is set.
 type OpenSession struct {
 	Session SessionKey
 	Address string
 	Reserve message.Reserve
+	Status  *message.StatusQuery
 }
 
 // Send sends a message over an open session.
--- a/internal/reducer/entry/event.go
+++ b/internal/reducer/entry/event.go
@@ -61,25 +61,13 @@
 	Request Request
 }
 
-// CallerGone tells that the caller of a request left before its answer ended.
+// CallerGone tells that the last caller that followed a request left before
+// its answer ended.
 type CallerGone struct {
 	At        time.Time
 	RequestID string
 }
 
-// Attached tells that one more caller follows a request of this entry; it
-// goes on for as long as any of them stays.
-type Attached struct {
-	At        time.Time
-	RequestID string
-}
-
-// Detached tells that a caller which had attached left.
-type Detached struct {
-	At        time.Time
-	RequestID string
-}
-
 // Claimed is the answer of the control VMs to a Claim.
 type Claimed struct {
 	At        time.Time
@@ -91,8 +79,10 @@
 
 // Settled is the answer of the control VMs to a Settle.
 type Settled struct {
-	At        time.Time
+	At time.Time
+	// RequestID and Attempt are those of the Settle that is answered.
 	RequestID string
+	Attempt   uint32
 	State     message.RecordState
 	Accepted  bool
 	// Problem is set instead if no quorum answered.
@@ -131,8 +121,6 @@
 
 func (e Arrived) when() time.Time        { return e.At }
 func (e CallerGone) when() time.Time     { return e.At }
-func (e Attached) when() time.Time       { return e.At }
-func (e Detached) when() time.Time       { return e.At }
 func (e Claimed) when() time.Time        { return e.At }
 func (e Settled) when() time.Time        { return e.At }
 func (e Received) when() time.Time       { return e.At }
--- a/internal/reducer/entry/loss.go
+++ b/internal/reducer/entry/loss.go
@@ -97,13 +97,12 @@
 	case isStandby:
 		s.standbyFailed(r)
 		return
-	case r.step == stepAsking:
-		s.statusFailed(r)
-		return
-	}
-	if s.hopeless(r, reason) {
+	case s.hopeless(r, reason):
 		s.giveUp(r, reason, 0)
 		return
+	case s.tooLate(r, reason):
+		s.giveUp(r, reason, or(after, comeBack))
+		return
 	}
 	r.lastReason = reason
 	if isDecode && s.decodeLater(r) {
@@ -116,25 +115,35 @@
 
 // hopeless tells refusals that no other server and no later time would change.
 func (s *State) hopeless(r *request, reason oriolebend.Reason) bool {
+	return reason == oriolebend.ReasonMalformed || permanent(reason) && !s.fitsAnywhere(r)
+}
+
+// permanent tells refusals that speak of the request itself.
+func permanent(reason oriolebend.Reason) bool {
 	switch reason {
-	case oriolebend.ReasonMalformed:
+	case oriolebend.ReasonMalformed, oriolebend.ReasonTooLarge:
 		return true
-	case oriolebend.ReasonTooLarge:
-		return !s.fitsAnywhere(r, oriolebend.Prefill) || !s.fitsAnywhere(r, oriolebend.Decode)
 	default:
 		return false
 	}
 }
 
-// fitsAnywhere reports whether some server's memory is large enough for a
-// request that another one refused as too large.
-func (s *State) fitsAnywhere(r *request, role oriolebend.PoolRole) bool {
-	for _, v := range s.pool(r.pool(role)).Members() {
-		if v.KVTokens >= r.PromptTokens+r.MaxTokens {
-			return true
-		}
+// tooLate takes in that a gate would start a request too late, and reports
+// whether to end it. An urgent request that no gate took in yet is refused at
+// its first round: gates know their queues better than any estimate of the
+// entry, and to be refused now leaves the caller its time. A request with a
+// deadline of its own ends when a gate says that it can't be met. Any other is
+// accepted: it goes on, and gates are asked without a bound.
+func (s *State) tooLate(r *request, reason oriolebend.Reason) bool {
+	if reason != oriolebend.ReasonDeadline && reason != oriolebend.ReasonOverloaded {
+		return false
+	}
+	if !r.accepted {
+		s.count("refusal", reason, r)
+		return true
 	}
-	return false
+	r.late = true
+	return reason == oriolebend.ReasonDeadline && !r.Deadline.IsZero() && r.Urgency != oriolebend.Urgent
 }
 
 // pause has a request wait for a random while that grows with its tries.
--- a/internal/reducer/entry/prefill.go
+++ b/internal/reducer/entry/prefill.go
@@ -8,18 +8,13 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// maxPrefix is how many hashes of a prompt's leading blocks a reservation
-// carries, the longest ones. As each block is twice the one before, what the
-// shorter ones could tell is at most a sixteenth of the prompt.
-const maxPrefix = 4
-
 // openPrefill asks for prefill room. After output was delivered the prompt to
 // compute is the caller's and that output.
 func (s *State) openPrefill(r *request) {
 	r.attempt++
 	reserve := s.reservation(r, message.PhasePrefill)
 	reserve.PromptTokens = r.PromptTokens + r.output.tokens
-	reserve.Prefix = r.Prefix[max(0, len(r.Prefix)-maxPrefix):]
+	reserve.Prefix = r.Prefix
 	want := policy.Want{Prefix: r.Prefix, Domain: s.config.FailureDomain, Count: s.config.Probes}
 	r.prefill = s.ask(r, alarmPrefill, reserve, want, r.pool(oriolebend.Prefill))
 	if r.prefill == nil {
--- a/internal/reducer/entry/reduce.go
+++ b/internal/reducer/entry/reduce.go
@@ -27,10 +27,6 @@
 		s.arrived(e.Request)
 	case CallerGone:
 		s.callerGone(e.RequestID)
-	case Attached:
-		s.attached(e.RequestID)
-	case Detached:
-		s.detached(e.RequestID)
 	case Claimed:
 		s.claimed(e)
 	case Settled:
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -52,10 +52,6 @@
 // advance takes every step of a request that is possible now. It may be called
 // at any time: what is not due yet is left alone.
 func (s *State) advance(r *request) {
-	if r.step == stepAsking {
-		s.sendStatus(r)
-		return
-	}
 	if r.step != stepRouting {
 		return
 	}
@@ -90,7 +86,7 @@
 	if !s.route.ReservesDecode() {
 		w.Count = 1
 	}
-	s.pick(pool, w)
+	s.pick(pool.Pool, w)
 	g := &round{
 		phase:   reserve.Phase,
 		attempt: reserve.Attempt.Number,
@@ -142,7 +138,7 @@
 // reservation fills in what all reservations of a request have in common.
 func (s *State) reservation(r *request, phase message.Phase) message.Reserve {
 	reserve := message.Reserve{
-		Attempt:      message.Attempt{RequestID: r.ID, Number: r.attempt},
+		Attempt:      message.Attempt{RequestID: r.record, Number: r.attempt},
 		Phase:        phase,
 		Entry:        s.config.Name,
 		Organisation: r.Scope.Organisation,
@@ -155,8 +151,8 @@
 		Hold:         true,
 		Once:         r.Once,
 	}
-	if phase == message.PhasePrefill && r.output.tokens == 0 {
-		reserve.Deadline = s.firstTokenLeft(r)
+	if phase != message.PhaseDecode && r.output.tokens == 0 {
+		reserve.Deadline = s.startWithin(r)
 	}
 	return reserve
 }
@@ -165,10 +161,19 @@
 // seconds, and small numbers take fewer bytes.
 const waitedUnit = 100 * time.Millisecond
 
-// firstTokenLeft is how long until the first token is late. A request that is
-// late already asks without a deadline: it is not dropped.
-func (s *State) firstTokenLeft(r *request) time.Duration {
-	left := r.FirstWithin - s.now.Sub(r.arrived)
+// startWithin is how long a first output is of use, told to gates so that they
+// refuse early what would come too late; zero is no bound. An urgent request
+// has its latency target, a patient one the deadline of its caller, if any. An
+// accepted request that is late already asks without: it is not dropped.
+func (s *State) startWithin(r *request) time.Duration {
+	var left time.Duration
+	switch {
+	case r.late:
+	case r.Urgency == oriolebend.Urgent:
+		left = r.FirstWithin - s.now.Sub(r.arrived)
+	case !r.Deadline.IsZero():
+		left = r.Deadline.Sub(s.now)
+	}
 	return max(0, left.Truncate(time.Millisecond))
 }
 
@@ -226,6 +231,7 @@
 	g.probes = g.probes[:0]
 	g.probes = append(g.probes, best)
 	g.chosen = best
+	r.accepted = true
 	best.noted = true
 	best.server.open++
 	s.chosen(r, g)
--- a/internal/reducer/entry/servers.go
+++ b/internal/reducer/entry/servers.go
@@ -68,23 +68,36 @@
 	return poolKey{role: role, model: r.Model, version: r.Version, adapter: r.Adapter}
 }
 
+// pool is the servers that can serve one kind of request in one phase.
+type pool struct {
+	*policy.Pool[*server]
+	// largest is the size of the largest memory in tokens; zero if unknown.
+	largest int
+}
+
+func (p *pool) fits(tokens int) bool {
+	return p.largest == 0 || tokens <= p.largest
+}
+
 // maxPools bounds the pools that are kept although they have no members.
 const maxPools = 1024
 
 // pool returns the pool of a key; it is built on first use after a change of
 // membership, so that choosing a server does not depend on their number. The number
 // of pools is bounded: callers could name any number of models.
-func (s *State) pool(k poolKey) *policy.Pool[*server] {
+func (s *State) pool(k poolKey) *pool {
 	if p := s.pools[k]; p != nil {
 		return p
 	}
 	var members []*server
+	largest := 0
 	for _, v := range s.servers {
 		if k.serves(v.Server) {
 			members = append(members, v)
+			largest = max(largest, v.KVTokens)
 		}
 	}
-	p := policy.NewPool(members)
+	p := &pool{Pool: policy.NewPool(members), largest: largest}
 	if len(members) > 0 || len(s.pools) < maxPools {
 		s.pools[k] = p
 	}
--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -36,19 +36,15 @@
 
 // conclude frees all that the request holds and has its outcome recorded.
 func (s *State) conclude(r *request, state message.RecordState, a *message.Answer) {
-	attempt := max(r.attempt, 1)
+	attempt := max(r.attempt, r.first)
+	if r.Once && r.dispatched {
+		// The record takes the outcome of the very attempt that it says runs.
+		attempt = r.sentCall
+	}
 	s.closeAll(r)
 	s.leaveQueue(r)
 	s.releasePlace(r)
 	r.clearAlarm(alarmDeadline)
-	// A renewal behind the settlement could open a record again that is being
-	// closed as not run.
-	r.clearAlarm(alarmClaim)
-	if r.unrecorded {
-		s.tell(r)
-		s.forget(r)
-		return
-	}
 	r.step = stepSettling
 	s.settle(r, message.Settle{Attempt: attempt, State: state, Answer: a})
 	// A failure that claims nothing about "not run" is true whatever the
@@ -60,10 +56,12 @@
 
 // settle asks for the record's next state, until it is settled.
 func (s *State) settle(r *request, m message.Settle) {
-	m.RequestID = r.ID
+	m.RequestID = r.record
 	m.Scope = r.Scope
 	m.Owner = s.config.Owner
+	s.unsettle(r)
 	r.outcome.settle = &m
+	s.settling[settlement(m)] = r
 	r.outcome.since = s.now
 	r.outcome.tries = 0
 	s.setAlarm(r, alarmAnswer, s.config.SettleWithin)
@@ -74,34 +72,31 @@
 	if r.outcome.settle == nil {
 		return
 	}
-	if s.now.Sub(r.outcome.since) > s.config.SettleFor {
+	if r.step == stepSettling && s.now.Sub(r.outcome.since) > s.config.SettleFor {
 		s.settleLost(r)
 		return
 	}
 	r.outcome.tries++
 	s.emit(AskSettle{Settle: *r.outcome.settle})
-	s.setAlarm(r, alarmSettle, s.config.SettleEvery)
+	s.setAlarm(r, alarmSettle, s.config.SettleSilence)
 }
 
-// settleLost gives up on a record after long: its lease ends at the control
-// VMs, which then settle it by what it says.
+// settleLost lets go of a record after long: whoever carries settlements out
+// sends the last one on until a quorum takes it.
 func (s *State) settleLost(r *request) {
 	s.count("settleLost", oriolebend.ReasonControlAway, r)
-	if r.step == stepStarting {
-		s.startAgain(r)
-		return
-	}
 	s.answerUnsettled(r)
 	s.forget(r)
 }
 
 func (s *State) settled(e Settled) {
-	r := s.requests[e.RequestID]
-	if r == nil || r.outcome.settle == nil {
+	r := s.settling[message.Attempt{RequestID: e.RequestID, Number: e.Attempt}]
+	if r == nil {
 		return
 	}
 	if e.Problem != nil {
 		s.count("settleFailed", e.Problem.Reason, r)
+		s.setAlarm(r, alarmSettle, s.config.SettleEvery)
 		if r.step == stepStarting {
 			s.startAgain(r)
 		}
@@ -127,9 +122,18 @@
 
 // unsettle drops a settlement that is no longer waited for.
 func (s *State) unsettle(r *request) {
+	if r.outcome.settle == nil {
+		return
+	}
+	delete(s.settling, settlement(*r.outcome.settle))
+	r.outcome.settle = nil
 	r.clearAlarm(alarmSettle)
 	r.clearAlarm(alarmAnswer)
-	r.outcome.settle = nil
+}
+
+// settlement is what the answer to a Settle is found by.
+func settlement(m message.Settle) message.Attempt {
+	return message.Attempt{RequestID: m.RequestID, Number: m.Attempt}
 }
 
 // startAgain is met when no quorum said that the record is running. It may
@@ -190,12 +194,12 @@
 		return
 	}
 	r.outcome.told = true
-	if !r.hasAudience() {
+	if r.gone {
 		return
 	}
 	switch o := r.outcome; {
 	case o.problem != nil:
-		o.problem.RequestID = r.ID
+		o.problem.RequestID = or(r.record, r.ID)
 		s.emit(AnswerProblem{RequestID: r.ID, Problem: o.problem})
 	case o.call != nil:
 		s.emit(AnswerCall{RequestID: r.ID, Answer: *o.call})
@@ -204,11 +208,6 @@
 	}
 }
 
-// hasAudience reports whether anybody waits for the answer.
-func (r *request) hasAudience() bool {
-	return !r.gone || r.followers > 0
-}
-
 // giveUp ends a request without an answer, and tells so at once where that is
 // true without the record.
 func (s *State) giveUp(r *request, reason oriolebend.Reason, after time.Duration) {
@@ -225,7 +224,10 @@
 	}
 	problem.Ran = oriolebend.RanUnknown
 	s.dropWasted(r)
-	s.conclude(r, message.RecordFailed, &message.Answer{Reason: reason})
+	s.conclude(r, message.RecordFailed, &message.Answer{
+		Reason:  reason,
+		Reopens: !permanent(reason),
+	})
 }
 
 // leaveCallRunning lets a call that may run once go on to its outcome after
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -23,9 +23,13 @@
 	drained  bool
 
 	requests map[string]*request
+	// settling finds the requests whose settlement is unanswered, by record and
+	// attempt: a caller's retry may own the same record before the settlement
+	// of its first request is answered.
+	settling map[message.Attempt]*request
 	sessions map[SessionKey]*probe
 	servers  map[string]*server
-	pools    map[poolKey]*policy.Pool[*server]
+	pools    map[poolKey]*pool
 	lanes    map[laneKey]*lane
 	orgs     map[string]*organisation
 	timers   timers
@@ -47,9 +51,10 @@
 		rng:      rand.New(rand.NewPCG(c.Seed, 0x6f72696f6c65)),
 		route:    policy.New[*server](c.Route),
 		requests: map[string]*request{},
+		settling: map[message.Attempt]*request{},
 		sessions: map[SessionKey]*probe{},
 		servers:  map[string]*server{},
-		pools:    map[poolKey]*policy.Pool[*server]{},
+		pools:    map[poolKey]*pool{},
 		lanes:    map[laneKey]*lane{},
 		orgs:     map[string]*organisation{},
 	}
@@ -104,23 +109,29 @@
 	lane    *lane
 	org     *organisation
 	arrived time.Time
-	// owned is true once the claim was answered as owned: the request is
-	// accepted.
-	owned bool
-	// gone is true once the caller left; followers counts attached callers.
+	// accepted is true once the request is not refused any more, but answered:
+	// for a patient one when it is admitted, for an urgent one when a gate took
+	// it in besides.
+	accepted bool
+	// late is true once a gate said that the first token would be late: gates
+	// are asked without a bound from then on.
+	late bool
+	// record is the ID of the request's record, under which its work is
+	// dispatched: that of the first request under the key.
+	record string
+	// gone is true once the last caller left.
 	gone bool
-	// unrecorded is true if the request runs without a claim.
-	unrecorded bool
-	followers  int
 	// queued is true while the request waits in its lane's queue.
 	queued bool
 	// counted is true while the request takes a place of its lane's limit.
 	counted bool
 	due     [alarms]time.Time
 
-	// attempt is the number of the last try; decoded is the last number that
-	// a decode round used.
+	// attempt is the number of the last try; first is the lowest that this
+	// ownership of the record may use, and decoded the last number that a
+	// decode round used.
 	attempt uint32
+	first   uint32
 	decoded uint32
 	prefill *round
 	decode  *round
@@ -135,8 +146,11 @@
 	// the caller got output last.
 	heard      time.Time
 	lastOutput time.Time
-	// dispatched is true once any work was sent that may have run.
+	// dispatched is true once any work was sent that may have run; sentCall is
+	// the attempt of the last call that was, and calledAt its server.
 	dispatched bool
+	sentCall   uint32
+	calledAt   string
 	// tries counts rounds and attempts that failed since the last progress.
 	tries          int
 	engineFailures int
@@ -176,5 +190,6 @@
 	s.leaveQueue(r)
 	s.releasePlace(r)
 	delete(s.requests, r.ID)
+	s.unsettle(r)
 	s.dropLane(r.lane)
 }
--- a/internal/reducer/record/request.go
+++ b/internal/reducer/record/request.go
@@ -75,7 +75,7 @@
 }
 
 // reopens reports whether a retry may run the request again: it never ran, or
-// it may be repeated and its owner is gone. A claim that counts the command as
+// it may be repeated and its owner is gone or gave up on it. A claim that counts the command as
 // one to run once, because its route was declared anew in between, does not
 // reopen what may have run.
 func (r *request) reopens(once bool) bool {
--- a/internal/reducer/record/settle.go
+++ b/internal/reducer/record/settle.go
@@ -115,7 +115,7 @@
 
 // outcome moves a record and stores its answer, if it has one.
 func (s *State) outcome(r *request, to message.RecordState, a *message.Answer) {
-	r.orphaned = false
+	r.orphaned = to == message.RecordFailed && !r.once && a != nil && a.Reopens
 	r.reason = ""
 	if a != nil {
 		r.reason = a.Reason
@@ -124,7 +124,7 @@
 		r.reason = oriolebend.ReasonOutcomeLost
 	}
 	s.move(r, to)
-	if to == message.RecordAnswered || to == message.RecordFailed {
+	if to == message.RecordAnswered || (to == message.RecordFailed && !r.orphaned) {
 		s.store(r, a)
 	}
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -256,7 +256,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, recordWithin)
 	defer cancel()
 	settled, err := e.config.Records.Settle(ctx, s)
-	event := entry.Settled{At: time.Now(), RequestID: s.RequestID, State: s.State, Accepted: settled.Accepted, Problem: asProblem(err, s.RequestID)}
+	event := entry.Settled{At: time.Now(), RequestID: s.RequestID, Attempt: s.Attempt, State: s.State, Accepted: settled.Accepted, Problem: asProblem(err, s.RequestID)}
 	e.loop.Post(event)
 }
 
@@ -265,8 +265,12 @@
 	e.mu.Lock()
 	e.sessions[f.Session] = s
 	e.mu.Unlock()
+	first := message.Message(f.Reserve)
+	if f.Status != nil {
+		first = *f.Status
+	}
 	go func() {
-		s.run(e.ctx, e.config.Dialer, f.Address, f.Reserve)
+		s.run(e.ctx, e.config.Dialer, f.Address, first)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.sessions[f.Session] == s {
--- a/internal/role/entrysession.go
+++ b/internal/role/entrysession.go
@@ -48,7 +48,7 @@
 }
 
 // run opens the session and serves it until either side ends it.
-func (s *entrySession) run(ctx context.Context, dialer peer.Dialer, address string, reserve message.Reserve) {
+func (s *entrySession) run(ctx context.Context, dialer peer.Dialer, address string, first message.Message) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := s.open(ctx, dialer, address)
@@ -60,7 +60,7 @@
 	if s.isClosing() {
 		return
 	}
-	if err := stream.Send(reserve); err != nil {
+	if err := stream.Send(first); err != nil {
 		s.lost(false)
 		return
 	}
