--- a/internal/reducer/declared/view.go
+++ b/internal/reducer/declared/view.go
@@ -187,11 +187,16 @@
 
 // TargetOf works out what a server is declared to be.
 func (v View) TargetOf(s oriolebend.Server) Target {
+	return v.TargetIn(s, v.PoolOf(s))
+}
+
+// TargetIn works out what a server of a pool is declared to be; it spares
+// the search for the pool.
+func (v View) TargetIn(s oriolebend.Server, name string) Target {
 	target := Target{State: oriolebend.ServerServing}
 	if d := v.Server(s.Name); d != nil && d.State != "" {
 		target.State = d.State
 	}
-	name := v.PoolOf(s)
 	pool := v.Pool(name)
 	if pool == nil {
 		return target
@@ -207,3 +212,23 @@
 	}
 	return target
 }
+
+// Merge brings the view to a revision by what changed: deleted resources and
+// servers that are gone are dropped.
+func (v *View) Merge(revision uint64, servers []oriolebend.Server, resources []oriolebend.Resource) {
+	v.Revision = revision
+	for _, server := range servers {
+		if server.State == oriolebend.ServerGone {
+			delete(v.Servers, server.Name)
+			continue
+		}
+		v.Servers[server.Name] = server
+	}
+	for _, r := range resources {
+		if r.Deleted {
+			delete(v.Resources, r.Key())
+			continue
+		}
+		v.Resources[r.Key()] = r
+	}
+}
--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -65,9 +65,17 @@
 // goes on, also if no quorum answers: the settlement decides whose answer
 // counts, and a call that may run once was recorded as running before.
 func (s *State) renewed(r *request, e Claimed) {
+	if r.step == stepSettling {
+		return
+	}
 	s.setAlarm(r, alarmClaim, s.config.ClaimLease/3)
 	if e.Problem != nil {
 		s.count("renewalFailed", e.Problem.Reason, r)
+		return
+	}
+	if r.unrecorded && e.Answer.Outcome == message.ClaimOwned {
+		// The claim was only late: the request has a record after all.
+		r.unrecorded = false
 	}
 }
 
@@ -129,7 +137,7 @@
 	case a.Answer == nil:
 		// The record outlives the stored answer: the request ran and its
 		// output is no longer kept.
-		s.refuseClaimed(r, oriolebend.ReasonResultExpired, oriolebend.RanYes, 0)
+		s.refuseClaimed(r, oriolebend.ReasonAnswerNotKept, oriolebend.RanYes, 0)
 	default:
 		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Record: a.RequestID, Answer: *a.Answer})
 	}
--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -41,6 +41,9 @@
 	s.leaveQueue(r)
 	s.releasePlace(r)
 	r.clearAlarm(alarmDeadline)
+	// A renewal behind the settlement could open a record again that is being
+	// closed as not run.
+	r.clearAlarm(alarmClaim)
 	if r.unrecorded {
 		s.tell(r)
 		s.forget(r)
@@ -209,10 +212,10 @@
 // giveUp ends a request without an answer, and tells so at once where that is
 // true without the record.
 func (s *State) giveUp(r *request, reason oriolebend.Reason, after time.Duration) {
-	s.count("givenUp", reason, r)
 	if s.leaveCallRunning(r, reason, after) {
 		return
 	}
+	s.count("givenUp", reason, r)
 	r.lastReason = reason
 	problem := &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanNo, RetryAfter: after}
 	r.outcome.problem = problem
@@ -235,6 +238,7 @@
 	if r.outcome.told {
 		return true
 	}
+	s.count("givenUp", reason, r)
 	r.outcome.problem = &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanUnknown, RetryAfter: after}
 	s.tell(r)
 	r.outcome.problem = nil
