--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -35,7 +35,7 @@
 	f.members(s.Control.Members)
 	f.sidecar(s.Sidecar)
 	f.policy(s.Policy)
-	f.organisations(s.Organisations)
+	f.organisations(s)
 	f.operations(s.Operations)
 	f.services(s.Services)
 	f.dev(s)
@@ -111,6 +111,7 @@
 	atLeast(f, "caller.maxBodyBytes", c.MaxBodyBytes, 0)
 	atLeast(f, "caller.maxPromptTokens", c.MaxPromptTokens, 0)
 	atLeast(f, "caller.maxOutputTokens", c.MaxOutputTokens, 0)
+	atLeast(f, "caller.maxConnections", c.MaxConnections, 0)
 	atLeast(f, "caller.headerTimeout", c.HeaderTimeout, 0)
 	atLeast(f, "caller.bodyTimeout", c.BodyTimeout, 0)
 	atLeast(f, "caller.stopDelay", c.StopDelay, 0)
@@ -153,10 +154,11 @@
 	}
 }
 
-func (f *faults) organisations(list []Organisation) {
+func (f *faults) organisations(s Settings) {
 	names, tokens := f.unique("name"), f.unique("token")
 	tokens.secret = true
-	for i, o := range list {
+	operations := operationNames(s)
+	for i, o := range s.Organisations {
 		path := elementPath("organisations", i)
 		f.required(joinPath(path, "name"), o.Name)
 		names.see(joinPath(path, "name"), o.Name)
@@ -164,7 +166,29 @@
 		for j, token := range o.Tokens {
 			tokens.see(elementPath(joinPath(path, "tokens"), j), token)
 		}
+		for j, name := range o.Operations {
+			f.enum(elementPath(joinPath(path, "operations"), j), name, operations)
+		}
+		for j, urgency := range o.Urgencies {
+			f.enum(elementPath(joinPath(path, "urgencies"), j), string(urgency), urgencies)
+		}
+	}
+}
+
+// defaultOperation names the requests whose callers name none.
+const defaultOperation = "completion"
+
+// operationNames lists what organisations can be limited to: the declared
+// operations, and the services, each as "service:" and its name.
+func operationNames(s Settings) []string {
+	names := []string{defaultOperation}
+	for _, o := range s.Operations {
+		names = append(names, o.Name)
+	}
+	for _, service := range s.Services {
+		names = append(names, "service:"+service.Name)
 	}
+	return names
 }
 
 func (f *faults) operations(list []Operation) {
