--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -11,6 +11,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Process is what every role needs to start.
@@ -18,8 +19,26 @@
 	Settings    settings.Settings
 	Credentials peer.Credentials
 	Logger      *slog.Logger
+	// Observer takes counts and measures; nil takes none.
+	Observer Observer
 }
 
+func (p Process) observer() Observer {
+	if p.Observer == nil {
+		return unobserved{}
+	}
+	return p.Observer
+}
+
+// unobserved is an Observer that keeps nothing.
+type unobserved struct{}
+
+// Count implements Observer.
+func (unobserved) Count(string, oriolebend.Reason, string) {}
+
+// Observe implements Observer.
+func (unobserved) Observe(string, oriolebend.Urgency, float64) {}
+
 // controlAddresses lists the peer addresses of the control VMs.
 func (p Process) controlAddresses() []string {
 	addresses := make([]string, 0, len(p.Settings.Control.Members))
@@ -40,6 +59,22 @@
 	})
 }
 
+// closeWithin bounds the wait for sessions that peers still hold when a role
+// has drained: what they carry then are watches and renewals, which their
+// peers open anew elsewhere.
+const closeWithin = time.Second
+
+// closeEndpoint ends a process's endpoint once its role has drained.
+func closeEndpoint(e *peer.Endpoint) error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	err := e.Stop(ctx)
+	if peer.CodeOf(err) == peer.CodeCancelled {
+		return nil
+	}
+	return err
+}
+
 // httpServer is one HTTP server of a process and the port that it listens on.
 type httpServer struct {
 	server   *http.Server
@@ -84,3 +119,14 @@
 func newIncarnation() uint64 {
 	return uint64(time.Now().UnixNano())
 }
+
+// shares maps organisations to their weight in queues.
+func shares(organisations []settings.Organisation) map[string]float64 {
+	weights := map[string]float64{}
+	for _, o := range organisations {
+		if o.Share > 0 {
+			weights[o.Name] = o.Share
+		}
+	}
+	return weights
+}
