--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -1,10 +1,10 @@
 package peer
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -125,16 +125,20 @@
 // otherwise make a receiver allocate megabytes for a peer that sent four
 // bytes, and a thousand such sessions would end the process.
 func readFrame(r io.Reader, length int) ([]byte, error) {
-	var buffer bytes.Buffer
-	buffer.Grow(min(length, readStep))
-	n, err := io.CopyN(&buffer, r, int64(length))
-	if errors.Is(err, io.EOF) {
-		return nil, errorf(CodeGarbled, "", io.ErrUnexpectedEOF, "frame breaks off at %d of %d bytes", n, length)
-	}
-	if err != nil {
-		return nil, err
+	frame := make([]byte, 0, min(length, readStep))
+	for len(frame) < length {
+		have := len(frame)
+		step := min(length-have, max(have, readStep))
+		frame = slices.Grow(frame, step)[:have+step]
+		n, err := io.ReadFull(r, frame[have:])
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, errorf(CodeGarbled, "", io.ErrUnexpectedEOF, "frame breaks off at %d of %d bytes", have+n, length)
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	return buffer.Bytes(), nil
+	return frame, nil
 }
 
 func decodeFrame(frame []byte) (message.Message, error) {
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -11,7 +11,7 @@
 // Defaults of Config.
 const (
 	DefaultSilence     = 3 * time.Second
-	DefaultIdleAfter   = 60 * time.Second
+	DefaultIdleAfter   = 5 * time.Minute
 	DefaultDialTimeout = 2 * time.Second
 	DefaultMaxSessions = 4096
 	// DefaultStreamWindow is how many bytes of one session may wait unread;
--- a/internal/peer/health.go
+++ b/internal/peer/health.go
@@ -12,6 +12,11 @@
 	verdictIdle   verdict = "idle"
 )
 
+// quietTicks is how many ticks a connection may be quiet before it is pinged.
+// It leaves three pings before the silence bound, so that two of them may be
+// lost.
+const quietTicks = ticksOfSilence - 4
+
 // health is what the watcher knows of a connection.
 type health struct {
 	dialled   bool
@@ -59,7 +64,7 @@
 		return h.judgeIdle(now)
 	case h.silent >= ticksOfSilence-1:
 		return verdictSilent
-	case !heard:
+	case h.silent >= quietTicks:
 		return verdictPing
 	default:
 		return verdictKeep
