peertest: keep the contract of streams

Cause: nine of the seventeen contract cases failed for the in-memory network: a close lost what was sent before it, a killed process read as a clean end, and the handler's context outlived its session. Tests that use it could pass or fail by chance, or take a broken answer for a whole one. Change: the two ends share who closed; what was sent before a close is received; a killed process is told as lost.

--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -93,7 +93,10 @@
 }
 
 // Open implements peer.Dialer.
-func (d dialer) Open(_ context.Context, address string) (peer.Stream, error) {
+func (d dialer) Open(ctx context.Context, address string) (peer.Stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &peer.Error{Code: peer.CodeCancelled, Peer: address, Cause: err}
+	}
 	d.network.mu.Lock()
 	h, ok := d.network.handlers[address]
 	d.network.mu.Unlock()
@@ -101,11 +104,11 @@
 		return nil, &UnreachableError{Address: address}
 	}
 	near, far := pair(d.network, d.name, h.name)
-	stop := context.AfterFunc(h.ctx, func() { _ = far.Close() })
+	stop := context.AfterFunc(h.ctx, near.line.kill)
 	go func() {
 		defer stop()
 		defer far.Close()
-		h.serve(h.ctx, far)
+		h.serve(far.context(h.ctx), far)
 	}()
 	return near, nil
 }
@@ -118,10 +121,9 @@
 func pair(n *Network, near, far string) (nearEnd, farEnd *stream) {
 	there := make(chan delivery, streamMessages)
 	back := make(chan delivery, streamMessages)
-	done := make(chan struct{})
-	once := &sync.Once{}
-	nearEnd = &stream{n: n, own: near, peer: far, out: there, in: back, done: done, once: once}
-	farEnd = &stream{n: n, own: far, peer: near, out: back, in: there, done: done, once: once}
+	l := &line{done: make(chan struct{})}
+	nearEnd = &stream{n: n, own: near, peer: far, out: there, in: back, line: l}
+	farEnd = &stream{n: n, own: far, peer: near, out: back, in: there, line: l}
 	return nearEnd, farEnd
 }
 
@@ -130,48 +132,106 @@
 	at time.Time
 }
 
+// line is what the two ends of a stream share.
+type line struct {
+	done chan struct{}
+	once sync.Once
+	// closer is the end that closed the stream, nil if its process was killed.
+	// It is written before done is closed, and read after.
+	closer *stream
+}
+
+func (l *line) kill() { l.end(nil) }
+
+func (l *line) end(closer *stream) {
+	l.once.Do(func() {
+		l.closer = closer
+		close(l.done)
+	})
+}
+
 type stream struct {
 	n         *Network
 	own, peer string
 	out       chan<- delivery
 	in        <-chan delivery
-	done      chan struct{}
-	once      *sync.Once
+	line      *line
+}
+
+// context returns a context that ends with the stream.
+func (s *stream) context(parent context.Context) context.Context {
+	ctx, cancel := context.WithCancel(parent)
+	go func() {
+		<-s.line.done
+		cancel()
+	}()
+	return ctx
+}
+
+// ended says why the stream ended, once it has.
+func (s *stream) ended() error {
+	switch s.line.closer {
+	case nil:
+		return &peer.Error{Code: peer.CodeLost, Peer: s.peer}
+	case s:
+		return &peer.Error{Code: peer.CodeClosed, Peer: s.peer}
+	default:
+		return &peer.Error{Code: peer.CodePeerClosed, Peer: s.peer}
+	}
 }
 
 // Send implements peer.Stream.
 func (s *stream) Send(m message.Message) error {
+	select {
+	case <-s.line.done:
+		return s.ended()
+	default:
+	}
 	lost, delay := s.n.fate(s.own, s.peer)
 	if lost {
 		return nil
 	}
 	select {
-	case <-s.done:
-		return io.ErrClosedPipe
+	case <-s.line.done:
+		return s.ended()
 	case s.out <- delivery{m: m, at: time.Now().Add(delay)}:
 		return nil
 	}
 }
 
-// Receive implements peer.Stream.
+// Receive implements peer.Stream. What the peer sent before it closed is
+// still received.
 func (s *stream) Receive() (message.Message, error) {
 	select {
 	case d := <-s.in:
-		time.Sleep(time.Until(d.at))
-		return d.m, nil
-	case <-s.done:
+		return d.take(), nil
+	case <-s.line.done:
+	}
+	if err := s.ended(); peer.CodeOf(err) != peer.CodePeerClosed {
+		return nil, err
+	}
+	select {
+	case d := <-s.in:
+		return d.take(), nil
+	default:
 		return nil, io.EOF
 	}
 }
 
+// take waits until the message has arrived.
+func (d delivery) take() message.Message {
+	time.Sleep(time.Until(d.at))
+	return d.m
+}
+
 // Close implements peer.Stream.
 func (s *stream) Close() error {
-	s.once.Do(func() { close(s.done) })
+	s.line.end(s)
 	return nil
 }
 
 // Done implements peer.Stream.
-func (s *stream) Done() <-chan struct{} { return s.done }
+func (s *stream) Done() <-chan struct{} { return s.line.done }
 
 // Peer implements peer.Stream.
 func (s *stream) Peer() string { return s.peer }
