peer: dial anew when a connection ends between its choice and the session

Cause: TestRestartedPeerIsDialledAnew failed once: after a stateless reset the streams end a moment before the connection's context does, and an Open in that moment was given the dying connection.

--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -27,6 +27,7 @@
 
 	lock   sync.Mutex
 	health health
+	broken bool
 }
 
 func newConnection(e *Endpoint, q *quic.Conn, side string) (*connection, error) {
@@ -49,9 +50,15 @@
 	}, nil
 }
 
-// open opens a session. Nothing is sent before its first message.
+// open opens a session. Nothing is sent before its first message. After a
+// failure that is not the caller's the connection is used no more.
 func (c *connection) open(ctx context.Context) (*session, error) {
 	stream, err := c.quic.OpenStreamSync(ctx)
+	if err != nil && ctx.Err() == nil {
+		c.lock.Lock()
+		c.broken = true
+		c.lock.Unlock()
+	}
 	if err != nil {
 		return nil, c.translate(err)
 	}
@@ -78,7 +85,7 @@
 func (c *connection) usable() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	return !c.health.bye && c.quic.Context().Err() == nil
+	return !c.broken && !c.health.bye && c.quic.Context().Err() == nil
 }
 
 func (c *connection) judge(now time.Time, stopping bool) verdict {
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -13,6 +13,11 @@
 	"github.com/quic-go/quic-go"
 )
 
+// maxOpenTries is how many connections an Open tries. A connection may end
+// between its choice and the session's start; nothing was sent then, so that
+// another one can be dialled safely.
+const maxOpenTries = 2
+
 // Endpoint is one process's UDP socket towards its peers: it accepts their
 // sessions and dials theirs. It implements Dialer.
 type Endpoint struct {
@@ -20,6 +25,7 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	pool      *pool
+	traffic   traffic
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -47,6 +53,7 @@
 	}
 	e := &Endpoint{
 		config: c, transport: transport, listener: listener,
+		traffic:     c.Metrics.traffic(),
 		connections: map[*connection]struct{}{},
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -83,23 +90,23 @@
 	if e.stopping.Load() {
 		return nil, errorf(CodeStopping, address, nil, "this process is stopping")
 	}
-	c, err := e.pool.take(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	s, err := c.open(ctx)
-	if err != nil {
-		return nil, openError(ctx, err, address)
-	}
-	e.config.Metrics.Sessions.WithLabelValues(sideOpened).Inc()
-	return s, nil
-}
-
-func openError(ctx context.Context, err error, address string) error {
-	if ctx.Err() != nil {
-		return errorf(CodeCancelled, address, ctx.Err(), "open a session")
+	for try := 1; ; try++ {
+		c, err := e.pool.take(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		s, err := c.open(ctx)
+		if err == nil {
+			e.config.Metrics.Sessions.WithLabelValues(sideOpened).Inc()
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return nil, errorf(CodeCancelled, address, ctx.Err(), "open a session")
+		}
+		if try == maxOpenTries {
+			return nil, err
+		}
 	}
-	return err
 }
 
 // dial makes a connection; the pool calls it once for all that wait.
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"io"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // Metrics counts what an Endpoint does.
 type Metrics struct {
@@ -16,6 +20,35 @@
 	Errors *prometheus.CounterVec
 }
 
+// traffic holds the counters of frames, looked up once: a session counts each
+// frame, and the look-up by label costs more than the count.
+type traffic struct {
+	framesSent, framesReceived prometheus.Counter
+	bytesSent, bytesReceived   prometheus.Counter
+}
+
+func (m *Metrics) traffic() traffic {
+	return traffic{
+		framesSent:     m.Frames.WithLabelValues(directionSent),
+		framesReceived: m.Frames.WithLabelValues(directionReceived),
+		bytesSent:      m.Bytes.WithLabelValues(directionSent),
+		bytesReceived:  m.Bytes.WithLabelValues(directionReceived),
+	}
+}
+
+// countedReader counts the bytes that are read through it.
+type countedReader struct {
+	reader io.Reader
+	count  prometheus.Counter
+}
+
+// Read implements io.Reader.
+func (c countedReader) Read(b []byte) (int, error) {
+	n, err := c.reader.Read(b)
+	c.count.Add(float64(n))
+	return n, err
+}
+
 // Label values of Metrics.
 const (
 	sideOpened        = "opened"
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -22,7 +22,7 @@
 	connection *connection
 	reader     *bufio.Reader
 	codec      Codec
-	metrics    *Metrics
+	traffic    traffic
 
 	sendLock sync.Mutex
 	buffer   []byte
@@ -35,12 +35,14 @@
 
 func newSession(stream *quic.Stream, c *connection) *session {
 	c.began()
+	traffic := c.endpoint.traffic
+	counted := countedReader{reader: stream, count: traffic.bytesReceived}
 	return &session{
 		stream:     stream,
 		connection: c,
-		reader:     bufio.NewReaderSize(stream, readerBytes),
+		reader:     bufio.NewReaderSize(counted, readerBytes),
 		codec:      c.endpoint.config.Codec,
-		metrics:    c.endpoint.config.Metrics,
+		traffic:    traffic,
 	}
 }
 
@@ -63,8 +65,8 @@
 		s.sendError = s.fail(err)
 		return s.sendError
 	}
-	s.metrics.Frames.WithLabelValues(directionSent).Inc()
-	s.metrics.Bytes.WithLabelValues(directionSent).Add(float64(len(frame)))
+	s.traffic.framesSent.Inc()
+	s.traffic.bytesSent.Add(float64(len(frame)))
 	return nil
 }
 
@@ -75,7 +77,7 @@
 	}
 	m, err := s.codec.Read(s.reader)
 	if err == nil {
-		s.metrics.Frames.WithLabelValues(directionReceived).Inc()
+		s.traffic.framesReceived.Inc()
 		return m, nil
 	}
 	s.readError = err
@@ -98,7 +100,7 @@
 func (s *session) fail(err error) error {
 	typed := s.connection.translate(err)
 	if code := CodeOf(typed); code != CodeClosed && code != CodePeerClosed {
-		s.metrics.Errors.WithLabelValues(string(code)).Inc()
+		s.connection.endpoint.config.Metrics.Errors.WithLabelValues(string(code)).Inc()
 	}
 	return typed
 }
