peer: a process reaches itself over its own socket

Cause: a control VM lists itself among the members that it dials. Change: a test. Measured: go test -race -run Itself ./internal/peer passes. Conclusion: no special case is needed.

--- a/internal/peer/endpoint_test.go
+++ b/internal/peer/endpoint_test.go
@@ -48,3 +48,9 @@
 		}
 	})
 }
+
+// A control VM that lists itself among the members dials its own socket.
+func TestProcessReachesItself(t *testing.T) {
+	e := newSite(t).listen(t, "control-1", nil)
+	echoOnce(t, e, e.Address())
+}
