--- a/internal/reducer/record/command.go
+++ b/internal/reducer/record/command.go
@@ -59,6 +59,8 @@
 	Resolved []message.Settled     `cbor:"resolved,omitempty"`
 	Claimed  []message.ClaimAnswer `cbor:"claimed,omitempty"`
 	Expired  Expired               `cbor:"expired,omitzero"`
+	// Evicted counts answers forgotten before their time, to make room.
+	Evicted int `cbor:"evicted,omitempty"`
 }
 
 // Expired counts what an Expire did.
--- a/internal/reducer/record/expire.go
+++ b/internal/reducer/record/expire.go
@@ -39,22 +39,33 @@
 	return e
 }
 
-// dropAnswers forgets answers that are older than their retention; the list is
-// in the order of the changes. Only answers dropped count against the limit,
-// so that a restored state, which begins at another place, drops the same.
+// dropAnswers forgets answers that are older than their retention.
 func (s *State) dropAnswers(l *list, limit int, e *Expired) {
 	end := s.now - nanos(s.limits.KeepAnswers)
-	for l.answered != nil && l.answered.changed <= end {
-		if l.answered.answer != nil {
-			if limit == 0 {
-				e.More = true
-				return
-			}
-			s.dropAnswer(l.answered)
-			limit--
-			e.Answers++
+	for r := l.oldestAnswer(); r != nil && r.changed <= end; r = l.oldestAnswer() {
+		if limit == 0 {
+			e.More = true
+			return
+		}
+		s.dropAnswer(r)
+		limit--
+		e.Answers++
+	}
+}
+
+// makeRoom forgets the oldest answers until size more bytes fit: retries come
+// soon, so the newest answer is worth more than an old one.
+func (s *State) makeRoom(size int64) {
+	for s.answerBytes+size > s.limits.MaxAnswersBytes {
+		r, other := s.settledOnce.oldestAnswer(), s.settledRepeatable.oldestAnswer()
+		if r == nil || (other != nil && other.changed < r.changed) {
+			r = other
+		}
+		if r == nil {
+			return
 		}
-		l.answered = l.answered.next
+		s.dropAnswer(r)
+		s.evicted++
 	}
 }
 
--- a/internal/reducer/record/limits.go
+++ b/internal/reducer/record/limits.go
@@ -22,7 +22,8 @@
 	MaxBytes int64 `cbor:"maxBytes"`
 	// MaxAnswerBytes bounds one stored answer; zero means 64 KiB.
 	MaxAnswerBytes int `cbor:"maxAnswerBytes"`
-	// MaxAnswersBytes bounds all stored answers; zero means 512 MiB.
+	// MaxAnswersBytes bounds all stored answers; beyond it the oldest are
+	// forgotten before KeepAnswers. Zero means 512 MiB.
 	MaxAnswersBytes int64 `cbor:"maxAnswersBytes"`
 	// KeepRecords is how long a settled record is kept; zero means 24h.
 	KeepRecords time.Duration `cbor:"keepRecords"`
--- a/internal/reducer/record/list.go
+++ b/internal/reducer/record/list.go
@@ -27,6 +27,15 @@
 	}
 }
 
+// oldestAnswer returns the first record with an answer, or nil. Records without
+// one are passed over once: they get none while they are in the list.
+func (l *list) oldestAnswer() *request {
+	for l.answered != nil && l.answered.answer == nil {
+		l.answered = l.answered.next
+	}
+	return l.answered
+}
+
 func (l *list) remove(r *request) {
 	if l.answered == r {
 		l.answered = r.next
--- a/internal/reducer/record/request.go
+++ b/internal/reducer/record/request.go
@@ -12,7 +12,7 @@
 
 // recordOverhead is the memory of one record beside its own strings, in
 // bytes: the struct, both index entries and the allocator's rounding.
-const recordOverhead = 420
+const recordOverhead = 290
 
 // attemptsPerOwner is the distance between the attempt numbers of successive
 // owners. An owner of a repeatable request counts its attempts up by itself;
--- a/internal/reducer/record/settle.go
+++ b/internal/reducer/record/settle.go
@@ -123,24 +123,27 @@
 	if to == message.RecordUnknown {
 		r.reason = oriolebend.ReasonOutcomeLost
 	}
-	s.move(r, to)
 	if to == message.RecordAnswered || to == message.RecordFailed {
 		s.store(r, a)
 	}
+	s.move(r, to)
 }
 
-// store keeps an answer for replay, unless it is over a bound: the record
-// then says that it was answered and that the answer is not kept.
+// store keeps an answer for replay, unless it is over its bound: the record
+// then says that it was answered and that the answer is not kept. It comes
+// before the record is put into its list, which passes over records without an
+// answer for good.
 func (s *State) store(r *request, a *message.Answer) {
 	if a == nil {
 		r.reason = oriolebend.ReasonAnswerNotKept
 		return
 	}
 	size := answerBytes(a)
-	if size > int64(s.limits.MaxAnswerBytes) || s.answerBytes+size > s.limits.MaxAnswersBytes {
+	if size > int64(s.limits.MaxAnswerBytes) || size > s.limits.MaxAnswersBytes {
 		r.reason = oriolebend.ReasonAnswerNotKept
 		return
 	}
+	s.makeRoom(size)
 	r.answer = a
 	s.answerBytes += size
 }
--- a/internal/reducer/record/state.go
+++ b/internal/reducer/record/state.go
@@ -23,6 +23,8 @@
 
 	bytes       int64
 	answerBytes int64
+	// evicted counts the answers that the present command made room from.
+	evicted int
 }
 
 // New returns a state without records.
@@ -48,6 +50,7 @@
 		return Result{}
 	}
 	s.index = index
+	s.evicted = 0
 	s.pass(c.At.UnixNano())
 	if c.Limits != nil {
 		s.limits = c.Limits.withDefaults()
@@ -68,6 +71,7 @@
 	if c.Expire != nil {
 		result.Expired = s.expire(*c.Expire)
 	}
+	result.Evicted = s.evicted
 	return result
 }
 
