--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -51,6 +51,8 @@
 	Finish FinishReason      `cbor:"finish,omitempty"`
 	// Reason is set for a stored failure.
 	Reason oriolebend.Reason `cbor:"reason,omitempty"`
+	// Ran is set with Reason; empty means unknown.
+	Ran oriolebend.Ran `cbor:"ran,omitempty"`
 }
 
 // Claim asks for the ownership of a scope. The first claim owns it; a claim
@@ -196,3 +198,13 @@
 
 // Kind implements Message.
 func (Renewed) Kind() Kind { return KindRenewed }
+
+var (
+	_ = Register[Claim]()
+	_ = Register[ClaimAnswer]()
+	_ = Register[Settle]()
+	_ = Register[Settled]()
+	_ = Register[Query]()
+	_ = Register[Renew]()
+	_ = Register[Renewed]()
+)
--- /dev/null
+++ b/internal/peer/connection.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Datagrams between endpoints are one byte long.
+const (
+	// datagramPing asks for an acknowledgement.
+	datagramPing byte = 1
+	// datagramBye tells that the sender stops: the receiver opens no more
+	// sessions on the connection and closes it after the last.
+	datagramBye byte = 2
+)
+
+// connection is one QUIC connection and the count of its sessions.
+type connection struct {
+	endpoint *Endpoint
+	quic     *quic.Conn
+	peer     Identity
+	address  string
+	side     string
+
+	lock   sync.Mutex
+	health health
+}
+
+func newConnection(e *Endpoint, q *quic.Conn, side string) (*connection, error) {
+	certificates := q.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 {
+		return nil, errorf(CodeNoName, q.RemoteAddr().String(), nil, "no certificate")
+	}
+	identity, err := IdentityOfCertificate(certificates[0])
+	if err != nil {
+		return nil, err
+	}
+	return &connection{
+		endpoint: e, quic: q, peer: identity, side: side,
+		address: q.RemoteAddr().String(),
+		health: health{
+			dialled:   side == sideOpened,
+			idleAfter: e.config.IdleAfter,
+			idleSince: time.Now(),
+		},
+	}, nil
+}
+
+// open opens a session. Nothing is sent before its first message.
+func (c *connection) open(ctx context.Context) (*session, error) {
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, c.translate(err)
+	}
+	return newSession(stream, c), nil
+}
+
+func (c *connection) translate(err error) error {
+	return translate(err, c.peer.Name)
+}
+
+func (c *connection) began() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.health.began()
+}
+
+func (c *connection) ended() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.health.ended(time.Now())
+}
+
+// usable reports whether new sessions may be opened.
+func (c *connection) usable() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return !c.health.bye && c.quic.Context().Err() == nil
+}
+
+func (c *connection) judge(now time.Time, stopping bool) verdict {
+	packets := c.quic.ConnectionStats().PacketsReceived
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.health.judge(packets, now, stopping)
+}
+
+// tick carries a verdict out.
+func (c *connection) tick(now time.Time, stopping bool) {
+	switch c.judge(now, stopping) {
+	case verdictPing:
+		c.sendDatagram(datagramPing)
+	case verdictIdle:
+		c.close(connectionIdle, "idle")
+	case verdictSilent:
+		c.endpoint.config.Logger.Warn("peer is silent", "peer", c.peer.Name, "address", c.address)
+		c.endpoint.config.Metrics.Errors.WithLabelValues(string(CodeSilent)).Inc()
+		c.close(connectionSilent, "silent")
+	case verdictKeep:
+	}
+	if stopping {
+		c.sendDatagram(datagramBye)
+	}
+}
+
+func (c *connection) sendDatagram(kind byte) {
+	// A datagram that can't be sent belongs to a connection that has ended.
+	_ = c.quic.SendDatagram([]byte{kind})
+}
+
+// receiveDatagrams reads datagrams until the connection ends.
+func (c *connection) receiveDatagrams() {
+	for {
+		datagram, err := c.quic.ReceiveDatagram(context.Background())
+		if err != nil {
+			return
+		}
+		if len(datagram) == 1 && datagram[0] == datagramBye {
+			c.lock.Lock()
+			c.health.bye = true
+			c.lock.Unlock()
+		}
+	}
+}
+
+func (c *connection) close(code quic.ApplicationErrorCode, text string) {
+	_ = c.quic.CloseWithError(code, text)
+}
