record: ids follow the owner; closing a claim races with nobody

Cause: read against the entry as built. It settles under its own request id, counts status calls as attempts, renews by claiming again, and runs a repeatable request without a record when no quorum answers. A record that kept the first id refused all settles after a take-over; a backlog that closed a claim as not run could do so beside a dispatch. Change: a take-over gives the record the new claim's id; earlier ids keep what was told about them. Settle with AnyAttempt closes only what is still claimed. Renewals that fail close nothing. Repeatable failures whose cause passes can be run again by a retry; a given-up repeatable claim is failed, never not run.

--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -26,11 +26,28 @@
 	}
 }
 
-// giveUp has the backlog close a claim. Its request id is spent: a second
+// hold notes that the record of a claim is this entry's: a later claim with the
+// same id is a renewal, whose failure must not close what runs.
+func (c *Client) hold(requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[requestID] = true
+}
+
+func (c *Client) release(requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.held, requestID)
+}
+
+// giveUp has the backlog close a claim, unless it was a renewal. Its request id is spent: a second
 // claim with it could be dispatched just as the backlog tells that it was not.
 func (c *Client) giveUp(m message.Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.held[m.RequestID] {
+		return
+	}
 	if c.later(m) {
 		c.givenUp[m.RequestID] = true
 	}
@@ -89,20 +106,25 @@
 }
 
 // closing returns the settle that closes a claim which nobody waits for any
-// more, if it turned out to be owned by this entry. Nothing was dispatched
-// under it, for its caller never learnt the attempt number.
+// more, if it turned out to be owned by this entry. It closes only what is
+// still claimed. A repeatable request may have been run without its record, so
+// that "not run" would be false; a retry may run it.
 func closing(m, answer message.Message) message.Message {
 	claim, isClaim := m.(message.Claim)
 	claimed, isAnswer := answer.(message.ClaimAnswer)
-	if !isClaim || !isAnswer || claimed.Outcome != message.ClaimOwned || claimed.State != message.RecordClaimed {
+	if !isClaim || !isAnswer || claimed.Outcome != message.ClaimOwned {
 		return nil
 	}
-	return message.Settle{
+	settle := message.Settle{
 		RequestID: claimed.RequestID,
 		Scope:     claim.Scope,
 		Owner:     claim.Owner,
-		Attempt:   claimed.Attempt,
+		Attempt:   message.AnyAttempt,
 		State:     message.RecordNotRun,
 		Answer:    &message.Answer{Reason: oriolebend.ReasonControlAway},
 	}
+	if !claimed.Once {
+		settle.State = message.RecordFailed
+	}
+	return settle
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -91,6 +91,8 @@
 	member  int
 	// givenUp holds the request ids of claims that the backlog closes.
 	givenUp map[string]bool
+	// held holds those of claims that this entry owns and has not settled.
+	held map[string]bool
 }
 
 // NewClient returns a client; it opens no stream before it is used.
@@ -100,6 +102,7 @@
 		config:  c,
 		backlog: make(chan message.Message, c.Backlog),
 		givenUp: map[string]bool{},
+		held:    map[string]bool{},
 	}
 }
 
@@ -183,6 +186,9 @@
 			RetryAfter: c.config.MaxWait,
 		}
 	}
+	if claimed.Outcome == message.ClaimOwned {
+		c.hold(m.RequestID)
+	}
 	return claimed, nil
 }
 
@@ -193,6 +199,9 @@
 	if m.Owner == "" {
 		m.Owner = c.config.Owner
 	}
+	if m.State != message.RecordRunning {
+		c.release(m.RequestID)
+	}
 	answer, err := c.ask(ctx, m)
 	if err != nil {
 		if m.State != message.RecordRunning {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -261,3 +261,27 @@
 		is.True(b.group.proposed < 40) // 400 claims in few log entries
 	})
 }
+
+// Symptom: a brief that runs is recorded as given up, and its retry runs it a
+// second time. Sequence: the entry renews its claim while the quorum is lost.
+// Cause: a renewal that is taken for a claim which nobody waits for.
+func TestFailedRenewalClosesNothing(t *testing.T) {
+	withBench(t, func(is *is.I, b *bench) {
+		ctx := context.Background()
+		c := tip("k1", "r1")
+		c.Once = false
+		first, err := b.clients["e1"].Claim(ctx, c)
+		is.NoErr(err)
+		b.group.set(func(g *fakeGroup) { g.stuck = true })
+		_, err = b.clients["e1"].Claim(ctx, c)
+		is.True(err != nil)
+		b.group.set(func(g *fakeGroup) { g.stuck = false })
+		time.Sleep(30 * time.Second)
+		second, err := b.clients["e2"].Claim(ctx, tip("k1", "r2"))
+		is.NoErr(err)
+		is.Equal(second.Outcome, message.ClaimAttach)
+		settled, err := b.clients["e1"].Settle(ctx, outcome(c, first, message.RecordAnswered))
+		is.NoErr(err)
+		is.True(settled.Accepted)
+	})
+}
--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -108,8 +108,8 @@
 // ClaimAnswer is the record as a claim or query found it.
 type ClaimAnswer struct {
 	Outcome ClaimOutcome `cbor:"outcome"`
-	// RequestID is the record's own: whoever owns, attaches or settles uses it
-	// in place of the one that it claimed with.
+	// RequestID is the record's own. For the owner it is the one that it claimed
+	// with; for others that of the owner.
 	RequestID string      `cbor:"requestID"`
 	State     RecordState `cbor:"state"`
 	// Owner runs the request, for ClaimAttach.
@@ -127,6 +127,11 @@
 	Ticket uint64 `cbor:"ticket,omitempty"`
 }
 
+// AnyAttempt as the attempt of a Settle closes a record that is still claimed,
+// whatever its attempt number, and none that was moved on. It is for claims
+// whose answer nobody waited for.
+const AnyAttempt uint32 = 0
+
 // Settle moves a record on: to running before a dispatch, to its outcome
 // after it.
 type Settle struct {
--- a/internal/reducer/record/claim.go
+++ b/internal/reducer/record/claim.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"slices"
+
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -16,43 +18,66 @@
 	}
 	s.renewClaimer(m)
 	s.endLease(r)
-	if r.claimID == m.RequestID && r.owner == m.Owner {
+	if r.requestID == m.RequestID && r.owner == m.Owner {
 		return s.claimedAgain(r, m)
 	}
-	switch {
-	case r.open():
-		return s.view(r, message.ClaimAttach, m.Ticket)
-	case r.reopens(m.Once):
+	if s.ids[hashOf(m.RequestID)] != nil {
+		return s.claimedBefore(r, m)
+	}
+	if r.reopens(m.Once) {
 		return s.takeOver(r, m)
-	case r.state == message.RecordUnknown:
-		return s.view(r, message.ClaimUnknown, m.Ticket)
-	default:
-		return s.view(r, message.ClaimReplay, m.Ticket)
 	}
+	return s.view(r, viewOutcome(r), m.Ticket)
 }
 
 // claimedAgain answers a claim that its owner sent twice, as after a lost
 // answer. It reopens nothing: the second copy may arrive after the owner has
 // settled the record and told its caller.
 func (s *State) claimedAgain(r *request, m message.Claim) message.ClaimAnswer {
-	switch {
-	case r.open():
+	if r.open() {
 		return s.view(r, message.ClaimOwned, m.Ticket)
-	case r.state == message.RecordUnknown:
-		return s.view(r, message.ClaimUnknown, m.Ticket)
-	default:
-		return s.view(r, message.ClaimReplay, m.Ticket)
+	}
+	return s.view(r, viewOutcome(r), m.Ticket)
+}
+
+// claimedBefore answers a claim whose id was used before. If it is an earlier
+// id of this record it came late: its request was taken over since, and gets
+// told what became of it.
+func (s *State) claimedBefore(r *request, m message.Claim) message.ClaimAnswer {
+	e, ok := r.earlierAs(m.RequestID)
+	if !ok {
+		return refusedClaim(m, oriolebend.ReasonMalformed)
+	}
+	if !e.NotRun {
+		return s.view(r, viewOutcome(r), m.Ticket)
+	}
+	return viewEarlier(e, m.Ticket)
+}
+
+func refusedClaim(m message.Claim, reason oriolebend.Reason) message.ClaimAnswer {
+	return message.ClaimAnswer{
+		Outcome:   message.ClaimRefused,
+		RequestID: m.RequestID,
+		Reason:    reason,
+		Ticket:    m.Ticket,
+	}
+}
+
+func viewEarlier(e earlierID, ticket uint64) message.ClaimAnswer {
+	return message.ClaimAnswer{
+		Outcome:   message.ClaimReplay,
+		RequestID: e.ID,
+		State:     message.RecordNotRun,
+		Attempt:   e.Attempt,
+		Answer:    &message.Answer{Reason: oriolebend.ReasonAttemptClosed, Ran: oriolebend.RanNo},
+		Reason:    oriolebend.ReasonAttemptClosed,
+		Ticket:    ticket,
 	}
 }
 
 func (s *State) create(m message.Claim) message.ClaimAnswer {
 	if reason := s.refuses(m); reason != "" {
-		return message.ClaimAnswer{
-			Outcome:   message.ClaimRefused,
-			RequestID: m.RequestID,
-			Reason:    reason,
-			Ticket:    m.Ticket,
-		}
+		return refusedClaim(m, reason)
 	}
 	r := &request{
 		scope: message.Scope{
@@ -60,14 +85,12 @@
 			Operation:    s.intern(m.Scope.Operation),
 			Key:          m.Scope.Key,
 		},
-		requestID:   m.RequestID,
 		fingerprint: m.Fingerprint,
 		once:        m.Once,
 		attempt:     1,
 		status:      m.Status,
 	}
 	s.records[scopeHash(r.scope)] = r
-	s.ids[hashOf(r.requestID)] = r
 	s.own(r, m)
 	s.bytes += r.cost()
 	return s.view(r, message.ClaimOwned, m.Ticket)
@@ -93,6 +116,7 @@
 // was given out before.
 func (s *State) takeOver(r *request, m message.Claim) message.ClaimAnswer {
 	s.bytes -= r.cost()
+	s.rename(r)
 	r.nextOwnership()
 	r.once = r.once || m.Once
 	s.own(r, m)
@@ -100,16 +124,28 @@
 	return s.view(r, message.ClaimOwned, m.Ticket)
 }
 
+// rename keeps the present id of a record as an earlier one.
+func (s *State) rename(r *request) {
+	r.earlier = append(r.earlier, earlierID{
+		ID:      r.requestID,
+		NotRun:  r.state == message.RecordNotRun,
+		Attempt: r.attempt,
+	})
+	if len(r.earlier) > mostEarlier {
+		delete(s.ids, hashOf(r.earlier[0].ID))
+		r.earlier = slices.Delete(r.earlier, 0, 1)
+	}
+}
+
 func (s *State) own(r *request, m message.Claim) {
 	s.renewClaimer(m)
+	s.drop(r)
 	r.owner = s.intern(m.Owner)
-	r.claimID = m.RequestID
-	if r.claimID == r.requestID {
-		r.claimID = r.requestID
-	}
+	r.requestID = m.RequestID
+	s.ids[hashOf(r.requestID)] = r
 	r.server = ""
 	r.reason = ""
-	r.orphaned = false
+	r.retryable = false
 	s.move(r, message.RecordClaimed)
 }
 
@@ -151,5 +187,34 @@
 		answer.Owner = r.owner
 		answer.OwnerAddress = s.owner(r.owner).address
 	}
+	if r.answer == nil {
+		answer.Answer = reasonOnly(r)
+	}
 	return answer
 }
+
+// reasonOnly is the answer of a record that ended without one.
+func reasonOnly(r *request) *message.Answer {
+	switch {
+	case r.reason == "" || r.reason == oriolebend.ReasonAnswerNotKept:
+		return nil
+	case r.state == message.RecordNotRun:
+		return &message.Answer{Reason: r.reason, Ran: oriolebend.RanNo}
+	case r.state == message.RecordFailed:
+		return &message.Answer{Reason: r.reason, Ran: oriolebend.RanUnknown}
+	default:
+		return nil
+	}
+}
+
+// viewOutcome is the outcome that says what a record holds.
+func viewOutcome(r *request) message.ClaimOutcome {
+	switch {
+	case r.open():
+		return message.ClaimAttach
+	case r.state == message.RecordUnknown:
+		return message.ClaimUnknown
+	default:
+		return message.ClaimReplay
+	}
+}
--- a/internal/reducer/record/expire.go
+++ b/internal/reducer/record/expire.go
@@ -11,7 +11,7 @@
 func (s *State) orphan(r *request, e *Expired) {
 	switch {
 	case !r.once:
-		r.orphaned = true
+		r.retryable = true
 		r.reason = oriolebend.ReasonLeaseEnded
 		s.move(r, message.RecordFailed)
 		e.Failed++
@@ -69,9 +69,14 @@
 	}
 }
 
-func (s *State) dropAnswer(r *request) {
+// drop gives the memory of an answer back.
+func (s *State) drop(r *request) {
 	s.answerBytes -= answerBytes(r.answer)
 	r.answer = nil
+}
+
+func (s *State) dropAnswer(r *request) {
+	s.drop(r)
 	if r.reason == "" {
 		r.reason = oriolebend.ReasonAnswerNotKept
 	}
@@ -92,9 +97,11 @@
 
 func (s *State) remove(r *request) {
 	r.in.remove(r)
-	s.answerBytes -= answerBytes(r.answer)
-	r.answer = nil
+	s.drop(r)
 	s.bytes -= r.cost()
 	delete(s.records, scopeHash(r.scope))
 	delete(s.ids, hashOf(r.requestID))
+	for _, e := range r.earlier {
+		delete(s.ids, hashOf(e.ID))
+	}
 }
--- a/internal/reducer/record/fuzz_test.go
+++ b/internal/reducer/record/fuzz_test.go
@@ -72,7 +72,7 @@
 	}
 	for name, damaged := range map[string][]byte{
 		"empty": nil, "cut": shot[:len(shot)-1], "longer": append(bytes.Clone(shot), 0),
-		"other form": bytes.Replace(shot, []byte("format\x01"), []byte("format\x02"), 1),
+		"other form": bytes.Replace(shot, []byte("format\x02"), []byte("format\x03"), 1),
 	} {
 		if err := s.Restore(damaged); err == nil {
 			t.Errorf("%s: restored", name)
--- a/internal/reducer/record/model_test.go
+++ b/internal/reducer/record/model_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // modelLease is the lease of the model's entries.
@@ -155,11 +156,11 @@
 	attempt uint32
 	once    bool
 	body    string
-	claimID string
+	id      string
 }
 
 func viewOf(r *request) recordView {
-	v := recordView{state: r.state, attempt: r.attempt, once: r.once, claimID: r.claimID}
+	v := recordView{state: r.state, attempt: r.attempt, once: r.once, id: r.requestID}
 	if r.answer != nil {
 		v.body = string(r.answer.Body)
 	}
@@ -208,8 +209,8 @@
 	if before.state == message.RecordNotRun && after.state == message.RecordClaimed && after.attempt == before.attempt {
 		w.t.Fatalf("attempt %d was closed and given out again", after.attempt)
 	}
-	if before.state == message.RecordNotRun && after.state == message.RecordClaimed && after.claimID == before.claimID {
-		w.t.Fatalf("claim %s was closed and opened its record again", after.claimID)
+	if before.state == message.RecordNotRun && after.state == message.RecordClaimed && after.id == before.id {
+		w.t.Fatalf("claim %s was closed and opened its record again", after.id)
 	}
 }
 
@@ -330,7 +331,10 @@
 	t.stage = done
 	switch a.Outcome {
 	case message.ClaimOwned:
-		t.stage, t.id, t.attempt, t.once = owned, a.RequestID, a.Attempt, a.Once
+		t.stage, t.attempt, t.once = owned, a.Attempt, a.Once
+		if t.id != a.RequestID {
+			w.t.Fatalf("%s owns the record of %s", t.id, a.RequestID)
+		}
 	case message.ClaimReplay:
 		w.tell(t, a.State, a.Attempt, a.Answer)
 	case message.ClaimConflict, message.ClaimRefused:
@@ -341,11 +345,26 @@
 // closeClaim is what the client's backlog does with a claim that was given up.
 func (w *world) closeClaim(t *task, a message.ClaimAnswer) {
 	t.stage = done
-	if a.Outcome != message.ClaimOwned || a.State != message.RecordClaimed {
-		return
+	if a.Outcome == message.ClaimOwned {
+		w.closeUnmoved(t)
+	}
+}
+
+// closeUnmoved closes a record that is still claimed. A client's backlog may
+// send it at any time, also beside an owner that goes on.
+func (w *world) closeUnmoved(t *task) {
+	settle := message.Settle{Scope: w.scope(t.key), RequestID: t.id, Owner: t.owner, State: message.RecordNotRun}
+	if !t.once {
+		settle.State = message.RecordFailed
+		settle.Answer = &message.Answer{Reason: oriolebend.ReasonLeaseEnded}
+	}
+	w.commands = append(w.commands, wireCommand{command: Command{Settle: []message.Settle{settle}}})
+}
+
+func (w *world) closeAny() {
+	if t := w.pick(claiming, owned, settlingRunning, dispatched, settling); t != nil {
+		w.closeUnmoved(t)
 	}
-	t.stage, t.id, t.attempt = settling, a.RequestID, a.Attempt
-	w.sendSettle(t, message.RecordNotRun, nil)
 }
 
 // dispatchOwned reserves at a gate and asks to be moved to running; what may
--- a/internal/reducer/record/property_test.go
+++ b/internal/reducer/record/property_test.go
@@ -55,6 +55,7 @@
 		{"resend", w.resend},
 		{"endSession", w.endSession},
 		{"resolve", w.resolve},
+		{"closeAny", w.closeAny},
 		{"pass", w.pass},
 		{"crash", w.crash},
 		{"cut", w.cut},
--- a/internal/reducer/record/query.go
+++ b/internal/reducer/record/query.go
@@ -20,12 +20,11 @@
 			Ticket:    q.Ticket,
 		}
 	}
-	answer := s.view(r, message.ClaimReplay, q.Ticket)
-	if r.state == message.RecordUnknown {
-		answer.Outcome = message.ClaimUnknown
+	if e, earlier := r.earlierAs(q.RequestID); earlier && e.NotRun {
+		return viewEarlier(e, q.Ticket)
 	}
+	answer := s.view(r, viewOutcome(r), q.Ticket)
 	if r.open() {
-		answer.Outcome = message.ClaimAttach
 		s.viewOrphan(r, &answer)
 	}
 	return answer
--- a/internal/reducer/record/request.go
+++ b/internal/reducer/record/request.go
@@ -14,6 +14,12 @@
 // bytes: the struct, both index entries and the allocator's rounding.
 const recordOverhead = 290
 
+// earlierOverhead is the memory of one earlier id beside its text, in bytes.
+const earlierOverhead = 112
+
+// mostEarlier bounds the earlier ids of a record; the oldest is then forgotten.
+const mostEarlier = 4
+
 // attemptsPerOwner is the distance between the attempt numbers of successive
 // owners. An owner of a repeatable request counts its attempts up by itself;
 // the distance keeps them apart from those of the next owner at the gates.
@@ -49,9 +55,8 @@
 	scope       message.Scope
 	requestID   string
 	fingerprint string
-	// claimID is the request id of the claim that owns or owned the record
-	// last; it tells a resent claim from a caller's retry.
-	claimID string
+	// earlier are ids that the record had before retries took it over.
+	earlier []earlierID
 	owner   string
 	server  string
 	status  *message.StatusCall
@@ -60,29 +65,50 @@
 	// reason says why a record failed or has no answer to replay.
 	reason oriolebend.Reason
 	// changed is when the state last changed, in nanoseconds since 1970.
-	changed  int64
-	attempt  uint32
-	once     bool
-	orphaned bool
+	changed int64
+	attempt uint32
+	once    bool
+	// retryable is true for a failure that a retry may run again.
+	retryable bool
 
 	in             *list
 	previous, next *request
 }
 
+// earlierID is an id that a record had before a retry took it over. What was
+// told about it stays true: one that was closed as not run never runs, the
+// retry has an id of its own.
+type earlierID struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	NotRun  bool
+	Attempt uint32
+}
+
+// earlierAs returns what the record says of an earlier id.
+func (r *request) earlierAs(id string) (earlierID, bool) {
+	for _, e := range r.earlier {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return earlierID{}, false
+}
+
 // open reports whether an owner may still run the request.
 func (r *request) open() bool {
 	return r.state == message.RecordClaimed || r.state == message.RecordRunning
 }
 
 // reopens reports whether a retry may run the request again: it never ran, or
-// it may be repeated and its owner is gone. A claim that counts the command as
+// it may be repeated and failed for a cause that passes. A claim that counts the command as
 // one to run once, because its route was declared anew in between, does not
 // reopen what may have run.
 func (r *request) reopens(once bool) bool {
 	if r.attempt >= maxAttempt {
 		return false
 	}
-	return r.state == message.RecordNotRun || (r.orphaned && !once)
+	return r.state == message.RecordNotRun || (r.retryable && !once)
 }
 
 // ownedSince reports whether the attempt belongs to the record's present or
@@ -98,8 +124,8 @@
 
 func (r *request) cost() int64 {
 	size := recordOverhead + len(r.scope.Key) + len(r.requestID) + len(r.fingerprint)
-	if r.claimID != r.requestID {
-		size += len(r.claimID)
+	for _, e := range r.earlier {
+		size += earlierOverhead + len(e.ID)
 	}
 	if r.status != nil {
 		size += len(r.status.Path) + len(r.status.Identity)
--- a/internal/reducer/record/settle.go
+++ b/internal/reducer/record/settle.go
@@ -11,7 +11,8 @@
 const (
 	// sameAttempt takes only the number that the record stands at.
 	sameAttempt attemptRule = "same"
-	// laterAttempt also takes higher numbers of the same ownership.
+	// laterAttempt also takes higher numbers of the same ownership: entries
+	// count reservations and status calls too.
 	laterAttempt attemptRule = "later"
 	// never forbids the move.
 	never attemptRule = "never"
@@ -26,14 +27,13 @@
 
 // moves is the whole transition table of owners; what is missing is refused.
 //
-// A record that is to run once is answered only from running, at the very
-// attempt that was moved there: an answer without that move would show that a
-// dispatch went out before a quorum knew of it. From running to a later
-// running the owner asserts that its gate refused the attempt before with ran
-// "no". Unknown takes the outcome of its own attempt from its own owner, who
-// may have been cut off and not dead: the one attempt that was let through
-// tells the truth whenever it tells it, and since unknown starts no further
-// attempt nothing can have run beside it.
+// A record that is to run once is answered only after it was moved to running:
+// an answer without that move would show that a dispatch went out before a
+// quorum knew of it. From running to a later running the owner asserts that
+// its gate refused the attempt before with ran "no". Unknown takes the outcome
+// from its own owner, who may have been cut off and not dead: the one attempt
+// that was let through tells the truth whenever it tells it, and since unknown
+// starts no further attempt nothing can have run beside it.
 var moves = map[move]rule{
 	{message.RecordClaimed, message.RecordRunning}:  {laterAttempt, laterAttempt},
 	{message.RecordClaimed, message.RecordAnswered}: {never, laterAttempt},
@@ -41,17 +41,17 @@
 	{message.RecordClaimed, message.RecordNotRun}:   {laterAttempt, laterAttempt},
 
 	{message.RecordRunning, message.RecordRunning}:  {laterAttempt, laterAttempt},
-	{message.RecordRunning, message.RecordAnswered}: {sameAttempt, laterAttempt},
-	{message.RecordRunning, message.RecordFailed}:   {sameAttempt, laterAttempt},
+	{message.RecordRunning, message.RecordAnswered}: {laterAttempt, laterAttempt},
+	{message.RecordRunning, message.RecordFailed}:   {laterAttempt, laterAttempt},
 	{message.RecordRunning, message.RecordNotRun}:   {laterAttempt, laterAttempt},
-	{message.RecordRunning, message.RecordUnknown}:  {sameAttempt, never},
+	{message.RecordRunning, message.RecordUnknown}:  {laterAttempt, never},
 
-	{message.RecordUnknown, message.RecordAnswered}: {sameAttempt, never},
-	{message.RecordUnknown, message.RecordFailed}:   {sameAttempt, never},
+	{message.RecordUnknown, message.RecordAnswered}: {laterAttempt, never},
+	{message.RecordUnknown, message.RecordFailed}:   {laterAttempt, never},
 	{message.RecordUnknown, message.RecordNotRun}:   {sameAttempt, never},
 
-	// A repeatable request whose owner was taken for dead: its answer still
-	// counts until another owner takes the record over.
+	// A failure that a retry may run again, such as that of an owner taken for
+	// dead: its answer still counts until a retry takes the record over.
 	{message.RecordFailed, message.RecordAnswered}: {never, laterAttempt},
 	{message.RecordFailed, message.RecordFailed}:   {never, laterAttempt},
 }
@@ -59,12 +59,15 @@
 // settle moves a record on if its owner and attempt may.
 func (s *State) settle(t message.Settle) message.Settled {
 	r, ok := s.records[scopeHash(t.Scope)]
-	if !ok || r.requestID != t.RequestID {
+	if !ok {
 		return message.Settled{RequestID: t.RequestID, Ticket: t.Ticket}
 	}
 	s.alive(t.Owner)
-	accepted := s.repeated(r, t)
-	if !accepted && s.allows(r, t) {
+	if r.requestID != t.RequestID {
+		return settledBefore(r, t)
+	}
+	accepted := repeated(r, t)
+	if !accepted && allows(r, t) {
 		s.carryOut(r, t)
 		accepted = true
 	}
@@ -77,18 +80,43 @@
 	}
 }
 
+// settledBefore answers a settle whose record was taken over by a retry. An
+// id that was closed as not run stays so, and a resent settle is told so.
+func settledBefore(r *request, t message.Settle) message.Settled {
+	e, ok := r.earlierAs(t.RequestID)
+	if ok && e.NotRun {
+		return message.Settled{
+			RequestID: t.RequestID,
+			Accepted:  t.State == message.RecordNotRun,
+			State:     message.RecordNotRun,
+			Attempt:   e.Attempt,
+			Ticket:    t.Ticket,
+		}
+	}
+	return message.Settled{RequestID: t.RequestID, State: r.state, Attempt: r.attempt, Ticket: t.Ticket}
+}
+
 // repeated reports whether a settle was accepted before; it is sent again
 // after a lost answer and gets the first answer.
-func (s *State) repeated(r *request, t message.Settle) bool {
-	return r.state == t.State && r.owner == t.Owner && r.attempt == t.Attempt && !r.orphaned
+func repeated(r *request, t message.Settle) bool {
+	if r.state != t.State || r.owner != t.Owner || r.retryable {
+		return false
+	}
+	if t.Attempt == message.AnyAttempt {
+		return true
+	}
+	if t.State == message.RecordRunning {
+		return t.Attempt == r.attempt
+	}
+	return r.ownedSince(t.Attempt) && t.Attempt >= r.attempt
 }
 
-func (s *State) allows(r *request, t message.Settle) bool {
-	if r.owner != t.Owner || !r.ownedSince(t.Attempt) {
+func allows(r *request, t message.Settle) bool {
+	if r.owner != t.Owner || (r.state == message.RecordFailed && !r.retryable) {
 		return false
 	}
-	if r.state == message.RecordFailed && !r.orphaned {
-		return false
+	if t.Attempt == message.AnyAttempt {
+		return r.state == message.RecordClaimed && t.State != message.RecordRunning && final(t.State)
 	}
 	allowed := moves[move{r.state, t.State}]
 	wanted := allowed.repeatable
@@ -99,14 +127,19 @@
 	case sameAttempt:
 		return t.Attempt == r.attempt
 	case laterAttempt:
-		return t.Attempt >= r.attempt
+		return r.ownedSince(t.Attempt) && t.Attempt >= r.attempt
 	default:
 		return false
 	}
 }
 
+// carryOut makes the move. The attempt of a request that may run once stays
+// the one that was moved to running: it is the one to ask gates about.
 func (s *State) carryOut(r *request, t message.Settle) {
-	r.attempt = t.Attempt
+	dispatches := t.State == message.RecordRunning || t.State == message.RecordNotRun
+	if t.Attempt != message.AnyAttempt && (dispatches || !r.once) {
+		r.attempt = t.Attempt
+	}
 	if t.Server != "" {
 		r.server = s.intern(t.Server)
 	}
@@ -115,11 +148,11 @@
 
 // outcome moves a record and stores its answer, if it has one.
 func (s *State) outcome(r *request, to message.RecordState, a *message.Answer) {
-	r.orphaned = false
 	r.reason = ""
 	if a != nil {
 		r.reason = a.Reason
 	}
+	r.retryable = to == message.RecordFailed && !r.once && passes(r.reason)
 	if to == message.RecordUnknown {
 		r.reason = oriolebend.ReasonOutcomeLost
 	}
@@ -148,10 +181,23 @@
 	s.answerBytes += size
 }
 
+// passes reports whether a failure may be over when a retry comes. A brief that
+// failed with its server must not be answered with that failure for a day;
+// what is wrong with the command itself will be wrong again.
+func passes(reason oriolebend.Reason) bool {
+	switch reason {
+	case oriolebend.ReasonMalformed, oriolebend.ReasonTooLarge, oriolebend.ReasonForbidden,
+		oriolebend.ReasonUnknownModel, oriolebend.ReasonUnknownService:
+		return false
+	default:
+		return true
+	}
+}
+
 // resolve gives an unknown record the outcome that its service told.
 func (s *State) resolve(m Resolve) message.Settled {
 	r, ok := s.ids[hashOf(m.RequestID)]
-	if !ok {
+	if !ok || r.requestID != m.RequestID {
 		return message.Settled{RequestID: m.RequestID}
 	}
 	accepted := r.state == message.RecordUnknown && r.attempt == m.Attempt && final(m.State)
--- a/internal/reducer/record/snapshot.go
+++ b/internal/reducer/record/snapshot.go
@@ -11,7 +11,7 @@
 )
 
 // snapshotFormat is the version of the snapshot's form.
-const snapshotFormat = 1
+const snapshotFormat = 2
 
 // maxSnapshotRecords bounds the decoder, not the state.
 const maxSnapshotRecords = math.MaxInt32
@@ -51,7 +51,7 @@
 	Key          string
 	RequestID    string
 	Fingerprint  string
-	ClaimID      string
+	Earlier      []earlierID
 	Owner        string
 	Server       string
 	Status       *message.StatusCall
@@ -61,7 +61,7 @@
 	Changed      int64
 	Attempt      uint32
 	Once         bool
-	Orphaned     bool
+	Retryable    bool
 }
 
 // Snapshot encodes the whole state; equal states give equal bytes.
@@ -106,17 +106,13 @@
 }
 
 func encodeRecord(r *request) snapshotRecord {
-	out := snapshotRecord{
+	return snapshotRecord{
 		Organisation: r.scope.Organisation, Operation: r.scope.Operation, Key: r.scope.Key,
-		RequestID: r.requestID, Fingerprint: r.fingerprint,
+		RequestID: r.requestID, Fingerprint: r.fingerprint, Earlier: r.earlier,
 		Owner: r.owner, Server: r.server, Status: r.status, Answer: r.answer,
 		State: r.state, Reason: r.reason, Changed: r.changed,
-		Attempt: r.attempt, Once: r.once, Orphaned: r.orphaned,
+		Attempt: r.attempt, Once: r.once, Retryable: r.retryable,
 	}
-	if r.claimID != r.requestID {
-		out.ClaimID = r.claimID
-	}
-	return out
 }
 
 // Restore replaces the whole state by that of a snapshot. After an error, a
@@ -146,16 +142,16 @@
 		scope: message.Scope{
 			Organisation: s.intern(in.Organisation), Operation: s.intern(in.Operation), Key: in.Key,
 		},
-		requestID: in.RequestID, fingerprint: in.Fingerprint, claimID: in.ClaimID,
+		requestID: in.RequestID, fingerprint: in.Fingerprint, earlier: in.Earlier,
 		owner: s.intern(in.Owner), server: s.intern(in.Server), status: in.Status, answer: in.Answer,
 		state: in.State, reason: in.Reason, changed: in.Changed,
-		attempt: in.Attempt, once: in.Once, orphaned: in.Orphaned,
-	}
-	if r.claimID == "" {
-		r.claimID = r.requestID
+		attempt: in.Attempt, once: in.Once, retryable: in.Retryable,
 	}
 	s.records[scopeHash(r.scope)] = r
 	s.ids[hashOf(r.requestID)] = r
+	for _, e := range r.earlier {
+		s.ids[hashOf(e.ID)] = r
+	}
 	s.bytes += r.cost()
 	s.place(r)
 	s.answerBytes += answerBytes(r.answer)
