--- a/internal/control/resolver_test.go
+++ b/internal/control/resolver_test.go
@@ -36,9 +36,10 @@
 	withBench(t, func(is *is.I, b *bench) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		gates := &fakeGates{away: 3}
+		var gates []*fakeGates // of c1, c2 and c3
 		for _, server := range b.servers {
-			go NewResolver(ResolverConfig{Server: server, Gates: gates}).Run(ctx)
+			gates = append(gates, &fakeGates{away: 3})
+			go NewResolver(ResolverConfig{Server: server, Gates: gates[len(gates)-1]}).Run(ctx)
 		}
 		c := tip("k1", "r1")
 		c.Status = &message.StatusCall{Service: "liquidacion", Path: "/tips/{identity}", Identity: "tip-1"}
@@ -57,6 +58,8 @@
 		is.NoErr(err)
 		is.Equal(found.State, message.RecordAnswered)
 		is.Equal(string(found.Answer.Body), "paid")
-		is.Equal(gates.asked[0].Identity, "tip-1")
+		is.Equal(len(gates[0].asked), 0) // c1 never led
+		is.Equal(gates[1].asked[0].Identity, "tip-1")
+		is.Equal(len(gates[2].asked), 4)
 	})
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -18,7 +18,7 @@
 	defaultPerStream    = 1024
 	defaultProposeFor   = 5 * time.Second
 	defaultPassEvery    = time.Second
-	defaultExpireLimit  = 4096
+	defaultExpireLimit  = 1024
 	serverQueueCapacity = 4096
 )
 
@@ -42,7 +42,7 @@
 	ProposeFor time.Duration
 	// PassEvery is how often the leader passes time; zero means 1s.
 	PassEvery time.Duration
-	// ExpireLimit bounds what one pass removes; zero means 4,096.
+	// ExpireLimit bounds what one pass removes; zero means 1,024.
 	ExpireLimit int
 	// Observe is told each command that this control VM proposed and what it
 	// did, for counters; it may be nil. See Metrics.
--- a/internal/reducer/record/bench_test.go
+++ b/internal/reducer/record/bench_test.go
@@ -169,9 +169,9 @@
 	})
 }
 
-// BenchmarkExpire removes settled records in batches of 4,096.
+// BenchmarkExpire removes settled records in batches of 1,024.
 func BenchmarkExpire(b *testing.B) {
-	const batch = 4096
+	const batch = 1024
 	var spent time.Duration
 	removed, longest := 0, time.Duration(0)
 	for range b.N {
