--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -224,10 +224,7 @@
 	}
 	problem.Ran = oriolebend.RanUnknown
 	s.dropWasted(r)
-	s.conclude(r, message.RecordFailed, &message.Answer{
-		Reason:  reason,
-		Reopens: !permanent(reason),
-	})
+	s.conclude(r, message.RecordFailed, &message.Answer{Reason: reason})
 }
 
 // leaveCallRunning lets a call that may run once go on to its outcome after
--- a/internal/reducer/entry/world_test.go
+++ b/internal/reducer/entry/world_test.go
@@ -248,7 +248,7 @@
 		return false, r.state
 	}
 	r.state, r.attempt = m.State, m.Attempt
-	r.reopens = m.Answer != nil && m.Answer.Reopens
+	r.reopens = m.State == message.RecordFailed && m.Answer != nil && m.Answer.Reason != oriolebend.ReasonMalformed && m.Answer.Reason != oriolebend.ReasonTooLarge
 	return true, m.State
 }
 
--- a/internal/reducer/record/model_test.go
+++ b/internal/reducer/record/model_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"reflect"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // modelLease is the lease of the model's entries.
@@ -123,7 +123,7 @@
 	for range 2 {
 		w.gates = append(w.gates, map[message.Attempt]session{})
 	}
-	w.apply(Command{Limits: &Limits{KeepRecords: modelKeep, KeepAnswers: modelKeep / 2}})
+	w.apply(Command{Limits: &Limits{KeepRecords: modelKeep, KeepAnswers: modelKeep / 2, MaxAnswersBytes: 12}})
 	return w
 }
 
@@ -139,7 +139,7 @@
 	w.index++
 	before := w.views()
 	result := w.state.Apply(w.index, c)
-	if other := w.replica.Apply(w.index, c); !reflect.DeepEqual(result, other) {
+	if other := w.replica.Apply(w.index, c); encoded(w.t, result) != encoded(w.t, other) {
 		w.t.Fatalf("replicas differ: %+v and %+v", result, other)
 	}
 	w.checkRemoved(before)
@@ -156,10 +156,11 @@
 	attempt uint32
 	once    bool
 	body    string
+	id      string
 }
 
 func viewOf(r *request) recordView {
-	v := recordView{state: r.state, attempt: r.attempt, once: r.once}
+	v := recordView{state: r.state, attempt: r.attempt, once: r.once, id: r.requestID}
 	if r.answer != nil {
 		v.body = string(r.answer.Body)
 	}
@@ -208,6 +209,9 @@
 	if before.state == message.RecordNotRun && after.state == message.RecordClaimed && after.attempt == before.attempt {
 		w.t.Fatalf("attempt %d was closed and given out again", after.attempt)
 	}
+	if before.state == message.RecordNotRun && after.state == message.RecordClaimed && after.id == before.id {
+		w.t.Fatalf("claim %s was closed and opened its record again", after.id)
+	}
 }
 
 // checkTruth compares a record that says not run with the service; whoever
@@ -327,7 +331,10 @@
 	t.stage = done
 	switch a.Outcome {
 	case message.ClaimOwned:
-		t.stage, t.id, t.attempt, t.once = owned, a.RequestID, a.Attempt, a.Once
+		t.stage, t.attempt, t.once = owned, a.Attempt, a.Once
+		if t.id != a.RequestID {
+			w.t.Fatalf("%s owns the record of %s", t.id, a.RequestID)
+		}
 	case message.ClaimReplay:
 		w.tell(t, a.State, a.Attempt, a.Answer)
 	case message.ClaimConflict, message.ClaimRefused:
@@ -338,11 +345,26 @@
 // closeClaim is what the client's backlog does with a claim that was given up.
 func (w *world) closeClaim(t *task, a message.ClaimAnswer) {
 	t.stage = done
-	if a.Outcome != message.ClaimOwned || a.State != message.RecordClaimed {
-		return
+	if a.Outcome == message.ClaimOwned {
+		w.closeUnmoved(t)
+	}
+}
+
+// closeUnmoved closes a record that is still claimed. A client's backlog may
+// send it at any time, also beside an owner that goes on.
+func (w *world) closeUnmoved(t *task) {
+	settle := message.Settle{Scope: w.scope(t.key), RequestID: t.id, Owner: t.owner, State: message.RecordNotRun}
+	if !t.once {
+		settle.State = message.RecordFailed
+		settle.Answer = &message.Answer{Reason: oriolebend.ReasonLeaseEnded}
+	}
+	w.commands = append(w.commands, wireCommand{command: Command{Settle: []message.Settle{settle}}})
+}
+
+func (w *world) closeAny() {
+	if t := w.pick(claiming, owned, settlingRunning, dispatched, settling); t != nil {
+		w.closeUnmoved(t)
 	}
-	t.stage, t.id, t.attempt = settling, a.RequestID, a.Attempt
-	w.sendSettle(t, message.RecordNotRun, nil)
 }
 
 // dispatchOwned reserves at a gate and asks to be moved to running; what may
@@ -543,9 +565,9 @@
 
 // pass lets time go by; entries that are not cut off renew.
 func (w *world) pass() {
-	seconds := rapid.SampledFrom([]int{1, 1, 1, 3, 12, 12, 40, 100}).Draw(w.t, "seconds")
-	for range seconds {
-		w.now = w.now.Add(time.Second)
+	ticks := rapid.SampledFrom([]int{1, 1, 1, 3, 4, 4, 12, 25}).Draw(w.t, "ticks")
+	for range ticks {
+		w.now = w.now.Add(quietAfter - time.Second)
 		c := Command{Expire: &Expire{Limit: 2}}
 		for _, e := range w.entries {
 			if !e.cut {
@@ -587,12 +609,9 @@
 
 // restore replaces a replica by its snapshot, as a restart does.
 func (w *world) restore() {
-	data, err := w.replica.Snapshot()
-	if err != nil {
-		w.t.Fatal(err)
-	}
+	data := shotOf(w.t, w.replica)
 	w.replica = New()
-	if err := w.replica.Restore(data); err != nil {
+	if err := w.replica.Restore([]byte(data)); err != nil {
 		w.t.Fatal(err)
 	}
 }
@@ -616,4 +635,15 @@
 			w.t.Fatalf("%s is left %s", r.scope.Key, r.state)
 		}
 	}
+	if shotOf(w.t, w.state) != shotOf(w.t, w.replica) {
+		w.t.Fatal("replicas end with different snapshots")
+	}
+}
+
+func shotOf(t *rapid.T, s *State) string {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
 }
