--- /dev/null
+++ b/internal/disk/store.go
@@ -0,0 +1,373 @@
+// Package disk keeps a member's log, vote and snapshots in one data folder.
+// What Save returned for is durable; a write that a crash cut short is dropped
+// at the next start; damage to anything that was durable is reported with its
+// file and place, and never guessed at.
+package disk
+
+import (
+	"errors"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
+)
+
+// DefaultSegmentBytes is the size at which a new segment file begins.
+const DefaultSegmentBytes = 16 << 20
+
+// Config configures a Store. Folder, Group and Name are required.
+type Config struct {
+	Folder string
+	// Group and Name must be those that the folder was made for.
+	Group string
+	Name  string
+	// SegmentBytes is the size of a segment file; zero means 16 MiB.
+	SegmentBytes int64
+	// FileSystem is the VM's own if nil.
+	FileSystem FileSystem
+}
+
+// Store is an open data folder. Its methods may be called from several
+// goroutines, but Save from one at a time.
+type Store struct {
+	config   Config
+	fs       FileSystem
+	identity Identity
+	lock     *folderLock
+
+	mu        sync.Mutex
+	segments  []*segment
+	snapshots []snapshotFile
+	hard      agreement.HardState
+	// broken is the failure after which nothing is written any more.
+	broken error
+}
+
+// Loaded is what a data folder holds.
+type Loaded struct {
+	agreement.Restored
+	// State is the state of the snapshot, nil if there is none.
+	State []byte
+	// CutBytes is how much of a torn write was dropped.
+	CutBytes int64
+}
+
+// Open locks and reads a data folder, or makes a new one. Errors are *Error
+// values.
+func Open(config Config) (*Store, Loaded, error) {
+	if config.FileSystem == nil {
+		config.FileSystem = OS{}
+	}
+	if config.SegmentBytes == 0 {
+		config.SegmentBytes = DefaultSegmentBytes
+	}
+	s := &Store{config: config, fs: config.FileSystem}
+	if err := s.fs.MakeFolder(config.Folder); err != nil {
+		return nil, Loaded{}, failed(config.Folder, 0, err)
+	}
+	lock, err := lockFolder(config.Folder)
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	s.lock = lock
+	loaded, err := s.load()
+	if err != nil {
+		return nil, Loaded{}, errors.Join(err, s.Close())
+	}
+	return s, loaded, nil
+}
+
+// Identity returns whose folder it is.
+func (s *Store) Identity() Identity { return s.identity }
+
+// Free returns the bytes that the disk has left.
+func (s *Store) Free() (uint64, error) {
+	free, err := s.fs.Free(s.config.Folder)
+	if err != nil {
+		return 0, failed(s.config.Folder, 0, err)
+	}
+	return free, nil
+}
+
+// Save makes changes durable with one sync of the log. If it fails with
+// KindFull none of the changes was promised and the same call is to be made
+// again before any other; after any other failure the process must stop.
+func (s *Store) Save(changes []agreement.Persist) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken != nil {
+		return s.broken
+	}
+	return s.note(s.save(changes))
+}
+
+// note remembers a failure after which nothing may be written.
+//
+// After a failed sync the kernel may drop the unwritten pages and report the
+// next sync as good: going on would promise entries that are gone.
+func (s *Store) note(err error) error {
+	if err != nil && !isFull(err) && s.broken == nil {
+		s.broken = err
+	}
+	return err
+}
+
+func (s *Store) save(changes []agreement.Persist) error {
+	hard, entries := s.hard, []message.LogEntry(nil)
+	for _, c := range changes {
+		if c.Hard != nil {
+			hard = *c.Hard
+		}
+		if c.Snapshot != nil {
+			entries = nil
+			if err := s.install(*c.Snapshot); err != nil {
+				return err
+			}
+		}
+		entries = merge(entries, c.Entries)
+	}
+	// The term comes first: an entry of a term that the member does not know
+	// yet would be odd, a term without its entries is not.
+	if hard != s.hard {
+		if err := writeHard(s.fs, s.config.Folder, hard); err != nil {
+			return err
+		}
+		s.hard = hard
+	}
+	return s.append(entries)
+}
+
+// merge adds entries, which replace those from their first index on.
+func merge(entries, added []message.LogEntry) []message.LogEntry {
+	if len(added) == 0 {
+		return entries
+	}
+	first := added[0].Index
+	at := slices.IndexFunc(entries, func(e message.LogEntry) bool { return e.Index >= first })
+	if at >= 0 {
+		entries = entries[:at:at]
+	}
+	return append(entries, added...)
+}
+
+// append writes and syncs entries, after dropping those that they replace.
+func (s *Store) append(entries []message.LogEntry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if err := s.truncate(entries[0].Index); err != nil {
+		return err
+	}
+	active, err := s.activeSegment(entries[0].Index)
+	if err != nil {
+		return err
+	}
+	if err := active.write(entries); err != nil {
+		return err
+	}
+	if err := active.sync(); err != nil {
+		return err
+	}
+	if err := active.mark(); err != nil && !isFull(err) {
+		return err
+	}
+	return nil
+}
+
+func isFull(err error) bool {
+	var typed *Error
+	return errors.As(err, &typed) && typed.Kind == KindFull
+}
+
+// activeSegment returns the segment to write to.
+func (s *Store) activeSegment(next uint64) (*segment, error) {
+	if n := len(s.segments); n > 0 {
+		active := s.segments[n-1]
+		if active.next() != next {
+			return nil, &Error{
+				Kind: KindIO, File: filepath.Base(active.path), Offset: active.size,
+				Detail: "the entries do not follow the log",
+			}
+		}
+		if active.size < s.config.SegmentBytes {
+			return active, nil
+		}
+	}
+	fresh, err := createSegment(s.fs, s.config.Folder, next)
+	if err != nil {
+		return nil, err
+	}
+	if n := len(s.segments); n > 0 {
+		_ = s.segments[n-1].file.Close()
+		s.segments[n-1].file = nil
+	}
+	s.segments = append(s.segments, fresh)
+	return fresh, nil
+}
+
+// truncate drops the entries from index on.
+func (s *Store) truncate(from uint64) error {
+	for len(s.segments) > 0 {
+		last := s.segments[len(s.segments)-1]
+		if from > last.first || (from == last.first && len(s.segments) == 1) {
+			break
+		}
+		if err := s.dropSegment(len(s.segments) - 1); err != nil {
+			return err
+		}
+	}
+	if len(s.segments) == 0 {
+		return nil
+	}
+	last := s.segments[len(s.segments)-1]
+	if err := s.reopen(last); err != nil {
+		return err
+	}
+	if from >= last.next() {
+		return nil
+	}
+	return last.truncate(from)
+}
+
+// reopen opens the last segment for writing.
+func (s *Store) reopen(last *segment) error {
+	if last.file != nil {
+		return nil
+	}
+	file, err := s.fs.Append(last.path)
+	if err != nil {
+		return failed(last.path, 0, err)
+	}
+	last.file = file
+	return nil
+}
+
+func (s *Store) dropSegment(at int) error {
+	dropped := s.segments[at]
+	if dropped.file != nil {
+		_ = dropped.file.Close()
+	}
+	if err := s.fs.Remove(dropped.path); err != nil {
+		return failed(dropped.path, 0, err)
+	}
+	s.segments = slices.Delete(s.segments, at, at+1)
+	if err := s.fs.SyncFolder(s.config.Folder); err != nil {
+		return syncFailed(dropped.path, err)
+	}
+	return nil
+}
+
+// install replaces the log by a snapshot. The snapshot is durable before the
+// first segment goes; a start in between finds a log that the snapshot covers.
+func (s *Store) install(snapshot agreement.Snapshot) error {
+	if err := s.addSnapshot(snapshot); err != nil {
+		return err
+	}
+	// From the last to the first, so that a crash leaves no gap.
+	for len(s.segments) > 0 {
+		if err := s.dropSegment(len(s.segments) - 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SaveSnapshot makes an own snapshot durable; the log stays as it is.
+func (s *Store) SaveSnapshot(snapshot agreement.Snapshot) error {
+	file, err := writeSnapshot(s.fs, s.config.Folder, snapshot)
+	s.mu.Lock()
+	broken := s.broken
+	_ = s.note(err)
+	s.mu.Unlock()
+	if err != nil || broken != nil {
+		return errors.Join(err, broken)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.note(s.noteSnapshot(file))
+}
+
+func (s *Store) addSnapshot(snapshot agreement.Snapshot) error {
+	file, err := writeSnapshot(s.fs, s.config.Folder, snapshot)
+	if err != nil {
+		return err
+	}
+	return s.noteSnapshot(file)
+}
+
+func (s *Store) noteSnapshot(file snapshotFile) error {
+	s.snapshots = slices.DeleteFunc(s.snapshots,
+		func(other snapshotFile) bool { return other.index == file.index })
+	s.snapshots = append(s.snapshots, file)
+	slices.SortFunc(s.snapshots, func(a, b snapshotFile) int {
+		if a.index < b.index {
+			return -1
+		}
+		return 1
+	})
+	for len(s.snapshots) > keepSnapshots {
+		if err := s.fs.Remove(s.snapshots[0].path); err != nil {
+			return failed(s.snapshots[0].path, 0, err)
+		}
+		s.snapshots = s.snapshots[1:]
+	}
+	return nil
+}
+
+// ReadSnapshot returns a part of a snapshot's state, and whether it is the
+// last one.
+func (s *Store) ReadSnapshot(index uint64, offset int64, bytes int) (data []byte, last bool, err error) {
+	s.mu.Lock()
+	at := slices.IndexFunc(s.snapshots, func(f snapshotFile) bool { return f.index == index })
+	if at < 0 {
+		s.mu.Unlock()
+		return nil, false, &Error{Kind: KindIO, File: snapshotName(index), Detail: "no such snapshot"}
+	}
+	file := s.snapshots[at]
+	s.mu.Unlock()
+	if offset < 0 || offset > file.size {
+		return nil, false, &Error{
+			Kind: KindIO, File: snapshotName(index), Offset: offset, Detail: "past the end",
+		}
+	}
+	f, err := s.fs.Open(file.path)
+	if err != nil {
+		return nil, false, failed(file.path, offset, err)
+	}
+	defer f.Close()
+	data = make([]byte, min(int64(bytes), file.size-offset))
+	if _, err := f.ReadAt(data, file.offset+offset); err != nil {
+		return nil, false, failed(file.path, offset, err)
+	}
+	return data, offset+int64(len(data)) == file.size, nil
+}
+
+// Compact drops the segments that hold only entries up to through.
+func (s *Store) Compact(through uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.segments) > 1 && s.segments[1].first <= through+1 {
+		if err := s.dropSegment(0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close unlocks the folder. It may be called twice.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken == nil {
+		s.broken = &Error{Kind: KindClosed}
+	}
+	for _, segment := range s.segments {
+		if segment.file != nil {
+			_ = segment.file.Close()
+			segment.file = nil
+		}
+	}
+	return s.lock.release()
+}
--- /dev/null
+++ b/internal/peer/peertest/network.go
@@ -0,0 +1,177 @@
+// Package peertest is an in-memory stand-in for package peer, with links that
+// tests cut, slow down and make lossy.
+package peertest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+)
+
+// streamMessages is how many messages fit into a stream before Send blocks.
+const streamMessages = 256
+
+// UnreachableError tells that no process listens at an address.
+type UnreachableError struct{ Address string }
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return fmt.Sprintf("no process at %s", e.Address) }
+
+// Network connects processes by address.
+type Network struct {
+	mu       sync.Mutex
+	handlers map[string]handler
+	cut      map[[2]string]bool
+	random   *rand.Rand
+	loss     float64
+	delay    time.Duration
+}
+
+type handler struct {
+	name  string
+	serve peer.Handler
+	ctx   context.Context
+}
+
+// NewNetwork returns a network whose losses follow the seed.
+func NewNetwork(seed uint64) *Network {
+	return &Network{
+		handlers: map[string]handler{},
+		cut:      map[[2]string]bool{},
+		random:   rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// Listen serves the streams that are opened to an address, until the context
+// ends. The name is the one that peers see.
+func (n *Network) Listen(ctx context.Context, address, name string, serve peer.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[address] = handler{name: name, serve: serve, ctx: ctx}
+}
+
+// Cut silently drops what one process sends to another, until Heal.
+func (n *Network) Cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{from, to}] = true
+}
+
+// Heal ends all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = map[[2]string]bool{}
+}
+
+// Degrade makes every link lose messages and delay the others.
+func (n *Network) Degrade(loss float64, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss, n.delay = loss, delay
+}
+
+func (n *Network) fate(from, to string) (lost bool, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	lost = n.cut[[2]string{from, to}] || (n.loss > 0 && n.random.Float64() < n.loss)
+	return lost, n.delay
+}
+
+// Dialer returns the dialer of one process.
+func (n *Network) Dialer(name string) peer.Dialer { return dialer{network: n, name: name} }
+
+type dialer struct {
+	network *Network
+	name    string
+}
+
+// Open implements peer.Dialer.
+func (d dialer) Open(_ context.Context, address string) (peer.Stream, error) {
+	d.network.mu.Lock()
+	h, ok := d.network.handlers[address]
+	d.network.mu.Unlock()
+	if !ok || h.ctx.Err() != nil {
+		return nil, &UnreachableError{Address: address}
+	}
+	near, far := pair(d.network, d.name, h.name)
+	stop := context.AfterFunc(h.ctx, func() { _ = far.Close() })
+	go func() {
+		defer stop()
+		defer far.Close()
+		h.serve(h.ctx, far)
+	}()
+	return near, nil
+}
+
+// Pair returns the two ends of one stream between two processes.
+func Pair(near, far string) (nearEnd, farEnd peer.Stream) {
+	return pair(NewNetwork(0), near, far)
+}
+
+func pair(n *Network, near, far string) (nearEnd, farEnd *stream) {
+	there := make(chan delivery, streamMessages)
+	back := make(chan delivery, streamMessages)
+	done := make(chan struct{})
+	once := &sync.Once{}
+	nearEnd = &stream{n: n, own: near, peer: far, out: there, in: back, done: done, once: once}
+	farEnd = &stream{n: n, own: far, peer: near, out: back, in: there, done: done, once: once}
+	return nearEnd, farEnd
+}
+
+type delivery struct {
+	m  message.Message
+	at time.Time
+}
+
+type stream struct {
+	n         *Network
+	own, peer string
+	out       chan<- delivery
+	in        <-chan delivery
+	done      chan struct{}
+	once      *sync.Once
+}
+
+// Send implements peer.Stream.
+func (s *stream) Send(m message.Message) error {
+	lost, delay := s.n.fate(s.own, s.peer)
+	if lost {
+		return nil
+	}
+	select {
+	case <-s.done:
+		return io.ErrClosedPipe
+	case s.out <- delivery{m: m, at: time.Now().Add(delay)}:
+		return nil
+	}
+}
+
+// Receive implements peer.Stream.
+func (s *stream) Receive() (message.Message, error) {
+	select {
+	case d := <-s.in:
+		time.Sleep(time.Until(d.at))
+		return d.m, nil
+	case <-s.done:
+		return nil, io.EOF
+	}
+}
+
+// Close implements peer.Stream.
+func (s *stream) Close() error {
+	s.once.Do(func() { close(s.done) })
+	return nil
+}
+
+// Done implements peer.Stream.
+func (s *stream) Done() <-chan struct{} { return s.done }
+
+// Peer implements peer.Stream.
+func (s *stream) Peer() string { return s.peer }
--- a/internal/reducer/agreement/leader.go
+++ b/internal/reducer/agreement/leader.go
@@ -166,17 +166,18 @@
 	if s.Role != Leader {
 		return
 	}
-	since := s.nth(s.now, func(p *progress) uint64 {
-		if !p.acked {
-			return 0
-		}
-		return p.ackTick
-	})
-	if s.now-min(since, s.now) >= s.Config.LeaseTicks {
+	if s.now >= s.LeaseEnd() {
 		s.follow(s.Hard.Term, "")
 	}
 }
 
+// LeaseEnd returns, on a leader, the tick at which it stops leading unless a
+// quorum answers before.
+func (s *State) LeaseEnd() uint64 {
+	since := s.nth(s.now, func(p *progress) uint64 { return p.ackTick })
+	return since + s.Config.LeaseTicks
+}
+
 // advanceCommit commits what a quorum has synced.
 func (s *State) advanceCommit() {
 	index := s.nth(s.Synced, func(p *progress) uint64 { return p.match })
--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -164,8 +164,7 @@
 		if !v.alive || v.state.Role != Leader {
 			continue
 		}
-		since := v.state.nth(s.now, func(p *progress) uint64 { return p.ackTick })
-		if s.now-since >= v.state.Config.LeaseTicks {
+		if s.now >= v.state.LeaseEnd() && v.state.voters() > 1 {
 			continue
 		}
 		if leading != "" {
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -30,6 +30,7 @@
 	ReasonControlAway     Reason = "controlAway"     // no quorum of control VMs answers
 	ReasonNotLeader       Reason = "notLeader"       // this control VM does not lead
 	ReasonStopping        Reason = "stopping"        // this process is stopping
+	ReasonDiskFull        Reason = "diskFull"        // the disk of a control VM has no room
 	ReasonRevisionRace    Reason = "revisionRace"    // another change took this revision
 	ReasonInvalidResource Reason = "invalidResource" // a declared resource fails its checks
 )
