--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -1,14 +1,26 @@
 package replica
 
 import (
+	"hash/fnv"
 	"log/slog"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 )
 
+// Defaults of Config.
+const (
+	DefaultGroup           = "control"
+	DefaultTickEvery       = 25 * time.Millisecond
+	DefaultSnapshotEntries = 20_000
+	DefaultSnapshotBytes   = 64 << 20
+	DefaultMinFreeBytes    = 64 << 20
+	DefaultStopWithin      = 2 * time.Second
+)
+
 // Config configures a Replica. Name, Members, DataFolder and Machine are
 // required; Dialer is required if there is more than one member.
 type Config struct {
@@ -16,8 +28,9 @@
 	Name string
 	// Group names the agreement group; empty means "control".
 	Group string
-	// Members founds the group on its first start. Once a log exists, the
-	// members are the ones agreed in it and this list is not looked at.
+	// Members founds the group on its first start, and names the processes
+	// whose messages are listened to. Once a log exists, the members that vote
+	// are the ones agreed in it.
 	Members []message.Member
 	// DataFolder holds the log and the snapshots.
 	DataFolder string
@@ -27,7 +40,8 @@
 	Machine control.Machine
 	// Logger takes changes of leadership and faults; nil means none.
 	Logger *slog.Logger
-	// TickEvery is the unit of election timing; zero means 25ms.
+	// TickEvery is the unit of election timing; zero means 25ms. A leader that
+	// dies is replaced after 12 to 24 ticks.
 	TickEvery time.Duration
 	// SnapshotEntries is how many applied entries lead to a snapshot; zero
 	// means 20,000.
@@ -35,10 +49,58 @@
 	// SnapshotBytes is how many bytes of log lead to a snapshot; zero means
 	// 64 MiB.
 	SnapshotBytes int64
+	// TailEntries is how many entries stay before a snapshot, for members that
+	// lag a little; zero means 4,096.
+	TailEntries uint64
 	// MaxUnapplied bounds the proposals that are appended and not yet
 	// applied; zero means 8,192.
-	MaxUnapplied int
+	MaxUnapplied uint64
+	// MinFreeBytes is how much room the disk must have for proposals to be
+	// taken; zero means 64 MiB.
+	MinFreeBytes uint64
+	// StopWithin bounds a graceful stop; zero means 2s.
+	StopWithin time.Duration
 	// Seed makes election timing differ between members; zero takes one from
 	// the name.
 	Seed uint64
+	// FileSystem is the VM's own if nil.
+	FileSystem disk.FileSystem
+}
+
+func (c Config) withDefaults() Config {
+	c.Group = or(c.Group, DefaultGroup)
+	c.TickEvery = or(c.TickEvery, DefaultTickEvery)
+	c.SnapshotEntries = or(c.SnapshotEntries, DefaultSnapshotEntries)
+	c.SnapshotBytes = or(c.SnapshotBytes, DefaultSnapshotBytes)
+	c.MinFreeBytes = or(c.MinFreeBytes, DefaultMinFreeBytes)
+	c.StopWithin = or(c.StopWithin, DefaultStopWithin)
+	c.Seed = or(c.Seed, seedOf(c.Name))
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
+
+func or[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
+
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// founders returns the configured members as voters.
+func (c Config) founders() []message.Member {
+	founders := make([]message.Member, 0, len(c.Members))
+	for _, m := range c.Members {
+		m.Voter = true
+		founders = append(founders, m)
+	}
+	return founders
 }
