--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -43,7 +43,6 @@
 	durable Restored
 	stored  []Snapshot
 	pending []Persist
-	machine Snapshot
 	hash    uint64
 	index   uint64
 }
