--- /dev/null
+++ b/internal/disk/faulty_test.go
@@ -0,0 +1,163 @@
+package disk
+
+import (
+	"io"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// memory is a file system that forgets what was not synced, and fails on
+// demand.
+type memory struct {
+	files map[string]*memoryFile
+	// names are the files that a crash leaves, as of the last SyncFolder.
+	names map[string]*memoryFile
+	// fail is asked before each operation, by its name and file.
+	fail func(operation, name string) error
+}
+
+type memoryFile struct {
+	name    string
+	data    []byte
+	durable []byte
+}
+
+func newMemory() *memory {
+	return &memory{
+		files: map[string]*memoryFile{}, names: map[string]*memoryFile{},
+		fail: func(string, string) error { return nil },
+	}
+}
+
+// crash drops unsynced names, and keeps a random part of unsynced content, the
+// last byte of which may be wrong.
+func (m *memory) crash(random *rand.Rand) {
+	if random.IntN(2) == 0 {
+		m.files = maps.Clone(m.names)
+	}
+	for _, path := range slices.Sorted(maps.Keys(m.files)) {
+		m.files[path].crash(random)
+	}
+	m.names = maps.Clone(m.files)
+	m.fail = func(string, string) error { return nil }
+}
+
+func (f *memoryFile) crash(random *rand.Rand) {
+	kept := slices.Clone(f.durable)
+	if len(f.data) > len(kept) && string(f.data[:len(kept)]) == string(kept) {
+		extra := slices.Clone(f.data[len(kept):])
+		extra = extra[:random.IntN(len(extra)+1)]
+		if len(extra) > 0 && random.IntN(2) == 0 {
+			extra[random.IntN(len(extra))] ^= 1
+		}
+		kept = append(kept, extra...)
+	} else if len(f.data) < len(kept) && random.IntN(2) == 0 {
+		kept = kept[:len(f.data)]
+	}
+	f.data, f.durable = kept, slices.Clone(kept)
+}
+
+func (m *memory) Create(path string) (File, error) {
+	if err := m.fail("create", filepath.Base(path)); err != nil {
+		return nil, err
+	}
+	f := &memoryFile{name: filepath.Base(path)}
+	m.files[path] = f
+	return &memoryHandle{m, f}, nil
+}
+
+func (m *memory) Append(path string) (File, error) { return m.Open(path) }
+
+func (m *memory) Open(path string) (File, error) {
+	if err := m.fail("open", filepath.Base(path)); err != nil {
+		return nil, err
+	}
+	return &memoryHandle{m, m.files[path]}, nil
+}
+
+func (m *memory) Read(path string) ([]byte, error) {
+	return slices.Clone(m.files[path].data), m.fail("read", filepath.Base(path))
+}
+
+func (m *memory) Rename(from, to string) error {
+	if err := m.fail("rename", filepath.Base(to)); err != nil {
+		return err
+	}
+	m.files[to] = m.files[from]
+	m.files[to].name = filepath.Base(to)
+	delete(m.files, from)
+	return nil
+}
+
+func (m *memory) Remove(path string) error {
+	if err := m.fail("remove", filepath.Base(path)); err != nil {
+		return err
+	}
+	delete(m.files, path)
+	return nil
+}
+
+func (m *memory) Names(folder string) ([]string, error) {
+	var names []string
+	for path := range m.files {
+		if strings.HasPrefix(path, folder+"/") {
+			names = append(names, filepath.Base(path))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memory) MakeFolder(string) error { return nil }
+
+func (m *memory) SyncFolder(string) error {
+	if err := m.fail("syncFolder", ""); err != nil {
+		return err
+	}
+	m.names = maps.Clone(m.files)
+	return nil
+}
+
+func (m *memory) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+func (m *memory) Free(string) (uint64, error) { return 1 << 40, m.fail("free", "") }
+
+type memoryHandle struct {
+	m *memory
+	f *memoryFile
+}
+
+// Write writes half of the data if it is to fail.
+func (h *memoryHandle) Write(data []byte) (int, error) {
+	if err := h.m.fail("write", h.f.name); err != nil {
+		h.f.data = append(h.f.data, data[:len(data)/2]...)
+		return len(data) / 2, err
+	}
+	h.f.data = append(h.f.data, data...)
+	return len(data), nil
+}
+
+func (h *memoryHandle) ReadAt(data []byte, offset int64) (int, error) {
+	return copy(data, h.f.data[offset:]), nil
+}
+
+func (h *memoryHandle) Sync() error {
+	if err := h.m.fail("sync", h.f.name); err != nil {
+		return err
+	}
+	h.f.durable = slices.Clone(h.f.data)
+	return nil
+}
+
+func (h *memoryHandle) Truncate(size int64) error {
+	if err := h.m.fail("truncate", h.f.name); err != nil {
+		return err
+	}
+	h.f.data = h.f.data[:size:size]
+	return nil
+}
+
+func (h *memoryHandle) Close() error { return nil }
--- a/internal/disk/filesystem.go
+++ b/internal/disk/filesystem.go
@@ -33,6 +33,9 @@
 	MakeFolder(folder string) error
 	// SyncFolder makes created, renamed and removed names durable.
 	SyncFolder(folder string) error
+	// Lock keeps other processes away from a folder until the closer is closed;
+	// it fails with an *Error of KindLocked if one is there already.
+	Lock(folder string) (io.Closer, error)
 	// Free returns the bytes that may still be written.
 	Free(folder string) (uint64, error)
 }
--- a/internal/disk/load.go
+++ b/internal/disk/load.go
@@ -109,6 +109,7 @@
 	s.segments = append(s.segments, segment)
 	loaded.Entries = append(loaded.Entries, entries...)
 	if !last {
+		segment.synced = segment.size
 		return nil
 	}
 	return s.openLast(segment, int64(len(data)), torn, loaded)
--- a/internal/disk/lock.go
+++ b/internal/disk/lock.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -8,14 +9,12 @@
 
 const lockFile = "lock"
 
-// folderLock keeps a second process away from a data folder.
+// Lock implements FileSystem.
 //
 // Two processes on one folder would each believe in their own term and vote,
 // and write over each other's entries. The kernel frees the lock when its
 // process dies, however it dies.
-type folderLock struct{ file *os.File }
-
-func lockFolder(folder string) (*folderLock, error) {
+func (OS) Lock(folder string) (io.Closer, error) {
 	path := filepath.Join(folder, lockFile)
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
@@ -28,17 +27,5 @@
 			Detail: "another process uses the folder", Cause: err,
 		}
 	}
-	return &folderLock{file: f}, nil
-}
-
-func (l *folderLock) release() error {
-	if l == nil || l.file == nil {
-		return nil
-	}
-	err := l.file.Close()
-	l.file = nil
-	if err != nil {
-		return failed(lockFile, 0, err)
-	}
-	return nil
+	return f, nil
 }
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"io"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -35,7 +36,7 @@
 	config   Config
 	fs       FileSystem
 	identity Identity
-	lock     *folderLock
+	lock     io.Closer
 
 	mu        sync.Mutex
 	segments  []*segment
@@ -67,7 +68,7 @@
 	if err := s.fs.MakeFolder(config.Folder); err != nil {
 		return nil, Loaded{}, failed(config.Folder, 0, err)
 	}
-	lock, err := lockFolder(config.Folder)
+	lock, err := s.fs.Lock(config.Folder)
 	if err != nil {
 		return nil, Loaded{}, err
 	}
@@ -194,6 +195,11 @@
 		if active.size < s.config.SegmentBytes {
 			return active, nil
 		}
+		// The last mark is not synced yet. A power cut could leave a part of it
+		// in a segment that is no longer the last, which counts as damage.
+		if err := active.sync(); err != nil {
+			return nil, err
+		}
 	}
 	fresh, err := createSegment(s.fs, s.config.Folder, next)
 	if err != nil {
@@ -344,10 +350,15 @@
 	return data, offset+int64(len(data)) == file.size, nil
 }
 
-// Compact drops the segments that hold only entries up to through.
+// Compact drops the segments that hold only entries up to through, as far as a
+// snapshot covers them.
 func (s *Store) Compact(through uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.snapshots) == 0 {
+		return nil
+	}
+	through = min(through, s.snapshots[len(s.snapshots)-1].index)
 	for len(s.segments) > 1 && s.segments[1].first <= through+1 {
 		if err := s.dropSegment(0); err != nil {
 			return err
@@ -369,5 +380,13 @@
 			segment.file = nil
 		}
 	}
-	return s.lock.release()
+	if s.lock == nil {
+		return nil
+	}
+	err := s.lock.Close()
+	s.lock = nil
+	if err != nil {
+		return failed(lockFile, 0, err)
+	}
+	return nil
 }
