disk: names are synced at open; wider power cuts

Cause: a process that died between a rename and its sync left a name that the next process counted as promised and a power cut took away again; the test's crashes were too tame to show a missing sync after a truncation. Change: open syncs the folder; crashes mix new and old content, kill without a power cut, and interrupt replacing saves and installs.

--- a/internal/disk/crash_test.go
+++ b/internal/disk/crash_test.go
@@ -99,13 +99,16 @@
 func (p *powerCut) add(from, more uint64) {
 	p.term += uint64(p.random.IntN(2))
 	hard := agreement.HardState{Term: p.term}
-	kept := slices.DeleteFunc(slices.Clone(p.promised.Entries),
-		func(e message.LogEntry) bool { return e.Index >= from })
+	p.forget(from)
 	added := entries(p.term, from, from+more)
-	p.promised.Entries = kept
 	p.save(agreement.Persist{Hard: &hard, Entries: added})
 	p.promised.Hard = hard
-	p.promised.Entries = append(kept, added...)
+	p.promised.Entries = append(p.promised.Entries, added...)
+}
+
+func (p *powerCut) forget(from uint64) {
+	p.promised.Entries = slices.DeleteFunc(slices.Clone(p.promised.Entries),
+		func(e message.LogEntry) bool { return e.Index >= from })
 }
 
 func (p *powerCut) save(changes ...agreement.Persist) {
@@ -176,9 +179,25 @@
 			}
 			return nil
 		}
-		change := agreement.Persist{Entries: entries(p.term, p.last()+1, p.last()+3)}
-		_ = p.store.Save([]agreement.Persist{change})
+		_ = p.store.Save([]agreement.Persist{p.unpromised()})
+	}
+	// Without a power cut the next process finds what was not synced, and must
+	// sync it before it counts.
+	if p.random.IntN(4) > 0 {
+		p.fs.crash(p.random)
 	}
-	p.fs.crash(p.random)
+	p.fs.fail = func(string, string) error { return nil }
 	p.open()
 }
+
+// unpromised is a change that fails half-way.
+func (p *powerCut) unpromised() agreement.Persist {
+	if p.random.IntN(2) == 0 {
+		from := p.last() + 1 - p.random.Uint64N(p.last()-p.promised.Snapshot.Index+1)
+		p.term++
+		p.forget(from)
+		return agreement.Persist{Entries: entries(p.term, from, from+2)}
+	}
+	meta := agreement.SnapshotMeta{Index: p.last() + 2, Term: p.term}
+	return agreement.Persist{Snapshot: &agreement.Snapshot{Meta: meta}}
+}
--- a/internal/disk/faulty_test.go
+++ b/internal/disk/faulty_test.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// crash drops unsynced names, and keeps a random part of unsynced content, the
-// last byte of which may be wrong.
+// crash drops unsynced names, and keeps a random part of unsynced content, of
+// which a byte may be wrong.
 func (m *memory) crash(random *rand.Rand) {
 	if random.IntN(2) == 0 {
 		m.files = maps.Clone(m.names)
@@ -54,8 +54,9 @@
 			extra[random.IntN(len(extra))] ^= 1
 		}
 		kept = append(kept, extra...)
-	} else if len(f.data) < len(kept) && random.IntN(2) == 0 {
-		kept = kept[:len(f.data)]
+	} else if cut := random.IntN(len(f.data) + 1); cut < len(kept) {
+		// Some of what replaces the old content, in front of the rest of it.
+		copy(kept, f.data[:cut])
 	}
 	f.data, f.durable = kept, slices.Clone(kept)
 }
--- a/internal/disk/load.go
+++ b/internal/disk/load.go
@@ -32,7 +32,13 @@
 	return s.loadFiles()
 }
 
+// loadFiles reads all that is in the folder, after making its names durable:
+// an earlier process may have died between a rename and its sync, and what is
+// read here counts as promised.
 func (s *Store) loadFiles() (Loaded, error) {
+	if err := s.fs.SyncFolder(s.config.Folder); err != nil {
+		return Loaded{}, syncFailed(s.config.Folder, err)
+	}
 	names, err := s.fs.Names(s.config.Folder)
 	if err != nil {
 		return Loaded{}, failed(s.config.Folder, 0, err)
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -271,7 +271,6 @@
 	if err := s.addSnapshot(snapshot); err != nil {
 		return err
 	}
-	// From the last to the first, so that a crash leaves no gap.
 	for len(s.segments) > 0 {
 		if err := s.dropSegment(len(s.segments) - 1); err != nil {
 			return err
