--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/peer/peertest"
@@ -61,6 +62,8 @@
 	folder  string
 	config  Config
 	running map[string]*running
+	// disk replaces the file system of the members that start from now on.
+	disk disk.FileSystem
 }
 
 type running struct {
@@ -92,14 +95,19 @@
 	config.DataFolder = filepath.Join(g.folder, name)
 	config.Dialer = g.network.Dialer(name)
 	config.Machine = machine
+	config.FileSystem = g.disk
 	r, err := New(config)
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(g.t.Context())
 	m := &running{Replica: r, machine: machine, stop: stop, err: make(chan error, 1)}
-	g.network.Listen(ctx, name+":1", name, func(ctx context.Context, s peer.Stream) { r.Serve(ctx, s) })
-	go func() { m.err <- r.Run(ctx) }()
+	listening, endListening := context.WithCancel(g.t.Context())
+	g.network.Listen(listening, name+":1", name, func(ctx context.Context, s peer.Stream) { r.Serve(ctx, s) })
+	go func() {
+		defer endListening()
+		m.err <- r.Run(ctx)
+	}()
 	g.running[name] = m
 	return m
 }
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -12,7 +12,7 @@
 const (
 	// sendQueue bounds the messages that wait for one member; more are
 	// dropped, and the next heartbeat finds out.
-	sendQueue = 512
+	sendQueue = 128
 	// openWithin bounds the opening of a stream.
 	openWithin = 2 * time.Second
 	// openAgainFirst and openAgainMost bound the pause after a failed opening.
@@ -113,7 +113,9 @@
 }
 
 // dial opens a stream; the pause after each failure grows. It is nil if the
-// context ends.
+// context ends. What waits is dropped after a failure: a member that is away
+// would be sent old entries on its return, and they would fill the memory here
+// until then.
 func (s *sender) dial(ctx context.Context) peer.Stream {
 	pause := openAgainFirst
 	for ctx.Err() == nil {
@@ -126,6 +128,7 @@
 				return stream
 			}
 		}
+		s.drop()
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -135,6 +138,16 @@
 	return nil
 }
 
+func (s *sender) drop() {
+	for {
+		select {
+		case <-s.queue:
+		default:
+			return
+		}
+	}
+}
+
 func (s *sender) setOpen(stream peer.Stream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
