--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -40,8 +40,9 @@
 	if err != nil {
 		return err
 	}
-	items := view.List(oriolebend.ResourceKind(c.Param("kind")))
-	return a.done(c, outcomeOK, listAnswer[oriolebend.Resource]{Revision: view.Revision, Items: items})
+	answer := listAnswer[oriolebend.Resource]{Revision: view.Revision, Items: []oriolebend.Resource{}}
+	answer.Items = append(answer.Items, view.List(oriolebend.ResourceKind(c.Param("kind")))...)
+	return a.done(c, outcomeOK, answer)
 }
 
 func keyOf(c *echo.Context) oriolebend.ResourceKey {
@@ -117,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	var answer listAnswer[oriolebend.AuditEntry]
+	answer := listAnswer[oriolebend.AuditEntry]{Items: []oriolebend.AuditEntry{}}
 	a.Store.Read(func(d *declared.State) {
 		answer.Revision = d.Revision()
 		answer.Items = append(answer.Items, d.Audit(after)...)
--- a/internal/operator/watch.go
+++ b/internal/operator/watch.go
@@ -42,6 +42,7 @@
 		if err != nil {
 			return nil
 		}
+		whole = whole && next.revision > 0 // nothing at all is sent once
 	}
 }
 
--- a/internal/reducer/reached/explain.go
+++ b/internal/reducer/reached/explain.go
@@ -52,7 +52,7 @@
 
 func (k Known) explainFollowers(e *oriolebend.Explanation) {
 	count, rest := k.inForce(e.Revision)
-	e.Lines = append(e.Lines, fmt.Sprintf("revision %d is %s followers", e.Revision,
+	e.Lines = append(e.Lines, fmt.Sprintf("followers: revision %d is %s", e.Revision,
 		forceText(count, len(k.Reports), rest)))
 	if len(rest) > 0 {
 		e.Reached = false
--- a/pkg/oriolebend/decode.go
+++ b/pkg/oriolebend/decode.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"maps"
 	"reflect"
 	"slices"
@@ -28,12 +28,21 @@
 			continue
 		}
 		if err := strictJSON(raw[name], field.Addr().Interface()); err != nil {
-			wrong = append(wrong, FieldError{Field: path, Problem: err.Error(), Allowed: typeName(field.Type())})
+			wrong = append(wrong, FieldError{Field: path, Problem: plainProblem(err), Allowed: typeName(field.Type())})
 		}
 	}
 	return wrong
 }
 
+// plainProblem says in an operator's words why JSON could not be read.
+func plainProblem(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return "is a " + wrongType.Value
+	}
+	return strings.TrimPrefix(err.Error(), "json: ")
+}
+
 // jsonFields maps the JSON names of a struct to its fields.
 func jsonFields(v reflect.Value) map[string]reflect.Value {
 	fields := make(map[string]reflect.Value, v.NumField())
@@ -58,8 +67,13 @@
 		return "a number"
 	case reflect.Slice:
 		return "a list of strings"
+	case reflect.Map:
+		return "an object of numbers"
+	case reflect.Pointer:
+		fields := jsonFields(reflect.New(t.Elem()).Elem())
+		return "an object of " + strings.Join(slices.Sorted(maps.Keys(fields)), ", ")
 	}
-	return fmt.Sprintf("a JSON object like %s", strings.ToLower(t.Kind().String()))
+	return t.Kind().String()
 }
 
 func strictJSON(data []byte, into any) error {
