--- /dev/null
+++ b/internal/operator/command/read.go
@@ -0,0 +1,199 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend/client"
+)
+
+func getCommand(out io.Writer) *ff.Command {
+	c := newConnection("get")
+	return &ff.Command{
+		Name: "get", Usage: "oriolebend get [FLAGS] [KIND | KIND/NAME]", Flags: c.flags,
+		ShortHelp: "print declared resources",
+		Exec: func(ctx context.Context, args []string) error {
+			return c.run(ctx, func(ctx context.Context, api *client.Client) error { return get(ctx, api, c, out, args) })
+		},
+	}
+}
+
+func get(ctx context.Context, api *client.Client, c *connection, out io.Writer, args []string) error {
+	key, err := parseKey(args)
+	if err == nil {
+		return getOne(ctx, api, c, out, key)
+	}
+	if len(args) > 1 {
+		return err
+	}
+	var kind oriolebend.ResourceKind
+	if len(args) == 1 {
+		kind = oriolebend.ResourceKind(args[0])
+	}
+	list, err := api.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	if c.json() {
+		return printJSON(out, list)
+	}
+	return printResources(out, list.Items)
+}
+
+func getOne(ctx context.Context, api *client.Client, c *connection, out io.Writer, key oriolebend.ResourceKey) error {
+	r, err := api.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if c.json() {
+		return printJSON(out, r)
+	}
+	return printResources(out, []oriolebend.Resource{r})
+}
+
+func watchCommand(out io.Writer) *ff.Command {
+	c := newConnection("watch")
+	from := c.flags.Uint64Long("from", 0, "revision to resume after; 0 begins with everything")
+	follow := c.flags.BoolLongDefault("follow", true, "go on after what is there; --follow=false ends then")
+	return &ff.Command{
+		Name: "watch", Usage: "oriolebend watch [FLAGS]", Flags: c.flags,
+		ShortHelp: "print declared resources and servers as they change",
+		LongHelp:  "A watch has no --timeout. Its last revision can be given as --from to resume it.",
+		Exec: func(ctx context.Context, _ []string) error {
+			api, err := c.client()
+			if err != nil {
+				return err
+			}
+			return coded(watch(ctx, api, c, out, *from, *follow))
+		},
+	}
+}
+
+// endOfWatch ends a watch that is not to go on.
+type endOfWatch struct{}
+
+func (endOfWatch) Error() string { return "all was sent" }
+
+func watch(ctx context.Context, api *client.Client, c *connection, out io.Writer, from uint64, follow bool) error {
+	lines := json.NewEncoder(out)
+	err := api.Watch(ctx, from, func(e oriolebend.WatchEvent) error {
+		if c.json() {
+			if err := lines.Encode(e); err != nil {
+				return err
+			}
+		} else {
+			printEvent(out, e)
+		}
+		if e.Bookmark && !follow {
+			return endOfWatch{}
+		}
+		return nil
+	})
+	if errors.As(err, &endOfWatch{}) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func statusCommand(out io.Writer) *ff.Command {
+	c := newConnection("status")
+	return &ff.Command{
+		Name: "status", Usage: "oriolebend status [FLAGS]", Flags: c.flags,
+		ShortHelp: "print what is declared against what is reached",
+		Exec: func(ctx context.Context, _ []string) error {
+			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
+				status, err := api.Status(ctx)
+				if err != nil {
+					return err
+				}
+				if c.json() {
+					return printJSON(out, status)
+				}
+				return printStatus(out, status)
+			})
+		},
+	}
+}
+
+func explainCommand(out io.Writer) *ff.Command {
+	c := newConnection("explain")
+	return &ff.Command{
+		Name: "explain", Usage: "oriolebend explain [FLAGS] KIND/NAME", Flags: c.flags,
+		ShortHelp: "say why something is not reached yet",
+		Exec: func(ctx context.Context, args []string) error {
+			key, err := parseKey(args)
+			if err != nil {
+				return err
+			}
+			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
+				return explain(ctx, api, c, out, key)
+			})
+		},
+	}
+}
+
+func explain(ctx context.Context, api *client.Client, c *connection, out io.Writer, key oriolebend.ResourceKey) error {
+	e, err := api.Explain(ctx, key)
+	if err != nil {
+		return err
+	}
+	if c.json() {
+		return printJSON(out, e)
+	}
+	state := "reached"
+	if !e.Reached {
+		state = "not reached yet"
+	}
+	fmt.Fprintf(out, "%s: %s\n", key, state)
+	for _, line := range e.Lines {
+		fmt.Fprintf(out, "  %s\n", line)
+	}
+	return nil
+}
+
+func serversCommand(out io.Writer) *ff.Command {
+	c := newConnection("servers")
+	return &ff.Command{
+		Name: "servers", Usage: "oriolebend servers [FLAGS]", Flags: c.flags,
+		ShortHelp: "print the backend servers that announced themselves",
+		Exec: func(ctx context.Context, _ []string) error {
+			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
+				list, err := api.Servers(ctx)
+				if err != nil {
+					return err
+				}
+				if c.json() {
+					return printJSON(out, list)
+				}
+				return printServers(out, list.Items)
+			})
+		},
+	}
+}
+
+func auditCommand(out io.Writer) *ff.Command {
+	c := newConnection("audit")
+	after := c.flags.Uint64Long("after", 0, "revision after which changes are printed")
+	return &ff.Command{
+		Name: "audit", Usage: "oriolebend audit [FLAGS]", Flags: c.flags,
+		ShortHelp: "print who changed what",
+		Exec: func(ctx context.Context, _ []string) error {
+			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
+				list, err := api.Audit(ctx, *after)
+				if err != nil {
+					return err
+				}
+				if c.json() {
+					return printJSON(out, list)
+				}
+				return printAudit(out, list.Items)
+			})
+		},
+	}
+}
