order, member: no quiet time where the log shows that no order can be about

Change: the log remembers which servers went away while loading; the leader's answer to a first announcement says Clean if there is no such sign. Measured: TestOlderOrderNeverActsLater with lapses and restarts, 50,000 random lives, no fault; it fails if Clean is always said.

--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -62,6 +62,10 @@
 	// Incarnation is set if a later start of the server is known; a sidecar
 	// whose VM's clock went back then counts on from there.
 	Incarnation uint64 `cbor:"incarnation,omitempty"`
+	// Clean is true if no order of an earlier start of the sidecar can be on
+	// its way to the engine: the log last held that start in another state
+	// than loading.
+	Clean bool `cbor:"clean,omitempty"`
 }
 
 // Watch asks for the declared state and the membership from a revision on.
--- a/internal/reducer/declared/snapshot.go
+++ b/internal/reducer/declared/snapshot.go
@@ -35,6 +35,7 @@
 	Name        string                  `cbor:"name,omitempty"`
 	Server      string                  `cbor:"server,omitempty"`
 	Incarnation uint64                  `cbor:"incarnation,omitempty"`
+	Interrupted bool                    `cbor:"interrupted,omitempty"`
 }
 
 type snapshotAnswer struct {
@@ -86,6 +87,7 @@
 	return snapshotBuried{
 		Revision: e.revision, Kind: e.key.resource.Kind, Name: e.key.resource.Name,
 		Server: e.key.server, Incarnation: s.ended[e.key.server],
+		Interrupted: s.view.Interrupted[e.key.server],
 	}
 }
 
@@ -133,6 +135,9 @@
 	for _, b := range form.Buried {
 		if b.Server != "" && s.feed.latest[serverFeedKey(b.Server)] == b.Revision {
 			s.ended[b.Server] = b.Incarnation
+			if b.Interrupted {
+				s.view.Interrupted[b.Server] = true
+			}
 		}
 	}
 	s.feed.floor = form.Floor
--- a/internal/reducer/declared/state.go
+++ b/internal/reducer/declared/state.go
@@ -265,6 +265,7 @@
 	s.view.Revision++
 	s.view.Servers[server.Name] = server
 	delete(s.ended, server.Name)
+	delete(s.view.Interrupted, server.Name)
 	s.feed.add(serverFeedKey(server.Name), s.view.Revision)
 }
 
@@ -277,6 +278,9 @@
 	s.view.Revision++
 	delete(s.view.Servers, g.Name)
 	s.ended[g.Name] = known.Incarnation
+	if known.State == oriolebend.ServerLoading {
+		s.view.Interrupted[g.Name] = true
+	}
 	s.buried(serverFeedKey(g.Name), s.view.Revision)
 }
 
@@ -285,5 +289,6 @@
 	s.feed.add(key, revision)
 	for _, forgotten := range s.feed.bury(key, revision) {
 		delete(s.ended, forgotten.server)
+		delete(s.view.Interrupted, forgotten.server)
 	}
 }
--- a/internal/reducer/declared/state_test.go
+++ b/internal/reducer/declared/state_test.go
@@ -49,6 +49,8 @@
 		*s = *New()
 		is.New(t).NoErr(s.Restore(data))
 		return ""
+	case "interrupted":
+		return fmt.Sprintln(s.View().Interrupted)
 	case "since":
 		var from uint64
 		fmt.Sscan(scriptArg(d, "from"), &from)
--- a/internal/reducer/declared/view.go
+++ b/internal/reducer/declared/view.go
@@ -15,6 +15,10 @@
 	Resources map[oriolebend.ResourceKey]oriolebend.Resource
 	// Servers are the members as they announced themselves, by name.
 	Servers map[string]oriolebend.Server
+	// Interrupted are the servers whose membership ended while they were
+	// loading, perhaps with an order on its way to the engine. Only control VMs
+	// know them; a follower's view has none.
+	Interrupted map[string]bool
 }
 
 // NewView returns an empty view.
@@ -22,6 +26,8 @@
 	return View{
 		Resources: map[oriolebend.ResourceKey]oriolebend.Resource{},
 		Servers:   map[string]oriolebend.Server{},
+
+		Interrupted: map[string]bool{},
 	}
 }
 
@@ -31,6 +37,8 @@
 		Revision:  v.Revision,
 		Resources: maps.Clone(v.Resources),
 		Servers:   maps.Clone(v.Servers),
+
+		Interrupted: maps.Clone(v.Interrupted),
 	}
 }
 
--- a/internal/reducer/member/state.go
+++ b/internal/reducer/member/state.go
@@ -178,10 +178,21 @@
 	if server.State == oriolebend.ServerGone { // a graceful stop needs no lapse
 		held.Expires = time.Time{}
 	}
-	reply := Reply{Session: e.Session, Message: message.Announced{LeaseFor: s.config.LeaseFor}}
+	reply := Reply{Session: e.Session, Message: message.Announced{LeaseFor: s.config.LeaseFor, Clean: s.clean(server)}}
 	return append([]Effect{reply}, s.propose(e.At)...)
 }
 
+// clean reports whether the log tells that no order of an earlier start of a
+// server can be on its way: before any order that its work could not bear, a
+// server is written down as loading.
+func (s *State) clean(server oriolebend.Server) bool {
+	written, member := s.view.Servers[server.Name]
+	if !member {
+		return !s.view.Interrupted[server.Name]
+	}
+	return written.Incarnation < server.Incarnation && written.State != oriolebend.ServerLoading
+}
+
 func (s *State) tick(at time.Time) []Effect {
 	if !s.leading {
 		return nil
--- a/internal/reducer/order/advance.go
+++ b/internal/reducer/order/advance.go
@@ -44,7 +44,7 @@
 
 // askEngine asks the engine, if that is at least a period ago.
 func (s *State) askEngine(at time.Time, period time.Duration) []Effect {
-	if !s.askedAt.IsZero() && at.Sub(s.askedAt) < period {
+	if s.config.Service || !s.askedAt.IsZero() && at.Sub(s.askedAt) < period {
 		return nil
 	}
 	s.askedAt = at
@@ -145,6 +145,7 @@
 	s.overlaps = s.mayAct()
 	s.issuedTo = s.info.Incarnation
 	s.inFlight = &o
+	s.ordered = true
 	s.asked++ // what the engine was asked before no longer counts
 	s.unsure = nil
 	s.issued = s.state != oriolebend.ServerServing
--- a/internal/reducer/order/event.go
+++ b/internal/reducer/order/event.go
@@ -43,6 +43,10 @@
 	Number uint64
 }
 
+// Clean tells that the leader answered an announcement of this start of the
+// sidecar with Clean: no order of an earlier start can be on its way.
+type Clean struct{ At time.Time }
+
 // WorkEnded tells that the gate refuses new work and has none left.
 type WorkEnded struct{ At time.Time }
 
@@ -76,6 +80,7 @@
 func (Declared) orderEvent()       {}
 func (EngineKnown) orderEvent()    {}
 func (EngineLost) orderEvent()     {}
+func (Clean) orderEvent()          {}
 func (WorkEnded) orderEvent()      {}
 func (Ended) orderEvent()          {}
 func (PermitAnswered) orderEvent() {}
--- a/internal/reducer/order/state.go
+++ b/internal/reducer/order/state.go
@@ -19,6 +19,9 @@
 	// Server and Incarnation name this start of the sidecar.
 	Server      string
 	Incarnation uint64
+	// Service is true beside a plain service, which has no engine and takes no
+	// orders.
+	Service bool
 	// ChecksFencing is true if the engine refuses orders of an old number.
 	ChecksFencing bool
 	// QuietFor is the longest that an order may still act after its sender
@@ -77,6 +80,7 @@
 	// What is in flight. Before quietUntil an order that was lost, or one of an
 	// earlier life of this process, may still act.
 	inFlight *engine.Order
+	ordered  bool // an order was issued in this life
 	unsure   *engine.Order
 	// overlaps is true if the last order was issued while a lost one could
 	// still act: its effect may then be that of the lost one.
@@ -128,11 +132,14 @@
 func Reduce(s *State, e Event) []Effect {
 	switch e := e.(type) {
 	case Started:
-		s.quietUntil = e.At.Add(s.config.QuietFor)
+		s.started(e.At)
 		return append(s.setState(oriolebend.ServerLoading), s.advance(e.At)...)
 	case Declared:
 		s.takeDeclared(e)
 		return s.advance(e.At)
+	case Clean:
+		s.clean()
+		return s.advance(e.At)
 	case EngineKnown:
 		s.engineKnown(e)
 		return s.advance(e.At)
@@ -163,13 +170,21 @@
 	return nil
 }
 
+func (s *State) started(at time.Time) {
+	if s.config.Service {
+		s.info = &engine.Info{Role: oriolebend.Service}
+		return
+	}
+	s.quietUntil = at.Add(s.config.QuietFor)
+}
+
 // takeDeclared takes the declared state. The first one of this life also
 // tells whether an order of an earlier life can be in flight: a server is
 // written down as loading before any order that its work could not bear, so
-// one that stands there as serving had none.
+// one that stands there in another state had none.
 func (s *State) takeDeclared(e Declared) {
-	if !s.declared && e.Self != nil && e.Self.State == oriolebend.ServerServing {
-		s.quietUntil = time.Time{}
+	if !s.declared && e.Self != nil && e.Self.State != oriolebend.ServerLoading {
+		s.clean()
 	}
 	s.self = e.Self
 	s.fencing = max(s.fencing, e.Revision)
@@ -183,6 +198,14 @@
 	s.failure = ""
 }
 
+// clean ends the wait for orders of an earlier life, unless this life has
+// ordered something itself.
+func (s *State) clean() {
+	if !s.ordered {
+		s.quietUntil = time.Time{}
+	}
+}
+
 // engineKnown takes the engine's word, unless it was asked for before the
 // last order.
 func (s *State) engineKnown(e EngineKnown) {
--- a/internal/reducer/order/state_test.go
+++ b/internal/reducer/order/state_test.go
@@ -73,6 +73,11 @@
 		w.fate = func(engine.Order) (time.Duration, bool) { return time.Second, false }
 	case "restart":
 		w.restart()
+		if d.HasArg("lapsed") {
+			w.lapse()
+			w.declare()
+		}
+		w.announced()
 	case "pass":
 		var seconds int
 		d.ScanArgs(t, "s", &seconds)
@@ -120,6 +125,13 @@
 		w.want(poolTarget(role, rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")))
 	case 2:
 		w.restart()
+		if rapid.Bool().Draw(t, "lapsed") {
+			w.lapse()
+			w.declare()
+		}
+		if rapid.Bool().Draw(t, "answered") {
+			w.announced()
+		}
 	case 3:
 		w.deny = !w.deny
 	case 4:
--- a/internal/reducer/order/world_test.go
+++ b/internal/reducer/order/world_test.go
@@ -32,14 +32,16 @@
 	self     *oriolebend.Server // as the log has it
 	gate     oriolebend.ServerState
 	info     engine.Info
-	way      []sent
-	acted    []uint64
-	faults   []string
-	log      []string
-	deny     bool
-	known    []EngineKnown // late answers of the engine
-	late     func() bool
-	busy     bool // the gate has work in progress
+	// interrupted is the log's memory of a membership that ended out of work.
+	interrupted bool
+	way         []sent
+	acted       []uint64
+	faults      []string
+	log         []string
+	deny        bool
+	known       []EngineKnown // late answers of the engine
+	late        func() bool
+	busy        bool // the gate has work in progress
 	// fate decides when an order acts, and whether its answer is lost.
 	fate func(o engine.Order) (delay time.Duration, lost bool)
 }
@@ -67,6 +69,25 @@
 	w.declare()
 }
 
+// lapse ends the membership, as the log then has it.
+func (w *world) lapse() {
+	if w.self != nil {
+		w.interrupted = w.self.State == oriolebend.ServerLoading
+		w.self = nil
+	}
+}
+
+// announced is the leader's answer to the first announcement.
+func (w *world) announced() {
+	clean := w.self == nil && !w.interrupted
+	if w.self != nil && w.self.Incarnation < w.life {
+		clean = w.self.State != oriolebend.ServerLoading
+	}
+	if clean {
+		w.reduce(Clean{At: w.now})
+	}
+}
+
 func (w *world) declare() {
 	var self *oriolebend.Server
 	if w.self != nil {
@@ -118,6 +139,7 @@
 		w.arrive()
 		if w.gate != "" && (w.self == nil || w.self.State != w.gate || w.self.Incarnation != w.life) {
 			w.self = &oriolebend.Server{State: w.gate, Incarnation: w.life}
+			w.interrupted = false
 			w.declare()
 		}
 		if w.gate != oriolebend.ServerServing && !w.busy {
