member: look only at servers that may differ from the log

Cause: each renewal compared all members with the log: 2.0 ms at 1,100 servers, which renew 550 times a second - more than a core of the leader. Change: the leader keeps the set of servers that may differ. Measured (go test ./internal/reducer/member -bench . -benchtime 300ms, 1,100 servers): renewal 1,990 -> 4.6 us, tick 1,472 -> 28 us. Conclusion: 550 renewals a second now cost 0.25% of a core.

--- a/internal/reducer/member/state.go
+++ b/internal/reducer/member/state.go
@@ -73,6 +73,8 @@
 	permits   map[string]permit
 	asks      map[string]ask
 	proposing bool
+	// unwritten are the servers that may differ from what the log has.
+	unwritten map[string]bool
 	// charged are the servers that the proposal in flight took credit from.
 	charged []string
 	// pools is the pool of each member in view; nil until it is needed.
@@ -108,9 +110,14 @@
 	return nil
 }
 
+// setView takes what the log has; any server may differ from it.
 func (s *State) setView(v declared.View) {
 	s.view = v
 	s.pools = nil
+	s.unwritten = make(map[string]bool, len(s.leases))
+	for name := range s.leases {
+		s.unwritten[name] = true
+	}
 }
 
 // proposed ends a proposal. A failed one is tried again with the next tick,
@@ -147,6 +154,7 @@
 		held := s.lease(name, e.At)
 		held.Announce.Server = server
 		held.Expires = e.At.Add(s.config.LeaseFor)
+		s.unwritten[name] = true
 	}
 }
 
@@ -174,6 +182,7 @@
 	}
 	held.Announce = e.Announce
 	held.Known = true
+	s.unwritten[server.Name] = true
 	held.Expires = e.At.Add(s.config.LeaseFor)
 	if server.State == oriolebend.ServerGone { // a graceful stop needs no lapse
 		held.Expires = time.Time{}
@@ -251,6 +260,7 @@
 	}
 	for _, name := range lapsed {
 		s.leases[name].Expires = time.Time{}
+		s.unwritten[name] = true
 	}
 	return nil
 }
@@ -277,7 +287,7 @@
 	}
 	var members declared.Members
 	var effects []Effect
-	for _, name := range slices.Sorted(maps.Keys(s.leases)) {
+	for _, name := range slices.Sorted(maps.Keys(s.unwritten)) {
 		if len(members.Announced)+len(members.Gone) >= s.config.MaxBatch {
 			break
 		}
@@ -294,17 +304,20 @@
 // of work is written at once. News that brings it back costs credit: a server
 // that flaps would else fill the log and have every follower told each time.
 func (s *State) proposeServer(name string, at time.Time, into *declared.Members) []Effect {
-	held := s.leases[name]
+	held, known := s.leases[name]
 	written, member := s.view.Servers[name]
-	server := held.Announce.Server
-	if held.Expires.IsZero() {
+	if !known || held.Expires.IsZero() {
 		if member {
 			into.Gone = append(into.Gone, declared.GoneServer{Name: name, Incarnation: written.Incarnation})
+			return nil
 		}
+		delete(s.unwritten, name)
 		return nil
 	}
+	server := held.Announce.Server
 	if member && reflect.DeepEqual(written, server) {
 		held.damped = false
+		delete(s.unwritten, name)
 		return nil
 	}
 	if !member || server.State == oriolebend.ServerServing {
