--- a/internal/operator/command/write.go
+++ b/internal/operator/command/write.go
@@ -250,6 +250,7 @@
 func drainCommand(out, errOut io.Writer) *ff.Command {
 	o := newOrder("drain", out, errOut)
 	stop := o.flags.BoolLong("stop", "have the server's sidecar stop once its work has ended")
+	undo := o.flags.BoolLong("undo", "have a drained server take work again")
 	force := o.flags.BoolLong("force", "drain even if the pool then is under its minimum")
 	return &ff.Command{
 		Name: "drain", Usage: "oriolebend drain [FLAGS] SERVER", Flags: o.flags,
@@ -261,7 +262,7 @@
 			key := oriolebend.ResourceKey{Kind: oriolebend.KindServer, Name: args[0]}
 			return o.run(ctx, func(ctx context.Context, api *client.Client) error {
 				options := o.options()
-				options.Stop, options.Force = *stop, *force
+				options.Stop, options.Force, options.Undo = *stop, *force, *undo
 				result, err := api.Drain(ctx, args[0], options)
 				return o.report(ctx, api, []change{changed(key, result, err)}, err)
 			})
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -9,9 +9,9 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// drain declares a server leaving, or stopping with ?stop=true, and keeps the
-// rest of what is declared for it. It refuses to take a pool under its minimum
-// unless ?force=true.
+// drain declares a server leaving, stopping with ?stop=true, or serving again
+// with ?undo=true, and keeps the rest of what is declared for it. It refuses to
+// take a pool under its minimum unless ?force=true.
 func (a *api) drain(c *echo.Context) error {
 	key := oriolebend.ResourceKey{Kind: oriolebend.KindServer, Name: c.Param("name")}
 	order, err := a.newOrder(c, oriolebend.ActionApply, key)
@@ -60,20 +60,27 @@
 	if _, member := view.Servers[order.Name]; !member && !isDeclared {
 		return refuse(oriolebend.ReasonUnknownRequest, "no server "+order.Name+" is declared or announced")
 	}
-	spec.State = oriolebend.ServerLeaving
-	if c.QueryParam("stop") == "true" {
-		spec.State = oriolebend.ServerStopping
-	}
+	spec.State = drainedState(c)
 	if order.Expect == nil {
 		order.Expect = &held.Revision
 	}
 	order.Resource = &oriolebend.Resource{Kind: order.Kind, Name: order.Name, Spec: &spec}
-	if c.QueryParam("force") == "true" {
+	if c.QueryParam("force") == "true" || spec.State == oriolebend.ServerServing {
 		return nil
 	}
 	return underMinimum(view, order.Name)
 }
 
+func drainedState(c *echo.Context) oriolebend.ServerState {
+	switch {
+	case c.QueryParam("undo") == "true":
+		return oriolebend.ServerServing
+	case c.QueryParam("stop") == "true":
+		return oriolebend.ServerStopping
+	}
+	return oriolebend.ServerLeaving
+}
+
 // underMinimum refuses a drain that a pool can't bear. It draws on the state
 // here and is no lock: operators who drain two servers at once are both told
 // what they do, and the second sees the first in ?current=true reads.
--- a/pkg/oriolebend/client/client.go
+++ b/pkg/oriolebend/client/client.go
@@ -85,6 +85,8 @@
 	Force bool
 	// Stop has a drained server's sidecar stop.
 	Stop bool
+	// Undo has a drained server take work again.
+	Undo bool
 }
 
 func (o Options) query() url.Values {
@@ -92,7 +94,7 @@
 	if o.Expect != nil {
 		query.Set("expect", strconv.FormatUint(*o.Expect, 10))
 	}
-	for name, set := range map[string]bool{"dryRun": o.DryRun, "force": o.Force, "stop": o.Stop} {
+	for name, set := range map[string]bool{"dryRun": o.DryRun, "force": o.Force, "stop": o.Stop, "undo": o.Undo} {
 		if set {
 			query.Set(name, "true")
 		}
