--- a/internal/reducer/member/permit.go
+++ b/internal/reducer/member/permit.go
@@ -159,11 +159,12 @@
 }
 
 // serving counts the servers that serve a pool beside one server. A server
-// counts only on its own word in a living lease, and not once it may leave.
+// counts only on its own word in a living lease, and not once it may leave or
+// is declared to.
 func (s *State) serving(pool, beside string) int {
 	count := 0
 	for name, held := range s.leases {
-		if name == beside || held.Expires.IsZero() || s.permits[name].Out {
+		if name == beside || held.Expires.IsZero() || s.permits[name].Out || s.declaredOut(name) {
 			continue
 		}
 		written, member := s.view.Servers[name]
@@ -177,6 +178,12 @@
 	return count
 }
 
+// declaredOut reports whether operators declared that a server leaves.
+func (s *State) declaredOut(server string) bool {
+	d := s.view.Server(server)
+	return d != nil && d.State != "" && d.State != oriolebend.ServerServing
+}
+
 // serves reports whether a server does the work of a pool now. One that still
 // holds another version of its own pool's model does, during a rollout; one
 // that is to join another pool does until it has left.
