role: fresh confirmations, clean starts, orders beside services

Cause: followers take a first state only from a control VM that asked a quorum after they came; sidecars waited 60 s for orders of an earlier start. Change: the confirmer runs when a watch comes; Update.Fresh, Announced.Clean and order.Config.Service are joined.

--- a/internal/role/announcer.go
+++ b/internal/role/announcer.go
@@ -30,6 +30,10 @@
 	Control []string
 	Logger  *slog.Logger
 
+	// Clean is called when the leader knows that no order of an earlier start
+	// of the sidecar can be on its way; it may be nil.
+	Clean func()
+
 	changed chan struct{}
 	permits *Mailbox[permitQuestion]
 
@@ -146,6 +150,10 @@
 	}
 	if answer.Incarnation >= announce.Server.Incarnation && answer.Incarnation != 0 {
 		a.update(func(m *message.Announce) { m.Server.Incarnation = answer.Incarnation + 1 }, true)
+		return true, nil
+	}
+	if answer.Clean && a.Clean != nil {
+		a.Clean()
 	}
 	return answer.LeaseFor > 0, nil
 }
--- a/internal/role/confirmer.go
+++ b/internal/role/confirmer.go
@@ -15,6 +15,9 @@
 	// confirmEvery is how often a control VM makes sure that its state is the
 	// newest that a quorum accepted.
 	confirmEvery = time.Second
+	// confirmLeast is the shortest time between two confirmations, so that many
+	// followers that come at once share one.
+	confirmLeast = 20 * time.Millisecond
 	// confirmWithin bounds one try.
 	confirmWithin = 2 * time.Second
 	// appliedEvery is how often the wait for the log to be applied looks.
@@ -30,31 +33,74 @@
 	Dialer  peer.Dialer
 	Reached *ReachedTable
 
-	mu     sync.Mutex
-	last   time.Time
+	soon chan struct{}
+
+	mu        sync.Mutex
+	last      time.Time
+	confirmed chan struct{}
+	// stream is the session with the leader; only Run's goroutine uses it.
 	stream peer.Stream
 	leader string
 }
 
+// Prepare makes the confirmer ready; it must be called before all else.
+func (c *Confirmer) Prepare() {
+	c.soon = make(chan struct{}, 1)
+	c.confirmed = make(chan struct{})
+}
+
+// Soon asks for a confirmation before the next one is due.
+func (c *Confirmer) Soon() {
+	select {
+	case c.soon <- struct{}{}:
+	default:
+	}
+}
+
 // Run confirms until ctx ends.
 func (c *Confirmer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := time.Now()
 		if c.confirm(ctx) {
-			c.mu.Lock()
-			c.last = asked
-			c.mu.Unlock()
+			c.took(asked)
 		}
-		wait(ctx, confirmEvery)
+		wait(ctx, confirmLeast)
+		c.sleep(ctx)
 	}
 }
 
+// took notes a confirmation and wakes who waits for one.
+func (c *Confirmer) took(asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = asked
+	close(c.confirmed)
+	c.confirmed = make(chan struct{})
+}
+
+func (c *Confirmer) sleep(ctx context.Context) {
+	timer := time.NewTimer(confirmEvery)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-c.soon:
+	}
+}
+
+// Last returns when the state was last known to be the newest, zero if never,
+// and a channel that is closed at the next confirmation.
+func (c *Confirmer) Last() (time.Time, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last, c.confirmed
+}
+
 // Age tells how long ago the state was known to be the newest; it is false if
 // it never was.
 func (c *Confirmer) Age(at time.Time) (time.Duration, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return at.Sub(c.last), !c.last.IsZero()
+	last, _ := c.Last()
+	return at.Sub(last), !last.IsZero()
 }
 
 func (c *Confirmer) confirm(ctx context.Context) bool {
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -106,6 +106,7 @@
 	})
 	reached := NewReachedTable(name)
 	c.confirmer = &Confirmer{Self: name, Replica: log, Dialer: c.endpoint, Reached: reached}
+	c.confirmer.Prepare()
 	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -59,6 +59,11 @@
 	o.loop.Post(event)
 }
 
+// Clean tells that no order of an earlier start can be on its way.
+func (o *Orders) Clean() {
+	o.loop.Post(order.Clean{At: time.Now()})
+}
+
 // WorkEnded tells that the gate has no work left.
 func (o *Orders) WorkEnded() {
 	o.loop.Post(order.WorkEnded{At: time.Now()})
@@ -118,7 +123,7 @@
 	var refused *engine.Error
 	if errors.As(err, &refused) {
 		ended.Reason = refused.Reason
-		ended.Unsure = refused.Reason == oriolebend.ReasonServerLost
+		ended.Unsure = refused.Reason == oriolebend.ReasonServerLost || refused.Reason == oriolebend.ReasonDeadline
 	}
 	o.loop.Post(ended)
 }
--- a/internal/role/sidecar.go
+++ b/internal/role/sidecar.go
@@ -51,9 +51,8 @@
 	mu     sync.Mutex
 	open   map[gate.SessionID]*outbox
 	server oriolebend.Server
-	// stopping is true once Stop was called, leaves once a plain service is
-	// declared stopping.
-	stopping, leaves bool
+	// stopping is true once Stop was called.
+	stopping bool
 }
 
 // renewEvery is how often the sidecar renews the leases of sessions whose
@@ -86,6 +85,7 @@
 		Observer:  c.Observer,
 	}
 	s.orders.Prepare()
+	c.Announcer.Clean = s.orders.Clean
 	return s
 }
 
@@ -94,9 +94,9 @@
 	s.ctx = ctx
 	s.work.ctx = ctx
 	go s.renew(ctx)
+	go s.orders.Run(ctx)
 	if s.config.Engine != nil {
 		go s.watchEngine(ctx)
-		go s.orders.Run(ctx)
 	}
 	s.loop.Run(ctx)
 }
@@ -107,16 +107,7 @@
 	s.mu.Lock()
 	server := s.server
 	s.mu.Unlock()
-	if s.config.Engine != nil {
-		s.orders.Declared(view, server)
-		return
-	}
-	// A plain service takes no orders; only whether it takes work is declared.
-	state := view.TargetOf(server).State
-	s.mu.Lock()
-	s.leaves = state == oriolebend.ServerStopping
-	s.mu.Unlock()
-	s.declare(state)
+	s.orders.Declared(view, server)
 }
 
 // declare tells the gate whether to take new work.
@@ -127,19 +118,13 @@
 // workEnded tells those who wait for it that the gate has no work left.
 func (s *Sidecar) workEnded() {
 	s.mu.Lock()
-	stopping, leaves := s.stopping, s.leaves
+	stopping := s.stopping
 	s.mu.Unlock()
 	if stopping {
 		s.once.Do(func() { close(s.drained) })
 		return
 	}
-	if s.config.Engine != nil {
-		s.orders.WorkEnded()
-		return
-	}
-	if leaves {
-		s.config.Left()
-	}
+	s.orders.WorkEnded()
 }
 
 // Stop refuses new work and returns once the work in progress has ended, or
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -71,6 +71,7 @@
 			Server:        s.Sidecar.Server,
 			Incarnation:   incarnation,
 			ChecksFencing: s.Sidecar.ChecksFencing,
+			Service:       s.Sidecar.Service != "",
 			Seed:          incarnation,
 		},
 		Server: oriolebend.Server{
--- a/internal/role/watchserver.go
+++ b/internal/role/watchserver.go
@@ -51,8 +51,12 @@
 }
 
 func (w *WatchServer) feed(ctx context.Context, s peer.Stream, watch message.Watch) {
-	from := watch.From
+	from, came := watch.From, time.Now()
+	w.Confirmer.Soon()
 	for {
+		// The confirmation is read before the state: a later one could vouch
+		// for a state that was read before it.
+		last, confirmed := w.Confirmer.Last()
 		var update message.Update
 		var err error
 		changed := w.Store.Read(func(d *declared.State) { update, err = d.Update(from) })
@@ -62,25 +66,33 @@
 			w.Logger.Warn("a follower is ahead of this control VM", "follower", watch.Node, "error", err)
 			return
 		}
-		update.Age, update.Confirmed = w.Confirmer.Age(time.Now())
+		update.Age, update.Confirmed = time.Since(last), !last.IsZero()
+		update.Fresh = last.After(came)
 		if err := s.Send(update); err != nil {
 			return
 		}
 		from = update.Revision
-		if !w.sleep(ctx, s, changed) {
+		if update.Fresh {
+			confirmed = nil
+		} else {
+			w.Confirmer.Soon()
+		}
+		if !w.sleep(ctx, s, changed, confirmed) {
 			return
 		}
 	}
 }
 
-// sleep waits for a change or for the time to tell of freshness; it is false
-// once the session ended.
-func (w *WatchServer) sleep(ctx context.Context, s peer.Stream, changed <-chan struct{}) bool {
+// sleep waits for a change, a confirmation that the follower still lacks, or
+// the time to tell of freshness; it is false once the session ended.
+func (w *WatchServer) sleep(ctx context.Context, s peer.Stream, changed, confirmed <-chan struct{}) bool {
 	timer := time.NewTimer(freshEvery)
 	defer timer.Stop()
 	select {
 	case <-changed:
 		return true
+	case <-confirmed:
+		return true
 	case <-timer.C:
 		return true
 	case <-s.Done():
