--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -112,6 +112,7 @@
 	atLeast(f, "caller.maxPromptTokens", c.MaxPromptTokens, 0)
 	atLeast(f, "caller.maxOutputTokens", c.MaxOutputTokens, 0)
 	atLeast(f, "caller.maxConnections", c.MaxConnections, 0)
+	atLeast(f, "caller.maxHeldBytes", c.MaxHeldBytes, 0)
 	atLeast(f, "caller.headerTimeout", c.HeaderTimeout, 0)
 	atLeast(f, "caller.bodyTimeout", c.BodyTimeout, 0)
 	atLeast(f, "caller.stopDelay", c.StopDelay, 0)
