--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -129,6 +129,7 @@
 		f.required(joinPath(path, "address"), m.Address)
 		f.required(joinPath(path, "failureDomain"), m.FailureDomain)
 		f.address(joinPath(path, "address"), m.Address)
+		f.address(joinPath(path, "operatorAddress"), m.OperatorAddress)
 		names.see(joinPath(path, "name"), m.Name)
 		addresses.see(joinPath(path, "address"), m.Address)
 	}
