--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -23,6 +23,8 @@
 	// renewalsPerLease is how often an owner renews within one lease, so that
 	// two lost renewals don't end it.
 	renewalsPerLease = 3
+	// shortestTry is the part of TryFor that a last try needs at least.
+	shortestTry = 10
 )
 
 // ClientConfig sets up a Client.
@@ -91,6 +93,8 @@
 	member  int
 	// givenUp holds the request ids of claims that the backlog closes.
 	givenUp map[string]bool
+	// held holds those of claims that this entry owns and has not settled.
+	held map[string]bool
 }
 
 // NewClient returns a client; it opens no stream before it is used.
@@ -100,6 +104,7 @@
 		config:  c,
 		backlog: make(chan message.Message, c.Backlog),
 		givenUp: map[string]bool{},
+		held:    map[string]bool{},
 	}
 }
 
@@ -164,16 +169,16 @@
 	if c.wasGivenUp(m.RequestID) {
 		return message.ClaimAnswer{}, &oriolebend.Problem{Reason: oriolebend.ReasonAttemptClosed, Ran: oriolebend.RanNo}
 	}
-	answer, err := c.ask(ctx, m)
-	if err != nil {
-		if err.Ran != oriolebend.RanNo {
+	answer, failed := c.ask(ctx, m)
+	if failed != nil {
+		if failed.Ran != oriolebend.RanNo {
 			c.giveUp(m)
 		}
-		return message.ClaimAnswer{}, err
+		return message.ClaimAnswer{}, failed
 	}
-	claimed, ok := answer.(message.ClaimAnswer)
-	if !ok {
-		return message.ClaimAnswer{}, unexpected(answer)
+	claimed, err := answerAs[message.ClaimAnswer](answer)
+	if err != nil {
+		return message.ClaimAnswer{}, err
 	}
 	if claimed.Outcome == message.ClaimRefused {
 		return claimed, &oriolebend.Problem{
@@ -183,6 +188,9 @@
 			RetryAfter: c.config.MaxWait,
 		}
 	}
+	if claimed.Outcome == message.ClaimOwned {
+		c.hold(m.RequestID)
+	}
 	return claimed, nil
 }
 
@@ -193,6 +201,9 @@
 	if m.Owner == "" {
 		m.Owner = c.config.Owner
 	}
+	if m.State != message.RecordRunning {
+		c.release(m.RequestID)
+	}
 	answer, err := c.ask(ctx, m)
 	if err != nil {
 		if m.State != message.RecordRunning {
@@ -200,11 +211,7 @@
 		}
 		return message.Settled{}, err
 	}
-	settled, ok := answer.(message.Settled)
-	if !ok {
-		return message.Settled{}, unexpected(answer)
-	}
-	return settled, nil
+	return answerAs[message.Settled](answer)
 }
 
 // Query looks a record up. Its answer is current: the leader confirms with a
@@ -214,19 +221,20 @@
 	if err != nil {
 		return message.ClaimAnswer{}, err
 	}
-	found, ok := answer.(message.ClaimAnswer)
-	if !ok {
-		return message.ClaimAnswer{}, unexpected(answer)
-	}
-	return found, nil
+	return answerAs[message.ClaimAnswer](answer)
 }
 
-func unexpected(m message.Message) *oriolebend.Problem {
-	return &oriolebend.Problem{
-		Reason: oriolebend.ReasonInternal,
-		Ran:    oriolebend.RanUnknown,
-		Detail: "unexpected answer of kind " + string(m.Kind()),
+// answerAs returns an answer as the kind that its request is answered by.
+func answerAs[T message.Message](m message.Message) (T, error) {
+	answer, ok := m.(T)
+	if !ok {
+		return answer, &oriolebend.Problem{
+			Reason: oriolebend.ReasonInternal,
+			Ran:    oriolebend.RanUnknown,
+			Detail: "unexpected answer of kind " + string(m.Kind()),
+		}
 	}
+	return answer, nil
 }
 
 // ask sends a request until it is answered or ctx ends. It goes on to another
@@ -250,13 +258,25 @@
 		}
 		p.Detail = string(failed.Reason)
 		p.Cause = failed.Cause
-		if ctx.Err() != nil || !sleep(ctx, c.wait(try, failed)) {
+		pause := c.wait(try, failed)
+		if !c.fits(ctx, pause) || !sleep(ctx, pause) {
 			return nil, p
 		}
 		c.config.Retried(failed.Reason)
 	}
 }
 
+// fits reports whether another try has time after the pause. A try that is cut
+// short right after it was sent would only turn a sure "no" into "unknown", and
+// keep the caller waiting until its deadline for an answer that is known now.
+func (c *Client) fits(ctx context.Context, pause time.Duration) bool {
+	deadline, bounded := ctx.Deadline()
+	if ctx.Err() != nil {
+		return false
+	}
+	return !bounded || time.Until(deadline) > pause+c.config.TryFor/shortestTry
+}
+
 // wait is the time before the next try, with full jitter: entries that lost
 // the same leader at the same instant must not all come back at the same one.
 func (c *Client) wait(try int, failed *oriolebend.Problem) time.Duration {
--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -62,6 +62,10 @@
 	// Incarnation is set if a later start of the server is known; a sidecar
 	// whose VM's clock went back then counts on from there.
 	Incarnation uint64 `cbor:"incarnation,omitempty"`
+	// Clean is true if no order of an earlier start of the sidecar can be on
+	// its way to the engine: the log last held that start in another state
+	// than loading.
+	Clean bool `cbor:"clean,omitempty"`
 }
 
 // Watch asks for the declared state and the membership from a revision on.
@@ -83,6 +87,9 @@
 	// held every accepted change. A control VM that is cut off can't say so.
 	Confirmed bool          `cbor:"confirmed,omitempty"`
 	Age       time.Duration `cbor:"age,omitempty"`
+	// Fresh is true if the sender asked that quorum after the Watch came. Only
+	// then does the state hold all that was accepted before the Watch.
+	Fresh bool `cbor:"fresh,omitempty"`
 	// Snapshot is true if Servers and Resources are the whole state.
 	Snapshot bool `cbor:"snapshot,omitempty"`
 	// Servers that changed; a server in state "gone" is to be forgotten.
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -13,6 +13,11 @@
 	"github.com/quic-go/quic-go"
 )
 
+// maxOpenTries is how many connections an Open tries. A connection may end
+// between its choice and the session's start; nothing was sent then, so that
+// another one can be dialled safely.
+const maxOpenTries = 2
+
 // Endpoint is one process's UDP socket towards its peers: it accepts their
 // sessions and dials theirs. It implements Dialer.
 type Endpoint struct {
@@ -20,6 +25,7 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	pool      *pool
+	traffic   traffic
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -28,6 +34,7 @@
 
 	lock        sync.Mutex
 	connections map[*connection]struct{}
+	closed      bool
 }
 
 // Listen opens the socket and begins to accept sessions. It returns an *Error
@@ -46,6 +53,7 @@
 	}
 	e := &Endpoint{
 		config: c, transport: transport, listener: listener,
+		traffic:     c.Metrics.traffic(),
 		connections: map[*connection]struct{}{},
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -82,23 +90,23 @@
 	if e.stopping.Load() {
 		return nil, errorf(CodeStopping, address, nil, "this process is stopping")
 	}
-	c, err := e.pool.take(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	s, err := c.open(ctx)
-	if err != nil {
-		return nil, openError(ctx, err, address)
-	}
-	e.config.Metrics.Sessions.WithLabelValues(sideOpened).Inc()
-	return s, nil
-}
-
-func openError(ctx context.Context, err error, address string) error {
-	if ctx.Err() != nil {
-		return errorf(CodeCancelled, address, ctx.Err(), "open a session")
+	for try := 1; ; try++ {
+		c, err := e.pool.take(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		s, err := c.open(ctx)
+		if err == nil {
+			e.config.Metrics.Sessions.WithLabelValues(sideOpened).Inc()
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return nil, errorf(CodeCancelled, address, ctx.Err(), "open a session")
+		}
+		if try == maxOpenTries {
+			return nil, err
+		}
 	}
-	return err
 }
 
 // dial makes a connection; the pool calls it once for all that wait.
@@ -121,7 +129,9 @@
 		_ = q.CloseWithError(connectionRefused, "certificate")
 		return nil, err
 	}
-	e.keep(c)
+	if !e.keep(c) {
+		return nil, errorf(CodeStopping, address, nil, "this process is stopping")
+	}
 	return c, nil
 }
 
@@ -134,22 +144,34 @@
 	return typed
 }
 
-// keep watches a connection until it ends.
-func (e *Endpoint) keep(c *connection) {
+// keep watches a connection until it ends. It returns false, and ends the
+// connection, if the endpoint was closed meanwhile: a dial that completes
+// beside Close would otherwise leave a connection that nobody ever ends.
+func (e *Endpoint) keep(c *connection) bool {
 	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.closed {
+		c.close(connectionStopping, "stopping")
+		return false
+	}
 	e.connections[c] = struct{}{}
-	e.lock.Unlock()
-	gauge := e.config.Metrics.Connections.WithLabelValues(c.side)
-	gauge.Inc()
+	e.tasks.Go(c.receiveDatagrams)
+	if c.side == sideAccepted {
+		e.tasks.Go(func() { e.serve(c) })
+	}
+	e.config.Metrics.Connections.WithLabelValues(c.side).Inc()
 	e.config.Logger.Debug("connected", "peer", c.peer.Name, "address", c.address, "side", c.side)
-	context.AfterFunc(c.quic.Context(), func() {
-		gauge.Dec()
-		e.lock.Lock()
-		delete(e.connections, c)
-		e.lock.Unlock()
-		e.config.Logger.Debug("disconnected", "peer", c.peer.Name, "address", c.address,
-			"side", c.side, "cause", context.Cause(c.quic.Context()))
-	})
+	context.AfterFunc(c.quic.Context(), func() { e.forget(c) })
+	return true
+}
+
+func (e *Endpoint) forget(c *connection) {
+	e.lock.Lock()
+	delete(e.connections, c)
+	e.lock.Unlock()
+	e.config.Metrics.Connections.WithLabelValues(c.side).Dec()
+	e.config.Logger.Debug("disconnected", "peer", c.peer.Name, "address", c.address,
+		"side", c.side, "cause", context.Cause(c.quic.Context()))
 }
 
 func (e *Endpoint) kept() []*connection {
@@ -175,7 +197,6 @@
 			continue
 		}
 		e.keep(c)
-		e.tasks.Go(func() { e.serve(c) })
 	}
 }
 
@@ -231,7 +252,11 @@
 // ends first it cuts what is left and returns an *Error with CodeCancelled.
 func (e *Endpoint) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
-	for _, c := range e.kept() {
+	connections := e.kept()
+	for _, c := range connections {
+		c.sendDatagram(datagramBye)
+	}
+	for _, c := range connections {
 		select {
 		case <-c.quic.Context().Done():
 		case <-ctx.Done():
@@ -244,6 +269,9 @@
 // Close ends the endpoint at once and cuts its sessions.
 func (e *Endpoint) Close() error {
 	e.stopping.Store(true)
+	e.lock.Lock()
+	e.closed = true
+	e.lock.Unlock()
 	for _, c := range e.kept() {
 		c.close(connectionStopping, "stopping")
 	}
@@ -257,3 +285,8 @@
 	}
 	return nil
 }
+
+// Connections counts the connections that are open, in both directions.
+func (e *Endpoint) Connections() int {
+	return len(e.kept())
+}
--- a/internal/reducer/agreement/leader.go
+++ b/internal/reducer/agreement/leader.go
@@ -38,6 +38,8 @@
 	// ackRound and ackTick are the newest round that it answered.
 	ackRound, ackTick uint64
 	acked             bool
+	// recovering is true while the member grants no vote.
+	recovering bool
 	// chunk is the snapshot under way to it, if any.
 	chunk *chunkProgress
 }
@@ -166,17 +168,18 @@
 	if s.Role != Leader {
 		return
 	}
-	since := s.nth(s.now, func(p *progress) uint64 {
-		if !p.acked {
-			return 0
-		}
-		return p.ackTick
-	})
-	if s.now-min(since, s.now) >= s.Config.LeaseTicks {
+	if s.now >= s.LeaseEnd() {
 		s.follow(s.Hard.Term, "")
 	}
 }
 
+// LeaseEnd returns, on a leader, the tick at which it stops leading unless a
+// quorum answers before.
+func (s *State) LeaseEnd() uint64 {
+	since := s.nth(s.now, func(p *progress) uint64 { return p.ackTick })
+	return since + s.Config.LeaseTicks
+}
+
 // advanceCommit commits what a quorum has synced.
 func (s *State) advanceCommit() {
 	index := s.nth(s.Synced, func(p *progress) uint64 { return p.match })
@@ -190,7 +193,6 @@
 	}
 	s.Commit = index
 	s.answerReads()
-	s.membersCommitted()
 }
 
 // abandonLeadership answers all that waits for this leader.
--- a/internal/reducer/declared/state.go
+++ b/internal/reducer/declared/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"slices"
 	"sort"
@@ -18,6 +19,10 @@
 	maxTombstones = 4096
 )
 
+// maxAdvance bounds one lift of the revision counter; a slip of the hand must
+// not use the numbers up.
+const maxAdvance = 1 << 32
+
 // State is the declared state and the membership.
 type State struct {
 	view    View
@@ -71,7 +76,7 @@
 	case c.Members != nil:
 		return s.members(*c.Members)
 	case c.Advance != nil:
-		s.view.Revision = max(s.view.Revision, c.Advance.To)
+		return s.advance(c.At, *c.Advance)
 	}
 	return oriolebend.ChangeResult{Outcome: oriolebend.ChangeUnchanged, Revision: s.view.Revision}
 }
@@ -107,6 +112,13 @@
 	return result
 }
 
+// Answered returns the answer that an operator's order got, if it is kept.
+func (s *State) Answered(who, orderID string) (oriolebend.ChangeResult, bool) {
+	known, found := s.answers.find(Order{Who: who, OrderID: orderID})
+	known.Result.Resent = found
+	return known.Result, found
+}
+
 // DryRun tells what an order would meet now, without carrying it out.
 func (s *State) DryRun(o Order) oriolebend.ChangeResult {
 	if known, found := s.answers.find(o); found {
@@ -219,11 +231,35 @@
 		entry.Resource = &r
 		s.feed.add(resourceFeedKey(o.Key()), revision)
 	}
+	s.record(entry)
+	return revision
+}
+
+func (s *State) advance(at time.Time, a Advance) oriolebend.ChangeResult {
+	if a.To <= s.view.Revision {
+		return oriolebend.ChangeResult{Outcome: oriolebend.ChangeUnchanged, Revision: s.view.Revision}
+	}
+	if a.To-s.view.Revision > maxAdvance {
+		return oriolebend.ChangeResult{
+			Outcome: oriolebend.ChangeInvalid, Revision: s.view.Revision,
+			Problems: []oriolebend.FieldError{{
+				Field: "to", Problem: fmt.Sprintf("%d is too far from %d", a.To, s.view.Revision),
+				Allowed: fmt.Sprintf("at most %d more", maxAdvance),
+			}},
+		}
+	}
+	s.view.Revision = a.To
+	s.feed.floor = a.To // what followers hold from before it may never have been here
+	s.record(oriolebend.AuditEntry{Revision: a.To, At: at, Who: a.Who, Action: oriolebend.ActionAdvance})
+	return oriolebend.ChangeResult{Outcome: oriolebend.ChangeApplied, Revision: a.To}
+}
+
+// record keeps an entry of the audit, and forgets the oldest beyond a bound.
+func (s *State) record(entry oriolebend.AuditEntry) {
 	s.audit = append(s.audit, entry)
 	if len(s.audit) > 2*maxAudit {
 		s.audit = slices.Clone(s.keptAudit())
 	}
-	return revision
 }
 
 // members carries out a change of the membership.
@@ -258,6 +294,7 @@
 	s.view.Revision++
 	s.view.Servers[server.Name] = server
 	delete(s.ended, server.Name)
+	delete(s.view.Interrupted, server.Name)
 	s.feed.add(serverFeedKey(server.Name), s.view.Revision)
 }
 
@@ -270,6 +307,9 @@
 	s.view.Revision++
 	delete(s.view.Servers, g.Name)
 	s.ended[g.Name] = known.Incarnation
+	if known.State == oriolebend.ServerLoading {
+		s.view.Interrupted[g.Name] = true
+	}
 	s.buried(serverFeedKey(g.Name), s.view.Revision)
 }
 
@@ -278,5 +318,6 @@
 	s.feed.add(key, revision)
 	for _, forgotten := range s.feed.bury(key, revision) {
 		delete(s.ended, forgotten.server)
+		delete(s.view.Interrupted, forgotten.server)
 	}
 }
--- a/internal/reducer/declared/view.go
+++ b/internal/reducer/declared/view.go
@@ -15,6 +15,10 @@
 	Resources map[oriolebend.ResourceKey]oriolebend.Resource
 	// Servers are the members as they announced themselves, by name.
 	Servers map[string]oriolebend.Server
+	// Interrupted are the servers whose membership ended while they were
+	// loading, perhaps with an order on its way to the engine. Only control VMs
+	// know them; a follower's view has none.
+	Interrupted map[string]bool
 }
 
 // NewView returns an empty view.
@@ -22,6 +26,8 @@
 	return View{
 		Resources: map[oriolebend.ResourceKey]oriolebend.Resource{},
 		Servers:   map[string]oriolebend.Server{},
+
+		Interrupted: map[string]bool{},
 	}
 }
 
@@ -31,6 +37,8 @@
 		Revision:  v.Revision,
 		Resources: maps.Clone(v.Resources),
 		Servers:   maps.Clone(v.Servers),
+
+		Interrupted: maps.Clone(v.Interrupted),
 	}
 }
 
@@ -187,11 +195,16 @@
 
 // TargetOf works out what a server is declared to be.
 func (v View) TargetOf(s oriolebend.Server) Target {
+	return v.TargetIn(s, v.PoolOf(s))
+}
+
+// TargetIn works out what a server of a pool is declared to be; it spares
+// the search for the pool.
+func (v View) TargetIn(s oriolebend.Server, name string) Target {
 	target := Target{State: oriolebend.ServerServing}
 	if d := v.Server(s.Name); d != nil && d.State != "" {
 		target.State = d.State
 	}
-	name := v.PoolOf(s)
 	pool := v.Pool(name)
 	if pool == nil {
 		return target
--- a/internal/reducer/follow/state.go
+++ b/internal/reducer/follow/state.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -55,21 +56,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.StaleAfter = orDefault(c.StaleAfter, 6*time.Second)
-	c.RetryFirst = orDefault(c.RetryFirst, 200*time.Millisecond)
-	c.RetryMost = orDefault(c.RetryMost, 5*time.Second)
-	c.ReportEvery = orDefault(c.ReportEvery, 10*time.Second)
-	c.ReturnAfter = orDefault(c.ReturnAfter, 5*time.Minute)
+	c.StaleAfter = cmp.Or(c.StaleAfter, 6*time.Second)
+	c.RetryFirst = cmp.Or(c.RetryFirst, 200*time.Millisecond)
+	c.RetryMost = cmp.Or(c.RetryMost, 5*time.Second)
+	c.ReportEvery = cmp.Or(c.ReportEvery, 10*time.Second)
+	c.ReturnAfter = cmp.Or(c.ReturnAfter, 5*time.Minute)
 	return c
 }
 
-func orDefault(value, otherwise time.Duration) time.Duration {
-	if value == 0 {
-		return otherwise
-	}
-	return value
-}
-
 // watch is the one watch that is open.
 type watch struct {
 	link    Link
@@ -250,7 +244,11 @@
 	if s.current && s.confirmedAt.After(since) {
 		since = s.confirmedAt
 	}
-	return at.Sub(since) > s.config.StaleAfter
+	limit := s.config.StaleAfter
+	if !s.current { // nothing is served meanwhile
+		limit /= 3
+	}
+	return at.Sub(since) > limit
 }
 
 func (s *State) received(at time.Time, u message.Update) []Effect {
@@ -293,7 +291,9 @@
 // have had a newer one before it restarted and can't know; a control VM that
 // is cut off would hand it an old one in good faith. So only a state is taken
 // that the control VM confirmed with a quorum after it was asked: it holds all
-// that was accepted, hence all that was ever in force here.
+// that was accepted, hence all that was ever in force here. The control VM
+// says so itself; its Age would not do, since a message that was long on its
+// way looks younger than it is.
 func (s *State) first(at time.Time, u message.Update) []Effect {
 	if err := s.watch.consider(u); err != nil {
 		return s.leave(at, CountMalformed)
@@ -302,7 +302,7 @@
 	if candidate == nil || candidate.Revision != u.Revision {
 		return nil
 	}
-	if u.Confirmed && u.Age <= at.Sub(s.watch.openAt) {
+	if u.Confirmed && u.Fresh {
 		effects := s.adopt(*candidate)
 		s.confirm(at, u)
 		return append(effects, s.report(at)...)
--- a/internal/reducer/member/state.go
+++ b/internal/reducer/member/state.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"maps"
 	"reflect"
 	"slices"
@@ -19,7 +20,7 @@
 	// LeaseFor is how long a membership lives unrenewed; zero means 6s.
 	LeaseFor time.Duration
 	// Burst is how often a server may come back before it is held back, and
-	// RefillEvery how long it takes to earn one more; zero means 4 and 30s.
+	// RefillEvery how long it takes to earn one more; zero means 6 and 3m.
 	Burst       int
 	RefillEvery time.Duration
 	// MassMinimum is how many leases must lapse at once, and be more than half
@@ -32,23 +33,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.LeaseFor = orDefault(c.LeaseFor, 6*time.Second)
-	c.Burst = orDefault(c.Burst, 4)
-	c.RefillEvery = orDefault(c.RefillEvery, 30*time.Second)
-	c.MassMinimum = orDefault(c.MassMinimum, 4)
-	c.MaxBatch = orDefault(c.MaxBatch, 256)
-	c.PermitFor = orDefault(c.PermitFor, 15*time.Second)
+	c.LeaseFor = cmp.Or(c.LeaseFor, 6*time.Second)
+	c.Burst = cmp.Or(c.Burst, 6)
+	c.RefillEvery = cmp.Or(c.RefillEvery, 3*time.Minute)
+	c.MassMinimum = cmp.Or(c.MassMinimum, 4)
+	c.MaxBatch = cmp.Or(c.MaxBatch, 256)
+	c.PermitFor = cmp.Or(c.PermitFor, 15*time.Second)
 	return c
 }
 
-func orDefault[T comparable](value, otherwise T) T {
-	var zero T
-	if value == zero {
-		return otherwise
-	}
-	return value
-}
-
 // lease is what the leader knows of one backend server.
 type lease struct {
 	Announce message.Announce
@@ -73,6 +66,8 @@
 	permits   map[string]permit
 	asks      map[string]ask
 	proposing bool
+	// unwritten are the servers that may differ from what the log has.
+	unwritten map[string]bool
 	// charged are the servers that the proposal in flight took credit from.
 	charged []string
 	// pools is the pool of each member in view; nil until it is needed.
@@ -108,9 +103,14 @@
 	return nil
 }
 
+// setView takes what the log has; any server may differ from it.
 func (s *State) setView(v declared.View) {
 	s.view = v
 	s.pools = nil
+	s.unwritten = make(map[string]bool, len(s.leases))
+	for name := range s.leases {
+		s.unwritten[name] = true
+	}
 }
 
 // proposed ends a proposal. A failed one is tried again with the next tick,
@@ -147,6 +147,7 @@
 		held := s.lease(name, e.At)
 		held.Announce.Server = server
 		held.Expires = e.At.Add(s.config.LeaseFor)
+		s.unwritten[name] = true
 	}
 }
 
@@ -174,14 +175,26 @@
 	}
 	held.Announce = e.Announce
 	held.Known = true
+	s.unwritten[server.Name] = true
 	held.Expires = e.At.Add(s.config.LeaseFor)
 	if server.State == oriolebend.ServerGone { // a graceful stop needs no lapse
 		held.Expires = time.Time{}
 	}
-	reply := Reply{Session: e.Session, Message: message.Announced{LeaseFor: s.config.LeaseFor}}
+	reply := Reply{Session: e.Session, Message: message.Announced{LeaseFor: s.config.LeaseFor, Clean: s.clean(server)}}
 	return append([]Effect{reply}, s.propose(e.At)...)
 }
 
+// clean reports whether the log tells that no order of an earlier start of a
+// server can be on its way: before any order that its work could not bear, a
+// server is written down as loading.
+func (s *State) clean(server oriolebend.Server) bool {
+	written, member := s.view.Servers[server.Name]
+	if !member {
+		return !s.view.Interrupted[server.Name]
+	}
+	return written.Incarnation < server.Incarnation && written.State != oriolebend.ServerLoading
+}
+
 func (s *State) tick(at time.Time) []Effect {
 	if !s.leading {
 		return nil
@@ -240,6 +253,7 @@
 	}
 	for _, name := range lapsed {
 		s.leases[name].Expires = time.Time{}
+		s.unwritten[name] = true
 	}
 	return nil
 }
@@ -266,7 +280,7 @@
 	}
 	var members declared.Members
 	var effects []Effect
-	for _, name := range slices.Sorted(maps.Keys(s.leases)) {
+	for _, name := range slices.Sorted(maps.Keys(s.unwritten)) {
 		if len(members.Announced)+len(members.Gone) >= s.config.MaxBatch {
 			break
 		}
@@ -283,17 +297,20 @@
 // of work is written at once. News that brings it back costs credit: a server
 // that flaps would else fill the log and have every follower told each time.
 func (s *State) proposeServer(name string, at time.Time, into *declared.Members) []Effect {
-	held := s.leases[name]
+	held, known := s.leases[name]
 	written, member := s.view.Servers[name]
-	server := held.Announce.Server
-	if held.Expires.IsZero() {
+	if !known || held.Expires.IsZero() {
 		if member {
 			into.Gone = append(into.Gone, declared.GoneServer{Name: name, Incarnation: written.Incarnation})
+			return nil
 		}
+		delete(s.unwritten, name)
 		return nil
 	}
+	server := held.Announce.Server
 	if member && reflect.DeepEqual(written, server) {
 		held.damped = false
+		delete(s.unwritten, name)
 		return nil
 	}
 	if !member || server.State == oriolebend.ServerServing {
--- a/internal/reducer/order/state_test.go
+++ b/internal/reducer/order/state_test.go
@@ -73,6 +73,11 @@
 		w.fate = func(engine.Order) (time.Duration, bool) { return time.Second, false }
 	case "restart":
 		w.restart()
+		if d.HasArg("lapsed") {
+			w.lapse()
+			w.declare()
+		}
+		w.announced()
 	case "pass":
 		var seconds int
 		d.ScanArgs(t, "s", &seconds)
@@ -97,13 +102,14 @@
 			delay := rapid.IntRange(0, int(quiet/time.Second)-1).Draw(t, "delay")
 			return time.Duration(delay) * time.Second, rapid.Bool().Draw(t, "lost")
 		}
+		w.late = func() bool { return rapid.IntRange(0, 3).Draw(t, "late") == 0 }
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			randomStep(t, w)
 		}
 		if len(w.faults) > 0 {
 			t.Fatalf("%v", w.faults)
 		}
-		w.deny, w.busy = false, false
+		w.deny, w.busy, w.late = false, false, nil
 		w.fate = func(engine.Order) (time.Duration, bool) { return time.Second, false }
 		w.pass(5 * time.Minute)
 		if len(w.faults) > 0 || !w.sidecar.Settled() || len(steps(w.target, w.info)) > 0 {
@@ -119,6 +125,13 @@
 		w.want(poolTarget(role, rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")))
 	case 2:
 		w.restart()
+		if rapid.Bool().Draw(t, "lapsed") {
+			w.lapse()
+			w.declare()
+		}
+		if rapid.Bool().Draw(t, "answered") {
+			w.announced()
+		}
 	case 3:
 		w.deny = !w.deny
 	case 4:
@@ -128,7 +141,7 @@
 		lost := len(w.way)
 		w.way = nil
 		if lost > 0 && w.sidecar.inFlight != nil {
-			w.reduce(OrderEnded{At: w.now, Unsure: true, Reason: oriolebend.ReasonOutcomeLost})
+			w.reduce(Ended{At: w.now, Unsure: true, Reason: oriolebend.ReasonOutcomeLost})
 		}
 	default:
 		w.pass(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
--- a/internal/reducer/order/world_test.go
+++ b/internal/reducer/order/world_test.go
@@ -32,12 +32,16 @@
 	self     *oriolebend.Server // as the log has it
 	gate     oriolebend.ServerState
 	info     engine.Info
-	way      []sent
-	acted    []uint64
-	faults   []string
-	log      []string
-	deny     bool
-	busy     bool // the gate has work in progress
+	// interrupted is the log's memory of a membership that ended out of work.
+	interrupted bool
+	way         []sent
+	acted       []uint64
+	faults      []string
+	log         []string
+	deny        bool
+	known       []EngineKnown // late answers of the engine
+	late        func() bool
+	busy        bool // the gate has work in progress
 	// fate decides when an order acts, and whether its answer is lost.
 	fate func(o engine.Order) (delay time.Duration, lost bool)
 }
@@ -60,10 +64,30 @@
 	w.config.Incarnation = w.life
 	w.sidecar = New(w.config)
 	w.gate = ""
+	w.known = nil
 	w.reduce(Started{At: w.now})
 	w.declare()
 }
 
+// lapse ends the membership, as the log then has it.
+func (w *world) lapse() {
+	if w.self != nil {
+		w.interrupted = w.self.State == oriolebend.ServerLoading
+		w.self = nil
+	}
+}
+
+// announced is the leader's answer to the first announcement.
+func (w *world) announced() {
+	clean := w.self == nil && !w.interrupted
+	if w.self != nil && w.self.Incarnation < w.life {
+		clean = w.self.State != oriolebend.ServerLoading
+	}
+	if clean {
+		w.reduce(Clean{At: w.now})
+	}
+}
+
 func (w *world) declare() {
 	var self *oriolebend.Server
 	if w.self != nil {
@@ -87,7 +111,12 @@
 	case AskEngine:
 		info := w.info
 		info.Models = slices.Clone(info.Models)
-		w.reduce(EngineKnown{At: w.now, Number: e.Number, Info: info})
+		known := EngineKnown{At: w.now, Number: e.Number, Info: info}
+		if w.late == nil || !w.late() {
+			w.reduce(known)
+			return
+		}
+		w.known = append(w.known, known)
 	case AskPermit:
 		answer := message.Permitted{Granted: !w.deny, LeaseFor: 15 * time.Second, RetryAfter: time.Second}
 		if w.deny {
@@ -98,7 +127,7 @@
 		delay, lost := w.fate(e.Order)
 		w.way = append(w.way, sent{order: e.Order, at: w.now.Add(delay), life: w.life, lost: lost})
 		if lost {
-			w.reduce(OrderEnded{At: w.now, Unsure: true, Reason: oriolebend.ReasonOutcomeLost})
+			w.reduce(Ended{At: w.now, Unsure: true, Reason: oriolebend.ReasonOutcomeLost})
 		}
 	}
 }
@@ -110,6 +139,7 @@
 		w.arrive()
 		if w.gate != "" && (w.self == nil || w.self.State != w.gate || w.self.Incarnation != w.life) {
 			w.self = &oriolebend.Server{State: w.gate, Incarnation: w.life}
+			w.interrupted = false
 			w.declare()
 		}
 		if w.gate != oriolebend.ServerServing && !w.busy {
@@ -120,6 +150,12 @@
 }
 
 func (w *world) arrive() {
+	if len(w.known) > 0 && w.now.Sub(w.known[0].At) > time.Second {
+		known := w.known[0]
+		w.known = w.known[1:]
+		known.At = w.now
+		w.reduce(known)
+	}
 	way := w.way
 	w.way = nil
 	for i, s := range way {
@@ -129,7 +165,7 @@
 		}
 		w.act(s.order)
 		if s.life == w.life && !s.lost {
-			w.reduce(OrderEnded{At: w.now})
+			w.reduce(Ended{At: w.now})
 		}
 	}
 }
--- a/internal/reducer/record/expire.go
+++ b/internal/reducer/record/expire.go
@@ -11,7 +11,7 @@
 func (s *State) orphan(r *request, e *Expired) {
 	switch {
 	case !r.once:
-		r.orphaned = true
+		r.retryable = true
 		r.reason = oriolebend.ReasonLeaseEnded
 		s.move(r, message.RecordFailed)
 		e.Failed++
@@ -39,28 +39,44 @@
 	return e
 }
 
-// dropAnswers forgets answers that are older than their retention; the list is
-// in the order of the changes. Only answers dropped count against the limit,
-// so that a restored state, which begins at another place, drops the same.
+// dropAnswers forgets answers that are older than their retention.
 func (s *State) dropAnswers(l *list, limit int, e *Expired) {
 	end := s.now - nanos(s.limits.KeepAnswers)
-	for l.answered != nil && l.answered.changed <= end {
-		if l.answered.answer != nil {
-			if limit == 0 {
-				e.More = true
-				return
-			}
-			s.dropAnswer(l.answered)
-			limit--
-			e.Answers++
+	for r := l.oldestAnswer(); r != nil && r.changed <= end; r = l.oldestAnswer() {
+		if limit == 0 {
+			e.More = true
+			return
 		}
-		l.answered = l.answered.next
+		s.dropAnswer(r)
+		limit--
+		e.Answers++
 	}
 }
 
-func (s *State) dropAnswer(r *request) {
+// makeRoom forgets the oldest answers until size more bytes fit: retries come
+// soon, so the newest answer is worth more than an old one.
+func (s *State) makeRoom(size int64) {
+	for s.answerBytes+size > s.limits.MaxAnswersBytes {
+		r, other := s.settledOnce.oldestAnswer(), s.settledRepeatable.oldestAnswer()
+		if r == nil || (other != nil && other.changed < r.changed) {
+			r = other
+		}
+		if r == nil {
+			return
+		}
+		s.dropAnswer(r)
+		s.evicted++
+	}
+}
+
+// drop gives the memory of an answer back.
+func (s *State) drop(r *request) {
 	s.answerBytes -= answerBytes(r.answer)
 	r.answer = nil
+}
+
+func (s *State) dropAnswer(r *request) {
+	s.drop(r)
 	if r.reason == "" {
 		r.reason = oriolebend.ReasonAnswerNotKept
 	}
@@ -81,9 +97,11 @@
 
 func (s *State) remove(r *request) {
 	r.in.remove(r)
-	s.answerBytes -= answerBytes(r.answer)
-	r.answer = nil
+	s.drop(r)
 	s.bytes -= r.cost()
 	delete(s.records, scopeHash(r.scope))
 	delete(s.ids, hashOf(r.requestID))
+	for _, e := range r.earlier {
+		delete(s.ids, hashOf(e.ID))
+	}
 }
--- a/internal/reducer/record/query.go
+++ b/internal/reducer/record/query.go
@@ -20,12 +20,11 @@
 			Ticket:    q.Ticket,
 		}
 	}
-	answer := s.view(r, message.ClaimReplay, q.Ticket)
-	if r.state == message.RecordUnknown {
-		answer.Outcome = message.ClaimUnknown
+	if e, earlier := r.earlierAs(q.RequestID); earlier && e.NotRun {
+		return viewEarlier(e, q.Ticket)
 	}
+	answer := s.view(r, viewOutcome(r), q.Ticket)
 	if r.open() {
-		answer.Outcome = message.ClaimAttach
 		s.viewOrphan(r, &answer)
 	}
 	return answer
@@ -57,10 +56,14 @@
 	Since time.Time
 }
 
-// Unknown lists at most limit unknown records, the oldest first.
-func (s *State) Unknown(limit int) []UnknownRequest {
+// Unknown lists at most limit unknown records, the oldest first. With askable
+// it lists only those whose service can tell the outcome.
+func (s *State) Unknown(limit int, askable bool) []UnknownRequest {
 	var found []UnknownRequest
 	for r := s.unknown.head; r != nil && len(found) < limit; r = r.next {
+		if askable && r.status == nil {
+			continue
+		}
 		found = append(found, UnknownRequest{
 			RequestID: r.requestID,
 			Scope:     r.scope,
--- a/internal/role/sidecar.go
+++ b/internal/role/sidecar.go
@@ -9,9 +9,10 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
-	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -26,8 +27,12 @@
 	Engine engine.Engine
 	// Service is what stands behind the gate; nil for an engine.
 	Service service.Service
-	// Announce carries the server's state to the control VMs.
-	Announce func(oriolebend.Server)
+	// Announcer carries the server's state to the control VMs.
+	Announcer *Announcer
+	// Orders sets up the orders to the engine.
+	Orders order.Config
+	// Left is called when a server that was declared stopping has left.
+	Left     func()
 	Observer Observer
 	Logger   *slog.Logger
 }
@@ -41,10 +46,13 @@
 	drained  chan struct{}
 	once     sync.Once
 	work     *engineWork
+	orders   *Orders
 
 	mu     sync.Mutex
-	open   map[gate.SessionID]*gateSession
+	open   map[gate.SessionID]*outbox
 	server oriolebend.Server
+	// stopping is true once Stop was called.
+	stopping bool
 }
 
 // renewEvery is how often the sidecar renews the leases of sessions whose
@@ -57,7 +65,7 @@
 	s := &Sidecar{
 		config:  c,
 		drained: make(chan struct{}),
-		open:    map[gate.SessionID]*gateSession{},
+		open:    map[gate.SessionID]*outbox{},
 		server:  c.Server,
 	}
 	state := gate.New(c.Reducer)
@@ -68,6 +76,16 @@
 	}
 	s.loop.Prepare()
 	s.work = newEngineWork(c.Engine, c.Service, s.loop.Post)
+	s.orders = &Orders{
+		Config:    c.Orders,
+		Engine:    c.Engine,
+		Announcer: c.Announcer,
+		SetState:  s.declare,
+		Left:      c.Left,
+		Observer:  c.Observer,
+	}
+	s.orders.Prepare()
+	c.Announcer.Clean = s.orders.Clean
 	return s
 }
 
@@ -76,22 +94,46 @@
 	s.ctx = ctx
 	s.work.ctx = ctx
 	go s.renew(ctx)
+	go s.orders.Run(ctx)
 	if s.config.Engine != nil {
 		go s.watchEngine(ctx)
-	} else {
-		s.announce(oriolebend.ServerServing)
 	}
 	s.loop.Run(ctx)
 }
 
-// Declare tells the gate which state the operators declared for its server.
-func (s *Sidecar) Declare(state oriolebend.ServerState) {
+// Declared tells of the declared state in force.
+func (s *Sidecar) Declared(view declared.View) {
+	s.config.Announcer.Reached(view.Revision)
+	s.mu.Lock()
+	server := s.server
+	s.mu.Unlock()
+	s.orders.Declared(view, server)
+}
+
+// declare tells the gate whether to take new work.
+func (s *Sidecar) declare(state oriolebend.ServerState) {
 	s.loop.Post(gate.Declared{At: time.Now(), State: state})
 }
 
+// workEnded tells those who wait for it that the gate has no work left.
+func (s *Sidecar) workEnded() {
+	s.mu.Lock()
+	stopping := s.stopping
+	s.mu.Unlock()
+	if stopping {
+		s.once.Do(func() { close(s.drained) })
+		return
+	}
+	s.orders.WorkEnded()
+}
+
 // Stop refuses new work and returns once the work in progress has ended, or
 // ctx has.
 func (s *Sidecar) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.orders.Stopping()
 	s.loop.Post(gate.Stopping{At: time.Now()})
 	select {
 	case <-s.drained:
@@ -104,14 +146,18 @@
 // Serve is the peer.Handler for sessions that entries open.
 func (s *Sidecar) Serve(_ context.Context, stream peer.Stream) {
 	id := gate.SessionID(fmt.Sprintf("%s/%d", stream.Peer(), s.sessions.Add(1)))
-	session := &gateSession{stream: stream, out: NewMailbox[message.Message]()}
+	session := newOutbox(stream)
 	s.mu.Lock()
 	s.open[id] = session
 	s.mu.Unlock()
 	go session.write()
-	session.read(func(m message.Message) {
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			break
+		}
 		s.loop.Post(gate.Received{At: time.Now(), Session: id, Message: m})
-	})
+	}
 	s.mu.Lock()
 	delete(s.open, id)
 	s.mu.Unlock()
@@ -143,7 +189,7 @@
 	s.server.State = state
 	server := s.server
 	s.mu.Unlock()
-	s.config.Announce(server)
+	s.config.Announcer.Server(server)
 }
 
 // perform carries one effect of the reducer out.
@@ -158,7 +204,7 @@
 	case gate.Count:
 		s.config.Observer.Count(f.What, f.Reason, "")
 	case gate.Drained:
-		s.once.Do(func() { close(s.drained) })
+		s.workEnded()
 	default:
 		s.work.perform(effect)
 	}
@@ -169,7 +215,7 @@
 	session := s.open[f.Session]
 	s.mu.Unlock()
 	if session != nil {
-		session.out.Put(f.Message)
+		session.put(f.Message)
 	}
 }
 
@@ -181,44 +227,3 @@
 		session.end()
 	}
 }
-
-// gateSession is one session that an entry opened.
-type gateSession struct {
-	stream peer.Stream
-	out    *Mailbox[message.Message]
-}
-
-// end closes the session after the messages queued so far.
-func (g *gateSession) end() {
-	g.out.Put(nil)
-}
-
-func (g *gateSession) write() {
-	for {
-		select {
-		case <-g.stream.Done():
-			return
-		case <-g.out.Wait():
-		}
-		for _, m := range g.out.Take() {
-			if m == nil {
-				g.stream.Close()
-				return
-			}
-			if err := g.stream.Send(m); err != nil {
-				g.stream.Close()
-				return
-			}
-		}
-	}
-}
-
-func (g *gateSession) read(post func(message.Message)) {
-	for {
-		m, err := g.stream.Receive()
-		if err != nil {
-			return
-		}
-		post(m)
-	}
-}
