--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -36,6 +36,7 @@
 	oriolebend.ReasonControlAway:     {http.StatusServiceUnavailable, "No quorum of control VMs answers"},
 	oriolebend.ReasonNotLeader:       {http.StatusServiceUnavailable, "This control VM does not lead"},
 	oriolebend.ReasonStopping:        {http.StatusServiceUnavailable, "This process is stopping"},
+	oriolebend.ReasonDiskFull:        {http.StatusServiceUnavailable, "The disk of a control VM is full"},
 	oriolebend.ReasonRevisionRace:    {http.StatusConflict, "Another change took this revision"},
 	oriolebend.ReasonInvalidResource: {http.StatusUnprocessableEntity, "The resource fails its checks"},
 
@@ -53,6 +54,8 @@
 	oriolebend.ReasonAttemptUsed:     {http.StatusBadGateway, "The attempt was let through once already"},
 	oriolebend.ReasonOutdatedOrder:   {http.StatusConflict, "The fencing number is outdated"},
 	oriolebend.ReasonOutcomeLost:     {http.StatusBadGateway, "The outcome of the request is lost"},
+	oriolebend.ReasonRecordsFull:     {http.StatusServiceUnavailable, "The request records are at their bound"},
+	oriolebend.ReasonAnswerNotKept:   {http.StatusGone, "The stored answer is not kept any more"},
 	oriolebend.ReasonInternal:        {http.StatusInternalServerError, "A fault of the router"},
 }
 
--- a/pkg/oriolebend/reasons.go
+++ b/pkg/oriolebend/reasons.go
@@ -22,6 +22,7 @@
 	ReasonControlAway,
 	ReasonNotLeader,
 	ReasonStopping,
+	ReasonDiskFull,
 	ReasonRevisionRace,
 	ReasonInvalidResource,
 	ReasonLeaving,
