reducer: one reducer over all events, one loop a process

Cause: the house style asks for one reducer over all events; each part had a loop of its own, so that a sidecar's gate, orders and follower met only over locks. Change: package reducer dispatches every event to its part; a process runs one loop with the parts of its roles.

--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,74 @@
+// Package reducer is the one reducer over all events of the system. Each part
+// of it is a package of its own: its state, its events, and its effects, which
+// are data. A process holds the parts of the roles that it runs, and feeds all
+// their events through Reduce, one at a time.
+package reducer
+
+import (
+	"fmt"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
+	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/reducer/member"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
+)
+
+// Event is the Event of one part.
+type Event any
+
+// Effect is the Effect of one part.
+type Effect any
+
+// State holds the parts that a process runs; the others are nil.
+type State struct {
+	Agreement *agreement.State
+	Entry     *entry.State
+	Follow    *follow.State
+	Gate      *gate.State
+	Member    *member.State
+	Order     *order.State
+}
+
+// UnknownEventError is an event that belongs to no part. It is a mistake in
+// the program, and Reduce panics with it.
+type UnknownEventError struct{ Event Event }
+
+// Error implements error.
+func (e *UnknownEventError) Error() string {
+	return fmt.Sprintf("an event of no part: %T", e.Event)
+}
+
+// Reduce moves the part that an event belongs to on, and returns what is to be
+// done, in order. It reads no clock and does no I/O; its random numbers come
+// from seeds in the state.
+func Reduce(s *State, event Event) []Effect {
+	switch e := event.(type) {
+	case agreement.Event:
+		return effects(agreement.Reduce(s.Agreement, e))
+	case entry.Event:
+		return effects(entry.Reduce(s.Entry, e))
+	case follow.Event:
+		return effects(follow.Reduce(s.Follow, e))
+	case gate.Event:
+		return effects(gate.Reduce(s.Gate, e))
+	case member.Event:
+		return effects(member.Reduce(s.Member, e))
+	case order.Event:
+		return effects(order.Reduce(s.Order, e))
+	default:
+		panic(&UnknownEventError{Event: event})
+	}
+}
+
+func effects[E any](list []E) []Effect {
+	if len(list) == 0 {
+		return nil
+	}
+	all := make([]Effect, len(list))
+	for i, e := range list {
+		all[i] = e
+	}
+	return all
+}
--- a/internal/role/enginewatch.go
+++ b/internal/role/enginewatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 )
 
@@ -23,7 +24,7 @@
 // engineWatch asks the engine what it is, its load and its cache events.
 type engineWatch struct {
 	engine   engine.Engine
-	post     func(gate.Event)
+	post     func(reducer.Event)
 	known    func(engine.Info)
 	failures int
 	info     engine.Info
--- a/internal/role/enginework.go
+++ b/internal/role/enginework.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/service"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -27,14 +28,14 @@
 type engineWork struct {
 	engine  engine.Engine
 	service service.Service
-	post    func(gate.Event)
+	post    func(reducer.Event)
 	ctx     context.Context
 
 	mu      sync.Mutex
 	cancels map[workKey]context.CancelFunc
 }
 
-func newEngineWork(e engine.Engine, s service.Service, post func(gate.Event)) *engineWork {
+func newEngineWork(e engine.Engine, s service.Service, post func(reducer.Event)) *engineWork {
 	return &engineWork{engine: e, service: s, post: post, cancels: map[workKey]context.CancelFunc{}}
 }
 
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -10,7 +10,10 @@
 	"github.com/oriolebend/oriolebend/internal/caller"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -38,6 +41,7 @@
 // EntryConfig sets up an Entry.
 type EntryConfig struct {
 	Reducer  entry.Config
+	Follow   follow.Config
 	Dialer   peer.Dialer
 	Records  Records
 	Observer Observer
@@ -47,9 +51,10 @@
 // Entry is the role that takes callers' requests; it implements
 // caller.Router.
 type Entry struct {
-	config EntryConfig
-	loop   Loop[entry.Event, entry.Effect]
-	ctx    context.Context
+	config   EntryConfig
+	loop     *Loop
+	follower *Follower
+	ctx      context.Context
 	// drained is closed once a stopping entry has no request left.
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -70,19 +75,27 @@
 		sessions: map[entry.SessionKey]*entrySession{},
 		servers:  map[string]oriolebend.Server{},
 	}
-	state := entry.New(c.Reducer)
-	e.loop = Loop[entry.Event, entry.Effect]{
-		Reduce:  func(event entry.Event) []entry.Effect { return entry.Reduce(state, event) },
-		Perform: e.perform,
-		Tick:    func(at time.Time) entry.Event { return entry.Ticked{At: at} },
-	}
-	e.loop.Prepare()
+	e.follower = NewFollower(FollowerConfig{
+		Reducer:  c.Follow,
+		Dialer:   c.Dialer,
+		Apply:    func(_ declared.View, changed follow.Changed) { e.Servers(changed.Servers, changed.Whole) },
+		Observer: c.Observer,
+	})
+	state := &reducer.State{Entry: entry.New(c.Reducer), Follow: e.follower.State}
+	e.loop = NewLoop(state, e.perform, e.follower.Tick(), Tick{
+		Every: entryTickEvery,
+		Event: func(at time.Time) reducer.Event { return entry.Ticked{At: at} },
+	})
 	return e
 }
 
+// entryTickEvery is how often time passes for the entry's requests.
+const entryTickEvery = 50 * time.Millisecond
+
 // Run serves requests until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	e.ctx = ctx
+	e.follower.Start(ctx, e.loop.Post)
 	e.loop.Run(ctx)
 }
 
@@ -203,7 +216,17 @@
 }
 
 // perform carries one effect of the reducer out.
-func (e *Entry) perform(effect entry.Effect) {
+func (e *Entry) perform(effect reducer.Effect) {
+	switch f := effect.(type) {
+	case entry.Effect:
+		e.performEntry(f)
+	case follow.Effect:
+		e.follower.Perform(f)
+	}
+}
+
+// performEntry carries an effect towards control VMs and gates out.
+func (e *Entry) performEntry(effect entry.Effect) {
 	switch f := effect.(type) {
 	case entry.AskClaim:
 		go e.claim(f.Claim)
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -13,9 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
-	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
-	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -51,6 +49,7 @@
 	})
 	e := NewEntry(EntryConfig{
 		Reducer:  p.entryReducer(owner),
+		Follow:   p.followConfig("entry"),
 		Dialer:   endpoint,
 		Records:  records,
 		Observer: p.observer(),
@@ -77,11 +76,7 @@
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	follower := p.follower("entry", endpoint, func(_ declared.View, c follow.Changed) {
-		e.Servers(c.Servers, c.Whole)
-	})
 	go records.Run(ctx)
-	go follower.Run(ctx)
 	go func() {
 		defer close(process.done)
 		e.Run(ctx)
--- a/internal/role/entrysession.go
+++ b/internal/role/entrysession.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 )
 
@@ -20,7 +21,7 @@
 type entrySession struct {
 	key  entry.SessionKey
 	out  *Mailbox[message.Message]
-	post func(entry.Event)
+	post func(reducer.Event)
 
 	mu sync.Mutex
 	// closing is set once the reducer closed the session; what comes from the
--- a/internal/role/follower.go
+++ b/internal/role/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 )
@@ -24,9 +25,11 @@
 // Follower keeps a process up to date with the declared state and the
 // membership.
 type Follower struct {
+	// State is the follower's part of the reducer's state.
+	State *follow.State
+
 	config FollowerConfig
-	loop   Loop[follow.Event, follow.Effect]
-	state  *follow.State
+	post   func(reducer.Event)
 	ctx    context.Context
 
 	mu    sync.Mutex
@@ -34,43 +37,46 @@
 	age   time.Duration
 }
 
-// NewFollower returns a follower; Run starts it.
+// NewFollower returns a follower; Start starts it.
 func NewFollower(c FollowerConfig) *Follower {
-	f := &Follower{config: c, state: follow.New(c.Reducer), links: map[follow.Link]*followLink{}}
-	f.loop = Loop[follow.Event, follow.Effect]{
-		Reduce:    f.reduce,
-		Perform:   f.perform,
-		Tick:      func(at time.Time) follow.Event { return follow.Ticked{At: at} },
-		TickEvery: follow.TickEvery,
-	}
-	f.loop.Prepare()
-	return f
+	return &Follower{config: c, State: follow.New(c.Reducer), links: map[follow.Link]*followLink{}}
+}
+
+// Start begins to follow until ctx ends; post feeds the loop of the process.
+func (f *Follower) Start(ctx context.Context, post func(reducer.Event)) {
+	f.ctx, f.post = ctx, post
+	post(follow.Started{At: time.Now()})
 }
 
-// Run follows until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	f.ctx = ctx
-	f.loop.Post(follow.Started{At: time.Now()})
-	f.loop.Run(ctx)
+// Tick passes time to the follower, in the loop of the process.
+func (f *Follower) Tick() Tick {
+	return Tick{
+		Every: follow.TickEvery,
+		Event: func(at time.Time) reducer.Event {
+			f.note(at)
+			return follow.Ticked{At: at}
+		},
+	}
 }
 
 // Age tells how long ago the state in force was known to be the newest, as of
-// the last event.
+// the last tick.
 func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.age
 }
 
-func (f *Follower) reduce(e follow.Event) []follow.Effect {
-	effects := follow.Reduce(f.state, e)
+// note keeps the age for readers outside of the loop.
+func (f *Follower) note(at time.Time) {
+	age := f.State.Age(at)
 	f.mu.Lock()
-	f.age = f.state.Age(time.Now())
-	f.mu.Unlock()
-	return effects
+	defer f.mu.Unlock()
+	f.age = age
 }
 
-func (f *Follower) perform(effect follow.Effect) {
+// Perform carries an effect out, in the loop of the process.
+func (f *Follower) Perform(effect follow.Effect) {
 	switch e := effect.(type) {
 	case follow.Open:
 		f.open(e)
@@ -84,7 +90,7 @@
 			l.cancel()
 		}
 	case follow.Changed:
-		f.config.Apply(f.state.View().Copy(), e)
+		f.config.Apply(f.State.View().Copy(), e)
 	case follow.Count:
 		f.config.Observer.Count("follow."+string(e.What), "", "")
 	}
@@ -109,7 +115,7 @@
 	go func() {
 		defer cancel()
 		f.watch(ctx, e, l)
-		f.loop.Post(follow.Lost{At: time.Now(), Link: e.Link})
+		f.post(follow.Lost{At: time.Now(), Link: e.Link})
 	}()
 }
 
@@ -131,7 +137,7 @@
 			return
 		}
 		if update, ok := m.(message.Update); ok {
-			f.loop.Post(follow.Received{At: time.Now(), Link: e.Link, Update: update})
+			f.post(follow.Received{At: time.Now(), Link: e.Link, Update: update})
 		}
 	}
 }
--- a/internal/role/loop.go
+++ b/internal/role/loop.go
@@ -3,54 +3,64 @@
 import (
 	"context"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/reducer"
 )
 
-// Loop feeds the events of one role to its reducer, one at a time, and has
+// Loop feeds the events of one process to the reducer, one at a time, and has
 // the effects carried out in order.
-type Loop[Event, Effect any] struct {
-	// Reduce moves the state on.
-	Reduce func(Event) []Effect
+type Loop struct {
+	// State holds the parts that the process runs.
+	State *reducer.State
 	// Perform carries an effect out; it must not block.
-	Perform func(Effect)
-	// Tick makes the event that passes time; it may be nil.
-	Tick func(at time.Time) Event
-	// TickEvery is the time between ticks; zero means 50ms.
-	TickEvery time.Duration
+	Perform func(reducer.Effect)
+	// Ticks are the events that pass time.
+	Ticks []Tick
 
-	events *Mailbox[Event]
+	events *Mailbox[reducer.Event]
 	done   chan struct{}
 }
 
-const defaultTickEvery = 50 * time.Millisecond
+// Tick passes time to one part.
+type Tick struct {
+	// Every is the time between two events.
+	Every time.Duration
+	// Event makes the event.
+	Event func(at time.Time) reducer.Event
+
+	due time.Time
+}
 
-// Prepare makes the loop ready for Post; it must be called before Run.
-func (l *Loop[Event, Effect]) Prepare() {
-	l.events = NewMailbox[Event]()
-	l.done = make(chan struct{})
-	if l.TickEvery == 0 {
-		l.TickEvery = defaultTickEvery
+// NewLoop returns a loop that is ready for Post; Run starts it.
+func NewLoop(s *reducer.State, perform func(reducer.Effect), ticks ...Tick) *Loop {
+	return &Loop{
+		State:   s,
+		Perform: perform,
+		Ticks:   ticks,
+		events:  NewMailbox[reducer.Event](),
+		done:    make(chan struct{}),
 	}
 }
 
 // Post queues an event; it never blocks and may be called from Perform.
-func (l *Loop[Event, Effect]) Post(e Event) {
+func (l *Loop) Post(e reducer.Event) {
 	l.events.Put(e)
 }
 
 // Waiting returns the number of events not yet reduced.
-func (l *Loop[Event, Effect]) Waiting() int {
+func (l *Loop) Waiting() int {
 	return l.events.Len()
 }
 
 // Done is closed once Run returned; later events are not reduced.
-func (l *Loop[Event, Effect]) Done() <-chan struct{} {
+func (l *Loop) Done() <-chan struct{} {
 	return l.done
 }
 
 // Run reduces events until ctx ends.
-func (l *Loop[Event, Effect]) Run(ctx context.Context) {
+func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
-	ticker := time.NewTicker(l.TickEvery)
+	ticker := time.NewTicker(l.shortest())
 	defer ticker.Stop()
 	for {
 		select {
@@ -60,21 +70,40 @@
 			l.drain()
 		case at := <-ticker.C:
 			l.drain()
-			if l.Tick != nil {
-				l.step(l.Tick(at))
-			}
+			l.tick(at)
+		}
+	}
+}
+
+// shortest is the time between the ticks of the part that needs most.
+func (l *Loop) shortest() time.Duration {
+	shortest := time.Second
+	for _, t := range l.Ticks {
+		shortest = min(shortest, t.Every)
+	}
+	return shortest
+}
+
+func (l *Loop) tick(at time.Time) {
+	for i := range l.Ticks {
+		t := &l.Ticks[i]
+		if at.Before(t.due) {
+			continue
 		}
+		// A little early, for a ticker's ticks are not evenly spaced.
+		t.due = at.Add(t.Every - l.shortest()/2)
+		l.step(t.Event(at))
 	}
 }
 
-func (l *Loop[Event, Effect]) drain() {
+func (l *Loop) drain() {
 	for _, e := range l.events.Take() {
 		l.step(e)
 	}
 }
 
-func (l *Loop[Event, Effect]) step(e Event) {
-	for _, effect := range l.Reduce(e) {
+func (l *Loop) step(e reducer.Event) {
+	for _, effect := range reducer.Reduce(l.State, e) {
 		l.Perform(effect)
 	}
 }
--- a/internal/role/memberleader.go
+++ b/internal/role/memberleader.go
@@ -11,6 +11,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/member"
@@ -32,7 +33,7 @@
 	Observer Observer
 	Logger   *slog.Logger
 
-	loop     Loop[member.Event, member.Effect]
+	loop     *Loop
 	sessions atomic.Uint64
 	leads    atomic.Bool
 
@@ -43,15 +44,11 @@
 
 // Prepare makes the leader ready for Serve; it must be called before Run.
 func (m *MemberLeader) Prepare() {
-	state := member.New(member.Config{})
 	m.open = map[member.SessionID]*outbox{}
-	m.loop = Loop[member.Event, member.Effect]{
-		Reduce:    func(e member.Event) []member.Effect { return member.Reduce(state, e) },
-		Perform:   m.perform,
-		Tick:      func(at time.Time) member.Event { return member.Ticked{At: at} },
-		TickEvery: member.TickEvery,
-	}
-	m.loop.Prepare()
+	m.loop = NewLoop(&reducer.State{Member: member.New(member.Config{})}, m.perform, Tick{
+		Every: member.TickEvery,
+		Event: func(at time.Time) reducer.Event { return member.Ticked{At: at} },
+	})
 }
 
 // Run holds leases until ctx ends.
@@ -140,7 +137,7 @@
 	}
 }
 
-func (m *MemberLeader) perform(effect member.Effect) {
+func (m *MemberLeader) perform(effect reducer.Effect) {
 	switch f := effect.(type) {
 	case member.Reply:
 		m.mu.Lock()
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -17,7 +18,6 @@
 
 // Orders has a backend server's engine become what is declared for it.
 type Orders struct {
-	Config order.Config
 	// Engine is nil beside a plain service, which takes no orders.
 	Engine    engine.Engine
 	Announcer *Announcer
@@ -27,27 +27,20 @@
 	Left     func()
 	Observer Observer
 
-	loop Loop[order.Event, order.Effect]
+	post func(reducer.Event)
 	ctx  context.Context
 }
 
-// Prepare makes the orders ready for events; it must be called before Run.
-func (o *Orders) Prepare() {
-	state := order.New(o.Config)
-	o.loop = Loop[order.Event, order.Effect]{
-		Reduce:    func(e order.Event) []order.Effect { return order.Reduce(state, e) },
-		Perform:   o.perform,
-		Tick:      func(at time.Time) order.Event { return order.Ticked{At: at} },
-		TickEvery: order.TickEvery,
-	}
-	o.loop.Prepare()
+// Start begins to give orders until ctx ends; post feeds the loop of the
+// process.
+func (o *Orders) Start(ctx context.Context, post func(reducer.Event)) {
+	o.ctx, o.post = ctx, post
+	post(order.Started{At: time.Now()})
 }
 
-// Run gives orders until ctx ends.
-func (o *Orders) Run(ctx context.Context) {
-	o.ctx = ctx
-	o.loop.Post(order.Started{At: time.Now()})
-	o.loop.Run(ctx)
+// Tick passes time to the orders, in the loop of the process.
+func (o *Orders) Tick() Tick {
+	return Tick{Every: order.TickEvery, Event: func(at time.Time) reducer.Event { return order.Ticked{At: at} }}
 }
 
 // Declared tells of the declared state in force.
@@ -56,25 +49,26 @@
 	if self, ok := view.Servers[server.Name]; ok {
 		event.Self = &self
 	}
-	o.loop.Post(event)
+	o.post(event)
 }
 
 // Clean tells that no order of an earlier start can be on its way.
 func (o *Orders) Clean() {
-	o.loop.Post(order.Clean{At: time.Now()})
+	o.post(order.Clean{At: time.Now()})
 }
 
 // WorkEnded tells that the gate has no work left.
 func (o *Orders) WorkEnded() {
-	o.loop.Post(order.WorkEnded{At: time.Now()})
+	o.post(order.WorkEnded{At: time.Now()})
 }
 
 // Stopping tells that the sidecar was asked to stop.
 func (o *Orders) Stopping() {
-	o.loop.Post(order.Stopping{At: time.Now()})
+	o.post(order.Stopping{At: time.Now()})
 }
 
-func (o *Orders) perform(effect order.Effect) {
+// Perform carries an effect out, in the loop of the process.
+func (o *Orders) Perform(effect order.Effect) {
 	switch f := effect.(type) {
 	case order.SetState:
 		o.SetState(f.State)
@@ -95,10 +89,10 @@
 
 func (o *Orders) permitted(answer *message.Permitted) {
 	if answer == nil {
-		o.loop.Post(order.PermitLost{At: time.Now()})
+		o.post(order.PermitLost{At: time.Now()})
 		return
 	}
-	o.loop.Post(order.PermitAnswered{At: time.Now(), Answer: *answer})
+	o.post(order.PermitAnswered{At: time.Now(), Answer: *answer})
 }
 
 func (o *Orders) ask(number uint64) {
@@ -106,10 +100,10 @@
 	defer cancel()
 	info, err := o.Engine.Info(ctx)
 	if err != nil {
-		o.loop.Post(order.EngineLost{At: time.Now(), Number: number})
+		o.post(order.EngineLost{At: time.Now(), Number: number})
 		return
 	}
-	o.loop.Post(order.EngineKnown{At: time.Now(), Number: number, Info: info})
+	o.post(order.EngineKnown{At: time.Now(), Number: number, Info: info})
 }
 
 func (o *Orders) issue(f engine.Order) {
@@ -125,5 +119,5 @@
 		ended.Reason = refused.Reason
 		ended.Unsure = refused.Reason == oriolebend.ReasonServerLost || refused.Reason == oriolebend.ReasonDeadline
 	}
-	o.loop.Post(ended)
+	o.post(ended)
 }
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -10,7 +10,6 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -50,23 +49,18 @@
 	return addresses
 }
 
-// follower makes the process's follower of the declared state.
-func (p Process) follower(role string, dialer peer.Dialer, apply func(declared.View, follow.Changed)) *Follower {
+// followConfig sets up the process's follower of the declared state.
+func (p Process) followConfig(role string) follow.Config {
 	var controls []follow.Control
 	for _, m := range p.Settings.Control.Members {
 		controls = append(controls, follow.Control{Name: m.Name, Address: m.Address})
 	}
-	return NewFollower(FollowerConfig{
-		Reducer: follow.Config{
-			Node:     p.Settings.Node.Name,
-			Role:     role,
-			Controls: controls,
-			Seed:     newIncarnation(),
-		},
-		Dialer:   dialer,
-		Apply:    apply,
-		Observer: p.observer(),
-	})
+	return follow.Config{
+		Node:     p.Settings.Node.Name,
+		Role:     role,
+		Controls: controls,
+		Seed:     newIncarnation(),
+	}
 }
 
 // listen opens the process's endpoint towards its peers.
--- a/internal/role/sidecar.go
+++ b/internal/role/sidecar.go
@@ -10,7 +10,9 @@
 
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
@@ -31,6 +33,10 @@
 	Announcer *Announcer
 	// Orders sets up the orders to the engine.
 	Orders order.Config
+	// Follow sets up the follower of the declared state, and Dialer opens its
+	// watches.
+	Follow follow.Config
+	Dialer peer.Dialer
 	// Left is called when a server that was declared stopping has left.
 	Left     func()
 	Observer Observer
@@ -40,13 +46,14 @@
 // Sidecar is the role beside one backend server: its gate.
 type Sidecar struct {
 	config   SidecarConfig
-	loop     Loop[gate.Event, gate.Effect]
+	loop     *Loop
 	ctx      context.Context
 	sessions atomic.Uint64
 	drained  chan struct{}
 	once     sync.Once
 	work     *engineWork
 	orders   *Orders
+	follower *Follower
 
 	mu     sync.Mutex
 	open   map[gate.SessionID]*outbox
@@ -68,23 +75,25 @@
 		open:    map[gate.SessionID]*outbox{},
 		server:  c.Server,
 	}
-	state := gate.New(c.Reducer)
-	s.loop = Loop[gate.Event, gate.Effect]{
-		Reduce:  func(event gate.Event) []gate.Effect { return gate.Reduce(state, event) },
-		Perform: s.perform,
-		Tick:    func(at time.Time) gate.Event { return gate.Ticked{At: at} },
-	}
-	s.loop.Prepare()
-	s.work = newEngineWork(c.Engine, c.Service, s.loop.Post)
+	s.follower = NewFollower(FollowerConfig{
+		Reducer:  c.Follow,
+		Dialer:   c.Dialer,
+		Apply:    func(view declared.View, _ follow.Changed) { s.Declared(view) },
+		Observer: c.Observer,
+	})
 	s.orders = &Orders{
-		Config:    c.Orders,
 		Engine:    c.Engine,
 		Announcer: c.Announcer,
 		SetState:  s.declare,
 		Left:      c.Left,
 		Observer:  c.Observer,
 	}
-	s.orders.Prepare()
+	state := &reducer.State{Gate: gate.New(c.Reducer), Order: order.New(c.Orders), Follow: s.follower.State}
+	s.loop = NewLoop(state, s.perform, s.follower.Tick(), s.orders.Tick(), Tick{
+		Every: gateTickEvery,
+		Event: func(at time.Time) reducer.Event { return gate.Ticked{At: at} },
+	})
+	s.work = newEngineWork(c.Engine, c.Service, s.loop.Post)
 	c.Announcer.Clean = s.orders.Clean
 	return s
 }
@@ -94,7 +103,8 @@
 	s.ctx = ctx
 	s.work.ctx = ctx
 	go s.renew(ctx)
-	go s.orders.Run(ctx)
+	s.orders.Start(ctx, s.loop.Post)
+	s.follower.Start(ctx, s.loop.Post)
 	if s.config.Engine != nil {
 		go s.watchEngine(ctx)
 	}
@@ -192,8 +202,22 @@
 	s.config.Announcer.Server(server)
 }
 
+// gateTickEvery is how often time passes for the gate.
+const gateTickEvery = 50 * time.Millisecond
+
 // perform carries one effect of the reducer out.
-func (s *Sidecar) perform(effect gate.Effect) {
+func (s *Sidecar) perform(effect reducer.Effect) {
+	switch f := effect.(type) {
+	case gate.Effect:
+		s.performGate(f)
+	case order.Effect:
+		s.orders.Perform(f)
+	case follow.Effect:
+		s.follower.Perform(f)
+	}
+}
+
+func (s *Sidecar) performGate(effect gate.Effect) {
 	switch f := effect.(type) {
 	case gate.Reply:
 		s.reply(f)
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -8,8 +8,6 @@
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/internal/reducer/declared"
-	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
@@ -41,15 +39,11 @@
 	process.endpoint = endpoint
 	announcer := &Announcer{Dialer: endpoint, Control: p.controlAddresses(), Logger: p.Logger}
 	announcer.Prepare()
-	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer))
+	process.sidecar = NewSidecar(p.sidecarConfig(endpoint, announcer))
 	close(ready)
-	follower := p.follower("sidecar", endpoint, func(view declared.View, _ follow.Changed) {
-		process.sidecar.Declared(view)
-	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
 	go announcer.Run(ctx)
-	go follower.Run(ctx)
 	go func() {
 		defer close(process.done)
 		process.sidecar.Run(ctx)
@@ -57,7 +51,7 @@
 	return process, nil
 }
 
-func (p Process) sidecarConfig(address string, announcer *Announcer) SidecarConfig {
+func (p Process) sidecarConfig(endpoint *peer.Endpoint, announcer *Announcer) SidecarConfig {
 	s := p.Settings
 	incarnation := newIncarnation()
 	config := SidecarConfig{
@@ -78,9 +72,11 @@
 			Name:          s.Sidecar.Server,
 			Region:        s.Node.Region,
 			FailureDomain: s.Node.FailureDomain,
-			GateAddress:   address,
+			GateAddress:   endpoint.Address(),
 			Incarnation:   incarnation,
 		},
+		Follow:    p.followConfig("sidecar"),
+		Dialer:    endpoint,
 		Announcer: announcer,
 		Left:      func() { p.Logger.Info("the server has left; this process may end") },
 		Observer:  p.observer(),
