replica: the member's events go through the one reducer

Cause: agreement's events went past package reducer. Change: replica calls reducer.Reduce. Measured: go test ./internal/replica passes.

--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/disk"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -143,12 +144,12 @@
 
 // step feeds the reducer one event and carries its effects out.
 func (r *Replica) step(e agreement.Event) {
-	for _, effect := range agreement.Reduce(r.state, e) {
+	for _, effect := range reducer.Reduce(&reducer.State{Agreement: r.state}, e) {
 		r.carry(effect)
 	}
 }
 
-func (r *Replica) carry(effect agreement.Effect) {
+func (r *Replica) carry(effect reducer.Effect) {
 	switch e := effect.(type) {
 	case agreement.Send:
 		r.sender(e.To).post(outgoing{message: e.Message})
