--- a/internal/message/gate.go
+++ b/internal/message/gate.go
@@ -39,7 +39,8 @@
 	// Prefix holds one hash for each leading block of the prompt, longest last.
 	Prefix []uint64 `cbor:"prefix,omitempty"`
 	// StartIn is when the room is needed, from now; decode room is asked for
-	// the predicted end of the prefill.
+	// the predicted end of the prefill. While the reservation waits it stays
+	// the time from the grant on.
 	StartIn time.Duration `cbor:"startIn,omitempty"`
 	// Deadline is how long the caller still waits for the first token, from
 	// now; zero means no bound.
@@ -76,9 +77,12 @@
 	LeaseFor time.Duration `cbor:"leaseFor"`
 }
 
-// Grant tells a waiting reservation that its room is held from now.
+// Grant tells a waiting reservation that its room is held.
 type Grant struct {
-	Attempt  Attempt       `cbor:"attempt"`
+	Attempt Attempt `cbor:"attempt"`
+	// StartIn is from when on the room is held, from now: the StartIn that the
+	// Reserve asked for.
+	StartIn  time.Duration `cbor:"startIn,omitempty"`
 	LeaseFor time.Duration `cbor:"leaseFor"`
 }
 
--- a/internal/reducer/gate/gate_test.go
+++ b/internal/reducer/gate/gate_test.go
@@ -395,6 +395,8 @@
 			text += fmt.Sprintf(" after=%s", m.RetryAfter.Round(time.Millisecond))
 		}
 		return text
+	case message.Grant:
+		return fmt.Sprintf("grant in=%s", m.StartIn)
 	case message.Part:
 		return strings.TrimSpace(fmt.Sprintf("part %d %s", m.Offset, m.Finish))
 	}
--- a/internal/reducer/gate/grant.go
+++ b/internal/reducer/gate/grant.go
@@ -94,7 +94,6 @@
 	held := *r
 	held.stage = stageGranted
 	held.from = s.earliest(r)
-	held.until = held.from.Add(held.took)
 	s.memory.add(&held)
 	return &held
 }
@@ -104,14 +103,14 @@
 	s.queue.remove(r)
 	s.queue.served(r, s.now)
 	r.stage = stageGranted
-	r.from = later(r.from, s.now)
-	r.until = r.from.Add(r.took)
+	r.from = s.now.Add(r.lead)
 	r.paused = s.paused
 	r.computing = r.reserve.Phase == message.PhasePrefill
 	s.memory.add(r)
 	if r.offered {
 		s.emit(Reply{Session: r.session, Message: message.Grant{
 			Attempt:  r.reserve.Attempt,
+			StartIn:  r.lead,
 			LeaseFor: s.config.Lease,
 		}})
 	}
--- a/internal/reducer/gate/lease.go
+++ b/internal/reducer/gate/lease.go
@@ -115,18 +115,21 @@
 	case stageOver:
 		return
 	case stageQueued:
+		first := s.queue.next(s.now) == r
 		s.queue.remove(r)
+		s.queue.changed = s.queue.changed || first
 	case stageArrived:
 		s.removeArrived(r)
 		s.memory.remove(r)
+		s.queue.changed = true
 	default:
 		s.memory.remove(r)
+		s.queue.changed = true
 	}
 	if r.computing && !r.startedAt.IsZero() {
 		s.predict.prefillBroken(s.now)
 	}
 	r.stage = stageOver
-	s.queue.changed = true
 	delete(s.attempts, r.reserve.Attempt)
 	s.closed.ended(r.reserve.Attempt, s.now)
 	if known := s.sessions[r.session]; known != nil && known.held == r {
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -11,6 +12,15 @@
 	// urgentPart is the part of a decode engine's memory that is kept for
 	// urgent work, one in so many.
 	urgentPart = 16
+	// promiseMargin is by how many standard deviations the memory that is
+	// expected to be held is taken for more. Too little, and promised room
+	// isn't free in time, which wastes prefills; too much, and memory is idle.
+	promiseMargin = 2.5
+	// slotsSlack lets a promise count on half a slot.
+	slotsSlack = 0.5
+	// searchSteps bounds the search for the earliest room; with steps that
+	// grow by half it reaches about a minute ahead.
+	searchSteps = 15
 	// urgentSeen is how long after the latest urgent reservation it is kept.
 	urgentSeen = time.Minute
 )
@@ -59,6 +69,17 @@
 	return used
 }
 
+// usedPatient is the memory of patient work at the server.
+func (s *State) usedPatient() int {
+	used := 0
+	for _, held := range s.memory.holders {
+		if held.atServer() && held.reserve.Urgency != oriolebend.Urgent {
+			used += held.tokens
+		}
+	}
+	return used
+}
+
 // dueTokens is the memory of granted reservations whose time has come and whose
 // work has not.
 func (s *State) dueTokens() int {
@@ -106,15 +127,14 @@
 	}
 }
 
-// fits reports whether a reservation's room is free from the time it asks
-// for, or from now if that has passed.
+// fits reports whether a reservation could be granted now: its room is free
+// after its lead.
 func (s *State) fits(r *reservation) bool {
 	switch r.reserve.Phase {
 	case message.PhasePrefill:
 		return s.fitsPrefill(r)
 	case message.PhaseDecode:
-		from := later(r.from, s.now)
-		return s.fitsAt(r, from)
+		return s.fitsAt(r, s.now.Add(r.lead))
 	default:
 		return s.committed().slots < s.limit.slots()
 	}
@@ -137,41 +157,77 @@
 	return held.slots == 0 || held.compute+r.compute <= s.config.PrefillBudget
 }
 
-// fitsAt reports whether a decode's room is free from a moment to the
-// predicted end of its work, beside all that is held or promised.
+// fitsAt reports whether a decode's room is free from a moment on, beside all
+// that is held and promised.
 func (s *State) fitsAt(r *reservation, from time.Time) bool {
-	until := from.Add(r.took)
-	if !s.fitsMoment(r, from) {
+	asked := *r
+	asked.from = from
+	if !s.fitsMoment(&asked, from) {
 		return false
 	}
 	for _, held := range s.memory.holders {
-		if held.from.After(from) && held.from.Before(until) && !s.fitsMoment(r, held.from) {
+		if held.from.After(from) && !s.fitsMoment(&asked, held.from) {
 			return false
 		}
 	}
 	return true
 }
 
-// fitsMoment reports whether a decode's room is free at one moment.
+// fitsMoment reports whether a decode's room is free at one moment that is not
+// before its start.
 func (s *State) fitsMoment(r *reservation, at time.Time) bool {
-	tokens, patient, slots := r.tokens, 0, 1
-	if r.reserve.Urgency == oriolebend.Patient {
-		patient = r.tokens
-	}
+	var urgent, patient expected
 	for _, held := range s.memory.holders {
-		if !s.holdsAt(held, at) {
-			continue
-		}
-		tokens += held.tokens
-		slots++
-		if held.reserve.Urgency != oriolebend.Urgent {
-			patient += held.tokens
-		}
+		s.expect(&urgent, &patient, held, at)
 	}
-	if tokens > s.engine.info.KVTokens || slots > s.limit.slots() {
+	s.expect(&urgent, &patient, r, at)
+	if urgent.slots+patient.slots > float64(s.limit.slots())+slotsSlack {
 		return false
 	}
-	return patient <= s.patientTokens(r)
+	whole, most := float64(s.engine.info.KVTokens), float64(s.patientTokens(r))
+	if r.reserve.Urgency == oriolebend.Urgent {
+		// Patient promises that came due before their room was free can't take
+		// more than their part.
+		return urgent.most()+min(patient.most(), most) <= whole
+	}
+	if patient.most() > most {
+		return false
+	}
+	urgent.add(patient)
+	return urgent.most() <= whole
+}
+
+// expect adds what a reservation is expected to hold at a moment.
+func (s *State) expect(urgent, patient *expected, held *reservation, at time.Time) {
+	share := s.holdsAt(held, at)
+	if share == 0 {
+		return
+	}
+	sum := patient
+	if held.reserve.Urgency == oriolebend.Urgent {
+		sum = urgent
+	}
+	sum.slots += share
+	sum.tokens += share * float64(held.tokens)
+	sum.variance += share * (1 - share) * float64(held.tokens) * float64(held.tokens)
+}
+
+// expected is what some reservations are expected to hold at a moment.
+type expected struct {
+	slots    float64
+	tokens   float64
+	variance float64
+}
+
+func (e *expected) add(other expected) {
+	e.slots += other.slots
+	e.tokens += other.tokens
+	e.variance += other.variance
+}
+
+// most is what they hold at most, but for the unlikely.
+func (e *expected) most() float64 {
+	return e.tokens + promiseMargin*math.Sqrt(e.variance)
 }
 
 // patientTokens is the memory that patient decodes may take together. While
@@ -182,55 +238,42 @@
 	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
 		return whole
 	}
-	return max(whole-whole/urgentPart, min(r.tokens, whole))
-}
-
-// holdsAt predicts whether a holder has its room at a moment that is not in
-// the past.
-func (s *State) holdsAt(held *reservation, at time.Time) bool {
-	if !at.After(s.now) && (held.atServer() || !held.from.After(s.now)) {
-		return true
+	if r.reserve.Urgency == oriolebend.Patient && r.tokens > whole-whole/urgentPart {
+		return whole
 	}
-	return !held.from.After(at) && at.Before(s.releaseAt(held))
+	return whole - whole/urgentPart
 }
 
-// releaseAt predicts when a holder gives its room back. Work that took longer
-// than predicted is expected to take an eighth of its time more.
-func (s *State) releaseAt(held *reservation) time.Time {
-	if held.stage == stageCancelling {
-		return s.now.Add(s.config.CancelRetry)
-	}
-	until := held.until
-	if !held.atServer() {
-		until = later(held.from, s.now).Add(held.took)
-	}
-	if until.After(s.now) {
-		return until
+// holdsAt predicts the probability that a reservation has its room at a moment
+// that is not in the past.
+func (s *State) holdsAt(held *reservation, at time.Time) float64 {
+	switch {
+	case held.from.After(at):
+		return 0
+	case !at.After(s.now):
+		return 1
+	case held.stage == stageCancelling:
+		if at.Sub(s.now) > s.config.CancelRetry {
+			return 0
+		}
+		return 1
 	}
-	return s.now.Add(max(held.took/8, s.config.TickEvery))
+	return s.predict.holds(held, s.now, at)
 }
 
-// earliest predicts when a decode's room is free, at the earliest when it is
-// asked for.
+// earliest predicts when a decode's room is free, at the earliest after its
+// lead: it looks ahead in growing steps.
 func (s *State) earliest(r *reservation) time.Time {
-	from := later(r.from, s.now)
-	if s.fitsAt(r, from) {
-		return from
-	}
-	best := time.Time{}
-	for _, held := range s.memory.holders {
-		at := s.releaseAt(held)
-		if !at.After(from) || (!best.IsZero() && !at.Before(best)) {
-			continue
+	from := s.now.Add(r.lead)
+	step := s.config.TickEvery / 2
+	for range searchSteps {
+		if s.fitsAt(r, from) {
+			return from
 		}
-		if s.fitsAt(r, at) {
-			best = at
-		}
-	}
-	if best.IsZero() {
-		return from.Add(r.took)
+		from = from.Add(step)
+		step += step / 2
 	}
-	return best
+	return from
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -11,10 +11,6 @@
 	// memoryShare is how much of what was learned before a new observation
 	// leaves.
 	memoryShare = 0.95
-	// outputQuantile is the quantile of output lengths that a decode's end is
-	// predicted by. Too low, and promised room isn't free in time; too high,
-	// and memory lies idle.
-	outputQuantile = 0.8
 	// transferPerToken is the first guess of a transfer's time.
 	transferPerToken = 10 * time.Microsecond
 	// mostKinds bounds the kinds of output that are told apart.
@@ -31,25 +27,6 @@
 
 func (r *ratio) value() float64 { return r.above / r.below }
 
-// quantile follows a quantile of a stream of positive values.
-type quantile struct {
-	value float64
-	seen  int
-}
-
-// observe moves the value up or down in proportion to itself, by large steps
-// at first.
-func (q *quantile) observe(x float64) {
-	q.seen++
-	gain := 0.05 + 1/float64(q.seen+1)
-	if x > q.value {
-		q.value *= 1 + gain*outputQuantile
-		q.value = min(q.value, max(x, 1)*2)
-		return
-	}
-	q.value = max(q.value*(1-gain*(1-outputQuantile)), 1)
-}
-
 // outputKind tells outputs of different length apart.
 type outputKind struct {
 	model   string
@@ -67,8 +44,8 @@
 	transfer ratio
 	step     ratio
 	call     ratio
-	outputs  map[outputKind]*quantile
-	guess    float64
+	outputs  map[outputKind]*lengths
+	unseen   *lengths
 }
 
 func newPredictor(c Config) predictor {
@@ -77,8 +54,8 @@
 		transfer: ratio{above: transferPerToken.Seconds() * 1000, below: 1000},
 		step:     ratio{above: c.DecodeStep.Seconds(), below: 1},
 		call:     ratio{above: c.CallTook.Seconds(), below: 1},
-		outputs:  map[outputKind]*quantile{},
-		guess:    float64(c.OutputTokens),
+		outputs:  map[outputKind]*lengths{},
+		unseen:   newLengths(float64(c.OutputTokens)),
 	}
 }
 
@@ -104,11 +81,35 @@
 
 // output predicts the length of a decode's output, in tokens.
 func (p *predictor) output(r *reservation) float64 {
-	predicted := p.guess
+	return min(p.lengths(r).mean, float64(max(r.reserve.MaxTokens, 1)))
+}
+
+// lengths returns what is known of the lengths of such outputs.
+func (p *predictor) lengths(r *reservation) *lengths {
 	if known := p.outputs[kindOf(r)]; known != nil {
-		predicted = known.value
+		return known
+	}
+	return p.unseen
+}
+
+// holds predicts the probability that a decode still holds its room at a
+// moment after now.
+func (p *predictor) holds(r *reservation, now, at time.Time) float64 {
+	step := p.step.value()
+	reached, since := 0.0, later(r.from, now)
+	if r.atServer() {
+		since = r.startedAt
+	}
+	if r.firstPart {
+		reached, since = float64(r.output), r.lastPart
+	} else {
+		since = since.Add(p.transferTook(r))
+	}
+	then := reached + at.Sub(since).Seconds()/step
+	if then >= float64(max(r.reserve.MaxTokens, 1)) {
+		return 0
 	}
-	return min(predicted, float64(max(r.reserve.MaxTokens, 1)))
+	return p.lengths(r).goesOn(reached, then)
 }
 
 func (p *predictor) transferTook(r *reservation) time.Duration {
@@ -157,7 +158,7 @@
 		if len(p.outputs) >= mostKinds {
 			return
 		}
-		known = &quantile{value: float64(max(r.output, 1))}
+		known = newLengths(p.unseen.mean)
 		p.outputs[kind] = known
 	}
 	known.observe(float64(max(r.output, 1)))
@@ -174,9 +175,8 @@
 // predictedWait predicts how long from now a reservation that isn't in the
 // queue yet would wait for its start.
 func (s *State) predictedWait(r *reservation) time.Duration {
-	asked := max(r.from.Sub(s.now), 0)
 	if s.queue.length == 0 && s.fits(r) {
-		return asked
+		return r.lead
 	}
 	ahead := s.queue.costAhead(r)
 	if r.reserve.Phase == message.PhaseDecode {
--- a/internal/reducer/gate/property_test.go
+++ b/internal/reducer/gate/property_test.go
@@ -53,7 +53,7 @@
 // -rapid.checks on the command line search further.
 func TestMain(m *testing.M) {
 	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "60", "rapid.nofailfile": "true",
+		"rapid.seed": "1", "rapid.checks": "600", "rapid.steps": "80", "rapid.nofailfile": "true",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
@@ -82,29 +82,42 @@
 		sent: map[message.Attempt]bool{}, never: map[message.Attempt]bool{},
 	}
 	w.startGate()
-	rt.Repeat(map[string]func(*rapid.T){
-		"reserve":  func(*rapid.T) { w.reserve() },
-		"reserve2": func(*rapid.T) { w.reserve() },
-		"work":     func(*rapid.T) { w.work() },
-		"work2":    func(*rapid.T) { w.work() },
-		"rogue":    func(*rapid.T) { w.rogue() },
-		"release":  func(*rapid.T) { w.release() },
-		"close":    func(*rapid.T) { w.close(w.anyPeer()) },
-		"renew":    func(*rapid.T) { w.renew() },
-		"pass":     func(*rapid.T) { w.pass(rapid.IntRange(1, 12).Draw(w.T, "ticks")) },
-		"pause":    func(*rapid.T) { w.pause() },
-		"succeed":  func(*rapid.T) { w.succeed() },
-		"succeed2": func(*rapid.T) { w.succeed() },
-		"fail":     func(*rapid.T) { w.fail() },
-		"confirm":  func(*rapid.T) { w.confirm() },
-		"list":     func(*rapid.T) { w.list() },
-		"declare":  func(*rapid.T) { w.declare() },
-		"restart":  func(*rapid.T) { w.restart() },
-		"":         func(*rapid.T) { w.check() },
-	})
+	rt.Repeat(w.actions())
 	w.settle()
 }
 
+// actions are what may happen next; rapid draws among the names, so that what
+// is to happen more often has several.
+func (w *world) actions() map[string]func(*rapid.T) {
+	weights := []struct {
+		name   string
+		weight int
+		do     func()
+	}{
+		{"reserve", 8, w.reserve},
+		{"work", 6, w.work},
+		{"succeed", 4, w.succeed},
+		{"pass", 2, func() { w.pass(rapid.IntRange(1, 12).Draw(w.T, "ticks")) }},
+		{"renew", 2, w.renew},
+		{"list", 2, w.list},
+		{"confirm", 2, w.confirm},
+		{"release", 1, w.release},
+		{"close", 1, func() { w.close(w.anyPeer()) }},
+		{"fail", 1, w.fail},
+		{"rogue", 1, w.rogue},
+		{"pause", 1, w.pause},
+		{"declare", 1, w.declare},
+		{"restart", 1, w.restart},
+	}
+	all := map[string]func(*rapid.T){"": func(*rapid.T) { w.check() }}
+	for _, action := range weights {
+		for i := range action.weight {
+			all[fmt.Sprint(action.name, i)] = func(*rapid.T) { action.do() }
+		}
+	}
+	return all
+}
+
 func (w *world) startGate() {
 	w.gate = New(Config{Role: serviceOnly(w.role), Concurrency: 2, QueueBound: 6, ClosedFor: 1000 * time.Hour})
 	w.cancels, w.lists = nil, nil
@@ -112,6 +125,9 @@
 		w.sent[a] = true
 	}
 	w.known()
+	if rapid.IntRange(0, 3).Draw(w.T, "listed") > 0 {
+		w.list()
+	}
 }
 
 func serviceOnly(role oriolebend.PoolRole) oriolebend.PoolRole {
@@ -336,10 +352,14 @@
 }
 
 func (w *world) declare() {
-	states := []oriolebend.ServerState{
-		oriolebend.ServerServing, oriolebend.ServerServing, oriolebend.ServerLeaving, oriolebend.ServerLoading,
+	state := oriolebend.ServerServing
+	switch rapid.IntRange(0, 7).Draw(w.T, "state") {
+	case 0:
+		state = oriolebend.ServerLeaving
+	case 1:
+		state = oriolebend.ServerLoading
 	}
-	w.do(Declared{At: w.now, State: rapid.SampledFrom(states).Draw(w.T, "state")})
+	w.do(Declared{At: w.now, State: state})
 }
 
 // restart restarts the gate or the engine, or has the engine be away.
--- a/internal/reducer/gate/queue.go
+++ b/internal/reducer/gate/queue.go
@@ -150,7 +150,7 @@
 					continue
 				}
 				wait := s.waitBehind(r, ahead)
-				left := r.deadlineAt.Sub(later(r.from, s.now)) - s.predict.first(r)
+				left := r.deadlineAt.Sub(s.now) - r.lead - s.predict.first(r)
 				if left < 0 || wait > left+left/2 {
 					late = append(late, lateReservation{reservation: r, wait: wait})
 				}
--- a/internal/reducer/gate/reserve.go
+++ b/internal/reducer/gate/reserve.go
@@ -55,8 +55,11 @@
 	s.attempts[r.reserve.Attempt] = r
 	r.stage = stageQueued
 	s.queue.add(r)
-	s.queue.changed = true
-	s.grantQueued()
+	// Far behind, nothing can be granted that could not before.
+	if s.queue.ahead(r) < backfillDepth {
+		s.queue.changed = true
+		s.grantQueued()
+	}
 	if r.stage != stageQueued {
 		s.emit(Reply{Session: k.id, Message: s.offer(r, 0)})
 		return
@@ -177,10 +180,9 @@
 		reserve:    m,
 		tokens:     memoryOf(m),
 		acceptedAt: s.now.Add(-max(m.Waited, 0)),
-		from:       s.now.Add(max(m.StartIn, 0)),
 	}
-	if m.Phase != message.PhaseDecode {
-		r.from = s.now
+	if m.Phase == message.PhaseDecode {
+		r.lead = max(m.StartIn, 0)
 	}
 	if m.Urgency == oriolebend.Urgent {
 		s.urgentAt = s.now
@@ -192,7 +194,6 @@
 	r.compute = max(m.PromptTokens-r.cached, 1)
 	r.cost = cost(r)
 	r.took = s.predict.took(r)
-	r.until = r.from.Add(r.took)
 	return r
 }
 
@@ -213,7 +214,7 @@
 	m := message.Offer{
 		Attempt:      r.reserve.Attempt,
 		Granted:      r.stage != stageQueued,
-		StartIn:      max(wait, r.from.Sub(s.now), 0),
+		StartIn:      max(wait, r.lead),
 		CachedTokens: r.cached,
 		FreeTokens:   s.freeTokens(),
 		LinkBytes:    s.linkLeft(),
@@ -240,7 +241,7 @@
 	refusal := message.Refusal{Attempt: r.reserve.Attempt, Ran: oriolebend.RanNo}
 	first := s.predict.first(r)
 	left := r.reserve.Deadline - first
-	if left < r.from.Sub(s.now) {
+	if left < r.lead {
 		refusal.Reason = oriolebend.ReasonDeadline
 		return refusal, true
 	}
--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -51,9 +51,10 @@
 	acceptedAt time.Time
 	// deadlineAt is when the first token is due; zero if it isn't bound.
 	deadlineAt time.Time
-	// from and until bound the time for which the room is held; until is a
-	// prediction.
-	from, until time.Time
+	// lead is the time from the grant until the room is needed.
+	lead time.Duration
+	// from is when on the room is held.
+	from time.Time
 	// paused is how long the gate had paused at the time of the grant.
 	paused time.Duration
 	// decode waits for room, until startBy; promisedAt is when it was due.
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -29,7 +29,6 @@
 func (s *State) start(r *reservation) {
 	r.stage = stageWorking
 	r.startedAt = s.now
-	r.until = s.now.Add(r.took)
 }
 
 func (s *State) startPrefill(id SessionID, m message.Prefill) {
@@ -65,7 +64,6 @@
 	r.startBy = s.now.Add(within)
 	r.promisedAt = r.from
 	r.from = s.now
-	r.until = s.now.Add(r.took)
 	at, _ := slices.BinarySearchFunc(s.arrived, r, byArrival)
 	s.arrived = slices.Insert(s.arrived, at, r)
 }
@@ -105,7 +103,10 @@
 	if s.now.Before(r.promisedAt) {
 		used += s.dueTokens()
 	}
-	return used <= s.engine.info.KVTokens
+	if used > s.engine.info.KVTokens {
+		return false
+	}
+	return r.reserve.Urgency == oriolebend.Urgent || s.usedPatient()+r.tokens <= s.patientTokens(r)
 }
 
 func (s *State) runDecode(r *reservation) {
