--- a/internal/message/gate.go
+++ b/internal/message/gate.go
@@ -92,7 +92,9 @@
 	Attempt Attempt           `cbor:"attempt"`
 	Reason  oriolebend.Reason `cbor:"reason"`
 	// Ran is "no" only if the work did not run and the gate will never let
-	// this attempt through.
+	// this attempt through. A Reserve that was refused before it was granted
+	// closes nothing: the entry may reserve the same attempt again, and only
+	// then could it run.
 	Ran        oriolebend.Ran `cbor:"ran"`
 	RetryAfter time.Duration  `cbor:"retryAfter,omitempty"`
 	Detail     string         `cbor:"detail,omitempty"`
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -10,6 +10,9 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// resultGrace is how long after its life a prefill result is cancelled.
+const resultGrace = time.Second
+
 // toStart returns the reservation whose work a message brings, or nil if there
 // is nothing to start: the message was refused, or is a doubled one.
 func (s *State) toStart(id SessionID, a message.Attempt, phase message.Phase) *reservation {
@@ -163,7 +166,7 @@
 	s.predict.prefillEnded(s.now, e.Result.Tokens-e.Result.CachedTokens)
 	r.stage = stagePrefilled
 	r.computing = false
-	r.expiresAt = s.now.Add(e.Result.LivesFor)
+	r.expiresAt = s.now.Add(e.Result.LivesFor + resultGrace)
 	s.queue.changed = true
 	s.emit(Reply{Session: r.session, Message: message.Prefilled{
 		Attempt:      e.Attempt,
@@ -176,7 +179,8 @@
 }
 
 // expireResults ends the reservations of prefill results that the engine no
-// longer holds by its own word; a cancellation makes sure.
+// longer holds by its own word; a cancellation makes sure. It waits for a
+// grace, as it would break off a transfer that began just in time.
 func (s *State) expireResults() {
 	for _, r := range s.inOrder() {
 		if r.stage != stagePrefilled || !s.now.After(r.expiresAt) {
