--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -10,6 +10,9 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// resultGrace is how long after its life a prefill result is cancelled.
+const resultGrace = time.Second
+
 // toStart returns the reservation whose work a message brings, or nil if there
 // is nothing to start: the message was refused, or is a doubled one.
 func (s *State) toStart(id SessionID, a message.Attempt, phase message.Phase) *reservation {
@@ -29,7 +32,6 @@
 func (s *State) start(r *reservation) {
 	r.stage = stageWorking
 	r.startedAt = s.now
-	r.until = s.now.Add(r.took)
 }
 
 func (s *State) startPrefill(id SessionID, m message.Prefill) {
@@ -65,7 +67,6 @@
 	r.startBy = s.now.Add(within)
 	r.promisedAt = r.from
 	r.from = s.now
-	r.until = s.now.Add(r.took)
 	at, _ := slices.BinarySearchFunc(s.arrived, r, byArrival)
 	s.arrived = slices.Insert(s.arrived, at, r)
 }
@@ -105,7 +106,10 @@
 	if s.now.Before(r.promisedAt) {
 		used += s.dueTokens()
 	}
-	return used <= s.engine.info.KVTokens
+	if used > s.engine.info.KVTokens {
+		return false
+	}
+	return r.reserve.Urgency == oriolebend.Urgent || s.usedPatient()+r.tokens <= s.patientTokens(r)
 }
 
 func (s *State) runDecode(r *reservation) {
@@ -162,7 +166,7 @@
 	s.predict.prefillEnded(s.now, e.Result.Tokens-e.Result.CachedTokens)
 	r.stage = stagePrefilled
 	r.computing = false
-	r.expiresAt = s.now.Add(e.Result.LivesFor)
+	r.expiresAt = s.now.Add(e.Result.LivesFor + resultGrace)
 	s.queue.changed = true
 	s.emit(Reply{Session: r.session, Message: message.Prefilled{
 		Attempt:      e.Attempt,
@@ -175,7 +179,8 @@
 }
 
 // expireResults ends the reservations of prefill results that the engine no
-// longer holds by its own word; a cancellation makes sure.
+// longer holds by its own word; a cancellation makes sure. It waits for a
+// grace, as it would break off a transfer that began just in time.
 func (s *State) expireResults() {
 	for _, r := range s.inOrder() {
 		if r.stage != stagePrefilled || !s.now.After(r.expiresAt) {
