--- a/internal/peer/health.go
+++ b/internal/peer/health.go
@@ -12,6 +12,14 @@
 	verdictIdle   verdict = "idle"
 )
 
+// quietTicks is how many ticks a connection may be quiet before it is pinged.
+// It leaves three pings before the silence bound, so that two of them may be
+// lost.
+const quietTicks = ticksOfSilence - 4
+
+// byeLinger is longer than a round trip between regions.
+const byeLinger = 200 * time.Millisecond
+
 // health is what the watcher knows of a connection.
 type health struct {
 	dialled   bool
@@ -54,18 +62,27 @@
 	}
 	switch {
 	case h.sessions == 0 && h.bye:
-		return verdictIdle
+		return h.judgeBye(now)
 	case h.sessions == 0 && !stopping:
 		return h.judgeIdle(now)
 	case h.silent >= ticksOfSilence-1:
 		return verdictSilent
-	case !heard:
+	case h.silent >= quietTicks:
 		return verdictPing
 	default:
 		return verdictKeep
 	}
 }
 
+// judgeBye ends a connection whose peer stops. It waits for a moment after the
+// last session, since closing drops what is still on its way.
+func (h *health) judgeBye(now time.Time) verdict {
+	if now.Sub(h.idleSince) >= byeLinger {
+		return verdictIdle
+	}
+	return verdictKeep
+}
+
 // judgeIdle ends only the connections that this side dialled; see quicConfig.
 func (h *health) judgeIdle(now time.Time) verdict {
 	h.silent = 0
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -21,11 +21,14 @@
 
 	// Route is the policy that picks candidates; empty means reserve.
 	Route policy.Name
-	// Probes is how many prefill gates or services are asked for one request;
-	// zero means 2.
+	// Probes is how many prefill gates or services are asked for one request
+	// at most; zero means 2.
 	Probes int
-	// DecodeProbes is how many decode gates are asked; zero means 2.
+	// DecodeProbes is how many decode gates are asked at most; zero means 2.
 	DecodeProbes int
+	// AskAtOnce asks all of them at the same time; false asks the next one only
+	// if the one before can't serve at once or does not answer.
+	AskAtOnce bool
 	// FirstWithin is the target of the time to the first token for requests
 	// that carry none; zero means 1.2s.
 	FirstWithin time.Duration
@@ -57,12 +60,12 @@
 	// means 1,024.
 	MaxConcurrency int
 
-	// ClaimLease is how long a claim lasts unrenewed; zero means 30s.
-	ClaimLease time.Duration
-	// ClaimWithin is how long a claim may stay unanswered; zero means 3s.
+	// ClaimWithin is how long a claim may stay unanswered before its caller is
+	// refused; it is longer than an election and than one call to the control
+	// VMs may take. Zero means 6s.
 	ClaimWithin time.Duration
-	// OfferWithin is how long a round waits for further offers after the
-	// first one; zero means 20ms.
+	// OfferWithin is how long a round waits for an offer before it asks the
+	// next candidate, or takes the best one that it has; zero means 20ms.
 	OfferWithin time.Duration
 	// ProbeWithin is how long a gate may leave a reservation unanswered; zero
 	// means 500ms.
@@ -79,9 +82,10 @@
 	// SettleWithin is how long the end of an answer waits for its record;
 	// zero means 2s.
 	SettleWithin time.Duration
-	// SettleEvery is the pause between two tries to settle a record; zero
-	// means 1s.
-	SettleEvery time.Duration
+	// SettleEvery is the pause between two tries to settle a record, and
+	// SettleSilence how long one try may stay unanswered; zero means 1s and 6s.
+	SettleEvery   time.Duration
+	SettleSilence time.Duration
 	// SettleFor is how long a record is tried to be settled; zero means 1m.
 	SettleFor time.Duration
 	// StatusWithin is how long the outcome of a lost call is asked for; zero
@@ -120,8 +124,7 @@
 	c.RetryFloor = or(c.RetryFloor, 1)
 	c.RetryBurst = or(c.RetryBurst, 32)
 	c.MaxConcurrency = or(c.MaxConcurrency, 1024)
-	c.ClaimLease = or(c.ClaimLease, 30*time.Second)
-	c.ClaimWithin = or(c.ClaimWithin, 3*time.Second)
+	c.ClaimWithin = or(c.ClaimWithin, 6*time.Second)
 	c.OfferWithin = or(c.OfferWithin, 20*time.Millisecond)
 	c.ProbeWithin = or(c.ProbeWithin, 500*time.Millisecond)
 	c.HoldPrefill = or(c.HoldPrefill, 100*time.Millisecond)
@@ -129,6 +132,7 @@
 	c.CallWithin = or(c.CallWithin, 30*time.Second)
 	c.SettleWithin = or(c.SettleWithin, 2*time.Second)
 	c.SettleEvery = or(c.SettleEvery, time.Second)
+	c.SettleSilence = or(c.SettleSilence, 6*time.Second)
 	c.SettleFor = or(c.SettleFor, time.Minute)
 	c.StatusWithin = or(c.StatusWithin, 2*time.Second)
 	c.RetryBase = or(c.RetryBase, 20*time.Millisecond)
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -59,6 +59,11 @@
 	o.loop.Post(event)
 }
 
+// Clean tells that no order of an earlier start can be on its way.
+func (o *Orders) Clean() {
+	o.loop.Post(order.Clean{At: time.Now()})
+}
+
 // WorkEnded tells that the gate has no work left.
 func (o *Orders) WorkEnded() {
 	o.loop.Post(order.WorkEnded{At: time.Now()})
@@ -111,14 +116,14 @@
 	ctx, cancel := context.WithTimeout(o.ctx, orderWithin)
 	defer cancel()
 	err := o.Engine.Order(ctx, f)
-	ended := order.OrderEnded{At: time.Now()}
+	ended := order.Ended{At: time.Now()}
 	if err != nil {
 		ended.Reason, ended.Detail, ended.Unsure = oriolebend.ReasonEngineFailed, err.Error(), true
 	}
 	var refused *engine.Error
 	if errors.As(err, &refused) {
 		ended.Reason = refused.Reason
-		ended.Unsure = refused.Reason == oriolebend.ReasonServerLost
+		ended.Unsure = refused.Reason == oriolebend.ReasonServerLost || refused.Reason == oriolebend.ReasonDeadline
 	}
 	o.loop.Post(ended)
 }
