--- a/internal/reducer/agreement/reduce.go
+++ b/internal/reducer/agreement/reduce.go
@@ -75,6 +75,9 @@
 	if !ok || part.Group != s.Config.Group || part.From == s.Config.Name {
 		return
 	}
+	if !wellFormed(m) {
+		return
+	}
 	if part.Term > s.Hard.Term && !s.meetHigherTerm(m, part) {
 		return
 	}
