--- a/internal/load/notrun.go
+++ b/internal/load/notrun.go
@@ -12,7 +12,7 @@
 
 const (
 	// identityMark stands in a status path for the identity of a call.
-	identityMark = "{identity}"
+	identityMark  = "{identity}"
 	defaultSettle = 2 * time.Second
 	// statusWithin bounds one question to a service.
 	statusWithin = 5 * time.Second
