caller: read a body once less; spaces in fields that ask for nothing

Cause: a brief of 8,000 words was scanned five times; a response_format written with spaces, as some clients do, was refused though it asks for plain text. Change: members are read one by one and only objects and lists are walked; values are compared in their compact form. Details of refusals say at which byte a body stops being JSON; reasons, statuses and ran are as before.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -56,7 +57,11 @@
 
 func isNullOr(nothing ...string) func(json.RawMessage) bool {
 	return func(value json.RawMessage) bool {
-		return isNull(value) || slices.Contains(nothing, string(value))
+		var compact bytes.Buffer
+		if err := json.Compact(&compact, value); err != nil {
+			return false
+		}
+		return isNull(value) || slices.Contains(nothing, compact.String())
 	}
 }
 
--- a/internal/caller/strict.go
+++ b/internal/caller/strict.go
@@ -11,8 +11,8 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// maxDepth bounds the nesting of a JSON body.
-const maxDepth = 32
+// maxDepth bounds the nesting of a member of a JSON body.
+const maxDepth = 31
 
 // fields are the members of a JSON object by name.
 type fields map[string]json.RawMessage
@@ -25,43 +25,74 @@
 	if !utf8.Valid(body) {
 		return nil, refuse(oriolebend.ReasonMalformed, "the body is not UTF-8")
 	}
-	if err := checkTokens(body); err != nil {
-		return nil, err
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return nil, notAnObject(decoder)
+	}
+	members := fields{}
+	for decoder.More() {
+		if err := members.readNext(decoder); err != nil {
+			return nil, err
+		}
 	}
-	var members fields
-	if err := json.Unmarshal(body, &members); err != nil || members == nil {
-		return nil, refuse(oriolebend.ReasonMalformed, "the body is not a JSON object")
+	if _, err := decoder.Token(); err != nil {
+		return nil, notAnObject(decoder)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, notAnObject(decoder)
 	}
 	return members, nil
 }
 
-// checkTokens walks a body once for depth, members that stand twice, and
-// trailing data.
-func checkTokens(body []byte) error {
-	decoder := json.NewDecoder(bytes.NewReader(body))
+func notAnObject(decoder *json.Decoder) error {
+	return refuse(oriolebend.ReasonMalformed, fmt.Sprintf("the body is not one JSON object, at byte %d", decoder.InputOffset()))
+}
+
+// readNext reads one member. Text needs no walk, so that a long prompt is not
+// read more often than it must be.
+func (m fields) readNext(decoder *json.Decoder) error {
+	token, err := decoder.Token()
+	name, isName := token.(string)
+	if err != nil || !isName {
+		return notAnObject(decoder)
+	}
+	if _, twice := m[name]; twice {
+		return standsTwice(name)
+	}
+	var value json.RawMessage
+	if err := decoder.Decode(&value); err != nil {
+		return notAnObject(decoder)
+	}
+	m[name] = value
+	if value[0] == '{' || value[0] == '[' {
+		return checkTokens(value)
+	}
+	return nil
+}
+
+func standsTwice(name string) error {
+	return refuse(oriolebend.ReasonMalformed, fmt.Sprintf("the member %.64q stands twice", name))
+}
+
+// checkTokens walks the valid value of a member for depth and members that
+// stand twice.
+func checkTokens(value []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(value))
 	walk := tokenWalk{}
 	for {
 		token, err := decoder.Token()
-		if errors.Is(err, io.EOF) {
-			break
-		}
 		if err != nil {
-			return refuse(oriolebend.ReasonMalformed, fmt.Sprintf("the body is not JSON, at byte %d", decoder.InputOffset()))
+			return nil // the end: the value was decoded before
 		}
 		if err := walk.take(token); err != nil {
 			return err
 		}
 	}
-	if walk.values != 1 || len(walk.open) > 0 {
-		return refuse(oriolebend.ReasonMalformed, "the body must be one JSON object")
-	}
-	return nil
 }
 
 // tokenWalk knows the objects and arrays that are open at a token.
 type tokenWalk struct {
-	open   []container
-	values int
+	open []container
 }
 
 type container struct {
@@ -106,20 +137,17 @@
 	return nil
 }
 
-// value counts a value at the top, or has the object around it expect a name.
+// value has the object around a value expect a name after it.
 func (w *tokenWalk) value() {
-	top := w.top()
-	if top == nil {
-		w.values++
-		return
+	if top := w.top(); top != nil {
+		top.nameNext = top.names != nil
 	}
-	top.nameNext = top.names != nil
 }
 
 func (c *container) name(token json.Token) error {
 	name, _ := token.(string)
 	if c.names[name] {
-		return refuse(oriolebend.ReasonMalformed, fmt.Sprintf("the member %.64q stands twice", name))
+		return standsTwice(name)
 	}
 	c.names[name] = true
 	c.nameNext = false
