--- a/internal/reducer/agreement/follow.go
+++ b/internal/reducer/agreement/follow.go
@@ -33,7 +33,10 @@
 	answer.Accepted = true
 	answer.Match = m.PrevIndex + uint64(len(m.Entries))
 	s.Commit = max(s.Commit, min(m.Commit, answer.Match))
-	if len(m.Entries) == 0 && s.Synced >= answer.Match {
+	if len(m.Entries) == 0 {
+		// A heartbeat is answered at once, for what is durable by now: were it to
+		// wait for the log, a slow disk here would cost the leader its lease.
+		answer.Match = min(answer.Match, s.Synced)
 		s.send(m.From, answer, afterHard)
 		return
 	}
--- a/internal/reducer/agreement/transfer.go
+++ b/internal/reducer/agreement/transfer.go
@@ -11,6 +11,9 @@
 	s.lead.transferEnd = s.now + s.Config.ElectionTicks
 }
 
+// Transferring tells whether the leader is handing over.
+func (s *State) Transferring() bool { return s.lead.transferTo != "" }
+
 // successor returns the voter that answers and is furthest, empty if none.
 func (s *State) successor() string {
 	best := ""
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -75,8 +75,8 @@
 		case <-stop:
 			stop = nil
 			r.stopping = true
-			r.handing = r.state.Role == agreement.Leader && len(r.state.Members) > 1
 			stopBy = time.Now().Add(r.config.StopWithin)
+			r.handing = r.state.Role == agreement.Leader
 			r.step(agreement.TransferAsked{Tick: r.tick()})
 		}
 		if err := r.failure(); err != nil {
@@ -94,8 +94,10 @@
 	if len(r.waiting) > 0 {
 		return false
 	}
-	successor := r.state.Leader != "" && r.state.Leader != r.config.Name
-	return !r.handing || successor
+	if r.state.Role == agreement.Leader {
+		return !r.state.Transferring()
+	}
+	return !r.handing || r.state.Leader != ""
 }
 
 func (r *Replica) failure() error { return errors.Join(r.disk.fatal, r.applier.failure()) }
