--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -186,3 +186,18 @@
 	}
 	return Agreement{}, false
 }
+
+var (
+	_ = Register[Append]()
+	_ = Register[AppendAnswer]()
+	_ = Register[Vote]()
+	_ = Register[VoteAnswer]()
+	_ = Register[Chunk]()
+	_ = Register[ChunkAnswer]()
+	_ = Register[Campaign]()
+)
+
+// AgreementKinds lists the kinds with which a member opens a session.
+func AgreementKinds() []Kind {
+	return []Kind{KindAppend, KindAppendAnswer, KindVote, KindVoteAnswer, KindChunk, KindChunkAnswer, KindCampaign}
+}
--- a/internal/reducer/entry/effect.go
+++ b/internal/reducer/entry/effect.go
@@ -15,11 +15,13 @@
 // AskSettle sends a record's next state to the control VMs; Settled follows.
 type AskSettle struct{ Settle message.Settle }
 
-// OpenSession opens a session with a gate and sends the reservation.
+// OpenSession opens a session with a gate and sends the reservation, or the
+// status query in its place if that is set.
 type OpenSession struct {
 	Session SessionKey
 	Address string
 	Reserve message.Reserve
+	Status  *message.StatusQuery
 }
 
 // Send sends a message over an open session.
@@ -56,12 +58,16 @@
 // AnswerReplay gives the caller a stored answer.
 type AnswerReplay struct {
 	RequestID string
-	Answer    message.Answer
+	// Record is the request that first used the key.
+	Record string
+	Answer message.Answer
 }
 
 // AnswerAttach has the caller follow the request at its owner.
 type AnswerAttach struct {
-	RequestID    string
+	RequestID string
+	// Record is the request that runs under the key.
+	Record       string
 	Owner        string
 	OwnerAddress string
 }
--- /dev/null
+++ b/internal/reducer/entry/retry.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/retry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+func (s *State) jitter(r *request) time.Duration {
+	return retry.FullJitter(s.rng, s.config.RetryBase, s.config.RetryMax, r.tries)
+}
+
+// retryWork has dispatched work that failed run again, within the budgets of
+// the organisation and of the lane. An accepted request is not dropped for an
+// empty budget: it waits for its place. If that is behind its deadline it gets
+// its final answer now and not at the deadline.
+func (s *State) retryWork(r *request, reason oriolebend.Reason) {
+	s.count("retry", reason, r)
+	r.lastReason = reason
+	s.dropWasted(r)
+	s.closeAll(r)
+	if reason == oriolebend.ReasonEngineFailed {
+		r.engineFailures++
+		if r.engineFailures >= s.config.MaxEngineFailures {
+			s.giveUp(r, reason, comeBack)
+			return
+		}
+	}
+	r.owesRetry = true
+	if wait := s.retryWait(r); wait > 0 {
+		s.delayRetry(r, wait)
+		return
+	}
+	s.pause(r, 0)
+}
+
+// retryWait is how long the budgets keep a request from trying again.
+func (s *State) retryWait(r *request) time.Duration {
+	return max(r.org.budget.Wait(s.now), r.lane.budget.Wait(s.now))
+}
+
+// delayRetry has a request wait for a budget. It looks again after a random
+// pause: successes may fill the budget sooner than its floor.
+func (s *State) delayRetry(r *request, wait time.Duration) {
+	if !r.Deadline.IsZero() && s.now.Add(wait).After(r.Deadline) {
+		s.giveUp(r, oriolebend.ReasonRetryBudget, wait)
+		return
+	}
+	s.count("retryDelayed", oriolebend.ReasonRetryBudget, r)
+	s.waitFor(r, retry.FullJitter(s.rng, s.config.RetryMax, s.config.RetryMax, 0))
+}
+
+// mayRetry pays for the retry of a request that got its turn; it reports false
+// if the budgets are empty, and the request waits on.
+func (s *State) mayRetry(r *request) bool {
+	if !r.owesRetry {
+		return true
+	}
+	if wait := s.retryWait(r); wait > 0 {
+		s.delayRetry(r, wait)
+		return false
+	}
+	r.owesRetry = false
+	s.takeRetry(r)
+	return true
+}
+
+// takeRetry spends one retry of the organisation's and of the lane's budget.
+func (s *State) takeRetry(r *request) {
+	r.org.budget.Take(s.now)
+	r.lane.budget.Take(s.now)
+}
+
+// progressed notes that a request came forward: its next failure starts with
+// short pauses again.
+func (r *request) progressed() {
+	r.tries = 0
+	r.engineFailures = 0
+}
--- /dev/null
+++ b/internal/role/controlprocess.go
@@ -0,0 +1,188 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	controlpeer "github.com/oriolebend/oriolebend/internal/control"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/operator"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/control"
+	"github.com/oriolebend/oriolebend/internal/reducer/record"
+	"github.com/oriolebend/oriolebend/internal/replica"
+	"github.com/oriolebend/oriolebend/internal/settings"
+)
+
+// operatorHeaderTimeout ends operators' clients that send their head slowly.
+const operatorHeaderTimeout = 5 * time.Second
+
+// ControlProcess is a running control VM's process with its ports.
+type ControlProcess struct {
+	process   Process
+	endpoint  *peer.Endpoint
+	operators *httpServer
+	replica   *replica.Replica
+	records   *controlpeer.Server
+	confirmer *Confirmer
+	watches   *WatchServer
+	members   *MemberLeader
+	cancel    context.CancelFunc
+	done      chan error
+}
+
+// StartControl starts a control VM's process; Stop ends it.
+func StartControl(p Process) (*ControlProcess, error) {
+	process := &ControlProcess{process: p, done: make(chan error, 1)}
+	ready := make(chan struct{})
+	endpoint, err := p.listen(process.handlers(ready))
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	process.endpoint = endpoint
+	if err := process.build(); err != nil {
+		return nil, errors.Join(err, endpoint.Close())
+	}
+	close(ready)
+	ctx, cancel := context.WithCancel(context.Background())
+	process.cancel = cancel
+	go process.records.Run(ctx)
+	go process.confirmer.Run(ctx)
+	go process.members.Run(ctx)
+	go func() { process.done <- process.replica.Run(ctx) }()
+	return process, nil
+}
+
+// handlers serves peers once the process is built.
+func (c *ControlProcess) handlers(ready <-chan struct{}) map[message.Kind]peer.Handler {
+	records := func(ctx context.Context, s peer.Stream) { <-ready; c.records.Serve(ctx, s) }
+	members := func(ctx context.Context, s peer.Stream) { <-ready; c.members.Serve(ctx, s) }
+	agreement := func(ctx context.Context, s peer.Stream) { <-ready; c.replica.Serve(ctx, s) }
+	handlers := map[message.Kind]peer.Handler{
+		message.KindClaim:    records,
+		message.KindSettle:   records,
+		message.KindQuery:    records,
+		message.KindRenew:    records,
+		message.KindAnnounce: members,
+		message.KindPermit:   members,
+		message.KindWatch:    func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
+		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
+	}
+	for _, kind := range message.AgreementKinds() {
+		handlers[kind] = agreement
+	}
+	return handlers
+}
+
+// build joins the log with the machines that it feeds.
+func (c *ControlProcess) build() error {
+	p := c.process
+	name := p.Settings.Node.Name
+	records := controlpeer.NewRecords()
+	store := operator.NewStore()
+	log, err := replica.New(replica.Config{
+		Name:       name,
+		Members:    members(p.Settings.Control.Members),
+		DataFolder: p.Settings.Control.DataFolder,
+		Dialer:     c.endpoint,
+		Machine: control.NewMux(map[control.PartName]control.Machine{
+			control.PartRecords:  records,
+			control.PartDeclared: control.Enveloped{Machine: store, Part: control.PartDeclared},
+		}),
+		Logger: p.Logger,
+	})
+	if err != nil {
+		return fmt.Errorf("open the data folder: %w", err)
+	}
+	c.replica = log
+	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
+		Self:    name,
+		Log:     control.PartLog{Log: log, Part: control.PartRecords},
+		Records: records,
+		Limits:  recordLimits(p.Settings.Policy),
+	})
+	reached := NewReachedTable(name)
+	c.confirmer = &Confirmer{Self: name, Replica: log, Dialer: c.endpoint, Reached: reached}
+	c.confirmer.Prepare()
+	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
+	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
+	c.members.Prepare()
+	return c.serveOperators(store, reached)
+}
+
+func (c *ControlProcess) serveOperators(store *operator.Store, reached *ReachedTable) error {
+	s := c.process.Settings
+	handler := operator.New(operator.Config{
+		Node:        s.Node.Name,
+		Log:         c.replica,
+		Store:       store,
+		Reports:     reached.List,
+		Confirmed:   func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
+		OperatorURL: operatorURL(s.Control.Members),
+		Tokens:      s.Operator.Tokens,
+		Open:        s.Operator.Open,
+		Logger:      c.process.Logger,
+	})
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	var err error
+	c.operators, err = serveHTTP(s.Operator.Listen, server, c.process.Logger)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return nil
+}
+
+// operatorURL finds the operators' address of a control VM by its name.
+func operatorURL(members []settings.Member) func(string) string {
+	return func(node string) string {
+		for _, m := range members {
+			if m.Name == node && m.OperatorAddress != "" {
+				return "http://" + m.OperatorAddress
+			}
+		}
+		return ""
+	}
+}
+
+// Address is where peers reach the process.
+func (c *ControlProcess) Address() string { return c.endpoint.Address() }
+
+// OperatorAddress is where operators reach the process.
+func (c *ControlProcess) OperatorAddress() string { return c.operators.address() }
+
+// Stop hands leadership over and ends the process.
+func (c *ControlProcess) Stop(ctx context.Context) error {
+	c.cancel()
+	closed := c.operators.close()
+	var ended error
+	select {
+	case ended = <-c.done:
+	case <-ctx.Done():
+		ended = ctx.Err()
+	}
+	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
+}
+
+// Kill ends the process at once, as one that dies.
+func (c *ControlProcess) Kill() error {
+	c.cancel()
+	return errors.Join(c.operators.close(), c.endpoint.Close(), <-c.done)
+}
+
+func members(list []settings.Member) []message.Member {
+	var members []message.Member
+	for _, m := range list {
+		members = append(members, message.Member{Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain, Voter: true})
+	}
+	return members
+}
+
+func recordLimits(p settings.Policy) record.Limits {
+	return record.Limits{
+		KeepRecords: time.Duration(p.KeepRecords),
+		KeepAnswers: time.Duration(p.KeepAnswers),
+	}
+}
--- /dev/null
+++ b/internal/role/follower.go
@@ -0,0 +1,143 @@
+package role
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
+)
+
+// FollowerConfig sets up a Follower.
+type FollowerConfig struct {
+	Reducer follow.Config
+	Dialer  peer.Dialer
+	// Apply takes each state that is in force from then on; view is not
+	// changed afterwards.
+	Apply    func(view declared.View, changed follow.Changed)
+	Observer Observer
+}
+
+// Follower keeps a process up to date with the declared state and the
+// membership.
+type Follower struct {
+	// State is the follower's part of the reducer's state.
+	State *follow.State
+
+	config FollowerConfig
+	post   func(reducer.Event)
+	ctx    context.Context
+
+	mu    sync.Mutex
+	links map[follow.Link]*followLink
+	age   time.Duration
+}
+
+// NewFollower returns a follower; Start starts it.
+func NewFollower(c FollowerConfig) *Follower {
+	return &Follower{config: c, State: follow.New(c.Reducer), links: map[follow.Link]*followLink{}}
+}
+
+// Start begins to follow until ctx ends; post feeds the loop of the process.
+func (f *Follower) Start(ctx context.Context, post func(reducer.Event)) {
+	f.ctx, f.post = ctx, post
+	post(follow.Started{At: time.Now()})
+}
+
+// Tick passes time to the follower, in the loop of the process.
+func (f *Follower) Tick() Tick {
+	return Tick{
+		Every: follow.TickEvery,
+		Event: func(at time.Time) reducer.Event {
+			f.note(at)
+			return follow.Ticked{At: at}
+		},
+	}
+}
+
+// Age tells how long ago the state in force was known to be the newest, as of
+// the last tick.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age
+}
+
+// note keeps the age for readers outside of the loop.
+func (f *Follower) note(at time.Time) {
+	age := f.State.Age(at)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.age = age
+}
+
+// Perform carries an effect out, in the loop of the process.
+func (f *Follower) Perform(effect follow.Effect) {
+	switch e := effect.(type) {
+	case follow.Open:
+		f.open(e)
+	case follow.Send:
+		if l := f.links[e.Link]; l != nil {
+			l.put(e.Message)
+		}
+	case follow.Close:
+		if l := f.links[e.Link]; l != nil {
+			delete(f.links, e.Link)
+			l.cancel()
+		}
+	case follow.Changed:
+		f.config.Apply(f.State.View().Copy(), e)
+	case follow.Count:
+		f.config.Observer.Count("follow."+string(e.What), "", "")
+	}
+}
+
+// followLink is one watch of one control VM. Messages may be put before it is
+// open.
+type followLink struct {
+	cancel context.CancelFunc
+	queue  *Mailbox[message.Message]
+}
+
+func (l *followLink) put(m message.Message) {
+	l.queue.Put(m)
+}
+
+func (f *Follower) open(e follow.Open) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	l := &followLink{cancel: cancel, queue: NewMailbox[message.Message]()}
+	f.links[e.Link] = l
+	l.put(e.Watch)
+	go func() {
+		defer cancel()
+		f.watch(ctx, e, l)
+		f.post(follow.Lost{At: time.Now(), Link: e.Link})
+	}()
+}
+
+// watch carries one watch until either side ends it.
+func (f *Follower) watch(ctx context.Context, e follow.Open, l *followLink) {
+	opening, cancel := context.WithTimeout(ctx, openWithin)
+	defer cancel()
+	s, err := f.config.Dialer.Open(opening, e.Address)
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	defer context.AfterFunc(ctx, func() { s.Close() })()
+	out := &outbox{stream: s, queue: l.queue}
+	go out.write()
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			return
+		}
+		if update, ok := m.(message.Update); ok {
+			f.post(follow.Received{At: time.Now(), Link: e.Link, Update: update})
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/sidecar.go
@@ -0,0 +1,253 @@
+package role
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
+	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
+	"github.com/oriolebend/oriolebend/internal/service"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// SidecarConfig sets up a Sidecar.
+type SidecarConfig struct {
+	Reducer gate.Config
+	// Server is what the sidecar announces; its role, models and memory are
+	// filled in from the engine.
+	Server oriolebend.Server
+	// Engine is what stands behind the gate; nil for a plain service.
+	Engine engine.Engine
+	// Service is what stands behind the gate; nil for an engine.
+	Service service.Service
+	// Announcer carries the server's state to the control VMs.
+	Announcer *Announcer
+	// Orders sets up the orders to the engine.
+	Orders order.Config
+	// Follow sets up the follower of the declared state, and Dialer opens its
+	// watches.
+	Follow follow.Config
+	Dialer peer.Dialer
+	// Left is called when a server that was declared stopping has left.
+	Left     func()
+	Observer Observer
+	Logger   *slog.Logger
+}
+
+// Sidecar is the role beside one backend server: its gate.
+type Sidecar struct {
+	config   SidecarConfig
+	loop     *Loop
+	ctx      context.Context
+	sessions atomic.Uint64
+	drained  chan struct{}
+	once     sync.Once
+	work     *engineWork
+	orders   *Orders
+	follower *Follower
+
+	mu     sync.Mutex
+	open   map[gate.SessionID]*outbox
+	server oriolebend.Server
+	// stopping is true once Stop was called.
+	stopping bool
+}
+
+// renewEvery is how often the sidecar renews the leases of sessions whose
+// connection lives. The connection's own idle timeout ends sessions of a peer
+// that is gone, so no message is spent on renewal.
+const renewEvery = 500 * time.Millisecond
+
+// NewSidecar returns a sidecar; Run starts it.
+func NewSidecar(c SidecarConfig) *Sidecar {
+	s := &Sidecar{
+		config:  c,
+		drained: make(chan struct{}),
+		open:    map[gate.SessionID]*outbox{},
+		server:  c.Server,
+	}
+	s.follower = NewFollower(FollowerConfig{
+		Reducer:  c.Follow,
+		Dialer:   c.Dialer,
+		Apply:    func(view declared.View, _ follow.Changed) { s.Declared(view) },
+		Observer: c.Observer,
+	})
+	s.orders = &Orders{
+		Engine:    c.Engine,
+		Announcer: c.Announcer,
+		SetState:  s.declare,
+		Left:      c.Left,
+		Observer:  c.Observer,
+	}
+	state := &reducer.State{Gate: gate.New(c.Reducer), Order: order.New(c.Orders), Follow: s.follower.State}
+	s.loop = NewLoop(state, s.perform, s.follower.Tick(), s.orders.Tick(), Tick{
+		Every: gateTickEvery,
+		Event: func(at time.Time) reducer.Event { return gate.Ticked{At: at} },
+	})
+	s.work = newEngineWork(c.Engine, c.Service, s.loop.Post)
+	c.Announcer.Clean = s.orders.Clean
+	return s
+}
+
+// Run serves the gate until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) {
+	s.ctx = ctx
+	s.work.ctx = ctx
+	go s.renew(ctx)
+	s.orders.Start(ctx, s.loop.Post)
+	s.follower.Start(ctx, s.loop.Post)
+	if s.config.Engine != nil {
+		go s.watchEngine(ctx)
+	}
+	s.loop.Run(ctx)
+}
+
+// Declared tells of the declared state in force.
+func (s *Sidecar) Declared(view declared.View) {
+	s.config.Announcer.Reached(view.Revision)
+	s.mu.Lock()
+	server := s.server
+	s.mu.Unlock()
+	s.orders.Declared(view, server)
+}
+
+// declare tells the gate whether to take new work.
+func (s *Sidecar) declare(state oriolebend.ServerState) {
+	s.loop.Post(gate.Declared{At: time.Now(), State: state})
+}
+
+// workEnded tells those who wait for it that the gate has no work left.
+func (s *Sidecar) workEnded() {
+	s.mu.Lock()
+	stopping := s.stopping
+	s.mu.Unlock()
+	if stopping {
+		s.once.Do(func() { close(s.drained) })
+		return
+	}
+	s.orders.WorkEnded()
+}
+
+// Stop refuses new work and returns once the work in progress has ended, or
+// ctx has.
+func (s *Sidecar) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.orders.Stopping()
+	s.loop.Post(gate.Stopping{At: time.Now()})
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Serve is the peer.Handler for sessions that entries open.
+func (s *Sidecar) Serve(_ context.Context, stream peer.Stream) {
+	id := gate.SessionID(fmt.Sprintf("%s/%d", stream.Peer(), s.sessions.Add(1)))
+	session := newOutbox(stream)
+	s.mu.Lock()
+	s.open[id] = session
+	s.mu.Unlock()
+	go session.write()
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			break
+		}
+		s.loop.Post(gate.Received{At: time.Now(), Session: id, Message: m})
+	}
+	s.mu.Lock()
+	delete(s.open, id)
+	s.mu.Unlock()
+	s.loop.Post(gate.Closed{At: time.Now(), Session: id})
+	session.end()
+}
+
+// renew renews the lease of every session whose connection lives.
+func (s *Sidecar) renew(ctx context.Context) {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case at := <-ticker.C:
+			s.mu.Lock()
+			for id := range s.open {
+				s.loop.Post(gate.Renewed{At: at, Session: id})
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// announce tells the control VMs of the server in a state.
+func (s *Sidecar) announce(state oriolebend.ServerState) {
+	s.mu.Lock()
+	s.server.State = state
+	server := s.server
+	s.mu.Unlock()
+	s.config.Announcer.Server(server)
+}
+
+// gateTickEvery is how often time passes for the gate.
+const gateTickEvery = 50 * time.Millisecond
+
+// perform carries one effect of the reducer out.
+func (s *Sidecar) perform(effect reducer.Effect) {
+	switch f := effect.(type) {
+	case gate.Effect:
+		s.performGate(f)
+	case order.Effect:
+		s.orders.Perform(f)
+	case follow.Effect:
+		s.follower.Perform(f)
+	}
+}
+
+func (s *Sidecar) performGate(effect gate.Effect) {
+	switch f := effect.(type) {
+	case gate.Reply:
+		s.reply(f)
+	case gate.EndSession:
+		s.endSession(f.Session)
+	case gate.Announce:
+		s.announce(f.State)
+	case gate.Count:
+		s.config.Observer.Count(f.What, f.Reason, "")
+	case gate.Drained:
+		s.workEnded()
+	default:
+		s.work.perform(effect)
+	}
+}
+
+func (s *Sidecar) reply(f gate.Reply) {
+	s.mu.Lock()
+	session := s.open[f.Session]
+	s.mu.Unlock()
+	if session != nil {
+		session.put(f.Message)
+	}
+}
+
+func (s *Sidecar) endSession(id gate.SessionID) {
+	s.mu.Lock()
+	session := s.open[id]
+	s.mu.Unlock()
+	if session != nil {
+		session.end()
+	}
+}
