role: the control VM asks for lost outcomes; retries towards it are counted

Cause: the resolver was built and nothing started it. Change: statusGates asks the gate of the server that had a call, over the declared members; the control role runs the Resolver through the one reducer; control_retries_total, control_dropped_total, status_questions_total. Conclusion: what is left is serving control.Metrics from the control role.

--- a/internal/control/resolver.go
+++ b/internal/control/resolver.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -46,7 +47,7 @@
 // Resolver carries the recovery reducer out on one control VM.
 type Resolver struct {
 	config ResolverConfig
-	state  *recovery.State
+	state  *reducer.State
 	told   chan recovery.Told
 }
 
@@ -59,7 +60,7 @@
 	}
 	return &Resolver{
 		config: c,
-		state:  recovery.New(c.Recovery),
+		state:  &reducer.State{Recovery: recovery.New(c.Recovery)},
 		told:   make(chan recovery.Told, resolverEventsCap),
 	}
 }
@@ -73,9 +74,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.carryOut(ctx, recovery.Reduce(r.state, r.list()))
+			r.carryOut(ctx, reducer.Reduce(r.state, r.list()))
 		case e := <-r.told:
-			r.carryOut(ctx, recovery.Reduce(r.state, e))
+			r.carryOut(ctx, reducer.Reduce(r.state, e))
 		}
 	}
 }
@@ -88,7 +89,7 @@
 	return recovery.Listed{At: time.Now(), Unknown: unknown}
 }
 
-func (r *Resolver) carryOut(ctx context.Context, effects []recovery.Effect) {
+func (r *Resolver) carryOut(ctx context.Context, effects []reducer.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case recovery.Ask:
--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -38,6 +38,9 @@
 	"settleLost":       {Name: "settles_lost_total", Help: "Settles whose answer was lost and that were sent again."},
 	"settleFailed":     {Name: "settles_failed_total", Help: "Settles that failed, by reason."},
 	"settleLate":       {Name: "settles_late_total", Help: "Answers told before their settle was known to be durable."},
+	"controlRetry":     {Name: "control_retries_total", Help: "Requests to control VMs made again, by the reason of the one before."},
+	"controlDropped":   {Name: "control_dropped_total", Help: "Claims and outcomes that the backlog towards control VMs had no room for."},
+	"statusAsked":      {Name: "status_questions_total", Help: "Questions for lost outcomes that settled nothing, by reason."},
 	"settledElsewhere": {Name: "settled_elsewhere_total", Help: "Requests whose record another entry had moved on."},
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -13,6 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/member"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
+	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 )
 
 // Event is the Event of one part.
@@ -29,6 +30,7 @@
 	Gate      *gate.State
 	Member    *member.State
 	Order     *order.State
+	Recovery  *recovery.State
 }
 
 // UnknownEventError is an event that belongs to no part. It is a mistake in
@@ -57,6 +59,8 @@
 		return effects(member.Reduce(s.Member, e))
 	case order.Event:
 		return effects(order.Reduce(s.Order, e))
+	case recovery.Event:
+		return effects(recovery.Reduce(s.Recovery, e))
 	default:
 		panic(&UnknownEventError{Event: event})
 	}
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -13,8 +13,10 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
+	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/replica"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // operatorHeaderTimeout ends operators' clients that send their head slowly.
@@ -27,6 +29,7 @@
 	operators *httpServer
 	replica   *replica.Replica
 	records   *controlpeer.Server
+	resolver  *controlpeer.Resolver
 	confirmer *Confirmer
 	watches   *WatchServer
 	members   *MemberLeader
@@ -50,6 +53,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
 	go process.records.Run(ctx)
+	go process.resolver.Run(ctx)
 	go process.confirmer.Run(ctx)
 	go process.members.Run(ctx)
 	go func() { process.done <- process.replica.Run(ctx) }()
@@ -104,6 +108,15 @@
 		Records: records,
 		Limits:  recordLimits(p.Settings.Policy),
 	})
+	c.resolver = controlpeer.NewResolver(controlpeer.ResolverConfig{
+		Server: c.records,
+		Gates: statusGates{
+			dialer:  c.endpoint,
+			members: func() []oriolebend.Server { return store.View().Members() },
+		},
+		Recovery: recovery.Config{Seed: newIncarnation()},
+		Asked:    func(reason oriolebend.Reason) { p.observer().Count("statusAsked", reason, "") },
+	})
 	reached := NewReachedTable(name)
 	c.confirmer = &Confirmer{Self: name, Replica: log, Dialer: c.endpoint, Reached: reached}
 	c.confirmer.Prepare()
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -46,6 +47,8 @@
 		Members:      p.controlAddresses(),
 		Owner:        owner,
 		OwnerAddress: endpoint.Address(),
+		Retried:      func(reason oriolebend.Reason) { p.observer().Count("controlRetry", reason, "") },
+		Dropped:      func() { p.observer().Count("controlDropped", oriolebend.ReasonControlAway, "") },
 	})
 	e := NewEntry(EntryConfig{
 		Reducer:  p.entryReducer(owner),
--- /dev/null
+++ b/internal/role/statusgates.go
@@ -0,0 +1,72 @@
+package role
+
+import (
+	"context"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// statusWithin bounds one question to a gate; the resolver asks again later.
+const statusWithin = 8 * time.Second
+
+// statusGates asks gates for the outcome of lost calls on behalf of a control
+// VM. It implements the Gates of package control.
+type statusGates struct {
+	dialer peer.Dialer
+	// members lists the servers that are announced now.
+	members func() []oriolebend.Server
+}
+
+// AskStatus asks the gate of the server that had the call, or else any gate of
+// the service. The word of another gate that the attempt did not run is worth
+// nothing, for it never had it; it is passed on as unknown.
+func (g statusGates) AskStatus(ctx context.Context, server, service string, q message.StatusQuery) (message.Message, error) {
+	target, found := g.find(server, service)
+	if !found {
+		return nil, &oriolebend.Problem{Reason: oriolebend.ReasonNoServer, Ran: oriolebend.RanUnknown}
+	}
+	answer, err := g.ask(ctx, target.GateAddress, q)
+	if err != nil {
+		return nil, err
+	}
+	if refusal, refused := answer.(message.Refusal); refused && target.Name != server {
+		refusal.Ran = oriolebend.RanUnknown
+		return refusal, nil
+	}
+	return answer, nil
+}
+
+func (g statusGates) find(server, service string) (oriolebend.Server, bool) {
+	var other oriolebend.Server
+	for _, s := range g.members() {
+		if s.State == oriolebend.ServerGone || s.Role != oriolebend.Service || s.Service != service {
+			continue
+		}
+		if s.Name == server {
+			return s, true
+		}
+		if other.Name == "" {
+			other = s
+		}
+	}
+	return other, other.Name != ""
+}
+
+func (g statusGates) ask(ctx context.Context, address string, q message.StatusQuery) (message.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusWithin)
+	defer cancel()
+	stream, err := g.dialer.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	defer func() { _ = stream.Close() }()
+	if err := stream.Send(q); err != nil {
+		return nil, err
+	}
+	return stream.Receive()
+}
