role: fingerprints of the validated command; a stopping entry gives its lease back

Cause: entries still sent the provisional fingerprint, by which a body with its members in another order is a conflict; and a stopped entry closed its endpoint before its client had sent what it owed and ended its lease.

--- a/internal/reducer/record/fingerprint.go
+++ b/internal/reducer/record/fingerprint.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -27,13 +29,14 @@
 	Adapter   string
 	Prompt    string
 	MaxTokens int
-	// Service and those below it are of a call of a plain service. ContentType
-	// says how the service reads the body.
-	Service     string
-	Method      string
-	Path        string
-	ContentType string
-	Body        []byte
+	// Service and those below it are of a call of a plain service.
+	Service string
+	Method  string
+	Path    string
+	// Header holds the headers that change what the call does, by canonical
+	// name, such as Content-Type and If-Match.
+	Header map[string]string
+	Body   []byte
 }
 
 // Fingerprint returns the fingerprint of a command in every version that is
@@ -49,10 +52,13 @@
 	for _, field := range []string{
 		c.Operation, c.Model, c.Version, c.Adapter, c.Prompt,
 		strconv.Itoa(c.MaxTokens),
-		c.Service, strings.ToUpper(c.Method), c.Path, c.ContentType,
+		c.Service, strings.ToUpper(c.Method), c.Path,
 	} {
 		writeField(h, []byte(field))
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.Header)) {
+		writeField(h, []byte(name+":"+c.Header[name]))
+	}
 	writeField(h, canonicalBody(c.Body))
 	return h.Sum(nil)[:fingerprintBytes]
 }
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
@@ -67,6 +68,7 @@
 		Policy:        p.Settings.Policy,
 		Logger:        p.Logger,
 		CountTokens:   prefix.CountTokens,
+		Fingerprint:   fingerprintOf,
 		Prefix: func(model, prompt string) []uint64 {
 			return prefix.Hashes(model, prompt, prefix.BlockTokens, prefix.MaxHashes)
 		},
@@ -79,10 +81,12 @@
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	go records.Run(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { e.Run(ctx) })
+	running.Go(func() { records.Run(ctx) })
 	go func() {
-		defer close(process.done)
-		e.Run(ctx)
+		running.Wait()
+		close(process.done)
 	}()
 	return process, nil
 }
