--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
@@ -14,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -46,6 +48,8 @@
 		Members:      p.controlAddresses(),
 		Owner:        owner,
 		OwnerAddress: endpoint.Address(),
+		Retried:      func(reason oriolebend.Reason) { p.observer().Count("controlRetry", reason, "") },
+		Dropped:      func() { p.observer().Count("controlDropped", oriolebend.ReasonControlAway, "") },
 	})
 	e := NewEntry(EntryConfig{
 		Reducer:  p.entryReducer(owner),
@@ -64,6 +68,7 @@
 		Policy:        p.Settings.Policy,
 		Logger:        p.Logger,
 		CountTokens:   prefix.CountTokens,
+		Fingerprint:   fingerprintOf,
 		Prefix: func(model, prompt string) []uint64 {
 			return prefix.Hashes(model, prompt, prefix.BlockTokens, prefix.MaxHashes)
 		},
@@ -76,10 +81,12 @@
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	go records.Run(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { e.Run(ctx) })
+	running.Go(func() { records.Run(ctx) })
 	go func() {
-		defer close(process.done)
-		e.Run(ctx)
+		running.Wait()
+		close(process.done)
 	}()
 	return process, nil
 }
