logging: enums are written out

Cause: values of named string types were withheld, so that lines of the agreement read role="[withheld] agreement.Role". Change: a value whose kind is a string is written and shortened as one. Conclusion: kept; structs and maps stay withheld (test unchanged).

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"reflect"
 	"strings"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/settings"
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 const (
@@ -83,8 +83,8 @@
 	}
 }
 
-// cleanAny gives the text of values that know their own, and of others only
-// the type: a whole request passed to the log by mistake must not get there.
+// cleanAny gives the text of enums and of values that know their own, and of
+// others only the type: a whole request passed to the log by mistake must not get there.
 func cleanAny(value any) slog.Value {
 	switch v := value.(type) {
 	case nil:
@@ -93,15 +93,14 @@
 		return slog.StringValue(shorten(v.Error()))
 	case fmt.Stringer:
 		return slog.StringValue(shorten(v.String()))
-	case oriolebend.Reason:
-		return slog.StringValue(string(v))
-	case oriolebend.Ran:
-		return slog.StringValue(string(v))
 	case *slog.Source:
 		return slog.AnyValue(v)
 	case message.Attempt:
 		return slog.StringValue(fmt.Sprintf("%s/%d", v.RequestID, v.Number))
 	}
+	if v := reflect.ValueOf(value); v.Kind() == reflect.String {
+		return slog.StringValue(shorten(v.String()))
+	}
 	return slog.StringValue(fmt.Sprintf("%s %T", Withheld, value))
 }
 
