replica: a group that stops as a whole hands no leadership over

Cause: dev's leader waited StopWithin (2 s) for a successor that stopped too. Change: StopTogether leaves the transfer out of the stop to come.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,7 +52,9 @@
 	stopping bool
 	// handing is set if the member led when it was asked to stop.
 	handing bool
-	disk    diskState
+	// together is set if the whole group is about to stop.
+	together atomic.Bool
+	disk     diskState
 
 	leader atomic.Pointer[leaderView]
 	status atomic.Pointer[Status]
@@ -217,6 +219,11 @@
 	return err
 }
 
+// StopTogether has the stop to come hand no leadership over. It is for a group
+// whose members all stop at once: the leader would otherwise wait, until
+// Config.StopWithin is over, for a successor that stops as well.
+func (r *Replica) StopTogether() { r.together.Store(true) }
+
 // Transfer asks this member, if it leads, to hand over to another.
 func (r *Replica) Transfer(ctx context.Context) error {
 	return r.call(ctx, func() { r.step(agreement.TransferAsked{Tick: r.tick()}) })
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -75,8 +75,11 @@
 		case <-stop:
 			stop = nil
 			r.stopping = true
-			r.handing = r.state.Role == agreement.Leader && len(r.state.Members) > 1
 			stopBy = time.Now().Add(r.config.StopWithin)
+			if r.together.Load() {
+				continue
+			}
+			r.handing = r.state.Role == agreement.Leader && len(r.state.Members) > 1
 			r.step(agreement.TransferAsked{Tick: r.tick()})
 		}
 		if err := r.failure(); err != nil {
