entry: counts name their attempt

Cause: a retry was counted, but no line in the log told of which request. Change: Count carries the attempt (additive). Conclusion: kept; scripted tests unchanged.

--- a/internal/reducer/entry/effect.go
+++ b/internal/reducer/entry/effect.go
@@ -83,6 +83,9 @@
 	What         string
 	Reason       oriolebend.Reason
 	Organisation string
+	// Attempt is the one that this is about, for logs; its number is zero
+	// before the first.
+	Attempt message.Attempt
 }
 
 // Observe records a measure of one request, in seconds or as a share.
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -177,7 +177,10 @@
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *State) count(what string, reason oriolebend.Reason, r *request) {
-	s.emit(Count{What: what, Reason: reason, Organisation: r.Scope.Organisation})
+	s.emit(Count{
+		What: what, Reason: reason, Organisation: r.Scope.Organisation,
+		Attempt: message.Attempt{RequestID: r.ID, Number: r.attempt},
+	})
 }
 
 func (s *State) observe(what string, r *request, value float64) {
