caller, operator: a wrong token is refused in dev too

Cause: where no token is needed a wrong one passed for none, and its sender would act as another organisation or be audited as nobody. Change: a token that is given must be known; none is needed where open.

--- a/internal/caller/identity.go
+++ b/internal/caller/identity.go
@@ -50,13 +50,15 @@
 	return owner, found && token != ""
 }
 
-// identify returns the organisation that a request comes from.
+// identify returns the organisation that a request comes from. A wrong token
+// is refused even where none is needed: its sender takes itself for somebody
+// and would get the answers of another organisation.
 func (h *handler) identify(r *http.Request) (settings.Organisation, error) {
 	token := bearerToken(r)
 	if owner, found := h.organisations.owner(token); found {
 		return owner, nil
 	}
-	if !h.Caller.Open {
+	if !h.Caller.Open || token != "" {
 		return settings.Organisation{}, refuse(oriolebend.ReasonUnauthorized,
 			"send the organisation's token as \"Authorization: Bearer TOKEN\"")
 	}
--- a/internal/operator/authorize.go
+++ b/internal/operator/authorize.go
@@ -53,10 +53,10 @@
 func (a *api) operator(r *http.Request) (string, bool) {
 	secret, given := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if given {
+		// A wrong token is refused even where none is needed: the audit would
+		// name somebody else than its sender takes himself for.
 		name, known := a.operators[sha256.Sum256([]byte(secret))]
-		if known {
-			return name, true
-		}
+		return name, known
 	}
 	if !a.Open {
 		return "", false
