operator commands, load: usage errors carry their exit code, help has examples

Cause: 'status x' passed over its argument; load's usage errors ended with 1. Change: commands without arguments refuse them; every LongHelp has an example.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -20,6 +20,12 @@
 // Error implements error.
 func (e *UsageError) Error() string { return e.Text }
 
+// ExitCode returns the exit code of the program.
+func (e *UsageError) ExitCode() int { return exitUsage }
+
+// exitUsage is the exit code of a wrong command line.
+const exitUsage = 2
+
 // Command returns "oriolebend load". Reports go to out, progress to errOut.
 func Command(out, errOut io.Writer) *ff.Command {
 	flags := ff.NewFlagSet("load")
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -53,6 +53,14 @@
 	return &ExitError{Code: ExitUsage, Cause: &UsageError{Text: fmt.Sprintf(format, args...)}}
 }
 
+// noArguments refuses arguments of a command that takes flags alone.
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		return usage("this command takes no argument, got %q", args[0])
+	}
+	return nil
+}
+
 // Commands returns the operators' subcommands. They print to out, and what is
 // no answer to errOut.
 func Commands(out, errOut io.Writer) []*ff.Command {
--- a/internal/operator/command/read.go
+++ b/internal/operator/command/read.go
@@ -18,6 +18,7 @@
 	return &ff.Command{
 		Name: "get", Usage: "oriolebend get [FLAGS] [KIND | KIND/NAME]", Flags: c.flags,
 		ShortHelp: "print declared resources",
+		LongHelp:  "Example:\n  oriolebend get model/planner-lm --control http://127.0.0.1:8081",
 		Exec: func(ctx context.Context, args []string) error {
 			return c.run(ctx, func(ctx context.Context, api *client.Client) error { return get(ctx, api, c, out, args) })
 		},
@@ -64,8 +65,12 @@
 	return &ff.Command{
 		Name: "watch", Usage: "oriolebend watch [FLAGS]", Flags: c.flags,
 		ShortHelp: "print declared resources and servers as they change",
-		LongHelp:  "A watch has no --timeout. Its last revision can be given as --from to resume it.",
-		Exec: func(ctx context.Context, _ []string) error {
+		LongHelp: "A watch has no --timeout. Its last revision can be given as --from to resume it.\n\n" +
+			"Example:\n  oriolebend watch --control http://127.0.0.1:8081",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			api, err := c.client()
 			if err != nil {
 				return err
@@ -106,7 +111,11 @@
 	return &ff.Command{
 		Name: "status", Usage: "oriolebend status [FLAGS]", Flags: c.flags,
 		ShortHelp: "print what is declared against what is reached",
-		Exec: func(ctx context.Context, _ []string) error {
+		LongHelp:  "Example:\n  oriolebend status --control http://127.0.0.1:8081",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
 				status, err := api.Status(ctx)
 				if err != nil {
@@ -126,6 +135,7 @@
 	return &ff.Command{
 		Name: "explain", Usage: "oriolebend explain [FLAGS] KIND/NAME", Flags: c.flags,
 		ShortHelp: "say why something is not reached yet",
+		LongHelp:  "Example:\n  oriolebend explain pool/decode --control http://127.0.0.1:8081",
 		Exec: func(ctx context.Context, args []string) error {
 			key, err := parseKey(args)
 			if err != nil {
@@ -162,7 +172,11 @@
 	return &ff.Command{
 		Name: "servers", Usage: "oriolebend servers [FLAGS]", Flags: c.flags,
 		ShortHelp: "print the backend servers that announced themselves",
-		Exec: func(ctx context.Context, _ []string) error {
+		LongHelp:  "Example:\n  oriolebend servers --control http://127.0.0.1:8081",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
 				list, err := api.Servers(ctx)
 				if err != nil {
@@ -183,7 +197,11 @@
 	return &ff.Command{
 		Name: "audit", Usage: "oriolebend audit [FLAGS]", Flags: c.flags,
 		ShortHelp: "print who changed what",
-		Exec: func(ctx context.Context, _ []string) error {
+		LongHelp:  "Example:\n  oriolebend audit --after 12 --control http://127.0.0.1:8081",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
 				list, err := api.Audit(ctx, *after)
 				if err != nil {
--- a/internal/operator/command/write.go
+++ b/internal/operator/command/write.go
@@ -178,8 +178,12 @@
 		ShortHelp: "create or change declared resources",
 		LongHelp: "Resources are applied one after another, those that others refer to first; the first that is\n" +
 			"refused ends the command, and what came before it stays. A revision in the file is what is\n" +
-			"expected of the resource. With several resources, --order-id is followed by \".1\", \".2\" ...",
-		Exec: func(ctx context.Context, _ []string) error {
+			"expected of the resource. With several resources, --order-id is followed by \".1\", \".2\" ...\n\n" +
+			"Example:\n  oriolebend apply -f fleet.toml --wait 10s --control http://127.0.0.1:8081",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			if *file == "" {
 				return usage("apply needs -f FILE")
 			}
@@ -234,6 +238,7 @@
 	return &ff.Command{
 		Name: "delete", Usage: "oriolebend delete [FLAGS] KIND/NAME", Flags: o.flags,
 		ShortHelp: "delete a declared resource",
+		LongHelp:  "Example:\n  oriolebend delete pool/decode --control http://127.0.0.1:8081",
 		Exec: func(ctx context.Context, args []string) error {
 			key, err := parseKey(args)
 			if err != nil {
@@ -255,6 +260,7 @@
 	return &ff.Command{
 		Name: "drain", Usage: "oriolebend drain [FLAGS] SERVER", Flags: o.flags,
 		ShortHelp: "take a backend server out of new work",
+		LongHelp:  "Example:\n  oriolebend drain decode-1 --control http://127.0.0.1:8081",
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
 				return usage("name one server")
@@ -276,7 +282,11 @@
 	return &ff.Command{
 		Name: "advance", Usage: "oriolebend advance --to REVISION", Flags: c.flags,
 		ShortHelp: "after a restore from a backup, have all followers take the restored state",
-		Exec: func(ctx context.Context, _ []string) error {
+		LongHelp:  "Example:\n  oriolebend advance --to 4000 --control http://127.0.0.1:8081",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			return c.run(ctx, func(ctx context.Context, api *client.Client) error {
 				result, err := api.Advance(ctx, *to)
 				if err != nil {
