metrics: counters for follow, member, order and peers; parts register their own

Cause: what the roles count beside the reducers' names had no counter. Change: names with their package before them; the test reads them from the reducers' source, so that a new one without a counter fails.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -153,6 +153,21 @@
 	vec.WithLabelValues(string(urgency)).Observe(value)
 }
 
+// Registerer takes the metrics of parts that make their own; they get the
+// labels of the role.
+func (m *Metrics) Registerer() prometheus.Registerer { return m.labelled }
+
+// CounterByReason publishes counters that another part keeps, one for each
+// reason. The name is without the prefix "oriolebend_".
+func (m *Metrics) CounterByReason(name, help string, value func(oriolebend.Reason) float64) {
+	for _, reason := range oriolebend.Reasons() {
+		m.labelled.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: name, Help: help,
+			ConstLabels: prometheus.Labels{"reason": string(reason)},
+		}, func() float64 { return value(reason) }))
+	}
+}
+
 // Gauge publishes a value that is read at each scrape. The name is without the
 // prefix "oriolebend_"; it must not be published twice.
 func (m *Metrics) Gauge(name, help string, value func() float64) {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -67,6 +68,7 @@
 func TestReducersAreCovered(t *testing.T) {
 	is := is.New(t)
 	counted := regexp.MustCompile(`(?:\.count\(|Count\{What: )"(\w+)"`)
+	named := regexp.MustCompile(`CountName = "(\w+)"`)
 	measured := regexp.MustCompile(`(?:s\.observe\(|Observe\{What: )"(\w+)"`)
 	found := 0
 	err := fs.WalkDir(os.DirFS("../reducer"), ".", func(path string, _ fs.DirEntry, err error) error {
@@ -74,6 +76,14 @@
 			return err
 		}
 		source, err := os.ReadFile("../reducer/" + path)
+		for _, match := range named.FindAllStringSubmatch(string(source), -1) {
+			name := filepath.Base(filepath.Dir(path)) + "." + match[1]
+			_, byReason := reasonCounters[name]
+			if !byReason && !knownEvents[name] {
+				t.Errorf("%s counts %q, which has no counter", path, name)
+			}
+			found++
+		}
 		for _, match := range counted.FindAllStringSubmatch(string(source), -1) {
 			_, byReason := reasonCounters[match[1]]
 			if !byReason && !knownEvents[match[1]] {
--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -38,6 +38,9 @@
 	"settleLost":       {Name: "settles_lost_total", Help: "Settles whose answer was lost and that were sent again."},
 	"settleFailed":     {Name: "settles_failed_total", Help: "Settles that failed, by reason."},
 	"settleLate":       {Name: "settles_late_total", Help: "Answers told before their settle was known to be durable."},
+	"order.refused":    {Name: "orders_refused_total", Help: "Orders that the engine refused or failed at, by reason."},
+	"order.unsure":     {Name: "orders_unsure_total", Help: "Orders whose outcome is lost, by reason."},
+	"order.givenUp":    {Name: "orders_given_up_total", Help: "Orders that are not tried again for now, by reason."},
 	"settledElsewhere": {Name: "settled_elsewhere_total", Help: "Requests whose record another entry had moved on."},
 }
 
@@ -45,6 +48,10 @@
 var events = []string{
 	"cacheGap", "cacheRepaired", "cancel", "cancelledByList", "closedForgotten", "doubled",
 	"duplicatePart", "outdatedMessage", "stray", "unowned",
+	"follow.gap", "follow.older", "follow.unconfirmed", "follow.stale",
+	"follow.lost", "follow.malformed", "follow.returned",
+	"member.damped", "member.massLapse", "member.paused", "member.outdated",
+	"peer.denied", "peer.unserved",
 }
 
 var knownEvents = func() map[string]bool {
