--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -24,6 +24,7 @@
 	CodeTooLarge    Code = "tooLarge"    // a frame is over the bound
 	CodeUnknownKind Code = "unknownKind" // a frame's kind is not registered
 	CodeGarbled     Code = "garbled"     // a frame can't be read
+	CodeDenied      Code = "denied"      // the peer's role may not open such a session
 	CodeUnreachable Code = "unreachable" // no connection could be made
 	CodeVersion     Code = "version"     // the peer speaks no protocol version of ours
 	CodeAddress     Code = "address"     // the address is no IP:port, or can't be listened on
@@ -86,6 +87,7 @@
 	streamStopping quic.StreamErrorCode = 2
 	streamGarbled  quic.StreamErrorCode = 3
 	streamClosed   quic.StreamErrorCode = 4
+	streamDenied   quic.StreamErrorCode = 5
 )
 
 // Codes with which connections are closed on the wire.
@@ -142,6 +144,8 @@
 	switch e.ErrorCode {
 	case streamStopping:
 		return CodeStopping
+	case streamDenied:
+		return CodeDenied
 	case streamClosed:
 		return CodePeerClosed
 	default:
--- a/internal/peer/files.go
+++ b/internal/peer/files.go
@@ -62,6 +62,9 @@
 	return c.material
 }
 
+// Name is the file of the process's certificate.
+func (c *FileCredentials) Name() string { return c.files.Certificate }
+
 // Reload reads the files again. After an error the earlier material stays in
 // use. Connections that are open keep the certificate that they began with.
 func (c *FileCredentials) Reload() error {
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -30,6 +30,13 @@
 	secretMode fs.FileMode = 0o600
 )
 
+// Roles in certificates of the system's own processes.
+const (
+	RoleEntry   = "entry"
+	RoleSidecar = "sidecar"
+	RoleControl = "control"
+)
+
 // ParseIdentity reads "role/name", such as "entry/entry-1".
 func ParseIdentity(text string) (Identity, error) {
 	role, name, ok := strings.Cut(text, "/")
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -153,6 +153,18 @@
 	return s.connection.peer.Name
 }
 
+// deny ends the session so that the peer sees CodeDenied.
+func (s *session) deny() { s.reset(streamDenied) }
+
+// Deny ends a session that the peer's role may not open; the peer sees
+// CodeDenied. Streams that are not an Endpoint's are closed.
+func Deny(s Stream) {
+	if known, ok := s.(interface{ deny() }); ok {
+		known.deny()
+	}
+	_ = s.Close()
+}
+
 // Identity returns what the peer's certificate says.
 func (s *session) Identity() Identity {
 	return s.connection.peer
