role: metrics, health and readiness on every role, and kinds by certificate

Cause: no role served metrics; counts went nowhere; any certificate of the authority could open any session, also an agreement among control VMs. Change: each role makes its metrics, serves /metrics, /healthz and /readyz where the settings say, and publishes gauges of the log, records and followers; dev serves all on one port. Dispatch refuses what the certificate's role may not open (DeniedError, code denied, counter). Callers' connections are bounded by caller.Listen, which nothing called. Stand-ins of one service share a ledger: dev's test adds up the one ledger, which is as strict. dev stops its control VMs together.

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -25,6 +25,7 @@
 	process   Process
 	endpoint  *peer.Endpoint
 	operators *httpServer
+	metrics   *httpServer
 	replica   *replica.Replica
 	records   *controlpeer.Server
 	confirmer *Confirmer
@@ -36,6 +37,7 @@
 
 // StartControl starts a control VM's process; Stop ends it.
 func StartControl(p Process) (*ControlProcess, error) {
+	p = p.withMetrics(peer.RoleControl)
 	process := &ControlProcess{process: p, done: make(chan error, 1)}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(process.handlers(ready))
@@ -98,11 +100,16 @@
 		return fmt.Errorf("open the data folder: %w", err)
 	}
 	c.replica = log
+	counts := controlpeer.NewMetrics(records)
+	if err := counts.Register(p.Metrics.Registerer()); err != nil {
+		return err
+	}
 	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
 		Self:    name,
 		Log:     control.PartLog{Log: log, Part: control.PartRecords},
 		Records: records,
 		Limits:  recordLimits(p.Settings.Policy),
+		Observe: counts.Observe,
 	})
 	reached := NewReachedTable(name)
 	c.confirmer = &Confirmer{Self: name, Replica: log, Dialer: c.endpoint, Reached: reached}
@@ -110,6 +117,11 @@
 	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
+	c.publish(reached)
+	c.metrics, err = p.serveMetrics(c.Ready)
+	if err != nil {
+		return err
+	}
 	return c.serveOperators(store, reached)
 }
 
@@ -124,6 +136,7 @@
 		OperatorURL: operatorURL(s.Control.Members),
 		Tokens:      s.Operator.Tokens,
 		Open:        s.Operator.Open,
+		Registry:    c.process.Metrics.Registerer(),
 		Logger:      c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
@@ -156,7 +169,7 @@
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
 	c.cancel()
-	closed := c.operators.close()
+	closed := errors.Join(c.operators.close(), c.metrics.close())
 	var ended error
 	select {
 	case ended = <-c.done:
@@ -166,10 +179,17 @@
 	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
 }
 
+// StopTogether ends the process as Stop does, but hands no leadership over,
+// because the other control VMs stop at the same time.
+func (c *ControlProcess) StopTogether(ctx context.Context) error {
+	c.replica.StopTogether()
+	return c.Stop(ctx)
+}
+
 // Kill ends the process at once, as one that dies.
 func (c *ControlProcess) Kill() error {
 	c.cancel()
-	return errors.Join(c.operators.close(), c.endpoint.Close(), <-c.done)
+	return errors.Join(c.operators.close(), c.metrics.close(), c.endpoint.Close(), <-c.done)
 }
 
 func members(list []settings.Member) []message.Member {
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -1,6 +1,7 @@
 package role
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/internal/standin"
@@ -36,9 +38,12 @@
 	authority *peer.Authority
 	folder    string
 	standins  []*standin.Server
+	metrics   *httpServer
 
 	Engines  map[string]*standin.Engine
 	Services map[string]*standin.Service
+	// Ledgers counts the executions of each service over all its stand-ins.
+	Ledgers  map[string]*standin.Ledger
 	Controls []*ControlProcess
 	Sidecars map[string]*SidecarProcess
 	Entries  []*EntryProcess
@@ -60,6 +65,7 @@
 		logger:    logger,
 		authority: authority,
 		folder:    folder,
+		Ledgers:   map[string]*standin.Ledger{},
 		Engines:   map[string]*standin.Engine{},
 		Services:  map[string]*standin.Service{},
 		Sidecars:  map[string]*SidecarProcess{},
@@ -88,9 +94,33 @@
 			return err
 		}
 	}
+	return d.serveMetrics()
+}
+
+// serveMetrics serves the metrics of all roles on one port.
+func (d *Dev) serveMetrics() error {
+	var all []*metrics.Metrics
+	for _, c := range d.Controls {
+		all = append(all, c.process.Metrics)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Sidecars)) {
+		all = append(all, d.Sidecars[name].process.Metrics)
+	}
+	for _, e := range d.Entries {
+		all = append(all, e.process.Metrics)
+	}
+	server := metrics.Server(metrics.HandlerConfig{Metrics: all, Ready: d.ready})
+	var err error
+	d.metrics, err = serveHTTP(cmp.Or(d.settings.Metrics.Listen, loopback), server, d.logger)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
 	return nil
 }
 
+// MetricsAddress is where the metrics of all roles are served.
+func (d *Dev) MetricsAddress() string { return d.metrics.address() }
+
 // process makes the settings and credentials of one role's process.
 func (d *Dev) process(role, name, failureDomain string) (Process, error) {
 	material, err := d.authority.Issue(peer.Identity{Role: role, Name: name})
@@ -100,6 +130,7 @@
 	s := d.settings
 	s.Node = settings.Node{Name: name, Region: s.Node.Region, FailureDomain: failureDomain}
 	s.Peer.Listen = loopback
+	s.Metrics.Listen = "" // one port serves the metrics of all
 	s.Control.Members = slices.Clone(d.settings.Control.Members)
 	return Process{Settings: s, Credentials: peer.Fixed(material), Logger: d.logger.With("node", name)}, nil
 }
@@ -197,7 +228,7 @@
 
 func (d *Dev) startStandin(group settings.DevServer, name string, s *settings.Sidecar) error {
 	if group.Role == oriolebend.Service {
-		fake := standin.NewService(standin.ServiceConfig{Name: name})
+		fake := standin.NewService(standin.ServiceConfig{Name: name, Ledger: d.ledger(group.Service)})
 		server, err := standin.Serve(fake.Handler())
 		if err != nil {
 			return err
@@ -218,6 +249,15 @@
 	return nil
 }
 
+// ledger is what all stand-ins of one service share, so that a call that two
+// of them executed shows, and each knows the outcome of the others' calls.
+func (d *Dev) ledger(service string) *standin.Ledger {
+	if d.Ledgers[service] == nil {
+		d.Ledgers[service] = standin.NewLedger()
+	}
+	return d.Ledgers[service]
+}
+
 func engineConfig(group settings.DevServer, name string) standin.EngineConfig {
 	return standin.EngineConfig{
 		Name:           name,
@@ -275,10 +315,10 @@
 // Stop ends everything gracefully, entries first, and removes the temporary
 // folder.
 func (d *Dev) Stop(ctx context.Context) error {
-	var errs []error
-	errs = append(errs, stopAll(ctx, d.Entries))
-	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars))))
-	errs = append(errs, stopAll(ctx, d.Controls))
+	errs := []error{d.metrics.close()}
+	errs = append(errs, stopAll(ctx, d.Entries, (*EntryProcess).Stop))
+	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars)), (*SidecarProcess).Stop))
+	errs = append(errs, stopAll(ctx, d.Controls, (*ControlProcess).StopTogether))
 	for _, e := range d.Engines {
 		e.Close()
 	}
@@ -290,11 +330,11 @@
 }
 
 // stopAll stops processes of one role side by side.
-func stopAll[P interface{ Stop(context.Context) error }](ctx context.Context, processes []P) error {
+func stopAll[P any](ctx context.Context, processes []P, stop func(P, context.Context) error) error {
 	errs := make([]error, len(processes))
 	var all sync.WaitGroup
 	for i, p := range processes {
-		all.Go(func() { errs[i] = p.Stop(ctx) })
+		all.Go(func() { errs[i] = stop(p, ctx) })
 	}
 	all.Wait()
 	return errors.Join(errs...)
--- a/internal/role/dev_test.go
+++ b/internal/role/dev_test.go
@@ -89,9 +89,5 @@
 		status, _ := post(t, e.Address(), "/services/dispatch-api/arrivals", "ping-1", `{"camp": "a"}`)
 		is.Equal(status, http.StatusOK)
 	}
-	total := 0
-	for _, s := range d.Services {
-		total += s.Total()
-	}
-	is.Equal(total, 1)
+	is.Equal(d.Ledgers["dispatch-api"].Total(), 1) // over both servers
 }
--- a/internal/role/dispatch.go
+++ b/internal/role/dispatch.go
@@ -7,12 +7,15 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Dispatch serves each session by the kind of its first message.
 type Dispatch struct {
 	Logger   *slog.Logger
 	Handlers map[message.Kind]peer.Handler
+	// Observer counts the sessions that are refused.
+	Observer Observer
 }
 
 // Serve is a peer.Handler.
@@ -21,8 +24,15 @@
 	if err != nil {
 		return
 	}
+	if err := Permitted(peer.IdentityOf(s), first.Kind()); err != nil {
+		d.Logger.Warn("session refused", "error", err)
+		d.Observer.Count("peer.denied", oriolebend.ReasonUnauthorized, "")
+		peer.Deny(s)
+		return
+	}
 	handler, ok := d.Handlers[first.Kind()]
 	if !ok {
+		d.Observer.Count("peer.unserved", "", "")
 		d.Logger.Warn("a peer opened a session that this role does not serve", "peer", s.Peer(), "kind", first.Kind())
 		return
 	}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
@@ -217,6 +218,7 @@
 		e.closeSession(f.Session)
 	case entry.Count:
 		e.config.Observer.Count(f.What, f.Reason, f.Organisation)
+		e.log(f)
 	case entry.Observe:
 		e.config.Observer.Observe(f.What, f.Urgency, f.Value)
 	case entry.Drained:
@@ -226,6 +228,16 @@
 	}
 }
 
+// log writes what happened to an attempt; what ends a request is logged
+// towards its caller.
+func (e *Entry) log(f entry.Count) {
+	level := slog.LevelDebug
+	if f.What == "retry" || f.What == "outcomeLost" {
+		level = slog.LevelInfo
+	}
+	e.config.Logger.Log(e.ctx, level, f.What, logging.Attempt(f.Attempt), logging.Reason(f.Reason))
+}
+
 // performAnswer carries the effects towards callers out.
 func (e *Entry) performAnswer(effect entry.Effect) {
 	switch f := effect.(type) {
@@ -238,7 +250,8 @@
 	case entry.AnswerReplay:
 		e.answer(f.RequestID, caller.Chunk{RequestID: f.Record, Replay: &f.Answer})
 	case entry.AnswerProblem:
-		e.config.Logger.Info("request refused or failed", "requestID", f.RequestID, "reason", f.Problem.Reason, "ran", f.Problem.Ran, "detail", f.Problem.Detail)
+		// The callers' side logs the line that operators read.
+		e.config.Logger.Debug("request ends without an answer", logging.Problem(f.Problem), "detail", f.Problem.Detail)
 		e.answer(f.RequestID, caller.Chunk{Problem: f.Problem})
 	case entry.AnswerAttach:
 		go e.attach(f)
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -28,12 +28,14 @@
 	entry    *Entry
 	endpoint *peer.Endpoint
 	callers  *httpServer
+	metrics  *httpServer
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
 // StartEntry starts an entry; Stop ends it.
 func StartEntry(p Process) (*EntryProcess, error) {
+	p = p.withMetrics(peer.RoleEntry)
 	process := &EntryProcess{process: p, done: make(chan struct{})}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(map[message.Kind]peer.Handler{
@@ -64,6 +66,7 @@
 		Services:      p.Settings.Services,
 		Policy:        p.Settings.Policy,
 		Logger:        p.Logger,
+		Metrics:       p.Metrics,
 		CountTokens:   prefix.CountTokens,
 		Prefix: func(model, prompt string) []uint64 {
 			return prefix.Hashes(model, prompt, prefix.BlockTokens, prefix.MaxHashes)
@@ -72,14 +75,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	process.entry, process.endpoint, process.cancel = e, endpoint, cancel
 	close(ready)
-	process.callers, err = p.serveCallers(handler)
-	if err != nil {
+	if err := process.serve(ctx, handler); err != nil {
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
 	follower := p.follower("entry", endpoint, func(_ declared.View, c follow.Changed) {
 		e.Servers(c.Servers, c.Whole)
 	})
+	p.Metrics.Gauge("servers_serving", "Backend servers that take new work, as this entry knows.", func() float64 { return float64(e.serving()) })
+	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(e.loop.Waiting()) })
+	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return follower.Age().Seconds() })
 	go records.Run(ctx)
 	go follower.Run(ctx)
 	go func() {
@@ -89,13 +94,20 @@
 	return process, nil
 }
 
-func (p Process) serveCallers(handler http.Handler) (*httpServer, error) {
-	server := caller.Server(p.Settings.Caller, handler, p.Logger)
-	listening, err := serveHTTP(p.Settings.Caller.Listen, server, p.Logger)
+// serve opens the ports for callers and metrics.
+func (p *EntryProcess) serve(ctx context.Context, handler http.Handler) error {
+	s, logger := p.process.Settings, p.process.Logger
+	var err error
+	p.metrics, err = p.process.serveMetrics(p.Ready)
+	if err != nil || s.Caller.Listen == "" {
+		return err
+	}
+	listener, err := caller.Listen(ctx, s.Caller)
 	if err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
+		return errors.Join(err, p.metrics.close())
 	}
-	return listening, nil
+	p.callers = serveOn(listener, caller.Server(s.Caller, handler, logger), logger)
+	return nil
 }
 
 func (p Process) entryReducer(owner string) entry.Config {
@@ -135,5 +147,5 @@
 	closed := p.callers.stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closed, closeEndpoint(p.endpoint))
+	return errors.Join(drained, closed, closeEndpoint(p.endpoint), p.metrics.close())
 }
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -3,17 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Process is what every role needs to start.
@@ -21,25 +22,46 @@
 	Settings    settings.Settings
 	Credentials peer.Credentials
 	Logger      *slog.Logger
-	// Observer takes counts and measures; nil takes none.
+	// Observer takes counts and measures in place of Metrics; nil means
+	// Metrics.
 	Observer Observer
+	// Metrics holds the metrics of the role; nil means new ones.
+	Metrics *metrics.Metrics
+}
+
+// withMetrics makes the role's metrics if there are none yet.
+func (p Process) withMetrics(role string) Process {
+	if p.Metrics != nil {
+		return p
+	}
+	node := p.Settings.Node.Name
+	if role == peer.RoleSidecar {
+		node = p.Settings.Sidecar.Server
+	}
+	var organisations []string
+	for _, o := range p.Settings.Organisations {
+		organisations = append(organisations, o.Name)
+	}
+	p.Metrics = metrics.New(metrics.Config{Role: role, Node: node, Organisations: organisations, Logger: p.Logger})
+	return p
 }
 
 func (p Process) observer() Observer {
 	if p.Observer == nil {
-		return unobserved{}
+		return p.Metrics
 	}
 	return p.Observer
 }
 
-// unobserved is an Observer that keeps nothing.
-type unobserved struct{}
-
-// Count implements Observer.
-func (unobserved) Count(string, oriolebend.Reason, string) {}
-
-// Observe implements Observer.
-func (unobserved) Observe(string, oriolebend.Urgency, float64) {}
+// serveMetrics serves the role's metrics and health where the settings say.
+func (p Process) serveMetrics(ready func() bool) (*httpServer, error) {
+	server := metrics.Server(metrics.HandlerConfig{Metrics: []*metrics.Metrics{p.Metrics}, Ready: ready})
+	listening, err := serveHTTP(p.Settings.Metrics.Listen, server, p.Logger)
+	if err != nil {
+		return nil, fmt.Errorf("listen for metrics: %w", err)
+	}
+	return listening, nil
+}
 
 // controlAddresses lists the peer addresses of the control VMs.
 func (p Process) controlAddresses() []string {
@@ -71,12 +93,17 @@
 
 // listen opens the process's endpoint towards its peers.
 func (p Process) listen(handlers map[message.Kind]peer.Handler) (*peer.Endpoint, error) {
-	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers}
+	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers, Observer: p.observer()}
+	counts := peer.NewMetrics()
+	if err := counts.Register(p.Metrics.Registerer()); err != nil {
+		return nil, err
+	}
 	return peer.Listen(peer.Config{
 		Address:     p.Settings.Peer.Listen,
 		Credentials: p.Credentials,
 		Handler:     dispatch.Serve,
 		Logger:      p.Logger,
+		Metrics:     counts,
 	})
 }
 
@@ -111,12 +138,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return serveOn(listener, server, logger), nil
+}
+
+// serveOn starts a server on a listener.
+func serveOn(listener net.Listener, server *http.Server, logger *slog.Logger) *httpServer {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logger.Error("an HTTP server ended", "address", address, "error", err)
+			logger.Error("an HTTP server ended", "address", listener.Addr().String(), "error", err)
 		}
 	}()
-	return &httpServer{server: server, listener: listener}, nil
+	return &httpServer{server: server, listener: listener}
 }
 
 // address is where the server listens, empty if there is none.
--- a/internal/role/sidecar.go
+++ b/internal/role/sidecar.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// Ready reports whether the server takes new work.
+func (s *Sidecar) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopping && s.server.State == oriolebend.ServerServing
+}
+
+// sessionsOpen counts the sessions of entries.
+func (s *Sidecar) sessionsOpen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // Serve is the peer.Handler for sessions that entries open.
 func (s *Sidecar) Serve(_ context.Context, stream peer.Stream) {
 	id := gate.SessionID(fmt.Sprintf("%s/%d", stream.Peer(), s.sessions.Add(1)))
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -21,12 +21,14 @@
 	process  Process
 	sidecar  *Sidecar
 	endpoint *peer.Endpoint
+	metrics  *httpServer
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
 // StartSidecar starts a sidecar; Stop ends it.
 func StartSidecar(p Process) (*SidecarProcess, error) {
+	p = p.withMetrics(peer.RoleSidecar)
 	process := &SidecarProcess{process: p, done: make(chan struct{})}
 	serve := func(ctx context.Context, s peer.Stream) { process.sidecar.Serve(ctx, s) }
 	ready := make(chan struct{})
@@ -43,11 +45,18 @@
 	announcer.Prepare()
 	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer))
 	close(ready)
+	process.metrics, err = p.serveMetrics(process.Ready)
+	if err != nil {
+		return nil, errors.Join(err, endpoint.Close())
+	}
 	follower := p.follower("sidecar", endpoint, func(view declared.View, _ follow.Changed) {
 		process.sidecar.Declared(view)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
+	p.Metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
+	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
+	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return follower.Age().Seconds() })
 	go announcer.Run(ctx)
 	go follower.Run(ctx)
 	go func() {
@@ -98,17 +107,20 @@
 	return config
 }
 
+// Ready reports whether the server behind the gate takes new work.
+func (p *SidecarProcess) Ready() bool { return p.sidecar.Ready() }
+
 // Stop ends the sidecar gracefully: no new work, then the work in progress
 // ends, then the port closes.
 func (p *SidecarProcess) Stop(ctx context.Context) error {
 	drained := p.sidecar.Stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closeEndpoint(p.endpoint))
+	return errors.Join(drained, closeEndpoint(p.endpoint), p.metrics.close())
 }
 
 // Kill ends the sidecar at once, as a process that dies.
 func (p *SidecarProcess) Kill() error {
 	p.cancel()
-	return p.endpoint.Close()
+	return errors.Join(p.endpoint.Close(), p.metrics.close())
 }
