--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/role"
 	"github.com/oriolebend/oriolebend/internal/settings"
 )
@@ -15,7 +17,7 @@
 // devReadyWithin bounds the start of dev.
 const devReadyWithin = 10 * time.Second
 
-func devCommand(out io.Writer) *ff.Command {
+func devCommand(out, errOut io.Writer) *ff.Command {
 	flags := ff.NewFlagSet("dev")
 	overrides := settings.Flags(flags)
 	return &ff.Command{
@@ -24,26 +26,33 @@
 		ShortHelp: "run every role and stand-in engines in one process, for a first try",
 		LongHelp:  "Example:\n  oriolebend dev --settings examples/lintang.toml",
 		Flags:     flags,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments("dev", args); err != nil {
+				return err
+			}
 			s, err := overrides.Load(settings.RoleDev)
 			if err != nil {
 				return err
 			}
-			return runDev(ctx, out, s)
+			return runDev(ctx, out, errOut, s)
 		},
 	}
 }
 
-func runDev(ctx context.Context, out io.Writer, s settings.Settings) error {
+func runDev(ctx context.Context, out, errOut io.Writer, s settings.Settings) error {
 	started := time.Now()
-	d, err := role.StartDev(s, newLogger(s.Log, out))
+	logger, err := logging.New(s.Log, errOut)
+	if err != nil {
+		return err
+	}
+	d, err := role.StartDev(s, logger)
 	if err != nil {
 		return err
 	}
 	waiting, cancel := context.WithTimeout(ctx, devReadyWithin)
 	defer cancel()
 	if err := d.Ready(waiting); err != nil {
-		return fmt.Errorf("wait for the stand-ins: %w", err)
+		return errors.Join(fmt.Errorf("wait for the stand-ins: %w", err), stop(d))
 	}
 	invite(out, d, s, time.Since(started))
 	<-ctx.Done()
@@ -62,8 +71,10 @@
 	fmt.Fprintf(out, `try, in another terminal:
   curl -s http://%s/v1/completions -H 'Idempotency-Key: first-try' \
     -d '{"model": %q, "prompt": "Plan the corridor from the depot to the camp.", "max_tokens": 40}'
+  oriolebend status --control http://%s
+  curl -s http://%s/metrics
 stop with Ctrl-C
-`, address, model)
+`, address, model, d.Controls[0].OperatorAddress(), d.MetricsAddress())
 }
 
 func firstModel(s settings.Settings) string {
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -4,10 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/role"
 	"github.com/oriolebend/oriolebend/internal/settings"
@@ -21,26 +26,26 @@
 	Stop(ctx context.Context) error
 }
 
-func entryCommand(out io.Writer) *ff.Command {
-	return roleCommand(out, settings.RoleEntry, "take callers' requests on an entry VM", func(p role.Process) (stoppable, error) {
+func entryCommand(errOut io.Writer) *ff.Command {
+	return roleCommand(errOut, settings.RoleEntry, "take callers' requests on an entry VM", func(p role.Process) (stoppable, error) {
 		return role.StartEntry(p)
 	})
 }
 
-func sidecarCommand(out io.Writer) *ff.Command {
-	return roleCommand(out, settings.RoleSidecar, "be the gate of the backend server on this VM", func(p role.Process) (stoppable, error) {
+func sidecarCommand(errOut io.Writer) *ff.Command {
+	return roleCommand(errOut, settings.RoleSidecar, "be the gate of the backend server on this VM", func(p role.Process) (stoppable, error) {
 		return role.StartSidecar(p)
 	})
 }
 
-func controlCommand(out io.Writer) *ff.Command {
-	return roleCommand(out, settings.RoleControl, "hold declared state and request records on a control VM", func(p role.Process) (stoppable, error) {
+func controlCommand(errOut io.Writer) *ff.Command {
+	return roleCommand(errOut, settings.RoleControl, "hold declared state and request records on a control VM", func(p role.Process) (stoppable, error) {
 		return role.StartControl(p)
 	})
 }
 
 // roleCommand is a subcommand that runs one role until it is asked to stop.
-func roleCommand(out io.Writer, r settings.Role, help string, start func(role.Process) (stoppable, error)) *ff.Command {
+func roleCommand(errOut io.Writer, r settings.Role, help string, start func(role.Process) (stoppable, error)) *ff.Command {
 	flags := ff.NewFlagSet(string(r))
 	overrides := settings.Flags(flags)
 	return &ff.Command{
@@ -49,18 +54,25 @@
 		ShortHelp: help,
 		LongHelp:  fmt.Sprintf("Example:\n  oriolebend %s --settings examples/production/%s.toml", r, r),
 		Flags:     flags,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(string(r), args); err != nil {
+				return err
+			}
 			s, err := overrides.Load(r)
 			if err != nil {
 				return err
 			}
-			return runRole(ctx, out, s, start)
+			return runRole(ctx, errOut, s, start)
 		},
 	}
 }
 
-func runRole(ctx context.Context, out io.Writer, s settings.Settings, start func(role.Process) (stoppable, error)) error {
-	logger := newLogger(s.Log, out).With("node", s.Node.Name)
+func runRole(ctx context.Context, errOut io.Writer, s settings.Settings, start func(role.Process) (stoppable, error)) error {
+	base, err := logging.New(s.Log, errOut)
+	if err != nil {
+		return err
+	}
+	logger := base.With("node", s.Node.Name)
 	files, err := peer.LoadFiles(peer.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
@@ -70,15 +82,57 @@
 		return err
 	}
 	logger.Info("started")
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go files.Watch(watching, 0, logger)
+	go reloadOnHangup(watching, files, logger)
 	<-ctx.Done()
 	logger.Info("stopping; work in progress ends first")
 	return stop(running)
 }
 
+// reloadOnHangup reads the certificate's files again at each SIGHUP, before
+// their next look would.
+func reloadOnHangup(ctx context.Context, files *peer.FileCredentials, logger *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			if err := files.Reload(); err != nil {
+				logger.Warn("certificate not taken up", "error", err)
+				continue
+			}
+			logger.Info("certificate taken up", "file", files.Name())
+		}
+	}
+}
+
+// CutError tells that a stop did not wait for the work in progress.
+type CutError struct{ Cause error }
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return "stopped at once, work in progress was cut: " + e.Cause.Error()
+}
+
+// Unwrap returns the error beneath.
+func (e *CutError) Unwrap() error { return e.Cause }
+
 // stop ends a process gracefully, whatever became of the context that asked
-// for it.
+// for it. A signal that comes meanwhile ends it at once.
 func stop(running stoppable) error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	within, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
-	return running.Stop(ctx)
+	ctx, restore := signal.NotifyContext(within, syscall.SIGINT, syscall.SIGTERM)
+	defer restore()
+	defer context.AfterFunc(ctx, restore)()
+	err := running.Stop(ctx)
+	if ctx.Err() != nil && err != nil {
+		return &CutError{Cause: err}
+	}
+	return err
 }
--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -16,7 +16,10 @@
 		ShortHelp: "print the version of the program",
 		LongHelp:  "Example:\n  oriolebend version",
 		Flags:     ff.NewFlagSet("version"),
-		Exec: func(context.Context, []string) error {
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments("version", args); err != nil {
+				return err
+			}
 			fmt.Fprintln(out, version())
 			return nil
 		},
