--- a/internal/message/gate.go
+++ b/internal/message/gate.go
@@ -39,7 +39,8 @@
 	// Prefix holds one hash for each leading block of the prompt, longest last.
 	Prefix []uint64 `cbor:"12,keyasint,omitempty"`
 	// StartIn is when the room is needed, from now; decode room is asked for
-	// the predicted end of the prefill.
+	// the predicted end of the prefill. While the reservation waits it stays
+	// the time from the grant on.
 	StartIn time.Duration `cbor:"13,keyasint,omitempty"`
 	// Deadline is how long the caller still waits for the first token, from
 	// now; zero means no bound.
@@ -76,9 +77,12 @@
 	LeaseFor time.Duration `cbor:"9,keyasint"`
 }
 
-// Grant tells a waiting reservation that its room is held from now.
+// Grant tells a waiting reservation that its room is held.
 type Grant struct {
-	Attempt  Attempt       `cbor:"attempt"`
+	Attempt Attempt `cbor:"attempt"`
+	// StartIn is from when on the room is held, from now: the StartIn that the
+	// Reserve asked for.
+	StartIn  time.Duration `cbor:"startIn,omitempty"`
 	LeaseFor time.Duration `cbor:"leaseFor"`
 }
 
@@ -88,7 +92,9 @@
 	Attempt Attempt           `cbor:"attempt"`
 	Reason  oriolebend.Reason `cbor:"reason"`
 	// Ran is "no" only if the work did not run and the gate will never let
-	// this attempt through.
+	// this attempt through. A Reserve that was refused before it was granted
+	// closes nothing: the entry may reserve the same attempt again, and only
+	// then could it run.
 	Ran        oriolebend.Ran `cbor:"ran"`
 	RetryAfter time.Duration  `cbor:"retryAfter,omitempty"`
 	Detail     string         `cbor:"detail,omitempty"`
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -13,9 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
-	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
-	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -53,6 +51,7 @@
 	})
 	e := NewEntry(EntryConfig{
 		Reducer:  p.entryReducer(owner),
+		Follow:   p.followConfig("entry"),
 		Dialer:   endpoint,
 		Records:  records,
 		Observer: p.observer(),
@@ -79,14 +78,10 @@
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	follower := p.follower("entry", endpoint, func(_ declared.View, c follow.Changed) {
-		e.Servers(c.Servers, c.Whole)
-	})
 	p.Metrics.Gauge("servers_serving", "Backend servers that take new work, as this entry knows.", func() float64 { return float64(e.serving()) })
 	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(e.loop.Waiting()) })
-	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return follower.Age().Seconds() })
+	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return e.follower.Age().Seconds() })
 	go records.Run(ctx)
-	go follower.Run(ctx)
 	go func() {
 		defer close(process.done)
 		e.Run(ctx)
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -8,8 +8,6 @@
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/internal/reducer/declared"
-	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
@@ -43,22 +41,18 @@
 	process.endpoint = endpoint
 	announcer := &Announcer{Dialer: endpoint, Control: p.controlAddresses(), Logger: p.Logger}
 	announcer.Prepare()
-	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer))
+	process.sidecar = NewSidecar(p.sidecarConfig(endpoint, announcer))
 	close(ready)
 	process.metrics, err = p.serveMetrics(process.Ready)
 	if err != nil {
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	follower := p.follower("sidecar", endpoint, func(view declared.View, _ follow.Changed) {
-		process.sidecar.Declared(view)
-	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
 	p.Metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
 	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
-	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return follower.Age().Seconds() })
+	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
 	go announcer.Run(ctx)
-	go follower.Run(ctx)
 	go func() {
 		defer close(process.done)
 		process.sidecar.Run(ctx)
@@ -66,7 +60,7 @@
 	return process, nil
 }
 
-func (p Process) sidecarConfig(address string, announcer *Announcer) SidecarConfig {
+func (p Process) sidecarConfig(endpoint *peer.Endpoint, announcer *Announcer) SidecarConfig {
 	s := p.Settings
 	incarnation := newIncarnation()
 	config := SidecarConfig{
@@ -87,9 +81,11 @@
 			Name:          s.Sidecar.Server,
 			Region:        s.Node.Region,
 			FailureDomain: s.Node.FailureDomain,
-			GateAddress:   address,
+			GateAddress:   endpoint.Address(),
 			Incarnation:   incarnation,
 		},
+		Follow:    p.followConfig("sidecar"),
+		Dialer:    endpoint,
 		Announcer: announcer,
 		Left:      func() { p.Logger.Info("the server has left; this process may end") },
 		Observer:  p.observer(),
