dev: operators' orders reach the leader

Cause: 'apply' failed with notLeader whenever another control VM than the first led (2 of 4 runs of the script): dev told the members no addresses for operators, so that nothing could redirect. Change: dev chooses the addresses before it starts the members. Measured: go test -race ./internal/cli, apply passes with control-2 leading.

--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -141,11 +142,10 @@
 	count := max(1, d.settings.Dev.Controls)
 	domains := failureDomains(d.settings.Dev.Servers)
 	for n := range count {
-		address, err := freeAddress()
+		m, err := d.member(n)
 		if err != nil {
 			return err
 		}
-		m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), Address: address}
 		if len(domains) > 0 {
 			m.FailureDomain = domains[n%len(domains)]
 		}
@@ -159,8 +159,22 @@
 	return nil
 }
 
-// startControl starts one control VM's process; the first listens for
-// operators where the settings say.
+// member describes a control VM; the first listens for operators where the
+// settings say. The others are told each other's addresses for operators: an
+// order that meets one which does not lead could not be redirected otherwise.
+func (d *Dev) member(n int) (settings.Member, error) {
+	m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), OperatorAddress: d.settings.Operator.Listen}
+	var err error
+	if m.Address, err = freeAddress(); err != nil {
+		return m, err
+	}
+	if n > 0 || m.OperatorAddress == "" || strings.HasSuffix(m.OperatorAddress, ":0") {
+		m.OperatorAddress, err = freeTCPAddress()
+	}
+	return m, err
+}
+
+// startControl starts one control VM's process.
 func (d *Dev) startControl(n int) error {
 	m := d.settings.Control.Members[n]
 	p, err := d.process("control", m.Name, m.FailureDomain)
@@ -169,9 +183,7 @@
 	}
 	p.Settings.Peer.Listen = m.Address
 	p.Settings.Control.DataFolder = filepath.Join(d.folder, m.Name)
-	if n > 0 || p.Settings.Operator.Listen == "" {
-		p.Settings.Operator.Listen = loopback
-	}
+	p.Settings.Operator.Listen = m.OperatorAddress
 	c, err := StartControl(p)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.Name, err)
@@ -190,6 +202,16 @@
 	return socket.LocalAddr().String(), nil
 }
 
+// freeTCPAddress finds a TCP port on loopback that nobody listens on now.
+func freeTCPAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
 // failureDomains lists the failure domains of the stand-ins, each once.
 func failureDomains(groups []settings.DevServer) []string {
 	var domains []string
