entry: ready with the first server that takes work; bodies held to 64 MiB

Cause: an entry that knew only a server with a lost engine told its balancer to send callers. And caller.maxHeldBytes was 512 MiB, twice the 256 MB that a daemon may spend. Change: readiness waits for a serving server, and stays (typed refusals tell more than a balancer without entries); the default is 64 MiB, of which several copies fit the budget. A script runs one process of each role from files: keys, check, health, tokens, SIGHUP, SIGTERM.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -66,7 +66,7 @@
 // Defaults of settings.Caller and Config.
 const (
 	defaultBodyBytes    = 8 << 20
-	defaultHeldBytes    = 512 << 20
+	defaultHeldBytes    = 64 << 20
 	defaultPromptTokens = 65536
 	defaultOutputTokens = 4096
 	// unsaidOutputTokens bounds the output of a request that does not say.
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -25,7 +25,7 @@
 
 // chooseAddresses gives each script ports of its own.
 func chooseAddresses(env *testscript.Env) error {
-	for _, name := range []string{"CALLER", "OPERATOR", "METRICS", "PEER"} {
+	for _, name := range []string{"CALLER", "OPERATOR", "METRICS", "METRICS2", "METRICS3", "PEER", "PEER2", "PEER3"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
@@ -40,7 +40,14 @@
 
 var commands = map[string]func(*testscript.TestScript, bool, []string){
 	"exits": exits, "ready": ready, "signal": sendSignal, "http": request, "large": large,
-	"stopping": stopping, "stream": stream,
+	"stopping": stopping, "stream": stream, "expand": expand,
+}
+
+// expand writes the script's variables into files.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(os.Expand(ts.ReadFile(name), ts.Getenv)), 0o600))
+	}
 }
 
 // exits runs a command and compares its exit code: exits CODE oriolebend ARGS.
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -65,6 +65,8 @@
 	sessions map[entry.SessionKey]*entrySession
 	servers  map[string]oriolebend.Server
 	stopping bool
+	// served is true once a server took new work.
+	served bool
 }
 
 // NewEntry returns an entry; Run starts it.
@@ -115,11 +117,13 @@
 	}
 }
 
-// Ready implements caller.Router.
+// Ready implements caller.Router. An entry becomes ready with the first server
+// that takes work. It stays so when all of them go, since its refusals then
+// tell callers more than a balancer without entries would.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.stopping && len(e.servers) > 0
+	return !e.stopping && e.served
 }
 
 // serving counts the servers that take new work.
@@ -147,6 +151,7 @@
 			continue
 		}
 		e.servers[s.Name] = s
+		e.served = e.served || s.State == oriolebend.ServerServing
 	}
 	e.mu.Unlock()
 	e.loop.Post(entry.ServersChanged{At: time.Now(), Servers: servers, Whole: whole})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,7 @@
 	// MaxBodyBytes bounds a request's body; zero means 8 MiB.
 	MaxBodyBytes int64 `toml:"maxBodyBytes"`
 	// MaxHeldBytes bounds the bodies of all requests in progress; zero means
-	// 512 MiB.
+	// 64 MiB.
 	MaxHeldBytes int64 `toml:"maxHeldBytes"`
 	// MaxPromptTokens bounds a prompt; zero means 65,536.
 	MaxPromptTokens int `toml:"maxPromptTokens"`
