--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -27,6 +27,7 @@
 	process   Process
 	endpoint  *peer.Endpoint
 	operators *httpServer
+	metrics   *httpServer
 	replica   *replica.Replica
 	records   *controlpeer.Server
 	resolver  *controlpeer.Resolver
@@ -39,6 +40,7 @@
 
 // StartControl starts a control VM's process; Stop ends it.
 func StartControl(p Process) (*ControlProcess, error) {
+	p = p.withMetrics(peer.RoleControl)
 	process := &ControlProcess{process: p, done: make(chan error, 1)}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(process.handlers(ready))
@@ -102,11 +104,16 @@
 		return fmt.Errorf("open the data folder: %w", err)
 	}
 	c.replica = log
+	counts := controlpeer.NewMetrics(records)
+	if err := counts.Register(p.Metrics.Registerer()); err != nil {
+		return err
+	}
 	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
 		Self:    name,
 		Log:     control.PartLog{Log: log, Part: control.PartRecords},
 		Records: records,
 		Limits:  recordLimits(p.Settings.Policy),
+		Observe: counts.Observe,
 	})
 	c.resolver = controlpeer.NewResolver(controlpeer.ResolverConfig{
 		Server: c.records,
@@ -123,6 +130,11 @@
 	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
+	c.publish(reached)
+	c.metrics, err = p.serveMetrics(c.Ready)
+	if err != nil {
+		return err
+	}
 	return c.serveOperators(store, reached)
 }
 
@@ -137,6 +149,7 @@
 		OperatorURL: operatorURL(s.Control.Members),
 		Tokens:      s.Operator.Tokens,
 		Open:        s.Operator.Open,
+		Registry:    c.process.Metrics.Registerer(),
 		Logger:      c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
@@ -169,7 +182,7 @@
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
 	c.cancel()
-	closed := c.operators.close()
+	closed := errors.Join(c.operators.close(), c.metrics.close())
 	var ended error
 	select {
 	case ended = <-c.done:
@@ -179,10 +192,17 @@
 	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
 }
 
+// StopTogether ends the process as Stop does, but hands no leadership over,
+// because the other control VMs stop at the same time.
+func (c *ControlProcess) StopTogether(ctx context.Context) error {
+	c.replica.StopTogether()
+	return c.Stop(ctx)
+}
+
 // Kill ends the process at once, as one that dies.
 func (c *ControlProcess) Kill() error {
 	c.cancel()
-	return errors.Join(c.operators.close(), c.endpoint.Close(), <-c.done)
+	return errors.Join(c.operators.close(), c.metrics.close(), c.endpoint.Close(), <-c.done)
 }
 
 func members(list []settings.Member) []message.Member {
