gate: a drain does not wait for an engine that is lost

Cause: idle() waits until the engine's work was listed; a dead engine never lists it, so SIGTERM of its sidecar, and an operator's drain, never ended. Ruled out: work left in the gate (engineLost ends all of it). Change: a lost engine counts as listed while the server drains. A role change still waits for the list, for the engine may only have been frozen. Before: TestPrefillEngineDies and TestDecodeEngineDies (internal/role) end in 'stop prefill-1-sidecar: context deadline exceeded' after 30 s; script gate/testdata/drain without 'drained'. After: both pass.

--- a/internal/reducer/gate/drain.go
+++ b/internal/reducer/gate/drain.go
@@ -93,7 +93,16 @@
 }
 
 // idle reports whether no work is left, nor any that was not listed yet.
+//
+// An engine that is lost can't list its work, and may never come back: a
+// server that leaves, or a process that stops, would wait for it until it is
+// killed. No entry waits for that work any more; what still runs then is found
+// by the next gate's first list. A role change waits for the list: it must not
+// meet work in an engine that was only frozen.
 func (s *State) idle() bool {
 	unlisted := s.engine.known && !s.engine.listed
+	if s.engine.lost && s.draining() {
+		unlisted = false
+	}
 	return !unlisted && len(s.attempts) == 0 && len(s.status) == 0
 }
