entry: the end of a request that goes on is told to who follows it

Cause: tell() emits no end once the first caller is gone, also for a request that goes on without it; the answer's log never ends and a second caller with the same key waits for ever. Ruled out: the record (settled as answered) and the follow session (open). Change: a request that keeps running is told its end. Before: TestKeptRequestOutlivesItsCaller (internal/role): no end after 30 s; script entry/testdata/cancel without 'end r5'.

--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -188,13 +188,15 @@
 	s.tell(r)
 }
 
-// tell gives the caller the end of its answer, once.
+// tell gives the caller the end of its answer, once. A request that goes on
+// without its caller is told too: another with the same key may follow it, and
+// would wait for an end that never comes.
 func (s *State) tell(r *request) {
 	if r.outcome.told {
 		return
 	}
 	r.outcome.told = true
-	if r.gone {
+	if r.gone && !r.KeepRunning {
 		return
 	}
 	switch o := r.outcome; {
