role: failures brought about on real roles; a lost work list is no dead engine

Cause: one failed answer of the engine's work list was posted as EngineLost. The gate ended all its work, and the watch, which had seen no failure, never said that the engine is there: the gate refused for ever. Ruled out: the transport's own repeat of reads (it hides broken connections; an answered error is not hidden). Change: the list is asked for again within 1.5 s; the watch alone declares an engine lost. EntryProcess.Kill; errors of a stop name their process.

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -163,7 +163,7 @@
 	case <-ctx.Done():
 		ended = ctx.Err()
 	}
-	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
+	return c.process.stopped(closed, ended, closeEndpoint(c.endpoint))
 }
 
 // Kill ends the process at once, as one that dies.
--- a/internal/role/enginework.go
+++ b/internal/role/enginework.go
@@ -16,6 +16,14 @@
 // cancelWithin bounds one cancel call; the gate asks again if it fails.
 const cancelWithin = 2 * time.Second
 
+const (
+	// listWithin bounds the tries to list an engine's work. It is shorter than
+	// the time between two lists, so that answers come in the order asked.
+	listWithin = 1500 * time.Millisecond
+	// listPause is the time between two tries.
+	listPause = 100 * time.Millisecond
+)
+
 // workKey names one piece of work in progress.
 type workKey struct {
 	attempt message.Attempt
@@ -129,13 +137,20 @@
 	w.post(gate.Cancelled{At: time.Now(), Attempt: a, Failed: err != nil})
 }
 
+// listWork asks for the engine's work. Whether the engine is lost is for the
+// watch to say: one lost answer would otherwise end every request of a gate,
+// and nothing would tell it that the engine still answers. The gate asks again.
 func (w *engineWork) listWork() {
-	work, err := w.engine.Work(w.ctx)
-	if err != nil {
-		w.post(gate.EngineLost{At: time.Now()})
-		return
+	ctx, cancel := context.WithTimeout(w.ctx, listWithin)
+	defer cancel()
+	for ctx.Err() == nil {
+		work, err := w.engine.Work(ctx)
+		if err == nil {
+			w.post(gate.WorkListed{At: time.Now(), Work: work})
+			return
+		}
+		wait(ctx, listPause)
 	}
-	w.post(gate.WorkListed{At: time.Now(), Work: work})
 }
 
 func (w *engineWork) listCache() {
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -135,5 +135,13 @@
 	closed := p.callers.stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closed, closeEndpoint(p.endpoint))
+	return p.process.stopped(drained, closed, closeEndpoint(p.endpoint))
+}
+
+// Kill ends the entry at once, as a process that dies: nothing is handed over.
+func (p *EntryProcess) Kill() error {
+	p.cancel()
+	closed := errors.Join(p.callers.close(), p.endpoint.Close())
+	<-p.done
+	return closed
 }
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -80,6 +81,15 @@
 	})
 }
 
+// stopped joins what went wrong while a process stopped under its name, nil if
+// nothing did.
+func (p Process) stopped(errs ...error) error {
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("stop %s: %w", p.Settings.Node.Name, err)
+	}
+	return nil
+}
+
 // closeWithin bounds the wait for sessions that peers still hold when a role
 // has drained: what they carry then are watches and renewals, which their
 // peers open anew elsewhere.
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
@@ -104,7 +103,7 @@
 	drained := p.sidecar.Stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closeEndpoint(p.endpoint))
+	return p.process.stopped(drained, closeEndpoint(p.endpoint))
 }
 
 // Kill ends the sidecar at once, as a process that dies.
