--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -189,7 +189,7 @@
 	case <-ctx.Done():
 		ended = ctx.Err()
 	}
-	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
+	return c.process.stopped(closed, ended, closeEndpoint(c.endpoint))
 }
 
 // StopTogether ends the process as Stop does, but hands no leadership over,
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -149,5 +149,13 @@
 	closed := p.callers.stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closed, closeEndpoint(p.endpoint), p.metrics.close())
+	return p.process.stopped(drained, closed, closeEndpoint(p.endpoint), p.metrics.close())
+}
+
+// Kill ends the entry at once, as a process that dies: nothing is handed over.
+func (p *EntryProcess) Kill() error {
+	closed := errors.Join(p.callers.close(), p.endpoint.Close(), p.metrics.close())
+	p.cancel()
+	<-p.done
+	return closed
 }
