role: a caller whose request's owner died gets its answer from the entry it asked

Cause: an entry that dies without a word leaves its records to their lease of 10 s; a caller that had sent the same key to another entry was then told leaseEnded, although that entry had its whole request in hand. It had been hidden: Kill ended the record client first, which gave the lease back. Ruled out: the record, which reopens for a new claim.

--- a/internal/role/answerlog.go
+++ b/internal/role/answerlog.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 )
 
 // answerLog keeps the chunks of one answer while it is made, so that its
@@ -14,8 +15,12 @@
 	organisation string
 	// keep is true if the request goes on when nobody reads.
 	keep bool
+	// request is what the caller asked for.
+	request entry.Request
 
 	mu sync.Mutex
+	// runsAs is the id under which this entry runs the request.
+	runsAs string
 	// readers counts those who read the answer; the request is cancelled when
 	// the last one leaves before its end.
 	readers int
@@ -23,8 +28,28 @@
 	changed chan struct{}
 }
 
-func newAnswerLog(organisation string, keep bool) *answerLog {
-	return &answerLog{organisation: organisation, keep: keep, changed: make(chan struct{})}
+func newAnswerLog(r entry.Request) *answerLog {
+	return &answerLog{
+		organisation: r.Scope.Organisation,
+		keep:         r.KeepRunning || r.Once,
+		request:      r,
+		runsAs:       r.ID,
+		changed:      make(chan struct{}),
+	}
+}
+
+// id returns the id under which this entry runs the request.
+func (a *answerLog) id() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runsAs
+}
+
+// rename changes the id under which this entry runs the request.
+func (a *answerLog) rename(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runsAs = id
 }
 
 // append adds a chunk and wakes the readers. Nothing is added behind a last
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -153,6 +153,10 @@
 		Logger:      c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	if c.process.Operators != nil {
+		c.operators = serveOn(c.process.Operators, server, c.process.Logger)
+		return nil
+	}
 	var err error
 	c.operators, err = serveHTTP(s.Operator.Listen, server, c.process.Logger)
 	if err != nil {
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -11,7 +11,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -137,51 +136,76 @@
 }
 
 // startControls starts the control VMs' processes. Each needs the addresses of
-// all, so ports are chosen before the first one starts.
+// all, so their ports are opened before the first one starts, and kept open: a
+// free port that is only looked up may be taken by another process until then.
 func (d *Dev) startControls() error {
 	count := max(1, d.settings.Dev.Controls)
 	domains := failureDomains(d.settings.Dev.Servers)
+	opened := make([]controlPorts, count)
 	for n := range count {
-		m, err := d.member(n)
+		ports, err := d.openPorts(n)
 		if err != nil {
 			return err
 		}
+		opened[n] = ports
+		m := ports.member(n)
 		if len(domains) > 0 {
 			m.FailureDomain = domains[n%len(domains)]
 		}
 		d.settings.Control.Members = append(d.settings.Control.Members, m)
 	}
-	for n := range count {
-		if err := d.startControl(n); err != nil {
+	for n, ports := range opened {
+		if err := d.startControl(n, ports); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// member describes a control VM; the first listens for operators where the
-// settings say. The others are told each other's addresses for operators: an
-// order that meets one which does not lead could not be redirected otherwise.
-func (d *Dev) member(n int) (settings.Member, error) {
-	m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), OperatorAddress: d.settings.Operator.Listen}
-	var err error
-	if m.Address, err = freeAddress(); err != nil {
-		return m, err
+// controlPorts are the open ports of a control VM's process that is to start.
+type controlPorts struct {
+	peers     net.PacketConn
+	operators net.Listener
+}
+
+// openPorts opens the ports of a control VM; the first listens for operators
+// where the settings say.
+func (d *Dev) openPorts(n int) (controlPorts, error) {
+	address := loopback
+	if n == 0 {
+		address = cmp.Or(d.settings.Operator.Listen, loopback)
+	}
+	operators, err := net.Listen("tcp", address)
+	if err != nil {
+		return controlPorts{}, err
 	}
-	if n > 0 || m.OperatorAddress == "" || strings.HasSuffix(m.OperatorAddress, ":0") {
-		m.OperatorAddress, err = freeTCPAddress()
+	peers, err := net.ListenPacket("udp", loopback)
+	if err != nil {
+		return controlPorts{}, errors.Join(err, operators.Close())
+	}
+	return controlPorts{peers: peers, operators: operators}, nil
+}
+
+// member describes the control VM with these ports. The others are told its
+// address for operators: an order that meets one which does not lead could not
+// be redirected otherwise.
+func (c controlPorts) member(n int) settings.Member {
+	return settings.Member{
+		Name:            fmt.Sprintf("control-%d", n+1),
+		Address:         c.peers.LocalAddr().String(),
+		OperatorAddress: c.operators.Addr().String(),
 	}
-	return m, err
 }
 
 // startControl starts one control VM's process.
-func (d *Dev) startControl(n int) error {
+func (d *Dev) startControl(n int, ports controlPorts) error {
 	m := d.settings.Control.Members[n]
 	p, err := d.process("control", m.Name, m.FailureDomain)
 	if err != nil {
 		return err
 	}
 	p.Settings.Peer.Listen = m.Address
+	p.Socket, p.Operators = ports.peers, ports.operators
 	p.Settings.Control.DataFolder = filepath.Join(d.folder, m.Name)
 	p.Settings.Operator.Listen = m.OperatorAddress
 	c, err := StartControl(p)
@@ -192,26 +216,6 @@
 	return nil
 }
 
-// freeAddress finds a UDP port on loopback that nobody listens on now.
-func freeAddress() (string, error) {
-	socket, err := net.ListenPacket("udp", loopback)
-	if err != nil {
-		return "", err
-	}
-	defer socket.Close()
-	return socket.LocalAddr().String(), nil
-}
-
-// freeTCPAddress finds a TCP port on loopback that nobody listens on now.
-func freeTCPAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // failureDomains lists the failure domains of the stand-ins, each once.
 func failureDomains(groups []settings.DevServer) []string {
 	var domains []string
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -173,21 +173,21 @@
 
 // Submit implements caller.Router.
 func (e *Entry) Submit(ctx context.Context, r entry.Request) <-chan caller.Chunk {
-	log := newAnswerLog(r.Scope.Organisation, r.KeepRunning || r.Once)
+	log := newAnswerLog(r)
 	e.mu.Lock()
 	e.answers[r.ID] = log
 	e.mu.Unlock()
 	out := make(chan caller.Chunk)
 	e.loop.Post(entry.Arrived{At: time.Now(), Request: r})
-	go e.deliver(ctx, r.ID, log, out)
+	go e.deliver(ctx, log, out)
 	return out
 }
 
 // deliver hands the chunks of an answer to its caller, until the last one or
 // until the caller left.
-func (e *Entry) deliver(ctx context.Context, requestID string, log *answerLog, out chan<- caller.Chunk) {
+func (e *Entry) deliver(ctx context.Context, log *answerLog, out chan<- caller.Chunk) {
 	defer close(out)
-	e.read(ctx, requestID, log, func(c caller.Chunk) {
+	e.read(ctx, log, func(c caller.Chunk) {
 		select {
 		case out <- c:
 		case <-ctx.Done():
--- a/internal/role/entryfollow.go
+++ b/internal/role/entryfollow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/oriolebend/oriolebend/internal/caller"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
@@ -20,7 +22,7 @@
 	out := make(chan caller.Chunk)
 	go func() {
 		defer close(out)
-		e.attachTo(ctx, organisation, requestID, "", func(c caller.Chunk) {
+		e.attachTo(ctx, following{organisation: organisation, requestID: requestID}, func(c caller.Chunk) {
 			select {
 			case out <- c:
 			case <-ctx.Done():
@@ -39,15 +41,48 @@
 	if log == nil {
 		return
 	}
-	e.attachTo(e.ctx, log.organisation, f.Record, f.OwnerAddress, func(c caller.Chunk) {
+	w := following{
+		organisation: log.organisation,
+		requestID:    f.Record,
+		ownerAddress: f.OwnerAddress,
+		// The caller of this entry still waits and its request is whole: if
+		// the owner died before any output, this entry claims it anew.
+		claimAgain: func() { e.submitAgain(f.RequestID, log) },
+	}
+	e.attachTo(e.ctx, w, func(c caller.Chunk) {
 		c.RequestID = f.Record
 		log.append(c)
 	})
 }
 
+// submitAgain has this entry run a request whose owner died. It gets a new id:
+// the record holds an id for the outcome that it was given first.
+func (e *Entry) submitAgain(requestID string, log *answerLog) {
+	r := log.request
+	r.ID = uuid.Must(uuid.NewV7()).String()
+	log.rename(r.ID)
+	e.mu.Lock()
+	delete(e.answers, requestID)
+	e.answers[r.ID] = log
+	e.mu.Unlock()
+	log.append(caller.Chunk{RequestID: r.ID})
+	e.loop.Post(entry.Arrived{At: time.Now(), Request: r})
+}
+
+// following is a request that is followed, and where.
+type following struct {
+	organisation string
+	requestID    string
+	// ownerAddress is where the request's owner is reached, empty if unknown.
+	ownerAddress string
+	// claimAgain has the request run by this entry; it is nil for those who
+	// only look on.
+	claimAgain func()
+}
+
 // attachTo follows a request here, at its owner, or in its record, until its
-// last chunk went to put.
-func (e *Entry) attachTo(ctx context.Context, organisation, requestID, ownerAddress string, put func(caller.Chunk)) {
+// last chunk went to put or it was claimed anew.
+func (e *Entry) attachTo(ctx context.Context, w following, put func(caller.Chunk)) {
 	delivered := 0
 	once := func(c caller.Chunk) {
 		if c.Text != "" && c.Offset < delivered {
@@ -57,26 +92,38 @@
 		put(c)
 	}
 	for ctx.Err() == nil {
-		if e.followHere(ctx, organisation, requestID, once) {
+		if e.followHere(ctx, w.organisation, w.requestID, once) {
 			return
 		}
-		if ownerAddress != "" && e.followOwner(ctx, organisation, requestID, ownerAddress, once) {
+		if w.ownerAddress != "" && e.followOwner(ctx, w, once) {
 			return
 		}
-		found, err := e.Record(ctx, organisation, requestID)
+		found, err := e.Record(ctx, w.organisation, w.requestID)
 		if err != nil {
-			put(caller.Chunk{Problem: asProblem(err, requestID)})
+			put(caller.Chunk{Problem: asProblem(err, w.requestID)})
+			return
+		}
+		if w.claimAgain != nil && delivered == 0 && orphaned(found) {
+			w.claimAgain()
 			return
 		}
-		if chunk, final := finalChunk(found, requestID, delivered); final {
+		if chunk, final := finalChunk(found, w.requestID, delivered); final {
 			put(chunk)
 			return
 		}
-		ownerAddress = found.OwnerAddress
+		w.ownerAddress = found.OwnerAddress
 		wait(ctx, pollEvery)
 	}
 }
 
+// orphaned reports whether a request's owner is gone and another entry may run
+// it: the caller that follows it would otherwise get the end of a process that
+// died in place of its answer.
+func orphaned(a message.ClaimAnswer) bool {
+	return a.State == message.RecordFailed && a.Answer != nil && a.Answer.Reason == oriolebend.ReasonLeaseEnded ||
+		a.State == message.RecordFailed && a.Reason == oriolebend.ReasonLeaseEnded
+}
+
 // followHere reads the answer of a request that this entry owns.
 func (e *Entry) followHere(ctx context.Context, organisation, requestID string, put func(caller.Chunk)) bool {
 	e.mu.Lock()
@@ -85,18 +132,18 @@
 	if log == nil || log.organisation != organisation {
 		return false
 	}
-	return e.read(ctx, requestID, log, put)
+	return e.read(ctx, log, put)
 }
 
 // read hands every chunk of an answer to put; it returns false if ctx ended
 // first. The last reader that leaves before the end cancels the request: no
 // caller is left that could take its answer.
-func (e *Entry) read(ctx context.Context, requestID string, log *answerLog, put func(caller.Chunk)) bool {
+func (e *Entry) read(ctx context.Context, log *answerLog, put func(caller.Chunk)) bool {
 	log.join()
 	whole := readLog(ctx, log, put)
 	if log.leave() && !whole {
-		e.loop.Post(entry.CallerGone{At: time.Now(), RequestID: requestID})
-		e.forget(requestID, log)
+		e.loop.Post(entry.CallerGone{At: time.Now(), RequestID: log.id()})
+		e.forget(log.id(), log)
 	}
 	return whole
 }
@@ -124,8 +171,8 @@
 // followOwner reads the answer from the entry that owns the request. It
 // returns false if that entry can't be reached, does not know the request, or
 // is lost before the end.
-func (e *Entry) followOwner(ctx context.Context, organisation, requestID, address string, put func(caller.Chunk)) bool {
-	s, err := e.openFollow(ctx, address, message.Follow{RequestID: requestID, Organisation: organisation})
+func (e *Entry) followOwner(ctx context.Context, w following, put func(caller.Chunk)) bool {
+	s, err := e.openFollow(ctx, w.ownerAddress, message.Follow{RequestID: w.requestID, Organisation: w.organisation})
 	if err != nil {
 		return false
 	}
@@ -140,7 +187,7 @@
 		if !ok || followed.Reason == oriolebend.ReasonUnknownRequest {
 			return false
 		}
-		put(chunkOf(followed, requestID))
+		put(chunkOf(followed, w.requestID))
 		if followed.Last {
 			return true
 		}
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -21,6 +21,12 @@
 	Settings    settings.Settings
 	Credentials peer.Credentials
 	Logger      *slog.Logger
+	// Socket is an open UDP socket to use in place of peer.listen; the process
+	// closes it. Nil opens one.
+	Socket net.PacketConn
+	// Operators is an open port to use in place of operator.listen; the
+	// process closes it. Nil opens one.
+	Operators net.Listener
 	// Observer takes counts and measures in place of Metrics; nil means
 	// Metrics.
 	Observer Observer
@@ -94,6 +100,7 @@
 	}
 	return peer.Listen(peer.Config{
 		Address:     p.Settings.Peer.Listen,
+		Socket:      p.Socket,
 		Credentials: p.Credentials,
 		Handler:     dispatch.Serve,
 		Logger:      p.Logger,
