entry: the outcome of a call is told to who follows it

Cause: the end of a call that may run once was marked as told, or not emitted, once its caller had left; the answer's log, kept for others with the same key, never ended, and they waited for ever. Ruled out: the record (answered in time) and the service (one execution). Change: what others may follow is told its end; a caller that left is told nothing early in its place. Before: TestCallerLeavesACall: no end after 30 s; script entry/testdata/call without 'answer c1'. After: both pass.

--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -188,15 +188,13 @@
 	s.tell(r)
 }
 
-// tell gives the caller the end of its answer, once. A request that goes on
-// without its caller is told too: another with the same key may follow it, and
-// would wait for an end that never comes.
+// tell gives the caller the end of its answer, once.
 func (s *State) tell(r *request) {
 	if r.outcome.told {
 		return
 	}
 	r.outcome.told = true
-	if r.gone && !r.KeepRunning {
+	if r.gone && !r.followed() {
 		return
 	}
 	switch o := r.outcome; {
@@ -210,6 +208,13 @@
 	}
 }
 
+// followed reports whether others may follow the request after its own caller
+// left. They are told the end of it, or they would wait for one that never
+// comes.
+func (r *request) followed() bool {
+	return r.KeepRunning || r.Once
+}
+
 // giveUp ends a request without an answer, and tells so at once where that is
 // true without the record.
 func (s *State) giveUp(r *request, reason oriolebend.Reason, after time.Duration) {
@@ -240,6 +245,9 @@
 		return true
 	}
 	s.count("givenUp", reason, r)
+	if r.gone {
+		return true // who follows it waits for its outcome
+	}
 	r.outcome.problem = &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanUnknown, RetryAfter: after}
 	s.tell(r)
 	r.outcome.problem = nil
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -32,6 +32,19 @@
 	return l.total
 }
 
+// Running returns how many calls are being executed now.
+func (l *Ledger) Running() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	running := 0
+	for _, outcome := range l.outcomes {
+		if outcome == nil {
+			running++
+		}
+	}
+	return running
+}
+
 // ByIdentity returns how many executions carried an identity.
 func (l *Ledger) ByIdentity(identity string) int {
 	l.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -53,6 +53,8 @@
 	FaultBefore Fault = "before"
 	// FaultAfter breaks it off after the execution: the answer is lost.
 	FaultAfter Fault = "after"
+	// FaultDuring breaks it off while the call is executed, which goes on.
+	FaultDuring Fault = "during"
 	// FaultHalf breaks it off in the middle of the answer's body.
 	FaultHalf Fault = "half"
 	// FaultStatus executes nothing and answers 503.
@@ -108,21 +110,25 @@
 		http.Error(w, "unreadable body", http.StatusBadRequest)
 		return
 	}
+	answer := ServiceAnswer{
+		Service:  s.config.Name,
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		Identity: r.Header.Get(HeaderIdentity),
+		Payload:  payloadHash(body),
+	}
 	fault := s.nextFault()
 	switch fault {
 	case FaultBefore:
 		panic(http.ErrAbortHandler)
+	case FaultDuring:
+		s.begin(answer.Identity)
+		go s.execute(&answer)
+		panic(http.ErrAbortHandler)
 	case FaultStatus:
 		http.Error(w, "fault", http.StatusServiceUnavailable)
 		return
 	}
-	answer := ServiceAnswer{
-		Service:  s.config.Name,
-		Method:   r.Method,
-		Path:     r.URL.Path,
-		Identity: r.Header.Get(HeaderIdentity),
-		Payload:  payloadHash(body),
-	}
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		s.execute(&answer)
 	}
