role: who followed a lost request is told when to come back

Cause: a caller whose key belonged to an entry that died got the failure of the ended lease without Retry-After, although the record is open to a new run; and for output cut in the middle it was told that the answer is stored, which a failed record has not. Ruled out: the record (a new claim reopens it). Before: TestEntryDiesDuringDecode/2_deaths: 'not told when to come back: status 502, leaseEnded'. After: passes.

--- a/internal/reducer/record/settle.go
+++ b/internal/reducer/record/settle.go
@@ -152,7 +152,7 @@
 	if a != nil {
 		r.reason = a.Reason
 	}
-	r.retryable = to == message.RecordFailed && !r.once && passes(r.reason)
+	r.retryable = to == message.RecordFailed && !r.once && Passes(r.reason)
 	if to == message.RecordUnknown {
 		r.reason = oriolebend.ReasonOutcomeLost
 	}
@@ -181,10 +181,10 @@
 	s.answerBytes += size
 }
 
-// passes reports whether a failure may be over when a retry comes. A brief that
+// Passes reports whether a failure may be over when a retry comes. A brief that
 // failed with its server must not be answered with that failure for a day;
 // what is wrong with the command itself will be wrong again.
-func passes(reason oriolebend.Reason) bool {
+func Passes(reason oriolebend.Reason) bool {
 	switch reason {
 	case oriolebend.ReasonMalformed, oriolebend.ReasonTooLarge, oriolebend.ReasonForbidden,
 		oriolebend.ReasonUnknownModel, oriolebend.ReasonUnknownService:
--- a/internal/role/entryfollow.go
+++ b/internal/role/entryfollow.go
@@ -8,6 +8,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/reducer/record"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -220,13 +221,18 @@
 // replays it.
 func finalChunk(a message.ClaimAnswer, requestID string, delivered int) (caller.Chunk, bool) {
 	switch a.State {
-	case message.RecordAnswered, message.RecordFailed:
+	case message.RecordAnswered:
 		if a.Answer != nil && delivered == 0 {
 			return caller.Chunk{Replay: a.Answer}, true
 		}
-		return problemChunk(requestID, oriolebend.ReasonServerLost, oriolebend.RanYes, "the answer is stored; ask again with the same key"), true
+		return comeBackChunk(requestID, oriolebend.ReasonServerLost, oriolebend.RanYes, "the answer is stored; ask again with the same key"), true
+	case message.RecordFailed:
+		if a.Answer != nil && !record.Passes(a.Answer.Reason) {
+			return caller.Chunk{Replay: a.Answer}, true
+		}
+		return comeBackChunk(requestID, failureOf(a), oriolebend.RanUnknown, "the request failed where it ran; ask again with the same key"), true
 	case message.RecordNotRun:
-		return problemChunk(requestID, oriolebend.ReasonServerLost, oriolebend.RanNo, "the request was closed without running"), true
+		return comeBackChunk(requestID, oriolebend.ReasonServerLost, oriolebend.RanNo, "the request was closed without running; ask again with the same key"), true
 	case message.RecordUnknown:
 		return problemChunk(requestID, oriolebend.ReasonOutcomeLost, oriolebend.RanUnknown, "the request was dispatched once and its outcome is lost"), true
 	default:
@@ -234,10 +240,28 @@
 	}
 }
 
+// failureOf returns why a request failed, by its record.
+func failureOf(a message.ClaimAnswer) oriolebend.Reason {
+	if a.Answer == nil || a.Answer.Reason == "" {
+		return oriolebend.ReasonServerLost
+	}
+	return a.Answer.Reason
+}
+
 func problemChunk(requestID string, reason oriolebend.Reason, ran oriolebend.Ran, detail string) caller.Chunk {
 	return caller.Chunk{Problem: &oriolebend.Problem{Reason: reason, Ran: ran, RequestID: requestID, Detail: detail}}
 }
 
+// comeBackAfter is when a caller that followed a request is told to send its
+// key again: the record is open to a new run, or holds the answer, by then.
+const comeBackAfter = time.Second
+
+func comeBackChunk(requestID string, reason oriolebend.Reason, ran oriolebend.Ran, detail string) caller.Chunk {
+	c := problemChunk(requestID, reason, ran, detail)
+	c.Problem.RetryAfter = comeBackAfter
+	return c
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -140,8 +140,9 @@
 
 // Kill ends the entry at once, as a process that dies: nothing is handed over.
 func (p *EntryProcess) Kill() error {
+	// The endpoint goes first: what the roles do when they end must not get out.
+	closed := errors.Join(p.endpoint.Close(), p.callers.close())
 	p.cancel()
-	closed := errors.Join(p.callers.close(), p.endpoint.Close())
 	<-p.done
 	return closed
 }
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -108,6 +108,8 @@
 
 // Kill ends the sidecar at once, as a process that dies.
 func (p *SidecarProcess) Kill() error {
+	closed := p.endpoint.Close()
 	p.cancel()
-	return p.endpoint.Close()
+	<-p.done
+	return closed
 }
