entry: a call that still runs is asked for again

Cause: any status answer but a success made the outcome unknown at once, also 409, by which a service says that the call runs and its outcome will be known. Ruled out: the gate (it passes the service's answer on). Change: after 409 the same server is asked again every 100 ms, within the 2 s that an outcome is asked for. Before: TestStatusOfARunningCall (internal/role): outcomeLost; after: answered.

--- a/internal/reducer/entry/call.go
+++ b/internal/reducer/entry/call.go
@@ -184,10 +184,19 @@
 	r.tries++
 }
 
-// statusAnswered takes the service's word for the outcome. Any answer but a
-// success leaves the outcome unknown: a service that does not know the
-// operation may still get it, if the call is on its way.
+// statusRuns is a service's answer that the call still runs (409 Conflict).
+const statusRuns = 409
+
+// statusAnswered takes the service's word for the outcome. A call that still
+// runs is asked for again, at the same server: its outcome will be known. Any
+// other answer but a success leaves the outcome unknown: a service that does
+// not know the operation may still get it, if the call is on its way.
 func (s *State) statusAnswered(r *request, m message.CallAnswer) {
+	if m.Status == statusRuns {
+		s.closeRound(r, r.call)
+		s.setAlarm(r, alarmReserve, s.config.StatusEvery)
+		return
+	}
 	if m.Status < 200 || m.Status > 299 {
 		s.unknown(r)
 		return
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -91,6 +91,9 @@
 	// StatusWithin is how long the outcome of a lost call is asked for; zero
 	// means 2s.
 	StatusWithin time.Duration
+	// StatusEvery is the pause before a call that still runs is asked for
+	// again; zero means 100ms.
+	StatusEvery time.Duration
 	// RetryBase and RetryMax bound the full jitter of retries; zero means
 	// 20ms and 2s.
 	RetryBase time.Duration
@@ -135,6 +138,7 @@
 	c.SettleSilence = or(c.SettleSilence, 6*time.Second)
 	c.SettleFor = or(c.SettleFor, time.Minute)
 	c.StatusWithin = or(c.StatusWithin, 2*time.Second)
+	c.StatusEvery = or(c.StatusEvery, 100*time.Millisecond)
 	c.RetryBase = or(c.RetryBase, 20*time.Millisecond)
 	c.RetryMax = or(c.RetryMax, 2*time.Second)
 	c.MaxEngineFailures = or(c.MaxEngineFailures, 8)
