--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -154,7 +154,8 @@
 
 // Kill ends the entry at once, as a process that dies: nothing is handed over.
 func (p *EntryProcess) Kill() error {
-	closed := errors.Join(p.callers.close(), p.endpoint.Close(), p.metrics.close())
+	// The endpoint goes first: what the roles do when they end must not get out.
+	closed := errors.Join(p.endpoint.Close(), p.callers.close(), p.metrics.close())
 	p.cancel()
 	<-p.done
 	return closed
