--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -168,22 +168,26 @@
 
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
+	return errors.Join(c.end(ctx), closeEndpoint(c.endpoint))
+}
+
+// StopTogether ends the process when the other control VMs stop at the same
+// time: it hands no leadership over, and waits for no session of theirs.
+func (c *ControlProcess) StopTogether(ctx context.Context) error {
+	c.replica.StopTogether()
+	return errors.Join(c.end(ctx), c.endpoint.Close())
+}
+
+// end has the log stop, and closes the ports for operators and metrics.
+func (c *ControlProcess) end(ctx context.Context) error {
 	c.cancel()
 	closed := errors.Join(c.operators.close(), c.metrics.close())
-	var ended error
 	select {
-	case ended = <-c.done:
+	case err := <-c.done:
+		return errors.Join(closed, err)
 	case <-ctx.Done():
-		ended = ctx.Err()
+		return errors.Join(closed, ctx.Err())
 	}
-	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
-}
-
-// StopTogether ends the process as Stop does, but hands no leadership over,
-// because the other control VMs stop at the same time.
-func (c *ControlProcess) StopTogether(ctx context.Context) error {
-	c.replica.StopTogether()
-	return c.Stop(ctx)
 }
 
 // Kill ends the process at once, as one that dies.
