--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,21 +24,49 @@
 	waitEvery = 10 * time.Millisecond
 )
 
+// Scripts' ports lie below those that systems give to outgoing connections: one
+// of those would now and then be given a port that was chosen here and is not
+// yet listened on, and the process under test would not start.
+const (
+	firstPort = 12000
+	lastPort  = 31999
+)
+
+// nextPort is where the search for a free port goes on. Test processes that run
+// side by side begin at different places.
+var nextPort atomic.Int64
+
 // chooseAddresses gives each script ports of its own.
 func chooseAddresses(env *testscript.Env) error {
+	nextPort.CompareAndSwap(0, int64(os.Getpid())*64)
 	for _, name := range []string{"CALLER", "OPERATOR", "METRICS", "METRICS2", "METRICS3", "PEER", "PEER2", "PEER3"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		env.Setenv(name, listener.Addr().String())
-		if err := listener.Close(); err != nil {
-			return err
+		address := nextAddress()
+		for !free(address) {
+			address = nextAddress()
 		}
+		env.Setenv(name, address)
 	}
 	return nil
 }
 
+func nextAddress() string {
+	return fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+}
+
+// free reports whether nobody listens on an address, by TCP or UDP.
+func free(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	socket, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return socket.Close() == nil
+}
+
 var commands = map[string]func(*testscript.TestScript, bool, []string){
 	"exits": exits, "ready": ready, "signal": sendSignal, "http": request, "large": large,
 	"stopping": stopping, "stream": stream, "expand": expand,
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -98,8 +98,10 @@
 	if len(r.waiting) > 0 {
 		return false
 	}
-	successor := r.state.Leader != "" && r.state.Leader != r.config.Name
-	return !r.handing || successor
+	if r.state.Role == agreement.Leader {
+		return !r.state.Transferring()
+	}
+	return !r.handing || r.state.Leader != ""
 }
 
 func (r *Replica) failure() error { return errors.Join(r.disk.fatal, r.applier.failure()) }
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -13,8 +13,10 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
+	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/replica"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // operatorHeaderTimeout ends operators' clients that send their head slowly.
@@ -28,6 +30,7 @@
 	metrics   *httpServer
 	replica   *replica.Replica
 	records   *controlpeer.Server
+	resolver  *controlpeer.Resolver
 	confirmer *Confirmer
 	watches   *WatchServer
 	members   *MemberLeader
@@ -52,6 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
 	go process.records.Run(ctx)
+	go process.resolver.Run(ctx)
 	go process.confirmer.Run(ctx)
 	go process.members.Run(ctx)
 	go func() { process.done <- process.replica.Run(ctx) }()
@@ -111,6 +115,15 @@
 		Limits:  recordLimits(p.Settings.Policy),
 		Observe: counts.Observe,
 	})
+	c.resolver = controlpeer.NewResolver(controlpeer.ResolverConfig{
+		Server: c.records,
+		Gates: statusGates{
+			dialer:  c.endpoint,
+			members: func() []oriolebend.Server { return store.View().Members() },
+		},
+		Recovery: recovery.Config{Seed: newIncarnation()},
+		Asked:    func(reason oriolebend.Reason) { p.observer().Count("statusAsked", reason, "") },
+	})
 	reached := NewReachedTable(name)
 	c.confirmer = &Confirmer{Self: name, Replica: log, Dialer: c.endpoint, Reached: reached}
 	c.confirmer.Prepare()
@@ -168,14 +181,14 @@
 
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
-	return errors.Join(c.end(ctx), closeEndpoint(c.endpoint))
+	return c.process.stopped(c.end(ctx), closeEndpoint(c.endpoint))
 }
 
 // StopTogether ends the process when the other control VMs stop at the same
 // time: it hands no leadership over, and waits for no session of theirs.
 func (c *ControlProcess) StopTogether(ctx context.Context) error {
 	c.replica.StopTogether()
-	return errors.Join(c.end(ctx), c.endpoint.Close())
+	return c.process.stopped(c.end(ctx), c.endpoint.Close())
 }
 
 // end has the log stop, and closes the ports for operators and metrics.
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/metrics"
@@ -50,9 +51,22 @@
 	Entries  []*EntryProcess
 }
 
+// startTries bounds the starts of dev after another process took a port that was
+// chosen as free and not yet listened on.
+const startTries = 3
+
 // StartDev starts everything that the settings' dev table describes; Stop
 // ends it and removes what it wrote.
 func StartDev(s settings.Settings, logger *slog.Logger) (*Dev, error) {
+	for try := 1; ; try++ {
+		d, err := tryDev(s, logger)
+		if try == startTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return d, err
+		}
+	}
+}
+
+func tryDev(s settings.Settings, logger *slog.Logger) (*Dev, error) {
 	authority, err := peer.DevAuthority()
 	if err != nil {
 		return nil, err
@@ -71,6 +85,7 @@
 		Services:  map[string]*standin.Service{},
 		Sidecars:  map[string]*SidecarProcess{},
 	}
+	d.settings.Control.Members = slices.Clone(s.Control.Members)
 	if err := d.start(); err != nil {
 		stopContext, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
@@ -14,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -48,6 +50,8 @@
 		Members:      p.controlAddresses(),
 		Owner:        owner,
 		OwnerAddress: endpoint.Address(),
+		Retried:      func(reason oriolebend.Reason) { p.observer().Count("controlRetry", reason, "") },
+		Dropped:      func() { p.observer().Count("controlDropped", oriolebend.ReasonControlAway, "") },
 	})
 	e := NewEntry(EntryConfig{
 		Reducer:  p.entryReducer(owner),
@@ -67,6 +71,7 @@
 		Logger:        p.Logger,
 		Metrics:       p.Metrics,
 		CountTokens:   prefix.CountTokens,
+		Fingerprint:   fingerprintOf,
 		Prefix: func(model, prompt string) []uint64 {
 			return prefix.Hashes(model, prompt, prefix.BlockTokens, prefix.MaxHashes)
 		},
@@ -81,10 +86,12 @@
 	p.Metrics.Gauge("servers_serving", "Backend servers that take new work, as this entry knows.", func() float64 { return float64(e.serving()) })
 	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(e.loop.Waiting()) })
 	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return e.follower.Age().Seconds() })
-	go records.Run(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { e.Run(ctx) })
+	running.Go(func() { records.Run(ctx) })
 	go func() {
-		defer close(process.done)
-		e.Run(ctx)
+		running.Wait()
+		close(process.done)
 	}()
 	return process, nil
 }
@@ -142,5 +149,13 @@
 	closed := p.callers.stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closed, closeEndpoint(p.endpoint), p.metrics.close())
+	return p.process.stopped(drained, closed, closeEndpoint(p.endpoint), p.metrics.close())
+}
+
+// Kill ends the entry at once, as a process that dies: nothing is handed over.
+func (p *EntryProcess) Kill() error {
+	closed := errors.Join(p.callers.close(), p.endpoint.Close(), p.metrics.close())
+	p.cancel()
+	<-p.done
+	return closed
 }
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -112,7 +112,7 @@
 	drained := p.sidecar.Stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closeEndpoint(p.endpoint), p.metrics.close())
+	return p.process.stopped(drained, closeEndpoint(p.endpoint), p.metrics.close())
 }
 
 // Kill ends the sidecar at once, as a process that dies.
