operator: the group of control VMs, and data folders by command

Cause: members could be changed and folders restored by Go calls only, so that the operators' page had nothing to tell. Change: GET /v1/group, PUT and DELETE /v1/group/members/NAME, POST /v1/group/transfer with client and commands; folder inspect, backup, restore; a stopping leader waits 12 ticks at most to hear of the next one.

--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -67,6 +67,8 @@
 		serversCommand(out),
 		auditCommand(out),
 		advanceCommand(out),
+		groupCommand(out),
+		folderCommand(out),
 	}
 }
 
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -5,14 +5,19 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/oriolebend/oriolebend/internal/disk"
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/operator"
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/reached"
@@ -54,21 +59,55 @@
 	}
 	store.Apply(0, command)
 	server := httptest.NewServer(operator.New(operator.Config{
-		Node: "c1", Store: store, Log: alone{store: store}, Open: true,
+		Node: "c1", Store: store, Log: alone{store: store}, Open: true, Group: &groupOfOne{},
 		Reports: func() []reached.Report {
 			return []reached.Report{{Node: "entry-1", Revision: 4, At: time.Now(), Control: "c1"}}
 		},
 	}))
 	env.Defer(server.Close)
 	env.Setenv("CONTROL", server.URL)
+	return makeFolder(filepath.Join(env.WorkDir, "data"))
+}
+
+// groupOfOne is a group that keeps what it is told.
+type groupOfOne struct{ members []oriolebend.GroupMember }
+
+func (g *groupOfOne) Group() oriolebend.Group {
+	return oriolebend.Group{Node: "c1", Role: "leader", Term: 3, Leader: "c1", Members: g.members}
+}
+
+func (g *groupOfOne) AddMember(_ context.Context, m message.Member) error {
+	g.members = append(g.members, oriolebend.GroupMember{Name: m.Name, Address: m.Address, Match: 7})
 	return nil
 }
 
+func (g *groupOfOne) RemoveMember(context.Context, string) error {
+	return &oriolebend.Problem{
+		Reason: oriolebend.ReasonInvalidResource, Ran: oriolebend.RanNo, Detail: "the rest would be too few",
+	}
+}
+
+func (g *groupOfOne) Transfer(context.Context) error { return nil }
+
+// makeFolder makes the data folder of a stopped control VM.
+func makeFolder(folder string) error {
+	store, _, err := disk.Open(disk.Config{Folder: folder, Group: "control", Name: "c1"})
+	if err != nil {
+		return err
+	}
+	entry := message.LogEntry{Index: 1, Term: 1, Type: message.EntryCommand, Command: []byte("x")}
+	err = store.Save([]agreement.Persist{{Entries: []message.LogEntry{entry}}})
+	return errors.Join(err, store.Close())
+}
+
 func run(ts *testscript.TestScript, _ bool, args []string) {
 	for i := range args {
 		if args[i] == "-f" {
 			args[i+1] = ts.MkAbs(args[i+1])
 		}
+		if folder, ok := strings.CutPrefix(args[i], "./"); ok {
+			args[i] = ts.MkAbs(folder)
+		}
 	}
 	root := &ff.Command{Name: "oriolebend", Subcommands: Commands(ts.Stdout(), ts.Stderr())}
 	err := root.ParseAndRun(context.Background(), args[1:])
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,8 @@
 	// Log is the agreed log, and Store the state that it is applied to.
 	Log   control.Log
 	Store *Store
+	// Group is the group of control VMs; nil leaves its routes out.
+	Group Group
 	// Reports returns what each follower has in force; nil means none.
 	Reports func() []reached.Report
 	// Announcements returns the latest announcement of each server, on the
@@ -113,4 +115,5 @@
 	e.POST("/v1/servers/:name/drain", a.drain)
 	e.GET("/v1/audit", a.audit)
 	e.POST("/v1/advance", a.advance)
+	a.groupRoutes(e)
 }
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -40,6 +40,8 @@
 	oriolebend.ReasonNotLeader:       http.StatusServiceUnavailable,
 	oriolebend.ReasonStopping:        http.StatusServiceUnavailable,
 	oriolebend.ReasonOverloaded:      http.StatusServiceUnavailable,
+	oriolebend.ReasonQueueFull:       http.StatusServiceUnavailable,
+	oriolebend.ReasonDiskFull:        http.StatusInsufficientStorage,
 	oriolebend.ReasonDeadline:        http.StatusGatewayTimeout,
 	oriolebend.ReasonOutcomeLost:     http.StatusGatewayTimeout,
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,7 +52,9 @@
 	stopping bool
 	// handing is set if the member led when it was asked to stop.
 	handing bool
-	disk    diskState
+	// handed is set once it has stepped down for its stop.
+	handed bool
+	disk   diskState
 
 	leader atomic.Pointer[leaderView]
 	status atomic.Pointer[Status]
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -60,6 +60,10 @@
 		if r.stopping && (r.idle() || time.Now().After(stopBy)) {
 			return nil
 		}
+		if r.handing && r.state.Role != agreement.Leader {
+			r.handing, r.handed = false, true
+			stopBy = time.Now().Add(handWithin * r.config.TickEvery)
+		}
 		select {
 		case <-ticker.C:
 			r.ticked()
@@ -88,6 +92,10 @@
 	}
 }
 
+// handWithin bounds, in ticks, how long a former leader waits to hear of the
+// next one; after that its message has left or is lost.
+const handWithin = 12
+
 // idle tells whether a stopping member has handed over all that it had. A
 // former leader stays until another one is heard of: the message that asks the
 // successor to stand for election could be lost with this process.
@@ -98,7 +106,7 @@
 	if r.state.Role == agreement.Leader {
 		return !r.state.Transferring()
 	}
-	return !r.handing || r.state.Leader != ""
+	return !(r.handing || r.handed) || r.state.Leader != ""
 }
 
 func (r *Replica) failure() error { return errors.Join(r.disk.fatal, r.applier.failure()) }
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -119,6 +119,7 @@
 		Node:        s.Node.Name,
 		Log:         c.replica,
 		Store:       store,
+		Group:       c.replica,
 		Reports:     reached.List,
 		Confirmed:   func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
 		OperatorURL: operatorURL(s.Control.Members),
--- /dev/null
+++ b/pkg/oriolebend/group.go
@@ -0,0 +1,34 @@
+package oriolebend
+
+// Group is one control VM's view of the group of control VMs.
+type Group struct {
+	Node string `json:"node"`
+	// Role is "leader", "follower", "candidate" or "preCandidate".
+	Role   string `json:"role"`
+	Term   uint64 `json:"term"`
+	Leader string `json:"leader,omitempty"`
+	// Last, Committed, Applied and Snapshot are indexes of the log.
+	Last      uint64 `json:"last"`
+	Committed uint64 `json:"committed"`
+	Applied   uint64 `json:"applied"`
+	Snapshot  uint64 `json:"snapshot"`
+	// Recovering is true while this VM grants no vote, because it started with
+	// an empty data folder and has not caught up.
+	Recovering bool `json:"recovering,omitempty"`
+	// DiskFull is true while this VM's disk has no room.
+	DiskFull bool          `json:"diskFull,omitempty"`
+	Members  []GroupMember `json:"members"`
+}
+
+// GroupMember is one control VM of a group.
+type GroupMember struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain,omitempty"`
+	// Voter is false while the VM catches up.
+	Voter bool `json:"voter"`
+	// Active and Match are known to the leader only: whether the VM answers,
+	// and the last index that it has synced.
+	Active bool   `json:"active,omitempty"`
+	Match  uint64 `json:"match,omitempty"`
+}
