--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,7 +54,9 @@
 	handing bool
 	// together is set if the whole group is about to stop.
 	together atomic.Bool
-	disk     diskState
+	// handed is set once it has stepped down for its stop.
+	handed bool
+	disk   diskState
 
 	leader atomic.Pointer[leaderView]
 	status atomic.Pointer[Status]
