--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -116,19 +116,27 @@
 		clients[i] = NewClient(ClientConfig{Dialer: net, Members: []string{"c1"}, Owner: fmt.Sprint("e", i)})
 	}
 	g.set(func(g *fakeGroup) { g.proposed = 0 })
+	claimMany(b, clients, callers)
+	b.ReportMetric(float64(b.N)/float64(g.proposed), "claims/entry")
+}
+
+// claimMany has callers claim b.N requests through the clients.
+func claimMany(b *testing.B, clients []*Client, callers int) {
+	b.Helper()
 	var next atomic.Int64
 	var wait sync.WaitGroup
 	b.ResetTimer()
 	for caller := range callers {
 		wait.Go(func() {
 			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
-				if _, err := clients[caller%benchEntries].Claim(ctx, tip(fmt.Sprint("k", i), fmt.Sprint("r", i))); err != nil {
+				claim := tip(fmt.Sprint("k", i), fmt.Sprint("r", i))
+				if _, err := clients[caller%len(clients)].Claim(context.Background(), claim); err != nil {
 					b.Error(err)
 				}
 			}
 		})
 	}
 	wait.Wait()
+	b.StopTimer()
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
-	b.ReportMetric(float64(b.N)/float64(g.proposed), "claims/entry")
 }
