--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -1,6 +1,7 @@
 package role
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,9 +11,11 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/internal/standin"
@@ -36,9 +39,12 @@
 	authority *peer.Authority
 	folder    string
 	standins  []*standin.Server
+	metrics   *httpServer
 
 	Engines  map[string]*standin.Engine
 	Services map[string]*standin.Service
+	// Ledgers counts the executions of each service over all its stand-ins.
+	Ledgers  map[string]*standin.Ledger
 	Controls []*ControlProcess
 	Sidecars map[string]*SidecarProcess
 	Entries  []*EntryProcess
@@ -60,6 +66,7 @@
 		logger:    logger,
 		authority: authority,
 		folder:    folder,
+		Ledgers:   map[string]*standin.Ledger{},
 		Engines:   map[string]*standin.Engine{},
 		Services:  map[string]*standin.Service{},
 		Sidecars:  map[string]*SidecarProcess{},
@@ -88,9 +95,33 @@
 			return err
 		}
 	}
+	return d.serveMetrics()
+}
+
+// serveMetrics serves the metrics of all roles on one port.
+func (d *Dev) serveMetrics() error {
+	var all []*metrics.Metrics
+	for _, c := range d.Controls {
+		all = append(all, c.process.Metrics)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Sidecars)) {
+		all = append(all, d.Sidecars[name].process.Metrics)
+	}
+	for _, e := range d.Entries {
+		all = append(all, e.process.Metrics)
+	}
+	server := metrics.Server(metrics.HandlerConfig{Metrics: all, Ready: d.ready})
+	var err error
+	d.metrics, err = serveHTTP(cmp.Or(d.settings.Metrics.Listen, loopback), server, d.logger)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
 	return nil
 }
 
+// MetricsAddress is where the metrics of all roles are served.
+func (d *Dev) MetricsAddress() string { return d.metrics.address() }
+
 // process makes the settings and credentials of one role's process.
 func (d *Dev) process(role, name, failureDomain string) (Process, error) {
 	material, err := d.authority.Issue(peer.Identity{Role: role, Name: name})
@@ -100,6 +131,7 @@
 	s := d.settings
 	s.Node = settings.Node{Name: name, Region: s.Node.Region, FailureDomain: failureDomain}
 	s.Peer.Listen = loopback
+	s.Metrics.Listen = "" // one port serves the metrics of all
 	s.Control.Members = slices.Clone(d.settings.Control.Members)
 	return Process{Settings: s, Credentials: peer.Fixed(material), Logger: d.logger.With("node", name)}, nil
 }
@@ -110,11 +142,10 @@
 	count := max(1, d.settings.Dev.Controls)
 	domains := failureDomains(d.settings.Dev.Servers)
 	for n := range count {
-		address, err := freeAddress()
+		m, err := d.member(n)
 		if err != nil {
 			return err
 		}
-		m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), Address: address}
 		if len(domains) > 0 {
 			m.FailureDomain = domains[n%len(domains)]
 		}
@@ -128,8 +159,22 @@
 	return nil
 }
 
-// startControl starts one control VM's process; the first listens for
-// operators where the settings say.
+// member describes a control VM; the first listens for operators where the
+// settings say. The others are told each other's addresses for operators: an
+// order that meets one which does not lead could not be redirected otherwise.
+func (d *Dev) member(n int) (settings.Member, error) {
+	m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), OperatorAddress: d.settings.Operator.Listen}
+	var err error
+	if m.Address, err = freeAddress(); err != nil {
+		return m, err
+	}
+	if n > 0 || m.OperatorAddress == "" || strings.HasSuffix(m.OperatorAddress, ":0") {
+		m.OperatorAddress, err = freeTCPAddress()
+	}
+	return m, err
+}
+
+// startControl starts one control VM's process.
 func (d *Dev) startControl(n int) error {
 	m := d.settings.Control.Members[n]
 	p, err := d.process("control", m.Name, m.FailureDomain)
@@ -138,9 +183,7 @@
 	}
 	p.Settings.Peer.Listen = m.Address
 	p.Settings.Control.DataFolder = filepath.Join(d.folder, m.Name)
-	if n > 0 || p.Settings.Operator.Listen == "" {
-		p.Settings.Operator.Listen = loopback
-	}
+	p.Settings.Operator.Listen = m.OperatorAddress
 	c, err := StartControl(p)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.Name, err)
@@ -159,6 +202,16 @@
 	return socket.LocalAddr().String(), nil
 }
 
+// freeTCPAddress finds a TCP port on loopback that nobody listens on now.
+func freeTCPAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
 // failureDomains lists the failure domains of the stand-ins, each once.
 func failureDomains(groups []settings.DevServer) []string {
 	var domains []string
@@ -197,7 +250,7 @@
 
 func (d *Dev) startStandin(group settings.DevServer, name string, s *settings.Sidecar) error {
 	if group.Role == oriolebend.Service {
-		fake := standin.NewService(standin.ServiceConfig{Name: name})
+		fake := standin.NewService(standin.ServiceConfig{Name: name, Ledger: d.ledger(group.Service)})
 		server, err := standin.Serve(fake.Handler())
 		if err != nil {
 			return err
@@ -218,6 +271,15 @@
 	return nil
 }
 
+// ledger is what all stand-ins of one service share, so that a call that two
+// of them executed shows, and each knows the outcome of the others' calls.
+func (d *Dev) ledger(service string) *standin.Ledger {
+	if d.Ledgers[service] == nil {
+		d.Ledgers[service] = standin.NewLedger()
+	}
+	return d.Ledgers[service]
+}
+
 func engineConfig(group settings.DevServer, name string) standin.EngineConfig {
 	return standin.EngineConfig{
 		Name:           name,
@@ -275,10 +337,10 @@
 // Stop ends everything gracefully, entries first, and removes the temporary
 // folder.
 func (d *Dev) Stop(ctx context.Context) error {
-	var errs []error
-	errs = append(errs, stopAll(ctx, d.Entries))
-	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars))))
-	errs = append(errs, stopAll(ctx, d.Controls))
+	errs := []error{d.metrics.close()}
+	errs = append(errs, stopAll(ctx, d.Entries, (*EntryProcess).Stop))
+	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars)), (*SidecarProcess).Stop))
+	errs = append(errs, stopAll(ctx, d.Controls, (*ControlProcess).StopTogether))
 	for _, e := range d.Engines {
 		e.Close()
 	}
@@ -290,11 +352,11 @@
 }
 
 // stopAll stops processes of one role side by side.
-func stopAll[P interface{ Stop(context.Context) error }](ctx context.Context, processes []P) error {
+func stopAll[P any](ctx context.Context, processes []P, stop func(P, context.Context) error) error {
 	errs := make([]error, len(processes))
 	var all sync.WaitGroup
 	for i, p := range processes {
-		all.Go(func() { errs[i] = p.Stop(ctx) })
+		all.Go(func() { errs[i] = stop(p, ctx) })
 	}
 	all.Wait()
 	return errors.Join(errs...)
