--- a/internal/policy/fairqueue.go
+++ b/internal/policy/fairqueue.go
@@ -76,6 +76,9 @@
 	return q.patient.pop()
 }
 
+// PopUrgent takes the next urgent item, if there is one.
+func (q *FairQueue[T]) PopUrgent() (T, bool) { return q.urgent.pop() }
+
 // Remove takes an item out of the middle; it reports whether it was there.
 func (q *FairQueue[T]) Remove(urgent bool, organisation string, item T) bool {
 	return q.class(urgent).remove(organisation, item)
--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -82,6 +82,7 @@
 			return
 		}
 	}
+	r.unstarted = r.lane.unstarted(r.Urgency).PushBack(r)
 	r.accepted = r.Urgency != oriolebend.Urgent
 	s.enqueue(r)
 }
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -19,12 +19,19 @@
 func (s *State) openDecode(r *request, startIn time.Duration) {
 	reserve := s.decodeReservation(r, startIn)
 	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes}
+	if r.Urgency == oriolebend.Urgent {
+		w.Count *= urgentProbes
+	}
 	r.decode = s.ask(r, alarmDecode, reserve, w, r.pool(oriolebend.Decode))
 	if r.decode == nil {
 		s.noServer(r)
 	}
 }
 
+// urgentProbes is how many times more decode gates an urgent request asks, one
+// after the other until one has room.
+const urgentProbes = 2
+
 func (s *State) decodeReservation(r *request, startIn time.Duration) message.Reserve {
 	if r.decoded == r.attempt {
 		r.attempt++
@@ -78,32 +85,40 @@
 		MaxTokens:      r.MaxTokens,
 		TransferWithin: within,
 	}})
-	s.setAlarm(r, alarmHedge, max(within/2, transferTime(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
+	s.setAlarm(r, alarmHedge, max(within/2, idleTransfer(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
 	s.setAlarm(r, alarmTransfer, within+2*r.BetweenWithin)
 	s.setAlarm(r, alarmStall, s.config.StallWithin)
 }
 
-// Shares of the result's remaining life that one transfer may take. Without a
-// bound well under the whole a stalled transfer is noticed when the result is
-// gone, and the prefill has to be paid for again; one would notice by
-// prefillWasted with reason transferStalled.
 const (
-	transferShare     = 0.6
+	// leastTransfer is the shortest deadline of a transfer.
+	leastTransfer = 200 * time.Millisecond
+	// slowestTransfer is how many times what an idle link takes a transfer may
+	// take: others that share the link make it slow, and to stop it then would
+	// only start it anew behind them.
+	slowestTransfer = 8
+	// secondTransfer is what is kept of a result's life for a second transfer,
+	// in times of what an idle link takes, with transferSlack for its messages.
+	secondTransfer = 1.5
+	transferSlack  = 20 * time.Millisecond
+	// lastTransferShare is the share of the life that a transfer gets if
+	// nothing is left for a second one.
 	lastTransferShare = 0.9
 )
 
-// leastTransfer is the shortest deadline of a transfer.
-const leastTransfer = 100 * time.Millisecond
-
-// transferWithin is the deadline of a transfer: a few times what it should
-// take, and short enough that another server can still fetch the result.
+// transferWithin is the deadline of a transfer: well over what it should take,
+// and short enough that another server can still fetch the result.
+//
+// Without a bound well under the result's life a stalled transfer is noticed
+// when the result is gone, and the prefill has to be paid for again; one would
+// notice by prefillWasted with reason transferStalled.
 func (s *State) transferWithin(r *request, g *round, left time.Duration) time.Duration {
-	expected := transferTime(r.result.KVBytes, g.chosen)
-	bound := time.Duration(transferShare * float64(left))
-	if expected > bound {
+	expected := idleTransfer(r.result.KVBytes, g.chosen)
+	bound := left - time.Duration(secondTransfer*float64(expected)) - transferSlack
+	if bound < 2*expected {
 		return time.Duration(lastTransferShare * float64(left))
 	}
-	return min(bound, max(4*expected, leastTransfer))
+	return min(bound, max(slowestTransfer*expected, leastTransfer))
 }
 
 // hedgeTransfer gets a second decode server ready while a transfer is slow.
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"math"
+	"container/list"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -12,46 +12,57 @@
 // gain is the share of one observation in a learned mean.
 const gain = 0.1
 
-// waitFades is the time constant with which a learned wait is forgotten, so
-// that a lane which refused all requests takes some in again.
-const waitFades = time.Second
-
-// firstToken is what a lane learned of the time to the first token.
+// firstToken is what a lane learned of its work.
 type firstToken struct {
-	// wait follows the time over the request's own work, in seconds.
-	wait float64
-	seen time.Time
-	// perToken follows the time of the own work for one prompt token, and
+	// perToken follows the time of a prefill for one prompt token, and
 	// bytesPerToken the size of its KV cache.
 	perToken      float64
 	bytesPerToken float64
 }
 
-// late is how long a new urgent request should stay away because its first
-// token would be late; zero if it would not. Patient requests are never
-// refused for being late: they may wait.
+// admitShare is the share of the target of the first token that a new request
+// may be expected to take: the others of its urgency that wait now will have
+// waited longer by the time it is served.
+const admitShare = 0.7
+
+// late is how long a new request should stay away because its first token
+// would be late; zero if it would not. Work of one urgency is served about in
+// the order of its coming, so that a new request waits about as long as the
+// oldest one has that has no output yet. That is known now, while a mean of
+// finished waits tells of the load some seconds ago.
 //
-// Without it an overloaded pool serves every ping just behind its target, and
-// all of them have failed; one would notice goodput falling while the servers
-// are busy.
+// Without it an overloaded pool serves every request just behind its target,
+// and all of them have failed; one would notice goodput falling to nothing
+// while the servers are busy.
 func (l *lane) late(r *request, now time.Time) time.Duration {
-	if r.Urgency != oriolebend.Urgent || r.Call != nil || l.first.seen.IsZero() {
+	oldest := l.unstarted(r.Urgency).Front()
+	if oldest == nil {
 		return 0
 	}
-	faded := l.first.wait * math.Exp(-now.Sub(l.first.seen).Seconds()/waitFades.Seconds())
-	work := l.first.perToken * float64(r.PromptTokens)
-	over := time.Duration((faded + work - r.FirstWithin.Seconds()) * float64(time.Second))
-	if over <= 0 || faded <= 0 {
+	waited := now.Sub(oldest.Value.(*request).arrived)
+	work := time.Duration(l.first.perToken * float64(r.PromptTokens) * float64(time.Second))
+	limit := time.Duration(admitShare * float64(r.FirstWithin))
+	if waited+work <= limit {
 		return 0
 	}
-	return max(over, comeBack/10)
+	return min(max(waited+work-limit, comeBack/10), r.FirstWithin)
+}
+
+// unstarted lists the lane's requests of one urgency that have no output yet,
+// in the order of their coming.
+func (l *lane) unstarted(u oriolebend.Urgency) *list.List {
+	if u == oriolebend.Urgent {
+		return &l.urgent
+	}
+	return &l.patient
 }
 
-func (f *firstToken) observe(r *request, took time.Duration, now time.Time) {
-	work := f.perToken * float64(r.PromptTokens)
-	wait := took.Seconds() - work
-	f.wait += gain * 3 * (max(0, wait) - f.wait)
-	f.seen = now
+// started notes that a request has output, or ends without any.
+func (r *request) started() {
+	if r.unstarted != nil {
+		r.lane.unstarted(r.Urgency).Remove(r.unstarted)
+		r.unstarted = nil
+	}
 }
 
 // observeOutput learns from one run of output.
@@ -60,9 +71,7 @@
 	case r.output.tokens == 0:
 		took := s.now.Sub(r.arrived)
 		s.observe("firstToken", r, took.Seconds())
-		if r.Urgency == oriolebend.Urgent {
-			r.lane.first.observe(r, took, s.now)
-		}
+		r.started()
 	case tokens > 0:
 		s.observe("betweenTokens", r, s.now.Sub(r.lastOutput).Seconds()/float64(tokens))
 	}
@@ -142,6 +151,15 @@
 	if p.offer != nil && p.offer.LinkBytes > 0 {
 		rate = p.offer.LinkBytes
 	}
+	return over(bytes, rate)
+}
+
+// idleTransfer is how long so many bytes take over the whole of a link.
+func idleTransfer(bytes int64, p *probe) time.Duration {
+	return over(bytes, p.server.LinkBytes)
+}
+
+func over(bytes int64, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"strings"
 	"time"
@@ -33,6 +34,9 @@
 	budget *retry.Budget
 	queue  policy.FairQueue[*request]
 	first  firstToken
+	// urgent and patient are the requests without output, oldest first.
+	urgent  list.List
+	patient list.List
 }
 
 func (s *State) lane(q Request) *lane {
@@ -123,8 +127,8 @@
 }
 
 func (s *State) pumpLane(l *lane) {
-	for l.queue.Len() > 0 && l.limit.Free() {
-		r, found := l.queue.Pop()
+	for {
+		r, found := l.next()
 		if !found {
 			return
 		}
@@ -137,6 +141,19 @@
 	}
 }
 
+// next takes the request whose turn it is. The limit holds back patient ones
+// only: their places are held for as long as they wait at gates, and a ping
+// must not wait behind them.
+func (l *lane) next() (*request, bool) {
+	if r, found := l.queue.PopUrgent(); found {
+		return r, true
+	}
+	if !l.limit.Free() {
+		return nil, false
+	}
+	return l.queue.Pop()
+}
+
 // leaveQueue takes a request that ends out of all waiting.
 func (s *State) leaveQueue(r *request) {
 	r.clearAlarm(alarmWake)
@@ -151,7 +168,8 @@
 	if r.counted {
 		return
 	}
-	r.counted = r.lane.limit.Acquire()
+	r.counted = true
+	r.lane.limit.Take()
 }
 
 func (s *State) releasePlace(r *request) {
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -187,10 +187,12 @@
 	p.offer = &m
 	p.server.queued, p.server.seen = m.Queued, s.now
 	switch {
-	case m.Granted && !s.config.AskAtOnce:
+	case m.Granted && !s.config.AskAtOnce && (len(g.spare) == 0 || !p.linkBusy()):
 		s.choose(p.request, g)
-	case len(g.spare) > 0 && m.StartIn > worthAsking:
+	case len(g.spare) > 0 && (p.linkBusy() || m.StartIn > worthAsking):
 		s.askNext(p.request, g)
+	case g.answered() && g.bindsLate(p.request):
+		s.setAlarm(p.request, g.alarm, grantLate(m))
 	case len(g.spare) > 0 || g.answered():
 		s.choose(p.request, g)
 	default:
@@ -198,6 +200,38 @@
 	}
 }
 
+// linkBusy reports whether a decode server's link carries transfers that would
+// slow one more down. Without it all decodes of a failure domain go to its
+// nearest server, where their transfers take each other's time until results
+// expire; one would notice by transferStalled while other links are idle.
+func (p *probe) linkBusy() bool {
+	if p.round.phase != message.PhaseDecode || p.offer.LinkBytes <= 0 {
+		return false
+	}
+	return p.offer.LinkBytes < p.server.LinkBytes*idleLink
+}
+
+// idleLink is the share of its rate from which a link counts as idle.
+const idleLink = 0.75
+
+// bindsLate reports whether a round keeps its places in all the queues that
+// took it in, and takes the gate that grants first (late binding). Gates
+// predict badly when generations end; bound to one queue by such a prediction
+// a ping waits in it while other servers have room. Patient requests take one
+// place: there are many of them, and gates keep room for the first in line.
+func (g *round) bindsLate(r *request) bool {
+	return r.Urgency == oriolebend.Urgent && g.phase != message.PhasePrefill && g.reserve.Hold && !g.anyGranted()
+}
+
+func (g *round) anyGranted() bool {
+	for _, p := range g.probes {
+		if p.offer != nil && p.offer.Granted {
+			return true
+		}
+	}
+	return false
+}
+
 // worthAsking is the wait from which another candidate is asked: below it the
 // round trip costs more than what could be won.
 const worthAsking = 10 * time.Millisecond
@@ -242,14 +276,14 @@
 		s.hold(r, g)
 		return
 	}
-	s.setAlarm(r, g.alarm, s.grantLate(g))
+	s.setAlarm(r, g.alarm, grantLate(*g.chosen.offer))
 	s.advance(r)
 }
 
-// grantLate is how long a chosen gate may take for its grant: well over its
-// own prediction, after which the request asks again elsewhere.
-func (s *State) grantLate(g *round) time.Duration {
-	return 2*g.chosen.offer.StartIn + time.Second
+// grantLate is how long a gate may take for its grant: well over its own
+// prediction, after which the request asks again elsewhere.
+func grantLate(m message.Offer) time.Duration {
+	return 2*m.StartIn + time.Second
 }
 
 // granted tells that a waiting reservation is held now. A doubled grant
@@ -266,6 +300,7 @@
 			s.offered(p, message.Offer{Attempt: p.key.Attempt, Granted: true})
 		} else {
 			p.offer.Granted, p.offer.StartIn, p.offer.Queued = true, 0, 0
+			s.choose(p.request, g)
 		}
 		return
 	}
--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -44,6 +44,7 @@
 	s.closeAll(r)
 	s.leaveQueue(r)
 	s.releasePlace(r)
+	r.started()
 	r.clearAlarm(alarmDeadline)
 	r.step = stepSettling
 	s.settle(r, message.Settle{Attempt: attempt, State: state, Answer: a})
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"container/list"
 	"math/rand/v2"
 	"time"
 
@@ -158,6 +159,9 @@
 	// owesRetry is true while a retry is not yet taken off the budgets.
 	owesRetry bool
 
+	// unstarted is the request's place among those without output.
+	unstarted *list.Element
+
 	outcome outcome
 }
 
--- /dev/null
+++ b/internal/reducer/fleet/compare_test.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/policy"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// lintang is the logistics site at its peak.
+var lintang = mix{
+	domains: []string{"bdg-a", "bdg-b", "cirebon"}, prefill: 4, decode: 8, entries: 3, kvTokens: 90_000,
+	kinds: []kind{
+		{name: "brief", urgency: oriolebend.Patient, rate: 14, promptTokens: 4000, sharedTokens: 1024, documents: 60, outputTokens: 250, firstWithin: 4 * time.Second},
+		{name: "ping", urgency: oriolebend.Urgent, rate: 20, promptTokens: 80, sharedTokens: 0, documents: 1, outputTokens: 40, firstWithin: 1200 * time.Millisecond},
+	},
+}
+
+// association is the settlement site at its peak.
+var association = mix{
+	domains: []string{"chapinero", "usaquen", "teusaquillo", "fontibon"}, prefill: 5, decode: 4, entries: 4, kvTokens: 140_000,
+	kinds: []kind{
+		{name: "history", urgency: oriolebend.Patient, rate: 12, promptTokens: 6000, sharedTokens: 3072, documents: 120, outputTokens: 80, firstWithin: 4 * time.Second},
+		{name: "split", urgency: oriolebend.Urgent, rate: 5, promptTokens: 500, sharedTokens: 0, documents: 1, outputTokens: 40, firstWithin: 1200 * time.Millisecond},
+	},
+}
+
+const (
+	loadLasts = 40 * time.Second
+	drainFor  = 30 * time.Second
+)
+
+// result is what one run measured.
+type result struct {
+	good, wasted float64
+	pingP99      time.Duration
+	open         int
+	f            *fleet
+}
+
+func run(m mix, c entry.Config, scale float64, seed uint64, faults func(*fleet)) result {
+	f := newFleet(m, c, seed)
+	f.load(scale, loadLasts)
+	if faults != nil {
+		faults(f)
+	}
+	f.runUntil(f.now.Add(loadLasts + drainFor))
+	return f.result()
+}
+
+func (f *fleet) result() result {
+	r := result{f: f}
+	var pings []time.Duration
+	for _, s := range f.specs {
+		if s.good() {
+			r.good++
+		}
+		if !s.ended && s.problem == "" {
+			r.open++
+		}
+		if s.urgency == oriolebend.Urgent && !s.first.IsZero() {
+			pings = append(pings, s.first.Sub(s.arrived))
+		}
+	}
+	r.good /= float64(max(1, len(f.specs)))
+	r.wasted = f.stats.wasted / max(1, f.stats.computed)
+	slices.Sort(pings)
+	if len(pings) > 0 {
+		r.pingP99 = pings[len(pings)*99/100]
+	}
+	return r
+}
+
+// decodeDies kills one decode server after the other, every few seconds, for
+// two seconds each.
+func decodeDies(f *fleet) {
+	n := 0
+	f.every(4*time.Second, func() {
+		g := f.order[f.mix.prefill+n%f.mix.decode]
+		n++
+		g.die()
+		f.after(2*time.Second, g.start)
+	})
+}
+
+// BenchmarkPolicies compares all policies at the users' sizes under the same
+// load, without faults and with a decode server dying every four seconds.
+func BenchmarkPolicies(b *testing.B) {
+	for _, site := range []struct {
+		name string
+		mix  mix
+	}{{"lintang", lintang}, {"association", association}} {
+		for _, fault := range []string{"calm", "decodeDies"} {
+			for _, route := range routes {
+				b.Run(fmt.Sprintf("%s/%s/%s", site.name, fault, route), func(b *testing.B) {
+					benchmarkRoute(b, site.mix, route, fault)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkRoute(b *testing.B, m mix, route policy.Name, fault string) {
+	var good, wasted, ping float64
+	for i := range b.N {
+		var faults func(*fleet)
+		if fault == "decodeDies" {
+			faults = decodeDies
+		}
+		r := run(m, entry.Config{Route: route}, 1, uint64(i+1), faults)
+		good += r.good
+		wasted += r.wasted
+		ping += r.pingP99.Seconds()
+	}
+	n := float64(b.N)
+	b.ReportMetric(good/n, "goodput")
+	b.ReportMetric(100*wasted/n, "wasted%")
+	b.ReportMetric(1000*ping/n, "pingP99ms")
+}
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -11,6 +11,9 @@
 	// urgentPart is the part of a decode engine's memory that is kept for
 	// urgent work, one in so many.
 	urgentPart = 16
+	// urgentSlots is the part of a decode engine's slots that is kept for
+	// urgent work, one in so many.
+	urgentSlots = 8
 	// urgentSeen is how long after the latest urgent reservation it is kept.
 	urgentSeen = time.Minute
 )
@@ -142,9 +145,9 @@
 
 // fitsMoment reports whether a decode's room is free at one moment.
 func (s *State) fitsMoment(r *reservation, at time.Time) bool {
-	tokens, patient, slots := r.tokens, 0, 1
+	tokens, patient, slots, patientSlots := r.tokens, 0, 1, 0
 	if r.reserve.Urgency == oriolebend.Patient {
-		patient = r.tokens
+		patient, patientSlots = r.tokens, 1
 	}
 	for _, held := range s.memory.holders {
 		if !s.holdsAt(held, at) {
@@ -154,12 +157,35 @@
 		slots++
 		if held.reserve.Urgency != oriolebend.Urgent {
 			patient += held.tokens
+			patientSlots++
 		}
 	}
-	if tokens > s.engine.info.KVTokens || slots > s.limit.slots() {
+	if tokens > s.engine.info.KVTokens || slots > s.slotsFor(r) {
 		return false
 	}
-	return patient <= s.patientTokens(r)
+	return patient <= s.patientTokens(r) && patientSlots <= s.patientSlots()
+}
+
+// slotsFor is how many decodes may run beside a reservation and with it. An
+// urgent one may run beyond the limit: when the limit shrinks, patient
+// generations hold it all for seconds.
+func (s *State) slotsFor(r *reservation) int {
+	slots := s.limit.slots()
+	if r.reserve.Urgency == oriolebend.Urgent {
+		slots += max(slots/urgentSlots, 1)
+	}
+	return slots
+}
+
+// patientSlots is how many patient decodes may run together. A batch is full
+// by its step time long before its memory is full of pings: without slots kept
+// for them pings wait for the end of long generations.
+func (s *State) patientSlots() int {
+	slots := s.limit.slots()
+	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
+		return slots
+	}
+	return max(slots-max(slots/urgentSlots, 1), 1)
 }
 
 // patientTokens is the memory that patient decodes may take together. While
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -70,6 +70,24 @@
 	s.arrived = slices.Insert(s.arrived, at, r)
 }
 
+// stepMargin is the percentage of the target of the time between tokens that
+// the limit steers to: around the target itself half of all requests miss it.
+const stepMargin = 94
+
+// mostImports is how many transfers the server's link carries at once.
+const mostImports = 1
+
+// importing counts the decodes whose transfer is under way.
+func (s *State) importing() int {
+	n := 0
+	for _, held := range s.memory.holders {
+		if held.stage == stageWorking && held.reserve.Phase == message.PhaseDecode && !held.firstPart {
+			n++
+		}
+	}
+	return n
+}
+
 // byArrival orders the decodes that wait for room.
 func byArrival(a, b *reservation) int {
 	if a.reserve.Urgency != b.reserve.Urgency {
@@ -101,6 +119,9 @@
 // mayStart reports whether a decode's room is free. One that comes before the
 // time it was promised must leave room for those whose time it is.
 func (s *State) mayStart(r *reservation) bool {
+	if s.importing() >= mostImports {
+		return false
+	}
 	if s.now.Before(r.promisedAt) {
 		return s.committed().tokens <= s.engine.info.KVTokens
 	}
@@ -215,7 +236,7 @@
 	} else if p.Tokens > 0 {
 		step := s.now.Sub(r.lastPart) / time.Duration(p.Tokens)
 		s.predict.stepped(step)
-		s.limit.decodeStep(step, s.config.BetweenWithin, s.committed().slots)
+		s.limit.decodeStep(step, s.config.BetweenWithin*stepMargin/100, s.committed().slots)
 	}
 	r.lastPart = s.now
 }
--- a/internal/reducer/limit/limit.go
+++ b/internal/reducer/limit/limit.go
@@ -62,6 +62,9 @@
 	return true
 }
 
+// Take takes one place whether there is one or not.
+func (c *Concurrency) Take() { c.running++ }
+
 // Free reports whether there is a place.
 func (c *Concurrency) Free() bool { return float64(c.running) < c.limit }
 
