--- a/internal/reducer/entry/admit.go
+++ b/internal/reducer/entry/admit.go
@@ -93,7 +93,7 @@
 	if s.waitingBytes+len(r.Prompt) > s.config.MaxWaitingBytes {
 		return oriolebend.ReasonQueueFull, comeBack
 	}
-	if late := r.lane.late(r, s.now); late > 0 {
+	if late := r.lane.late(r, s.now); late > 0 && !s.config.AdmitAll {
 		return oriolebend.ReasonOverloaded, late
 	}
 	return "", 0
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -36,6 +36,10 @@
 	// carry none; zero means 41ms.
 	BetweenWithin time.Duration
 
+	// AdmitAll takes requests in whose first token is expected to be late; it
+	// is there to be compared with.
+	AdmitAll bool
+
 	// MaxRequests bounds the requests that the entry holds; zero means 4,096.
 	MaxRequests int
 	// MaxWaiting bounds the accepted requests that wait for room; zero means
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -98,7 +98,8 @@
 	// only start it anew behind them.
 	slowestTransfer = 8
 	// secondTransfer is what is kept of a result's life for a second transfer,
-	// in times of what an idle link takes, with transferSlack for its messages.
+	// in times of what an idle link takes, with transferSlack for its messages
+	// and the time in which the first output would follow the first transfer.
 	secondTransfer = 1.5
 	transferSlack  = 20 * time.Millisecond
 	// lastTransferShare is the share of the life that a transfer gets if
@@ -114,7 +115,7 @@
 // notice by prefillWasted with reason transferStalled.
 func (s *State) transferWithin(r *request, g *round, left time.Duration) time.Duration {
 	expected := idleTransfer(r.result.KVBytes, g.chosen)
-	bound := left - time.Duration(secondTransfer*float64(expected)) - transferSlack
+	bound := left - time.Duration(secondTransfer*float64(expected)) - transferSlack - 2*r.BetweenWithin
 	if bound < 2*expected {
 		return time.Duration(lastTransferShare * float64(left))
 	}
--- a/internal/reducer/entry/script_test.go
+++ b/internal/reducer/entry/script_test.go
@@ -280,7 +280,7 @@
 		return message.Offer{
 			Attempt: key.Attempt, Granted: a.has("granted"),
 			StartIn: a.duration("startIn", 0), Took: a.duration("took", 0),
-			Queued: a.number("queued", 0), LeaseFor: 3 * time.Second,
+			Queued: a.number("queued", 0), LeaseFor: 3 * time.Second, LinkBytes: float64(a.number("link", 0)),
 		}
 	case "grant":
 		return message.Grant{Attempt: key.Attempt, LeaseFor: 3 * time.Second}
--- a/internal/reducer/fleet/compare_test.go
+++ b/internal/reducer/fleet/compare_test.go
@@ -87,31 +87,57 @@
 	})
 }
 
+// baseline is a name for round robin as an ordinary product has it: no decode
+// memory reserved, and no request refused for being late.
+const baseline = "baseline"
+
 // BenchmarkPolicies compares all policies at the users' sizes under the same
 // load, without faults and with a decode server dying every four seconds.
 func BenchmarkPolicies(b *testing.B) {
-	for _, site := range []struct {
-		name string
-		mix  mix
-	}{{"lintang", lintang}, {"association", association}} {
+	for _, site := range sites {
 		for _, fault := range []string{"calm", "decodeDies"} {
-			for _, route := range routes {
+			for _, route := range append([]policy.Name{baseline}, routes...) {
 				b.Run(fmt.Sprintf("%s/%s/%s", site.name, fault, route), func(b *testing.B) {
-					benchmarkRoute(b, site.mix, route, fault)
+					benchmarkRoute(b, site.mix, configOf(route), 1, fault)
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkOverload compares the product with the baseline at growing load.
+func BenchmarkOverload(b *testing.B) {
+	for _, site := range sites {
+		for _, scale := range []float64{0.8, 1, 1.2, 1.5, 2} {
+			for _, route := range []policy.Name{baseline, policy.RoundRobin, policy.Reserve} {
+				b.Run(fmt.Sprintf("%s/%.1f/%s", site.name, scale, route), func(b *testing.B) {
+					benchmarkRoute(b, site.mix, configOf(route), scale, "calm")
 				})
 			}
 		}
 	}
 }
 
-func benchmarkRoute(b *testing.B, m mix, route policy.Name, fault string) {
+var sites = []struct {
+	name string
+	mix  mix
+}{{"lintang", lintang}, {"association", association}}
+
+func configOf(route policy.Name) entry.Config {
+	if route == baseline {
+		return entry.Config{Route: policy.RoundRobin, AdmitAll: true}
+	}
+	return entry.Config{Route: route}
+}
+
+func benchmarkRoute(b *testing.B, m mix, c entry.Config, scale float64, fault string) {
 	var good, wasted, ping float64
 	for i := range b.N {
 		var faults func(*fleet)
 		if fault == "decodeDies" {
 			faults = decodeDies
 		}
-		r := run(m, entry.Config{Route: route}, 1, uint64(i+1), faults)
+		r := run(m, c, scale, uint64(i+1), faults)
 		good += r.good
 		wasted += r.wasted
 		ping += r.pingP99.Seconds()
@@ -120,4 +146,46 @@
 	b.ReportMetric(good/n, "goodput")
 	b.ReportMetric(100*wasted/n, "wasted%")
 	b.ReportMetric(1000*ping/n, "pingP99ms")
+	b.ReportMetric(100*m.bound(scale), "bound%")
+	b.ReportMetric(0, "ns/op")
+}
+
+// bound is a share of requests that no router can pass with full knowledge:
+// urgent requests first, as they need the least, then patient ones until the
+// first resource is used up. A batch at which a step takes exactly the target
+// is the most that decodes run at, prompts are computed but for what all
+// requests of a document share, and links are never idle.
+func (m mix) bound(scale float64) float64 {
+	const batch = float64(betweenWithin-stepBase) / float64(stepEach)
+	left := resources{
+		prefill: float64(m.prefill) * prefillRate,
+		slots:   float64(m.decode) * batch,
+		link:    float64(m.decode) * linkRate,
+	}
+	all, good := 0.0, 0.0
+	for _, urgency := range []oriolebend.Urgency{oriolebend.Urgent, oriolebend.Patient} {
+		for _, k := range m.kinds {
+			if k.urgency != urgency {
+				continue
+			}
+			all += k.rate * scale
+			good += left.take(k, k.rate*scale)
+		}
+	}
+	return good / all
+}
+
+// resources are what is left for a second of load.
+type resources struct{ prefill, slots, link float64 }
+
+// take serves as much of a kind as there is room for.
+func (r *resources) take(k kind, rate float64) float64 {
+	prefill := float64(k.promptTokens - k.sharedTokens)
+	slots := float64(k.outputTokens) * betweenWithin.Seconds()
+	link := float64(k.promptTokens) * bytesOfToken
+	served := min(rate, r.prefill/prefill, r.slots/slots, r.link/link)
+	r.prefill -= served * prefill
+	r.slots -= served * slots
+	r.link -= served * link
+	return served
 }
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -105,12 +105,28 @@
 		return s.fitsPrefill(r)
 	case message.PhaseDecode:
 		from := later(r.from, s.now)
-		return s.fitsAt(r, from)
+		return s.fitsAt(r, from) && s.linkWait(r, from) == 0
 	default:
 		return s.committed().slots < s.limit.slots()
 	}
 }
 
+// linkWait is how much too late a transfer would end that is due at a moment,
+// behind those that are due by then: zero if within the time that a transfer
+// may take. Without it transfers that were granted room for the same
+// moment wait for each other until prefill results expire: seen as prefills
+// that are wasted although decode memory is free.
+func (s *State) linkWait(r *reservation, from time.Time) time.Duration {
+	busy := s.predict.transferTook(r)
+	for _, held := range s.memory.holders {
+		waits := held.reserve.Phase == message.PhaseDecode && !held.firstPart && held.stage != stageCancelling
+		if waits && held.from.Before(from.Add(busy)) {
+			busy += s.predict.transferTook(held)
+		}
+	}
+	return max(0, busy-max(s.config.TransferWithin, s.predict.transferTook(r)))
+}
+
 // fitsPrefill lets few prefills run at once, so that the order of work is the
 // queue's and not the engine's. Urgent ones may run beyond: the engine honours
 // their priority, and a ping needn't wait for the end of a long brief.
--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -180,7 +180,8 @@
 	}
 	ahead := s.queue.costAhead(r)
 	if r.reserve.Phase == message.PhaseDecode {
-		return s.earliest(r).Sub(s.now) + s.waitBehind(r, ahead)
+		at := s.earliest(r)
+		return at.Sub(s.now) + s.linkWait(r, at) + s.waitBehind(r, ahead)
 	}
 	return s.waitBehind(r, ahead)
 }
