--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -75,9 +75,9 @@
 const stepMargin = 94
 
 // mostImports is how many transfers of one urgency the server's link carries
-// at once: few at a time end sooner than many side by side, and with one alone a
-// stalled transfer would hold up all others. The small
-// one of a ping does not wait for that of a long brief.
+// at once: few at a time end sooner than many side by side, and with one alone
+// a stalled transfer would hold up all others. The small one of a ping does not
+// wait for that of a long brief.
 const mostImports = 2
 
 // importing counts the decodes of an urgency whose transfer is under way.
