--- a/internal/reducer/entry/loss.go
+++ b/internal/reducer/entry/loss.go
@@ -115,17 +115,7 @@
 
 // hopeless tells refusals that no other server and no later time would change.
 func (s *State) hopeless(r *request, reason oriolebend.Reason) bool {
-	return reason == oriolebend.ReasonMalformed || permanent(reason) && !s.fitsAnywhere(r)
-}
-
-// permanent tells refusals that speak of the request itself.
-func permanent(reason oriolebend.Reason) bool {
-	switch reason {
-	case oriolebend.ReasonMalformed, oriolebend.ReasonTooLarge:
-		return true
-	default:
-		return false
-	}
+	return reason == oriolebend.ReasonMalformed || reason == oriolebend.ReasonTooLarge && !s.fitsAnywhere(r)
 }
 
 // tooLate takes in that a gate would start a request too late, and reports
--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -189,13 +189,15 @@
 	s.tell(r)
 }
 
-// tell gives the caller the end of its answer, once.
+// tell gives the caller the end of its answer, once. A request that goes on
+// without its caller is told too: another with the same key may follow it, and
+// would wait for an end that never comes.
 func (s *State) tell(r *request) {
 	if r.outcome.told {
 		return
 	}
 	r.outcome.told = true
-	if r.gone {
+	if r.gone && !r.KeepRunning {
 		return
 	}
 	switch o := r.outcome; {
@@ -225,10 +227,7 @@
 	}
 	problem.Ran = oriolebend.RanUnknown
 	s.dropWasted(r)
-	s.conclude(r, message.RecordFailed, &message.Answer{
-		Reason:  reason,
-		Reopens: !permanent(reason),
-	})
+	s.conclude(r, message.RecordFailed, &message.Answer{Reason: reason})
 }
 
 // leaveCallRunning lets a call that may run once go on to its outcome after
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -10,6 +10,9 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// resultGrace is how long after its life a prefill result is cancelled.
+const resultGrace = time.Second
+
 // toStart returns the reservation whose work a message brings, or nil if there
 // is nothing to start: the message was refused, or is a doubled one.
 func (s *State) toStart(id SessionID, a message.Attempt, phase message.Phase) *reservation {
@@ -29,7 +32,6 @@
 func (s *State) start(r *reservation) {
 	r.stage = stageWorking
 	r.startedAt = s.now
-	r.until = s.now.Add(r.took)
 }
 
 func (s *State) startPrefill(id SessionID, m message.Prefill) {
@@ -65,33 +67,10 @@
 	r.startBy = s.now.Add(within)
 	r.promisedAt = r.from
 	r.from = s.now
-	r.until = s.now.Add(r.took)
 	at, _ := slices.BinarySearchFunc(s.arrived, r, byArrival)
 	s.arrived = slices.Insert(s.arrived, at, r)
 }
 
-// stepMargin is the percentage of the target of the time between tokens that
-// the limit steers to: around the target itself half of all requests miss it.
-const stepMargin = 94
-
-// mostImports is how many transfers of one urgency the server's link carries
-// at once: few at a time end sooner than many side by side, and with one alone
-// a stalled transfer would hold up all others. The small one of a ping does not
-// wait for that of a long brief.
-const mostImports = 2
-
-// importing counts the decodes of an urgency whose transfer is under way.
-func (s *State) importing(u oriolebend.Urgency) int {
-	n := 0
-	for _, held := range s.memory.holders {
-		importing := held.stage == stageWorking && held.reserve.Phase == message.PhaseDecode && !held.firstPart
-		if importing && held.reserve.Urgency == u {
-			n++
-		}
-	}
-	return n
-}
-
 // byArrival orders the decodes that wait for room.
 func byArrival(a, b *reservation) int {
 	if a.reserve.Urgency != b.reserve.Urgency {
@@ -123,13 +102,14 @@
 // mayStart reports whether a decode's room is free. One that comes before the
 // time it was promised must leave room for those whose time it is.
 func (s *State) mayStart(r *reservation) bool {
-	if s.importing(r.reserve.Urgency) >= mostImports {
-		return false
-	}
+	used := s.usedTokens() + r.tokens
 	if s.now.Before(r.promisedAt) {
-		return s.committed().tokens <= s.engine.info.KVTokens
+		used += s.dueTokens()
+	}
+	if used > s.engine.info.KVTokens {
+		return false
 	}
-	return s.usedTokens()+r.tokens <= s.engine.info.KVTokens
+	return r.reserve.Urgency == oriolebend.Urgent || s.usedPatient()+r.tokens <= s.patientTokens(r)
 }
 
 func (s *State) runDecode(r *reservation) {
@@ -186,7 +166,7 @@
 	s.predict.prefillEnded(s.now, e.Result.Tokens-e.Result.CachedTokens)
 	r.stage = stagePrefilled
 	r.computing = false
-	r.expiresAt = s.now.Add(e.Result.LivesFor)
+	r.expiresAt = s.now.Add(e.Result.LivesFor + resultGrace)
 	s.queue.changed = true
 	s.emit(Reply{Session: r.session, Message: message.Prefilled{
 		Attempt:      e.Attempt,
@@ -199,7 +179,8 @@
 }
 
 // expireResults ends the reservations of prefill results that the engine no
-// longer holds by its own word; a cancellation makes sure.
+// longer holds by its own word; a cancellation makes sure. It waits for a
+// grace, as it would break off a transfer that began just in time.
 func (s *State) expireResults() {
 	for _, r := range s.inOrder() {
 		if r.stage != stagePrefilled || !s.now.After(r.expiresAt) {
@@ -240,7 +221,7 @@
 	} else if p.Tokens > 0 {
 		step := s.now.Sub(r.lastPart) / time.Duration(p.Tokens)
 		s.predict.stepped(step)
-		s.limit.decodeStep(step, s.config.BetweenWithin*stepMargin/100, s.committed().slots)
+		s.limit.decodeStep(step, s.config.BetweenWithin, s.committed().slots)
 	}
 	r.lastPart = s.now
 }
--- a/internal/reducer/record/fingerprint.go
+++ b/internal/reducer/record/fingerprint.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -27,11 +29,14 @@
 	Adapter   string
 	Prompt    string
 	MaxTokens int
-	// Service, Method, Path and Body are those of a call of a plain service.
+	// Service and those below it are of a call of a plain service.
 	Service string
 	Method  string
 	Path    string
-	Body    []byte
+	// Header holds the headers that change what the call does, by canonical
+	// name, such as Content-Type and If-Match.
+	Header map[string]string
+	Body   []byte
 }
 
 // Fingerprint returns the fingerprint of a command in every version that is
@@ -51,6 +56,9 @@
 	} {
 		writeField(h, []byte(field))
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.Header)) {
+		writeField(h, []byte(name+":"+c.Header[name]))
+	}
 	writeField(h, canonicalBody(c.Body))
 	return h.Sum(nil)[:fingerprintBytes]
 }
--- a/internal/role/memberleader.go
+++ b/internal/role/memberleader.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/member"
@@ -27,11 +29,11 @@
 type MemberLeader struct {
 	Self     string
 	Log      control.Log
-	Machine  *DeclaredMachine
+	Store    *operator.Store
 	Observer Observer
 	Logger   *slog.Logger
 
-	loop     Loop[member.Event, member.Effect]
+	loop     *Loop
 	sessions atomic.Uint64
 	leads    atomic.Bool
 
@@ -42,15 +44,11 @@
 
 // Prepare makes the leader ready for Serve; it must be called before Run.
 func (m *MemberLeader) Prepare() {
-	state := member.New(member.Config{})
 	m.open = map[member.SessionID]*outbox{}
-	m.loop = Loop[member.Event, member.Effect]{
-		Reduce:    func(e member.Event) []member.Effect { return member.Reduce(state, e) },
-		Perform:   m.perform,
-		Tick:      func(at time.Time) member.Event { return member.Ticked{At: at} },
-		TickEvery: member.TickEvery,
-	}
-	m.loop.Prepare()
+	m.loop = NewLoop(&reducer.State{Member: member.New(member.Config{})}, m.perform, Tick{
+		Every: member.TickEvery,
+		Event: func(at time.Time) reducer.Event { return member.Ticked{At: at} },
+	})
 }
 
 // Run holds leases until ctx ends.
@@ -66,7 +64,8 @@
 	ticker := time.NewTicker(leadEvery)
 	defer ticker.Stop()
 	for {
-		view, changed := m.Machine.View()
+		var view declared.View
+		changed := m.Store.Read(func(d *declared.State) { view = d.View().Copy() })
 		if m.leads.Load() {
 			m.loop.Post(member.Committed{At: time.Now(), View: view})
 		}
@@ -100,8 +99,7 @@
 		return
 	}
 	m.leads.Store(true)
-	view, _ := m.Machine.View()
-	m.loop.Post(member.Led{At: time.Now(), View: view})
+	m.loop.Post(member.Led{At: time.Now(), View: m.Store.View()})
 }
 
 // Serve is the peer.Handler for sidecars that announce their server and ask
@@ -139,7 +137,7 @@
 	}
 }
 
-func (m *MemberLeader) perform(effect member.Effect) {
+func (m *MemberLeader) perform(effect reducer.Effect) {
 	switch f := effect.(type) {
 	case member.Reply:
 		m.mu.Lock()
@@ -161,8 +159,7 @@
 		m.Logger.Warn("a change of the membership was not accepted", "error", err)
 	}
 	// The change itself must reach the reducer before its outcome does.
-	view, _ := m.Machine.View()
-	m.loop.Post(member.Committed{At: time.Now(), View: view})
+	m.loop.Post(member.Committed{At: time.Now(), View: m.Store.View()})
 	m.loop.Post(member.Proposed{At: time.Now(), Failed: err != nil})
 }
 
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -9,6 +9,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
+	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/service"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -18,12 +19,14 @@
 	process  Process
 	sidecar  *Sidecar
 	endpoint *peer.Endpoint
+	metrics  *httpServer
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
 // StartSidecar starts a sidecar; Stop ends it.
 func StartSidecar(p Process) (*SidecarProcess, error) {
+	p = p.withMetrics(peer.RoleSidecar)
 	process := &SidecarProcess{process: p, done: make(chan struct{})}
 	serve := func(ctx context.Context, s peer.Stream) { process.sidecar.Serve(ctx, s) }
 	ready := make(chan struct{})
@@ -38,10 +41,17 @@
 	process.endpoint = endpoint
 	announcer := &Announcer{Dialer: endpoint, Control: p.controlAddresses(), Logger: p.Logger}
 	announcer.Prepare()
-	process.sidecar = NewSidecar(p.sidecarConfig(endpoint.Address(), announcer.Announce))
+	process.sidecar = NewSidecar(p.sidecarConfig(endpoint, announcer))
 	close(ready)
+	process.metrics, err = p.serveMetrics(process.Ready)
+	if err != nil {
+		return nil, errors.Join(err, endpoint.Close())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
+	p.Metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
+	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
+	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
 	go announcer.Run(ctx)
 	go func() {
 		defer close(process.done)
@@ -50,8 +60,9 @@
 	return process, nil
 }
 
-func (p Process) sidecarConfig(address string, announce func(oriolebend.Server)) SidecarConfig {
+func (p Process) sidecarConfig(endpoint *peer.Endpoint, announcer *Announcer) SidecarConfig {
 	s := p.Settings
+	incarnation := newIncarnation()
 	config := SidecarConfig{
 		Reducer: gate.Config{
 			Lease:         s.Policy.Lease.Or(0),
@@ -59,16 +70,26 @@
 			Concurrency:   s.Sidecar.Concurrency,
 			Shares:        shares(s.Organisations),
 		},
+		Orders: order.Config{
+			Server:        s.Sidecar.Server,
+			Incarnation:   incarnation,
+			ChecksFencing: s.Sidecar.ChecksFencing,
+			Service:       s.Sidecar.Service != "",
+			Seed:          incarnation,
+		},
 		Server: oriolebend.Server{
 			Name:          s.Sidecar.Server,
 			Region:        s.Node.Region,
 			FailureDomain: s.Node.FailureDomain,
-			GateAddress:   address,
-			Incarnation:   newIncarnation(),
+			GateAddress:   endpoint.Address(),
+			Incarnation:   incarnation,
 		},
-		Announce: announce,
-		Observer: p.observer(),
-		Logger:   p.Logger,
+		Follow:    p.followConfig("sidecar"),
+		Dialer:    endpoint,
+		Announcer: announcer,
+		Left:      func() { p.Logger.Info("the server has left; this process may end") },
+		Observer:  p.observer(),
+		Logger:    p.Logger,
 	}
 	if s.Sidecar.Service != "" {
 		config.Reducer.Role = oriolebend.Service
@@ -82,17 +103,20 @@
 	return config
 }
 
+// Ready reports whether the server behind the gate takes new work.
+func (p *SidecarProcess) Ready() bool { return p.sidecar.Ready() }
+
 // Stop ends the sidecar gracefully: no new work, then the work in progress
 // ends, then the port closes.
 func (p *SidecarProcess) Stop(ctx context.Context) error {
 	drained := p.sidecar.Stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closeEndpoint(p.endpoint))
+	return p.process.stopped(drained, closeEndpoint(p.endpoint), p.metrics.close())
 }
 
 // Kill ends the sidecar at once, as a process that dies.
 func (p *SidecarProcess) Kill() error {
 	p.cancel()
-	return p.endpoint.Close()
+	return errors.Join(p.endpoint.Close(), p.metrics.close())
 }
--- a/internal/role/watchserver.go
+++ b/internal/role/watchserver.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 )
 
 // freshEvery is how often a follower is told that its state is still the
@@ -15,7 +17,7 @@
 
 // WatchServer feeds the followers of one control VM.
 type WatchServer struct {
-	Machine   *DeclaredMachine
+	Store     *operator.Store
 	Confirmer *Confirmer
 	Reached   *ReachedTable
 	Logger    *slog.Logger
@@ -49,34 +51,48 @@
 }
 
 func (w *WatchServer) feed(ctx context.Context, s peer.Stream, watch message.Watch) {
-	from := watch.From
+	from, came := watch.From, time.Now()
+	w.Confirmer.Soon()
 	for {
-		update, changed, err := w.Machine.Update(from)
+		// The confirmation is read before the state: a later one could vouch
+		// for a state that was read before it.
+		last, confirmed := w.Confirmer.Last()
+		var update message.Update
+		var err error
+		changed := w.Store.Read(func(d *declared.State) { update, err = d.Update(from) })
 		if err != nil {
 			// The follower has seen a later revision than this control VM: it
 			// must not be fed, for its state would go back.
 			w.Logger.Warn("a follower is ahead of this control VM", "follower", watch.Node, "error", err)
 			return
 		}
-		update.Age, update.Confirmed = w.Confirmer.Age(time.Now())
+		update.Age, update.Confirmed = time.Since(last), !last.IsZero()
+		update.Fresh = last.After(came)
 		if err := s.Send(update); err != nil {
 			return
 		}
 		from = update.Revision
-		if !w.sleep(ctx, s, changed) {
+		if update.Fresh {
+			confirmed = nil
+		} else {
+			w.Confirmer.Soon()
+		}
+		if !w.sleep(ctx, s, changed, confirmed) {
 			return
 		}
 	}
 }
 
-// sleep waits for a change or for the time to tell of freshness; it is false
-// once the session ended.
-func (w *WatchServer) sleep(ctx context.Context, s peer.Stream, changed <-chan struct{}) bool {
+// sleep waits for a change, a confirmation that the follower still lacks, or
+// the time to tell of freshness; it is false once the session ended.
+func (w *WatchServer) sleep(ctx context.Context, s peer.Stream, changed, confirmed <-chan struct{}) bool {
 	timer := time.NewTimer(freshEvery)
 	defer timer.Stop()
 	select {
 	case <-changed:
 		return true
+	case <-confirmed:
+		return true
 	case <-timer.C:
 		return true
 	case <-s.Done():
