--- a/internal/policy/health.go
+++ b/internal/policy/health.go
@@ -8,11 +8,15 @@
 // slowStart is how long a server that is new or returned takes to its full
 // weight. Without it all entries send it work at once because it looks idle,
 // and its cold cache makes it the slowest of all.
-const slowStart = 10 * time.Second
+const slowStart = 3 * time.Second
 
 // startWeight is the weight at the beginning of the slow start.
 const startWeight = 0.1
 
+// mostFailures bounds what failures count together: one death of a server
+// fails all that it had in progress.
+const mostFailures = 3
+
 // healthFades is the time constant with which slowness and failures are
 // forgotten, so that a server which was bad is tried again.
 const healthFades = 15 * time.Second
@@ -49,7 +53,7 @@
 // Fail learns of a failure of the server or its gate.
 func (h *Health) Fail(now time.Time) {
 	h.fade(now)
-	h.Failures++
+	h.Failures = min(h.Failures+1, mostFailures)
 }
 
 // Correction is what a prediction of the server's own is multiplied by.
--- a/internal/reducer/fleet/gate_test.go
+++ b/internal/reducer/fleet/gate_test.go
@@ -49,6 +49,16 @@
 	g.reduce(gate.Declared{At: g.fleet.now, State: state})
 }
 
+// announce tells the entries of the server as it is now.
+func (g *simGate) announce() {
+	f := g.fleet
+	f.after(500*time.Millisecond, func() {
+		for _, e := range f.entries {
+			e.reduce(entry.ServersChanged{At: f.now, Servers: []oriolebend.Server{g.server}})
+		}
+	})
+}
+
 // die ends the process of the sidecar and its engine's work.
 func (g *simGate) die() {
 	g.dead = true
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -12,6 +12,11 @@
 	// urgentPart is the part of a decode engine's memory that is kept for
 	// urgent work, one in so many.
 	urgentPart = 16
+	// urgentSlots is the part of a decode engine's slots that is kept for
+	// urgent work, one in so many; urgentBeyond is by which part of its slots
+	// urgent work may go beyond them.
+	urgentSlots  = 8
+	urgentBeyond = 2
 	// promiseMargin is by how many standard deviations the memory that is
 	// expected to be held is taken for more. Too little, and promised room
 	// isn't free in time, which wastes prefills; too much, and memory is idle.
@@ -134,12 +139,41 @@
 	case message.PhasePrefill:
 		return s.fitsPrefill(r)
 	case message.PhaseDecode:
-		return s.fitsAt(r, s.now.Add(r.lead))
+		from := s.now.Add(r.lead)
+		return s.fitsAt(r, from) && s.linkWait(r, from) == 0
 	default:
 		return s.committed().slots < s.limit.slots()
 	}
 }
 
+// linkWait is how much too late a transfer would end that is due at a moment,
+// behind those that are due by then: zero if within the time that a transfer
+// may take. Without it transfers that were granted room for the same moment
+// wait for each other until prefill results expire: seen as prefills that are
+// wasted although decode memory is free.
+func (s *State) linkWait(r *reservation, from time.Time) time.Duration {
+	busy := s.predict.transferTook(r)
+	for _, held := range s.memory.holders {
+		if r.reserve.Urgency == oriolebend.Urgent && held.reserve.Urgency != oriolebend.Urgent {
+			continue // its small transfer shares the link with them
+		}
+		if s.importsAbout(held, from, busy) {
+			busy += s.predict.transferTook(held)
+		}
+	}
+	return max(0, busy-max(s.config.TransferWithin, s.predict.transferTook(r)))
+}
+
+// importsAbout reports whether a decode's transfer is expected not to be over
+// by a moment, and to begin before the link was busy for a while from then on.
+func (s *State) importsAbout(held *reservation, from time.Time, busy time.Duration) bool {
+	if held.reserve.Phase != message.PhaseDecode || held.firstPart || held.stage == stageCancelling {
+		return false
+	}
+	over := later(held.from, s.now).Add(s.config.TransferWithin)
+	return held.from.Before(from.Add(busy)) && !over.Before(from)
+}
+
 // fitsPrefill lets few prefills run at once, so that the order of work is the
 // queue's and not the engine's. Urgent ones may run beyond: the engine honours
 // their priority, and a ping needn't wait for the end of a long brief.
@@ -181,7 +215,7 @@
 		s.expect(&urgent, &patient, held, at)
 	}
 	s.expect(&urgent, &patient, r, at)
-	if urgent.slots+patient.slots > float64(s.limit.slots())+slotsSlack {
+	if urgent.slots+patient.slots > s.slotsFor(r)+slotsSlack {
 		return false
 	}
 	whole, most := float64(s.engine.info.KVTokens), float64(s.patientTokens(r))
@@ -190,13 +224,35 @@
 		// more than their part.
 		return urgent.most()+min(patient.most(), most) <= whole
 	}
-	if patient.most() > most {
+	if patient.most() > most || patient.slots > s.patientSlots()+slotsSlack {
 		return false
 	}
 	urgent.add(patient)
 	return urgent.most() <= whole
 }
 
+// slotsFor is how many decodes may run beside a reservation and with it. An
+// urgent one may run beyond the limit: when the limit shrinks, patient
+// generations hold it all for seconds.
+func (s *State) slotsFor(r *reservation) float64 {
+	slots := s.limit.slots()
+	if r.reserve.Urgency == oriolebend.Urgent {
+		slots += max(slots/urgentBeyond, 1)
+	}
+	return float64(slots)
+}
+
+// patientSlots is how many patient decodes may run together. A batch is full
+// by its step time long before its memory is full of pings: without slots kept
+// for them pings wait for the end of long generations.
+func (s *State) patientSlots() float64 {
+	slots := s.limit.slots()
+	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
+		return float64(slots)
+	}
+	return float64(max(slots-slots/urgentSlots, 1))
+}
+
 // expect adds what a reservation is expected to hold at a moment.
 func (s *State) expect(urgent, patient *expected, held *reservation, at time.Time) {
 	share := s.holdsAt(held, at)
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -99,9 +99,30 @@
 	}
 }
 
+// mostImports is how many transfers of one urgency the server's link carries
+// at once: few at a time end sooner than many side by side, and with one alone
+// a stalled transfer would hold up all others. The small one of a ping does not
+// wait for that of a long brief.
+const mostImports = 2
+
+// importing counts the decodes of an urgency whose transfer is under way.
+func (s *State) importing(u oriolebend.Urgency) int {
+	n := 0
+	for _, held := range s.memory.holders {
+		importing := held.stage == stageWorking && held.reserve.Phase == message.PhaseDecode && !held.firstPart
+		if importing && held.reserve.Urgency == u {
+			n++
+		}
+	}
+	return n
+}
+
 // mayStart reports whether a decode's room is free. One that comes before the
 // time it was promised must leave room for those whose time it is.
 func (s *State) mayStart(r *reservation) bool {
+	if s.importing(r.reserve.Urgency) >= mostImports {
+		return false
+	}
 	used := s.usedTokens() + r.tokens
 	if s.now.Before(r.promisedAt) {
 		used += s.dueTokens()
@@ -211,6 +232,10 @@
 	s.finish(r)
 }
 
+// stepMargin is the percentage of the target of the time between tokens that
+// the limit steers to: around the target itself half of all requests miss it.
+const stepMargin = 94
+
 // observePart learns the transfer time from the first part and the time
 // between tokens from the others.
 func (s *State) observePart(r *reservation, p message.Part) {
@@ -221,7 +246,7 @@
 	} else if p.Tokens > 0 {
 		step := s.now.Sub(r.lastPart) / time.Duration(p.Tokens)
 		s.predict.stepped(step)
-		s.limit.decodeStep(step, s.config.BetweenWithin, s.committed().slots)
+		s.limit.decodeStep(step, s.config.BetweenWithin*stepMargin/100, s.committed().slots)
 	}
 	r.lastPart = s.now
 }
