--- a/internal/reducer/fleet/fleet_test.go
+++ b/internal/reducer/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/policy"
+	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -172,7 +173,7 @@
 	}
 	s.sharedTokens = min(k.sharedTokens, s.promptTokens-1)
 	if f.blocks[s.document] == nil {
-		for i := 0; i < k.sharedTokens/blockTokens; i++ {
+		for i := 0; prefix.Tokens(blockTokens, i) <= k.sharedTokens; i++ {
 			f.blocks[s.document] = append(f.blocks[s.document], f.rng.Uint64())
 		}
 	}
