gate: memory and slots for pings by need, a full queue that is fair

Cause: beside briefs at twice the capacity pings waited for each other at the one urgent slot and for memory; in a full queue one organisation's flood had all others refused. Change: four urgent prefill slots; twice the memory that urgent work held of late is kept for it, on prefill servers too; a full queue refuses the latest of the organisation with most waiting, and briefs for pings. The margin of promises is a setting. Decode limits don't shrink below four.

--- a/internal/reducer/gate/config.go
+++ b/internal/reducer/gate/config.go
@@ -12,13 +12,14 @@
 	defaultTickEvery      = 100 * time.Millisecond
 	defaultQueueBound     = 1024
 	defaultPrefillSlots   = 2
-	defaultUrgentSlots    = 1
+	defaultUrgentSlots    = 4
 	defaultPrefillBudget  = 32_768
 	defaultDecodeSlots    = 64
 	defaultConcurrency    = 64
 	defaultBetweenWithin  = 41 * time.Millisecond
 	defaultAgeAfter       = 5 * time.Second
 	defaultPatientShare   = 0.25
+	defaultMargin         = 2.5
 	defaultClosedFor      = 10 * time.Minute
 	defaultClosedBound    = 65_536
 	defaultCancelRetry    = 500 * time.Millisecond
@@ -51,7 +52,7 @@
 	// means 2.
 	PrefillSlots int
 	// UrgentSlots is how many urgent prefills may run beyond PrefillSlots;
-	// zero means 1.
+	// zero means 4.
 	UrgentSlots int
 	// PrefillBudget is how many uncached prompt tokens the running prefills
 	// may sum up to; a single larger one runs alone. Zero means 32,768.
@@ -73,6 +74,11 @@
 	PatientShare float64
 	// Shares weighs organisations in the queue; one that is missing weighs 1.
 	Shares map[string]float64
+	// PromiseMargin is by how many standard deviations the memory that decodes
+	// are expected to hold is taken for more when room is promised. Too little,
+	// and promised room isn't free in time, which wastes prefills; too much,
+	// and memory is left empty. Zero means 2.5.
+	PromiseMargin float64
 	// ClosedFor and ClosedBound say how long and how many closed attempts are
 	// remembered; zero means 10m and 65,536.
 	ClosedFor   time.Duration
@@ -119,6 +125,7 @@
 	setDefault(&c.BetweenWithin, defaultBetweenWithin)
 	setDefault(&c.AgeAfter, defaultAgeAfter)
 	setDefault(&c.PatientShare, defaultPatientShare)
+	setDefault(&c.PromiseMargin, defaultMargin)
 	setDefault(&c.ClosedFor, defaultClosedFor)
 	setDefault(&c.ClosedBound, defaultClosedBound)
 	setDefault(&c.CancelRetry, defaultCancelRetry)
--- a/internal/reducer/gate/fair.go
+++ b/internal/reducer/gate/fair.go
@@ -127,6 +127,21 @@
 	return dearest
 }
 
+// longest returns the line in which most wait, or nil.
+func (c *class) longest() *line {
+	var longest *line
+	for _, l := range c.active {
+		if longest == nil || len(l.waiting) > len(longest.waiting) ||
+			(len(l.waiting) == len(longest.waiting) && l.organisation < longest.organisation) {
+			longest = l
+		}
+	}
+	return longest
+}
+
+// last returns the reservation that was accepted last.
+func (l *line) last() *reservation { return l.waiting[len(l.waiting)-1] }
+
 // ahead counts those before r: with fair shares, as many of each other line
 // as are before it in its own.
 func (c *class) ahead(r *reservation) int {
--- a/internal/reducer/gate/gate_test.go
+++ b/internal/reducer/gate/gate_test.go
@@ -130,6 +130,7 @@
 			Service:        a.text("service", ""),
 			QueueBound:     a.number("queueBound", 0),
 			Concurrency:    a.number("concurrency", 0),
+			UrgentSlots:    a.number("urgentSlots", 0),
 			ClosedBound:    a.number("closedBound", 0),
 			DeclaredWithin: a.span("declaredWithin"),
 		})
--- a/internal/reducer/gate/grant.go
+++ b/internal/reducer/gate/grant.go
@@ -107,6 +107,7 @@
 	r.paused = s.paused
 	r.computing = r.reserve.Phase == message.PhasePrefill
 	s.memory.add(r)
+	s.noteUrgent()
 	if r.offered {
 		s.emit(Reply{Session: r.session, Message: message.Grant{
 			Attempt:  r.reserve.Attempt,
--- a/internal/reducer/gate/limit.go
+++ b/internal/reducer/gate/limit.go
@@ -10,6 +10,10 @@
 	// tolerance is how much slower than at its best a service may answer
 	// before it counts as overloaded.
 	tolerance = 2.0
+	// leastDecodes is how far the limit of decodes shrinks. If so few are too
+	// slow it is not their number that makes them so, and to shrink further
+	// would only cost throughput.
+	leastDecodes = 4
 	// bestDrift is by how much the best known time is forgotten a window, so
 	// that a service which became slower for good isn't held down for ever.
 	bestDrift = 1.02
@@ -22,6 +26,7 @@
 // Without it a slow server is given ever more work, which makes every answer
 // slower still: seen as latency that rises with a throughput that does not.
 type limit struct {
+	least   float64
 	most    int
 	current float64
 	seen    int
@@ -33,12 +38,12 @@
 	reached bool
 }
 
-func newLimit(most int) limit {
-	return limit{most: most, current: float64(most)}
+func newLimit(least, most int) limit {
+	return limit{least: float64(min(least, most)), most: most, current: float64(most)}
 }
 
-// slots is how much work the server may have now, at least one.
-func (l *limit) slots() int { return max(int(l.current), 1) }
+// slots is how much work the server may have now.
+func (l *limit) slots() int { return int(l.current) }
 
 // decodeStep takes the time between two tokens of one decode.
 func (l *limit) decodeStep(step, within time.Duration, running int) {
@@ -62,7 +67,7 @@
 
 // failed takes a call that ended without an answer.
 func (l *limit) failed() {
-	l.current = max(l.current*shrink, 1)
+	l.current = max(l.current*shrink, l.least)
 }
 
 func (l *limit) observe(took time.Duration, running int) (mean float64, full bool) {
@@ -82,7 +87,7 @@
 func (l *limit) move(kept bool, running float64) {
 	switch {
 	case !kept:
-		l.current = max(min(l.current, running)*shrink, 1)
+		l.current = max(min(l.current, running)*shrink, l.least)
 	case l.reached:
 		l.current = min(l.current+1, float64(l.most))
 	}
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -9,20 +9,17 @@
 )
 
 const (
-	// urgentPart is the part of a decode engine's memory that is kept for
-	// urgent work, one in so many.
-	urgentPart = 16
-	// promiseMargin is by how many standard deviations the memory that is
-	// expected to be held is taken for more. Too little, and promised room
-	// isn't free in time, which wastes prefills; too much, and memory is idle.
-	promiseMargin = 2.5
+	// peakKept is what a tick leaves of the peak of urgent memory; it halves in
+	// about a minute. peakMargin times the peak is kept for urgent work, but no
+	// more than one part in mostUrgentPart of the whole.
+	peakKept       = 0.999
+	peakMargin     = 2
+	mostUrgentPart = 4
 	// slotsSlack lets a promise count on half a slot.
 	slotsSlack = 0.5
 	// searchSteps bounds the search for the earliest room; with steps that
 	// grow by half it reaches about a minute ahead.
 	searchSteps = 15
-	// urgentSeen is how long after the latest urgent reservation it is kept.
-	urgentSeen = time.Minute
 )
 
 // memory holds the reservations that have room, from their grant until the
@@ -108,15 +105,20 @@
 	return max(s.engine.info.KVTokens-s.committed().tokens, 0)
 }
 
-// load is what some reservations hold together.
+// load is what some reservations hold together; patient is the part of tokens
+// that is held by patient ones.
 type load struct {
 	tokens  int
+	patient int
 	slots   int
 	compute int
 }
 
 func (l *load) add(r *reservation) {
 	l.tokens += r.tokens
+	if r.reserve.Urgency != oriolebend.Urgent {
+		l.patient += r.tokens
+	}
 	if r.reserve.Phase != message.PhasePrefill {
 		l.slots++
 		return
@@ -151,7 +153,7 @@
 	if r.reserve.Urgency == oriolebend.Urgent {
 		return held.slots < s.config.PrefillSlots+s.config.UrgentSlots
 	}
-	if held.slots >= s.config.PrefillSlots {
+	if held.slots >= s.config.PrefillSlots || held.patient+r.tokens > s.patientTokens(r) {
 		return false
 	}
 	return held.slots == 0 || held.compute+r.compute <= s.config.PrefillBudget
@@ -185,16 +187,17 @@
 		return false
 	}
 	whole, most := float64(s.engine.info.KVTokens), float64(s.patientTokens(r))
+	margin := s.config.PromiseMargin
 	if r.reserve.Urgency == oriolebend.Urgent {
 		// Patient promises that came due before their room was free can't take
 		// more than their part.
-		return urgent.most()+min(patient.most(), most) <= whole
+		return urgent.most(margin)+min(patient.most(margin), most) <= whole
 	}
-	if patient.most() > most {
+	if patient.most(margin) > most {
 		return false
 	}
 	urgent.add(patient)
-	return urgent.most() <= whole
+	return urgent.most(margin) <= whole
 }
 
 // expect adds what a reservation is expected to hold at a moment.
@@ -225,23 +228,33 @@
 	e.variance += other.variance
 }
 
-// most is what they hold at most, but for the unlikely.
-func (e *expected) most() float64 {
-	return e.tokens + promiseMargin*math.Sqrt(e.variance)
+// most is what they hold at most, but for what is less likely than a margin
+// of so many standard deviations.
+func (e *expected) most(margin float64) float64 {
+	return e.tokens + margin*math.Sqrt(e.variance)
 }
 
-// patientTokens is the memory that patient decodes may take together. While
-// urgent work comes a part is kept for it: all memory would otherwise be held
-// by long generations, and each ping would wait for the end of one of them.
+// noteUrgent follows how much memory urgent reservations hold at most.
+func (s *State) noteUrgent() {
+	held := 0
+	for _, r := range s.memory.holders {
+		if r.reserve.Urgency == oriolebend.Urgent {
+			held += r.tokens
+		}
+	}
+	s.urgentPeak = max(s.urgentPeak, float64(held))
+}
+
+// patientTokens is the memory that patient work may take together. As much as
+// urgent work needed of late is kept for it: all memory would otherwise be
+// held by long generations, and each ping would wait for the end of one.
 func (s *State) patientTokens(r *reservation) int {
 	whole := s.engine.info.KVTokens
-	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
-		return whole
-	}
-	if r.reserve.Urgency == oriolebend.Patient && r.tokens > whole-whole/urgentPart {
+	kept := min(int(peakMargin*s.urgentPeak), whole/mostUrgentPart)
+	if r.reserve.Urgency == oriolebend.Patient && r.tokens > whole-kept {
 		return whole
 	}
-	return whole - whole/urgentPart
+	return whole - kept
 }
 
 // holdsAt predicts the probability that a reservation has its room at a moment
--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -182,7 +182,7 @@
 	if r.reserve.Phase == message.PhaseDecode {
 		return s.earliest(r).Sub(s.now) + s.waitBehind(r, ahead)
 	}
-	return s.waitBehind(r, ahead)
+	return max(s.waitBehind(r, ahead), shortestRetry)
 }
 
 // waitBehind predicts how long a reservation waits behind work of this cost
--- a/internal/reducer/gate/queue.go
+++ b/internal/reducer/gate/queue.go
@@ -98,6 +98,21 @@
 	}
 }
 
+// victim returns the reservation that gives way to r in a full queue: the
+// latest of the organisation that has most waiting, if that is more than r's
+// own, or any patient one if r is urgent. It returns nil if r is to give way.
+func (q *queue) victim(r *reservation) *reservation {
+	own := q.class(r.reserve.Urgency)
+	if longest := q.patient.longest(); r.reserve.Urgency == oriolebend.Urgent && longest != nil {
+		return longest.last()
+	}
+	longest := own.longest()
+	if len(longest.waiting) <= len(own.lines[r.reserve.Organisation].waiting) {
+		return nil
+	}
+	return longest.last()
+}
+
 // ahead counts the reservations that are likely to be served before r.
 func (q *queue) ahead(r *reservation) int {
 	count := q.class(r.reserve.Urgency).ahead(r)
--- a/internal/reducer/gate/rebuild.go
+++ b/internal/reducer/gate/rebuild.go
@@ -29,7 +29,7 @@
 	s.engine.lost = false
 	s.engine.info = e.Info
 	if before.info.Role != e.Info.Role {
-		s.limit = newLimit(s.mostSlots())
+		s.limit = s.freshLimit()
 	}
 	if !before.known || before.lost || restarted {
 		s.rebuild()
--- a/internal/reducer/gate/reduce.go
+++ b/internal/reducer/gate/reduce.go
@@ -88,6 +88,7 @@
 
 // tick does what only time brings about.
 func (s *State) tick() {
+	s.urgentPeak *= peakKept
 	s.endLeases()
 	s.endLateStarts()
 	s.endHopeless()
--- a/internal/reducer/gate/reserve.go
+++ b/internal/reducer/gate/reserve.go
@@ -64,6 +64,9 @@
 		s.emit(Reply{Session: k.id, Message: s.offer(r, 0)})
 		return
 	}
+	if full && r.reserve.Hold {
+		full = s.displace(r)
+	}
 	if r.reserve.Hold && !full {
 		r.offered = true
 		s.emit(Reply{Session: k.id, Message: s.offer(r, wait)})
@@ -82,6 +85,21 @@
 	})
 }
 
+// displace makes room in a full queue for r at the cost of another, and
+// reports whether the queue is still full. Otherwise one organisation's flood
+// would have every other refused, and briefs would have pings refused.
+func (s *State) displace(r *reservation) (full bool) {
+	victim := s.queue.victim(r)
+	if victim == nil {
+		return true
+	}
+	s.refuseWaiting(victim, message.Refusal{
+		Reason:     oriolebend.ReasonQueueFull,
+		RetryAfter: max(s.predictedWait(victim), shortestRetry),
+	})
+	return false
+}
+
 // scarce names what a reservation that can't be granted now waits for.
 func (s *State) scarce(r *reservation) oriolebend.Reason {
 	switch r.reserve.Phase {
@@ -184,9 +202,6 @@
 	if m.Phase == message.PhaseDecode {
 		r.lead = max(m.StartIn, 0)
 	}
-	if m.Urgency == oriolebend.Urgent {
-		s.urgentAt = s.now
-	}
 	if m.Deadline > 0 {
 		r.deadlineAt = s.now.Add(m.Deadline)
 	}
--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -95,8 +95,8 @@
 	awake time.Duration
 	// paused is how long those pauses were.
 	paused time.Duration
-	// urgentAt is when the latest urgent reservation came.
-	urgentAt time.Time
+	// urgentPeak is the most memory that urgent reservations held of late.
+	urgentPeak float64
 
 	sessions map[SessionID]*session
 	// leases holds the sessions, the one heard of longest ago first.
@@ -155,16 +155,16 @@
 		s.engine.listed = true
 		s.engine.info.Role = oriolebend.Service
 	}
-	s.limit = newLimit(s.mostSlots())
+	s.limit = s.freshLimit()
 	return s
 }
 
-// mostSlots is the upper bound of the adaptive limit.
-func (s *State) mostSlots() int {
+// freshLimit is the adaptive limit for a server of this role.
+func (s *State) freshLimit() limit {
 	if s.engine.info.Role == oriolebend.Service {
-		return s.config.Concurrency
+		return newLimit(1, s.config.Concurrency)
 	}
-	return s.config.DecodeSlots
+	return newLimit(leastDecodes, s.config.DecodeSlots)
 }
 
 // ready reports whether the gate knows enough of its server to grant.
