--- /dev/null
+++ b/internal/disk/lock.go
@@ -0,0 +1,31 @@
+package disk
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+const lockFile = "lock"
+
+// Lock implements FileSystem.
+//
+// Two processes on one folder would each believe in their own term and vote,
+// and write over each other's entries. The kernel frees the lock when its
+// process dies, however it dies.
+func (OS) Lock(folder string) (io.Closer, error) {
+	path := filepath.Join(folder, lockFile)
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, failed(path, 0, err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, &Error{
+			Kind: KindLocked, File: lockFile,
+			Detail: "another process uses the folder", Cause: err,
+		}
+	}
+	return f, nil
+}
--- a/internal/reducer/entry/event.go
+++ b/internal/reducer/entry/event.go
@@ -12,12 +12,15 @@
 
 // Event is something that happened to the entry. At is when, by the clock of
 // the entry's own process.
-type Event interface{ entryEvent() }
+type Event interface{ when() time.Time }
 
 // Request is one validated request of a caller.
 type Request struct {
-	ID           string
-	Scope        message.Scope
+	ID    string
+	Scope message.Scope
+	// Generated is true if the entry made Scope.Key because the caller gave
+	// none: no earlier request can have used it.
+	Generated    bool
 	Fingerprint  string
 	Urgency      oriolebend.Urgency
 	Model        string
@@ -58,7 +61,8 @@
 	Request Request
 }
 
-// CallerGone tells that the caller of a request left before its answer ended.
+// CallerGone tells that the last caller that followed a request left before
+// its answer ended.
 type CallerGone struct {
 	At        time.Time
 	RequestID string
@@ -75,8 +79,10 @@
 
 // Settled is the answer of the control VMs to a Settle.
 type Settled struct {
-	At        time.Time
+	At time.Time
+	// RequestID and Attempt are those of the Settle that is answered.
 	RequestID string
+	Attempt   uint32
 	State     message.RecordState
 	Accepted  bool
 	// Problem is set instead if no quorum answered.
@@ -113,12 +119,12 @@
 // Ticked passes time; it comes at least every TickEvery.
 type Ticked struct{ At time.Time }
 
-func (Arrived) entryEvent()        {}
-func (CallerGone) entryEvent()     {}
-func (Claimed) entryEvent()        {}
-func (Settled) entryEvent()        {}
-func (Received) entryEvent()       {}
-func (SessionLost) entryEvent()    {}
-func (ServersChanged) entryEvent() {}
-func (Stopping) entryEvent()       {}
-func (Ticked) entryEvent()         {}
+func (e Arrived) when() time.Time        { return e.At }
+func (e CallerGone) when() time.Time     { return e.At }
+func (e Claimed) when() time.Time        { return e.At }
+func (e Settled) when() time.Time        { return e.At }
+func (e Received) when() time.Time       { return e.At }
+func (e SessionLost) when() time.Time    { return e.At }
+func (e ServersChanged) when() time.Time { return e.At }
+func (e Stopping) when() time.Time       { return e.At }
+func (e Ticked) when() time.Time         { return e.At }
--- /dev/null
+++ b/internal/role/dev.go
@@ -0,0 +1,363 @@
+package role
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/metrics"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/internal/standin"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// loopback lets the system choose a port on loopback.
+	loopback = "127.0.0.1:0"
+	// readyEvery is how often Dev looks whether its entries can route.
+	readyEvery = 10 * time.Millisecond
+	// devStopDelay replaces the wait for a balancer, which dev has none of.
+	devStopDelay = time.Millisecond
+)
+
+// Dev is every role and the stand-ins in one process, over real sockets on
+// loopback.
+type Dev struct {
+	settings  settings.Settings
+	logger    *slog.Logger
+	authority *peer.Authority
+	folder    string
+	standins  []*standin.Server
+	metrics   *httpServer
+
+	Engines  map[string]*standin.Engine
+	Services map[string]*standin.Service
+	// Ledgers counts the executions of each service over all its stand-ins.
+	Ledgers  map[string]*standin.Ledger
+	Controls []*ControlProcess
+	Sidecars map[string]*SidecarProcess
+	Entries  []*EntryProcess
+}
+
+// StartDev starts everything that the settings' dev table describes; Stop
+// ends it and removes what it wrote.
+func StartDev(s settings.Settings, logger *slog.Logger) (*Dev, error) {
+	authority, err := peer.DevAuthority()
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "oriolebend-dev-")
+	if err != nil {
+		return nil, err
+	}
+	d := &Dev{
+		settings:  s,
+		logger:    logger,
+		authority: authority,
+		folder:    folder,
+		Ledgers:   map[string]*standin.Ledger{},
+		Engines:   map[string]*standin.Engine{},
+		Services:  map[string]*standin.Service{},
+		Sidecars:  map[string]*SidecarProcess{},
+	}
+	if err := d.start(); err != nil {
+		stopContext, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return nil, errors.Join(err, d.Stop(stopContext))
+	}
+	return d, nil
+}
+
+func (d *Dev) start() error {
+	if err := d.startControls(); err != nil {
+		return err
+	}
+	for _, group := range d.settings.Dev.Servers {
+		for n := range group.Count {
+			if err := d.startServer(group, n); err != nil {
+				return err
+			}
+		}
+	}
+	for n := range max(1, d.settings.Dev.Entries) {
+		if err := d.startEntry(n); err != nil {
+			return err
+		}
+	}
+	return d.serveMetrics()
+}
+
+// serveMetrics serves the metrics of all roles on one port.
+func (d *Dev) serveMetrics() error {
+	var all []*metrics.Metrics
+	for _, c := range d.Controls {
+		all = append(all, c.process.Metrics)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Sidecars)) {
+		all = append(all, d.Sidecars[name].process.Metrics)
+	}
+	for _, e := range d.Entries {
+		all = append(all, e.process.Metrics)
+	}
+	server := metrics.Server(metrics.HandlerConfig{Metrics: all, Ready: d.ready})
+	var err error
+	d.metrics, err = serveHTTP(cmp.Or(d.settings.Metrics.Listen, loopback), server, d.logger)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	return nil
+}
+
+// MetricsAddress is where the metrics of all roles are served.
+func (d *Dev) MetricsAddress() string { return d.metrics.address() }
+
+// process makes the settings and credentials of one role's process.
+func (d *Dev) process(role, name, failureDomain string) (Process, error) {
+	material, err := d.authority.Issue(peer.Identity{Role: role, Name: name})
+	if err != nil {
+		return Process{}, err
+	}
+	s := d.settings
+	s.Node = settings.Node{Name: name, Region: s.Node.Region, FailureDomain: failureDomain}
+	s.Peer.Listen = loopback
+	s.Metrics.Listen = "" // one port serves the metrics of all
+	s.Control.Members = slices.Clone(d.settings.Control.Members)
+	return Process{Settings: s, Credentials: peer.Fixed(material), Logger: d.logger.With("node", name)}, nil
+}
+
+// startControls starts the control VMs' processes. Each needs the addresses of
+// all, so ports are chosen before the first one starts.
+func (d *Dev) startControls() error {
+	count := max(1, d.settings.Dev.Controls)
+	domains := failureDomains(d.settings.Dev.Servers)
+	for n := range count {
+		m, err := d.member(n)
+		if err != nil {
+			return err
+		}
+		if len(domains) > 0 {
+			m.FailureDomain = domains[n%len(domains)]
+		}
+		d.settings.Control.Members = append(d.settings.Control.Members, m)
+	}
+	for n := range count {
+		if err := d.startControl(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// member describes a control VM; the first listens for operators where the
+// settings say. The others are told each other's addresses for operators: an
+// order that meets one which does not lead could not be redirected otherwise.
+func (d *Dev) member(n int) (settings.Member, error) {
+	m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), OperatorAddress: d.settings.Operator.Listen}
+	var err error
+	if m.Address, err = freeAddress(); err != nil {
+		return m, err
+	}
+	if n > 0 || m.OperatorAddress == "" || strings.HasSuffix(m.OperatorAddress, ":0") {
+		m.OperatorAddress, err = freeTCPAddress()
+	}
+	return m, err
+}
+
+// startControl starts one control VM's process.
+func (d *Dev) startControl(n int) error {
+	m := d.settings.Control.Members[n]
+	p, err := d.process("control", m.Name, m.FailureDomain)
+	if err != nil {
+		return err
+	}
+	p.Settings.Peer.Listen = m.Address
+	p.Settings.Control.DataFolder = filepath.Join(d.folder, m.Name)
+	p.Settings.Operator.Listen = m.OperatorAddress
+	c, err := StartControl(p)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", m.Name, err)
+	}
+	d.Controls = append(d.Controls, c)
+	return nil
+}
+
+// freeAddress finds a UDP port on loopback that nobody listens on now.
+func freeAddress() (string, error) {
+	socket, err := net.ListenPacket("udp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String(), nil
+}
+
+// freeTCPAddress finds a TCP port on loopback that nobody listens on now.
+func freeTCPAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// failureDomains lists the failure domains of the stand-ins, each once.
+func failureDomains(groups []settings.DevServer) []string {
+	var domains []string
+	for _, group := range groups {
+		for _, domain := range group.FailureDomains {
+			if !slices.Contains(domains, domain) {
+				domains = append(domains, domain)
+			}
+		}
+	}
+	return domains
+}
+
+// startServer starts one stand-in with its sidecar.
+func (d *Dev) startServer(group settings.DevServer, n int) error {
+	name := fmt.Sprintf("%s%d", group.NamePrefix, n+1)
+	domain := ""
+	if len(group.FailureDomains) > 0 {
+		domain = group.FailureDomains[n%len(group.FailureDomains)]
+	}
+	p, err := d.process("sidecar", name+"-sidecar", domain)
+	if err != nil {
+		return err
+	}
+	p.Settings.Sidecar = settings.Sidecar{Server: name}
+	if err := d.startStandin(group, name, &p.Settings.Sidecar); err != nil {
+		return fmt.Errorf("start the stand-in %s: %w", name, err)
+	}
+	sidecar, err := StartSidecar(p)
+	if err != nil {
+		return fmt.Errorf("start the sidecar of %s: %w", name, err)
+	}
+	d.Sidecars[name] = sidecar
+	return nil
+}
+
+func (d *Dev) startStandin(group settings.DevServer, name string, s *settings.Sidecar) error {
+	if group.Role == oriolebend.Service {
+		fake := standin.NewService(standin.ServiceConfig{Name: name, Ledger: d.ledger(group.Service)})
+		server, err := standin.Serve(fake.Handler())
+		if err != nil {
+			return err
+		}
+		d.standins = append(d.standins, server)
+		d.Services[name] = fake
+		s.Service, s.ServiceURL = group.Service, server.URL()
+		return nil
+	}
+	fake := standin.NewEngine(engineConfig(group, name))
+	server, err := standin.Serve(fake.Handler())
+	if err != nil {
+		return err
+	}
+	d.standins = append(d.standins, server)
+	d.Engines[name] = fake
+	s.Engine = server.URL()
+	return nil
+}
+
+// ledger is what all stand-ins of one service share, so that a call that two
+// of them executed shows, and each knows the outcome of the others' calls.
+func (d *Dev) ledger(service string) *standin.Ledger {
+	if d.Ledgers[service] == nil {
+		d.Ledgers[service] = standin.NewLedger()
+	}
+	return d.Ledgers[service]
+}
+
+func engineConfig(group settings.DevServer, name string) standin.EngineConfig {
+	return standin.EngineConfig{
+		Name:           name,
+		Role:           group.Role,
+		Models:         []oriolebend.LoadedModel{{Model: group.Model, Version: group.Version, Adapters: group.Adapters}},
+		PrefillTokens:  group.PrefillTokens,
+		DecodeStep:     time.Duration(group.DecodeStep),
+		KVTokens:       group.KVTokens,
+		LinkBytes:      group.LinkBytes,
+		IgnoresFencing: group.IgnoresFencing,
+	}
+}
+
+// startEntry starts one entry; the first listens where the settings say.
+func (d *Dev) startEntry(n int) error {
+	p, err := d.process("entry", fmt.Sprintf("entry-%d", n+1), "")
+	if err != nil {
+		return err
+	}
+	p.Settings.Caller.StopDelay = settings.Duration(devStopDelay)
+	if n > 0 || p.Settings.Caller.Listen == "" {
+		p.Settings.Caller.Listen = loopback
+	}
+	e, err := StartEntry(p)
+	if err != nil {
+		return fmt.Errorf("start entry-%d: %w", n+1, err)
+	}
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+// Ready waits until every entry can route to every server.
+func (d *Dev) Ready(ctx context.Context) error {
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (d *Dev) ready() bool {
+	for _, e := range d.Entries {
+		if e.entry.serving() < len(d.Sidecars) {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends everything gracefully, entries first, and removes the temporary
+// folder.
+func (d *Dev) Stop(ctx context.Context) error {
+	errs := []error{d.metrics.close()}
+	errs = append(errs, stopAll(ctx, d.Entries, (*EntryProcess).Stop))
+	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars)), (*SidecarProcess).Stop))
+	errs = append(errs, stopAll(ctx, d.Controls, (*ControlProcess).StopTogether))
+	for _, e := range d.Engines {
+		e.Close()
+	}
+	for _, s := range d.standins {
+		errs = append(errs, s.Close())
+	}
+	errs = append(errs, os.RemoveAll(d.folder))
+	return errors.Join(errs...)
+}
+
+// stopAll stops processes of one role side by side.
+func stopAll[P any](ctx context.Context, processes []P, stop func(P, context.Context) error) error {
+	errs := make([]error, len(processes))
+	var all sync.WaitGroup
+	for i, p := range processes {
+		all.Go(func() { errs[i] = stop(p, ctx) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -30,6 +30,7 @@
 	ReasonControlAway     Reason = "controlAway"     // no quorum of control VMs answers
 	ReasonNotLeader       Reason = "notLeader"       // this control VM does not lead
 	ReasonStopping        Reason = "stopping"        // this process is stopping
+	ReasonDiskFull        Reason = "diskFull"        // the disk of a control VM has no room
 	ReasonRevisionRace    Reason = "revisionRace"    // another change took this revision
 	ReasonInvalidResource Reason = "invalidResource" // a declared resource fails its checks
 )
@@ -50,5 +51,7 @@
 	ReasonAttemptUsed     Reason = "attemptUsed"     // the attempt was let through once already
 	ReasonOutdatedOrder   Reason = "outdatedOrder"   // the fencing number is older than one seen
 	ReasonOutcomeLost     Reason = "outcomeLost"     // dispatched, and the outcome is not known
+	ReasonRecordsFull     Reason = "recordsFull"     // the request records are at their bound
+	ReasonAnswerNotKept   Reason = "answerNotKept"   // answered before; the answer is not kept any more
 	ReasonInternal        Reason = "internal"        // a fault of the router itself
 )
