gate, role: one work list that fails does not end all work

Cause: the sidecar reported EngineLost when one reading of the work list failed. The gate then failed all work with serverLost, and as the watch only tells EngineKnown of a change or after three failures of its own, the gate stayed in loading until the sidecar restarted. Change: WorkListed.Failed (additive); the gate asks again, sooner while it waits for its first list. The reading is bounded by 2s, as without a bound a hung one would keep the next out of order. The peak of urgent memory fades by time and not by ticks, since the sidecar ticks twice as often as the default. Measured: go test -race of internal/reducer/... and internal/role passes.

--- a/internal/reducer/gate/effect.go
+++ b/internal/reducer/gate/effect.go
@@ -36,7 +36,8 @@
 // CancelWork ends the engine's work for an attempt; Cancelled follows.
 type CancelWork struct{ Attempt message.Attempt }
 
-// ListWork reads the engine's list of work; WorkListed or EngineLost follows.
+// ListWork reads the engine's list of work; WorkListed follows. That one list
+// fails does not mean that the engine is lost.
 type ListWork struct{}
 
 // ListCache reads the whole cache index; CacheListed follows.
--- a/internal/reducer/gate/event.go
+++ b/internal/reducer/gate/event.go
@@ -85,6 +85,8 @@
 type WorkListed struct {
 	At   time.Time
 	Work []engine.Work
+	// Failed is true if the engine did not tell; the gate asks again.
+	Failed bool
 }
 
 // CacheChanged carries cache events in the order in which they were read.
--- a/internal/reducer/gate/gate_test.go
+++ b/internal/reducer/gate/gate_test.go
@@ -255,7 +255,7 @@
 			Incarnation: uint64(a.number("incarnation", 1)),
 		}}
 	case "listed":
-		return WorkListed{At: r.now, Work: works(a)}
+		return WorkListed{At: r.now, Work: works(a), Failed: a.has("not")}
 	case "prefilled":
 		return EnginePrefilled{At: r.now, Attempt: a.attempt(), Result: engine.PrefillResult{
 			SourceURL: "kv", Tokens: 1000, LivesFor: 800 * time.Millisecond,
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// peakKept is what a tick leaves of the peak of urgent memory; it halves in
-	// about a minute. peakMargin times the peak is kept for urgent work, but no
-	// more than one part in mostUrgentPart of the whole.
-	peakKept       = 0.999
+	// peakHalves is how long the peak of urgent memory takes to halve.
+	// peakMargin times the peak is kept for urgent work, but no more than one
+	// part in mostUrgentPart of the whole.
+	peakHalves     = time.Minute
 	peakMargin     = 2
 	mostUrgentPart = 4
 	// slotsSlack lets a promise count on half a slot.
--- a/internal/reducer/gate/rebuild.go
+++ b/internal/reducer/gate/rebuild.go
@@ -118,7 +118,11 @@
 		}
 		s.listAnswered()
 	}
-	if since >= s.config.ListEvery {
+	every := s.config.ListEvery
+	if !s.engine.listed {
+		every = s.config.CancelRetry
+	}
+	if since >= every {
 		s.listWork()
 	}
 }
@@ -152,7 +156,7 @@
 // longer lists is free.
 func (s *State) workListed(e WorkListed) {
 	asked, counts := s.listAnswered()
-	if !counts {
+	if !counts || e.Failed {
 		return
 	}
 	listed := map[message.Attempt]bool{}
--- a/internal/reducer/gate/reduce.go
+++ b/internal/reducer/gate/reduce.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // longestStep bounds by how many tick periods one event moves lease time on.
 const longestStep = 3
@@ -84,11 +87,11 @@
 	awake := min(step, longestStep*s.config.TickEvery)
 	s.awake += awake
 	s.paused += step - awake
+	s.urgentPeak *= math.Exp2(-awake.Seconds() / peakHalves.Seconds())
 }
 
 // tick does what only time brings about.
 func (s *State) tick() {
-	s.urgentPeak *= peakKept
 	s.endLeases()
 	s.endLateStarts()
 	s.endHopeless()
--- a/internal/role/enginework.go
+++ b/internal/role/enginework.go
@@ -17,6 +17,10 @@
 // cancelWithin bounds one cancel call; the gate asks again if it fails.
 const cancelWithin = 2 * time.Second
 
+// listWithin bounds one reading of the engine's work. One that fails is asked
+// for again and ends no work: only the watch decides that an engine is lost.
+const listWithin = 2 * time.Second
+
 // workKey names one piece of work in progress.
 type workKey struct {
 	attempt message.Attempt
@@ -131,12 +135,10 @@
 }
 
 func (w *engineWork) listWork() {
-	work, err := w.engine.Work(w.ctx)
-	if err != nil {
-		w.post(gate.EngineLost{At: time.Now()})
-		return
-	}
-	w.post(gate.WorkListed{At: time.Now(), Work: work})
+	ctx, cancel := context.WithTimeout(w.ctx, listWithin)
+	defer cancel()
+	work, err := w.engine.Work(ctx)
+	w.post(gate.WorkListed{At: time.Now(), Work: work, Failed: err != nil})
 }
 
 func (w *engineWork) listCache() {
