role: cancel calls that may be repeated

Cause: for a plain service the sidecar confirmed a cancellation at once while the call ran on, so the gate's slot was free before the service was. Change: the call runs under a context that the cancellation ends. The gate never cancels a call that may run at most once.

--- a/internal/role/enginework.go
+++ b/internal/role/enginework.go
@@ -50,7 +50,7 @@
 	case gate.RunDecode:
 		w.start(workKey{f.Request.Attempt, message.PhaseDecode}, func(ctx context.Context) { w.decode(ctx, f.Request) })
 	case gate.RunCall:
-		go w.call(f.Call)
+		w.start(workKey{f.Call.Attempt, message.PhaseCall}, func(ctx context.Context) { w.call(ctx, f.Call) })
 	case gate.AskStatus:
 		go w.status(f.Query)
 	case gate.CancelWork:
@@ -96,10 +96,11 @@
 	}
 }
 
-// call runs a call of a plain service to its end, also when the caller left:
-// a call that may run at most once can't be taken back by hanging up.
-func (w *engineWork) call(c message.Call) {
-	answer, err := w.service.Call(w.ctx, c)
+// call runs a call of a plain service. The gate cancels only calls that may be
+// repeated: one that may run at most once can't be taken back by hanging up,
+// and runs to its end also when the caller left.
+func (w *engineWork) call(ctx context.Context, c message.Call) {
+	answer, err := w.service.Call(ctx, c)
 	if err != nil {
 		w.failed(c.Attempt, message.PhaseCall, err)
 		return
@@ -118,7 +119,7 @@
 
 func (w *engineWork) cancel(a message.Attempt) {
 	w.mu.Lock()
-	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode} {
+	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode, message.PhaseCall} {
 		if cancel := w.cancels[workKey{a, phase}]; cancel != nil {
 			cancel()
 		}
