role: a process that is started again has metrics of its own

Cause: the metrics were kept in the Process that the restart was given. Change: each start makes them.

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -105,7 +105,7 @@
 	}
 	c.replica = log
 	counts := controlpeer.NewMetrics(records)
-	if err := counts.Register(p.Metrics.Registerer()); err != nil {
+	if err := counts.Register(p.metrics.Registerer()); err != nil {
 		return err
 	}
 	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
@@ -149,7 +149,7 @@
 		OperatorURL: operatorURL(s.Control.Members),
 		Tokens:      s.Operator.Tokens,
 		Open:        s.Operator.Open,
-		Registry:    c.process.Metrics.Registerer(),
+		Registry:    c.process.metrics.Registerer(),
 		Logger:      c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
--- a/internal/role/controlstatus.go
+++ b/internal/role/controlstatus.go
@@ -22,7 +22,7 @@
 // publish has the state of the agreed log read at each scrape.
 func (c *ControlProcess) publish(followers *ReachedTable) {
 	gauge := func(name, help string, value func(replica.Status) float64) {
-		c.process.Metrics.Gauge("control_"+name, help, func() float64 { return value(c.replica.Status()) })
+		c.process.metrics.Gauge("control_"+name, help, func() float64 { return value(c.replica.Status()) })
 	}
 	gauge("leads", "1 while this control VM leads.", func(s replica.Status) float64 { return asNumber(s.Role == agreement.Leader) })
 	gauge("has_leader", "1 while this control VM knows a leader.", func(s replica.Status) float64 { return asNumber(s.Leader != "") })
@@ -31,17 +31,17 @@
 	gauge("applied", "Index up to which the log is applied.", func(s replica.Status) float64 { return float64(s.Applied) })
 	gauge("recovering", "1 while this control VM grants no vote, as it lost its folder.", func(s replica.Status) float64 { return asNumber(s.Recovering) })
 	gauge("disk_full", "1 while no room is left for writes.", func(s replica.Status) float64 { return asNumber(s.DiskFull) })
-	c.process.Metrics.Gauge("control_confirmed_age_seconds", "Time since a quorum confirmed this control VM's state; -1 means never.", func() float64 {
+	c.process.metrics.Gauge("control_confirmed_age_seconds", "Time since a quorum confirmed this control VM's state; -1 means never.", func() float64 {
 		age, ever := c.confirmer.Age(time.Now())
 		if !ever {
 			return -1
 		}
 		return age.Seconds()
 	})
-	c.process.Metrics.Gauge("control_followers", "Processes whose word of the state in force is known here.", func() float64 {
+	c.process.metrics.Gauge("control_followers", "Processes whose word of the state in force is known here.", func() float64 {
 		return float64(len(followers.List()))
 	})
-	c.process.Metrics.CounterByReason("control_refusals_total", "Proposals, changes and confirmations refused, by reason.", func(r oriolebend.Reason) float64 {
+	c.process.metrics.CounterByReason("control_refusals_total", "Proposals, changes and confirmations refused, by reason.", func(r oriolebend.Reason) float64 {
 		return float64(c.replica.Status().Refusals[r])
 	})
 }
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -117,13 +117,13 @@
 func (d *Dev) serveMetrics() error {
 	var all []*metrics.Metrics
 	for _, c := range d.Controls {
-		all = append(all, c.process.Metrics)
+		all = append(all, c.process.metrics)
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.Sidecars)) {
-		all = append(all, d.Sidecars[name].process.Metrics)
+		all = append(all, d.Sidecars[name].process.metrics)
 	}
 	for _, e := range d.Entries {
-		all = append(all, e.process.Metrics)
+		all = append(all, e.process.metrics)
 	}
 	server := metrics.Server(metrics.HandlerConfig{Metrics: all, Ready: d.ready})
 	var err error
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -69,7 +69,7 @@
 		Services:      p.Settings.Services,
 		Policy:        p.Settings.Policy,
 		Logger:        p.Logger,
-		Metrics:       p.Metrics,
+		Metrics:       p.metrics,
 		CountTokens:   prefix.CountTokens,
 		Fingerprint:   fingerprintOf,
 		Prefix: func(model, prompt string) []uint64 {
@@ -83,9 +83,9 @@
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	p.Metrics.Gauge("servers_serving", "Backend servers that take new work, as this entry knows.", func() float64 { return float64(e.serving()) })
-	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(e.loop.Waiting()) })
-	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return e.follower.Age().Seconds() })
+	p.metrics.Gauge("servers_serving", "Backend servers that take new work, as this entry knows.", func() float64 { return float64(e.serving()) })
+	p.metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(e.loop.Waiting()) })
+	p.metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return e.follower.Age().Seconds() })
 	var running sync.WaitGroup
 	running.Go(func() { e.Run(ctx) })
 	running.Go(func() { records.Run(ctx) })
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -21,18 +21,17 @@
 	Settings    settings.Settings
 	Credentials peer.Credentials
 	Logger      *slog.Logger
-	// Observer takes counts and measures in place of Metrics; nil means
-	// Metrics.
+	// Observer takes counts and measures in place of the role's metrics; nil
+	// means those.
 	Observer Observer
-	// Metrics holds the metrics of the role; nil means new ones.
-	Metrics *metrics.Metrics
+
+	// metrics holds the metrics of one start of the role.
+	metrics *metrics.Metrics
 }
 
-// withMetrics makes the role's metrics if there are none yet.
+// withMetrics makes the metrics of one start: a process that is started again
+// from the same Process registers everything anew.
 func (p Process) withMetrics(role string) Process {
-	if p.Metrics != nil {
-		return p
-	}
 	node := p.Settings.Node.Name
 	if role == peer.RoleSidecar {
 		node = p.Settings.Sidecar.Server
@@ -41,20 +40,20 @@
 	for _, o := range p.Settings.Organisations {
 		organisations = append(organisations, o.Name)
 	}
-	p.Metrics = metrics.New(metrics.Config{Role: role, Node: node, Organisations: organisations, Logger: p.Logger})
+	p.metrics = metrics.New(metrics.Config{Role: role, Node: node, Organisations: organisations, Logger: p.Logger})
 	return p
 }
 
 func (p Process) observer() Observer {
 	if p.Observer == nil {
-		return p.Metrics
+		return p.metrics
 	}
 	return p.Observer
 }
 
 // serveMetrics serves the role's metrics and health where the settings say.
 func (p Process) serveMetrics(ready func() bool) (*httpServer, error) {
-	server := metrics.Server(metrics.HandlerConfig{Metrics: []*metrics.Metrics{p.Metrics}, Ready: ready})
+	server := metrics.Server(metrics.HandlerConfig{Metrics: []*metrics.Metrics{p.metrics}, Ready: ready})
 	listening, err := serveHTTP(p.Settings.Metrics.Listen, server, p.Logger)
 	if err != nil {
 		return nil, fmt.Errorf("listen for metrics: %w", err)
@@ -89,7 +88,7 @@
 func (p Process) listen(handlers map[message.Kind]peer.Handler) (*peer.Endpoint, error) {
 	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers, Observer: p.observer()}
 	counts := peer.NewMetrics()
-	if err := counts.Register(p.Metrics.Registerer()); err != nil {
+	if err := counts.Register(p.metrics.Registerer()); err != nil {
 		return nil, err
 	}
 	return peer.Listen(peer.Config{
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -49,9 +49,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
-	p.Metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
-	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
-	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
+	p.metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
+	p.metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
+	p.metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
 	go announcer.Run(ctx)
 	go func() {
 		defer close(process.done)
