--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -117,6 +117,8 @@
 
 // Kill ends the sidecar at once, as a process that dies.
 func (p *SidecarProcess) Kill() error {
+	closed := errors.Join(p.endpoint.Close(), p.metrics.close())
 	p.cancel()
-	return errors.Join(p.endpoint.Close(), p.metrics.close())
+	<-p.done
+	return closed
 }
