replica: a new VM joins a group that was restored

Cause: a new folder has generation 1 and did not listen to a restored group, so that nothing could be added to it; found by a test that restores the last of three VMs and adds two. Change: a member with an empty folder takes the generation of the members that it meets; the random interleavings run in four parallel shards.

--- a/internal/disk/identity.go
+++ b/internal/disk/identity.go
@@ -72,6 +72,29 @@
 	return nil
 }
 
+// SetGeneration moves an empty folder to a later generation of its group.
+func (s *Store) SetGeneration(generation uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken != nil {
+		return s.broken
+	}
+	id := s.identity
+	id.Generation = generation
+	if err := s.note(writeIdentity(s.fs, s.config.Folder, id)); err != nil {
+		return err
+	}
+	s.identity = id
+	return nil
+}
+
+// Identity returns whose folder it is.
+func (s *Store) Identity() Identity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identity
+}
+
 func writeIdentity(fs FileSystem, folder string, id Identity) error {
 	id.Format, id.Version = formatName, formatVersion
 	data, err := json.Marshal(id)
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -80,9 +80,6 @@
 	return s, loaded, nil
 }
 
-// Identity returns whose folder it is.
-func (s *Store) Identity() Identity { return s.identity }
-
 // Free returns the bytes that the disk has left.
 func (s *Store) Free() (uint64, error) {
 	free, err := s.fs.Free(s.config.Folder)
--- a/internal/reducer/agreement/event.go
+++ b/internal/reducer/agreement/event.go
@@ -77,6 +77,13 @@
 	Meta SnapshotMeta
 }
 
+// Regrouped gives a member with an empty folder another group: the one of a
+// later generation that it is to join.
+type Regrouped struct {
+	Tick  uint64
+	Group string
+}
+
 func (e Ticked) tick() uint64        { return e.Tick }
 func (e Received) tick() uint64      { return e.Tick }
 func (e Proposed) tick() uint64      { return e.Tick }
@@ -86,3 +93,4 @@
 func (e Persisted) tick() uint64     { return e.Tick }
 func (e Applied) tick() uint64       { return e.Tick }
 func (e SnapshotMade) tick() uint64  { return e.Tick }
+func (e Regrouped) tick() uint64     { return e.Tick }
--- a/internal/reducer/agreement/random_test.go
+++ b/internal/reducer/agreement/random_test.go
@@ -5,13 +5,17 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
-// randomChecks is how many random interleavings each run of the tests tries.
-const randomChecks = "2000"
+// Each run of the tests tries shards times randomChecks random interleavings.
+const (
+	shards       = 4
+	randomChecks = "500"
+)
 
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -35,21 +39,28 @@
 // unsynced writes, lost folders, pauses, snapshots and changes of members.
 // Cause: whichever rule of the agreement an interleaving breaks.
 func TestRandomInterleavings(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		names := []string{"a", "b", "c", "d", "e"}
-		seed := rapid.SliceOfN(rapid.Byte(), chachaSeedBytes, chachaSeedBytes).Draw(t, "seed")
-		d := dice{rand.New(rand.NewChaCha8([chachaSeedBytes]byte(seed)))}
-		s := newSim(names, []int{1, 3, 3, 3, 5}[d.IntN(5)], smallConfig())
-		s.run(40)
-		weights := drawWeights(d)
-		for range rapid.IntRange(50, 400).Draw(t, "steps") {
-			s.step(d, weights)
-			if s.failure != "" {
-				t.Fatalf("tick %d: %s", s.now, s.failure)
-			}
+	for shard := range shards {
+		t.Run(strconv.Itoa(shard), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, interleave)
+		})
+	}
+}
+
+func interleave(t *rapid.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	seed := rapid.SliceOfN(rapid.Byte(), chachaSeedBytes, chachaSeedBytes).Draw(t, "seed")
+	d := dice{rand.New(rand.NewChaCha8([chachaSeedBytes]byte(seed)))}
+	s := newSim(names, []int{1, 3, 3, 3, 5}[d.IntN(5)], smallConfig())
+	s.run(40)
+	weights := drawWeights(d)
+	for range rapid.IntRange(50, 400).Draw(t, "steps") {
+		s.step(d, weights)
+		if s.failure != "" {
+			t.Fatalf("tick %d: %s", s.now, s.failure)
 		}
-		s.recoverAll(t)
-	})
+	}
+	s.recoverAll(t)
 }
 
 // recoverAll heals everything and checks that the group works again and holds
--- a/internal/reducer/agreement/reduce.go
+++ b/internal/reducer/agreement/reduce.go
@@ -26,6 +26,10 @@
 		s.applied(e.Index)
 	case SnapshotMade:
 		s.snapshotMade(e.Meta)
+	case Regrouped:
+		if s.empty() {
+			s.Config.Group = e.Group
+		}
 	}
 	s.settle()
 	return s.effects
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -386,3 +386,44 @@
 		g.holds(accepted)
 	})
 }
+
+// Symptom: a group whose majority lost its disks can't be brought back, or old
+// VMs undo what was restored. Sequence: two of three are gone for good; the last
+// one is restored as a group of its own and gets two new members, while one of
+// the lost comes back with its old folder. Cause: a restore that keeps the old
+// members, or a group that still listens to them.
+func TestRestoreAfterTwoLosses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGroup(t, Config{SnapshotEntries: 20, TailEntries: 5}, "a", "b", "c")
+		defer g.haltAll()
+		accepted := g.proposeMany("x", 50)
+		g.converge()
+		g.haltAll()
+		backup := t.TempDir()
+		is.NoErr(disk.Backup(filepath.Join(g.folder, "a"), backup))
+		is.NoErr(os.RemoveAll(filepath.Join(g.folder, "a")))
+		is.NoErr(disk.Restore(backup, filepath.Join(g.folder, "a"), disk.RestoreConfig{
+			Members: []message.Member{{Name: "a", Address: "a:1", Voter: true}},
+		}))
+		g.start("a")
+		accepted = append(accepted, g.proposeMany("y", 5)...)
+		for _, name := range []string{"d", "e"} {
+			m := message.Member{Name: name, Address: name + ":1"}
+			g.config.Members = append(g.config.Members, m)
+			g.start(name)
+			is.NoErr(g.leader().AddMember(t.Context(), m))
+			for !voter(g.leader().Status().Members, name) {
+				time.Sleep(DefaultTickEvery)
+			}
+		}
+		g.holds(accepted)
+		is.Equal(len(accepted), 55)
+		term := g.leader().Status().Term
+		old := g.start("b")
+		time.Sleep(time.Minute)
+		is.Equal(g.leader().Status().Term, term)
+		is.Equal(old.Status().Leader, "")
+		is.NoErr(g.halt("b"))
+	})
+}
--- a/internal/replica/receive.go
+++ b/internal/replica/receive.go
@@ -1,8 +1,13 @@
 package replica
 
 import (
+	"errors"
+	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 
+	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
 )
@@ -17,5 +22,33 @@
 	if !agreed && !slices.ContainsFunc(r.config.Members, named) {
 		return
 	}
+	r.joinGeneration(part.Group)
 	r.step(agreement.Received{Tick: r.tick(), Message: m})
 }
+
+// groupName is the group as its messages name it.
+func groupName(group string, generation uint64) string {
+	return fmt.Sprintf("%s/%d", group, generation)
+}
+
+// joinGeneration moves a member with an empty folder to the generation of the
+// members that it meets. A new VM begins with the first one, and could not
+// join a group that was ever restored.
+func (r *Replica) joinGeneration(group string) {
+	number, ok := strings.CutPrefix(group, r.config.Group+"/")
+	if !ok || group == r.state.Config.Group || r.state.Last() > 0 {
+		return
+	}
+	generation, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || generation <= r.store.Identity().Generation {
+		return
+	}
+	if err := r.store.SetGeneration(generation); err != nil {
+		var typed *disk.Error
+		if !errors.As(err, &typed) || typed.Fatal() {
+			r.disk.fatal = err
+		}
+		return
+	}
+	r.step(agreement.Regrouped{Tick: r.tick(), Group: group})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -117,7 +117,7 @@
 func (r *Replica) reducerConfig() agreement.Config {
 	return agreement.Config{
 		Name:         r.config.Name,
-		Group:        fmt.Sprintf("%s/%d", r.config.Group, r.store.Identity().Generation),
+		Group:        groupName(r.config.Group, r.store.Identity().Generation),
 		Founders:     r.config.founders(),
 		Seed:         r.config.Seed,
 		MaxUnapplied: r.config.MaxUnapplied,
