--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -14,6 +14,7 @@
 	DefaultChunkBytes        = 256 << 10
 	DefaultWindowEntries     = 4096
 	DefaultTailEntries       = 4096
+	DefaultTailBytes         = 16 << 20
 )
 
 // Bounds of a group's size.
@@ -58,6 +59,8 @@
 	// TailEntries is how many entries stay before a snapshot, for members
 	// that lag a little.
 	TailEntries uint64
+	// TailBytes bounds the size of those entries.
+	TailBytes int
 }
 
 func or[T comparable](value, otherwise T) T {
@@ -79,5 +82,6 @@
 	c.ChunkBytes = or(c.ChunkBytes, DefaultChunkBytes)
 	c.WindowEntries = or(c.WindowEntries, DefaultWindowEntries)
 	c.TailEntries = or(c.TailEntries, DefaultTailEntries)
+	c.TailBytes = or(c.TailBytes, DefaultTailBytes)
 	return c
 }
--- a/internal/reducer/agreement/replicate.go
+++ b/internal/reducer/agreement/replicate.go
@@ -99,7 +99,7 @@
 		return
 	}
 	p.match = max(p.match, m.Match)
-	if p.chunk != nil && p.match < p.chunk.index {
+	if p.chunk != nil && p.match < p.chunk.meta.Index {
 		return
 	}
 	p.chunk = nil
--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -358,6 +358,9 @@
 		st := v.state
 		fmt.Fprintf(&text, "%s %s term=%d last=%d synced=%d commit=%d applied=%d snapshot=%d", v.name,
 			st.Role, st.Hard.Term, st.Last(), st.Synced, st.Commit, st.Applied, st.Snapshot.Index)
+		if st.log.base > 0 {
+			fmt.Fprintf(&text, " base=%d", st.log.base)
+		}
 		if st.Hard.RecoverTo > 0 {
 			fmt.Fprintf(&text, " recoverTo=%d", st.Hard.RecoverTo)
 		}
--- a/internal/reducer/agreement/snapshot.go
+++ b/internal/reducer/agreement/snapshot.go
@@ -4,7 +4,7 @@
 
 // chunkProgress is a snapshot under way to one member.
 type chunkProgress struct {
-	index  uint64
+	meta   SnapshotMeta
 	offset int64
 	sent   uint64
 }
@@ -20,11 +20,8 @@
 	if meta.Index <= s.Snapshot.Index || meta.Index > s.Handed {
 		return
 	}
-	s.Snapshot = meta
-	if meta.Index <= s.Config.TailEntries {
-		return
-	}
-	through := meta.Index - s.Config.TailEntries
+	s.previous, s.Snapshot = s.Snapshot, meta
+	through := s.compactable()
 	if through <= s.log.base {
 		return
 	}
@@ -32,10 +29,38 @@
 	s.emit(Compact{Through: through})
 }
 
+// compactable returns the last entry that need not be held any more.
+//
+// The entries after a snapshot that is on its way are held: they follow it, and
+// a member that got it after they were dropped would need the next snapshot,
+// for ever if snapshots are made faster than sent.
+func (s *State) compactable() uint64 {
+	through := s.Snapshot.Index
+	for kept, bytes := uint64(0), 0; through > s.log.base; through-- {
+		kept++
+		bytes += entryBytes(s.log.at(through))
+		if kept > s.Config.TailEntries || bytes > s.Config.TailBytes {
+			break
+		}
+	}
+	for _, m := range s.Members {
+		p := s.lead.progress[m.Name]
+		if p != nil && p.chunk != nil && s.sendable(p.chunk.meta) && s.Active(m.Name) {
+			through = min(through, p.chunk.meta.Index)
+		}
+	}
+	return through
+}
+
+// sendable tells whether the disk still holds a snapshot.
+func (s *State) sendable(meta SnapshotMeta) bool {
+	return meta.Index == s.Snapshot.Index || meta.Index == s.previous.Index
+}
+
 // beginChunks starts to send the newest snapshot to a member whose next entry
 // is no longer held.
 func (s *State) beginChunks(m message.Member, p *progress) {
-	p.chunk = &chunkProgress{index: s.Snapshot.Index}
+	p.chunk = &chunkProgress{meta: s.Snapshot}
 	s.sendChunk(m, p)
 }
 
@@ -45,9 +70,9 @@
 		To: m,
 		Chunk: message.Chunk{
 			Agreement: s.part(),
-			Index:     s.Snapshot.Index,
-			IndexTerm: s.Snapshot.Term,
-			Members:   s.Snapshot.Members,
+			Index:     p.chunk.meta.Index,
+			IndexTerm: p.chunk.meta.Term,
+			Members:   p.chunk.meta.Members,
 			Offset:    p.chunk.offset,
 			LogEnd:    s.log.last(),
 			Round:     s.lead.round,
@@ -56,14 +81,14 @@
 	})
 }
 
-// retryChunk sends a chunk again that was not answered, or begins anew if the
-// leader has a newer snapshot by now.
+// retryChunk sends a chunk again that was not answered, or begins anew if that
+// snapshot is no longer held.
 func (s *State) retryChunk(m message.Member, p *progress) {
 	if s.now < p.chunk.sent+s.Config.ElectionTicks {
 		return
 	}
-	if p.chunk.index != s.Snapshot.Index {
-		p.chunk = &chunkProgress{index: s.Snapshot.Index}
+	if !s.sendable(p.chunk.meta) {
+		p.chunk = &chunkProgress{meta: s.Snapshot}
 	}
 	s.sendChunk(m, p)
 }
@@ -74,7 +99,7 @@
 		return
 	}
 	s.acknowledged(p, m.Round)
-	if p.chunk == nil || p.chunk.index != m.Index {
+	if p.chunk == nil || p.chunk.meta.Index != m.Index {
 		return
 	}
 	if m.Done {
@@ -90,10 +115,9 @@
 		// A doubled answer; following it would double every further chunk.
 		return
 	}
-	if m.Index != s.Snapshot.Index {
-		p.chunk = &chunkProgress{index: s.Snapshot.Index}
-	} else {
-		p.chunk.offset = m.Offset
+	p.chunk.offset = m.Offset
+	if !s.sendable(p.chunk.meta) {
+		p.chunk = &chunkProgress{meta: s.Snapshot}
 	}
 	member, _ := s.Member(m.From)
 	s.sendChunk(member, p)
@@ -136,7 +160,7 @@
 	}
 	s.incoming = incoming{}
 	s.beginRecovery(m.LogEnd, true)
-	s.Snapshot = snapshot.Meta
+	s.previous, s.Snapshot = s.Snapshot, snapshot.Meta
 	s.log = entryLog{base: m.Index, baseTerm: m.IndexTerm}
 	s.Synced = 0
 	for i := range s.saving.logs {
--- a/internal/reducer/agreement/state.go
+++ b/internal/reducer/agreement/state.go
@@ -66,6 +66,8 @@
 	election election
 	lead     leadership
 	incoming incoming
+	// previous is the snapshot before the newest, which the disk still holds.
+	previous SnapshotMeta
 	saving   saving
 
 	effects  []Effect
