--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -24,20 +24,27 @@
 
 // reasonCounters gives what reducers count with a reason its own counter.
 var reasonCounters = map[string]described{
-	whatRefusal:        {Name: "refusals_total", Help: "Requests or reservations refused, by reason."},
-	"refused":          {Name: "gate_refusals_total", Help: "Refusals of gates that an entry met, by reason."},
-	"retry":            {Name: "retries_total", Help: "Attempts made again, by the reason of the one before."},
-	"retryDelayed":     {Name: "retries_delayed_total", Help: "Retries put off, by reason."},
-	"outcomeLost":      {Name: "outcomes_lost_total", Help: "Calls that may run once whose outcome is lost, by what lost it."},
-	"outcomeResolved":  {Name: "outcomes_resolved_total", Help: "Lost outcomes that the service's status call told."},
-	"prefillWasted":    {Name: "prefills_wasted_total", Help: "Prefills computed and not used, by reason."},
-	"prefillReleased":  {Name: "prefills_released_total", Help: "Prefill reservations given back before they were paid for."},
-	"givenUp":          {Name: "given_up_total", Help: "Accepted requests that ended without an answer, by reason."},
-	"renewalFailed":    {Name: "renewals_failed_total", Help: "Renewals of a claim that failed, by reason."},
-	"unclaimed":        {Name: "unclaimed_total", Help: "Requests that could not be claimed, by reason."},
-	"settleLost":       {Name: "settles_lost_total", Help: "Settles whose answer was lost and that were sent again."},
-	"settleFailed":     {Name: "settles_failed_total", Help: "Settles that failed, by reason."},
-	"settleLate":       {Name: "settles_late_total", Help: "Answers told before their settle was known to be durable."},
+	whatRefusal:       {Name: "refusals_total", Help: "Requests or reservations refused, by reason."},
+	"refused":         {Name: "gate_refusals_total", Help: "Refusals of gates that an entry met, by reason."},
+	"retry":           {Name: "retries_total", Help: "Attempts made again, by the reason of the one before."},
+	"retryDelayed":    {Name: "retries_delayed_total", Help: "Retries put off, by reason."},
+	"outcomeLost":     {Name: "outcomes_lost_total", Help: "Calls that may run once whose outcome is lost, by what lost it."},
+	"outcomeResolved": {Name: "outcomes_resolved_total", Help: "Lost outcomes that the service's status call told."},
+	"prefillWasted":   {Name: "prefills_wasted_total", Help: "Prefills computed and not used, by reason."},
+	"prefillReleased": {Name: "prefills_released_total", Help: "Prefill reservations given back before they were paid for."},
+	"givenUp":         {Name: "given_up_total", Help: "Accepted requests that ended without an answer, by reason."},
+	"renewalFailed":   {Name: "renewals_failed_total", Help: "Renewals of a claim that failed, by reason."},
+	"unclaimed":       {Name: "unclaimed_total", Help: "Requests that could not be claimed, by reason."},
+	"settleLost":      {Name: "settles_lost_total", Help: "Settles whose answer was lost and that were sent again."},
+	"settleFailed":    {Name: "settles_failed_total", Help: "Settles that failed, by reason."},
+	"settleLate":      {Name: "settles_late_total", Help: "Answers told before their settle was known to be durable."},
+	"controlRetry":    {Name: "control_retries_total", Help: "Requests to control VMs made again, by the reason of the one before."},
+	"controlDropped":  {Name: "control_dropped_total", Help: "Claims and outcomes that the backlog towards control VMs had no room for."},
+	"statusAsked":     {Name: "status_questions_total", Help: "Questions for lost outcomes that settled nothing, by reason."},
+
+	"order.refused":    {Name: "orders_refused_total", Help: "Orders that the engine refused or failed at, by reason."},
+	"order.unsure":     {Name: "orders_unsure_total", Help: "Orders whose outcome is lost, by reason."},
+	"order.givenUp":    {Name: "orders_given_up_total", Help: "Orders that are not tried again for now, by reason."},
 	"settledElsewhere": {Name: "settled_elsewhere_total", Help: "Requests whose record another entry had moved on."},
 }
 
@@ -45,6 +52,10 @@
 var events = []string{
 	"cacheGap", "cacheRepaired", "cancel", "cancelledByList", "closedForgotten", "doubled",
 	"duplicatePart", "outdatedMessage", "stray", "unowned",
+	"follow.gap", "follow.older", "follow.unconfirmed", "follow.stale",
+	"follow.lost", "follow.malformed", "follow.returned",
+	"member.damped", "member.massLapse", "member.paused", "member.outdated",
+	"peer.denied", "peer.unserved",
 }
 
 var knownEvents = func() map[string]bool {
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -81,7 +81,10 @@
 			stop = nil
 			r.stopping = true
 			stopBy = time.Now().Add(r.config.StopWithin)
-			r.handing = r.state.Role == agreement.Leader
+			if r.together.Load() {
+				continue
+			}
+			r.handing = r.state.Role == agreement.Leader && len(r.state.Members) > 1
 			r.step(agreement.TransferAsked{Tick: r.tick()})
 		}
 		if err := r.failure(); err != nil {
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
@@ -14,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // defaultStopDelay is how long a stopping entry fails its balancer check
@@ -26,12 +28,14 @@
 	entry    *Entry
 	endpoint *peer.Endpoint
 	callers  *httpServer
+	metrics  *httpServer
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
 // StartEntry starts an entry; Stop ends it.
 func StartEntry(p Process) (*EntryProcess, error) {
+	p = p.withMetrics(peer.RoleEntry)
 	process := &EntryProcess{process: p, done: make(chan struct{})}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(map[message.Kind]peer.Handler{
@@ -46,6 +50,8 @@
 		Members:      p.controlAddresses(),
 		Owner:        owner,
 		OwnerAddress: endpoint.Address(),
+		Retried:      func(reason oriolebend.Reason) { p.observer().Count("controlRetry", reason, "") },
+		Dropped:      func() { p.observer().Count("controlDropped", oriolebend.ReasonControlAway, "") },
 	})
 	e := NewEntry(EntryConfig{
 		Reducer:  p.entryReducer(owner),
@@ -63,7 +69,9 @@
 		Services:      p.Settings.Services,
 		Policy:        p.Settings.Policy,
 		Logger:        p.Logger,
+		Metrics:       p.metrics,
 		CountTokens:   prefix.CountTokens,
+		Fingerprint:   fingerprintOf,
 		Prefix: func(model, prompt string) []uint64 {
 			return prefix.Hashes(model, prompt, prefix.BlockTokens, prefix.MaxHashes)
 		},
@@ -71,26 +79,37 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	process.entry, process.endpoint, process.cancel = e, endpoint, cancel
 	close(ready)
-	process.callers, err = p.serveCallers(handler)
-	if err != nil {
+	if err := process.serve(ctx, handler); err != nil {
 		cancel()
 		return nil, errors.Join(err, endpoint.Close())
 	}
-	go records.Run(ctx)
+	p.metrics.Gauge("servers_serving", "Backend servers that take new work, as this entry knows.", func() float64 { return float64(e.serving()) })
+	p.metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(e.loop.Waiting()) })
+	p.metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return e.follower.Age().Seconds() })
+	var running sync.WaitGroup
+	running.Go(func() { e.Run(ctx) })
+	running.Go(func() { records.Run(ctx) })
 	go func() {
-		defer close(process.done)
-		e.Run(ctx)
+		running.Wait()
+		close(process.done)
 	}()
 	return process, nil
 }
 
-func (p Process) serveCallers(handler http.Handler) (*httpServer, error) {
-	server := caller.Server(p.Settings.Caller, handler, p.Logger)
-	listening, err := serveHTTP(p.Settings.Caller.Listen, server, p.Logger)
+// serve opens the ports for callers and metrics.
+func (p *EntryProcess) serve(ctx context.Context, handler http.Handler) error {
+	s, logger := p.process.Settings, p.process.Logger
+	var err error
+	p.metrics, err = p.process.serveMetrics(p.Ready)
+	if err != nil || s.Caller.Listen == "" {
+		return err
+	}
+	listener, err := caller.Listen(ctx, s.Caller)
 	if err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
+		return errors.Join(err, p.metrics.close())
 	}
-	return listening, nil
+	p.callers = serveOn(listener, caller.Server(s.Caller, handler, logger), logger)
+	return nil
 }
 
 func (p Process) entryReducer(owner string) entry.Config {
@@ -130,5 +149,14 @@
 	closed := p.callers.stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closed, closeEndpoint(p.endpoint))
+	return p.process.stopped(drained, closed, closeEndpoint(p.endpoint), p.metrics.close())
+}
+
+// Kill ends the entry at once, as a process that dies: nothing is handed over.
+func (p *EntryProcess) Kill() error {
+	// The endpoint goes first: what the roles do when they end must not get out.
+	closed := errors.Join(p.endpoint.Close(), p.callers.close(), p.metrics.close())
+	p.cancel()
+	<-p.done
+	return closed
 }
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Process is what every role needs to start.
@@ -20,25 +21,51 @@
 	Settings    settings.Settings
 	Credentials peer.Credentials
 	Logger      *slog.Logger
-	// Observer takes counts and measures; nil takes none.
+	// Socket is an open UDP socket to use in place of peer.listen; the process
+	// closes it. Nil opens one.
+	Socket net.PacketConn
+	// Operators is an open port to use in place of operator.listen; the
+	// process closes it. Nil opens one.
+	Operators net.Listener
+	// Observer takes counts and measures in place of the role's metrics; nil
+	// means those.
 	Observer Observer
+
+	// metrics holds the metrics of one start of the role.
+	metrics *metrics.Metrics
+}
+
+// withMetrics makes the metrics of one start: a process that is started again
+// from the same Process registers everything anew.
+func (p Process) withMetrics(role string) Process {
+	node := p.Settings.Node.Name
+	if role == peer.RoleSidecar {
+		node = p.Settings.Sidecar.Server
+	}
+	var organisations []string
+	for _, o := range p.Settings.Organisations {
+		organisations = append(organisations, o.Name)
+	}
+	p.metrics = metrics.New(metrics.Config{Role: role, Node: node, Organisations: organisations, Logger: p.Logger})
+	return p
 }
 
 func (p Process) observer() Observer {
 	if p.Observer == nil {
-		return unobserved{}
+		return p.metrics
 	}
 	return p.Observer
 }
 
-// unobserved is an Observer that keeps nothing.
-type unobserved struct{}
-
-// Count implements Observer.
-func (unobserved) Count(string, oriolebend.Reason, string) {}
-
-// Observe implements Observer.
-func (unobserved) Observe(string, oriolebend.Urgency, float64) {}
+// serveMetrics serves the role's metrics and health where the settings say.
+func (p Process) serveMetrics(ready func() bool) (*httpServer, error) {
+	server := metrics.Server(metrics.HandlerConfig{Metrics: []*metrics.Metrics{p.metrics}, Ready: ready})
+	listening, err := serveHTTP(p.Settings.Metrics.Listen, server, p.Logger)
+	if err != nil {
+		return nil, fmt.Errorf("listen for metrics: %w", err)
+	}
+	return listening, nil
+}
 
 // controlAddresses lists the peer addresses of the control VMs.
 func (p Process) controlAddresses() []string {
@@ -65,15 +92,30 @@
 
 // listen opens the process's endpoint towards its peers.
 func (p Process) listen(handlers map[message.Kind]peer.Handler) (*peer.Endpoint, error) {
-	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers}
+	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers, Observer: p.observer()}
+	counts := peer.NewMetrics()
+	if err := counts.Register(p.metrics.Registerer()); err != nil {
+		return nil, err
+	}
 	return peer.Listen(peer.Config{
 		Address:     p.Settings.Peer.Listen,
+		Socket:      p.Socket,
 		Credentials: p.Credentials,
 		Handler:     dispatch.Serve,
 		Logger:      p.Logger,
+		Metrics:     counts,
 	})
 }
 
+// stopped joins what went wrong while a process stopped under its name, nil if
+// nothing did.
+func (p Process) stopped(errs ...error) error {
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("stop %s: %w", p.Settings.Node.Name, err)
+	}
+	return nil
+}
+
 // closeWithin bounds the wait for sessions that peers still hold when a role
 // has drained: what they carry then are watches and renewals, which their
 // peers open anew elsewhere.
@@ -105,12 +147,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return serveOn(listener, server, logger), nil
+}
+
+// serveOn starts a server on a listener.
+func serveOn(listener net.Listener, server *http.Server, logger *slog.Logger) *httpServer {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logger.Error("an HTTP server ended", "address", address, "error", err)
+			logger.Error("an HTTP server ended", "address", listener.Addr().String(), "error", err)
 		}
 	}()
-	return &httpServer{server: server, listener: listener}, nil
+	return &httpServer{server: server, listener: listener}
 }
 
 // address is where the server listens, empty if there is none.
