role: the end of a session behind its last word is no loss

Cause: a gate's refusal of a call makes the reducer open a status session under the same key at once; the old session's end was posted behind that and taken for the new session's loss. The outcome was then asked of another server, which knows nothing of the call: unknown, although it could be known. Change: behind a refusal, a call's answer or a last part no loss is posted. Tests run three clusters at a time: forty at once starved their leases.

--- a/internal/role/cluster_test.go
+++ b/internal/role/cluster_test.go
@@ -37,11 +37,17 @@
 	t *testing.T
 }
 
+// clusters bounds how many run at a time: more would starve one another of
+// processor time until leases end that should not.
+var clusters = make(chan struct{}, 3)
+
 // startCluster runs two prefill, three decode and two service stand-ins with
 // three entries and three control VMs. change may set it up otherwise.
 func startCluster(t *testing.T, change func(*settings.Settings)) *cluster {
 	t.Helper()
 	is := is.New(t)
+	clusters <- struct{}{}
+	t.Cleanup(func() { <-clusters })
 	s, err := settings.Default()
 	is.NoErr(err)
 	s.Caller.Listen, s.Operator.Listen, s.Metrics.Listen = "", "", ""
--- a/internal/role/entrysession.go
+++ b/internal/role/entrysession.go
@@ -93,20 +93,37 @@
 	}
 }
 
+// read posts what the gate sends. The end of a session behind its last word is
+// no loss: the reducer may have opened another one under the same key by then,
+// and would take that for lost.
 func (s *entrySession) read(stream peer.Stream) {
+	last := false
 	for {
 		m, err := stream.Receive()
-		if s.isClosing() {
+		if s.isClosing() || (err != nil && last) {
 			return
 		}
 		if err != nil {
 			s.lost(true)
 			return
 		}
+		last = isLast(m)
 		s.post(entry.Received{At: time.Now(), Session: s.key, Message: m})
 	}
 }
 
+// isLast reports whether a gate ends its session after a message.
+func isLast(m message.Message) bool {
+	switch m := m.(type) {
+	case message.Refusal, message.CallAnswer:
+		return true
+	case message.Part:
+		return m.Finish != ""
+	default:
+		return false
+	}
+}
+
 func (s *entrySession) lost(opened bool) {
 	if s.isClosing() {
 		return
