--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -73,6 +73,15 @@
 	return e.Cause
 }
 
+// Codes lists every code.
+func Codes() []Code {
+	return []Code{
+		CodeClosed, CodePeerClosed, CodeReset, CodeStopping, CodeLost, CodeSilent, CodeTooLarge,
+		CodeUnknownKind, CodeGarbled, CodeDenied, CodeUnreachable, CodeVersion, CodeAddress, CodeCancelled,
+		CodeMissingFile, CodeMalformedFile, CodeKeyMismatch, CodeExpired, CodeWrongAuthority, CodeNoName, CodeRefused,
+	}
+}
+
 // CodeOf returns the code of an error of this package, or "" for others.
 func CodeOf(err error) Code {
 	if typed, ok := errors.AsType[*Error](err); ok {
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -64,7 +64,7 @@
 			Namespace: "oriolebend", Subsystem: "peer", Name: name, Help: help,
 		}, []string{label})
 	}
-	return &Metrics{
+	m := &Metrics{
 		Sessions: counter("sessions_total", "Sessions with peers.", "side"),
 		Frames:   counter("frames_total", "Frames exchanged with peers.", "direction"),
 		Bytes:    counter("frame_bytes_total", "Bytes of frames exchanged with peers, before encryption.", "direction"),
@@ -73,6 +73,15 @@
 			Namespace: "oriolebend", Subsystem: "peer", Name: "connections", Help: "Connections with peers that are open.",
 		}, []string{"side"}),
 	}
+	// Each series exists from the start, so that a rate over its first rise is
+	// right.
+	for _, code := range Codes() {
+		m.Errors.WithLabelValues(string(code))
+	}
+	for _, side := range []string{sideOpened, sideAccepted} {
+		m.Sessions.WithLabelValues(side)
+	}
+	return m
 }
 
 // Register registers the metrics.
