role: executions are counted in the ledger that a service's servers share

That is as strict: every execution by any server is in the one ledger. Also: group and folder have an example in their help.

--- a/internal/operator/command/folder.go
+++ b/internal/operator/command/folder.go
@@ -17,6 +17,7 @@
 	return &ff.Command{
 		Name: "folder", Usage: "oriolebend folder <inspect | backup | restore> [FLAGS]",
 		ShortHelp: "check, back up and restore the data folder of a stopped control VM",
+		LongHelp:  "Example:\n  oriolebend folder inspect /var/lib/oriolebend",
 		Flags:     ff.NewFlagSet("folder"),
 		Subcommands: []*ff.Command{
 			folderInspectCommand(out), folderBackupCommand(out), folderRestoreCommand(out),
--- a/internal/operator/command/group.go
+++ b/internal/operator/command/group.go
@@ -17,6 +17,7 @@
 	return &ff.Command{
 		Name: "group", Usage: "oriolebend group <status | add | remove | transfer> [FLAGS]",
 		ShortHelp: "show and change the group of control VMs",
+		LongHelp:  "Example:\n  oriolebend group status --control http://127.0.0.1:8081",
 		Flags:     ff.NewFlagSet("group"),
 		Subcommands: []*ff.Command{
 			groupStatusCommand(out), groupAddCommand(out), groupRemoveCommand(out), groupTransferCommand(out),
@@ -43,7 +44,10 @@
 	return &ff.Command{
 		Name: "status", Usage: "oriolebend group status [FLAGS]", Flags: c.flags,
 		ShortHelp: "print one control VM's view; the leader's tells how far each VM is",
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			return groupRun(ctx, c, out, func(ctx context.Context, api *client.Client) (oriolebend.Group, error) {
 				return api.Group(ctx)
 			})
@@ -91,7 +95,10 @@
 	return &ff.Command{
 		Name: "transfer", Usage: "oriolebend group transfer [FLAGS]", Flags: c.flags,
 		ShortHelp: "have the leader hand over to another control VM",
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			return groupRun(ctx, c, out, func(ctx context.Context, api *client.Client) (oriolebend.Group, error) {
 				return api.TransferLeadership(ctx)
 			})
--- a/internal/role/cluster_test.go
+++ b/internal/role/cluster_test.go
@@ -326,11 +326,11 @@
 	})
 }
 
-// executions counts how often the service ran a ping.
+// executions counts how often the servers of the service together ran a ping.
 func (c *cluster) executions(key string) int {
 	count := 0
-	for _, s := range c.Services {
-		count += s.ByPayload([]byte(pingBody(key)))
+	for _, ledger := range c.Ledgers {
+		count += ledger.ByPayload([]byte(pingBody(key)))
 	}
 	return count
 }
