--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -98,9 +98,21 @@
 	}
 	e := echo.NewWithConfig(echo.Config{Logger: a.Logger, HTTPErrorHandler: a.answerError})
 	a.routes(e)
+	a.zero(e.Router().Routes())
 	return e
 }
 
+// zero makes each refusal's series exist from the start, so that a rate over
+// its first rise is right.
+func (a *api) zero(routes echo.Routes) {
+	for _, r := range routes {
+		a.outcomes.WithLabelValues(r.Method+" "+r.Path, outcomeOK)
+		for reason := range statuses {
+			a.outcomes.WithLabelValues(r.Method+" "+r.Path, string(reason))
+		}
+	}
+}
+
 func (a *api) routes(e *echo.Echo) {
 	e.Use(a.limitBody, a.authorize, a.stampAge)
 	e.GET("/v1/resources", a.list)
