--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -38,6 +38,8 @@
 
 // chooseAddresses gives each script ports of its own.
 func chooseAddresses(env *testscript.Env) error {
+	// The race detector lets every process sleep for 1 s at its end.
+	env.Setenv("GORACE", "atexit_sleep_ms=50")
 	nextPort.CompareAndSwap(0, int64(os.Getpid())*64)
 	for _, name := range []string{"CALLER", "OPERATOR", "METRICS", "METRICS2", "METRICS3", "PEER", "PEER2", "PEER3"} {
 		address := nextAddress()
