gate: plan links first come, first served in time; half the time of a transfer

Cause: every decode that was granted and not transferred counted against a new one, although its transfer would be over by then: at one and a half times the Association's peak links stood idle while requests were refused. Change: transfers are laid out in the order in which they are due; a new one must not make itself or a later one end too late. Urgent decodes may go beyond the slots by a third.

--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -16,7 +18,11 @@
 	// urgent work, one in so many; urgentBeyond is by which part of its slots
 	// urgent work may go beyond them.
 	urgentSlots  = 8
-	urgentBeyond = 2
+	urgentBeyond = 3
+	// linkPart is the part of the time that a transfer may take which it may be
+	// planned to take, one in so many: more, and transfers that are late or
+	// stalled make others miss the end of their results; less, and links idle.
+	linkPart = 2
 	// promiseMargin is by how many standard deviations the memory that is
 	// expected to be held is taken for more. Too little, and promised room
 	// isn't free in time, which wastes prefills; too much, and memory is idle.
@@ -146,32 +152,55 @@
 	}
 }
 
-// linkWait is how much too late a transfer would end that is due at a moment,
-// behind those that are due by then: zero if within the time that a transfer
-// may take. Without it transfers that were granted room for the same moment
-// wait for each other until prefill results expire: seen as prefills that are
-// wasted although decode memory is free.
+// transfer is one that the server's link carries or is to carry.
+type transfer struct {
+	from time.Time
+	took time.Duration
+	// rank orders transfers that are due at the same time.
+	rank uint64
+}
+
+// linkWait is how much too late a transfer that is due at a moment would end,
+// or make one that is due after it end: zero if each ends within the time that
+// a transfer may take. Without it transfers that were granted room for the same
+// moment wait for each other until prefill results expire: seen as prefills that
+// are wasted although decode memory is free.
 func (s *State) linkWait(r *reservation, from time.Time) time.Duration {
-	busy := s.predict.transferTook(r)
-	for _, held := range s.memory.holders {
-		if r.reserve.Urgency == oriolebend.Urgent && held.reserve.Urgency != oriolebend.Urgent {
-			continue // its small transfer shares the link with them
-		}
-		if s.importsAbout(held, from, busy) {
-			busy += s.predict.transferTook(held)
+	own := transfer{from: from, took: s.predict.transferTook(r), rank: r.order}
+	bound := max(s.config.TransferWithin/linkPart, own.took)
+	var late time.Duration
+	free := s.now
+	for _, t := range s.transfers(r, own) {
+		free = later(free, t.from).Add(t.took)
+		if !t.from.Before(from) {
+			late = max(late, free.Sub(t.from)-bound)
 		}
 	}
-	return max(0, busy-max(s.config.TransferWithin, s.predict.transferTook(r)))
+	return late
 }
 
-// importsAbout reports whether a decode's transfer is expected not to be over
-// by a moment, and to begin before the link was busy for a while from then on.
-func (s *State) importsAbout(held *reservation, from time.Time, busy time.Duration) bool {
-	if held.reserve.Phase != message.PhaseDecode || held.firstPart || held.stage == stageCancelling {
-		return false
+// transfers lists the own transfer of a reservation and those that it would
+// share the link with, in the order in which they are due.
+func (s *State) transfers(r *reservation, own transfer) []transfer {
+	all := make([]transfer, 0, len(s.memory.holders)+1)
+	all = append(all, own)
+	for _, held := range s.memory.holders {
+		if held.reserve.Phase != message.PhaseDecode || held.firstPart || held.stage == stageCancelling {
+			continue
+		}
+		if r.reserve.Urgency == oriolebend.Urgent && held.reserve.Urgency != oriolebend.Urgent {
+			continue // its small transfer goes beside theirs
+		}
+		t := transfer{from: later(held.from, s.now), took: s.predict.transferTook(held), rank: held.order}
+		if held.stage == stageWorking {
+			t.took = max(t.took-s.now.Sub(held.startedAt), 0)
+		}
+		all = append(all, t)
 	}
-	over := later(held.from, s.now).Add(s.config.TransferWithin)
-	return held.from.Before(from.Add(busy)) && !over.Before(from)
+	slices.SortFunc(all, func(a, b transfer) int {
+		return cmp.Or(a.from.Compare(b.from), cmp.Compare(a.rank, b.rank))
+	})
+	return all
 }
 
 // fitsPrefill lets few prefills run at once, so that the order of work is the
