--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -180,9 +180,10 @@
 	}
 	ahead := s.queue.costAhead(r)
 	if r.reserve.Phase == message.PhaseDecode {
-		return s.earliest(r).Sub(s.now) + s.waitBehind(r, ahead)
+		memory := s.earliest(r).Sub(s.now) + s.waitBehind(r, ahead)
+		return max(memory, s.linkWait(r, s.now.Add(r.lead)))
 	}
-	return s.waitBehind(r, ahead)
+	return max(s.waitBehind(r, ahead), shortestRetry)
 }
 
 // waitBehind predicts how long a reservation waits behind work of this cost
--- a/internal/role/cluster_test.go
+++ b/internal/role/cluster_test.go
@@ -37,11 +37,17 @@
 	t *testing.T
 }
 
+// clusters bounds how many run at a time: more would starve one another of
+// processor time until leases end that should not.
+var clusters = make(chan struct{}, 3)
+
 // startCluster runs two prefill, three decode and two service stand-ins with
 // three entries and three control VMs. change may set it up otherwise.
 func startCluster(t *testing.T, change func(*settings.Settings)) *cluster {
 	t.Helper()
 	is := is.New(t)
+	clusters <- struct{}{}
+	t.Cleanup(func() { <-clusters })
 	s, err := settings.Default()
 	is.NoErr(err)
 	s.Caller.Listen, s.Operator.Listen, s.Metrics.Listen = "", "", ""
@@ -320,11 +326,11 @@
 	})
 }
 
-// executions counts how often the service ran a ping.
+// executions counts how often the servers of the service together ran a ping.
 func (c *cluster) executions(key string) int {
 	count := 0
-	for _, s := range c.Services {
-		count += s.ByPayload([]byte(pingBody(key)))
+	for _, ledger := range c.Ledgers {
+		count += ledger.ByPayload([]byte(pingBody(key)))
 	}
 	return count
 }
@@ -346,9 +352,8 @@
 	}
 }
 
-// anew makes the setup of a process that starts again: its metrics begin anew.
+// anew makes the setup of a process that starts again: it opens its own ports.
 func anew(p Process) Process {
-	p.Metrics = nil
 	p.Socket, p.Operators = nil, nil
 	return p
 }
