role: a control VM that is killed hands nothing over, and can be stopped after

Cause: Kill took the outcome of the log's end, so that a later Stop waited for it until its context ended; and it stopped the log gracefully before the sockets closed. Change: the end is a closed channel; the endpoint closes first.

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -35,13 +35,15 @@
 	watches   *WatchServer
 	members   *MemberLeader
 	cancel    context.CancelFunc
-	done      chan error
+	// done is closed once the log has ended, with ended as its error.
+	done  chan struct{}
+	ended error
 }
 
 // StartControl starts a control VM's process; Stop ends it.
 func StartControl(p Process) (*ControlProcess, error) {
 	p = p.withMetrics(peer.RoleControl)
-	process := &ControlProcess{process: p, done: make(chan error, 1)}
+	process := &ControlProcess{process: p, done: make(chan struct{})}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(process.handlers(ready))
 	if err != nil {
@@ -58,7 +60,10 @@
 	go process.resolver.Run(ctx)
 	go process.confirmer.Run(ctx)
 	go process.members.Run(ctx)
-	go func() { process.done <- process.replica.Run(ctx) }()
+	go func() {
+		defer close(process.done)
+		process.ended = process.replica.Run(ctx)
+	}()
 	return process, nil
 }
 
@@ -201,8 +206,8 @@
 	c.cancel()
 	closed := errors.Join(c.operators.close(), c.metrics.close())
 	select {
-	case err := <-c.done:
-		return errors.Join(closed, err)
+	case <-c.done:
+		return errors.Join(closed, c.ended)
 	case <-ctx.Done():
 		return errors.Join(closed, ctx.Err())
 	}
@@ -210,8 +215,11 @@
 
 // Kill ends the process at once, as one that dies.
 func (c *ControlProcess) Kill() error {
+	// The endpoint goes first: a VM that dies hands no leadership over.
+	closed := errors.Join(c.endpoint.Close(), c.operators.close(), c.metrics.close())
 	c.cancel()
-	return errors.Join(c.operators.close(), c.metrics.close(), c.endpoint.Close(), <-c.done)
+	<-c.done
+	return errors.Join(closed, c.ended)
 }
 
 func members(list []settings.Member) []message.Member {
