--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -39,7 +40,12 @@
 	authority *peer.Authority
 	folder    string
 	standins  []*standin.Server
-	metrics   *httpServer
+	// failing is held while a failure begins or ends, and mends waits for
+	// those that go on.
+	failing  sync.Mutex
+	mends    sync.WaitGroup
+	stopping chan struct{}
+	metrics  *httpServer
 
 	Engines  map[string]*standin.Engine
 	Services map[string]*standin.Service
@@ -83,6 +89,7 @@
 		Engines:   map[string]*standin.Engine{},
 		Services:  map[string]*standin.Service{},
 		Sidecars:  map[string]*SidecarProcess{},
+		stopping:  make(chan struct{}),
 	}
 	d.settings.Control.Members = slices.Clone(s.Control.Members)
 	if err := d.start(); err != nil {
@@ -125,6 +132,10 @@
 		all = append(all, e.process.metrics)
 	}
 	server := metrics.Server(metrics.HandlerConfig{Metrics: all, Ready: d.ready})
+	routes := http.NewServeMux()
+	routes.Handle("/", server.Handler)
+	routes.HandleFunc("POST /dev/failures", d.serveFailures)
+	server.Handler = routes
 	var err error
 	d.metrics, err = serveHTTP(cmp.Or(d.settings.Metrics.Listen, loopback), server, d.logger)
 	if err != nil {
@@ -345,6 +356,8 @@
 }
 
 func (d *Dev) ready() bool {
+	d.failing.Lock()
+	defer d.failing.Unlock()
 	for _, e := range d.Entries {
 		if e.entry.serving() < len(d.Sidecars) {
 			return false
@@ -357,6 +370,8 @@
 // folder.
 func (d *Dev) Stop(ctx context.Context) error {
 	errs := []error{d.metrics.close()}
+	close(d.stopping)
+	d.mends.Wait()
 	errs = append(errs, stopAll(ctx, d.Entries, (*EntryProcess).Stop))
 	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars)), (*SidecarProcess).Stop))
 	errs = append(errs, stopAll(ctx, d.Controls, (*ControlProcess).StopTogether))
--- /dev/null
+++ b/internal/role/devfailure_test.go
@@ -0,0 +1,57 @@
+package role
+
+import (
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// failureTargets names what each failure strikes in the default settings.
+var failureTargets = map[FailureName]string{
+	FailKillEngine:   "decode-1",
+	FailFreezeEngine: "decode-2",
+	FailSlowEngine:   "prefill-1",
+	FailStallLink:    "prefill-2",
+	FailLoseAnswer:   "dispatch-1",
+	FailKillSidecar:  "decode-3",
+	FailStopSidecar:  "prefill-1",
+	FailKillEntry:    "entry-2",
+	FailStopEntry:    "entry-2",
+	FailKillControl:  "control-1",
+	FailStopControl:  "control-2",
+}
+
+// Symptom: a scheduled failure is never over, and the load after it fails.
+// Sequence: each failure in turn, its end, then a request that needs all roles.
+// Cause guarded against: a role that is started again on other ports or twice.
+func TestEveryFailureEnds(t *testing.T) {
+	is := is.New(t)
+	d := startDev(t)
+	for _, name := range slices.Sorted(maps.Keys(strikes)) {
+		is.NoErr(d.Fail(Failure{Do: name, Target: failureTargets[name], For: oriolebend.Duration(50 * time.Millisecond)}))
+		d.mends.Wait()
+		is.NoErr(d.Ready(t.Context()))
+		status, _ := post(t, d.Entries[1].Address(), "/v1/completions", string(name), brief)
+		is.Equal(status, http.StatusOK) // answered after the failure
+	}
+}
+
+func TestUnknownFailuresAreRefused(t *testing.T) {
+	is := is.New(t)
+	d := startDev(t)
+	var refused *FailureError
+	is.True(errors.As(d.Fail(Failure{Do: "earthquake"}), &refused))
+	is.True(errors.As(d.Fail(Failure{Do: FailKillEngine, Target: "nobody"}), &refused))
+	response, err := http.Post("http://"+d.MetricsAddress()+"/dev/failures", "application/json", strings.NewReader("{"))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusBadRequest)
+}
