--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -13,7 +13,7 @@
 
 // Defaults of ClientConfig.
 const (
-	defaultLeaseFor = 10 * time.Second
+	defaultLeaseFor = 6 * time.Second
 	defaultTryFor   = time.Second
 	defaultGiveUp   = 5 * time.Second
 	defaultBackoff  = 20 * time.Millisecond
@@ -38,7 +38,7 @@
 	// OwnerAddress is where other entries reach this one.
 	OwnerAddress string
 	// LeaseFor is how long what this entry holds outlives its last sign of
-	// life; zero means 10s.
+	// life, and how long a retry waits after this entry died; zero means 6s.
 	LeaseFor time.Duration
 	// TryFor is how long one control VM may take before another is asked; zero
 	// means 1s.
--- a/internal/message/record.go
+++ b/internal/message/record.go
@@ -123,6 +123,9 @@
 	Reason oriolebend.Reason `cbor:"reason,omitempty"`
 	// Once repeats whether the request may run at most once.
 	Once bool `cbor:"once,omitempty"`
+	// Reopens is true if a claim with an id of its own would run the request:
+	// nothing ran, or it may be repeated and its owner gave up or is gone.
+	Reopens bool `cbor:"reopens,omitempty"`
 	// Ticket is the claim's or the query's.
 	Ticket uint64 `cbor:"ticket,omitempty"`
 }
--- a/internal/reducer/record/claim.go
+++ b/internal/reducer/record/claim.go
@@ -182,6 +182,7 @@
 		Answer:    r.answer,
 		Reason:    r.reason,
 		Once:      r.once,
+		Reopens:   r.reopens(r.once),
 		Ticket:    ticket,
 	}
 	if r.open() {
--- a/internal/reducer/record/script_test.go
+++ b/internal/reducer/record/script_test.go
@@ -257,6 +257,9 @@
 	}
 	writeWord(out, "at=", a.OwnerAddress)
 	writeWord(out, "reason=", string(a.Reason))
+	if a.Reopens {
+		out.WriteString(" reopens")
+	}
 	if a.Answer != nil {
 		fmt.Fprintf(out, " body=%s", a.Answer.Body)
 	}
--- a/internal/role/answerlog.go
+++ b/internal/role/answerlog.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 )
 
 // answerLog keeps the chunks of one answer while it is made, so that its
@@ -12,6 +13,9 @@
 // slow holds up neither the reducer nor the other readers.
 type answerLog struct {
 	organisation string
+	// request is what was submitted, to be run here should the request that it
+	// follows turn out to have been given up.
+	request entry.Request
 	// keep is true if the request goes on when nobody reads.
 	keep bool
 
@@ -55,6 +59,13 @@
 	return a.readers == 0
 }
 
+// read reports whether somebody reads the answer.
+func (a *answerLog) read() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.readers > 0
+}
+
 // from returns the chunks behind the first read ones, and a channel that is
 // closed when there are more.
 func (a *answerLog) from(read int) ([]caller.Chunk, <-chan struct{}) {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -174,6 +174,7 @@
 // Submit implements caller.Router.
 func (e *Entry) Submit(ctx context.Context, r entry.Request) <-chan caller.Chunk {
 	log := newAnswerLog(r.Scope.Organisation, r.KeepRunning || r.Once)
+	log.request = r
 	e.mu.Lock()
 	e.answers[r.ID] = log
 	e.mu.Unlock()
--- a/internal/role/entryfollow.go
+++ b/internal/role/entryfollow.go
@@ -20,7 +20,7 @@
 	out := make(chan caller.Chunk)
 	go func() {
 		defer close(out)
-		e.attachTo(ctx, organisation, requestID, "", func(c caller.Chunk) {
+		e.attachTo(ctx, organisation, requestID, "", nil, func(c caller.Chunk) {
 			select {
 			case out <- c:
 			case <-ctx.Done():
@@ -39,15 +39,26 @@
 	if log == nil {
 		return
 	}
-	e.attachTo(e.ctx, log.organisation, f.Record, f.OwnerAddress, func(c caller.Chunk) {
+	submit := func() bool {
+		if !log.read() {
+			return false
+		}
+		e.loop.Post(entry.Arrived{At: time.Now(), Request: log.request})
+		return true
+	}
+	e.attachTo(e.ctx, log.organisation, f.Record, f.OwnerAddress, submit, func(c caller.Chunk) {
 		c.RequestID = f.Record
 		log.append(c)
 	})
 }
 
 // attachTo follows a request here, at its owner, or in its record, until its
-// last chunk went to put.
-func (e *Entry) attachTo(ctx context.Context, organisation, requestID, ownerAddress string, put func(caller.Chunk)) {
+// last chunk went to put. If the request was given up before any output came,
+// submit runs the follower's own in its place; it is nil if there is none.
+//
+// Without it the caller that came back after its entry died would wait for
+// that entry's lease, only to be told to come back again.
+func (e *Entry) attachTo(ctx context.Context, organisation, requestID, ownerAddress string, submit func() bool, put func(caller.Chunk)) {
 	delivered := 0
 	once := func(c caller.Chunk) {
 		if c.Text != "" && c.Offset < delivered {
@@ -68,6 +79,9 @@
 			put(caller.Chunk{Problem: asProblem(err, requestID)})
 			return
 		}
+		if found.Reopens && delivered == 0 && submit != nil && submit() {
+			return
+		}
 		if chunk, final := finalChunk(found, requestID, delivered); final {
 			put(chunk)
 			return
