--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -75,6 +75,8 @@
 		serversCommand(out),
 		auditCommand(out),
 		advanceCommand(out),
+		groupCommand(out),
+		folderCommand(out),
 	}
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,7 +54,9 @@
 	handing bool
 	// together is set if the whole group is about to stop.
 	together atomic.Bool
-	disk     diskState
+	// handed is set once it has stepped down for its stop.
+	handed bool
+	disk   diskState
 
 	leader atomic.Pointer[leaderView]
 	status atomic.Pointer[Status]
@@ -117,7 +119,7 @@
 func (r *Replica) reducerConfig() agreement.Config {
 	return agreement.Config{
 		Name:         r.config.Name,
-		Group:        fmt.Sprintf("%s/%d", r.config.Group, r.store.Identity().Generation),
+		Group:        groupName(r.config.Group, r.store.Identity().Generation),
 		Founders:     r.config.founders(),
 		Seed:         r.config.Seed,
 		MaxUnapplied: r.config.MaxUnapplied,
--- a/internal/role/answerlog.go
+++ b/internal/role/answerlog.go
@@ -13,13 +13,14 @@
 // slow holds up neither the reducer nor the other readers.
 type answerLog struct {
 	organisation string
-	// request is what was submitted, to be run here should the request that it
-	// follows turn out to have been given up.
-	request entry.Request
 	// keep is true if the request goes on when nobody reads.
 	keep bool
+	// request is what the caller asked for.
+	request entry.Request
 
 	mu sync.Mutex
+	// runsAs is the id under which this entry runs the request.
+	runsAs string
 	// readers counts those who read the answer; the request is cancelled when
 	// the last one leaves before its end.
 	readers int
@@ -27,8 +28,28 @@
 	changed chan struct{}
 }
 
-func newAnswerLog(organisation string, keep bool) *answerLog {
-	return &answerLog{organisation: organisation, keep: keep, changed: make(chan struct{})}
+func newAnswerLog(r entry.Request) *answerLog {
+	return &answerLog{
+		organisation: r.Scope.Organisation,
+		keep:         r.KeepRunning || r.Once,
+		request:      r,
+		runsAs:       r.ID,
+		changed:      make(chan struct{}),
+	}
+}
+
+// id returns the id under which this entry runs the request.
+func (a *answerLog) id() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runsAs
+}
+
+// rename changes the id under which this entry runs the request.
+func (a *answerLog) rename(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runsAs = id
 }
 
 // append adds a chunk and wakes the readers. Nothing is added behind a last
@@ -59,13 +80,6 @@
 	return a.readers == 0
 }
 
-// read reports whether somebody reads the answer.
-func (a *answerLog) read() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.readers > 0
-}
-
 // from returns the chunks behind the first read ones, and a channel that is
 // closed when there are more.
 func (a *answerLog) from(read int) ([]caller.Chunk, <-chan struct{}) {
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -35,13 +35,15 @@
 	watches   *WatchServer
 	members   *MemberLeader
 	cancel    context.CancelFunc
-	done      chan error
+	// done is closed once the log has ended, with ended as its error.
+	done  chan struct{}
+	ended error
 }
 
 // StartControl starts a control VM's process; Stop ends it.
 func StartControl(p Process) (*ControlProcess, error) {
 	p = p.withMetrics(peer.RoleControl)
-	process := &ControlProcess{process: p, done: make(chan error, 1)}
+	process := &ControlProcess{process: p, done: make(chan struct{})}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(process.handlers(ready))
 	if err != nil {
@@ -58,7 +60,10 @@
 	go process.resolver.Run(ctx)
 	go process.confirmer.Run(ctx)
 	go process.members.Run(ctx)
-	go func() { process.done <- process.replica.Run(ctx) }()
+	go func() {
+		defer close(process.done)
+		process.ended = process.replica.Run(ctx)
+	}()
 	return process, nil
 }
 
@@ -105,7 +110,7 @@
 	}
 	c.replica = log
 	counts := controlpeer.NewMetrics(records)
-	if err := counts.Register(p.Metrics.Registerer()); err != nil {
+	if err := counts.Register(p.metrics.Registerer()); err != nil {
 		return err
 	}
 	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
@@ -144,15 +149,20 @@
 		Node:        s.Node.Name,
 		Log:         c.replica,
 		Store:       store,
+		Group:       c.replica,
 		Reports:     reached.List,
 		Confirmed:   func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
 		OperatorURL: operatorURL(s.Control.Members),
 		Tokens:      s.Operator.Tokens,
 		Open:        s.Operator.Open,
-		Registry:    c.process.Metrics.Registerer(),
+		Registry:    c.process.metrics.Registerer(),
 		Logger:      c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	if c.process.Operators != nil {
+		c.operators = serveOn(c.process.Operators, server, c.process.Logger)
+		return nil
+	}
 	var err error
 	c.operators, err = serveHTTP(s.Operator.Listen, server, c.process.Logger)
 	if err != nil {
@@ -181,28 +191,35 @@
 
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
+	return c.process.stopped(c.end(ctx), closeEndpoint(c.endpoint))
+}
+
+// StopTogether ends the process when the other control VMs stop at the same
+// time: it hands no leadership over, and waits for no session of theirs.
+func (c *ControlProcess) StopTogether(ctx context.Context) error {
+	c.replica.StopTogether()
+	return c.process.stopped(c.end(ctx), c.endpoint.Close())
+}
+
+// end has the log stop, and closes the ports for operators and metrics.
+func (c *ControlProcess) end(ctx context.Context) error {
 	c.cancel()
 	closed := errors.Join(c.operators.close(), c.metrics.close())
-	var ended error
 	select {
-	case ended = <-c.done:
+	case <-c.done:
+		return errors.Join(closed, c.ended)
 	case <-ctx.Done():
-		ended = ctx.Err()
+		return errors.Join(closed, ctx.Err())
 	}
-	return c.process.stopped(closed, ended, closeEndpoint(c.endpoint))
-}
-
-// StopTogether ends the process as Stop does, but hands no leadership over,
-// because the other control VMs stop at the same time.
-func (c *ControlProcess) StopTogether(ctx context.Context) error {
-	c.replica.StopTogether()
-	return c.Stop(ctx)
 }
 
 // Kill ends the process at once, as one that dies.
 func (c *ControlProcess) Kill() error {
+	// The endpoint goes first: a VM that dies hands no leadership over.
+	closed := errors.Join(c.endpoint.Close(), c.operators.close(), c.metrics.close())
 	c.cancel()
-	return errors.Join(c.operators.close(), c.metrics.close(), c.endpoint.Close(), <-c.done)
+	<-c.done
+	return errors.Join(closed, c.ended)
 }
 
 func members(list []settings.Member) []message.Member {
--- a/internal/role/enginework.go
+++ b/internal/role/enginework.go
@@ -17,13 +17,9 @@
 // cancelWithin bounds one cancel call; the gate asks again if it fails.
 const cancelWithin = 2 * time.Second
 
-const (
-	// listWithin bounds the tries to list an engine's work. It is shorter than
-	// the time between two lists, so that answers come in the order asked.
-	listWithin = 1500 * time.Millisecond
-	// listPause is the time between two tries.
-	listPause = 100 * time.Millisecond
-)
+// listWithin bounds one reading of the engine's work. One that fails is asked
+// for again and ends no work: only the watch decides that an engine is lost.
+const listWithin = 2 * time.Second
 
 // workKey names one piece of work in progress.
 type workKey struct {
@@ -54,7 +50,7 @@
 	case gate.RunDecode:
 		w.start(workKey{f.Request.Attempt, message.PhaseDecode}, func(ctx context.Context) { w.decode(ctx, f.Request) })
 	case gate.RunCall:
-		go w.call(f.Call)
+		w.start(workKey{f.Call.Attempt, message.PhaseCall}, func(ctx context.Context) { w.call(ctx, f.Call) })
 	case gate.AskStatus:
 		go w.status(f.Query)
 	case gate.CancelWork:
@@ -100,10 +96,11 @@
 	}
 }
 
-// call runs a call of a plain service to its end, also when the caller left:
-// a call that may run at most once can't be taken back by hanging up.
-func (w *engineWork) call(c message.Call) {
-	answer, err := w.service.Call(w.ctx, c)
+// call runs a call of a plain service. The gate cancels only calls that may be
+// repeated: one that may run at most once can't be taken back by hanging up,
+// and runs to its end also when the caller left.
+func (w *engineWork) call(ctx context.Context, c message.Call) {
+	answer, err := w.service.Call(ctx, c)
 	if err != nil {
 		w.failed(c.Attempt, message.PhaseCall, err)
 		return
@@ -122,7 +119,7 @@
 
 func (w *engineWork) cancel(a message.Attempt) {
 	w.mu.Lock()
-	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode} {
+	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode, message.PhaseCall} {
 		if cancel := w.cancels[workKey{a, phase}]; cancel != nil {
 			cancel()
 		}
@@ -144,14 +141,8 @@
 func (w *engineWork) listWork() {
 	ctx, cancel := context.WithTimeout(w.ctx, listWithin)
 	defer cancel()
-	for ctx.Err() == nil {
-		work, err := w.engine.Work(ctx)
-		if err == nil {
-			w.post(gate.WorkListed{At: time.Now(), Work: work})
-			return
-		}
-		wait(ctx, listPause)
-	}
+	work, err := w.engine.Work(ctx)
+	w.post(gate.WorkListed{At: time.Now(), Work: work, Failed: err != nil})
 }
 
 func (w *engineWork) listCache() {
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -49,9 +50,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
-	p.Metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
-	p.Metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
-	p.Metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
+	p.metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
+	p.metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
+	p.metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
 	go announcer.Run(ctx)
 	go func() {
 		defer close(process.done)
@@ -60,6 +61,10 @@
 	return process, nil
 }
 
+// declaredWithin is how long a new sidecar waits to learn what is declared for
+// its server before it takes work without.
+const declaredWithin = 5 * time.Second
+
 func (p Process) sidecarConfig(endpoint *peer.Endpoint, announcer *Announcer) SidecarConfig {
 	s := p.Settings
 	incarnation := newIncarnation()
@@ -69,6 +74,9 @@
 			BetweenWithin: s.Policy.BetweenWithin.Or(0),
 			Concurrency:   s.Sidecar.Concurrency,
 			Shares:        shares(s.Organisations),
+			// A restarted sidecar of a leaving server would take new work until it
+			// knows that; control that is away must not keep it out for long.
+			DeclaredWithin: declaredWithin,
 		},
 		Orders: order.Config{
 			Server:        s.Sidecar.Server,
@@ -117,6 +125,8 @@
 
 // Kill ends the sidecar at once, as a process that dies.
 func (p *SidecarProcess) Kill() error {
+	closed := errors.Join(p.endpoint.Close(), p.metrics.close())
 	p.cancel()
-	return errors.Join(p.endpoint.Close(), p.metrics.close())
+	<-p.done
+	return closed
 }
