--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -81,6 +81,9 @@
 	}, nil
 }
 
+// Certificate is the authority's own certificate, in DER.
+func (a *Authority) Certificate() []byte { return a.certificate.Raw }
+
 // Pool returns the authority as the root of certificate checks.
 func (a *Authority) Pool() *x509.CertPool {
 	pool := x509.NewCertPool()
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -22,6 +22,9 @@
 	Logger      *slog.Logger
 	// Observer takes counts and measures; nil takes none.
 	Observer Observer
+
+	// socket replaces the UDP socket, for measurements.
+	socket net.PacketConn
 }
 
 func (p Process) observer() Observer {
@@ -68,6 +71,7 @@
 	dispatch := Dispatch{Logger: p.Logger, Handlers: handlers}
 	return peer.Listen(peer.Config{
 		Address:     p.Settings.Peer.Listen,
+		Socket:      p.socket,
 		Credentials: p.Credentials,
 		Handler:     dispatch.Serve,
 		Logger:      p.Logger,
