--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -80,6 +80,12 @@
 	LeaseFor float64 `toml:"leaseFor"`
 	// RenewEvery is how often a sidecar renews it, in seconds.
 	RenewEvery float64 `toml:"renewEvery"`
+	// WeightBytes is the size of a version's weights, WeightRate what the
+	// weight store gives one load, in bytes a second, and WeightLoads the
+	// loads at a time.
+	WeightBytes float64 `toml:"weightBytes"`
+	WeightRate  float64 `toml:"weightRate"`
+	WeightLoads float64 `toml:"weightLoads"`
 }
 
 // Load reads the data file that is built in.
@@ -102,3 +108,11 @@
 func (e *MissingError) Error() string {
 	return "missing slopes: " + strings.Join(e.Names, ", ")
 }
+
+// UnusedError names slopes that no sum uses, such as one that was renamed.
+type UnusedError struct{ Names []string }
+
+// Error implements error.
+func (e *UnusedError) Error() string {
+	return "slopes that no sum uses: " + strings.Join(e.Names, ", ")
+}
--- a/internal/role/follower.go
+++ b/internal/role/follower.go
@@ -16,8 +16,9 @@
 type FollowerConfig struct {
 	Reducer follow.Config
 	Dialer  peer.Dialer
-	// Apply takes each state that is in force from then on; view is not
-	// changed afterwards.
+	// Apply takes each state that is in force from then on. It is called in
+	// the loop of the process, and must not keep view: a copy for each change
+	// would cost each follower the whole state's size.
 	Apply    func(view declared.View, changed follow.Changed)
 	Observer Observer
 }
@@ -90,7 +91,7 @@
 			l.cancel()
 		}
 	case follow.Changed:
-		f.config.Apply(f.State.View().Copy(), e)
+		f.config.Apply(f.State.View(), e)
 	case follow.Count:
 		f.config.Observer.Count("follow."+string(e.What), "", "")
 	}
