--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -44,6 +44,7 @@
 	s.closeAll(r)
 	s.leaveQueue(r)
 	s.releasePlace(r)
+	r.started()
 	r.clearAlarm(alarmDeadline)
 	r.step = stepSettling
 	s.settle(r, message.Settle{Attempt: attempt, State: state, Answer: a})
@@ -194,7 +195,7 @@
 		return
 	}
 	r.outcome.told = true
-	if r.gone {
+	if r.gone && !r.followed() {
 		return
 	}
 	switch o := r.outcome; {
@@ -208,6 +209,13 @@
 	}
 }
 
+// followed reports whether others may follow the request after its own caller
+// left. They are told the end of it, or they would wait for one that never
+// comes.
+func (r *request) followed() bool {
+	return r.KeepRunning || r.Once
+}
+
 // giveUp ends a request without an answer, and tells so at once where that is
 // true without the record.
 func (s *State) giveUp(r *request, reason oriolebend.Reason, after time.Duration) {
@@ -238,6 +246,9 @@
 		return true
 	}
 	s.count("givenUp", reason, r)
+	if r.gone {
+		return true // who follows it waits for its outcome
+	}
 	r.outcome.problem = &oriolebend.Problem{Reason: reason, Ran: oriolebend.RanUnknown, RetryAfter: after}
 	s.tell(r)
 	r.outcome.problem = nil
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"container/list"
 	"math/rand/v2"
 	"time"
 
@@ -158,6 +159,9 @@
 	// owesRetry is true while a retry is not yet taken off the budgets.
 	owesRetry bool
 
+	// unstarted is the request's place among those without output.
+	unstarted *list.Element
+
 	outcome outcome
 }
 
@@ -177,7 +181,10 @@
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *State) count(what string, reason oriolebend.Reason, r *request) {
-	s.emit(Count{What: what, Reason: reason, Organisation: r.Scope.Organisation})
+	s.emit(Count{
+		What: what, Reason: reason, Organisation: r.Scope.Organisation,
+		Attempt: message.Attempt{RequestID: r.ID, Number: r.attempt},
+	})
 }
 
 func (s *State) observe(what string, r *request, value float64) {
--- a/internal/role/control_bench_test.go
+++ b/internal/role/control_bench_test.go
@@ -70,26 +70,27 @@
 	s.Caller.Listen, s.Metrics.Listen, s.Operator.Listen = "", "", loopback
 	s.Control.Members = nil
 	config.Files = benchFiles(folder, "follower")
+	var sockets []net.PacketConn
 	for i := range benchControls {
-		address, err := freeAddress()
+		socket, err := net.ListenPacket("udp", loopback)
 		x.must(err)
+		sockets = append(sockets, socket)
+		address := socket.LocalAddr().String()
 		name := fmt.Sprintf("control-%d", i+1)
 		names = append(names, peer.Identity{Role: "control", Name: name})
 		s.Control.Members = append(s.Control.Members, settings.Member{Name: name, Address: address})
 		config.Controls = append(config.Controls, follow.Control{Name: name, Address: address})
 	}
 	x.must(peer.IssueFiles(folder, names...))
-	for _, m := range s.Control.Members {
+	for i, m := range s.Control.Members {
 		credentials, err := peer.LoadFiles(benchFiles(folder, m.Name))
 		x.must(err)
 		own := s
 		own.Node.Name, own.Peer.Listen = m.Name, m.Address
 		own.Control.DataFolder = filepath.Join(folder, "data", m.Name)
-		socket, err := net.ListenPacket("udp", m.Address)
-		x.must(err)
 		count := &wire{}
 		c, err := StartControl(Process{
-			Settings: own, Credentials: credentials, Logger: slog.New(slog.DiscardHandler), socket: wireSocket{socket, count},
+			Settings: own, Credentials: credentials, Logger: slog.New(slog.DiscardHandler), Socket: wireSocket{sockets[i], count},
 		})
 		x.must(err)
 		x.wires = append(x.wires, count)
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -27,6 +27,7 @@
 	process   Process
 	endpoint  *peer.Endpoint
 	operators *httpServer
+	metrics   *httpServer
 	replica   *replica.Replica
 	records   *controlpeer.Server
 	resolver  *controlpeer.Resolver
@@ -39,6 +40,7 @@
 
 // StartControl starts a control VM's process; Stop ends it.
 func StartControl(p Process) (*ControlProcess, error) {
+	p = p.withMetrics(peer.RoleControl)
 	process := &ControlProcess{process: p, done: make(chan error, 1)}
 	ready := make(chan struct{})
 	endpoint, err := p.listen(process.handlers(ready))
@@ -102,11 +104,16 @@
 		return fmt.Errorf("open the data folder: %w", err)
 	}
 	c.replica = log
+	counts := controlpeer.NewMetrics(records)
+	if err := counts.Register(p.metrics.Registerer()); err != nil {
+		return err
+	}
 	c.records = controlpeer.NewServer(controlpeer.ServerConfig{
 		Self:    name,
 		Log:     control.PartLog{Log: log, Part: control.PartRecords},
 		Records: records,
 		Limits:  recordLimits(p.Settings.Policy),
+		Observe: counts.Observe,
 	})
 	c.resolver = controlpeer.NewResolver(controlpeer.ResolverConfig{
 		Server: c.records,
@@ -123,6 +130,11 @@
 	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
+	c.publish(reached)
+	c.metrics, err = p.serveMetrics(c.Ready)
+	if err != nil {
+		return err
+	}
 	return c.serveOperators(store, reached)
 }
 
@@ -132,14 +144,20 @@
 		Node:        s.Node.Name,
 		Log:         c.replica,
 		Store:       store,
+		Group:       c.replica,
 		Reports:     reached.List,
 		Confirmed:   func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
 		OperatorURL: operatorURL(s.Control.Members),
 		Tokens:      s.Operator.Tokens,
 		Open:        s.Operator.Open,
+		Registry:    c.process.metrics.Registerer(),
 		Logger:      c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	if c.process.Operators != nil {
+		c.operators = serveOn(c.process.Operators, server, c.process.Logger)
+		return nil
+	}
 	var err error
 	c.operators, err = serveHTTP(s.Operator.Listen, server, c.process.Logger)
 	if err != nil {
@@ -168,21 +186,32 @@
 
 // Stop hands leadership over and ends the process.
 func (c *ControlProcess) Stop(ctx context.Context) error {
+	return c.process.stopped(c.end(ctx), closeEndpoint(c.endpoint))
+}
+
+// StopTogether ends the process when the other control VMs stop at the same
+// time: it hands no leadership over, and waits for no session of theirs.
+func (c *ControlProcess) StopTogether(ctx context.Context) error {
+	c.replica.StopTogether()
+	return c.process.stopped(c.end(ctx), c.endpoint.Close())
+}
+
+// end has the log stop, and closes the ports for operators and metrics.
+func (c *ControlProcess) end(ctx context.Context) error {
 	c.cancel()
-	closed := c.operators.close()
-	var ended error
+	closed := errors.Join(c.operators.close(), c.metrics.close())
 	select {
-	case ended = <-c.done:
+	case err := <-c.done:
+		return errors.Join(closed, err)
 	case <-ctx.Done():
-		ended = ctx.Err()
+		return errors.Join(closed, ctx.Err())
 	}
-	return errors.Join(closed, ended, closeEndpoint(c.endpoint))
 }
 
 // Kill ends the process at once, as one that dies.
 func (c *ControlProcess) Kill() error {
 	c.cancel()
-	return errors.Join(c.operators.close(), c.endpoint.Close(), <-c.done)
+	return errors.Join(c.operators.close(), c.metrics.close(), c.endpoint.Close(), <-c.done)
 }
 
 func members(list []settings.Member) []message.Member {
--- a/internal/role/dev.go
+++ b/internal/role/dev.go
@@ -1,6 +1,7 @@
 package role
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,8 +12,10 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/internal/standin"
@@ -36,17 +39,33 @@
 	authority *peer.Authority
 	folder    string
 	standins  []*standin.Server
+	metrics   *httpServer
 
 	Engines  map[string]*standin.Engine
 	Services map[string]*standin.Service
+	// Ledgers counts the executions of each service over all its stand-ins.
+	Ledgers  map[string]*standin.Ledger
 	Controls []*ControlProcess
 	Sidecars map[string]*SidecarProcess
 	Entries  []*EntryProcess
 }
 
+// startTries bounds the starts of dev after another process took a port that was
+// chosen as free and not yet listened on.
+const startTries = 3
+
 // StartDev starts everything that the settings' dev table describes; Stop
 // ends it and removes what it wrote.
 func StartDev(s settings.Settings, logger *slog.Logger) (*Dev, error) {
+	for try := 1; ; try++ {
+		d, err := tryDev(s, logger)
+		if try == startTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return d, err
+		}
+	}
+}
+
+func tryDev(s settings.Settings, logger *slog.Logger) (*Dev, error) {
 	authority, err := peer.DevAuthority()
 	if err != nil {
 		return nil, err
@@ -60,10 +79,12 @@
 		logger:    logger,
 		authority: authority,
 		folder:    folder,
+		Ledgers:   map[string]*standin.Ledger{},
 		Engines:   map[string]*standin.Engine{},
 		Services:  map[string]*standin.Service{},
 		Sidecars:  map[string]*SidecarProcess{},
 	}
+	d.settings.Control.Members = slices.Clone(s.Control.Members)
 	if err := d.start(); err != nil {
 		stopContext, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -88,9 +109,33 @@
 			return err
 		}
 	}
+	return d.serveMetrics()
+}
+
+// serveMetrics serves the metrics of all roles on one port.
+func (d *Dev) serveMetrics() error {
+	var all []*metrics.Metrics
+	for _, c := range d.Controls {
+		all = append(all, c.process.metrics)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Sidecars)) {
+		all = append(all, d.Sidecars[name].process.metrics)
+	}
+	for _, e := range d.Entries {
+		all = append(all, e.process.metrics)
+	}
+	server := metrics.Server(metrics.HandlerConfig{Metrics: all, Ready: d.ready})
+	var err error
+	d.metrics, err = serveHTTP(cmp.Or(d.settings.Metrics.Listen, loopback), server, d.logger)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
 	return nil
 }
 
+// MetricsAddress is where the metrics of all roles are served.
+func (d *Dev) MetricsAddress() string { return d.metrics.address() }
+
 // process makes the settings and credentials of one role's process.
 func (d *Dev) process(role, name, failureDomain string) (Process, error) {
 	material, err := d.authority.Issue(peer.Identity{Role: role, Name: name})
@@ -100,47 +145,84 @@
 	s := d.settings
 	s.Node = settings.Node{Name: name, Region: s.Node.Region, FailureDomain: failureDomain}
 	s.Peer.Listen = loopback
+	s.Metrics.Listen = "" // one port serves the metrics of all
 	s.Control.Members = slices.Clone(d.settings.Control.Members)
 	return Process{Settings: s, Credentials: peer.Fixed(material), Logger: d.logger.With("node", name)}, nil
 }
 
 // startControls starts the control VMs' processes. Each needs the addresses of
-// all, so ports are chosen before the first one starts.
+// all, so their ports are opened before the first one starts, and kept open: a
+// free port that is only looked up may be taken by another process until then.
 func (d *Dev) startControls() error {
 	count := max(1, d.settings.Dev.Controls)
 	domains := failureDomains(d.settings.Dev.Servers)
+	opened := make([]controlPorts, count)
 	for n := range count {
-		address, err := freeAddress()
+		ports, err := d.openPorts(n)
 		if err != nil {
 			return err
 		}
-		m := settings.Member{Name: fmt.Sprintf("control-%d", n+1), Address: address}
+		opened[n] = ports
+		m := ports.member(n)
 		if len(domains) > 0 {
 			m.FailureDomain = domains[n%len(domains)]
 		}
 		d.settings.Control.Members = append(d.settings.Control.Members, m)
 	}
-	for n := range count {
-		if err := d.startControl(n); err != nil {
+	for n, ports := range opened {
+		if err := d.startControl(n, ports); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// startControl starts one control VM's process; the first listens for
-// operators where the settings say.
-func (d *Dev) startControl(n int) error {
+// controlPorts are the open ports of a control VM's process that is to start.
+type controlPorts struct {
+	peers     net.PacketConn
+	operators net.Listener
+}
+
+// openPorts opens the ports of a control VM; the first listens for operators
+// where the settings say.
+func (d *Dev) openPorts(n int) (controlPorts, error) {
+	address := loopback
+	if n == 0 {
+		address = cmp.Or(d.settings.Operator.Listen, loopback)
+	}
+	operators, err := net.Listen("tcp", address)
+	if err != nil {
+		return controlPorts{}, err
+	}
+	peers, err := net.ListenPacket("udp", loopback)
+	if err != nil {
+		return controlPorts{}, errors.Join(err, operators.Close())
+	}
+	return controlPorts{peers: peers, operators: operators}, nil
+}
+
+// member describes the control VM with these ports. The others are told its
+// address for operators: an order that meets one which does not lead could not
+// be redirected otherwise.
+func (c controlPorts) member(n int) settings.Member {
+	return settings.Member{
+		Name:            fmt.Sprintf("control-%d", n+1),
+		Address:         c.peers.LocalAddr().String(),
+		OperatorAddress: c.operators.Addr().String(),
+	}
+}
+
+// startControl starts one control VM's process.
+func (d *Dev) startControl(n int, ports controlPorts) error {
 	m := d.settings.Control.Members[n]
 	p, err := d.process("control", m.Name, m.FailureDomain)
 	if err != nil {
 		return err
 	}
 	p.Settings.Peer.Listen = m.Address
+	p.Socket, p.Operators = ports.peers, ports.operators
 	p.Settings.Control.DataFolder = filepath.Join(d.folder, m.Name)
-	if n > 0 || p.Settings.Operator.Listen == "" {
-		p.Settings.Operator.Listen = loopback
-	}
+	p.Settings.Operator.Listen = m.OperatorAddress
 	c, err := StartControl(p)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.Name, err)
@@ -149,16 +231,6 @@
 	return nil
 }
 
-// freeAddress finds a UDP port on loopback that nobody listens on now.
-func freeAddress() (string, error) {
-	socket, err := net.ListenPacket("udp", loopback)
-	if err != nil {
-		return "", err
-	}
-	defer socket.Close()
-	return socket.LocalAddr().String(), nil
-}
-
 // failureDomains lists the failure domains of the stand-ins, each once.
 func failureDomains(groups []settings.DevServer) []string {
 	var domains []string
@@ -197,7 +269,7 @@
 
 func (d *Dev) startStandin(group settings.DevServer, name string, s *settings.Sidecar) error {
 	if group.Role == oriolebend.Service {
-		fake := standin.NewService(standin.ServiceConfig{Name: name})
+		fake := standin.NewService(standin.ServiceConfig{Name: name, Ledger: d.ledger(group.Service)})
 		server, err := standin.Serve(fake.Handler())
 		if err != nil {
 			return err
@@ -218,6 +290,15 @@
 	return nil
 }
 
+// ledger is what all stand-ins of one service share, so that a call that two
+// of them executed shows, and each knows the outcome of the others' calls.
+func (d *Dev) ledger(service string) *standin.Ledger {
+	if d.Ledgers[service] == nil {
+		d.Ledgers[service] = standin.NewLedger()
+	}
+	return d.Ledgers[service]
+}
+
 func engineConfig(group settings.DevServer, name string) standin.EngineConfig {
 	return standin.EngineConfig{
 		Name:           name,
@@ -275,10 +356,10 @@
 // Stop ends everything gracefully, entries first, and removes the temporary
 // folder.
 func (d *Dev) Stop(ctx context.Context) error {
-	var errs []error
-	errs = append(errs, stopAll(ctx, d.Entries))
-	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars))))
-	errs = append(errs, stopAll(ctx, d.Controls))
+	errs := []error{d.metrics.close()}
+	errs = append(errs, stopAll(ctx, d.Entries, (*EntryProcess).Stop))
+	errs = append(errs, stopAll(ctx, slices.Collect(maps.Values(d.Sidecars)), (*SidecarProcess).Stop))
+	errs = append(errs, stopAll(ctx, d.Controls, (*ControlProcess).StopTogether))
 	for _, e := range d.Engines {
 		e.Close()
 	}
@@ -290,11 +371,11 @@
 }
 
 // stopAll stops processes of one role side by side.
-func stopAll[P interface{ Stop(context.Context) error }](ctx context.Context, processes []P) error {
+func stopAll[P any](ctx context.Context, processes []P, stop func(P, context.Context) error) error {
 	errs := make([]error, len(processes))
 	var all sync.WaitGroup
 	for i, p := range processes {
-		all.Go(func() { errs[i] = p.Stop(ctx) })
+		all.Go(func() { errs[i] = stop(p, ctx) })
 	}
 	all.Wait()
 	return errors.Join(errs...)
--- a/internal/role/followers_bench_test.go
+++ b/internal/role/followers_bench_test.go
@@ -214,7 +214,7 @@
 				announcer.Reached(view.Revision)
 			}
 		},
-		Observer: unobserved{},
+		Observer: silentObserver{},
 	})
 	loop := NewLoop(&reducer.State{Follow: f.follower.State}, func(e reducer.Effect) {
 		if effect, ok := e.(follow.Effect); ok {
@@ -269,3 +269,12 @@
 	_, _ = fmt.Sscan(rest, &kilobytes)
 	return kilobytes << 10
 }
+
+// silentObserver keeps nothing.
+type silentObserver struct{}
+
+// Count implements Observer.
+func (silentObserver) Count(string, oriolebend.Reason, string) {}
+
+// Observe implements Observer.
+func (silentObserver) Observe(string, oriolebend.Urgency, float64) {}
--- a/internal/role/process_bench_test.go
+++ b/internal/role/process_bench_test.go
@@ -46,7 +46,7 @@
 	toControl, toOthers := &wire{}, &wire{}
 	p := Process{
 		Settings: s, Credentials: credentials, Logger: slog.New(slog.DiscardHandler),
-		socket: splitSocket{socket, control, toControl, toOthers},
+		Socket: splitSocket{socket, control, toControl, toOthers},
 	}
 	address := ""
 	if c.Engine != "" {
@@ -113,17 +113,17 @@
 	return s.PacketConn.WriteTo(b, to)
 }
 
-// benchDev is dev in this process, with one process of it in a child.
-type benchDev struct {
+// processDev is dev in this process, with one process of it in a child.
+type processDev struct {
 	benchFleet
 	dev *Dev
 }
 
-// newBenchDev starts dev and, beside it, an entry or the only decode server's
+// newProcessDev starts dev and, beside it, an entry or the only decode server's
 // sidecar in a child.
-func newBenchDev(b *testing.B, role string) *benchDev {
+func newProcessDev(b *testing.B, role string) *processDev {
 	b.Helper()
-	x := &benchDev{benchFleet: benchFleet{b: b}}
+	x := &processDev{benchFleet: benchFleet{b: b}}
 	s, err := settings.Default()
 	x.must(err)
 	s.Caller.Listen, s.Operator.Listen, s.Metrics.Listen = "", "", ""
@@ -156,7 +156,7 @@
 }
 
 // issue writes the child's certificate, signed by dev's authority.
-func (x *benchDev) issue(f peer.Files, identity peer.Identity) {
+func (x *processDev) issue(f peer.Files, identity peer.Identity) {
 	material, err := x.dev.authority.Issue(identity)
 	x.must(err)
 	key, err := x509.MarshalECPrivateKey(material.Certificate.PrivateKey.(*ecdsa.PrivateKey))
@@ -169,14 +169,14 @@
 	write(f.Authority, "CERTIFICATE", x.dev.authority.Certificate())
 }
 
-func (x *benchDev) cost() processReport {
+func (x *processDev) cost() processReport {
 	var r processReport
 	x.ask(&r)
 	return r
 }
 
 // send sends one brief and reads its answer; it returns its status.
-func (x *benchDev) send(address, key string, tokens int) int {
+func (x *processDev) send(address, key string, tokens int) int {
 	body := fmt.Sprintf(`{"model":"planner-lm","prompt":%q,"max_tokens":%d,"stream":true}`, "Plan the corridor "+key, tokens)
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
 	if err != nil {
@@ -196,7 +196,7 @@
 }
 
 // sendAll sends briefs, so many at a time, and returns how many ended well.
-func (x *benchDev) sendAll(address, name string, count, atOnce, tokens int) int {
+func (x *processDev) sendAll(address, name string, count, atOnce, tokens int) int {
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	well := 0
@@ -226,7 +226,7 @@
 func BenchmarkProcess(b *testing.B) {
 	for _, role := range []string{"entry", "sidecar"} {
 		b.Run(role, func(b *testing.B) {
-			x := newBenchDev(b, role)
+			x := newProcessDev(b, role)
 			address := x.cost().Address
 			if role == "sidecar" {
 				address = x.dev.Entries[0].Address()
@@ -241,7 +241,7 @@
 	}
 }
 
-func (x *benchDev) rest() {
+func (x *processDev) rest() {
 	before := x.cost()
 	from := time.Now()
 	time.Sleep(restFor)
@@ -254,7 +254,7 @@
 	x.b.ReportMetric(float64(after.Resident)/1e6, "rss-MB")
 }
 
-func (x *benchDev) requests(address string, tokens int) {
+func (x *processDev) requests(address string, tokens int) {
 	const count = 128
 	before := x.cost()
 	well := x.sendAll(address, fmt.Sprint("tokens-", tokens), count, 64, tokens)
@@ -266,7 +266,7 @@
 	x.b.ReportMetric(float64(after.ToOthers-before.ToOthers)/count, "others-B"+name)
 }
 
-func (x *benchDev) hold(address string) {
+func (x *processDev) hold(address string) {
 	const count, tokens = 200, 60
 	before := x.cost()
 	ended := make(chan int)
--- a/internal/role/sidecarprocess.go
+++ b/internal/role/sidecarprocess.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -19,12 +20,14 @@
 	process  Process
 	sidecar  *Sidecar
 	endpoint *peer.Endpoint
+	metrics  *httpServer
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
 // StartSidecar starts a sidecar; Stop ends it.
 func StartSidecar(p Process) (*SidecarProcess, error) {
+	p = p.withMetrics(peer.RoleSidecar)
 	process := &SidecarProcess{process: p, done: make(chan struct{})}
 	serve := func(ctx context.Context, s peer.Stream) { process.sidecar.Serve(ctx, s) }
 	ready := make(chan struct{})
@@ -41,8 +44,15 @@
 	announcer.Prepare()
 	process.sidecar = NewSidecar(p.sidecarConfig(endpoint, announcer))
 	close(ready)
+	process.metrics, err = p.serveMetrics(process.Ready)
+	if err != nil {
+		return nil, errors.Join(err, endpoint.Close())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel = cancel
+	p.metrics.Gauge("sessions_open", "Sessions of entries that are open.", func() float64 { return float64(process.sidecar.sessionsOpen()) })
+	p.metrics.Gauge("events_waiting", "Events that wait for the reducer.", func() float64 { return float64(process.sidecar.loop.Waiting()) })
+	p.metrics.Gauge("declared_age_seconds", "Time since the declared state in force was known to be the newest.", func() float64 { return process.sidecar.follower.Age().Seconds() })
 	go announcer.Run(ctx)
 	go func() {
 		defer close(process.done)
@@ -51,6 +61,10 @@
 	return process, nil
 }
 
+// declaredWithin is how long a new sidecar waits to learn what is declared for
+// its server before it takes work without.
+const declaredWithin = 5 * time.Second
+
 func (p Process) sidecarConfig(endpoint *peer.Endpoint, announcer *Announcer) SidecarConfig {
 	s := p.Settings
 	incarnation := newIncarnation()
@@ -60,6 +74,9 @@
 			BetweenWithin: s.Policy.BetweenWithin.Or(0),
 			Concurrency:   s.Sidecar.Concurrency,
 			Shares:        shares(s.Organisations),
+			// A restarted sidecar of a leaving server would take new work until it
+			// knows that; control that is away must not keep it out for long.
+			DeclaredWithin: declaredWithin,
 		},
 		Orders: order.Config{
 			Server:        s.Sidecar.Server,
@@ -94,17 +111,22 @@
 	return config
 }
 
+// Ready reports whether the server behind the gate takes new work.
+func (p *SidecarProcess) Ready() bool { return p.sidecar.Ready() }
+
 // Stop ends the sidecar gracefully: no new work, then the work in progress
 // ends, then the port closes.
 func (p *SidecarProcess) Stop(ctx context.Context) error {
 	drained := p.sidecar.Stop(ctx)
 	p.cancel()
 	<-p.done
-	return errors.Join(drained, closeEndpoint(p.endpoint))
+	return p.process.stopped(drained, closeEndpoint(p.endpoint), p.metrics.close())
 }
 
 // Kill ends the sidecar at once, as a process that dies.
 func (p *SidecarProcess) Kill() error {
+	closed := errors.Join(p.endpoint.Close(), p.metrics.close())
 	p.cancel()
-	return p.endpoint.Close()
+	<-p.done
+	return closed
 }
