--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -36,6 +36,7 @@
 		changed := data
 		changed.Slopes = append([]Slope(nil), data.Slopes...)
 		changed.Slopes[i].Points = [][2]float64{{0, 7e5}, {1, 8e5}}
+		changed.Slopes[i].Flat = false
 		rewritten, err := Rewrite(string(page), changed)
 		is.NoErr(err)
 		figures, _, _ := strings.Cut(rewritten, "## Slopes")
@@ -55,6 +56,7 @@
 		"constant":     {Slope{Unit: "ms", Points: [][2]float64{{1, 5}}}, Line{Fixed: 0.005}, false},
 		"line":         {Slope{Unit: "B", Points: [][2]float64{{0, 2}, {10, 22}, {20, 42}}}, Line{Fixed: 2, Each: 2}, false},
 		"least square": {Slope{Unit: "B", Points: [][2]float64{{0, 0}, {1, 2}, {2, 1}}}, Line{Fixed: 0.5, Each: 0.5}, false},
+		"flat":         {Slope{Unit: "B", Flat: true, Points: [][2]float64{{0, 1}, {10, 3}}}, Line{Fixed: 2}, false},
 		"one size":     {Slope{Unit: "B", Points: [][2]float64{{1, 2}, {1, 3}}}, Line{}, true},
 		"no points":    {Slope{Unit: "B"}, Line{}, true},
 		"no unit":      {Slope{Unit: "m", Points: [][2]float64{{1, 5}}}, Line{}, true},
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -17,7 +17,7 @@
 		{"followers' watches", fmt.Sprintf("%s × controlHeap", number(followers)), followers * s.each("controlHeap"), "followers spread by rendezvous hashing"},
 	}
 	if leads {
-		memory = append(memory, cost{"sidecars' leases", "1,100 × (controlHeapSidecars − controlHeap)", s.Size.Servers * s.announcing("controlHeapSidecars", "controlHeap"), "leases in the leader's memory, not in the log"})
+		memory = append(memory, cost{"sidecars' connections and leases", "1,100 × (controlHeapSidecars − controlHeap)", s.Size.Servers * s.announcing("controlHeapSidecars", "controlHeap"), "leases in the leader's memory, not in the log"})
 	}
 	memory = append(memory, cost{"settled records", fmt.Sprintf("%s × recordMemory", number(records)), records * s.one("recordMemory"), "record reducer: 24 h what runs once, 15 min the rest"})
 	heap := 0.0
--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -74,6 +74,9 @@
 	c.group("processor for serving", core, 0,
 		cost{"requests, all of their work", "requests × entryRequest at " + number(s.tokensPerRequest()) + " tokens", n * s.at("entryRequest", s.tokensPerRequest()), "HTTP, claims, sessions and parts together"},
 	)
+	c.group("network for serving", rate, 0,
+		cost{"answers from gates", "requests × gateBytes at " + number(s.tokensPerRequest()) + " tokens", n * s.at("gateBytes", s.tokensPerRequest()), "one part a token; what callers send and get comes on top"},
+	)
 	return c.table
 }
 
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -31,6 +31,9 @@
 		if line, err := s.Fit(); err == nil && len(s.Points) > 1 {
 			factor := units[s.Unit]
 			fitted = fmt.Sprintf("%.3g + %.3g × n %s", line.Fixed/factor, line.Each/factor, s.Unit)
+			if s.Flat {
+				fitted = fmt.Sprintf("%.3g %s, mean", line.Fixed/factor, s.Unit)
+			}
 		}
 		t.Rows = append(t.Rows, []string{s.Name, s.What, s.Of, strings.Join(points, ", "), fitted, s.Command})
 	}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -15,6 +15,8 @@
 	Of string `toml:"of"`
 	// Command is the row of the data file's commands that gives the points.
 	Command string `toml:"command"`
+	// Flat is true for what does not grow with the size: its mean counts.
+	Flat bool `toml:"flat"`
 	// Points are the sizes with what was measured there.
 	Points [][2]float64 `toml:"points"`
 }
@@ -48,7 +50,7 @@
 }
 
 // Fit is the line of least squares through the points, in seconds or bytes; a
-// single point is a constant.
+// single point is a constant, and so is the mean of a flat slope.
 func (s Slope) Fit() (Line, error) {
 	factor, ok := units[s.Unit]
 	if !ok {
@@ -62,6 +64,9 @@
 		meanX += p[0] / float64(len(s.Points))
 		meanY += p[1] * factor / float64(len(s.Points))
 	}
+	if s.Flat && len(s.Points) > 0 {
+		return Line{Fixed: meanY}, nil
+	}
 	var covariance, variance float64
 	for _, p := range s.Points {
 		covariance += (p[0] - meanX) * (p[1]*factor - meanY)
