--- a/internal/role/process_bench_test.go
+++ b/internal/role/process_bench_test.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	s.Caller.Listen, s.Caller.StopDelay = loopback, settings.Duration(devStopDelay)
+	s.Caller.Listen, s.Caller.StopDelay, s.Metrics.Listen = loopback, settings.Duration(devStopDelay), ""
 	s.Node.Name, s.Sidecar.Server, s.Sidecar.Engine = c.Process, c.Process, c.Engine
 	s.Control.Members = nil
 	control := map[string]bool{}
