role: work that a dead sidecar left in its engine is cancelled, tested

The stand-in ends its work with the connection, so that a killed sidecar leaves none; the test leaves some by itself.

--- a/internal/role/failure_engine_test.go
+++ b/internal/role/failure_engine_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/internal/standin"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -141,3 +143,24 @@
 	c.wholeAnswer(r)
 	c.wholeAnswer(c.ask(c.Entries[0], "list-lost-after", "tokens=5", "deadline=10s"))
 }
+
+// An engine that goes on without its connection holds the work of a sidecar
+// that died, for nobody. The next list of its work shows it.
+func TestWorkOfNobodyIsCancelled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, nil)
+	c.slowBy(10_000)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Engines["prefill-1"].Prefill(t.Context(), engine.PrefillRequest{
+			Attempt: message.Attempt{RequestID: "orphan", Number: 1},
+			Model:   testModel,
+			Prompt:  "Plan the corridor of nobody.",
+		})
+		ended <- err
+	}()
+	c.prefilling()
+	c.free()
+	is.True(<-ended != nil)
+}
