--- /dev/null
+++ b/internal/experiment/arrival.go
@@ -0,0 +1,121 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/prefix"
+	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	modelName = "model"
+	// keySpread keeps the numbers of different prompts apart in block hashes.
+	keySpread = 0x9e3779b97f4a7c15
+)
+
+// arrival is one request of the load, drawn before any policy runs: every
+// policy of a seed meets the same requests at the same times.
+type arrival struct {
+	id    string
+	at    time.Duration
+	class *Class
+	// entry is the entry that the platform's balancer sends it to.
+	entry        int
+	organisation string
+	prompt       int
+	output       int
+	// prefixID and ownID number the shared head of the prompt and the rest.
+	prefixID uint64
+	ownID    uint64
+}
+
+// plan draws the arrivals of a seed: open, Poisson for each class.
+func plan(s *Scenario, seed uint64, factor float64) []arrival {
+	var all []arrival
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		rate := c.Rate
+		if c.Name == s.Vary.Class {
+			rate *= factor
+		}
+		// One stream a class: the pings stay the same while briefs vary.
+		rng := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		all = append(all, c.draw(s, rng, rate)...)
+	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return all
+}
+
+func (c *Class) draw(s *Scenario, rng *rand.Rand, rate float64) []arrival {
+	var drawn []arrival
+	if rate <= 0 {
+		return nil
+	}
+	at := 0.0
+	for n := uint64(1); ; n++ {
+		at += rng.ExpFloat64() / rate
+		if at >= time.Duration(s.Duration).Seconds() {
+			return drawn
+		}
+		a := arrival{
+			id:           fmt.Sprintf("%s-%d", c.Name, n),
+			at:           time.Duration(at * float64(time.Second)),
+			class:        c,
+			entry:        rng.IntN(s.Entries),
+			organisation: fmt.Sprintf("org-%d", rng.IntN(c.Organisations)),
+			prompt:       c.PromptTokens.draw(rng),
+			output:       c.OutputTokens.draw(rng),
+			ownID:        rng.Uint64() | 1,
+		}
+		if c.Prefixes > 0 {
+			a.prefixID = uint64(rng.IntN(c.Prefixes)+1)*2*keySpread + uint64(len(c.Name))
+		}
+		drawn = append(drawn, a)
+	}
+}
+
+func (r Range) draw(rng *rand.Rand) int {
+	if rng.IntN(2) == 0 {
+		return r.Min + rng.IntN(r.Median-r.Min+1)
+	}
+	return r.Median + rng.IntN(r.Max-r.Median+1)
+}
+
+// block is the hash of the first n blocks of the prompt.
+func (a *arrival) block(n int) uint64 {
+	if a.prefixID != 0 && n*prefix.BlockTokens <= a.class.PrefixTokens {
+		return a.prefixID + uint64(n)*keySpread
+	}
+	return a.ownID + uint64(n)*keySpread
+}
+
+// hashes is what the entry sends of the prompt.
+func (a *arrival) hashes() []uint64 {
+	var hashes []uint64
+	for n := 1; n <= a.prompt/prefix.BlockTokens && len(hashes) < prefix.MaxHashes; n *= 2 {
+		hashes = append(hashes, a.block(n))
+	}
+	return hashes
+}
+
+func (a *arrival) request() entry.Request {
+	return entry.Request{
+		ID:            a.id,
+		Scope:         message.Scope{Organisation: a.organisation, Operation: a.class.Name, Key: a.id},
+		Generated:     true,
+		Urgency:       a.class.Urgency,
+		Model:         modelName,
+		PromptTokens:  a.prompt,
+		Prefix:        a.hashes(),
+		MaxTokens:     a.class.OutputTokens.Max,
+		FirstWithin:   time.Duration(a.class.FirstWithin),
+		BetweenWithin: time.Duration(a.class.BetweenWithin),
+		KeepRunning:   a.class.Urgency == oriolebend.Patient,
+	}
+}
