entry: a transfer that is merely slow is not broken off

Cause: a transfer was ended at 0.6 of the result's life. Links are shared, so that at the peak one in two took longer; its bytes were lost, moved again, and the prompt was prefilled again. The engines' protocol lets a transfer that began in time go on for as long again. Change: the decode is given that whole time; its wait for room has a bound of its own (Decode.StartWithin, new). A second server takes over only after four times what transfers take now, learned per lane, and never if the result's life leaves no time to tell slow from stalled.

--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -147,7 +147,7 @@
 	r.Bound += bound(w.scenario, arrivals, false)
 	r.StrictBound += bound(w.scenario, arrivals, true)
 	r.IdleDecode += w.idle
-	r.HeldDecode += w.reserved
+	r.HeldDecode += w.held
 	r.ControlBytes += float64(w.controlBytes) / float64(max(len(arrivals), 1))
 	for key, n := range w.counts {
 		r.Counts[key] += n
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -44,7 +44,8 @@
 	controlBytes int
 	// reserved integrates granted decode memory whose decode had not come.
 	reserved float64
-	idle     float64
+	// idle and held are shares of the decode memory over the counted time.
+	idle, held float64
 }
 
 type entryNode struct {
@@ -194,7 +195,7 @@
 		}
 	}
 	w.idle = 1 - used/whole
-	w.reserved /= whole
+	w.held = w.reserved / whole
 }
 
 // open counts the requests without an end.
--- a/internal/message/gate.go
+++ b/internal/message/gate.go
@@ -138,6 +138,9 @@
 	MaxTokens int `cbor:"maxTokens"`
 	// TransferWithin is the deadline of the transfer, from now.
 	TransferWithin time.Duration `cbor:"transferWithin"`
+	// StartWithin is how long the decode may wait for its room, from now; zero
+	// means as long as TransferWithin.
+	StartWithin time.Duration `cbor:"startWithin,omitempty"`
 }
 
 // FinishReason says why generation ended.
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -67,7 +67,6 @@
 	g := r.decode
 	g.sent = s.now
 	r.output.held = nil
-	within := s.transferWithin(r, g, left)
 	s.emit(Send{Session: g.chosen.key, Message: message.Decode{
 		Attempt:        g.chosen.key.Attempt,
 		SourceURL:      r.result.SourceURL,
@@ -76,34 +75,52 @@
 		Delivered:      r.output.text(),
 		Offset:         r.output.tokens,
 		MaxTokens:      r.MaxTokens,
-		TransferWithin: within,
+		TransferWithin: left + r.result.LivesFor,
+		StartWithin:    time.Duration(startShare * float64(left)).Truncate(time.Millisecond),
 	}})
-	s.setAlarm(r, alarmHedge, max(within/2, transferTime(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
-	s.setAlarm(r, alarmTransfer, within+2*r.BetweenWithin)
+	if stall := s.stallAfter(r, g, left); stall > 0 {
+		s.setAlarm(r, alarmHedge, max(stall/2, transferTime(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
+		s.setAlarm(r, alarmTransfer, stall+2*r.BetweenWithin)
+	} else {
+		r.clearAlarm(alarmTransfer)
+	}
 	s.setAlarm(r, alarmStall, s.config.StallWithin)
 }
 
-// Shares of the result's remaining life that one transfer may take. Without a
-// bound well under the whole a stalled transfer is noticed when the result is
-// gone, and the prefill has to be paid for again; one would notice by
-// prefillWasted with reason transferStalled.
+// startShare is the part of the result's remaining life for which a decode may
+// wait for room at its gate: behind it another server can still fetch the
+// result.
+const startShare = 0.6
+
 const (
-	transferShare     = 0.6
-	lastTransferShare = 0.9
+	// leastStall is the shortest time after which a transfer is stalled.
+	leastStall = 100 * time.Millisecond
+	// stallTimes is how many times longer than expected a transfer may take
+	// before it is stalled, and leastStallTimes how many at least where its
+	// result would be gone before.
+	stallTimes      = 4
+	leastStallTimes = 2
+	// beginMargin is what of the result's life is left to a second server to
+	// begin its transfer: it may end after that life.
+	beginMargin = 100 * time.Millisecond
 )
 
-// leastTransfer is the shortest deadline of a transfer.
-const leastTransfer = 100 * time.Millisecond
-
-// transferWithin is the deadline of a transfer: a few times what it should
-// take, and short enough that another server can still fetch the result.
-func (s *State) transferWithin(r *request, g *round, left time.Duration) time.Duration {
-	expected := transferTime(r.result.KVBytes, g.chosen)
-	bound := time.Duration(transferShare * float64(left))
-	if expected > bound {
-		return time.Duration(lastTransferShare * float64(left))
-	}
-	return min(bound, max(4*expected, leastTransfer))
+// stallAfter is how long a transfer may show nothing before a second server
+// fetches the result in its place; zero is never.
+//
+// A transfer that began while its result lived may go on for as long again, so
+// that to break off one which is merely slow throws away what it moved and
+// loads the links with the same bytes once more: one would notice retries with
+// reason transferStalled that grow with the load. So a transfer is only given
+// up at a multiple of what transfers take now, and never if the result's life
+// leaves no time to tell slow from stalled.
+func (s *State) stallAfter(r *request, g *round, left time.Duration) time.Duration {
+	expected := r.lane.first.transferTime(r.result.KVBytes, g.chosen.server)
+	bound := left - beginMargin
+	if expected <= 0 || leastStallTimes*expected > bound {
+		return 0
+	}
+	return min(bound, max(stallTimes*expected, leastStall))
 }
 
 // hedgeTransfer gets a second decode server ready while a transfer is slow.
@@ -293,6 +310,7 @@
 	if r.result == nil {
 		return
 	}
+	r.lane.first.observeTransfer(r.result.KVBytes, r.decode, s.now)
 	r.prefill.finish()
 	s.dropResult(r)
 	s.closeRound(r, r.standby)
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -25,6 +25,10 @@
 	// bytesPerToken the size of its KV cache.
 	perToken      float64
 	bytesPerToken float64
+	// slowdown follows how many times longer a transfer takes than over a link
+	// of its own, and livesFor is how long the last result could be fetched.
+	slowdown float64
+	livesFor time.Duration
 }
 
 // late is how long a new urgent request should stay away because its first
@@ -98,6 +102,7 @@
 	if tokens == 0 {
 		return
 	}
+	r.lane.first.livesFor = m.LivesFor
 	learn(&r.lane.first.perToken, took.Seconds()/tokens)
 	learn(&r.lane.first.bytesPerToken, float64(m.KVBytes)/tokens)
 }
@@ -147,3 +152,32 @@
 	}
 	return time.Duration(float64(bytes) / rate * float64(time.Second))
 }
+
+// leastObserved is the shortest transfer that the slowdown is learned from:
+// in a shorter one the wait for the first token weighs more.
+const leastObserved = 20 * time.Millisecond
+
+// observeTransfer learns from the first output how long the transfer took.
+func (f *firstToken) observeTransfer(bytes int64, g *round, now time.Time) {
+	alone := aloneTime(bytes, g.chosen.server.LinkBytes)
+	if alone < leastObserved {
+		return
+	}
+	learn(&f.slowdown, now.Sub(g.sent).Seconds()/alone.Seconds())
+}
+
+// transferTime is how long the transfer to a server should take, as transfers
+// go now.
+func (f *firstToken) transferTime(bytes int64, v *server) time.Duration {
+	alone := aloneTime(bytes, v.LinkBytes)
+	return time.Duration(float64(alone) * max(f.slowdown, 1))
+}
+
+// aloneTime is how long a transfer takes over a link that it has for itself;
+// zero if the rate is not known.
+func aloneTime(bytes int64, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / rate * float64(time.Second))
+}
--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -56,9 +56,11 @@
 	from, until time.Time
 	// paused is how long the gate had paused at the time of the grant.
 	paused time.Duration
-	// decode waits for room, until startBy; promisedAt is when it was due.
+	// decode waits for room, until startBy; its transfer is due at endBy, and
+	// promisedAt is when the room was due.
 	decode     message.Decode
 	startBy    time.Time
+	endBy      time.Time
 	promisedAt time.Time
 	// startedAt is when the work went to the server.
 	startedAt time.Time
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -62,7 +62,11 @@
 	}
 	r.stage = stageArrived
 	r.decode = m
-	r.startBy = s.now.Add(within)
+	r.endBy = s.now.Add(within)
+	r.startBy = r.endBy
+	if m.StartWithin > 0 {
+		r.startBy = s.now.Add(min(m.StartWithin, within))
+	}
 	r.promisedAt = r.from
 	r.from = s.now
 	r.until = s.now.Add(r.took)
@@ -123,7 +127,7 @@
 		Offset:         m.Offset,
 		MaxTokens:      m.MaxTokens,
 		Priority:       r.reserve.Urgency,
-		TransferWithin: max(r.startBy.Sub(s.now), time.Millisecond),
+		TransferWithin: max(r.endBy.Sub(s.now), time.Millisecond),
 	}})
 }
 
