entry: urgent and patient requests have limits of their own

Cause: pings waited up to 3 s in the entry while gates granted at once: the lane's limit counts a request until its last token, and briefs refused for lack of memory shrink it for both. Change: a lane is of one urgency; the retry budget stays that of the pool.

--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -12,8 +12,17 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// laneKey names the requests that need the same servers.
-type laneKey struct{ model, version, adapter, service string }
+// laneKey names the requests that need the same servers and are of the same
+// urgency.
+//
+// Urgent and patient requests have limits of their own: with one limit for
+// both, patient requests that are refused for lack of memory shrink it, and
+// what is urgent waits in the entry while every gate has room for it. One would
+// notice urgent requests late whose gates granted at once.
+type laneKey struct {
+	model, version, adapter, service string
+	urgency                          oriolebend.Urgency
+}
 
 func (k laneKey) compare(other laneKey) int {
 	return cmp.Or(
@@ -21,6 +30,7 @@
 		strings.Compare(k.version, other.version),
 		strings.Compare(k.adapter, other.adapter),
 		strings.Compare(k.service, other.service),
+		strings.Compare(string(k.urgency), string(other.urgency)),
 	)
 }
 
@@ -36,19 +46,31 @@
 }
 
 func (s *State) lane(q Request) *lane {
-	k := laneKey{model: q.Model, version: q.Version, adapter: q.Adapter, service: q.Service}
+	k := laneKey{model: q.Model, version: q.Version, adapter: q.Adapter, service: q.Service, urgency: q.Urgency}
 	l := s.lanes[k]
 	if l == nil {
 		l = &lane{
 			key:    k,
 			limit:  limit.NewConcurrency(limit.Config{Max: float64(s.config.MaxConcurrency)}),
-			budget: retry.NewBudget(s.budgetConfig()),
+			budget: s.poolBudget(k),
 		}
 		s.lanes[k] = l
 	}
 	return l
 }
 
+// poolBudget is the retry budget of a new lane: that of the lane for the same
+// servers and the other urgency, if there is one.
+func (s *State) poolBudget(k laneKey) *retry.Budget {
+	for _, u := range []oriolebend.Urgency{oriolebend.Urgent, oriolebend.Patient} {
+		k.urgency = u
+		if other := s.lanes[k]; other != nil {
+			return other.budget
+		}
+	}
+	return retry.NewBudget(s.budgetConfig())
+}
+
 // dropLane forgets a lane that nobody uses and no server serves: callers can
 // name any number of models.
 func (s *State) dropLane(l *lane) {
