gate: a cached prefix counts for all the tokens that its hashes cover

Cause: the gate took hash i of a prefix for block i+1, while entries send the hashes of the blocks 1, 2, 4, 8, ...: of 1,472 cached tokens it told 320, and offers, waits and charges were too high. Change: prefix.Tokens says what the last known hash covers.

--- a/internal/experiment/arrival.go
+++ b/internal/experiment/arrival.go
@@ -2,22 +2,21 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/prefix"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-const (
-	modelName = "model"
-	// keySpread keeps the numbers of different prompts apart in block hashes.
-	keySpread = 0x9e3779b97f4a7c15
-)
+const modelName = "model"
 
 // arrival is one request of the load, drawn before any policy runs: every
 // policy of a seed meets the same requests at the same times.
@@ -74,7 +73,7 @@
 			ownID:        rng.Uint64() | 1,
 		}
 		if c.Prefixes > 0 {
-			a.prefixID = uint64(rng.IntN(c.Prefixes)+1)*2*keySpread + uint64(len(c.Name))
+			a.prefixID = mixed(uint64(rng.IntN(c.Prefixes)+1), uint64(len(c.Name)))
 		}
 		drawn = append(drawn, a)
 	}
@@ -90,9 +89,17 @@
 // block is the hash of the first n blocks of the prompt.
 func (a *arrival) block(n int) uint64 {
 	if a.prefixID != 0 && n*prefix.BlockTokens <= a.class.PrefixTokens {
-		return a.prefixID + uint64(n)*keySpread
+		return mixed(a.prefixID, uint64(n))
 	}
-	return a.ownID + uint64(n)*keySpread
+	return mixed(a.ownID, uint64(n))
+}
+
+// mixed is a hash of two numbers.
+func mixed(a, b uint64) uint64 {
+	var bytes [16]byte
+	binary.LittleEndian.PutUint64(bytes[:8], a)
+	binary.LittleEndian.PutUint64(bytes[8:], b)
+	return xxhash.Sum64(bytes[:])
 }
 
 // hashes is what the entry sends of the prompt.
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -78,7 +78,7 @@
 func newWorld(s *Scenario, v Variant, seed uint64, arrivals []arrival) *world {
 	w := &world{
 		scenario: s,
-		rng:      rand.New(rand.NewPCG(seed, keySpread)),
+		rng:      rand.New(rand.NewPCG(seed, 0)),
 		start:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		byName:   map[string]*node{},
 		arrivals: map[string]*arrival{},
--- a/internal/reducer/gate/cache.go
+++ b/internal/reducer/gate/cache.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
+	"github.com/oriolebend/oriolebend/internal/prefix"
 )
 
 // keptEvents bounds the events that are kept while the index is read anew.
@@ -34,16 +35,20 @@
 	return cacheIndex{blocks: map[uint64]uint64{}, bound: c.CacheBlocks}
 }
 
-// cachedTokens is how much of a prompt the engine holds for certain.
-func (c *cacheIndex) cachedTokens(prefix []uint64, promptTokens, blockTokens int) int {
+// cachedTokens is how much of a prompt the engine holds for certain. Hash i of
+// a prefix covers the first blockTokens<<i tokens (internal/prefix).
+func (c *cacheIndex) cachedTokens(hashes []uint64, promptTokens, blockTokens int) int {
 	leading := 0
-	for _, block := range prefix {
+	for _, block := range hashes {
 		if !c.holds(block) {
 			break
 		}
 		leading++
 	}
-	return min(leading*blockTokens, promptTokens)
+	if leading == 0 {
+		return 0
+	}
+	return min(prefix.Tokens(blockTokens, leading-1), promptTokens)
 }
 
 func (c *cacheIndex) holds(block uint64) bool {
