entry: a patient request that would wait too long is refused before acceptance

Cause: above the fleet's capacity the entries' queues grew for as long as the load lasted, and no brief met its target of 10 s. Change: PatientWithin (10 s) bounds the wait predicted from the length of the lane's queue and the rate at which it comes to first tokens; a new patient request beyond is refused with ran: no and Retry-After. Nothing accepted is dropped.

--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -54,8 +54,11 @@
 type ClassResult struct {
 	Name     string `json:"name"`
 	Requests int    `json:"requests"`
-	Good     int    `json:"good"`
-	Strict   int    `json:"strict"`
+	// Served is how many a second came to their end in the counted time,
+	// whenever they arrived.
+	Served float64 `json:"servedPerSecond"`
+	Good   int     `json:"good"`
+	Strict int     `json:"strict"`
 	// Refused had a final answer of "not run", Failed another problem, and
 	// Open no end when the run was over.
 	Refused int `json:"refused"`
@@ -139,6 +142,7 @@
 		c := slices.IndexFunc(r.Classes, func(c ClassResult) bool { return c.Name == a.class.Name })
 		r.Classes[c].add(a, w.outcomes[a.id], w.start)
 	}
+	r.addServed(w)
 	for _, p := range w.prefills {
 		if w.counted(p.arrival) {
 			r.addPrefill(p)
@@ -154,6 +158,21 @@
 	}
 }
 
+// addServed counts the ends of answers by class, also of requests that came in
+// the warm-up: it is what the fleet carries.
+func (r *Result) addServed(w *world) {
+	warm := w.start.Add(time.Duration(w.scenario.WarmUp))
+	end := w.start.Add(time.Duration(w.scenario.Duration))
+	for _, a := range w.arrivals {
+		o := w.outcomes[a.id]
+		if !o.done || o.last.Before(warm) || o.last.After(end) {
+			continue
+		}
+		c := slices.IndexFunc(r.Classes, func(c ClassResult) bool { return c.Name == a.class.Name })
+		r.Classes[c].Served++
+	}
+}
+
 // counted reports whether a request arrived after the warm-up.
 func (w *world) counted(a *arrival) bool { return a.at >= time.Duration(w.scenario.WarmUp) }
 
@@ -204,6 +223,7 @@
 		c := &r.Classes[i]
 		c.First50, c.First99 = percentile(c.first, 0.5), percentile(c.first, 0.99)
 		c.Between99 = percentile(c.between, 0.99)
+		c.Served /= time.Duration(s.Duration-s.WarmUp).Seconds() * float64(len(s.Seeds))
 		requests += c.Requests
 		good += c.Good
 		strict += c.Strict
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -25,11 +25,11 @@
 func (r Report) classTable(out io.Writer) error {
 	fmt.Fprintln(out)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(t, "variant\tload\tclass\trequests\tgood\tstrict\trefused\tfailed\topen\tfirst p50\tp99\tbetween p99\t\n")
+	fmt.Fprint(t, "variant\tload\tclass\trequests\tserved/s\tgood\tstrict\trefused\tfailed\topen\tfirst p50\tp99\tbetween p99\t\n")
 	for _, v := range r.Results {
 		for _, c := range v.Classes {
-			fmt.Fprintf(t, "%s\t%.2f\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f ms\t%.0f ms\t%.1f ms\t\n",
-				v.Variant, v.Factor, c.Name, c.Requests, c.Good, c.Strict, c.Refused, c.Failed, c.Open, c.First50, c.First99, c.Between99)
+			fmt.Fprintf(t, "%s\t%.2f\t%s\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%.0f ms\t%.0f ms\t%.1f ms\t\n",
+				v.Variant, v.Factor, c.Name, c.Requests, c.Served, c.Good, c.Strict, c.Refused, c.Failed, c.Open, c.First50, c.First99, c.Between99)
 		}
 	}
 	return t.Flush()
--- a/internal/reducer/entry/admit.go
+++ b/internal/reducer/entry/admit.go
@@ -96,6 +96,9 @@
 	if late := r.lane.late(r, s.now); late > 0 {
 		return oriolebend.ReasonOverloaded, late
 	}
+	if late := r.lane.queuedTooLong(r, s.config.PatientWithin, s.now); late > 0 {
+		return oriolebend.ReasonOverloaded, late
+	}
 	return "", 0
 }
 
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -35,6 +35,10 @@
 	// BetweenWithin is the target of the time between tokens for requests that
 	// carry none; zero means 41ms.
 	BetweenWithin time.Duration
+	// PatientWithin is for how long a patient request may be predicted to wait
+	// for its first token; a new one that would wait longer is refused before it
+	// is accepted. Zero means 10s.
+	PatientWithin time.Duration
 
 	// MaxRequests bounds the requests that the entry holds; zero means 4,096.
 	MaxRequests int
@@ -117,6 +121,7 @@
 	c.DecodeProbes = or(c.DecodeProbes, 2)
 	c.FirstWithin = or(c.FirstWithin, 1200*time.Millisecond)
 	c.BetweenWithin = or(c.BetweenWithin, 41*time.Millisecond)
+	c.PatientWithin = or(c.PatientWithin, 10*time.Second)
 	c.MaxRequests = or(c.MaxRequests, 4096)
 	c.MaxWaiting = or(c.MaxWaiting, 2048)
 	c.MaxWaitingBytes = or(c.MaxWaitingBytes, 64<<20)
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -32,8 +32,7 @@
 }
 
 // late is how long a new urgent request should stay away because its first
-// token would be late; zero if it would not. Patient requests are never
-// refused for being late: they may wait.
+// token would be late; zero if it would not.
 //
 // Without it an overloaded pool serves every ping just behind its target, and
 // all of them have failed; one would notice goodput falling while the servers
@@ -51,6 +50,60 @@
 	return max(over, comeBack/10)
 }
 
+// rateFades is the time constant of a rateMeter.
+const rateFades = 5 * time.Second
+
+// rateMeter follows how many events come in a second, fading.
+type rateMeter struct {
+	rate float64
+	// since is the first event and seen the last one.
+	since, seen time.Time
+}
+
+func (m *rateMeter) add(now time.Time) {
+	if m.since.IsZero() {
+		m.since = now
+	}
+	m.rate = m.faded(now) + 1/rateFades.Seconds()
+	m.seen = now
+}
+
+func (m *rateMeter) faded(now time.Time) float64 {
+	return m.rate * math.Exp(-now.Sub(m.seen).Seconds()/rateFades.Seconds())
+}
+
+// value is the rate, or zero while too little was seen to know it.
+func (m *rateMeter) value(now time.Time) float64 {
+	if m.since.IsZero() || now.Sub(m.since) < rateFades {
+		return 0
+	}
+	return m.faded(now) / (1 - math.Exp(-now.Sub(m.since).Seconds()/rateFades.Seconds()))
+}
+
+// queuedTooLong is how long a new patient request should stay away because
+// those that wait before it keep it from its first token for longer than it may
+// take; zero if they do not. Patient requests may wait, and none that was
+// accepted is dropped.
+//
+// Without it a load that is over the fleet's capacity by little makes every
+// brief late, and later the longer the load lasts: one would notice that the
+// servers are busy while no brief meets its target.
+func (l *lane) queuedTooLong(r *request, within time.Duration, now time.Time) time.Duration {
+	if r.Urgency != oriolebend.Patient || r.Call != nil || l.queue.Len() == 0 {
+		return 0
+	}
+	rate := l.served.value(now)
+	if rate <= 0 {
+		return 0
+	}
+	wait := float64(l.queue.Len()+1)/rate + l.began
+	over := time.Duration((wait - within.Seconds()) * float64(time.Second))
+	if over <= 0 {
+		return 0
+	}
+	return max(over, comeBack)
+}
+
 func (f *firstToken) observe(r *request, took time.Duration, now time.Time) {
 	work := f.perToken * float64(r.PromptTokens)
 	wait := took.Seconds() - work
@@ -64,6 +117,8 @@
 	case r.output.tokens == 0:
 		took := s.now.Sub(r.arrived)
 		s.observe("firstToken", r, took.Seconds())
+		r.lane.served.add(s.now)
+		learn(&r.lane.began, s.now.Sub(r.begunAt).Seconds())
 		if r.Urgency == oriolebend.Urgent {
 			r.lane.first.observe(r, took, s.now)
 		}
--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -43,6 +43,10 @@
 	budget *retry.Budget
 	queue  policy.FairQueue[*request]
 	first  firstToken
+	// served follows how many requests a second come to their first token, and
+	// began the time from a request's turn to that, in seconds.
+	served rateMeter
+	began  float64
 }
 
 func (s *State) lane(q Request) *lane {
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -45,7 +45,9 @@
 // begin starts a request that got its turn.
 func (s *State) begin(r *request) {
 	s.stopWaiting(r)
-	r.begun = true
+	if !r.begun {
+		r.begun, r.begunAt = true, s.now
+	}
 	r.step = stepRouting
 	s.advance(r)
 }
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -123,8 +123,9 @@
 	gone bool
 	// queued is true while the request waits in its lane's queue.
 	queued bool
-	// begun is true once the request had its turn in the queue.
-	begun bool
+	// begun is true once the request had its turn in the queue, at begunAt.
+	begun   bool
+	begunAt time.Time
 	// counted is true while the request takes a place of its lane's limit.
 	counted bool
 	due     [alarms]time.Time
