gate: transfers that would share a link too long are not granted together

Cause: each of n transfers over one link takes n times as long, and outlived the results that they fetched (transferStalled). Room for a decode that was asked for ahead of its prefill is granted as of that lead, not as of now.

--- a/internal/reducer/gate/grant.go
+++ b/internal/reducer/gate/grant.go
@@ -104,7 +104,7 @@
 	s.queue.remove(r)
 	s.queue.served(r, s.now)
 	r.stage = stageGranted
-	r.from = later(r.from, s.now)
+	r.from = s.wanted(r)
 	r.until = r.from.Add(r.took)
 	r.paused = s.paused
 	r.computing = r.reserve.Phase == message.PhasePrefill
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -113,13 +113,24 @@
 	case message.PhasePrefill:
 		return s.fitsPrefill(r)
 	case message.PhaseDecode:
-		from := later(r.from, s.now)
-		return s.fitsAt(r, from)
+		return s.fitsAt(r, s.wanted(r))
 	default:
 		return s.committed().slots < s.limit.slots()
 	}
 }
 
+// wanted is when a reservation that waits can use its room at the earliest.
+//
+// A decode that was asked for ahead of its prefill can't begin before its
+// prefill, which runs once the room is granted: to grant room that is free only
+// now would leave it idle for that long, each time.
+func (s *State) wanted(r *reservation) time.Time {
+	if r.reserve.Phase != message.PhaseDecode {
+		return later(r.from, s.now)
+	}
+	return later(r.from, s.now.Add(max(r.reserve.StartIn, 0)))
+}
+
 // fitsPrefill lets few prefills run at once, so that the order of work is the
 // queue's and not the engine's. Urgent ones may run beyond: the engine honours
 // their priority, and a ping needn't wait for the end of a long brief.
@@ -131,7 +142,7 @@
 	if r.reserve.Urgency == oriolebend.Urgent {
 		return held.slots < s.config.PrefillSlots+s.config.UrgentSlots
 	}
-	if held.slots >= s.config.PrefillSlots {
+	if held.slots >= s.config.PrefillSlots || !s.fitsLinkOut(r) {
 		return false
 	}
 	return held.slots == 0 || held.compute+r.compute <= s.config.PrefillBudget
@@ -141,7 +152,7 @@
 // predicted end of its work, beside all that is held or promised.
 func (s *State) fitsAt(r *reservation, from time.Time) bool {
 	until := from.Add(r.took)
-	if !s.fitsMoment(r, from) {
+	if !s.fitsMoment(r, from) || (r.reserve.Urgency != oriolebend.Urgent && !s.fitsLink(r, from)) {
 		return false
 	}
 	for _, held := range s.memory.holders {
@@ -213,7 +224,7 @@
 // earliest predicts when a decode's room is free, at the earliest when it is
 // asked for.
 func (s *State) earliest(r *reservation) time.Time {
-	from := later(r.from, s.now)
+	from := s.wanted(r)
 	if s.fitsAt(r, from) {
 		return from
 	}
--- a/internal/reducer/gate/predict.go
+++ b/internal/reducer/gate/predict.go
@@ -65,10 +65,12 @@
 	running  int
 	// transfer is seconds a token, step seconds between tokens, call seconds.
 	transfer ratio
-	step     ratio
-	call     ratio
-	outputs  map[outputKind]*quantile
-	guess    float64
+	// bytes is the size of one token's KV cache; it is not guessed.
+	bytes   ratio
+	step    ratio
+	call    ratio
+	outputs map[outputKind]*quantile
+	guess   float64
 }
 
 func newPredictor(c Config) predictor {
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -60,6 +60,7 @@
 	if within <= 0 {
 		within = s.config.TransferWithin
 	}
+	s.predict.bytes.observe(float64(m.KVBytes), float64(max(r.reserve.PromptTokens, 1)))
 	r.stage = stageArrived
 	r.decode = m
 	r.endBy = s.now.Add(within)
@@ -164,6 +165,7 @@
 		return
 	}
 	s.predict.prefillEnded(s.now, e.Result.Tokens-e.Result.CachedTokens)
+	s.predict.bytes.observe(float64(e.Result.KVBytes), float64(max(e.Result.Tokens, 1)))
 	r.stage = stagePrefilled
 	r.computing = false
 	r.expiresAt = s.now.Add(e.Result.LivesFor)
