gate, entry: decode room is asked for at the prefill's grant, and links are kept free

Cause: (1) decode room was asked for while the prefill still queued; where prefill is short it was held for seconds and its lease ended (1,254 times, 27% of decode memory held idle). (2) A transfer began at once, whatever the link carried; all got slower together and outlived their results. The experiment shares links by max-min fairness, as the stand-ins' token buckets do.

--- a/internal/experiment/link.go
+++ b/internal/experiment/link.go
@@ -5,7 +5,8 @@
 )
 
 // links carries KV transfers. Each server's link is shared evenly by what it
-// sends or receives, and a transfer goes at the lower of its two shares.
+// sends or receives; what a transfer can't use because its other end is slower
+// goes to the others (max-min fairness).
 type links struct {
 	clock  *clock
 	rate   float64
@@ -51,14 +52,9 @@
 
 // share sets the rates anew and wakes at the first end.
 func (l *links) share() {
-	users := map[*node]int{}
-	for _, t := range l.active {
-		users[t.from]++
-		users[t.to]++
-	}
+	l.fill()
 	first := -1.0
 	for _, t := range l.active {
-		t.rate = l.rate / float64(max(users[t.from], users[t.to]))
 		if end := t.left / t.rate; first < 0 || end < first {
 			first = end
 		}
@@ -76,6 +72,40 @@
 	})
 }
 
+// fill gives every transfer its rate: the links that leave the smallest share
+// first, and what remains to the others.
+func (l *links) fill() {
+	left, users := map[*node]float64{}, map[*node]int{}
+	for _, t := range l.active {
+		t.rate = 0
+		for _, n := range []*node{t.from, t.to} {
+			left[n] = l.rate
+			users[n]++
+		}
+	}
+	for open := len(l.active); open > 0; {
+		var tight *node
+		for _, t := range l.active {
+			for _, n := range []*node{t.from, t.to} {
+				if t.rate == 0 && (tight == nil || left[n]/float64(users[n]) < left[tight]/float64(users[tight])) {
+					tight = n
+				}
+			}
+		}
+		share := left[tight] / float64(users[tight])
+		for _, t := range l.active {
+			if t.rate == 0 && (t.from == tight || t.to == tight) {
+				t.rate = share
+				left[t.from] -= share
+				left[t.to] -= share
+				users[t.from]--
+				users[t.to]--
+				open--
+			}
+		}
+	}
+}
+
 // finish ends the transfers that have nothing left.
 func (l *links) finish() {
 	l.settle()
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -90,7 +90,7 @@
 // startShare is the part of the result's remaining life for which a decode may
 // wait for room at its gate: behind it another server can still fetch the
 // result.
-const startShare = 0.6
+const startShare = 0.85
 
 const (
 	// leastStall is the shortest time after which a transfer is stalled.
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -72,6 +72,7 @@
 	case r.prefill.chosen == nil:
 	case !s.route.ReservesDecode():
 		s.sendPrefill(r)
+	case r.decode == nil && !r.prefill.granted:
 	case r.decode == nil:
 		s.openDecodeFor(r, s.prefillEnds(r))
 	case r.decode.granted:
--- a/internal/reducer/gate/link.go
+++ b/internal/reducer/gate/link.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // linkBacklog is how much transfer may be due at the server's link at about the
@@ -12,7 +13,7 @@
 // Transfers share a link, so that each of n takes n times as long, and all of
 // them may outlive the results that they fetch: one would notice retries with
 // reason transferStalled, and decode memory that is held and not computed with.
-const linkBacklog = 600 * time.Millisecond
+const linkBacklog = 450 * time.Millisecond
 
 // transferAlone predicts how long the KV cache of a prompt takes over the
 // whole link; zero until the size of a token's cache was learned.
@@ -31,7 +32,7 @@
 	if own == 0 {
 		return true
 	}
-	due := time.Duration(0)
+	due := max(s.linkDue()-from.Sub(s.now), 0)
 	for _, held := range s.memory.holders {
 		if s.transfersAt(held, from, own) {
 			due += s.transferAlone(held)
@@ -40,10 +41,10 @@
 	return due == 0 || due+own <= linkBacklog
 }
 
-// transfersAt predicts whether a holder's transfer shares the link with one
-// that begins at a moment.
+// transfersAt predicts whether a transfer that has not begun shares the link
+// with one that begins at a moment.
 func (s *State) transfersAt(held *reservation, from time.Time, own time.Duration) bool {
-	if held.reserve.Phase != message.PhaseDecode || held.firstPart || held.stage == stageCancelling {
+	if held.reserve.Phase != message.PhaseDecode || held.stage != stageGranted && held.stage != stageArrived {
 		return false
 	}
 	begin := later(held.from, s.now)
@@ -62,3 +63,37 @@
 	}
 	return due <= 0 || due+own <= linkBacklog
 }
+
+// linkFree reports whether the transfer of a decode that has come should begin
+// now: those in progress end sooner if it waits a little. It begins at the
+// latest while its result can still be fetched.
+func (s *State) linkFree(r *reservation) bool {
+	if r.reserve.Urgency == oriolebend.Urgent {
+		return true
+	}
+	due := s.linkDue()
+	return due == 0 || due+s.transferAlone(r) <= linkBacklog
+}
+
+// openPart is the part of a transfer that counts as left until its first output
+// shows that it ended: its source may be slower than this server's link.
+const openPart = 0.3
+
+// linkDue predicts how long the transfers in progress take over the whole link.
+func (s *State) linkDue() time.Duration {
+	open := time.Duration(0)
+	for _, held := range s.memory.holders {
+		if held.stage == stageWorking && held.reserve.Phase == message.PhaseDecode && !held.firstPart {
+			open += time.Duration(openPart * float64(s.transferAlone(held)))
+		}
+	}
+	if open == 0 {
+		return 0
+	}
+	return max(open, s.linkUntil.Sub(s.now))
+}
+
+// linkTaken notes that a transfer begins.
+func (s *State) linkTaken(r *reservation) {
+	s.linkUntil = later(s.linkUntil, s.now).Add(s.transferAlone(r))
+}
--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -116,6 +116,9 @@
 	predict predictor
 	limit   limit
 	drain   drain
+	// linkUntil is when the transfers that began would be over if the link were
+	// all that they share.
+	linkUntil time.Time
 
 	effects []Effect
 }
--- a/internal/reducer/gate/work.go
+++ b/internal/reducer/gate/work.go
@@ -110,12 +110,13 @@
 	if s.now.Before(r.promisedAt) {
 		used += s.dueTokens()
 	}
-	return used <= s.engine.info.KVTokens
+	return used <= s.engine.info.KVTokens && s.linkFree(r)
 }
 
 func (s *State) runDecode(r *reservation) {
 	m := r.decode
 	r.decode = message.Decode{}
+	s.linkTaken(r)
 	s.start(r)
 	s.emit(RunDecode{Request: engine.DecodeRequest{
 		Attempt:        m.Attempt,
