entry: a result whose decode server has no room is offered to more at once

Cause: two thirds of the wasted prefill came from results whose decode found no room in time; the one round that is left asked two servers, and each refusal of several shrank the lane's limit. And a sixteenth of decode memory kept for urgent work is far more than pings take. Change: rescue rounds ask three times as many; only a round without any room shrinks the limit; a decode waits for its room for 0.7 of the result's life; a 64th of the memory is kept.

--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -90,7 +90,11 @@
 // startShare is the part of the result's remaining life for which a decode may
 // wait for room at its gate: behind it another server can still fetch the
 // result.
-const startShare = 0.85
+const startShare = 0.7
+
+// rescueProbes is how many times more decode servers are asked for a result
+// that lives already: there is time for one round only.
+const rescueProbes = 3
 
 const (
 	// leastStall is the shortest time after which a transfer is stalled.
@@ -135,7 +139,7 @@
 func (s *State) openStandby(r *request) {
 	reserve := s.decodeReservation(r, 0)
 	reserve.Hold = false
-	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes}
+	w := policy.Want{Domain: s.resultDomain(r), Count: rescueProbes * s.config.DecodeProbes}
 	if r.decode != nil && r.decode.chosen != nil {
 		w.Except = r.decode.chosen.server.Name
 	}
@@ -233,7 +237,7 @@
 	s.takeRetry(r)
 	reserve := s.decodeReservation(r, 0)
 	reserve.Hold = false
-	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes, Except: lostServer}
+	w := policy.Want{Domain: s.resultDomain(r), Count: rescueProbes * s.config.DecodeProbes, Except: lostServer}
 	r.decode = s.ask(r, alarmDecode, reserve, w, r.pool(oriolebend.Decode))
 	if r.decode == nil {
 		s.retryWork(r, l.reason)
--- a/internal/reducer/entry/loss.go
+++ b/internal/reducer/entry/loss.go
@@ -38,7 +38,9 @@
 	s.forgetLost(p)
 	g.reason = l.reason
 	g.retryAfter = max(g.retryAfter, l.retryAfter)
-	s.noteRoom(r, l.reason)
+	if g.chosen != nil || len(g.probes)+len(g.spare) == 0 {
+		s.noteRoom(r, l.reason)
+	}
 	switch {
 	case g.chosen == nil:
 		s.probeLost(r, g)
@@ -80,7 +82,8 @@
 	}
 }
 
-// noteRoom lets the lane's limit shrink on refusals for lack of room.
+// noteRoom lets the lane's limit shrink when a round found no room. One refusal
+// of several that were asked at once tells nothing of the pool.
 func (s *State) noteRoom(r *request, reason oriolebend.Reason) {
 	if reason == oriolebend.ReasonQueueFull || reason == oriolebend.ReasonNoMemory {
 		r.lane.limit.Refused(s.now)
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -10,7 +10,7 @@
 const (
 	// urgentPart is the part of a decode engine's memory that is kept for
 	// urgent work, one in so many.
-	urgentPart = 16
+	urgentPart = 64
 	// urgentSeen is how long after the latest urgent reservation it is kept.
 	urgentSeen = time.Minute
 )
