gate: 4,096 tokens are kept for urgent work, a sixteenth of a small memory

Change: a sixteenth, 4,096 tokens at most. Measured: go test ./internal/reducer/gate passes with its data as it was.

--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -10,7 +10,9 @@
 const (
 	// urgentPart is the part of a decode engine's memory that is kept for
 	// urgent work, one in so many.
-	urgentPart = 64
+	urgentPart = 16
+	// urgentMost bounds that part in tokens: some tens of short prompts.
+	urgentMost = 4096
 	// urgentSeen is how long after the latest urgent reservation it is kept.
 	urgentSeen = time.Minute
 )
@@ -193,7 +195,7 @@
 	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
 		return whole
 	}
-	return max(whole-whole/urgentPart, min(r.tokens, whole))
+	return max(whole-min(whole/urgentPart, urgentMost), min(r.tokens, whole))
 }
 
 // holdsAt predicts whether a holder has its room at a moment that is not in
