entry: a prompt that can't be moved while its result lives is refused as too large

Cause: a prompt whose KV cache takes longer than its prefill result lives was prefilled again for ever.

--- a/internal/reducer/entry/retry.go
+++ b/internal/reducer/entry/retry.go
@@ -27,6 +27,10 @@
 			return
 		}
 	}
+	if moved := reason == oriolebend.ReasonTransferStalled || reason == oriolebend.ReasonResultExpired; moved && s.outlivesResult(r) {
+		s.giveUp(r, oriolebend.ReasonTooLarge, 0)
+		return
+	}
 	r.owesRetry = true
 	if wait := s.retryWait(r); wait > 0 {
 		s.delayRetry(r, wait)
