entry: patient requests are refused while half of their longest wait is predicted

Cause: the predicted wait is a mean; admitted up to the whole of 10 s, every second brief came later than that. Change: half of PatientWithin may be predicted.

--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -80,6 +80,10 @@
 	return m.faded(now) / (1 - math.Exp(-now.Sub(m.since).Seconds()/rateFades.Seconds()))
 }
 
+// waitShare is the share of the longest wait that may be predicted: what is
+// predicted is a mean, and one request in a hundred waits twice as long.
+const waitShare = 0.5
+
 // queuedTooLong is how long a new patient request should stay away because
 // those that wait before it keep it from its first token for longer than it may
 // take; zero if they do not. Patient requests may wait, and none that was
@@ -97,7 +101,7 @@
 		return 0
 	}
 	wait := float64(l.queue.Len()+1)/rate + l.began
-	over := time.Duration((wait - within.Seconds()) * float64(time.Second))
+	over := time.Duration((wait - waitShare*within.Seconds()) * float64(time.Second))
 	if over <= 0 {
 		return 0
 	}
--- a/internal/reducer/entry/queue_test.go
+++ b/internal/reducer/entry/queue_test.go
@@ -41,3 +41,31 @@
 	is.True(briefs > 0)
 	is.True(asked(0, oriolebend.Urgent))
 }
+
+// Symptom: every brief is late while the servers are busy.
+// Sequence: briefs come faster than the fleet serves them, for long.
+// Cause: the queue grew without a bound in time. Nothing that was accepted may
+// be dropped for it.
+func TestPatientRefusedBehindLongQueue(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{})
+	r := s.newRequest(fleetRequest(0))
+	r.Urgency = oriolebend.Patient
+	at := scriptStart
+	for range 10 {
+		at = at.Add(time.Second)
+		r.lane.served.add(at)
+	}
+	late := func() time.Duration { return r.lane.queuedTooLong(r, 10*time.Second, at) }
+	is.Equal(late(), time.Duration(0))
+	for range 3 {
+		r.lane.queue.Push(false, "org", 1, r)
+	}
+	is.Equal(late(), time.Duration(0)) // three at about one a second
+	for range 20 {
+		r.lane.queue.Push(false, "org", 1, r)
+	}
+	is.True(late() > 10*time.Second)
+	r.Urgency = oriolebend.Urgent
+	is.Equal(late(), time.Duration(0)) // pings have their own rule
+}
