--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -51,7 +51,6 @@
 	sequence *sequence
 	reading  int
 	expired  bool
-	over     bool
 }
 
 // node is one backend server: its gate, and its engine as service times.
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -72,7 +72,6 @@
 	first, last time.Time
 	done        bool
 	problem     *oriolebend.Problem
-	prefills    int
 }
 
 func newWorld(s *Scenario, v Variant, seed uint64, arrivals []arrival) *world {
