--- a/internal/policy/fairqueue.go
+++ b/internal/policy/fairqueue.go
@@ -66,17 +66,6 @@
 	q.class(urgent).push(organisation, share, item)
 }
 
-// Return adds an item that had its turn before, in front of its organisation's
-// others: it came before them. Behind them it would start over each time, and
-// what is hard to place would wait for ever under a steady load.
-func (q *FairQueue[T]) Return(urgent bool, organisation string, share float64, item T) {
-	c := q.class(urgent)
-	c.push(organisation, share, item)
-	f := c.flows[organisation]
-	copy(f.items[1:], f.items)
-	f.items[0] = item
-}
-
 // Pop takes the next item.
 func (q *FairQueue[T]) Pop() (T, bool) {
 	if q.urgent.length > 0 && (q.patient.length == 0 || q.run < urgentRun) {
@@ -87,6 +76,9 @@
 	return q.patient.pop()
 }
 
+// PopUrgent takes the next urgent item, if there is one.
+func (q *FairQueue[T]) PopUrgent() (T, bool) { return q.urgent.pop() }
+
 // Remove takes an item out of the middle; it reports whether it was there.
 func (q *FairQueue[T]) Remove(urgent bool, organisation string, item T) bool {
 	return q.class(urgent).remove(organisation, item)
--- a/internal/reducer/agreement/reduce.go
+++ b/internal/reducer/agreement/reduce.go
@@ -26,6 +26,10 @@
 		s.applied(e.Index)
 	case SnapshotMade:
 		s.snapshotMade(e.Meta)
+	case Regrouped:
+		if s.empty() {
+			s.Config.Group = e.Group
+		}
 	}
 	s.settle()
 	return s.effects
@@ -75,6 +79,9 @@
 	if !ok || part.Group != s.Config.Group || part.From == s.Config.Name {
 		return
 	}
+	if !wellFormed(m) {
+		return
+	}
 	if part.Term > s.Hard.Term && !s.meetHigherTerm(m, part) {
 		return
 	}
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -19,12 +19,19 @@
 func (s *State) openDecode(r *request, startIn time.Duration) {
 	reserve := s.decodeReservation(r, startIn)
 	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes}
+	if r.Urgency == oriolebend.Urgent {
+		w.Count *= urgentProbes
+	}
 	r.decode = s.ask(r, alarmDecode, reserve, w, r.pool(oriolebend.Decode))
 	if r.decode == nil {
 		s.noServer(r)
 	}
 }
 
+// urgentProbes is how many times more decode gates an urgent request asks, one
+// after the other until one has room.
+const urgentProbes = 2
+
 func (s *State) decodeReservation(r *request, startIn time.Duration) message.Reserve {
 	if r.decoded == r.attempt {
 		r.attempt++
@@ -67,6 +74,7 @@
 	g := r.decode
 	g.sent = s.now
 	r.output.held = nil
+	within := s.stallAfter(r, g, left)
 	s.emit(Send{Session: g.chosen.key, Message: message.Decode{
 		Attempt:        g.chosen.key.Attempt,
 		SourceURL:      r.result.SourceURL,
@@ -78,53 +86,48 @@
 		TransferWithin: left + r.result.LivesFor,
 		StartWithin:    time.Duration(startShare * float64(left)).Truncate(time.Millisecond),
 	}})
-	if stall := s.stallAfter(r, g, left); stall > 0 {
-		s.setAlarm(r, alarmHedge, max(stall/2, transferTime(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
-		s.setAlarm(r, alarmTransfer, stall+2*r.BetweenWithin)
-	} else {
+	if within == 0 {
 		r.clearAlarm(alarmTransfer)
+		s.setAlarm(r, alarmStall, s.config.StallWithin)
+		return
 	}
+	s.setAlarm(r, alarmHedge, max(within/2, idleTransfer(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
+	s.setAlarm(r, alarmTransfer, within+2*r.BetweenWithin)
 	s.setAlarm(r, alarmStall, s.config.StallWithin)
 }
 
-// startShare is the part of the result's remaining life for which a decode may
-// wait for room at its gate: behind it another server can still fetch the
-// result.
-const startShare = 0.7
-
-// rescueProbes is how many times more decode servers are asked for a result
-// that lives already: there is time for one round only.
-const rescueProbes = 3
-
 const (
-	// leastStall is the shortest time after which a transfer is stalled.
-	leastStall = 100 * time.Millisecond
-	// stallTimes is how many times longer than expected a transfer may take
-	// before it is stalled, and leastStallTimes how many at least where its
-	// result would be gone before.
-	stallTimes      = 4
-	leastStallTimes = 2
-	// beginMargin is what of the result's life is left to a second server to
-	// begin its transfer: it may end after that life.
-	beginMargin = 100 * time.Millisecond
+	// leastTransfer is the shortest time after which a transfer is stalled.
+	leastTransfer = 200 * time.Millisecond
+	// slowestTransfer is how many times what an idle link takes a transfer may
+	// take: others that share the link make it slow, and to stop it then would
+	// only start it anew behind them.
+	slowestTransfer = 8
+	// secondTransfer is what is kept of a result's life for a second transfer,
+	// in times of what an idle link takes, with transferSlack for its messages
+	// and the time in which the first output would follow the first transfer.
+	secondTransfer = 1.5
+	transferSlack  = 20 * time.Millisecond
+	// startShare is the part of a result's remaining life for which a decode may
+	// wait for room at its gate: behind it another server can still fetch it.
+	startShare = 0.7
 )
 
 // stallAfter is how long a transfer may show nothing before a second server
-// fetches the result in its place; zero is never.
+// fetches the result in its place: well over what it should take, and short
+// enough that the other one can still begin; zero is never.
 //
 // A transfer that began while its result lived may go on for as long again, so
-// that to break off one which is merely slow throws away what it moved and
-// loads the links with the same bytes once more: one would notice retries with
-// reason transferStalled that grow with the load. So a transfer is only given
-// up at a multiple of what transfers take now, and never if the result's life
-// leaves no time to tell slow from stalled.
+// that to break off one that is merely slow throws away what it moved and loads
+// the links with the same bytes once more: one would notice retries with reason
+// transferStalled that grow with the load.
 func (s *State) stallAfter(r *request, g *round, left time.Duration) time.Duration {
-	expected := r.lane.first.transferTime(r.result.KVBytes, g.chosen.server)
-	bound := left - beginMargin
-	if expected <= 0 || leastStallTimes*expected > bound {
+	expected := idleTransfer(r.result.KVBytes, g.chosen)
+	bound := left - time.Duration(secondTransfer*float64(expected)) - transferSlack - 2*r.BetweenWithin
+	if bound < 2*expected {
 		return 0
 	}
-	return min(bound, max(stallTimes*expected, leastStall))
+	return min(bound, max(slowestTransfer*expected, leastTransfer))
 }
 
 // hedgeTransfer gets a second decode server ready while a transfer is slow.
@@ -139,7 +142,7 @@
 func (s *State) openStandby(r *request) {
 	reserve := s.decodeReservation(r, 0)
 	reserve.Hold = false
-	w := policy.Want{Domain: s.resultDomain(r), Count: rescueProbes * s.config.DecodeProbes}
+	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes}
 	if r.decode != nil && r.decode.chosen != nil {
 		w.Except = r.decode.chosen.server.Name
 	}
@@ -237,7 +240,7 @@
 	s.takeRetry(r)
 	reserve := s.decodeReservation(r, 0)
 	reserve.Hold = false
-	w := policy.Want{Domain: s.resultDomain(r), Count: rescueProbes * s.config.DecodeProbes, Except: lostServer}
+	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes, Except: lostServer}
 	r.decode = s.ask(r, alarmDecode, reserve, w, r.pool(oriolebend.Decode))
 	if r.decode == nil {
 		s.retryWork(r, l.reason)
@@ -314,7 +317,6 @@
 	if r.result == nil {
 		return
 	}
-	r.lane.first.observeTransfer(r.result.KVBytes, r.decode, s.now)
 	r.prefill.finish()
 	s.dropResult(r)
 	s.closeRound(r, r.standby)
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"math"
+	"container/list"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -12,107 +12,57 @@
 // gain is the share of one observation in a learned mean.
 const gain = 0.1
 
-// waitFades is the time constant with which a learned wait is forgotten, so
-// that a lane which refused all requests takes some in again.
-const waitFades = time.Second
-
-// firstToken is what a lane learned of the time to the first token.
+// firstToken is what a lane learned of its work.
 type firstToken struct {
-	// wait follows the time over the request's own work, in seconds.
-	wait float64
-	seen time.Time
-	// perToken follows the time of the own work for one prompt token, and
+	// perToken follows the time of a prefill for one prompt token, and
 	// bytesPerToken the size of its KV cache.
 	perToken      float64
 	bytesPerToken float64
-	// slowdown follows how many times longer a transfer takes than over a link
-	// of its own, and livesFor is how long the last result could be fetched.
-	slowdown float64
-	livesFor time.Duration
 }
 
-// late is how long a new urgent request should stay away because its first
-// token would be late; zero if it would not.
+// admitShare is the share of the target of the first token that a new request
+// may be expected to take: the others of its urgency that wait now will have
+// waited longer by the time it is served.
+const admitShare = 0.7
+
+// late is how long a new request should stay away because its first token
+// would be late; zero if it would not. Work of one urgency is served about in
+// the order of its coming, so that a new request waits about as long as the
+// oldest one has that has no output yet. That is known now, while a mean of
+// finished waits tells of the load some seconds ago.
 //
-// Without it an overloaded pool serves every ping just behind its target, and
-// all of them have failed; one would notice goodput falling while the servers
-// are busy.
+// Without it an overloaded pool serves every request just behind its target,
+// and all of them have failed; one would notice goodput falling to nothing
+// while the servers are busy.
 func (l *lane) late(r *request, now time.Time) time.Duration {
-	if r.Urgency != oriolebend.Urgent || r.Call != nil || l.first.seen.IsZero() {
+	oldest := l.unstarted(r.Urgency).Front()
+	if oldest == nil {
 		return 0
 	}
-	faded := l.first.wait * math.Exp(-now.Sub(l.first.seen).Seconds()/waitFades.Seconds())
-	work := l.first.perToken * float64(r.PromptTokens)
-	over := time.Duration((faded + work - r.FirstWithin.Seconds()) * float64(time.Second))
-	if over <= 0 || faded <= 0 {
+	waited := now.Sub(oldest.Value.(*request).arrived)
+	work := time.Duration(l.first.perToken * float64(r.PromptTokens) * float64(time.Second))
+	limit := time.Duration(admitShare * float64(r.FirstWithin))
+	if waited+work <= limit {
 		return 0
 	}
-	return max(over, comeBack/10)
-}
-
-// rateFades is the time constant of a rateMeter.
-const rateFades = 5 * time.Second
-
-// rateMeter follows how many events come in a second, fading.
-type rateMeter struct {
-	rate float64
-	// since is the first event and seen the last one.
-	since, seen time.Time
+	return min(max(waited+work-limit, comeBack/10), r.FirstWithin)
 }
 
-func (m *rateMeter) add(now time.Time) {
-	if m.since.IsZero() {
-		m.since = now
+// unstarted lists the lane's requests of one urgency that have no output yet,
+// in the order of their coming.
+func (l *lane) unstarted(u oriolebend.Urgency) *list.List {
+	if u == oriolebend.Urgent {
+		return &l.urgent
 	}
-	m.rate = m.faded(now) + 1/rateFades.Seconds()
-	m.seen = now
-}
-
-func (m *rateMeter) faded(now time.Time) float64 {
-	return m.rate * math.Exp(-now.Sub(m.seen).Seconds()/rateFades.Seconds())
+	return &l.patient
 }
 
-// value is the rate, or zero while too little was seen to know it.
-func (m *rateMeter) value(now time.Time) float64 {
-	if m.since.IsZero() || now.Sub(m.since) < rateFades {
-		return 0
-	}
-	return m.faded(now) / (1 - math.Exp(-now.Sub(m.since).Seconds()/rateFades.Seconds()))
-}
-
-// waitShare is the share of the longest wait that may be predicted: what is
-// predicted is a mean, and one request in a hundred waits twice as long.
-const waitShare = 0.5
-
-// queuedTooLong is how long a new patient request should stay away because
-// those that wait before it keep it from its first token for longer than it may
-// take; zero if they do not. Patient requests may wait, and none that was
-// accepted is dropped.
-//
-// Without it a load that is over the fleet's capacity by little makes every
-// brief late, and later the longer the load lasts: one would notice that the
-// servers are busy while no brief meets its target.
-func (l *lane) queuedTooLong(r *request, within time.Duration, now time.Time) time.Duration {
-	if r.Urgency != oriolebend.Patient || r.Call != nil || l.queue.Len() == 0 {
-		return 0
-	}
-	rate := l.served.value(now)
-	if rate <= 0 {
-		return 0
-	}
-	wait := float64(l.queue.Len()+1)/rate + l.began
-	over := time.Duration((wait - waitShare*within.Seconds()) * float64(time.Second))
-	if over <= 0 {
-		return 0
+// started notes that a request has output, or ends without any.
+func (r *request) started() {
+	if r.unstarted != nil {
+		r.lane.unstarted(r.Urgency).Remove(r.unstarted)
+		r.unstarted = nil
 	}
-	return max(over, comeBack)
-}
-
-func (f *firstToken) observe(r *request, took time.Duration, now time.Time) {
-	work := f.perToken * float64(r.PromptTokens)
-	wait := took.Seconds() - work
-	f.wait += gain * 3 * (max(0, wait) - f.wait)
-	f.seen = now
 }
 
 // observeOutput learns from one run of output.
@@ -121,11 +71,7 @@
 	case r.output.tokens == 0:
 		took := s.now.Sub(r.arrived)
 		s.observe("firstToken", r, took.Seconds())
-		r.lane.served.add(s.now)
-		learn(&r.lane.began, s.now.Sub(r.begunAt).Seconds())
-		if r.Urgency == oriolebend.Urgent {
-			r.lane.first.observe(r, took, s.now)
-		}
+		r.started()
 	case tokens > 0:
 		s.observe("betweenTokens", r, s.now.Sub(r.lastOutput).Seconds()/float64(tokens))
 	}
@@ -161,7 +107,6 @@
 	if tokens == 0 {
 		return
 	}
-	r.lane.first.livesFor = m.LivesFor
 	learn(&r.lane.first.perToken, took.Seconds()/tokens)
 	learn(&r.lane.first.bytesPerToken, float64(m.KVBytes)/tokens)
 }
@@ -206,35 +151,15 @@
 	if p.offer != nil && p.offer.LinkBytes > 0 {
 		rate = p.offer.LinkBytes
 	}
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(bytes) / rate * float64(time.Second))
-}
-
-// leastObserved is the shortest transfer that the slowdown is learned from:
-// in a shorter one the wait for the first token weighs more.
-const leastObserved = 20 * time.Millisecond
-
-// observeTransfer learns from the first output how long the transfer took.
-func (f *firstToken) observeTransfer(bytes int64, g *round, now time.Time) {
-	alone := aloneTime(bytes, g.chosen.server.LinkBytes)
-	if alone < leastObserved {
-		return
-	}
-	learn(&f.slowdown, now.Sub(g.sent).Seconds()/alone.Seconds())
+	return over(bytes, rate)
 }
 
-// transferTime is how long the transfer to a server should take, as transfers
-// go now.
-func (f *firstToken) transferTime(bytes int64, v *server) time.Duration {
-	alone := aloneTime(bytes, v.LinkBytes)
-	return time.Duration(float64(alone) * max(f.slowdown, 1))
+// idleTransfer is how long so many bytes take over the whole of a link.
+func idleTransfer(bytes int64, p *probe) time.Duration {
+	return over(bytes, p.server.LinkBytes)
 }
 
-// aloneTime is how long a transfer takes over a link that it has for itself;
-// zero if the rate is not known.
-func aloneTime(bytes int64, rate float64) time.Duration {
+func over(bytes int64, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"strings"
 	"time"
@@ -12,17 +13,8 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// laneKey names the requests that need the same servers and are of the same
-// urgency.
-//
-// Urgent and patient requests have limits of their own: with one limit for
-// both, patient requests that are refused for lack of memory shrink it, and
-// what is urgent waits in the entry while every gate has room for it. One would
-// notice urgent requests late whose gates granted at once.
-type laneKey struct {
-	model, version, adapter, service string
-	urgency                          oriolebend.Urgency
-}
+// laneKey names the requests that need the same servers.
+type laneKey struct{ model, version, adapter, service string }
 
 func (k laneKey) compare(other laneKey) int {
 	return cmp.Or(
@@ -30,7 +22,6 @@
 		strings.Compare(k.version, other.version),
 		strings.Compare(k.adapter, other.adapter),
 		strings.Compare(k.service, other.service),
-		strings.Compare(string(k.urgency), string(other.urgency)),
 	)
 }
 
@@ -43,38 +34,25 @@
 	budget *retry.Budget
 	queue  policy.FairQueue[*request]
 	first  firstToken
-	// served follows how many requests a second come to their first token, and
-	// began the time from a request's turn to that, in seconds.
-	served rateMeter
-	began  float64
+	// urgent and patient are the requests without output, oldest first.
+	urgent  list.List
+	patient list.List
 }
 
 func (s *State) lane(q Request) *lane {
-	k := laneKey{model: q.Model, version: q.Version, adapter: q.Adapter, service: q.Service, urgency: q.Urgency}
+	k := laneKey{model: q.Model, version: q.Version, adapter: q.Adapter, service: q.Service}
 	l := s.lanes[k]
 	if l == nil {
 		l = &lane{
 			key:    k,
 			limit:  limit.NewConcurrency(limit.Config{Max: float64(s.config.MaxConcurrency)}),
-			budget: s.poolBudget(k),
+			budget: retry.NewBudget(s.budgetConfig()),
 		}
 		s.lanes[k] = l
 	}
 	return l
 }
 
-// poolBudget is the retry budget of a new lane: that of the lane for the same
-// servers and the other urgency, if there is one.
-func (s *State) poolBudget(k laneKey) *retry.Budget {
-	for _, u := range []oriolebend.Urgency{oriolebend.Urgent, oriolebend.Patient} {
-		k.urgency = u
-		if other := s.lanes[k]; other != nil {
-			return other.budget
-		}
-	}
-	return retry.NewBudget(s.budgetConfig())
-}
-
 // dropLane forgets a lane that nobody uses and no server serves: callers can
 // name any number of models.
 func (s *State) dropLane(l *lane) {
@@ -106,11 +84,7 @@
 		return
 	}
 	r.queued = true
-	add := r.lane.queue.Push
-	if r.begun {
-		add = r.lane.queue.Return
-	}
-	add(r.Urgency == oriolebend.Urgent, r.Scope.Organisation, r.org.share, r)
+	r.lane.queue.Push(r.Urgency == oriolebend.Urgent, r.Scope.Organisation, r.org.share, r)
 	s.ready(r.lane)
 }
 
@@ -153,8 +127,8 @@
 }
 
 func (s *State) pumpLane(l *lane) {
-	for l.queue.Len() > 0 && l.limit.Free() {
-		r, found := l.queue.Pop()
+	for {
+		r, found := l.next()
 		if !found {
 			return
 		}
@@ -167,6 +141,19 @@
 	}
 }
 
+// next takes the request whose turn it is. The limit holds back patient ones
+// only: their places are held for as long as they wait at gates, and a ping
+// must not wait behind them.
+func (l *lane) next() (*request, bool) {
+	if r, found := l.queue.PopUrgent(); found {
+		return r, true
+	}
+	if !l.limit.Free() {
+		return nil, false
+	}
+	return l.queue.Pop()
+}
+
 // leaveQueue takes a request that ends out of all waiting.
 func (s *State) leaveQueue(r *request) {
 	r.clearAlarm(alarmWake)
@@ -181,7 +168,8 @@
 	if r.counted {
 		return
 	}
-	r.counted = r.lane.limit.Acquire()
+	r.counted = true
+	r.lane.limit.Take()
 }
 
 func (s *State) releasePlace(r *request) {
--- a/internal/reducer/gate/cache.go
+++ b/internal/reducer/gate/cache.go
@@ -35,8 +35,8 @@
 	return cacheIndex{blocks: map[uint64]uint64{}, bound: c.CacheBlocks}
 }
 
-// cachedTokens is how much of a prompt the engine holds for certain. Hash i of
-// a prefix covers the first blockTokens<<i tokens (internal/prefix).
+// cachedTokens is how much of a prompt the engine holds for certain. The hashes
+// are those of the leading blocks that package prefix names.
 func (c *cacheIndex) cachedTokens(hashes []uint64, promptTokens, blockTokens int) int {
 	leading := 0
 	for _, block := range hashes {
--- a/internal/reducer/gate/gate_test.go
+++ b/internal/reducer/gate/gate_test.go
@@ -130,6 +130,7 @@
 			Service:        a.text("service", ""),
 			QueueBound:     a.number("queueBound", 0),
 			Concurrency:    a.number("concurrency", 0),
+			UrgentSlots:    a.number("urgentSlots", 0),
 			ClosedBound:    a.number("closedBound", 0),
 			DeclaredWithin: a.span("declaredWithin"),
 		})
@@ -254,7 +255,7 @@
 			Incarnation: uint64(a.number("incarnation", 1)),
 		}}
 	case "listed":
-		return WorkListed{At: r.now, Work: works(a)}
+		return WorkListed{At: r.now, Work: works(a), Failed: a.has("not")}
 	case "prefilled":
 		return EnginePrefilled{At: r.now, Attempt: a.attempt(), Result: engine.PrefillResult{
 			SourceURL: "kv", Tokens: 1000, LivesFor: 800 * time.Millisecond,
@@ -395,6 +396,8 @@
 			text += fmt.Sprintf(" after=%s", m.RetryAfter.Round(time.Millisecond))
 		}
 		return text
+	case message.Grant:
+		return fmt.Sprintf("grant in=%s", m.StartIn)
 	case message.Part:
 		return strings.TrimSpace(fmt.Sprintf("part %d %s", m.Offset, m.Finish))
 	}
--- a/internal/reducer/gate/memory.go
+++ b/internal/reducer/gate/memory.go
@@ -1,6 +1,9 @@
 package gate
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -8,13 +11,26 @@
 )
 
 const (
-	// urgentPart is the part of a decode engine's memory that is kept for
-	// urgent work, one in so many.
-	urgentPart = 16
-	// urgentMost bounds that part in tokens: some tens of short prompts.
-	urgentMost = 4096
-	// urgentSeen is how long after the latest urgent reservation it is kept.
-	urgentSeen = time.Minute
+	// urgentSlots is the part of a decode engine's slots that is kept for
+	// urgent work, one in so many; urgentBeyond is by which part of its slots
+	// urgent work may go beyond them.
+	urgentSlots  = 8
+	urgentBeyond = 2
+	// linkPart is the part of the time that a transfer may take which it may be
+	// planned to take, one in so many: more, and transfers that are late or
+	// stalled make others miss the end of their results; less, and links idle.
+	linkPart = 2
+	// peakHalves is how long the peak of urgent memory takes to halve.
+	// peakMargin times the peak is kept for urgent work, but no more than one
+	// part in mostUrgentPart of the whole.
+	peakHalves     = time.Minute
+	peakMargin     = 2
+	mostUrgentPart = 4
+	// slotsSlack lets a promise count on half a slot.
+	slotsSlack = 0.5
+	// searchSteps bounds the search for the earliest room; with steps that
+	// grow by half it reaches about a minute ahead.
+	searchSteps = 15
 )
 
 // memory holds the reservations that have room, from their grant until the
@@ -61,6 +77,17 @@
 	return used
 }
 
+// usedPatient is the memory of patient work at the server.
+func (s *State) usedPatient() int {
+	used := 0
+	for _, held := range s.memory.holders {
+		if held.atServer() && held.reserve.Urgency != oriolebend.Urgent {
+			used += held.tokens
+		}
+	}
+	return used
+}
+
 // dueTokens is the memory of granted reservations whose time has come and whose
 // work has not.
 func (s *State) dueTokens() int {
@@ -89,15 +116,20 @@
 	return max(s.engine.info.KVTokens-s.committed().tokens, 0)
 }
 
-// load is what some reservations hold together.
+// load is what some reservations hold together; patient is the part of tokens
+// that is held by patient ones.
 type load struct {
 	tokens  int
+	patient int
 	slots   int
 	compute int
 }
 
 func (l *load) add(r *reservation) {
 	l.tokens += r.tokens
+	if r.reserve.Urgency != oriolebend.Urgent {
+		l.patient += r.tokens
+	}
 	if r.reserve.Phase != message.PhasePrefill {
 		l.slots++
 		return
@@ -108,29 +140,69 @@
 	}
 }
 
-// fits reports whether a reservation's room is free from the time it asks
-// for, or from now if that has passed.
+// fits reports whether a reservation could be granted now: its room is free
+// after its lead.
 func (s *State) fits(r *reservation) bool {
 	switch r.reserve.Phase {
 	case message.PhasePrefill:
 		return s.fitsPrefill(r)
 	case message.PhaseDecode:
-		return s.fitsAt(r, s.wanted(r))
+		from := s.now.Add(r.lead)
+		return s.fitsAt(r, from) && s.linkWait(r, from) == 0
 	default:
 		return s.committed().slots < s.limit.slots()
 	}
 }
 
-// wanted is when a reservation that waits can use its room at the earliest.
-//
-// A decode that was asked for ahead of its prefill can't begin before its
-// prefill, which runs once the room is granted: to grant room that is free only
-// now would leave it idle for that long, each time.
-func (s *State) wanted(r *reservation) time.Time {
-	if r.reserve.Phase != message.PhaseDecode {
-		return later(r.from, s.now)
+// transfer is one that the server's link carries or is to carry.
+type transfer struct {
+	from time.Time
+	took time.Duration
+	// rank orders transfers that are due at the same time.
+	rank uint64
+}
+
+// linkWait is how much too late a transfer that is due at a moment would end,
+// or make one that is due after it end: zero if each ends within the time that
+// a transfer may take. Without it transfers that were granted room for the same
+// moment wait for each other until prefill results expire: seen as prefills that
+// are wasted although decode memory is free.
+func (s *State) linkWait(r *reservation, from time.Time) time.Duration {
+	own := transfer{from: from, took: s.predict.transferTook(r), rank: r.order}
+	bound := max(s.config.TransferWithin/linkPart, own.took)
+	var late time.Duration
+	free := s.now
+	for _, t := range s.transfers(r, own) {
+		free = later(free, t.from).Add(t.took)
+		if !t.from.Before(from) {
+			late = max(late, free.Sub(t.from)-bound)
+		}
+	}
+	return late
+}
+
+// transfers lists the own transfer of a reservation and those that it would
+// share the link with, in the order in which they are due.
+func (s *State) transfers(r *reservation, own transfer) []transfer {
+	all := make([]transfer, 0, len(s.memory.holders)+1)
+	all = append(all, own)
+	for _, held := range s.memory.holders {
+		if held.reserve.Phase != message.PhaseDecode || held.firstPart || held.stage == stageCancelling {
+			continue
+		}
+		if r.reserve.Urgency == oriolebend.Urgent && held.reserve.Urgency != oriolebend.Urgent {
+			continue // its small transfer goes beside theirs
+		}
+		t := transfer{from: later(held.from, s.now), took: s.predict.transferTook(held), rank: held.order}
+		if held.stage == stageWorking {
+			t.took = max(t.took-s.now.Sub(held.startedAt), 0)
+		}
+		all = append(all, t)
 	}
-	return later(r.from, s.now.Add(max(r.reserve.StartIn, 0)))
+	slices.SortFunc(all, func(a, b transfer) int {
+		return cmp.Or(a.from.Compare(b.from), cmp.Compare(a.rank, b.rank))
+	})
+	return all
 }
 
 // fitsPrefill lets few prefills run at once, so that the order of work is the
@@ -144,106 +216,162 @@
 	if r.reserve.Urgency == oriolebend.Urgent {
 		return held.slots < s.config.PrefillSlots+s.config.UrgentSlots
 	}
-	if held.slots >= s.config.PrefillSlots || !s.fitsLinkOut(r) {
+	if held.slots >= s.config.PrefillSlots || held.patient+r.tokens > s.patientTokens(r) {
 		return false
 	}
 	return held.slots == 0 || held.compute+r.compute <= s.config.PrefillBudget
 }
 
-// fitsAt reports whether a decode's room is free from a moment to the
-// predicted end of its work, beside all that is held or promised.
+// fitsAt reports whether a decode's room is free from a moment on, beside all
+// that is held and promised.
 func (s *State) fitsAt(r *reservation, from time.Time) bool {
-	until := from.Add(r.took)
-	if !s.fitsMoment(r, from) || (r.reserve.Urgency != oriolebend.Urgent && !s.fitsLink(r, from)) {
+	asked := *r
+	asked.from = from
+	if !s.fitsMoment(&asked, from) {
 		return false
 	}
 	for _, held := range s.memory.holders {
-		if held.from.After(from) && held.from.Before(until) && !s.fitsMoment(r, held.from) {
+		if held.from.After(from) && !s.fitsMoment(&asked, held.from) {
 			return false
 		}
 	}
 	return true
 }
 
-// fitsMoment reports whether a decode's room is free at one moment.
+// fitsMoment reports whether a decode's room is free at one moment that is not
+// before its start.
 func (s *State) fitsMoment(r *reservation, at time.Time) bool {
-	tokens, patient, slots := r.tokens, 0, 1
-	if r.reserve.Urgency == oriolebend.Patient {
-		patient = r.tokens
-	}
+	var urgent, patient expected
 	for _, held := range s.memory.holders {
-		if !s.holdsAt(held, at) {
-			continue
-		}
-		tokens += held.tokens
-		slots++
-		if held.reserve.Urgency != oriolebend.Urgent {
-			patient += held.tokens
-		}
+		s.expect(&urgent, &patient, held, at)
+	}
+	s.expect(&urgent, &patient, r, at)
+	if urgent.slots+patient.slots > s.slotsFor(r)+slotsSlack {
+		return false
+	}
+	whole, most := float64(s.engine.info.KVTokens), float64(s.patientTokens(r))
+	margin := s.config.PromiseMargin
+	if r.reserve.Urgency == oriolebend.Urgent {
+		// Patient promises that came due before their room was free can't take
+		// more than their part.
+		return urgent.most(margin)+min(patient.most(margin), most) <= whole
 	}
-	if tokens > s.engine.info.KVTokens || slots > s.limit.slots() {
+	if patient.most(margin) > most || patient.slots > s.patientSlots()+slotsSlack {
 		return false
 	}
-	return patient <= s.patientTokens(r)
+	urgent.add(patient)
+	return urgent.most(margin) <= whole
 }
 
-// patientTokens is the memory that patient decodes may take together. While
-// urgent work comes a part is kept for it: all memory would otherwise be held
-// by long generations, and each ping would wait for the end of one of them.
-func (s *State) patientTokens(r *reservation) int {
-	whole := s.engine.info.KVTokens
-	if s.urgentAt.IsZero() || s.now.Sub(s.urgentAt) > urgentSeen {
-		return whole
+// slotsFor is how many decodes may run beside a reservation and with it. An
+// urgent one may run beyond the limit: when the limit shrinks, patient
+// generations hold it all for seconds.
+func (s *State) slotsFor(r *reservation) float64 {
+	slots := s.limit.slots()
+	if r.reserve.Urgency == oriolebend.Urgent {
+		slots += max(slots/urgentBeyond, 1)
 	}
-	return max(whole-min(whole/urgentPart, urgentMost), min(r.tokens, whole))
+	return float64(slots)
 }
 
-// holdsAt predicts whether a holder has its room at a moment that is not in
-// the past.
-func (s *State) holdsAt(held *reservation, at time.Time) bool {
-	if !at.After(s.now) && (held.atServer() || !held.from.After(s.now)) {
-		return true
+// patientSlots is how many patient decodes may run together. A batch is full
+// by its step time long before its memory is full of pings: without slots kept
+// for them pings wait for the end of long generations.
+func (s *State) patientSlots() float64 {
+	slots := s.limit.slots()
+	if s.urgentPeak < 1 {
+		return float64(slots)
 	}
-	return !held.from.After(at) && at.Before(s.releaseAt(held))
+	return float64(max(slots-slots/urgentSlots, 1))
 }
 
-// releaseAt predicts when a holder gives its room back. Work that took longer
-// than predicted is expected to take an eighth of its time more.
-func (s *State) releaseAt(held *reservation) time.Time {
-	if held.stage == stageCancelling {
-		return s.now.Add(s.config.CancelRetry)
+// expect adds what a reservation is expected to hold at a moment.
+func (s *State) expect(urgent, patient *expected, held *reservation, at time.Time) {
+	share := s.holdsAt(held, at)
+	if share == 0 {
+		return
 	}
-	until := held.until
-	if !held.atServer() {
-		until = later(held.from, s.now).Add(held.took)
+	sum := patient
+	if held.reserve.Urgency == oriolebend.Urgent {
+		sum = urgent
 	}
-	if until.After(s.now) {
-		return until
+	sum.slots += share
+	sum.tokens += share * float64(held.tokens)
+	sum.variance += share * (1 - share) * float64(held.tokens) * float64(held.tokens)
+}
+
+// expected is what some reservations are expected to hold at a moment.
+type expected struct {
+	slots    float64
+	tokens   float64
+	variance float64
+}
+
+func (e *expected) add(other expected) {
+	e.slots += other.slots
+	e.tokens += other.tokens
+	e.variance += other.variance
+}
+
+// most is what they hold at most, but for what is less likely than a margin
+// of so many standard deviations.
+func (e *expected) most(margin float64) float64 {
+	return e.tokens + margin*math.Sqrt(e.variance)
+}
+
+// noteUrgent follows how much memory urgent reservations hold at most.
+func (s *State) noteUrgent() {
+	held := 0
+	for _, r := range s.memory.holders {
+		if r.reserve.Urgency == oriolebend.Urgent {
+			held += r.tokens
+		}
 	}
-	return s.now.Add(max(held.took/8, s.config.TickEvery))
+	s.urgentPeak = max(s.urgentPeak, float64(held))
 }
 
-// earliest predicts when a decode's room is free, at the earliest when it is
-// asked for.
-func (s *State) earliest(r *reservation) time.Time {
-	from := s.wanted(r)
-	if s.fitsAt(r, from) {
-		return from
+// patientTokens is the memory that patient work may take together. As much as
+// urgent work needed of late is kept for it: all memory would otherwise be
+// held by long generations, and each ping would wait for the end of one.
+func (s *State) patientTokens(r *reservation) int {
+	whole := s.engine.info.KVTokens
+	kept := min(int(peakMargin*s.urgentPeak), whole/mostUrgentPart)
+	if r.reserve.Urgency == oriolebend.Patient && r.tokens > whole-kept {
+		return whole
 	}
-	best := time.Time{}
-	for _, held := range s.memory.holders {
-		at := s.releaseAt(held)
-		if !at.After(from) || (!best.IsZero() && !at.Before(best)) {
-			continue
-		}
-		if s.fitsAt(r, at) {
-			best = at
+	return whole - kept
+}
+
+// holdsAt predicts the probability that a reservation has its room at a moment
+// that is not in the past.
+func (s *State) holdsAt(held *reservation, at time.Time) float64 {
+	switch {
+	case held.from.After(at):
+		return 0
+	case !at.After(s.now):
+		return 1
+	case held.stage == stageCancelling:
+		if at.Sub(s.now) > s.config.CancelRetry {
+			return 0
 		}
+		return 1
 	}
-	if best.IsZero() {
-		return from.Add(r.took)
+	return s.predict.holds(held, s.now, at)
+}
+
+// earliest predicts when a decode's room is free, at the earliest after its
+// lead: it looks ahead in growing steps.
+func (s *State) earliest(r *reservation) time.Time {
+	from := s.now.Add(r.lead)
+	step := s.config.TickEvery / 2
+	for range searchSteps {
+		if s.fitsAt(r, from) {
+			return from
+		}
+		from = from.Add(step)
+		step += step / 2
 	}
-	return best
+	return from
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/reducer/gate/rebuild.go
+++ b/internal/reducer/gate/rebuild.go
@@ -29,7 +29,7 @@
 	s.engine.lost = false
 	s.engine.info = e.Info
 	if before.info.Role != e.Info.Role {
-		s.limit = newLimit(s.mostSlots())
+		s.limit = s.freshLimit()
 	}
 	if !before.known || before.lost || restarted {
 		s.rebuild()
@@ -118,7 +118,11 @@
 		}
 		s.listAnswered()
 	}
-	if since >= s.config.ListEvery {
+	every := s.config.ListEvery
+	if !s.engine.listed {
+		every = s.config.CancelRetry
+	}
+	if since >= every {
 		s.listWork()
 	}
 }
@@ -152,7 +156,7 @@
 // longer lists is free.
 func (s *State) workListed(e WorkListed) {
 	asked, counts := s.listAnswered()
-	if !counts {
+	if !counts || e.Failed {
 		return
 	}
 	listed := map[message.Attempt]bool{}
--- a/internal/reducer/gate/reserve.go
+++ b/internal/reducer/gate/reserve.go
@@ -55,12 +55,18 @@
 	s.attempts[r.reserve.Attempt] = r
 	r.stage = stageQueued
 	s.queue.add(r)
-	s.queue.changed = true
-	s.grantQueued()
+	// Far behind, nothing can be granted that could not before.
+	if s.queue.ahead(r) < backfillDepth {
+		s.queue.changed = true
+		s.grantQueued()
+	}
 	if r.stage != stageQueued {
 		s.emit(Reply{Session: k.id, Message: s.offer(r, 0)})
 		return
 	}
+	if full && r.reserve.Hold {
+		full = s.displace(r)
+	}
 	if r.reserve.Hold && !full {
 		r.offered = true
 		s.emit(Reply{Session: k.id, Message: s.offer(r, wait)})
@@ -79,6 +85,21 @@
 	})
 }
 
+// displace makes room in a full queue for r at the cost of another, and
+// reports whether the queue is still full. Otherwise one organisation's flood
+// would have every other refused, and briefs would have pings refused.
+func (s *State) displace(r *reservation) (full bool) {
+	victim := s.queue.victim(r)
+	if victim == nil {
+		return true
+	}
+	s.refuseWaiting(victim, message.Refusal{
+		Reason:     oriolebend.ReasonQueueFull,
+		RetryAfter: max(s.predictedWait(victim), shortestRetry),
+	})
+	return false
+}
+
 // scarce names what a reservation that can't be granted now waits for.
 func (s *State) scarce(r *reservation) oriolebend.Reason {
 	switch r.reserve.Phase {
@@ -177,13 +198,9 @@
 		reserve:    m,
 		tokens:     memoryOf(m),
 		acceptedAt: s.now.Add(-max(m.Waited, 0)),
-		from:       s.now.Add(max(m.StartIn, 0)),
-	}
-	if m.Phase != message.PhaseDecode {
-		r.from = s.now
 	}
-	if m.Urgency == oriolebend.Urgent {
-		s.urgentAt = s.now
+	if m.Phase == message.PhaseDecode {
+		r.lead = max(m.StartIn, 0)
 	}
 	if m.Deadline > 0 {
 		r.deadlineAt = s.now.Add(m.Deadline)
@@ -192,7 +209,6 @@
 	r.compute = max(m.PromptTokens-r.cached, 1)
 	r.cost = cost(r)
 	r.took = s.predict.took(r)
-	r.until = r.from.Add(r.took)
 	return r
 }
 
@@ -213,7 +229,7 @@
 	m := message.Offer{
 		Attempt:      r.reserve.Attempt,
 		Granted:      r.stage != stageQueued,
-		StartIn:      max(wait, r.from.Sub(s.now), 0),
+		StartIn:      max(wait, r.lead),
 		CachedTokens: r.cached,
 		FreeTokens:   s.freeTokens(),
 		LinkBytes:    s.linkLeft(),
@@ -240,7 +256,7 @@
 	refusal := message.Refusal{Attempt: r.reserve.Attempt, Ran: oriolebend.RanNo}
 	first := s.predict.first(r)
 	left := r.reserve.Deadline - first
-	if left < r.from.Sub(s.now) {
+	if left < r.lead {
 		refusal.Reason = oriolebend.ReasonDeadline
 		return refusal, true
 	}
--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -51,15 +51,16 @@
 	acceptedAt time.Time
 	// deadlineAt is when the first token is due; zero if it isn't bound.
 	deadlineAt time.Time
-	// from and until bound the time for which the room is held; until is a
-	// prediction.
-	from, until time.Time
+	// lead is the time from the grant until the room is needed.
+	lead time.Duration
+	// from is when on the room is held.
+	from time.Time
 	// paused is how long the gate had paused at the time of the grant.
 	paused time.Duration
-	// decode waits for room, until startBy; its transfer is due at endBy, and
-	// promisedAt is when the room was due.
+	// decode waits for room, until startBy; promisedAt is when it was due.
 	decode     message.Decode
 	startBy    time.Time
+	// endBy is when the transfer of that decode is due.
 	endBy      time.Time
 	promisedAt time.Time
 	// startedAt is when the work went to the server.
@@ -96,8 +97,8 @@
 	awake time.Duration
 	// paused is how long those pauses were.
 	paused time.Duration
-	// urgentAt is when the latest urgent reservation came.
-	urgentAt time.Time
+	// urgentPeak is the most memory that urgent reservations held of late.
+	urgentPeak float64
 
 	sessions map[SessionID]*session
 	// leases holds the sessions, the one heard of longest ago first.
@@ -116,9 +117,6 @@
 	predict predictor
 	limit   limit
 	drain   drain
-	// linkUntil is when the transfers that began would be over if the link were
-	// all that they share.
-	linkUntil time.Time
 
 	effects []Effect
 }
@@ -159,16 +157,16 @@
 		s.engine.listed = true
 		s.engine.info.Role = oriolebend.Service
 	}
-	s.limit = newLimit(s.mostSlots())
+	s.limit = s.freshLimit()
 	return s
 }
 
-// mostSlots is the upper bound of the adaptive limit.
-func (s *State) mostSlots() int {
+// freshLimit is the adaptive limit for a server of this role.
+func (s *State) freshLimit() limit {
 	if s.engine.info.Role == oriolebend.Service {
-		return s.config.Concurrency
+		return newLimit(1, s.config.Concurrency)
 	}
-	return s.config.DecodeSlots
+	return newLimit(leastDecodes, s.config.DecodeSlots)
 }
 
 // ready reports whether the gate knows enough of its server to grant.
--- a/internal/reducer/record/settle.go
+++ b/internal/reducer/record/settle.go
@@ -81,7 +81,9 @@
 }
 
 // settledBefore answers a settle whose record was taken over by a retry. An
-// id that was closed as not run stays so, and a resent settle is told so.
+// id that was closed as not run stays so, and a resent settle is told so. The
+// state of the retry is not told: an owner that reads "running" there could
+// take it for its own.
 func settledBefore(r *request, t message.Settle) message.Settled {
 	e, ok := r.earlierAs(t.RequestID)
 	if ok && e.NotRun {
@@ -93,7 +95,7 @@
 			Ticket:    t.Ticket,
 		}
 	}
-	return message.Settled{RequestID: t.RequestID, State: r.state, Attempt: r.attempt, Ticket: t.Ticket}
+	return message.Settled{RequestID: t.RequestID, Ticket: t.Ticket}
 }
 
 // repeated reports whether a settle was accepted before; it is sent again
@@ -152,7 +154,7 @@
 	if a != nil {
 		r.reason = a.Reason
 	}
-	r.retryable = to == message.RecordFailed && !r.once && passes(r.reason)
+	r.retryable = to == message.RecordFailed && !r.once && Passes(r.reason)
 	if to == message.RecordUnknown {
 		r.reason = oriolebend.ReasonOutcomeLost
 	}
@@ -181,10 +183,10 @@
 	s.answerBytes += size
 }
 
-// passes reports whether a failure may be over when a retry comes. A brief that
+// Passes reports whether a failure may be over when a retry comes. A brief that
 // failed with its server must not be answered with that failure for a day;
 // what is wrong with the command itself will be wrong again.
-func passes(reason oriolebend.Reason) bool {
+func Passes(reason oriolebend.Reason) bool {
 	switch reason {
 	case oriolebend.ReasonMalformed, oriolebend.ReasonTooLarge, oriolebend.ReasonForbidden,
 		oriolebend.ReasonUnknownModel, oriolebend.ReasonUnknownService:
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/disk"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -59,6 +60,10 @@
 		if r.stopping && (r.idle() || time.Now().After(stopBy)) {
 			return nil
 		}
+		if r.handing && r.state.Role != agreement.Leader {
+			r.handing, r.handed = false, true
+			stopBy = time.Now().Add(handWithin * r.config.TickEvery)
+		}
 		select {
 		case <-ticker.C:
 			r.ticked()
@@ -75,8 +80,11 @@
 		case <-stop:
 			stop = nil
 			r.stopping = true
-			r.handing = r.state.Role == agreement.Leader && len(r.state.Members) > 1
 			stopBy = time.Now().Add(r.config.StopWithin)
+			if r.together.Load() {
+				continue
+			}
+			r.handing = r.state.Role == agreement.Leader && len(r.state.Members) > 1
 			r.step(agreement.TransferAsked{Tick: r.tick()})
 		}
 		if err := r.failure(); err != nil {
@@ -87,6 +95,10 @@
 	}
 }
 
+// handWithin bounds, in ticks, how long a former leader waits to hear of the
+// next one; after that its message has left or is lost.
+const handWithin = 12
+
 // idle tells whether a stopping member has handed over all that it had. A
 // former leader stays until another one is heard of: the message that asks the
 // successor to stand for election could be lost with this process.
@@ -94,8 +106,10 @@
 	if len(r.waiting) > 0 {
 		return false
 	}
-	successor := r.state.Leader != "" && r.state.Leader != r.config.Name
-	return !r.handing || successor
+	if r.state.Role == agreement.Leader {
+		return !r.state.Transferring()
+	}
+	return !(r.handing || r.handed) || r.state.Leader != ""
 }
 
 func (r *Replica) failure() error { return errors.Join(r.disk.fatal, r.applier.failure()) }
@@ -143,12 +157,12 @@
 
 // step feeds the reducer one event and carries its effects out.
 func (r *Replica) step(e agreement.Event) {
-	for _, effect := range agreement.Reduce(r.state, e) {
+	for _, effect := range reducer.Reduce(&reducer.State{Agreement: r.state}, e) {
 		r.carry(effect)
 	}
 }
 
-func (r *Replica) carry(effect agreement.Effect) {
+func (r *Replica) carry(effect reducer.Effect) {
 	switch e := effect.(type) {
 	case agreement.Send:
 		r.sender(e.To).post(outgoing{message: e.Message})
--- a/internal/role/enginework.go
+++ b/internal/role/enginework.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/engine"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/service"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -16,6 +17,10 @@
 // cancelWithin bounds one cancel call; the gate asks again if it fails.
 const cancelWithin = 2 * time.Second
 
+// listWithin bounds one reading of the engine's work. One that fails is asked
+// for again and ends no work: only the watch decides that an engine is lost.
+const listWithin = 2 * time.Second
+
 // workKey names one piece of work in progress.
 type workKey struct {
 	attempt message.Attempt
@@ -27,14 +32,14 @@
 type engineWork struct {
 	engine  engine.Engine
 	service service.Service
-	post    func(gate.Event)
+	post    func(reducer.Event)
 	ctx     context.Context
 
 	mu      sync.Mutex
 	cancels map[workKey]context.CancelFunc
 }
 
-func newEngineWork(e engine.Engine, s service.Service, post func(gate.Event)) *engineWork {
+func newEngineWork(e engine.Engine, s service.Service, post func(reducer.Event)) *engineWork {
 	return &engineWork{engine: e, service: s, post: post, cancels: map[workKey]context.CancelFunc{}}
 }
 
@@ -45,7 +50,7 @@
 	case gate.RunDecode:
 		w.start(workKey{f.Request.Attempt, message.PhaseDecode}, func(ctx context.Context) { w.decode(ctx, f.Request) })
 	case gate.RunCall:
-		go w.call(f.Call)
+		w.start(workKey{f.Call.Attempt, message.PhaseCall}, func(ctx context.Context) { w.call(ctx, f.Call) })
 	case gate.AskStatus:
 		go w.status(f.Query)
 	case gate.CancelWork:
@@ -91,10 +96,11 @@
 	}
 }
 
-// call runs a call of a plain service to its end, also when the caller left:
-// a call that may run at most once can't be taken back by hanging up.
-func (w *engineWork) call(c message.Call) {
-	answer, err := w.service.Call(w.ctx, c)
+// call runs a call of a plain service. The gate cancels only calls that may be
+// repeated: one that may run at most once can't be taken back by hanging up,
+// and runs to its end also when the caller left.
+func (w *engineWork) call(ctx context.Context, c message.Call) {
+	answer, err := w.service.Call(ctx, c)
 	if err != nil {
 		w.failed(c.Attempt, message.PhaseCall, err)
 		return
@@ -113,7 +119,7 @@
 
 func (w *engineWork) cancel(a message.Attempt) {
 	w.mu.Lock()
-	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode} {
+	for _, phase := range []message.Phase{message.PhasePrefill, message.PhaseDecode, message.PhaseCall} {
 		if cancel := w.cancels[workKey{a, phase}]; cancel != nil {
 			cancel()
 		}
@@ -129,13 +135,14 @@
 	w.post(gate.Cancelled{At: time.Now(), Attempt: a, Failed: err != nil})
 }
 
+// listWork asks for the engine's work. Whether the engine is lost is for the
+// watch to say: one lost answer would otherwise end every request of a gate,
+// and nothing would tell it that the engine still answers. The gate asks again.
 func (w *engineWork) listWork() {
-	work, err := w.engine.Work(w.ctx)
-	if err != nil {
-		w.post(gate.EngineLost{At: time.Now()})
-		return
-	}
-	w.post(gate.WorkListed{At: time.Now(), Work: work})
+	ctx, cancel := context.WithTimeout(w.ctx, listWithin)
+	defer cancel()
+	work, err := w.engine.Work(ctx)
+	w.post(gate.WorkListed{At: time.Now(), Work: work, Failed: err != nil})
 }
 
 func (w *engineWork) listCache() {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -8,9 +8,13 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
+	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -38,6 +42,7 @@
 // EntryConfig sets up an Entry.
 type EntryConfig struct {
 	Reducer  entry.Config
+	Follow   follow.Config
 	Dialer   peer.Dialer
 	Records  Records
 	Observer Observer
@@ -47,9 +52,10 @@
 // Entry is the role that takes callers' requests; it implements
 // caller.Router.
 type Entry struct {
-	config EntryConfig
-	loop   Loop[entry.Event, entry.Effect]
-	ctx    context.Context
+	config   EntryConfig
+	loop     *Loop
+	follower *Follower
+	ctx      context.Context
 	// drained is closed once a stopping entry has no request left.
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -59,6 +65,8 @@
 	sessions map[entry.SessionKey]*entrySession
 	servers  map[string]oriolebend.Server
 	stopping bool
+	// served is true once a server took new work.
+	served bool
 }
 
 // NewEntry returns an entry; Run starts it.
@@ -70,19 +78,27 @@
 		sessions: map[entry.SessionKey]*entrySession{},
 		servers:  map[string]oriolebend.Server{},
 	}
-	state := entry.New(c.Reducer)
-	e.loop = Loop[entry.Event, entry.Effect]{
-		Reduce:  func(event entry.Event) []entry.Effect { return entry.Reduce(state, event) },
-		Perform: e.perform,
-		Tick:    func(at time.Time) entry.Event { return entry.Ticked{At: at} },
-	}
-	e.loop.Prepare()
+	e.follower = NewFollower(FollowerConfig{
+		Reducer:  c.Follow,
+		Dialer:   c.Dialer,
+		Apply:    func(_ declared.View, changed follow.Changed) { e.Servers(changed.Servers, changed.Whole) },
+		Observer: c.Observer,
+	})
+	state := &reducer.State{Entry: entry.New(c.Reducer), Follow: e.follower.State}
+	e.loop = NewLoop(state, e.perform, e.follower.Tick(), Tick{
+		Every: entryTickEvery,
+		Event: func(at time.Time) reducer.Event { return entry.Ticked{At: at} },
+	})
 	return e
 }
 
+// entryTickEvery is how often time passes for the entry's requests.
+const entryTickEvery = 50 * time.Millisecond
+
 // Run serves requests until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	e.ctx = ctx
+	e.follower.Start(ctx, e.loop.Post)
 	e.loop.Run(ctx)
 }
 
@@ -101,11 +117,13 @@
 	}
 }
 
-// Ready implements caller.Router.
+// Ready implements caller.Router. An entry becomes ready with the first server
+// that takes work. It stays so when all of them go, since its refusals then
+// tell callers more than a balancer without entries would.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.stopping && len(e.servers) > 0
+	return !e.stopping && e.served
 }
 
 // serving counts the servers that take new work.
@@ -133,6 +151,7 @@
 			continue
 		}
 		e.servers[s.Name] = s
+		e.served = e.served || s.State == oriolebend.ServerServing
 	}
 	e.mu.Unlock()
 	e.loop.Post(entry.ServersChanged{At: time.Now(), Servers: servers, Whole: whole})
@@ -154,21 +173,21 @@
 
 // Submit implements caller.Router.
 func (e *Entry) Submit(ctx context.Context, r entry.Request) <-chan caller.Chunk {
-	log := newAnswerLog(r.Scope.Organisation, r.KeepRunning || r.Once)
+	log := newAnswerLog(r)
 	e.mu.Lock()
 	e.answers[r.ID] = log
 	e.mu.Unlock()
 	out := make(chan caller.Chunk)
 	e.loop.Post(entry.Arrived{At: time.Now(), Request: r})
-	go e.deliver(ctx, r.ID, log, out)
+	go e.deliver(ctx, log, out)
 	return out
 }
 
 // deliver hands the chunks of an answer to its caller, until the last one or
 // until the caller left.
-func (e *Entry) deliver(ctx context.Context, requestID string, log *answerLog, out chan<- caller.Chunk) {
+func (e *Entry) deliver(ctx context.Context, log *answerLog, out chan<- caller.Chunk) {
 	defer close(out)
-	e.read(ctx, requestID, log, func(c caller.Chunk) {
+	e.read(ctx, log, func(c caller.Chunk) {
 		select {
 		case out <- c:
 		case <-ctx.Done():
@@ -203,7 +222,17 @@
 }
 
 // perform carries one effect of the reducer out.
-func (e *Entry) perform(effect entry.Effect) {
+func (e *Entry) perform(effect reducer.Effect) {
+	switch f := effect.(type) {
+	case entry.Effect:
+		e.performEntry(f)
+	case follow.Effect:
+		e.follower.Perform(f)
+	}
+}
+
+// performEntry carries an effect towards control VMs and gates out.
+func (e *Entry) performEntry(effect entry.Effect) {
 	switch f := effect.(type) {
 	case entry.AskClaim:
 		go e.claim(f.Claim)
@@ -217,6 +246,7 @@
 		e.closeSession(f.Session)
 	case entry.Count:
 		e.config.Observer.Count(f.What, f.Reason, f.Organisation)
+		e.log(f)
 	case entry.Observe:
 		e.config.Observer.Observe(f.What, f.Urgency, f.Value)
 	case entry.Drained:
@@ -226,6 +256,16 @@
 	}
 }
 
+// log writes what happened to an attempt; what ends a request is logged
+// towards its caller.
+func (e *Entry) log(f entry.Count) {
+	level := slog.LevelDebug
+	if f.What == "retry" || f.What == "outcomeLost" {
+		level = slog.LevelInfo
+	}
+	e.config.Logger.Log(e.ctx, level, f.What, logging.Attempt(f.Attempt), logging.Reason(f.Reason))
+}
+
 // performAnswer carries the effects towards callers out.
 func (e *Entry) performAnswer(effect entry.Effect) {
 	switch f := effect.(type) {
@@ -238,7 +278,8 @@
 	case entry.AnswerReplay:
 		e.answer(f.RequestID, caller.Chunk{RequestID: f.Record, Replay: &f.Answer})
 	case entry.AnswerProblem:
-		e.config.Logger.Info("request refused or failed", "requestID", f.RequestID, "reason", f.Problem.Reason, "ran", f.Problem.Ran, "detail", f.Problem.Detail)
+		// The callers' side logs the line that operators read.
+		e.config.Logger.Debug("request ends without an answer", logging.Problem(f.Problem), "detail", f.Problem.Detail)
 		e.answer(f.RequestID, caller.Chunk{Problem: f.Problem})
 	case entry.AnswerAttach:
 		go e.attach(f)
@@ -256,7 +297,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, recordWithin)
 	defer cancel()
 	settled, err := e.config.Records.Settle(ctx, s)
-	event := entry.Settled{At: time.Now(), RequestID: s.RequestID, Attempt: s.Attempt, State: s.State, Accepted: settled.Accepted, Problem: asProblem(err, s.RequestID)}
+	event := entry.Settled{At: time.Now(), RequestID: s.RequestID, Attempt: s.Attempt, State: settled.State, Accepted: settled.Accepted, Problem: asProblem(err, s.RequestID)}
 	e.loop.Post(event)
 }
 
--- a/internal/role/entrysession.go
+++ b/internal/role/entrysession.go
@@ -7,6 +7,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 )
 
@@ -20,7 +21,7 @@
 type entrySession struct {
 	key  entry.SessionKey
 	out  *Mailbox[message.Message]
-	post func(entry.Event)
+	post func(reducer.Event)
 
 	mu sync.Mutex
 	// closing is set once the reducer closed the session; what comes from the
@@ -93,20 +94,37 @@
 	}
 }
 
+// read posts what the gate sends. The end of a session behind its last word is
+// no loss: the reducer may have opened another one under the same key by then,
+// and would take that for lost.
 func (s *entrySession) read(stream peer.Stream) {
+	last := false
 	for {
 		m, err := stream.Receive()
-		if s.isClosing() {
+		if s.isClosing() || (err != nil && last) {
 			return
 		}
 		if err != nil {
 			s.lost(true)
 			return
 		}
+		last = isLast(m)
 		s.post(entry.Received{At: time.Now(), Session: s.key, Message: m})
 	}
 }
 
+// isLast reports whether a gate ends its session after a message.
+func isLast(m message.Message) bool {
+	switch m := m.(type) {
+	case message.Refusal, message.CallAnswer:
+		return true
+	case message.Part:
+		return m.Finish != ""
+	default:
+		return false
+	}
+}
+
 func (s *entrySession) lost(opened bool) {
 	if s.isClosing() {
 		return
