entry: patient requests are admitted by how many wait, not by the oldest one's age

Cause: one request that finds no room for long kept every later patient request out, although others passed it. Change: their number over the rate of first tokens (Little's law) is held to half of the target; urgent ones are admitted as before.

--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -35,6 +36,9 @@
 // and all of them have failed; one would notice goodput falling to nothing
 // while the servers are busy.
 func (l *lane) late(r *request, now time.Time) time.Duration {
+	if r.Urgency == oriolebend.Patient && r.Call == nil {
+		return l.queuedTooLong(r, now)
+	}
 	oldest := l.unstarted(r.Urgency).Front()
 	if oldest == nil {
 		return 0
@@ -48,6 +52,58 @@
 	return min(max(waited+work-limit, comeBack/10), r.FirstWithin)
 }
 
+// queuedTooLong is how long a new patient request should stay away because of
+// those that wait already: their number over the rate at which patient requests
+// come to their first token (Little's law). One old request that finds no room
+// says nothing of the others, which go on past it; by its age alone no patient
+// request would be let in for as long as it waits.
+func (l *lane) queuedTooLong(r *request, now time.Time) time.Duration {
+	rate := l.served.value(now)
+	if rate <= 0 {
+		return 0
+	}
+	wait := time.Duration(float64(l.patient.Len()+1) / rate * float64(time.Second))
+	limit := time.Duration(patientShare * float64(r.FirstWithin))
+	if wait <= limit {
+		return 0
+	}
+	return min(max(wait-limit, comeBack/10), r.FirstWithin)
+}
+
+// patientShare is the share of the target that a mean wait may take: one
+// request in a hundred waits twice as long.
+const patientShare = 0.5
+
+// rateFades is the time constant of a rateMeter.
+const rateFades = 5 * time.Second
+
+// rateMeter follows how many events come in a second, fading.
+type rateMeter struct {
+	rate float64
+	// since is the first event and seen the last one.
+	since, seen time.Time
+}
+
+func (m *rateMeter) add(now time.Time) {
+	if m.since.IsZero() {
+		m.since = now
+	}
+	m.rate = m.faded(now) + 1/rateFades.Seconds()
+	m.seen = now
+}
+
+func (m *rateMeter) faded(now time.Time) float64 {
+	return m.rate * math.Exp(-now.Sub(m.seen).Seconds()/rateFades.Seconds())
+}
+
+// value is the rate, or zero while too little was seen to know it.
+func (m *rateMeter) value(now time.Time) float64 {
+	if m.since.IsZero() || now.Sub(m.since) < rateFades {
+		return 0
+	}
+	return m.faded(now) / (1 - math.Exp(-now.Sub(m.since).Seconds()/rateFades.Seconds()))
+}
+
 // unstarted lists the lane's requests of one urgency that have no output yet,
 // in the order of their coming.
 func (l *lane) unstarted(u oriolebend.Urgency) *list.List {
@@ -72,6 +128,9 @@
 		took := s.now.Sub(r.arrived)
 		s.observe("firstToken", r, took.Seconds())
 		r.started()
+		if r.Urgency == oriolebend.Patient {
+			r.lane.served.add(s.now)
+		}
 	case tokens > 0:
 		s.observe("betweenTokens", r, s.now.Sub(r.lastOutput).Seconds()/float64(tokens))
 	}
--- a/internal/reducer/entry/queue.go
+++ b/internal/reducer/entry/queue.go
@@ -34,6 +34,8 @@
 	budget *retry.Budget
 	queue  policy.FairQueue[*request]
 	first  firstToken
+	// served follows the first tokens of patient requests.
+	served rateMeter
 	// urgent and patient are the requests without output, oldest first.
 	urgent  list.List
 	patient list.List
