entry: a prompt that can't be moved while its result lives is refused as too large

Cause: a prompt whose KV cache takes longer than its prefill result lives was prefilled again for ever. Change: with the sizes learned of the model, such a request is refused before it is accepted (tooLarge, ran no); one that was accepted before they were known ends as tooLarge when its transfer fails. The experiment can run a variant that admits all: round robin without reservation and admission is the baseline.

--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -55,6 +55,8 @@
 	Probes       int         `toml:"probes"`
 	DecodeProbes int         `toml:"decodeProbes"`
 	AskAtOnce    bool        `toml:"askAtOnce"`
+	// AdmitAll refuses no request for being late.
+	AdmitAll bool `toml:"admitAll"`
 }
 
 // EngineTimes are the service times of all engines. Zeros mean the values of
@@ -220,7 +222,8 @@
 	for _, name := range names {
 		all = append(all, Variant{Name: string(name), Route: name})
 	}
-	return all
+	// The baseline: no reservation, and no admission by latency either.
+	return append(all, Variant{Name: "roundRobinAdmitAll", Route: policy.RoundRobin, AdmitAll: true})
 }
 
 func (s Scenario) fault() string {
--- a/internal/reducer/entry/admit.go
+++ b/internal/reducer/entry/admit.go
@@ -81,7 +81,7 @@
 	if s.pool(r.pool(r.firstRole())).Len() == 0 {
 		return oriolebend.ReasonNoServer, comeBack
 	}
-	if !s.fitsAnywhere(r) {
+	if !s.fitsAnywhere(r) || s.outlivesResult(r) {
 		return oriolebend.ReasonTooLarge, 0
 	}
 	if after, allowed := r.org.rate.Allow(s.now); !allowed {
@@ -115,3 +115,23 @@
 	return s.pool(r.pool(oriolebend.Prefill)).fits(r.PromptTokens) &&
 		s.pool(r.pool(oriolebend.Decode)).fits(r.PromptTokens+r.MaxTokens)
 }
+
+// movableShare is the part of its longest time that a transfer may need over a
+// link of its own.
+const movableShare = 0.9
+
+// outlivesResult reports whether the KV cache of a request can't be moved to
+// any decode server while its prefill result lives, as far as the sizes were
+// learned. A transfer that begins in time may go on for as long again.
+//
+// Without it such a request is prefilled again for ever: one would notice one
+// request with ever more retries of reason transferStalled.
+func (s *State) outlivesResult(r *request) bool {
+	f := &r.lane.first
+	rate := s.pool(r.pool(oriolebend.Decode)).fastest
+	if r.Call != nil || f.livesFor == 0 || rate <= 0 {
+		return false
+	}
+	alone := f.bytesPerToken * float64(r.PromptTokens) / rate
+	return alone > movableShare*2*f.livesFor.Seconds()
+}
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -19,6 +19,8 @@
 	// bytesPerToken the size of its KV cache.
 	perToken      float64
 	bytesPerToken float64
+	// livesFor is how long the last prefill result could be fetched.
+	livesFor time.Duration
 }
 
 // admitShare is the share of the target of the first token that a new request
@@ -167,6 +169,7 @@
 		return
 	}
 	learn(&r.lane.first.perToken, took.Seconds()/tokens)
+	r.lane.first.livesFor = m.LivesFor
 	learn(&r.lane.first.bytesPerToken, float64(m.KVBytes)/tokens)
 }
 
--- a/internal/reducer/entry/retry.go
+++ b/internal/reducer/entry/retry.go
@@ -27,6 +27,11 @@
 			return
 		}
 	}
+	moving := reason == oriolebend.ReasonTransferStalled || reason == oriolebend.ReasonResultExpired
+	if moving && s.outlivesResult(r) {
+		s.giveUp(r, oriolebend.ReasonTooLarge, 0)
+		return
+	}
 	r.owesRetry = true
 	if wait := s.retryWait(r); wait > 0 {
 		s.delayRetry(r, wait)
--- a/internal/reducer/entry/servers.go
+++ b/internal/reducer/entry/servers.go
@@ -73,6 +73,8 @@
 	*policy.Pool[*server]
 	// largest is the size of the largest memory in tokens; zero if unknown.
 	largest int
+	// fastest is the rate of the fastest link in bytes a second; zero if unknown.
+	fastest float64
 }
 
 func (p *pool) fits(tokens int) bool {
@@ -90,14 +92,15 @@
 		return p
 	}
 	var members []*server
-	largest := 0
+	largest, fastest := 0, 0.0
 	for _, v := range s.servers {
 		if k.serves(v.Server) {
 			members = append(members, v)
 			largest = max(largest, v.KVTokens)
+			fastest = max(fastest, v.LinkBytes)
 		}
 	}
-	p := &pool{Pool: policy.NewPool(members), largest: largest}
+	p := &pool{Pool: policy.NewPool(members), largest: largest, fastest: fastest}
 	if len(members) > 0 || len(s.pools) < maxPools {
 		s.pools[k] = p
 	}
