--- a/internal/reducer/gate/state.go
+++ b/internal/reducer/gate/state.go
@@ -58,8 +58,8 @@
 	// paused is how long the gate had paused at the time of the grant.
 	paused time.Duration
 	// decode waits for room, until startBy; promisedAt is when it was due.
-	decode     message.Decode
-	startBy    time.Time
+	decode  message.Decode
+	startBy time.Time
 	// endBy is when the transfer of that decode is due.
 	endBy      time.Time
 	promisedAt time.Time
