--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -74,7 +74,7 @@
 	g := r.decode
 	g.sent = s.now
 	r.output.held = nil
-	within := s.transferWithin(r, g, left)
+	within := s.stallAfter(r, g, left)
 	s.emit(Send{Session: g.chosen.key, Message: message.Decode{
 		Attempt:        g.chosen.key.Attempt,
 		SourceURL:      r.result.SourceURL,
@@ -83,15 +83,21 @@
 		Delivered:      r.output.text(),
 		Offset:         r.output.tokens,
 		MaxTokens:      r.MaxTokens,
-		TransferWithin: within,
+		TransferWithin: left + r.result.LivesFor,
+		StartWithin:    time.Duration(startShare * float64(left)).Truncate(time.Millisecond),
 	}})
+	if within == 0 {
+		r.clearAlarm(alarmTransfer)
+		s.setAlarm(r, alarmStall, s.config.StallWithin)
+		return
+	}
 	s.setAlarm(r, alarmHedge, max(within/2, idleTransfer(r.result.KVBytes, g.chosen)+2*r.BetweenWithin))
 	s.setAlarm(r, alarmTransfer, within+2*r.BetweenWithin)
 	s.setAlarm(r, alarmStall, s.config.StallWithin)
 }
 
 const (
-	// leastTransfer is the shortest deadline of a transfer.
+	// leastTransfer is the shortest time after which a transfer is stalled.
 	leastTransfer = 200 * time.Millisecond
 	// slowestTransfer is how many times what an idle link takes a transfer may
 	// take: others that share the link make it slow, and to stop it then would
@@ -102,22 +108,24 @@
 	// and the time in which the first output would follow the first transfer.
 	secondTransfer = 1.5
 	transferSlack  = 20 * time.Millisecond
-	// lastTransferShare is the share of the life that a transfer gets if
-	// nothing is left for a second one.
-	lastTransferShare = 0.9
+	// startShare is the part of a result's remaining life for which a decode may
+	// wait for room at its gate: behind it another server can still fetch it.
+	startShare = 0.7
 )
 
-// transferWithin is the deadline of a transfer: well over what it should take,
-// and short enough that another server can still fetch the result.
+// stallAfter is how long a transfer may show nothing before a second server
+// fetches the result in its place: well over what it should take, and short
+// enough that the other one can still begin; zero is never.
 //
-// Without a bound well under the result's life a stalled transfer is noticed
-// when the result is gone, and the prefill has to be paid for again; one would
-// notice by prefillWasted with reason transferStalled.
-func (s *State) transferWithin(r *request, g *round, left time.Duration) time.Duration {
+// A transfer that began while its result lived may go on for as long again, so
+// that to break off one that is merely slow throws away what it moved and loads
+// the links with the same bytes once more: one would notice retries with reason
+// transferStalled that grow with the load.
+func (s *State) stallAfter(r *request, g *round, left time.Duration) time.Duration {
 	expected := idleTransfer(r.result.KVBytes, g.chosen)
 	bound := left - time.Duration(secondTransfer*float64(expected)) - transferSlack - 2*r.BetweenWithin
 	if bound < 2*expected {
-		return time.Duration(lastTransferShare * float64(left))
+		return 0
 	}
 	return min(bound, max(slowestTransfer*expected, leastTransfer))
 }
