entry: patient requests that come seldom are not refused for a low rate

Cause: the number of those that wait over the rate of first tokens, taken alone, refused a patient request on a quiet lane: its rate is that of its coming. Change: a patient request is refused only if the oldest one's age says so as well.

--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -38,9 +38,6 @@
 // and all of them have failed; one would notice goodput falling to nothing
 // while the servers are busy.
 func (l *lane) late(r *request, now time.Time) time.Duration {
-	if r.Urgency == oriolebend.Patient && r.Call == nil {
-		return l.queuedTooLong(r, now)
-	}
 	oldest := l.unstarted(r.Urgency).Front()
 	if oldest == nil {
 		return 0
@@ -48,28 +45,25 @@
 	waited := now.Sub(oldest.Value.(*request).arrived)
 	work := time.Duration(l.first.perToken * float64(r.PromptTokens) * float64(time.Second))
 	limit := time.Duration(admitShare * float64(r.FirstWithin))
-	if waited+work <= limit {
+	if waited+work <= limit || r.Urgency == oriolebend.Patient && !l.queuedTooLong(r, now) {
 		return 0
 	}
 	return min(max(waited+work-limit, comeBack/10), r.FirstWithin)
 }
 
-// queuedTooLong is how long a new patient request should stay away because of
-// those that wait already: their number over the rate at which patient requests
+// queuedTooLong reports whether a new patient request would wait too long by the
+// number of those that wait already, over the rate at which patient requests
 // come to their first token (Little's law). One old request that finds no room
 // says nothing of the others, which go on past it; by its age alone no patient
-// request would be let in for as long as it waits.
-func (l *lane) queuedTooLong(r *request, now time.Time) time.Duration {
+// request would be let in for as long as it waits. The number alone would shut
+// out requests that come seldom: their rate is that of their coming.
+func (l *lane) queuedTooLong(r *request, now time.Time) bool {
 	rate := l.served.value(now)
 	if rate <= 0 {
-		return 0
+		return true
 	}
 	wait := time.Duration(float64(l.patient.Len()+1) / rate * float64(time.Second))
-	limit := time.Duration(patientShare * float64(r.FirstWithin))
-	if wait <= limit {
-		return 0
-	}
-	return min(max(wait-limit, comeBack/10), r.FirstWithin)
+	return wait > time.Duration(patientShare*float64(r.FirstWithin))
 }
 
 // patientShare is the share of the target that a mean wait may take: one
--- a/internal/reducer/entry/predict_test.go
+++ b/internal/reducer/entry/predict_test.go
@@ -17,12 +17,15 @@
 	s := New(Config{})
 	old := s.newRequest(fleetRequest(0))
 	old.Urgency, old.FirstWithin = oriolebend.Patient, 10*time.Second
-	old.unstarted = old.lane.patient.PushBack(old)
 	at := scriptStart
+	s.now = at
+	old.arrived = at
 	for range 60 {
 		at = at.Add(time.Second)
 		old.lane.served.add(at)
 	}
+	is.Equal(old.lane.late(old, at.Add(time.Minute)), time.Duration(0)) // seldom, nobody waits
+	old.unstarted = old.lane.patient.PushBack(old)
 	is.Equal(old.lane.late(old, at), time.Duration(0))
 	for range 30 { // at one a second, they wait half a minute
 		old.lane.patient.PushBack(old)
