--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
+	"github.com/oriolebend/oriolebend/internal/experiment"
 	"github.com/oriolebend/oriolebend/internal/load"
 	"github.com/oriolebend/oriolebend/internal/operator/command"
 	"github.com/oriolebend/oriolebend/internal/settings"
@@ -152,6 +153,7 @@
 		checkCommand(out),
 		keysCommand(out),
 		load.Command(out, errOut),
+		experiment.Command(out, errOut),
 	}
 	commands = append(commands, command.Commands(out, errOut)...)
 	commands = append(commands, versionCommand(out), completionCommand(out, commands))
--- a/internal/role/announcer.go
+++ b/internal/role/announcer.go
@@ -17,6 +17,8 @@
 	// tries the next control VM.
 	reconnectLeast = 50 * time.Millisecond
 	reconnectMost  = 300 * time.Millisecond
+	// reconnectLongest bounds the growth of that wait.
+	reconnectLongest = 5 * time.Second
 	// announceEvery renews the membership lease several times within it.
 	announceEvery = 1500 * time.Millisecond
 	// answerWithin bounds the leader's answer to an announcement or permit.
@@ -95,25 +97,45 @@
 // Run announces until ctx ends, going from one control VM to the next until it
 // finds the leader.
 func (a *Announcer) Run(ctx context.Context) {
+	unheard := 0
 	for next := rand.IntN(len(a.Control)); ctx.Err() == nil; next++ {
 		address := a.Control[next%len(a.Control)]
-		if err := a.serve(ctx, address); err != nil && ctx.Err() == nil {
+		heard, err := a.serve(ctx, address)
+		if err != nil && ctx.Err() == nil {
 			a.Logger.Debug("a control VM does not take announcements", "address", address, "error", err)
 		}
+		unheard++
+		if heard {
+			unheard = 0
+		}
 		for _, q := range a.permits.Take() {
 			q.answered(nil)
 		}
-		wait(ctx, reconnectLeast+rand.N(reconnectMost-reconnectLeast))
+		wait(ctx, a.pause(unheard))
+	}
+}
+
+// pause is the wait before the next control VM is tried, after so many in a row
+// that took no announcement. One round of all is made quickly, to find a new
+// leader; then the wait doubles. Without that a sidecar that is refused, for
+// its certificate say, costs the control VMs a handshake several times a
+// second for as long as it lives.
+func (a *Announcer) pause(unheard int) time.Duration {
+	least, most := reconnectLeast, reconnectMost
+	for round := unheard / len(a.Control); round > 1 && most < reconnectLongest; round-- {
+		least, most = 2*least, 2*most
 	}
+	return least + rand.N(most-least)
 }
 
-// serve announces to one control VM for as long as it leads.
-func (a *Announcer) serve(ctx context.Context, address string) error {
+// serve announces to one control VM for as long as it leads; heard is true if
+// it took an announcement as the leader.
+func (a *Announcer) serve(ctx context.Context, address string) (heard bool, err error) {
 	opening, cancel := context.WithTimeout(ctx, openWithin)
 	defer cancel()
 	s, err := a.Dialer.Open(opening, address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer s.Close()
 	defer context.AfterFunc(ctx, func() { s.Close() })()
@@ -121,14 +143,15 @@
 	defer ticker.Stop()
 	for {
 		if leads, err := a.renew(s); err != nil || !leads {
-			return err
+			return heard, err
 		}
+		heard = true
 		if err := a.askAll(s); err != nil {
-			return err
+			return heard, err
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return heard, ctx.Err()
 		case <-a.changed:
 		case <-a.permits.Wait():
 		case <-ticker.C:
