entry: lack of room costs no retry budget

Cause: 64 requests at once to a fleet with one decode server: gates refused decodes for lack of room, each refusal spent the retry budget, down to any depth, and accepted requests then went on at the budget's floor of one in two seconds beside an idle server. Ruled out: the gate's slots (they were free), lost messages.

--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -237,7 +237,9 @@
 
 func (s *State) decodeElsewhere(r *request, l loss, lostServer string) {
 	s.count("retry", l.reason, r)
-	s.takeRetry(r)
+	if !lacksRoom(l.reason) {
+		s.takeRetry(r)
+	}
 	reserve := s.decodeReservation(r, 0)
 	reserve.Hold = false
 	w := policy.Want{Domain: s.resultDomain(r), Count: s.config.DecodeProbes, Except: lostServer}
--- a/internal/reducer/entry/retry.go
+++ b/internal/reducer/entry/retry.go
@@ -17,6 +17,8 @@
 // its final answer now and not at the deadline.
 func (s *State) retryWork(r *request, reason oriolebend.Reason) {
 	s.count("retry", reason, r)
+	// A result that expired behind refusals for lack of room is lack of room.
+	crowded := lacksRoom(reason) || reason == oriolebend.ReasonResultExpired && lacksRoom(r.lastReason)
 	r.lastReason = reason
 	s.dropWasted(r)
 	s.closeAll(r)
@@ -32,7 +34,11 @@
 		s.giveUp(r, oriolebend.ReasonTooLarge, 0)
 		return
 	}
-	r.owesRetry = true
+	r.owesRetry = !crowded
+	if !r.owesRetry {
+		s.pause(r, 0)
+		return
+	}
 	if wait := s.retryWait(r); wait > 0 {
 		s.delayRetry(r, wait)
 		return
@@ -40,6 +46,15 @@
 	s.pause(r, 0)
 }
 
+// lacksRoom reports whether a gate that lives refused work for lack of room.
+// That needs no budget: the gate itself holds the load down, and the pauses of
+// a request grow. With a budget a burst that meets full memory spends it all,
+// and accepted requests then go on one by one at the floor's rate while the
+// servers are idle; one would notice retryDelayed that grows beside free memory.
+func lacksRoom(reason oriolebend.Reason) bool {
+	return reason == oriolebend.ReasonNoMemory || reason == oriolebend.ReasonQueueFull
+}
+
 // retryWait is how long the budgets keep a request from trying again.
 func (s *State) retryWait(r *request) time.Duration {
 	return max(r.org.budget.Wait(s.now), r.lane.budget.Wait(s.now))
--- a/internal/reducer/retry/budget.go
+++ b/internal/reducer/retry/budget.go
@@ -59,11 +59,15 @@
 	return time.Duration((1 - b.tokens) / b.config.Floor * float64(time.Second))
 }
 
+// mostDebt is how far the tokens go below zero. Without a bound a second of
+// stalled transfers would hold accepted work back for a minute.
+const mostDebt = 2
+
 // Take spends one retry. The tokens may go below zero, for a retry that is
 // cheaper now than later; the next ones then wait longer.
 func (b *Budget) Take(now time.Time) {
 	b.refill(now)
-	b.tokens--
+	b.tokens = max(b.tokens-1, -mostDebt)
 }
 
 func (b *Budget) refill(now time.Time) {
--- a/internal/reducer/retry/budget_test.go
+++ b/internal/reducer/retry/budget_test.go
@@ -60,3 +60,17 @@
 	}
 	is.True(longest > 140*time.Millisecond) // the whole range is used
 }
+
+// Symptom: accepted work waits for a minute after a second of stalled
+// transfers. Sequence: retries that can't wait are taken far below zero. Cause:
+// debt without a bound.
+func TestDebtIsBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	b := NewBudget(BudgetConfig{Floor: 1, Burst: 4})
+	for range 100 {
+		b.Take(now)
+	}
+	is.True(b.Wait(now) <= 3*time.Second)
+	is.True(b.Wait(now) > 0)
+}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -86,15 +86,12 @@
 	})
 	state := &reducer.State{Entry: entry.New(c.Reducer), Follow: e.follower.State}
 	e.loop = NewLoop(state, e.perform, e.follower.Tick(), Tick{
-		Every: entryTickEvery,
+		Every: entry.TickEvery,
 		Event: func(at time.Time) reducer.Event { return entry.Ticked{At: at} },
 	})
 	return e
 }
 
-// entryTickEvery is how often time passes for the entry's requests.
-const entryTickEvery = 50 * time.Millisecond
-
 // Run serves requests until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	e.ctx = ctx
