sidecar: what an engine holds after an order is announced at once

Cause: a rollout through dev stopped after the first server of each pool: the sidecar announced the engine's models only when the gate's state changed, so the log showed a server that holds nothing, and the next one never got leave. Change: an engine that is known anew is announced; operators see the servers' progress (operator.Config.Announcements was not joined).

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -146,17 +146,19 @@
 func (c *ControlProcess) serveOperators(store *operator.Store, reached *ReachedTable) error {
 	s := c.process.Settings
 	handler := operator.New(operator.Config{
-		Node:        s.Node.Name,
-		Log:         c.replica,
-		Store:       store,
-		Group:       c.replica,
-		Reports:     reached.List,
-		Confirmed:   func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
-		OperatorURL: operatorURL(s.Control.Members),
-		Tokens:      s.Operator.Tokens,
-		Open:        s.Operator.Open,
-		Registry:    c.process.metrics.Registerer(),
-		Logger:      c.process.Logger,
+		Node:    s.Node.Name,
+		Log:     c.replica,
+		Store:   store,
+		Group:   c.replica,
+		Reports: reached.List,
+		// Operators ask a VM that hears the servers for how far they are.
+		Announcements: c.members.Announcements,
+		Confirmed:     func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
+		OperatorURL:   operatorURL(s.Control.Members),
+		Tokens:        s.Operator.Tokens,
+		Open:          s.Operator.Open,
+		Registry:      c.process.metrics.Registerer(),
+		Logger:        c.process.Logger,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
 	if c.process.Operators != nil {
--- a/internal/role/enginewatch.go
+++ b/internal/role/enginewatch.go
@@ -46,14 +46,20 @@
 	}
 }
 
-// engineKnown fills what the engine told into the announcement.
+// engineKnown fills what the engine told into the announcement, and has it told
+// at once if the server was announced before: entries route by it, and a
+// rollout goes on to the next server only when this one shows its new version.
 func (s *Sidecar) engineKnown(info engine.Info) {
 	s.mu.Lock()
 	s.server.Role = info.Role
 	s.server.Models = info.Models
 	s.server.KVTokens = info.KVTokens
 	s.server.LinkBytes = info.LinkBytes
+	server := s.server
 	s.mu.Unlock()
+	if server.State != "" {
+		s.config.Announcer.Server(server)
+	}
 }
 
 func (w *engineWatch) ask(ctx context.Context) {
--- a/internal/role/memberleader.go
+++ b/internal/role/memberleader.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,12 +40,15 @@
 
 	mu   sync.Mutex
 	open map[member.SessionID]*outbox
+	// announced holds the latest announcement of each server.
+	announced map[string]message.Announce
 	ctx  context.Context
 }
 
 // Prepare makes the leader ready for Serve; it must be called before Run.
 func (m *MemberLeader) Prepare() {
 	m.open = map[member.SessionID]*outbox{}
+	m.announced = map[string]message.Announce{}
 	m.loop = NewLoop(&reducer.State{Member: member.New(member.Config{})}, m.perform, Tick{
 		Every: member.TickEvery,
 		Event: func(at time.Time) reducer.Event { return member.Ticked{At: at} },
@@ -128,6 +132,7 @@
 		}
 		switch f := received.(type) {
 		case message.Announce:
+			m.note(f)
 			m.loop.Post(member.Announced{At: time.Now(), Session: id, Announce: f})
 		case message.Permit:
 			m.loop.Post(member.Asked{At: time.Now(), Session: id, Permit: f})
@@ -137,6 +142,24 @@
 	}
 }
 
+// note keeps an announcement for operators who ask how far a server is.
+func (m *MemberLeader) note(a message.Announce) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.announced[a.Server.Name] = a
+}
+
+// Announcements returns the latest announcement of each server, nil on a
+// control VM that does not lead and so hears none.
+func (m *MemberLeader) Announcements() map[string]message.Announce {
+	if !m.leads.Load() {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.announced)
+}
+
 func (m *MemberLeader) perform(effect reducer.Effect) {
 	switch f := effect.(type) {
 	case member.Reply:
