--- a/internal/role/memberleader.go
+++ b/internal/role/memberleader.go
@@ -42,7 +42,7 @@
 	open map[member.SessionID]*outbox
 	// announced holds the latest announcement of each server.
 	announced map[string]message.Announce
-	ctx  context.Context
+	ctx       context.Context
 }
 
 // Prepare makes the leader ready for Serve; it must be called before Run.
