load: the timeline names its failures along their lines

Cause: seen in the picture of a short run: names of failures lay over each other, and failures that the run never reached stretched the axis. Change: names stand along the lines; only failures within the run are drawn.

--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"sort"
 	"time"
 
@@ -50,7 +51,7 @@
 	if err := markNotWhole(p, r.Timeline); err != nil {
 		return err
 	}
-	for _, failure := range r.Failures {
+	for _, failure := range reached(r) {
 		if err := markFailure(p, failure); err != nil {
 			return err
 		}
@@ -106,7 +107,24 @@
 	return nil
 }
 
-// markFailure draws an upright line from the bottom to the top of the data.
+// reached returns the failures that were due before the run's last second: a
+// run that is cut short did not meet the others.
+func reached(r Report) []Failure {
+	last := 0
+	for _, s := range r.Timeline {
+		last = max(last, s.Second)
+	}
+	var met []Failure
+	for _, f := range r.Failures {
+		if time.Duration(f.At) <= time.Duration(last)*time.Second {
+			met = append(met, f)
+		}
+	}
+	return met
+}
+
+// markFailure draws an upright line from the bottom to the top of the data, its
+// name along it, so that the names of failures that are near stay readable.
 func markFailure(p *plot.Plot, f Failure) error {
 	at := time.Duration(f.At).Seconds()
 	top := plotter.XY{X: at, Y: p.Y.Max}
@@ -120,7 +138,8 @@
 	if err != nil {
 		return fmt.Errorf("plot a failure: %w", err)
 	}
-	label.TextStyle[0].YAlign = draw.YTop
+	label.TextStyle[0].Rotation = math.Pi / 2
+	label.TextStyle[0].XAlign = draw.XRight
 	p.Add(line, label)
 	return nil
 }
