role: the loop's unused end signal is gone

Cause: reading the whole change: nothing waited on Loop.Done since answers are read from logs. Change: the method and its channel are removed; behaviour is as before. Measured: go vet, staticcheck and the dev tests of internal/role with -race pass.

--- a/internal/role/loop.go
+++ b/internal/role/loop.go
@@ -18,7 +18,6 @@
 	Ticks []Tick
 
 	events *Mailbox[reducer.Event]
-	done   chan struct{}
 }
 
 // Tick passes time to one part.
@@ -38,7 +37,6 @@
 		Perform: perform,
 		Ticks:   ticks,
 		events:  NewMailbox[reducer.Event](),
-		done:    make(chan struct{}),
 	}
 }
 
@@ -52,14 +50,8 @@
 	return l.events.Len()
 }
 
-// Done is closed once Run returned; later events are not reduced.
-func (l *Loop) Done() <-chan struct{} {
-	return l.done
-}
-
 // Run reduces events until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	defer close(l.done)
 	ticker := time.NewTicker(l.shortest())
 	defer ticker.Stop()
 	for {
