use cmp.Or in place of four copies of it

Cause: agreement, entry, peer and replica each had a generic 'or' that does what the standard library's cmp.Or does. Change: the copies are gone; callers use cmp.Or. Behaviour is as before.

--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"log/slog"
 	"net"
 	"time"
@@ -66,28 +67,20 @@
 	MaxConnectionWindow uint64
 }
 
-func or[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.Logger = or(c.Logger, slog.New(slog.DiscardHandler))
-	c.Metrics = or(c.Metrics, NewMetrics())
+	c.Logger = cmp.Or(c.Logger, slog.New(slog.DiscardHandler))
+	c.Metrics = cmp.Or(c.Metrics, NewMetrics())
 	if len(c.Protocols) == 0 {
 		c.Protocols = []string{Protocol}
 	}
-	c.Silence = or(c.Silence, DefaultSilence)
-	c.IdleAfter = or(c.IdleAfter, DefaultIdleAfter)
-	c.DialTimeout = or(c.DialTimeout, DefaultDialTimeout)
-	c.MaxSessions = or(c.MaxSessions, DefaultMaxSessions)
-	c.StreamWindow = or(c.StreamWindow, DefaultStreamWindow)
-	c.MaxStreamWindow = or(c.MaxStreamWindow, DefaultMaxStreamWindow)
-	c.ConnectionWindow = or(c.ConnectionWindow, DefaultConnectionWindow)
-	c.MaxConnectionWindow = or(c.MaxConnectionWindow, DefaultMaxConnectionWindow)
+	c.Silence = cmp.Or(c.Silence, DefaultSilence)
+	c.IdleAfter = cmp.Or(c.IdleAfter, DefaultIdleAfter)
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.MaxSessions = cmp.Or(c.MaxSessions, DefaultMaxSessions)
+	c.StreamWindow = cmp.Or(c.StreamWindow, DefaultStreamWindow)
+	c.MaxStreamWindow = cmp.Or(c.MaxStreamWindow, DefaultMaxStreamWindow)
+	c.ConnectionWindow = cmp.Or(c.ConnectionWindow, DefaultConnectionWindow)
+	c.MaxConnectionWindow = cmp.Or(c.MaxConnectionWindow, DefaultMaxConnectionWindow)
 	return c
 }
 
--- a/internal/peer/files.go
+++ b/internal/peer/files.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto"
 	"crypto/tls"
@@ -83,7 +84,7 @@
 // means DefaultReloadEvery. A pair that is replaced file by file does not fit
 // for a moment; it is taken up once it does.
 func (c *FileCredentials) Watch(ctx context.Context, every time.Duration, logger *slog.Logger) {
-	ticker := time.NewTicker(or(every, DefaultReloadEvery))
+	ticker := time.NewTicker(cmp.Or(every, DefaultReloadEvery))
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -1,6 +1,10 @@
 package agreement
 
-import "github.com/oriolebend/oriolebend/internal/message"
+import (
+	"cmp"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
 
 // Defaults of Config.
 const (
@@ -63,25 +67,17 @@
 	TailBytes int
 }
 
-func or[T comparable](value, otherwise T) T {
-	var zero T
-	if value == zero {
-		return otherwise
-	}
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.HeartbeatTicks = or(c.HeartbeatTicks, DefaultHeartbeatTicks)
-	c.ElectionTicks = or(c.ElectionTicks, DefaultElectionTicks)
-	c.LeaseTicks = or(c.LeaseTicks, DefaultLeaseTicks)
-	c.MaxUnapplied = or(c.MaxUnapplied, DefaultMaxUnapplied)
-	c.MaxUnappliedBytes = or(c.MaxUnappliedBytes, DefaultMaxUnappliedBytes)
-	c.MaxCommandBytes = or(c.MaxCommandBytes, DefaultMaxCommandBytes)
-	c.AppendBytes = or(c.AppendBytes, DefaultAppendBytes)
-	c.ChunkBytes = or(c.ChunkBytes, DefaultChunkBytes)
-	c.WindowEntries = or(c.WindowEntries, DefaultWindowEntries)
-	c.TailEntries = or(c.TailEntries, DefaultTailEntries)
-	c.TailBytes = or(c.TailBytes, DefaultTailBytes)
+	c.HeartbeatTicks = cmp.Or(c.HeartbeatTicks, DefaultHeartbeatTicks)
+	c.ElectionTicks = cmp.Or(c.ElectionTicks, DefaultElectionTicks)
+	c.LeaseTicks = cmp.Or(c.LeaseTicks, DefaultLeaseTicks)
+	c.MaxUnapplied = cmp.Or(c.MaxUnapplied, DefaultMaxUnapplied)
+	c.MaxUnappliedBytes = cmp.Or(c.MaxUnappliedBytes, DefaultMaxUnappliedBytes)
+	c.MaxCommandBytes = cmp.Or(c.MaxCommandBytes, DefaultMaxCommandBytes)
+	c.AppendBytes = cmp.Or(c.AppendBytes, DefaultAppendBytes)
+	c.ChunkBytes = cmp.Or(c.ChunkBytes, DefaultChunkBytes)
+	c.WindowEntries = cmp.Or(c.WindowEntries, DefaultWindowEntries)
+	c.TailEntries = cmp.Or(c.TailEntries, DefaultTailEntries)
+	c.TailBytes = cmp.Or(c.TailBytes, DefaultTailBytes)
 	return c
 }
--- a/internal/reducer/entry/admit.go
+++ b/internal/reducer/entry/admit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -38,8 +39,8 @@
 }
 
 func (s *State) newRequest(q Request) *request {
-	q.FirstWithin = or(q.FirstWithin, s.config.FirstWithin)
-	q.BetweenWithin = or(q.BetweenWithin, s.config.BetweenWithin)
+	q.FirstWithin = cmp.Or(q.FirstWithin, s.config.FirstWithin)
+	q.BetweenWithin = cmp.Or(q.BetweenWithin, s.config.BetweenWithin)
 	return &request{
 		Request: q,
 		step:    stepClaiming,
--- a/internal/reducer/entry/call.go
+++ b/internal/reducer/entry/call.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -126,7 +127,7 @@
 // will not come. It is never sent again. The service is asked for the outcome
 // if it has a status call.
 func (s *State) outcomeLost(r *request) {
-	s.count("outcomeLost", or(r.lastReason, oriolebend.ReasonOutcomeLost), r)
+	s.count("outcomeLost", cmp.Or(r.lastReason, oriolebend.ReasonOutcomeLost), r)
 	if r.StatusPath == "" {
 		s.unknown(r)
 		return
--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -68,7 +69,7 @@
 // owned takes a request on whose key is this entry's now. One whose key the
 // caller gave is admitted here.
 func (s *State) owned(r *request, a message.ClaimAnswer) {
-	r.record = or(a.RequestID, r.ID)
+	r.record = cmp.Or(a.RequestID, r.ID)
 	r.first = max(a.Attempt, 1)
 	r.attempt = r.first - 1
 	if r.gone {
@@ -100,18 +101,18 @@
 	if p.Reason == oriolebend.ReasonRecordsFull {
 		ran = oriolebend.RanNo
 	}
-	s.refuseClaimed(r, p.Reason, ran, or(p.RetryAfter, comeBack))
+	s.refuseClaimed(r, p.Reason, ran, cmp.Or(p.RetryAfter, comeBack))
 }
 
 // replay gives the caller what the record holds.
 func (s *State) replay(r *request, a message.ClaimAnswer) {
 	switch {
 	case a.State == message.RecordNotRun:
-		s.refuseClaimed(r, or(a.Reason, oriolebend.ReasonOverloaded), oriolebend.RanNo, comeBack)
+		s.refuseClaimed(r, cmp.Or(a.Reason, oriolebend.ReasonOverloaded), oriolebend.RanNo, comeBack)
 	case a.Answer == nil:
 		// The record outlives the stored answer: the request ran and its
 		// output is no longer kept.
-		s.refuseClaimed(r, or(a.Reason, oriolebend.ReasonAnswerNotKept), oriolebend.RanYes, 0)
+		s.refuseClaimed(r, cmp.Or(a.Reason, oriolebend.ReasonAnswerNotKept), oriolebend.RanYes, 0)
 	default:
 		s.endUnowned(r, AnswerReplay{RequestID: r.ID, Record: a.RequestID, Answer: *a.Answer})
 	}
--- a/internal/reducer/entry/config.go
+++ b/internal/reducer/entry/config.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/policy"
@@ -118,41 +119,33 @@
 }
 
 func (c Config) filled() Config {
-	c.Owner = or(c.Owner, c.Name)
-	c.Route = or(c.Route, policy.Reserve)
-	c.Probes = or(c.Probes, 2)
-	c.DecodeProbes = or(c.DecodeProbes, 2)
-	c.FirstWithin = or(c.FirstWithin, 1200*time.Millisecond)
-	c.BetweenWithin = or(c.BetweenWithin, 41*time.Millisecond)
-	c.MaxRequests = or(c.MaxRequests, 4096)
-	c.MaxWaiting = or(c.MaxWaiting, 2048)
-	c.MaxWaitingBytes = or(c.MaxWaitingBytes, 64<<20)
-	c.RetryShare = or(c.RetryShare, 0.2)
-	c.RetryFloor = or(c.RetryFloor, 1)
-	c.RetryBurst = or(c.RetryBurst, 32)
-	c.MaxConcurrency = or(c.MaxConcurrency, 1024)
-	c.ClaimWithin = or(c.ClaimWithin, 6*time.Second)
-	c.OfferWithin = or(c.OfferWithin, 20*time.Millisecond)
-	c.ProbeWithin = or(c.ProbeWithin, 500*time.Millisecond)
-	c.HoldPrefill = or(c.HoldPrefill, 100*time.Millisecond)
-	c.StallWithin = or(c.StallWithin, 10*time.Second)
-	c.CallWithin = or(c.CallWithin, 30*time.Second)
-	c.SettleWithin = or(c.SettleWithin, 2*time.Second)
-	c.SettleEvery = or(c.SettleEvery, time.Second)
-	c.SettleSilence = or(c.SettleSilence, 6*time.Second)
-	c.SettleFor = or(c.SettleFor, time.Minute)
-	c.StatusWithin = or(c.StatusWithin, 2*time.Second)
-	c.StatusEvery = or(c.StatusEvery, 100*time.Millisecond)
-	c.RetryBase = or(c.RetryBase, 20*time.Millisecond)
-	c.RetryMax = or(c.RetryMax, 2*time.Second)
-	c.MaxEngineFailures = or(c.MaxEngineFailures, 8)
+	c.Owner = cmp.Or(c.Owner, c.Name)
+	c.Route = cmp.Or(c.Route, policy.Reserve)
+	c.Probes = cmp.Or(c.Probes, 2)
+	c.DecodeProbes = cmp.Or(c.DecodeProbes, 2)
+	c.FirstWithin = cmp.Or(c.FirstWithin, 1200*time.Millisecond)
+	c.BetweenWithin = cmp.Or(c.BetweenWithin, 41*time.Millisecond)
+	c.MaxRequests = cmp.Or(c.MaxRequests, 4096)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, 2048)
+	c.MaxWaitingBytes = cmp.Or(c.MaxWaitingBytes, 64<<20)
+	c.RetryShare = cmp.Or(c.RetryShare, 0.2)
+	c.RetryFloor = cmp.Or(c.RetryFloor, 1)
+	c.RetryBurst = cmp.Or(c.RetryBurst, 32)
+	c.MaxConcurrency = cmp.Or(c.MaxConcurrency, 1024)
+	c.ClaimWithin = cmp.Or(c.ClaimWithin, 6*time.Second)
+	c.OfferWithin = cmp.Or(c.OfferWithin, 20*time.Millisecond)
+	c.ProbeWithin = cmp.Or(c.ProbeWithin, 500*time.Millisecond)
+	c.HoldPrefill = cmp.Or(c.HoldPrefill, 100*time.Millisecond)
+	c.StallWithin = cmp.Or(c.StallWithin, 10*time.Second)
+	c.CallWithin = cmp.Or(c.CallWithin, 30*time.Second)
+	c.SettleWithin = cmp.Or(c.SettleWithin, 2*time.Second)
+	c.SettleEvery = cmp.Or(c.SettleEvery, time.Second)
+	c.SettleSilence = cmp.Or(c.SettleSilence, 6*time.Second)
+	c.SettleFor = cmp.Or(c.SettleFor, time.Minute)
+	c.StatusWithin = cmp.Or(c.StatusWithin, 2*time.Second)
+	c.StatusEvery = cmp.Or(c.StatusEvery, 100*time.Millisecond)
+	c.RetryBase = cmp.Or(c.RetryBase, 20*time.Millisecond)
+	c.RetryMax = cmp.Or(c.RetryMax, 2*time.Second)
+	c.MaxEngineFailures = cmp.Or(c.MaxEngineFailures, 8)
 	return c
 }
-
-func or[T comparable](value, zeroMeans T) T {
-	var zero T
-	if value == zero {
-		return zeroMeans
-	}
-	return value
-}
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -164,7 +165,7 @@
 	if r.decode != nil {
 		return
 	}
-	s.retryWork(r, or(r.lastReason, oriolebend.ReasonNoMemory))
+	s.retryWork(r, cmp.Or(r.lastReason, oriolebend.ReasonNoMemory))
 }
 
 func (s *State) promoteStandby(r *request) {
--- a/internal/reducer/entry/loss.go
+++ b/internal/reducer/entry/loss.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -101,7 +102,7 @@
 		s.giveUp(r, reason, 0)
 		return
 	case s.tooLate(r, reason):
-		s.giveUp(r, reason, or(after, comeBack))
+		s.giveUp(r, reason, cmp.Or(after, comeBack))
 		return
 	}
 	r.lastReason = reason
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -340,7 +341,7 @@
 			p.server.health.Fail(s.now)
 			s.count("refused", oriolebend.ReasonServerLost, r)
 		}
-		s.roundFailed(r, g, or(g.reason, oriolebend.ReasonServerLost), g.retryAfter)
+		s.roundFailed(r, g, cmp.Or(g.reason, oriolebend.ReasonServerLost), g.retryAfter)
 	}
 }
 
--- a/internal/reducer/entry/settle.go
+++ b/internal/reducer/entry/settle.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -200,7 +201,7 @@
 	}
 	switch o := r.outcome; {
 	case o.problem != nil:
-		o.problem.RequestID = or(r.record, r.ID)
+		o.problem.RequestID = cmp.Or(r.record, r.ID)
 		s.emit(AnswerProblem{RequestID: r.ID, Problem: o.problem})
 	case o.call != nil:
 		s.emit(AnswerCall{RequestID: r.ID, Answer: *o.call})
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"container/list"
 	"math/rand/v2"
 	"time"
@@ -74,7 +75,7 @@
 	}
 	c := s.config.Organisations[name]
 	o := &organisation{
-		share:  or(c.Share, 1),
+		share:  cmp.Or(c.Share, 1),
 		rate:   limit.Rate{PerSecond: c.Rate, Burst: c.Burst},
 		budget: retry.NewBudget(s.budgetConfig()),
 	}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"hash/fnv"
 	"log/slog"
 	"time"
@@ -68,27 +69,19 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Group = or(c.Group, DefaultGroup)
-	c.TickEvery = or(c.TickEvery, DefaultTickEvery)
-	c.SnapshotEntries = or(c.SnapshotEntries, DefaultSnapshotEntries)
-	c.SnapshotBytes = or(c.SnapshotBytes, DefaultSnapshotBytes)
-	c.MinFreeBytes = or(c.MinFreeBytes, DefaultMinFreeBytes)
-	c.StopWithin = or(c.StopWithin, DefaultStopWithin)
-	c.Seed = or(c.Seed, seedOf(c.Name))
+	c.Group = cmp.Or(c.Group, DefaultGroup)
+	c.TickEvery = cmp.Or(c.TickEvery, DefaultTickEvery)
+	c.SnapshotEntries = cmp.Or(c.SnapshotEntries, DefaultSnapshotEntries)
+	c.SnapshotBytes = cmp.Or(c.SnapshotBytes, DefaultSnapshotBytes)
+	c.MinFreeBytes = cmp.Or(c.MinFreeBytes, DefaultMinFreeBytes)
+	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
+	c.Seed = cmp.Or(c.Seed, seedOf(c.Name))
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	return c
 }
 
-func or[T comparable](value, otherwise T) T {
-	var zero T
-	if value == zero {
-		return otherwise
-	}
-	return value
-}
-
 func seedOf(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -56,7 +57,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.address = or(address, s.address)
+	s.address = cmp.Or(address, s.address)
 	return s
 }
 
