--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -56,7 +56,7 @@
 
 func knownRole(role string) bool {
 	switch role {
-	case peer.RoleEntry, peer.RoleSidecar, peer.RoleControl:
+	case peer.RoleEntry, peer.RoleForwarder, peer.RoleSidecar, peer.RoleControl:
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/forwarder/call.go
@@ -0,0 +1,219 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// result is what one sending of a plain call brought.
+type result struct {
+	grant dispatch.Grant
+	// status, header and body are the server's whole answer, if err is nil.
+	status  int
+	header  http.Header
+	body    []byte
+	verdict Verdict
+	err     error
+}
+
+// good reports whether an answer is a success that can be passed on.
+func (r result) good() bool {
+	return r.err == nil && r.verdict.Signed && r.status < http.StatusMultipleChoices
+}
+
+// passable reports whether the answer is the server's own and can be passed on,
+// whatever it says.
+func (r result) passable() bool {
+	return r.err == nil && r.verdict.Signed && r.verdict.Ran != oriolebend.RanNo
+}
+
+// call carries a request whose answer is held whole before it is passed on.
+//
+// Sendings of an idempotent request overlap: once the first has been out for a
+// part of the target without an answer, a second server is asked beside it, and
+// the first whole answer is passed on. A server that stands still is otherwise
+// noticed only when the caller's time is gone.
+func (w *work) call(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, max(1, w.route.Attempts))
+	running, refused := w.sendCall(ctx, results)
+	if refused != nil {
+		w.giveUp(ctx, refused.reason, refused.after)
+		return
+	}
+	var spare *result
+	exhausted := false // no further sending is granted
+	for running > 0 {
+		select {
+		case r := <-results:
+			running--
+			if w.settle(r, &spare) {
+				return
+			}
+		case <-w.hedge(running, exhausted):
+		case <-ctx.Done():
+			w.abandoned(ctx)
+			return
+		}
+		if !exhausted && running < 2 && w.mayGoOn(ctx) {
+			started, refused := w.sendCall(ctx, results)
+			running += started
+			exhausted = refused != nil
+		}
+	}
+	w.conclude(ctx, spare)
+}
+
+// hedgeAfter is the share of the target after which an idempotent request is
+// sent to a second server beside the first. At half of the target the second
+// can still be in time, and few sound servers take that long.
+const hedgeAfter = 0.5
+
+// hedge fires when a second sending is due; never if there may be none.
+func (w *work) hedge(running int, exhausted bool) <-chan time.Time {
+	if exhausted || w.route.Repeat != oriolebend.RepeatIdempotent || running > 1 || w.sent >= w.route.Attempts {
+		return nil
+	}
+	within := time.Duration(float64(w.route.AnswerWithin) * hedgeAfter)
+	if within <= 0 {
+		return nil
+	}
+	return time.After(time.Until(w.request.Received.Add(within * time.Duration(w.sent))))
+}
+
+// sendCall starts one sending; it returns how many were started.
+func (w *work) sendCall(ctx context.Context, results chan<- result) (int, *refusal) {
+	grant, refused := w.f.place(w.need())
+	if refused != nil {
+		return 0, refused
+	}
+	w.sent++
+	w.tried = append(w.tried, grant.Server.Instance)
+	request := w.outgoing(Sending{Instance: grant.Server.Instance})
+	w.f.background.Go(func() { results <- w.exchange(ctx, grant, request) })
+	return 1, nil
+}
+
+// exchange sends a plain call once and reads its whole answer.
+func (w *work) exchange(ctx context.Context, g dispatch.Grant, request backend.Request) result {
+	r := result{grant: g}
+	response, err := w.f.pool.Do(ctx, g.Server.Address, request)
+	if err != nil {
+		r.err = err
+		w.ended(g, outcomeOf(err), 0)
+		return r
+	}
+	r.status, r.header = response.Status, response.Header
+	r.body, r.err = response.Whole(w.f.config.MaxAnswerBytes)
+	if r.err != nil {
+		w.ended(g, outcomeOf(r.err), 0)
+		return r
+	}
+	r.verdict = w.f.config.Dialect.Judge(r.status, r.header, g.Server.Instance)
+	w.ended(g, r.outcome(), response.Took)
+	return r
+}
+
+// outcome judges the server by its answer.
+func (r result) outcome() dispatch.Outcome {
+	switch {
+	case r.verdict.Moved:
+		return dispatch.OutcomeMoved
+	case r.verdict.Ran == oriolebend.RanNo:
+		return dispatch.OutcomeRefused
+	case !r.verdict.Signed:
+		return dispatch.OutcomeBroken
+	case r.status >= http.StatusInternalServerError:
+		return dispatch.OutcomeFailed
+	}
+	return dispatch.OutcomeAnswered
+}
+
+// settle takes a result in. It returns true once the request is answered; an
+// answer that tells of a failure is kept aside while another server may do
+// better.
+func (w *work) settle(r result, spare **result) bool {
+	if r.good() {
+		w.pass(r)
+		return true
+	}
+	w.note(r)
+	if r.passable() && *spare == nil {
+		*spare = &r
+	}
+	return false
+}
+
+// note takes in what a result without success tells of the request.
+func (w *work) note(r result) {
+	reason := oriolebend.ReasonOutcomeLost
+	switch {
+	case r.err != nil:
+		reason = reasonOf(r.err)
+		w.mayHaveRun(ranOf(r.err))
+	case r.verdict.Ran == oriolebend.RanNo:
+		reason = oriolebend.ReasonQueueFull
+	case r.verdict.Signed:
+		reason = oriolebend.ReasonEngineFailed
+		w.mayHaveRun(oriolebend.RanYes)
+	default:
+		w.mayHaveRun(oriolebend.RanUnknown)
+	}
+	w.f.config.Observer.Count("retry", reason, "")
+	w.logSending(r.grant, "sending brought no success", r.status, reason, r.err)
+}
+
+// pass gives the caller the server's answer.
+func (w *work) pass(r result) {
+	w.answer.Whole(r.status, r.header, r.body)
+	w.log(r.status, "", oriolebend.RanYes)
+	w.f.config.Observer.Observe("answer", urgency(w.route), time.Since(w.request.Received).Seconds())
+}
+
+// abandoned ends a request whose time is over or whose caller has left.
+func (w *work) abandoned(ctx context.Context) {
+	w.mayHaveRun(oriolebend.RanUnknown)
+	w.giveUp(ctx, reasonOfEnd(ctx), 0)
+}
+
+// conclude answers a request that no server answered with success.
+func (w *work) conclude(ctx context.Context, spare *result) {
+	if spare != nil {
+		w.pass(*spare)
+		return
+	}
+	reason := oriolebend.ReasonOutcomeLost
+	if w.notRun() {
+		reason = oriolebend.ReasonQueueFull
+	}
+	if ctx.Err() != nil {
+		reason = reasonOfEnd(ctx)
+	}
+	w.giveUp(ctx, reason, retryRefused)
+}
+
+// retryRefused is when a caller may come back whose request servers refused for
+// lack of room: their queues are short.
+const retryRefused = 100 * time.Millisecond
+
+// reasonOfEnd tells why a request's context ended.
+func reasonOfEnd(ctx context.Context) oriolebend.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return oriolebend.ReasonDeadline
+	}
+	return oriolebend.ReasonCallerCancelled
+}
+
+// urgency sorts routes for the metrics: streams are long work.
+func urgency(r *oriolebend.Route) oriolebend.Urgency {
+	if r.Stream {
+		return oriolebend.Patient
+	}
+	return oriolebend.Urgent
+}
--- /dev/null
+++ b/internal/forwarder/dialect.go
@@ -0,0 +1,75 @@
+// Package forwarder carries routed requests: it finds a request's route, asks
+// the reducer of package dispatch where to send it, sends it, judges the answer
+// and gives the caller exactly one.
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Dialect reads and writes the headers by which callers, forwarders and backend
+// servers tell each other what HTTP itself has no word for.
+type Dialect interface {
+	// Ask reads what a caller says of its request.
+	Ask(h http.Header) (Ask, error)
+	// Outgoing returns the header of one sending of a request.
+	Outgoing(h http.Header, s Sending) http.Header
+	// Matches reports whether an answer belongs to the request with the ID.
+	Matches(answer http.Header, id string) bool
+	// Judge reads what a server says of its answer.
+	Judge(status int, answer http.Header, instance string) Verdict
+	// PrefillResult reads the body of the answer to a prefill.
+	PrefillResult(body []byte) (PrefillResult, error)
+	// Free is the request that frees a prefill result at its engine.
+	Free(r PrefillResult) backend.Request
+}
+
+// Ask is what a caller says of its request.
+type Ask struct {
+	// ID names the request; each try of a caller has its own.
+	ID string
+	// Within is how long the caller waits; zero means that it does not say.
+	Within time.Duration
+	// Prompt and Output are the tokens of a generation, the second at most.
+	Prompt, Output int
+}
+
+// Sending is what one sending of a request tells the server.
+type Sending struct {
+	// Within is what is left of the caller's time.
+	Within time.Duration
+	// Instance is the one instance that may run it.
+	Instance string
+	// PrefillOnly asks for the KV cache of the prompt and no answer.
+	PrefillOnly bool
+	// Source is where the KV cache of the prompt is fetched; empty computes it.
+	Source string
+	// After is the last event that the caller has; empty begins anew.
+	After string
+}
+
+// Verdict is what a server's answer tells beside its body.
+type Verdict struct {
+	// Ran is "no" if the server states that it did not run the request.
+	Ran oriolebend.Ran
+	// Signed is set if the answer carries the server's signature.
+	Signed bool
+	// Moved is set if another instance answered.
+	Moved bool
+}
+
+// PrefillResult names a computed KV cache at its engine.
+type PrefillResult struct {
+	Handle string
+	Tokens int
+}
+
+// IdentityError is a request that can't be told from others.
+type IdentityError struct{ Detail string }
+
+// Error implements error.
+func (e *IdentityError) Error() string { return "forwarder: " + e.Detail }
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,192 @@
+package forwarder
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/http1"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Observer counts and measures; *metrics.Metrics is one.
+type Observer interface {
+	Count(what string, reason oriolebend.Reason, organisation string)
+	Observe(what string, urgency oriolebend.Urgency, value float64)
+}
+
+// Config sets up a Forwarder. Dialect and Observer are required.
+type Config struct {
+	Dialect  Dialect
+	Dispatch dispatch.Config
+	Pool     backend.PoolConfig
+	Observer Observer
+	Logger   *slog.Logger
+	// MaxAnswerBytes bounds the answers of plain calls, which are held whole;
+	// zero means 16 MiB.
+	MaxAnswerBytes int64
+}
+
+const defaultMaxAnswerBytes = 16 << 20
+
+// Forwarder carries routed requests of one forwarder.
+type Forwarder struct {
+	config Config
+	pool   *backend.Pool
+	start  time.Time
+
+	table atomic.Pointer[routing.Table]
+
+	mutex sync.Mutex
+	state *dispatch.State
+	known map[string]bool // addresses of the servers
+
+	background sync.WaitGroup
+}
+
+// New returns a forwarder that knows neither routes nor servers.
+func New(c Config) *Forwarder {
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes)
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Forwarder{
+		config: c,
+		pool:   backend.NewPool(c.Pool),
+		start:  time.Now(),
+		state:  dispatch.New(c.Dispatch),
+		known:  map[string]bool{},
+	}
+}
+
+// now is the time since the start on the steady clock, as a time: the time of
+// day can jump, and a budget or an avoidance must not jump with it.
+func (f *Forwarder) now() time.Time { return f.start.Add(time.Since(f.start)) }
+
+// SetRouting brings a routing into force. An older one is ignored.
+func (f *Forwarder) SetRouting(r oriolebend.Routing) {
+	if held := f.table.Load(); held != nil && held.Routing.Version >= r.Version {
+		return
+	}
+	f.table.Store(routing.NewTable(r))
+	f.reduce(dispatch.Services{Services: r.Services})
+	f.config.Logger.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
+}
+
+// Version is the version of the routing in force; zero means none.
+func (f *Forwarder) Version() uint64 {
+	if t := f.table.Load(); t != nil {
+		return t.Routing.Version
+	}
+	return 0
+}
+
+// Limits returns the bounds in force for callers.
+func (f *Forwarder) Limits() http1.Limits {
+	t := f.table.Load()
+	if t == nil {
+		return http1.Limits{}
+	}
+	l := t.Routing.Limits
+	return http1.Limits{
+		MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes,
+		HeaderTimeout: time.Duration(l.HeaderTimeout), IdleTimeout: time.Duration(l.IdleTimeout),
+	}
+}
+
+// SetServers takes what is known of the backend servers, and of how many
+// forwarders there are.
+func (f *Forwarder) SetServers(servers []message.BackendServer, forwarders int) {
+	known := map[string]bool{}
+	for _, s := range servers {
+		known[s.Address] = true
+	}
+	f.mutex.Lock()
+	f.known = known
+	f.mutex.Unlock()
+	f.reduce(dispatch.Fleet{Servers: servers, Forwarders: forwarders})
+}
+
+// Expire closes connections to servers that are not in use.
+func (f *Forwarder) Expire() {
+	f.mutex.Lock()
+	known := f.known
+	f.mutex.Unlock()
+	f.pool.Expire(func(address string) bool { return known[address] })
+}
+
+// Dialled is how many connections to servers were opened.
+func (f *Forwarder) Dialled() uint64 { return f.pool.Dialled() }
+
+// Wait returns once the work that goes on behind answered requests has ended.
+func (f *Forwarder) Wait() { f.background.Wait() }
+
+func (f *Forwarder) reduce(e dispatch.Event) []dispatch.Effect {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return dispatch.Reduce(f.state, e)
+}
+
+// place asks the reducer where to send a request.
+func (f *Forwarder) place(n dispatch.Need) (dispatch.Grant, *refusal) {
+	effects := f.reduce(dispatch.Asked{At: f.now(), Need: n})
+	switch e := effects[0].(type) {
+	case dispatch.Granted:
+		return e.Grant, nil
+	case dispatch.Refused:
+		return dispatch.Grant{}, &refusal{reason: e.Reason, after: e.RetryAfter}
+	}
+	return dispatch.Grant{}, &refusal{reason: oriolebend.ReasonInternal}
+}
+
+// Serve answers one request; it is an http1.Handler.
+func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
+	w := &work{f: f, request: r, answer: a}
+	table := f.table.Load()
+	if table == nil {
+		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
+		return
+	}
+	w.version = table.Routing.Version
+	ask, err := f.config.Dialect.Ask(r.Header)
+	w.ask = ask
+	if err != nil {
+		w.reject(http.StatusBadRequest, oriolebend.ReasonMalformed, err)
+		return
+	}
+	w.route = table.Match(r.Host, r.Path())
+	if w.route == nil {
+		w.reject(http.StatusNotFound, oriolebend.ReasonUnknownService, nil)
+		return
+	}
+	w.service = table.Service(routing.Target(w.route, rand.Float64()))
+	if w.service == nil {
+		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryUnready})
+		return
+	}
+	within := time.Duration(w.route.Timeout)
+	if ask.Within > 0 {
+		within = min(within, ask.Within)
+	}
+	w.deadline = r.Received.Add(within)
+	ctx, cancel := context.WithDeadline(ctx, w.deadline)
+	defer cancel()
+	if w.route.Stream {
+		w.stream(ctx)
+		return
+	}
+	w.call(ctx)
+}
+
+// retryUnready is when a caller may come back to a forwarder that has just
+// started: it has the routing by then, or the balancer has looked away.
+const retryUnready = 500 * time.Millisecond
--- /dev/null
+++ b/internal/http1/request.go
@@ -0,0 +1,209 @@
+// Package http1 serves callers of routes over HTTP/1.1. It keeps in its own
+// hands what net/http's server hides and what routed requests depend on: a
+// request that two parsers could read differently is refused, the end of a
+// caller's connection cancels its request at once, a connection is closed only
+// between requests, and an answer that ends early can't look whole. The syntax
+// itself is read by net/http.
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"time"
+)
+
+// Request is one whole request of a caller.
+type Request struct {
+	Method string
+	// Target is the path and query as they were sent.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Received is when its first line had been read.
+	Received time.Time
+}
+
+// Path is the target without its query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
+}
+
+// SyntaxError is a request that can't be read, and the status that tells so.
+type SyntaxError struct {
+	Status int
+	Detail string
+	Cause  error
+}
+
+// Error implements error.
+func (e *SyntaxError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("http1: %s: %v", e.Detail, e.Cause)
+	}
+	return "http1: " + e.Detail
+}
+
+// Unwrap returns the error beneath.
+func (e *SyntaxError) Unwrap() error { return e.Cause }
+
+func malformed(detail string, cause error) error {
+	return &SyntaxError{Status: http.StatusBadRequest, Detail: detail, Cause: cause}
+}
+
+// head is a request without its body.
+type head struct {
+	request *http.Request
+	target  string
+	length  int64 // -1 for chunks
+	expects bool  // the caller waits to be asked for the body
+}
+
+// readHead reads up to the empty line behind the header.
+func readHead(r *bufio.Reader, most int) ([]byte, error) {
+	var raw []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		raw = append(raw, line...)
+		if len(raw) > most {
+			return nil, &SyntaxError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: fmt.Sprintf("header over %d bytes", most)}
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return raw, err
+		}
+		if len(raw) == len(line) && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			raw = raw[:0] // empty lines before a request are passed over
+			continue
+		}
+		if bytes.HasSuffix(raw, []byte("\n\r\n")) || bytes.HasSuffix(raw, []byte("\n\n")) {
+			return raw, nil
+		}
+	}
+}
+
+// parseHead reads a header strictly.
+//
+// A request that gives its length in two ways is read differently by different
+// parsers: bytes that one takes for the body are the next request to another,
+// and a backend server would run a request that no caller sent. Such requests
+// are refused and their connection is closed.
+func parseHead(raw []byte) (head, error) {
+	if err := checkLines(raw); err != nil {
+		return head{}, err
+	}
+	request, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)))
+	if err != nil {
+		return head{}, malformed("header", err)
+	}
+	line, _, _ := bytes.Cut(raw, []byte("\n"))
+	parts := strings.Fields(string(line))
+	if len(parts) != 3 || !strings.HasPrefix(parts[1], "/") {
+		return head{}, malformed("the request line has no path", nil)
+	}
+	h := head{request: request, target: parts[1], length: request.ContentLength}
+	if len(request.TransferEncoding) > 0 {
+		if request.ProtoMinor == 0 {
+			return head{}, malformed("chunks in HTTP/1.0", nil)
+		}
+		h.length = -1
+	}
+	h.expects = strings.EqualFold(request.Header.Get("Expect"), "100-continue")
+	return h, nil
+}
+
+// checkLines refuses what net/http would repair in silence.
+func checkLines(raw []byte) error {
+	lines := bytes.Split(raw, []byte("\n"))
+	lengths, codings, hosts := 0, 0, 0
+	for _, line := range lines[1:] {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			continue
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return malformed("folded header line", nil)
+		}
+		if bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+			return malformed("control character in the header", nil)
+		}
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found {
+			return malformed("header line without a colon", nil)
+		}
+		switch strings.ToLower(string(name)) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			codings++
+		case "host":
+			hosts++
+		}
+	}
+	if lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) {
+		return malformed("the length of the body is given twice", nil)
+	}
+	if hosts != 1 {
+		return malformed("not one Host line", nil)
+	}
+	return nil
+}
+
+// readBody reads the whole body.
+func readBody(r *bufio.Reader, h head, most int64) ([]byte, error) {
+	if h.length > most {
+		return nil, tooLarge(most)
+	}
+	if h.length >= 0 {
+		body := make([]byte, h.length)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return nil, err
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), most+1))
+	if err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, err
+		}
+		return nil, malformed("chunks", err)
+	}
+	if int64(len(body)) > most {
+		return nil, tooLarge(most)
+	}
+	return body, readTrailer(r)
+}
+
+// maxTrailerBytes bounds the lines behind the last chunk.
+const maxTrailerBytes = 4 << 10
+
+// readTrailer passes over the lines behind the last chunk.
+func readTrailer(r *bufio.Reader) error {
+	read := 0
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		read += len(line)
+		if read > maxTrailerBytes {
+			return malformed("long trailer", nil)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+func tooLarge(most int64) error {
+	return &SyntaxError{Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("body over %d bytes", most)}
+}
--- /dev/null
+++ b/internal/message/routing.go
@@ -0,0 +1,136 @@
+package message
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Kinds of the messages by which control VMs tell forwarders where requests may
+// go, and by which a control VM asks to join the others.
+const (
+	KindRouteWatch  Kind = "routeWatch"
+	KindRouteUpdate Kind = "routeUpdate"
+	KindRouteHeard  Kind = "routeHeard"
+	KindJoin        Kind = "join"
+	KindJoined      Kind = "joined"
+)
+
+// ServerPhase is how far a backend server is towards its end.
+type ServerPhase string
+
+const (
+	// PhaseReady servers take new work.
+	PhaseReady ServerPhase = "ready"
+	// PhaseDraining servers end what they have and take no new work.
+	PhaseDraining ServerPhase = "draining"
+	// PhaseGone servers have said that they are leaving for good.
+	PhaseGone ServerPhase = "gone"
+)
+
+// rank orders phases; a server never goes back to an earlier one.
+func (p ServerPhase) rank() int {
+	switch p {
+	case PhaseDraining:
+		return 1
+	case PhaseGone:
+		return 2
+	default:
+		return 0
+	}
+}
+
+// After reports whether the phase is later than another.
+func (p ServerPhase) After(other ServerPhase) bool { return p.rank() > other.rank() }
+
+// BackendServer is what one backend server said of itself.
+type BackendServer struct {
+	// Instance names one start of the server.
+	Instance      string `cbor:"1,keyasint"`
+	Service       string `cbor:"2,keyasint"`
+	Address       string `cbor:"3,keyasint"`
+	FailureDomain string `cbor:"4,keyasint"`
+	Slots         int    `cbor:"5,keyasint,omitempty"`
+	// Role is empty for plain services.
+	Role  oriolebend.PoolRole `cbor:"6,keyasint,omitempty"`
+	Phase ServerPhase         `cbor:"7,keyasint"`
+	// Sequence grows with each announcement of one instance.
+	Sequence uint64 `cbor:"8,keyasint"`
+	// SlowFor is how long the server is still slow after its start.
+	SlowFor time.Duration `cbor:"9,keyasint,omitempty"`
+	// Silent is set if the server has not been heard of for a while.
+	Silent bool `cbor:"10,keyasint,omitempty"`
+}
+
+// RouteWatch asks a control VM for the routing and the backend servers, and
+// for all that changes; the stream then carries RouteUpdate messages.
+type RouteWatch struct {
+	Node          string `cbor:"node"`
+	FailureDomain string `cbor:"failureDomain"`
+	// Version is the routing that the forwarder has.
+	Version uint64 `cbor:"version"`
+	// Incarnation numbers the forwarder's start.
+	Incarnation uint64 `cbor:"incarnation"`
+}
+
+// RouteUpdate tells what has changed since the last one on the stream. The
+// first one is whole.
+type RouteUpdate struct {
+	// Number counts the updates of a stream from 1.
+	Number uint64 `cbor:"number"`
+	// Version and Routing are set if the control VM has a higher version than
+	// the forwarder was last known to have; Routing is an encoded
+	// oriolebend.Routing.
+	Version uint64 `cbor:"version,omitempty"`
+	Routing []byte `cbor:"routing,omitempty"`
+	// Servers are those that changed; all of them if Whole is set.
+	Servers []BackendServer `cbor:"servers,omitempty"`
+	Whole   bool            `cbor:"whole,omitempty"`
+	// Controls are the addresses of the control VMs that are known, if they
+	// changed.
+	Controls []string `cbor:"controls,omitempty"`
+	// Forwarders is how many forwarders watch this control VM.
+	Forwarders int `cbor:"forwarders,omitempty"`
+	// Confirmed is set if a quorum confirmed a short time ago that no newer
+	// routing was accepted.
+	Confirmed bool `cbor:"confirmed,omitempty"`
+}
+
+// RouteHeard tells that an update has been taken in.
+type RouteHeard struct {
+	Number uint64 `cbor:"number"`
+}
+
+// Join asks the leader of the control VMs to take the sender in as a member.
+type Join struct {
+	Member Member `cbor:"member"`
+}
+
+// Joined answers a Join: the leader's address if the asked one does not lead.
+type Joined struct {
+	Leader string `cbor:"leader,omitempty"`
+	Reason string `cbor:"reason,omitempty"`
+}
+
+// Kind implements Message.
+func (RouteWatch) Kind() Kind { return KindRouteWatch }
+
+// Kind implements Message.
+func (RouteUpdate) Kind() Kind { return KindRouteUpdate }
+
+// Kind implements Message.
+func (RouteHeard) Kind() Kind { return KindRouteHeard }
+
+// Kind implements Message.
+func (Join) Kind() Kind { return KindJoin }
+
+// Kind implements Message.
+func (Joined) Kind() Kind { return KindJoined }
+
+var (
+	_ = Register[RouteWatch]()
+	_ = Register[RouteUpdate]()
+	_ = Register[RouteHeard]()
+	_ = Register[Join]()
+	_ = Register[Joined]()
+)
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -30,7 +30,9 @@
 // Material is one process's certificate and the authority of its peers.
 type Material struct {
 	Certificate tls.Certificate
-	Authority   *x509.CertPool
+	// Authority signed the certificates of peers that are let in; nil lets in
+	// every peer under the name that its certificate gives.
+	Authority *x509.CertPool
 }
 
 // Credentials give the material to use for the next handshake.
@@ -102,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if authority == nil {
+		return nil
+	}
 	return verifyChain(leaf, s.PeerCertificates[1:], authority, identity.Name)
 }
 
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -32,9 +32,10 @@
 
 // Roles in certificates of the system's own processes.
 const (
-	RoleEntry   = "entry"
-	RoleSidecar = "sidecar"
-	RoleControl = "control"
+	RoleEntry     = "entry"
+	RoleForwarder = "forwarder"
+	RoleSidecar   = "sidecar"
+	RoleControl   = "control"
 )
 
 // ParseIdentity reads "role/name", such as "entry/entry-1".
--- /dev/null
+++ b/internal/peer/network.go
@@ -0,0 +1,37 @@
+package peer
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+)
+
+// NetworkCredentials are for a network that only the system's own processes
+// can reach: the certificate is signed by itself, and every peer is let in.
+//
+// The key follows from the name. A process that restarts has the same key and
+// can tell its peers at once that it has forgotten their connections; with a
+// new key they would find out only by its silence, seconds later. The key
+// protects nothing, as everybody can compute it.
+func NetworkCredentials(identity Identity) (Credentials, error) {
+	seed := sha256.Sum256([]byte("oriolebend network " + identity.Role + "/" + identity.Name))
+	key := ed25519.NewKeyFromSeed(seed[:])
+	template, err := newTemplate(identity.Name, authorityLife)
+	if err != nil {
+		return nil, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	template.URIs = append(template.URIs, identityURI(identity))
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, errorf(CodeMalformedFile, identity.Name, err, "sign the certificate")
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errorf(CodeMalformedFile, identity.Name, err, "read the certificate")
+	}
+	return Fixed(Material{Certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}}), nil
+}
--- a/internal/reducer/control/command.go
+++ b/internal/reducer/control/command.go
@@ -18,6 +18,7 @@
 const (
 	PartDeclared PartName = "declared"
 	PartRecords  PartName = "records"
+	PartRouting  PartName = "routing"
 )
 
 // Typed is a part of the state machine that takes commands of type C and
--- /dev/null
+++ b/internal/reducer/dispatch/choose.go
@@ -0,0 +1,255 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// splitOver is the share of the target for the first part above which a
+	// prompt is read by a prefill engine. Below it the decode engine reads it
+	// itself: that takes twice as long but moves no KV cache, and leaves one
+	// engine whose loss costs the request instead of two.
+	splitOver = 0.5
+	// startRate is the prompt tokens a millisecond that engines are assumed to
+	// read until some were measured; decode engines read at half of it.
+	startRate = 50.0
+	// startTook is the time in milliseconds that a plain call is assumed to
+	// take until some were measured.
+	startTook = 50.0
+	// otherDomain is what a server in another failure domain is set back by, in
+	// requests in progress: a plain call there costs two round trips between
+	// failure domains, less than waiting for half a request.
+	otherDomain = 0.4
+	// standsOut is how many times the usual share of failures a server may have
+	// before others go first; failuresFree is allowed in any case.
+	standsOut    = 2.0
+	failuresFree = 0.15
+	// slowOver is how many times the usual time a server may take before others
+	// go first.
+	slowOver = 2.5
+)
+
+// standing orders servers before load is looked at.
+type standing int
+
+const (
+	standingGood    standing = iota
+	standingDoubted          // it fails more, or is slower, than the others
+	standingSilent           // it has not announced itself for a while
+	standingAvoided          // it failed a moment ago
+)
+
+func (s *State) asked(e Asked) Effect {
+	service := s.services[e.Need.Service]
+	if service == nil {
+		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
+	}
+	if !e.Need.Again {
+		service.budget.request(e.At, s.config.RetryWindow)
+	} else if !s.mayRepeat(service, e.At) {
+		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
+	}
+	grant, refused := s.place(e, service)
+	if refused != nil {
+		return *refused
+	}
+	if e.Need.Again {
+		service.budget.repeat(e.At, s.config.RetryWindow)
+	}
+	s.take(grant)
+	return Granted{Grant: grant}
+}
+
+// Times after which a refused caller may come back.
+const (
+	// retryUnknown is how long a server that starts takes to announce itself.
+	retryUnknown = 500 * time.Millisecond
+	// retryBudget lets a tenth of the window of the budget pass.
+	retryBudget = time.Second
+	// retryFull is about the time of one generation.
+	retryFull = 300 * time.Millisecond
+)
+
+// place chooses a server, or two for a generation that is split.
+func (s *State) place(e Asked, service *service) (Grant, *Refused) {
+	candidates := s.candidates(e, service)
+	if len(candidates) == 0 {
+		return Grant{}, &Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
+	}
+	if service.limits.Engine == nil || e.Need.Prompt == 0 {
+		chosen := s.least(e.At, candidates, func(c *server) float64 { return s.plainLoad(c) })
+		return Grant{Need: e.Need, Server: chosen.BackendServer}, nil
+	}
+	return s.placeGeneration(e, service, candidates)
+}
+
+// candidates are the servers that may take the request.
+func (s *State) candidates(e Asked, service *service) []*server {
+	var list []*server
+	for _, c := range s.servers {
+		serves := c.Service == e.Need.Service && c.Phase == message.PhaseReady && c.Role != oriolebend.Prefill
+		if serves && !slices.Contains(e.Need.Tried, c.Instance) {
+			list = append(list, c)
+		}
+	}
+	s.order(list)
+	return s.best(e.At, service, list)
+}
+
+// order makes the order of a list depend on the seed alone, and not on that of
+// a map.
+func (s *State) order(list []*server) {
+	slices.SortFunc(list, func(a, b *server) int {
+		switch {
+		case a.Instance < b.Instance:
+			return -1
+		case a.Instance > b.Instance:
+			return 1
+		}
+		return 0
+	})
+	s.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// best keeps the servers of the best standing.
+func (s *State) best(at time.Time, service *service, list []*server) []*server {
+	least := standingAvoided
+	for _, c := range list {
+		least = min(least, service.standing(at, c))
+	}
+	return slices.DeleteFunc(list, func(c *server) bool { return service.standing(at, c) > least })
+}
+
+// standing judges a server beside the others of its service. A share of
+// failures or a time that all servers show is the service's own, and tells
+// nothing about one of them.
+func (v *service) standing(at time.Time, c *server) standing {
+	switch {
+	case at.Before(c.avoidUntil):
+		return standingAvoided
+	case c.Silent:
+		return standingSilent
+	case c.failures.or(0) > failuresFree+standsOut*v.failures.or(0):
+		return standingDoubted
+	case c.took.or(0) > slowOver*v.took.or(math.Inf(1)):
+		return standingDoubted
+	}
+	return standingGood
+}
+
+// least returns the server with the lowest load; among equals the first, which
+// the seed has chosen.
+func (s *State) least(_ time.Time, list []*server, load func(*server) float64) *server {
+	chosen, lowest := list[0], math.Inf(1)
+	for _, c := range list {
+		if l := load(c); l < lowest {
+			chosen, lowest = c, l
+		}
+	}
+	return chosen
+}
+
+// plainLoad is the load of a server of plain calls, in requests in progress.
+func (s *State) plainLoad(c *server) float64 {
+	load := float64(c.busy)
+	if c.FailureDomain != s.config.FailureDomain {
+		load += otherDomain
+	}
+	return load
+}
+
+// placeGeneration chooses the decode engine that is predicted to begin first,
+// and a prefill engine besides if the decode engine alone would take too much
+// of the target.
+func (s *State) placeGeneration(e Asked, service *service, decoders []*server) (Grant, *Refused) {
+	fitting := slices.DeleteFunc(slices.Clone(decoders), func(c *server) bool {
+		return c.held+e.Need.Prompt+e.Need.Output > service.limits.Engine.KVTokens
+	})
+	if len(fitting) == 0 {
+		return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: retryFull}
+	}
+	localRate := service.localRate.or(startRate / 2)
+	local := func(c *server) float64 {
+		return s.besides(c, float64(c.reading+e.Need.Prompt)/localRate)
+	}
+	decoder := s.least(e.At, fitting, local)
+	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
+	within := splitOver * float64(e.Need.FirstWithin.Milliseconds())
+	if local(decoder) <= within {
+		return grant, nil
+	}
+	reader := s.reader(e, service)
+	if reader == nil {
+		return grant, nil
+	}
+	split := s.splitTime(reader, service, e.Need.Prompt)
+	if split >= local(decoder) {
+		return grant, nil
+	}
+	decoder = s.least(e.At, fitting, func(c *server) float64 {
+		load := float64(c.held) + float64(c.reading)
+		if c.FailureDomain != reader.FailureDomain {
+			load += otherDomain * float64(e.Need.Prompt)
+		}
+		return load
+	})
+	grant.Server = decoder.BackendServer
+	prefill := reader.BackendServer
+	grant.Prefill = &prefill
+	return grant, nil
+}
+
+// besides adds to a time what a server's other work of this forwarder costs it.
+func (s *State) besides(c *server, milliseconds float64) float64 {
+	// Each generation in progress slows a step down by about a twentieth.
+	const perRequest = 0.05
+	return milliseconds * (1 + perRequest*float64(c.busy))
+}
+
+// reader is the prefill engine that would be done first, nil if there is none.
+func (s *State) reader(e Asked, service *service) *server {
+	var list []*server
+	for _, c := range s.servers {
+		if c.Service == e.Need.Service && c.Phase == message.PhaseReady && c.Role == oriolebend.Prefill {
+			list = append(list, c)
+		}
+	}
+	s.order(list)
+	list = s.best(e.At, service, list)
+	if len(list) == 0 || service.standing(e.At, list[0]) == standingAvoided {
+		return nil
+	}
+	return s.least(e.At, list, func(c *server) float64 { return s.splitTime(c, service, e.Need.Prompt) })
+}
+
+// splitTime is the time in milliseconds until a prefill engine has read a
+// prompt and its KV cache has been moved.
+func (s *State) splitTime(c *server, service *service, prompt int) float64 {
+	read := float64(c.reading+prompt) / service.prefillRate.or(startRate)
+	limits := service.limits.Engine
+	const bitsPerByte, perMilli = 8, 1e3
+	move := 0.0
+	if limits.LinkMbps > 0 {
+		move = float64(prompt) * float64(limits.TokenBytes) * bitsPerByte / (limits.LinkMbps * perMilli)
+	}
+	return read + move
+}
+
+// take counts a grant as work in progress.
+func (s *State) take(g Grant) {
+	c := s.servers[g.Server.Instance]
+	c.busy++
+	c.held += g.Need.Prompt + g.Need.Output
+	if g.Prefill == nil {
+		c.reading += g.Need.Prompt
+		return
+	}
+	p := s.servers[g.Prefill.Instance]
+	p.busy++
+	p.reading += g.Need.Prompt
+}
--- /dev/null
+++ b/internal/reducer/dispatch/outcome.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+const (
+	// avoidFirst and avoidMost bound how long a server that failed is avoided;
+	// the time doubles with each failure in a row. A server that restarts is
+	// back within seconds, and one try at it then costs at most one request.
+	avoidFirst = 250 * time.Millisecond
+	avoidMost  = 4 * time.Second
+	// avoidFull is how long a server that refused for lack of room is avoided.
+	avoidFull = 150 * time.Millisecond
+)
+
+// promptRead ends the reading part of a grant.
+func (s *State) promptRead(e PromptRead) {
+	service := s.services[e.Grant.Need.Service]
+	if e.Grant.Prefill == nil {
+		if c := s.servers[e.Grant.Server.Instance]; c != nil {
+			c.reading = max(0, c.reading-e.Grant.Need.Prompt)
+		}
+		if service != nil && e.Took > 0 {
+			service.localRate.add(rate(e.Grant.Need.Prompt, e.Took))
+		}
+		return
+	}
+	p := s.servers[e.Grant.Prefill.Instance]
+	if p == nil {
+		return
+	}
+	p.busy = max(0, p.busy-1)
+	p.reading = max(0, p.reading-e.Grant.Need.Prompt)
+	if e.Failed {
+		p.fail(e.At)
+		return
+	}
+	p.failed, p.avoidUntil = 0, time.Time{}
+	if service != nil && e.Took > 0 {
+		service.prefillRate.add(rate(e.Grant.Need.Prompt, e.Took))
+	}
+}
+
+// rate is in tokens a millisecond.
+func rate(tokens int, took time.Duration) float64 {
+	return float64(tokens) / max(1, float64(took.Microseconds())/1e3)
+}
+
+// ended gives the place of a grant back and judges its server. A grant whose
+// prompt was not read is followed by no PromptRead, so Ended takes that part
+// back as well: the caller reports it before with PromptRead.
+func (s *State) ended(e Ended) {
+	c := s.servers[e.Grant.Server.Instance]
+	if c == nil {
+		return
+	}
+	c.busy = max(0, c.busy-1)
+	c.held = max(0, c.held-e.Grant.Need.Prompt-e.Grant.Need.Output)
+	service := s.services[e.Grant.Need.Service]
+	switch e.Outcome {
+	case OutcomeAnswered:
+		c.failed, c.avoidUntil = 0, time.Time{}
+		c.judged(service, false, e.Took)
+	case OutcomeFailed:
+		c.failed = 0
+		c.judged(service, true, 0)
+	case OutcomeRefused:
+		c.avoidUntil = e.At.Add(avoidFull)
+	case OutcomeBroken:
+		c.judged(service, true, 0)
+		c.fail(e.At)
+	case OutcomeMoved:
+		// Another instance has the address; this one does not come back.
+		c.Phase = message.PhaseGone
+	case OutcomeCancelled:
+	}
+}
+
+// judged adds an answer to the averages of the server and of its service.
+func (c *server) judged(v *service, failed bool, took time.Duration) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	c.failures.add(value)
+	if took > 0 {
+		c.took.add(float64(took.Microseconds()) / 1e3)
+	}
+	if v == nil {
+		return
+	}
+	v.failures.add(value)
+	if took > 0 {
+		v.took.add(float64(took.Microseconds()) / 1e3)
+	}
+}
+
+// fail avoids a server for a while.
+func (c *server) fail(at time.Time) {
+	pause := avoidMost
+	if c.failed < 5 {
+		pause = min(avoidMost, avoidFirst<<c.failed)
+	}
+	c.failed++
+	c.avoidUntil = at.Add(pause)
+}
--- /dev/null
+++ b/internal/reducer/registry/state.go
@@ -0,0 +1,202 @@
+// Package registry is the reducer of what a control VM knows of the backend
+// servers that announce themselves to it, and the view in which a forwarder joins
+// what several control VMs tell. It is pure: time comes in events.
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// Defaults of Config.
+const (
+	// DefaultSilentAfter is three missed announcements of the slowest period
+	// in use (1.5 s) and a little.
+	DefaultSilentAfter = 5 * time.Second
+	// DefaultForgetAfter is longer than any announcement is late: until then a
+	// late one of a server that is gone can be told from a new server.
+	DefaultForgetAfter = 2 * time.Minute
+)
+
+// Config sets up a State.
+type Config struct {
+	// SilentAfter is how long a server may say nothing before it is passed on
+	// as silent; zero means DefaultSilentAfter.
+	SilentAfter time.Duration
+	// ForgetAfter is how long a server that is gone or silent is remembered;
+	// zero means DefaultForgetAfter.
+	ForgetAfter time.Duration
+}
+
+// State is what one control VM knows. Only Reduce changes it.
+type State struct {
+	config  Config
+	servers map[string]*known
+	// holders names, for each address, the instance that announced it last.
+	holders map[string]string
+}
+
+// known is one instance and when it was last heard of.
+type known struct {
+	server message.BackendServer
+	heard  time.Time
+	// superseded is set while another instance holds the address.
+	superseded bool
+}
+
+// New returns an empty state.
+func New(c Config) *State {
+	c.SilentAfter = cmp.Or(c.SilentAfter, DefaultSilentAfter)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	return &State{config: c, servers: map[string]*known{}, holders: map[string]string{}}
+}
+
+// Event changes a State.
+type Event interface{ isRegistryEvent() }
+
+// Announced is one announcement of a backend server.
+type Announced struct {
+	At     time.Time
+	Server message.BackendServer
+}
+
+// Withdrawn says that an instance leaves for good.
+type Withdrawn struct {
+	At       time.Time
+	Instance string
+}
+
+// Ticked passes time.
+type Ticked struct{ At time.Time }
+
+func (Announced) isRegistryEvent() {}
+func (Withdrawn) isRegistryEvent() {}
+func (Ticked) isRegistryEvent()    {}
+
+// Effect is what the caller of Reduce has to do.
+type Effect interface{ isRegistryEffect() }
+
+// Changed asks to pass a server on to all that watch.
+type Changed struct{ Server message.BackendServer }
+
+func (Changed) isRegistryEffect() {}
+
+// Reduce moves the state on and returns what is to be done.
+func Reduce(s *State, event Event) []Effect {
+	switch e := event.(type) {
+	case Announced:
+		return s.announced(e)
+	case Withdrawn:
+		return s.withdrawn(e)
+	case Ticked:
+		return s.ticked(e.At)
+	}
+	return nil
+}
+
+// Servers returns all that is known, in the order of the instances' names.
+func (s *State) Servers() []message.BackendServer {
+	list := make([]message.BackendServer, 0, len(s.servers))
+	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
+		list = append(list, s.servers[name].told())
+	}
+	return list
+}
+
+// told is the server as others are told of it.
+func (k *known) told() message.BackendServer {
+	server := k.server
+	if k.superseded && server.Phase == message.PhaseReady {
+		server.Phase = message.PhaseDraining
+	}
+	return server
+}
+
+func (s *State) announced(e Announced) []Effect {
+	k := s.servers[e.Server.Instance]
+	if k == nil {
+		k = &known{server: e.Server, heard: e.At}
+		s.servers[e.Server.Instance] = k
+		return append(s.hold(k), Changed{Server: k.told()})
+	}
+	if e.Server.Sequence <= k.server.Sequence {
+		// A late or doubled announcement tells nothing new. Were it taken, a
+		// server that said it drains would be ready again.
+		return nil
+	}
+	before := k.told()
+	phase := k.server.Phase
+	k.server, k.heard = e.Server, e.At
+	if phase.After(k.server.Phase) {
+		k.server.Phase = phase
+	}
+	effects := s.hold(k)
+	if after := k.told(); worthTelling(before, after) {
+		effects = append(effects, Changed{Server: after})
+	}
+	return effects
+}
+
+// hold gives the server's address to it, and takes it from the instance that
+// had it. One address is one server: what is sent to the earlier instance would
+// reach the later one, which is perhaps of another service. An instance that
+// goes on announcing itself gets the address back, since the other one can have
+// been a late announcement of the dead.
+func (s *State) hold(k *known) []Effect {
+	if k.server.Phase == message.PhaseGone {
+		return nil
+	}
+	k.superseded = false
+	holder := s.servers[s.holders[k.server.Address]]
+	s.holders[k.server.Address] = k.server.Instance
+	if holder == nil || holder == k || holder.superseded || holder.server.Phase == message.PhaseGone {
+		return nil
+	}
+	holder.superseded = true
+	return []Effect{Changed{Server: holder.told()}}
+}
+
+// worthTelling reports whether a change matters to forwarders; a sequence number
+// that merely grows does not.
+func worthTelling(before, after message.BackendServer) bool {
+	before.Sequence, before.SlowFor = after.Sequence, after.SlowFor
+	return before != after
+}
+
+func (s *State) withdrawn(e Withdrawn) []Effect {
+	k := s.servers[e.Instance]
+	if k == nil {
+		// The announcements went to another control VM, or to this one before
+		// its restart. The end is remembered, so that a late announcement does
+		// not bring the server back.
+		k = &known{server: message.BackendServer{Instance: e.Instance}}
+		s.servers[e.Instance] = k
+	}
+	k.heard = e.At
+	if k.server.Phase == message.PhaseGone {
+		return nil
+	}
+	k.server.Phase = message.PhaseGone
+	return []Effect{Changed{Server: k.server}}
+}
+
+func (s *State) ticked(at time.Time) []Effect {
+	var effects []Effect
+	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
+		k := s.servers[name]
+		quiet := at.Sub(k.heard)
+		if quiet >= s.config.ForgetAfter {
+			delete(s.servers, name)
+			continue
+		}
+		if quiet >= s.config.SilentAfter && !k.server.Silent {
+			k.server.Silent = true
+			effects = append(effects, Changed{Server: k.told()})
+		}
+	}
+	return effects
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,6 +28,10 @@
 	askQueue      = 64
 )
 
+// partsOfLog is how many segments the log before a snapshot consists of, and
+// how many times the tail that is kept behind one.
+const partsOfLog = 4
+
 // Replica is one running member. It implements control.Log.
 type Replica struct {
 	config Config
@@ -85,6 +89,8 @@
 		Group:      config.Group,
 		Name:       config.Name,
 		FileSystem: config.FileSystem,
+		// Segments are dropped whole, so they must be small beside the log.
+		SegmentBytes: min(disk.DefaultSegmentBytes, config.SnapshotBytes/partsOfLog),
 	})
 	if err != nil {
 		return nil, err
@@ -124,6 +130,7 @@
 		Seed:         r.config.Seed,
 		MaxUnapplied: r.config.MaxUnapplied,
 		TailEntries:  r.config.TailEntries,
+		TailBytes:    int(min(agreement.DefaultTailBytes, r.config.SnapshotBytes/partsOfLog)),
 	}
 }
 
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -15,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/replica"
+	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -34,6 +35,9 @@
 	confirmer *Confirmer
 	watches   *WatchServer
 	members   *MemberLeader
+	routing   *routing.Store
+	routes    *RouteServer
+	joiner    *Joiner
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
 	done  chan struct{}
@@ -60,6 +64,10 @@
 	go process.resolver.Run(ctx)
 	go process.confirmer.Run(ctx)
 	go process.members.Run(ctx)
+	go process.routes.Run(ctx)
+	if process.joiner != nil {
+		go process.joiner.Run(ctx)
+	}
 	go func() {
 		defer close(process.done)
 		process.ended = process.replica.Run(ctx)
@@ -73,14 +81,16 @@
 	members := func(ctx context.Context, s peer.Stream) { <-ready; c.members.Serve(ctx, s) }
 	agreement := func(ctx context.Context, s peer.Stream) { <-ready; c.replica.Serve(ctx, s) }
 	handlers := map[message.Kind]peer.Handler{
-		message.KindClaim:    records,
-		message.KindSettle:   records,
-		message.KindQuery:    records,
-		message.KindRenew:    records,
-		message.KindAnnounce: members,
-		message.KindPermit:   members,
-		message.KindWatch:    func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
-		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
+		message.KindClaim:      records,
+		message.KindSettle:     records,
+		message.KindQuery:      records,
+		message.KindRenew:      records,
+		message.KindAnnounce:   members,
+		message.KindPermit:     members,
+		message.KindWatch:      func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
+		message.KindRouteWatch: func(ctx context.Context, s peer.Stream) { <-ready; c.routes.Serve(ctx, s) },
+		message.KindJoin:       func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
+		message.KindConfirm:    func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
 	for _, kind := range message.AgreementKinds() {
 		handlers[kind] = agreement
@@ -91,19 +101,23 @@
 // build joins the log with the machines that it feeds.
 func (c *ControlProcess) build() error {
 	p := c.process
-	name := p.Settings.Node.Name
+	name := p.self()
 	records := controlpeer.NewRecords()
 	store := operator.NewStore()
+	c.routing = routing.NewStore()
 	log, err := replica.New(replica.Config{
 		Name:       name,
-		Members:    members(p.Settings.Control.Members),
+		Members:    p.founders(),
 		DataFolder: p.Settings.Control.DataFolder,
 		Dialer:     c.endpoint,
 		Machine: control.NewMux(map[control.PartName]control.Machine{
 			control.PartRecords:  records,
 			control.PartDeclared: control.Enveloped{Machine: store, Part: control.PartDeclared},
+			control.PartRouting:  c.routing,
 		}),
-		Logger: p.Logger,
+		Logger:        p.Logger,
+		MinFreeBytes:  uint64(p.Settings.Control.MinFreeBytes),
+		SnapshotBytes: p.Settings.Control.LogBytes,
 	})
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
@@ -135,6 +149,16 @@
 	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
+	c.routes = &RouteServer{
+		Store:     c.routing,
+		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
+		Controls:  c.controls,
+		Logger:    p.Logger,
+	}
+	c.routes.Prepare()
+	if len(p.Settings.Control.Seeds) > 0 {
+		c.joiner = c.newJoiner(name)
+	}
 	c.publish(reached)
 	c.metrics, err = p.serveMetrics(c.Ready)
 	if err != nil {
@@ -143,6 +167,37 @@
 	return c.serveOperators(store, reached)
 }
 
+// newJoiner keeps this VM a member of a group that is found through seeds.
+func (c *ControlProcess) newJoiner(name string) *Joiner {
+	p := c.process
+	return &Joiner{
+		Self:    message.Member{Name: name, Address: p.Settings.Peer.Listen, FailureDomain: p.Settings.Node.FailureDomain},
+		Seeds:   p.seeds(),
+		Replica: c.replica,
+		Dialer:  c.endpoint,
+		Logger:  p.Logger,
+	}
+}
+
+// join serves a control VM that asks to join; a group whose members are all
+// listed in the settings takes nobody in.
+func (c *ControlProcess) join(ctx context.Context, s peer.Stream) {
+	if c.joiner != nil {
+		c.joiner.Serve(ctx, s)
+	}
+}
+
+// controls lists the peer addresses of the members.
+func (c *ControlProcess) controls() []string {
+	var addresses []string
+	for _, m := range c.replica.Status().Members {
+		if m.Address != "" {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 func (c *ControlProcess) serveOperators(store *operator.Store, reached *ReachedTable) error {
 	s := c.process.Settings
 	handler := operator.New(operator.Config{
--- /dev/null
+++ b/internal/role/controlrouting.go
@@ -0,0 +1,82 @@
+package role
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/control"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Declare has a routing agreed on. It returns once a quorum holds it, with the
+// version in force. The routing must have passed its checks. Errors are
+// *oriolebend.Problem; one with reason notLeader asks to go to Leader.
+func (c *ControlProcess) Declare(ctx context.Context, r oriolebend.Routing, document []byte) (routing.Replaced, error) {
+	command, err := cbor.Marshal(routing.Replace{Routing: r, Document: document})
+	if err != nil {
+		return routing.Replaced{}, &control.MalformedError{What: "routing", Cause: err}
+	}
+	log := control.PartLog{Log: c.replica, Part: control.PartRouting}
+	result, err := log.Propose(ctx, command)
+	if err != nil {
+		return routing.Replaced{}, err
+	}
+	var replaced routing.Replaced
+	if err := cbor.Unmarshal(result, &replaced); err != nil {
+		return routing.Replaced{}, &control.MalformedError{What: "result of a routing", Cause: err}
+	}
+	return replaced, nil
+}
+
+// Routing returns the routing in force, once a quorum has confirmed that none
+// newer was accepted. Errors are those of Declare.
+func (c *ControlProcess) Routing(ctx context.Context) (routing.InForce, error) {
+	if err := c.replica.Confirm(ctx); err != nil {
+		return routing.InForce{}, err
+	}
+	current, _ := c.routing.Current()
+	return current, nil
+}
+
+// LeaderIP is the IP of the control VM that leads, empty if none is known.
+func (c *ControlProcess) LeaderIP() string {
+	_, address := c.replica.Leader()
+	if address == "" {
+		return ""
+	}
+	return hostOf(address)
+}
+
+// Leads reports whether this control VM leads.
+func (c *ControlProcess) Leads() bool {
+	name, _ := c.replica.Leader()
+	return name == c.process.self()
+}
+
+// Announce takes an announcement of a backend server.
+func (c *ControlProcess) Announce(ctx context.Context, server message.BackendServer) error {
+	return c.routes.Announce(ctx, server)
+}
+
+// Withdraw takes the last word of a backend server.
+func (c *ControlProcess) Withdraw(ctx context.Context, instance string) error {
+	return c.routes.Withdraw(ctx, instance)
+}
+
+// Reload takes up settings that changed while the process runs: the control VMs
+// that are known from the start.
+func (c *ControlProcess) Reload(s settings.Settings) {
+	if c.joiner != nil {
+		c.joiner.SetSeeds(Process{Settings: s}.seeds())
+	}
+}
+
+// Done is closed once the agreed log has ended.
+func (c *ControlProcess) Done() <-chan struct{} { return c.done }
+
+// Ended tells why the agreed log has ended; nil after a graceful stop.
+func (c *ControlProcess) Ended() error { return c.ended }
--- /dev/null
+++ b/internal/role/forwarderprocess.go
@@ -0,0 +1,161 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/forwarder"
+	"github.com/oriolebend/oriolebend/internal/http1"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/settings"
+)
+
+const (
+	// defaultForwardStopDelay is how long a balancer that asks every second
+	// takes to look away, with a margin.
+	defaultForwardStopDelay = 3 * time.Second
+	// defaultForwardStopWithin is longer than streams take.
+	defaultForwardStopWithin = 30 * time.Second
+)
+
+// ForwarderProcess is a running forwarder with its ports.
+type ForwarderProcess struct {
+	process   Process
+	endpoint  *peer.Endpoint
+	forwarder *forwarder.Forwarder
+	follower  *RouteFollower
+	callers   *http1.Server
+	metrics   *httpServer
+	stopping  chan struct{}
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+// StartForwarder starts a forwarder that speaks the dialect with callers and
+// backend servers; Stop ends it.
+func StartForwarder(p Process, dialect forwarder.Dialect) (*ForwarderProcess, error) {
+	p = p.withMetrics(peer.RoleForwarder)
+	process := &ForwarderProcess{process: p, stopping: make(chan struct{}), done: make(chan struct{})}
+	endpoint, err := p.listen(nil)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	process.endpoint = endpoint
+	process.forwarder = forwarder.New(forwarder.Config{
+		Dialect:  dialect,
+		Dispatch: dispatchConfig(p.Settings),
+		Observer: p.observer(),
+		Logger:   p.Logger,
+	})
+	process.follower = &RouteFollower{
+		Dialer: endpoint,
+		Seeds:  p.controlAddresses(),
+		Watch: message.RouteWatch{
+			Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Incarnation: newIncarnation(),
+		},
+		Forwarder: process.forwarder,
+		Logger:    p.Logger,
+	}
+	if err := process.serve(); err != nil {
+		return nil, errors.Join(err, endpoint.Close())
+	}
+	process.publish()
+	ctx, cancel := context.WithCancel(context.Background())
+	process.cancel = cancel
+	go func() {
+		defer close(process.done)
+		process.follower.Run(ctx)
+	}()
+	return process, nil
+}
+
+func dispatchConfig(s settings.Settings) dispatch.Config {
+	return dispatch.Config{
+		FailureDomain: s.Node.FailureDomain,
+		Seed:          newIncarnation(),
+		RetryShare:    s.Forward.RetryShare,
+		RetrySlack:    s.Forward.RetrySlack,
+		RetryWindow:   time.Duration(s.Forward.RetryWindow),
+	}
+}
+
+// serve opens the ports for callers and metrics.
+func (p *ForwarderProcess) serve() error {
+	var err error
+	p.metrics, err = p.process.serveMetrics(p.Ready)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", p.process.Settings.Forward.Listen)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for callers: %w", err), p.metrics.close())
+	}
+	p.callers = http1.Serve(listener, http1.Config{
+		Handler:        p.forwarder.Serve,
+		Limits:         p.forwarder.Limits,
+		Logger:         p.process.Logger,
+		MaxConnections: p.process.Settings.Forward.MaxConnections,
+		Refused: func(status int, detail string) {
+			p.process.Logger.Info("request not readable", "status", status, "detail", detail)
+		},
+	})
+	return nil
+}
+
+func (p *ForwarderProcess) publish() {
+	gauge := p.process.metrics.Gauge
+	gauge("routing_version", "Version of the routing in force.", func() float64 { return float64(p.forwarder.Version()) })
+	gauge("control_links", "Control VMs that are watched.", func() float64 { return float64(p.follower.Links()) })
+	gauge("requests_in_progress", "Requests that are read and not answered.", func() float64 { return float64(p.callers.Active()) })
+	gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(p.callers.Connections()) })
+	gauge("server_connections_opened", "Connections to backend servers opened so far.", func() float64 { return float64(p.forwarder.Dialled()) })
+}
+
+// Ready reports whether the balancer should send callers here.
+func (p *ForwarderProcess) Ready() bool {
+	select {
+	case <-p.stopping:
+		return false
+	default:
+		return p.follower.Ready()
+	}
+}
+
+// Reload takes up settings that changed while the process runs: the control VMs
+// that are known from the start.
+func (p *ForwarderProcess) Reload(s settings.Settings) {
+	p.follower.SetSeeds(Process{Settings: s}.controlAddresses())
+}
+
+// Address is where callers reach the forwarder.
+func (p *ForwarderProcess) Address() string { return p.callers.Address() }
+
+// Stop ends the forwarder gracefully: the balancer looks away first, then the
+// requests in progress end, then the ports close.
+func (p *ForwarderProcess) Stop(ctx context.Context) error {
+	close(p.stopping)
+	p.callers.Drain()
+	s := p.process.Settings.Forward
+	within, cancel := context.WithTimeout(ctx, s.StopWithin.Or(defaultForwardStopWithin))
+	defer cancel()
+	wait(within, s.StopDelay.Or(defaultForwardStopDelay))
+	p.callers.Stop(within)
+	p.forwarder.Wait()
+	p.cancel()
+	<-p.done
+	return p.process.stopped(closeEndpoint(p.endpoint), p.metrics.close())
+}
+
+// Kill ends the forwarder at once, as a process that dies.
+func (p *ForwarderProcess) Kill() error {
+	closed := errors.Join(p.endpoint.Close(), p.metrics.close())
+	p.callers.Close()
+	p.cancel()
+	<-p.done
+	return closed
+}
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -67,8 +68,12 @@
 	return listening, nil
 }
 
-// controlAddresses lists the peer addresses of the control VMs.
+// controlAddresses lists the peer addresses of the control VMs that the
+// settings name.
 func (p Process) controlAddresses() []string {
+	if len(p.Settings.Control.Seeds) > 0 {
+		return p.seeds()
+	}
 	addresses := make([]string, 0, len(p.Settings.Control.Members))
 	for _, m := range p.Settings.Control.Members {
 		addresses = append(addresses, m.Address)
@@ -76,6 +81,41 @@
 	return addresses
 }
 
+// seeds lists the peer addresses of the control VMs that are known from the
+// start.
+func (p Process) seeds() []string {
+	seeds := make([]string, 0, len(p.Settings.Control.Seeds))
+	for _, seed := range p.Settings.Control.Seeds {
+		address, err := netip.ParseAddrPort(seed)
+		if err == nil && p.Settings.Control.SeedPort > 0 {
+			seed = netip.AddrPortFrom(address.Addr(), uint16(p.Settings.Control.SeedPort)).String()
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
+// self is the name of this control VM among the members.
+func (p Process) self() string { return MemberName(p.Settings) }
+
+// MemberName is the name under which a process with these settings is known to
+// the control VMs. Where they are found through seeds, nothing but an IP is
+// known of a control VM beforehand, and that is its name.
+func MemberName(s settings.Settings) string {
+	if s.Control.DataFolder != "" && len(s.Control.Seeds) > 0 {
+		return hostOf(s.Peer.Listen)
+	}
+	return s.Node.Name
+}
+
+// founders lists the members that the settings name.
+func (p Process) founders() []message.Member {
+	if len(p.Settings.Control.Seeds) > 0 {
+		return seedMembers(p.seeds())
+	}
+	return members(p.Settings.Control.Members)
+}
+
 // followConfig sets up the process's follower of the declared state.
 func (p Process) followConfig(role string) follow.Config {
 	var controls []follow.Control
@@ -104,9 +144,23 @@
 		Handler:     dispatch.Serve,
 		Logger:      p.Logger,
 		Metrics:     counts,
+		Silence:     p.silence(),
 	})
 }
 
+// seededSilence is how long a peer may say nothing where control VMs are found
+// through seeds: changes have to reach every process within two seconds, also
+// if a connection has gone silent just before.
+const seededSilence = 1500 * time.Millisecond
+
+// silence is the bound for peers' silence; zero means the default.
+func (p Process) silence() time.Duration {
+	if len(p.Settings.Control.Seeds) > 0 {
+		return seededSilence
+	}
+	return 0
+}
+
 // stopped joins what went wrong while a process stopped under its name, nil if
 // nothing did.
 func (p Process) stopped(errs ...error) error {
--- /dev/null
+++ b/internal/role/routefollower.go
@@ -0,0 +1,234 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/oriolebend/oriolebend/internal/forwarder"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/reducer/retry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// watchAgainFirst and watchAgainMost bound the pause between two tries to
+	// watch a control VM. The first is spread by jitter: after a restart of the
+	// whole system all forwarders dial at the same moment.
+	watchAgainFirst = 100 * time.Millisecond
+	watchAgainMost  = time.Second
+	// openWatchWithin bounds the opening of a session.
+	openWatchWithin = 2 * time.Second
+	// reviewEvery is how often what is known is looked through for what has
+	// become too old.
+	reviewEvery = time.Second
+)
+
+// RouteFollower keeps a forwarder up to date with the routing and the backend
+// servers, as every control VM that it can find tells them.
+type RouteFollower struct {
+	Dialer peer.Dialer
+	// Seeds are the control VMs that are known from the start.
+	Seeds     []string
+	Watch     message.RouteWatch
+	Forwarder *forwarder.Forwarder
+	Logger    *slog.Logger
+
+	mutex   sync.Mutex
+	view    *registry.View
+	links   map[string]*routeLink
+	current []string // the control VMs as one of them told last
+	ready   atomic.Bool
+	ctx     context.Context
+	group   sync.WaitGroup
+}
+
+// routeLink is the way to one control VM.
+type routeLink struct {
+	address    string
+	open       bool
+	forwarders int
+	whole      bool
+}
+
+// Run follows until ctx ends.
+func (f *RouteFollower) Run(ctx context.Context) {
+	f.mutex.Lock()
+	f.ctx, f.view, f.links = ctx, registry.NewView(), map[string]*routeLink{}
+	f.learn(f.Seeds)
+	f.mutex.Unlock()
+	for wait(ctx, reviewEvery); ctx.Err() == nil; wait(ctx, reviewEvery) {
+		f.mutex.Lock()
+		f.tellServers()
+		f.mutex.Unlock()
+		f.Forwarder.Expire()
+	}
+	f.group.Wait()
+}
+
+// SetSeeds replaces the control VMs that are known from the start.
+func (f *RouteFollower) SetSeeds(seeds []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.Seeds = seeds
+	if f.links != nil {
+		f.learn(seeds)
+	}
+}
+
+// Ready reports whether a routing is known that a quorum had confirmed when it
+// was told, together with the servers.
+func (f *RouteFollower) Ready() bool { return f.ready.Load() }
+
+// Links counts the control VMs that are watched now.
+func (f *RouteFollower) Links() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	open := 0
+	for _, l := range f.links {
+		if l.open {
+			open++
+		}
+	}
+	return open
+}
+
+// learn starts to watch control VMs that were not known. The mutex is held.
+func (f *RouteFollower) learn(addresses []string) {
+	for _, address := range addresses {
+		if f.links[address] != nil || f.ctx.Err() != nil {
+			continue
+		}
+		l := &routeLink{address: address}
+		f.links[address] = l
+		f.group.Go(func() { f.follow(l) })
+	}
+}
+
+// follow watches one control VM for as long as it is known as one.
+func (f *RouteFollower) follow(l *routeLink) {
+	tries := 0
+	random := rand.New(rand.NewPCG(f.Watch.Incarnation, uint64(len(l.address))))
+	for f.ctx.Err() == nil && f.wanted(l) {
+		began := time.Now()
+		f.session(l)
+		f.lost(l)
+		if time.Since(began) > watchAgainMost {
+			tries = 0
+		}
+		wait(f.ctx, retry.FullJitter(random, watchAgainFirst, watchAgainMost, tries))
+		tries++
+	}
+}
+
+// wanted reports whether a control VM is still known as one. One that was
+// replaced is forgotten; a seed never is, as it may be the only one that is
+// left to ask.
+func (f *RouteFollower) wanted(l *routeLink) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, address := range f.Seeds {
+		if address == l.address {
+			return true
+		}
+	}
+	for _, address := range f.current {
+		if address == l.address {
+			return true
+		}
+	}
+	delete(f.links, l.address)
+	return false
+}
+
+// session watches one control VM until the session ends.
+func (f *RouteFollower) session(l *routeLink) {
+	opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
+	defer cancel()
+	s, err := f.Dialer.Open(opening, l.address)
+	if err != nil {
+		f.Logger.Debug("control VM not reached", "control", l.address, "error", err)
+		return
+	}
+	defer s.Close()
+	defer context.AfterFunc(f.ctx, func() { _ = s.Close() })()
+	watch := f.Watch
+	watch.Version = f.Forwarder.Version()
+	if err := s.Send(watch); err != nil {
+		return
+	}
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			f.Logger.Info("control VM lost", "control", l.address, "error", err)
+			return
+		}
+		update, ok := m.(message.RouteUpdate)
+		if !ok {
+			return
+		}
+		if !f.take(l, update) {
+			return
+		}
+		if err := s.Send(message.RouteHeard{Number: update.Number}); err != nil {
+			return
+		}
+	}
+}
+
+// take takes an update in.
+func (f *RouteFollower) take(l *routeLink, u message.RouteUpdate) bool {
+	if len(u.Routing) > 0 {
+		var r oriolebend.Routing
+		if err := cbor.Unmarshal(u.Routing, &r); err != nil {
+			f.Logger.Error("a routing can't be read", "control", l.address, "version", u.Version, "error", err)
+			return false
+		}
+		f.Forwarder.SetRouting(r)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !l.open {
+		l.open = true
+		f.Logger.Info("control VM watched", "control", l.address, "version", u.Version, "servers", len(u.Servers))
+	}
+	l.whole = l.whole || u.Whole
+	l.forwarders = u.Forwarders
+	if u.Whole || len(u.Servers) > 0 {
+		f.view.Told(time.Now(), l.address, u.Whole, u.Servers)
+		f.tellServers()
+	}
+	if len(u.Controls) > 0 {
+		f.current = u.Controls
+		f.learn(u.Controls)
+	}
+	if u.Confirmed && f.Forwarder.Version() > 0 && !f.ready.Swap(true) {
+		f.Logger.Info("ready", "version", f.Forwarder.Version())
+	}
+	return true
+}
+
+func (f *RouteFollower) lost(l *routeLink) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	l.open, l.whole = false, false
+	f.view.Lost(time.Now(), l.address)
+}
+
+// tellServers hands what is known to the forwarder. The mutex is held.
+func (f *RouteFollower) tellServers() {
+	forwarders := 0
+	for _, l := range f.links {
+		if l.open {
+			forwarders = max(forwarders, l.forwarders)
+		}
+	}
+	f.Forwarder.SetServers(f.view.Servers(time.Now()), forwarders)
+}
--- /dev/null
+++ b/internal/role/routeserver.go
@@ -0,0 +1,300 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// tellEvery is how often a forwarder is told that a control VM is there,
+	// and whether its routing is known to be the newest.
+	tellEvery = time.Second
+	// newestWithin is how old the confirmation of a routing may be that is
+	// passed on as confirmed; control VMs confirm every second.
+	newestWithin = 2500 * time.Millisecond
+	// heardWithin bounds the wait for forwarders to hear that a backend server
+	// leaves. Servers wait a second for the answer to an announcement.
+	heardWithin = 600 * time.Millisecond
+	// registryEvery is how often silent servers are looked for.
+	registryEvery = 500 * time.Millisecond
+)
+
+// RouteServer tells forwarders the routing and the backend servers that
+// announced themselves to this control VM.
+type RouteServer struct {
+	Store *routing.Store
+	// Confirmed tells how long ago a quorum confirmed the state of this control
+	// VM; false means never.
+	Confirmed func() (time.Duration, bool)
+	// Controls lists the peer addresses of the control VMs.
+	Controls func() []string
+	Logger   *slog.Logger
+
+	mutex   sync.Mutex
+	state   *registry.State
+	watches map[*routeWatch]struct{}
+}
+
+// routeWatch is one forwarder that watches.
+type routeWatch struct {
+	node string
+	// pending are the servers to tell with the next update, number its number.
+	pending map[string]message.BackendServer
+	number  uint64
+	// heard is the number of the last update that the forwarder has taken in.
+	heard uint64
+	wake  chan struct{}
+	// news is closed and replaced whenever heard changes or the watch ends.
+	news chan struct{}
+	gone bool
+}
+
+// Prepare makes the server ready; it must be called before all else.
+func (r *RouteServer) Prepare() {
+	r.state = registry.New(registry.Config{})
+	r.watches = map[*routeWatch]struct{}{}
+}
+
+// Run looks for silent servers until ctx ends.
+func (r *RouteServer) Run(ctx context.Context) {
+	for wait(ctx, registryEvery); ctx.Err() == nil; wait(ctx, registryEvery) {
+		r.reduce(registry.Ticked{At: time.Now()})
+	}
+}
+
+// Servers lists the backend servers that are known here.
+func (r *RouteServer) Servers() []message.BackendServer {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.state.Servers()
+}
+
+// Forwarders counts those that watch.
+func (r *RouteServer) Forwarders() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.watches)
+}
+
+// Announce takes an announcement of a backend server. The error is a
+// *oriolebend.Problem if the announcement should go to another control VM.
+func (r *RouteServer) Announce(ctx context.Context, server message.BackendServer) error {
+	if r.Forwarders() == 0 {
+		return unheard("no forwarder watches this control VM")
+	}
+	told := r.reduce(registry.Announced{At: time.Now(), Server: server})
+	if server.Phase == message.PhaseReady {
+		return nil
+	}
+	return r.awaitHeard(ctx, told)
+}
+
+// Withdraw takes the last word of a backend server.
+func (r *RouteServer) Withdraw(ctx context.Context, instance string) error {
+	return r.awaitHeard(ctx, r.reduce(registry.Withdrawn{At: time.Now(), Instance: instance}))
+}
+
+func unheard(detail string) error {
+	return &oriolebend.Problem{
+		Reason: oriolebend.ReasonControlAway, Ran: oriolebend.RanNo, Detail: detail, RetryAfter: retryUnheard,
+	}
+}
+
+// retryUnheard is how long forwarders take to find a control VM that has just
+// started.
+const retryUnheard = time.Second
+
+// reduce feeds the registry, has its changes told, and returns the updates that
+// carry them.
+func (r *RouteServer) reduce(e registry.Event) map[*routeWatch]uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, effect := range registry.Reduce(r.state, e) {
+		changed, ok := effect.(registry.Changed)
+		if !ok {
+			continue
+		}
+		s := changed.Server
+		r.Logger.Info("backend server", "instance", s.Instance, "address", s.Address, "service", s.Service,
+			"phase", s.Phase, "role", s.Role, "silent", s.Silent, "sequence", s.Sequence)
+		for w := range r.watches {
+			w.pending[s.Instance] = s
+			w.signal()
+		}
+	}
+	told := make(map[*routeWatch]uint64, len(r.watches))
+	for w := range r.watches {
+		if told[w] = w.number; len(w.pending) > 0 {
+			told[w]++
+		}
+	}
+	return told
+}
+
+func (w *routeWatch) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// awaitHeard returns once the forwarders have taken in updates. A server that
+// leaves serves on for a short time only after it is told that its leaving is
+// known: were it told so by a control VM that no forwarder hears, requests would
+// still be sent to it after its end. A forwarder that is cut off itself must not
+// hold the others up, so half of them suffice after the wait.
+func (r *RouteServer) awaitHeard(ctx context.Context, told map[*routeWatch]uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, heardWithin)
+	defer cancel()
+	heard := 0
+	for w, number := range told {
+		if r.await(ctx, w, number) {
+			heard++
+		}
+	}
+	if heard == 0 || 2*heard < len(told) {
+		return unheard("the forwarders did not hear of it")
+	}
+	return nil
+}
+
+// await waits until a forwarder has taken in an update; false means that it has
+// not, or is gone.
+func (r *RouteServer) await(ctx context.Context, w *routeWatch, number uint64) bool {
+	for {
+		r.mutex.Lock()
+		heard, gone, news := w.heard >= number, w.gone, w.news
+		r.mutex.Unlock()
+		if heard || gone {
+			return heard
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Serve is the peer.Handler for forwarders.
+func (r *RouteServer) Serve(ctx context.Context, s peer.Stream) {
+	first, err := s.Receive()
+	watch, ok := first.(message.RouteWatch)
+	if err != nil || !ok {
+		return
+	}
+	w := r.add(watch)
+	defer r.remove(w)
+	go r.hear(s, w)
+	r.feed(ctx, s, w, watch.Version)
+}
+
+func (r *RouteServer) add(watch message.RouteWatch) *routeWatch {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	w := &routeWatch{
+		node: watch.Node, pending: map[string]message.BackendServer{},
+		wake: make(chan struct{}, 1), news: make(chan struct{}),
+	}
+	for _, server := range r.state.Servers() {
+		w.pending[server.Instance] = server
+	}
+	r.watches[w] = struct{}{}
+	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "has", watch.Version, "forwarders", len(r.watches))
+	return w
+}
+
+func (r *RouteServer) remove(w *routeWatch) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.watches, w)
+	w.gone = true
+	close(w.news)
+	w.news = make(chan struct{})
+	r.Logger.Info("forwarder lost", "forwarder", w.node, "forwarders", len(r.watches))
+}
+
+// hear takes the forwarder's word of what it has taken in.
+func (r *RouteServer) hear(s peer.Stream, w *routeWatch) {
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			_ = s.Close()
+			return
+		}
+		if h, ok := m.(message.RouteHeard); ok {
+			r.mutex.Lock()
+			w.heard = max(w.heard, h.Number)
+			close(w.news)
+			w.news = make(chan struct{})
+			r.mutex.Unlock()
+		}
+	}
+}
+
+// feed sends what changes until the session ends. version is what the forwarder
+// has.
+func (r *RouteServer) feed(ctx context.Context, s peer.Stream, w *routeWatch, version uint64) {
+	var controls []string
+	whole := true
+	for {
+		current, changed := r.Store.Current()
+		update := r.collect(w)
+		update.Whole = whole
+		if current.Version > version {
+			update.Version, update.Routing = current.Version, current.Encoded
+		}
+		if now := r.Controls(); !slices.Equal(now, controls) {
+			controls, update.Controls = now, now
+		}
+		age, ever := r.Confirmed()
+		update.Confirmed = ever && age < newestWithin
+		if err := s.Send(update); err != nil {
+			return
+		}
+		version, whole = max(version, current.Version), false
+		timer := time.NewTimer(tellEvery)
+		select {
+		case <-ctx.Done():
+		case <-s.Done():
+		case <-changed:
+		case <-w.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil || ended(s) {
+			return
+		}
+	}
+}
+
+// collect takes what is pending for a forwarder into an update.
+func (r *RouteServer) collect(w *routeWatch) message.RouteUpdate {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	w.number++
+	update := message.RouteUpdate{Number: w.number, Forwarders: len(r.watches)}
+	for _, server := range w.pending {
+		update.Servers = append(update.Servers, server)
+	}
+	clear(w.pending)
+	return update
+}
+
+func ended(s peer.Stream) bool {
+	select {
+	case <-s.Done():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,85 @@
+// Package routing holds the declared routes: the agreed part of the control
+// VMs' state that stores them, and the table that finds a request's route.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Table finds routes of one routing. It is never changed after NewTable, so
+// that goroutines share it without locks.
+type Table struct {
+	Routing  oriolebend.Routing
+	hosts    map[string][]*oriolebend.Route
+	services map[string]*oriolebend.RouteService
+}
+
+// NewTable indexes a checked routing.
+func NewTable(r oriolebend.Routing) *Table {
+	t := &Table{
+		Routing:  r,
+		hosts:    map[string][]*oriolebend.Route{},
+		services: map[string]*oriolebend.RouteService{},
+	}
+	for i := range r.Routes {
+		host := hostKey(r.Routes[i].Host)
+		t.hosts[host] = append(t.hosts[host], &r.Routes[i])
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *oriolebend.Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	for i := range r.Services {
+		t.services[r.Services[i].Name] = &r.Services[i]
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of the path, nil
+// if there is none. The path is compared as it was sent, without its query.
+func (t *Table) Match(host, path string) *oriolebend.Route {
+	for _, route := range t.hosts[hostKey(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, nil if there is none.
+func (t *Table) Service(name string) *oriolebend.RouteService { return t.services[name] }
+
+// Target picks one of a route's services by weight; at is a random number
+// from 0 up to 1.
+func Target(r *oriolebend.Route, at float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := at * total
+	last := ""
+	for _, t := range r.Targets {
+		if t.Weight <= 0 {
+			continue
+		}
+		last = t.Service
+		if left < t.Weight {
+			return t.Service
+		}
+		left -= t.Weight
+	}
+	return last
+}
+
+// hostKey drops the port and the case of a host: neither tells routes apart.
+func hostKey(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,6 +15,7 @@
 	logFormats = []string{"text", "json"}
 	routes     = []string{"reserve", "random", "roundRobin", "leastLoad", "affinity"}
 	urgencies  = []string{string(oriolebend.Urgent), string(oriolebend.Patient)}
+	peerTrusts = []string{string(TrustCertificates), string(TrustNetwork)}
 	poolRoles  = []string{string(oriolebend.Prefill), string(oriolebend.Decode), string(oriolebend.Service)}
 	methods    = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
 )
@@ -27,11 +28,15 @@
 	f.enum("log.level", s.Log.Level, logLevels)
 	f.enum("log.format", s.Log.Format, logFormats)
 	f.address("peer.listen", s.Peer.Listen)
+	f.enum("peer.trust", string(s.Peer.Trust), peerTrusts)
 	f.address("caller.listen", s.Caller.Listen)
+	f.address("forward.listen", s.Forward.Listen)
 	f.address("operator.listen", s.Operator.Listen)
 	f.address("metrics.listen", s.Metrics.Listen)
 	f.portClash(s)
 	f.caller(s.Caller)
+	f.forward(s.Forward)
+	f.seeds(s.Control)
 	f.members(s.Control.Members)
 	f.sidecar(s.Sidecar)
 	f.policy(s.Policy)
@@ -85,6 +90,7 @@
 	type listener struct{ key, address string }
 	listeners := []listener{
 		{"caller.listen", s.Caller.Listen},
+		{"forward.listen", s.Forward.Listen},
 		{"operator.listen", s.Operator.Listen},
 		{"metrics.listen", s.Metrics.Listen},
 	}
@@ -107,6 +113,27 @@
 	return x.Addr() == y.Addr() || x.Addr().IsUnspecified() || y.Addr().IsUnspecified()
 }
 
+func (f *faults) forward(s Forward) {
+	atLeast(f, "forward.maxConnections", s.MaxConnections, 0)
+	atLeast(f, "forward.stopDelay", s.StopDelay, 0)
+	atLeast(f, "forward.stopWithin", s.StopWithin, 0)
+	atLeast(f, "forward.retryShare", s.RetryShare, 0)
+	atLeast(f, "forward.retrySlack", s.RetrySlack, 0)
+	atLeast(f, "forward.retryWindow", s.RetryWindow, 0)
+}
+
+func (f *faults) seeds(c Control) {
+	for i, seed := range c.Seeds {
+		f.address(elementPath("control.seeds", i), seed)
+	}
+	atLeast(f, "control.seedPort", c.SeedPort, 0)
+	atLeast(f, "control.minFreeBytes", c.MinFreeBytes, 0)
+	atLeast(f, "control.logBytes", c.LogBytes, 0)
+	if len(c.Seeds) > 0 && len(c.Members) > 0 {
+		f.add("control.seeds", CodeClash, "control VMs are either listed or found through seeds; remove this or control.members")
+	}
+}
+
 func (f *faults) caller(c Caller) {
 	atLeast(f, "caller.maxBodyBytes", c.MaxBodyBytes, 0)
 	atLeast(f, "caller.maxPromptTokens", c.MaxPromptTokens, 0)
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -10,14 +10,15 @@
 
 // Roles of processes.
 const (
-	RoleEntry   Role = "entry"
-	RoleSidecar Role = "sidecar"
-	RoleControl Role = "control"
-	RoleDev     Role = "dev"
+	RoleEntry     Role = "entry"
+	RoleForwarder Role = "forwarder"
+	RoleSidecar   Role = "sidecar"
+	RoleControl   Role = "control"
+	RoleDev       Role = "dev"
 )
 
 // Roles lists every role.
-var Roles = []Role{RoleEntry, RoleSidecar, RoleControl, RoleDev}
+var Roles = []Role{RoleEntry, RoleForwarder, RoleSidecar, RoleControl, RoleDev}
 
 // minTokenLength is how long a token outside of dev must be: shorter ones can
 // be guessed.
@@ -30,6 +31,8 @@
 		return RoleDev
 	case s.Control.DataFolder != "":
 		return RoleControl
+	case s.Forward.Listen != "":
+		return RoleForwarder
 	case s.Sidecar.Server != "" || s.Sidecar.Engine != "" || s.Sidecar.Service != "":
 		return RoleSidecar
 	default:
@@ -48,6 +51,8 @@
 	switch role {
 	case RoleEntry:
 		f.entryRole(s)
+	case RoleForwarder:
+		f.forwarderRole(s)
 	case RoleSidecar:
 		f.sidecarRole(s)
 	case RoleControl:
@@ -71,10 +76,12 @@
 	f.required("node.failureDomain", s.Node.FailureDomain)
 	f.listen("peer.listen", s.Peer.Listen)
 	f.listen("metrics.listen", s.Metrics.Listen)
-	f.required("tls.certificate", s.TLS.Certificate)
-	f.required("tls.key", s.TLS.Key)
-	f.required("tls.authority", s.TLS.Authority)
-	if len(s.Control.Members) == 0 {
+	if s.Peer.Trust != TrustNetwork {
+		f.required("tls.certificate", s.TLS.Certificate)
+		f.required("tls.key", s.TLS.Key)
+		f.required("tls.authority", s.TLS.Authority)
+	}
+	if len(s.Control.Members) == 0 && len(s.Control.Seeds) == 0 {
 		f.missing("control.members", "is missing; list every control VM under [[control.members]]")
 	}
 	f.closed("caller.open", s.Caller.Open)
@@ -107,6 +114,11 @@
 	}
 }
 
+func (f *faults) forwarderRole(s Settings) {
+	f.process(s)
+	f.listen("forward.listen", s.Forward.Listen)
+}
+
 func (f *faults) tokens(key string, tokens []string) {
 	if len(tokens) == 0 {
 		f.missing(key, "is missing; list at least one token")
@@ -136,7 +148,9 @@
 	f.process(s)
 	f.listen("operator.listen", s.Operator.Listen)
 	f.required("control.dataFolder", s.Control.DataFolder)
-	f.tokens("operator.tokens", s.Operator.Tokens)
+	if s.Peer.Trust != TrustNetwork {
+		f.tokens("operator.tokens", s.Operator.Tokens)
+	}
 	f.ownMember(s)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	TLS           TLS            `toml:"tls"`
 	Peer          Peer           `toml:"peer"`
 	Caller        Caller         `toml:"caller"`
+	Forward       Forward        `toml:"forward"`
 	Operator      Operator       `toml:"operator"`
 	Metrics       Metrics        `toml:"metrics"`
 	Control       Control        `toml:"control"`
@@ -33,6 +34,9 @@
 	Name          string `toml:"name"`
 	Region        string `toml:"region"`
 	FailureDomain string `toml:"failureDomain"`
+	// MemoryMB is what the process may use; its garbage is collected more
+	// often as it comes near. Zero means no bound.
+	MemoryMB int `toml:"memoryMB"`
 }
 
 // Log sets what is logged and how.
@@ -55,6 +59,40 @@
 type Peer struct {
 	// Listen is an IP:port for UDP.
 	Listen string `toml:"listen"`
+	// Trust says by what peers are believed; empty means "certificates".
+	Trust PeerTrust `toml:"trust"`
+}
+
+// PeerTrust says by what the system's own processes believe each other.
+type PeerTrust string
+
+const (
+	// TrustCertificates believes whom the authority of the tls table signed.
+	TrustCertificates PeerTrust = "certificates"
+	// TrustNetwork believes every process that can reach the port. It is for
+	// networks that only the system's own processes can reach and where no
+	// keys can be handed out: who gets into such a network can take part in
+	// every decision.
+	TrustNetwork PeerTrust = "network"
+)
+
+// Forward sets the HTTP side towards callers of routes.
+type Forward struct {
+	Listen string `toml:"listen"`
+	// MaxConnections bounds the callers' connections; zero means 3,000.
+	MaxConnections int `toml:"maxConnections"`
+	// StopDelay is how long a stopping process fails its balancer check before
+	// it closes idle connections; zero means 3s.
+	StopDelay Duration `toml:"stopDelay"`
+	// StopWithin bounds a graceful stop; what is in progress then is cut. Zero
+	// means 30s.
+	StopWithin Duration `toml:"stopWithin"`
+	// RetryShare and RetrySlack bound what all processes together send to a
+	// service again within RetryWindow: that share of the requests, and the
+	// slack besides. Zero means 0.2, 50 and 10s.
+	RetryShare  float64  `toml:"retryShare"`
+	RetrySlack  float64  `toml:"retrySlack"`
+	RetryWindow Duration `toml:"retryWindow"`
 }
 
 // Caller sets the HTTP side towards callers.
@@ -100,6 +138,21 @@
 	Members []Member `toml:"members"`
 	// DataFolder holds the log and snapshots; only control VMs set it.
 	DataFolder string `toml:"dataFolder"`
+	// Seeds are addresses of some control VMs, IP:port, in place of Members
+	// where nobody knows them all beforehand: the others join through them.
+	// Each control VM is then named by its IP.
+	Seeds []string `toml:"seeds"`
+	// SeedPort is the peer port of every control VM, if Seeds carry another
+	// port of theirs; zero means that they carry this one.
+	SeedPort int `toml:"seedPort"`
+	// Found is set on the first start of the whole system only: the seeds then
+	// found the group.
+	Found bool `toml:"found"`
+	// MinFreeBytes is how much room the disk must have for changes to be
+	// taken; zero means 64 MiB.
+	MinFreeBytes int64 `toml:"minFreeBytes"`
+	// LogBytes is how much log leads to a snapshot; zero means 64 MiB.
+	LogBytes int64 `toml:"logBytes"`
 }
 
 // Member is one control VM.
