forwarder: memory is reserved at the decode engine before the prefill

Cause: decode engines that read prompts themselves stop the tokens of their other requests for tens of milliseconds, and requests met full engines after their prefill. Ruled out: short queues of the plain services (all pings in time already). Change: the prompt goes to a prefill engine, behind a reservation at the decode engine; without room the request waits.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -26,6 +26,12 @@
 	PrefillResult(body []byte) (PrefillResult, error)
 	// Free is the request that frees a prefill result at its engine.
 	Free(r PrefillResult) backend.Request
+	// Hold is the request that reserves memory at an engine, HoldResult reads
+	// the name of the reservation from its answer, and Drop is the request that
+	// gives the reservation back.
+	Hold(tokens int, life time.Duration) backend.Request
+	HoldResult(body []byte) (string, error)
+	Drop(hold string) backend.Request
 }
 
 // Ask is what a caller says of its request.
@@ -48,6 +54,8 @@
 	PrefillOnly bool
 	// Source is where the KV cache of the prompt is fetched; empty computes it.
 	Source string
+	// Hold is the reservation that the request uses up; empty means none.
+	Hold string
 	// After is the last event that the caller has; empty begins anew.
 	After string
 }
--- /dev/null
+++ b/internal/forwarder/reserve.go
@@ -0,0 +1,195 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// waitTargets is how many times the target for the first event a stream
+	// waits for memory: its caller leaves when nothing comes for about that
+	// long, and a refusal is then worth more than a late answer.
+	waitTargets = 3.0
+	// lateAsks is how many times longer a request waits between two tries once
+	// it has missed its target: one that can still be in time goes first.
+	lateAsks = 3
+	// holdWithin bounds one call for a reservation, several round trips between
+	// failure domains.
+	holdWithin = 300 * time.Millisecond
+	// cleanupWithin bounds the calls that give memory back.
+	cleanupWithin = time.Second
+)
+
+// reserve finds a place for a stream: memory at a decode engine is reserved
+// before a prefill is paid for, so that its result is never computed in vain.
+// While no engine has memory the request waits.
+func (w *work) reserve(ctx context.Context) (*sending, *refusal) {
+	waited := false
+	for {
+		need := w.need()
+		need.Waited = waited
+		grant, refused := w.f.place(need)
+		if refused == nil {
+			s := &sending{work: w, grant: grant}
+			if s.takeHold(ctx) {
+				return s, nil
+			}
+			waited = true
+			if ctx.Err() != nil {
+				return nil, &refusal{reason: reasonOfEnd(ctx)}
+			}
+			continue
+		}
+		if refused.reason != oriolebend.ReasonNoMemory || !w.awaitRoom(ctx, refused.after) {
+			return nil, refused
+		}
+		waited = true
+	}
+}
+
+// awaitRoom waits until another try for memory is worthwhile; false means that
+// the request has waited for long enough.
+func (w *work) awaitRoom(ctx context.Context, pause time.Duration) bool {
+	age := time.Since(w.request.Received)
+	target := time.Duration(w.route.AnswerWithin)
+	if float64(age+pause) > waitTargets*float64(target) || w.left() < pause {
+		return false
+	}
+	if age > target {
+		pause *= lateAsks
+	}
+	// Forwarders that wait for the same engine must not all ask at once.
+	pause = pause/2 + rand.N(pause)
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// takeHold reserves memory at the grant's server, if its engine takes
+// reservations. On false the grant has been given back.
+func (s *sending) takeHold(ctx context.Context) bool {
+	limits := s.service.Engine
+	if limits == nil || limits.HoldWithin <= 0 || s.ask.Prompt == 0 {
+		return true
+	}
+	calling, cancel := context.WithTimeout(ctx, holdWithin)
+	defer cancel()
+	call := s.f.config.Dialect.Hold(s.ask.Prompt+s.ask.Output, time.Duration(limits.HoldWithin))
+	call.Freshness = freshForRepeat
+	status, body, err := s.f.small(calling, s.grant.Server.Address, call)
+	if err == nil && status == http.StatusOK {
+		s.hold, err = s.f.config.Dialect.HoldResult(body)
+	}
+	if s.hold != "" {
+		return true
+	}
+	s.unusedPrefill()
+	outcome := dispatch.OutcomeFull
+	if err != nil {
+		outcome = dispatch.OutcomeBroken
+		s.logSending(s.grant, "memory not reserved", status, oriolebend.ReasonServerLost, err)
+	}
+	s.ended(s.grant, outcome, 0)
+	return false
+}
+
+// unusedPrefill tells the reducer that the grant's prefill engine is not asked.
+func (s *sending) unusedPrefill() {
+	if s.grant.Prefill != nil {
+		s.f.reduce(dispatch.PromptRead{At: s.f.now(), Grant: s.grant, Unused: true})
+	}
+}
+
+// prefill has the grant's prefill engine read the prompt. If that fails, the
+// decode engine reads it itself.
+func (s *sending) prefill(ctx context.Context) (*PrefillResult, error) {
+	if s.grant.Prefill == nil {
+		return nil, nil
+	}
+	engine := *s.grant.Prefill
+	request := s.outgoing(Sending{Instance: engine.Instance, PrefillOnly: true})
+	began := s.f.now()
+	result, err := s.f.readPrompt(ctx, engine.Address, request)
+	s.f.reduce(dispatch.PromptRead{
+		At: s.f.now(), Grant: s.grant, Took: s.f.now().Sub(began),
+		Failed: err != nil && ctx.Err() == nil, Unused: ctx.Err() != nil,
+	})
+	if err != nil {
+		s.logSending(s.grant, "prefill brought no result", 0, reasonOf(err), err)
+		return nil, err
+	}
+	return &result, nil
+}
+
+// maxSmallBytes bounds the answers of an engine's own interface.
+const maxSmallBytes = 64 << 10
+
+// PrefillError is an answer to a prefill that names no result.
+type PrefillError struct{ Status int }
+
+// Error implements error.
+func (e *PrefillError) Error() string {
+	return fmt.Sprintf("prefill answered with status %d", e.Status)
+}
+
+func (f *Forwarder) readPrompt(ctx context.Context, address string, request backend.Request) (PrefillResult, error) {
+	status, body, err := f.small(ctx, address, request)
+	if err != nil {
+		return PrefillResult{}, err
+	}
+	if status != http.StatusOK {
+		return PrefillResult{}, &PrefillError{Status: status}
+	}
+	return f.config.Dialect.PrefillResult(body)
+}
+
+// small sends a request whose answer is short and reads it whole.
+func (f *Forwarder) small(ctx context.Context, address string, request backend.Request) (int, []byte, error) {
+	response, err := f.pool.Do(ctx, address, request)
+	if err != nil {
+		return 0, nil, err
+	}
+	body, err := response.Whole(maxSmallBytes)
+	return response.Status, body, err
+}
+
+// dropHold gives the reservation back, if there is one.
+func (s *sending) dropHold() {
+	if s.hold != "" {
+		s.f.cleanUp(s.grant.Server.Address, s.f.config.Dialect.Drop(s.hold))
+		s.hold = ""
+	}
+}
+
+// freeResult frees a prefill result that was not taken.
+func (s *sending) freeResult(r *PrefillResult) {
+	if r != nil {
+		s.f.cleanUp(s.grant.Prefill.Address, s.f.config.Dialect.Free(*r))
+	}
+}
+
+// cleanUp sends a call that gives memory back, behind the request that it was
+// taken for. The engine frees the memory by itself a little later if the call is
+// lost.
+func (f *Forwarder) cleanUp(address string, call backend.Request) {
+	call.Freshness = freshForRepeat
+	f.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cleanupWithin)
+		defer cancel()
+		if status, _, err := f.small(ctx, address, call); err != nil || status >= http.StatusBadRequest {
+			f.config.Logger.Info("memory not given back", "address", address, "target", call.Target, "status", status, "error", err)
+		}
+	})
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -17,14 +16,14 @@
 func (w *work) stream(ctx context.Context) {
 	after := ""
 	for {
-		grant, refused := w.f.place(w.need())
+		s, refused := w.reserve(ctx)
 		if refused != nil {
 			w.giveUp(ctx, refused.reason, refused.after)
 			return
 		}
 		w.sent++
-		w.tried = append(w.tried, grant.Server.Instance)
-		s := &sending{work: w, grant: grant, after: after}
+		w.tried = append(w.tried, s.grant.Server.Instance)
+		s.after = after
 		end := s.run(ctx)
 		if end.done {
 			return
@@ -42,10 +41,13 @@
 type sending struct {
 	*work
 	grant dispatch.Grant
+	// hold names the reservation at the grant's server, empty if there is none.
+	hold string
 	// after is the last event that the caller was given.
 	after string
-	// read is set once the reducer was told that the prompt is read.
-	read bool
+	// began is when the sending began, streaming is set from its first event.
+	began     time.Time
+	streaming bool
 }
 
 // ending is how a sending ended: done if the caller has its whole answer, or
@@ -57,95 +59,58 @@
 
 // run carries one sending out.
 func (s *sending) run(ctx context.Context) ending {
-	began := s.f.now()
-	source := ""
-	if s.grant.Prefill != nil {
-		var failed *ending
-		if source, failed = s.prefill(ctx); failed != nil {
-			s.ended(s.grant, dispatch.OutcomeCancelled, 0)
-			return *failed
-		}
+	s.began = s.f.now()
+	source, err := s.prefill(ctx)
+	if err != nil && ctx.Err() != nil {
+		s.dropHold()
+		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
+		return ending{reason: reasonOfEnd(ctx)}
+	}
+	return s.decode(ctx, source)
+}
+
+// decode sends the request to the grant's server; source names the KV cache to
+// fetch, nil has the server compute it.
+func (s *sending) decode(ctx context.Context, source *PrefillResult) ending {
+	sending := Sending{Instance: s.grant.Server.Instance, Hold: s.hold, After: s.after}
+	if source != nil {
+		sending.Source = s.grant.Prefill.Address + "/" + source.Handle
 	}
-	request := s.outgoing(Sending{Instance: s.grant.Server.Instance, Source: source, After: s.after})
-	response, err := s.f.pool.Do(ctx, s.grant.Server.Address, request)
+	response, err := s.f.pool.Do(ctx, s.grant.Server.Address, s.outgoing(sending))
 	if err != nil {
-		s.promptRead(0)
 		s.ended(s.grant, outcomeOf(err), 0)
 		s.mayHaveRun(ranOf(err))
 		s.logSending(s.grant, "stream not begun", 0, reasonOf(err), err)
+		s.freeResult(source)
 		return ending{reason: reasonOf(err)}
 	}
 	defer response.Close()
 	verdict := s.f.config.Dialect.Judge(response.Status, response.Header, s.grant.Server.Instance)
-	if response.Status != http.StatusOK || !verdict.Signed || verdict.Ran == oriolebend.RanNo {
-		return s.notStreaming(response, verdict)
+	if response.Status == http.StatusOK && verdict.Signed && verdict.Ran != oriolebend.RanNo {
+		return s.pump(response)
 	}
-	return s.pump(response, began)
-}
-
-// promptRead tells the reducer once that the prompt is out of the way.
-func (s *sending) promptRead(took time.Duration) {
-	if s.read {
-		return
-	}
-	s.read = true
-	if s.grant.Prefill == nil {
-		s.f.reduce(dispatch.PromptRead{At: s.f.now(), Grant: s.grant, Took: took})
+	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved {
+		return s.decodeAgain(ctx, response)
 	}
+	return s.notStreaming(response, verdict)
 }
 
-// prefill has the grant's prefill engine read the prompt. If that fails the
-// decode engine reads it itself.
-func (s *sending) prefill(ctx context.Context) (string, *ending) {
-	engine := *s.grant.Prefill
-	began := s.f.now()
-	request := s.outgoing(Sending{Instance: engine.Instance, PrefillOnly: true})
-	result, err := s.readPrompt(ctx, engine.Address, request)
-	s.f.reduce(dispatch.PromptRead{At: s.f.now(), Grant: s.grant, Took: s.f.now().Sub(began), Failed: err != nil})
-	if err == nil {
-		return engine.Address + "/" + result.Handle, nil
-	}
-	s.logSending(s.grant, "prefill brought no result", 0, reasonOf(err), err)
-	if ctx.Err() != nil {
-		s.promptRead(0)
-		return "", &ending{reason: reasonOfEnd(ctx)}
-	}
-	return "", nil
+// decodeAgain sends the request once more to a server that could not get the
+// KV cache, which it then computes itself: the result has lapsed or its engine
+// is gone, and the place at this server is still free.
+func (s *sending) decodeAgain(ctx context.Context, response *backend.Response) ending {
+	if _, err := response.Whole(maxSmallBytes); err != nil {
+		response.Close()
+	}
+	s.f.config.Observer.Count("retry", oriolebend.ReasonResultExpired, "")
+	s.logSending(s.grant, "prefill result not taken", response.Status, oriolebend.ReasonResultExpired, nil)
+	s.hold = ""
+	return s.decode(ctx, nil)
 }
 
-// maxPrefillBytes bounds the answer to a prefill, which only names a result.
-const maxPrefillBytes = 64 << 10
-
-// PrefillError is an answer to a prefill that names no result.
-type PrefillError struct{ Status int }
-
-// Error implements error.
-func (e *PrefillError) Error() string {
-	return fmt.Sprintf("prefill answered with status %d", e.Status)
-}
-
-func (s *sending) readPrompt(ctx context.Context, address string, request backend.Request) (PrefillResult, error) {
-	response, err := s.f.pool.Do(ctx, address, request)
-	if err != nil {
-		return PrefillResult{}, err
-	}
-	body, err := response.Whole(maxPrefillBytes)
-	if err != nil {
-		return PrefillResult{}, err
-	}
-	if response.Status != http.StatusOK {
-		return PrefillResult{}, &PrefillError{Status: response.Status}
-	}
-	return s.f.config.Dialect.PrefillResult(body)
-}
-
-// maxFailureBytes bounds the body of an answer that is no stream.
-const maxFailureBytes = 1 << 20
-
 // notStreaming takes in an answer that is not the stream.
 func (s *sending) notStreaming(response *backend.Response, verdict Verdict) ending {
-	s.promptRead(0)
-	body, err := response.Whole(maxFailureBytes)
+	body, err := response.Whole(maxSmallBytes)
 	r := result{grant: s.grant, status: response.Status, header: response.Header, body: body, verdict: verdict, err: err}
 	s.ended(s.grant, r.outcome(), 0)
 	s.note(r)
@@ -163,15 +128,15 @@
 // pump passes events on as they come. Only whole events are passed on: a server
 // may stop in the middle of one, and another server then goes on behind the
 // last whole one.
-func (s *sending) pump(response *backend.Response, began time.Time) ending {
+func (s *sending) pump(response *backend.Response) ending {
 	events := newEventReader(response)
 	for {
 		event, err := events.next()
 		if err != nil {
 			return s.pumpEnded(response, err)
 		}
-		if !s.read {
-			s.promptRead(s.f.now().Sub(began))
+		if !s.streaming {
+			s.streaming = true
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
 		}
 		if event.id != "" && !later(event.id, s.after) {
@@ -199,13 +164,12 @@
 
 // pumpEnded takes in the end of a server's stream.
 func (s *sending) pumpEnded(response *backend.Response, err error) ending {
-	s.promptRead(0)
 	if errors.Is(err, io.EOF) {
 		if !s.answer.Begun() && !s.answer.Begin(response.Status, response.Header) {
 			return ending{done: true}
 		}
 		s.answer.End()
-		s.ended(s.grant, dispatch.OutcomeAnswered, response.Took)
+		s.ended(s.grant, dispatch.OutcomeAnswered, 0)
 		s.log(response.Status, "", oriolebend.RanYes)
 		return ending{done: true}
 	}
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -199,6 +199,9 @@
 	if w.route != nil {
 		attributes = append(attributes, slog.String("route", w.route.Name))
 	}
+	if w.ask.Prompt > 0 {
+		attributes = append(attributes, slog.Int("promptTokens", w.ask.Prompt), slog.Int("outputTokens", w.ask.Output))
+	}
 	if len(w.tried) > 0 {
 		attributes = append(attributes, slog.String("server", w.tried[len(w.tried)-1]))
 	}
--- a/internal/reducer/dispatch/budget.go
+++ b/internal/reducer/dispatch/budget.go
@@ -32,6 +32,9 @@
 func (b *budget) request(now time.Time, window time.Duration) { b.advance(now, window).requests++ }
 func (b *budget) repeat(now time.Time, window time.Duration)  { b.advance(now, window).repeats++ }
 
+// withdraw takes back a repeat that was not sent.
+func (b *budget) withdraw(now time.Time, window time.Duration) { b.advance(now, window).repeats-- }
+
 func (b *budget) sum() counts {
 	var all counts
 	for _, c := range b.slices {
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -10,17 +10,9 @@
 )
 
 const (
-	// splitOver is the share of the target for the first part above which a
-	// prompt is read by a prefill engine. Below it the decode engine reads it
-	// itself: that takes twice as long but moves no KV cache, and leaves one
-	// engine whose loss costs the request instead of two.
-	splitOver = 0.5
-	// startRate is the prompt tokens a millisecond that engines are assumed to
-	// read until some were measured; decode engines read at half of it.
+	// startRate is the prompt tokens a millisecond that prefill engines are
+	// assumed to read until some were measured.
 	startRate = 50.0
-	// startTook is the time in milliseconds that a plain call is assumed to
-	// take until some were measured.
-	startTook = 50.0
 	// otherDomain is what a server in another failure domain is set back by, in
 	// requests in progress: a plain call there costs two round trips between
 	// failure domains, less than waiting for half a request.
@@ -49,9 +41,10 @@
 	if service == nil {
 		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
 	}
-	if !e.Need.Again {
+	if !e.Need.Again && !e.Need.Waited {
 		service.budget.request(e.At, s.config.RetryWindow)
-	} else if !s.mayRepeat(service, e.At) {
+	}
+	if e.Need.Again && !s.mayRepeat(service, e.At) {
 		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
 	}
 	grant, refused := s.place(e, service)
@@ -82,7 +75,7 @@
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
 	}
 	if service.limits.Engine == nil || e.Need.Prompt == 0 {
-		chosen := s.least(e.At, candidates, func(c *server) float64 { return s.plainLoad(c) })
+		chosen := s.least(candidates, func(c *server) float64 { return s.plainLoad(c) })
 		return Grant{Need: e.Need, Server: chosen.BackendServer}, nil
 	}
 	return s.placeGeneration(e, service, candidates)
@@ -144,7 +137,7 @@
 
 // least returns the server with the lowest load; among equals the first, which
 // the seed has chosen.
-func (s *State) least(_ time.Time, list []*server, load func(*server) float64) *server {
+func (s *State) least(list []*server, load func(*server) float64) *server {
 	chosen, lowest := list[0], math.Inf(1)
 	for _, c := range list {
 		if l := load(c); l < lowest {
@@ -163,52 +156,42 @@
 	return load
 }
 
-// placeGeneration chooses the decode engine that is predicted to begin first,
-// and a prefill engine besides if the decode engine alone would take too much
-// of the target.
+// placeGeneration chooses a decode engine, and the prefill engine that would be
+// done first. Only without any prefill engine does the decode engine read the
+// prompt itself: between the tokens of its other requests, each of which then
+// pauses for as long as a piece of the prompt takes.
 func (s *State) placeGeneration(e Asked, service *service, decoders []*server) (Grant, *Refused) {
 	fitting := slices.DeleteFunc(slices.Clone(decoders), func(c *server) bool {
-		return c.held+e.Need.Prompt+e.Need.Output > service.limits.Engine.KVTokens
+		return e.At.Before(c.fullUntil) || c.held+e.Need.Prompt+e.Need.Output > service.limits.Engine.KVTokens
 	})
 	if len(fitting) == 0 {
-		return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: retryFull}
-	}
-	localRate := service.localRate.or(startRate / 2)
-	local := func(c *server) float64 {
-		return s.besides(c, float64(c.reading+e.Need.Prompt)/localRate)
-	}
-	decoder := s.least(e.At, fitting, local)
-	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
-	within := splitOver * float64(e.Need.FirstWithin.Milliseconds())
-	if local(decoder) <= within {
-		return grant, nil
+		return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: untilRoom(e.At, decoders)}
 	}
 	reader := s.reader(e, service)
-	if reader == nil {
-		return grant, nil
-	}
-	split := s.splitTime(reader, service, e.Need.Prompt)
-	if split >= local(decoder) {
-		return grant, nil
-	}
-	decoder = s.least(e.At, fitting, func(c *server) float64 {
-		load := float64(c.held) + float64(c.reading)
-		if c.FailureDomain != reader.FailureDomain {
+	decoder := s.least(fitting, func(c *server) float64 {
+		load := float64(c.held)
+		if reader != nil && c.FailureDomain != reader.FailureDomain {
 			load += otherDomain * float64(e.Need.Prompt)
 		}
 		return load
 	})
-	grant.Server = decoder.BackendServer
-	prefill := reader.BackendServer
-	grant.Prefill = &prefill
+	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
+	if reader != nil {
+		prefill := reader.BackendServer
+		grant.Prefill = &prefill
+	}
 	return grant, nil
 }
 
-// besides adds to a time what a server's other work of this forwarder costs it.
-func (s *State) besides(c *server, milliseconds float64) float64 {
-	// Each generation in progress slows a step down by about a twentieth.
-	const perRequest = 0.05
-	return milliseconds * (1 + perRequest*float64(c.busy))
+// untilRoom is when the first of some full servers is worth another try.
+func untilRoom(at time.Time, list []*server) time.Duration {
+	first := retryFull
+	for _, c := range list {
+		if left := c.fullUntil.Sub(at); left > 0 {
+			first = min(first, left)
+		}
+	}
+	return first
 }
 
 // reader is the prefill engine that would be done first, nil if there is none.
@@ -224,7 +207,7 @@
 	if len(list) == 0 || service.standing(e.At, list[0]) == standingAvoided {
 		return nil
 	}
-	return s.least(e.At, list, func(c *server) float64 { return s.splitTime(c, service, e.Need.Prompt) })
+	return s.least(list, func(c *server) float64 { return s.splitTime(c, service, e.Need.Prompt) })
 }
 
 // splitTime is the time in milliseconds until a prefill engine has read a
@@ -246,7 +229,6 @@
 	c.busy++
 	c.held += g.Need.Prompt + g.Need.Output
 	if g.Prefill == nil {
-		c.reading += g.Need.Prompt
 		return
 	}
 	p := s.servers[g.Prefill.Instance]
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -12,29 +12,24 @@
 	// back within seconds, and one try at it then costs at most one request.
 	avoidFirst = 250 * time.Millisecond
 	avoidMost  = 4 * time.Second
-	// avoidFull is how long a server that refused for lack of room is avoided.
-	avoidFull = 150 * time.Millisecond
+	// avoidFull is how long a server that refused for lack of room is avoided:
+	// about the time in which one of ten generations in progress ends.
+	avoidFull = 100 * time.Millisecond
 )
 
 // promptRead ends the reading part of a grant.
 func (s *State) promptRead(e PromptRead) {
 	service := s.services[e.Grant.Need.Service]
-	if e.Grant.Prefill == nil {
-		if c := s.servers[e.Grant.Server.Instance]; c != nil {
-			c.reading = max(0, c.reading-e.Grant.Need.Prompt)
-		}
-		if service != nil && e.Took > 0 {
-			service.localRate.add(rate(e.Grant.Need.Prompt, e.Took))
-		}
-		return
-	}
 	p := s.servers[e.Grant.Prefill.Instance]
 	if p == nil {
 		return
 	}
 	p.busy = max(0, p.busy-1)
 	p.reading = max(0, p.reading-e.Grant.Need.Prompt)
-	if e.Failed {
+	switch {
+	case e.Unused:
+		return
+	case e.Failed:
 		p.fail(e.At)
 		return
 	}
@@ -49,9 +44,7 @@
 	return float64(tokens) / max(1, float64(took.Microseconds())/1e3)
 }
 
-// ended gives the place of a grant back and judges its server. A grant whose
-// prompt was not read is followed by no PromptRead, so Ended takes that part
-// back as well: the caller reports it before with PromptRead.
+// ended gives the place of a grant back and judges its server.
 func (s *State) ended(e Ended) {
 	c := s.servers[e.Grant.Server.Instance]
 	if c == nil {
@@ -59,6 +52,9 @@
 	}
 	c.busy = max(0, c.busy-1)
 	c.held = max(0, c.held-e.Grant.Need.Prompt-e.Grant.Need.Output)
+	if e.Outcome != OutcomeFull {
+		c.fullUntil = time.Time{} // memory has just become free there
+	}
 	service := s.services[e.Grant.Need.Service]
 	switch e.Outcome {
 	case OutcomeAnswered:
@@ -69,6 +65,11 @@
 		c.judged(service, true, 0)
 	case OutcomeRefused:
 		c.avoidUntil = e.At.Add(avoidFull)
+	case OutcomeFull:
+		c.fullUntil = e.At.Add(avoidFull)
+		if e.Grant.Need.Again && service != nil {
+			service.budget.withdraw(e.At, s.config.RetryWindow)
+		}
 	case OutcomeBroken:
 		c.judged(service, true, 0)
 		c.fail(e.At)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -53,10 +53,8 @@
 	// is avoided.
 	failures average
 	took     average
-	// prefillRate and localRate are prompt tokens a millisecond, on prefill
-	// engines and on decode engines that read the prompt themselves.
+	// prefillRate is prompt tokens a millisecond on prefill engines.
 	prefillRate average
-	localRate   average
 }
 
 // server is one backend server as this forwarder sees it.
@@ -68,11 +66,13 @@
 	// held how many tokens of memory this forwarder's requests need there.
 	reading int
 	held    int
-	// failed counts failures in a row; until then other servers go first.
+	// failed counts failures in a row; until avoidUntil other servers go first.
 	failed     int
 	avoidUntil time.Time
-	failures   average
-	took       average
+	// fullUntil is until when the server is taken to have no memory free.
+	fullUntil time.Time
+	failures  average
+	took      average
 }
 
 // New returns a state that knows no server.
@@ -119,6 +119,8 @@
 	Tried []string
 	// Again is set if this sending is beyond the request's first.
 	Again bool
+	// Waited is set if the request has asked before and found no room.
+	Waited bool
 }
 
 // Asked asks where to send a request.
@@ -137,6 +139,8 @@
 	OutcomeFailed Outcome = "failed"
 	// OutcomeRefused is an answer that the request was not run for lack of room.
 	OutcomeRefused Outcome = "refused"
+	// OutcomeFull is a reservation refused for lack of memory; nothing was sent.
+	OutcomeFull Outcome = "full"
 	// OutcomeBroken is no answer, half of one, or one that can't be believed.
 	OutcomeBroken Outcome = "broken"
 	// OutcomeMoved means that another instance has the server's address.
@@ -154,15 +158,16 @@
 	Took time.Duration
 }
 
-// PromptRead reports that the prompt of a grant has been read, at the prefill
-// engine or with the first part of the answer.
+// PromptRead reports that the prefill engine of a grant is done with it, also if
+// it was never asked.
 type PromptRead struct {
 	At    time.Time
 	Grant Grant
 	Took  time.Duration
-	// Failed is set if the prefill engine brought no result; the grant's Prefill
-	// then counts as ended.
+	// Failed is set if the engine brought no result.
 	Failed bool
+	// Unused is set if it was not asked, or not waited for.
+	Unused bool
 }
 
 func (Fleet) isDispatchEvent()      {}
