replica: a member without its folder listens to leaders that joined later

Cause: control VMs that are found through seeds know only the seeds before they have a log. One that lost its folder while a VM that had joined later led took that leader for a stranger and never got the log back; after the next loss the group had no leader for good. Ruled out: a stuck stream (the same process's questions to join were answered). Change: with seeds, messages of every control VM are listened to; addresses follow from names.

--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -33,6 +33,11 @@
 	// whose messages are listened to. Once a log exists, the members that vote
 	// are the ones agreed in it.
 	Members []message.Member
+	// AddressOf finds the address of a process by its name, where Members do not
+	// list every process that may become a member. Who is not known as a member
+	// is then listened to as well; the caller of Serve must let in none but
+	// control VMs. Nil listens to known members only.
+	AddressOf func(name string) string
 	// DataFolder holds the log and the snapshots.
 	DataFolder string
 	// Dialer opens streams to the other members.
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -226,6 +226,55 @@
 	})
 }
 
+// Symptom: after the loss of one folder and a later stop of one more member the
+// group has no leader for good. Sequence: d joins a group whose members were
+// founded without it, and leads; a founder loses its folder; another stops.
+// Cause: the empty founder knew the founders only, did not listen to d, and so
+// never got the log back.
+func TestWipedMemberHearsALeaderThatJoinedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGroup(t, Config{AddressOf: func(name string) string { return name + ":1" }}, "a", "b", "c")
+		defer g.haltAll()
+		accepted := g.proposeMany("x", 5)
+		d := message.Member{Name: "d", Address: "d:1"}
+		g.start("d")
+		is.NoErr(g.leader().AddMember(t.Context(), d))
+		for !voter(g.leader().Status().Members, "d") {
+			time.Sleep(DefaultTickEvery)
+		}
+		g.leadOnly("d", "a", "b", "c")
+		is.NoErr(g.halt("a"))
+		is.NoErr(os.RemoveAll(filepath.Join(g.folder, "a")))
+		g.start("a")
+		g.holds(accepted) // a has the log again
+		is.NoErr(g.halt("b"))
+		accepted = append(accepted, g.proposeMany("y", 2)...)
+		is.Equal(len(accepted), 7)
+	})
+}
+
+// leadOnly has one member lead: the others are cut off from each other until it
+// does, so that nobody else can reach a quorum.
+func (g *group) leadOnly(name string, others ...string) {
+	g.t.Helper()
+	for _, from := range others {
+		for _, to := range others {
+			if from != to {
+				g.network.Cut(from, to)
+			}
+		}
+	}
+	for range 100 {
+		if g.leader().config.Name == name {
+			g.network.Heal()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.t.Fatalf("%s does not lead", name)
+}
+
 func voter(members []message.Member, name string) bool {
 	for _, m := range members {
 		if m.Name == name {
--- a/internal/replica/receive.go
+++ b/internal/replica/receive.go
@@ -15,11 +15,16 @@
 // received feeds a message of a member to the reducer. Who is neither agreed
 // nor configured as a member is not listened to: a process of another role
 // could otherwise raise the term and unseat the leader.
+//
+// Where the settings list only some of the members, all are listened to. A
+// member that lost its folder, or was away while others joined, can't know the
+// leader as a member before it has heard it; it would stay without a leader, and
+// the loss of one more member would leave no quorum.
 func (r *Replica) received(m message.Message) {
 	part, _ := message.AgreementPart(m)
 	_, agreed := r.state.Member(part.From)
 	named := func(m message.Member) bool { return m.Name == part.From }
-	if !agreed && !slices.ContainsFunc(r.config.Members, named) {
+	if !agreed && r.config.AddressOf == nil && !slices.ContainsFunc(r.config.Members, named) {
 		return
 	}
 	r.joinGeneration(part.Group)
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -55,6 +55,9 @@
 			address = m.Address
 		}
 	}
+	if address == "" && r.config.AddressOf != nil {
+		address = r.config.AddressOf(to.Name)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = cmp.Or(address, s.address)
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -108,6 +108,7 @@
 	log, err := replica.New(replica.Config{
 		Name:       name,
 		Members:    p.founders(),
+		AddressOf:  p.addressOf(),
 		DataFolder: p.Settings.Control.DataFolder,
 		Dialer:     c.endpoint,
 		Machine: control.NewMux(map[control.PartName]control.Machine{
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -116,6 +116,22 @@
 	return members(p.Settings.Control.Members)
 }
 
+// addressOf finds the peer address of a control VM by its name where control
+// VMs are found through seeds: they are named by their IP and share a port.
+func (p Process) addressOf() func(string) string {
+	own, err := netip.ParseAddrPort(p.Settings.Peer.Listen)
+	if len(p.Settings.Control.Seeds) == 0 || err != nil {
+		return nil
+	}
+	return func(name string) string {
+		ip, err := netip.ParseAddr(name)
+		if err != nil {
+			return ""
+		}
+		return netip.AddrPortFrom(ip, own.Port()).String()
+	}
+}
+
 // followConfig sets up the process's follower of the declared state.
 func (p Process) followConfig(role string) follow.Config {
 	var controls []follow.Control
