forwarder: reserves for the estimated output, and ends before its time to stop is over

Cause: reserving the longest possible output (2,080 tokens, mean 871) left a fifth of the decode memory unused; a graceful stop used the whole grace time and two processes were killed at its end. Change: half as much again as the caller's estimate is reserved; a stop leaves 0.8 s for closing; requests past their target ask for memory six times more seldom.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -42,8 +42,25 @@
 	Within time.Duration
 	// Prompt and Output are the tokens of a generation, the second at most.
 	Prompt, Output int
+	// Expected is the caller's estimate of the output's tokens; zero means that
+	// there is none.
+	Expected int
 }
 
+// output is the tokens of output that memory is reserved for: the estimate if
+// there is one. Ten or so generations share an engine's memory, so that those
+// that turn out longer are made up for by shorter ones; reserving the most that
+// each could need leaves a fifth of the memory unused.
+func (a Ask) output() int {
+	if a.Expected <= 0 {
+		return a.Output
+	}
+	return min(a.Output, int(float64(a.Expected)*expectedMargin))
+}
+
+// expectedMargin is how much more than the estimate of an output is reserved.
+const expectedMargin = 1.5
+
 // Sending is what one sending of a request tells the server.
 type Sending struct {
 	// Within is what is left of the caller's time.
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -19,7 +19,7 @@
 	waitTargets = 3.0
 	// lateAsks is how many times longer a request waits between two tries once
 	// it has missed its target: one that can still be in time goes first.
-	lateAsks = 3
+	lateAsks = 6
 	// holdWithin bounds one call for a reservation, several round trips between
 	// failure domains.
 	holdWithin = 300 * time.Millisecond
@@ -86,7 +86,7 @@
 	}
 	calling, cancel := context.WithTimeout(ctx, holdWithin)
 	defer cancel()
-	call := s.f.config.Dialect.Hold(s.ask.Prompt+s.ask.Output, time.Duration(limits.HoldWithin))
+	call := s.f.config.Dialect.Hold(s.ask.Prompt+s.ask.output(), time.Duration(limits.HoldWithin))
 	call.Freshness = freshForRepeat
 	status, body, err := s.f.small(calling, s.grant.Server.Address, call)
 	if err == nil && status == http.StatusOK {
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -43,7 +43,7 @@
 // need is what the next sending asks of a server.
 func (w *work) need() dispatch.Need {
 	return dispatch.Need{
-		Service: w.service.Name, Prompt: w.ask.Prompt, Output: w.ask.Output,
+		Service: w.service.Name, Prompt: w.ask.Prompt, Output: w.ask.output(),
 		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received,
 		Tried: w.tried, Again: w.sent > 0,
 	}
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -21,6 +21,8 @@
 	defaultForwardStopDelay = 3 * time.Second
 	// defaultForwardStopWithin is longer than streams take.
 	defaultForwardStopWithin = 30 * time.Second
+	// stopMargin is left of a stop for closing the ports.
+	stopMargin = 800 * time.Millisecond
 )
 
 // ForwarderProcess is a running forwarder with its ports.
@@ -141,7 +143,7 @@
 	close(p.stopping)
 	p.callers.Drain()
 	s := p.process.Settings.Forward
-	within, cancel := context.WithTimeout(ctx, s.StopWithin.Or(defaultForwardStopWithin))
+	within, cancel := context.WithTimeout(ctx, s.StopWithin.Or(defaultForwardStopWithin)-stopMargin)
 	defer cancel()
 	wait(within, s.StopDelay.Or(defaultForwardStopDelay))
 	p.callers.Stop(within)
