--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -228,6 +229,10 @@
 	c := s.servers[g.Server.Instance]
 	c.busy++
 	c.held += g.Need.Prompt + g.Need.Output
+	if v := s.services[g.Need.Service]; v != nil && !g.Need.Again {
+		v.load.Requests++
+		v.load.PrefillBusy += time.Duration(float64(g.Need.Prompt) / cmp.Or(v.bestRate, startRate) * float64(time.Millisecond))
+	}
 	if g.Prefill == nil {
 		return
 	}
