--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,7 +13,6 @@
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
-	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -117,13 +116,6 @@
 	f.reduce(dispatch.Fleet{Servers: servers, Forwarders: forwarders})
 }
 
-// Loads returns what was done with model engines since the last call.
-func (f *Forwarder) Loads() []message.ServiceLoad {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.state.Loads()
-}
-
 // Expire closes connections to servers that are not in use.
 func (f *Forwarder) Expire() {
 	f.mutex.Lock()
@@ -138,10 +130,10 @@
 // Wait returns once the work that goes on behind answered requests has ended.
 func (f *Forwarder) Wait() { f.background.Wait() }
 
-func (f *Forwarder) reduce(e dispatch.Event) []reducer.Effect {
+func (f *Forwarder) reduce(e dispatch.Event) []dispatch.Effect {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return reducer.Reduce(&reducer.State{Dispatch: f.state}, e)
+	return dispatch.Reduce(f.state, e)
 }
 
 // place asks the reducer where to send a request.
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -67,8 +67,6 @@
 type RouteWatch struct {
 	Node          string `cbor:"node"`
 	FailureDomain string `cbor:"failureDomain"`
-	// Observes is set if the watcher sends no requests to backend servers.
-	Observes bool `cbor:"observes,omitempty"`
 	// Version is the routing that the forwarder has.
 	Version uint64 `cbor:"version"`
 	// Incarnation numbers the forwarder's start.
@@ -101,20 +99,6 @@
 // RouteHeard tells that an update has been taken in.
 type RouteHeard struct {
 	Number uint64 `cbor:"number"`
-	// Loads is what the forwarder did since it told it last, about once a
-	// second.
-	Loads []ServiceLoad `cbor:"loads,omitempty"`
-}
-
-// ServiceLoad is what one forwarder did with the engines of one service.
-type ServiceLoad struct {
-	Service string `cbor:"1,keyasint"`
-	// Requests is how many generations it placed.
-	Requests int `cbor:"2,keyasint,omitempty"`
-	// PrefillBusy is the time for which its prefills kept engines busy.
-	PrefillBusy time.Duration `cbor:"3,keyasint,omitempty"`
-	// HeldTokens is the KV memory that its generations hold now.
-	HeldTokens int `cbor:"4,keyasint,omitempty"`
 }
 
 // Join asks the leader of the control VMs to take the sender in as a member.
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -229,10 +228,6 @@
 	c := s.servers[g.Server.Instance]
 	c.busy++
 	c.held += g.Need.Prompt + g.Need.Output
-	if v := s.services[g.Need.Service]; v != nil && !g.Need.Again {
-		v.load.Requests++
-		v.load.PrefillBusy += time.Duration(float64(g.Need.Prompt) / cmp.Or(v.bestRate, startRate) * float64(time.Millisecond))
-	}
 	if g.Prefill == nil {
 		return
 	}
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
@@ -30,29 +31,15 @@
 	reviewEvery = time.Second
 )
 
-// RouteSink takes what a RouteFollower learns; *forwarder.Forwarder is one.
-type RouteSink interface {
-	// SetRouting brings a routing into force, unless it has a newer one.
-	SetRouting(r oriolebend.Routing)
-	// SetServers takes all backend servers and the number of forwarders.
-	SetServers(servers []message.BackendServer, forwarders int)
-	// Version is the version of the routing in force.
-	Version() uint64
-	// Loads returns what was done with model engines since the last call.
-	Loads() []message.ServiceLoad
-	// Expire drops what is not in use any more.
-	Expire()
-}
-
 // RouteFollower keeps a forwarder up to date with the routing and the backend
 // servers, as every control VM that it can find tells them.
 type RouteFollower struct {
 	Dialer peer.Dialer
 	// Seeds are the control VMs that are known from the start.
-	Seeds  []string
-	Watch  message.RouteWatch
-	Sink   RouteSink
-	Logger *slog.Logger
+	Seeds     []string
+	Watch     message.RouteWatch
+	Forwarder *forwarder.Forwarder
+	Logger    *slog.Logger
 
 	mutex   sync.Mutex
 	view    *registry.View
@@ -69,8 +56,6 @@
 	open       bool
 	forwarders int
 	whole      bool
-	// loads are to be told with the next word to the control VM.
-	loads []message.ServiceLoad
 }
 
 // Run follows until ctx ends.
@@ -82,9 +67,8 @@
 	for wait(ctx, reviewEvery); ctx.Err() == nil; wait(ctx, reviewEvery) {
 		f.mutex.Lock()
 		f.tellServers()
-		f.noteLoads(f.Sink.Loads())
 		f.mutex.Unlock()
-		f.Sink.Expire()
+		f.Forwarder.Expire()
 	}
 	f.group.Wait()
 }
@@ -176,7 +160,7 @@
 	defer s.Close()
 	defer context.AfterFunc(f.ctx, func() { _ = s.Close() })()
 	watch := f.Watch
-	watch.Version = f.Sink.Version()
+	watch.Version = f.Forwarder.Version()
 	if err := s.Send(watch); err != nil {
 		return
 	}
@@ -193,7 +177,7 @@
 		if !f.take(l, update) {
 			return
 		}
-		if err := s.Send(message.RouteHeard{Number: update.Number, Loads: f.takeLoads(l)}); err != nil {
+		if err := s.Send(message.RouteHeard{Number: update.Number}); err != nil {
 			return
 		}
 	}
@@ -207,7 +191,7 @@
 			f.Logger.Error("a routing can't be read", "control", l.address, "version", u.Version, "error", err)
 			return false
 		}
-		f.Sink.SetRouting(r)
+		f.Forwarder.SetRouting(r)
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -225,31 +209,12 @@
 		f.current = u.Controls
 		f.learn(u.Controls)
 	}
-	if u.Confirmed && f.Sink.Version() > 0 && !f.ready.Swap(true) {
-		f.Logger.Info("ready", "version", f.Sink.Version())
+	if u.Confirmed && f.Forwarder.Version() > 0 && !f.ready.Swap(true) {
+		f.Logger.Info("ready", "version", f.Forwarder.Version())
 	}
 	return true
 }
 
-// noteLoads keeps what was done for the control VMs that are watched. The mutex
-// is held.
-func (f *RouteFollower) noteLoads(loads []message.ServiceLoad) {
-	for _, l := range f.links {
-		l.loads = nil // what was not told within a second is too old
-		if l.open {
-			l.loads = loads
-		}
-	}
-}
-
-func (f *RouteFollower) takeLoads(l *routeLink) []message.ServiceLoad {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	loads := l.loads
-	l.loads = nil
-	return loads
-}
-
 func (f *RouteFollower) lost(l *routeLink) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -265,5 +230,5 @@
 			forwarders = max(forwarders, l.forwarders)
 		}
 	}
-	f.Sink.SetServers(f.view.Servers(time.Now()), forwarders)
+	f.Forwarder.SetServers(f.view.Servers(time.Now()), forwarders)
 }
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -9,7 +9,6 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -38,9 +37,7 @@
 	Confirmed func() (time.Duration, bool)
 	// Controls lists the peer addresses of the control VMs.
 	Controls func() []string
-	// Loads takes what forwarders did; nil takes nothing.
-	Loads  func([]message.ServiceLoad)
-	Logger *slog.Logger
+	Logger   *slog.Logger
 
 	mutex   sync.Mutex
 	state   *registry.State
@@ -50,8 +47,6 @@
 // routeWatch is one forwarder that watches.
 type routeWatch struct {
 	node string
-	// observes is set for control VMs, which send no requests to servers.
-	observes bool
 	// pending are the servers to tell with the next update, number its number.
 	pending map[string]message.BackendServer
 	number  uint64
@@ -87,18 +82,7 @@
 func (r *RouteServer) Forwarders() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.forwarders()
-}
-
-// forwarders counts the watches of forwarders. The mutex is held.
-func (r *RouteServer) forwarders() int {
-	count := 0
-	for w := range r.watches {
-		if !w.observes {
-			count++
-		}
-	}
-	return count
+	return len(r.watches)
 }
 
 // Announce takes an announcement of a backend server. The error is a
@@ -134,7 +118,7 @@
 func (r *RouteServer) reduce(e registry.Event) map[*routeWatch]uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, effect := range reducer.Reduce(&reducer.State{Registry: r.state}, e) {
+	for _, effect := range registry.Reduce(r.state, e) {
 		changed, ok := effect.(registry.Changed)
 		if !ok {
 			continue
@@ -149,9 +133,6 @@
 	}
 	told := make(map[*routeWatch]uint64, len(r.watches))
 	for w := range r.watches {
-		if w.observes {
-			continue
-		}
 		if told[w] = w.number; len(w.pending) > 0 {
 			told[w]++
 		}
@@ -221,14 +202,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w := &routeWatch{
-		node: watch.Node, observes: watch.Observes, pending: map[string]message.BackendServer{},
+		node: watch.Node, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), news: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
 		w.pending[server.Instance] = server
 	}
 	r.watches[w] = struct{}{}
-	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "has", watch.Version, "observes", watch.Observes, "forwarders", r.forwarders())
+	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "has", watch.Version, "forwarders", len(r.watches))
 	return w
 }
 
@@ -239,7 +220,7 @@
 	w.gone = true
 	close(w.news)
 	w.news = make(chan struct{})
-	r.Logger.Info("forwarder lost", "forwarder", w.node, "forwarders", r.forwarders())
+	r.Logger.Info("forwarder lost", "forwarder", w.node, "forwarders", len(r.watches))
 }
 
 // hear takes the forwarder's word of what it has taken in.
@@ -256,9 +237,6 @@
 			close(w.news)
 			w.news = make(chan struct{})
 			r.mutex.Unlock()
-			if r.Loads != nil && len(h.Loads) > 0 {
-				r.Loads(h.Loads)
-			}
 		}
 	}
 }
@@ -304,7 +282,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w.number++
-	update := message.RouteUpdate{Number: w.number, Forwarders: r.forwarders()}
+	update := message.RouteUpdate{Number: w.number, Forwarders: len(r.watches)}
 	for _, server := range w.pending {
 		update.Servers = append(update.Servers, server)
 	}
