--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -130,10 +131,10 @@
 // Wait returns once the work that goes on behind answered requests has ended.
 func (f *Forwarder) Wait() { f.background.Wait() }
 
-func (f *Forwarder) reduce(e dispatch.Event) []dispatch.Effect {
+func (f *Forwarder) reduce(e dispatch.Event) []reducer.Effect {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return dispatch.Reduce(f.state, e)
+	return reducer.Reduce(&reducer.State{Dispatch: f.state}, e)
 }
 
 // place asks the reducer where to send a request.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -8,12 +8,14 @@
 	"fmt"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/member"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
+	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
 
 // Event is the Event of one part.
@@ -25,12 +27,14 @@
 // State holds the parts that a process runs; the others are nil.
 type State struct {
 	Agreement *agreement.State
+	Dispatch  *dispatch.State
 	Entry     *entry.State
 	Follow    *follow.State
 	Gate      *gate.State
 	Member    *member.State
 	Order     *order.State
 	Recovery  *recovery.State
+	Registry  *registry.State
 }
 
 // UnknownEventError is an event that belongs to no part. It is a mistake in
@@ -49,6 +53,8 @@
 	switch e := event.(type) {
 	case agreement.Event:
 		return effects(agreement.Reduce(s.Agreement, e))
+	case dispatch.Event:
+		return effects(dispatch.Reduce(s.Dispatch, e))
 	case entry.Event:
 		return effects(entry.Reduce(s.Entry, e))
 	case follow.Event:
@@ -59,6 +65,8 @@
 		return effects(member.Reduce(s.Member, e))
 	case order.Event:
 		return effects(order.Reduce(s.Order, e))
+	case registry.Event:
+		return effects(registry.Reduce(s.Registry, e))
 	case recovery.Event:
 		return effects(recovery.Reduce(s.Recovery, e))
 	default:
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -118,7 +119,7 @@
 func (r *RouteServer) reduce(e registry.Event) map[*routeWatch]uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, effect := range registry.Reduce(r.state, e) {
+	for _, effect := range reducer.Reduce(&reducer.State{Registry: r.state}, e) {
 		changed, ok := effect.(registry.Changed)
 		if !ok {
 			continue
