role: control VMs without a disk are relays, up to two control VMs a failure domain

Ruled out: members that were removed while away (none was). Change: two control VMs a failure domain; one without a disk runs as a relay, which takes announcements, names the leader and never votes. A group may have eight members for a moment, so that replacements join before the old ones go.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -67,6 +67,10 @@
 type RouteWatch struct {
 	Node          string `cbor:"node"`
 	FailureDomain string `cbor:"failureDomain"`
+	// Relay is set for control VMs without a disk: the address where
+	// forwarders can watch it as well. A relay sends no requests to backend
+	// servers.
+	Relay string `cbor:"relay,omitempty"`
 	// Version is the routing that the forwarder has.
 	Version uint64 `cbor:"version"`
 	// Incarnation numbers the forwarder's start.
@@ -89,6 +93,9 @@
 	// Controls are the addresses of the control VMs that are known, if they
 	// changed.
 	Controls []string `cbor:"controls,omitempty"`
+	// Leader is the peer address of the control VM that leads, empty if none is
+	// known.
+	Leader string `cbor:"leader,omitempty"`
 	// Forwarders is how many forwarders watch this control VM.
 	Forwarders int `cbor:"forwarders,omitempty"`
 	// Confirmed is set if a quorum confirmed a short time ago that no newer
--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -25,8 +25,10 @@
 const (
 	// MinVoters is what a removal must leave in a group that has as many.
 	MinVoters = 3
-	// MaxMembers bounds the VMs of a group, catching-up ones included.
-	MaxMembers = 6
+	// MaxMembers bounds the VMs of a group, catching-up ones included: six that
+	// stay, and room for those that replace two of them before the old ones are
+	// removed.
+	MaxMembers = 8
 )
 
 // Config configures a member's reducer. Name is required.
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -154,7 +154,11 @@
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
 		Controls:  c.controls,
-		Logger:    p.Logger,
+		Leader: func() string {
+			_, address := c.replica.Leader()
+			return address
+		},
+		Logger: p.Logger,
 	}
 	c.routes.Prepare()
 	if len(p.Settings.Control.Seeds) > 0 {
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -60,8 +60,8 @@
 		Watch: message.RouteWatch{
 			Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Incarnation: newIncarnation(),
 		},
-		Forwarder: process.forwarder,
-		Logger:    p.Logger,
+		Sink:   process.forwarder,
+		Logger: p.Logger,
 	}
 	if err := process.serve(); err != nil {
 		return nil, errors.Join(err, endpoint.Close())
--- a/internal/role/permission.go
+++ b/internal/role/permission.go
@@ -40,7 +40,7 @@
 		message.KindPermit:      {peer.RoleSidecar},
 		message.KindWatch:       {peer.RoleEntry, peer.RoleSidecar},
 		message.KindConfirm:     {peer.RoleControl},
-		message.KindRouteWatch:  {peer.RoleForwarder},
+		message.KindRouteWatch:  {peer.RoleForwarder, peer.RoleControl},
 		message.KindJoin:        {peer.RoleControl},
 	}
 	for _, kind := range message.AgreementKinds() {
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -102,7 +102,7 @@
 // the control VMs. Where they are found through seeds, nothing but an IP is
 // known of a control VM beforehand, and that is its name.
 func MemberName(s settings.Settings) string {
-	if s.Control.DataFolder != "" && len(s.Control.Seeds) > 0 {
+	if s.Operator.Listen != "" && len(s.Control.Seeds) > 0 {
 		return hostOf(s.Peer.Listen)
 	}
 	return s.Node.Name
--- /dev/null
+++ b/internal/role/relayprocess.go
@@ -0,0 +1,133 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// RelayProcess is a control VM without a disk. It holds no part of the agreed
+// log and never votes: what it had accepted would be gone with its process. It
+// takes announcements of backend servers and knows the leader.
+type RelayProcess struct {
+	process  Process
+	endpoint *peer.Endpoint
+	metrics  *httpServer
+	routes   *RouteServer
+	follower *RouteFollower
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// StartRelay starts a relay; Stop ends it.
+func StartRelay(p Process) (*RelayProcess, error) {
+	p = p.withMetrics(peer.RoleControl)
+	r := &RelayProcess{process: p, done: make(chan struct{})}
+	r.routes = &RouteServer{
+		Store:     routing.NewStore(),
+		Confirmed: func() (time.Duration, bool) { return 0, false },
+		Controls:  func() []string { return nil },
+		Leader:    r.leader,
+		Logger:    p.Logger,
+	}
+	r.routes.Prepare()
+	endpoint, err := p.listen(map[message.Kind]peer.Handler{message.KindRouteWatch: r.routes.Serve})
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	r.endpoint = endpoint
+	r.follower = &RouteFollower{
+		Dialer: endpoint,
+		Seeds:  p.seeds(),
+		Watch: message.RouteWatch{
+			Node: p.self(), FailureDomain: p.Settings.Node.FailureDomain,
+			Relay: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
+		},
+		Sink:   relaySink{},
+		Logger: p.Logger,
+	}
+	if r.metrics, err = p.serveMetrics(func() bool { return r.follower.Links() > 0 }); err != nil {
+		return nil, errors.Join(err, endpoint.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go r.routes.Run(ctx)
+	go func() {
+		defer close(r.done)
+		r.follower.Run(ctx)
+	}()
+	return r, nil
+}
+
+// relaySink keeps nothing: forwarders learn routings from the members.
+type relaySink struct{}
+
+// SetRouting implements RouteSink.
+func (relaySink) SetRouting(oriolebend.Routing) {}
+
+// SetServers implements RouteSink.
+func (relaySink) SetServers([]message.BackendServer, int) {}
+
+// Version implements RouteSink; it is the highest, so that no routing is sent.
+func (relaySink) Version() uint64 { return ^uint64(0) }
+
+// Expire implements RouteSink.
+func (relaySink) Expire() {}
+
+func (r *RelayProcess) leader() string { return r.follower.Leader() }
+
+// Declare tells that a relay does not lead.
+func (r *RelayProcess) Declare(context.Context, oriolebend.Routing, []byte) (routing.Replaced, error) {
+	return routing.Replaced{}, notLeading()
+}
+
+// Routing tells that a relay does not lead.
+func (r *RelayProcess) Routing(context.Context) (routing.InForce, error) {
+	return routing.InForce{}, notLeading()
+}
+
+func notLeading() error {
+	return &oriolebend.Problem{
+		Reason: oriolebend.ReasonNotLeader, Ran: oriolebend.RanNo, Detail: "this control VM has no disk and never leads",
+	}
+}
+
+// Leads is always false.
+func (r *RelayProcess) Leads() bool { return false }
+
+// LeaderIP is the IP of the control VM that leads, empty if none is known.
+func (r *RelayProcess) LeaderIP() string {
+	if address := r.leader(); address != "" {
+		return hostOf(address)
+	}
+	return ""
+}
+
+// Announce takes an announcement of a backend server.
+func (r *RelayProcess) Announce(ctx context.Context, server message.BackendServer) error {
+	return r.routes.Announce(ctx, server)
+}
+
+// Withdraw takes the last word of a backend server.
+func (r *RelayProcess) Withdraw(ctx context.Context, instance string) error {
+	return r.routes.Withdraw(ctx, instance)
+}
+
+// Reload takes up settings that changed while the process runs.
+func (r *RelayProcess) Reload(s settings.Settings) {
+	r.follower.SetSeeds(Process{Settings: s}.seeds())
+}
+
+// Stop ends the process.
+func (r *RelayProcess) Stop(context.Context) error {
+	r.cancel()
+	<-r.done
+	return r.process.stopped(closeEndpoint(r.endpoint), r.metrics.close())
+}
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -10,7 +10,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
@@ -31,20 +30,33 @@
 	reviewEvery = time.Second
 )
 
+// RouteSink takes what a RouteFollower learns; *forwarder.Forwarder is one.
+type RouteSink interface {
+	// SetRouting brings a routing into force, unless it has a newer one.
+	SetRouting(r oriolebend.Routing)
+	// SetServers takes all backend servers and the number of forwarders.
+	SetServers(servers []message.BackendServer, forwarders int)
+	// Version is the version of the routing in force.
+	Version() uint64
+	// Expire drops what is not in use any more.
+	Expire()
+}
+
 // RouteFollower keeps a forwarder up to date with the routing and the backend
 // servers, as every control VM that it can find tells them.
 type RouteFollower struct {
 	Dialer peer.Dialer
 	// Seeds are the control VMs that are known from the start.
-	Seeds     []string
-	Watch     message.RouteWatch
-	Forwarder *forwarder.Forwarder
-	Logger    *slog.Logger
+	Seeds  []string
+	Watch  message.RouteWatch
+	Sink   RouteSink
+	Logger *slog.Logger
 
 	mutex   sync.Mutex
 	view    *registry.View
 	links   map[string]*routeLink
 	current []string // the control VMs as one of them told last
+	leader  string   // the leader as one of them told last
 	ready   atomic.Bool
 	ctx     context.Context
 	group   sync.WaitGroup
@@ -68,7 +80,7 @@
 		f.mutex.Lock()
 		f.tellServers()
 		f.mutex.Unlock()
-		f.Forwarder.Expire()
+		f.Sink.Expire()
 	}
 	f.group.Wait()
 }
@@ -87,6 +99,14 @@
 // was told, together with the servers.
 func (f *RouteFollower) Ready() bool { return f.ready.Load() }
 
+// Leader is the peer address of the control VM that led when one told of it
+// last, empty if none did.
+func (f *RouteFollower) Leader() string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leader
+}
+
 // Links counts the control VMs that are watched now.
 func (f *RouteFollower) Links() int {
 	f.mutex.Lock()
@@ -160,7 +180,7 @@
 	defer s.Close()
 	defer context.AfterFunc(f.ctx, func() { _ = s.Close() })()
 	watch := f.Watch
-	watch.Version = f.Forwarder.Version()
+	watch.Version = f.Sink.Version()
 	if err := s.Send(watch); err != nil {
 		return
 	}
@@ -191,7 +211,7 @@
 			f.Logger.Error("a routing can't be read", "control", l.address, "version", u.Version, "error", err)
 			return false
 		}
-		f.Forwarder.SetRouting(r)
+		f.Sink.SetRouting(r)
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -205,12 +225,15 @@
 		f.view.Told(time.Now(), l.address, u.Whole, u.Servers)
 		f.tellServers()
 	}
+	if u.Leader != "" {
+		f.leader = u.Leader
+	}
 	if len(u.Controls) > 0 {
 		f.current = u.Controls
 		f.learn(u.Controls)
 	}
-	if u.Confirmed && f.Forwarder.Version() > 0 && !f.ready.Swap(true) {
-		f.Logger.Info("ready", "version", f.Forwarder.Version())
+	if u.Confirmed && f.Sink.Version() > 0 && !f.ready.Swap(true) {
+		f.Logger.Info("ready", "version", f.Sink.Version())
 	}
 	return true
 }
@@ -230,5 +253,5 @@
 			forwarders = max(forwarders, l.forwarders)
 		}
 	}
-	f.Forwarder.SetServers(f.view.Servers(time.Now()), forwarders)
+	f.Sink.SetServers(f.view.Servers(time.Now()), forwarders)
 }
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -38,7 +38,10 @@
 	Confirmed func() (time.Duration, bool)
 	// Controls lists the peer addresses of the control VMs.
 	Controls func() []string
-	Logger   *slog.Logger
+	// Leader is the peer address of the control VM that leads, empty if none is
+	// known.
+	Leader func() string
+	Logger *slog.Logger
 
 	mutex   sync.Mutex
 	state   *registry.State
@@ -48,6 +51,8 @@
 // routeWatch is one forwarder that watches.
 type routeWatch struct {
 	node string
+	// relay is the address of a relay, empty for forwarders.
+	relay string
 	// pending are the servers to tell with the next update, number its number.
 	pending map[string]message.BackendServer
 	number  uint64
@@ -83,7 +88,33 @@
 func (r *RouteServer) Forwarders() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return len(r.watches)
+	return r.forwarders()
+}
+
+// forwarders counts the watches of forwarders. The mutex is held.
+func (r *RouteServer) forwarders() int {
+	count := 0
+	for w := range r.watches {
+		if w.relay == "" {
+			count++
+		}
+	}
+	return count
+}
+
+// places lists where forwarders can watch: the members and the relays.
+func (r *RouteServer) places() []string {
+	places := r.Controls()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var relays []string
+	for w := range r.watches {
+		if w.relay != "" {
+			relays = append(relays, w.relay)
+		}
+	}
+	slices.Sort(relays)
+	return append(places, relays...)
 }
 
 // Announce takes an announcement of a backend server. The error is a
@@ -134,6 +165,9 @@
 	}
 	told := make(map[*routeWatch]uint64, len(r.watches))
 	for w := range r.watches {
+		if w.relay != "" {
+			continue
+		}
 		if told[w] = w.number; len(w.pending) > 0 {
 			told[w]++
 		}
@@ -203,14 +237,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w := &routeWatch{
-		node: watch.Node, pending: map[string]message.BackendServer{},
+		node: watch.Node, relay: watch.Relay, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), news: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
 		w.pending[server.Instance] = server
 	}
 	r.watches[w] = struct{}{}
-	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "has", watch.Version, "forwarders", len(r.watches))
+	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "relay", watch.Relay, "has", watch.Version, "forwarders", r.forwarders())
 	return w
 }
 
@@ -221,7 +255,7 @@
 	w.gone = true
 	close(w.news)
 	w.news = make(chan struct{})
-	r.Logger.Info("forwarder lost", "forwarder", w.node, "forwarders", len(r.watches))
+	r.Logger.Info("forwarder lost", "forwarder", w.node, "forwarders", r.forwarders())
 }
 
 // hear takes the forwarder's word of what it has taken in.
@@ -254,7 +288,7 @@
 		if current.Version > version {
 			update.Version, update.Routing = current.Version, current.Encoded
 		}
-		if now := r.Controls(); !slices.Equal(now, controls) {
+		if now := r.places(); !slices.Equal(now, controls) {
 			controls, update.Controls = now, now
 		}
 		age, ever := r.Confirmed()
@@ -283,7 +317,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w.number++
-	update := message.RouteUpdate{Number: w.number, Forwarders: len(r.watches)}
+	update := message.RouteUpdate{Number: w.number, Forwarders: r.forwarders(), Leader: r.Leader()}
 	for _, server := range w.pending {
 		update.Servers = append(update.Servers, server)
 	}
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -147,7 +147,9 @@
 func (f *faults) controlRole(s Settings) {
 	f.process(s)
 	f.listen("operator.listen", s.Operator.Listen)
-	f.required("control.dataFolder", s.Control.DataFolder)
+	if len(s.Control.Seeds) == 0 {
+		f.required("control.dataFolder", s.Control.DataFolder)
+	}
 	if s.Peer.Trust != TrustNetwork {
 		f.tokens("operator.tokens", s.Operator.Tokens)
 	}
