--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -117,6 +117,13 @@
 	f.reduce(dispatch.Fleet{Servers: servers, Forwarders: forwarders})
 }
 
+// Loads returns what was done with model engines since the last call.
+func (f *Forwarder) Loads() []message.ServiceLoad {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Loads()
+}
+
 // Expire closes connections to servers that are not in use.
 func (f *Forwarder) Expire() {
 	f.mutex.Lock()
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -60,6 +60,9 @@
 	SlowFor time.Duration `cbor:"9,keyasint,omitempty"`
 	// Silent is set if the server has not been heard of for a while.
 	Silent bool `cbor:"10,keyasint,omitempty"`
+	// Changing is set while the server was ordered to change its role and is
+	// not back yet.
+	Changing bool `cbor:"11,keyasint,omitempty"`
 }
 
 // RouteWatch asks a control VM for the routing and the backend servers, and
@@ -68,9 +71,10 @@
 	Node          string `cbor:"node"`
 	FailureDomain string `cbor:"failureDomain"`
 	// Relay is set for control VMs without a disk: the address where
-	// forwarders can watch it as well. A relay sends no requests to backend
-	// servers.
+	// forwarders can watch it as well.
 	Relay string `cbor:"relay,omitempty"`
+	// Observes is set if the watcher sends no requests to backend servers.
+	Observes bool `cbor:"observes,omitempty"`
 	// Version is the routing that the forwarder has.
 	Version uint64 `cbor:"version"`
 	// Incarnation numbers the forwarder's start.
@@ -106,6 +110,23 @@
 // RouteHeard tells that an update has been taken in.
 type RouteHeard struct {
 	Number uint64 `cbor:"number"`
+	// Loads is what the forwarder did since it told it last, about once a
+	// second.
+	Loads []ServiceLoad `cbor:"loads,omitempty"`
+}
+
+// ServiceLoad is what one forwarder did with the engines of one service.
+type ServiceLoad struct {
+	Service string `cbor:"1,keyasint"`
+	// Requests is how many prompts were read.
+	Requests int `cbor:"2,keyasint,omitempty"`
+	// PromptTokens is how many tokens they had.
+	PromptTokens int `cbor:"3,keyasint,omitempty"`
+	// BestRate is the highest rate of a prefill of late, in tokens a
+	// millisecond.
+	BestRate float64 `cbor:"5,keyasint,omitempty"`
+	// HeldTokens is the KV memory that its generations hold now.
+	HeldTokens int `cbor:"4,keyasint,omitempty"`
 }
 
 // Join asks the leader of the control VMs to take the sender in as a member.
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -85,7 +85,7 @@
 func (s *State) candidates(e Asked, service *service) []*server {
 	var list []*server
 	for _, c := range s.servers {
-		serves := c.Service == e.Need.Service && c.Phase == message.PhaseReady && c.Role != oriolebend.Prefill
+		serves := c.Service == e.Need.Service && c.takesWork() && c.Role != oriolebend.Prefill
 		if serves && !slices.Contains(e.Need.Tried, c.Instance) {
 			list = append(list, c)
 		}
@@ -94,6 +94,9 @@
 	return s.best(e.At, service, list)
 }
 
+// takesWork reports whether the server takes new work.
+func (c *server) takesWork() bool { return c.Phase == message.PhaseReady && !c.Changing }
+
 // order makes the order of a list depend on the seed alone, and not on that of
 // a map.
 func (s *State) order(list []*server) {
@@ -198,7 +201,7 @@
 func (s *State) reader(e Asked, service *service) *server {
 	var list []*server
 	for _, c := range s.servers {
-		if c.Service == e.Need.Service && c.Phase == message.PhaseReady && c.Role == oriolebend.Prefill {
+		if c.Service == e.Need.Service && c.takesWork() && c.Role == oriolebend.Prefill {
 			list = append(list, c)
 		}
 	}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -17,6 +17,11 @@
 	avoidFull = 100 * time.Millisecond
 )
 
+// bestKept is how much of the best prefill rate is kept with each prefill: what
+// is measured holds the time in the engine's queue as well, so that the highest
+// rate of late is the engine's own.
+const bestKept = 0.998
+
 // promptRead ends the reading part of a grant.
 func (s *State) promptRead(e PromptRead) {
 	service := s.services[e.Grant.Need.Service]
@@ -36,6 +41,9 @@
 	p.failed, p.avoidUntil = 0, time.Time{}
 	if service != nil && e.Took > 0 {
 		service.prefillRate.add(rate(e.Grant.Need.Prompt, e.Took))
+		service.load.Requests++
+		service.load.PromptTokens += e.Grant.Need.Prompt
+		service.bestRate = max(service.bestRate*bestKept, rate(e.Grant.Need.Prompt, e.Took))
 	}
 }
 
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -55,6 +55,10 @@
 	took     average
 	// prefillRate is prompt tokens a millisecond on prefill engines.
 	prefillRate average
+	// bestRate is the highest of them of late.
+	bestRate float64
+	// load is what was done since it was told last.
+	load message.ServiceLoad
 }
 
 // server is one backend server as this forwarder sees it.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/member"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
+	"github.com/oriolebend/oriolebend/internal/reducer/pools"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
@@ -33,6 +34,7 @@
 	Gate      *gate.State
 	Member    *member.State
 	Order     *order.State
+	Pools     *pools.State
 	Recovery  *recovery.State
 	Registry  *registry.State
 }
@@ -65,6 +67,8 @@
 		return effects(member.Reduce(s.Member, e))
 	case order.Event:
 		return effects(order.Reduce(s.Order, e))
+	case pools.Event:
+		return effects(pools.Reduce(s.Pools, e))
 	case registry.Event:
 		return effects(registry.Reduce(s.Registry, e))
 	case recovery.Event:
--- a/internal/reducer/registry/state.go
+++ b/internal/reducer/registry/state.go
@@ -36,6 +36,9 @@
 type State struct {
 	config  Config
 	servers map[string]*known
+	// changing is until when instances change their role. An instance may have
+	// announced itself to other control VMs only.
+	changing map[string]time.Time
 	// holders names, for each address, the instance that announced it last.
 	holders map[string]string
 }
@@ -52,7 +55,7 @@
 func New(c Config) *State {
 	c.SilentAfter = cmp.Or(c.SilentAfter, DefaultSilentAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
-	return &State{config: c, servers: map[string]*known{}, holders: map[string]string{}}
+	return &State{config: c, servers: map[string]*known{}, changing: map[string]time.Time{}, holders: map[string]string{}}
 }
 
 // Event changes a State.
@@ -70,12 +73,20 @@
 	Instance string
 }
 
+// RoleChanges says that an instance is about to be ordered to change its role,
+// and is away until a time.
+type RoleChanges struct {
+	Instance string
+	Until    time.Time
+}
+
 // Ticked passes time.
 type Ticked struct{ At time.Time }
 
-func (Announced) isRegistryEvent() {}
-func (Withdrawn) isRegistryEvent() {}
-func (Ticked) isRegistryEvent()    {}
+func (Announced) isRegistryEvent()   {}
+func (Withdrawn) isRegistryEvent()   {}
+func (RoleChanges) isRegistryEvent() {}
+func (Ticked) isRegistryEvent()      {}
 
 // Effect is what the caller of Reduce has to do.
 type Effect interface{ isRegistryEffect() }
@@ -92,6 +103,9 @@
 		return s.announced(e)
 	case Withdrawn:
 		return s.withdrawn(e)
+	case RoleChanges:
+		s.changing[e.Instance] = e.Until
+		return []Effect{Changed{Server: s.told(e.Instance)}}
 	case Ticked:
 		return s.ticked(e.At)
 	}
@@ -102,14 +116,25 @@
 func (s *State) Servers() []message.BackendServer {
 	list := make([]message.BackendServer, 0, len(s.servers))
 	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
-		list = append(list, s.servers[name].told())
+		list = append(list, s.told(name))
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.changing)) {
+		if s.servers[name] == nil {
+			list = append(list, s.told(name))
+		}
 	}
 	return list
 }
 
-// told is the server as others are told of it.
-func (k *known) told() message.BackendServer {
+// told is an instance as others are told of it.
+func (s *State) told(instance string) message.BackendServer {
+	k := s.servers[instance]
+	_, changing := s.changing[instance]
+	if k == nil {
+		return message.BackendServer{Instance: instance, Phase: message.PhaseReady, Silent: true, Changing: changing}
+	}
 	server := k.server
+	server.Changing = changing
 	if k.superseded && server.Phase == message.PhaseReady {
 		server.Phase = message.PhaseDraining
 	}
@@ -121,21 +146,21 @@
 	if k == nil {
 		k = &known{server: e.Server, heard: e.At}
 		s.servers[e.Server.Instance] = k
-		return append(s.hold(k), Changed{Server: k.told()})
+		return append(s.hold(k), Changed{Server: s.told(e.Server.Instance)})
 	}
 	if e.Server.Sequence <= k.server.Sequence {
 		// A late or doubled announcement tells nothing new. Were it taken, a
 		// server that said it drains would be ready again.
 		return nil
 	}
-	before := k.told()
+	before := s.told(e.Server.Instance)
 	phase := k.server.Phase
 	k.server, k.heard = e.Server, e.At
 	if phase.After(k.server.Phase) {
 		k.server.Phase = phase
 	}
 	effects := s.hold(k)
-	if after := k.told(); worthTelling(before, after) {
+	if after := s.told(e.Server.Instance); worthTelling(before, after) {
 		effects = append(effects, Changed{Server: after})
 	}
 	return effects
@@ -157,7 +182,7 @@
 		return nil
 	}
 	holder.superseded = true
-	return []Effect{Changed{Server: holder.told()}}
+	return []Effect{Changed{Server: s.told(holder.server.Instance)}}
 }
 
 // worthTelling reports whether a change matters to forwarders; a sequence number
@@ -186,6 +211,12 @@
 
 func (s *State) ticked(at time.Time) []Effect {
 	var effects []Effect
+	for _, name := range slices.Sorted(maps.Keys(s.changing)) {
+		if !at.Before(s.changing[name]) {
+			delete(s.changing, name)
+			effects = append(effects, Changed{Server: s.told(name)})
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
 		k := s.servers[name]
 		quiet := at.Sub(k.heard)
@@ -195,7 +226,7 @@
 		}
 		if quiet >= s.config.SilentAfter && !k.server.Silent {
 			k.server.Silent = true
-			effects = append(effects, Changed{Server: k.told()})
+			effects = append(effects, Changed{Server: s.told(name)})
 		}
 	}
 	return effects
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -105,5 +105,6 @@
 		newer.Phase = older.Phase
 	}
 	newer.Silent = a.Silent && b.Silent
+	newer.Changing = a.Changing || b.Changing
 	return newer
 }
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -38,6 +38,8 @@
 	routing   *routing.Store
 	routes    *RouteServer
 	joiner    *Joiner
+	pools     *PoolKeeper
+	observer  *RouteFollower
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
 	done  chan struct{}
@@ -68,6 +70,10 @@
 	if process.joiner != nil {
 		go process.joiner.Run(ctx)
 	}
+	if process.pools != nil {
+		go process.pools.Run(ctx)
+		go process.observer.Run(ctx)
+	}
 	go func() {
 		defer close(process.done)
 		process.ended = process.replica.Run(ctx)
@@ -160,6 +166,9 @@
 		},
 		Logger: p.Logger,
 	}
+	if p.Orders != nil {
+		c.keepPools(name)
+	}
 	c.routes.Prepare()
 	if len(p.Settings.Control.Seeds) > 0 {
 		c.joiner = c.newJoiner(name)
@@ -172,6 +181,22 @@
 	return c.serveOperators(store, reached)
 }
 
+// keepPools has this VM divide model engines between prefill and decode while it
+// leads.
+func (c *ControlProcess) keepPools(name string) {
+	p := c.process
+	c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Logger: p.Logger}
+	c.pools.Prepare()
+	c.routes.Loads = c.pools.Heard
+	c.observer = &RouteFollower{
+		Dialer: c.endpoint,
+		Seeds:  p.controlAddresses(),
+		Watch:  message.RouteWatch{Node: name, FailureDomain: p.Settings.Node.FailureDomain, Observes: true, Incarnation: newIncarnation()},
+		Sink:   c.pools,
+		Logger: p.Logger,
+	}
+}
+
 // newJoiner keeps this VM a member of a group that is found through seeds.
 func (c *ControlProcess) newJoiner(name string) *Joiner {
 	p := c.process
--- /dev/null
+++ b/internal/role/poolkeeper.go
@@ -0,0 +1,132 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
+	"github.com/oriolebend/oriolebend/internal/reducer/pools"
+	"github.com/oriolebend/oriolebend/internal/replica"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// judgeEvery is how often the pools are judged.
+	judgeEvery = time.Second
+	// roleOrderWithin bounds one order.
+	roleOrderWithin = 2 * time.Second
+)
+
+// RoleOrders gives orders to model engines.
+type RoleOrders interface {
+	// ChangeRole asks an engine to change its role. accepted is false if it
+	// refused; an error means that the order may still be carried out.
+	ChangeRole(ctx context.Context, o pools.Order, holder string) (accepted bool, err error)
+}
+
+// PoolKeeper divides model engines between prefill and decode while its control
+// VM leads. It follows what all control VMs know of the engines.
+type PoolKeeper struct {
+	Self   string
+	Orders RoleOrders
+	// Announce tells forwarders that an engine is about to change its role.
+	Announce func(ctx context.Context, instance string, away time.Duration) error
+	// Status tells whether this control VM leads.
+	Status func() replica.Status
+	Logger *slog.Logger
+
+	mutex   sync.Mutex
+	state   *reducer.State
+	routing oriolebend.Routing
+	servers []message.BackendServer
+}
+
+var _ RouteSink = (*PoolKeeper)(nil)
+
+// Prepare makes the keeper ready; it must be called before all else.
+func (k *PoolKeeper) Prepare() { k.state = &reducer.State{Pools: pools.New()} }
+
+// Run judges the pools until ctx ends.
+func (k *PoolKeeper) Run(ctx context.Context) {
+	for wait(ctx, judgeEvery); ctx.Err() == nil; wait(ctx, judgeEvery) {
+		status := k.Status()
+		k.reduce(pools.Leads{At: time.Now(), Term: status.Term, Lead: status.Role == agreement.Leader})
+		var giving sync.WaitGroup
+		for _, order := range k.reduce(pools.Ticked{At: time.Now()}) {
+			giving.Go(func() { k.give(ctx, order) })
+		}
+		giving.Wait()
+	}
+}
+
+func (k *PoolKeeper) reduce(e pools.Event) []pools.Order {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var orders []pools.Order
+	for _, effect := range reducer.Reduce(k.state, e) {
+		if order, ok := effect.(pools.Order); ok {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+func (k *PoolKeeper) give(ctx context.Context, o pools.Order) {
+	ctx, cancel := context.WithTimeout(ctx, roleOrderWithin)
+	defer cancel()
+	if err := k.Announce(ctx, o.Engine.Instance, o.Away); err != nil {
+		k.Logger.Info("engine not ordered to change its role", "instance", o.Engine.Instance, "error", err)
+		return
+	}
+	accepted, err := k.Orders.ChangeRole(ctx, o, k.Self)
+	k.Logger.Info("engine ordered to change its role", "instance", o.Engine.Instance, "address", o.Engine.Address,
+		"role", o.Role, "fencing", o.Fencing, "accepted", accepted, "error", err,
+		"prefillEngines", o.Grounds.PrefillEngines, "decodeEngines", o.Grounds.DecodeEngines,
+		"prefillWork", o.Grounds.PrefillWork, "decodeWork", o.Grounds.DecodeWork, "wantedPrefill", o.Grounds.Wanted)
+	k.reduce(pools.Answered{At: time.Now(), Order: o, Accepted: accepted, Unsure: err != nil})
+}
+
+// Heard takes what a forwarder did.
+func (k *PoolKeeper) Heard(loads []message.ServiceLoad) { k.reduce(pools.Heard{Loads: loads}) }
+
+// SetRouting implements RouteSink.
+func (k *PoolKeeper) SetRouting(r oriolebend.Routing) {
+	k.mutex.Lock()
+	if r.Version > k.routing.Version {
+		k.routing = r
+	}
+	k.mutex.Unlock()
+	k.tell()
+}
+
+// SetServers implements RouteSink.
+func (k *PoolKeeper) SetServers(servers []message.BackendServer, _ int) {
+	k.mutex.Lock()
+	k.servers = servers
+	k.mutex.Unlock()
+	k.tell()
+}
+
+func (k *PoolKeeper) tell() {
+	k.mutex.Lock()
+	known := pools.Engines{Services: k.routing.Services, Servers: k.servers}
+	k.mutex.Unlock()
+	k.reduce(known)
+}
+
+// Version implements RouteSink.
+func (k *PoolKeeper) Version() uint64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.routing.Version
+}
+
+// Loads implements RouteSink; a control VM puts no load on engines.
+func (k *PoolKeeper) Loads() []message.ServiceLoad { return nil }
+
+// Expire implements RouteSink.
+func (k *PoolKeeper) Expire() {}
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -31,6 +31,9 @@
 	// Observer takes counts and measures in place of the role's metrics; nil
 	// means those.
 	Observer Observer
+	// Orders gives orders to the model engines of routes; nil leaves them as
+	// they are. Only control VMs use it.
+	Orders RoleOrders
 
 	// metrics holds the metrics of one start of the role.
 	metrics *metrics.Metrics
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -48,7 +48,7 @@
 		Seeds:  p.seeds(),
 		Watch: message.RouteWatch{
 			Node: p.self(), FailureDomain: p.Settings.Node.FailureDomain,
-			Relay: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
+			Observes: true, Relay: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
 		},
 		Sink:   relaySink{},
 		Logger: p.Logger,
@@ -78,6 +78,9 @@
 // Version implements RouteSink; it is the highest, so that no routing is sent.
 func (relaySink) Version() uint64 { return ^uint64(0) }
 
+// Loads implements RouteSink.
+func (relaySink) Loads() []message.ServiceLoad { return nil }
+
 // Expire implements RouteSink.
 func (relaySink) Expire() {}
 
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -38,6 +38,8 @@
 	SetServers(servers []message.BackendServer, forwarders int)
 	// Version is the version of the routing in force.
 	Version() uint64
+	// Loads returns what was done with model engines since the last call.
+	Loads() []message.ServiceLoad
 	// Expire drops what is not in use any more.
 	Expire()
 }
@@ -68,6 +70,8 @@
 	open       bool
 	forwarders int
 	whole      bool
+	// loads are to be told with the next word to the control VM.
+	loads []message.ServiceLoad
 }
 
 // Run follows until ctx ends.
@@ -79,6 +83,7 @@
 	for wait(ctx, reviewEvery); ctx.Err() == nil; wait(ctx, reviewEvery) {
 		f.mutex.Lock()
 		f.tellServers()
+		f.noteLoads(f.Sink.Loads())
 		f.mutex.Unlock()
 		f.Sink.Expire()
 	}
@@ -197,7 +202,7 @@
 		if !f.take(l, update) {
 			return
 		}
-		if err := s.Send(message.RouteHeard{Number: update.Number}); err != nil {
+		if err := s.Send(message.RouteHeard{Number: update.Number, Loads: f.takeLoads(l)}); err != nil {
 			return
 		}
 	}
@@ -238,6 +243,25 @@
 	return true
 }
 
+// noteLoads keeps what was done for the control VMs that are watched. The mutex
+// is held.
+func (f *RouteFollower) noteLoads(loads []message.ServiceLoad) {
+	for _, l := range f.links {
+		l.loads = nil // what was not told within a second is too old
+		if l.open {
+			l.loads = loads
+		}
+	}
+}
+
+func (f *RouteFollower) takeLoads(l *routeLink) []message.ServiceLoad {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	loads := l.loads
+	l.loads = nil
+	return loads
+}
+
 func (f *RouteFollower) lost(l *routeLink) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -41,6 +41,8 @@
 	// Leader is the peer address of the control VM that leads, empty if none is
 	// known.
 	Leader func() string
+	// Loads takes what forwarders did; nil takes nothing.
+	Loads  func([]message.ServiceLoad)
 	Logger *slog.Logger
 
 	mutex   sync.Mutex
@@ -53,6 +55,8 @@
 	node string
 	// relay is the address of a relay, empty for forwarders.
 	relay string
+	// observes is set for control VMs, which send no requests to servers.
+	observes bool
 	// pending are the servers to tell with the next update, number its number.
 	pending map[string]message.BackendServer
 	number  uint64
@@ -95,7 +99,7 @@
 func (r *RouteServer) forwarders() int {
 	count := 0
 	for w := range r.watches {
-		if w.relay == "" {
+		if !w.observes {
 			count++
 		}
 	}
@@ -130,6 +134,14 @@
 	return r.awaitHeard(ctx, told)
 }
 
+// RoleChanges has forwarders send nothing more to a server that is about to be
+// ordered to change its role, and returns once they know. A server that changes
+// its role refuses what it has not begun; a prefill whose decode server was
+// ordered meanwhile would be computed in vain.
+func (r *RouteServer) RoleChanges(ctx context.Context, instance string, away time.Duration) error {
+	return r.awaitHeard(ctx, r.reduce(registry.RoleChanges{Instance: instance, Until: time.Now().Add(away)}))
+}
+
 // Withdraw takes the last word of a backend server.
 func (r *RouteServer) Withdraw(ctx context.Context, instance string) error {
 	return r.awaitHeard(ctx, r.reduce(registry.Withdrawn{At: time.Now(), Instance: instance}))
@@ -165,7 +177,7 @@
 	}
 	told := make(map[*routeWatch]uint64, len(r.watches))
 	for w := range r.watches {
-		if w.relay != "" {
+		if w.observes {
 			continue
 		}
 		if told[w] = w.number; len(w.pending) > 0 {
@@ -237,14 +249,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w := &routeWatch{
-		node: watch.Node, relay: watch.Relay, pending: map[string]message.BackendServer{},
+		node: watch.Node, observes: watch.Observes, relay: watch.Relay, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), news: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
 		w.pending[server.Instance] = server
 	}
 	r.watches[w] = struct{}{}
-	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "relay", watch.Relay, "has", watch.Version, "forwarders", r.forwarders())
+	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "observes", watch.Observes, "has", watch.Version, "forwarders", r.forwarders())
 	return w
 }
 
@@ -272,6 +284,9 @@
 			close(w.news)
 			w.news = make(chan struct{})
 			r.mutex.Unlock()
+			if r.Loads != nil && len(h.Loads) > 0 {
+				r.Loads(h.Loads)
+			}
 		}
 	}
 }
