--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -148,6 +148,7 @@
 	commands := []*ff.Command{
 		devCommand(out, errOut),
 		entryCommand(errOut),
+		forwarderCommand(errOut),
 		sidecarCommand(errOut),
 		controlCommand(errOut),
 		checkCommand(out),
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -12,6 +12,7 @@
 
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/role"
@@ -32,6 +33,12 @@
 	})
 }
 
+func forwarderCommand(errOut io.Writer) *ff.Command {
+	return roleCommand(errOut, settings.RoleForwarder, "carry callers' requests along declared routes", func(p role.Process) (stoppable, error) {
+		return role.StartForwarder(p, forwarder.Own{})
+	})
+}
+
 func sidecarCommand(errOut io.Writer) *ff.Command {
 	return roleCommand(errOut, settings.RoleSidecar, "be the gate of the backend server on this VM", func(p role.Process) (stoppable, error) {
 		return role.StartSidecar(p)
@@ -62,35 +69,51 @@
 			if err != nil {
 				return err
 			}
-			return runRole(ctx, errOut, s, start)
+			return runRole(ctx, errOut, r, s, start)
 		},
 	}
 }
 
-func runRole(ctx context.Context, errOut io.Writer, s settings.Settings, start func(role.Process) (stoppable, error)) error {
+func runRole(ctx context.Context, errOut io.Writer, r settings.Role, s settings.Settings, start func(role.Process) (stoppable, error)) error {
 	base, err := logging.New(s.Log, errOut)
 	if err != nil {
 		return err
 	}
 	logger := base.With("node", s.Node.Name)
-	files, err := peer.LoadFiles(peer.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
+	credentials, watch, err := credentials(r, s, logger)
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
 	}
-	running, err := start(role.Process{Settings: s, Credentials: files, Logger: logger})
+	running, err := start(role.Process{Settings: s, Credentials: credentials, Logger: logger})
 	if err != nil {
 		return err
 	}
 	logger.Info("started")
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go files.Watch(watching, 0, logger)
-	go reloadOnHangup(watching, files, logger)
+	watch(watching)
 	<-ctx.Done()
 	logger.Info("stopping; work in progress ends first")
 	return stop(running)
 }
 
+// credentials returns what the process shows its peers, and a function that
+// takes up changes of it until its context ends.
+func credentials(r settings.Role, s settings.Settings, logger *slog.Logger) (peer.Credentials, func(context.Context), error) {
+	if s.Peer.Trust == settings.TrustNetwork {
+		c, err := peer.NetworkCredentials(peer.Identity{Role: string(r), Name: role.MemberName(s)})
+		return c, func(context.Context) {}, err
+	}
+	files, err := peer.LoadFiles(peer.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
+	if err != nil {
+		return nil, nil, err
+	}
+	return files, func(ctx context.Context) {
+		go files.Watch(ctx, 0, logger)
+		go reloadOnHangup(ctx, files, logger)
+	}, nil
+}
+
 // reloadOnHangup reads the certificate's files again at each SIGHUP, before
 // their next look would.
 func reloadOnHangup(ctx context.Context, files *peer.FileCredentials, logger *slog.Logger) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -156,6 +156,14 @@
 	return dispatch.Grant{}, &refusal{reason: oriolebend.ReasonInternal}
 }
 
+// mayRepeatAt asks the reducer whether a request may be sent to the same server
+// once more.
+func (f *Forwarder) mayRepeatAt(g dispatch.Grant) bool {
+	effects := f.reduce(dispatch.AskedSame{At: f.now(), Grant: g})
+	_, granted := effects[0].(dispatch.Granted)
+	return granted
+}
+
 // Serve answers one request; it is an http1.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
 	w := &work{f: f, request: r, answer: a}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -89,7 +89,7 @@
 	if response.Status == http.StatusOK && verdict.Signed && verdict.Ran != oriolebend.RanNo {
 		return s.pump(response)
 	}
-	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved {
+	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved && s.f.mayRepeatAt(s.grant) {
 		return s.decodeAgain(ctx, response)
 	}
 	return s.notStreaming(response, verdict)
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -76,6 +76,7 @@
 		auditCommand(out),
 		advanceCommand(out),
 		groupCommand(out),
+		routingCommand(out),
 		folderCommand(out),
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,8 @@
 	Store *Store
 	// Group is the group of control VMs; nil leaves its routes out.
 	Group Group
+	// Routing is the declared routing; nil leaves its routes out.
+	Routing Routing
 	// Reports returns what each follower has in force; nil means none.
 	Reports func() []reached.Report
 	// Announcements returns the latest announcement of each server, on the
@@ -128,4 +130,5 @@
 	e.GET("/v1/audit", a.audit)
 	e.POST("/v1/advance", a.advance)
 	a.groupRoutes(e)
+	a.routingRoutes(e)
 }
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -58,6 +58,16 @@
 	return Granted{Grant: grant}
 }
 
+// askedSame counts one more sending to the same server against the budget.
+func (s *State) askedSame(e AskedSame) Effect {
+	service := s.services[e.Grant.Need.Service]
+	if service == nil || !s.mayRepeat(service, e.At) {
+		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
+	}
+	service.budget.repeat(e.At, s.config.RetryWindow)
+	return Granted{Grant: e.Grant}
+}
+
 // Times after which a refused caller may come back.
 const (
 	// retryUnknown is how long a server that starts takes to announce itself.
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -133,6 +133,13 @@
 	Need Need
 }
 
+// AskedSame asks whether a request may be sent once more to the server that has
+// its place.
+type AskedSame struct {
+	At    time.Time
+	Grant Grant
+}
+
 // Outcome is how a sending ended.
 type Outcome string
 
@@ -177,6 +184,7 @@
 func (Fleet) isDispatchEvent()      {}
 func (Services) isDispatchEvent()   {}
 func (Asked) isDispatchEvent()      {}
+func (AskedSame) isDispatchEvent()  {}
 func (Ended) isDispatchEvent()      {}
 func (PromptRead) isDispatchEvent() {}
 
@@ -204,8 +212,8 @@
 func (Granted) isDispatchEffect() {}
 func (Refused) isDispatchEffect() {}
 
-// Reduce moves the state on. An Asked has exactly one effect, other events have
-// none.
+// Reduce moves the state on. An Asked and an AskedSame have exactly one effect,
+// other events have none.
 func Reduce(s *State, event Event) []Effect {
 	switch e := event.(type) {
 	case Fleet:
@@ -214,6 +222,8 @@
 		s.declared(e)
 	case Asked:
 		return []Effect{s.asked(e)}
+	case AskedSame:
+		return []Effect{s.askedSame(e)}
 	case Ended:
 		s.ended(e)
 	case PromptRead:
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"time"
 
 	controlpeer "github.com/oriolebend/oriolebend/internal/control"
@@ -235,11 +236,12 @@
 		Log:     c.replica,
 		Store:   store,
 		Group:   c.replica,
+		Routing: c,
 		Reports: reached.List,
 		// Operators ask a VM that hears the servers for how far they are.
 		Announcements: c.members.Announcements,
 		Confirmed:     func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
-		OperatorURL:   operatorURL(s.Control.Members),
+		OperatorURL:   operatorURL(s),
 		Tokens:        s.Operator.Tokens,
 		Open:          s.Operator.Open,
 		Registry:      c.process.metrics.Registerer(),
@@ -259,9 +261,16 @@
 }
 
 // operatorURL finds the operators' address of a control VM by its name.
-func operatorURL(members []settings.Member) func(string) string {
+func operatorURL(s settings.Settings) func(string) string {
+	own, err := netip.ParseAddrPort(s.Operator.Listen)
+	seeded := len(s.Control.Seeds) > 0 && err == nil && !own.Addr().IsLoopback()
 	return func(node string) string {
-		for _, m := range members {
+		if ip, err := netip.ParseAddr(node); seeded && err == nil {
+			// Found through seeds, control VMs are named by their IP and share
+			// their ports.
+			return "http://" + netip.AddrPortFrom(ip, own.Port()).String()
+		}
+		for _, m := range s.Control.Members {
 			if m.Name == node && m.OperatorAddress != "" {
 				return "http://" + m.OperatorAddress
 			}
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -62,6 +62,9 @@
 	return c.routes.Announce(ctx, server)
 }
 
+// Backends lists the backend servers that announced themselves to this VM.
+func (c *ControlProcess) Backends() []message.BackendServer { return c.routes.Servers() }
+
 // Withdraw takes the last word of a backend server.
 func (c *ControlProcess) Withdraw(ctx context.Context, instance string) error {
 	return c.routes.Withdraw(ctx, instance)
--- a/internal/settings/examples_test.go
+++ b/internal/settings/examples_test.go
@@ -11,11 +11,12 @@
 
 func TestExamplesAreWhole(t *testing.T) {
 	examples := map[string]settings.Role{
-		"lintang.toml":            settings.RoleDev,
-		"association.toml":        settings.RoleDev,
-		"production/entry.toml":   settings.RoleEntry,
-		"production/sidecar.toml": settings.RoleSidecar,
-		"production/control.toml": settings.RoleControl,
+		"lintang.toml":              settings.RoleDev,
+		"association.toml":          settings.RoleDev,
+		"production/entry.toml":     settings.RoleEntry,
+		"production/forwarder.toml": settings.RoleForwarder,
+		"production/sidecar.toml":   settings.RoleSidecar,
+		"production/control.toml":   settings.RoleControl,
 	}
 	for name, role := range examples {
 		t.Run(name, func(t *testing.T) {
