registry, dispatch: scripted tests

Change: tests from data files for late announcements, addresses used again, silence, what several control VMs tell, choice of servers, memory, the retry budget and what is told of the load; a property test that counts return to zero.

--- /dev/null
+++ b/internal/reducer/dispatch/script_test.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// script feeds one state and remembers what was granted.
+type script struct {
+	t      *testing.T
+	now    time.Time
+	state  *State
+	grants map[string]Grant
+}
+
+// TestScripts runs the files of testdata/scripts. Their commands:
+//
+//	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing] a line
+//	service NAME [kv=N]     declares a service; kv makes it one of engines
+//	do                      ask NAME SERVICE [prompt=N] [again] [waited] [tried=A,B]
+//	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
+//	                        same NAME | pass FOR
+//	loads                   prints what was done with engines
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{
+			t: t, now: scriptStart, grants: map[string]Grant{},
+			state: New(Config{FailureDomain: "a", Seed: 1}),
+		}
+		var services []oriolebend.RouteService
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			switch d.Cmd {
+			case "fleet":
+				s.fleet(d)
+			case "service":
+				services = append(services, declaredService(d))
+				Reduce(s.state, Services{Services: services})
+			case "do":
+				for line := range strings.Lines(d.Input) {
+					s.do(strings.Fields(line), &out)
+				}
+			case "loads":
+				for _, l := range s.state.Loads() {
+					fmt.Fprintf(&out, "%s requests %d prompt %d held %d\n", l.Service, l.Requests, l.PromptTokens, l.HeldTokens)
+				}
+			default:
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+			}
+			return out.String()
+		})
+	})
+}
+
+func (s *script) fleet(d *datadriven.TestData) {
+	var servers []message.BackendServer
+	for line := range strings.Lines(d.Input) {
+		words := strings.Fields(line)
+		server := message.BackendServer{
+			Instance: words[0], Service: words[1], FailureDomain: words[2], Address: words[0] + ":1", Phase: message.PhaseReady,
+		}
+		for _, word := range words[3:] {
+			switch word {
+			case "prefill", "decode":
+				server.Role = oriolebend.PoolRole(word)
+			case "silent":
+				server.Silent = true
+			case "changing":
+				server.Changing = true
+			default:
+				server.Phase = message.ServerPhase(word)
+			}
+		}
+		servers = append(servers, server)
+	}
+	forwarders := 0
+	d.MaybeScanArgs(s.t, "forwarders", &forwarders)
+	Reduce(s.state, Fleet{Servers: servers, Forwarders: forwarders})
+}
+
+func declaredService(d *datadriven.TestData) oriolebend.RouteService {
+	declared := oriolebend.RouteService{Name: d.CmdArgs[0].Key}
+	for _, arg := range d.CmdArgs[1:] {
+		if arg.Key == "kv" {
+			tokens, _ := strconv.Atoi(arg.Vals[0])
+			declared.Engine = &oriolebend.EngineLimits{KVTokens: tokens, TokenBytes: 18432, LinkMbps: 740000}
+		}
+	}
+	return declared
+}
+
+func (s *script) do(words []string, out *strings.Builder) {
+	s.t.Helper()
+	is := is.New(s.t)
+	switch words[0] {
+	case "pass":
+		d, err := time.ParseDuration(words[1])
+		is.NoErr(err)
+		s.now = s.now.Add(d)
+	case "ask":
+		s.ask(words[1], words[2], words[3:], out)
+	case "same":
+		print(out, words[1], Reduce(s.state, AskedSame{At: s.now, Grant: s.grants[words[1]]}))
+	case "end":
+		ended := Ended{At: s.now, Grant: s.grants[words[1]], Outcome: Outcome(words[2])}
+		if len(words) > 3 {
+			ended.Took, _ = time.ParseDuration(words[3])
+		}
+		Reduce(s.state, ended)
+	case "read":
+		took, err := time.ParseDuration(words[2])
+		is.NoErr(err)
+		Reduce(s.state, PromptRead{At: s.now, Grant: s.grants[words[1]], Took: took})
+	case "failed":
+		Reduce(s.state, PromptRead{At: s.now, Grant: s.grants[words[1]], Failed: true})
+	}
+}
+
+func (s *script) ask(name, service string, options []string, out *strings.Builder) {
+	need := Need{Service: service, FirstWithin: 900 * time.Millisecond, Arrived: s.now}
+	for _, option := range options {
+		key, value, _ := strings.Cut(option, "=")
+		switch key {
+		case "prompt":
+			need.Prompt, _ = strconv.Atoi(value)
+			need.Output = 1000
+		case "again":
+			need.Again = true
+		case "waited":
+			need.Waited = true
+		case "tried":
+			need.Tried = strings.Split(value, ",")
+		}
+	}
+	effects := Reduce(s.state, Asked{At: s.now, Need: need})
+	if granted, ok := effects[0].(Granted); ok {
+		s.grants[name] = granted.Grant
+	}
+	print(out, name, effects)
+}
+
+func print(out *strings.Builder, name string, effects []Effect) {
+	switch e := effects[0].(type) {
+	case Granted:
+		text := name + " to " + e.Grant.Server.Instance
+		if e.Grant.Prefill != nil {
+			text += " prompt at " + e.Grant.Prefill.Instance
+		}
+		fmt.Fprintln(out, text)
+	case Refused:
+		fmt.Fprintln(out, name, "refused", e.Reason, "after", e.RetryAfter)
+	}
+}
+
+// What is counted at servers returns to zero once all work has ended, whatever
+// the order of events: a count that stays would keep a server unused for good.
+func TestCountsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Config{FailureDomain: "a", Seed: 1})
+		Reduce(s, Services{Services: []oriolebend.RouteService{{Name: "s", Engine: &oriolebend.EngineLimits{KVTokens: 50000}}}})
+		servers := []message.BackendServer{
+			{Instance: "p", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Prefill},
+			{Instance: "d", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Decode},
+			{Instance: "e", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Decode},
+		}
+		Reduce(s, Fleet{Servers: servers})
+		now := scriptStart
+		var open []Grant
+		outcomes := []Outcome{OutcomeAnswered, OutcomeFailed, OutcomeRefused, OutcomeFull, OutcomeBroken, OutcomeCancelled}
+		end := func(at int) {
+			g := open[at]
+			open = append(open[:at], open[at+1:]...)
+			if g.Prefill != nil {
+				Reduce(s, PromptRead{At: now, Grant: g, Took: time.Millisecond, Failed: rapid.Bool().Draw(t, "failed")})
+			}
+			Reduce(s, Ended{At: now, Grant: g, Outcome: rapid.SampledFrom(outcomes).Draw(t, "outcome")})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+				end(rapid.IntRange(0, len(open)-1).Draw(t, "which"))
+				continue
+			}
+			need := Need{Service: "s", Prompt: rapid.IntRange(1, 9000).Draw(t, "prompt"), Output: 500, Again: rapid.Bool().Draw(t, "again")}
+			if g, ok := Reduce(s, Asked{At: now, Need: need})[0].(Granted); ok {
+				open = append(open, g.Grant)
+			}
+		}
+		for len(open) > 0 {
+			end(0)
+		}
+		for name, c := range s.servers {
+			if c.busy != 0 || c.held != 0 || c.reading != 0 {
+				t.Fatalf("%s: busy %d, held %d, reading %d", name, c.busy, c.held, c.reading)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/reducer/registry/script_test.go
@@ -0,0 +1,133 @@
+package registry
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// scriptStart is when scripts begin.
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// script is one control VM, or one forwarder that several of them tell.
+type script struct {
+	now   time.Time
+	state *State
+	view  *View
+}
+
+// TestScripts runs the files of testdata/scripts. A block "control" feeds one
+// control VM, a block "view" one forwarder; each line of a block is an event:
+//
+//	announce INSTANCE ADDRESS PHASE SEQUENCE [ROLE]
+//	withdraw INSTANCE | changes INSTANCE FOR | pass FOR
+//	told CONTROL [whole] INSTANCE:PHASE:SEQUENCE[:silent]...
+//	lost CONTROL
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{now: scriptStart, state: New(Config{}), view: NewView()}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				words := strings.Fields(line)
+				if d.Cmd == "control" {
+					s.control(t, words, &out)
+				} else {
+					s.tell(t, words)
+				}
+			}
+			list := s.state.Servers()
+			if d.Cmd == "view" {
+				list = s.view.Servers(s.now)
+			}
+			for _, server := range list {
+				fmt.Fprintln(&out, "known "+text(server))
+			}
+			return out.String()
+		})
+	})
+}
+
+func (s *script) control(t *testing.T, words []string, out *strings.Builder) {
+	t.Helper()
+	var event Event
+	switch words[0] {
+	case "announce":
+		server := message.BackendServer{
+			Instance: words[1], Address: words[2], Service: "s",
+			Phase: message.ServerPhase(words[3]), Sequence: count(t, words[4]),
+		}
+		if len(words) > 5 {
+			server.Role = oriolebend.PoolRole(words[5])
+		}
+		event = Announced{At: s.now, Server: server}
+	case "withdraw":
+		event = Withdrawn{At: s.now, Instance: words[1]}
+	case "changes":
+		event = RoleChanges{Instance: words[1], Until: s.now.Add(duration(t, words[2]))}
+	case "pass":
+		s.now = s.now.Add(duration(t, words[1]))
+		event = Ticked{At: s.now}
+	}
+	for _, effect := range Reduce(s.state, event) {
+		fmt.Fprintln(out, "tell "+text(effect.(Changed).Server))
+	}
+}
+
+func (s *script) tell(t *testing.T, words []string) {
+	t.Helper()
+	switch words[0] {
+	case "pass":
+		s.now = s.now.Add(duration(t, words[1]))
+	case "lost":
+		s.view.Lost(s.now, words[1])
+	case "told":
+		whole := len(words) > 2 && words[2] == "whole"
+		var servers []message.BackendServer
+		for _, word := range words[2:] {
+			if parts := strings.Split(word, ":"); len(parts) > 2 {
+				servers = append(servers, message.BackendServer{
+					Instance: parts[0], Address: parts[0] + ":1", Phase: message.ServerPhase(parts[1]),
+					Sequence: count(t, parts[2]), Silent: len(parts) > 3,
+				})
+			}
+		}
+		s.view.Told(s.now, words[1], whole, servers)
+	}
+}
+
+func text(s message.BackendServer) string {
+	words := []string{s.Instance, s.Address, string(s.Phase)}
+	if s.Role != "" {
+		words = append(words, string(s.Role))
+	}
+	if s.Silent {
+		words = append(words, "silent")
+	}
+	if s.Changing {
+		words = append(words, "changing")
+	}
+	return strings.Join(words, " ")
+}
+
+func count(t *testing.T, word string) uint64 {
+	t.Helper()
+	n, err := strconv.ParseUint(word, 10, 64)
+	is.New(t).NoErr(err)
+	return n
+}
+
+func duration(t *testing.T, word string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(word)
+	is.New(t).NoErr(err)
+	return d
+}
