http1, backend, pools: tests

Change: raw requests and their answers from data files (lengths given twice, folded lines, bounds, slow callers, early ends), callers that leave, stops between requests; spoilt and stray answers, what a failed exchange tells; the division of engines. Found by them and mended: chunks in HTTP/1.0 were passed on without their body, and a prefill pool that was too small got engines each round without the wait of ten seconds.

--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -112,9 +112,6 @@
 	}
 	h := head{request: request, target: parts[1], length: request.ContentLength}
 	if len(request.TransferEncoding) > 0 {
-		if request.ProtoMinor == 0 {
-			return head{}, malformed("chunks in HTTP/1.0", nil)
-		}
 		h.length = -1
 	}
 	h.expects = strings.EqualFold(request.Header.Get("Expect"), "100-continue")
@@ -152,6 +149,9 @@
 	if lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) {
 		return malformed("the length of the body is given twice", nil)
 	}
+	if codings > 0 && bytes.HasSuffix(bytes.TrimRight(lines[0], "\r"), []byte("HTTP/1.0")) {
+		return malformed("chunks in HTTP/1.0", nil)
+	}
 	if hosts != 1 {
 		return malformed("not one Host line", nil)
 	}
--- /dev/null
+++ b/internal/reducer/pools/script_test.go
@@ -0,0 +1,101 @@
+package pools
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts runs the files of testdata/scripts. Each line is an event:
+//
+//	engines PREFILL DECODE      that many engines of each pool, in three failure domains
+//	lead TERM | follow          whether this control VM leads
+//	pass SECONDS [prompt=N requests=N held=N]   each second with such a load
+//	answer unsure               the outcome of the last order
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s, now, last := New(), scriptStart, Order{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				words := strings.Fields(line)
+				switch words[0] {
+				case "engines":
+					Reduce(s, engines(number(t, words[1]), number(t, words[2])))
+				case "lead":
+					Reduce(s, Leads{At: now, Lead: true, Term: uint64(number(t, words[1]))})
+				case "follow":
+					Reduce(s, Leads{At: now})
+				case "answer":
+					Reduce(s, Answered{At: now, Order: last, Unsure: words[1] == "unsure"})
+				case "pass":
+					for range number(t, words[1]) {
+						now = now.Add(time.Second)
+						if len(words) > 2 {
+							Reduce(s, Heard{Loads: []message.ServiceLoad{load(t, words[2:])}})
+						}
+						for _, o := range Reduce(s, Ticked{At: now}) {
+							last = o
+							fmt.Fprintf(&out, "%ds: %s to %s, fencing %d-%d, wanted %.1f\n", int(now.Sub(scriptStart).Seconds()),
+								o.Engine.Instance, o.Role, o.Fencing/fencingPerTerm, o.Fencing%fencingPerTerm, o.Grounds.Wanted)
+						}
+					}
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+func number(t *testing.T, word string) int {
+	t.Helper()
+	n, err := strconv.Atoi(word)
+	is.New(t).NoErr(err)
+	return n
+}
+
+func engines(prefill, decode int) Engines {
+	e := Engines{Services: []oriolebend.RouteService{{
+		Name:   "s",
+		Engine: &oriolebend.EngineLimits{KVTokens: 60000, RoleChange: oriolebend.Duration(6 * time.Second)},
+	}}}
+	domains := []string{"a", "b", "c"}
+	for i := range prefill + decode {
+		server := message.BackendServer{
+			Instance: fmt.Sprintf("e%02d", i), Service: "s", Phase: message.PhaseReady,
+			FailureDomain: domains[i%len(domains)], Role: oriolebend.Decode,
+		}
+		if i < prefill {
+			server.Role = oriolebend.Prefill
+		}
+		e.Servers = append(e.Servers, server)
+	}
+	return e
+}
+
+func load(t *testing.T, words []string) message.ServiceLoad {
+	t.Helper()
+	l := message.ServiceLoad{Service: "s", BestRate: 50}
+	for _, word := range words {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "prompt":
+			l.PromptTokens = number(t, value)
+		case "requests":
+			l.Requests = number(t, value)
+		case "held":
+			l.HeldTokens = number(t, value)
+		}
+	}
+	return l
+}
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -270,6 +270,7 @@
 	case off <= -margin && v.shortSince.IsZero():
 		v.shortSince = at
 	case off <= -margin && at.Sub(v.shortSince) >= lastingFor:
+		v.shortSince = time.Time{}
 		missing := min(int(-off*moveAtOnce), len(decode)-1)
 		return s.orders(at, Order{Service: name, Role: oriolebend.Prefill, Grounds: grounds}, decode, missing)
 	}
