--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -47,6 +47,14 @@
 	Expected int
 }
 
+// expected is the tokens of output that are likely.
+func (a Ask) expected() int {
+	if a.Expected > 0 {
+		return min(a.Expected, a.Output)
+	}
+	return a.Output
+}
+
 // output is the tokens of output that memory is reserved for: the estimate if
 // there is one. Ten or so generations share an engine's memory, so that those
 // that turn out longer are made up for by shorter ones; reserving the most that
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -20,6 +20,9 @@
 	// lateAsks is how many times longer a request waits between two tries once
 	// it has missed its target: one that can still be in time goes first.
 	lateAsks = 6
+	// retryLoaded is when a caller may come back whose request waited for memory
+	// in vain: the engines are overloaded, and bursts last for seconds.
+	retryLoaded = 2 * time.Second
 	// holdWithin bounds one call for a reservation, several round trips between
 	// failure domains.
 	holdWithin = 300 * time.Millisecond
@@ -32,28 +35,95 @@
 // While no engine has memory the request waits.
 func (w *work) reserve(ctx context.Context) (*sending, *refusal) {
 	waited := false
+	for {
+		grant, refused := w.placeGeneration(ctx, waited)
+		if refused != nil {
+			return nil, refused
+		}
+		waited = true
+		s := &sending{work: w, grant: grant}
+		if s.takeHold(ctx) {
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return nil, &refusal{reason: reasonOfEnd(ctx)}
+		}
+	}
+}
+
+// placeGeneration waits for a place, from the process that knows all of them or,
+// without it, from what this forwarder knows.
+func (w *work) placeGeneration(ctx context.Context, waited bool) (dispatch.Grant, *refusal) {
+	if w.f.config.Places != nil && w.ask.Prompt > 0 && w.service.Engine != nil {
+		if grant, refused, asked := w.placeElsewhere(ctx, waited); asked {
+			return grant, refused
+		}
+	}
 	for {
 		need := w.need()
 		need.Waited = waited
 		grant, refused := w.f.place(need)
-		if refused == nil {
-			s := &sending{work: w, grant: grant}
-			if s.takeHold(ctx) {
-				return s, nil
-			}
-			waited = true
-			if ctx.Err() != nil {
-				return nil, &refusal{reason: reasonOfEnd(ctx)}
-			}
-			continue
+		if refused == nil || refused.reason != oriolebend.ReasonNoMemory {
+			return grant, refused
 		}
-		if refused.reason != oriolebend.ReasonNoMemory || !w.awaitRoom(ctx, refused.after) {
-			return nil, refused
+		if !w.awaitRoom(ctx, refused.after) {
+			return grant, &refusal{reason: refused.reason, after: retryLoaded}
 		}
 		waited = true
 	}
 }
 
+// inTime is the share of the target that may be over for a request to be in time
+// still: the rest is for its prefill and the first event.
+const inTime = 0.75
+
+// placeElsewhere asks the process that knows all places; the last result is false
+// if it could not be asked.
+func (w *work) placeElsewhere(ctx context.Context, waited bool) (dispatch.Grant, *refusal, bool) {
+	need := w.need()
+	need.Output = w.ask.expected()
+	if !waited {
+		effect := w.f.reduce(dispatch.Counted{At: w.f.now(), Service: need.Service, Again: need.Again})[0]
+		if r, ok := effect.(dispatch.Refused); ok {
+			return dispatch.Grant{}, &refusal{reason: r.Reason, after: r.RetryAfter}, true
+		}
+	}
+	target := float64(w.route.AnswerWithin)
+	age := w.age()
+	effect, asked := w.f.config.Places.Place(ctx, PlaceRequest{
+		Need: need, Rank: w.route.Rank,
+		InTime: time.Duration(inTime*target) - age,
+		Within: min(time.Duration(waitTargets*target)-time.Since(w.request.Received), w.left()),
+	})
+	if ctx.Err() != nil {
+		if g, ok := effect.(dispatch.Granted); asked && ok {
+			w.f.config.Places.Ended(dispatch.Ended{At: w.f.now(), Grant: g.Grant, Outcome: dispatch.OutcomeCancelled})
+		}
+		return dispatch.Grant{}, &refusal{reason: reasonOfEnd(ctx)}, true
+	}
+	if !asked {
+		return dispatch.Grant{}, nil, false
+	}
+	switch e := effect.(type) {
+	case dispatch.Granted:
+		w.f.reduce(dispatch.HeldElsewhere{Need: e.Grant.Need})
+		return e.Grant, nil, true
+	case dispatch.Refused:
+		return dispatch.Grant{}, &refusal{reason: e.Reason, after: e.RetryAfter}, true
+	}
+	return dispatch.Grant{}, nil, false
+}
+
+// age is how long the caller has waited. One that sends its request again has
+// less time than the route gives, by what is over.
+func (w *work) age() time.Duration {
+	age := time.Since(w.request.Received)
+	if w.ask.Within > 0 {
+		age += max(0, time.Duration(w.route.Timeout)-w.ask.Within)
+	}
+	return age
+}
+
 // awaitRoom waits until another try for memory is worthwhile; false means that
 // the request has waited for long enough.
 func (w *work) awaitRoom(ctx context.Context, pause time.Duration) bool {
@@ -108,7 +178,7 @@
 // unusedPrefill tells the reducer that the grant's prefill engine is not asked.
 func (s *sending) unusedPrefill() {
 	if s.grant.Prefill != nil {
-		s.f.reduce(dispatch.PromptRead{At: s.f.now(), Grant: s.grant, Unused: true})
+		s.f.promptRead(dispatch.PromptRead{At: s.f.now(), Grant: s.grant, Unused: true})
 	}
 }
 
@@ -122,7 +192,7 @@
 	request := s.outgoing(Sending{Instance: engine.Instance, PrefillOnly: true})
 	began := s.f.now()
 	result, err := s.f.readPrompt(ctx, engine.Address, request)
-	s.f.reduce(dispatch.PromptRead{
+	s.f.promptRead(dispatch.PromptRead{
 		At: s.f.now(), Grant: s.grant, Took: s.f.now().Sub(began),
 		Failed: err != nil && ctx.Err() == nil, Unused: ctx.Err() != nil,
 	})
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -101,7 +101,7 @@
 
 // ended reports the end of a sending to the reducer.
 func (w *work) ended(g dispatch.Grant, outcome dispatch.Outcome, took time.Duration) {
-	w.f.reduce(dispatch.Ended{At: w.f.now(), Grant: g, Outcome: outcome, Took: took})
+	w.f.ended(dispatch.Ended{At: w.f.now(), Grant: g, Outcome: outcome, Took: took})
 }
 
 // reasonOf is the reason of a failed exchange.
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -58,6 +58,22 @@
 	return Granted{Grant: grant}
 }
 
+// counted counts a request for which another process chooses the server.
+func (s *State) counted(e Counted) Effect {
+	service := s.services[e.Service]
+	switch {
+	case service == nil:
+		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
+	case !e.Again:
+		service.budget.request(e.At, s.config.RetryWindow)
+	case !s.mayRepeat(service, e.At):
+		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
+	default:
+		service.budget.repeat(e.At, s.config.RetryWindow)
+	}
+	return Granted{}
+}
+
 // askedSame counts one more sending to the same server against the budget.
 func (s *State) askedSame(e AskedSame) Effect {
 	service := s.services[e.Grant.Need.Service]
--- /dev/null
+++ b/internal/reducer/dispatch/fleet.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// FreeShare is the share of the KV memory of a service's decode engines that
+// nothing granted here needs. Engines that take no work have none.
+func (s *State) FreeShare(at time.Time, name string) float64 {
+	v := s.services[name]
+	if v == nil || v.limits.Engine == nil {
+		return 0
+	}
+	total, free := 0, 0
+	for _, c := range s.servers {
+		if c.Service != name || c.Role == oriolebend.Prefill || !c.takesWork() {
+			continue
+		}
+		total += v.limits.Engine.KVTokens
+		if !at.Before(c.fullUntil) && !at.Before(c.avoidUntil) {
+			free += max(0, v.limits.Engine.KVTokens-c.held)
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(free) / float64(total)
+}
+
+// Resume takes up a place that was granted elsewhere; false means that its
+// server is not known.
+func Resume(s *State, n Need, server, prefill string) (Grant, bool) {
+	c := s.servers[server]
+	if c == nil {
+		return Grant{}, false
+	}
+	grant := Grant{Need: n, Server: c.BackendServer}
+	if p := s.servers[prefill]; p != nil {
+		reader := p.BackendServer
+		grant.Prefill = &reader
+	}
+	s.take(grant)
+	return grant, true
+}
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -16,6 +16,7 @@
 			continue
 		}
 		load := v.load
+		load.HeldTokens = v.heldElsewhere
 		load.Service, load.BestRate = name, v.bestRate
 		for _, c := range s.servers {
 			if c.Service == name {
@@ -30,3 +31,21 @@
 	slices.SortFunc(loads, func(a, b message.ServiceLoad) int { return cmp.Compare(a.Service, b.Service) })
 	return loads
 }
+
+func (s *State) readElsewhere(e ReadElsewhere) {
+	if v := s.services[e.Need.Service]; v != nil {
+		v.read(e.Need, e.Took)
+	}
+}
+
+func (s *State) heldElsewhere(e HeldElsewhere) {
+	v := s.services[e.Need.Service]
+	if v == nil {
+		return
+	}
+	memory := e.Need.Prompt + e.Need.Output
+	if e.Ended {
+		memory = -memory
+	}
+	v.heldElsewhere = max(0, v.heldElsewhere+memory)
+}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -40,13 +40,18 @@
 	}
 	p.failed, p.avoidUntil = 0, time.Time{}
 	if service != nil && e.Took > 0 {
-		service.prefillRate.add(rate(e.Grant.Need.Prompt, e.Took))
-		service.load.Requests++
-		service.load.PromptTokens += e.Grant.Need.Prompt
-		service.bestRate = max(service.bestRate*bestKept, rate(e.Grant.Need.Prompt, e.Took))
+		service.read(e.Grant.Need, e.Took)
 	}
 }
 
+// read counts a prompt that a prefill engine has read.
+func (v *service) read(n Need, took time.Duration) {
+	v.prefillRate.add(rate(n.Prompt, took))
+	v.bestRate = max(v.bestRate*bestKept, rate(n.Prompt, took))
+	v.load.Requests++
+	v.load.PromptTokens += n.Prompt
+}
+
 // rate is in tokens a millisecond.
 func rate(tokens int, took time.Duration) float64 {
 	return float64(tokens) / max(1, float64(took.Microseconds())/1e3)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -59,6 +59,8 @@
 	bestRate float64
 	// load is what was done since it was told last.
 	load message.ServiceLoad
+	// heldElsewhere is the memory of places that another process gave.
+	heldElsewhere int
 }
 
 // server is one backend server as this forwarder sees it.
@@ -133,6 +135,29 @@
 	Need Need
 }
 
+// Counted counts a request for which another process chooses the server, so
+// that repeats of it stay within this forwarder's part of the retry budget.
+type Counted struct {
+	At      time.Time
+	Service string
+	// Again is set for a sending beyond the first.
+	Again bool
+}
+
+// ReadElsewhere tells of a prompt that was read at a place which another process
+// gave.
+type ReadElsewhere struct {
+	Need Need
+	Took time.Duration
+}
+
+// HeldElsewhere tells that a place which another process gave is in use, or has
+// ended.
+type HeldElsewhere struct {
+	Need  Need
+	Ended bool
+}
+
 // AskedSame asks whether a request may be sent once more to the server that has
 // its place.
 type AskedSame struct {
@@ -181,12 +206,15 @@
 	Unused bool
 }
 
-func (Fleet) isDispatchEvent()      {}
-func (Services) isDispatchEvent()   {}
-func (Asked) isDispatchEvent()      {}
-func (AskedSame) isDispatchEvent()  {}
-func (Ended) isDispatchEvent()      {}
-func (PromptRead) isDispatchEvent() {}
+func (Fleet) isDispatchEvent()         {}
+func (Services) isDispatchEvent()      {}
+func (Asked) isDispatchEvent()         {}
+func (AskedSame) isDispatchEvent()     {}
+func (Counted) isDispatchEvent()       {}
+func (ReadElsewhere) isDispatchEvent() {}
+func (HeldElsewhere) isDispatchEvent() {}
+func (Ended) isDispatchEvent()         {}
+func (PromptRead) isDispatchEvent()    {}
 
 // Effect is what the caller of Reduce has to do.
 type Effect interface{ isDispatchEffect() }
@@ -197,6 +225,9 @@
 	Server message.BackendServer
 	// Prefill is the engine that reads the prompt before; nil if Server does.
 	Prefill *message.BackendServer
+	// Remote numbers a place that another process gave; zero means that it was
+	// granted here.
+	Remote uint64
 }
 
 // Granted asks to send the request.
@@ -212,8 +243,8 @@
 func (Granted) isDispatchEffect() {}
 func (Refused) isDispatchEffect() {}
 
-// Reduce moves the state on. An Asked and an AskedSame have exactly one effect,
-// other events have none.
+// Reduce moves the state on. Asked, AskedSame and Counted have exactly one
+// effect, other events have none.
 func Reduce(s *State, event Event) []Effect {
 	switch e := event.(type) {
 	case Fleet:
@@ -224,6 +255,12 @@
 		return []Effect{s.asked(e)}
 	case AskedSame:
 		return []Effect{s.askedSame(e)}
+	case ReadElsewhere:
+		s.readElsewhere(e)
+	case HeldElsewhere:
+		s.heldElsewhere(e)
+	case Counted:
+		return []Effect{s.counted(e)}
 	case Ended:
 		s.ended(e)
 	case PromptRead:
--- /dev/null
+++ b/internal/reducer/placement/state.go
@@ -0,0 +1,282 @@
+// Package placement is the reducer that gives places at model engines to the
+// requests of all forwarders. One control VM runs it, the leader. It joins what
+// package dispatch decides for one request with a queue of those that wait. It is
+// pure: time comes in events.
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// mostOvertaken is how many requests may pass one that waits for more memory
+	// than they need. Without a bound large requests would starve in a peak;
+	// without any overtaking memory would lie idle until the largest fits.
+	mostOvertaken = 6
+	// lateReserve is the share of a service's KV memory that must be free for a
+	// late request to be placed. Were late requests placed wherever they fit,
+	// they would take the memory that the next one in time is about to ask for:
+	// after a burst all requests would be late, and stay so until the load falls
+	// far below what the engines can carry.
+	lateReserve = 0.06
+)
+
+// Key names a question: the session that it came over and its number there.
+type Key struct{ Session, ID uint64 }
+
+// State is what the leader knows. Only Reduce changes it.
+type State struct {
+	engines *dispatch.State
+	waiting []*question
+	places  map[Key]dispatch.Grant
+}
+
+// question is a request that waits for a place.
+type question struct {
+	key    Key
+	need   dispatch.Need
+	rank   int
+	inTime time.Time
+	until  time.Time
+	// overtaken counts those that came later and were placed before it.
+	overtaken int
+}
+
+// New returns a state that knows no engine.
+func New(seed uint64) *State {
+	return &State{
+		// Forwarders keep to the retry budget before they ask.
+		engines: dispatch.New(dispatch.Config{Seed: seed, RetrySlack: math.MaxInt32}),
+		places:  map[Key]dispatch.Grant{},
+	}
+}
+
+// Event changes a State.
+type Event interface{ isPlacementEvent() }
+
+// Fleet replaces what is known of engines and services.
+type Fleet struct {
+	Servers  dispatch.Fleet
+	Services dispatch.Services
+}
+
+// Asked asks for a place.
+type Asked struct {
+	At   time.Time
+	Key  Key
+	Need dispatch.Need
+	Rank int
+	// InTime is until when the request can meet its target, Until how long it
+	// may wait at all.
+	InTime, Until time.Time
+}
+
+// Withdrawn takes a question back.
+type Withdrawn struct {
+	At  time.Time
+	Key Key
+}
+
+// Resumed tells of a place that was given by another leader.
+type Resumed struct {
+	Key             Key
+	Need            dispatch.Need
+	Server, Prefill string
+}
+
+// PromptRead tells that the prefill engine of a place is done.
+type PromptRead struct {
+	At             time.Time
+	Key            Key
+	Took           time.Duration
+	Failed, Unused bool
+}
+
+// Ended gives a place back.
+type Ended struct {
+	At      time.Time
+	Key     Key
+	Outcome dispatch.Outcome
+	Took    time.Duration
+}
+
+// SessionLost gives back all that came over a session.
+type SessionLost struct {
+	At      time.Time
+	Session uint64
+}
+
+// Ticked passes time.
+type Ticked struct{ At time.Time }
+
+func (Fleet) isPlacementEvent()       {}
+func (Asked) isPlacementEvent()       {}
+func (Withdrawn) isPlacementEvent()   {}
+func (Resumed) isPlacementEvent()     {}
+func (PromptRead) isPlacementEvent()  {}
+func (Ended) isPlacementEvent()       {}
+func (SessionLost) isPlacementEvent() {}
+func (Ticked) isPlacementEvent()      {}
+
+// Answer tells a forwarder its place, or why there is none. It is the only
+// effect.
+type Answer struct {
+	Key     Key
+	Grant   *dispatch.Grant
+	Refused *dispatch.Refused
+}
+
+// Reduce moves the state on and returns the answers to give.
+func Reduce(s *State, event Event) []Answer {
+	switch e := event.(type) {
+	case Fleet:
+		dispatch.Reduce(s.engines, e.Services)
+		dispatch.Reduce(s.engines, e.Servers)
+	case Asked:
+		return s.asked(e)
+	case Withdrawn:
+		s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool { return q.key == e.Key })
+	case Resumed:
+		s.resumed(e)
+	case PromptRead:
+		s.promptRead(e)
+	case Ended:
+		s.ended(e.At, e.Key, e.Outcome, e.Took)
+		return s.serve(e.At)
+	case SessionLost:
+		s.lost(e)
+		return s.serve(e.At)
+	case Ticked:
+		return s.serve(e.At)
+	}
+	return nil
+}
+
+// Waiting counts the requests that wait.
+func (s *State) Waiting() int { return len(s.waiting) }
+
+func (s *State) asked(e Asked) []Answer {
+	q := &question{key: e.Key, need: e.Need, rank: e.Rank, inTime: e.InTime, until: e.Until}
+	s.waiting = append(s.waiting, q)
+	return s.serve(e.At)
+}
+
+// serve gives places to those that wait, as far as there is room: first those
+// that can be in time, by rank and arrival, then late ones from what is to spare.
+func (s *State) serve(at time.Time) []Answer {
+	var answers []Answer
+	s.sort(at)
+	blocked := map[string][]*question{}
+	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool {
+		if !at.Before(q.until) {
+			answers = append(answers, Answer{Key: q.key, Refused: &dispatch.Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: retryLoaded}})
+			return true
+		}
+		answer, done := s.try(at, q, blocked[q.need.Service])
+		if !done {
+			blocked[q.need.Service] = append(blocked[q.need.Service], q)
+			return false
+		}
+		answers = append(answers, answer)
+		return true
+	})
+	return answers
+}
+
+// retryLoaded is when a caller may come back whose request waited for memory in
+// vain: bursts last for seconds.
+const retryLoaded = 2 * time.Second
+
+// sort puts the questions into the order in which they are tried.
+func (s *State) sort(at time.Time) {
+	slices.SortStableFunc(s.waiting, func(a, b *question) int {
+		return cmp.Or(cmp.Compare(number(a.late(at)), number(b.late(at))), cmp.Compare(a.rank, b.rank))
+	})
+}
+
+func (q *question) late(at time.Time) bool { return !at.Before(q.inTime) }
+
+func number(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// try places one request; before are those of its service that wait ahead of it.
+func (s *State) try(at time.Time, q *question, before []*question) (Answer, bool) {
+	for _, b := range before {
+		if b.overtaken >= mostOvertaken {
+			return Answer{}, false
+		}
+	}
+	if q.late(at) && (len(before) > 0 || s.engines.FreeShare(at, q.need.Service) < lateReserve) {
+		return Answer{}, false
+	}
+	need := q.need
+	need.Waited = true // the forwarder has counted it
+	switch e := dispatch.Reduce(s.engines, dispatch.Asked{At: at, Need: need})[0].(type) {
+	case dispatch.Granted:
+		for _, b := range before {
+			b.overtaken++
+		}
+		s.places[q.key] = e.Grant
+		return Answer{Key: q.key, Grant: &e.Grant}, true
+	case dispatch.Refused:
+		if e.Reason != oriolebend.ReasonNoMemory {
+			return Answer{Key: q.key, Refused: &e}, true
+		}
+	}
+	return Answer{}, false
+}
+
+// resumed takes up a place that another leader gave. Engines that are not known
+// yet are passed over: their own reservations guard them.
+func (s *State) resumed(e Resumed) {
+	grant, known := dispatch.Resume(s.engines, e.Need, e.Server, e.Prefill)
+	if known {
+		s.places[e.Key] = grant
+	}
+}
+
+func (s *State) promptRead(e PromptRead) {
+	grant, found := s.places[e.Key]
+	if !found || grant.Prefill == nil {
+		return
+	}
+	dispatch.Reduce(s.engines, dispatch.PromptRead{At: e.At, Grant: grant, Took: e.Took, Failed: e.Failed, Unused: e.Unused})
+	// The prefill part is over; a second word on it must not count again.
+	grant.Prefill = nil
+	s.places[e.Key] = grant
+}
+
+func (s *State) ended(at time.Time, key Key, outcome dispatch.Outcome, took time.Duration) {
+	grant, found := s.places[key]
+	if !found {
+		return
+	}
+	delete(s.places, key)
+	if grant.Prefill != nil {
+		dispatch.Reduce(s.engines, dispatch.PromptRead{At: at, Grant: grant, Unused: true})
+	}
+	dispatch.Reduce(s.engines, dispatch.Ended{At: at, Grant: grant, Outcome: outcome, Took: took})
+}
+
+// lost ends all of a session. What its forwarder still runs is told again when it
+// opens another one.
+func (s *State) lost(e SessionLost) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool { return q.key.Session == e.Session })
+	keys := slices.SortedFunc(maps.Keys(s.places), func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
+	for _, key := range keys {
+		if key.Session == e.Session {
+			s.ended(e.At, key, dispatch.OutcomeCancelled, 0)
+		}
+	}
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/gate"
 	"github.com/oriolebend/oriolebend/internal/reducer/member"
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
+	"github.com/oriolebend/oriolebend/internal/reducer/placement"
 	"github.com/oriolebend/oriolebend/internal/reducer/pools"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
@@ -34,6 +35,7 @@
 	Gate      *gate.State
 	Member    *member.State
 	Order     *order.State
+	Placement *placement.State
 	Pools     *pools.State
 	Recovery  *recovery.State
 	Registry  *registry.State
@@ -67,6 +69,8 @@
 		return effects(member.Reduce(s.Member, e))
 	case order.Event:
 		return effects(order.Reduce(s.Order, e))
+	case placement.Event:
+		return effects(placement.Reduce(s.Placement, e))
 	case pools.Event:
 		return effects(pools.Reduce(s.Pools, e))
 	case registry.Event:
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -40,6 +40,7 @@
 	routes    *RouteServer
 	joiner    *Joiner
 	pools     *PoolKeeper
+	placer    *Placer
 	observer  *RouteFollower
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
@@ -73,8 +74,9 @@
 	}
 	if process.pools != nil {
 		go process.pools.Run(ctx)
-		go process.observer.Run(ctx)
 	}
+	go process.placer.Run(ctx)
+	go process.observer.Run(ctx)
 	go func() {
 		defer close(process.done)
 		process.ended = process.replica.Run(ctx)
@@ -96,6 +98,7 @@
 		message.KindPermit:     members,
 		message.KindWatch:      func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
 		message.KindRouteWatch: func(ctx context.Context, s peer.Stream) { <-ready; c.routes.Serve(ctx, s) },
+		message.KindPlaceOpen:  func(ctx context.Context, s peer.Stream) { <-ready; c.placer.Serve(ctx, s) },
 		message.KindJoin:       func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
 		message.KindConfirm:    func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
@@ -167,10 +170,8 @@
 		},
 		Logger: p.Logger,
 	}
-	if p.Orders != nil {
-		c.keepPools(name)
-	}
 	c.routes.Prepare()
+	c.observe(name)
 	if len(p.Settings.Control.Seeds) > 0 {
 		c.joiner = c.newJoiner(name)
 	}
@@ -182,18 +183,27 @@
 	return c.serveOperators(store, reached)
 }
 
-// keepPools has this VM divide model engines between prefill and decode while it
+// observe has this VM follow what all control VMs know of backend servers, to
+// give places and to divide model engines between prefill and decode while it
 // leads.
-func (c *ControlProcess) keepPools(name string) {
+func (c *ControlProcess) observe(name string) {
 	p := c.process
-	c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Logger: p.Logger}
-	c.pools.Prepare()
-	c.routes.Loads = c.pools.Heard
+	c.placer = &Placer{Leads: c.Leads, Logger: p.Logger}
+	c.placer.Prepare()
+	sinks := routeSinks{c.placer}
+	if p.Orders != nil {
+		c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Logger: p.Logger}
+		c.pools.Prepare()
+		c.routes.Loads = c.pools.Heard
+		sinks = append(sinks, c.pools)
+	}
 	c.observer = &RouteFollower{
 		Dialer: c.endpoint,
 		Seeds:  p.controlAddresses(),
-		Watch:  message.RouteWatch{Node: name, FailureDomain: p.Settings.Node.FailureDomain, Observes: true, Incarnation: newIncarnation()},
-		Sink:   c.pools,
+		Watch: message.RouteWatch{
+			Node: name, FailureDomain: p.Settings.Node.FailureDomain, Observes: true, Incarnation: newIncarnation(),
+		},
+		Sink:   sinks,
 		Logger: p.Logger,
 	}
 }
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/forwarder"
@@ -31,6 +32,7 @@
 	endpoint  *peer.Endpoint
 	forwarder *forwarder.Forwarder
 	follower  *RouteFollower
+	places    *PlaceClient
 	callers   *http1.Server
 	metrics   *httpServer
 	stopping  chan struct{}
@@ -48,9 +50,15 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	process.endpoint = endpoint
+	process.places = &PlaceClient{
+		Node: p.Settings.Node.Name, Dialer: endpoint, Logger: p.Logger,
+		Leader: func() string { return process.follower.Leader() },
+	}
+	process.places.Prepare()
 	process.forwarder = forwarder.New(forwarder.Config{
 		Dialect:  dialect,
 		Dispatch: dispatchConfig(p.Settings),
+		Places:   process.places,
 		Observer: p.observer(),
 		Logger:   p.Logger,
 	})
@@ -71,7 +79,10 @@
 	process.cancel = cancel
 	go func() {
 		defer close(process.done)
+		var running sync.WaitGroup
+		running.Go(func() { process.places.Run(ctx) })
 		process.follower.Run(ctx)
+		running.Wait()
 	}()
 	return process, nil
 }
--- a/internal/role/permission.go
+++ b/internal/role/permission.go
@@ -41,6 +41,7 @@
 		message.KindWatch:       {peer.RoleEntry, peer.RoleSidecar},
 		message.KindConfirm:     {peer.RoleControl},
 		message.KindRouteWatch:  {peer.RoleForwarder, peer.RoleControl},
+		message.KindPlaceOpen:   {peer.RoleForwarder},
 		message.KindJoin:        {peer.RoleControl},
 	}
 	for _, kind := range message.AgreementKinds() {
--- /dev/null
+++ b/internal/role/placeclient.go
@@ -0,0 +1,205 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/forwarder"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+)
+
+const (
+	// placeAgain is the pause before another leader is asked for places.
+	placeAgain = 100 * time.Millisecond
+	// placeOpenWithin bounds the opening of a session.
+	placeOpenWithin = time.Second
+	// answerMargin is how much later than the end of its wait a question's
+	// answer is still waited for; then the leader counts as gone.
+	answerMargin = 300 * time.Millisecond
+)
+
+// PlaceClient asks the leading control VM for places at model engines. It
+// implements forwarder.Places.
+type PlaceClient struct {
+	Node   string
+	Dialer peer.Dialer
+	// Leader is the peer address of the control VM that leads, empty if none is
+	// known.
+	Leader func() string
+	Logger *slog.Logger
+
+	mutex sync.Mutex
+	last  uint64
+	open  *outbox
+	// asked holds who waits for an answer, held the places that are in use.
+	asked map[uint64]chan message.PlaceAnswer
+	held  map[uint64]message.PlaceQuestion
+}
+
+var _ forwarder.Places = (*PlaceClient)(nil)
+
+// Prepare makes the client ready; it must be called before all else.
+func (c *PlaceClient) Prepare() {
+	c.asked = map[uint64]chan message.PlaceAnswer{}
+	c.held = map[uint64]message.PlaceQuestion{}
+}
+
+// Run keeps a session with the leader until ctx ends.
+func (c *PlaceClient) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if address := c.Leader(); address != "" {
+			c.session(ctx, address)
+		}
+		wait(ctx, placeAgain)
+	}
+}
+
+func (c *PlaceClient) session(ctx context.Context, address string) {
+	opening, cancel := context.WithTimeout(ctx, placeOpenWithin)
+	defer cancel()
+	s, err := c.Dialer.Open(opening, address)
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	o := newOutbox(s)
+	c.begin(o)
+	defer c.end()
+	go o.write()
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			return
+		}
+		if answer, ok := m.(message.PlaceAnswer); ok {
+			c.answered(answer)
+		}
+	}
+}
+
+func (c *PlaceClient) begin(o *outbox) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	open := message.PlaceOpen{Node: c.Node}
+	for _, q := range c.held {
+		open.Held = append(open.Held, q)
+	}
+	o.put(open)
+	c.open = o
+}
+
+// end has those that wait look for places themselves.
+func (c *PlaceClient) end() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.open = nil
+	for id, waiting := range c.asked {
+		delete(c.asked, id)
+		close(waiting)
+	}
+}
+
+func (c *PlaceClient) answered(a message.PlaceAnswer) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	waiting := c.asked[a.ID]
+	if waiting == nil {
+		// The request has left meanwhile; its place must not stay taken.
+		if a.Server != nil {
+			c.tell(message.PlaceEvent{ID: a.ID, Step: message.PlaceEnded, Outcome: string(dispatch.OutcomeCancelled)})
+		}
+		return
+	}
+	delete(c.asked, a.ID)
+	waiting <- a
+}
+
+// tell sends an event, if there is a session. The mutex is held.
+func (c *PlaceClient) tell(e message.PlaceEvent) {
+	if c.open != nil {
+		c.open.put(e)
+	}
+}
+
+// Place implements forwarder.Places.
+func (c *PlaceClient) Place(ctx context.Context, q forwarder.PlaceRequest) (dispatch.Effect, bool) {
+	id, waiting := c.ask(q)
+	if waiting == nil {
+		return nil, false
+	}
+	timer := time.NewTimer(q.Within + answerMargin)
+	defer timer.Stop()
+	select {
+	case answer, ok := <-waiting:
+		return c.effect(q, answer), ok
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.asked[id] == nil { // the answer came in this moment
+		if answer, ok := <-waiting; ok && answer.Server != nil {
+			c.tell(message.PlaceEvent{ID: id, Step: message.PlaceEnded, Outcome: string(dispatch.OutcomeCancelled)})
+		}
+		return nil, false
+	}
+	delete(c.asked, id)
+	c.tell(message.PlaceEvent{ID: id, Step: message.PlaceWithdrawn})
+	return nil, false
+}
+
+func (c *PlaceClient) ask(q forwarder.PlaceRequest) (uint64, chan message.PlaceAnswer) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.open == nil {
+		return 0, nil
+	}
+	c.last++
+	waiting := make(chan message.PlaceAnswer, 1)
+	c.asked[c.last] = waiting
+	c.tell(message.PlaceEvent{ID: c.last, Step: message.PlaceAsked, Question: &message.PlaceQuestion{
+		ID: c.last, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Rank: q.Rank,
+		InTime: q.InTime, Within: q.Within, Tried: q.Need.Tried,
+	}})
+	return c.last, waiting
+}
+
+func (c *PlaceClient) effect(q forwarder.PlaceRequest, a message.PlaceAnswer) dispatch.Effect {
+	if a.Server == nil {
+		return dispatch.Refused{Reason: a.Reason, RetryAfter: a.RetryAfter}
+	}
+	question := message.PlaceQuestion{
+		ID: a.ID, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Server: a.Server.Instance,
+	}
+	if a.Prefill != nil {
+		question.Prefill = a.Prefill.Instance
+	}
+	c.mutex.Lock()
+	c.held[a.ID] = question
+	c.mutex.Unlock()
+	return dispatch.Granted{Grant: dispatch.Grant{Need: q.Need, Server: *a.Server, Prefill: a.Prefill, Remote: a.ID}}
+}
+
+// PromptRead implements forwarder.Places.
+func (c *PlaceClient) PromptRead(e dispatch.PromptRead) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if q, found := c.held[e.Grant.Remote]; found {
+		q.Prefill = ""
+		c.held[e.Grant.Remote] = q
+	}
+	c.tell(message.PlaceEvent{ID: e.Grant.Remote, Step: message.PlaceRead, Took: e.Took, Failed: e.Failed, Unused: e.Unused})
+}
+
+// Ended implements forwarder.Places.
+func (c *PlaceClient) Ended(e dispatch.Ended) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.held, e.Grant.Remote)
+	c.tell(message.PlaceEvent{ID: e.Grant.Remote, Step: message.PlaceEnded, Outcome: string(e.Outcome), Took: e.Took})
+}
--- /dev/null
+++ b/internal/role/placer.go
@@ -0,0 +1,240 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/reducer/placement"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// placeEvery is how often requests that wait are looked through: an engine that
+// was found full is asked again after a tenth of a second.
+const placeEvery = 50 * time.Millisecond
+
+// Placer gives forwarders places at model engines while its control VM leads.
+//
+// Each forwarder sees only its own share of an engine's work. While many look for
+// the last free memory on their own, most tries meet a full engine, memory lies
+// idle for as long as it takes to find it, and requests that are late already
+// take it from those that could be in time. One process that knows all places
+// finds it at once, and in the right order. Its word is no more than a hint: the
+// engine's own reservation decides, and without a leader forwarders look for
+// themselves.
+type Placer struct {
+	Leads  func() bool
+	Logger *slog.Logger
+
+	mutex    sync.Mutex
+	state    *reducer.State
+	sessions map[uint64]*outbox
+	last     uint64
+	routing  oriolebend.Routing
+	servers  []message.BackendServer
+	leading  bool
+}
+
+var _ RouteSink = (*Placer)(nil)
+
+// Prepare makes the placer ready; it must be called before all else.
+func (p *Placer) Prepare() {
+	p.sessions = map[uint64]*outbox{}
+	p.reset()
+}
+
+// reset forgets all places. The mutex is held, or nobody else knows p yet.
+func (p *Placer) reset() {
+	p.state = &reducer.State{Placement: placement.New(newIncarnation())}
+	p.reduce(p.fleet())
+}
+
+// Run serves those that wait until ctx ends.
+func (p *Placer) Run(ctx context.Context) {
+	for wait(ctx, placeEvery); ctx.Err() == nil; wait(ctx, placeEvery) {
+		leads := p.Leads()
+		p.mutex.Lock()
+		if p.leading && !leads {
+			p.abdicate()
+		}
+		p.leading = leads
+		p.reduce(placement.Ticked{At: time.Now()})
+		p.mutex.Unlock()
+	}
+}
+
+// abdicate ends all sessions; the next leader gives the places. The mutex is
+// held.
+func (p *Placer) abdicate() {
+	for _, o := range p.sessions {
+		o.end()
+	}
+	p.reset()
+	p.Logger.Info("gives no more places, another control VM leads")
+}
+
+// reduce feeds the reducer and sends its answers. The mutex is held.
+func (p *Placer) reduce(e placement.Event) {
+	for _, effect := range reducer.Reduce(p.state, e) {
+		answer, ok := effect.(placement.Answer)
+		if !ok {
+			continue
+		}
+		if o := p.sessions[answer.Key.Session]; o != nil {
+			o.put(answerMessage(answer))
+		}
+	}
+}
+
+func answerMessage(a placement.Answer) message.PlaceAnswer {
+	m := message.PlaceAnswer{ID: a.Key.ID}
+	if a.Refused != nil {
+		m.Reason, m.RetryAfter = a.Refused.Reason, a.Refused.RetryAfter
+		return m
+	}
+	server := a.Grant.Server
+	m.Server, m.Prefill = &server, a.Grant.Prefill
+	return m
+}
+
+// Serve is the peer.Handler for forwarders that ask for places.
+func (p *Placer) Serve(ctx context.Context, s peer.Stream) {
+	first, err := s.Receive()
+	open, ok := first.(message.PlaceOpen)
+	if err != nil || !ok || !p.Leads() {
+		return
+	}
+	o := newOutbox(s)
+	session := p.begin(o, open)
+	defer p.end(session)
+	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	go o.write()
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			return
+		}
+		event, ok := m.(message.PlaceEvent)
+		if !ok {
+			return
+		}
+		p.take(session, event)
+	}
+}
+
+func (p *Placer) begin(o *outbox, open message.PlaceOpen) uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.last++
+	p.sessions[p.last] = o
+	for _, q := range open.Held {
+		p.reduce(placement.Resumed{
+			Key: placement.Key{Session: p.last, ID: q.ID}, Need: needOf(q), Server: q.Server, Prefill: q.Prefill,
+		})
+	}
+	p.Logger.Info("gives places", "forwarder", open.Node, "held", len(open.Held), "forwarders", len(p.sessions))
+	return p.last
+}
+
+func (p *Placer) end(session uint64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.sessions, session)
+	p.reduce(placement.SessionLost{At: time.Now(), Session: session})
+}
+
+func needOf(q message.PlaceQuestion) dispatch.Need {
+	return dispatch.Need{Service: q.Service, Prompt: q.Prompt, Output: q.Output, Tried: q.Tried}
+}
+
+// take feeds one step of a question to the reducer.
+func (p *Placer) take(session uint64, m message.PlaceEvent) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	key := placement.Key{Session: session, ID: m.ID}
+	switch m.Step {
+	case message.PlaceAsked:
+		if q := m.Question; q != nil {
+			p.reduce(placement.Asked{
+				At: now, Key: key, Need: needOf(*q), Rank: q.Rank, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
+			})
+		}
+	case message.PlaceWithdrawn:
+		p.reduce(placement.Withdrawn{At: now, Key: key})
+	case message.PlaceRead:
+		p.reduce(placement.PromptRead{At: now, Key: key, Took: m.Took, Failed: m.Failed, Unused: m.Unused})
+	case message.PlaceEnded:
+		p.reduce(placement.Ended{At: now, Key: key, Outcome: dispatch.Outcome(m.Outcome), Took: m.Took})
+	}
+}
+
+// fleet is what is known of engines. The mutex is held.
+func (p *Placer) fleet() placement.Fleet {
+	return placement.Fleet{
+		Services: dispatch.Services{Services: p.routing.Services},
+		Servers:  dispatch.Fleet{Servers: p.servers, Forwarders: 1},
+	}
+}
+
+// SetRouting implements RouteSink.
+func (p *Placer) SetRouting(r oriolebend.Routing) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if r.Version > p.routing.Version {
+		p.routing = r
+		p.reduce(p.fleet())
+	}
+}
+
+// SetServers implements RouteSink.
+func (p *Placer) SetServers(servers []message.BackendServer, _ int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.servers = servers
+	p.reduce(p.fleet())
+}
+
+// Version implements RouteSink.
+func (p *Placer) Version() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.routing.Version
+}
+
+// Loads implements RouteSink; a control VM puts no load on engines.
+func (p *Placer) Loads() []message.ServiceLoad { return nil }
+
+// Expire implements RouteSink.
+func (p *Placer) Expire() {}
+
+// routeSinks hands on what one RouteFollower learns to several parts.
+type routeSinks []RouteSink
+
+// SetRouting implements RouteSink.
+func (l routeSinks) SetRouting(r oriolebend.Routing) {
+	for _, s := range l {
+		s.SetRouting(r)
+	}
+}
+
+// SetServers implements RouteSink.
+func (l routeSinks) SetServers(servers []message.BackendServer, forwarders int) {
+	for _, s := range l {
+		s.SetServers(servers, forwarders)
+	}
+}
+
+// Version implements RouteSink.
+func (l routeSinks) Version() uint64 { return l[0].Version() }
+
+// Loads implements RouteSink.
+func (l routeSinks) Loads() []message.ServiceLoad { return nil }
+
+// Expire implements RouteSink.
+func (l routeSinks) Expire() {}
