placement: late requests by their own wait, engines granted one and a half times

Requests were counted as late from the start, since routes there allow more time than callers ask for and the difference was taken for a second try; so the newest did not go first. Found by logging when a request had its place, its prompt read and its first event: places took 2.5 s, prefills 0.12 s. Change: only the request's own wait counts; those in time the newest first; an engine that refuses is avoided for as large a request only; memory is granted one and a half times and the engine's reservation decides; late requests fill 85%.

--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -89,11 +89,11 @@
 		}
 	}
 	target := float64(w.route.AnswerWithin)
-	age := w.age()
+	age := time.Since(w.request.Received)
 	effect, asked := w.f.config.Places.Place(ctx, PlaceRequest{
 		Need: need, Rank: w.route.Rank,
 		InTime: time.Duration(inTime*target) - age,
-		Within: min(time.Duration(waitTargets*target)-time.Since(w.request.Received), w.left()),
+		Within: min(time.Duration(waitTargets*target)-age, w.left()),
 	})
 	if ctx.Err() != nil {
 		if g, ok := effect.(dispatch.Granted); asked && ok {
@@ -114,16 +114,6 @@
 	return dispatch.Grant{}, nil, false
 }
 
-// age is how long the caller has waited. One that sends its request again has
-// less time than the route gives, by what is over.
-func (w *work) age() time.Duration {
-	age := time.Since(w.request.Received)
-	if w.ask.Within > 0 {
-		age += max(0, time.Duration(w.route.Timeout)-w.ask.Within)
-	}
-	return age
-}
-
 // awaitRoom waits until another try for memory is worthwhile; false means that
 // the request has waited for long enough.
 func (w *work) awaitRoom(ctx context.Context, pause time.Duration) bool {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -45,8 +45,7 @@
 	hold string
 	// after is the last event that the caller was given.
 	after string
-	// began is when the sending began, streaming is set from its first event.
-	began     time.Time
+	// streaming is set from the first event.
 	streaming bool
 }
 
@@ -59,8 +58,9 @@
 
 // run carries one sending out.
 func (s *sending) run(ctx context.Context) ending {
-	s.began = s.f.now()
+	s.placed = time.Since(s.request.Received)
 	source, err := s.prefill(ctx)
+	s.read = time.Since(s.request.Received)
 	if err != nil && ctx.Err() != nil {
 		s.dropHold()
 		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
@@ -137,6 +137,7 @@
 		}
 		if !s.streaming {
 			s.streaming = true
+			s.first = time.Since(s.request.Received)
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
 		}
 		if event.id != "" && !later(event.id, s.after) {
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -32,6 +32,10 @@
 	// ran is what is known of the request over all sendings: "yes" or "unknown"
 	// once one of them may have run.
 	ran oriolebend.Ran
+	// placed, read and first are when a stream had its place, its prompt read
+	// and its first event, counted from its arrival; zero if it did not come to
+	// that.
+	placed, read, first time.Duration
 }
 
 // refusal is why a request is not sent, or not sent again.
@@ -200,7 +204,10 @@
 		attributes = append(attributes, slog.String("route", w.route.Name))
 	}
 	if w.ask.Prompt > 0 {
-		attributes = append(attributes, slog.Int("promptTokens", w.ask.Prompt), slog.Int("outputTokens", w.ask.Output))
+		attributes = append(attributes,
+			slog.Int("promptTokens", w.ask.Prompt), slog.Int("outputTokens", w.ask.Output),
+			slog.Int64("placedMs", w.placed.Milliseconds()), slog.Int64("readMs", w.read.Milliseconds()),
+			slog.Int64("firstMs", w.first.Milliseconds()))
 	}
 	if len(w.tried) > 0 {
 		attributes = append(attributes, slog.String("server", w.tried[len(w.tried)-1]))
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -191,7 +191,7 @@
 // pauses for as long as a piece of the prompt takes.
 func (s *State) placeGeneration(e Asked, service *service, decoders []*server) (Grant, *Refused) {
 	fitting := slices.DeleteFunc(slices.Clone(decoders), func(c *server) bool {
-		return e.At.Before(c.fullUntil) || c.held+e.Need.Prompt+e.Need.Output > service.limits.Engine.KVTokens
+		return c.full(e.At, e.Need) || c.held+e.Need.memory() > s.capacity(service, e.Need)
 	})
 	if len(fitting) == 0 {
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: untilRoom(e.At, decoders)}
@@ -212,6 +212,31 @@
 	return grant, nil
 }
 
+// memory is the KV memory that a generation needs.
+func (n Need) memory() int { return n.Prompt + n.Output }
+
+// full reports whether the server is taken to have no room for a need.
+func (c *server) full(at time.Time, n Need) bool {
+	return at.Before(c.fullUntil) && n.memory() >= c.fullFor
+}
+
+// lateShare is the share of an engine's memory that late requests may fill.
+//
+// Were they placed wherever they fit, they would take the memory that the next
+// one in time is about to ask for: after a burst all requests would be late, and
+// stay so until the load falls far below what the engines can carry. One would
+// notice full engines and no answer that meets its target.
+const lateShare = 0.85
+
+// capacity is how much memory is granted at an engine.
+func (s *State) capacity(v *service, n Need) int {
+	share := s.config.Overcommit
+	if n.Late {
+		share = min(share, lateShare)
+	}
+	return int(float64(v.limits.Engine.KVTokens) * share)
+}
+
 // untilRoom is when the first of some full servers is worth another try.
 func untilRoom(at time.Time, list []*server) time.Duration {
 	first := retryFull
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		total += v.limits.Engine.KVTokens
-		if !at.Before(c.fullUntil) && !at.Before(c.avoidUntil) {
+		if !at.Before(c.avoidUntil) {
 			free += max(0, v.limits.Engine.KVTokens-c.held)
 		}
 	}
@@ -44,3 +44,14 @@
 	s.take(grant)
 	return grant, true
 }
+
+// FreeShares is FreeShare of every service with engines.
+func (s *State) FreeShares(at time.Time) map[string]float64 {
+	shares := map[string]float64{}
+	for name, v := range s.services {
+		if v.limits.Engine != nil {
+			shares[name] = s.FreeShare(at, name)
+		}
+	}
+	return shares
+}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -14,7 +14,7 @@
 	avoidMost  = 4 * time.Second
 	// avoidFull is how long a server that refused for lack of room is avoided:
 	// about the time in which one of ten generations in progress ends.
-	avoidFull = 100 * time.Millisecond
+	avoidFull = 60 * time.Millisecond
 )
 
 // bestKept is how much of the best prefill rate is kept with each prefill: what
@@ -79,6 +79,9 @@
 	case OutcomeRefused:
 		c.avoidUntil = e.At.Add(avoidFull)
 	case OutcomeFull:
+		if memory := e.Grant.Need.memory(); !e.At.Before(c.fullUntil) || memory < c.fullFor {
+			c.fullFor = memory
+		}
 		c.fullUntil = e.At.Add(avoidFull)
 		if e.Grant.Need.Again && service != nil {
 			service.budget.withdraw(e.At, s.config.RetryWindow)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -24,6 +24,9 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Overcommit is how many times an engine's KV memory is granted; zero means
+	// once. Above one the engine's own reservation is what decides.
+	Overcommit float64
 }
 
 // Defaults of Config, for a site that states no budget of its own: one retry in
@@ -75,8 +78,10 @@
 	// failed counts failures in a row; until avoidUntil other servers go first.
 	failed     int
 	avoidUntil time.Time
-	// fullUntil is until when the server is taken to have no memory free.
+	// fullUntil is until when the server is taken to have no room for fullFor
+	// tokens.
 	fullUntil time.Time
+	fullFor   int
 	failures  average
 	took      average
 }
@@ -86,6 +91,7 @@
 	c.RetryShare = cmp.Or(c.RetryShare, DefaultRetryShare)
 	c.RetrySlack = cmp.Or(c.RetrySlack, DefaultRetrySlack)
 	c.RetryWindow = cmp.Or(c.RetryWindow, DefaultRetryWindow)
+	c.Overcommit = cmp.Or(c.Overcommit, 1)
 	return &State{
 		config:     c,
 		random:     rand.New(rand.NewPCG(c.Seed, 0)),
@@ -125,6 +131,8 @@
 	Tried []string
 	// Again is set if this sending is beyond the request's first.
 	Again bool
+	// Late is set if the request has missed its target already.
+	Late bool
 	// Waited is set if the request has asked before and found no room.
 	Waited bool
 }
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -16,16 +16,10 @@
 )
 
 const (
-	// mostOvertaken is how many requests may pass one that waits for more memory
-	// than they need. Without a bound large requests would starve in a peak;
-	// without any overtaking memory would lie idle until the largest fits.
-	mostOvertaken = 6
-	// lateReserve is the share of a service's KV memory that must be free for a
-	// late request to be placed. Were late requests placed wherever they fit,
-	// they would take the memory that the next one in time is about to ask for:
-	// after a burst all requests would be late, and stay so until the load falls
-	// far below what the engines can carry.
-	lateReserve = 0.06
+	// overcommit is how many times an engine's memory is granted. A generation
+	// holds its whole output only at its end, and many end before their estimate;
+	// what does not fit is refused by the engine's own reservation.
+	overcommit = 1.5
 )
 
 // Key names a question: the session that it came over and its number there.
@@ -36,6 +30,9 @@
 	engines *dispatch.State
 	waiting []*question
 	places  map[Key]dispatch.Grant
+	// arrivals counts questions.
+	arrivals uint64
+	counted  Summary
 }
 
 // question is a request that waits for a place.
@@ -45,15 +42,15 @@
 	rank   int
 	inTime time.Time
 	until  time.Time
-	// overtaken counts those that came later and were placed before it.
-	overtaken int
+	// arrival counts questions.
+	arrival uint64
 }
 
 // New returns a state that knows no engine.
 func New(seed uint64) *State {
 	return &State{
 		// Forwarders keep to the retry budget before they ask.
-		engines: dispatch.New(dispatch.Config{Seed: seed, RetrySlack: math.MaxInt32}),
+		engines: dispatch.New(dispatch.Config{Seed: seed, RetrySlack: math.MaxInt32, Overcommit: overcommit}),
 		places:  map[Key]dispatch.Grant{},
 	}
 }
@@ -159,21 +156,39 @@
 	return nil
 }
 
-// Waiting counts the requests that wait.
-func (s *State) Waiting() int { return len(s.waiting) }
+// Summary is what there is to see of a State.
+type Summary struct {
+	// Waiting counts the requests that wait, Places those that have a place.
+	Waiting, Places int
+	// Granted and Full count, since the last summary, the places given and those
+	// whose engine turned out to be full.
+	Granted, Full int
+	// FreeShare is the share of free KV memory of each service.
+	FreeShare map[string]float64
+}
+
+// Summarize tells what there is to see, and counts anew.
+func (s *State) Summarize(at time.Time) Summary {
+	summary := s.counted
+	s.counted = Summary{}
+	summary.Waiting, summary.Places = len(s.waiting), len(s.places)
+	summary.FreeShare = s.engines.FreeShares(at)
+	return summary
+}
 
 func (s *State) asked(e Asked) []Answer {
-	q := &question{key: e.Key, need: e.Need, rank: e.Rank, inTime: e.InTime, until: e.Until}
+	s.arrivals++
+	q := &question{key: e.Key, need: e.Need, rank: e.Rank, inTime: e.InTime, until: e.Until, arrival: s.arrivals}
 	s.waiting = append(s.waiting, q)
 	return s.serve(e.At)
 }
 
 // serve gives places to those that wait, as far as there is room: first those
-// that can be in time, by rank and arrival, then late ones from what is to spare.
+// that can be in time, then late ones from what is to spare.
 func (s *State) serve(at time.Time) []Answer {
 	var answers []Answer
 	s.sort(at)
-	blocked := map[string][]*question{}
+	blocked := map[string]bool{}
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool {
 		if !at.Before(q.until) {
 			answers = append(answers, Answer{Key: q.key, Refused: &dispatch.Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: retryLoaded}})
@@ -181,7 +196,7 @@
 		}
 		answer, done := s.try(at, q, blocked[q.need.Service])
 		if !done {
-			blocked[q.need.Service] = append(blocked[q.need.Service], q)
+			blocked[q.need.Service] = true
 			return false
 		}
 		answers = append(answers, answer)
@@ -194,10 +209,21 @@
 // vain: bursts last for seconds.
 const retryLoaded = 2 * time.Second
 
-// sort puts the questions into the order in which they are tried.
+// sort puts the questions into the order in which they are tried: by rank, those
+// in time the newest first, late ones the oldest first.
+//
+// While more comes than the engines can carry, the oldest first would let every
+// request wait until it has just missed its target, and all would be late. The
+// newest first lets as many as can be carried be in time; the others are served
+// when the peak is over.
 func (s *State) sort(at time.Time) {
-	slices.SortStableFunc(s.waiting, func(a, b *question) int {
-		return cmp.Or(cmp.Compare(number(a.late(at)), number(b.late(at))), cmp.Compare(a.rank, b.rank))
+	slices.SortFunc(s.waiting, func(a, b *question) int {
+		late := a.late(at)
+		age := cmp.Compare(b.arrival, a.arrival)
+		if late {
+			age = -age
+		}
+		return cmp.Or(cmp.Compare(number(late), number(b.late(at))), cmp.Compare(a.rank, b.rank), age)
 	})
 }
 
@@ -210,24 +236,18 @@
 	return 0
 }
 
-// try places one request; before are those of its service that wait ahead of it.
-func (s *State) try(at time.Time, q *question, before []*question) (Answer, bool) {
-	for _, b := range before {
-		if b.overtaken >= mostOvertaken {
-			return Answer{}, false
-		}
-	}
-	if q.late(at) && (len(before) > 0 || s.engines.FreeShare(at, q.need.Service) < lateReserve) {
-		return Answer{}, false
-	}
+// try places one request; ahead is set if others of its service wait before it.
+func (s *State) try(at time.Time, q *question, ahead bool) (Answer, bool) {
 	need := q.need
 	need.Waited = true // the forwarder has counted it
+	need.Late = q.late(at)
+	if need.Late && ahead {
+		return Answer{}, false
+	}
 	switch e := dispatch.Reduce(s.engines, dispatch.Asked{At: at, Need: need})[0].(type) {
 	case dispatch.Granted:
-		for _, b := range before {
-			b.overtaken++
-		}
 		s.places[q.key] = e.Grant
+		s.counted.Granted++
 		return Answer{Key: q.key, Grant: &e.Grant}, true
 	case dispatch.Refused:
 		if e.Reason != oriolebend.ReasonNoMemory {
@@ -263,6 +283,9 @@
 		return
 	}
 	delete(s.places, key)
+	if outcome == dispatch.OutcomeFull {
+		s.counted.Full++
+	}
 	if grant.Prefill != nil {
 		dispatch.Reduce(s.engines, dispatch.PromptRead{At: at, Grant: grant, Unused: true})
 	}
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -14,9 +14,13 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// placeEvery is how often requests that wait are looked through: an engine that
-// was found full is asked again after a tenth of a second.
-const placeEvery = 50 * time.Millisecond
+const (
+	// placeEvery is how often requests that wait are looked through: an engine
+	// that was found full is asked again after a tenth of a second.
+	placeEvery = 50 * time.Millisecond
+	// summaryEvery is how often the places are logged while they are short.
+	summaryEvery = time.Second
+)
 
 // Placer gives forwarders places at model engines while its control VM leads.
 //
@@ -56,9 +60,14 @@
 
 // Run serves those that wait until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
+	told := time.Now()
 	for wait(ctx, placeEvery); ctx.Err() == nil; wait(ctx, placeEvery) {
 		leads := p.Leads()
 		p.mutex.Lock()
+		if leads && time.Since(told) >= summaryEvery {
+			told = time.Now()
+			p.summarize(told)
+		}
 		if p.leading && !leads {
 			p.abdicate()
 		}
@@ -68,6 +77,18 @@
 	}
 }
 
+// summarize logs what the places are, while anybody waits. The mutex is held.
+func (p *Placer) summarize(at time.Time) {
+	s := p.state.Placement.Summarize(at)
+	if s.Waiting == 0 && s.Full == 0 {
+		return
+	}
+	for service, free := range s.FreeShare {
+		p.Logger.Info("places are short", "service", service, "freeShare", free, "waiting", s.Waiting,
+			"places", s.Places, "granted", s.Granted, "full", s.Full)
+	}
+}
+
 // abdicate ends all sessions; the next leader gives the places. The mutex is
 // held.
 func (p *Placer) abdicate() {
