--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// fleet is the backend servers, which note what they ran.
+type fleet struct {
+	t       *testing.T
+	system  *system
+	servers []*server
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	ran    map[string]int
+}
+
+// server is one backend server behind a proxy that breaks its connections.
+type server struct {
+	fleet    *fleet
+	name     string
+	proxy    *proxy
+	sequence atomic.Uint64
+	instance atomic.Pointer[string]
+	starts   atomic.Int32
+}
+
+func startFleet(t *testing.T, s *system, random *rand.Rand) *fleet {
+	t.Helper()
+	f := &fleet{t: t, system: s, random: random, ran: map[string]int{}}
+	for i := range servers {
+		v := &server{fleet: f, name: fmt.Sprintf("server-%d", i)}
+		v.restart()
+		backend := httptest.NewServer(v)
+		t.Cleanup(backend.Close)
+		v.proxy = startProxy(t, backend.Listener.Addr().String())
+		f.servers = append(f.servers, v)
+		go v.announce(t.Context())
+	}
+	return f
+}
+
+func (f *fleet) mend() {
+	for _, v := range f.servers {
+		v.proxy.mend()
+	}
+}
+
+// restart gives the server a new instance: requests that expect the old one are
+// not run.
+func (v *server) restart() {
+	name := fmt.Sprintf("%s.%d", v.name, v.starts.Add(1))
+	v.instance.Store(&name)
+}
+
+// ServeHTTP runs a request, or does what a faulty server does.
+func (v *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if expected := r.Header.Get("Oriolebend-Instance"); expected != *v.instance.Load() {
+		w.Header().Set("Oriolebend-Instance", *v.instance.Load())
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("Oriolebend-Request")
+	v.fleet.mutex.Lock()
+	luck := v.fleet.random.IntN(100)
+	refuse := luck < 5
+	if !refuse {
+		v.fleet.ran[id]++
+	}
+	v.fleet.mutex.Unlock()
+	w.Header().Set("Oriolebend-Request", id)
+	switch {
+	case refuse:
+		w.Header().Set("Oriolebend-Ran", "no")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case luck < 8:
+		panic(http.ErrAbortHandler) // it ran, and its answer is lost
+	case luck < 11:
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, "half an answer")
+	case luck < 14:
+		time.Sleep(300 * time.Millisecond)
+		fallthrough
+	default:
+		_, _ = io.WriteString(w, "ran "+id+" on "+strings.Split(r.URL.Path, "/")[1])
+	}
+}
+
+// announce tells control VMs of the server, one after the other.
+func (v *server) announce(ctx context.Context) {
+	controls := append([]string{"127.0.2.9"}, v.fleet.system.controls...)
+	for n := 0; ctx.Err() == nil; n++ {
+		body, err := json.Marshal(oriolebend.Backend{Service: "s", Address: v.proxy.address(), Sequence: v.sequence.Add(1)})
+		if err != nil {
+			v.fleet.t.Error(err)
+			return
+		}
+		url := fmt.Sprintf("http://%s:%d/v1/backends/%s", controls[n%len(controls)], v.fleet.system.port, *v.instance.Load())
+		calling, cancel := context.WithTimeout(ctx, time.Second)
+		request, err := http.NewRequestWithContext(calling, http.MethodPut, url, bytes.NewReader(body))
+		if err == nil {
+			request.Header.Set("Authorization", "Bearer "+token)
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}
+		cancel()
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// proxy passes connections on to a server, and breaks them when told to.
+type proxy struct {
+	listener net.Listener
+	to       string
+
+	mutex       sync.Mutex
+	connections map[net.Conn]struct{}
+	silentUntil time.Time
+	delayUntil  time.Time
+}
+
+func startProxy(t *testing.T, to string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	p := &proxy{listener: listener, to: to, connections: map[net.Conn]struct{}{}}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.pass(conn)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) pass(near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp", p.to)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	p.keep(near)
+	defer p.forget(near)
+	go func() {
+		p.copy(far, near)
+		_ = far.Close()
+		_ = near.Close()
+	}()
+	p.copy(near, far)
+}
+
+func (p *proxy) copy(to, from net.Conn) {
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.hold()
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits while the proxy is silent, or a little while it is slow.
+func (p *proxy) hold() {
+	p.mutex.Lock()
+	silent, slow := time.Until(p.silentUntil), time.Now().Before(p.delayUntil)
+	p.mutex.Unlock()
+	if silent > 0 {
+		time.Sleep(silent)
+	}
+	if slow {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (p *proxy) keep(c net.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.connections[c] = struct{}{}
+}
+
+func (p *proxy) forget(c net.Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.connections, c)
+}
+
+func (p *proxy) reset() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.connections {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) silence(length time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.silentUntil = time.Now().Add(length)
+}
+
+func (p *proxy) delay(length time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.delayUntil = time.Now().Add(length)
+}
+
+func (p *proxy) mend() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.silentUntil, p.delayUntil = time.Time{}, time.Time{}
+}
--- /dev/null
+++ b/internal/soak/load_test.go
@@ -0,0 +1,195 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// told is what one caller was told of one request.
+type told struct {
+	id     string
+	once   bool
+	status int // 0 if there was no whole answer
+	body   string
+}
+
+// load is callers that ask until they are stopped.
+type load struct {
+	group sync.WaitGroup
+	mutex sync.Mutex
+	told  []told
+}
+
+func startLoad(ctx context.Context, s *system, count int, seed uint64) *load {
+	l := &load{}
+	for n := range count {
+		l.group.Go(func() { l.call(ctx, s, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
+	}
+	return l
+}
+
+func (l *load) wait() { l.group.Wait() }
+
+// call asks one forwarder after the other, on connections that are kept.
+func (l *load) call(ctx context.Context, s *system, caller int, random *rand.Rand) {
+	http := &http.Client{Timeout: 5 * time.Second}
+	for n := 0; ctx.Err() == nil; n++ {
+		path := "once"
+		if random.IntN(2) == 0 {
+			path = "safe"
+		}
+		t := told{id: fmt.Sprintf("c%d-%d", caller, n), once: path == "once"}
+		t.status, t.body = ask(http, s.callers[random.IntN(len(s.callers))], path, t.id)
+		l.mutex.Lock()
+		l.told = append(l.told, t)
+		l.mutex.Unlock()
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+}
+
+func ask(c *http.Client, address, path, id string) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/x", address, path), nil)
+	if err != nil {
+		return 0, ""
+	}
+	request.Host = "soak.example"
+	request.Header.Set("Oriolebend-Request", id)
+	request.Header.Set("Oriolebend-Deadline", "2000")
+	response, err := c.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
+
+// check holds what callers were told against what servers ran.
+func (l *load) check(t *testing.T, f *fleet) {
+	t.Helper()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	good := 0
+	for _, c := range l.told {
+		ran := f.ran[c.id]
+		path := "safe"
+		if c.once {
+			path = "once"
+		}
+		switch {
+		case c.once && ran > 1:
+			t.Errorf("%s may run once and ran %d times", c.id, ran)
+		case c.status == http.StatusOK && c.body != "ran "+c.id+" on "+path:
+			t.Errorf("%s was answered %q", c.id, c.body)
+		case c.status == http.StatusOK && ran == 0:
+			t.Errorf("%s was answered and never ran", c.id)
+		case c.status == http.StatusServiceUnavailable && ran > 0:
+			t.Errorf("%s was refused as not run and ran %d times: %s", c.id, ran, c.body)
+		case c.status == http.StatusNotFound:
+			t.Errorf("%s was told that there is no route", c.id)
+		}
+		if c.status == http.StatusOK {
+			good++
+		}
+	}
+	t.Logf("%d of %d requests answered", good, len(l.told))
+	if good < len(l.told)/10 {
+		t.Errorf("only %d of %d requests were answered", good, len(l.told))
+	}
+}
+
+// operator declares one routing after the other.
+type operator struct {
+	t      *testing.T
+	system *system
+	group  sync.WaitGroup
+
+	mutex sync.Mutex
+	// sent is the last version sent, accepted the last that was acknowledged.
+	sent, accepted uint64
+}
+
+// routing has the routes of the load, and one that only this version has.
+func routing(version uint64) oriolebend.Routing {
+	route := func(name string, repeat oriolebend.RepeatRule, attempts int) oriolebend.Route {
+		return oriolebend.Route{
+			Name: name, Host: "soak.example", PathPrefix: "/" + name + "/", Repeat: repeat, Attempts: attempts,
+			Timeout: oriolebend.Duration(2 * time.Second), AnswerWithin: oriolebend.Duration(200 * time.Millisecond),
+			Targets: []oriolebend.RouteTarget{{Service: "s", Weight: 1}},
+		}
+	}
+	return oriolebend.Routing{
+		Version:  version,
+		Services: []oriolebend.RouteService{{Name: "s"}},
+		Routes: []oriolebend.Route{
+			route("once", oriolebend.RepeatNever, 1), route("safe", oriolebend.RepeatIdempotent, 2),
+			route(fmt.Sprintf("only-%d", version), oriolebend.RepeatIdempotent, 2),
+		},
+	}
+}
+
+// declare has one more routing accepted, and reads it back.
+func (o *operator) declare(ctx context.Context) {
+	o.mutex.Lock()
+	o.sent++
+	version := o.sent
+	o.mutex.Unlock()
+	api := o.system.operator()
+	ctx, cancel := context.WithTimeout(ctx, settle)
+	defer cancel()
+	if _, err := api.DeclareRouting(ctx, routing(version)); err != nil {
+		return // it may be in force or not
+	}
+	o.mutex.Lock()
+	o.accepted = max(o.accepted, version)
+	accepted := o.accepted
+	o.mutex.Unlock()
+	read, err := api.Routing(ctx)
+	if err == nil && read.Version < accepted {
+		o.t.Errorf("version %d was read after %d was accepted", read.Version, accepted)
+	}
+}
+
+func (o *operator) run(ctx context.Context, random *rand.Rand) {
+	o.group.Add(1)
+	defer o.group.Done()
+	for ctx.Err() == nil {
+		o.declare(ctx)
+		time.Sleep(time.Duration(100+random.IntN(400)) * time.Millisecond)
+	}
+}
+
+func (o *operator) wait() { o.group.Wait() }
+
+// checkInForce waits until every forwarder obeys the last routing: its own route
+// is there, and that of the one before is not.
+func (o *operator) checkInForce(within time.Duration) {
+	o.t.Helper()
+	deadline := time.Now().Add(within)
+	http := &http.Client{Timeout: 3 * time.Second}
+	for _, address := range o.system.callers {
+		for {
+			status, _ := ask(http, address, fmt.Sprintf("only-%d", o.accepted), "check")
+			before, _ := ask(http, address, fmt.Sprintf("only-%d", o.accepted-1), "check")
+			if status != 404 && status != 0 && before == 404 {
+				break
+			}
+			if time.Now().After(deadline) {
+				o.t.Errorf("%s does not obey version %d: %d, and %d for the one before", address, o.accepted, status, before)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,256 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend/client"
+)
+
+// build compiles the program as it is shipped.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "oriolebend")
+	out, err := exec.Command("go", "build", "-o", program, "../../cmd/oriolebend").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// system is the processes of the product. Each has a loopback address of its own,
+// since control VMs that are found through seeds are named by their address.
+type system struct {
+	t         *testing.T
+	program   string
+	folder    string
+	port      int
+	processes []*process
+	controls  []string
+	callers   []string
+}
+
+const token = "operator-token-of-the-soak"
+
+func startSystem(t *testing.T, program string) *system {
+	t.Helper()
+	s := &system{t: t, program: program, folder: t.TempDir(), port: freePort(t)}
+	for i := range 3 {
+		s.controls = append(s.controls, fmt.Sprintf("127.0.2.%d", i+1))
+	}
+	for _, ip := range s.controls {
+		s.add("control", ip, fmt.Sprintf("dataFolder = %q\n", filepath.Join(s.folder, ip)))
+	}
+	s.add("control", "127.0.2.9", "") // a relay
+	for i := range forwarders {
+		ip := fmt.Sprintf("127.0.2.%d", 20+i)
+		s.callers = append(s.callers, fmt.Sprintf("%s:%d", ip, s.port+1))
+		s.add("forwarder", ip, "")
+	}
+	for _, p := range s.processes {
+		p.start()
+	}
+	t.Cleanup(func() {
+		for _, p := range s.processes {
+			p.kill()
+		}
+	})
+	return s
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.2.1:0")
+	is.New(t).NoErr(err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// add writes the settings of a process. Only the first start founds the group.
+func (s *system) add(role, ip, control string) {
+	p := &process{system: s, name: role + "-" + ip, role: role, settings: filepath.Join(s.folder, ip+".toml")}
+	p.write = func(found bool) error {
+		text := fmt.Sprintf("[node]\nname = %q\nregion = \"r\"\nfailureDomain = %q\n[log]\nformat = \"json\"\n"+
+			"[peer]\nlisten = \"%s:%d\"\ntrust = \"network\"\n[metrics]\nlisten = \"%s:%d\"\n",
+			p.name, ip, ip, s.port, ip, s.port+2)
+		if role == "control" {
+			text += fmt.Sprintf("[operator]\nlisten = \"%s:%d\"\ntokens = [\"soak=%s\"]\n", ip, s.port, token)
+		} else {
+			text += fmt.Sprintf("[forward]\nlisten = \"%s:%d\"\nstopDelay = \"200ms\"\nstopWithin = \"4s\"\n", ip, s.port+1)
+		}
+		text += "[control]\nminFreeBytes = 1\n" + control + fmt.Sprintf("found = %t\nseeds = [", found)
+		for _, seed := range s.controls {
+			text += fmt.Sprintf("\"%s:%d\",", seed, s.port)
+		}
+		return os.WriteFile(p.settings, []byte(text+"]\n"), 0o600)
+	}
+	s.processes = append(s.processes, p)
+}
+
+func (s *system) operator() *client.Client {
+	var addresses []string
+	for _, ip := range s.controls {
+		addresses = append(addresses, fmt.Sprintf("http://%s:%d", ip, s.port))
+	}
+	return client.New(client.Config{Addresses: addresses, Token: token, Tries: 40, WaitMost: 500 * time.Millisecond})
+}
+
+// awaitReady waits until every forwarder counts itself ready.
+func (s *system) awaitReady(within time.Duration) {
+	s.t.Helper()
+	deadline := time.Now().Add(within)
+	for _, p := range s.processes {
+		if p.role != "forwarder" {
+			continue
+		}
+		ip := strings.TrimPrefix(p.name, "forwarder-")
+		for !ready(fmt.Sprintf("http://%s:%d/readyz", ip, s.port+2)) {
+			if time.Now().After(deadline) {
+				s.t.Fatalf("%s is not ready within %s", p.name, within)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func ready(url string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// mend has every process run again.
+func (s *system) mend() {
+	for _, p := range s.processes {
+		p.resume()
+	}
+	time.Sleep(1200 * time.Millisecond) // longer than a restart is put off
+	for _, p := range s.processes {
+		p.start()
+	}
+}
+
+func (s *system) keepLogs(folder string) {
+	for _, p := range s.processes {
+		data, err := os.ReadFile(p.settings + ".log")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(folder, p.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			s.t.Log("log not kept:", err)
+		}
+	}
+}
+
+// process is one process of the product; only this test starts and ends it.
+type process struct {
+	system   *system
+	name     string
+	role     string
+	settings string
+	write    func(found bool) error
+
+	mutex   sync.Mutex
+	started bool
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// start starts the process unless it runs.
+func (p *process) start() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil && p.running() {
+		return
+	}
+	if err := p.write(!p.started); err != nil {
+		p.system.t.Error(err)
+		return
+	}
+	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.system.t.Error(err)
+		return
+	}
+	defer log.Close()
+	command := exec.Command(p.system.program, p.role, "--settings", p.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		p.system.t.Error(err)
+		return
+	}
+	done := make(chan struct{})
+	p.command, p.done, p.started = command, done, true
+	go func() {
+		_ = command.Wait() // how it ended is no matter: faults end it
+		close(done)
+	}()
+}
+
+// running reports whether the process has not ended. The mutex is held.
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s os.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil && p.running() {
+		_ = p.command.Process.Signal(s) // it may end in this moment
+	}
+}
+
+func (p *process) kill() { p.signal(syscall.SIGKILL) }
+
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+
+func (p *process) pause(length time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(length, p.resume)
+}
+
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// startAfter starts the process again once it has ended, after a pause.
+func (p *process) startAfter(pause time.Duration) {
+	p.mutex.Lock()
+	done := p.done
+	p.mutex.Unlock()
+	go func() {
+		select {
+		case <-done:
+		case <-p.system.t.Context().Done():
+			return
+		}
+		time.Sleep(pause)
+		if p.system.t.Context().Err() == nil {
+			p.start()
+		}
+	}()
+}
