--- /dev/null
+++ b/internal/reducer/placement/script_test.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts runs the files of testdata/scripts. Each line is an event:
+//
+//	engines PREFILL DECODE TOKENS     that many engines, with that much memory each
+//	ask SESSION/ID TOKENS [rank=N] [late]
+//	withdraw SESSION/ID | read SESSION/ID | end SESSION/ID OUTCOME
+//	resume SESSION/ID TOKENS ENGINE   a place that another leader gave
+//	lost SESSION | pass FOR
+//
+// A request is in time for 600 ms and waits for 2.7 s.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{t: t, now: scriptStart, state: New(1)}
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				s.line(strings.Fields(line), &out)
+			}
+			return out.String()
+		})
+	})
+}
+
+type script struct {
+	t     *testing.T
+	now   time.Time
+	state *State
+}
+
+func (s *script) line(words []string, out *strings.Builder) {
+	var event Event
+	switch words[0] {
+	case "engines":
+		event = s.engines(words)
+	case "ask":
+		event = s.ask(words)
+	case "withdraw":
+		event = Withdrawn{At: s.now, Key: s.key(words[1])}
+	case "read":
+		event = PromptRead{At: s.now, Key: s.key(words[1]), Took: 100 * time.Millisecond}
+	case "end":
+		event = Ended{At: s.now, Key: s.key(words[1]), Outcome: dispatch.Outcome(words[2])}
+	case "resume":
+		event = Resumed{Key: s.key(words[1]), Need: dispatch.Need{Service: "s", Prompt: s.number(words[2])}, Server: words[3]}
+	case "lost":
+		event = SessionLost{At: s.now, Session: uint64(s.number(words[1]))}
+	case "pass":
+		d, err := time.ParseDuration(words[1])
+		is.New(s.t).NoErr(err)
+		s.now = s.now.Add(d)
+		event = Ticked{At: s.now}
+	}
+	for _, a := range Reduce(s.state, event) {
+		fmt.Fprintf(out, "%d/%d ", a.Key.Session, a.Key.ID)
+		if a.Refused != nil {
+			fmt.Fprintln(out, "refused", a.Refused.Reason, "after", a.Refused.RetryAfter)
+			continue
+		}
+		fmt.Fprintln(out, "to", a.Grant.Server.Instance)
+	}
+}
+
+func (s *script) engines(words []string) Event {
+	var list []message.BackendServer
+	add := func(count int, name string, role oriolebend.PoolRole) {
+		for i := range count {
+			list = append(list, message.BackendServer{
+				Instance: fmt.Sprintf("%s%d", name, i), Service: "s", Phase: message.PhaseReady, Role: role,
+			})
+		}
+	}
+	add(s.number(words[1]), "p", oriolebend.Prefill)
+	add(s.number(words[2]), "d", oriolebend.Decode)
+	limits := &oriolebend.EngineLimits{KVTokens: s.number(words[3])}
+	return Fleet{
+		Services: dispatch.Services{Services: []oriolebend.RouteService{{Name: "s", Engine: limits}}},
+		Servers:  dispatch.Fleet{Servers: list, Forwarders: 1},
+	}
+}
+
+func (s *script) ask(words []string) Event {
+	asked := Asked{
+		At: s.now, Key: s.key(words[1]), Need: dispatch.Need{Service: "s", Prompt: s.number(words[2])},
+		InTime: s.now.Add(600 * time.Millisecond), Until: s.now.Add(2700 * time.Millisecond),
+	}
+	for _, option := range words[3:] {
+		if option == "late" {
+			asked.InTime = s.now
+		}
+		if rank, found := strings.CutPrefix(option, "rank="); found {
+			asked.Rank = s.number(rank)
+		}
+	}
+	return asked
+}
+
+func (s *script) key(word string) Key {
+	session, id, _ := strings.Cut(word, "/")
+	return Key{Session: uint64(s.number(session)), ID: uint64(s.number(id))}
+}
+
+func (s *script) number(word string) int {
+	n, err := strconv.Atoi(word)
+	is.New(s.t).NoErr(err)
+	return n
+}
