--- a/internal/role/poolkeeper.go
+++ b/internal/role/poolkeeper.go
@@ -21,8 +21,8 @@
 	roleOrderWithin = 2 * time.Second
 )
 
-// RoleOrders gives orders to model engines.
-type RoleOrders interface {
+// EngineOrders gives orders to model engines.
+type EngineOrders interface {
 	// ChangeRole asks an engine to change its role. accepted is false if it
 	// refused; an error means that the order may still be carried out.
 	ChangeRole(ctx context.Context, o pools.Order, holder string) (accepted bool, err error)
@@ -32,7 +32,7 @@
 // VM leads. It follows what all control VMs know of the engines.
 type PoolKeeper struct {
 	Self   string
-	Orders RoleOrders
+	Orders EngineOrders
 	// Announce tells forwarders that an engine is about to change its role.
 	Announce func(ctx context.Context, instance string, away time.Duration) error
 	// Status tells whether this control VM leads.
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -33,7 +33,7 @@
 	Observer Observer
 	// Orders gives orders to the model engines of routes; nil leaves them as
 	// they are. Only control VMs use it.
-	Orders RoleOrders
+	Orders EngineOrders
 
 	// metrics holds the metrics of one start of the role.
 	metrics *metrics.Metrics
