--- /dev/null
+++ b/internal/role/placer_test.go
@@ -0,0 +1,115 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/forwarder"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer/peertest"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// placeSite is two control VMs that can give places and a forwarder that asks
+// whoever leads.
+type placeSite struct {
+	network *peertest.Network
+	client  *PlaceClient
+	leader  string
+	placers map[string]*Placer
+}
+
+func newPlaceSite(ctx context.Context) *placeSite {
+	s := &placeSite{network: peertest.NewNetwork(1), placers: map[string]*Placer{}}
+	for _, name := range []string{"one", "two"} {
+		p := &Placer{Leads: func() bool { return s.leader == name+":1" }, Logger: slog.New(slog.DiscardHandler)}
+		p.Prepare()
+		p.SetRouting(oriolebend.Routing{Version: 1, Services: []oriolebend.RouteService{{
+			Name: "s", Engine: &oriolebend.EngineLimits{KVTokens: 1000},
+		}}})
+		p.SetServers([]message.BackendServer{
+			{Instance: "p", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Prefill},
+			{Instance: "d", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Decode},
+		}, 1)
+		s.placers[name] = p
+		s.network.Listen(ctx, name+":1", name, p.Serve)
+		go p.Run(ctx)
+	}
+	s.client = &PlaceClient{
+		Node: "f", Dialer: s.network.Dialer("f"), Leader: func() string { return s.leader },
+		Logger: slog.New(slog.DiscardHandler),
+	}
+	s.client.Prepare()
+	go s.client.Run(ctx)
+	return s
+}
+
+// ask asks for a place for tokens and waits for up to a second.
+func (s *placeSite) ask(ctx context.Context, tokens int) (dispatch.Effect, bool) {
+	return s.client.Place(ctx, forwarder.PlaceRequest{
+		Need: dispatch.Need{Service: "s", Prompt: tokens}, InTime: time.Second, Within: time.Second,
+	})
+}
+
+// Places are given by whoever leads; without a leader the forwarder is told to
+// look for itself. A new leader learns the places that are in use.
+func TestPlacesFollowTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newPlaceSite(ctx)
+		_, asked := s.ask(ctx, 900)
+		is.True(!asked) // nobody leads
+		s.leader = "one:1"
+		time.Sleep(time.Second)
+		effect, asked := s.ask(ctx, 900)
+		is.True(asked)
+		grant := effect.(dispatch.Granted).Grant
+		is.Equal(grant.Server.Instance, "d")
+		is.Equal(grant.Prefill.Instance, "p")
+		s.leader = "two:1"
+		time.Sleep(time.Second)
+		effect, asked = s.ask(ctx, 900) // 1,500 tokens are granted, 900 are in use
+		is.True(asked)
+		is.Equal(effect.(dispatch.Refused).Reason, oriolebend.ReasonNoMemory)
+		s.client.PromptRead(dispatch.PromptRead{Grant: grant})
+		s.client.Ended(dispatch.Ended{Grant: grant, Outcome: dispatch.OutcomeAnswered})
+		effect, asked = s.ask(ctx, 900)
+		is.True(asked)
+		_, granted := effect.(dispatch.Granted)
+		is.True(granted)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: an engine's memory is never given again. Sequence: a request leaves in
+// the moment in which its place is given, or its forwarder dies. Cause: a place
+// whose owner is gone.
+func TestPlaceOfOneThatLeftIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newPlaceSite(ctx)
+		s.leader = "one:1"
+		time.Sleep(time.Second)
+		for range 5 {
+			leaving, leave := context.WithCancel(ctx)
+			leave()
+			s.ask(leaving, 900)
+		}
+		time.Sleep(time.Second)
+		effect, asked := s.ask(ctx, 900)
+		is.True(asked)
+		_, granted := effect.(dispatch.Granted)
+		is.True(granted)
+		cancel()
+		synctest.Wait()
+	})
+}
