role: an entry says that a model does not exist only once it knows the fleet

Cause: an entry was ready with the first server, a prefill engine too, and answered 404 for a model whose decode server had not announced itself yet (2 of 4 starts of dev). Change: ready with the first server that can answer; unknown models are left to the router, which tells when to come back, for two periods of announcements.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -26,6 +26,9 @@
 	Record(ctx context.Context, organisation, requestID string) (message.ClaimAnswer, error)
 	// Ready reports whether new requests should come here.
 	Ready() bool
+	// Settled reports whether a model that Models does not list does not exist;
+	// before that it may be about to be announced.
+	Settled() bool
 }
 
 // Chunk is one step of an answer. Exactly one of its parts is set.
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -65,6 +65,8 @@
 
 func (f *fakeRouter) Ready() bool { return !f.notReady }
 
+func (f *fakeRouter) Settled() bool { return !f.notReady }
+
 // asked returns the requests that came so far.
 func (f *fakeRouter) asked() []entry.Request {
 	f.mu.Lock()
--- a/internal/caller/models.go
+++ b/internal/caller/models.go
@@ -51,11 +51,12 @@
 	return slices.Compact(names)
 }
 
-// checkModel refuses a model that nobody holds. While the process is not ready
-// it knows too little to say so, and leaves the question to the Router.
+// checkModel refuses a model that nobody holds. Until the fleet is known it knows
+// too little to say so, and leaves the question to the Router, which tells the
+// caller when to come back.
 func (h *handler) checkModel(name oriolebend.ModelName) error {
 	holds := func(m oriolebend.LoadedModel) bool { return m.Holds(name) }
-	if !h.Router.Ready() || slices.ContainsFunc(h.Router.Models(), holds) {
+	if !h.Router.Settled() || slices.ContainsFunc(h.Router.Models(), holds) {
 		return nil
 	}
 	return refuse(oriolebend.ReasonUnknownModel, "GET /v1/models lists the models")
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -109,6 +109,8 @@
 
 func (f *fakeEntry) Ready() bool { return true }
 
+func (f *fakeEntry) Settled() bool { return true }
+
 // entries serves a fake behind two ports. The fault "connection" breaks every
 // second connection off after the request was read.
 func entries(t *testing.T, fault string) []string {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -65,8 +65,9 @@
 	sessions map[entry.SessionKey]*entrySession
 	servers  map[string]oriolebend.Server
 	stopping bool
-	// served is true once a server took new work.
-	served bool
+	// served is when a server that answers requests, and not only reads their
+	// prompts, first took new work; zero if none has.
+	served time.Time
 }
 
 // NewEntry returns an entry; Run starts it.
@@ -115,12 +116,24 @@
 }
 
 // Ready implements caller.Router. An entry becomes ready with the first server
-// that takes work. It stays so when all of them go, since its refusals then
+// that can answer. It stays so when all of them go, since its refusals then
 // tell callers more than a balancer without entries would.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.stopping && e.served
+	return !e.stopping && !e.served.IsZero()
+}
+
+// settleAfter is how long the first announcements of a fleet take: two periods of
+// a sidecar's announcements.
+const settleAfter = 2 * announceEvery
+
+// Settled implements caller.Router. Servers announce themselves one after the
+// other; a model that none has announced yet must not be told as unknown.
+func (e *Entry) Settled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.served.IsZero() && time.Since(e.served) >= settleAfter
 }
 
 // serving counts the servers that take new work.
@@ -148,7 +161,9 @@
 			continue
 		}
 		e.servers[s.Name] = s
-		e.served = e.served || s.State == oriolebend.ServerServing
+		if e.served.IsZero() && s.State == oriolebend.ServerServing && s.Role != oriolebend.Prefill {
+			e.served = time.Now()
+		}
 	}
 	e.mu.Unlock()
 	e.loop.Post(entry.ServersChanged{At: time.Now(), Servers: servers, Whole: whole})
