role: members are found through relays, and replaced ones removed soon

Ruled out: lost logs (all members had theirs). Change: control VMs that watch others are told as places to watch; a member that is away is removed after 2.5 s while a VM has joined a short time ago.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -70,9 +70,8 @@
 type RouteWatch struct {
 	Node          string `cbor:"node"`
 	FailureDomain string `cbor:"failureDomain"`
-	// Relay is set for control VMs without a disk: the address where
-	// forwarders can watch it as well.
-	Relay string `cbor:"relay,omitempty"`
+	// Address is set by control VMs: where forwarders can watch them as well.
+	Address string `cbor:"address,omitempty"`
 	// Observes is set if the watcher sends no requests to backend servers.
 	Observes bool `cbor:"observes,omitempty"`
 	// Version is the routing that the forwarder has.
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -101,9 +102,10 @@
 	}
 	c.observer = &RouteFollower{
 		Dialer: c.endpoint,
-		Seeds:  p.controlAddresses(),
+		Seeds:  slices.Concat(p.controlAddresses(), c.controls()),
 		Watch: message.RouteWatch{
-			Node: name, FailureDomain: p.Settings.Node.FailureDomain, Observes: true, Incarnation: newIncarnation(),
+			Node: name, FailureDomain: p.Settings.Node.FailureDomain,
+			Observes: true, Address: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
 		},
 		Sink:   sinks,
 		Logger: p.Logger,
--- a/internal/role/joiner.go
+++ b/internal/role/joiner.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -27,6 +28,13 @@
 	// longer than partitions of a few seconds. A member that returns later asks
 	// to join again.
 	removeAfter = 8 * time.Second
+	// replacedAfter is the same while a VM that joined a short time ago takes the
+	// place of one that is gone: until then the group counts one more than it has,
+	// and the next loss would leave no quorum. It is longer than a restart takes.
+	replacedAfter = 2500 * time.Millisecond
+	// replacingFor is how long after a join a member that is away counts as
+	// replaced.
+	replacingFor = 30 * time.Second
 	// joinHops bounds the way to the leader.
 	joinHops = 3
 )
@@ -49,6 +57,9 @@
 	// away is since when members have not answered this leader.
 	away map[string]time.Time
 	next int
+	// joined is when this VM last took another one in, nil if it never did. It
+	// keeps the steady clock: the time of day may jump.
+	joined atomic.Pointer[time.Time]
 }
 
 // Run joins and removes until ctx ends.
@@ -164,6 +175,8 @@
 	if err := j.Replica.AddMember(ctx, m); err != nil {
 		return message.Joined{Reason: err.Error()}
 	}
+	now := time.Now()
+	j.joined.Store(&now)
 	j.Logger.Info("control VM joins", "member", m.Name, "address", m.Address, "failureDomain", m.FailureDomain)
 	return message.Joined{}
 }
@@ -181,9 +194,13 @@
 			j.away[p.Name] = time.Now()
 		}
 	}
+	allowed := removeAfter
+	if joined := j.joined.Load(); joined != nil && time.Since(*joined) < replacingFor {
+		allowed = replacedAfter
+	}
 	for _, p := range status.Peers {
 		since, away := j.away[p.Name]
-		if !away || time.Since(since) < removeAfter || (p.Voter && voters <= agreement.MinVoters) {
+		if !away || time.Since(since) < allowed || (p.Voter && voters <= agreement.MinVoters) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, joinWithin)
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -48,7 +48,7 @@
 		Seeds:  p.seeds(),
 		Watch: message.RouteWatch{
 			Node: p.self(), FailureDomain: p.Settings.Node.FailureDomain,
-			Observes: true, Relay: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
+			Observes: true, Address: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
 		},
 		Sink:   relaySink{},
 		Logger: p.Logger,
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -32,6 +32,7 @@
 	t       *testing.T
 	folder  string
 	port    int
+	seeds   []string
 	control map[string]*ControlProcess
 }
 
@@ -48,7 +49,8 @@
 	is.New(t).NoErr(err)
 	defer socket.Close()
 	return &routeSite{
-		t: t, folder: t.TempDir(), port: socket.LocalAddr().(*net.UDPAddr).Port, control: map[string]*ControlProcess{},
+		t: t, folder: t.TempDir(), port: socket.LocalAddr().(*net.UDPAddr).Port,
+		seeds: seededControls, control: map[string]*ControlProcess{},
 	}
 }
 
@@ -59,7 +61,7 @@
 	p.Settings.Peer = settings.Peer{Listen: fmt.Sprintf("%s:%d", ip, s.port), Trust: settings.TrustNetwork}
 	p.Settings.Control.Found = found
 	p.Settings.Control.MinFreeBytes = 1
-	for _, seed := range seededControls {
+	for _, seed := range s.seeds {
 		p.Settings.Control.Seeds = append(p.Settings.Control.Seeds, fmt.Sprintf("%s:%d", seed, s.port))
 	}
 	name := p.Settings.Node.Name
@@ -218,6 +220,56 @@
 	return p
 }
 
+// Symptom: after a restart no forwarder finds a control VM with a log any more.
+// Sequence: the settings are changed to name relays as seeds; everything restarts.
+// Cause: relays and forwarders that know each other only, while the members, which
+// know themselves from their log, tell nobody.
+func TestSeedsThatAreRelays(t *testing.T) {
+	is := is.New(t)
+	s := newRouteSite(t)
+	for _, ip := range seededControls {
+		s.startControl(ip, true)
+	}
+	s.declare(3, "s")
+	for _, ip := range seededControls {
+		s.kill(ip)
+	}
+	s.seeds = []string{"127.0.1.5"}
+	relay, err := StartRelay(s.process(peer.RoleControl, "127.0.1.5", false))
+	is.NoErr(err)
+	defer func() { is.NoErr(relay.Stop(t.Context())) }()
+	f, err := StartForwarder(s.forwarderProcess("127.0.1.6"), forwarder.Own{})
+	is.NoErr(err)
+	defer f.Kill()
+	for _, ip := range seededControls {
+		s.startControl(ip, false)
+	}
+	s.eventually("the forwarder is ready", f.Ready)
+	s.eventually("the relay knows the leader", func() bool { return relay.LeaderIP() != "" })
+}
+
+// Symptom: the group has no quorum after a second loss, right after a replacement
+// has caught up. Sequence: a control VM is gone for good, another one joins at a new
+// address and votes; the one that is gone still counts. Cause: a member that is
+// removed only after the time that a partition may last.
+func TestReplacedMemberIsRemovedSoon(t *testing.T) {
+	s := newRouteSite(t)
+	for _, ip := range seededControls {
+		s.startControl(ip, true)
+	}
+	s.declare(1, "s")
+	lost := seededControls[0]
+	if s.leader() == lost {
+		lost = seededControls[1]
+	}
+	s.kill(lost)
+	s.startControl("127.0.1.4", false)
+	s.eventually("four vote", func() bool { return s.voters() == 4 })
+	voted := time.Now()
+	s.eventually("three vote", func() bool { return s.voters() == 3 })
+	is.New(t).True(time.Since(voted) < removeAfter/2)
+}
+
 // Symptom: an accepted routing is gone. Sequence: the control VM that acknowledged
 // it loses its disk at once, and comes back empty; then another one is lost.
 // Cause: an empty member that votes before it holds what it had accepted.
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -53,8 +53,8 @@
 // routeWatch is one forwarder that watches.
 type routeWatch struct {
 	node string
-	// relay is the address of a relay, empty for forwarders.
-	relay string
+	// address is where a control VM that watches can be watched itself.
+	address string
 	// observes is set for control VMs, which send no requests to servers.
 	observes bool
 	// pending are the servers to tell with the next update, number its number.
@@ -106,19 +106,20 @@
 	return count
 }
 
-// places lists where forwarders can watch: the members and the relays.
+// places lists where forwarders can watch: the members, and the control VMs that
+// watch this one. The settings may name relays alone as seeds; members know
+// themselves from their log, and nobody else would ever find them.
 func (r *RouteServer) places() []string {
 	places := r.Controls()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var relays []string
 	for w := range r.watches {
-		if w.relay != "" {
-			relays = append(relays, w.relay)
+		if w.address != "" {
+			places = append(places, w.address)
 		}
 	}
-	slices.Sort(relays)
-	return append(places, relays...)
+	slices.Sort(places)
+	return slices.Compact(places)
 }
 
 // Announce takes an announcement of a backend server. The error is a
@@ -249,7 +250,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w := &routeWatch{
-		node: watch.Node, observes: watch.Observes, relay: watch.Relay, pending: map[string]message.BackendServer{},
+		node: watch.Node, observes: watch.Observes, address: watch.Address, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), news: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
