--- a/internal/role/placer_test.go
+++ b/internal/role/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,14 +22,15 @@
 type placeSite struct {
 	network *peertest.Network
 	client  *PlaceClient
-	leader  string
+	leader  atomic.Pointer[string]
 	placers map[string]*Placer
 }
 
 func newPlaceSite(ctx context.Context) *placeSite {
 	s := &placeSite{network: peertest.NewNetwork(1), placers: map[string]*Placer{}}
+	s.lead("")
 	for _, name := range []string{"one", "two"} {
-		p := &Placer{Leads: func() bool { return s.leader == name+":1" }, Logger: slog.New(slog.DiscardHandler)}
+		p := &Placer{Leads: func() bool { return *s.leader.Load() == name+":1" }, Logger: slog.New(slog.DiscardHandler)}
 		p.Prepare()
 		p.SetRouting(oriolebend.Routing{Version: 1, Services: []oriolebend.RouteService{{
 			Name: "s", Engine: &oriolebend.EngineLimits{KVTokens: 1000},
@@ -42,7 +44,7 @@
 		go p.Run(ctx)
 	}
 	s.client = &PlaceClient{
-		Node: "f", Dialer: s.network.Dialer("f"), Leader: func() string { return s.leader },
+		Node: "f", Dialer: s.network.Dialer("f"), Leader: func() string { return *s.leader.Load() },
 		Logger: slog.New(slog.DiscardHandler),
 	}
 	s.client.Prepare()
@@ -50,6 +52,9 @@
 	return s
 }
 
+// lead has the control VM with an address lead, or nobody.
+func (s *placeSite) lead(address string) { s.leader.Store(&address) }
+
 // ask asks for a place for tokens and waits for up to a second.
 func (s *placeSite) ask(ctx context.Context, tokens int) (dispatch.Effect, bool) {
 	return s.client.Place(ctx, forwarder.PlaceRequest{
@@ -66,14 +71,14 @@
 		s := newPlaceSite(ctx)
 		_, asked := s.ask(ctx, 900)
 		is.True(!asked) // nobody leads
-		s.leader = "one:1"
+		s.lead("one:1")
 		time.Sleep(time.Second)
 		effect, asked := s.ask(ctx, 900)
 		is.True(asked)
 		grant := effect.(dispatch.Granted).Grant
 		is.Equal(grant.Server.Instance, "d")
 		is.Equal(grant.Prefill.Instance, "p")
-		s.leader = "two:1"
+		s.lead("two:1")
 		time.Sleep(time.Second)
 		effect, asked = s.ask(ctx, 900) // 1,500 tokens are granted, 900 are in use
 		is.True(asked)
@@ -97,7 +102,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newPlaceSite(ctx)
-		s.leader = "one:1"
+		s.lead("one:1")
 		time.Sleep(time.Second)
 		for range 5 {
 			leaving, leave := context.WithCancel(ctx)
