requestlog: from a request's id and log files to its cause, by one command

Cause: on call there are logs of many processes; OPERATIONS.md led from an id to the cause by hand alone. Ruled out: asking the control VMs: after a failure none may answer, and they don't know requests. Change: internal/requestlog reads logs of several processes and tells a request's life with what happened to its servers and its process around it; 'oriolebend explain request ID LOG...' prints it, the cause last. Calls of the product's own entries (without a route) log other lines and aren't told yet.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -41,6 +42,7 @@
 	forwarder *Forwarder
 	callers   *http1.Server
 	counts    *counts
+	log       *recorder
 	servers   []message.BackendServer
 }
 
@@ -51,10 +53,14 @@
 	t.Helper()
 	is := is.New(t)
 	c := &counts{seen: map[string]int{}}
-	f := New(Config{Dialect: Own{}, Dispatch: dispatch.Config{FailureDomain: "a", Seed: 1, RetrySlack: 1000}, Observer: c})
+	log := &recorder{}
+	f := New(Config{
+		Dialect: Own{}, Dispatch: dispatch.Config{FailureDomain: "a", Seed: 1, RetrySlack: 1000}, Observer: c,
+		Logger: slog.New(slog.NewJSONHandler(log, nil)),
+	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	s := &site{t: t, forwarder: f, counts: c, callers: http1.Serve(listener, http1.Config{Handler: f.Serve, Limits: f.Limits})}
+	s := &site{t: t, forwarder: f, counts: c, log: log, callers: http1.Serve(listener, http1.Config{Handler: f.Serve, Limits: f.Limits})}
 	t.Cleanup(s.callers.Close)
 	target := []oriolebend.RouteTarget{{Service: "s", Weight: 1}}
 	route := func(name string, repeat oriolebend.RepeatRule, stream bool, attempts int) oriolebend.Route {
--- /dev/null
+++ b/internal/operator/command/request.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/oriolebend/oriolebend/internal/requestlog"
+)
+
+// explainRequestCommand reads logs and asks no control VM: after a failure there
+// may be none that answers.
+func explainRequestCommand(out io.Writer) *ff.Command {
+	return &ff.Command{
+		Name: "request", Usage: "oriolebend explain request ID LOG...", Flags: ff.NewFlagSet("request"),
+		ShortHelp: "tell from log files what became of a request, the cause last",
+		LongHelp:  "Example:\n  oriolebend explain request 398864f34838fdf1 forwarder-*.log control-*.log",
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) < 2 {
+				return usage("give the id of a request and the log files of one process or more")
+			}
+			return explainRequest(out, args[0], args[1:])
+		},
+	}
+}
+
+func explainRequest(out io.Writer, request string, paths []string) error {
+	var logs []requestlog.Log
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("open a log: %w", err)
+		}
+		defer file.Close()
+		logs = append(logs, requestlog.Log{Name: path, Reader: file})
+	}
+	life, err := requestlog.Tell(request, logs...)
+	if notFound, ok := errors.AsType[*requestlog.NotFoundError](err); ok {
+		return &ExitError{Code: ExitNotFound, Cause: notFound}
+	}
+	if err != nil {
+		return err
+	}
+	for _, line := range life.Lines {
+		fmt.Fprintln(out, line.Text)
+	}
+	if life.Unread > 0 {
+		fmt.Fprintf(out, "%d lines could not be read\n", life.Unread)
+	}
+	fmt.Fprintf(out, "cause: %s\n", life.Cause)
+	return nil
+}
