http1: a test took an answer that was received for one that was counted

It read the first bytes of an answer and then asked how many requests are in progress; the server counts a request down after its last byte is written. Change: the test waits, within a bound, for the answered request to be counted down to 0 before the busy one begins, and then wants exactly 1. Conclusion: the server is unchanged.

--- a/internal/http1/script_test.go
+++ b/internal/http1/script_test.go
@@ -130,6 +130,10 @@
 	head := make([]byte, 5)
 	_, err = io.ReadFull(idle, head)
 	is.NoErr(err)
+	// The caller has the answer a moment before the server counts it as given.
+	for began := time.Now(); s.Active() != 0; time.Sleep(time.Millisecond) {
+		is.True(time.Since(began) < 10*time.Second) // the answered request is still counted
+	}
 	_, err = io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.NoErr(err)
 	<-begun
