dispatch: servers are put in order when the fleet changes, not with each request

Cause: reading the change once more: each request sorted the servers of its service by name, only to shuffle them by the seed; a leader places some thousand requests a second in a burst. Ruled out: leaving the order out: choices would then depend on that of a map. Change: State.inOrder is made with the fleet; lists come from it in order, and the same numbers of the seed shuffle them, so that all choices stay. Need.memory replaces three sums of the same two fields.

--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -92,6 +92,10 @@
 	retryBudget = time.Second
 	// retryFull is about the time of one generation.
 	retryFull = 300 * time.Millisecond
+	// RetryLoaded is for a request that has waited for memory in vain, until it
+	// was of no use to wait on: the engines are overloaded, and bursts last for
+	// seconds.
+	RetryLoaded = 2 * time.Second
 )
 
 // place chooses a server, or two for a generation that is split.
@@ -110,31 +114,22 @@
 // candidates are the servers that may take the request.
 func (s *State) candidates(e Asked, service *service) []*server {
 	var list []*server
-	for _, c := range s.servers {
+	for _, c := range s.inOrder {
 		serves := c.Service == e.Need.Service && c.takesWork() && c.Role != oriolebend.Prefill
 		if serves && !slices.Contains(e.Need.Tried, c.Instance) {
 			list = append(list, c)
 		}
 	}
-	s.order(list)
+	s.shuffle(list)
 	return s.best(e.At, service, list)
 }
 
 // takesWork reports whether the server takes new work.
 func (c *server) takesWork() bool { return c.Phase == message.PhaseReady && !c.Changing }
 
-// order makes the order of a list depend on the seed alone, and not on that of
-// a map.
-func (s *State) order(list []*server) {
-	slices.SortFunc(list, func(a, b *server) int {
-		switch {
-		case a.Instance < b.Instance:
-			return -1
-		case a.Instance > b.Instance:
-			return 1
-		}
-		return 0
-	})
+// shuffle makes the order of a list depend on the seed alone. The list is in the
+// order of State.inOrder.
+func (s *State) shuffle(list []*server) {
 	s.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
@@ -189,7 +184,7 @@
 func (s *State) take(g Grant) {
 	c := s.servers[g.Server.Instance]
 	c.busy++
-	c.held += g.Need.Prompt + g.Need.Output
+	c.held += g.Need.memory()
 	if g.Prefill == nil {
 		return
 	}
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -73,12 +73,12 @@
 // reader is the prefill engine that would be done first, nil if there is none.
 func (s *State) reader(e Asked, service *service) *server {
 	var list []*server
-	for _, c := range s.servers {
+	for _, c := range s.inOrder {
 		if c.Service == e.Need.Service && c.takesWork() && c.Role == oriolebend.Prefill {
 			list = append(list, c)
 		}
 	}
-	s.order(list)
+	s.shuffle(list)
 	list = s.best(e.At, service, list)
 	if len(list) == 0 || service.standing(e.At, list[0]) == standingAvoided {
 		return nil
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -43,7 +43,7 @@
 	if v == nil {
 		return
 	}
-	memory := e.Need.Prompt + e.Need.Output
+	memory := e.Need.memory()
 	if e.Ended {
 		memory = -memory
 	}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.busy = max(0, c.busy-1)
-	c.held = max(0, c.held-e.Grant.Need.Prompt-e.Grant.Need.Output)
+	c.held = max(0, c.held-e.Grant.Need.memory())
 	if e.Outcome != OutcomeFull {
 		c.fullUntil = time.Time{} // memory has just become free there
 	}
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -5,7 +5,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -40,9 +42,12 @@
 // State is what a forwarder knows of the backend servers and of its own work at
 // them. Only Reduce changes it.
 type State struct {
-	config   Config
-	random   *rand.Rand
-	servers  map[string]*server
+	config  Config
+	random  *rand.Rand
+	servers map[string]*server
+	// inOrder lists servers by name. It is made when the fleet changes, so that
+	// no request pays for sorting.
+	inOrder  []*server
 	services map[string]*service
 	// forwarders is how many forwarders share the retry budget.
 	forwarders int
@@ -155,6 +160,10 @@
 		}
 	}
 	s.servers = known
+	s.inOrder = make([]*server, 0, len(known))
+	for _, name := range slices.Sorted(maps.Keys(known)) {
+		s.inOrder = append(s.inOrder, known[name])
+	}
 }
 
 func (s *State) declared(e Services) {
