pause: one function waits in place of four copies

Cause: control's client, the operators' client, the load tool and the roles each had the same wait for a time or the end of a context. Ruled out: a place in one of them: clients for others would import a role.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -258,8 +259,8 @@
 		}
 		p.Detail = string(failed.Reason)
 		p.Cause = failed.Cause
-		pause := c.wait(try, failed)
-		if !c.fits(ctx, pause) || !sleep(ctx, pause) {
+		gap := c.wait(try, failed)
+		if !c.fits(ctx, gap) || !pause.For(ctx, gap) {
 			return nil, p
 		}
 		c.config.Retried(failed.Reason)
@@ -290,17 +291,6 @@
 	return rand.N(limit)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *Client) nextTicket() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/load/notrun.go
+++ b/internal/load/notrun.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/caller"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 )
 
 const (
@@ -28,7 +29,7 @@
 			told = append(told, &r.results[i])
 		}
 	}
-	if len(told) == 0 || !sleep(ctx, r.config.SettleFor) {
+	if len(told) == 0 || !pause.For(ctx, r.config.SettleFor) {
 		return
 	}
 	for _, result := range told {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/pause"
 )
 
 // Config sets up a run.
@@ -105,7 +107,7 @@
 	watchers.Go(func() { r.tellProgress(watching) })
 	watchers.Go(func() { r.bringFailures(watching) })
 	for _, request := range r.plan {
-		if !sleep(ctx, time.Until(r.sender.start.Add(request.At))) {
+		if !pause.For(ctx, time.Until(r.sender.start.Add(request.At))) {
 			break
 		}
 		r.begin(ctx, request)
@@ -150,7 +152,7 @@
 	if r.config.Progress == nil {
 		return
 	}
-	for sleep(ctx, progressEvery) {
+	for pause.For(ctx, progressEvery) {
 		r.config.Progress(r.progress())
 	}
 }
@@ -174,7 +176,7 @@
 // bringFailures asks for each failure of the schedule when it is due.
 func (r *runner) bringFailures(ctx context.Context) {
 	for _, failure := range r.config.Description.Failures {
-		if !sleep(ctx, time.Until(r.sender.start.Add(time.Duration(failure.At)))) {
+		if !pause.For(ctx, time.Until(r.sender.start.Add(time.Duration(failure.At)))) {
 			return
 		}
 		err := postFailure(ctx, r.sender.client, r.config.Description.FailuresURL, failure)
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/caller"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/standin/answer"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -87,7 +88,7 @@
 	var secondAttempt attempt
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		if sleep(ctx, time.Duration(s.description.Classes[r.Class].AgainAfter)) {
+		if pause.For(ctx, time.Duration(s.description.Classes[r.Class].AgainAfter)) {
 			second, secondAttempt = s.try(ctx, r, 1)
 		}
 	})
@@ -127,7 +128,7 @@
 			return result, a
 		}
 		result.Retries = append(result.Retries, a.reason)
-		if !sleep(ctx, max(a.retryAfter, retryPause)) {
+		if !pause.For(ctx, max(a.retryAfter, retryPause)) {
 			s.finish(&result, a)
 			return result, a
 		}
@@ -254,15 +255,3 @@
 	data, _ := json.Marshal(content) // plain text and numbers always encode
 	return data
 }
-
-// sleep waits and reports whether ctx still lives.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/role/entryfollow.go
+++ b/internal/role/entryfollow.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/caller"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
@@ -309,11 +310,5 @@
 	return c
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+// wait waits where the end of ctx is looked at elsewhere.
+func wait(ctx context.Context, d time.Duration) { pause.For(ctx, d) }
--- a/pkg/oriolebend/client/client.go
+++ b/pkg/oriolebend/client/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -154,7 +155,7 @@
 		if !failure.again || ctx.Err() != nil || try == c.config.Tries-1 {
 			break
 		}
-		if !sleep(ctx, max(c.wait(try), failure.retryAfter)) {
+		if !pause.For(ctx, max(c.wait(try), failure.retryAfter)) {
 			break
 		}
 	}
@@ -167,17 +168,6 @@
 	return time.Duration(rand.Int64N(int64(bound) + 1))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // follow sends a request once, and on to the leader if the answer says so.
 func (c *Client) follow(ctx context.Context, base string, r request) (*http.Response, *Error) {
 	target := strings.TrimSuffix(base, "/") + r.path
--- a/pkg/oriolebend/client/watch.go
+++ b/pkg/oriolebend/client/watch.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -32,7 +33,7 @@
 		if from != before {
 			try = 0
 		}
-		if !sleep(ctx, c.wait(try)) {
+		if !pause.For(ctx, c.wait(try)) {
 			return ctx.Err()
 		}
 	}
