forwarder, backend, role: what stood twice stands once

Cause: reading the change once more. Ruled out: HandleError of the platform in place of NamelessError: the texts of logs would change. Change: backend.ReasonOfEnd serves the three places that told a deadline from a caller that left; Response.Lost makes the error of a body that breaks off for both readers, in place of Ended, which built an error that nobody read; forwarder.EngineCall serves both dialects; pause.For and dispatch.RetryLoaded replace copies. Dead state and code goes: routeLink.whole, State.Wanted and sortedNames of pools. LeaderIP needs no case of its own for the empty address.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -101,11 +101,16 @@
 	if !errors.As(err, &e) || ctx.Err() == nil {
 		return err
 	}
-	e.Reason = oriolebend.ReasonCallerCancelled
+	e.Reason = ReasonOfEnd(ctx)
+	return e
+}
+
+// ReasonOfEnd tells why the context of a request ended.
+func ReasonOfEnd(ctx context.Context) oriolebend.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		e.Reason = oriolebend.ReasonDeadline
+		return oriolebend.ReasonDeadline
 	}
-	return e
+	return oriolebend.ReasonCallerCancelled
 }
 
 func (x *exchange) send(r Request) (*Response, error) {
@@ -257,20 +262,12 @@
 	}
 	if err != nil {
 		r.Close()
-		return nil, failure(r.exchange.ctx, r.exchange.lost(oriolebend.RanUnknown, "read the body", err))
+		return nil, r.Lost("read the body", err)
 	}
 	return body, nil
 }
 
-// Ended tells that the answer's context has ended, nil while it has not.
-func (r *Response) Ended() *Error {
-	if r.exchange.ctx.Err() == nil {
-		return nil
-	}
-	e := &Error{Ran: oriolebend.RanUnknown, Detail: "the request's time or caller is gone", Cause: r.exchange.ctx.Err()}
-	e.Reason = oriolebend.ReasonCallerCancelled
-	if errors.Is(r.exchange.ctx.Err(), context.DeadlineExceeded) {
-		e.Reason = oriolebend.ReasonDeadline
-	}
-	return e
+// Lost makes the error of an answer whose body can't be read to its end.
+func (r *Response) Lost(detail string, cause error) error {
+	return failure(r.exchange.ctx, r.exchange.lost(oriolebend.RanUnknown, detail, cause))
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -179,7 +179,7 @@
 // abandoned ends a request whose time is over or whose caller has left.
 func (w *work) abandoned(ctx context.Context) {
 	w.mayHaveRun(oriolebend.RanUnknown)
-	w.giveUp(ctx, reasonOfEnd(ctx), 0)
+	w.giveUp(ctx, backend.ReasonOfEnd(ctx), 0)
 }
 
 // conclude answers a request that no server answered with success.
@@ -193,7 +193,7 @@
 		reason = oriolebend.ReasonQueueFull
 	}
 	if ctx.Err() != nil {
-		reason = reasonOfEnd(ctx)
+		reason = backend.ReasonOfEnd(ctx)
 	}
 	w.giveUp(ctx, reason, retryRefused)
 }
@@ -202,14 +202,6 @@
 // lack of room: their queues are short.
 const retryRefused = 100 * time.Millisecond
 
-// reasonOfEnd tells why a request's context ended.
-func reasonOfEnd(ctx context.Context) oriolebend.Reason {
-	if ctx.Err() == context.DeadlineExceeded {
-		return oriolebend.ReasonDeadline
-	}
-	return oriolebend.ReasonCallerCancelled
-}
-
 // urgency sorts routes for the metrics: streams are long work.
 func urgency(r *oriolebend.Route) oriolebend.Urgency {
 	if r.Stream {
--- a/internal/forwarder/own.go
+++ b/internal/forwarder/own.go
@@ -110,12 +110,12 @@
 
 // Free implements Dialect.
 func (Own) Free(r PrefillResult) backend.Request {
-	return ownCall(http.MethodDelete, "/results/"+r.Handle, nil)
+	return EngineCall(http.MethodDelete, "/results/"+r.Handle, nil)
 }
 
 // Hold implements Dialect.
 func (Own) Hold(tokens int, life time.Duration) backend.Request {
-	return ownCall(http.MethodPost, "/reservations", fmt.Appendf(nil, `{"tokens":%d,"lifeMs":%d}`, tokens, life.Milliseconds()))
+	return EngineCall(http.MethodPost, "/reservations", fmt.Appendf(nil, `{"tokens":%d,"lifeMs":%d}`, tokens, life.Milliseconds()))
 }
 
 // HoldResult implements Dialect.
@@ -131,10 +131,11 @@
 
 // Drop implements Dialect.
 func (Own) Drop(hold string) backend.Request {
-	return ownCall(http.MethodDelete, "/reservations/"+hold, nil)
+	return EngineCall(http.MethodDelete, "/reservations/"+hold, nil)
 }
 
-func ownCall(method, target string, body []byte) backend.Request {
+// EngineCall is a call of an engine's own interface.
+func EngineCall(method, target string, body []byte) backend.Request {
 	header := http.Header{}
 	if body != nil {
 		header.Set("Content-Type", "application/json")
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -72,7 +73,7 @@
 			return grant, refused
 		}
 		if !w.awaitRoom(ctx, refused.after) {
-			return grant, &refusal{reason: refused.reason, after: retryLoaded}
+			return grant, &refusal{reason: refused.reason, after: dispatch.RetryLoaded}
 		}
 		waited = true
 	}
@@ -104,7 +105,7 @@
 		if g, ok := effect.(dispatch.Granted); asked && ok {
 			w.f.config.Places.Ended(dispatch.Ended{At: w.f.now(), Grant: g.Grant, Outcome: dispatch.OutcomeCancelled})
 		}
-		return dispatch.Grant{}, &refusal{reason: reasonOfEnd(ctx)}, true
+		return dispatch.Grant{}, &refusal{reason: backend.ReasonOfEnd(ctx)}, true
 	}
 	if !asked {
 		return dispatch.Grant{}, nil, false
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -20,9 +21,6 @@
 	// lateAsks is how many times longer a request waits between two tries once
 	// it has missed its target: one that can still be in time goes first.
 	lateAsks = 6
-	// retryLoaded is when a caller may come back whose request waited for memory
-	// in vain: the engines are overloaded, and bursts last for seconds.
-	retryLoaded = 2 * time.Second
 	// holdWithin bounds one call for a reservation, several round trips between
 	// failure domains.
 	holdWithin = 300 * time.Millisecond
@@ -46,32 +44,25 @@
 			return s, nil
 		}
 		if ctx.Err() != nil {
-			return nil, &refusal{reason: reasonOfEnd(ctx)}
+			return nil, &refusal{reason: backend.ReasonOfEnd(ctx)}
 		}
 	}
 }
 
 // awaitRoom waits until another try for memory is worthwhile; false means that
 // the request has waited for long enough.
-func (w *work) awaitRoom(ctx context.Context, pause time.Duration) bool {
+func (w *work) awaitRoom(ctx context.Context, gap time.Duration) bool {
 	age := time.Since(w.request.Received)
 	target := time.Duration(w.route.AnswerWithin)
-	if float64(age+pause) > waitTargets*float64(target) || w.left() < pause {
+	if float64(age+gap) > waitTargets*float64(target) || w.left() < gap {
 		return false
 	}
 	if age > target {
-		pause *= lateAsks
+		gap *= lateAsks
 	}
 	// Forwarders that wait for the same engine must not all ask at once.
-	pause = pause/2 + rand.N(pause)
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	gap = gap/2 + rand.N(gap)
+	return pause.For(ctx, gap)
 }
 
 // takeHold reserves memory at the grant's server, if its engine takes
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -64,7 +64,7 @@
 	if err != nil && ctx.Err() != nil {
 		s.dropHold()
 		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
-		return ending{reason: reasonOfEnd(ctx)}
+		return ending{reason: backend.ReasonOfEnd(ctx)}
 	}
 	return s.decode(ctx, source)
 }
@@ -175,12 +175,12 @@
 		return ending{done: true}
 	}
 	s.mayHaveRun(oriolebend.RanUnknown)
-	failed := &backend.Error{Reason: oriolebend.ReasonOutcomeLost, Ran: oriolebend.RanUnknown, Detail: "read the stream", Cause: err}
-	outcome := dispatch.OutcomeBroken
-	if response.Ended() != nil {
-		failed.Reason, outcome = response.Ended().Reason, dispatch.OutcomeCancelled
+	failed := response.Lost("read the stream", err)
+	reason, outcome := reasonOf(failed), dispatch.OutcomeCancelled
+	if reason == oriolebend.ReasonOutcomeLost {
+		outcome = dispatch.OutcomeBroken
 	}
 	s.ended(s.grant, outcome, 0)
-	s.logSending(s.grant, "stream broken off", response.Status, failed.Reason, failed)
-	return ending{reason: failed.Reason}
+	s.logSending(s.grant, "stream broken off", response.Status, reason, failed)
+	return ending{reason: reason}
 }
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -116,7 +116,7 @@
 	blocked := map[string]bool{}
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool {
 		if !at.Before(q.until) {
-			answers = append(answers, Answer{Key: q.key, Refused: &dispatch.Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: retryLoaded}})
+			answers = append(answers, Answer{Key: q.key, Refused: &dispatch.Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: dispatch.RetryLoaded}})
 			return true
 		}
 		answer, done := s.try(at, q, blocked[q.need.Service])
@@ -130,10 +130,6 @@
 	return answers
 }
 
-// retryLoaded is when a caller may come back whose request waited for memory in
-// vain: bursts last for seconds.
-const retryLoaded = 2 * time.Second
-
 // sort puts the questions into the order in which they are tried: by rank, those
 // in time the newest first, late ones the oldest first.
 //
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -5,7 +5,7 @@
 
 import (
 	"cmp"
-	"math"
+	"maps"
 	"slices"
 	"time"
 
@@ -164,7 +164,7 @@
 
 func (s *State) ticked(at time.Time) []Order {
 	var orders []Order
-	for _, name := range sortedNames(s.services) {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		v := s.services[name]
 		due := s.judge(at, name, v)
 		v.prefill *= memory
@@ -261,22 +261,3 @@
 	slices.SortFunc(list, func(a, b message.BackendServer) int { return cmp.Compare(a.Instance, b.Instance) })
 	return list
 }
-
-func sortedNames(services map[string]*service) []string {
-	names := make([]string, 0, len(services))
-	for name := range services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-// Wanted is how many prefill engines a service would have by its work of late,
-// for those who look from outside; NaN if too little is known.
-func (s *State) Wanted(name string) float64 {
-	v := s.services[name]
-	if v == nil || v.requests < enoughRequests || v.prefill+v.decode <= 0 {
-		return math.NaN()
-	}
-	return float64(len(v.engines)) * v.prefill / (v.prefill + v.decode)
-}
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -47,9 +47,6 @@
 // LeaderIP is the IP of the control VM that leads, empty if none is known.
 func (c *ControlProcess) LeaderIP() string {
 	_, address := c.replica.Leader()
-	if address == "" {
-		return ""
-	}
 	return hostOf(address)
 }
 
--- a/internal/role/joiner.go
+++ b/internal/role/joiner.go
@@ -221,7 +221,7 @@
 	return members
 }
 
-// hostOf is the IP of an address.
+// hostOf is the IP of an address, empty if that is empty.
 func hostOf(address string) string {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -106,12 +106,7 @@
 func (r *RelayProcess) Leads() bool { return false }
 
 // LeaderIP is the IP of the control VM that leads, empty if none is known.
-func (r *RelayProcess) LeaderIP() string {
-	if address := r.leader(); address != "" {
-		return hostOf(address)
-	}
-	return ""
-}
+func (r *RelayProcess) LeaderIP() string { return hostOf(r.leader()) }
 
 // Announce takes an announcement of a backend server.
 func (r *RelayProcess) Announce(ctx context.Context, server message.BackendServer) error {
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,7 +70,6 @@
 	address    string
 	open       bool
 	forwarders int
-	whole      bool
 	// loads are to be told with the next word to the control VM.
 	loads []message.ServiceLoad
 }
@@ -159,15 +159,8 @@
 func (f *RouteFollower) wanted(l *routeLink) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for _, address := range f.Seeds {
-		if address == l.address {
-			return true
-		}
-	}
-	for _, address := range f.current {
-		if address == l.address {
-			return true
-		}
+	if slices.Contains(f.Seeds, l.address) || slices.Contains(f.current, l.address) {
+		return true
 	}
 	delete(f.links, l.address)
 	return false
@@ -224,7 +217,6 @@
 		l.open = true
 		f.Logger.Info("control VM watched", "control", l.address, "version", u.Version, "servers", len(u.Servers))
 	}
-	l.whole = l.whole || u.Whole
 	l.forwarders = u.Forwarders
 	if u.Whole || len(u.Servers) > 0 {
 		f.view.Told(time.Now(), l.address, u.Whole, u.Servers)
@@ -265,7 +257,7 @@
 func (f *RouteFollower) lost(l *routeLink) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	l.open, l.whole = false, false
+	l.open = false
 	f.view.Lost(time.Now(), l.address)
 }
 
