pools: engines move in the first seconds of a load, with a precondition

Ruled out: a fixed share of prefill engines (unseen loads); waiting for the answer to each order. Engines on their way are counted where they go, so that more can follow. The first seconds of a load are forgotten sooner. Rates are followed by a high quantile. A fifth more prefill engines than the work asks for.

--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -198,7 +198,7 @@
 		slog.String("request", w.ask.ID), slog.Int("status", status),
 		slog.String("ran", string(ran)), slog.Int("sent", w.sent),
 		slog.Int64("tookMs", time.Since(w.request.Received).Milliseconds()),
-		slog.Uint64("routing", w.version),
+		slog.Int64("withinMs", w.ask.Within.Milliseconds()), slog.Uint64("routing", w.version),
 	}
 	if w.route != nil {
 		attributes = append(attributes, slog.String("route", w.route.Name))
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -121,9 +121,9 @@
 	Requests int `cbor:"2,keyasint,omitempty"`
 	// PromptTokens is how many tokens they had.
 	PromptTokens int `cbor:"3,keyasint,omitempty"`
-	// BestRate is the highest rate of a prefill of late, in tokens a
-	// millisecond.
-	BestRate float64 `cbor:"5,keyasint,omitempty"`
+	// Rate is a high rate of its prefills, in tokens a millisecond: one that did
+	// not wait at its engine.
+	Rate float64 `cbor:"5,keyasint,omitempty"`
 	// HeldTokens is the KV memory that its generations hold now.
 	HeldTokens int `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -17,7 +17,7 @@
 		}
 		load := v.load
 		load.HeldTokens = v.heldElsewhere
-		load.Service, load.BestRate = name, v.bestRate
+		load.Service, load.Rate = name, v.highRate.value
 		for _, c := range s.servers {
 			if c.Service == name {
 				load.HeldTokens += c.held
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -17,11 +17,6 @@
 	avoidFull = 60 * time.Millisecond
 )
 
-// bestKept is how much of the best prefill rate is kept with each prefill: what
-// is measured holds the time in the engine's queue as well, so that the highest
-// rate of late is the engine's own.
-const bestKept = 0.998
-
 // promptRead ends the reading part of a grant.
 func (s *State) promptRead(e PromptRead) {
 	service := s.services[e.Grant.Need.Service]
@@ -44,10 +39,14 @@
 	}
 }
 
-// read counts a prompt that a prefill engine has read.
+// read counts a prompt that a prefill engine has read. What is measured holds the
+// time in the engine's queue as well, so that a high rate is the engine's own. The
+// highest one is not: an engine that still has the prompt of a caller who comes
+// back answers at once, and one such rate made the prefill pool seem five times
+// as fast as it was.
 func (v *service) read(n Need, took time.Duration) {
 	v.prefillRate.add(rate(n.Prompt, took))
-	v.bestRate = max(v.bestRate*bestKept, rate(n.Prompt, took))
+	v.highRate.add(rate(n.Prompt, took))
 	v.load.Requests++
 	v.load.PromptTokens += n.Prompt
 }
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -63,8 +63,8 @@
 	took     average
 	// prefillRate is prompt tokens a millisecond on prefill engines.
 	prefillRate average
-	// bestRate is the highest of them of late.
-	bestRate float64
+	// highRate is what one in ten of them exceed.
+	highRate quantile
 	// load is what was done since it was told last.
 	load message.ServiceLoad
 	// heldElsewhere is the memory of places that another process gave.
--- a/internal/reducer/pools/script_test.go
+++ b/internal/reducer/pools/script_test.go
@@ -21,7 +21,7 @@
 //	engines PREFILL DECODE      that many engines of each pool, in three failure domains
 //	lead TERM | follow          whether this control VM leads
 //	pass SECONDS [prompt=N requests=N held=N]   each second with such a load
-//	answer unsure               the outcome of the last order
+//	answer unsure | refused     the outcome of the last order
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s, now, last := New(), scriptStart, Order{}
@@ -37,7 +37,7 @@
 				case "follow":
 					Reduce(s, Leads{At: now})
 				case "answer":
-					Reduce(s, Answered{At: now, Order: last, Unsure: words[1] == "unsure"})
+					Reduce(s, Answered{At: now, Order: last, Unsure: words[1] == "unsure"}) // not accepted in either case
 				case "pass":
 					for range number(t, words[1]) {
 						now = now.Add(time.Second)
@@ -85,7 +85,7 @@
 
 func load(t *testing.T, words []string) message.ServiceLoad {
 	t.Helper()
-	l := message.ServiceLoad{Service: "s", BestRate: 50}
+	l := message.ServiceLoad{Service: "s", Rate: 50}
 	for _, word := range words {
 		key, value, _ := strings.Cut(word, "=")
 		switch key {
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// leadBefore is how long a control VM leads before its first order. An
-	// order whose answer was lost is carried out up to twelve seconds later;
-	// by then none of the leader before is under way any more, so that no older
-	// order can follow a newer one at an engine that does not compare fencing
-	// numbers.
-	leadBefore = 14 * time.Second
+	// leadBefore is how long a control VM leads before its first order. An order
+	// takes two seconds at most, and engines that do not compare fencing numbers
+	// take orders of another holder only when the last one's lease of three
+	// seconds is over; one second is to spare. An earlier leader's order that an
+	// engine carries out later than that finds its precondition broken.
+	leadBefore = 6 * time.Second
 	// unsureFor is how long an engine gets no further order after one whose
-	// outcome is not known, for the same reason.
+	// outcome is not known: it may be carried out up to twelve seconds later.
 	unsureFor = 14 * time.Second
 	// backAfter is how long an engine takes after its change to announce itself.
 	backAfter = 1500 * time.Millisecond
@@ -33,18 +33,28 @@
 	// memory is the weight with which the measures of a second are forgotten:
 	// half of them in about five seconds.
 	memory = 0.87
+	// youngMemory is that weight for the first youngFor seconds of a load. Work
+	// at decode engines builds up for as long as a generation takes, while
+	// prefills are there from the first second: with the slow weight the prefill
+	// pool seems to be needed for three times as long as it is.
+	youngMemory = 0.4
+	youngFor    = 6
 	// worthMoving and worthMovingShare are how many engines, and which share of
 	// all, the prefill pool must be off by. Moving one engine of a dozen for
 	// less was measured to cost a tenth of the worth of days with failures: the
 	// engine is away for seconds, and a small prefill pool has no spare for one
 	// that crashes.
 	worthMoving      = 1.6
-	worthMovingShare = 0.08
+	worthMovingShare = 0.04
 	// lastingFor is how long the prefill pool must be too small before a decode
 	// engine joins it: most engines that are missed are back within seconds.
 	lastingFor = 10 * time.Second
-	// rateKept is how much of the best rate is kept each second.
-	rateKept = 0.995
+	// rateWeight is how much each told rate counts beside what was learnt.
+	rateWeight = 0.05
+	// prefillRoom is how much more prefill work than there is the prefill pool is
+	// made for. Memory of decode engines can be used to the full; a queue of
+	// prefills that is as busy as that holds up the first event of each stream.
+	prefillRoom = 1.2
 	// moveAtOnce is the share of the surplus that is moved at once; the rest is
 	// judged anew.
 	moveAtOnce = 0.75
@@ -69,16 +79,29 @@
 	// prefill and decode are how many engines' worth of work there was of late;
 	// requests is how many requests that was learnt from.
 	prefill, decode, requests float64
-	// rate is the highest rate of a prefill of late, in tokens a millisecond.
+	// rate is the rate of a prefill that does not wait, in tokens a millisecond.
 	rate float64
-	// quietUntil is until when no engine is moved.
+	// age is for how many seconds there has been work.
+	age int
+	// quietUntil is until when no engine is moved back from the pool that the
+	// last ones were moved to, lastRole.
 	quietUntil time.Time
+	lastRole   oriolebend.PoolRole
+	// moving are the engines that were ordered to another pool and do not
+	// announce it yet. They count as being there.
+	moving map[string]move
 	// shortSince is since when the prefill pool is too small, zero if it is not.
 	shortSince time.Time
 	// unsure is until when an engine may still carry out an earlier order.
 	unsure map[string]time.Time
 }
 
+// move is an engine on its way to another pool.
+type move struct {
+	role  oriolebend.PoolRole
+	until time.Time
+}
+
 // New returns an empty state.
 func New() *State { return &State{services: map[string]*service{}} }
 
@@ -119,7 +142,7 @@
 		}
 		kept := s.services[declared.Name]
 		if kept == nil {
-			kept = &service{unsure: map[string]time.Time{}}
+			kept = &service{unsure: map[string]time.Time{}, moving: map[string]move{}}
 		}
 		kept.limits = *declared.Engine
 		kept.engines = map[string]message.BackendServer{}
@@ -141,9 +164,7 @@
 			continue
 		}
 		v.requests += float64(load.Requests)
-		// A forwarder that has just started has measured prefills that waited in
-		// a queue; the best of all is the engines' own rate.
-		v.rate = max(v.rate, load.BestRate)
+		v.learnRate(load)
 		if v.rate > 0 {
 			v.prefill += float64(load.PromptTokens) / v.rate / float64(time.Second/time.Millisecond)
 		}
@@ -151,40 +172,70 @@
 	}
 }
 
+// learnRate takes what a forwarder tells of its prefills. None counts for much: a
+// forwarder that has just started knows one or two.
+func (v *service) learnRate(load message.ServiceLoad) {
+	switch {
+	case load.Rate <= 0 || load.Requests == 0:
+	case v.rate == 0:
+		v.rate = load.Rate
+	default:
+		v.rate += rateWeight * (load.Rate - v.rate)
+	}
+}
+
 func (s *State) answered(e Answered) {
 	v := s.services[e.Order.Service]
 	if v == nil {
 		return
 	}
-	if e.Unsure {
+	switch {
+	case e.Unsure:
 		v.unsure[e.Order.Engine.Instance] = e.At.Add(unsureFor)
+	case !e.Accepted:
+		delete(v.moving, e.Order.Engine.Instance)
 	}
-	v.quietUntil = e.At.Add(time.Duration(v.limits.RoleChange) + settleFor)
 }
 
 func (s *State) ticked(at time.Time) []Order {
 	var orders []Order
 	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		v := s.services[name]
-		due := s.judge(at, name, v)
-		v.prefill *= memory
-		v.decode *= memory
-		v.requests *= memory
-		v.rate *= rateKept
-		if len(due) > 0 {
-			orders = append(orders, due...)
-			v.quietUntil = at.Add(time.Duration(v.limits.RoleChange) + settleFor)
-		}
+		v.settle(at)
+		orders = append(orders, s.judge(at, name, v)...)
+		v.forget()
 	}
 	return orders
 }
 
+// settle lets go of moves that are over: the engine announces its new role, or
+// has had the time to.
+func (v *service) settle(at time.Time) {
+	maps.DeleteFunc(v.moving, func(instance string, m move) bool {
+		return !at.Before(m.until) || v.engines[instance].Role == m.role
+	})
+}
+
+// forget passes a second of what was measured.
+func (v *service) forget() {
+	kept := memory
+	if v.prefill > 0 {
+		v.age++
+	}
+	if v.age <= youngFor {
+		kept = youngMemory
+	}
+	v.prefill *= kept
+	v.decode *= kept
+	v.requests *= kept
+}
+
 // judge tells which engines of a service are to change their role. The pools
 // are divided as their work is: the share does not depend on how much there is
 // of it, so that a short peak moves nothing, while both pools fill up at the
 // same load.
 func (s *State) judge(at time.Time, name string, v *service) []Order {
-	if s.leading.IsZero() || at.Sub(s.leading) < leadBefore || at.Before(v.quietUntil) {
+	if s.leading.IsZero() || at.Sub(s.leading) < leadBefore {
 		return nil
 	}
 	if v.requests < enoughRequests || v.prefill+v.decode <= 0 {
@@ -192,7 +243,8 @@
 	}
 	prefill, decode := v.pool(oriolebend.Prefill), v.pool(oriolebend.Decode)
 	total := len(prefill) + len(decode)
-	wanted := max(float64(total)*v.prefill/(v.prefill+v.decode), float64(least(total)))
+	work := prefillRoom * v.prefill
+	wanted := max(float64(total)*work/(work+v.decode), float64(least(total)))
 	grounds := Grounds{
 		PrefillEngines: len(prefill), DecodeEngines: len(decode),
 		PrefillWork: v.prefill, DecodeWork: v.decode, Wanted: wanted,
@@ -203,12 +255,12 @@
 		v.shortSince = time.Time{}
 	}
 	switch {
-	case off >= margin:
+	case off >= margin && !v.quiet(at, oriolebend.Decode):
 		spare := min(int(off*moveAtOnce), len(prefill)-least(total))
 		return s.orders(at, Order{Service: name, Role: oriolebend.Decode, Grounds: grounds}, prefill, spare)
 	case off <= -margin && v.shortSince.IsZero():
 		v.shortSince = at
-	case off <= -margin && at.Sub(v.shortSince) >= lastingFor:
+	case off <= -margin && at.Sub(v.shortSince) >= lastingFor && !v.quiet(at, oriolebend.Prefill):
 		v.shortSince = time.Time{}
 		missing := min(int(-off*moveAtOnce), len(decode)-1)
 		return s.orders(at, Order{Service: name, Role: oriolebend.Prefill, Grounds: grounds}, decode, missing)
@@ -216,6 +268,13 @@
 	return nil
 }
 
+// quiet reports whether it is too early to move engines to a pool: others were
+// just moved the other way. More may follow them the same way at once, since
+// those on their way are counted.
+func (v *service) quiet(at time.Time, to oriolebend.PoolRole) bool {
+	return at.Before(v.quietUntil) && v.lastRole != to
+}
+
 // least is how many prefill engines a service keeps in any case.
 func least(engines int) int {
 	if engines >= sparesFrom {
@@ -228,7 +287,10 @@
 // left.
 func (s *State) orders(at time.Time, order Order, pool []message.BackendServer, count int) []Order {
 	v := s.services[order.Service]
-	pool = slices.DeleteFunc(slices.Clone(pool), func(e message.BackendServer) bool { return at.Before(v.unsure[e.Instance]) })
+	pool = slices.DeleteFunc(slices.Clone(pool), func(e message.BackendServer) bool {
+		_, moving := v.moving[e.Instance]
+		return moving || e.Changing || at.Before(v.unsure[e.Instance])
+	})
 	var orders []Order
 	for len(orders) < count && len(pool) > 0 {
 		domains := map[string]int{}
@@ -246,15 +308,23 @@
 		order.Engine, order.Fencing = pool[best], s.term*fencingPerTerm+s.issued
 		orders = append(orders, order)
 		pool = slices.Delete(pool, best, best+1)
+		v.moving[order.Engine.Instance] = move{role: order.Role, until: at.Add(order.Away + settleFor)}
+		v.quietUntil = at.Add(time.Duration(v.limits.RoleChange) + settleFor)
+		v.lastRole = order.Role
 	}
 	return orders
 }
 
-// pool lists the engines of a role in the order of their names.
+// pool lists the engines of a role, and those on their way to it, in the order of
+// their names.
 func (v *service) pool(role oriolebend.PoolRole) []message.BackendServer {
 	var list []message.BackendServer
 	for _, e := range v.engines {
-		if e.Role == role {
+		now := e.Role
+		if m, moving := v.moving[e.Instance]; moving {
+			now = m.role
+		}
+		if now == role {
 			list = append(list, e)
 		}
 	}
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -92,7 +92,7 @@
 	c.placer.Prepare()
 	sinks := routeSinks{c.placer}
 	if p.Orders != nil {
-		c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Logger: p.Logger}
+		c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Leads: c.Leads, Logger: p.Logger}
 		c.pools.Prepare()
 		c.routes.Loads = c.pools.Heard
 		sinks = append(sinks, c.pools)
--- a/internal/role/poolkeeper.go
+++ b/internal/role/poolkeeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -24,10 +26,20 @@
 // EngineOrders gives orders to model engines.
 type EngineOrders interface {
 	// ChangeRole asks an engine to change its role. accepted is false if it
-	// refused; an error means that the order may still be carried out.
+	// refused; an error other than a NotOrderedError means that the order may
+	// still be carried out.
 	ChangeRole(ctx context.Context, o pools.Order, holder string) (accepted bool, err error)
 }
 
+// NotOrderedError means that an order was not sent.
+type NotOrderedError struct{ Cause error }
+
+// Error implements error.
+func (e *NotOrderedError) Error() string { return fmt.Sprintf("order not sent: %v", e.Cause) }
+
+// Unwrap returns the error beneath.
+func (e *NotOrderedError) Unwrap() error { return e.Cause }
+
 // PoolKeeper divides model engines between prefill and decode while its control
 // VM leads. It follows what all control VMs know of the engines.
 type PoolKeeper struct {
@@ -35,8 +47,10 @@
 	Orders EngineOrders
 	// Announce tells forwarders that an engine is about to change its role.
 	Announce func(ctx context.Context, instance string, away time.Duration) error
-	// Status tells whether this control VM leads.
+	// Status tells whether this control VM leads as of its last tick, Leads
+	// whether its lease runs at this moment.
 	Status func() replica.Status
+	Leads  func() bool
 	Logger *slog.Logger
 
 	mutex   sync.Mutex
@@ -78,16 +92,26 @@
 func (k *PoolKeeper) give(ctx context.Context, o pools.Order) {
 	ctx, cancel := context.WithTimeout(ctx, roleOrderWithin)
 	defer cancel()
-	if err := k.Announce(ctx, o.Engine.Instance, o.Away); err != nil {
-		k.Logger.Info("engine not ordered to change its role", "instance", o.Engine.Instance, "error", err)
-		return
-	}
-	accepted, err := k.Orders.ChangeRole(ctx, o, k.Self)
+	accepted, err := k.order(ctx, o)
 	k.Logger.Info("engine ordered to change its role", "instance", o.Engine.Instance, "address", o.Engine.Address,
 		"role", o.Role, "fencing", o.Fencing, "accepted", accepted, "error", err,
 		"prefillEngines", o.Grounds.PrefillEngines, "decodeEngines", o.Grounds.DecodeEngines,
 		"prefillWork", o.Grounds.PrefillWork, "decodeWork", o.Grounds.DecodeWork, "wantedPrefill", o.Grounds.Wanted)
-	k.reduce(pools.Answered{At: time.Now(), Order: o, Accepted: accepted, Unsure: err != nil})
+	var notSent *NotOrderedError
+	k.reduce(pools.Answered{At: time.Now(), Order: o, Accepted: accepted, Unsure: err != nil && !errors.As(err, &notSent)})
+}
+
+// order announces an order and sends it, unless another control VM may lead by
+// then: a process that was paused in between would otherwise send it among the
+// orders of its successor.
+func (k *PoolKeeper) order(ctx context.Context, o pools.Order) (bool, error) {
+	if err := k.Announce(ctx, o.Engine.Instance, o.Away); err != nil {
+		return false, &NotOrderedError{Cause: err}
+	}
+	if !k.Leads() {
+		return false, &NotOrderedError{Cause: &oriolebend.Problem{Reason: oriolebend.ReasonNotLeader, Ran: oriolebend.RanNo}}
+	}
+	return k.Orders.ChangeRole(ctx, o, k.Self)
 }
 
 // Heard takes what a forwarder did.
