role: places are given without a quorum, and not awaited from a leader that stands still

Nobody can be elected; the last leader ended its sessions, and each forwarder looked for memory on its own (engines refused 800 times a second when a leader came back). With a frozen leader what was asked of it waited until the callers left: its sessions stay open. Change: the last leader gives places until another one is known to lead; places are hints, and the engine decides. Forwarders turn to another leader once they have been told of it twice, a tenth of a second apart. Each of the two tests fails without its half of the change.

--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -56,6 +56,12 @@
 	return name == c.process.self()
 }
 
+// replaced reports whether another control VM is known to lead.
+func (c *ControlProcess) replaced() bool {
+	name, _ := c.replica.Leader()
+	return name != "" && name != c.process.self()
+}
+
 // Announce takes an announcement of a backend server.
 func (c *ControlProcess) Announce(ctx context.Context, server message.BackendServer) error {
 	return c.routes.Announce(ctx, server)
@@ -88,7 +94,7 @@
 // leads.
 func (c *ControlProcess) observe(name string) {
 	p := c.process
-	c.placer = &Placer{Leads: c.Leads, Logger: p.Logger}
+	c.placer = &Placer{Leads: c.Leads, Replaced: c.replaced, Logger: p.Logger}
 	c.placer.Prepare()
 	sinks := routeSinks{c.placer}
 	if p.Orders != nil {
--- a/internal/role/placeclient.go
+++ b/internal/role/placeclient.go
@@ -16,6 +16,9 @@
 const (
 	// placeAgain is the pause before another leader is asked for places.
 	placeAgain = 100 * time.Millisecond
+	// otherSeen is how many times in a row another leader must be named, since a
+	// control VM that is cut off may name the last one for a moment.
+	otherSeen = 2
 	// placeOpenWithin bounds the opening of a session.
 	placeOpenWithin = time.Second
 	// answerMargin is how much later than the end of its wait a question's
@@ -29,7 +32,7 @@
 	Node   string
 	Dialer peer.Dialer
 	// Leader is the peer address of the control VM that leads, empty if none is
-	// known.
+	// known. The last one that did goes on giving places until another one leads.
 	Leader func() string
 	Logger *slog.Logger
 
@@ -57,14 +60,30 @@
 
 // Run keeps a session with the leader until ctx ends.
 func (c *PlaceClient) Run(ctx context.Context) {
+	address := ""
 	for ctx.Err() == nil {
-		if address := c.Leader(); address != "" {
+		address = cmp.Or(c.Leader(), address)
+		if address != "" {
 			c.session(ctx, address)
 		}
 		wait(ctx, placeAgain)
 	}
 }
 
+// awaitOther returns once another control VM than the one with an address has led
+// for a moment. A leader that is frozen or cut off does not end its sessions: what
+// is asked of it would wait for an answer until the caller leaves.
+func (c *PlaceClient) awaitOther(ctx context.Context, address string) {
+	for seen := 0; seen < otherSeen && ctx.Err() == nil; wait(ctx, placeAgain) {
+		leader := c.Leader()
+		if leader == "" || leader == address {
+			seen = 0
+			continue
+		}
+		seen++
+	}
+}
+
 func (c *PlaceClient) session(ctx context.Context, address string) {
 	opening, cancel := context.WithTimeout(ctx, placeOpenWithin)
 	defer cancel()
@@ -72,8 +91,14 @@
 	if err != nil {
 		return
 	}
+	ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
 	defer s.Close()
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	go func() {
+		defer cancel()
+		c.awaitOther(ctx, address)
+	}()
 	o := newOutbox(s)
 	c.begin(o)
 	defer c.end()
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -32,8 +32,10 @@
 // engine's own reservation decides, and without a leader forwarders look for
 // themselves.
 type Placer struct {
-	Leads  func() bool
-	Logger *slog.Logger
+	// Leads reports whether this control VM leads, Replaced whether another one is
+	// known to.
+	Leads, Replaced func() bool
+	Logger          *slog.Logger
 
 	mutex    sync.Mutex
 	state    *reducer.State
@@ -43,7 +45,12 @@
 	last    uint64
 	routing oriolebend.Routing
 	servers []message.BackendServer
-	leading bool
+	// giving is set while places are given: from when this control VM leads until
+	// another one is known to. Places are hints, so that two who give them for a
+	// moment break nothing. A group without a quorum elects nobody for as long as it
+	// is cut in two; were there no places meanwhile, each forwarder would look for
+	// the last free memory on its own.
+	giving bool
 }
 
 var _ RouteSink = (*Placer)(nil)
@@ -64,16 +71,16 @@
 func (p *Placer) Run(ctx context.Context) {
 	told := time.Now()
 	for wait(ctx, placeEvery); ctx.Err() == nil; wait(ctx, placeEvery) {
-		leads := p.Leads()
+		leads, replaced := p.Leads(), p.Replaced()
 		p.mutex.Lock()
-		if leads && time.Since(told) >= summaryEvery {
+		if p.giving && time.Since(told) >= summaryEvery {
 			told = time.Now()
 			p.summarize(told)
 		}
-		if p.leading && !leads {
+		if p.giving && !leads && replaced {
 			p.abdicate()
 		}
-		p.leading = leads
+		p.giving = leads || p.giving && !replaced
 		p.reduce(placement.Ticked{At: time.Now()})
 		p.mutex.Unlock()
 	}
@@ -129,7 +136,7 @@
 func (p *Placer) Serve(ctx context.Context, s peer.Stream) {
 	first, err := s.Receive()
 	open, ok := first.(message.PlaceOpen)
-	if err != nil || !ok || !p.Leads() {
+	if err != nil || !ok || !p.gives() {
 		return
 	}
 	o := newOutbox(s)
@@ -150,6 +157,15 @@
 	}
 }
 
+func (p *Placer) gives() bool {
+	if p.Leads() {
+		return true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.giving
+}
+
 func (p *Placer) begin(o *outbox, open message.PlaceOpen) uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/role/placer_test.go
+++ b/internal/role/placer_test.go
@@ -30,7 +30,11 @@
 	s := &placeSite{network: peertest.NewNetwork(1), placers: map[string]*Placer{}}
 	s.lead("")
 	for _, name := range []string{"one", "two"} {
-		p := &Placer{Leads: func() bool { return *s.leader.Load() == name+":1" }, Logger: slog.New(slog.DiscardHandler)}
+		p := &Placer{
+			Leads:    func() bool { return *s.leader.Load() == name+":1" },
+			Replaced: func() bool { leader := *s.leader.Load(); return leader != "" && leader != name+":1" },
+			Logger:   slog.New(slog.DiscardHandler),
+		}
 		p.Prepare()
 		p.SetRouting(oriolebend.Routing{Version: 1, Services: []oriolebend.RouteService{{
 			Name: "s", Engine: &oriolebend.EngineLimits{KVTokens: 1000},
@@ -173,3 +177,50 @@
 		synctest.Wait()
 	})
 }
+
+// Symptom: in a burst each forwarder looks for memory on its own, and finds it too
+// late. Sequence: the control VMs are cut in two halves, and nobody can be elected.
+// The one that led goes on giving places, until another leads.
+func TestPlacesAreGivenWithoutAQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newPlaceSite(ctx)
+		s.lead("one:1")
+		time.Sleep(time.Second)
+		s.lead("")
+		time.Sleep(time.Second)
+		effect, asked := s.ask(ctx, 900)
+		is.True(asked)
+		_, granted := effect.(dispatch.Granted)
+		is.True(granted)
+		s.lead("two:1")
+		time.Sleep(time.Second)
+		is.True(!s.placers["one"].gives())
+		is.True(s.placers["two"].gives())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: for seconds after the leader freezes requests wait and are then refused.
+// Sequence: a new leader is elected; the frozen one does not end its sessions, and
+// what was asked of it gets no answer. The forwarder turns to the new one.
+func TestPlacesOfAFrozenLeaderAreNotAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newPlaceSite(ctx)
+		s.lead("one:1")
+		time.Sleep(time.Second)
+		s.network.Cut("one", "f") // it stands still, and its session stays open
+		s.lead("two:1")
+		time.Sleep(time.Second)
+		effect, asked := s.ask(ctx, 900)
+		is.True(asked)
+		_, granted := effect.(dispatch.Granted)
+		is.True(granted)
+		cancel()
+		synctest.Wait()
+	})
+}
