--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -28,7 +28,7 @@
 // read counts a prompt that a prefill engine has read. What is measured holds the
 // time in the engine's queue as well, so that a high rate is the engine's own. The
 // highest one is not: an engine that still has the prompt of a caller who comes
-// back answers at once, and one such rate made the prefill pool seem five times
+// back answers at once, and one such rate made the prefill pool seem four times
 // as fast as it was.
 //
 // The work that the prompt brings to a decode engine is counted at the same moment.
--- a/internal/role/placer_test.go
+++ b/internal/role/placer_test.go
@@ -24,15 +24,18 @@
 	client  *PlaceClient
 	leader  atomic.Pointer[string]
 	placers map[string]*Placer
+	// frozen is the control VM that goes on as it was.
+	frozen atomic.Pointer[string]
 }
 
 func newPlaceSite(ctx context.Context) *placeSite {
 	s := &placeSite{network: peertest.NewNetwork(1), placers: map[string]*Placer{}}
 	s.lead("")
+	s.freeze("")
 	for _, name := range []string{"one", "two"} {
 		p := &Placer{
-			Leads:    func() bool { return *s.leader.Load() == name+":1" },
-			Replaced: func() bool { leader := *s.leader.Load(); return leader != "" && leader != name+":1" },
+			Leads:    func() bool { return s.view(name) == name+":1" },
+			Replaced: func() bool { leader := s.view(name); return leader != "" && leader != name+":1" },
 			Logger:   slog.New(slog.DiscardHandler),
 		}
 		p.Prepare()
@@ -59,6 +62,17 @@
 // lead has the control VM with an address lead, or nobody.
 func (s *placeSite) lead(address string) { s.leader.Store(&address) }
 
+// freeze has a control VM believe for good that it leads.
+func (s *placeSite) freeze(name string) { s.frozen.Store(&name) }
+
+// view is the leader that a control VM knows.
+func (s *placeSite) view(name string) string {
+	if *s.frozen.Load() == name {
+		return name + ":1"
+	}
+	return *s.leader.Load()
+}
+
 // ask asks for a place for tokens and waits for up to a second.
 func (s *placeSite) ask(ctx context.Context, tokens int) (dispatch.Effect, bool) {
 	return s.client.Place(ctx, forwarder.PlaceRequest{
@@ -213,7 +227,8 @@
 		s := newPlaceSite(ctx)
 		s.lead("one:1")
 		time.Sleep(time.Second)
-		s.network.Cut("one", "f") // it stands still, and its session stays open
+		s.freeze("one")
+		s.network.Cut("one", "f") // its answers do not come
 		s.lead("two:1")
 		time.Sleep(time.Second)
 		effect, asked := s.ask(ctx, 900)
