--- a/internal/reducer/placement/flow.go
+++ b/internal/reducer/placement/flow.go
@@ -47,7 +47,7 @@
 //
 // In a peak not all can be served. Those that take as much as three others are turned
 // away at a shorter queue, and come back when it is over: of the requests that were
-// lost in peaks, refused and refused again, this saves between a quarter and a half,
+// lost in peaks, refused and refused again, this saves between a fifth and a half,
 // on four days of large sites. The bounds keep the largest from being turned away
 // whenever anybody waits, and the smallest from waiting until they are late.
 func (f *flow) weight(n dispatch.Need) float64 {
