tests: a frame refused early, and a port that another process was given

TestBadFrames/tooLargeToReceive: the gate refuses a large frame by its first bytes and may reset the session before the sender has sent the rest; Send then tells of the reset. TestQuorumLostAndBack: a control VM that restarts after ten seconds was refused its operators' port ("address already in use"): the port comes from the range that every process of the machine is given ports from, and the soak started dozens meanwhile. Change: a reset is taken for what it is where the gate refuses; what the gate and the receiver must see is checked as before. A control VM is restarted once its port is free, with a test that takes the port. Conclusion: races of the tests; the program is the same.

--- a/internal/peer/faults_test.go
+++ b/internal/peer/faults_test.go
@@ -66,7 +66,11 @@
 			session, err := entry.Open(t.Context(), gate.Address())
 			i.NoErr(err)
 			err = session.Send(c.m)
-			i.Equal(peer.CodeOf(err), c.sendCode)
+			if c.gateCode == "" || peer.CodeOf(err) != peer.CodeReset {
+				// A gate that refuses a frame by its first bytes may have reset the
+				// session before the rest of it was sent.
+				i.Equal(peer.CodeOf(err), c.sendCode)
+			}
 			if c.gateCode == "" {
 				i.NoErr(session.Send(message.Release{})) // the session goes on
 				i.NoErr(<-refused)
--- a/internal/role/cluster_test.go
+++ b/internal/role/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -400,6 +401,12 @@
 // restartControl starts a control VM's process anew over its data folder.
 func (c *cluster) restartControl(n int) {
 	c.t.Helper()
+	// While it was down its port was free for every process of the machine that
+	// asks for any port.
+	c.until("the operators' port is free", func() bool {
+		l, err := net.Listen("tcp", c.Controls[n].process.Settings.Operator.Listen)
+		return err == nil && l.Close() == nil
+	})
 	p, err := StartControl(anew(c.Controls[n].process))
 	c.must(err)
 	c.Controls[n] = p
--- a/internal/role/failure_control_test.go
+++ b/internal/role/failure_control_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -216,3 +218,18 @@
 func inForce(s oriolebend.Status, revision uint64) bool {
 	return s.Revision >= revision && s.InForce == s.Total && s.Total > 0
 }
+
+// Symptom: a control VM that restarts is refused its own port, and the test that
+// restarted it fails on a busy machine. Sequence: it dies, and another process is given
+// its port while it is down. It starts once the port is free again.
+func TestControlStartsOnceItsPortIsFree(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, nil)
+	c.leader()
+	c.must(c.Controls[0].Kill())
+	taken, err := net.Listen("tcp", c.Controls[0].process.Settings.Operator.Listen)
+	c.must(err)
+	time.AfterFunc(300*time.Millisecond, func() { _ = taken.Close() })
+	c.restartControl(0)
+	c.wholeAnswer(c.ask(c.Entries[0], "after", "tokens=10"))
+}
