fleet: the simulation of a dying sidecar draws the same on every run

A dead sidecar's sessions were gone through in the order of a map, each with a random delay; so were renewals. Ruled out: load on the machine (the time is simulated); the reducers (their ranges over maps sort or have no order). Change: sessions are gone through by their names. Bounds are as they were. Conclusion: a fault of the simulation.

--- a/internal/reducer/fleet/gate_test.go
+++ b/internal/reducer/fleet/gate_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/engine"
@@ -69,7 +71,8 @@
 	for _, p := range g.engine.queue {
 		g.fleet.stats.wasted += float64(p.spec.promptTokens-p.cached) - p.left
 	}
-	for _, s := range g.sessions {
+	for _, id := range slices.Sorted(maps.Keys(g.sessions)) {
+		s := g.sessions[id]
 		g.fleet.after(s.entry.delay(g), func() { s.lost(true) })
 	}
 }
@@ -126,7 +129,7 @@
 }
 
 func (g *simGate) renew() {
-	for id := range g.sessions {
+	for _, id := range slices.Sorted(maps.Keys(g.sessions)) {
 		g.reduce(gate.Renewed{At: g.fleet.now, Session: id})
 	}
 }
