role: tests of places share their site and their checks

Cause: reading the change once more; six tests had the same set-up lines, and the same four lines to see that a place is given. Change: onPlaceSite runs a test on a site of its own; granted and refused ask and check. Assertions are kept; that an effect is a refusal is now checked instead of ending in a panic. Conclusion: the program is the same.

--- a/internal/role/placer_test.go
+++ b/internal/role/placer_test.go
@@ -80,35 +80,53 @@
 	})
 }
 
+// granted asks for tokens and checks that a place is given.
+func (s *placeSite) granted(ctx context.Context, is *is.I, tokens int) dispatch.Grant {
+	is.Helper()
+	effect, asked := s.ask(ctx, tokens)
+	is.True(asked)
+	e, granted := effect.(dispatch.Granted)
+	is.True(granted)
+	return e.Grant
+}
+
+// refused asks for tokens and checks that there is no room for them.
+func (s *placeSite) refused(ctx context.Context, is *is.I, tokens int) {
+	is.Helper()
+	effect, asked := s.ask(ctx, tokens)
+	is.True(asked)
+	e, refused := effect.(dispatch.Refused)
+	is.True(refused)
+	is.Equal(e.Reason, oriolebend.ReasonNoMemory)
+}
+
+// onPlaceSite runs a test on a new site, on the clock of synctest.
+func onPlaceSite(t *testing.T, test func(ctx context.Context, is *is.I, s *placeSite)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(ctx, is.New(t), newPlaceSite(ctx))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Places are given by whoever leads; without a leader the forwarder is told to
 // look for itself. A new leader learns the places that are in use.
 func TestPlacesFollowTheLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newPlaceSite(ctx)
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		_, asked := s.ask(ctx, 900)
 		is.True(!asked) // nobody leads
 		s.lead("one:1")
 		time.Sleep(time.Second)
-		effect, asked := s.ask(ctx, 900)
-		is.True(asked)
-		grant := effect.(dispatch.Granted).Grant
+		grant := s.granted(ctx, is, 900)
 		is.Equal(grant.Server.Instance, "d")
 		is.Equal(grant.Prefill.Instance, "p")
 		s.lead("two:1")
 		time.Sleep(time.Second)
-		effect, asked = s.ask(ctx, 900) // 1,020 tokens are granted, 900 are in use
-		is.True(asked)
-		is.Equal(effect.(dispatch.Refused).Reason, oriolebend.ReasonNoMemory)
+		s.refused(ctx, is, 900) // 1,020 tokens are granted, 900 are in use
 		s.client.PromptRead(dispatch.PromptRead{Grant: grant})
 		s.client.Ended(dispatch.Ended{Grant: grant, Outcome: dispatch.OutcomeAnswered})
-		effect, asked = s.ask(ctx, 900)
-		is.True(asked)
-		_, granted := effect.(dispatch.Granted)
-		is.True(granted)
-		cancel()
-		synctest.Wait()
+		s.granted(ctx, is, 900)
 	})
 }
 
@@ -116,10 +134,7 @@
 // the moment in which its place is given, or its forwarder dies. Cause: a place
 // whose owner is gone.
 func TestPlaceOfOneThatLeftIsGivenBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newPlaceSite(ctx)
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		s.lead("one:1")
 		time.Sleep(time.Second)
 		for range 5 {
@@ -128,12 +143,7 @@
 			s.ask(leaving, 900)
 		}
 		time.Sleep(time.Second)
-		effect, asked := s.ask(ctx, 900)
-		is.True(asked)
-		_, granted := effect.(dispatch.Granted)
-		is.True(granted)
-		cancel()
-		synctest.Wait()
+		s.granted(ctx, is, 900)
 	})
 }
 
@@ -141,10 +151,7 @@
 // that refuse them. Sequence: forwarders find places themselves, a leader is elected,
 // and knows of none of them. They are told with the session, and given back by it.
 func TestPlacesFoundWithoutALeaderAreTold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newPlaceSite(ctx)
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		grant := dispatch.Grant{
 			Need: dispatch.Need{Service: "s", Prompt: 900}, Server: message.BackendServer{Instance: "d"},
 			Prefill: &message.BackendServer{Instance: "p"},
@@ -152,17 +159,10 @@
 		grant.Told = s.client.Found(grant)
 		s.lead("one:1")
 		time.Sleep(time.Second)
-		effect, asked := s.ask(ctx, 900)
-		is.True(asked)
-		is.Equal(effect.(dispatch.Refused).Reason, oriolebend.ReasonNoMemory)
+		s.refused(ctx, is, 900)
 		s.client.PromptRead(dispatch.PromptRead{Grant: grant})
 		s.client.Ended(dispatch.Ended{Grant: grant, Outcome: dispatch.OutcomeAnswered})
-		effect, asked = s.ask(ctx, 900)
-		is.True(asked)
-		_, granted := effect.(dispatch.Granted)
-		is.True(granted)
-		cancel()
-		synctest.Wait()
+		s.granted(ctx, is, 900)
 	})
 }
 
@@ -170,10 +170,7 @@
 // of a forwarder falls silent, and it opens another one and tells its places anew.
 // Cause: until the first connection timed out, they counted twice.
 func TestPlacesOfAForwarderThatReturnsCountOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newPlaceSite(ctx)
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		s.lead("one:1")
 		time.Sleep(time.Second)
 		held := message.PlaceQuestion{ID: 1, Service: "s", Prompt: 400, Server: "d"}
@@ -183,12 +180,7 @@
 			is.NoErr(session.Send(message.PlaceOpen{Node: "g", Held: []message.PlaceQuestion{held}}))
 			time.Sleep(100 * time.Millisecond)
 		}
-		effect, asked := s.ask(ctx, 600)
-		is.True(asked)
-		_, granted := effect.(dispatch.Granted)
-		is.True(granted)
-		cancel()
-		synctest.Wait()
+		s.granted(ctx, is, 600)
 	})
 }
 
@@ -196,24 +188,16 @@
 // late. Sequence: the control VMs are cut in two halves, and nobody can be elected.
 // The one that led goes on giving places, until another leads.
 func TestPlacesAreGivenWithoutAQuorum(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newPlaceSite(ctx)
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		s.lead("one:1")
 		time.Sleep(time.Second)
 		s.lead("")
 		time.Sleep(time.Second)
-		effect, asked := s.ask(ctx, 900)
-		is.True(asked)
-		_, granted := effect.(dispatch.Granted)
-		is.True(granted)
+		s.granted(ctx, is, 900)
 		s.lead("two:1")
 		time.Sleep(time.Second)
 		is.True(!s.placers["one"].gives())
 		is.True(s.placers["two"].gives())
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -221,21 +205,13 @@
 // Sequence: a new leader is elected; the frozen one does not end its sessions, and
 // what was asked of it gets no answer. The forwarder turns to the new one.
 func TestPlacesOfAFrozenLeaderAreNotAwaited(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		s := newPlaceSite(ctx)
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		s.lead("one:1")
 		time.Sleep(time.Second)
 		s.freeze("one")
 		s.network.Cut("one", "f") // its answers do not come
 		s.lead("two:1")
 		time.Sleep(time.Second)
-		effect, asked := s.ask(ctx, 900)
-		is.True(asked)
-		_, granted := effect.(dispatch.Granted)
-		is.True(granted)
-		cancel()
-		synctest.Wait()
+		s.granted(ctx, is, 900)
 	})
 }
