registry: a backend server may start again under its name; words of another writer name no server

Cause: a server that is back under its id counts its announcements from one. The registry compared them with the earlier start's and dropped them as late, so that the server stayed unknown for as long as its earlier start had been there; work, failures and orders of the earlier start counted for the later one. Ruled out: a name of our own per start (name and start joined): logs, operators and Expect-Instance all go by the server's own name. With the comparison of starts taken out, registry's and dispatch's scripts fail.

--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -44,6 +44,9 @@
 	Age     time.Duration `cbor:"12,keyasint,omitempty"`
 	Server  string        `cbor:"9,keyasint,omitempty"`
 	Prefill string        `cbor:"10,keyasint,omitempty"`
+	// ServerStart and PrefillStart are the incarnations of the two.
+	ServerStart  uint64 `cbor:"13,keyasint,omitempty"`
+	PrefillStart uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // PlaceStep is what happened to a question or to the place that it got.
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -45,7 +45,7 @@
 
 // BackendServer is what one backend server said of itself.
 type BackendServer struct {
-	// Instance names one start of the server.
+	// Instance names the server. One that starts again may keep its name.
 	Instance      string `cbor:"1,keyasint"`
 	Service       string `cbor:"2,keyasint"`
 	Address       string `cbor:"3,keyasint"`
@@ -54,7 +54,7 @@
 	// Role is empty for plain services.
 	Role  oriolebend.PoolRole `cbor:"6,keyasint,omitempty"`
 	Phase ServerPhase         `cbor:"7,keyasint"`
-	// Sequence grows with each announcement of one instance.
+	// Sequence grows with each announcement of one start of an instance.
 	Sequence uint64 `cbor:"8,keyasint"`
 	// SlowFor is how long the server is still slow after its start.
 	SlowFor time.Duration `cbor:"9,keyasint,omitempty"`
@@ -63,6 +63,17 @@
 	// Changing is set while the server was ordered to change its role and is
 	// not back yet.
 	Changing bool `cbor:"11,keyasint,omitempty"`
+	// Incarnation is when this start of the instance began, in milliseconds since
+	// 1970 by the server's own clock: of two starts the later one has the higher
+	// number. It is zero if the server does not say.
+	Incarnation uint64 `cbor:"12,keyasint,omitempty"`
+}
+
+// SameStart reports whether two servers are one start of one instance. What was
+// learnt of an earlier start (work in progress, reserved memory, failures) does not
+// hold for a later one, which begins empty.
+func (s BackendServer) SameStart(other BackendServer) bool {
+	return s.Instance == other.Instance && s.Incarnation == other.Incarnation
 }
 
 // RouteWatch asks a control VM for the routing and the backend servers, and
--- a/internal/operator/routing.go
+++ b/internal/operator/routing.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/labstack/echo/v5"
 
@@ -24,7 +25,7 @@
 	Routing(ctx context.Context) (routing.InForce, error)
 	// Announce and Withdraw take what a backend server says of itself.
 	Announce(ctx context.Context, server message.BackendServer) error
-	Withdraw(ctx context.Context, instance string) error
+	Withdraw(ctx context.Context, instance string, incarnation uint64) error
 	// Backends lists the servers that announced themselves to this VM.
 	Backends() []message.BackendServer
 }
@@ -85,7 +86,7 @@
 	for _, s := range a.Routing.Backends() {
 		list = append(list, oriolebend.Backend{
 			Instance: s.Instance, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
-			Slots: s.Slots, Role: s.Role, Phase: string(s.Phase), Sequence: s.Sequence,
+			Slots: s.Slots, Role: s.Role, Phase: string(s.Phase), Sequence: s.Sequence, Incarnation: s.Incarnation,
 			SlowFor: oriolebend.Duration(s.SlowFor), Silent: s.Silent,
 		})
 	}
@@ -109,13 +110,22 @@
 	}
 	err := a.Routing.Announce(c.Request().Context(), message.BackendServer{
 		Instance: c.Param("instance"), Service: b.Service, Address: b.Address, FailureDomain: b.FailureDomain,
-		Slots: b.Slots, Role: b.Role, Phase: phase, Sequence: b.Sequence,
+		Slots: b.Slots, Role: b.Role, Phase: phase, Sequence: b.Sequence, Incarnation: b.Incarnation,
 	})
 	return a.told(c, err)
 }
 
+// withdraw takes the last word of a backend server; the query may name the start
+// that leaves.
 func (a *api) withdraw(c *echo.Context) error {
-	return a.told(c, a.Routing.Withdraw(c.Request().Context(), c.Param("instance")))
+	incarnation := uint64(0)
+	if text := c.QueryParam("incarnation"); text != "" {
+		var err error
+		if incarnation, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return refuse(oriolebend.ReasonMalformed, "incarnation is not a whole number: "+text)
+		}
+	}
+	return a.told(c, a.Routing.Withdraw(c.Request().Context(), c.Param("instance"), incarnation))
 }
 
 func (a *api) told(c *echo.Context, err error) error {
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -29,15 +30,26 @@
 	return float64(free) / float64(total)
 }
 
+// Engine names one start of a backend server.
+type Engine struct {
+	Instance    string
+	Incarnation uint64
+}
+
+// known is the server of a name, nil if that start is not known.
+func (s *State) known(e Engine) *server {
+	return s.at(message.BackendServer{Instance: e.Instance, Incarnation: e.Incarnation})
+}
+
 // Resume takes up a place that was granted elsewhere; false means that its
-// server is not known.
-func Resume(s *State, n Need, server, prefill string) (Grant, bool) {
-	c := s.servers[server]
+// server is not known, or has started again since.
+func Resume(s *State, n Need, server, prefill Engine) (Grant, bool) {
+	c := s.known(server)
 	if c == nil {
 		return Grant{}, false
 	}
 	grant := Grant{Need: n, Server: c.BackendServer}
-	if p := s.servers[prefill]; p != nil {
+	if p := s.known(prefill); p != nil {
 		reader := p.BackendServer
 		grant.Prefill = &reader
 	}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -19,13 +19,13 @@
 
 // promptRead ends the reading part of a grant.
 func (s *State) promptRead(e PromptRead) {
-	p := s.servers[e.Grant.Prefill.Instance]
+	p := s.at(*e.Grant.Prefill)
 	if p == nil {
 		return
 	}
 	p.busy = max(0, p.busy-1)
 	p.reading = max(0, p.reading-e.Grant.Need.Prompt)
-	if c := s.servers[e.Grant.Server.Instance]; c != nil {
+	if c := s.at(e.Grant.Server); c != nil {
 		c.fullFor += e.Grant.Need.Output // reserved until now, and not written yet
 	}
 	switch {
@@ -40,7 +40,7 @@
 
 // ended gives the place of a grant back and judges its server.
 func (s *State) ended(e Ended) {
-	c := s.servers[e.Grant.Server.Instance]
+	c := s.at(e.Grant.Server)
 	if c == nil {
 		return
 	}
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -27,7 +27,8 @@
 
 // TestScripts runs the files of testdata/scripts. Their commands:
 //
-//	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing] a line
+//	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
+//	                        [start=N] a line
 //	service NAME [kv=N]     declares a service; kv makes it one of engines
 //	do                      ask NAME SERVICE [prompt=N] [again] [waited] [tried=A,B]
 //	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
@@ -74,6 +75,10 @@
 			Instance: words[0], Service: words[1], FailureDomain: words[2], Address: words[0] + ":1", Phase: message.PhaseReady,
 		}
 		for _, word := range words[3:] {
+			if number, found := strings.CutPrefix(word, "start="); found {
+				server.Incarnation, _ = strconv.ParseUint(number, 10, 64)
+				continue
+			}
 			switch word {
 			case "prefill", "decode":
 				server.Role = oriolebend.PoolRole(word)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -147,8 +147,8 @@
 	known := map[string]*server{}
 	for _, told := range e.Servers {
 		kept := s.servers[told.Instance]
-		if kept == nil {
-			kept = &server{}
+		if kept == nil || kept.Incarnation != told.Incarnation {
+			kept = &server{} // one that has started again holds nothing of before
 		}
 		if kept.Role != told.Role {
 			kept.took = average{}
@@ -170,6 +170,16 @@
 	}
 }
 
+// at is the server of a grant, nil if it is not known or has started again since:
+// what the grant took there is gone with the earlier start.
+func (s *State) at(granted message.BackendServer) *server {
+	c := s.servers[granted.Instance]
+	if c == nil || !c.SameStart(granted) {
+		return nil
+	}
+	return c
+}
+
 func (s *State) declared(e Services) {
 	services := map[string]*service{}
 	for _, limits := range e.Services {
--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -41,7 +41,7 @@
 	At              time.Time
 	Key             Key
 	Need            dispatch.Need
-	Server, Prefill string
+	Server, Prefill dispatch.Engine
 }
 
 // PromptRead tells that the prefill engine of a place is done.
--- a/internal/reducer/pools/script_test.go
+++ b/internal/reducer/pools/script_test.go
@@ -18,7 +18,8 @@
 
 // TestScripts runs the files of testdata/scripts. Each line is an event:
 //
-//	engines PREFILL DECODE      that many engines of each pool, in three failure domains
+//	engines PREFILL DECODE [start=N]   that many engines of each pool, in three failure
+//	                            domains, all at that start
 //	lead TERM | follow          whether this control VM leads
 //	pass SECONDS [prompt=N requests=N held=N]   each second with such a load, whose
 //	                            generations hold so many tokens of memory
@@ -32,7 +33,11 @@
 				words := strings.Fields(line)
 				switch words[0] {
 				case "engines":
-					Reduce(s, engines(number(t, words[1]), number(t, words[2])))
+					e := engines(number(t, words[1]), number(t, words[2]))
+					if len(words) > 3 {
+						started(&e, uint64(number(t, strings.TrimPrefix(words[3], "start="))))
+					}
+					Reduce(s, e)
 				case "lead":
 					Reduce(s, Leads{At: now, Lead: true, Term: uint64(number(t, words[1]))})
 				case "follow":
@@ -84,6 +89,13 @@
 	return e
 }
 
+// started has all engines at one start.
+func started(e *Engines, incarnation uint64) {
+	for i := range e.Servers {
+		e.Servers[i].Incarnation = incarnation
+	}
+}
+
 func load(t *testing.T, words []string) message.ServiceLoad {
 	t.Helper()
 	l := message.ServiceLoad{Service: "s", Rate: 50}
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -89,14 +89,16 @@
 	moving map[string]move
 	// shortSince is since when the prefill pool is too small, zero if it is not.
 	shortSince time.Time
-	// unsure is until when an engine may still carry out an earlier order.
+	// unsure is until when an engine may still carry out an earlier order, also one
+	// that its earlier start was given: the name is all that such an order goes by.
 	unsure map[string]time.Time
 }
 
-// move is an engine on its way to another pool.
+// move is a start of an engine on its way to another pool.
 type move struct {
-	role  oriolebend.PoolRole
-	until time.Time
+	role        oriolebend.PoolRole
+	incarnation uint64
+	until       time.Time
 }
 
 // New returns an empty state.
@@ -207,11 +209,12 @@
 	return orders
 }
 
-// settle lets go of moves that are over: the engine announces its new role, or
-// has had the time to.
+// settle lets go of moves that are over: the engine announces its new role, has had
+// the time to, or has started again and knows of no order.
 func (v *service) settle(at time.Time) {
 	maps.DeleteFunc(v.moving, func(instance string, m move) bool {
-		return !at.Before(m.until) || v.engines[instance].Role == m.role
+		e, known := v.engines[instance]
+		return !at.Before(m.until) || known && (e.Role == m.role || e.Incarnation > m.incarnation)
 	})
 }
 
@@ -310,7 +313,9 @@
 		order.Engine, order.Fencing = pool[best], s.term*fencingPerTerm+s.issued
 		orders = append(orders, order)
 		pool = slices.Delete(pool, best, best+1)
-		v.moving[order.Engine.Instance] = move{role: order.Role, until: at.Add(order.Away + settleFor)}
+		v.moving[order.Engine.Instance] = move{
+			role: order.Role, incarnation: order.Engine.Incarnation, until: at.Add(order.Away + settleFor),
+		}
 		v.quietUntil = at.Add(time.Duration(v.limits.RoleChange) + settleFor)
 		v.lastRole = order.Role
 	}
--- a/internal/reducer/registry/script_test.go
+++ b/internal/reducer/registry/script_test.go
@@ -31,6 +31,8 @@
 //	withdraw INSTANCE | changes INSTANCE FOR | pass FOR
 //	told CONTROL [whole] INSTANCE:PHASE:SEQUENCE[:silent]...
 //	lost CONTROL
+//
+// INSTANCE@N is the start N of an instance that says which start it is.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := &script{now: scriptStart, state: New(Config{}), view: NewView()}
@@ -61,8 +63,9 @@
 	var event Event
 	switch words[0] {
 	case "announce":
+		name, incarnation := start(t, words[1])
 		server := message.BackendServer{
-			Instance: words[1], Address: words[2], Service: "s",
+			Instance: name, Incarnation: incarnation, Address: words[2], Service: "s",
 			Phase: message.ServerPhase(words[3]), Sequence: count(t, words[4]),
 		}
 		if len(words) > 5 {
@@ -70,9 +73,11 @@
 		}
 		event = Announced{At: s.now, Server: server}
 	case "withdraw":
-		event = Withdrawn{At: s.now, Instance: words[1]}
+		name, incarnation := start(t, words[1])
+		event = Withdrawn{At: s.now, Instance: name, Incarnation: incarnation}
 	case "changes":
-		event = RoleChanges{Instance: words[1], Until: s.now.Add(duration(t, words[2]))}
+		name, incarnation := start(t, words[1])
+		event = RoleChanges{Instance: name, Incarnation: incarnation, Until: s.now.Add(duration(t, words[2]))}
 	case "pass":
 		s.now = s.now.Add(duration(t, words[1]))
 		event = Ticked{At: s.now}
@@ -94,8 +99,9 @@
 		var servers []message.BackendServer
 		for _, word := range words[2:] {
 			if parts := strings.Split(word, ":"); len(parts) > 2 {
+				name, incarnation := start(t, parts[0])
 				servers = append(servers, message.BackendServer{
-					Instance: parts[0], Address: parts[0] + ":1", Phase: message.ServerPhase(parts[1]),
+					Instance: name, Incarnation: incarnation, Address: name + ":1", Phase: message.ServerPhase(parts[1]),
 					Sequence: count(t, parts[2]), Silent: len(parts) > 3,
 				})
 			}
@@ -105,7 +111,11 @@
 }
 
 func text(s message.BackendServer) string {
-	words := []string{s.Instance, s.Address, string(s.Phase)}
+	name := s.Instance
+	if s.Incarnation != 0 {
+		name = fmt.Sprintf("%s@%d", name, s.Incarnation)
+	}
+	words := []string{name, s.Address, string(s.Phase)}
 	if s.Role != "" {
 		words = append(words, string(s.Role))
 	}
@@ -118,6 +128,16 @@
 	return strings.Join(words, " ")
 }
 
+// start splits INSTANCE or INSTANCE@N.
+func start(t *testing.T, word string) (string, uint64) {
+	t.Helper()
+	name, number, says := strings.Cut(word, "@")
+	if !says {
+		return name, 0
+	}
+	return name, count(t, number)
+}
+
 func count(t *testing.T, word string) uint64 {
 	t.Helper()
 	n, err := strconv.ParseUint(word, 10, 64)
--- a/internal/reducer/registry/state.go
+++ b/internal/reducer/registry/state.go
@@ -36,9 +36,9 @@
 type State struct {
 	config  Config
 	servers map[string]*known
-	// changing is until when instances change their role. An instance may have
-	// announced itself to other control VMs only.
-	changing map[string]time.Time
+	// changing are the instances that change their role. One may have announced
+	// itself to other control VMs only.
+	changing map[string]change
 	// holders names, for each address, the instance that announced it last.
 	holders map[string]string
 }
@@ -51,11 +51,17 @@
 	superseded bool
 }
 
+// change is a start of an instance that changes its role until a time.
+type change struct {
+	incarnation uint64
+	until       time.Time
+}
+
 // New returns an empty state.
 func New(c Config) *State {
 	c.SilentAfter = cmp.Or(c.SilentAfter, DefaultSilentAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
-	return &State{config: c, servers: map[string]*known{}, changing: map[string]time.Time{}, holders: map[string]string{}}
+	return &State{config: c, servers: map[string]*known{}, changing: map[string]change{}, holders: map[string]string{}}
 }
 
 // Event changes a State.
@@ -67,17 +73,20 @@
 	Server message.BackendServer
 }
 
-// Withdrawn says that an instance leaves for good.
+// Withdrawn says that an instance leaves for good. Incarnation is the start that
+// leaves, zero if the instance did not say.
 type Withdrawn struct {
-	At       time.Time
-	Instance string
+	At          time.Time
+	Instance    string
+	Incarnation uint64
 }
 
-// RoleChanges says that an instance is about to be ordered to change its role,
-// and is away until a time.
+// RoleChanges says that a start of an instance is about to be ordered to change its
+// role, and is away until a time.
 type RoleChanges struct {
-	Instance string
-	Until    time.Time
+	Instance    string
+	Incarnation uint64
+	Until       time.Time
 }
 
 // Ticked passes time.
@@ -104,8 +113,7 @@
 	case Withdrawn:
 		return s.withdrawn(e)
 	case RoleChanges:
-		s.changing[e.Instance] = e.Until
-		return []Effect{Changed{Server: s.told(e.Instance)}}
+		return s.roleChanges(e)
 	case Ticked:
 		return s.ticked(e.At)
 	}
@@ -129,9 +137,11 @@
 // told is an instance as others are told of it.
 func (s *State) told(instance string) message.BackendServer {
 	k := s.servers[instance]
-	_, changing := s.changing[instance]
+	c, changing := s.changing[instance]
 	if k == nil {
-		return message.BackendServer{Instance: instance, Phase: message.PhaseReady, Silent: true, Changing: changing}
+		return message.BackendServer{
+			Instance: instance, Incarnation: c.incarnation, Phase: message.PhaseReady, Silent: true, Changing: changing,
+		}
 	}
 	server := k.server
 	server.Changing = changing
@@ -141,12 +151,24 @@
 	return server
 }
 
+func (s *State) roleChanges(e RoleChanges) []Effect {
+	if k := s.servers[e.Instance]; k != nil && k.server.Incarnation > e.Incarnation {
+		return nil // it has started again and knows of no order
+	}
+	s.changing[e.Instance] = change{incarnation: e.Incarnation, until: e.Until}
+	return []Effect{Changed{Server: s.told(e.Instance)}}
+}
+
 func (s *State) announced(e Announced) []Effect {
 	k := s.servers[e.Server.Instance]
-	if k == nil {
-		k = &known{server: e.Server, heard: e.At}
-		s.servers[e.Server.Instance] = k
-		return append(s.hold(k), Changed{Server: s.told(e.Server.Instance)})
+	if k == nil || e.Server.Incarnation > k.server.Incarnation {
+		return s.started(e)
+	}
+	if e.Server.Incarnation < k.server.Incarnation {
+		// A late announcement of an earlier start. Were it taken, requests would be
+		// sent by what the earlier one held, and an end that it told would end the
+		// later one.
+		return nil
 	}
 	if e.Server.Sequence <= k.server.Sequence {
 		// A late or doubled announcement tells nothing new. Were it taken, a
@@ -166,6 +188,23 @@
 	return effects
 }
 
+// started takes in an instance that is new here, or that has started again under its
+// name: it counts its announcements anew, and nothing of before holds for it. Were
+// its numbers compared with the earlier start's, it would stay unknown for as long
+// as that one had been there.
+func (s *State) started(e Announced) []Effect {
+	name := e.Server.Instance
+	if c, changing := s.changing[name]; changing && c.incarnation < e.Server.Incarnation {
+		delete(s.changing, name)
+	}
+	k := &known{server: e.Server, heard: e.At}
+	if earlier := s.servers[name]; earlier != nil && s.holders[earlier.server.Address] == name {
+		delete(s.holders, earlier.server.Address)
+	}
+	s.servers[name] = k
+	return append(s.hold(k), Changed{Server: s.told(name)})
+}
+
 // hold gives the server's address to it, and takes it from the instance that
 // had it. One address is one server: what is sent to the earlier instance would
 // reach the later one, which is perhaps of another service. An instance that
@@ -194,11 +233,14 @@
 
 func (s *State) withdrawn(e Withdrawn) []Effect {
 	k := s.servers[e.Instance]
-	if k == nil {
+	if k != nil && e.Incarnation != 0 && e.Incarnation < k.server.Incarnation {
+		return nil // the last word of an earlier start
+	}
+	if k == nil || e.Incarnation > k.server.Incarnation {
 		// The announcements went to another control VM, or to this one before
 		// its restart. The end is remembered, so that a late announcement does
 		// not bring the server back.
-		k = &known{server: message.BackendServer{Instance: e.Instance}}
+		k = &known{server: message.BackendServer{Instance: e.Instance, Incarnation: e.Incarnation}}
 		s.servers[e.Instance] = k
 	}
 	k.heard = e.At
@@ -212,7 +254,7 @@
 func (s *State) ticked(at time.Time) []Effect {
 	var effects []Effect
 	for _, name := range slices.Sorted(maps.Keys(s.changing)) {
-		if !at.Before(s.changing[name]) {
+		if !at.Before(s.changing[name].until) {
 			delete(s.changing, name)
 			effects = append(effects, Changed{Server: s.told(name)})
 		}
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -23,7 +23,13 @@
 	sources map[string]*source
 	// gone remembers instances that left, also if the control VM that told it
 	// has lost its memory since.
-	gone map[string]time.Time
+	gone map[string]end
+}
+
+// end is the start of an instance that left, and when that was told.
+type end struct {
+	incarnation uint64
+	told        time.Time
 }
 
 // source is what one control VM told.
@@ -35,7 +41,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{sources: map[string]*source{}, gone: map[string]time.Time{}}
+	return &View{sources: map[string]*source{}, gone: map[string]end{}}
 }
 
 // Told takes what a control VM told; whole replaces all that it told before.
@@ -48,8 +54,8 @@
 	s.lost = time.Time{}
 	for _, server := range servers {
 		s.servers[server.Instance] = server
-		if server.Phase == message.PhaseGone {
-			v.gone[server.Instance] = at
+		if server.Phase == message.PhaseGone && server.Incarnation >= v.gone[server.Instance].incarnation {
+			v.gone[server.Instance] = end{incarnation: server.Incarnation, told: at}
 		}
 	}
 }
@@ -62,8 +68,9 @@
 }
 
 // Servers joins what is known at a time, in the order of the instances' names.
-// An instance is as far towards its end as any control VM says; the rest is
-// what it announced last. It is silent if it is to all that told of it.
+// Of several starts of an instance the last one counts. It is as far towards its end
+// as any control VM says; the rest is what it announced last. It is silent if it is
+// to all that told of it.
 func (v *View) Servers(at time.Time) []message.BackendServer {
 	v.forget(at)
 	joined := map[string]message.BackendServer{}
@@ -75,7 +82,7 @@
 	list := make([]message.BackendServer, 0, len(joined))
 	for _, name := range slices.Sorted(maps.Keys(joined)) {
 		server := joined[name]
-		if _, gone := v.gone[name]; gone || server.Address == "" {
+		if e, gone := v.gone[name]; gone && server.Incarnation <= e.incarnation || server.Address == "" {
 			continue
 		}
 		list = append(list, server)
@@ -87,15 +94,18 @@
 	maps.DeleteFunc(v.sources, func(_ string, s *source) bool {
 		return !s.lost.IsZero() && at.Sub(s.lost) >= keepAway
 	})
-	maps.DeleteFunc(v.gone, func(_ string, since time.Time) bool {
-		return at.Sub(since) >= keepGone
+	maps.DeleteFunc(v.gone, func(_ string, e end) bool {
+		return at.Sub(e.told) >= keepGone
 	})
 }
 
 // join returns what two control VMs say of one instance.
 func join(a, b message.BackendServer) message.BackendServer {
-	if a.Instance == "" {
+	switch {
+	case a.Instance == "" || b.Incarnation > a.Incarnation:
 		return b
+	case b.Incarnation < a.Incarnation:
+		return a
 	}
 	newer, older := a, b
 	if b.Sequence > a.Sequence || a.Address == "" {
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -71,10 +71,13 @@
 func (c *ControlProcess) Backends() []message.BackendServer { return c.routes.Servers() }
 
 // Withdraw takes the last word of a backend server.
-func (c *ControlProcess) Withdraw(ctx context.Context, instance string) error {
-	return c.routes.Withdraw(ctx, instance)
+func (c *ControlProcess) Withdraw(ctx context.Context, instance string, incarnation uint64) error {
+	return c.routes.Withdraw(ctx, instance, incarnation)
 }
 
+// Unreadable counts an announcement that names no server to use.
+func (c *ControlProcess) Unreadable(reason oriolebend.Reason) { c.process.unreadable(reason) }
+
 // Reload takes up settings that changed while the process runs: the control VMs
 // that are known from the start.
 func (c *ControlProcess) Reload(s settings.Settings) {
--- a/internal/role/placeclient.go
+++ b/internal/role/placeclient.go
@@ -206,28 +206,30 @@
 	if a.Server == nil {
 		return dispatch.Refused{Reason: a.Reason, RetryAfter: a.RetryAfter}
 	}
-	question := message.PlaceQuestion{
-		ID: a.ID, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Server: a.Server.Instance,
-	}
-	if a.Prefill != nil {
-		question.Prefill = a.Prefill.Instance
-	}
+	question := placeOf(q.Need, *a.Server, a.Prefill)
+	question.ID = a.ID
 	c.mutex.Lock()
 	c.held[a.ID] = heldPlace{PlaceQuestion: question, since: time.Now()}
 	c.mutex.Unlock()
 	return dispatch.Granted{Grant: dispatch.Grant{Need: q.Need, Server: *a.Server, Prefill: a.Prefill, Remote: a.ID}}
 }
 
+// placeOf tells what a request has at its engines.
+func placeOf(n dispatch.Need, server message.BackendServer, prefill *message.BackendServer) message.PlaceQuestion {
+	question := message.PlaceQuestion{
+		Service: n.Service, Prompt: n.Prompt, Output: n.Output, Server: server.Instance, ServerStart: server.Incarnation,
+	}
+	if prefill != nil {
+		question.Prefill, question.PrefillStart = prefill.Instance, prefill.Incarnation
+	}
+	return question
+}
+
 // Found implements forwarder.Places. The place is told with the next session: while
 // there is none, forwarders find places themselves, and a new leader that did not
 // know of them would send requests to engines that are full.
 func (c *PlaceClient) Found(g dispatch.Grant) uint64 {
-	question := message.PlaceQuestion{
-		Service: g.Need.Service, Prompt: g.Need.Prompt, Output: g.Need.Output, Server: g.Server.Instance,
-	}
-	if g.Prefill != nil {
-		question.Prefill = g.Prefill.Instance
-	}
+	question := placeOf(g.Need, g.Server, g.Prefill)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.last++
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -178,7 +178,9 @@
 	p.sessions[p.last], p.nodes[open.Node] = o, p.last
 	for _, q := range open.Held {
 		p.reduce(placement.Resumed{
-			At: time.Now().Add(-q.Age), Key: placement.Key{Session: p.last, ID: q.ID}, Need: needOf(q), Server: q.Server, Prefill: q.Prefill,
+			At: time.Now().Add(-q.Age), Key: placement.Key{Session: p.last, ID: q.ID}, Need: needOf(q),
+			Server:  dispatch.Engine{Instance: q.Server, Incarnation: q.ServerStart},
+			Prefill: dispatch.Engine{Instance: q.Prefill, Incarnation: q.PrefillStart},
 		})
 	}
 	p.Logger.Info("gives places", "forwarder", open.Node, "held", len(open.Held), "forwarders", len(p.sessions))
--- a/internal/role/poolkeeper.go
+++ b/internal/role/poolkeeper.go
@@ -46,7 +46,7 @@
 	Self   string
 	Orders EngineOrders
 	// Announce tells forwarders that an engine is about to change its role.
-	Announce func(ctx context.Context, instance string, away time.Duration) error
+	Announce func(ctx context.Context, engine message.BackendServer, away time.Duration) error
 	// Status tells whether this control VM leads as of its last tick, Leads
 	// whether its lease runs at this moment.
 	Status func() replica.Status
@@ -105,7 +105,7 @@
 // then: a process that was paused in between would otherwise send it among the
 // orders of its successor.
 func (k *PoolKeeper) order(ctx context.Context, o pools.Order) (bool, error) {
-	if err := k.Announce(ctx, o.Engine.Instance, o.Away); err != nil {
+	if err := k.Announce(ctx, o.Engine, o.Away); err != nil {
 		return false, &NotOrderedError{Cause: err}
 	}
 	if !k.Leads() {
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -15,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Process is what every role needs to start.
@@ -61,6 +62,11 @@
 	return p.Observer
 }
 
+// unreadable counts an announcement that names no server to use.
+func (p Process) unreadable(reason oriolebend.Reason) {
+	p.observer().Count("announcementRefused", reason, "")
+}
+
 // serveMetrics serves the role's metrics and health where the settings say.
 func (p Process) serveMetrics(ready func() bool) (*httpServer, error) {
 	server := metrics.Server(metrics.HandlerConfig{Metrics: []*metrics.Metrics{p.metrics}, Ready: ready})
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -114,8 +114,8 @@
 }
 
 // Withdraw takes the last word of a backend server.
-func (r *RelayProcess) Withdraw(ctx context.Context, instance string) error {
-	return r.routes.Withdraw(ctx, instance)
+func (r *RelayProcess) Withdraw(ctx context.Context, instance string, incarnation uint64) error {
+	return r.routes.Withdraw(ctx, instance, incarnation)
 }
 
 // Reload takes up settings that changed while the process runs.
@@ -129,3 +129,6 @@
 	<-r.done
 	return r.process.stopped(closeEndpoint(r.endpoint), r.metrics.close())
 }
+
+// Unreadable counts an announcement that names no server to use.
+func (r *RelayProcess) Unreadable(reason oriolebend.Reason) { r.process.unreadable(reason) }
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -139,13 +139,16 @@
 // ordered to change its role, and returns once they know. A server that changes
 // its role refuses what it has not begun; a prefill whose decode server was
 // ordered meanwhile would be computed in vain.
-func (r *RouteServer) RoleChanges(ctx context.Context, instance string, away time.Duration) error {
-	return r.awaitHeard(ctx, r.reduce(registry.RoleChanges{Instance: instance, Until: time.Now().Add(away)}))
+func (r *RouteServer) RoleChanges(ctx context.Context, engine message.BackendServer, away time.Duration) error {
+	return r.awaitHeard(ctx, r.reduce(registry.RoleChanges{
+		Instance: engine.Instance, Incarnation: engine.Incarnation, Until: time.Now().Add(away),
+	}))
 }
 
-// Withdraw takes the last word of a backend server.
-func (r *RouteServer) Withdraw(ctx context.Context, instance string) error {
-	return r.awaitHeard(ctx, r.reduce(registry.Withdrawn{At: time.Now(), Instance: instance}))
+// Withdraw takes the last word of a backend server; incarnation is the start that
+// leaves, zero if it did not say.
+func (r *RouteServer) Withdraw(ctx context.Context, instance string, incarnation uint64) error {
+	return r.awaitHeard(ctx, r.reduce(registry.Withdrawn{At: time.Now(), Instance: instance, Incarnation: incarnation}))
 }
 
 func unheard(detail string) error {
@@ -170,7 +173,7 @@
 		}
 		s := changed.Server
 		r.Logger.Info("backend server", "instance", s.Instance, "address", s.Address, "service", s.Service,
-			"phase", s.Phase, "role", s.Role, "silent", s.Silent, "sequence", s.Sequence)
+			"phase", s.Phase, "role", s.Role, "silent", s.Silent, "sequence", s.Sequence, "incarnation", s.Incarnation)
 		for w := range r.watches {
 			w.pending[s.Instance] = s
 			w.signal()
--- a/pkg/oriolebend/backend.go
+++ b/pkg/oriolebend/backend.go
@@ -2,7 +2,7 @@
 
 // Backend is a backend server of a route's service, as it announces itself.
 type Backend struct {
-	// Instance names one start of the server.
+	// Instance names the server. One that starts again may keep its name.
 	Instance      string   `json:"instance"`
 	Service       string   `json:"service"`
 	Address       string   `json:"address"`
@@ -11,8 +11,12 @@
 	Role          PoolRole `json:"role,omitempty"`
 	// Phase is "ready", "draining" or "gone"; empty means ready.
 	Phase string `json:"phase,omitempty"`
-	// Sequence grows with each announcement of one instance; a lower one is
-	// passed over as late.
+	// Incarnation is when this start of the server began, in milliseconds since 1970:
+	// what is said by an earlier start than the last one known is passed over. Zero
+	// means that the server does not say.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Sequence grows with each announcement of one start; a lower one is passed
+	// over as late.
 	Sequence uint64   `json:"sequence"`
 	SlowFor  Duration `json:"slowFor,omitempty"`
 	// Silent is set if the server has not been heard of for a while.
