forwarder: a prompt that was read for long is not sent on to an engine that has left meanwhile

Cause: the place of a generation was believed for as long as its prefill took. Ruled out: a bound on the time of a prefill alone: the decode engine can leave at any moment of it, and a late answer is worth more than none. Change: before a generation is sent, the reducer is asked whether its engine still takes those that have a place: for a second after its leaving is known. Else reservation and result are given back and another place is found; a second prefill counts as a repeat.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -119,7 +119,7 @@
 	f.mutex.Lock()
 	f.known = known
 	f.mutex.Unlock()
-	f.reduce(dispatch.Fleet{Servers: servers, Forwarders: forwarders})
+	f.reduce(dispatch.Fleet{At: f.now(), Servers: servers, Forwarders: forwarders})
 }
 
 // Loads returns what was done with model engines since the last call.
@@ -169,6 +169,13 @@
 	return granted
 }
 
+// mayStillSend asks the reducer whether the server of a grant still serves those that
+// have a place.
+func (f *Forwarder) mayStillSend(g dispatch.Grant) bool {
+	_, granted := f.reduce(dispatch.AskedStill{At: f.now(), Grant: g})[0].(dispatch.Granted)
+	return granted
+}
+
 // loaded reports whether a route's service is overloaded, as far as this forwarder
 // sees.
 func (f *Forwarder) loaded(service string, target time.Duration) bool {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -100,6 +100,12 @@
 	return address
 }
 
+// leaves has a server say that it leaves.
+func (s *site) leaves(index int) {
+	s.servers[index].Phase = message.PhaseDraining
+	s.forwarder.SetServers(s.servers, 1)
+}
+
 // ask sends a request and returns the answer's status, header and body; a body
 // that is cut ends with "[cut]".
 func (s *site) ask(path string, header map[string]string) (int, http.Header, string) {
@@ -393,6 +399,35 @@
 	is.Equal(s.counts.seen["retry resultExpired"], 1)
 }
 
+// Symptom: an engine gets work long after it was told that its leaving is known.
+// Sequence: a request has its place there; its prompt waits in the queue of a prefill
+// engine for more than a second, while the decode engine leaves. Cause: a place that
+// was believed for as long as the prefill took. The request goes to another engine, and
+// the place and the prefill's result are given back.
+func TestEngineThatLeftDuringThePrefill(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 10000)
+	leaving, stays := &engine{}, &engine{}
+	prefill, slow := &engine{}, make(chan struct{}, 1)
+	slow <- struct{}{}
+	s.server("a", oriolebend.Prefill, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(ownPhase) != "" && len(slow) > 0 {
+			<-slow
+			s.leaves(1)
+			s.server("b", oriolebend.Decode, stays.ServeHTTP)
+			time.Sleep(1100 * time.Millisecond)
+		}
+		prefill.ServeHTTP(w, r)
+	})
+	s.server("a", oriolebend.Decode, leaving.ServeHTTP)
+	status, _ := s.generation("/cut/")
+	is.Equal(status, http.StatusOK)
+	s.forwarder.Wait()
+	is.Equal(leaving.seen(), "POST /reservations; DELETE /reservations/h1")
+	is.True(strings.Contains(stays.seen(), "POST /cut/ source"))
+	is.True(strings.Contains(prefill.seen(), "DELETE /"))
+}
+
 // Symptom: callers wait for memory until they give up. A request that finds none
 // for three times its target is refused, as not run.
 func TestNoMemoryIsRefusedInTime(t *testing.T) {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -28,6 +28,10 @@
 		if end.done {
 			return
 		}
+		if end.unsent {
+			w.sent--
+			w.prefills++
+		}
 		after = s.after
 		if !w.mayGoOn(ctx) {
 			w.giveUp(ctx, end.reason, retryRefused)
@@ -54,6 +58,8 @@
 type ending struct {
 	done   bool
 	reason oriolebend.Reason
+	// unsent is set if its server was sent nothing: another one can be.
+	unsent bool
 }
 
 // run carries one sending out.
@@ -66,6 +72,13 @@
 		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
 		return ending{reason: backend.ReasonOfEnd(ctx)}
 	}
+	if !s.f.mayStillSend(s.grant) {
+		s.logSending(s.grant, "server left while the prompt was read", 0, oriolebend.ReasonLeaving, nil)
+		s.dropHold()
+		s.freeResult(source)
+		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
+		return ending{reason: oriolebend.ReasonLeaving, unsent: true}
+	}
 	return s.decode(ctx, source)
 }
 
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -31,6 +31,9 @@
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
 	tried []string
+	// prefills counts the prefills that were asked for in vain, before a sending that
+	// was not made. A second one counts as a repeat.
+	prefills int
 	// ran is what is known of the request over all sendings: "yes" or "unknown"
 	// once one of them may have run.
 	ran oriolebend.Ran
@@ -53,7 +56,7 @@
 	return dispatch.Need{
 		Service: w.service.Name, Prompt: w.ask.Prompt, Output: w.ask.output(),
 		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received, Returned: w.returned,
-		Tried: w.tried, Again: w.sent > 0,
+		Tried: w.tried, Again: w.sent+w.prefills > 0,
 	}
 }
 
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -84,6 +84,24 @@
 	return Granted{Grant: e.Grant}
 }
 
+// leavingFor is for how long after its leaving became known requests that have a place
+// at a server are still sent to it. Servers go on for two seconds or more once their
+// leaving is acknowledged, and it is acknowledged when forwarders know of it.
+const leavingFor = time.Second
+
+// askedStill answers whether the server of a grant may still be sent its request.
+//
+// A prompt that waits in the queue of its prefill engine can outlast the time in which
+// a leaving server serves on. Sent all the same, the request reaches a server that has
+// ended, or that its operator believes to be free of work.
+func (s *State) askedStill(e AskedStill) Effect {
+	c := s.at(e.Grant.Server)
+	if c == nil || !c.leaving.IsZero() && e.At.Sub(c.leaving) >= leavingFor {
+		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
+	}
+	return Granted{Grant: e.Grant}
+}
+
 // Times after which a refused caller may come back.
 const (
 	// retryUnknown is how long a server that starts takes to announce itself.
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -12,6 +12,7 @@
 
 // Fleet replaces what is known of the backend servers.
 type Fleet struct {
+	At      time.Time
 	Servers []message.BackendServer
 	// Forwarders is how many forwarders there are; zero leaves the number as it was.
 	Forwarders int
@@ -75,6 +76,13 @@
 	Grant Grant
 }
 
+// AskedStill asks whether a request may still be sent to the server that has its
+// place. Its prompt was read meanwhile, which can take seconds in a peak.
+type AskedStill struct {
+	At    time.Time
+	Grant Grant
+}
+
 // Outcome is how a sending ended.
 type Outcome string
 
@@ -125,6 +133,8 @@
 
 func (AskedSame) isDispatchEvent() {}
 
+func (AskedStill) isDispatchEvent() {}
+
 func (Counted) isDispatchEvent() {}
 
 func (Read) isDispatchEvent() {}
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -33,7 +33,7 @@
 //	do                      ask NAME SERVICE [prompt=N] [again] [waited] [tried=A,B]
 //	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
 //	                        written NAME TOOK
-//	                        same NAME | pass FOR
+//	                        same NAME | still NAME | pass FOR
 //	loads                   prints what was done with engines
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -94,7 +94,7 @@
 	}
 	forwarders := 0
 	d.MaybeScanArgs(s.t, "forwarders", &forwarders)
-	Reduce(s.state, Fleet{Servers: servers, Forwarders: forwarders})
+	Reduce(s.state, Fleet{At: s.now, Servers: servers, Forwarders: forwarders})
 }
 
 func declaredService(d *datadriven.TestData) oriolebend.RouteService {
@@ -120,6 +120,8 @@
 		s.ask(words[1], words[2], words[3:], out)
 	case "same":
 		print(out, words[1], Reduce(s.state, AskedSame{At: s.now, Grant: s.grants[words[1]]}))
+	case "still":
+		print(out, words[1], Reduce(s.state, AskedStill{At: s.now, Grant: s.grants[words[1]]}))
 	case "end":
 		ended := Ended{At: s.now, Grant: s.grants[words[1]], Outcome: Outcome(words[2])}
 		if len(words) > 3 {
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -88,6 +88,8 @@
 	// failed counts failures in a row; until avoidUntil other servers go first.
 	failed     int
 	avoidUntil time.Time
+	// leaving is since when it is known to take no new work, zero if it does.
+	leaving time.Time
 	// fullUntil is until when the server is taken to have no room for fullFor
 	// tokens. What ends there meanwhile adds to fullFor: the next try is worth its
 	// round trip once enough has ended, and not before.
@@ -117,8 +119,8 @@
 // more than a site of today has, so that the shared budget is not overdrawn.
 const unknownForwarders = 32
 
-// Reduce moves the state on. Asked, AskedSame and Counted have exactly one
-// effect, other events have none.
+// Reduce moves the state on. Asked, AskedSame, AskedStill and Counted have exactly
+// one effect, other events have none.
 func Reduce(s *State, event Event) []Effect {
 	switch e := event.(type) {
 	case Fleet:
@@ -129,6 +131,8 @@
 		return []Effect{s.asked(e)}
 	case AskedSame:
 		return []Effect{s.askedSame(e)}
+	case AskedStill:
+		return []Effect{s.askedStill(e)}
 	case Read:
 		s.read(e)
 	case Written:
@@ -157,12 +161,14 @@
 			kept.took = average{}
 		}
 		kept.BackendServer = told
+		kept.leave(e.At)
 		known[told.Instance] = kept
 	}
 	// A server that is no longer told of keeps its counts while work is there.
 	for name, old := range s.servers {
 		if known[name] == nil && old.busy > 0 {
 			old.Phase = message.PhaseGone
+			old.leave(e.At)
 			known[name] = old
 		}
 	}
@@ -173,6 +179,16 @@
 	}
 }
 
+// leave notes since when a server takes no new work for good.
+func (c *server) leave(at time.Time) {
+	switch {
+	case c.Phase == message.PhaseReady:
+		c.leaving = time.Time{}
+	case c.leaving.IsZero():
+		c.leaving = at
+	}
+}
+
 // at is the server of a grant, nil if it is not known or has started again since:
 // what the grant took there is gone with the earlier start.
 func (s *State) at(granted message.BackendServer) *server {
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -232,7 +232,7 @@
 func (p *Placer) fleet() placement.Fleet {
 	return placement.Fleet{
 		Services: dispatch.Services{Services: p.routing.Services},
-		Servers:  dispatch.Fleet{Servers: p.servers, Forwarders: 1},
+		Servers:  dispatch.Fleet{At: time.Now(), Servers: p.servers, Forwarders: 1},
 	}
 }
 
