dispatch: decode engines read prompts themselves while the prefill queue is long

Cause: a request holds its place at a decode engine while its prompt waits for a prefill engine. Change: when the best prefill engine has more than 0.3 of the target for the first event before it, a decode engine with room that reads no other prompt takes it, if that holds its generations up for no more than 0.6 of their target for pauses. Such prompts count as work of the prefill pool. Tests: script overflow.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -155,6 +155,7 @@
 		}
 		if !s.streaming {
 			s.streaming = true
+			s.readHere()
 			s.first = time.Since(s.request.Received)
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
 		}
@@ -169,6 +170,14 @@
 	}
 }
 
+// readHere counts a prompt that the engine has read itself, as work that the prefill
+// pool would have had.
+func (s *sending) readHere() {
+	if s.grant.Prefill == nil && s.ask.Prompt > 0 {
+		s.f.reduce(dispatch.Read{Need: s.expectedNeed(), Took: time.Since(s.request.Received), Here: true})
+	}
+}
+
 // deliver gives an event to the caller.
 func (s *sending) deliver(response *backend.Response, event event) bool {
 	s.mayHaveRun(oriolebend.RanUnknown)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -55,7 +55,8 @@
 func (w *work) need() dispatch.Need {
 	return dispatch.Need{
 		Service: w.service.Name, Prompt: w.ask.Prompt, Output: w.ask.output(),
-		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received, Returned: w.returned,
+		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received,
+		PauseWithin: time.Duration(w.route.PauseWithin), Returned: w.returned,
 		Tried: w.tried, Again: w.sent+w.prefills > 0,
 	}
 }
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -35,6 +35,10 @@
 	// Within how long it may wait at all.
 	InTime time.Duration `cbor:"6,keyasint,omitempty"`
 	Within time.Duration `cbor:"7,keyasint,omitempty"`
+	// FirstWithin and PauseWithin are the targets for the first event and for the
+	// pause between two.
+	FirstWithin time.Duration `cbor:"15,keyasint,omitempty"`
+	PauseWithin time.Duration `cbor:"16,keyasint,omitempty"`
 	// Tried are instances that are not to be chosen.
 	Tried []string `cbor:"8,keyasint,omitempty"`
 	// Call is the same for all tries of a caller at one request.
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -55,6 +55,10 @@
 		service.budget.repeat(e.At, s.config.RetryWindow)
 	}
 	s.take(grant)
+	if grant.Prefill == nil && e.Need.Prompt > 0 {
+		c := s.servers[grant.Server.Instance]
+		c.readsUntil = e.At.Add(service.readTimeHere(e.Need.Prompt))
+	}
 	return Granted{Grant: grant}
 }
 
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -30,6 +30,9 @@
 	// Arrived.
 	FirstWithin time.Duration
 	Arrived     time.Time
+	// PauseWithin is the target for the pause between two parts of a stream, zero if
+	// there is none.
+	PauseWithin time.Duration
 	// Returned is set if its caller has been refused before, or seems to have been:
 	// its target is missed.
 	Returned bool
@@ -61,6 +64,8 @@
 type Read struct {
 	Need Need
 	Took time.Duration
+	// Here is set if the engine that generates has read it itself.
+	Here bool
 }
 
 // Written tells that a generation has ended, and how long it wrote.
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -14,9 +14,9 @@
 const otherDomainMemory = 3.0
 
 // placeGeneration chooses a decode engine, and the prefill engine that would be
-// done first. Only without any prefill engine does the decode engine read the
-// prompt itself: between the tokens of its other requests, each of which then
-// pauses for as long as a piece of the prompt takes.
+// done first. Without any prefill engine, or while the queue of the best one is long,
+// the decode engine reads the prompt itself: between the tokens of its other requests,
+// each of which then pauses for as long as that takes.
 func (s *State) placeGeneration(e Asked, service *service, decoders []*server) (Grant, *Refused) {
 	usable := s.usable(e.At, service, decoders)
 	fitting := slices.DeleteFunc(slices.Clone(usable), func(c *server) bool {
@@ -27,8 +27,16 @@
 	}
 	fitting = s.best(e.At, service, fitting)
 	reader := s.reader(e, service)
+	if reader != nil {
+		if around := s.overflow(e, service, reader, fitting); len(around) > 0 {
+			reader, fitting = nil, around
+		}
+	}
 	decoder := s.least(fitting, func(c *server) float64 {
 		load := float64(c.held)
+		if reader == nil && e.At.Before(c.readsUntil) {
+			load += float64(service.limits.Engine.KVTokens) // others go first
+		}
 		if reader != nil && c.FailureDomain != reader.FailureDomain {
 			load += otherDomainMemory * float64(e.Need.Prompt)
 		}
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -40,8 +40,10 @@
 	if v == nil {
 		return
 	}
-	v.prefillRate.add(rate(e.Need.Prompt, e.Took))
-	v.highRate.add(rate(e.Need.Prompt, e.Took))
+	if !e.Here {
+		v.prefillRate.add(rate(e.Need.Prompt, e.Took))
+		v.highRate.add(rate(e.Need.Prompt, e.Took))
+	}
 	v.load.Requests++
 	v.load.PromptTokens += e.Need.Prompt
 	v.load.DecodeWork += float64(e.Need.Memory()) * float64(e.Need.Output)
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -30,7 +30,7 @@
 //	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
 //	                        [start=N] a line
 //	service NAME [kv=N]     declares a service; kv makes it one of engines
-//	do                      ask NAME SERVICE [prompt=N] [again] [waited] [tried=A,B]
+//	do                      ask NAME SERVICE [prompt=N] [pause=FOR] [again] [waited] [tried=A,B]
 //	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
 //	                        written NAME TOOK
 //	                        same NAME | still NAME | pass FOR
@@ -150,6 +150,10 @@
 		case "prompt":
 			need.Prompt, _ = strconv.Atoi(value)
 			need.Output = 1000
+		case "pause":
+			pause, err := time.ParseDuration(value)
+			is.New(s.t).NoErr(err)
+			need.PauseWithin = pause
 		case "again":
 			need.Again = true
 		case "waited":
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -85,6 +85,8 @@
 	// held how many tokens of memory this forwarder's requests need there.
 	reading int
 	held    int
+	// readsUntil is until when it reads a prompt itself, beside its generations.
+	readsUntil time.Time
 	// failed counts failures in a row; until avoidUntil other servers go first.
 	failed     int
 	avoidUntil time.Time
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -203,7 +203,10 @@
 }
 
 func needOf(q message.PlaceQuestion) dispatch.Need {
-	return dispatch.Need{Service: q.Service, Prompt: q.Prompt, Output: q.Output, Tried: q.Tried}
+	return dispatch.Need{
+		Service: q.Service, Prompt: q.Prompt, Output: q.Output, Tried: q.Tried,
+		FirstWithin: q.FirstWithin, PauseWithin: q.PauseWithin,
+	}
 }
 
 // take feeds one step of a question to the reducer.
