dispatch: the rate of prefill engines is learnt without the time in their queues

Cause: what is ahead of a prompt in its engine's queue was counted as the engine's own time. Change: a place tells what is ahead in the prefill engine's queue; the rate is what was ahead and the prompt over the time, its middle value. Pools go by the old measure.

--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -123,7 +123,7 @@
 		s.logSending(s.grant, "prefill brought no result", 0, reasonOf(err), err)
 		return nil, err
 	}
-	s.f.reduce(dispatch.Read{Need: s.expectedNeed(), Took: took})
+	s.f.reduce(dispatch.Read{Need: s.expectedNeed(), Took: took, Ahead: s.grant.Ahead})
 	return &result, nil
 }
 
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -86,6 +86,8 @@
 	ID      uint64         `cbor:"1,keyasint"`
 	Server  *BackendServer `cbor:"2,keyasint,omitempty"`
 	Prefill *BackendServer `cbor:"3,keyasint,omitempty"`
+	// Ahead is the prompt tokens that Prefill has to read before this request's.
+	Ahead int `cbor:"6,keyasint,omitempty"`
 	// Reason is set if there is no place.
 	Reason     oriolebend.Reason `cbor:"4,keyasint,omitempty"`
 	RetryAfter time.Duration     `cbor:"5,keyasint,omitempty"`
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -64,6 +64,8 @@
 type Read struct {
 	Need Need
 	Took time.Duration
+	// Ahead is that of the grant.
+	Ahead int
 	// Here is set if the engine that generates has read it itself.
 	Here bool
 }
@@ -159,6 +161,8 @@
 	Server message.BackendServer
 	// Prefill is the engine that reads the prompt before; nil if Server does.
 	Prefill *message.BackendServer
+	// Ahead is the prompt tokens that Prefill had to read before this request's.
+	Ahead int
 	// Remote numbers a place that another process gave; zero means that it was
 	// granted here.
 	Remote uint64
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -45,7 +45,7 @@
 	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
 	if reader != nil {
 		prefill := reader.BackendServer
-		grant.Prefill = &prefill
+		grant.Prefill, grant.Ahead = &prefill, reader.reading
 	}
 	return grant, nil
 }
@@ -108,7 +108,7 @@
 // splitTime is the time in milliseconds until a prefill engine has read a
 // prompt and its KV cache has been moved.
 func (s *State) splitTime(c *server, service *service, prompt int) float64 {
-	read := float64(c.reading+prompt) / service.prefillRate.or(startRate)
+	read := float64(c.reading+prompt) / service.rate()
 	limits := service.limits.Engine
 	const bitsPerByte, perMilli = 8, 1e3
 	move := 0.0
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -26,8 +26,10 @@
 }
 
 // read counts a prompt that a prefill engine has read. What is measured holds the
-// time in the engine's queue as well, so that a high rate is the engine's own. The
-// highest one is not: an engine that still has the prompt of a caller who comes
+// time in the engine's queue as well. Who knows what was ahead in that queue knows the
+// engine's own rate: taken for the rate, the time of a long queue would make engines
+// seem slow, and prompts would queue all the more. To the others a high rate is the
+// engine's own. The highest one is not: an engine that still has the prompt of a caller who comes
 // back answers at once, and one such rate made the prefill pool seem four times
 // as fast as it was.
 //
@@ -41,7 +43,7 @@
 		return
 	}
 	if !e.Here {
-		v.prefillRate.add(rate(e.Need.Prompt, e.Took))
+		v.readRate.add(rate(e.Need.Prompt+e.Ahead, e.Took))
 		v.highRate.add(rate(e.Need.Prompt, e.Took))
 	}
 	v.load.Requests++
--- a/internal/reducer/dispatch/overflow.go
+++ b/internal/reducer/dispatch/overflow.go
@@ -45,11 +45,15 @@
 
 // readTime is how long a prefill engine takes for some tokens.
 func (v *service) readTime(tokens int) time.Duration {
-	rate := v.highRate.value
-	if rate == 0 {
-		rate = startRate
+	return time.Duration(float64(tokens) / v.rate() * float64(time.Millisecond))
+}
+
+// rate is the prompt tokens a millisecond that prefill engines read.
+func (v *service) rate() float64 {
+	if v.readRate.count < medianFirst {
+		return startRate
 	}
-	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
+	return v.readRate.value
 }
 
 // readTimeHere is how long a decode engine takes for a prompt.
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -65,9 +65,9 @@
 	// is avoided.
 	failures average
 	took     average
-	// prefillRate is prompt tokens a millisecond on prefill engines.
-	prefillRate average
-	// highRate is what one in ten of them exceed.
+	// readRate is prompt tokens a millisecond on prefill engines while they read.
+	readRate median
+	// highRate is what one in ten prompts exceed, with the time that they wait.
 	highRate quantile
 	// sojourn is the usual time of plain answers, in seconds, as of answered.
 	sojourn  median
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -126,7 +126,7 @@
 	}
 	dispatch.Reduce(s.engines, dispatch.PromptRead{At: e.At, Grant: p.Grant, Failed: e.Failed, Unused: e.Unused})
 	if !e.Failed && !e.Unused {
-		dispatch.Reduce(s.engines, dispatch.Read{Need: p.Need, Took: e.Took})
+		dispatch.Reduce(s.engines, dispatch.Read{Need: p.Need, Took: e.Took, Ahead: p.Ahead})
 	}
 	// The prefill part is over; a second word on it must not count again.
 	p.Prefill = nil
--- a/internal/role/placeclient.go
+++ b/internal/role/placeclient.go
@@ -212,7 +212,7 @@
 	c.mutex.Lock()
 	c.held[a.ID] = heldPlace{PlaceQuestion: question, since: time.Now()}
 	c.mutex.Unlock()
-	return dispatch.Granted{Grant: dispatch.Grant{Need: q.Need, Server: *a.Server, Prefill: a.Prefill, Remote: a.ID}}
+	return dispatch.Granted{Grant: dispatch.Grant{Need: q.Need, Server: *a.Server, Prefill: a.Prefill, Ahead: a.Ahead, Remote: a.ID}}
 }
 
 // placeOf tells what a request has at its engines.
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -128,7 +128,7 @@
 		return m
 	}
 	server := a.Grant.Server
-	m.Server, m.Prefill = &server, a.Grant.Prefill
+	m.Server, m.Prefill, m.Ahead = &server, a.Grant.Prefill, a.Grant.Ahead
 	return m
 }
 
