dispatch: no place while the prompt would wait in its prefill engine's queue until it is late

Cause: a request whose prompt waits for longer than its target in the queue of a prefill engine holds its memory at a decode engine all the while, and serves nobody. Change: while the best prefill engine has 0.6 of the target for the first event before it, and decode engines can't read the prompt, no place is given: the request waits for its place, in the order of the time left, and is refused at once where it would wait in vain.

--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -28,8 +28,12 @@
 	fitting = s.best(e.At, service, fitting)
 	reader := s.reader(e, service)
 	if reader != nil {
-		if around := s.overflow(e, service, reader, fitting); len(around) > 0 {
+		around := s.overflow(e, service, reader, fitting)
+		switch {
+		case len(around) > 0:
 			reader, fitting = nil, around
+		case service.backlogged(e, reader):
+			return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: retryFull}
 		}
 	}
 	decoder := s.least(fitting, func(c *server) float64 {
--- a/internal/reducer/dispatch/overflow.go
+++ b/internal/reducer/dispatch/overflow.go
@@ -10,6 +10,10 @@
 	// wait in the queue of a prefill engine before a decode engine reads it itself.
 	// The place at the decode engine is held meanwhile and serves nobody.
 	overflowAfter = 0.3
+	// backlogAfter is the part of that target from which on no place is given that
+	// needs a prefill engine. The rest of it is for the prompt itself and the first
+	// event.
+	backlogAfter = 0.6
 	// overflowPause is the part of the target for pauses that a decode engine may
 	// take to read a prompt itself. Its generations stand still for as long, on top
 	// of their usual pause.
@@ -33,8 +37,7 @@
 	if e.Need.FirstWithin <= 0 || e.Need.PauseWithin <= 0 {
 		return nil
 	}
-	waits := v.readTime(reader.reading)
-	if waits <= time.Duration(overflowAfter*float64(e.Need.FirstWithin)) {
+	if !v.waits(e, reader, overflowAfter) {
 		return nil
 	}
 	if v.readTimeHere(e.Need.Prompt) > time.Duration(overflowPause*float64(e.Need.PauseWithin)) {
@@ -43,6 +46,20 @@
 	return slices.DeleteFunc(slices.Clone(fitting), func(c *server) bool { return e.At.Before(c.readsUntil) })
 }
 
+// backlogged reports whether a prompt would wait in the queue of a prefill engine until
+// its first event is late. Given a place all the same, it would keep memory from others
+// for as long as it waits there; it waits before it has a place instead, where the one
+// with the least time left goes first and where who waits in vain is told so at once.
+func (v *service) backlogged(e Asked, reader *server) bool {
+	return e.Need.FirstWithin > 0 && v.waits(e, reader, backlogAfter)
+}
+
+// waits reports whether what a prefill engine has to read takes longer than a part of
+// the target for the first event.
+func (v *service) waits(e Asked, reader *server, part float64) bool {
+	return v.readTime(reader.reading) > time.Duration(part*float64(e.Need.FirstWithin))
+}
+
 // readTime is how long a prefill engine takes for some tokens.
 func (v *service) readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / v.rate() * float64(time.Millisecond))
