--- a/internal/operator/command/write.go
+++ b/internal/operator/command/write.go
@@ -131,6 +131,10 @@
 const waitEvery = 200 * time.Millisecond
 
 // await waits until all followers have a revision in force.
+//
+// A control VM that has not applied the revision itself counts followers by an older
+// one. Were that believed, the change would be said to be in force before anybody has
+// it, and what the operator reads next might not show it.
 func (o *order) await(ctx context.Context, api *client.Client, revision uint64) error {
 	deadline := time.Now().Add(*o.wait)
 	for {
@@ -144,7 +148,7 @@
 				behind++
 			}
 		}
-		if behind == 0 {
+		if behind == 0 && status.Revision >= revision {
 			fmt.Fprintf(o.errOut, "revision %d is in force on %d followers\n", revision, status.Total)
 			return nil
 		}
