placement: the places of a session that broke off are kept until they are likely to have ended

Cause: the leader gave back all places of a forwarder whose session broke off, while its generations went on: a forwarder that is cut off from the leader keeps them, and engines of one that lost power write on until they notice. Their memory was granted a second time. Ruled out: keeping them for good (a forwarder that never returns would hold them). Change: such places are given back one and a half times the usual time of a place after they were given, or when the forwarder's next session tells what it still has. Tests: script silent.

--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -60,6 +60,13 @@
 	Took    time.Duration
 }
 
+// SessionSilent tells that a session broke off. Its questions are forgotten; its
+// places are kept until they are likely to have ended, or until SessionLost.
+type SessionSilent struct {
+	At      time.Time
+	Session uint64
+}
+
 // SessionLost gives back all that came over a session.
 type SessionLost struct {
 	At      time.Time
@@ -81,6 +88,8 @@
 
 func (Ended) isPlacementEvent() {}
 
+func (SessionSilent) isPlacementEvent() {}
+
 func (SessionLost) isPlacementEvent() {}
 
 func (Ticked) isPlacementEvent() {}
--- a/internal/reducer/placement/flow.go
+++ b/internal/reducer/placement/flow.go
@@ -78,6 +78,15 @@
 	f.work = f.work*flowMemory + float64(memory)*at.Sub(p.since).Seconds()
 }
 
+// usual is how long a token of memory is held, which is how long a place is that takes
+// as much as others.
+func (f *flow) usual() (time.Duration, bool) {
+	if f.ended < enoughEnded || f.freed <= 0 {
+		return 0, false
+	}
+	return time.Duration(f.work / f.freed * float64(time.Second)), true
+}
+
 // drain is the memory that becomes free in a second, by Little's law: what is held
 // over the time that it is held for. Counting what was freed in the last seconds
 // would show how much was asked for, and at the beginning of a peak that is far
--- a/internal/reducer/placement/script_test.go
+++ b/internal/reducer/placement/script_test.go
@@ -23,7 +23,7 @@
 //	ask SESSION/ID TOKENS [rank=N] [late] [call=N]
 //	withdraw SESSION/ID | read SESSION/ID | end SESSION/ID OUTCOME
 //	resume SESSION/ID TOKENS ENGINE   a place that another leader gave
-//	lost SESSION | pass FOR
+//	lost SESSION | silent SESSION | pass FOR
 //	flow COUNT TOKENS HELD      so many requests that each hold an engine for so long
 //
 // A request is in time for 600 ms and waits for 2.7 s.
@@ -64,6 +64,8 @@
 		event = Ended{At: s.now, Key: s.key(words[1]), Outcome: dispatch.Outcome(words[2])}
 	case "resume":
 		event = Resumed{At: s.now, Key: s.key(words[1]), Need: dispatch.Need{Service: "s", Prompt: s.number(words[2])}, Server: dispatch.Engine{Instance: words[3]}}
+	case "silent":
+		event = SessionSilent{At: s.now, Session: uint64(s.number(words[1]))}
 	case "lost":
 		event = SessionLost{At: s.now, Session: uint64(s.number(words[1]))}
 	case "pass":
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -43,10 +43,13 @@
 	counted  Summary
 }
 
-// place is a place in use, since a time.
+// place is a place in use since a time.
 type place struct {
 	dispatch.Grant
 	since time.Time
+	// until is when the place of a session that broke off is given back, zero for
+	// others.
+	until time.Time
 }
 
 // New returns a state that knows no engine.
@@ -77,11 +80,15 @@
 	case Ended:
 		s.ended(e.At, e.Key, e.Outcome, e.Took)
 		return s.serve(e.At)
+	case SessionSilent:
+		s.silent(e)
+		return s.serve(e.At)
 	case SessionLost:
 		s.lost(e)
 		return s.serve(e.At)
 	case Ticked:
 		s.refused.forget(e.At)
+		s.overdue(e.At)
 		return s.serve(e.At)
 	}
 	return nil
@@ -149,12 +156,49 @@
 	dispatch.Reduce(s.engines, dispatch.Ended{At: at, Grant: p.Grant, Outcome: outcome, Took: took})
 }
 
+// silentHolds is how many times the usual time of a place one is kept whose session
+// broke off: half of them have ended by the usual time, nearly all by twice that.
+const silentHolds = 1.5
+
+// silent keeps the places of a session that broke off.
+//
+// A forwarder that is cut off from the leader goes on with what it has, and the engines
+// of one whose VM lost power write on until they notice. Given back at once, their
+// memory would be granted a second time; one notices it by engines that refuse
+// reservations, and by generations that are stopped for others and read anew.
+func (s *State) silent(e SessionSilent) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool { return q.key.Session == e.Session })
+	for key, p := range s.places {
+		if key.Session != e.Session {
+			continue
+		}
+		p.until = e.At
+		if usual, known := s.flow(p.Need.Service).usual(); known {
+			p.until = p.since.Add(time.Duration(silentHolds * float64(usual)))
+		}
+		s.places[key] = p
+	}
+}
+
+// overdue gives back the places of sessions that broke off once they are likely to have
+// ended.
+func (s *State) overdue(at time.Time) {
+	for _, key := range slices.SortedFunc(maps.Keys(s.places), compareKeys) {
+		if p := s.places[key]; !p.until.IsZero() && !at.Before(p.until) {
+			s.ended(at, key, dispatch.OutcomeCancelled, 0)
+		}
+	}
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Session, b.Session), cmp.Compare(a.ID, b.ID))
+}
+
 // lost ends all of a session. What its forwarder still runs is told again when it
 // opens another one.
 func (s *State) lost(e SessionLost) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool { return q.key.Session == e.Session })
-	keys := slices.SortedFunc(maps.Keys(s.places), func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
-	for _, key := range keys {
+	for _, key := range slices.SortedFunc(maps.Keys(s.places), compareKeys) {
 		if key.Session == e.Session {
 			s.ended(e.At, key, dispatch.OutcomeCancelled, 0)
 		}
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -170,9 +170,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if earlier := p.nodes[open.Node]; earlier != 0 {
-		// Its connection is gone without a word. Until that shows, its places would
-		// count twice, since the forwarder tells of them anew.
-		p.forget(earlier)
+		// What it had counts no more: it tells of what it still has, and what a
+		// process before it had ended with that.
+		p.silence(earlier)
+		p.reduce(placement.SessionLost{At: time.Now(), Session: earlier})
 	}
 	p.last++
 	p.sessions[p.last], p.nodes[open.Node] = o, p.last
@@ -190,15 +191,15 @@
 func (p *Placer) end(session uint64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.forget(session)
+	p.silence(session)
 }
 
-// forget gives back all that came over a session. The mutex is held.
-func (p *Placer) forget(session uint64) {
+// silence ends a session; its places are kept for a while. The mutex is held.
+func (p *Placer) silence(session uint64) {
 	if o := p.sessions[session]; o != nil {
 		delete(p.sessions, session)
 		o.end()
-		p.reduce(placement.SessionLost{At: time.Now(), Session: session})
+		p.reduce(placement.SessionSilent{At: time.Now(), Session: session})
 	}
 }
 
