forwarder: a request with a long prompt needs its place earlier

They took the place of others that were still in time. Change: the time for a place is 0.9 of the target less 1.3 times what a prefill engine takes for the prompt, in place of 0.75 of the target for all.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -176,6 +176,13 @@
 	return granted
 }
 
+// readTime is how long a prefill engine takes for a prompt.
+func (f *Forwarder) readTime(service string, prompt int) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.ReadTime(service, prompt)
+}
+
 // loaded reports whether a route's service is overloaded, as far as this forwarder
 // sees.
 func (f *Forwarder) loaded(service string, target time.Duration) bool {
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -79,9 +79,22 @@
 	}
 }
 
-// inTime is the share of the target that may be over for a request to be in time
-// still: the rest is for its prefill and the first event.
-const inTime = 0.75
+const (
+	// inTime is the part of the target that may be over when the prompt of a request
+	// has been read for its first event to be in time.
+	inTime = 0.9
+	// prefillSlack is how many times the time of the prompt alone its prefill is
+	// allowed: with others before it in the queue and the way there and back.
+	prefillSlack = 1.3
+)
+
+// placedBy is how much longer a request can wait for its place and still meet its
+// target. A prompt of twice the usual length needs its place a tenth of a second
+// earlier: one that is given it later holds its memory and is late all the same.
+func (w *work) placedBy(age time.Duration) time.Duration {
+	prefill := prefillSlack * float64(w.f.readTime(w.service.Name, w.ask.Prompt))
+	return time.Duration(inTime*float64(w.route.AnswerWithin)-prefill) - age
+}
 
 // placeElsewhere asks the process that knows all places; the last result is false
 // if it could not be asked.
@@ -98,7 +111,7 @@
 	age := time.Since(w.request.Received)
 	effect, asked := w.f.config.Places.Place(ctx, PlaceRequest{
 		Need: need, Rank: w.route.Rank, Call: w.ask.Call,
-		InTime: time.Duration(inTime*target) - age,
+		InTime: w.placedBy(age),
 		Within: min(time.Duration(waitTargets*target)-age, w.left()),
 	})
 	if ctx.Err() != nil {
--- a/internal/reducer/dispatch/overflow.go
+++ b/internal/reducer/dispatch/overflow.go
@@ -60,6 +60,15 @@
 	return v.readTime(reader.reading) > time.Duration(part*float64(e.Need.FirstWithin))
 }
 
+// ReadTime is how long a prefill engine of a service takes for a prompt.
+func (s *State) ReadTime(name string, prompt int) time.Duration {
+	v := s.services[name]
+	if v == nil {
+		return 0
+	}
+	return v.readTime(prompt)
+}
+
 // readTime is how long a prefill engine takes for some tokens.
 func (v *service) readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / v.rate() * float64(time.Millisecond))
