dispatch: the memory of silent engines does not count as free

Change: FreeShare leaves silent engines out. It is a figure in logs; no decision uses it. Test: TestMemoryOfSilentEnginesIsNotFree.

--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -8,7 +8,9 @@
 )
 
 // FreeShare is the share of the KV memory of a service's decode engines that
-// nothing granted here needs. Engines that take no work have none.
+// nothing granted here needs. Engines that take no work have none, nor have silent
+// ones: most of these are lost for good, and memory counted there looks as if it lay
+// idle while requests wait.
 func (s *State) FreeShare(at time.Time, name string) float64 {
 	v := s.services[name]
 	if v == nil || v.limits.Engine == nil {
@@ -16,7 +18,7 @@
 	}
 	total, free := 0, 0
 	for _, c := range s.servers {
-		if c.Service != name || c.Role == oriolebend.Prefill || !c.takesWork() {
+		if c.Service != name || c.Role == oriolebend.Prefill || !c.takesWork() || c.Silent {
 			continue
 		}
 		total += v.limits.Engine.KVTokens
