role: forwarders hear at once that their routing is confirmed

The confirmation waited for its next second, and what it brought for the next word to each forwarder. Ruled out: shorter elections: a member that has started anew must not vote while a lease that it may have granted runs. Change: a confirmation that failed is tried again after 50 ms; the first one is told at once to the forwarders that have none.

--- a/internal/role/confirmer.go
+++ b/internal/role/confirmer.go
@@ -15,6 +15,9 @@
 	// confirmEvery is how often a control VM makes sure that its state is the
 	// newest that a quorum accepted.
 	confirmEvery = time.Second
+	// confirmAgain is how soon it tries again after it could not. After a power loss
+	// a leader is elected within half a second; callers wait for what comes on top.
+	confirmAgain = 50 * time.Millisecond
 	// confirmLeast is the shortest time between two confirmations, so that many
 	// followers that come at once share one.
 	confirmLeast = 20 * time.Millisecond
@@ -60,12 +63,13 @@
 // Run confirms until ctx ends.
 func (c *Confirmer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		asked := time.Now()
+		asked, pause := time.Now(), confirmAgain
 		if c.confirm(ctx) {
 			c.took(asked)
+			pause = confirmEvery
 		}
 		wait(ctx, confirmLeast)
-		c.sleep(ctx)
+		c.sleep(ctx, pause)
 	}
 }
 
@@ -78,8 +82,8 @@
 	c.confirmed = make(chan struct{})
 }
 
-func (c *Confirmer) sleep(ctx context.Context) {
-	timer := time.NewTimer(confirmEvery)
+func (c *Confirmer) sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -163,7 +163,11 @@
 	c.routes = &RouteServer{
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
-		Controls:  c.controls,
+		NextConfirmed: func() <-chan struct{} {
+			_, next := c.confirmer.Last()
+			return next
+		},
+		Controls: c.controls,
 		Leader: func() string {
 			_, address := c.replica.Leader()
 			return address
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -36,6 +36,9 @@
 	// Confirmed tells how long ago a quorum confirmed the state of this control
 	// VM; false means never.
 	Confirmed func() (time.Duration, bool)
+	// NextConfirmed is closed at the next confirmation; nil has forwarders told of it
+	// with the next word.
+	NextConfirmed func() <-chan struct{}
 	// Controls lists the peer addresses of the control VMs.
 	Controls func() []string
 	// Leader is the peer address of the control VM that leads, empty if none is
@@ -302,6 +305,7 @@
 	whole := true
 	for {
 		current, changed := r.Store.Current()
+		confirmed := r.nextConfirmed()
 		update := r.collect(w)
 		update.Whole = whole
 		if current.Version > version {
@@ -312,6 +316,9 @@
 		}
 		age, ever := r.Confirmed()
 		update.Confirmed = ever && age < newestWithin
+		if update.Confirmed {
+			confirmed = nil // nobody waits for the next one
+		}
 		if err := s.Send(update); err != nil {
 			return
 		}
@@ -322,6 +329,7 @@
 		case <-s.Done():
 		case <-changed:
 		case <-w.wake:
+		case <-confirmed:
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -331,6 +339,16 @@
 	}
 }
 
+// nextConfirmed is closed at the next confirmation. Forwarders are ready only once they
+// have a confirmed routing: told with the next regular word, they would be so up to a
+// second later than need be after all VMs lost power.
+func (r *RouteServer) nextConfirmed() <-chan struct{} {
+	if r.NextConfirmed == nil {
+		return nil
+	}
+	return r.NextConfirmed()
+}
+
 // collect takes what is pending for a forwarder into an update.
 func (r *RouteServer) collect(w *routeWatch) message.RouteUpdate {
 	r.mutex.Lock()
