role: a record that can't be read tells nothing of the call that it is about

Its entry had died; the caller's second sending was attached to the first one's record, no control VM led at that moment (the log shows elections every half a second), and the reading's own "not run" was told as the call's. Ruled out: claims: under a caller's own key they tell "unknown". Change: what can't be followed is told with an unknown outcome.

--- a/internal/role/entryfollow.go
+++ b/internal/role/entryfollow.go
@@ -102,7 +102,7 @@
 		}
 		found, err := e.Record(ctx, w.organisation, w.requestID)
 		if err != nil {
-			put(caller.Chunk{Problem: asProblem(err, w.requestID)})
+			put(caller.Chunk{Problem: notFollowed(err, w.requestID)})
 			return
 		}
 		if w.claimAgain != nil && delivered == 0 && orphaned(found) {
@@ -118,6 +118,18 @@
 	}
 }
 
+// notFollowed is what a caller is told whose request has a record that can't be read
+// now. The error is about the reading, which was not done; the request itself was
+// claimed by somebody and may have run. Passed on as it is, "not run" would be told of
+// a request that ran, and a payment would be made a second time.
+func notFollowed(err error, requestID string) *oriolebend.Problem {
+	p := *asProblem(err, requestID)
+	if p.Reason != oriolebend.ReasonUnknownRequest {
+		p.Ran = oriolebend.RanUnknown
+	}
+	return &p
+}
+
 // orphaned reports whether a request's owner is gone and another entry may run
 // it: the caller that follows it would otherwise get the end of a process that
 // died in place of its answer.
