forwarder: what only some requests need is looked up for those alone

Cause: read once more: each wait of a plain request took the reducer's lock to ask whether its service is overloaded, also where no second sending is possible; the callers' waits were learnt for streams as well, which do not use them. Ruled out: merging the two calls that take announcements into one: they share three lines. Change: the cheap conditions go first; the waits are learnt for plain requests alone. No decision changes.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -77,7 +77,10 @@
 
 // hedge fires when a second sending is due; never if there may be none.
 func (w *work) hedge(running int, exhausted bool) <-chan time.Time {
-	if exhausted || w.f.loaded(w.service.Name, time.Duration(w.route.AnswerWithin)) || w.route.Repeat != oriolebend.RepeatIdempotent || running > 1 || w.sent >= w.route.Attempts {
+	if exhausted || w.route.Repeat != oriolebend.RepeatIdempotent || running > 1 || w.sent >= w.route.Attempts {
+		return nil
+	}
+	if w.f.loaded(w.service.Name, time.Duration(w.route.AnswerWithin)) {
 		return nil
 	}
 	within := time.Duration(float64(w.route.AnswerWithin) * hedgeAfter)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -221,13 +221,13 @@
 		within = min(within, ask.Within)
 	}
 	w.deadline = r.Received.Add(within)
-	w.returned = f.patience.returned(w.route.Name, ask.Within)
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	if w.route.Stream {
 		w.stream(ctx)
 		return
 	}
+	w.returned = f.patience.returned(w.route.Name, ask.Within)
 	w.call(ctx)
 }
 
