--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -107,27 +109,86 @@
 			return dispatch.Grant{}, &refusal{reason: r.Reason, after: r.RetryAfter}, true
 		}
 	}
+	for range mostPlaces {
+		effect, asked := w.askElsewhere(ctx, need)
+		if ctx.Err() != nil {
+			if g, ok := effect.(dispatch.Granted); asked && ok {
+				w.f.returnPlace(g.Grant, dispatch.OutcomeCancelled)
+			}
+			return dispatch.Grant{}, &refusal{reason: backend.ReasonOfEnd(ctx)}, true
+		}
+		if !asked {
+			return dispatch.Grant{}, nil, false
+		}
+		switch e := effect.(type) {
+		case dispatch.Granted:
+			if w.acceptPlace(e.Grant) {
+				return e.Grant, nil, true
+			}
+			need.Tried = append(slices.Clone(need.Tried), e.Grant.Server.Instance)
+		case dispatch.Refused:
+			return dispatch.Grant{}, &refusal{reason: e.Reason, after: e.RetryAfter}, true
+		}
+	}
+	return dispatch.Grant{}, nil, false
+}
+
+// mostPlaces is how many places a request is given elsewhere that this forwarder can't
+// accept, before it looks for one itself: the two differ too much in what they know.
+const mostPlaces = 4
+
+// askElsewhere asks for a place once.
+func (w *work) askElsewhere(ctx context.Context, need dispatch.Need) (dispatch.Effect, bool) {
 	target := float64(w.route.AnswerWithin)
 	age := time.Since(w.request.Received)
-	effect, asked := w.f.config.Places.Place(ctx, PlaceRequest{
+	return w.f.config.Places.Place(ctx, PlaceRequest{
 		Need: need, Rank: w.route.Rank, Call: w.ask.Call,
 		InTime: w.placedBy(age),
 		Within: min(time.Duration(waitTargets*target)-age, w.left()),
 	})
-	if ctx.Err() != nil {
-		if g, ok := effect.(dispatch.Granted); asked && ok {
-			w.f.config.Places.Ended(dispatch.Ended{At: w.f.now(), Grant: g.Grant, Outcome: dispatch.OutcomeCancelled})
+}
+
+// acceptPlace reports whether a place given elsewhere is at engines that take new work,
+// as far as this forwarder knows. On false it has been given back, and whoever gave it
+// knows why.
+func (w *work) acceptPlace(g dispatch.Grant) bool {
+	if reason := w.f.refusesWork(g.Server); reason != "" {
+		outcome := dispatch.OutcomeCancelled
+		if reason == oriolebend.ReasonLeaving {
+			outcome = dispatch.OutcomeLeft
 		}
-		return dispatch.Grant{}, &refusal{reason: backend.ReasonOfEnd(ctx)}, true
+		w.rejectPlace(g, reason, outcome)
+		return false
 	}
-	if !asked {
-		return dispatch.Grant{}, nil, false
+	if g.Prefill == nil {
+		return true
 	}
-	switch e := effect.(type) {
-	case dispatch.Granted:
-		return e.Grant, nil, true
-	case dispatch.Refused:
-		return dispatch.Grant{}, &refusal{reason: e.Reason, after: e.RetryAfter}, true
+	reason := w.f.refusesWork(*g.Prefill)
+	if reason == "" {
+		return true
 	}
-	return dispatch.Grant{}, nil, false
+	leaves := reason == oriolebend.ReasonLeaving
+	w.f.promptRead(dispatch.PromptRead{At: w.f.now(), Grant: g, Failed: leaves, Unused: !leaves})
+	w.rejectPlace(g, reason, dispatch.OutcomeCancelled)
+	return false
+}
+
+// rejectPlace gives back a place that another process gave.
+func (w *work) rejectPlace(g dispatch.Grant, reason oriolebend.Reason, outcome dispatch.Outcome) {
+	w.f.config.Observer.Count("retry", reason, "")
+	w.logSending(g, "place returned", 0, reason, nil)
+	w.f.returnPlace(g, outcome)
+}
+
+// refusesWork is why a server takes no new work, empty if it does.
+func (f *Forwarder) refusesWork(server message.BackendServer) oriolebend.Reason {
+	if r, refused := f.reduce(dispatch.AskedFresh{Server: server})[0].(dispatch.Refused); refused {
+		return r.Reason
+	}
+	return ""
+}
+
+// returnPlace gives a place back that was not used.
+func (f *Forwarder) returnPlace(g dispatch.Grant, outcome dispatch.Outcome) {
+	f.config.Places.Ended(dispatch.Ended{At: f.now(), Grant: g, Outcome: outcome})
 }
--- a/internal/forwarder/places_test.go
+++ b/internal/forwarder/places_test.go
@@ -1,14 +1,72 @@
 package forwarder
 
 import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// outdated gives places at the first of its engines that a request has not tried.
+type outdated struct {
+	engines []message.BackendServer
+	mutex   sync.Mutex
+	ended   []dispatch.Outcome
+}
+
+func (o *outdated) Place(_ context.Context, r PlaceRequest) (dispatch.Effect, bool) {
+	for i, e := range o.engines {
+		if !slices.Contains(r.Need.Tried, e.Instance) {
+			return dispatch.Granted{Grant: dispatch.Grant{Need: r.Need, Server: e, Remote: uint64(i) + 1}}, true
+		}
+	}
+	return nil, false
+}
+
+func (o *outdated) Found(dispatch.Grant) uint64    { return 0 }
+func (o *outdated) PromptRead(dispatch.PromptRead) {}
+
+func (o *outdated) Ended(e dispatch.Ended) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.ended = append(o.ended, e.Outcome)
+}
+
+// Symptom: 489 prompts of a day are read and thrown away, as "server left while the
+// prompt was read". Sequence: control VMs are cut off from each other; engines tell one
+// side that they leave; the other side goes on giving places there. Cause: forwarders,
+// who hear both sides, used such a place all the same. They return it before anything is
+// read, and tell why.
+func TestPlaceAtALeavingEngineIsReturned(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 10000)
+	leaving, unknown, stays := &engine{}, &engine{}, &engine{}
+	s.server("a", oriolebend.Decode, leaving.ServeHTTP)
+	s.server("a", oriolebend.Decode, unknown.ServeHTTP)
+	s.server("a", oriolebend.Decode, stays.ServeHTTP)
+	places := &outdated{engines: slices.Clone(s.servers)}
+	s.forwarder.config.Places = places
+	s.leaves(0)
+	s.forwarder.ChangeServers(registry.Changes{Left: []string{s.servers[1].Instance}}, 1)
+	status, _ := s.generation("/cut/")
+	is.Equal(status, http.StatusOK)
+	is.Equal(leaving.seen(), "")
+	is.Equal(unknown.seen(), "")
+	is.Equal(stays.seen(), "POST /reservations; POST /cut/ reserved=h1")
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	is.Equal(places.ended[:2], []dispatch.Outcome{dispatch.OutcomeLeft, dispatch.OutcomeCancelled})
+}
+
 // Symptom: of the requests that are given a place after two thirds of their target,
 // those with long prompts are late all the same, and take the place of others. Sequence:
 // a queue for places in a peak; a prompt of 11,000 tokens takes 220 ms to read where the
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -21,6 +21,9 @@
 	// lateAsks is how many times longer a request waits between two tries once
 	// it has missed its target: one that can still be in time goes first.
 	lateAsks = 6
+	// lateMost bounds the pause of late requests: a quarter of a second on average
+	// leaves each a few tries before it is refused.
+	lateMost = 400 * time.Millisecond
 	// holdWithin bounds one call for a reservation, several round trips between
 	// failure domains.
 	holdWithin = 300 * time.Millisecond
@@ -58,7 +61,7 @@
 		return false
 	}
 	if age > target {
-		gap *= lateAsks
+		gap = min(lateAsks*gap, lateMost)
 	}
 	// Forwarders that wait for the same engine must not all ask at once.
 	gap = gap/2 + rand.N(gap)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -208,7 +208,7 @@
 	failed := response.Lost("read the stream", err)
 	reason, outcome := reasonOf(failed), dispatch.OutcomeCancelled
 	if reason == oriolebend.ReasonOutcomeLost {
-		outcome = dispatch.OutcomeBroken
+		outcome = dispatch.OutcomeCut
 	}
 	s.ended(s.grant, outcome, 0)
 	s.logSending(s.grant, "stream broken off", response.Status, reason, failed)
