agreement: who would stand for election asks again soon

A member whose question came while others still waited for a lease asked again after 300 to 600 ms. Change: a question without a new term, which changes nothing at others, is asked again after 50 to 100 ms; an election itself waits as before, also when it follows such a question. Test: 200 restarts of five members over 0.4 s, from when a majority may vote until one leads: median 3 -> 1 ticks of 25 ms, nine in ten 6 and 6. Four scripts show another leader or term, as the draws of random numbers differ; what they check is the same.

--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -10,6 +10,7 @@
 const (
 	DefaultHeartbeatTicks    = 2
 	DefaultElectionTicks     = 12
+	DefaultPreVoteTicks      = 2
 	DefaultLeaseTicks        = 9
 	DefaultMaxUnapplied      = 8192
 	DefaultMaxUnappliedBytes = 64 << 20
@@ -47,6 +48,9 @@
 	// vote before, and stands for election after this and as much again at
 	// random.
 	ElectionTicks uint64
+	// PreVoteTicks is how long a member that would stand for election waits before it
+	// asks again whether it would win; as much again at random.
+	PreVoteTicks uint64
 	// LeaseTicks is how long a leader goes on leading after the last round
 	// that a quorum answered. It must be less than ElectionTicks; the
 	// difference covers clocks of unequal rate.
@@ -72,6 +76,7 @@
 func (c Config) withDefaults() Config {
 	c.HeartbeatTicks = cmp.Or(c.HeartbeatTicks, DefaultHeartbeatTicks)
 	c.ElectionTicks = cmp.Or(c.ElectionTicks, DefaultElectionTicks)
+	c.PreVoteTicks = cmp.Or(c.PreVoteTicks, DefaultPreVoteTicks)
 	c.LeaseTicks = cmp.Or(c.LeaseTicks, DefaultLeaseTicks)
 	c.MaxUnapplied = cmp.Or(c.MaxUnapplied, DefaultMaxUnapplied)
 	c.MaxUnappliedBytes = cmp.Or(c.MaxUnappliedBytes, DefaultMaxUnappliedBytes)
--- a/internal/reducer/agreement/election.go
+++ b/internal/reducer/agreement/election.go
@@ -15,6 +15,9 @@
 	if s.mayCampaign() {
 		s.preCampaign()
 	}
+	if s.Role == PreCandidate {
+		s.electionDue = s.now + s.Config.PreVoteTicks + s.random.Uint64N(s.Config.PreVoteTicks)
+	}
 }
 
 func (s *State) mayCampaign() bool {
@@ -51,7 +54,11 @@
 	}
 }
 
-// preCampaign asks whether an election would be won, without a new term.
+// preCampaign asks whether an election would be won, without a new term. It is asked
+// again soon: after a power loss of everything members come back over half a second, and
+// each votes only when a lease that it may have granted before is over. Who asked a
+// moment too early, and again only after the time of an election, left the group without
+// a leader for 170 ms longer than need be, in which no request is answered.
 //
 // A member that was cut off and counted its term up would depose a healthy
 // leader on its return; the question changes nothing at the others.
@@ -75,6 +82,7 @@
 	s.Hard.Term++
 	s.Hard.Vote = s.Config.Name
 	s.changeHard()
+	s.resetElection()
 	s.election = election{
 		votes:    map[string]bool{},
 		began:    s.now,
