--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -23,6 +23,7 @@
 	// Commands are what a reader runs to measure again, by a short name.
 	Commands map[string]string `toml:"commands"`
 	Slopes   []Slope           `toml:"slopes"`
+	Sweep    Sweep             `toml:"sweep"`
 }
 
 // Size is the fleet that the users named.
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -53,7 +53,11 @@
 	if unused := s.unused(); len(unused) > 0 {
 		return nil, &UnusedError{Names: unused}
 	}
-	return append(tables, d.commandTable(), d.measured()), nil
+	sweep, err := d.Sweep.table()
+	if err != nil {
+		return nil, err
+	}
+	return append(tables, sweep, d.commandTable(), d.measured()), nil
 }
 
 func (s *sums) line(name string) Line {
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -46,14 +46,17 @@
 	}
 }
 
-// ended tells whoever gave a place how it was used.
+// ended tells whoever gave a place how it was used. This forwarder judges the engine as
+// well: while nobody gives places, it looks for them among engines that it knows then.
 func (f *Forwarder) ended(e dispatch.Ended) {
 	if e.Grant.Remote != 0 || e.Grant.Told != 0 {
 		f.config.Places.Ended(e)
 	}
 	if e.Grant.Remote == 0 {
 		f.reduce(e)
+		return
 	}
+	f.reduce(dispatch.Judged(e))
 }
 
 // placeGeneration waits for a place, from the process that knows all of them or,
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -123,6 +123,9 @@
 	// Version is the routing that the forwarder has. It is told at once when it
 	// changes, so that no other control VM sends it as well.
 	Version uint64 `cbor:"version,omitempty"`
+	// InTouch is set if a control VM has told the sender of late that a quorum
+	// confirmed its state.
+	InTouch bool `cbor:"inTouch,omitempty"`
 	// Loads is what the forwarder did since it told it last, about once a
 	// second.
 	Loads []ServiceLoad `cbor:"loads,omitempty"`
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -56,6 +56,9 @@
 	}
 	if service := s.services[e.Grant.Need.Service]; service != nil {
 		service.observe(e)
+		if e.Outcome == OutcomeFull && e.Grant.Need.Again {
+			service.budget.withdraw(e.At, s.config.RetryWindow)
+		}
 	}
 	s.judge(Judged(e))
 }
@@ -78,9 +81,6 @@
 		c.avoidUntil = e.At.Add(avoidFull)
 	case OutcomeFull:
 		s.refused(e.At, c, e.Grant.Need.Memory())
-		if e.Grant.Need.Again && service != nil {
-			service.budget.withdraw(e.At, s.config.RetryWindow)
-		}
 	case OutcomeBroken, OutcomeCut:
 		c.judged(service, true, 0)
 		c.fail(e.At)
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -80,12 +80,7 @@
 	case PromptRead:
 		s.promptRead(e)
 	case Ended:
-		if e.Outcome == dispatch.OutcomeCut {
-			s.cut(e.At, e.Key)
-			return nil
-		}
-		s.ended(e.At, e.Key, e.Outcome, e.Took)
-		return s.serve(e.At)
+		return s.end(e)
 	case SessionSilent:
 		s.silent(e)
 		return s.serve(e.At)
@@ -146,6 +141,21 @@
 	s.places[e.Key] = p
 }
 
+// end takes the end of a place in, and gives places that have become free. A place whose
+// engine turned out to be full frees nothing; in a peak most ends are such.
+func (s *State) end(e Ended) []Answer {
+	switch e.Outcome {
+	case dispatch.OutcomeCut:
+		s.cut(e.At, e.Key)
+		return nil
+	case dispatch.OutcomeFull:
+		s.ended(e.At, e.Key, e.Outcome, e.Took)
+		return nil
+	}
+	s.ended(e.At, e.Key, e.Outcome, e.Took)
+	return s.serve(e.At)
+}
+
 func (s *State) ended(at time.Time, key Key, outcome dispatch.Outcome, took time.Duration) {
 	p, found := s.places[key]
 	if !found {
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -173,7 +173,8 @@
 			_, address := c.replica.Leader()
 			return address
 		},
-		Logger: p.Logger,
+		InTouch: func() bool { return c.LeaderIP() != "" },
+		Logger:  p.Logger,
 	}
 	c.routes.Prepare()
 	c.observe(name)
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -67,6 +67,12 @@
 	return c.routes.Announce(ctx, server)
 }
 
+// AnnounceTo is the IP of the control VM that an instance had better announce itself to
+// from now on; empty means this one.
+func (c *ControlProcess) AnnounceTo(instance string) string {
+	return hostOf(c.routes.AnnounceTo(instance))
+}
+
 // Backends lists the backend servers that announced themselves to this VM.
 func (c *ControlProcess) Backends() []message.BackendServer { return c.routes.Servers() }
 
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -159,13 +159,14 @@
 	}
 }
 
+// gives reports whether places are given here. One that has just started and leads
+// already may not know the services yet; asked for a place, it would refuse what it
+// does not know, where forwarders can find one themselves.
 func (p *Placer) gives() bool {
-	if p.Leads() {
-		return true
-	}
+	leads := p.Leads()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.giving
+	return p.routing.Version > 0 && (leads || p.giving)
 }
 
 func (p *Placer) begin(o *outbox, open message.PlaceOpen) uint64 {
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -36,6 +36,7 @@
 		Confirmed: func() (time.Duration, bool) { return 0, false },
 		Controls:  func() []string { return nil },
 		Leader:    r.leader,
+		InTouch:   func() bool { return r.follower.InTouch() },
 		Logger:    p.Logger,
 	}
 	r.routes.Prepare()
@@ -114,6 +115,12 @@
 	return r.routes.Announce(ctx, server)
 }
 
+// AnnounceTo is the IP of the control VM that an instance had better announce itself to
+// from now on; empty means this one.
+func (r *RelayProcess) AnnounceTo(instance string) string {
+	return hostOf(r.routes.AnnounceTo(instance))
+}
+
 // Withdraw takes the last word of a backend server.
 func (r *RelayProcess) Withdraw(ctx context.Context, instance string, incarnation uint64) error {
 	return r.routes.Withdraw(ctx, instance, incarnation)
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -73,9 +73,11 @@
 	current []string // the control VMs as one of them told last
 	leader  string   // the leader as one of them told last
 	ready   atomic.Bool
-	opening chan struct{}
-	ctx     context.Context
-	group   sync.WaitGroup
+	// confirmed is when a control VM told of a confirmation last.
+	confirmed time.Time
+	opening   chan struct{}
+	ctx       context.Context
+	group     sync.WaitGroup
 }
 
 // routeLink is the way to one control VM.
@@ -129,6 +131,16 @@
 	return f.leader
 }
 
+// InTouch reports whether a control VM told of late that a quorum confirmed its state.
+func (f *RouteFollower) InTouch() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.inTouch()
+}
+
+// inTouch is InTouch. The mutex is held.
+func (f *RouteFollower) inTouch() bool { return time.Since(f.confirmed) < newestWithin }
+
 // Links counts the control VMs that are watched now.
 func (f *RouteFollower) Links() int {
 	f.mutex.Lock()
@@ -210,7 +222,9 @@
 		if !f.take(l, s, update) {
 			return
 		}
-		heard := message.RouteHeard{Number: update.Number, Version: f.Sink.Version(), Loads: f.takeLoads(l)}
+		heard := message.RouteHeard{
+			Number: update.Number, Version: f.Sink.Version(), InTouch: f.InTouch(), Loads: f.takeLoads(l),
+		}
 		if err := s.Send(heard); err != nil {
 			return
 		}
@@ -242,7 +256,7 @@
 		if l == from || !l.open {
 			continue
 		}
-		heard, stream := message.RouteHeard{Number: l.heard, Version: version}, l.stream
+		heard, stream := message.RouteHeard{Number: l.heard, Version: version, InTouch: f.inTouch()}, l.stream
 		// A link that is cut must not hold up the others; its session ends by itself.
 		f.group.Go(func() { _ = stream.Send(heard) })
 	}
@@ -266,6 +280,9 @@
 		f.Logger.Info("control VM watched", "control", l.address, "version", u.Version, "servers", len(u.Servers))
 	}
 	l.forwarders, l.stream, l.heard = u.Forwarders, s, u.Number
+	if u.Confirmed {
+		f.confirmed = time.Now()
+	}
 	if u.Whole || len(u.Servers) > 0 {
 		f.view.Told(time.Now(), l.address, u.Whole, u.Servers)
 		f.tellServers()
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer"
@@ -46,6 +48,9 @@
 	// Leader is the peer address of the control VM that leads, empty if none is
 	// known.
 	Leader func() string
+	// InTouch reports whether this control VM is in touch with the leader; nil means
+	// that it always is.
+	InTouch func() bool
 	// Loads takes what forwarders did; nil takes nothing.
 	Loads  func([]message.ServiceLoad)
 	Logger *slog.Logger
@@ -71,8 +76,10 @@
 	number  uint64
 	// heard is the number of the last update that the forwarder has taken in.
 	heard uint64
-	// version is the routing that it says it has.
+	// version is the routing that it says it has, inTouch whether a quorum confirmed
+	// its state of late.
 	version uint64
+	inTouch bool
 	// wake is signalled for news that can wait for others, urgent for what cannot.
 	wake, urgent chan struct{}
 	// news is closed and replaced whenever heard changes or the watch ends.
@@ -133,6 +140,30 @@
 	return r.awaitHeard(ctx, r.tell(announced))
 }
 
+// AnnounceTo is the peer address of the control VM that an instance had better announce
+// itself to from now on; empty means this one.
+//
+// A control VM that is cut off from the leader still hears its servers, and tells
+// forwarders of them, but the leader, which gives places at engines, does not hear it: in
+// a cut of eight seconds in which a third of 180 engines announced themselves to the cut
+// off side, those that had crashed and come back stood idle until it healed. Control VMs
+// that watch this one and are in touch themselves are reached by it and by the leader.
+func (r *RouteServer) AnnounceTo(instance string) string {
+	if r.InTouch == nil || r.InTouch() {
+		return ""
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	best, most := "", uint64(0)
+	for w := range r.watches {
+		weight := xxhash.Sum64String(instance + "\x00" + w.address)
+		if w.address != "" && w.inTouch && (best == "" || weight > most) {
+			best, most = w.address, weight
+		}
+	}
+	return best
+}
+
 // RoleChanges has forwarders send nothing more to a server that is about to be
 // ordered to change its role, and returns once they know. A server that changes
 // its role refuses what it has not begun; a prefill whose decode server was
@@ -313,7 +344,7 @@
 		}
 		if h, ok := m.(message.RouteHeard); ok {
 			r.mutex.Lock()
-			w.heard, w.version = max(w.heard, h.Number), max(w.version, h.Version)
+			w.heard, w.version, w.inTouch = max(w.heard, h.Number), max(w.version, h.Version), h.InTouch
 			close(w.news)
 			w.news = make(chan struct{})
 			r.mutex.Unlock()
--- a/internal/role/routeserver_test.go
+++ b/internal/role/routeserver_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer/peertest"
 	"github.com/oriolebend/oriolebend/internal/routing"
 )
 
@@ -79,6 +80,47 @@
 	})
 }
 
+// Symptom: engines that crashed in a cut and came back stand idle for eight seconds.
+// Sequence: the group of control VMs is cut in two; a third of the engines announce
+// themselves to the side without a quorum. Cause: that side kept them, and the leader,
+// which gives places, did not hear of them. They are sent on to a control VM that both
+// sides reach, always the same one for an instance.
+func TestServersAreSentOnByAControlVMThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var inTouch atomic.Bool
+		inTouch.Store(true)
+		r := &RouteServer{
+			Store:     routing.NewStore(),
+			Confirmed: func() (time.Duration, bool) { return 0, false },
+			Controls:  func() []string { return nil },
+			Leader:    func() string { return "" },
+			InTouch:   inTouch.Load,
+			Logger:    slog.New(slog.DiscardHandler),
+		}
+		r.Prepare()
+		watchers := map[string]bool{"10.0.0.1:1": true, "10.0.0.2:1": true, "10.0.0.3:1": false, "": true}
+		for address, touch := range watchers {
+			near, far := peertest.Pair("watcher", "control")
+			defer near.Close()
+			go r.Serve(t.Context(), far)
+			is.NoErr(near.Send(message.RouteWatch{Node: address, Observes: address != "", Address: address}))
+			is.NoErr(near.Send(message.RouteHeard{Number: 1, InTouch: touch}))
+		}
+		synctest.Wait()
+		is.Equal(r.AnnounceTo("i-1"), "")
+		inTouch.Store(false)
+		named := map[string]int{}
+		for i := range 100 {
+			to := r.AnnounceTo(fmt.Sprint("i-", i))
+			is.Equal(r.AnnounceTo(fmt.Sprint("i-", i)), to)
+			named[to]++
+		}
+		is.Equal(len(named), 2)
+		is.True(named["10.0.0.1:1"] > 20 && named["10.0.0.2:1"] > 20)
+	})
+}
+
 // Symptom: for half a minute after a restart of everything, control VMs and forwarders
 // of a large site do nothing but tell and hear of servers, and no request is answered.
 // Sequence: a control VM of a hundred forwarders starts; 300 servers announce themselves
