--- a/internal/reducer/pools/script_test.go
+++ b/internal/reducer/pools/script_test.go
@@ -21,8 +21,9 @@
 //	engines PREFILL DECODE [start=N]   that many engines of each pool, in three failure
 //	                            domains, all at that start
 //	lead TERM | follow          whether this control VM leads
-//	pass SECONDS [prompt=N requests=N held=N]   each second with such a load, whose
-//	                            generations hold so many tokens of memory
+//	pass SECONDS [prompt=N requests=N held=N [written=N]]   each second with such a
+//	                            load, whose generations hold so many tokens of memory;
+//	                            those that ended have written 10,000 tokens, or N
 //	answer unsure | refused     the outcome of the last order
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -110,6 +111,9 @@
 			// The engines write a token in a millisecond.
 			l.DecodeWork = float64(number(t, value)) * 1000
 			l.Written, l.Writing = 10_000, 10*time.Second
+		case "written":
+			l.Written = number(t, value)
+			l.Writing = time.Duration(l.Written) * time.Millisecond
 		}
 	}
 	return l
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -34,8 +34,10 @@
 	// half of them in about five seconds.
 	memory = 0.87
 	// enoughWritten is how many tokens of output must have been written for a
-	// judgement: some ten short answers.
-	enoughWritten = 2000
+	// judgement: ten short answers, which a site of hundreds of engines has given a
+	// second after its load begins. An engine is away for eight; with three times as
+	// many tokens, those that are too many for prefill come two seconds later.
+	enoughWritten = 600
 	// worthMoving and worthMovingShare are how many engines, and which share of
 	// all, the prefill pool must be off by. Moving one engine of a dozen for
 	// less was measured to cost a tenth of the worth of days with failures: the
