--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +12,6 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
-	"github.com/oriolebend/oriolebend/internal/reducer/retry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -80,18 +77,6 @@
 	group     sync.WaitGroup
 }
 
-// routeLink is the way to one control VM.
-type routeLink struct {
-	address    string
-	open       bool
-	forwarders int
-	// stream is the session, heard the number of the last update on it.
-	stream peer.Stream
-	heard  uint64
-	// loads are to be told with the next word to the control VM.
-	loads []message.ServiceLoad
-}
-
 // Run follows until ctx ends.
 func (f *RouteFollower) Run(ctx context.Context) {
 	f.mutex.Lock()
@@ -154,114 +139,6 @@
 	return open
 }
 
-// learn starts to watch control VMs that were not known. The mutex is held.
-func (f *RouteFollower) learn(addresses []string) {
-	for _, address := range addresses {
-		if f.links[address] != nil || f.ctx.Err() != nil {
-			continue
-		}
-		l := &routeLink{address: address}
-		f.links[address] = l
-		f.group.Go(func() { f.follow(l) })
-	}
-}
-
-// follow watches one control VM for as long as it is known as one.
-func (f *RouteFollower) follow(l *routeLink) {
-	tries := 0
-	random := rand.New(rand.NewPCG(f.Watch.Incarnation, uint64(len(l.address))))
-	for f.ctx.Err() == nil && f.wanted(l) {
-		began := time.Now()
-		f.session(l)
-		f.lost(l)
-		if time.Since(began) > watchAgainMost {
-			tries = 0
-		}
-		wait(f.ctx, retry.FullJitter(random, watchAgainFirst, watchAgainMost, tries))
-		tries++
-	}
-}
-
-// wanted reports whether a control VM is still known as one. One that was
-// replaced is forgotten; a seed never is, as it may be the only one that is
-// left to ask.
-func (f *RouteFollower) wanted(l *routeLink) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if slices.Contains(f.Seeds, l.address) || slices.Contains(f.current, l.address) {
-		return true
-	}
-	delete(f.links, l.address)
-	return false
-}
-
-// session watches one control VM until the session ends.
-func (f *RouteFollower) session(l *routeLink) {
-	s, err := f.openSession(l)
-	if err != nil {
-		f.Logger.Debug("control VM not reached", "control", l.address, "error", err)
-		return
-	}
-	defer s.Close()
-	defer context.AfterFunc(f.ctx, func() { _ = s.Close() })()
-	watch := f.Watch
-	watch.Version = f.Sink.Version()
-	if err := s.Send(watch); err != nil {
-		return
-	}
-	for {
-		m, err := s.Receive()
-		if err != nil {
-			f.Logger.Info("control VM lost", "control", l.address, "error", err)
-			return
-		}
-		update, ok := m.(message.RouteUpdate)
-		if !ok {
-			return
-		}
-		if !f.take(l, s, update) {
-			return
-		}
-		heard := message.RouteHeard{
-			Number: update.Number, Version: f.Sink.Version(), InTouch: f.InTouch(), Loads: f.takeLoads(l),
-		}
-		if err := s.Send(heard); err != nil {
-			return
-		}
-	}
-}
-
-// openSession opens a session once few others are being opened.
-func (f *RouteFollower) openSession(l *routeLink) (peer.Stream, error) {
-	select {
-	case f.opening <- struct{}{}:
-	case <-f.ctx.Done():
-		return nil, f.ctx.Err()
-	}
-	counts := time.AfterFunc(openCountsFor, func() { <-f.opening })
-	opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
-	defer cancel()
-	s, err := f.Dialer.Open(opening, l.address)
-	if counts.Stop() {
-		<-f.opening
-	}
-	return s, err
-}
-
-// tellVersion tells the other control VMs that a routing is known.
-func (f *RouteFollower) tellVersion(from *routeLink, version uint64) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for _, l := range f.links {
-		if l == from || !l.open {
-			continue
-		}
-		heard, stream := message.RouteHeard{Number: l.heard, Version: version, InTouch: f.inTouch()}, l.stream
-		// A link that is cut must not hold up the others; its session ends by itself.
-		f.group.Go(func() { _ = stream.Send(heard) })
-	}
-}
-
 // take takes an update in.
 func (f *RouteFollower) take(l *routeLink, s peer.Stream, u message.RouteUpdate) bool {
 	if len(u.Routing) > 0 {
@@ -300,32 +177,6 @@
 	return true
 }
 
-// noteLoads keeps what was done for the control VMs that are watched. The mutex
-// is held.
-func (f *RouteFollower) noteLoads(loads []message.ServiceLoad) {
-	for _, l := range f.links {
-		l.loads = nil // what was not told within a second is too old
-		if l.open {
-			l.loads = loads
-		}
-	}
-}
-
-func (f *RouteFollower) takeLoads(l *routeLink) []message.ServiceLoad {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	loads := l.loads
-	l.loads = nil
-	return loads
-}
-
-func (f *RouteFollower) lost(l *routeLink) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	l.open, l.stream = false, nil
-	f.view.Lost(time.Now(), l.address)
-}
-
 // tellServers hands what has changed to the sink. The mutex is held.
 func (f *RouteFollower) tellServers() {
 	forwarders := 0
