forwarder, role: two changes reverted that were not measured to be better

- Requests waiting for the first routing after a power loss of everything.
- Sessions opened two at a time.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,9 +50,6 @@
 	start  time.Time
 
 	table atomic.Pointer[routing.Table]
-	// routed is closed once there is a routing.
-	routed     chan struct{}
-	routedOnce sync.Once
 
 	mutex sync.Mutex
 	state *dispatch.State
@@ -72,12 +69,10 @@
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	return &Forwarder{
-		config: c,
-		pool:   backend.NewPool(c.Pool),
-		start:  time.Now(),
-		state:  dispatch.New(c.Dispatch),
-		routed: make(chan struct{}),
-
+		config:    c,
+		pool:      backend.NewPool(c.Pool),
+		start:     time.Now(),
+		state:     dispatch.New(c.Dispatch),
 		known:     map[string]int{},
 		addresses: map[string]string{},
 	}
@@ -94,7 +89,6 @@
 	}
 	f.table.Store(routing.NewTable(r))
 	f.reduce(dispatch.Services{Services: r.Services})
-	f.routedOnce.Do(func() { close(f.routed) })
 	f.config.Logger.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
 }
 
@@ -220,14 +214,14 @@
 // Serve answers one request; it is an http1.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
 	w := &work{f: f, request: r, answer: a}
-	ask, err := f.config.Dialect.Ask(r.Header)
-	w.ask = ask
-	table := f.awaitRouting(ctx, ask.Within)
+	table := f.table.Load()
 	if table == nil {
 		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
 		return
 	}
 	w.version = table.Routing.Version
+	ask, err := f.config.Dialect.Ask(r.Header)
+	w.ask = ask
 	if err != nil {
 		w.reject(http.StatusBadRequest, oriolebend.ReasonMalformed, err)
 		return
@@ -257,31 +251,6 @@
 	w.call(ctx)
 }
 
-// unroutedShare is the share of the time that a caller allows for which its request waits
-// for the first routing. Callers who allow 14 s expect the first event after 0.9, those
-// who allow 1.5 s an answer after 0.3: what has waited for so long can still be in time.
-const unroutedShare = 0.04
-
-// awaitRouting returns the routes in force, nil if there are none yet.
-//
-// A forwarder that starts has a routing within a second of its control VMs, and callers
-// come before that. Told at once to come back, all of them are late; for one that waits
-// the answer can be in time. After a power loss of everything this is a quarter of the
-// requests of two seconds.
-func (f *Forwarder) awaitRouting(ctx context.Context, within time.Duration) *routing.Table {
-	if table := f.table.Load(); table != nil {
-		return table
-	}
-	timer := time.NewTimer(time.Duration(unroutedShare * float64(within)))
-	defer timer.Stop()
-	select {
-	case <-f.routed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return f.table.Load()
-}
-
 // retryUnready is when a caller may come back to a forwarder that has just
 // started: it has the routing by then, or the balancer has looked away.
 const retryUnready = 500 * time.Millisecond
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -23,17 +23,6 @@
 	watchAgainMost  = time.Second
 	// openWatchWithin bounds the opening of a session.
 	openWatchWithin = 2 * time.Second
-	// openAtOnce is how many sessions are opened at a time, each counted for
-	// openCountsFor at most.
-	//
-	// After a restart of everything some hundred forwarders come to each control VM
-	// within a tenth of a second. A handshake costs it one to two milliseconds, and what
-	// does not fit into the buffer of its socket is lost and sent again later: opened
-	// all at once, they took 8 s for 300 forwarders. One that opens the next session when
-	// the last one stands is as slow as the control VMs are. One that is gone must not
-	// hold the others up for as long as its opening is tried.
-	openAtOnce    = 2
-	openCountsFor = 250 * time.Millisecond
 	// reviewEvery is how often what is known is looked through for what has
 	// become too old.
 	reviewEvery = time.Second
@@ -72,7 +61,6 @@
 	ready   atomic.Bool
 	// confirmed is when a control VM told of a confirmation last.
 	confirmed time.Time
-	opening   chan struct{}
 	ctx       context.Context
 	group     sync.WaitGroup
 }
@@ -81,7 +69,6 @@
 func (f *RouteFollower) Run(ctx context.Context) {
 	f.mutex.Lock()
 	f.ctx, f.view, f.links = ctx, registry.NewView(), map[string]*routeLink{}
-	f.opening = make(chan struct{}, openAtOnce)
 	f.learn(f.Seeds)
 	f.mutex.Unlock()
 	for wait(ctx, reviewEvery); ctx.Err() == nil; wait(ctx, reviewEvery) {
--- a/internal/role/routelink.go
+++ b/internal/role/routelink.go
@@ -66,7 +66,9 @@
 
 // session watches one control VM until the session ends.
 func (f *RouteFollower) session(l *routeLink) {
-	s, err := f.openSession(l)
+	opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
+	defer cancel()
+	s, err := f.Dialer.Open(opening, l.address)
 	if err != nil {
 		f.Logger.Debug("control VM not reached", "control", l.address, "error", err)
 		return
@@ -100,23 +102,6 @@
 	}
 }
 
-// openSession opens a session once few others are being opened.
-func (f *RouteFollower) openSession(l *routeLink) (peer.Stream, error) {
-	select {
-	case f.opening <- struct{}{}:
-	case <-f.ctx.Done():
-		return nil, f.ctx.Err()
-	}
-	counts := time.AfterFunc(openCountsFor, func() { <-f.opening })
-	opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
-	defer cancel()
-	s, err := f.Dialer.Open(opening, l.address)
-	if counts.Stop() {
-		<-f.opening
-	}
-	return s, err
-}
-
 // tellVersion tells the other control VMs that a routing is known.
 func (f *RouteFollower) tellVersion(from *routeLink, version uint64) {
 	f.mutex.Lock()
