--- a/internal/capacity/sweep.go
+++ b/internal/capacity/sweep.go
@@ -12,10 +12,10 @@
 	// Site and Run say which sweep it is; Run is its number in journal/.
 	Site string `toml:"site"`
 	Run  string `toml:"run"`
-	// VMs are the sizes, without the backend servers' own VMs.
-	VMs []float64 `toml:"vms"`
-	// ServersEach is how many backend servers there are for each VM.
-	ServersEach float64 `toml:"serversEach"`
+	// VMs are the sizes, without the backend servers' own VMs, and Servers the backend
+	// servers at each.
+	VMs     []float64 `toml:"vms"`
+	Servers []float64 `toml:"servers"`
 	// At is the size that is worked out.
 	At    float64      `toml:"at"`
 	Costs []SweepCosts `toml:"costs"`
@@ -76,9 +76,12 @@
 // table shows a sweep, and what it leads to at the size that is worked out: the last
 // value, carried on by the power, which is not let below zero.
 func (w Sweep) table() (Table, error) {
-	t := Table{Name: "sweep", Head: []string{"measure"}}
-	for _, size := range w.VMs {
-		t.Head = append(t.Head, number(size)+" VMs")
+	t := Table{Name: "sweep", Head: []string{fmt.Sprintf("measure (%s, run %s)", w.Site, w.Run)}}
+	if len(w.Servers) != len(w.VMs) {
+		return Table{}, &SweepError{What: "servers"}
+	}
+	for i, size := range w.VMs {
+		t.Head = append(t.Head, fmt.Sprintf("%s VMs, %s servers", number(size), number(w.Servers[i])))
 	}
 	t.Head = append(t.Head, "power", "at "+number(w.At), "before", "mechanism that carries it")
 	last := w.VMs[len(w.VMs)-1]
@@ -88,11 +91,11 @@
 		}
 		row := []string{strings.TrimPrefix(c.Role+": "+c.What, ": ")}
 		for _, v := range c.Busiest {
-			row = append(row, fmt.Sprintf("%.3g", v))
+			row = append(row, number(v))
 		}
 		power := Power(w.VMs, c.Busiest)
 		carried := c.Busiest[len(c.Busiest)-1] * math.Pow(w.At/last, max(0, power))
-		row = append(row, fmt.Sprintf("%.2f", power), fmt.Sprintf("%.3g", carried), figures(c.Before), c.Carried)
+		row = append(row, fmt.Sprintf("%.2f", power), number(carried), figures(c.Before), c.Carried)
 		t.Rows = append(t.Rows, row)
 	}
 	return t, nil
@@ -102,7 +105,7 @@
 func figures(values []float64) string {
 	var list []string
 	for _, v := range values {
-		list = append(list, fmt.Sprintf("%.3g", v))
+		list = append(list, number(v))
 	}
-	return strings.Join(list, ", ")
+	return strings.Join(list, "; ")
 }
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -177,13 +177,7 @@
 
 // Judged reports what the end of a sending tells of its server, whose place is given
 // back by a later Ended: the server may still work on the request.
-type Judged struct {
-	At      time.Time
-	Grant   Grant
-	Outcome Outcome
-	// Took is that of Ended.
-	Took time.Duration
-}
+type Judged Ended
 
 func (Judged) isDispatchEvent() {}
 
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -32,7 +32,7 @@
 	if c := s.at(e.Grant.Server); c != nil {
 		c.fullFor += e.Grant.Need.Output // reserved until now, and not written yet
 		if !e.Unused {
-			c.refusals = 0
+			c.refused = false
 		}
 	}
 	switch {
@@ -75,7 +75,7 @@
 	service := s.services[e.Grant.Need.Service]
 	switch e.Outcome {
 	case OutcomeAnswered:
-		c.failed, c.avoidUntil, c.refusals = 0, time.Time{}, 0
+		c.failed, c.avoidUntil, c.refused = 0, time.Time{}, false
 		c.judged(service, false, e.Took)
 	case OutcomeFailed:
 		c.failed = 0
@@ -95,10 +95,10 @@
 	}
 }
 
-// mostRefusals bounds how far the pause before the next try at a full server grows: to
-// twice the first one. With eight times as much a fifth of a site's memory lay idle for
-// seconds after a change of leader, while a hundred requests waited for it.
-const mostRefusals = 1
+// againPause is how many times as long a server is taken to be full that refused again.
+// With up to eight times as long a fifth of a site's memory lay idle for seconds after a
+// change of leader, while a hundred requests waited for it.
+const againPause = 2
 
 // refused notes that a server had no room for an amount of memory.
 //
@@ -106,16 +106,19 @@
 // that were lost, of streams whose end nobody saw, of another process that gave places
 // before. The end of known work frees nothing then. Tried again at each such end,
 // hundreds of full engines are asked a thousand times a second, and the process that
-// gives places has no time left for what else it does. So each refusal in a row doubles
-// what must have ended before the next try, and the pause after which there is one
-// in any case.
+// gives places has no time left for what else it does. So one that refuses again must have
+// seen as much more end before the next try, and the pause is longer after which there is
+// one in any case.
 func (s *State) refused(at time.Time, c *server, memory int) {
-	room := memory - (1<<c.refusals-1)*memory
+	room, pause := memory, s.config.FullFor
+	if c.refused {
+		room, pause = 0, againPause*pause
+	}
 	if !at.Before(c.fullUntil) || room < c.fullFor {
 		c.fullFor = room
 	}
-	c.fullUntil = at.Add(s.config.FullFor << c.refusals)
-	c.refusals = min(c.refusals+1, mostRefusals)
+	c.fullUntil = at.Add(pause)
+	c.refused = true
 }
 
 // judged adds an answer to the averages of the server and of its service.
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -95,11 +95,11 @@
 	left bool
 	// fullUntil is until when the server is taken to have no room for fullFor
 	// tokens. What ends there meanwhile adds to fullFor: the next try is worth its
-	// round trip once enough has ended, and not before. refusals counts the tries in
-	// a row that it had no room for.
+	// round trip once enough has ended, and not before. refused is set if it had no
+	// room at the last try.
 	fullUntil time.Time
 	fullFor   int
-	refusals  int
+	refused   bool
 	failures  average
 	took      average
 }
--- a/internal/reducer/follow/state.go
+++ b/internal/reducer/follow/state.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/reducer/declared"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -111,15 +112,7 @@
 
 // compare orders control VMs by rendezvous hashing on the node's name.
 func (s *State) compare(a, b Control) int {
-	weightA := xxhash.Sum64String(s.config.Node + "\x00" + a.Name)
-	weightB := xxhash.Sum64String(s.config.Node + "\x00" + b.Name)
-	switch {
-	case weightA < weightB:
-		return -1
-	case weightA > weightB:
-		return 1
-	}
-	return 0
+	return cmp.Compare(policy.Rendezvous(s.config.Node, a.Name), policy.Rendezvous(s.config.Node, b.Name))
 }
 
 // View returns the declared state in force; the caller must not change it,
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -144,15 +144,14 @@
 // end takes the end of a place in, and gives places that have become free. A place whose
 // engine turned out to be full frees nothing; in a peak most ends are such.
 func (s *State) end(e Ended) []Answer {
-	switch e.Outcome {
-	case dispatch.OutcomeCut:
+	if e.Outcome == dispatch.OutcomeCut {
 		s.cut(e.At, e.Key)
 		return nil
-	case dispatch.OutcomeFull:
-		s.ended(e.At, e.Key, e.Outcome, e.Took)
-		return nil
 	}
 	s.ended(e.At, e.Key, e.Outcome, e.Took)
+	if e.Outcome == dispatch.OutcomeFull {
+		return nil
+	}
 	return s.serve(e.At)
 }
 
--- a/internal/role/routefeed.go
+++ b/internal/role/routefeed.go
@@ -6,10 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/routing"
 )
 
@@ -133,16 +132,11 @@
 		case b == leader:
 			return -1
 		}
-		return cmp.Compare(f.weight(a), f.weight(b))
+		return cmp.Compare(policy.Rendezvous(f.watch.node, a), policy.Rendezvous(f.watch.node, b))
 	})
 	return max(0, slices.Index(order, r.Self))
 }
 
-// weight orders control VMs by rendezvous hashing on the watcher's name.
-func (f *routeFeed) weight(control string) uint64 {
-	return xxhash.Sum64String(f.watch.node + "\x00" + control)
-}
-
 // news reports whether an update tells anything that the watcher was not told.
 func (f *routeFeed) news(u message.RouteUpdate) bool {
 	f.server.mutex.Lock()
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -119,7 +119,7 @@
 	defer f.mutex.Unlock()
 	open := 0
 	for _, l := range f.links {
-		if l.open {
+		if l.open() {
 			open++
 		}
 	}
@@ -139,8 +139,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if !l.open {
-		l.open = true
+	if !l.open() {
 		f.Logger.Info("control VM watched", "control", l.address, "version", u.Version, "servers", len(u.Servers))
 	}
 	l.forwarders, l.stream, l.heard = u.Forwarders, s, u.Number
@@ -168,7 +167,7 @@
 func (f *RouteFollower) tellServers() {
 	forwarders := 0
 	for _, l := range f.links {
-		if l.open {
+		if l.open() {
 			forwarders = max(forwarders, l.forwarders)
 		}
 	}
--- a/internal/role/routelink.go
+++ b/internal/role/routelink.go
@@ -14,15 +14,18 @@
 // routeLink is the way to one control VM.
 type routeLink struct {
 	address    string
-	open       bool
 	forwarders int
-	// stream is the session, heard the number of the last update on it.
+	// stream is the session once an update came over it, nil without one; heard is the
+	// number of the last update on it.
 	stream peer.Stream
 	heard  uint64
 	// loads are to be told with the next word to the control VM.
 	loads []message.ServiceLoad
 }
 
+// open reports whether the control VM is watched.
+func (l *routeLink) open() bool { return l.stream != nil }
+
 // learn starts to watch control VMs that were not known. The mutex is held.
 func (f *RouteFollower) learn(addresses []string) {
 	for _, address := range addresses {
@@ -107,7 +110,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, l := range f.links {
-		if l == from || !l.open {
+		if l == from || !l.open() {
 			continue
 		}
 		heard, stream := message.RouteHeard{Number: l.heard, Version: version, InTouch: f.inTouch()}, l.stream
@@ -121,7 +124,7 @@
 func (f *RouteFollower) noteLoads(loads []message.ServiceLoad) {
 	for _, l := range f.links {
 		l.loads = nil // what was not told within a second is too old
-		if l.open {
+		if l.open() {
 			l.loads = loads
 		}
 	}
@@ -138,6 +141,6 @@
 func (f *RouteFollower) lost(l *routeLink) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	l.open, l.stream = false, nil
+	l.stream = nil
 	f.view.Lost(time.Now(), l.address)
 }
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -7,10 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routing"
@@ -133,7 +132,7 @@
 	defer r.mutex.Unlock()
 	best, most := "", uint64(0)
 	for w := range r.watches {
-		weight := xxhash.Sum64String(instance + "\x00" + w.address)
+		weight := policy.Rendezvous(instance, w.address)
 		if w.address != "" && w.inTouch && (best == "" || weight > most) {
 			best, most = w.address, weight
 		}
