forwarder: lines tell which requests ask for the same thing, and which servers have ended

Change: 'content', a hash of method, host, target and body, in the lines of each request; 'server has ended' once a server refuses connections right after a sending broke off before its first event. One look serves all connections to a start of a server. No decision changes. Ruled out: telling the end of a process by announcements; a start that follows is heard of three seconds later.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -147,6 +148,17 @@
 	}, nil
 }
 
+// Refuses reports whether the address refuses connections: its VM answers, and no process
+// listens. A connection that comes about is kept for the next request.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.give(c)
+	return false
+}
+
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 const tcpUserTimeout = 18
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -109,12 +109,14 @@
 	response, err := w.f.pool.Do(ctx, g.Server.Address, request)
 	if err != nil {
 		r.err = err
+		w.brokeUnbegun(g.Server, err)
 		w.ended(g, outcomeOf(err), 0)
 		return r
 	}
 	r.status, r.header = response.Status, response.Header
 	r.body, r.err = response.Whole(w.f.config.MaxAnswerBytes)
 	if r.err != nil {
+		w.brokeUnbegun(g.Server, r.err)
 		w.ended(g, outcomeOf(r.err), 0)
 		return r
 	}
--- /dev/null
+++ b/internal/forwarder/ended.go
@@ -0,0 +1,99 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// lookAgain is how long after a connection broke, and after each other, a server is
+// looked at. The first look can come before the process has given up its port; one that
+// has not after a fifth of a second lives, and only the connection was lost.
+var lookAgain = []time.Duration{0, 30 * time.Millisecond, 170 * time.Millisecond}
+
+// lookHolds is for how long the finding about one start of a server is used again. All
+// connections to a server that ends break at once, and one look serves them.
+const lookHolds = 2 * time.Second
+
+// lookWithin bounds one look: several round trips between failure domains.
+const lookWithin = 500 * time.Millisecond
+
+// endings finds out whether servers have ended.
+type endings struct {
+	mutex sync.Mutex
+	looks map[serverStart]*look
+}
+
+// serverStart is one start of one instance.
+type serverStart struct {
+	instance    string
+	incarnation uint64
+}
+
+// look is what was found about one start of a server; ended holds once done is closed.
+type look struct {
+	began time.Time
+	done  chan struct{}
+	ended bool
+}
+
+// find returns the look at a server, and true if the caller has to do it.
+func (e *endings) find(server message.BackendServer) (*look, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for start, l := range e.looks {
+		if time.Since(l.began) >= lookHolds {
+			delete(e.looks, start)
+		}
+	}
+	start := serverStart{instance: server.Instance, incarnation: server.Incarnation}
+	if l := e.looks[start]; l != nil {
+		return l, false
+	}
+	l := &look{began: time.Now(), done: make(chan struct{})}
+	if e.looks == nil {
+		e.looks = map[serverStart]*look{}
+	}
+	e.looks[start] = l
+	return l, true
+}
+
+// hasEnded reports whether the process of a server whose connection broke has ended.
+//
+// A broken connection alone doesn't tell: answers are lost on sound servers too. A
+// process that has ended refuses connections from that moment until it is started again,
+// which takes seconds; a VM without power, or one that is cut off, does not answer at
+// all.
+func (f *Forwarder) hasEnded(server message.BackendServer) bool {
+	l, mine := f.endings.find(server)
+	if !mine {
+		<-l.done
+		return l.ended
+	}
+	defer close(l.done)
+	for _, pause := range lookAgain {
+		time.Sleep(pause)
+		ctx, cancel := context.WithTimeout(context.Background(), lookWithin)
+		l.ended = f.pool.Refuses(ctx, server.Address)
+		cancel()
+		if l.ended {
+			f.config.Logger.Info("server has ended", "server", server.Instance, "incarnation", server.Incarnation, "address", server.Address)
+			return true
+		}
+	}
+	return false
+}
+
+// brokeUnbegun takes in that a sending broke off before the server had begun to answer.
+func (w *work) brokeUnbegun(server message.BackendServer, err error) {
+	broke, ok := errors.AsType[*backend.Error](err)
+	if !ok || broke.Reason != oriolebend.ReasonOutcomeLost {
+		return // it answered otherwise, the caller left, or nothing was sent
+	}
+	w.f.background.Go(func() { w.f.hasEnded(server) })
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,7 @@
 	addresses map[string]string
 
 	patience patience
+	endings  endings
 
 	background sync.WaitGroup
 }
@@ -213,7 +214,7 @@
 
 // Serve answers one request; it is an http1.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
-	w := &work{f: f, request: r, answer: a}
+	w := &work{f: f, request: r, answer: a, content: contentOf(r)}
 	table := f.table.Load()
 	if table == nil {
 		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -45,6 +45,7 @@
 	counts    *counts
 	log       *recorder
 	servers   []message.BackendServer
+	backends  []*httptest.Server
 }
 
 // newSite declares three routes to the service "s": /safe/ may be repeated,
@@ -92,6 +93,7 @@
 	s.t.Helper()
 	backend := httptest.NewServer(handler)
 	s.t.Cleanup(backend.Close)
+	s.backends = append(s.backends, backend)
 	address := backend.Listener.Addr().String()
 	s.servers = append(s.servers, message.BackendServer{
 		Instance: fmt.Sprintf("i%d", len(s.servers)), Service: "s", Address: address, FailureDomain: domain,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -91,6 +91,7 @@
 	}
 	response, err := s.f.pool.Do(ctx, s.grant.Server.Address, s.outgoing(sending))
 	if err != nil {
+		s.brokeUnbegun(s.grant.Server, err)
 		s.ended(s.grant, outcomeOf(err), 0)
 		s.mayHaveRun(ranOf(err))
 		s.logSending(s.grant, "stream not begun", 0, reasonOf(err), err)
@@ -210,6 +211,9 @@
 	if reason == oriolebend.ReasonOutcomeLost {
 		outcome = dispatch.OutcomeCut
 	}
+	if !s.streaming {
+		s.brokeUnbegun(s.grant.Server, failed)
+	}
 	s.ended(s.grant, outcome, 0)
 	s.logSending(s.grant, "stream broken off", response.Status, reason, failed)
 	return ending{reason: reason}
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -25,6 +25,8 @@
 	service  *oriolebend.RouteService
 	version  uint64
 	deadline time.Time
+	// content is what the request asks for.
+	content content
 	// returned is set if the caller seems to have been refused before.
 	returned bool
 
@@ -203,7 +205,7 @@
 // log writes the one line that tells what became of a request, and why.
 func (w *work) log(status int, reason oriolebend.Reason, ran oriolebend.Ran) {
 	attributes := []slog.Attr{
-		slog.String("request", w.ask.ID), slog.Int("status", status),
+		slog.String("request", w.ask.ID), slog.String("content", w.content.String()), slog.Int("status", status),
 		slog.String("ran", string(ran)), slog.Int("sent", w.sent),
 		slog.Int64("tookMs", time.Since(w.request.Received).Milliseconds()),
 		slog.Int64("withinMs", w.ask.Within.Milliseconds()), slog.Uint64("routing", w.version),
@@ -229,7 +231,8 @@
 // logSending writes a line for a sending that did not bring the answer.
 func (w *work) logSending(g dispatch.Grant, what string, status int, reason oriolebend.Reason, err error) {
 	attributes := []slog.Attr{
-		slog.String("request", w.ask.ID), slog.String("server", g.Server.Instance),
+		slog.String("request", w.ask.ID), slog.String("content", w.content.String()),
+		slog.String("server", g.Server.Instance),
 		slog.String("address", g.Server.Address), slog.String("reason", string(reason)),
 	}
 	if g.Prefill != nil {
