forwarder: a request that waits for memory is refused by its bound, not after it

Cause: the bound of three targets was held against the usual pause of 60 ms, but a late request waits six times as long, up to 540 ms with its spread. Change: the pause is drawn first and the bound held against it, in nextTry. Ruled out: load on the machine; TestNoTryAfterTheBound shows the same without any clock. Only forwarders that find places themselves wait this way.

--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -55,17 +55,24 @@
 // awaitRoom waits until another try for memory is worthwhile; false means that
 // the request has waited for long enough.
 func (w *work) awaitRoom(ctx context.Context, gap time.Duration) bool {
-	age := time.Since(w.request.Received)
-	target := time.Duration(w.route.AnswerWithin)
-	if float64(age+gap) > waitTargets*float64(target) || w.left() < gap {
+	// Forwarders that wait for the same engine must not all ask at once.
+	spread := 0.5 + rand.Float64()
+	gap, worthwhile := nextTry(time.Since(w.request.Received), time.Duration(w.route.AnswerWithin), gap, spread)
+	if !worthwhile || w.left() < gap {
 		return false
 	}
+	return pause.For(ctx, gap)
+}
+
+// nextTry is how long a request of an age waits until its next try, where gap is the
+// usual pause and spread a factor on it. False means that the try would come too late: a
+// request that waits for it anyway is refused up to twice as late as it need be.
+func nextTry(age, target, gap time.Duration, spread float64) (time.Duration, bool) {
 	if age > target {
 		gap = min(lateAsks*gap, lateMost)
 	}
-	// Forwarders that wait for the same engine must not all ask at once.
-	gap = gap/2 + rand.N(gap)
-	return pause.For(ctx, gap)
+	gap = time.Duration(spread * float64(gap))
+	return gap, float64(age+gap) <= waitTargets*float64(target)
 }
 
 // takeHold reserves memory at the grant's server, if its engine takes
