--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,6 +35,8 @@
 	folder  string
 	port    int
 	seeds   []string
+
+	mutex   sync.Mutex
 	control map[string]*ControlProcess
 }
 
@@ -81,13 +86,24 @@
 	p.Settings.Control.DataFolder = filepath.Join(s.folder, ip)
 	c, err := StartControl(p)
 	is.New(s.t).NoErr(err)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.control[ip] = c
 	s.t.Cleanup(func() { _ = c.Kill() })
 	return c
 }
 
+// controls lists the control VMs that run.
+func (s *routeSite) controls() []*ControlProcess {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Values(s.control))
+}
+
 func (s *routeSite) kill(ip string) {
 	s.t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	_ = s.control[ip].Kill() // what a process that dies leaves behind is no matter here
 	delete(s.control, ip)
 }
