--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -54,6 +54,7 @@
 	oriolebend.ReasonAttemptUsed:     {http.StatusBadGateway, "The attempt was let through once already"},
 	oriolebend.ReasonOutdatedOrder:   {http.StatusConflict, "The fencing number is outdated"},
 	oriolebend.ReasonOutcomeLost:     {http.StatusBadGateway, "The outcome of the request is lost"},
+	oriolebend.ReasonCrashesServers:  {http.StatusServiceUnavailable, "Server after server ended under this request"},
 	oriolebend.ReasonRecordsFull:     {http.StatusServiceUnavailable, "The request records are at their bound"},
 	oriolebend.ReasonAnswerNotKept:   {http.StatusGone, "The request was answered and its answer is not kept any more"},
 	oriolebend.ReasonInternal:        {http.StatusInternalServerError, "A fault of the router"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -109,14 +109,14 @@
 	response, err := w.f.pool.Do(ctx, g.Server.Address, request)
 	if err != nil {
 		r.err = err
-		w.brokeUnbegun(g.Server, err)
+		w.brokeEarly(g.Server, err)
 		w.ended(g, outcomeOf(err), 0)
 		return r
 	}
 	r.status, r.header = response.Status, response.Header
 	r.body, r.err = response.Whole(w.f.config.MaxAnswerBytes)
 	if r.err != nil {
-		w.brokeUnbegun(g.Server, r.err)
+		w.brokeEarly(g.Server, r.err)
 		w.ended(g, outcomeOf(r.err), 0)
 		return r
 	}
@@ -176,6 +176,9 @@
 
 // pass gives the caller the server's answer.
 func (w *work) pass(r result) {
+	if r.good() {
+		w.f.config.Quarantine.Answered(w.content)
+	}
 	w.answer.Whole(r.status, r.header, r.body)
 	w.log(r.status, "", oriolebend.RanYes)
 	w.f.config.Observer.Observe("answer", urgency(w.route), time.Since(w.request.Received).Seconds())
--- a/internal/forwarder/ended.go
+++ b/internal/forwarder/ended.go
@@ -89,11 +89,20 @@
 	return false
 }
 
-// brokeUnbegun takes in that a sending broke off before the server had begun to answer.
-func (w *work) brokeUnbegun(server message.BackendServer, err error) {
+// justBegun is how long after its first event a stream counts as just begun: a server that
+// ends so soon may have ended because of it. Streams that are ended by others last longer.
+const justBegun = 500 * time.Millisecond
+
+// brokeEarly takes in that a sending broke off when the server had not begun to answer, or
+// just so.
+func (w *work) brokeEarly(server message.BackendServer, err error) {
 	broke, ok := errors.AsType[*backend.Error](err)
 	if !ok || broke.Reason != oriolebend.ReasonOutcomeLost {
 		return // it answered otherwise, the caller left, or nothing was sent
 	}
-	w.f.background.Go(func() { w.f.hasEnded(server) })
+	w.f.background.Go(func() {
+		if w.f.hasEnded(server) {
+			w.f.config.Quarantine.Crashed(w.content, server)
+		}
+	})
 }
--- a/internal/forwarder/ended_test.go
+++ b/internal/forwarder/ended_test.go
@@ -1,19 +1,44 @@
 package forwarder
 
 import (
+	"maps"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// crash ends the connection and has the server refuse others, as a process that ends.
-func (s *site) crash(index int) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		_ = s.backends[index].Listener.Close()
+// crasher adds a server that ends, as a process does, once it has done something for a
+// request: it breaks the connection and refuses others.
+func (s *site) crasher(role oriolebend.PoolRole, first http.HandlerFunc) {
+	s.t.Helper()
+	var backend atomic.Pointer[httptest.Server]
+	s.server("a", role, func(w http.ResponseWriter, r *http.Request) {
+		first(w, r)
+		_ = backend.Load().Listener.Close()
 		abort(w, r)
+	})
+	backend.Store(s.backends[len(s.backends)-1])
+}
+
+// looked waits until the servers whose connections broke were looked at.
+func (s *site) looked() {
+	const begun = 20 * time.Millisecond // until a look has begun, or its end is taken in
+	time.Sleep(begun)
+	s.forwarder.endings.mutex.Lock()
+	looks := slices.Collect(maps.Values(s.forwarder.endings.looks))
+	s.forwarder.endings.mutex.Unlock()
+	for _, l := range looks {
+		<-l.done
 	}
+	time.Sleep(begun)
 }
 
 // Symptom: on call one can't tell a server that crashed from a connection that broke.
@@ -32,14 +57,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newSite(t, 0)
-			handler := http.HandlerFunc(abort)
 			if test.ended {
-				handler = s.crash(0)
+				s.crasher("", func(http.ResponseWriter, *http.Request) {})
+			} else {
+				s.server("a", "", abort)
 			}
-			s.server("a", "", handler)
 			status, _, _ := s.ask(test.path, nil)
 			is.Equal(status, http.StatusBadGateway)
-			s.forwarder.Wait()
+			s.looked()
 			is.Equal(strings.Contains(s.log.String(), "server has ended"), test.ended)
 		})
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
@@ -36,6 +37,9 @@
 	// Places gives places at model engines; nil has the forwarder look for them
 	// itself.
 	Places Places
+	// Quarantine knows the requests that crash servers; nil has the forwarder keep one
+	// for itself.
+	Quarantine *quarantine.Store
 	// MaxAnswerBytes bounds the answers of plain calls, which are held whole;
 	// zero means 16 MiB.
 	MaxAnswerBytes int64
@@ -69,6 +73,9 @@
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
+	if c.Quarantine == nil {
+		c.Quarantine = quarantine.New(quarantine.Config{Sends: true, Logger: c.Logger})
+	}
 	return &Forwarder{
 		config:    c,
 		pool:      backend.NewPool(c.Pool),
@@ -237,6 +244,10 @@
 		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryUnready})
 		return
 	}
+	if left, held := f.config.Quarantine.Held(w.content); held {
+		w.refuse(refusal{reason: oriolebend.ReasonCrashesServers, after: left})
+		return
+	}
 	within := time.Duration(w.route.Timeout)
 	if ask.Within > 0 {
 		within = min(within, ask.Within)
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -131,7 +131,7 @@
 	})
 	if err != nil {
 		s.logSending(s.grant, "prefill brought no result", 0, reasonOf(err), err)
-		s.brokeUnbegun(engine, err)
+		s.brokeEarly(engine, err)
 		return nil, err
 	}
 	s.f.reduce(dispatch.Read{Need: s.expectedNeed(), Took: took, Ahead: s.grant.Ahead})
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -34,7 +35,7 @@
 		}
 		after = s.after
 		if !w.mayGoOn(ctx) {
-			w.giveUp(ctx, end.reason, retryRefused)
+			w.giveUp(ctx, end.reason, cmp.Or(end.after, retryRefused))
 			return
 		}
 		w.f.config.Observer.Count("retry", end.reason, "")
@@ -49,8 +50,9 @@
 	hold string
 	// after is the last event that the caller was given.
 	after string
-	// streaming is set from the first event.
+	// streaming is set from the first event, which came at begun.
 	streaming bool
+	begun     time.Time
 }
 
 // ending is how a sending ended: done if the caller has its whole answer, or
@@ -60,28 +62,40 @@
 	reason oriolebend.Reason
 	// unsent is set if its server was sent nothing: another one can be.
 	unsent bool
+	// after is when the caller may come back, if the request is given up; zero means soon.
+	after time.Duration
 }
 
 // run carries one sending out.
 func (s *sending) run(ctx context.Context) ending {
 	s.placed = time.Since(s.request.Received)
+	if left, held := s.f.config.Quarantine.Held(s.content); held {
+		s.unusedPrefill()
+		return s.giveBack(nil, ending{reason: oriolebend.ReasonCrashesServers, after: left, unsent: true})
+	}
 	source, err := s.prefill(ctx)
 	s.read = time.Since(s.request.Received)
 	if err != nil && ctx.Err() != nil {
-		s.dropHold()
-		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
-		return ending{reason: backend.ReasonOfEnd(ctx)}
+		return s.giveBack(nil, ending{reason: backend.ReasonOfEnd(ctx)})
+	}
+	if left, held := s.f.config.Quarantine.Held(s.content); held {
+		return s.giveBack(source, ending{reason: oriolebend.ReasonCrashesServers, after: left, unsent: true})
 	}
 	if !s.f.mayStillSend(s.grant) {
 		s.logSending(s.grant, "server left while the prompt was read", 0, oriolebend.ReasonLeaving, nil)
-		s.dropHold()
-		s.freeResult(source)
-		s.ended(s.grant, dispatch.OutcomeCancelled, 0)
-		return ending{reason: oriolebend.ReasonLeaving, unsent: true}
+		return s.giveBack(source, ending{reason: oriolebend.ReasonLeaving, unsent: true})
 	}
 	return s.decode(ctx, source)
 }
 
+// giveBack gives back what was taken for a sending that is not made.
+func (s *sending) giveBack(source *PrefillResult, end ending) ending {
+	s.dropHold()
+	s.freeResult(source)
+	s.ended(s.grant, dispatch.OutcomeCancelled, 0)
+	return end
+}
+
 // decode sends the request to the grant's server; source names the KV cache to
 // fetch, nil has the server compute it.
 func (s *sending) decode(ctx context.Context, source *PrefillResult) ending {
@@ -91,7 +105,7 @@
 	}
 	response, err := s.f.pool.Do(ctx, s.grant.Server.Address, s.outgoing(sending))
 	if err != nil {
-		s.brokeUnbegun(s.grant.Server, err)
+		s.brokeEarly(s.grant.Server, err)
 		s.ended(s.grant, outcomeOf(err), 0)
 		s.mayHaveRun(ranOf(err))
 		s.logSending(s.grant, "stream not begun", 0, reasonOf(err), err)
@@ -155,7 +169,7 @@
 			return s.pumpEnded(response, err)
 		}
 		if !s.streaming {
-			s.streaming = true
+			s.streaming, s.begun = true, last
 			s.readHere()
 			s.first = time.Since(s.request.Received)
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
@@ -199,6 +213,7 @@
 		}
 		s.answer.End()
 		if s.streaming {
+			s.f.config.Quarantine.Answered(s.content)
 			s.f.reduce(dispatch.Written{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first})
 		}
 		s.ended(s.grant, dispatch.OutcomeAnswered, 0)
@@ -211,8 +226,8 @@
 	if reason == oriolebend.ReasonOutcomeLost {
 		outcome = dispatch.OutcomeCut
 	}
-	if !s.streaming {
-		s.brokeUnbegun(s.grant.Server, failed)
+	if !s.streaming || time.Since(s.begun) < justBegun {
+		s.brokeEarly(s.grant.Server, failed)
 	}
 	s.ended(s.grant, outcome, 0)
 	s.logSending(s.grant, "stream broken off", response.Status, reason, failed)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -11,6 +11,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/http1"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -26,7 +27,7 @@
 	version  uint64
 	deadline time.Time
 	// content is what the request asks for.
-	content content
+	content quarantine.Content
 	// returned is set if the caller seems to have been refused before.
 	returned bool
 
@@ -77,12 +78,16 @@
 func (w *work) left() time.Duration { return time.Until(w.deadline) }
 
 // mayGoOn reports whether another sending is allowed at all: the operator's
-// bound, the caller's time, and the repeat rule of the route.
+// bound, the caller's time, the repeat rule of the route, and what the request did to
+// servers before.
 func (w *work) mayGoOn(ctx context.Context) bool {
 	const worthwhile = 5 * time.Millisecond
 	if ctx.Err() != nil || w.sent >= max(1, w.route.Attempts) || w.left() < worthwhile {
 		return false
 	}
+	if _, held := w.f.config.Quarantine.Held(w.content); held {
+		return false
+	}
 	return w.notRun() || w.route.Repeat.Repeatable()
 }
 
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -89,6 +89,8 @@
 	Version uint64 `cbor:"version"`
 	// Incarnation numbers the forwarder's start.
 	Incarnation uint64 `cbor:"incarnation"`
+	// Listen is where other forwarders reach a forwarder.
+	Listen string `cbor:"listen,omitempty"`
 }
 
 // RouteUpdate tells what has changed since the last one on the stream. The
@@ -115,6 +117,11 @@
 	// Confirmed is set if a quorum confirmed a short time ago that no newer
 	// routing was accepted.
 	Confirmed bool `cbor:"confirmed,omitempty"`
+	// Peers are some other forwarders, if they changed: whom to tell what can't wait
+	// while no control VM is reached.
+	Peers []string `cbor:"peers,omitempty"`
+	// Reports are of requests under which several servers ended.
+	Reports []CrashReport `cbor:"reports,omitempty"`
 }
 
 // RouteHeard tells that an update has been taken in.
--- /dev/null
+++ b/internal/quarantine/store.go
@@ -0,0 +1,139 @@
+// Package quarantine keeps one process's part of what is known of requests that crash
+// servers, for several goroutines.
+package quarantine
+
+import (
+	"cmp"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/quarantine"
+)
+
+// tickEvery is how often what has become too old is looked for; it may be kept for that
+// much longer.
+const tickEvery = time.Minute
+
+// Content identifies what a request asks for, whoever carries it.
+type Content = quarantine.Content
+
+// Limit is under how many ends of servers a request is held.
+const Limit = quarantine.Limit
+
+// Config sets up a Store.
+type Config struct {
+	// Sends is set in processes that send requests to servers: these hear of answers, tell
+	// each end of a server, and log what they hold back. Others tell what several of them
+	// have found.
+	Sends bool
+	// Tell passes reports on to other processes; it must not block. Nil tells nobody.
+	Tell   func([]message.CrashReport)
+	Logger *slog.Logger
+}
+
+// Store is the quarantine of one process.
+type Store struct {
+	config Config
+	start  time.Time
+
+	mutex  sync.Mutex
+	state  *quarantine.State
+	ticked time.Time
+}
+
+// New returns a store that knows nothing.
+func New(c Config) *Store {
+	c.Logger = cmp.Or(c.Logger, slog.New(slog.DiscardHandler))
+	now := time.Now()
+	state := quarantine.Config{TellFrom: quarantine.Limit}
+	if c.Sends {
+		state = quarantine.Config{TellFrom: 1, Answers: true, Spread: mostSpread * rand.Float64()}
+	}
+	return &Store{config: c, start: now, state: quarantine.New(state), ticked: now}
+}
+
+// now is a time on the steady clock: the time of day can jump, and a hold must not.
+func (s *Store) now() time.Time { return s.start.Add(time.Since(s.start)) }
+
+// mostSpread is by which part holds differ between processes at most: with a first hold of
+// ten minutes five minutes, so that hardly two of some hundred forwarders let a request
+// through before the first has told what it did.
+const mostSpread = 0.5
+
+// Crashed notes that a server has ended while it began to work on a request.
+func (s *Store) Crashed(content Content, server message.BackendServer) {
+	s.reduce(quarantine.Crashed{
+		At: s.now(), Content: content, Server: quarantine.Start{Instance: server.Instance, Incarnation: server.Incarnation},
+	})
+}
+
+// Answered notes that a server has answered a request to its end.
+func (s *Store) Answered(content Content) {
+	s.reduce(quarantine.Answered{At: s.now(), Content: content})
+}
+
+// Heard takes in what another process knows; pass has it told on.
+func (s *Store) Heard(reports []message.CrashReport, pass bool) {
+	s.reduce(quarantine.Heard{At: s.now(), Reports: reports, Pass: pass})
+}
+
+// Held is for how much longer a request is not sent to servers; false means that it may
+// be sent.
+func (s *Store) Held(content Content) (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Held(s.now(), content)
+}
+
+// Reports lists what was told so far, for a process that has just been found.
+func (s *Store) Reports() []message.CrashReport {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Reports(s.now())
+}
+
+// Reported counts the requests under which servers ended, and those that are held.
+func (s *Store) Reported() (reported, held int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Reported(s.now())
+}
+
+func (s *Store) reduce(e quarantine.Event) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	state := &reducer.State{Quarantine: s.state}
+	effects := reducer.Reduce(state, e)
+	if now := s.now(); now.Sub(s.ticked) >= tickEvery {
+		s.ticked = now
+		effects = append(effects, reducer.Reduce(state, quarantine.Ticked{At: now})...)
+	}
+	for _, effect := range effects {
+		s.carryOut(effect)
+	}
+}
+
+// carryOut does what the reducer asks for. The mutex is held.
+func (s *Store) carryOut(effect reducer.Effect) {
+	switch e := effect.(type) {
+	case quarantine.Tell:
+		if s.config.Tell != nil {
+			s.config.Tell(e.Reports)
+		}
+	case quarantine.Held:
+		if !s.config.Sends {
+			return
+		}
+		s.config.Logger.Warn("request held back, servers ended under it",
+			"content", e.Content.String(), "servers", e.Servers, "forMs", e.For.Milliseconds())
+	case quarantine.Released:
+		if !s.config.Sends {
+			return
+		}
+		s.config.Logger.Info("request not held back any more, a server answered it", "content", e.Content.String())
+	}
+}
--- /dev/null
+++ b/internal/reducer/quarantine/event.go
@@ -0,0 +1,66 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// Event changes a State.
+type Event interface{ isQuarantineEvent() }
+
+// Crashed tells that a server has ended while it began to work on a request.
+type Crashed struct {
+	At      time.Time
+	Content Content
+	Server  Start
+}
+
+// Answered tells that a server has answered a request to its end.
+type Answered struct {
+	At      time.Time
+	Content Content
+}
+
+// Heard tells what another process knows.
+type Heard struct {
+	At      time.Time
+	Reports []message.CrashReport
+	// Pass is set if what is new here is to be told on: who told it has not told
+	// everybody.
+	Pass bool
+}
+
+// Ticked passes time.
+type Ticked struct{ At time.Time }
+
+func (Crashed) isQuarantineEvent() {}
+
+func (Answered) isQuarantineEvent() {}
+
+func (Heard) isQuarantineEvent() {}
+
+func (Ticked) isQuarantineEvent() {}
+
+// Effect is what the caller of Reduce has to do.
+type Effect interface{ isQuarantineEffect() }
+
+// Tell asks to tell other processes.
+type Tell struct{ Reports []message.CrashReport }
+
+// Held says that a request is not sent to servers any more.
+type Held struct {
+	Content Content
+	// Servers are the instances that ended under it.
+	Servers []string
+	For     time.Duration
+}
+
+// Released says that a request is sent to servers again, as one has answered it.
+type Released struct{ Content Content }
+
+func (Tell) isQuarantineEffect() {}
+
+func (Held) isQuarantineEffect() {}
+
+func (Released) isQuarantineEffect() {}
--- /dev/null
+++ b/internal/reducer/quarantine/script_test.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// scriptStart is when scripts begin.
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// script is processes that tell each other.
+type script struct {
+	now       time.Time
+	processes map[string]*State
+	contents  []string
+}
+
+// TestScripts runs the files of testdata/scripts. Each line of a block "run" is an event:
+//
+//	forwarder NAME | control NAME	a process that knows nothing
+//	crash NAME REQUEST INSTANCE[@N]	a server ended while it began to work on a request
+//	answer NAME REQUEST	a server answered it
+//	tell NAME REPORTER	a process hears all that another one tells
+//	pass FOR	time passes
+//	ask NAME REQUEST	prints whether the request is held, and for how long
+//
+// The effects are printed behind the name of the process.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{now: scriptStart, processes: map[string]*State{}}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				s.step(t, strings.Fields(line), &out)
+			}
+			return out.String()
+		})
+	})
+}
+
+func (s *script) step(t *testing.T, words []string, out *strings.Builder) {
+	t.Helper()
+	switch words[0] {
+	case "forwarder":
+		s.processes[words[1]] = New(Config{Answers: true})
+	case "control":
+		s.processes[words[1]] = New(Config{TellFrom: Limit})
+	case "pass":
+		length, err := time.ParseDuration(words[1])
+		is.New(t).NoErr(err)
+		s.now = s.now.Add(length)
+		for _, process := range s.processes {
+			Reduce(process, Ticked{At: s.now})
+		}
+	case "crash":
+		instance, incarnation, _ := strings.Cut(words[3], "@")
+		start := Start{Instance: instance, Incarnation: uint64(len(incarnation))}
+		s.show(words[1], out, Reduce(s.processes[words[1]], Crashed{At: s.now, Content: s.content(words[2]), Server: start}))
+	case "answer":
+		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Content: s.content(words[2])}))
+	case "tell":
+		reports := s.processes[words[2]].Reports(s.now)
+		s.show(words[1], out, Reduce(s.processes[words[1]], Heard{At: s.now, Reports: reports, Pass: true}))
+	case "ask":
+		left, held := s.processes[words[1]].Held(s.now, s.content(words[2]))
+		if !held {
+			left = 0
+		}
+		fmt.Fprintf(out, "%s: %s held %v %s\n", words[1], words[2], held, left)
+	default:
+		t.Fatalf("unknown event %q", words[0])
+	}
+}
+
+// content is the number of a request's name, counted from 1.
+func (s *script) content(name string) Content {
+	if !slices.Contains(s.contents, name) {
+		s.contents = append(s.contents, name)
+	}
+	return Content(slices.Index(s.contents, name) + 1)
+}
+
+func (s *script) show(process string, out *strings.Builder, effects []Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Tell:
+			fmt.Fprintf(out, "%s: tell %s\n", process, s.text(e.Reports))
+		case Held:
+			fmt.Fprintf(out, "%s: hold %s for %s, ended: %s\n", process, s.contents[e.Content-1], e.For, strings.Join(e.Servers, " "))
+		case Released:
+			fmt.Fprintf(out, "%s: release %s\n", process, s.contents[e.Content-1])
+		}
+	}
+}
+
+func (s *script) text(reports []message.CrashReport) string {
+	var words []string
+	for _, m := range reports {
+		word := s.contents[m.Content-1] + "/" + m.Instance
+		if m.Refuted {
+			word += "(refuted)"
+		}
+		words = append(words, word)
+	}
+	return strings.Join(words, " ")
+}
+
+// Symptom: a process that gives out grows until it is ended for its memory. Sequence: a
+// failure domain is lost, and ten thousand requests are reported. Cause: a table without a
+// bound. Those that several servers ended under are kept before others.
+func TestReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Answers: true})
+	for i := range 2 * Limit {
+		Reduce(s, Crashed{At: scriptStart, Content: 1, Server: Start{Instance: fmt.Sprint(i)}})
+	}
+	for i := range 4 * mostRequests {
+		Reduce(s, Crashed{At: scriptStart.Add(time.Duration(i)), Content: Content(2 + i), Server: Start{Instance: "a"}})
+	}
+	reported, held := s.Reported(scriptStart)
+	is.True(reported <= mostRequests)
+	is.True(reported >= mostRequests/2)
+	is.Equal(held, 1)
+	for i := range 4 * mostReports {
+		Reduce(s, Crashed{At: scriptStart, Content: 1, Server: Start{Instance: "b", Incarnation: uint64(i)}})
+	}
+	is.Equal(len(s.requests[1].reports), mostReports)
+}
+
+// Processes that hear the same reports know the same, in whatever order and however often
+// they hear them.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	var reports []message.CrashReport
+	for i := range 4 {
+		reports = append(reports, message.CrashReport{
+			Content: 1, Instance: fmt.Sprint(i), Age: time.Duration(i) * time.Minute, Refuted: i == 3,
+		})
+	}
+	var want []message.CrashReport
+	for shift := range reports {
+		s := New(Config{})
+		for i := range 2 * len(reports) {
+			Reduce(s, Heard{At: scriptStart, Reports: reports[(i+shift)%len(reports):][:1], Pass: true})
+		}
+		if want == nil {
+			want = s.Reports(scriptStart)
+		}
+		is.Equal(s.Reports(scriptStart), want)
+		_, held := s.Held(scriptStart, 1)
+		is.True(held)
+	}
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -16,6 +16,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/order"
 	"github.com/oriolebend/oriolebend/internal/reducer/placement"
 	"github.com/oriolebend/oriolebend/internal/reducer/pools"
+	"github.com/oriolebend/oriolebend/internal/reducer/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
@@ -28,17 +29,18 @@
 
 // State holds the parts that a process runs; the others are nil.
 type State struct {
-	Agreement *agreement.State
-	Dispatch  *dispatch.State
-	Entry     *entry.State
-	Follow    *follow.State
-	Gate      *gate.State
-	Member    *member.State
-	Order     *order.State
-	Placement *placement.State
-	Pools     *pools.State
-	Recovery  *recovery.State
-	Registry  *registry.State
+	Agreement  *agreement.State
+	Dispatch   *dispatch.State
+	Entry      *entry.State
+	Follow     *follow.State
+	Gate       *gate.State
+	Member     *member.State
+	Order      *order.State
+	Placement  *placement.State
+	Pools      *pools.State
+	Quarantine *quarantine.State
+	Recovery   *recovery.State
+	Registry   *registry.State
 }
 
 // UnknownEventError is an event that belongs to no part. It is a mistake in
@@ -73,6 +75,8 @@
 		return effects(placement.Reduce(s.Placement, e))
 	case pools.Event:
 		return effects(pools.Reduce(s.Pools, e))
+	case quarantine.Event:
+		return effects(quarantine.Reduce(s.Quarantine, e))
 	case registry.Event:
 		return effects(registry.Reduce(s.Registry, e))
 	case recovery.Event:
--- a/internal/requestlog/life_test.go
+++ b/internal/requestlog/life_test.go
@@ -75,7 +75,7 @@
 // with has its words.
 func TestEveryReasonOfAForwarderIsExplained(t *testing.T) {
 	for _, reason := range []oriolebend.Reason{
-		oriolebend.ReasonCallerCancelled, oriolebend.ReasonControlAway, oriolebend.ReasonDeadline,
+		oriolebend.ReasonCallerCancelled, oriolebend.ReasonControlAway, oriolebend.ReasonCrashesServers, oriolebend.ReasonDeadline,
 		oriolebend.ReasonEngineFailed, oriolebend.ReasonInternal, oriolebend.ReasonMalformed,
 		oriolebend.ReasonNoMemory, oriolebend.ReasonNoServer, oriolebend.ReasonOutcomeLost,
 		oriolebend.ReasonQueueFull, oriolebend.ReasonResultExpired, oriolebend.ReasonRetryBudget,
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -12,6 +12,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
@@ -42,6 +43,7 @@
 	pools     *PoolKeeper
 	placer    *Placer
 	observer  *RouteFollower
+	crashes   *quarantine.Store
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
 	done  chan struct{}
@@ -99,8 +101,12 @@
 		message.KindWatch:      func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
 		message.KindRouteWatch: func(ctx context.Context, s peer.Stream) { <-ready; c.routes.Serve(ctx, s) },
 		message.KindPlaceOpen:  func(ctx context.Context, s peer.Stream) { <-ready; c.placer.Serve(ctx, s) },
-		message.KindJoin:       func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
-		message.KindConfirm:    func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
+		message.KindCrashReports: func(ctx context.Context, s peer.Stream) {
+			<-ready
+			takeCrashReports(c.crashes)(ctx, s)
+		},
+		message.KindJoin:    func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
+		message.KindConfirm: func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
 	for _, kind := range message.AgreementKinds() {
 		handlers[kind] = agreement
@@ -160,6 +166,9 @@
 	c.watches = &WatchServer{Store: store, Confirmer: c.confirmer, Reached: reached, Logger: p.Logger}
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
+	c.crashes = quarantine.New(quarantine.Config{
+		Tell: func(reports []message.CrashReport) { c.routes.TellReports(reports) }, Logger: p.Logger,
+	})
 	c.routes = &RouteServer{
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
@@ -174,6 +183,7 @@
 			return address
 		},
 		InTouch: func() bool { return c.LeaderIP() != "" },
+		Reports: c.crashes.Reports,
 		Logger:  p.Logger,
 	}
 	c.routes.Prepare()
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -119,8 +119,9 @@
 			Node: name, FailureDomain: p.Settings.Node.FailureDomain,
 			Observes: true, Address: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
 		},
-		Sink:   sinks,
-		Logger: p.Logger,
+		Sink:    sinks,
+		Reports: func(reports []message.CrashReport) { c.crashes.Heard(reports, true) },
+		Logger:  p.Logger,
 	}
 }
 
--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -24,6 +24,9 @@
 	// how often it may be sent later than crashSettle after the last of these.
 	crashLimit  = 3
 	crashSettle = 3 * time.Second
+	// crashKnown is how long after the third end every forwarder may take to know it: a
+	// third of crashSettle, so that the bound also holds where one telling is lost.
+	crashKnown = crashSettle / 3
 	// crashing is the body of the request that crashes servers.
 	crashing = "crashing"
 	// backAfter is how long a server is away that has crashed.
@@ -128,12 +131,12 @@
 	}
 }
 
-// later counts the sendings of the request later than crashSettle after the third crash.
-func (f *fragileFleet) later() (all, later int) {
+// later counts the ends of servers, and those later than a time after the third.
+func (f *fragileFleet) later(than time.Duration) (all, later int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for i, at := range f.crashes {
-		if i >= crashLimit && at.Sub(f.crashes[crashLimit-1]) > crashSettle {
+		if i >= crashLimit && at.Sub(f.crashes[crashLimit-1]) > than {
 			later++
 		}
 	}
@@ -254,10 +257,12 @@
 	is := is.New(t)
 	var load crashingLoad
 	load.run(t.Context(), forwarders, crashSettle+4*time.Second)
-	all, later := fleet.later()
+	all, later := fleet.later(crashSettle)
+	_, unknown := fleet.later(crashKnown)
 	t.Logf("%d servers ended, %d of them late; of others' requests %d were answered, %d lost, %d shut out",
 		all, later, load.answered.Load(), load.lost.Load(), load.shutOut.Load())
 	is.True(all >= crashLimit)              // the request did end servers
 	is.True(later <= crashLimit)            // and was sent no more soon
+	is.Equal(unknown, 0)                    // all forwarders know it well before that
 	is.Equal(load.shutOut.Load(), int32(0)) // others are not shut out with it
 }
--- /dev/null
+++ b/internal/role/crashnews_test.go
@@ -0,0 +1,121 @@
+package role
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer/peertest"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
+)
+
+// crashNode is one forwarder that tells others under which requests servers ended.
+type crashNode struct {
+	store *quarantine.Store
+	news  *CrashNews
+}
+
+// newCrashNode starts a forwarder at an address that reaches the control VMs and the peers
+// given.
+func newCrashNode(ctx context.Context, network *peertest.Network, address string, controls, peers func() []string) *crashNode {
+	n := &crashNode{news: &CrashNews{
+		Dialer: network.Dialer(address), Controls: controls, Peers: peers, Logger: slog.New(slog.DiscardHandler),
+	}}
+	n.news.Prepare()
+	n.store = quarantine.New(quarantine.Config{Sends: true, Tell: n.news.Tell})
+	network.Listen(ctx, address, address, takeCrashReports(n.store))
+	go n.news.Run(ctx)
+	return n
+}
+
+func nobody() []string { return nil }
+
+func (n *crashNode) held() bool {
+	_, held := n.store.Held(1)
+	return held
+}
+
+// Symptom: a request ends servers again after it has become known, while no control VM is
+// reached. Sequence: three of forty forwarders have seen it end one server each; each
+// forwarder knows five others. Cause: news that stop at those who heard it first.
+func TestCrashNewsWithoutControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		network := peertest.NewNetwork(1)
+		const count = 40
+		var addresses []string
+		for i := range count {
+			addresses = append(addresses, fmt.Sprintf("f%d:1", i))
+		}
+		var nodes []*crashNode
+		for i, address := range addresses {
+			others := append(append([]string{}, addresses[:i]...), addresses[i+1:]...)
+			peers := nearest(address, others, peersEach)
+			nodes = append(nodes, newCrashNode(ctx, network, address, nobody, func() []string { return peers }))
+		}
+		for i := range quarantine.Limit {
+			nodes[i*10].store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)})
+		}
+		time.Sleep(crashKnown)
+		synctest.Wait()
+		for _, n := range nodes {
+			is.True(n.held())
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: one forwarder goes on sending a request that crashes servers. Sequence: the
+// control VMs that its ends are told to are lost at that moment; they are believed to be
+// reached until they have been silent for a while. Cause: a telling that is not repeated.
+func TestCrashNewsWhileControlIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		network := peertest.NewNetwork(1)
+		var controls atomic.Pointer[[]string]
+		controls.Store(&[]string{"lost-1:1", "lost-2:1", "lost-3:1"})
+		first := newCrashNode(ctx, network, "first:1",
+			func() []string { return *controls.Load() }, func() []string { return []string{"second:1"} })
+		second := newCrashNode(ctx, network, "second:1", nobody, nobody)
+		for i := range quarantine.Limit {
+			first.store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)})
+		}
+		is.True(first.held())
+		time.Sleep(crashAgain / 2)
+		controls.Store(&[]string{}) // now it shows
+		time.Sleep(crashSettle - crashAgain/2)
+		synctest.Wait()
+		is.True(second.held())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: a link of 10 Mbit/s is full after a failure domain was lost. Sequence: servers
+// end with thousands of requests; each is reported. Cause: reports that are told to
+// everybody. A control VM tells on only those of several servers.
+func TestControlTellsOnlyWhatSeveralServersEndedUnder(t *testing.T) {
+	is := is.New(t)
+	told := 0
+	store := quarantine.New(quarantine.Config{Tell: func(reports []message.CrashReport) { told += len(reports) }})
+	var reports []message.CrashReport
+	for i := range 1000 {
+		reports = append(reports, message.CrashReport{Content: uint64(i + 10), Instance: fmt.Sprint(i % 40)})
+	}
+	for i := range quarantine.Limit {
+		reports = append(reports, message.CrashReport{Content: 1, Instance: fmt.Sprint(i)})
+	}
+	store.Heard(reports, true)
+	is.Equal(told, quarantine.Limit)
+	is.Equal(len(store.Reports()), quarantine.Limit) // and to those who come later
+}
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -12,6 +12,7 @@
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/settings"
 )
@@ -33,6 +34,8 @@
 	forwarder *forwarder.Forwarder
 	follower  *RouteFollower
 	places    *PlaceClient
+	crashes   *quarantine.Store
+	news      *CrashNews
 	callers   *http1.Server
 	metrics   *httpServer
 	stopping  chan struct{}
@@ -45,31 +48,42 @@
 func StartForwarder(p Process, dialect forwarder.Dialect) (*ForwarderProcess, error) {
 	p = p.withMetrics(peer.RoleForwarder)
 	process := &ForwarderProcess{process: p, stopping: make(chan struct{}), done: make(chan struct{})}
-	endpoint, err := p.listen(nil)
+	process.news = &CrashNews{
+		Controls: func() []string { return process.follower.Open() },
+		Peers:    func() []string { return process.follower.Peers() },
+		Logger:   p.Logger,
+	}
+	process.news.Prepare()
+	process.crashes = quarantine.New(quarantine.Config{Sends: true, Tell: process.news.Tell, Logger: p.Logger})
+	endpoint, err := p.listen(map[message.Kind]peer.Handler{message.KindCrashReports: takeCrashReports(process.crashes)})
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	process.endpoint = endpoint
+	process.endpoint, process.news.Dialer = endpoint, endpoint
 	process.places = &PlaceClient{
 		Node: p.Settings.Node.Name, Dialer: endpoint, Logger: p.Logger,
 		Leader: func() string { return process.follower.Leader() },
 	}
 	process.places.Prepare()
 	process.forwarder = forwarder.New(forwarder.Config{
-		Dialect:  dialect,
-		Dispatch: dispatchConfig(p.Settings),
-		Places:   process.places,
-		Observer: p.observer(),
-		Logger:   p.Logger,
+		Dialect:    dialect,
+		Dispatch:   dispatchConfig(p.Settings),
+		Places:     process.places,
+		Quarantine: process.crashes,
+		Observer:   p.observer(),
+		Logger:     p.Logger,
 	})
 	process.follower = &RouteFollower{
 		Dialer: endpoint,
 		Seeds:  p.controlAddresses(),
 		Watch: message.RouteWatch{
 			Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Incarnation: newIncarnation(),
+			Listen: p.Settings.Peer.Listen,
 		},
-		Sink:   process.forwarder,
-		Logger: p.Logger,
+		Sink:    process.forwarder,
+		Reports: func(reports []message.CrashReport) { process.crashes.Heard(reports, false) },
+		Found:   func(address string) { process.news.TellOne(address, process.crashes.Reports()) },
+		Logger:  p.Logger,
 	}
 	if err := process.serve(); err != nil {
 		return nil, errors.Join(err, endpoint.Close())
@@ -81,6 +95,7 @@
 		defer close(process.done)
 		var running sync.WaitGroup
 		running.Go(func() { process.places.Run(ctx) })
+		running.Go(func() { process.news.Run(ctx) })
 		process.follower.Run(ctx)
 		running.Wait()
 	}()
@@ -126,6 +141,14 @@
 	gauge("control_links", "Control VMs that are watched.", func() float64 { return float64(p.follower.Links()) })
 	gauge("requests_in_progress", "Requests that are read and not answered.", func() float64 { return float64(p.callers.Active()) })
 	gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(p.callers.Connections()) })
+	gauge("requests_crash_reported", "Requests under which servers ended, as far as known here.", func() float64 {
+		reported, _ := p.crashes.Reported()
+		return float64(reported)
+	})
+	gauge("requests_held", "Requests that are not sent to servers, as several ended under them.", func() float64 {
+		_, held := p.crashes.Reported()
+		return float64(held)
+	})
 	gauge("server_connections_opened", "Connections to backend servers opened so far.", func() float64 { return float64(p.forwarder.Dialled()) })
 }
 
--- a/internal/role/permission.go
+++ b/internal/role/permission.go
@@ -29,20 +29,21 @@
 // vote in the control VMs' elections.
 var openers = func() map[message.Kind][]string {
 	allowed := map[message.Kind][]string{
-		message.KindReserve:     {peer.RoleEntry},
-		message.KindStatusQuery: {peer.RoleEntry, peer.RoleControl},
-		message.KindFollow:      {peer.RoleEntry},
-		message.KindClaim:       {peer.RoleEntry},
-		message.KindSettle:      {peer.RoleEntry},
-		message.KindQuery:       {peer.RoleEntry},
-		message.KindRenew:       {peer.RoleEntry},
-		message.KindAnnounce:    {peer.RoleSidecar},
-		message.KindPermit:      {peer.RoleSidecar},
-		message.KindWatch:       {peer.RoleEntry, peer.RoleSidecar},
-		message.KindConfirm:     {peer.RoleControl},
-		message.KindRouteWatch:  {peer.RoleForwarder, peer.RoleControl},
-		message.KindPlaceOpen:   {peer.RoleForwarder},
-		message.KindJoin:        {peer.RoleControl},
+		message.KindReserve:      {peer.RoleEntry},
+		message.KindStatusQuery:  {peer.RoleEntry, peer.RoleControl},
+		message.KindFollow:       {peer.RoleEntry},
+		message.KindClaim:        {peer.RoleEntry},
+		message.KindSettle:       {peer.RoleEntry},
+		message.KindQuery:        {peer.RoleEntry},
+		message.KindRenew:        {peer.RoleEntry},
+		message.KindAnnounce:     {peer.RoleSidecar},
+		message.KindPermit:       {peer.RoleSidecar},
+		message.KindWatch:        {peer.RoleEntry, peer.RoleSidecar},
+		message.KindConfirm:      {peer.RoleControl},
+		message.KindRouteWatch:   {peer.RoleForwarder, peer.RoleControl},
+		message.KindPlaceOpen:    {peer.RoleForwarder},
+		message.KindCrashReports: {peer.RoleForwarder},
+		message.KindJoin:         {peer.RoleControl},
 	}
 	for _, kind := range message.AgreementKinds() {
 		allowed[kind] = []string{peer.RoleControl}
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/settings"
@@ -31,16 +32,22 @@
 func StartRelay(p Process) (*RelayProcess, error) {
 	p = p.withMetrics(peer.RoleControl)
 	r := &RelayProcess{process: p, done: make(chan struct{})}
+	crashes := quarantine.New(quarantine.Config{
+		Tell: func(reports []message.CrashReport) { r.routes.TellReports(reports) }, Logger: p.Logger,
+	})
 	r.routes = &RouteServer{
 		Store:     routing.NewStore(),
 		Confirmed: func() (time.Duration, bool) { return 0, false },
 		Controls:  func() []string { return nil },
 		Leader:    r.leader,
 		InTouch:   func() bool { return r.follower.InTouch() },
+		Reports:   crashes.Reports,
 		Logger:    p.Logger,
 	}
 	r.routes.Prepare()
-	endpoint, err := p.listen(map[message.Kind]peer.Handler{message.KindRouteWatch: r.routes.Serve})
+	endpoint, err := p.listen(map[message.Kind]peer.Handler{
+		message.KindRouteWatch: r.routes.Serve, message.KindCrashReports: takeCrashReports(crashes),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
@@ -52,8 +59,9 @@
 			Node: p.self(), FailureDomain: p.Settings.Node.FailureDomain,
 			Observes: true, Address: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
 		},
-		Sink:   relaySink{},
-		Logger: p.Logger,
+		Sink:    relaySink{},
+		Reports: func(reports []message.CrashReport) { crashes.Heard(reports, true) },
+		Logger:  p.Logger,
 	}
 	if r.metrics, err = p.serveMetrics(func() bool { return r.follower.Links() > 0 }); err != nil {
 		return nil, errors.Join(err, endpoint.Close())
--- a/internal/role/routefeed.go
+++ b/internal/role/routefeed.go
@@ -141,7 +141,7 @@
 func (f *routeFeed) news(u message.RouteUpdate) bool {
 	f.server.mutex.Lock()
 	defer f.server.mutex.Unlock()
-	return len(f.watch.pending) > 0 || len(u.Routing) > 0 || u.Leader != f.sent.Leader ||
+	return len(f.watch.pending) > 0 || len(f.watch.reports) > 0 || len(u.Routing) > 0 || u.Leader != f.sent.Leader ||
 		u.Confirmed && !f.sent.Confirmed || !slices.Equal(u.Controls, f.sent.Controls)
 }
 
--- a/internal/role/routefollower.go
+++ b/internal/role/routefollower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,12 +53,17 @@
 	Watch  message.RouteWatch
 	Sink   RouteSink
 	Logger *slog.Logger
+	// Reports takes what control VMs tell of requests under which servers ended, Found
+	// the address of each control VM that is watched from now on. Both may be nil.
+	Reports func([]message.CrashReport)
+	Found   func(address string)
 
 	mutex   sync.Mutex
 	view    *registry.View
 	links   map[string]*routeLink
 	current []string // the control VMs as one of them told last
 	leader  string   // the leader as one of them told last
+	peers   []string // some other forwarders, as one of them told last
 	ready   atomic.Bool
 	// confirmed is when a control VM told of a confirmation last.
 	confirmed time.Time
@@ -114,18 +120,28 @@
 func (f *RouteFollower) inTouch() bool { return time.Since(f.confirmed) < newestWithin }
 
 // Links counts the control VMs that are watched now.
-func (f *RouteFollower) Links() int {
+func (f *RouteFollower) Links() int { return len(f.Open()) }
+
+// Open lists the control VMs that are watched now.
+func (f *RouteFollower) Open() []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	open := 0
-	for _, l := range f.links {
+	var open []string
+	for address, l := range f.links {
 		if l.open() {
-			open++
+			open = append(open, address)
 		}
 	}
 	return open
 }
 
+// Peers lists some other forwarders.
+func (f *RouteFollower) Peers() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.peers)
+}
+
 // take takes an update in.
 func (f *RouteFollower) take(l *routeLink, s peer.Stream, u message.RouteUpdate) bool {
 	if len(u.Routing) > 0 {
@@ -137,6 +153,9 @@
 		f.Sink.SetRouting(r)
 		f.tellVersion(l, r.Version)
 	}
+	if len(u.Reports) > 0 && f.Reports != nil {
+		f.Reports(u.Reports)
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if !l.open() {
@@ -153,6 +172,9 @@
 	if u.Leader != "" {
 		f.leader = u.Leader
 	}
+	if len(u.Peers) > 0 {
+		f.peers = u.Peers
+	}
 	if len(u.Controls) > 0 {
 		f.current = u.Controls
 		f.learn(u.Controls)
--- a/internal/role/routelink.go
+++ b/internal/role/routelink.go
@@ -93,9 +93,13 @@
 		if !ok {
 			return
 		}
+		first := !l.open()
 		if !f.take(l, s, update) {
 			return
 		}
+		if first && f.Found != nil {
+			f.Found(l.address)
+		}
 		heard := message.RouteHeard{
 			Number: update.Number, Version: f.Sink.Version(), InTouch: f.InTouch(), Loads: f.takeLoads(l),
 		}
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -31,10 +31,10 @@
 // routeSite is a set of control VMs, a relay and a forwarder that find each other
 // through seeds, each on a loopback address of its own.
 type routeSite struct {
-	t       *testing.T
-	folder  string
-	port    int
-	seeds   []string
+	t      *testing.T
+	folder string
+	port   int
+	seeds  []string
 
 	mutex   sync.Mutex
 	control map[string]*ControlProcess
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -51,8 +51,11 @@
 	// that it always is.
 	InTouch func() bool
 	// Loads takes what forwarders did; nil takes nothing.
-	Loads  func([]message.ServiceLoad)
-	Logger *slog.Logger
+	Loads func([]message.ServiceLoad)
+	// Reports lists what is known of requests under which servers ended, for those that
+	// begin to watch; nil knows of none.
+	Reports func() []message.CrashReport
+	Logger  *slog.Logger
 
 	mutex   sync.Mutex
 	state   *registry.State
@@ -61,6 +64,8 @@
 	// that watch can be watched themselves.
 	forwarders int
 	observers  []string
+	// recounts counts how often these two changed.
+	recounts uint64
 }
 
 // Prepare makes the server ready; it must be called before all else.
--- a/internal/role/routewatch.go
+++ b/internal/role/routewatch.go
@@ -12,11 +12,18 @@
 	node string
 	// address is where a control VM that watches can be watched itself.
 	address string
+	// listen is where other forwarders reach the forwarder.
+	listen string
 	// observes is set for control VMs, which send no requests to servers.
 	observes bool
 	// pending are the servers to tell with the next update, number its number.
 	pending map[string]message.BackendServer
 	number  uint64
+	// reports are to be told with the next update.
+	reports []message.CrashReport
+	// peersAt is the number of changes of watches that the forwarder's peers were told
+	// after.
+	peersAt uint64
 	// heard is the number of the last update that the forwarder has taken in.
 	heard uint64
 	// version is the routing that it says it has, inTouch whether a quorum confirmed
@@ -79,12 +86,15 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w := &routeWatch{
-		node: watch.Node, version: watch.Version, observes: watch.Observes, address: watch.Address, pending: map[string]message.BackendServer{},
+		node: watch.Node, version: watch.Version, listen: watch.Listen, observes: watch.Observes, address: watch.Address, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), news: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
 		w.pending[server.Instance] = server
 	}
+	if r.Reports != nil {
+		w.reports = r.Reports()
+	}
 	r.watches[w] = struct{}{}
 	r.recount()
 	r.Logger.Info("forwarder watches", "forwarder", watch.Node, "observes", watch.Observes, "has", watch.Version, "forwarders", r.forwarders)
@@ -105,6 +115,7 @@
 // recount counts who watches. The mutex is held.
 func (r *RouteServer) recount() {
 	r.forwarders, r.observers = 0, nil
+	r.recounts++
 	for w := range r.watches {
 		if !w.observes {
 			r.forwarders++
@@ -146,6 +157,35 @@
 		u.Servers = append(u.Servers, server)
 	}
 	clear(w.pending)
+	u.Reports, w.reports = w.reports, nil
+	if w.listen != "" && w.peersAt != r.recounts {
+		u.Peers, w.peersAt = r.peersOf(w), r.recounts
+	}
+}
+
+// peersEach is how many other forwarders each one knows. Those who tell each other five
+// at random reach all of some hundred within a few steps, also if a third are lost.
+const peersEach = 5
+
+// peersOf chooses the forwarders that another one knows. The mutex is held.
+func (r *RouteServer) peersOf(w *routeWatch) []string {
+	var all []string
+	for other := range r.watches {
+		if other.listen != "" && other != w {
+			all = append(all, other.listen)
+		}
+	}
+	return nearest(w.node, all, peersEach)
+}
+
+// TellReports tells all that watch of requests under which servers ended.
+func (r *RouteServer) TellReports(reports []message.CrashReport) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for w := range r.watches {
+		w.reports = append(w.reports, reports...)
+		signal(w.urgent)
+	}
 }
 
 func ended(s peer.Stream) bool {
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -51,6 +51,7 @@
 	ReasonAttemptUsed     Reason = "attemptUsed"     // the attempt was let through once already
 	ReasonOutdatedOrder   Reason = "outdatedOrder"   // the fencing number is older than one seen
 	ReasonOutcomeLost     Reason = "outcomeLost"     // dispatched, and the outcome is not known
+	ReasonCrashesServers  Reason = "crashesServers"  // server after server ended under this request
 	ReasonRecordsFull     Reason = "recordsFull"     // the request records are at their bound
 	ReasonAnswerNotKept   Reason = "answerNotKept"   // answered before; the answer is not kept any more
 	ReasonInternal        Reason = "internal"        // a fault of the router itself
--- a/pkg/oriolebend/reasons.go
+++ b/pkg/oriolebend/reasons.go
@@ -39,6 +39,7 @@
 	ReasonAttemptUsed,
 	ReasonOutdatedOrder,
 	ReasonOutcomeLost,
+	ReasonCrashesServers,
 	ReasonRecordsFull,
 	ReasonAnswerNotKept,
 	ReasonInternal,
