soak: a request that ends each server which begins to run it

Change: one route's requests end the server that they reach; it refuses connections for 0.3 s and is back as another instance. They come all the while, at all forwarders, beside the usual faults. After the last fault callers go on for five seconds: the bound (three sendings later than three seconds after the third end) is for forwarders and control VMs that nothing happened to for three seconds.

--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -65,7 +65,9 @@
 	})
 	for i := range count {
 		v := &fragileServer{fleet: f, name: fmt.Sprintf("i-%d", i)}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		// No connection goes out from this address, so that none takes the port while
+		// the server is away.
+		listener, err := net.Listen("tcp", "127.0.1.100:0")
 		is.New(t).NoErr(err)
 		v.address = listener.Addr().String()
 		f.servers = append(f.servers, v)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -26,6 +26,7 @@
 	t       *testing.T
 	system  *system
 	servers []*server
+	crashes crashes
 
 	mutex  sync.Mutex
 	random *rand.Rand
@@ -40,6 +41,8 @@
 	sequence atomic.Uint64
 	instance atomic.Pointer[string]
 	starts   atomic.Int32
+	// ended is set while its process does not run.
+	ended atomic.Bool
 }
 
 func startFleet(t *testing.T, s *system, random *rand.Rand) *fleet {
@@ -79,6 +82,10 @@
 		return
 	}
 	id := r.Header.Get("Oriolebend-Request")
+	if strings.HasPrefix(r.URL.Path, "/"+crashing+"/") {
+		v.crash(id)
+		panic(http.ErrAbortHandler)
+	}
 	v.fleet.mutex.Lock()
 	luck := v.fleet.random.IntN(100)
 	refuse := luck < 5
@@ -129,10 +136,11 @@
 
 // proxy passes connections on to a server, and breaks them when told to.
 type proxy struct {
-	listener net.Listener
-	to       string
+	to string
+	at string
 
 	mutex       sync.Mutex
+	listener    net.Listener
 	connections map[net.Conn]struct{}
 	silentUntil time.Time
 	delayUntil  time.Time
@@ -140,23 +148,28 @@
 
 func startProxy(t *testing.T, to string) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// No connection goes out from this address, so that none takes the port while the
+	// server is away.
+	listener, err := net.Listen("tcp", "127.0.2.100:0")
 	is.New(t).NoErr(err)
-	p := &proxy{listener: listener, to: to, connections: map[net.Conn]struct{}{}}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.pass(conn)
-		}
-	}()
+	p := &proxy{listener: listener, at: listener.Addr().String(), to: to, connections: map[net.Conn]struct{}{}}
+	t.Cleanup(p.stop)
+	go p.accept(listener)
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// accept passes connections on until the listener is closed.
+func (p *proxy) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(conn)
+	}
+}
+
+func (p *proxy) address() string { return p.at }
 
 func (p *proxy) pass(near net.Conn) {
 	defer near.Close()
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -28,11 +28,12 @@
 	told  []told
 }
 
-func startLoad(ctx context.Context, s *system, count int, seed uint64) *load {
+func startLoad(ctx context.Context, s *system, f *fleet, count int, seed uint64) *load {
 	l := &load{}
 	for n := range count {
 		l.group.Go(func() { l.call(ctx, s, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
 	}
+	l.group.Go(func() { l.sendCrashing(ctx, s, f, rand.New(rand.NewPCG(seed, 3))) })
 	return l
 }
 
@@ -134,6 +135,7 @@
 		Services: []oriolebend.RouteService{{Name: "s"}},
 		Routes: []oriolebend.Route{
 			route("once", oriolebend.RepeatNever, 1), route("safe", oriolebend.RepeatIdempotent, 2),
+			route(crashing, oriolebend.RepeatIdempotent, 2),
 			route(fmt.Sprintf("only-%d", version), oriolebend.RepeatIdempotent, 2),
 		},
 	}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -173,8 +174,10 @@
 
 	mutex   sync.Mutex
 	started bool
-	command *exec.Cmd
-	done    chan struct{}
+	// signalled is when signals were sent to it, and when it was started.
+	signalled []time.Time
+	command   *exec.Cmd
+	done      chan struct{}
 }
 
 // start starts the process unless it runs.
@@ -202,6 +205,7 @@
 	}
 	done := make(chan struct{})
 	p.command, p.done, p.started = command, done, true
+	p.signalled = append(p.signalled, time.Now())
 	go func() {
 		_ = command.Wait() // how it ended is no matter: faults end it
 		close(done)
@@ -223,9 +227,41 @@
 	defer p.mutex.Unlock()
 	if p.command != nil && p.running() {
 		_ = p.command.Process.Signal(s) // it may end in this moment
+		p.signalled = append(p.signalled, time.Now())
 	}
 }
 
+// disturbed reports whether anything was done to the process shortly before a time, or to
+// a control VM.
+func (p *process) disturbed(at time.Time) bool {
+	for _, other := range p.system.processes {
+		if (other == p || other.role == "control") && other.signalledBefore(at) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *process) signalledBefore(at time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.ContainsFunc(p.signalled, func(t time.Time) bool {
+		return !t.After(at) && at.Sub(t) <= crashSettle
+	})
+}
+
+// forwarderAt is the forwarder that takes callers at an address.
+func (s *system) forwarderAt(address string) *process {
+	ip, _, _ := net.SplitHostPort(address)
+	for _, p := range s.processes {
+		if p.name == "forwarder-"+ip {
+			return p
+		}
+	}
+	s.t.Fatalf("no forwarder at %s", address)
+	return nil
+}
+
 func (p *process) kill() { p.signal(syscall.SIGKILL) }
 
 func (p *process) terminate() { p.signal(syscall.SIGTERM) }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,8 +28,9 @@
 // TestSoak runs the real program as separate processes, breaks them from outside
 // and checks, from what callers, backend servers and operators see, that a
 // request that may run once runs once, that what was refused as not run never
-// ran, that every answer belongs to its request, and that an accepted routing is
-// neither lost nor shown in an older state.
+// ran, that every answer belongs to its request, that an accepted routing is
+// neither lost nor shown in an older state, and that a request which ends servers stops
+// reaching them.
 func TestSoak(t *testing.T) {
 	list := append(failedSeeds, 1)
 	if *seeds != "" {
@@ -66,6 +67,9 @@
 	callers    = 8
 	// settle is how long the system has after the last fault.
 	settle = 20 * time.Second
+	// calm is how long callers go on after that: what is promised of processes that
+	// nothing happened to for crashSettle shows only then.
+	calm = crashSettle + 2*time.Second
 )
 
 func soak(t *testing.T, program string, seed uint64) {
@@ -76,7 +80,7 @@
 	operator.declare(t.Context())
 	s.awaitReady(settle)
 	ctx, cancel := context.WithCancel(t.Context())
-	load := startLoad(ctx, s, callers, seed)
+	load := startLoad(ctx, s, fleet, callers, seed)
 	go operator.run(ctx, rand.New(rand.NewPCG(seed, 2)))
 	for end := time.Now().Add(*runs); time.Now().Before(end); {
 		fault := randomFault(random, s, fleet)
@@ -86,6 +90,8 @@
 	}
 	s.mend()
 	fleet.mend()
+	s.awaitReady(settle)
+	time.Sleep(calm)
 	cancel()
 	load.wait()
 	operator.wait()
@@ -93,6 +99,7 @@
 	operator.declare(t.Context())
 	operator.checkInForce(settle)
 	load.check(t, fleet)
+	fleet.crashes.check(t, s)
 	if t.Failed() {
 		folder, err := os.MkdirTemp("", "soak-")
 		if err == nil {
