role, disk: requests that are held stay held over a power loss of everything

Cause: all that is known of such a request is in memory; after a power loss of all VMs its next three tries each end a server again. Ruled out: the agreed log, as control VMs must know it without a quorum too; forwarders have no disk.

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -44,6 +44,7 @@
 	placer    *Placer
 	observer  *RouteFollower
 	crashes   *quarantine.Store
+	keeper    *CrashKeeper
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
 	done  chan struct{}
@@ -71,6 +72,7 @@
 	go process.confirmer.Run(ctx)
 	go process.members.Run(ctx)
 	go process.routes.Run(ctx)
+	go process.keeper.Run(ctx)
 	if process.joiner != nil {
 		go process.joiner.Run(ctx)
 	}
@@ -167,8 +169,14 @@
 	c.members = &MemberLeader{Self: name, Log: log, Store: store, Observer: p.observer(), Logger: p.Logger}
 	c.members.Prepare()
 	c.crashes = quarantine.New(quarantine.Config{
-		Tell: func(reports []message.CrashReport) { c.routes.TellReports(reports) }, Logger: p.Logger,
+		Tell: func(reports []message.CrashReport) {
+			c.routes.TellReports(reports)
+			c.keeper.Changed()
+		},
+		Logger: p.Logger,
 	})
+	c.keeper = &CrashKeeper{Folder: p.Settings.Control.DataFolder, Store: c.crashes, Logger: p.Logger}
+	c.keeper.Load()
 	c.routes = &RouteServer{
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -254,6 +254,38 @@
 	checkCrashes(t, fleet, forwarders)
 }
 
+// Symptom: after a power loss of everything a request that was held ends servers again.
+// Sequence: all control VMs and forwarders end at one moment, and start again with what is
+// on disk; the request goes on coming. Cause: what is known of it is in memory alone.
+func TestHeldRequestStaysHeldAfterARestartOfEverything(t *testing.T) {
+	is := is.New(t)
+	s, fleet, forwarders := startCrashSite(t)
+	var load crashingLoad
+	load.run(t.Context(), forwarders, 2*time.Second)
+	before, _ := fleet.later(0)
+	is.True(before >= crashLimit)
+	for _, f := range forwarders {
+		is.NoErr(f.Kill())
+	}
+	for _, ip := range seededControls {
+		s.kill(ip)
+	}
+	for _, ip := range seededControls {
+		s.startControl(ip, false)
+	}
+	f, err := StartForwarder(s.forwarderProcess("127.0.1.9"), forwarder.Own{})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = f.Kill() })
+	s.eventually("the forwarder is ready", f.Ready)
+	s.eventually("requests are served", func() bool {
+		status, _ := askBody(t.Context(), f, "first", "first after the restart")
+		return status == http.StatusOK
+	})
+	load.run(t.Context(), []*ForwarderProcess{f}, 2*time.Second)
+	after, _ := fleet.later(0)
+	is.Equal(after, before)
+}
+
 func checkCrashes(t *testing.T, fleet *fragileFleet, forwarders []*ForwarderProcess) {
 	t.Helper()
 	is := is.New(t)
