entry: a request under which server after server was lost waits long before its next try

Cause: the same as of the held requests, in the other way of a request: an accepted keyed request outlives the loss of its servers, and each loss is followed by another try, held back only by budgets whose floor is one retry a second. Ruled out: giving such a request up; it is accepted, and may have had bad luck.

--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -215,6 +215,10 @@
 		r.clearAlarm(a)
 	}
 	r.lastReason = l.reason
+	if r.losesServers() {
+		s.retryWork(r, l.reason)
+		return
+	}
 	if r.standby != nil && s.resultLives(r) {
 		s.standbyInstead(r, l)
 		return
--- a/internal/reducer/entry/loss.go
+++ b/internal/reducer/entry/loss.go
@@ -40,6 +40,9 @@
 	g.reason = l.reason
 	g.retryAfter = max(g.retryAfter, l.retryAfter)
 	s.noteRoom(r, l.reason)
+	if l.reason == oriolebend.ReasonServerLost && !g.sent.IsZero() {
+		r.serversLost++
+	}
 	switch {
 	case g.chosen == nil:
 		s.probeLost(r, g)
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -156,6 +156,9 @@
 	// tries counts rounds and attempts that failed since the last progress.
 	tries          int
 	engineFailures int
+	// serversLost counts the servers that were lost while they worked on the request,
+	// since its last progress.
+	serversLost int
 	lastReason     oriolebend.Reason
 	// owesRetry is true while a retry is not yet taken off the budgets.
 	owesRetry bool
