--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -159,7 +159,7 @@
 	// serversLost counts the servers that were lost while they worked on the request,
 	// since its last progress.
 	serversLost int
-	lastReason     oriolebend.Reason
+	lastReason  oriolebend.Reason
 	// owesRetry is true while a retry is not yet taken off the budgets.
 	owesRetry bool
 
