dispatch: a place at an engine that was never heard of is taken, one at an engine that has gone is told

After a restart of everything it returns places at engines that it has not heard of yet; and the leader, cut off from the control VM that heard of an engine's end, learns nothing of a place that comes back and gives the next one there.

--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -100,7 +100,7 @@
 // ended, or that its operator believes to be free of work.
 func (s *State) askedStill(e AskedStill) Effect {
 	c := s.at(e.Grant.Server)
-	if c == nil || !c.leaving.IsZero() && e.At.Sub(c.leaving) >= leavingFor {
+	if c == nil && s.hasGone(e.Grant.Server) || c != nil && !c.leaving.IsZero() && e.At.Sub(c.leaving) >= leavingFor {
 		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
 	}
 	return Granted{Grant: e.Grant}
@@ -112,12 +112,15 @@
 // places there meanwhile; forwarders hear of it from those others. Used all the same,
 // such a place costs the reading of a prompt, which is then thrown away, or a request
 // whose engine ends under it.
+//
+// A server that was never heard of is another matter: whoever gave the place knows it, and
+// this forwarder may have started a moment ago. One that was heard of and has gone is told
+// as leaving, so that no more places are given there: taken for unknown, engines that had
+// crashed were given to 660 requests within five seconds in which the core was cut, each
+// of which came back with nothing learnt.
 func (s *State) askedFresh(e AskedFresh) Effect {
 	c := s.at(e.Server)
-	switch {
-	case c == nil:
-		return Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
-	case !c.takesWork():
+	if c == nil && s.hasGone(e.Server) || c != nil && !c.takesWork() {
 		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
 	}
 	return Granted{}
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,6 +43,9 @@
 	kept := s.servers[told.Instance]
 	if kept == nil || kept.Incarnation != told.Incarnation || kept.Service != told.Service {
 		s.unlist(kept)
+		if kept != nil {
+			s.noteGone(at, kept.BackendServer)
+		}
 		kept = &server{} // one that has started again holds nothing of before
 		s.servers[told.Instance] = kept
 	}
@@ -65,9 +69,27 @@
 	}
 	c.Phase, c.left = message.PhaseGone, true
 	c.leave(at)
+	s.noteGone(at, c.BackendServer)
 	s.forget(c)
 }
 
+// goneFor is for how long a start of a server is known to have gone. Places given by who
+// has not heard of it may come until then: as long as a partition of the core lasts at
+// times, and what is given before its end.
+const goneFor = 30 * time.Second
+
+// noteGone remembers that a start of a server has gone.
+func (s *State) noteGone(at time.Time, server message.BackendServer) {
+	maps.DeleteFunc(s.gone, func(_ Engine, since time.Time) bool { return at.Sub(since) >= goneFor })
+	s.gone[Engine{Instance: server.Instance, Incarnation: server.Incarnation}] = at
+}
+
+// hasGone reports whether a server that is not known is known to have gone.
+func (s *State) hasGone(server message.BackendServer) bool {
+	_, gone := s.gone[Engine{Instance: server.Instance, Incarnation: server.Incarnation}]
+	return gone
+}
+
 // forget drops a server that is no longer told of once its last work has ended.
 func (s *State) forget(c *server) {
 	if c.left && c.busy == 0 {
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -51,6 +51,8 @@
 	// and go, so that no request pays for sorting, or for the servers of others.
 	inOrder  map[string][]*server
 	services map[string]*service
+	// gone holds the starts that were told of and have gone, and since when.
+	gone map[Engine]time.Time
 	// forwarders is how many forwarders share the retry budget.
 	forwarders int
 	scratch    scratch
@@ -117,6 +119,7 @@
 		servers:    map[string]*server{},
 		inOrder:    map[string][]*server{},
 		services:   map[string]*service{},
+		gone:       map[Engine]time.Time{},
 		forwarders: unknownForwarders,
 	}
 }
