--- a/internal/crashreports/teller_test.go
+++ b/internal/crashreports/teller_test.go
@@ -20,7 +20,7 @@
 const (
 	// settle is after what time a request that crashes servers must be known everywhere.
 	settle = 3 * time.Second
-	// known is how many other forwarders each one knows.
+	// known is how many other forwarders each one knows at least, of forty.
 	known = 5
 )
 
--- a/internal/role/routeserver.go
+++ b/internal/role/routeserver.go
@@ -64,8 +64,8 @@
 	// that watch can be watched themselves.
 	forwarders int
 	observers  []string
-	// recounts counts how often these two changed.
-	recounts uint64
+	// listens are where forwarders reach each other, sorted.
+	listens []string
 }
 
 // Prepare makes the server ready; it must be called before all else.
--- a/internal/role/routeserver_test.go
+++ b/internal/role/routeserver_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -163,3 +164,31 @@
 		}
 	})
 }
+
+// Symptom: what one forwarder tells others reaches a part of them. Sequence: forwarders come
+// and go; each is told of some others. Cause: some that nobody knows. From each of them all
+// others are reached within as many steps as each knows others.
+func TestForwardersKnowEachOther(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{1, 2, 3, 9, 105, 320} {
+		r := newRouteServer(func(*RouteServer) {})
+		watches := map[string]*routeWatch{}
+		for i := range count {
+			listen := fmt.Sprintf("10.0.%d.%d:7", i%7, i)
+			watches[listen] = r.add(message.RouteWatch{Node: listen, Listen: listen})
+		}
+		r.add(message.RouteWatch{Node: "control", Observes: true, Address: "10.9.9.9:7"})
+		r.remove(r.add(message.RouteWatch{Node: "gone", Listen: "10.8.8.8:7"}))
+		reached := map[string]bool{r.listens[0]: true}
+		steps := 0
+		for ; len(reached) < count; steps++ {
+			is.True(steps <= len(r.peersOf(watches[r.listens[0]])))
+			for listen := range maps.Clone(reached) {
+				for _, peer := range r.peersOf(watches[listen]) {
+					reached[peer] = true
+				}
+			}
+		}
+		is.True(len(r.peersOf(watches[r.listens[0]])) <= 9)
+	}
+}
--- a/internal/role/routewatch.go
+++ b/internal/role/routewatch.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/internal/policy"
 )
 
 // routeWatch is one forwarder that watches.
@@ -22,9 +22,8 @@
 	number  uint64
 	// reports are to be told with the next update.
 	reports []message.CrashReport
-	// peersAt is the number of changes of watches that the forwarder's peers were told
-	// after.
-	peersAt uint64
+	// peers are the other forwarders that it was told of last.
+	peers []string
 	// heard is the number of the last update that the forwarder has taken in.
 	heard uint64
 	// version is the routing that it says it has, inTouch whether a quorum confirmed
@@ -115,8 +114,7 @@
 
 // recount counts who watches. The mutex is held.
 func (r *RouteServer) recount() {
-	r.forwarders, r.observers = 0, nil
-	r.recounts++
+	r.forwarders, r.observers, r.listens = 0, nil, r.listens[:0]
 	for w := range r.watches {
 		if !w.observes {
 			r.forwarders++
@@ -124,7 +122,11 @@
 		if w.address != "" {
 			r.observers = append(r.observers, w.address)
 		}
+		if w.listen != "" {
+			r.listens = append(r.listens, w.listen)
+		}
 	}
+	slices.Sort(r.listens)
 }
 
 // hear takes the forwarder's word of what it has taken in.
@@ -159,24 +161,25 @@
 	}
 	clear(w.pending)
 	u.Reports, w.reports = w.reports, nil
-	if w.listen != "" && w.peersAt != r.recounts {
-		u.Peers, w.peersAt = r.peersOf(w), r.recounts
+	if peers := r.peersOf(w); !slices.Equal(peers, w.peers) {
+		u.Peers, w.peers = peers, peers
 	}
 }
 
-// peersEach is how many other forwarders each one knows. Those who tell each other five
-// at random reach all of some hundred within a few steps, also if a third are lost.
-const peersEach = 5
-
-// peersOf chooses the forwarders that another one knows. The mutex is held.
+// peersOf chooses the forwarders that another one knows: in the ring of their sorted
+// addresses those that are 1, 2, 4, 8 … places on. What each tells these reaches all of some
+// hundred within as many steps as there are distances, also if many of them are lost. The
+// mutex is held.
 func (r *RouteServer) peersOf(w *routeWatch) []string {
-	var all []string
-	for other := range r.watches {
-		if other.listen != "" && other != w {
-			all = append(all, other.listen)
-		}
+	at, found := slices.BinarySearch(r.listens, w.listen)
+	if !found {
+		return nil
+	}
+	var peers []string
+	for distance := 1; distance < len(r.listens); distance *= 2 {
+		peers = append(peers, r.listens[(at+distance)%len(r.listens)])
 	}
-	return policy.Nearest(w.node, all, peersEach)
+	return peers
 }
 
 // TellReports tells all that watch of requests under which servers ended.
