routewatch: the protocol between forwarders and control VMs in a package of its own, out of role

Cause: internal/role held the watch protocol beside five programs; names ran three words together to tell them apart (RouteServer, routeWatch, routeFeed). One test moved with them (TestLeavingIsAcknowledgedOnceHeard), unchanged but for names.

--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -18,6 +18,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/replica"
+	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -39,11 +40,11 @@
 	watches   *WatchServer
 	members   *MemberLeader
 	routing   *routing.Store
-	routes    *RouteServer
+	routes    *routewatch.Server
 	joiner    *Joiner
 	pools     *PoolKeeper
 	placer    *Placer
-	observer  *RouteFollower
+	observer  *routewatch.Follower
 	crashes   *quarantine.Store
 	keeper    *crashreports.Keeper
 	cancel    context.CancelFunc
@@ -178,7 +179,7 @@
 	})
 	c.keeper = &crashreports.Keeper{Folder: p.Settings.Control.DataFolder, Store: c.crashes, Logger: p.Logger}
 	c.keeper.Load()
-	c.routes = &RouteServer{
+	c.routes = &routewatch.Server{
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
 		NextConfirmed: func() <-chan struct{} {
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -9,6 +9,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
+	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -105,14 +106,14 @@
 	p := c.process
 	c.placer = &Placer{Leads: c.Leads, Replaced: c.replaced, Logger: p.Logger}
 	c.placer.Prepare()
-	sinks := routeSinks{c.placer}
+	sinks := routewatch.Sinks{c.placer}
 	if p.Orders != nil {
 		c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Leads: c.Leads, Logger: p.Logger}
 		c.pools.Prepare()
 		c.routes.Loads = c.pools.Heard
 		sinks = append(sinks, c.pools)
 	}
-	c.observer = &RouteFollower{
+	c.observer = &routewatch.Follower{
 		Dialer: c.endpoint,
 		Seeds:  slices.Concat(p.controlAddresses(), c.controls()),
 		Watch: message.RouteWatch{
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -15,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/settings"
 )
 
@@ -33,7 +34,7 @@
 	process   Process
 	endpoint  *peer.Endpoint
 	forwarder *forwarder.Forwarder
-	follower  *RouteFollower
+	follower  *routewatch.Follower
 	places    *PlaceClient
 	crashes   *quarantine.Store
 	teller    *crashreports.Teller
@@ -74,7 +75,7 @@
 		Observer:   p.observer(),
 		Logger:     p.Logger,
 	})
-	process.follower = &RouteFollower{
+	process.follower = &routewatch.Follower{
 		Dialer: endpoint,
 		Seeds:  p.controlAddresses(),
 		Watch: message.RouteWatch{
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -12,6 +12,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/placement"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -54,7 +55,7 @@
 	giving bool
 }
 
-var _ RouteSink = (*Placer)(nil)
+var _ routewatch.Sink = (*Placer)(nil)
 
 // Prepare makes the placer ready; it must be called before all else.
 func (p *Placer) Prepare() {
@@ -243,7 +244,7 @@
 	}
 }
 
-// SetRouting implements RouteSink.
+// SetRouting implements routewatch.Sink.
 func (p *Placer) SetRouting(r oriolebend.Routing) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -253,7 +254,7 @@
 	}
 }
 
-// ChangeServers implements RouteSink.
+// ChangeServers implements routewatch.Sink.
 func (p *Placer) ChangeServers(changes registry.Changes, _ int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -261,15 +262,15 @@
 	p.reduce(placement.FleetChanged{At: time.Now(), Servers: changes.Servers, Left: changes.Left, Forwarders: 1})
 }
 
-// Version implements RouteSink.
+// Version implements routewatch.Sink.
 func (p *Placer) Version() uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.routing.Version
 }
 
-// Loads implements RouteSink; a control VM puts no load on engines.
+// Loads implements routewatch.Sink; a control VM puts no load on engines.
 func (p *Placer) Loads() []message.ServiceLoad { return nil }
 
-// Expire implements RouteSink.
+// Expire implements routewatch.Sink.
 func (p *Placer) Expire() {}
--- a/internal/role/poolkeeper.go
+++ b/internal/role/poolkeeper.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/pools"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/replica"
+	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -60,7 +61,7 @@
 	servers registry.Servers
 }
 
-var _ RouteSink = (*PoolKeeper)(nil)
+var _ routewatch.Sink = (*PoolKeeper)(nil)
 
 // Prepare makes the keeper ready; it must be called before all else.
 func (k *PoolKeeper) Prepare() {
@@ -122,7 +123,7 @@
 // Heard takes what a forwarder did.
 func (k *PoolKeeper) Heard(loads []message.ServiceLoad) { k.reduce(pools.Heard{Loads: loads}) }
 
-// SetRouting implements RouteSink.
+// SetRouting implements routewatch.Sink.
 func (k *PoolKeeper) SetRouting(r oriolebend.Routing) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -131,7 +132,7 @@
 	}
 }
 
-// ChangeServers implements RouteSink.
+// ChangeServers implements routewatch.Sink.
 func (k *PoolKeeper) ChangeServers(changes registry.Changes, _ int) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -147,15 +148,15 @@
 	k.reduce(known)
 }
 
-// Version implements RouteSink.
+// Version implements routewatch.Sink.
 func (k *PoolKeeper) Version() uint64 {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.routing.Version
 }
 
-// Loads implements RouteSink; a control VM puts no load on engines.
+// Loads implements routewatch.Sink; a control VM puts no load on engines.
 func (k *PoolKeeper) Loads() []message.ServiceLoad { return nil }
 
-// Expire implements RouteSink.
+// Expire implements routewatch.Sink.
 func (k *PoolKeeper) Expire() {}
--- a/internal/role/relayprocess.go
+++ b/internal/role/relayprocess.go
@@ -11,6 +11,7 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -23,8 +24,8 @@
 	process  Process
 	endpoint *peer.Endpoint
 	metrics  *httpServer
-	routes   *RouteServer
-	follower *RouteFollower
+	routes   *routewatch.Server
+	follower *routewatch.Follower
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -36,7 +37,7 @@
 	crashes := quarantine.New(quarantine.Config{
 		Tell: func(reports []message.CrashReport) { r.routes.TellReports(reports) }, Logger: p.Logger,
 	})
-	r.routes = &RouteServer{
+	r.routes = &routewatch.Server{
 		Store:     routing.NewStore(),
 		Confirmed: func() (time.Duration, bool) { return 0, false },
 		Controls:  func() []string { return nil },
@@ -53,7 +54,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	r.endpoint = endpoint
-	r.follower = &RouteFollower{
+	r.follower = &routewatch.Follower{
 		Dialer: endpoint,
 		Seeds:  p.seeds(),
 		Watch: message.RouteWatch{
@@ -80,19 +81,19 @@
 // relaySink keeps nothing: forwarders learn routings from the members.
 type relaySink struct{}
 
-// SetRouting implements RouteSink.
+// SetRouting implements routewatch.Sink.
 func (relaySink) SetRouting(oriolebend.Routing) {}
 
-// ChangeServers implements RouteSink.
+// ChangeServers implements routewatch.Sink.
 func (relaySink) ChangeServers(registry.Changes, int) {}
 
-// Version implements RouteSink; it is the highest, so that no routing is sent.
+// Version implements routewatch.Sink; it is the highest, so that no routing is sent.
 func (relaySink) Version() uint64 { return ^uint64(0) }
 
-// Loads implements RouteSink.
+// Loads implements routewatch.Sink.
 func (relaySink) Loads() []message.ServiceLoad { return nil }
 
-// Expire implements RouteSink.
+// Expire implements routewatch.Sink.
 func (relaySink) Expire() {}
 
 func (r *RelayProcess) leader() string { return r.follower.Leader() }
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -23,7 +23,6 @@
 	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
-	"github.com/oriolebend/oriolebend/internal/peer/peertest"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -368,39 +367,3 @@
 	status, _ = call(http.MethodPut, "/v1/backends/i-2", `{"service": "planner", "address": "127.0.0.1:1", "phase": "tired"}`)
 	is.Equal(status, http.StatusUnprocessableEntity)
 }
-
-// Symptom: requests reach a server long after its leaving was acknowledged.
-// Sequence: the control VM that acknowledges it is cut off from the forwarders.
-// Cause: an acknowledgement that waits for nobody.
-func TestLeavingIsAcknowledgedOnceHeard(t *testing.T) {
-	is := is.New(t)
-	routes := newRouteServer(func(*RouteServer) {})
-	server := message.BackendServer{Instance: "i-1", Address: "a:1", Phase: message.PhaseReady, Sequence: 1}
-	is.True(routes.Announce(t.Context(), server) != nil) // nobody watches
-	near, far := peertest.Pair("forwarder-1", "control-1")
-	go routes.Serve(t.Context(), far)
-	is.NoErr(near.Send(message.RouteWatch{Node: "forwarder-1"}))
-	first, err := near.Receive()
-	is.NoErr(err)
-	is.True(first.(message.RouteUpdate).Whole)
-	is.NoErr(routes.Announce(t.Context(), server))
-	server.Phase, server.Sequence = message.PhaseDraining, 2
-	is.True(routes.Announce(t.Context(), server) != nil) // the forwarder does not answer
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		for {
-			m, err := near.Receive()
-			if err != nil {
-				return
-			}
-			if err := near.Send(message.RouteHeard{Number: m.(message.RouteUpdate).Number}); err != nil {
-				return
-			}
-		}
-	}()
-	server.Instance, server.Sequence = "i-2", 1
-	is.NoErr(routes.Announce(t.Context(), server))
-	is.NoErr(near.Close())
-	<-answered
-}
--- a/internal/role/routefeed.go
+++ b/internal/routewatch/feed.go
@@ -1,4 +1,4 @@
-package role
+package routewatch
 
 import (
 	"cmp"
@@ -26,10 +26,10 @@
 	standInAfter = 100 * time.Millisecond
 )
 
-// routeFeed tells one watcher what changes.
-type routeFeed struct {
-	server *RouteServer
-	watch  *routeWatch
+// feed tells one watcher what changes.
+type feed struct {
+	server *Server
+	watch  *watcher
 	stream peer.Stream
 	// told is the highest version that was sent.
 	told uint64
@@ -43,7 +43,7 @@
 }
 
 // run tells until the session ends.
-func (f *routeFeed) run(ctx context.Context) {
+func (f *feed) run(ctx context.Context) {
 	for whole := true; ; whole = false {
 		current, changed := f.server.Store.Current()
 		confirmed := f.server.nextConfirmed()
@@ -77,7 +77,7 @@
 
 // next is what there is to tell besides servers, and how long the routing is still left
 // to another control VM.
-func (f *routeFeed) next(current routing.InForce) (message.RouteUpdate, time.Duration) {
+func (f *feed) next(current routing.InForce) (message.RouteUpdate, time.Duration) {
 	update := message.RouteUpdate{Leader: f.server.Leader(), Controls: f.server.places()}
 	left := f.routingDue(current.Version)
 	if left == 0 && current.Version > f.has() {
@@ -93,7 +93,7 @@
 }
 
 // has is the version that the watcher is known to have, or to be sent.
-func (f *routeFeed) has() uint64 {
+func (f *feed) has() uint64 {
 	f.server.mutex.Lock()
 	defer f.server.mutex.Unlock()
 	return max(f.told, f.watch.version)
@@ -108,7 +108,7 @@
 // heartbeats up for longer than its lease, and the group was without a leader. So each
 // watcher has an order of control VMs of its own; the first one tells it at once, and the
 // leader, whose heartbeats must not wait, comes last.
-func (f *routeFeed) routingDue(version uint64) time.Duration {
+func (f *feed) routingDue(version uint64) time.Duration {
 	has := f.has()
 	if version <= has {
 		f.behindSince = time.Time{}
@@ -121,7 +121,7 @@
 }
 
 // place is this control VM's place in the watcher's order, counted from zero.
-func (f *routeFeed) place() int {
+func (f *feed) place() int {
 	r := f.server
 	leader := r.Leader()
 	order := slices.Clone(r.Controls())
@@ -138,7 +138,7 @@
 }
 
 // news reports whether an update tells anything that the watcher was not told.
-func (f *routeFeed) news(u message.RouteUpdate) bool {
+func (f *feed) news(u message.RouteUpdate) bool {
 	f.server.mutex.Lock()
 	defer f.server.mutex.Unlock()
 	return len(f.watch.pending) > 0 || len(f.watch.reports) > 0 || len(u.Routing) > 0 || u.Leader != f.sent.Leader ||
@@ -146,7 +146,7 @@
 }
 
 // send sends an update with all news of servers; false means that the session has ended.
-func (f *routeFeed) send(u message.RouteUpdate) bool {
+func (f *feed) send(u message.RouteUpdate) bool {
 	before := f.sent
 	f.sent, f.sentAt = u, time.Now()
 	f.sent.Routing = nil
@@ -160,7 +160,7 @@
 
 // gather lets news that can wait for others come together, until there is some that
 // cannot.
-func (f *routeFeed) gather(ctx context.Context, changed <-chan struct{}) {
+func (f *feed) gather(ctx context.Context, changed <-chan struct{}) {
 	timer := time.NewTimer(f.server.gatherFor())
 	defer timer.Stop()
 	select {
--- a/internal/role/routefeed_test.go
+++ b/internal/routewatch/feed_test.go
@@ -1,4 +1,4 @@
-package role
+package routewatch
 
 import (
 	"context"
@@ -62,7 +62,7 @@
 		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
 	}
 	for _, address := range addresses {
-		r := newRouteServer(func(r *RouteServer) {
+		r := newServer(func(r *Server) {
 			r.Self = address
 			r.Controls = func() []string { return addresses }
 			r.Leader = func() string { return addresses[0] }
@@ -73,7 +73,7 @@
 	for i := range forwarders {
 		sink := &routingSink{since: map[uint64]time.Time{}}
 		name := fmt.Sprintf("f%d", i)
-		f := &RouteFollower{
+		f := &Follower{
 			Dialer: s.network.Dialer(name), Seeds: addresses, Watch: message.RouteWatch{Node: name},
 			Sink: sink, Logger: slog.New(slog.DiscardHandler),
 		}
--- a/internal/role/routefollower.go
+++ b/internal/routewatch/follower.go
@@ -1,4 +1,4 @@
-package role
+package routewatch
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -29,8 +30,8 @@
 	reviewEvery = time.Second
 )
 
-// RouteSink takes what a RouteFollower learns; *forwarder.Forwarder is one.
-type RouteSink interface {
+// Sink takes what a Follower learns; *forwarder.Forwarder is one.
+type Sink interface {
 	// SetRouting brings a routing into force, unless it has a newer one.
 	SetRouting(r oriolebend.Routing)
 	// ChangeServers takes what has changed of the backend servers, and the number of
@@ -44,14 +45,14 @@
 	Expire()
 }
 
-// RouteFollower keeps a forwarder up to date with the routing and the backend
+// Follower keeps a forwarder up to date with the routing and the backend
 // servers, as every control VM that it can find tells them.
-type RouteFollower struct {
+type Follower struct {
 	Dialer peer.Dialer
 	// Seeds are the control VMs that are known from the start.
 	Seeds  []string
 	Watch  message.RouteWatch
-	Sink   RouteSink
+	Sink   Sink
 	Logger *slog.Logger
 	// Reports takes what control VMs tell of requests under which servers ended, Found
 	// the address of each control VM that is watched from now on. Both may be nil.
@@ -60,7 +61,7 @@
 
 	mutex   sync.Mutex
 	view    *registry.View
-	links   map[string]*routeLink
+	links   map[string]*link
 	current []string // the control VMs as one of them told last
 	leader  string   // the leader as one of them told last
 	peers   []string // some other forwarders, as one of them told last
@@ -72,12 +73,12 @@
 }
 
 // Run follows until ctx ends.
-func (f *RouteFollower) Run(ctx context.Context) {
+func (f *Follower) Run(ctx context.Context) {
 	f.mutex.Lock()
-	f.ctx, f.view, f.links = ctx, registry.NewView(), map[string]*routeLink{}
+	f.ctx, f.view, f.links = ctx, registry.NewView(), map[string]*link{}
 	f.learn(f.Seeds)
 	f.mutex.Unlock()
-	for wait(ctx, reviewEvery); ctx.Err() == nil; wait(ctx, reviewEvery) {
+	for pause.For(ctx, reviewEvery) {
 		f.mutex.Lock()
 		f.tellServers()
 		f.noteLoads(f.Sink.Loads())
@@ -88,7 +89,7 @@
 }
 
 // SetSeeds replaces the control VMs that are known from the start.
-func (f *RouteFollower) SetSeeds(seeds []string) {
+func (f *Follower) SetSeeds(seeds []string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.Seeds = seeds
@@ -99,31 +100,31 @@
 
 // Ready reports whether a routing is known that a quorum had confirmed when it
 // was told, together with the servers.
-func (f *RouteFollower) Ready() bool { return f.ready.Load() }
+func (f *Follower) Ready() bool { return f.ready.Load() }
 
 // Leader is the peer address of the control VM that led when one told of it
 // last, empty if none did.
-func (f *RouteFollower) Leader() string {
+func (f *Follower) Leader() string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.leader
 }
 
 // InTouch reports whether a control VM told of late that a quorum confirmed its state.
-func (f *RouteFollower) InTouch() bool {
+func (f *Follower) InTouch() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.inTouch()
 }
 
 // inTouch is InTouch. The mutex is held.
-func (f *RouteFollower) inTouch() bool { return time.Since(f.confirmed) < newestWithin }
+func (f *Follower) inTouch() bool { return time.Since(f.confirmed) < newestWithin }
 
 // Links counts the control VMs that are watched now.
-func (f *RouteFollower) Links() int { return len(f.Open()) }
+func (f *Follower) Links() int { return len(f.Open()) }
 
 // Open lists the control VMs that are watched now.
-func (f *RouteFollower) Open() []string {
+func (f *Follower) Open() []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var open []string
@@ -136,14 +137,14 @@
 }
 
 // Peers lists some other forwarders.
-func (f *RouteFollower) Peers() []string {
+func (f *Follower) Peers() []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return slices.Clone(f.peers)
 }
 
 // take takes an update in.
-func (f *RouteFollower) take(l *routeLink, s peer.Stream, u message.RouteUpdate) bool {
+func (f *Follower) take(l *link, s peer.Stream, u message.RouteUpdate) bool {
 	if len(u.Routing) > 0 {
 		var r oriolebend.Routing
 		if err := cbor.Unmarshal(u.Routing, &r); err != nil {
@@ -186,7 +187,7 @@
 }
 
 // tellServers hands what has changed to the sink. The mutex is held.
-func (f *RouteFollower) tellServers() {
+func (f *Follower) tellServers() {
 	forwarders := 0
 	for _, l := range f.links {
 		if l.open() {
--- a/internal/role/routelink.go
+++ b/internal/routewatch/link.go
@@ -1,4 +1,4 @@
-package role
+package routewatch
 
 import (
 	"context"
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/retry"
 )
 
-// routeLink is the way to one control VM.
-type routeLink struct {
+// link is the way to one control VM.
+type link struct {
 	address    string
 	forwarders int
 	// stream is the session once an update came over it, nil without one; heard is the
@@ -24,22 +25,22 @@
 }
 
 // open reports whether the control VM is watched.
-func (l *routeLink) open() bool { return l.stream != nil }
+func (l *link) open() bool { return l.stream != nil }
 
 // learn starts to watch control VMs that were not known. The mutex is held.
-func (f *RouteFollower) learn(addresses []string) {
+func (f *Follower) learn(addresses []string) {
 	for _, address := range addresses {
 		if f.links[address] != nil || f.ctx.Err() != nil {
 			continue
 		}
-		l := &routeLink{address: address}
+		l := &link{address: address}
 		f.links[address] = l
 		f.group.Go(func() { f.follow(l) })
 	}
 }
 
 // follow watches one control VM for as long as it is known as one.
-func (f *RouteFollower) follow(l *routeLink) {
+func (f *Follower) follow(l *link) {
 	tries := 0
 	random := rand.New(rand.NewPCG(f.Watch.Incarnation, uint64(len(l.address))))
 	for f.ctx.Err() == nil && f.wanted(l) {
@@ -49,7 +50,7 @@
 		if time.Since(began) > watchAgainMost {
 			tries = 0
 		}
-		wait(f.ctx, retry.FullJitter(random, watchAgainFirst, watchAgainMost, tries))
+		pause.For(f.ctx, retry.FullJitter(random, watchAgainFirst, watchAgainMost, tries))
 		tries++
 	}
 }
@@ -57,7 +58,7 @@
 // wanted reports whether a control VM is still known as one. One that was
 // replaced is forgotten; a seed never is, as it may be the only one that is
 // left to ask.
-func (f *RouteFollower) wanted(l *routeLink) bool {
+func (f *Follower) wanted(l *link) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if slices.Contains(f.Seeds, l.address) || slices.Contains(f.current, l.address) {
@@ -68,7 +69,7 @@
 }
 
 // session watches one control VM until the session ends.
-func (f *RouteFollower) session(l *routeLink) {
+func (f *Follower) session(l *link) {
 	opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
 	defer cancel()
 	s, err := f.Dialer.Open(opening, l.address)
@@ -110,7 +111,7 @@
 }
 
 // tellVersion tells the other control VMs that a routing is known.
-func (f *RouteFollower) tellVersion(from *routeLink, version uint64) {
+func (f *Follower) tellVersion(from *link, version uint64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, l := range f.links {
@@ -125,7 +126,7 @@
 
 // noteLoads keeps what was done for the control VMs that are watched. The mutex
 // is held.
-func (f *RouteFollower) noteLoads(loads []message.ServiceLoad) {
+func (f *Follower) noteLoads(loads []message.ServiceLoad) {
 	for _, l := range f.links {
 		l.loads = nil // what was not told within a second is too old
 		if l.open() {
@@ -134,7 +135,7 @@
 	}
 }
 
-func (f *RouteFollower) takeLoads(l *routeLink) []message.ServiceLoad {
+func (f *Follower) takeLoads(l *link) []message.ServiceLoad {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	loads := l.loads
@@ -142,7 +143,7 @@
 	return loads
 }
 
-func (f *RouteFollower) lost(l *routeLink) {
+func (f *Follower) lost(l *link) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	l.stream = nil
--- a/internal/role/routeserver.go
+++ b/internal/routewatch/server.go
@@ -1,4 +1,6 @@
-package role
+// Package routewatch has control VMs tell forwarders, and each other, the routing and the
+// backend servers: a Server tells, a Follower takes in what all servers that it can find tell.
+package routewatch
 
 import (
 	"context"
@@ -8,6 +10,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/reducer"
@@ -30,9 +33,9 @@
 	registryEvery = 500 * time.Millisecond
 )
 
-// RouteServer tells forwarders the routing and the backend servers that
+// Server tells forwarders the routing and the backend servers that
 // announced themselves to this control VM.
-type RouteServer struct {
+type Server struct {
 	Store *routing.Store
 	// Confirmed tells how long ago a quorum confirmed the state of this control
 	// VM; false means never.
@@ -59,7 +62,7 @@
 
 	mutex   sync.Mutex
 	state   *registry.State
-	watches map[*routeWatch]struct{}
+	watches map[*watcher]struct{}
 	// forwarders counts the watches of forwarders, observers lists where control VMs
 	// that watch can be watched themselves.
 	forwarders int
@@ -69,27 +72,27 @@
 }
 
 // Prepare makes the server ready; it must be called before all else.
-func (r *RouteServer) Prepare() {
+func (r *Server) Prepare() {
 	r.state = registry.New(registry.Config{})
-	r.watches = map[*routeWatch]struct{}{}
+	r.watches = map[*watcher]struct{}{}
 }
 
 // Run looks for silent servers until ctx ends.
-func (r *RouteServer) Run(ctx context.Context) {
-	for wait(ctx, registryEvery); ctx.Err() == nil; wait(ctx, registryEvery) {
+func (r *Server) Run(ctx context.Context) {
+	for pause.For(ctx, registryEvery) {
 		r.reduce(registry.Ticked{At: time.Now()})
 	}
 }
 
 // Servers lists the backend servers that are known here.
-func (r *RouteServer) Servers() []message.BackendServer {
+func (r *Server) Servers() []message.BackendServer {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.state.Servers()
 }
 
 // Forwarders counts those that watch.
-func (r *RouteServer) Forwarders() int {
+func (r *Server) Forwarders() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.forwarders
@@ -98,7 +101,7 @@
 // places lists where forwarders can watch: the members, and the control VMs that
 // watch this one. The settings may name relays alone as seeds; members know
 // themselves from their log, and nobody else would ever find them.
-func (r *RouteServer) places() []string {
+func (r *Server) places() []string {
 	places := r.Controls()
 	r.mutex.Lock()
 	places = append(places, r.observers...)
@@ -109,7 +112,7 @@
 
 // Announce takes an announcement of a backend server. The error is a
 // *oriolebend.Problem if the announcement should go to another control VM.
-func (r *RouteServer) Announce(ctx context.Context, server message.BackendServer) error {
+func (r *Server) Announce(ctx context.Context, server message.BackendServer) error {
 	if r.Forwarders() == 0 {
 		return unheard("no forwarder watches this control VM")
 	}
@@ -129,7 +132,7 @@
 // a cut of eight seconds in which a third of 180 engines announced themselves to the cut
 // off side, those that had crashed and come back stood idle until it healed. Control VMs
 // that watch this one and are in touch themselves are reached by it and by the leader.
-func (r *RouteServer) AnnounceTo(instance string) string {
+func (r *Server) AnnounceTo(instance string) string {
 	if r.InTouch == nil || r.InTouch() {
 		return ""
 	}
@@ -149,7 +152,7 @@
 // ordered to change its role, and returns once they know. A server that changes
 // its role refuses what it has not begun; a prefill whose decode server was
 // ordered meanwhile would be computed in vain.
-func (r *RouteServer) RoleChanges(ctx context.Context, engine message.BackendServer, away time.Duration) error {
+func (r *Server) RoleChanges(ctx context.Context, engine message.BackendServer, away time.Duration) error {
 	return r.awaitHeard(ctx, r.tell(registry.RoleChanges{
 		Instance: engine.Instance, Incarnation: engine.Incarnation, Until: time.Now().Add(away),
 	}))
@@ -157,7 +160,7 @@
 
 // Withdraw takes the last word of a backend server; incarnation is the start that
 // leaves, zero if it did not say.
-func (r *RouteServer) Withdraw(ctx context.Context, instance string, incarnation uint64) error {
+func (r *Server) Withdraw(ctx context.Context, instance string, incarnation uint64) error {
 	return r.awaitHeard(ctx, r.tell(registry.Withdrawn{At: time.Now(), Instance: instance, Incarnation: incarnation}))
 }
 
@@ -172,18 +175,18 @@
 const retryUnheard = time.Second
 
 // reduce feeds the registry and has its changes told.
-func (r *RouteServer) reduce(e registry.Event) {
+func (r *Server) reduce(e registry.Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.apply(e)
 }
 
 // tell is reduce, and returns the updates that carry the changes to forwarders.
-func (r *RouteServer) tell(e registry.Event) map[*routeWatch]uint64 {
+func (r *Server) tell(e registry.Event) map[*watcher]uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.apply(e)
-	told := make(map[*routeWatch]uint64, r.forwarders)
+	told := make(map[*watcher]uint64, r.forwarders)
 	for w := range r.watches {
 		if w.observes {
 			continue
@@ -196,7 +199,7 @@
 }
 
 // apply is reduce. The mutex is held.
-func (r *RouteServer) apply(e registry.Event) {
+func (r *Server) apply(e registry.Event) {
 	for _, effect := range reducer.Reduce(&reducer.State{Registry: r.state}, e) {
 		changed, ok := effect.(registry.Changed)
 		if !ok {
@@ -217,7 +220,7 @@
 }
 
 // Serve is the peer.Handler for forwarders.
-func (r *RouteServer) Serve(ctx context.Context, s peer.Stream) {
+func (r *Server) Serve(ctx context.Context, s peer.Stream) {
 	first, err := s.Receive()
 	watch, ok := first.(message.RouteWatch)
 	if err != nil || !ok {
@@ -226,12 +229,12 @@
 	w := r.add(watch)
 	defer r.remove(w)
 	go r.hear(s, w)
-	feed := &routeFeed{server: r, watch: w, stream: s}
-	feed.run(ctx)
+	f := &feed{server: r, watch: w, stream: s}
+	f.run(ctx)
 }
 
 // gatherFor is for how long news that can wait is gathered.
-func (r *RouteServer) gatherFor() time.Duration {
+func (r *Server) gatherFor() time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return time.Duration(len(r.watches)) * gatherEach
@@ -240,7 +243,7 @@
 // nextConfirmed is closed at the next confirmation. Forwarders are ready only once they
 // have a confirmed routing: told with the next regular word, they would be so up to a
 // second later than need be after all VMs lost power.
-func (r *RouteServer) nextConfirmed() <-chan struct{} {
+func (r *Server) nextConfirmed() <-chan struct{} {
 	if r.NextConfirmed == nil {
 		return nil
 	}
--- a/internal/role/routeserver_test.go
+++ b/internal/routewatch/server_test.go
@@ -1,4 +1,4 @@
-package role
+package routewatch
 
 import (
 	"fmt"
@@ -18,10 +18,10 @@
 	"github.com/oriolebend/oriolebend/internal/routing"
 )
 
-// newRouteServer returns a control VM that knows no leader and no other control VM, and is
+// newServer returns a control VM that knows no leader and no other control VM, and is
 // always confirmed; change alters it before it is made ready.
-func newRouteServer(change func(r *RouteServer)) *RouteServer {
-	r := &RouteServer{
+func newServer(change func(r *Server)) *Server {
+	r := &Server{
 		Store:     routing.NewStore(),
 		Confirmed: func() (time.Duration, bool) { return 0, true },
 		Controls:  func() []string { return nil },
@@ -70,7 +70,7 @@
 		is := is.New(t)
 		var confirmed atomic.Bool
 		next := make(chan struct{})
-		r := newRouteServer(func(r *RouteServer) {
+		r := newServer(func(r *Server) {
 			r.Confirmed = func() (time.Duration, bool) { return 0, confirmed.Load() }
 			r.NextConfirmed = func() <-chan struct{} { return next }
 		})
@@ -101,7 +101,7 @@
 		is := is.New(t)
 		var inTouch atomic.Bool
 		inTouch.Store(true)
-		r := newRouteServer(func(r *RouteServer) { r.InTouch = inTouch.Load })
+		r := newServer(func(r *Server) { r.InTouch = inTouch.Load })
 		watchers := map[string]bool{"10.0.0.1:1": true, "10.0.0.2:1": true, "10.0.0.3:1": false, "": true}
 		for address, touch := range watchers {
 			near, far := peertest.Pair("watcher", "control")
@@ -132,7 +132,7 @@
 func TestNewServersAreToldTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r := newRouteServer(func(*RouteServer) {})
+		r := newServer(func(*Server) {})
 		const forwarders, servers = 100, 300
 		watches := make([]*updates, forwarders)
 		for i := range watches {
@@ -171,8 +171,8 @@
 func TestForwardersKnowEachOther(t *testing.T) {
 	is := is.New(t)
 	for _, count := range []int{1, 2, 3, 9, 105, 320} {
-		r := newRouteServer(func(*RouteServer) {})
-		watches := map[string]*routeWatch{}
+		r := newServer(func(*Server) {})
+		watches := map[string]*watcher{}
 		for i := range count {
 			listen := fmt.Sprintf("10.0.%d.%d:7", i%7, i)
 			watches[listen] = r.add(message.RouteWatch{Node: listen, Listen: listen})
@@ -192,3 +192,39 @@
 		is.True(len(r.peersOf(watches[r.listens[0]])) <= 9)
 	}
 }
+
+// Symptom: requests reach a server long after its leaving was acknowledged.
+// Sequence: the control VM that acknowledges it is cut off from the forwarders.
+// Cause: an acknowledgement that waits for nobody.
+func TestLeavingIsAcknowledgedOnceHeard(t *testing.T) {
+	is := is.New(t)
+	routes := newServer(func(*Server) {})
+	server := message.BackendServer{Instance: "i-1", Address: "a:1", Phase: message.PhaseReady, Sequence: 1}
+	is.True(routes.Announce(t.Context(), server) != nil) // nobody watches
+	near, far := peertest.Pair("forwarder-1", "control-1")
+	go routes.Serve(t.Context(), far)
+	is.NoErr(near.Send(message.RouteWatch{Node: "forwarder-1"}))
+	first, err := near.Receive()
+	is.NoErr(err)
+	is.True(first.(message.RouteUpdate).Whole)
+	is.NoErr(routes.Announce(t.Context(), server))
+	server.Phase, server.Sequence = message.PhaseDraining, 2
+	is.True(routes.Announce(t.Context(), server) != nil) // the forwarder does not answer
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		for {
+			m, err := near.Receive()
+			if err != nil {
+				return
+			}
+			if err := near.Send(message.RouteHeard{Number: m.(message.RouteUpdate).Number}); err != nil {
+				return
+			}
+		}
+	}()
+	server.Instance, server.Sequence = "i-2", 1
+	is.NoErr(routes.Announce(t.Context(), server))
+	is.NoErr(near.Close())
+	<-answered
+}
--- a/internal/role/routewatch.go
+++ b/internal/routewatch/watch.go
@@ -1,4 +1,4 @@
-package role
+package routewatch
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 )
 
-// routeWatch is one forwarder that watches.
-type routeWatch struct {
+// watcher is one process that watches.
+type watcher struct {
 	node string
 	// address is where a control VM that watches can be watched itself.
 	address string
@@ -49,7 +49,7 @@
 // known: were it told so by a control VM that no forwarder hears, requests would
 // still be sent to it after its end. A forwarder that is cut off itself must not
 // hold the others up, so half of them suffice after the wait.
-func (r *RouteServer) awaitHeard(ctx context.Context, told map[*routeWatch]uint64) error {
+func (r *Server) awaitHeard(ctx context.Context, told map[*watcher]uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, heardWithin)
 	defer cancel()
 	heard := 0
@@ -66,7 +66,7 @@
 
 // await waits until a forwarder has taken in an update; false means that it has
 // not, or is gone.
-func (r *RouteServer) await(ctx context.Context, w *routeWatch, number uint64) bool {
+func (r *Server) await(ctx context.Context, w *watcher, number uint64) bool {
 	for {
 		r.mutex.Lock()
 		heard, gone, news := w.heard >= number, w.gone, w.news
@@ -82,10 +82,10 @@
 	}
 }
 
-func (r *RouteServer) add(watch message.RouteWatch) *routeWatch {
+func (r *Server) add(watch message.RouteWatch) *watcher {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	w := &routeWatch{
+	w := &watcher{
 		node: watch.Node, version: watch.Version, listen: watch.Listen, observes: watch.Observes, address: watch.Address, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), news: make(chan struct{}),
 	}
@@ -101,7 +101,7 @@
 	return w
 }
 
-func (r *RouteServer) remove(w *routeWatch) {
+func (r *Server) remove(w *watcher) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.watches, w)
@@ -113,7 +113,7 @@
 }
 
 // recount counts who watches. The mutex is held.
-func (r *RouteServer) recount() {
+func (r *Server) recount() {
 	r.forwarders, r.observers, r.listens = 0, nil, r.listens[:0]
 	for w := range r.watches {
 		if !w.observes {
@@ -130,7 +130,7 @@
 }
 
 // hear takes the forwarder's word of what it has taken in.
-func (r *RouteServer) hear(s peer.Stream, w *routeWatch) {
+func (r *Server) hear(s peer.Stream, w *watcher) {
 	for {
 		m, err := s.Receive()
 		if err != nil {
@@ -151,7 +151,7 @@
 }
 
 // collect takes what is pending for a watcher into an update.
-func (r *RouteServer) collect(w *routeWatch, u *message.RouteUpdate) {
+func (r *Server) collect(w *watcher, u *message.RouteUpdate) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w.number++
@@ -170,7 +170,7 @@
 // addresses those that are 1, 2, 4, 8 … places on. What each tells these reaches all of some
 // hundred within as many steps as there are distances, also if many of them are lost. The
 // mutex is held.
-func (r *RouteServer) peersOf(w *routeWatch) []string {
+func (r *Server) peersOf(w *watcher) []string {
 	at, found := slices.BinarySearch(r.listens, w.listen)
 	if !found {
 		return nil
@@ -183,7 +183,7 @@
 }
 
 // TellReports tells all that watch of requests under which servers ended.
-func (r *RouteServer) TellReports(reports []message.CrashReport) {
+func (r *Server) TellReports(reports []message.CrashReport) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for w := range r.watches {
