forwarder: a server that was found to live is looked at again when the next connection breaks

Cause: what a look found was used for two seconds, whether the server had ended or not. On a site on which answers are lost, a server that ends within two seconds of a broken connection was taken to live, and the request under which it ended was not reported. Ruled out: keeping nothing; all connections to a server that ends break at once. Change: only that it has ended is kept. Measured: TestServerThatEndsAfterABrokenConnection fails without the change. A look costs at most one connection in a fifth of a second and server, which is kept for later requests.

--- a/internal/forwarder/ended.go
+++ b/internal/forwarder/ended.go
@@ -16,8 +16,8 @@
 // has not after a fifth of a second lives, and only the connection was lost.
 var lookAgain = []time.Duration{0, 30 * time.Millisecond, 170 * time.Millisecond}
 
-// lookHolds is for how long the finding about one start of a server is used again. All
-// connections to a server that ends break at once, and one look serves them.
+// lookHolds is for how long it is kept that a start of a server has ended. All connections
+// to it break at once, and one look serves them.
 const lookHolds = 2 * time.Second
 
 // lookWithin bounds one look: several round trips between failure domains.
@@ -35,6 +35,10 @@
 	incarnation uint64
 }
 
+func startOf(server message.BackendServer) serverStart {
+	return serverStart{instance: server.Instance, incarnation: server.Incarnation}
+}
+
 // look is what was found about one start of a server; ended holds once done is closed.
 type look struct {
 	began time.Time
@@ -51,7 +55,7 @@
 			delete(e.looks, start)
 		}
 	}
-	start := serverStart{instance: server.Instance, incarnation: server.Incarnation}
+	start := startOf(server)
 	if l := e.looks[start]; l != nil {
 		return l, false
 	}
@@ -63,6 +67,13 @@
 	return l, true
 }
 
+// forget has a server be looked at anew.
+func (e *endings) forget(server message.BackendServer) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.looks, startOf(server))
+}
+
 // hasEnded reports whether the process of a server whose connection broke has ended.
 //
 // A broken connection alone doesn't tell: answers are lost on sound servers too. A
@@ -75,14 +86,24 @@
 		<-l.done
 		return l.ended
 	}
-	defer close(l.done)
+	l.ended = f.refusesSoon(server.Address)
+	if l.ended {
+		f.config.Logger.Info("server has ended", "server", server.Instance, "incarnation", server.Incarnation, "address", server.Address)
+	} else {
+		f.endings.forget(server) // it may end a moment later, under another request
+	}
+	close(l.done)
+	return l.ended
+}
+
+// refusesSoon looks at an address a few times, until it refuses connections.
+func (f *Forwarder) refusesSoon(address string) bool {
 	for _, pause := range lookAgain {
 		time.Sleep(pause)
 		ctx, cancel := context.WithTimeout(context.Background(), lookWithin)
-		l.ended = f.pool.Refuses(ctx, server.Address)
+		refuses := f.pool.Refuses(ctx, address)
 		cancel()
-		if l.ended {
-			f.config.Logger.Info("server has ended", "server", server.Instance, "incarnation", server.Incarnation, "address", server.Address)
+		if refuses {
 			return true
 		}
 	}
--- a/internal/forwarder/ended_test.go
+++ b/internal/forwarder/ended_test.go
@@ -69,3 +69,24 @@
 		})
 	}
 }
+
+// Symptom: a request that crashes servers goes on reaching them on a site on which answers
+// are lost as well. Sequence: a connection to a server breaks, which lives; a second later it
+// ends. Cause: what was found at the first time is taken for the second.
+func TestServerThatEndsAfterABrokenConnection(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	breaks := true
+	s.crasher("", func(w http.ResponseWriter, r *http.Request) {
+		if breaks {
+			breaks = false
+			abort(w, r)
+		}
+	})
+	s.ask("/once/", nil)
+	s.looked()
+	is.True(!strings.Contains(s.log.String(), "server has ended"))
+	s.ask("/once/", nil)
+	s.looked()
+	is.True(strings.Contains(s.log.String(), "server has ended"))
+}
