quarantine: who is told is told without the lock

Cause: a control VM's store told the server of watches while it held its mutex, and that server asked the store for all reports while it held its own, for a forwarder that begins to watch. Found by reading the change; no run had shown it. Both wait for ever, and with them the routing, the announcements and the log's followers of that control VM. Ruled out: a fixed order of the two locks; each is taken first for a good reason. Change: effects are carried out after the mutex is given back; reports may be told in any order. Measured: TestReportsCrossANewWatcher stands still without the change (30 s), and ends with it.

--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -103,7 +103,16 @@
 	return s.state.Reported(s.now())
 }
 
+// reduce feeds the reducer and carries its effects out. That is done without the mutex: who
+// is told may hold a lock of its own while it asks for what is known here. What order it is
+// told in does not matter.
 func (s *Store) reduce(e quarantine.Event) {
+	for _, effect := range s.effects(e) {
+		s.carryOut(effect)
+	}
+}
+
+func (s *Store) effects(e quarantine.Event) []reducer.Effect {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	state := &reducer.State{Quarantine: s.state}
@@ -112,12 +121,10 @@
 		s.ticked = now
 		effects = append(effects, reducer.Reduce(state, quarantine.Ticked{At: now})...)
 	}
-	for _, effect := range effects {
-		s.carryOut(effect)
-	}
+	return effects
 }
 
-// carryOut does what the reducer asks for. The mutex is held.
+// carryOut does what the reducer asks for.
 func (s *Store) carryOut(effect reducer.Effect) {
 	switch e := effect.(type) {
 	case quarantine.Tell:
--- /dev/null
+++ b/internal/quarantine/store_test.go
@@ -0,0 +1,49 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// A process that sends requests tells each end, holds the request from the third on, and says
+// so in its log; it lets it through again after a quarter of an hour at the latest.
+func TestStoreOfAForwarder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var log bytes.Buffer
+		told := 0
+		s := New(Config{
+			Sends: true, Logger: slog.New(slog.NewTextHandler(&log, nil)),
+			Tell: func(reports []message.CrashReport) { told = len(reports) },
+		})
+		for i := range Limit {
+			_, held := s.Held(1)
+			is.True(!held)
+			s.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)})
+			is.Equal(told, i+1)
+		}
+		left, held := s.Held(1)
+		is.True(held)
+		is.True(left >= 10*time.Minute)
+		is.True(strings.Contains(log.String(), "request held back"))
+		time.Sleep(15 * time.Minute)
+		_, held = s.Held(1)
+		is.True(!held)
+		s.Crashed(1, message.BackendServer{Instance: "again"})
+		_, held = s.Held(1)
+		is.True(held)
+		s.Answered(1)
+		_, held = s.Held(1)
+		is.True(!held)
+		is.True(strings.Contains(log.String(), "not held back any more"))
+	})
+}
--- a/internal/routewatch/server_test.go
+++ b/internal/routewatch/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer/peertest"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/routing"
 )
 
@@ -228,3 +229,35 @@
 	is.NoErr(near.Close())
 	<-answered
 }
+
+// Symptom: a control VM stands still, for forwarders and servers alike. Sequence: a forwarder
+// begins to watch, and is told what is known of requests that crash servers; at that moment
+// another one tells of the end of a server. Cause: two locks, each taken while the other is
+// held.
+func TestReportsCrossANewWatcher(t *testing.T) {
+	var r *Server
+	store := quarantine.New(quarantine.Config{Tell: func(reports []message.CrashReport) { r.TellReports(reports) }})
+	r = newServer(func(r *Server) { r.Reports = store.Reports })
+	const rounds = 500
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var group sync.WaitGroup
+		group.Go(func() {
+			for i := range rounds {
+				store.Heard([]message.CrashReport{{Content: uint64(i / quarantine.Limit), Instance: fmt.Sprint(i)}}, true)
+			}
+		})
+		group.Go(func() {
+			for range rounds {
+				r.remove(r.add(message.RouteWatch{Node: "f"}))
+			}
+		})
+		group.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the two wait for each other")
+	}
+}
