logs: fingerprint, as the log withholds what is called content; explain crashes

Cause: lines carried the hash of a request as 'content', a name under which our own log withholds values, and the servers of a held request as a list, of which it gives the type alone. What was meant to give sight gave none. Ruled out: an exception in the log; the name is right to withhold, and the value is a fingerprint, as records have it. Change: fingerprint in code, messages and lines; tests of the forwarder and of the quarantine read what the product's own log writes. oriolebend explain crashes LOG... tells from logs which servers ended, what each had just begun, and ranks what was there at several and never answered (table and JSON). Measured: TestNothingThatIsNeededIsWithheld fails on the code before.

--- a/internal/crashreports/keeper_test.go
+++ b/internal/crashreports/keeper_test.go
@@ -26,7 +26,7 @@
 func reports() []message.CrashReport {
 	var list []message.CrashReport
 	for i := range quarantine.Limit {
-		list = append(list, message.CrashReport{Content: 1, Instance: fmt.Sprint(i), Age: time.Minute})
+		list = append(list, message.CrashReport{Fingerprint: 1, Instance: fmt.Sprint(i), Age: time.Minute})
 	}
 	return list
 }
--- a/internal/crashreports/teller.go
+++ b/internal/crashreports/teller.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		for _, report := range n.reports {
-			for _, address := range t.concerned(report.Content) {
+			for _, address := range t.concerned(report.Fingerprint) {
 				all[address] = all[address].with(n, report)
 			}
 		}
@@ -116,12 +116,12 @@
 }
 
 // concerned is who is told of the end of a server under a request.
-func (t *Teller) concerned(content uint64) []string {
+func (t *Teller) concerned(fingerprint uint64) []string {
 	controls := t.Controls()
 	if len(controls) == 0 {
 		return t.Peers()
 	}
-	return policy.Nearest(quarantine.Content(content).String(), controls, collectors)
+	return policy.Nearest(quarantine.Fingerprint(fingerprint).String(), controls, collectors)
 }
 
 // deliver tells one process. If that fails, whoever is reached then is told.
--- a/internal/crashreports/teller_test.go
+++ b/internal/crashreports/teller_test.go
@@ -118,10 +118,10 @@
 	store := quarantine.New(quarantine.Config{Tell: func(reports []message.CrashReport) { told += len(reports) }})
 	var reports []message.CrashReport
 	for i := range 1000 {
-		reports = append(reports, message.CrashReport{Content: uint64(i + 10), Instance: fmt.Sprint(i % 40)})
+		reports = append(reports, message.CrashReport{Fingerprint: uint64(i + 10), Instance: fmt.Sprint(i % 40)})
 	}
 	for i := range quarantine.Limit {
-		reports = append(reports, message.CrashReport{Content: 1, Instance: fmt.Sprint(i)})
+		reports = append(reports, message.CrashReport{Fingerprint: 1, Instance: fmt.Sprint(i)})
 	}
 	store.Heard(reports, true)
 	is.Equal(told, quarantine.Limit)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -177,7 +177,7 @@
 // pass gives the caller the server's answer.
 func (w *work) pass(r result) {
 	if r.good() {
-		w.f.config.Quarantine.Answered(w.content)
+		w.f.config.Quarantine.Answered(w.fingerprint)
 	}
 	w.answer.Whole(r.status, r.header, r.body)
 	w.log(r.status, "", oriolebend.RanYes)
--- a/internal/forwarder/ended.go
+++ b/internal/forwarder/ended.go
@@ -123,7 +123,7 @@
 	}
 	w.f.background.Go(func() {
 		if w.f.hasEnded(server) {
-			w.f.config.Quarantine.Crashed(w.content, server)
+			w.f.config.Quarantine.Crashed(w.fingerprint, server)
 		}
 	})
 }
--- a/internal/forwarder/ended_test.go
+++ b/internal/forwarder/ended_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -90,3 +91,19 @@
 	s.looked()
 	is.True(strings.Contains(s.log.String(), "server has ended"))
 }
+
+// Symptom: on call the lines of a request's tries can't be brought together. Sequence: a
+// forwarder logs what identifies them; the log withholds it, as it does values under names
+// that callers' data goes by. Cause: an attribute's name. Each value must be there.
+func TestNothingThatIsNeededIsWithheld(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	s.crashers(4, "", 0)
+	for range 5 {
+		s.ask("/safe/", nil)
+		s.looked()
+	}
+	is.True(strings.Contains(s.log.String(), "request held back"))
+	is.True(strings.Contains(s.log.String(), `"fingerprint":"`+bodyFingerprint("/safe/").String()+`"`))
+	is.True(!strings.Contains(s.log.String(), logging.Withheld))
+}
--- a/internal/forwarder/content.go
+++ b/internal/forwarder/fingerprint.go
@@ -7,10 +7,10 @@
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 )
 
-// contentOf hashes the method, host, target and body of a request: all tries of a caller
+// fingerprintOf hashes the method, host, target and body of a request: all tries of a caller
 // at one request have the same. Headers are left out, as ids, deadlines and estimates
 // differ from try to try.
-func contentOf(r *http1.Request) quarantine.Content {
+func fingerprintOf(r *http1.Request) quarantine.Fingerprint {
 	hash := xxhash.New()
 	for _, part := range []string{r.Method, r.Host, r.Target} {
 		// Neither write fails; the zero byte can't be part of what is before it.
@@ -18,5 +18,5 @@
 		_, _ = hash.Write([]byte{0})
 	}
 	_, _ = hash.Write(r.Body)
-	return quarantine.Content(hash.Sum64())
+	return quarantine.Fingerprint(hash.Sum64())
 }
--- a/internal/forwarder/content_test.go
+++ b/internal/forwarder/fingerprint_test.go
@@ -9,16 +9,16 @@
 	"github.com/oriolebend/oriolebend/internal/http1"
 )
 
-// Two tries at one request have the same content, and nothing else has it.
-func TestContent(t *testing.T) {
+// Two tries at one request have the same fingerprint, and nothing else has it.
+func TestFingerprint(t *testing.T) {
 	is := is.New(t)
 	request := func(method, host, target, body, id string) *http1.Request {
 		return &http1.Request{
 			Method: method, Host: host, Target: target, Body: []byte(body), Header: http.Header{ownRequest: {id}},
 		}
 	}
-	first := contentOf(request("POST", "h", "/a?b", "body", "r1"))
-	is.Equal(contentOf(request("POST", "h", "/a?b", "body", "r2")), first)
+	first := fingerprintOf(request("POST", "h", "/a?b", "body", "r1"))
+	is.Equal(fingerprintOf(request("POST", "h", "/a?b", "body", "r2")), first)
 	for _, other := range []*http1.Request{
 		request("PUT", "h", "/a?b", "body", "r1"),
 		request("POST", "g", "/a?b", "body", "r1"),
@@ -26,7 +26,7 @@
 		request("POST", "h", "/a?b", "bodz", "r1"),
 		request("POST", "h", "/a?bb", "ody", "r1"),
 	} {
-		is.True(contentOf(other) != first)
+		is.True(fingerprintOf(other) != first)
 	}
 	is.Equal(len(first.String()), 16)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -221,7 +221,7 @@
 
 // Serve answers one request; it is an http1.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
-	w := &work{f: f, request: r, answer: a, content: contentOf(r)}
+	w := &work{f: f, request: r, answer: a, fingerprint: fingerprintOf(r)}
 	table := f.table.Load()
 	if table == nil {
 		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
@@ -244,7 +244,7 @@
 		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryUnready})
 		return
 	}
-	if left, held := f.config.Quarantine.Held(w.content); held {
+	if left, held := f.config.Quarantine.Held(w.fingerprint); held {
 		w.refuse(refusal{reason: oriolebend.ReasonCrashesServers, after: left})
 		return
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,9 +16,11 @@
 	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/http1"
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -56,9 +57,11 @@
 	is := is.New(t)
 	c := &counts{seen: map[string]int{}}
 	log := &recorder{}
+	logger, err := logging.New(settings.Log{Format: "json"}, log)
+	is.NoErr(err)
 	f := New(Config{
 		Dialect: Own{}, Dispatch: dispatch.Config{FailureDomain: "a", Seed: 1, RetrySlack: 1000}, Observer: c,
-		Logger: slog.New(slog.NewJSONHandler(log, nil)),
+		Logger: logger,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -31,9 +31,9 @@
 	return reached
 }
 
-// bodyContent is the content of what ask sends to a path.
-func bodyContent(path string) quarantine.Content {
-	return contentOf(&http1.Request{Method: http.MethodPost, Host: "h", Target: path, Body: []byte("body")})
+// bodyFingerprint is the fingerprint of what ask sends to a path.
+func bodyFingerprint(path string) quarantine.Fingerprint {
+	return fingerprintOf(&http1.Request{Method: http.MethodPost, Host: "h", Target: path, Body: []byte("body")})
 }
 
 // Symptom: a request ends all servers of a service, three or more for each try of its
@@ -141,7 +141,7 @@
 		if r.Header.Get(ownPhase) != "" {
 			var reports []message.CrashReport
 			for i := range quarantine.Limit {
-				reports = append(reports, message.CrashReport{Content: uint64(bodyContent("/cut/")), Instance: fmt.Sprint(i)})
+				reports = append(reports, message.CrashReport{Fingerprint: uint64(bodyFingerprint("/cut/")), Instance: fmt.Sprint(i)})
 			}
 			s.forwarder.config.Quarantine.Heard(reports, false)
 		}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -69,7 +69,7 @@
 // run carries one sending out.
 func (s *sending) run(ctx context.Context) ending {
 	s.placed = time.Since(s.request.Received)
-	if left, held := s.f.config.Quarantine.Held(s.content); held {
+	if left, held := s.f.config.Quarantine.Held(s.fingerprint); held {
 		s.unusedPrefill()
 		return s.giveBack(nil, ending{reason: oriolebend.ReasonCrashesServers, after: left, unsent: true})
 	}
@@ -78,7 +78,7 @@
 	if err != nil && ctx.Err() != nil {
 		return s.giveBack(nil, ending{reason: backend.ReasonOfEnd(ctx)})
 	}
-	if left, held := s.f.config.Quarantine.Held(s.content); held {
+	if left, held := s.f.config.Quarantine.Held(s.fingerprint); held {
 		return s.giveBack(source, ending{reason: oriolebend.ReasonCrashesServers, after: left, unsent: true})
 	}
 	if !s.f.mayStillSend(s.grant) {
@@ -213,7 +213,7 @@
 		}
 		s.answer.End()
 		if s.streaming {
-			s.f.config.Quarantine.Answered(s.content)
+			s.f.config.Quarantine.Answered(s.fingerprint)
 			s.f.reduce(dispatch.Written{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first})
 		}
 		s.ended(s.grant, dispatch.OutcomeAnswered, 0)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -26,8 +26,8 @@
 	service  *oriolebend.RouteService
 	version  uint64
 	deadline time.Time
-	// content is what the request asks for.
-	content quarantine.Content
+	// fingerprint is what the request asks for.
+	fingerprint quarantine.Fingerprint
 	// returned is set if the caller seems to have been refused before.
 	returned bool
 
@@ -85,7 +85,7 @@
 	if ctx.Err() != nil || w.sent >= max(1, w.route.Attempts) || w.left() < worthwhile {
 		return false
 	}
-	if _, held := w.f.config.Quarantine.Held(w.content); held {
+	if _, held := w.f.config.Quarantine.Held(w.fingerprint); held {
 		return false
 	}
 	return w.notRun() || w.route.Repeat.Repeatable()
@@ -210,7 +210,7 @@
 // log writes the one line that tells what became of a request, and why.
 func (w *work) log(status int, reason oriolebend.Reason, ran oriolebend.Ran) {
 	attributes := []slog.Attr{
-		slog.String("request", w.ask.ID), slog.String("content", w.content.String()), slog.Int("status", status),
+		slog.String("request", w.ask.ID), slog.String("fingerprint", w.fingerprint.String()), slog.Int("status", status),
 		slog.String("ran", string(ran)), slog.Int("sent", w.sent),
 		slog.Int64("tookMs", time.Since(w.request.Received).Milliseconds()),
 		slog.Int64("withinMs", w.ask.Within.Milliseconds()), slog.Uint64("routing", w.version),
@@ -236,7 +236,7 @@
 // logSending writes a line for a sending that did not bring the answer.
 func (w *work) logSending(g dispatch.Grant, what string, status int, reason oriolebend.Reason, err error) {
 	attributes := []slog.Attr{
-		slog.String("request", w.ask.ID), slog.String("content", w.content.String()),
+		slog.String("request", w.ask.ID), slog.String("fingerprint", w.fingerprint.String()),
 		slog.String("server", g.Server.Instance),
 		slog.String("address", g.Server.Address), slog.String("reason", string(reason)),
 	}
--- a/internal/message/crash.go
+++ b/internal/message/crash.go
@@ -8,8 +8,8 @@
 // CrashReport tells that a start of a server ended while it began to work on a request.
 // It doesn't tell that it ended because of that request.
 type CrashReport struct {
-	// Content identifies what the request asks for, whoever carries it.
-	Content uint64 `cbor:"1,keyasint"`
+	// Fingerprint identifies what the request asks for, whoever carries it.
+	Fingerprint uint64 `cbor:"1,keyasint"`
 	// Instance and Incarnation name the start of the server.
 	Instance    string `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
--- a/internal/operator/command/read.go
+++ b/internal/operator/command/read.go
@@ -136,7 +136,7 @@
 		Name: "explain", Usage: "oriolebend explain [FLAGS] KIND/NAME", Flags: c.flags,
 		ShortHelp:   "say why something is not reached yet, or what became of a request",
 		LongHelp:    "Example:\n  oriolebend explain pool/decode --control http://127.0.0.1:8081",
-		Subcommands: []*ff.Command{explainRequestCommand(out)},
+		Subcommands: []*ff.Command{explainRequestCommand(out), explainCrashesCommand(out)},
 		Exec: func(ctx context.Context, args []string) error {
 			key, err := parseKey(args)
 			if err != nil {
--- a/internal/operator/command/request.go
+++ b/internal/operator/command/request.go
@@ -28,16 +28,33 @@
 	}
 }
 
-func explainRequest(out io.Writer, request string, paths []string) error {
+// openLogs opens log files; the function returned closes those that were opened, also
+// beside an error.
+func openLogs(paths []string) ([]requestlog.Log, func(), error) {
 	var logs []requestlog.Log
+	var files []*os.File
+	closeAll := func() {
+		for _, file := range files {
+			_ = file.Close() // only read
+		}
+	}
 	for _, path := range paths {
 		file, err := os.Open(path)
 		if err != nil {
-			return fmt.Errorf("open a log: %w", err)
+			return nil, closeAll, fmt.Errorf("open a log: %w", err)
 		}
-		defer file.Close()
+		files = append(files, file)
 		logs = append(logs, requestlog.Log{Name: path, Reader: file})
 	}
+	return logs, closeAll, nil
+}
+
+func explainRequest(out io.Writer, request string, paths []string) error {
+	logs, closeLogs, err := openLogs(paths)
+	defer closeLogs()
+	if err != nil {
+		return err
+	}
 	life, err := requestlog.Tell(request, logs...)
 	if notFound, ok := errors.AsType[*requestlog.NotFoundError](err); ok {
 		return &ExitError{Code: ExitNotFound, Cause: notFound}
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,8 +19,8 @@
 // much longer.
 const tickEvery = time.Minute
 
-// Content identifies what a request asks for, whoever carries it.
-type Content = quarantine.Content
+// Fingerprint identifies what a request asks for, whoever carries it.
+type Fingerprint = quarantine.Fingerprint
 
 // Limit is under how many ends of servers a request is held.
 const Limit = quarantine.Limit
@@ -65,15 +66,15 @@
 const mostSpread = 0.5
 
 // Crashed notes that a server has ended while it began to work on a request.
-func (s *Store) Crashed(content Content, server message.BackendServer) {
+func (s *Store) Crashed(fingerprint Fingerprint, server message.BackendServer) {
 	s.reduce(quarantine.Crashed{
-		At: s.now(), Content: content, Server: quarantine.Start{Instance: server.Instance, Incarnation: server.Incarnation},
+		At: s.now(), Fingerprint: fingerprint, Server: quarantine.Start{Instance: server.Instance, Incarnation: server.Incarnation},
 	})
 }
 
 // Answered notes that a server has answered a request to its end.
-func (s *Store) Answered(content Content) {
-	s.reduce(quarantine.Answered{At: s.now(), Content: content})
+func (s *Store) Answered(fingerprint Fingerprint) {
+	s.reduce(quarantine.Answered{At: s.now(), Fingerprint: fingerprint})
 }
 
 // Heard takes in what another process knows; pass has it told on.
@@ -83,10 +84,10 @@
 
 // Held is for how much longer a request is not sent to servers; false means that it may
 // be sent.
-func (s *Store) Held(content Content) (time.Duration, bool) {
+func (s *Store) Held(fingerprint Fingerprint) (time.Duration, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.state.Held(s.now(), content)
+	return s.state.Held(s.now(), fingerprint)
 }
 
 // Reports lists what was told so far, for a process that has just been found.
@@ -136,11 +137,11 @@
 			return
 		}
 		s.config.Logger.Warn("request held back, servers ended under it",
-			"content", e.Content.String(), "servers", e.Servers, "forMs", e.For.Milliseconds())
+			"fingerprint", e.Fingerprint.String(), "servers", strings.Join(e.Servers, " "), "forMs", e.For.Milliseconds())
 	case quarantine.Released:
 		if !s.config.Sends {
 			return
 		}
-		s.config.Logger.Info("request not held back any more, a server answered it", "content", e.Content.String())
+		s.config.Logger.Info("request not held back any more, a server answered it", "fingerprint", e.Fingerprint.String())
 	}
 }
--- a/internal/quarantine/store_test.go
+++ b/internal/quarantine/store_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"log/slog"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,7 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/settings"
 )
 
 // A process that sends requests tells each end, holds the request from the third on, and says
@@ -20,9 +21,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var log bytes.Buffer
+		logger, err := logging.New(settings.Log{}, &log) // it withholds what may be a caller's
+		is.NoErr(err)
 		told := 0
 		s := New(Config{
-			Sends: true, Logger: slog.New(slog.NewTextHandler(&log, nil)),
+			Sends: true, Logger: logger,
 			Tell: func(reports []message.CrashReport) { told = len(reports) },
 		})
 		for i := range Limit {
@@ -34,7 +37,7 @@
 		left, held := s.Held(1)
 		is.True(held)
 		is.True(left >= 10*time.Minute)
-		is.True(strings.Contains(log.String(), "request held back"))
+		is.True(strings.Contains(log.String(), `"request held back, servers ended under it" fingerprint=0000000000000001 servers="0 1 2"`))
 		time.Sleep(15 * time.Minute)
 		_, held = s.Held(1)
 		is.True(!held)
--- a/internal/reducer/quarantine/answered.go
+++ b/internal/reducer/quarantine/answered.go
@@ -20,23 +20,23 @@
 type answers []answered
 
 type answered struct {
-	content Content
-	at      int64 // Unix seconds
+	fingerprint Fingerprint
+	at          int64 // Unix seconds
 }
 
 func newAnswers() answers { return make(answers, answeredSlots) }
 
-func (a answers) note(at time.Time, content Content) {
+func (a answers) note(at time.Time, fingerprint Fingerprint) {
 	if len(a) > 0 {
-		a[uint64(content)%uint64(len(a))] = answered{content: content, at: at.Unix()}
+		a[uint64(fingerprint)%uint64(len(a))] = answered{fingerprint: fingerprint, at: at.Unix()}
 	}
 }
 
 // recently reports whether a request was answered a moment ago.
-func (a answers) recently(at time.Time, content Content) bool {
+func (a answers) recently(at time.Time, fingerprint Fingerprint) bool {
 	if len(a) == 0 {
 		return false
 	}
-	slot := a[uint64(content)%uint64(len(a))]
-	return slot.content == content && at.Sub(time.Unix(slot.at, 0)) < answeredFor
+	slot := a[uint64(fingerprint)%uint64(len(a))]
+	return slot.fingerprint == fingerprint && at.Sub(time.Unix(slot.at, 0)) < answeredFor
 }
--- a/internal/reducer/quarantine/event.go
+++ b/internal/reducer/quarantine/event.go
@@ -11,15 +11,15 @@
 
 // Crashed tells that a server has ended while it began to work on a request.
 type Crashed struct {
-	At      time.Time
-	Content Content
-	Server  Start
+	At          time.Time
+	Fingerprint Fingerprint
+	Server      Start
 }
 
 // Answered tells that a server has answered a request to its end.
 type Answered struct {
-	At      time.Time
-	Content Content
+	At          time.Time
+	Fingerprint Fingerprint
 }
 
 // Heard tells what another process knows.
@@ -50,14 +50,14 @@
 
 // Held says that a request is not sent to servers any more.
 type Held struct {
-	Content Content
+	Fingerprint Fingerprint
 	// Servers are the instances that ended under it.
 	Servers []string
 	For     time.Duration
 }
 
 // Released says that a request is sent to servers again, as one has answered it.
-type Released struct{ Content Content }
+type Released struct{ Fingerprint Fingerprint }
 
 func (Tell) isQuarantineEffect() {}
 
--- a/internal/reducer/quarantine/script_test.go
+++ b/internal/reducer/quarantine/script_test.go
@@ -18,9 +18,9 @@
 
 // script is processes that tell each other.
 type script struct {
-	now       time.Time
-	processes map[string]*State
-	contents  []string
+	now          time.Time
+	processes    map[string]*State
+	fingerprints []string
 }
 
 // TestScripts runs the files of testdata/scripts. Each line of a block "run" is an event:
@@ -63,14 +63,14 @@
 	case "crash":
 		instance, incarnation, _ := strings.Cut(words[3], "@")
 		start := Start{Instance: instance, Incarnation: uint64(len(incarnation))}
-		s.show(words[1], out, Reduce(s.processes[words[1]], Crashed{At: s.now, Content: s.content(words[2]), Server: start}))
+		s.show(words[1], out, Reduce(s.processes[words[1]], Crashed{At: s.now, Fingerprint: s.fingerprint(words[2]), Server: start}))
 	case "answer":
-		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Content: s.content(words[2])}))
+		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Fingerprint: s.fingerprint(words[2])}))
 	case "tell":
 		reports := s.processes[words[2]].Reports(s.now)
 		s.show(words[1], out, Reduce(s.processes[words[1]], Heard{At: s.now, Reports: reports, Pass: true}))
 	case "ask":
-		left, held := s.processes[words[1]].Held(s.now, s.content(words[2]))
+		left, held := s.processes[words[1]].Held(s.now, s.fingerprint(words[2]))
 		if !held {
 			left = 0
 		}
@@ -80,12 +80,12 @@
 	}
 }
 
-// content is the number of a request's name, counted from 1.
-func (s *script) content(name string) Content {
-	if !slices.Contains(s.contents, name) {
-		s.contents = append(s.contents, name)
+// fingerprint is the number of a request's name, counted from 1.
+func (s *script) fingerprint(name string) Fingerprint {
+	if !slices.Contains(s.fingerprints, name) {
+		s.fingerprints = append(s.fingerprints, name)
 	}
-	return Content(slices.Index(s.contents, name) + 1)
+	return Fingerprint(slices.Index(s.fingerprints, name) + 1)
 }
 
 func (s *script) show(process string, out *strings.Builder, effects []Effect) {
@@ -94,9 +94,9 @@
 		case Tell:
 			fmt.Fprintf(out, "%s: tell %s\n", process, s.text(e.Reports))
 		case Held:
-			fmt.Fprintf(out, "%s: hold %s for %s, ended: %s\n", process, s.contents[e.Content-1], e.For, strings.Join(e.Servers, " "))
+			fmt.Fprintf(out, "%s: hold %s for %s, ended: %s\n", process, s.fingerprints[e.Fingerprint-1], e.For, strings.Join(e.Servers, " "))
 		case Released:
-			fmt.Fprintf(out, "%s: release %s\n", process, s.contents[e.Content-1])
+			fmt.Fprintf(out, "%s: release %s\n", process, s.fingerprints[e.Fingerprint-1])
 		}
 	}
 }
@@ -104,7 +104,7 @@
 func (s *script) text(reports []message.CrashReport) string {
 	var words []string
 	for _, m := range reports {
-		word := s.contents[m.Content-1] + "/" + m.Instance
+		word := s.fingerprints[m.Fingerprint-1] + "/" + m.Instance
 		if m.Refuted {
 			word += "(refuted)"
 		}
@@ -120,17 +120,17 @@
 	is := is.New(t)
 	s := New(Config{Answers: true})
 	for i := range 2 * Limit {
-		Reduce(s, Crashed{At: scriptStart, Content: 1, Server: Start{Instance: fmt.Sprint(i)}})
+		Reduce(s, Crashed{At: scriptStart, Fingerprint: 1, Server: Start{Instance: fmt.Sprint(i)}})
 	}
 	for i := range 4 * mostRequests {
-		Reduce(s, Crashed{At: scriptStart.Add(time.Duration(i)), Content: Content(2 + i), Server: Start{Instance: "a"}})
+		Reduce(s, Crashed{At: scriptStart.Add(time.Duration(i)), Fingerprint: Fingerprint(2 + i), Server: Start{Instance: "a"}})
 	}
 	reported, held := s.Reported(scriptStart)
 	is.True(reported <= mostRequests)
 	is.True(reported >= mostRequests/2)
 	is.Equal(held, 1)
 	for i := range 4 * mostReports {
-		Reduce(s, Crashed{At: scriptStart, Content: 1, Server: Start{Instance: "b", Incarnation: uint64(i)}})
+		Reduce(s, Crashed{At: scriptStart, Fingerprint: 1, Server: Start{Instance: "b", Incarnation: uint64(i)}})
 	}
 	is.Equal(len(s.requests[1].reports), mostReports)
 }
@@ -142,7 +142,7 @@
 	var reports []message.CrashReport
 	for i := range 4 {
 		reports = append(reports, message.CrashReport{
-			Content: 1, Instance: fmt.Sprint(i), Age: time.Duration(i) * time.Minute, Refuted: i == 3,
+			Fingerprint: 1, Instance: fmt.Sprint(i), Age: time.Duration(i) * time.Minute, Refuted: i == 3,
 		})
 	}
 	var want []message.CrashReport
--- a/internal/reducer/quarantine/state.go
+++ b/internal/reducer/quarantine/state.go
@@ -5,7 +5,7 @@
 // A request may crash each server that begins to run it. To the forwarder it is one whose
 // server was lost; its caller tries again, with another id and at another forwarder, and
 // ends the next server together with all the work there. One notices it by servers that
-// end one by one on a calm day, each with the same content among what it had just begun.
+// end one by one on a calm day, each with the same fingerprint among what it had just begun.
 //
 // What is known is a set of reports, one for each request and start of a server. Sets are
 // joined by union, and a report that was refuted stays refuted, so that processes may tell
@@ -42,11 +42,11 @@
 	mostReports  = 12
 )
 
-// Content identifies what a request asks for, whoever carries it.
-type Content uint64
+// Fingerprint identifies what a request asks for, whoever carries it.
+type Fingerprint uint64
 
-// String writes a content as log lines do.
-func (c Content) String() string { return fmt.Sprintf("%016x", uint64(c)) }
+// String writes a fingerprint as log lines do.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
 // Start is one start of a server.
 type Start struct {
@@ -72,7 +72,7 @@
 // State is what one process knows. Only Reduce changes it.
 type State struct {
 	config   Config
-	requests map[Content]*request
+	requests map[Fingerprint]*request
 	answered answers
 }
 
@@ -92,7 +92,7 @@
 // New returns a state that knows nothing.
 func New(c Config) *State {
 	c.TellFrom = cmp.Or(c.TellFrom, 1)
-	s := &State{config: c, requests: map[Content]*request{}}
+	s := &State{config: c, requests: map[Fingerprint]*request{}}
 	if c.Answers {
 		s.answered = newAnswers()
 	}
@@ -116,8 +116,8 @@
 
 // Held is for how much longer a request is not sent to servers; false means that it may
 // be sent.
-func (s *State) Held(at time.Time, content Content) (time.Duration, bool) {
-	r := s.requests[content]
+func (s *State) Held(at time.Time, fingerprint Fingerprint) (time.Duration, bool) {
+	r := s.requests[fingerprint]
 	if r == nil || r.count() < Limit {
 		return 0, false
 	}
@@ -127,8 +127,8 @@
 
 // Reported counts the requests under which servers ended, and those that are held.
 func (s *State) Reported(at time.Time) (reported, held int) {
-	for content := range s.requests {
-		if _, is := s.Held(at, content); is {
+	for fingerprint := range s.requests {
+		if _, is := s.Held(at, fingerprint); is {
 			held++
 		}
 	}
@@ -138,69 +138,69 @@
 // Reports lists what was told so far, for a process that has just been found.
 func (s *State) Reports(at time.Time) []message.CrashReport {
 	var all []message.CrashReport
-	for _, content := range slices.Sorted(maps.Keys(s.requests)) {
-		if len(s.requests[content].reports) >= s.config.TellFrom {
-			all = append(all, s.reportsOf(at, content)...)
+	for _, fingerprint := range slices.Sorted(maps.Keys(s.requests)) {
+		if len(s.requests[fingerprint].reports) >= s.config.TellFrom {
+			all = append(all, s.reportsOf(at, fingerprint)...)
 		}
 	}
 	return all
 }
 
 func (s *State) crashed(e Crashed) []Effect {
-	r := s.request(e.Content)
+	r := s.request(e.Fingerprint)
 	if r.reports[e.Server] != nil {
 		return nil
 	}
 	before := r.count()
-	r.add(e.At, e.Server, s.answered.recently(e.At, e.Content))
-	return s.changed(e.At, e.Content, before, true)
+	r.add(e.At, e.Server, s.answered.recently(e.At, e.Fingerprint))
+	return s.changed(e.At, e.Fingerprint, before, true)
 }
 
 // answer refutes what was reported of a request: one that crashes servers is never
 // answered.
 func (s *State) answer(e Answered) []Effect {
-	s.answered.note(e.At, e.Content)
-	r := s.requests[e.Content]
+	s.answered.note(e.At, e.Fingerprint)
+	r := s.requests[e.Fingerprint]
 	if r == nil || r.count() == 0 {
 		return nil
 	}
 	before := r.count()
 	r.refute()
-	return s.changed(e.At, e.Content, before, true)
+	return s.changed(e.At, e.Fingerprint, before, true)
 }
 
 func (s *State) heard(e Heard) []Effect {
 	var effects []Effect
-	groups := byContent(e.Reports)
-	for _, content := range slices.Sorted(maps.Keys(groups)) {
-		r := s.request(content)
+	groups := byFingerprint(e.Reports)
+	for _, fingerprint := range slices.Sorted(maps.Keys(groups)) {
+		r := s.request(fingerprint)
 		before, news := r.count(), false
-		for _, m := range groups[content] {
+		for _, m := range groups[fingerprint] {
 			news = r.merge(e.At, m) || news
 		}
-		refuted := r.count() > 0 && s.answered.recently(e.At, content)
+		refuted := r.count() > 0 && s.answered.recently(e.At, fingerprint)
 		if refuted {
 			r.refute()
 		}
 		if news || refuted {
-			effects = append(effects, s.changed(e.At, content, before, e.Pass || refuted)...)
+			effects = append(effects, s.changed(e.At, fingerprint, before, e.Pass || refuted)...)
 		}
 	}
 	return effects
 }
 
 // changed says what follows from a change of what is known of a request.
-func (s *State) changed(at time.Time, content Content, before int, tell bool) []Effect {
+func (s *State) changed(at time.Time, fingerprint Fingerprint, before int, tell bool) []Effect {
 	var effects []Effect
-	r := s.requests[content]
+	r := s.requests[fingerprint]
 	if tell && len(r.reports) >= s.config.TellFrom {
-		effects = append(effects, Tell{Reports: s.reportsOf(at, content)})
+		effects = append(effects, Tell{Reports: s.reportsOf(at, fingerprint)})
 	}
-	switch left, held := s.Held(at, content); {
+	switch left, held := s.Held(at, fingerprint); {
 	case held && r.count() > before:
-		effects = append(effects, Held{Content: content, Servers: r.servers(), For: left})
+		effects = append(effects, Held{Fingerprint: fingerprint, Servers: r.servers(), For: left})
 	case !held && before >= Limit && r.count() < Limit:
-		effects = append(effects, Released{Content: content})
+		effects = append(effects, Released{Fingerprint: fingerprint})
 	}
 	return effects
 }
@@ -212,42 +212,42 @@
 }
 
 // request returns what is known of a request, and makes room for it.
-func (s *State) request(content Content) *request {
-	if r := s.requests[content]; r != nil {
+func (s *State) request(fingerprint Fingerprint) *request {
+	if r := s.requests[fingerprint]; r != nil {
 		return r
 	}
 	if len(s.requests) >= mostRequests {
 		s.makeRoom()
 	}
 	r := &request{reports: map[Start]*report{}}
-	s.requests[content] = r
+	s.requests[fingerprint] = r
 	return r
 }
 
 // makeRoom drops an eighth of the requests: those under which the fewest servers ended, and
 // of these the ones that were reported least of late.
 func (s *State) makeRoom() {
-	least := slices.SortedFunc(maps.Keys(s.requests), func(a, b Content) int {
+	least := slices.SortedFunc(maps.Keys(s.requests), func(a, b Fingerprint) int {
 		first, second := s.requests[a], s.requests[b]
 		return cmp.Or(cmp.Compare(first.count(), second.count()), first.last.Compare(second.last), cmp.Compare(a, b))
 	})
-	for _, content := range least[:len(least)/8] {
-		delete(s.requests, content)
+	for _, fingerprint := range least[:len(least)/8] {
+		delete(s.requests, fingerprint)
 	}
 }
 
 // forget drops what has become too old.
 func (s *State) forget(at time.Time) {
-	maps.DeleteFunc(s.requests, func(_ Content, r *request) bool { return at.Sub(r.last) >= remember })
+	maps.DeleteFunc(s.requests, func(_ Fingerprint, r *request) bool { return at.Sub(r.last) >= remember })
 }
 
 // reportsOf lists what is known of a request as it is told.
-func (s *State) reportsOf(at time.Time, content Content) []message.CrashReport {
-	r := s.requests[content]
+func (s *State) reportsOf(at time.Time, fingerprint Fingerprint) []message.CrashReport {
+	r := s.requests[fingerprint]
 	var list []message.CrashReport
 	for _, start := range slices.SortedFunc(maps.Keys(r.reports), compareStarts) {
 		list = append(list, message.CrashReport{
-			Content: uint64(content), Instance: start.Instance, Incarnation: start.Incarnation,
+			Fingerprint: uint64(fingerprint), Instance: start.Instance, Incarnation: start.Incarnation,
 			Age: at.Sub(r.reports[start].at), Refuted: r.reports[start].refuted,
 		})
 	}
@@ -258,10 +258,10 @@
 	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
-func byContent(reports []message.CrashReport) map[Content][]message.CrashReport {
-	groups := map[Content][]message.CrashReport{}
+func byFingerprint(reports []message.CrashReport) map[Fingerprint][]message.CrashReport {
+	groups := map[Fingerprint][]message.CrashReport{}
 	for _, m := range reports {
-		groups[Content(m.Content)] = append(groups[Content(m.Content)], m)
+		groups[Fingerprint(m.Fingerprint)] = append(groups[Fingerprint(m.Fingerprint)], m)
 	}
 	return groups
 }
--- a/internal/requestlog/life.go
+++ b/internal/requestlog/life.go
@@ -169,7 +169,7 @@
 	"":                "it got the answer of its server",
 	"callerCancelled": "the caller left before the answer was whole",
 	"controlAway":     "no control VM that leads answered the forwarder: see its lines on control VMs",
-	"crashesServers":  "servers ended under the same content before, so that it is not sent any more: see the lines 'request held back' with its content",
+	"crashesServers":  "servers ended under the same fingerprint before, so that it is not sent any more: see the lines 'request held back' with its fingerprint",
 	"deadline":        "its time was over: compare tookMs with placedMs, readMs and firstMs for where it went",
 	"engineFailed":    "the engine reported a failure",
 	"internal":        "a fault of the router itself: please report it with these lines",
--- a/internal/requestlog/line.go
+++ b/internal/requestlog/line.go
@@ -18,22 +18,33 @@
 
 // Line is a line of a log.
 type Line struct {
-	Time     time.Time `json:"time"`
-	Message  string    `json:"msg"`
-	Node     string    `json:"node"`
-	Role     string    `json:"role"`
-	Request  string    `json:"request"`
-	Server   string    `json:"server"`
-	Prefill  string    `json:"prefill"`
-	Instance string    `json:"instance"`
-	Reason   string    `json:"reason"`
-	Status   int       `json:"status"`
-	Ran      string    `json:"ran"`
-	Sent     int       `json:"sent"`
+	Time        time.Time `json:"time"`
+	Message     string    `json:"msg"`
+	Node        string    `json:"node"`
+	Role        string    `json:"role"`
+	Request     string    `json:"request"`
+	Server      string    `json:"server"`
+	Prefill     string    `json:"prefill"`
+	Instance    string    `json:"instance"`
+	Reason      string    `json:"reason"`
+	Status      int       `json:"status"`
+	Ran         string    `json:"ran"`
+	Sent        int       `json:"sent"`
+	Fingerprint string    `json:"fingerprint"`
+	Route       string    `json:"route"`
+	// FirstMs and TookMs are when the first event and the end of an answer came, counted
+	// from the request's arrival.
+	FirstMs milliseconds `json:"firstMs"`
+	TookMs  milliseconds `json:"tookMs"`
 
 	Text string `json:"-"` // the whole line
 }
 
+// milliseconds is a time as lines carry it.
+type milliseconds int64
+
+func (m milliseconds) duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
 // names reports whether a line concerns one of some servers.
 func (l Line) names(servers map[string]bool) bool {
 	return servers[l.Server] || servers[l.Instance]
