dispatch: what has gone is looked through once in half a minute; entry: plainer names

Cause: found when the whole change was read again: each server that leaves looked through all that have gone, so that three thousand that go at once cost some nine million steps; and names of the entry called a request that loses servers a loser. Ruled out: a bound on the number; the newest are the ones that matter.

--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -73,14 +73,17 @@
 	s.forget(c)
 }
 
-// goneFor is for how long a start of a server is known to have gone. Places given by who
-// has not heard of it may come until then: as long as a partition of the core lasts at
-// times, and what is given before its end.
+// goneFor is for how long at least a start of a server is known to have gone, and how often
+// what is older is forgotten. Places given by who has not heard of it may come until then:
+// as long as a partition of the core lasts at times, and what is given before its end.
 const goneFor = 30 * time.Second
 
 // noteGone remembers that a start of a server has gone.
 func (s *State) noteGone(at time.Time, server message.BackendServer) {
-	maps.DeleteFunc(s.gone, func(_ Engine, since time.Time) bool { return at.Sub(since) >= goneFor })
+	if at.Sub(s.goneLooked) >= goneFor { // not for each of thousands that go at once
+		s.goneLooked = at
+		maps.DeleteFunc(s.gone, func(_ Engine, since time.Time) bool { return at.Sub(since) >= goneFor })
+	}
 	s.gone[Engine{Instance: server.Instance, Incarnation: server.Incarnation}] = at
 }
 
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -53,6 +53,8 @@
 	services map[string]*service
 	// gone holds the starts that were told of and have gone, and since when.
 	gone map[Engine]time.Time
+	// goneLooked is when gone was looked through last.
+	goneLooked time.Time
 	// forwarders is how many forwarders share the retry budget.
 	forwarders int
 	scratch    scratch
--- a/internal/reducer/entry/decode.go
+++ b/internal/reducer/entry/decode.go
@@ -215,7 +215,7 @@
 		r.clearAlarm(a)
 	}
 	r.lastReason = l.reason
-	if r.losesServers() {
+	if r.lostInARow() {
 		s.retryWork(r, l.reason)
 		return
 	}
--- a/internal/reducer/entry/retry.go
+++ b/internal/reducer/entry/retry.go
@@ -36,8 +36,8 @@
 		return
 	}
 	r.owesRetry = !crowded
-	if r.losesServers() {
-		s.delayLoser(r, reason)
+	if r.lostInARow() {
+		s.delayAfterLosses(r, reason)
 		return
 	}
 	if !r.owesRetry {
@@ -106,27 +106,27 @@
 }
 
 const (
-	// lostInARow is how many servers may be lost under a request before it waits long:
+	// mostLostInARow is how many servers may be lost under a request before it waits long:
 	// two can go with their failure domain while it is tried again.
-	lostInARow = quarantine.Limit
-	// loserFirst and loserMost bound that wait, which doubles with each further loss. A
+	mostLostInARow = quarantine.Limit
+	// lossWaitFirst and lossWaitMost bound that wait, which doubles with each further loss. A
 	// server takes seconds to be back, so that a request which crashes servers then
 	// costs one of many at a time, and one in ten minutes in the end.
-	loserFirst = 10 * time.Second
-	loserMost  = 10 * time.Minute
+	lossWaitFirst = 10 * time.Second
+	lossWaitMost  = 10 * time.Minute
 )
 
-// losesServers reports whether server after server was lost under a request.
-func (r *request) losesServers() bool { return r.serversLost >= lostInARow }
+// lostInARow reports whether server after server was lost under a request.
+func (r *request) lostInARow() bool { return r.serversLost >= mostLostInARow }
 
-// delayLoser has a request wait under which server after server was lost.
+// delayAfterLosses has a request wait under which server after server was lost.
 //
 // It may crash each server that begins to run it. Tried again within the usual two
 // seconds it takes down one server after the other with all that runs there, for as long
 // as the budgets have a floor; one notices it by retries for serverLost that follow one
 // request. It may also have had bad luck, and is accepted: it is not dropped.
-func (s *State) delayLoser(r *request, reason oriolebend.Reason) {
-	wait := min(loserMost, loserFirst<<min(r.serversLost-lostInARow, maxDoublings))
+func (s *State) delayAfterLosses(r *request, reason oriolebend.Reason) {
+	wait := min(lossWaitMost, lossWaitFirst<<min(r.serversLost-mostLostInARow, maxDoublings))
 	if !r.Deadline.IsZero() && s.now.Add(wait).After(r.Deadline) {
 		s.giveUp(r, oriolebend.ReasonCrashesServers, wait)
 		return
@@ -135,5 +135,5 @@
 	s.waitFor(r, wait)
 }
 
-// maxDoublings keeps the wait within its type; loserMost is reached long before.
+// maxDoublings keeps the wait within its type; lossWaitMost is reached long before.
 const maxDoublings = 16
