--- a/internal/caller/identity.go
+++ b/internal/caller/identity.go
@@ -1,11 +1,10 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"strings"
 
+	"github.com/oriolebend/oriolebend/internal/identity"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -13,49 +12,29 @@
 // devOrganisation is who an open entry takes a caller to be that names none.
 const devOrganisation = "dev"
 
-// identities knows the organisations by the hashes of their tokens.
+// identities knows the organisations by name and by their tokens.
 type identities struct {
 	byName map[string]settings.Organisation
-	tokens []tokenOwner
-}
-
-type tokenOwner struct {
-	hash         [sha256.Size]byte
-	organisation settings.Organisation
+	tokens identity.Keys[settings.Organisation]
 }
 
 func newIdentities(organisations []settings.Organisation) identities {
-	known := identities{byName: map[string]settings.Organisation{}}
+	known := identities{byName: map[string]settings.Organisation{}, tokens: identity.Keys[settings.Organisation]{}}
 	for _, o := range organisations {
 		known.byName[o.Name] = o
 		for _, token := range o.Tokens {
-			known.tokens = append(known.tokens, tokenOwner{sha256.Sum256([]byte(token)), o})
+			known.tokens.Add(token, o)
 		}
 	}
 	return known
 }
 
-// owner returns the organisation of a token. It compares hashes in constant
-// time and always all of them: otherwise the time of a refusal would tell how
-// much of a guessed token is right.
-func (i identities) owner(token string) (settings.Organisation, bool) {
-	hash := sha256.Sum256([]byte(token))
-	var owner settings.Organisation
-	found := false
-	for _, t := range i.tokens {
-		if subtle.ConstantTimeCompare(hash[:], t.hash[:]) == 1 {
-			owner, found = t.organisation, true
-		}
-	}
-	return owner, found && token != ""
-}
-
 // identify returns the organisation that a request comes from. A wrong token
 // is refused even where none is needed: its sender takes itself for somebody
 // and would get the answers of another organisation.
 func (h *handler) identify(r *http.Request) (settings.Organisation, error) {
 	token := bearerToken(r)
-	if owner, found := h.organisations.owner(token); found {
+	if owner, found := h.organisations.tokens.Owner(token); found {
 		return owner, nil
 	}
 	if !h.Caller.Open || token != "" {
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -4,10 +4,13 @@
 package forwarder
 
 import (
+	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -48,6 +51,32 @@
 	// Expected is the caller's estimate of the output's tokens; zero means that
 	// there is none.
 	Expected int
+	// Credential is what the caller shows of itself.
+	Credential Credential
+}
+
+// Credential is the key that a caller shows. It must not be logged.
+type Credential struct {
+	// Key is empty if none is shown, or not exactly one that can be read.
+	Key string
+	// Shown is set if anything is shown at all.
+	Shown bool
+}
+
+// LogValue implements slog.LogValuer: a key never gets into a log.
+func (Credential) LogValue() slog.Value { return slog.StringValue(logging.Withheld) }
+
+// CredentialOf reads the only value of a header as "SCHEME KEY".
+func CredentialOf(values []string, scheme string) Credential {
+	if len(values) != 1 {
+		return Credential{Shown: len(values) > 0}
+	}
+	named, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
+	key = strings.TrimSpace(key)
+	if !strings.EqualFold(named, scheme) || strings.ContainsAny(key, " ,\t") {
+		key = ""
+	}
+	return Credential{Key: key, Shown: true}
 }
 
 // expected is the tokens of output that are likely.
@@ -101,6 +130,11 @@
 	Hold string
 	// After is the last event that the caller has; empty begins anew.
 	After string
+	// Identified is set if callers show who they are: the server is told Organisation,
+	// empty for a caller that needs no key, and neither the key nor what the caller said
+	// of its organisation.
+	Identified   bool
+	Organisation string
 }
 
 // Verdict is what a server's answer tells beside its body.
--- a/internal/forwarder/fingerprint_test.go
+++ b/internal/forwarder/fingerprint_test.go
@@ -17,8 +17,8 @@
 			Method: method, Host: host, Target: target, Body: []byte(body), Header: http.Header{ownRequest: {id}},
 		}
 	}
-	first := fingerprintOf(request("POST", "h", "/a?b", "body", "r1"))
-	is.Equal(fingerprintOf(request("POST", "h", "/a?b", "body", "r2")), first)
+	first := fingerprintOf(request("POST", "h", "/a?b", "body", "r1"), "o")
+	is.Equal(fingerprintOf(request("POST", "h", "/a?b", "body", "r2"), "o"), first)
 	for _, other := range []*http1.Request{
 		request("PUT", "h", "/a?b", "body", "r1"),
 		request("POST", "g", "/a?b", "body", "r1"),
@@ -26,7 +26,9 @@
 		request("POST", "h", "/a?b", "bodz", "r1"),
 		request("POST", "h", "/a?bb", "ody", "r1"),
 	} {
-		is.True(fingerprintOf(other) != first)
+		is.True(fingerprintOf(other, "o") != first)
 	}
+	// One organisation can't have the requests of another one held back for its own.
+	is.True(fingerprintOf(request("POST", "h", "/a?b", "body", "r1"), "other") != first)
 	is.Equal(len(first.String()), 16)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -40,6 +40,12 @@
 	// Quarantine knows the requests that crash servers; nil has the forwarder keep one
 	// for itself.
 	Quarantine *quarantine.Store
+	// Quotas counts what organisations ask for, over all forwarders; nil has no quota
+	// enforced.
+	Quotas Quotas
+	// Current reports whether the routing in force is known to be the newest, as of a few
+	// seconds ago; nil means that it always is.
+	Current func() bool
 	// MaxAnswerBytes bounds the answers of plain calls, which are held whole;
 	// zero means 16 MiB.
 	MaxAnswerBytes int64
@@ -95,7 +101,9 @@
 	if held := f.table.Load(); held != nil && held.Routing.Version >= r.Version {
 		return
 	}
-	f.table.Store(routing.NewTable(r))
+	table := routing.NewTable(r)
+	table.After(f.table.Load())
+	f.table.Store(table)
 	f.reduce(dispatch.Services{Services: r.Services})
 	f.config.Logger.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
 }
@@ -221,7 +229,7 @@
 
 // Serve answers one request; it is an http1.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
-	w := &work{f: f, request: r, answer: a, fingerprint: fingerprintOf(r)}
+	w := &work{f: f, request: r, answer: a}
 	table := f.table.Load()
 	if table == nil {
 		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
@@ -234,18 +242,7 @@
 		w.reject(http.StatusBadRequest, oriolebend.ReasonMalformed, err)
 		return
 	}
-	w.route = table.Match(r.Host, r.Path())
-	if w.route == nil {
-		w.reject(http.StatusNotFound, oriolebend.ReasonUnknownService, nil)
-		return
-	}
-	w.service = table.Service(routing.Target(w.route, rand.Float64()))
-	if w.service == nil {
-		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryUnready})
-		return
-	}
-	if left, held := f.config.Quarantine.Held(w.fingerprint); held {
-		w.refuse(refusal{reason: oriolebend.ReasonCrashesServers, after: left})
+	if !w.admit(table) {
 		return
 	}
 	within := time.Duration(w.route.Timeout)
@@ -255,6 +252,9 @@
 	w.deadline = r.Received.Add(within)
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
+	if !w.charge(ctx) {
+		return
+	}
 	if w.route.Stream {
 		w.stream(ctx)
 		return
@@ -263,6 +263,31 @@
 	w.call(ctx)
 }
 
+// admit finds the route, organisation and service of a request; false means that it has
+// been answered.
+func (w *work) admit(table *routing.Table) bool {
+	w.route = table.Match(w.request.Host, w.request.Path())
+	if w.route == nil {
+		w.rejectUnless(http.StatusNotFound, oriolebend.ReasonUnknownService)
+		return false
+	}
+	if reason := w.identify(table); reason != "" {
+		w.rejectUnless(http.StatusUnauthorized, reason)
+		return false
+	}
+	w.fingerprint = fingerprintOf(w.request, w.organisationName())
+	w.service = table.Service(routing.Target(w.route, rand.Float64()))
+	if w.service == nil {
+		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryUnready})
+		return false
+	}
+	if left, held := w.f.config.Quarantine.Held(w.fingerprint); held {
+		w.refuse(refusal{reason: oriolebend.ReasonCrashesServers, after: left})
+		return false
+	}
+	return true
+}
+
 // retryUnready is when a caller may come back to a forwarder that has just
 // started: it has the routing by then, or the balancer has looked away.
 const retryUnready = 500 * time.Millisecond
--- /dev/null
+++ b/internal/forwarder/identity_test.go
@@ -0,0 +1,177 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// callerSite is a site whose servers note for whom they run requests.
+type callerSite struct {
+	*site
+	mutex  sync.Mutex
+	seen   []string
+	quotas *fixedQuotas
+	behind bool
+}
+
+// fixedQuotas gives each organisation an amount once, and says what is asked of it.
+type fixedQuotas struct {
+	mutex    sync.Mutex
+	left     map[string]float64
+	returned float64
+	away     bool
+}
+
+// Take implements Quotas.
+func (q *fixedQuotas) Take(_ context.Context, c Charge) (Charge, QuotaState, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.away {
+		return Charge{}, QuotaState{}, &oriolebend.Problem{Reason: oriolebend.ReasonControlAway, RetryAfter: time.Second}
+	}
+	if q.left[c.Organisation] < c.Cost {
+		state := QuotaState{Keeper: "c1", Left: q.left[c.Organisation], Since: time.Minute}
+		return Charge{}, state, &oriolebend.Problem{Reason: oriolebend.ReasonQuota, RetryAfter: 1500 * time.Millisecond}
+	}
+	q.left[c.Organisation] -= c.Cost
+	return c, QuotaState{Keeper: "c1"}, nil
+}
+
+// Return implements Quotas.
+func (q *fixedQuotas) Return(c Charge) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.returned += c.Cost
+}
+
+// TestIdentity runs the files of testdata/identity. Their commands:
+//
+//	declare     brings organisations in JSON into force; public=ROUTE makes a route public
+//	quotas      ORGANISATION LEFT a line; "away" has nobody counting
+//	behind      the forwarder does not know whether its routing is the newest
+//	servers     ok or refuse: what servers do
+//	ask PATH    sends the headers of the input, and prints the answer, what the server saw
+//	            and what was given back
+func TestIdentity(t *testing.T) {
+	datadriven.Walk(t, "testdata/identity", func(t *testing.T, path string) {
+		s := newCallerSite(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "declare":
+				s.declare(t, d)
+			case "quotas":
+				s.setQuotas(t, d)
+			case "behind":
+				s.behind = true
+			case "servers":
+				s.server("a", "", s.note(d.HasArg("refuse")))
+			case "ask":
+				return s.askAs(d)
+			}
+			return ""
+		})
+	})
+}
+
+func newCallerSite(t *testing.T) *callerSite {
+	s := &callerSite{site: newSite(t, 0), quotas: &fixedQuotas{left: map[string]float64{}}}
+	s.forwarder.config.Quotas = s.quotas
+	s.forwarder.config.Current = func() bool { return !s.behind }
+	return s
+}
+
+func (s *callerSite) declare(t *testing.T, d *datadriven.TestData) {
+	is := is.New(t)
+	r := s.forwarder.table.Load().Routing
+	r.Version++
+	r.Organisations = nil
+	is.NoErr(json.Unmarshal([]byte(d.Input), &r.Organisations))
+	r.Keyed = true
+	for i := range r.Routes {
+		r.Routes[i].Public = false
+		for _, arg := range d.CmdArgs {
+			r.Routes[i].Public = r.Routes[i].Public || arg.Key == "public" && arg.Vals[0] == r.Routes[i].Name
+		}
+	}
+	is.NoErr(r.Check())
+	s.forwarder.SetRouting(r)
+}
+
+func (s *callerSite) setQuotas(t *testing.T, d *datadriven.TestData) {
+	s.quotas.away = d.HasArg("away")
+	for line := range strings.Lines(d.Input) {
+		var name string
+		var left float64
+		_, err := fmt.Sscan(line, &name, &left)
+		is.New(t).NoErr(err)
+		s.quotas.left[name] = left
+	}
+}
+
+// note is a server that notes who it is told to run for, and any key that reaches it.
+func (s *callerSite) note(refuse bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		s.seen = append(s.seen, fmt.Sprintf("for %q key %q", r.Header[ownOrganisation], r.Header[ownCredential]))
+		s.mutex.Unlock()
+		if refuse {
+			w.Header().Set(ownRan, "no")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "served")
+	}
+}
+
+func (s *callerSite) askAs(d *datadriven.TestData) string {
+	header := map[string]string{}
+	for line := range strings.Lines(d.Input) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		header[name] = value
+	}
+	s.seen, s.quotas.returned = nil, 0
+	status, answer, body := s.ask(d.CmdArgs[0].Key, header)
+	var out strings.Builder
+	fmt.Fprintln(&out, status, answer.Get("Retry-After"), body)
+	for _, line := range s.seen {
+		fmt.Fprintln(&out, line)
+	}
+	if s.quotas.returned > 0 {
+		fmt.Fprintln(&out, "given back", s.quotas.returned)
+	}
+	return out.String()
+}
+
+// Symptom: a caller's key stands in a log. Sequence: its request is refused, by each of the
+// reasons that there are for that, and logged. Cause: what a caller shows that is logged
+// with the rest of its request.
+func TestKeysAreNotLogged(t *testing.T) {
+	is := is.New(t)
+	s := newCallerSite(t)
+	r := s.forwarder.table.Load().Routing
+	r.Version++
+	r.Organisations = []oriolebend.Organisation{{
+		Name: "o", Keys: []oriolebend.KeyDigest{oriolebend.DigestKey("secret-held")}, Quota: oriolebend.Quota{PerSecond: 1},
+	}}
+	s.forwarder.SetRouting(r)
+	s.server("a", "", answer("good"))
+	for _, key := range []string{"secret-held", "secret-unknown"} {
+		status, _, _ := s.ask("/once/", map[string]string{ownCredential: ownScheme + " " + key})
+		is.True(status >= 400)
+	}
+	is.True(strings.Contains(s.log.String(), `"organisation":"o"`))
+	is.True(!strings.Contains(s.log.String(), "secret"))
+	is.Equal(Credential{Key: "secret"}.LogValue().String(), "[withheld]")
+}
--- a/internal/forwarder/own.go
+++ b/internal/forwarder/own.go
@@ -27,6 +27,10 @@
 	ownHold     = "Oriolebend-Reservation"
 	ownRan      = "Oriolebend-Ran"
 	ownAfter    = "Last-Event-Id"
+
+	ownOrganisation = "Oriolebend-Organisation" // whose request it is, for servers
+	ownCredential   = "Authorization"
+	ownScheme       = "Bearer"
 )
 
 // ownRouterOnly are set by the router alone.
@@ -46,6 +50,7 @@
 	}
 	ask := Ask{ID: h.Get(ownRequest), Prompt: number(h, ownPrompt), Output: number(h, ownOutput), Expected: number(h, ownExpected)}
 	ask.Within = time.Duration(number(h, ownDeadline)) * time.Millisecond
+	ask.Credential = CredentialOf(h[ownCredential], ownScheme)
 	if call := h.Get(ownCall); call != "" {
 		ask.Call = xxhash.Sum64String(call)
 	}
@@ -78,6 +83,11 @@
 	set(ownSource, s.Source)
 	set(ownHold, s.Hold)
 	set(ownAfter, s.After)
+	if s.Identified {
+		delete(out, ownCredential)
+		delete(out, ownOrganisation)
+		set(ownOrganisation, s.Organisation)
+	}
 	if s.PrefillOnly {
 		out.Set(ownPhase, string(oriolebend.Prefill))
 	}
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -145,7 +145,7 @@
 	target := float64(w.route.AnswerWithin)
 	age := time.Since(w.request.Received)
 	return w.f.config.Places.Place(ctx, PlaceRequest{
-		Need: need, Rank: w.route.Rank, Call: w.ask.Call,
+		Need: need, Rank: w.rank(), Call: w.ask.Call,
 		InTime: w.placedBy(age),
 		Within: min(time.Duration(waitTargets*target)-age, w.left()),
 	})
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -33,7 +33,7 @@
 
 // bodyFingerprint is the fingerprint of what ask sends to a path.
 func bodyFingerprint(path string) quarantine.Fingerprint {
-	return fingerprintOf(&http1.Request{Method: http.MethodPost, Host: "h", Target: path, Body: []byte("body")})
+	return fingerprintOf(&http1.Request{Method: http.MethodPost, Host: "h", Target: path, Body: []byte("body")}, "")
 }
 
 // Symptom: a request ends all servers of a service, three or more for each try of its
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -18,12 +18,20 @@
 
 // work is one request on its way.
 type work struct {
-	f        *Forwarder
-	request  *http1.Request
-	answer   *http1.Answer
-	ask      Ask
-	route    *oriolebend.Route
-	service  *oriolebend.RouteService
+	f       *Forwarder
+	request *http1.Request
+	answer  *http1.Answer
+	ask     Ask
+	route   *oriolebend.Route
+	service *oriolebend.RouteService
+	// organisation holds the caller's key; nil if it needs none and shows none.
+	organisation *oriolebend.Organisation
+	// identified is set if callers of the routing in force show keys.
+	identified bool
+	// charged is what the request has taken of its organisation's quota, quota what was
+	// known of that.
+	charged  Charge
+	quota    QuotaState
 	version  uint64
 	deadline time.Time
 	// fingerprint is what the request asks for.
@@ -94,6 +102,7 @@
 // outgoing is the request as it goes to a server.
 func (w *work) outgoing(s Sending) backend.Request {
 	s.Within = w.left()
+	s.Identified, s.Organisation = w.identified, w.organisationName()
 	return backend.Request{
 		Method: w.request.Method, Target: w.request.Target, Host: w.request.Host, Body: w.request.Body,
 		Header:    w.f.config.Dialect.Outgoing(http1.EndToEnd(w.request.Header), s),
@@ -153,12 +162,17 @@
 // refuse answers a request that has not run and will not, and says when to come
 // back.
 func (w *work) refuse(r refusal) {
-	w.f.config.Observer.Count("refusal", r.reason, "")
+	w.f.config.Observer.Count("refusal", r.reason, w.organisationName())
+	w.refund()
 	header := http.Header{}
 	if r.after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 3, 64))
 	}
-	w.own(http.StatusServiceUnavailable, header, r.reason, oriolebend.RanNo)
+	status := http.StatusServiceUnavailable
+	if r.reason == oriolebend.ReasonQuota {
+		status = http.StatusTooManyRequests
+	}
+	w.own(status, header, r.reason, oriolebend.RanNo)
 }
 
 // reject answers a request that is wrong in itself.
@@ -224,6 +238,12 @@
 			slog.Int64("placedMs", w.placed.Milliseconds()), slog.Int64("readMs", w.read.Milliseconds()),
 			slog.Int64("firstMs", w.first.Milliseconds()), slog.Int64("pauseMs", w.pause.Milliseconds()))
 	}
+	if w.identified {
+		attributes = append(attributes, slog.String("organisation", w.organisationName()))
+	}
+	if reason == oriolebend.ReasonQuota || reason == oriolebend.ReasonControlAway {
+		attributes = append(attributes, w.quota.attributes(w.organisation)...)
+	}
 	if len(w.tried) > 0 {
 		attributes = append(attributes, slog.String("server", w.tried[len(w.tried)-1]))
 	}
--- /dev/null
+++ b/internal/message/quota.go
@@ -0,0 +1,44 @@
+package message
+
+import "time"
+
+// Kinds of the messages by which forwarders take from the quotas of organisations.
+const (
+	KindQuotaAsk    Kind = "quotaAsk"
+	KindQuotaAnswer Kind = "quotaAnswer"
+)
+
+// QuotaAsk asks a control VM for a part of an organisation's quota.
+type QuotaAsk struct {
+	Organisation string `cbor:"1,keyasint"`
+	// Cost is in the unit of the quota.
+	Cost float64 `cbor:"2,keyasint"`
+	// Call is the same for all tries of a caller at one request.
+	Call uint64 `cbor:"3,keyasint,omitempty"`
+	// Return is set if the cost is given back. There is no answer then.
+	Return bool `cbor:"4,keyasint,omitempty"`
+}
+
+// QuotaAnswer answers a QuotaAsk.
+type QuotaAnswer struct {
+	Granted bool `cbor:"1,keyasint,omitempty"`
+	// Known is set if a refusal means that the quota is used up; otherwise another control
+	// VM may know better.
+	Known bool `cbor:"2,keyasint,omitempty"`
+	// RetryAfter is when a caller that is refused can be served.
+	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
+	// Left is what could be taken, and Since for how long the control VM has counted.
+	Left  float64       `cbor:"4,keyasint,omitempty"`
+	Since time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (QuotaAsk) Kind() Kind { return KindQuotaAsk }
+
+// Kind implements Message.
+func (QuotaAnswer) Kind() Kind { return KindQuotaAnswer }
+
+var (
+	_ = Register[QuotaAsk]()
+	_ = Register[QuotaAnswer]()
+)
--- a/internal/operator/routing.go
+++ b/internal/operator/routing.go
@@ -70,6 +70,12 @@
 	if err := declared.Check(); err != nil {
 		return refuse(oriolebend.ReasonInvalidResource, err.Error())
 	}
+	if declared.NeedsKeys() {
+		// Keys are kept and shown as digests, which can be declared again.
+		if document, err = json.Marshal(declared); err != nil {
+			return refuse(oriolebend.ReasonMalformed, "the body can't be kept: "+err.Error())
+		}
+	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), a.WriteWithin)
 	defer cancel()
 	replaced, err := a.Routing.Declare(ctx, declared, document)
--- /dev/null
+++ b/internal/quota/keeper.go
@@ -0,0 +1,166 @@
+// Package quota has control VMs count what organisations ask for, and forwarders ask them.
+package quota
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/quota"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Config states by how much quotas may be exceeded.
+type Config = quota.Config
+
+// Keeper counts in one control VM.
+type Keeper struct {
+	Config Config
+	// Routing holds the declared organisations.
+	Routing *routing.Store
+	// Leads reports whether this control VM leads by a lease that still runs, Members how
+	// many of them there are.
+	Leads   func() bool
+	Members func() int
+	Logger  *slog.Logger
+
+	mutex sync.Mutex
+	state *quota.State
+	start time.Time
+	clock drift
+}
+
+// Prepare makes the keeper ready; it must be called before all else.
+func (k *Keeper) Prepare() {
+	k.state = quota.New(k.Config)
+	k.start = time.Now()
+}
+
+// lookEvery is how often it is looked who leads: a bucket is filled from when this control
+// VM began to lead, and not from the first question.
+const lookEvery = 100 * time.Millisecond
+
+// Run takes up the declared organisations, and who leads, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		current, changed := k.Routing.Current()
+		k.take(current)
+		if !k.watch(ctx, changed, ticker.C) {
+			return
+		}
+	}
+}
+
+// watch looks who leads until the routing changes; false means that ctx has ended.
+func (k *Keeper) watch(ctx context.Context, changed <-chan struct{}, ticks <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+			return true
+		case <-ticks:
+			k.mutex.Lock()
+			k.look()
+			k.mutex.Unlock()
+		}
+	}
+}
+
+func (k *Keeper) take(current routing.InForce) {
+	if current.Version == 0 {
+		return
+	}
+	var r oriolebend.Routing
+	if err := cbor.Unmarshal(current.Encoded, &r); err != nil {
+		k.Logger.Error("quotas not taken up, the routing can't be read", "version", current.Version, "error", err)
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.reduce(quota.Declared{At: time.Now(), Organisations: r.Organisations})
+}
+
+// reduce feeds the reducer. The mutex is held.
+func (k *Keeper) reduce(e quota.Event) []reducer.Effect {
+	return reducer.Reduce(&reducer.State{Quota: k.state}, e)
+}
+
+// Serve is the peer.Handler for forwarders. A session carries any number of questions.
+func (k *Keeper) Serve(ctx context.Context, s peer.Stream) {
+	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	for {
+		m, err := s.Receive()
+		if err != nil {
+			return
+		}
+		asked, ok := m.(message.QuotaAsk)
+		if !ok {
+			return
+		}
+		if asked.Return {
+			k.returned(asked)
+			continue
+		}
+		if err := s.Send(k.answer(asked)); err != nil {
+			return
+		}
+	}
+}
+
+func (k *Keeper) returned(asked message.QuotaAsk) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.look()
+	k.reduce(quota.Returned{At: time.Now(), Organisation: asked.Organisation, Cost: asked.Cost})
+}
+
+func (k *Keeper) answer(asked message.QuotaAsk) message.QuotaAnswer {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.look()
+	effects := k.reduce(quota.Asked{At: time.Now(), Organisation: asked.Organisation, Cost: asked.Cost, Call: asked.Call})
+	a, _ := effects[0].(quota.Answer)
+	return message.QuotaAnswer{Granted: a.Granted, Known: a.Known, RetryAfter: a.After, Left: a.Left, Since: a.Since}
+}
+
+// look takes up who leads. The mutex is held.
+func (k *Keeper) look() {
+	now := time.Now()
+	k.reduce(quota.Leads{At: now, Lead: k.Leads(), Members: k.Members()})
+	if k.clock.moved(now.Sub(k.start), now) {
+		k.reduce(quota.Doubted{At: now})
+		k.Logger.Warn("quotas are counted anew, time has passed that the clock did not count")
+	}
+}
+
+// drift compares the clock that measures with the time of day.
+//
+// A VM that is suspended wakes up with a clock that stood still: its lease seems to run,
+// while another control VM leads and gives. The time of day has gone on meanwhile. A time
+// of day that was set looks the same, and costs what a change of the leader costs.
+type drift struct {
+	steady time.Duration
+	day    time.Time
+}
+
+// driftMost is by how much the two may part between two looks.
+const driftMost = 200 * time.Millisecond
+
+// moved reports whether the two have parted since the last look. steady is the time on the
+// clock that measures, day the time of day.
+func (d *drift) moved(steady time.Duration, day time.Time) bool {
+	parted := day.Round(0).Sub(d.day.Round(0)) - (steady - d.steady)
+	first := d.day.IsZero()
+	d.steady, d.day = steady, day
+	return !first && parted.Abs() > driftMost
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,201 @@
+package quota
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/forwarder"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/peer/peertest"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// group is control VMs that count, and forwarders that ask them.
+type group struct {
+	network *peertest.Network
+	keepers map[string]*Keeper
+	// leader leads, and known is who forwarders take to lead.
+	leader, known string
+	addresses     []string
+}
+
+const client = "f:1"
+
+// newGroup starts control VMs that know one organisation with a quota.
+func newGroup(ctx context.Context, t *testing.T, count int, q oriolebend.Quota) *group {
+	t.Helper()
+	g := &group{network: peertest.NewNetwork(1), keepers: map[string]*Keeper{}}
+	store := routing.NewStore()
+	command, err := cbor.Marshal(routing.Replace{Routing: oriolebend.Routing{
+		Version: 1, Organisations: []oriolebend.Organisation{{Name: "o", Quota: q}},
+	}})
+	is.New(t).NoErr(err)
+	store.Apply(1, command)
+	for i := range count {
+		address := fmt.Sprintf("c%d:1", i)
+		g.addresses = append(g.addresses, address)
+		k := &Keeper{
+			Config: Config{Slack: 1000}, Routing: store, Logger: slog.New(slog.DiscardHandler),
+			Leads: func() bool { return g.leader == address }, Members: func() int { return count },
+		}
+		k.Prepare()
+		g.keepers[address] = k
+		go k.Run(ctx)
+		g.network.Listen(ctx, address, address, k.Serve)
+	}
+	return g
+}
+
+// lead has a control VM lead, and forwarders know it.
+func (g *group) lead(address string) { g.leader, g.known = address, address }
+
+func (g *group) client() *Client {
+	c := &Client{
+		Dialer: g.network.Dialer(client), Logger: slog.New(slog.DiscardHandler),
+		Leader: func() string { return g.known }, Controls: func() []string { return append([]string{}, g.addresses...) },
+	}
+	c.Prepare()
+	return c
+}
+
+// take takes a cost and tells who gave it, why nobody did, and how long that took.
+func take(t *testing.T, c *Client, cost float64) (keeper string, reason oriolebend.Reason, took time.Duration) {
+	t.Helper()
+	began := time.Now()
+	charge, _, err := c.Take(t.Context(), forwarder.Charge{Organisation: "o", Cost: cost, Call: 1})
+	if err != nil {
+		reason = err.(*oriolebend.Problem).Reason
+	}
+	return charge.Keeper, reason, time.Since(began)
+}
+
+var tenASecond = oriolebend.Quota{PerSecond: 10, Burst: 10}
+
+// The leader counts for all forwarders, and takes back what did not run.
+func TestLeaderCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		g := newGroup(ctx, t, 3, tenASecond)
+		g.lead("c0:1")
+		time.Sleep(5 * time.Second)
+		first, second := g.client(), g.client()
+		for _, c := range []*Client{first, second} {
+			keeper, _, _ := take(t, c, 5)
+			is.Equal(keeper, "c0:1")
+		}
+		_, reason, _ := take(t, first, 5)
+		is.Equal(reason, oriolebend.ReasonQuota)
+		second.Return(forwarder.Charge{Organisation: "o", Cost: 5, Keeper: "c0:1"})
+		synctest.Wait()
+		keeper, _, _ := take(t, first, 5)
+		is.Equal(keeper, "c0:1")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: all requests of organisations with a quota are refused while no control VM leads,
+// or wait for one that does not answer. Sequence: the leader stands still; another one leads
+// a second later. Cause: a count that only the leader can make. Others give from their
+// reserves meanwhile, and after the first question nobody waits for the one that is away.
+func TestLeaderThatStandsStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		g := newGroup(ctx, t, 3, tenASecond)
+		g.lead("c0:1")
+		time.Sleep(5 * time.Second)
+		c := g.client()
+		g.network.Cut(client, "c0:1")
+		g.network.Cut("c0:1", client)
+		keeper, reason, took := take(t, c, 5)
+		is.Equal(reason, oriolebend.Reason(""))
+		is.True(keeper != "" && keeper != "c0:1")
+		is.True(took <= leaderWithin+otherWithin)
+		_, reason, took = take(t, c, 5)
+		is.Equal(reason, oriolebend.Reason(""))
+		is.True(took < otherWithin)
+		g.lead("c1:1")
+		time.Sleep(time.Second)
+		keeper, _, _ = take(t, c, 5)
+		is.Equal(keeper, "c1:1")
+		cancel()
+		g.network.Heal()
+		synctest.Wait()
+	})
+}
+
+// With no control VM reached nobody can tell what is left: that is no refusal by quota.
+func TestNobodyCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := &group{network: peertest.NewNetwork(1), known: "c0:1", addresses: []string{"c0:1", "c1:1"}}
+		_, reason, _ := take(t, g.client(), 1)
+		is.Equal(reason, oriolebend.ReasonControlAway)
+	})
+}
+
+// Symptom: an organisation below its quota is refused just after the load begins. Sequence:
+// a control VM has led for long when the first question comes. Cause: a bucket that is
+// filled from the first question on.
+func TestBucketIsFullBeforeTheFirstQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		g := newGroup(ctx, t, 1, oriolebend.Quota{PerSecond: 1000, Burst: 9000})
+		g.lead("c0:1")
+		time.Sleep(10 * time.Second)
+		keeper, _, _ := take(t, g.client(), 9000)
+		is.Equal(keeper, "c0:1")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// What is no question ends a session, and what does not answer one is an error.
+func TestUnexpectedMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		g := newGroup(ctx, t, 1, tenASecond)
+		s, err := g.network.Dialer(client).Open(ctx, "c0:1")
+		is.NoErr(err)
+		is.NoErr(s.Send(message.QuotaAnswer{}))
+		_, err = s.Receive()
+		is.True(err != nil)
+		g.network.Listen(ctx, "odd:1", "odd:1", func(_ context.Context, s peer.Stream) {
+			_, _ = s.Receive()
+			_ = s.Send(message.QuotaAsk{})
+		})
+		_, err = g.client().ask(ctx, "odd:1", false, message.QuotaAsk{})
+		unexpected, ok := err.(*UnexpectedError)
+		is.True(ok)
+		is.True(unexpected.Error() != "")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: an organisation is given its burst by two control VMs. Sequence: the one that
+// leads is suspended for three seconds; it wakes up with a clock that stood still, and with
+// a lease that seems to run. Cause: trust in that clock alone.
+func TestSuspensionIsNoticed(t *testing.T) {
+	is := is.New(t)
+	day := time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+	var d drift
+	is.True(!d.moved(time.Second, day))
+	is.True(!d.moved(2*time.Second, day.Add(time.Second+driftMost/2)))
+	is.True(d.moved(3*time.Second, day.Add(5*time.Second)))
+	is.True(!d.moved(4*time.Second, day.Add(6*time.Second)))
+	is.True(d.moved(5*time.Second, day)) // set back
+}
--- /dev/null
+++ b/internal/reducer/quota/event.go
@@ -0,0 +1,67 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// Event changes a State.
+type Event interface{ isQuotaEvent() }
+
+// Declared replaces the organisations and their quotas.
+type Declared struct {
+	At            time.Time
+	Organisations []oriolebend.Organisation
+}
+
+// Leads tells whether this control VM leads, and how many there are.
+type Leads struct {
+	At      time.Time
+	Lead    bool
+	Members int
+}
+
+// Asked asks for a part of an organisation's quota.
+type Asked struct {
+	At           time.Time
+	Organisation string
+	Cost         float64
+	// Call is the same for all tries of a caller at one request.
+	Call uint64
+}
+
+// Returned gives back what was taken for a request that did not run.
+type Returned struct {
+	At           time.Time
+	Organisation string
+	Cost         float64
+}
+
+// Doubted tells that time may have passed that the clock did not count, as while the VM
+// was suspended: another control VM may have led meanwhile.
+type Doubted struct{ At time.Time }
+
+func (Declared) isQuotaEvent() {}
+
+func (Leads) isQuotaEvent() {}
+
+func (Asked) isQuotaEvent() {}
+
+func (Returned) isQuotaEvent() {}
+
+func (Doubted) isQuotaEvent() {}
+
+// Answer answers an Asked. It is the only effect.
+type Answer struct {
+	// Granted is set if the cost was taken.
+	Granted bool
+	// Known is set if a refusal means that the quota is used up. Otherwise another control
+	// VM may know better.
+	Known bool
+	// After is when a caller that is refused can be served.
+	After time.Duration
+	// Left is what could be taken, and Since for how long this control VM has counted.
+	Left  float64
+	Since time.Duration
+}
--- /dev/null
+++ b/internal/reducer/quota/script_test.go
@@ -0,0 +1,109 @@
+package quota
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts runs the files of testdata/scripts. Each line of a block is an event:
+//
+//	excess WINDOW OVERSHOOT SLACK      begins anew, with these bounds
+//	quota ORGANISATION PERSECOND BURST [ORGANISATION …]   declares exactly these
+//	leads yes|no [MEMBERS]
+//	ask ORGANISATION COST [CALL] [xTIMES]   prints the answers
+//	return ORGANISATION COST
+//	doubt                              the VM was suspended
+//	pass FOR
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{is: is.New(t), now: scriptStart, state: New(Config{})}
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				s.step(strings.Fields(line), &out)
+			}
+			return out.String()
+		})
+	})
+}
+
+type script struct {
+	is    *is.I
+	now   time.Time
+	state *State
+}
+
+func (s *script) step(words []string, out *strings.Builder) {
+	switch words[0] {
+	case "excess":
+		s.state = New(Config{Window: s.duration(words[1]), Overshoot: s.number(words[2]), Slack: s.number(words[3])})
+	case "quota":
+		var list []oriolebend.Organisation
+		for i := 1; i < len(words); i += 3 {
+			list = append(list, oriolebend.Organisation{
+				Name: words[i], Quota: oriolebend.Quota{PerSecond: s.number(words[i+1]), Burst: s.number(words[i+2])},
+			})
+		}
+		Reduce(s.state, Declared{At: s.now, Organisations: list})
+	case "leads":
+		members := 1
+		if len(words) > 2 {
+			members = int(s.number(words[2]))
+		}
+		Reduce(s.state, Leads{At: s.now, Lead: words[1] == "yes", Members: members})
+	case "ask":
+		s.ask(words, out)
+	case "return":
+		Reduce(s.state, Returned{At: s.now, Organisation: words[1], Cost: s.number(words[2])})
+	case "doubt":
+		Reduce(s.state, Doubted{At: s.now})
+	case "pass":
+		s.now = s.now.Add(s.duration(words[1]))
+	}
+}
+
+// ask asks once, or several times as several calls.
+func (s *script) ask(words []string, out *strings.Builder) {
+	call, times := uint64(0), 1
+	for _, word := range words[3:] {
+		if text, found := strings.CutPrefix(word, "x"); found {
+			times = int(s.number(text))
+			continue
+		}
+		call = uint64(s.number(word))
+	}
+	for range times {
+		a := Reduce(s.state, Asked{At: s.now, Organisation: words[1], Cost: s.number(words[2]), Call: call})[0]
+		switch {
+		case a.Granted:
+			fmt.Fprintln(out, "granted")
+		case a.Known:
+			fmt.Fprintln(out, "used up, back after", a.After.Round(time.Millisecond))
+		default:
+			fmt.Fprintln(out, "not known here")
+		}
+		call++
+	}
+}
+
+func (s *script) number(word string) float64 {
+	value, err := strconv.ParseFloat(word, 64)
+	s.is.NoErr(err)
+	return value
+}
+
+func (s *script) duration(word string) time.Duration {
+	value, err := time.ParseDuration(word)
+	s.is.NoErr(err)
+	return value
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -17,6 +17,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/placement"
 	"github.com/oriolebend/oriolebend/internal/reducer/pools"
 	"github.com/oriolebend/oriolebend/internal/reducer/quarantine"
+	"github.com/oriolebend/oriolebend/internal/reducer/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
@@ -39,6 +40,7 @@
 	Placement  *placement.State
 	Pools      *pools.State
 	Quarantine *quarantine.State
+	Quota      *quota.State
 	Recovery   *recovery.State
 	Registry   *registry.State
 }
@@ -77,6 +79,8 @@
 		return effects(pools.Reduce(s.Pools, e))
 	case quarantine.Event:
 		return effects(quarantine.Reduce(s.Quarantine, e))
+	case quota.Event:
+		return effects(quota.Reduce(s.Quota, e))
 	case registry.Event:
 		return effects(registry.Reduce(s.Registry, e))
 	case recovery.Event:
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
+	"github.com/oriolebend/oriolebend/internal/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/reducer/record"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
@@ -47,6 +48,7 @@
 	observer  *routewatch.Follower
 	crashes   *quarantine.Store
 	keeper    *crashreports.Keeper
+	quotas    *quota.Keeper
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
 	done  chan struct{}
@@ -75,6 +77,7 @@
 	go process.members.Run(ctx)
 	go process.routes.Run(ctx)
 	go process.keeper.Run(ctx)
+	go process.quotas.Run(ctx)
 	if process.joiner != nil {
 		go process.joiner.Run(ctx)
 	}
@@ -109,8 +112,9 @@
 			<-ready
 			crashreports.Serve(c.crashes)(ctx, s)
 		},
-		message.KindJoin:    func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
-		message.KindConfirm: func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
+		message.KindQuotaAsk: func(ctx context.Context, s peer.Stream) { <-ready; c.quotas.Serve(ctx, s) },
+		message.KindJoin:     func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
+		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
 	for _, kind := range message.AgreementKinds() {
 		handlers[kind] = agreement
@@ -179,6 +183,7 @@
 	})
 	c.keeper = &crashreports.Keeper{Folder: p.Settings.Control.DataFolder, Store: c.crashes, Logger: p.Logger}
 	c.keeper.Load()
+	c.quotas = c.newQuotas()
 	c.routes = &routewatch.Server{
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
@@ -306,6 +311,19 @@
 	return members
 }
 
+// newQuotas counts what organisations ask for.
+func (c *ControlProcess) newQuotas() *quota.Keeper {
+	s := c.process.Settings.Control
+	k := &quota.Keeper{
+		Config:  quota.Config{Window: time.Duration(s.QuotaWindow), Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
+		Routing: c.routing, Logger: c.process.Logger,
+		Leads:   c.Leads,
+		Members: func() int { return len(c.replica.Status().Members) },
+	}
+	k.Prepare()
+	return k
+}
+
 func recordLimits(p settings.Policy) record.Limits {
 	return record.Limits{
 		KeepRecords: time.Duration(p.KeepRecords),
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
+	"github.com/oriolebend/oriolebend/internal/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/settings"
@@ -36,6 +37,7 @@
 	forwarder *forwarder.Forwarder
 	follower  *routewatch.Follower
 	places    *PlaceClient
+	quotas    *quota.Client
 	crashes   *quarantine.Store
 	teller    *crashreports.Teller
 	callers   *http1.Server
@@ -67,11 +69,19 @@
 		Leader: func() string { return process.follower.Leader() },
 	}
 	process.places.Prepare()
+	process.quotas = &quota.Client{
+		Dialer: endpoint, Logger: p.Logger,
+		Leader:   func() string { return process.follower.Leader() },
+		Controls: func() []string { return process.follower.Open() },
+	}
+	process.quotas.Prepare()
 	process.forwarder = forwarder.New(forwarder.Config{
 		Dialect:    dialect,
 		Dispatch:   dispatchConfig(p.Settings),
 		Places:     process.places,
 		Quarantine: process.crashes,
+		Quotas:     process.quotas,
+		Current:    func() bool { return process.follower.InTouch() },
 		Observer:   p.observer(),
 		Logger:     p.Logger,
 	})
--- a/internal/role/permission.go
+++ b/internal/role/permission.go
@@ -43,6 +43,7 @@
 		message.KindRouteWatch:   {peer.RoleForwarder, peer.RoleControl},
 		message.KindPlaceOpen:    {peer.RoleForwarder},
 		message.KindCrashReports: {peer.RoleForwarder},
+		message.KindQuotaAsk:     {peer.RoleForwarder},
 		message.KindJoin:         {peer.RoleControl},
 	}
 	for _, kind := range message.AgreementKinds() {
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -110,16 +110,25 @@
 // declare has a routing of one service accepted by whoever leads.
 func (s *routeSite) declare(version uint64, service string) {
 	s.t.Helper()
-	document := fmt.Appendf(nil, `{"version":%d,"service":%q}`, version, service)
-	r := oriolebend.Routing{
+	s.declareRouting(routingTo(version, service), fmt.Appendf(nil, `{"version":%d,"service":%q}`, version, service))
+}
+
+// routingTo sends all requests of the host "h" to one service.
+func routingTo(version uint64, service string) oriolebend.Routing {
+	return oriolebend.Routing{
 		Version: version, Services: []oriolebend.RouteService{{Name: service}},
 		Routes: []oriolebend.Route{{
 			Name: "all", Host: "h", PathPrefix: "/", Repeat: oriolebend.RepeatNever, Attempts: 1,
 			Timeout: oriolebend.Duration(time.Second), Targets: []oriolebend.RouteTarget{{Service: service, Weight: 1}},
 		}},
 	}
+}
+
+// declareRouting has a routing accepted by whoever leads.
+func (s *routeSite) declareRouting(r oriolebend.Routing, document []byte) {
+	s.t.Helper()
 	s.eventually("routing accepted", func() bool {
-		for _, c := range s.control {
+		for _, c := range s.controls() {
 			ctx, cancel := context.WithTimeout(s.t.Context(), time.Second)
 			_, err := c.Declare(ctx, r, document)
 			cancel()
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/oriolebend/oriolebend/internal/identity"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -16,14 +17,22 @@
 	Routing  oriolebend.Routing
 	hosts    map[string][]*oriolebend.Route
 	services map[string]*oriolebend.RouteService
+	owners   identity.Keys[*oriolebend.Organisation]
+	// revoked holds the keys of earlier tables that nobody holds any more.
+	revoked map[oriolebend.KeyDigest]struct{}
 }
 
+// maxRevoked bounds the keys that are remembered as taken away. They only tell one reason
+// of a refusal from another.
+const maxRevoked = 4096
+
 // NewTable indexes a checked routing.
 func NewTable(r oriolebend.Routing) *Table {
 	t := &Table{
 		Routing:  r,
 		hosts:    map[string][]*oriolebend.Route{},
 		services: map[string]*oriolebend.RouteService{},
+		owners:   identity.Keys[*oriolebend.Organisation]{},
 	}
 	for i := range r.Routes {
 		host := hostKey(r.Routes[i].Host)
@@ -37,9 +46,46 @@
 	for i := range r.Services {
 		t.services[r.Services[i].Name] = &r.Services[i]
 	}
+	for i := range r.Organisations {
+		for _, key := range r.Organisations[i].Keys {
+			t.owners[key] = &r.Organisations[i]
+		}
+	}
 	return t
 }
 
+// After notes which keys were taken away since an earlier table, nil if there is none. It
+// must be called before the table is shared.
+func (t *Table) After(earlier *Table) {
+	if earlier == nil {
+		return
+	}
+	t.revoked = map[oriolebend.KeyDigest]struct{}{}
+	note := func(key oriolebend.KeyDigest) {
+		if _, held := t.owners[key]; !held && len(t.revoked) < maxRevoked {
+			t.revoked[key] = struct{}{}
+		}
+	}
+	for key := range earlier.owners {
+		note(key)
+	}
+	for key := range earlier.revoked {
+		note(key)
+	}
+}
+
+// Owner is the organisation that holds a key, nil if none does.
+func (t *Table) Owner(key string) *oriolebend.Organisation {
+	owner, _ := t.owners.Owner(key)
+	return owner
+}
+
+// Revoked reports whether a key was taken away.
+func (t *Table) Revoked(key string) bool {
+	_, revoked := t.revoked[oriolebend.DigestKey(key)]
+	return revoked
+}
+
 // Match returns the route of the host with the longest prefix of the path, nil
 // if there is none. The path is compared as it was sent, without its query.
 func (t *Table) Match(host, path string) *oriolebend.Route {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -129,6 +129,9 @@
 	atLeast(f, "control.seedPort", c.SeedPort, 0)
 	atLeast(f, "control.minFreeBytes", c.MinFreeBytes, 0)
 	atLeast(f, "control.logBytes", c.LogBytes, 0)
+	atLeast(f, "control.quotaOvershoot", c.QuotaOvershoot, 0)
+	atLeast(f, "control.quotaSlack", c.QuotaSlack, 0)
+	atLeast(f, "control.quotaWindow", c.QuotaWindow, 0)
 	if len(c.Seeds) > 0 && len(c.Members) > 0 {
 		f.add("control.seeds", CodeClash, "control VMs are either listed or found through seeds; remove this or control.members")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,6 +153,12 @@
 	MinFreeBytes int64 `toml:"minFreeBytes"`
 	// LogBytes is how much log leads to a snapshot; zero means 64 MiB.
 	LogBytes int64 `toml:"logBytes"`
+	// QuotaOvershoot and QuotaSlack are by how much the quota of an organisation may be
+	// exceeded within QuotaWindow: by that share, and by the slack besides, in the unit of
+	// the quota. Zero means 0.1, nothing and 8s.
+	QuotaOvershoot float64  `toml:"quotaOvershoot"`
+	QuotaSlack     float64  `toml:"quotaSlack"`
+	QuotaWindow    Duration `toml:"quotaWindow"`
 }
 
 // Member is one control VM.
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -9,6 +9,9 @@
 	ReasonMalformed       Reason = "malformed"       // the body or a field can't be read
 	ReasonTooLarge        Reason = "tooLarge"        // body, header or prompt over its bound
 	ReasonUnauthorized    Reason = "unauthorized"    // no token, or one that is not known
+	ReasonMissingKey      Reason = "missingKey"      // the route needs a key and there is none, or not one
+	ReasonUnknownKey      Reason = "unknownKey"      // no organisation holds the key
+	ReasonRevokedKey      Reason = "revokedKey"      // the key was taken away
 	ReasonForbidden       Reason = "forbidden"       // the organisation may not do this
 	ReasonUnknownModel    Reason = "unknownModel"    // no such model, version or adapter is declared
 	ReasonUnknownService  Reason = "unknownService"  // no such plain service or route
@@ -23,6 +26,7 @@
 	ReasonQueueFull       Reason = "queueFull"       // the gate's queue is at its bound
 	ReasonNoMemory        Reason = "noMemory"        // no KV memory free at the time needed
 	ReasonRateLimited     Reason = "rateLimited"     // the organisation is over its share
+	ReasonQuota           Reason = "quota"           // the organisation's quota is used up
 	ReasonRetryBudget     Reason = "retryBudget"     // the retry budget is spent
 	ReasonDeadline        Reason = "deadline"        // the deadline passed, or would
 	ReasonConcurrency     Reason = "concurrency"     // the adaptive concurrency limit is reached
--- a/pkg/oriolebend/routing.go
+++ b/pkg/oriolebend/routing.go
@@ -12,8 +12,16 @@
 	Routes   []Route        `json:"routes" cbor:"routes"`
 	Services []RouteService `json:"services" cbor:"services"`
 	Limits   CallerLimits   `json:"limits,omitzero" cbor:"limits"`
+	// Keyed is set if callers show a key on every route that is not public. It is implied
+	// by Organisations, and stays when the last of these is removed: a routing that has
+	// lost its organisations must not let everybody in.
+	Keyed         bool           `json:"keyed,omitempty" cbor:"keyed,omitempty"`
+	Organisations []Organisation `json:"organisations,omitempty" cbor:"organisations,omitempty"`
 }
 
+// NeedsKeys reports whether callers show a key on routes that are not public.
+func (r Routing) NeedsKeys() bool { return r.Keyed || len(r.Organisations) > 0 }
+
 // RepeatRule says what may be done with a request whose outcome is not known.
 type RepeatRule string
 
@@ -38,6 +46,8 @@
 	// PathPrefix begins and ends with a slash; the longest that fits wins.
 	PathPrefix string     `json:"pathPrefix" cbor:"pathPrefix"`
 	Repeat     RepeatRule `json:"repeat" cbor:"repeat"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty" cbor:"public,omitempty"`
 	// Stream is set if answers are streams of events.
 	Stream bool `json:"stream,omitempty" cbor:"stream,omitempty"`
 	// Timeout bounds the whole answer.
@@ -120,6 +130,7 @@
 		}
 		places[place] = true
 	}
+	r.checkOrganisations(c)
 	if len(c.fields) > 0 {
 		return &InvalidError{Fields: c.fields}
 	}
