quota: buckets of a new leader begin with a part of what a quota may be exceeded by

Cause: a leader's buckets began empty. In the second after everything had lost power 44 of 61 generations asked for were refused by their quota though none of the organisations was beyond it. Ruled out: buckets that begin full (26 of 60 random fleets break the bound); the state of the bucket in the agreed log (a write a request). Change: a leader that has seen the one before it lead for a whole window begins with a quarter of the excess, one whose process has just begun with 0.15 of it, one that has seen another change within the window with nothing. Reserves hold a fifth and give 0.15 a window in place of a quarter each.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -25,9 +25,11 @@
 	Config Config
 	// Routing holds the declared organisations.
 	Routing *routing.Store
-	// Leads reports whether this control VM leads by a lease that still runs, Members how
-	// many of them there are.
-	Leads   func() bool
+	// Self names this control VM, Leader the one that leads, empty if none is known. This
+	// one names itself only while its lease runs.
+	Self   string
+	Leader func() string
+	// Members is how many control VMs there are.
 	Members func() int
 	Logger  *slog.Logger
 
@@ -136,7 +138,8 @@
 // look takes up who leads. The mutex is held.
 func (k *Keeper) look() {
 	now := time.Now()
-	k.reduce(quota.Leads{At: now, Lead: k.Leads(), Members: k.Members()})
+	leader := k.Leader()
+	k.reduce(quota.Leads{At: now, Lead: leader == k.Self, Leader: leader, Members: k.Members()})
 	if k.clock.moved(now.Sub(k.start), now) {
 		k.reduce(quota.Doubted{At: now})
 		k.Logger.Warn("quotas are counted anew, time has passed that the clock did not count")
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -45,7 +45,7 @@
 		g.addresses = append(g.addresses, address)
 		k := &Keeper{
 			Config: Config{Slack: 1000}, Routing: store, Logger: slog.New(slog.DiscardHandler),
-			Leads: func() bool { return g.leader == address }, Members: func() int { return count },
+			Self: address, Leader: func() string { return g.leader }, Members: func() int { return count },
 		}
 		k.Prepare()
 		g.keepers[address] = k
--- a/internal/reducer/quota/config.go
+++ b/internal/reducer/quota/config.go
@@ -33,13 +33,22 @@
 	return c.Overshoot*(perSecond*c.Window.Seconds()+burst) + c.Slack
 }
 
+// Shares of the excess. Together they leave a fifth of it, for what is counted twice: what
+// reserves held before they were restarted, and what a leader gives that has been suspended
+// and does not know yet that another one leads.
+const (
+	// reserveBurst and reserveRate are what the reserves of all control VMs hold at once,
+	// and give within a window besides.
+	reserveBurst = 0.2
+	reserveRate  = 0.15
+	// calmStart is what the bucket of a leader begins with that has seen the one before
+	// it lead for a whole window, restartStart that of one whose process has just begun.
+	// With less, callers below their quota are refused after each change of the leader.
+	calmStart    = 0.25
+	restartStart = 0.15
+)
+
 const (
-	// reserveBurst and reserveRate are the shares of the excess that the reserves of all
-	// control VMs hold at once, and give within a window besides. The rest is for what
-	// is counted twice: what reserves held before they were restarted, and what a leader
-	// gives that has been suspended and does not know yet that another one leads.
-	reserveBurst = 0.25
-	reserveRate  = 0.25
 	// reserveStart is the part of its burst that a reserve holds at the start of its
 	// process: it may have given all of it a moment before.
 	reserveStart = 0.5
--- a/internal/reducer/quota/event.go
+++ b/internal/reducer/quota/event.go
@@ -15,10 +15,13 @@
 	Organisations []oriolebend.Organisation
 }
 
-// Leads tells whether this control VM leads, and how many there are.
+// Leads tells who leads, and how many control VMs there are.
 type Leads struct {
-	At      time.Time
+	At time.Time
+	// Lead is set if this control VM leads. Leader names the one that does, empty if none
+	// is known.
 	Lead    bool
+	Leader  string
 	Members int
 }
 
--- a/internal/reducer/quota/fleet_test.go
+++ b/internal/reducer/quota/fleet_test.go
@@ -18,7 +18,7 @@
 	quota    oriolebend.Quota
 	now      time.Time
 	controls []*control
-	// leader leads by the agreement, and term counts its changes.
+	// leader leads by the agreement; all who are up know it.
 	leader int
 	given  []gift
 }
@@ -70,7 +70,11 @@
 // tell has a control VM know what is declared and whether it leads.
 func (f *fleet) tell(c *control) {
 	at := f.clock(c)
-	Reduce(c.state, Leads{At: at, Lead: at.Before(c.lease), Members: len(f.controls)})
+	lead, leader := at.Before(c.lease), fmt.Sprint(f.leader)
+	if lead {
+		leader = "self"
+	}
+	Reduce(c.state, Leads{At: at, Lead: lead, Leader: leader, Members: len(f.controls)})
 	Reduce(c.state, Declared{At: at, Organisations: []oriolebend.Organisation{{Name: "a", Quota: f.quota}}})
 }
 
--- a/internal/reducer/quota/script_test.go
+++ b/internal/reducer/quota/script_test.go
@@ -19,7 +19,7 @@
 //
 //	excess WINDOW OVERSHOOT SLACK      begins anew, with these bounds
 //	quota ORGANISATION PERSECOND BURST [ORGANISATION …]   declares exactly these
-//	leads yes|no [MEMBERS]
+//	leads NAME|- [MEMBERS]             "self" is this control VM
 //	ask ORGANISATION COST [CALL] [xTIMES]   prints the answers
 //	return ORGANISATION COST
 //	doubt                              the VM was suspended
@@ -60,7 +60,7 @@
 		if len(words) > 2 {
 			members = int(s.number(words[2]))
 		}
-		Reduce(s.state, Leads{At: s.now, Lead: words[1] == "yes", Members: members})
+		Reduce(s.state, Leads{At: s.now, Lead: words[1] == "self", Leader: strings.Trim(words[1], "-"), Members: members})
 	case "ask":
 		s.ask(words, out)
 	case "return":
--- a/internal/reducer/quota/state.go
+++ b/internal/reducer/quota/state.go
@@ -9,10 +9,14 @@
 
 // State is what a control VM has counted. Only Reduce changes it.
 type State struct {
-	config   Config
-	lead     bool
-	members  int
-	accounts map[string]*account
+	config  Config
+	lead    bool
+	members int
+	// leader is the last one known, empty if none ever was, and leaderSince from when;
+	// began is when the process began to look.
+	leader             string
+	leaderSince, began time.Time
+	accounts           map[string]*account
 }
 
 // account is what was counted of one organisation.
@@ -44,7 +48,7 @@
 	case Returned:
 		s.returned(e)
 	case Doubted:
-		s.empty(e.At)
+		s.begin(e.At, 0)
 	}
 	return nil
 }
@@ -95,19 +99,44 @@
 			s.share(a, e.At)
 		}
 	}
+	if s.began.IsZero() {
+		s.began = e.At
+	}
 	if e.Lead && !s.lead {
-		s.empty(e.At)
+		s.begin(e.At, s.start(e.At))
+		s.leaderSince = e.At
+	}
+	if e.Leader != "" && e.Leader != s.leader {
+		s.leader, s.leaderSince = e.Leader, e.At
 	}
 	s.lead = e.Lead
 }
 
-// empty has the buckets filled from nothing. What another leader has given a moment ago is
-// not known here: with a full bucket each change of the leader would give an organisation
-// its burst once more.
-func (s *State) empty(at time.Time) {
+// start is the share of the excess that buckets begin with once this control VM leads.
+// Leaders before it began with as much, as often as the leader changed within a window: one
+// that has seen such a change a moment ago begins with nothing.
+func (s *State) start(at time.Time) float64 {
+	since := s.leaderSince
+	if s.leader == "" {
+		since = s.began
+	}
+	switch {
+	case at.Sub(since) >= s.config.Window:
+		return calmStart
+	case s.leader == "":
+		return restartStart
+	}
+	return 0
+}
+
+// begin has the buckets filled anew, from a share of the excess. What another leader has
+// given a moment ago is not known here: with a full bucket each change of the leader would
+// give an organisation its burst once more.
+func (s *State) begin(at time.Time, share float64) {
 	for _, a := range s.accounts {
 		a.bucket = limit.Bucket{PerSecond: a.quota.PerSecond, Burst: a.quota.Burst}
 		a.bucket.Level(at)
+		a.bucket.Return(share * s.config.excess(a.quota.PerSecond, a.quota.Burst))
 		a.since = at
 		a.promises = promises{}
 	}
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -317,7 +317,11 @@
 	k := &quota.Keeper{
 		Config:  quota.Config{Window: time.Duration(s.QuotaWindow), Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack},
 		Routing: c.routing, Logger: c.process.Logger,
-		Leads:   c.Leads,
+		Self: c.process.self(),
+		Leader: func() string {
+			name, _ := c.replica.Leader()
+			return name
+		},
 		Members: func() int { return len(c.replica.Status().Members) },
 	}
 	k.Prepare()
