--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -27,6 +27,7 @@
 	system  *system
 	servers []*server
 	crashes crashes
+	callers identities
 
 	mutex  sync.Mutex
 	random *rand.Rand
@@ -82,6 +83,7 @@
 		return
 	}
 	id := r.Header.Get("Oriolebend-Request")
+	v.fleet.callers.note(r)
 	if strings.HasPrefix(r.URL.Path, "/"+crashing+"/") {
 		v.crash(id)
 		panic(http.ErrAbortHandler)
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -34,6 +34,9 @@
 		l.group.Go(func() { l.call(ctx, s, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
 	}
 	l.group.Go(func() { l.sendCrashing(ctx, s, f, rand.New(rand.NewPCG(seed, 3))) })
+	for n := range hotCallers {
+		l.group.Go(func() { l.sendOrganisations(ctx, s, rand.New(rand.NewPCG(seed, uint64(200+n)))) })
+	}
 	return l
 }
 
@@ -57,6 +60,10 @@
 }
 
 func ask(c *http.Client, address, path, id string) (int, string) {
+	return askWith(c, address, path, id, keyOf(regular))
+}
+
+func askWith(c *http.Client, address, path, id, key string) (int, string) {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/x", address, path), nil)
 	if err != nil {
 		return 0, ""
@@ -64,6 +71,8 @@
 	request.Host = "soak.example"
 	request.Header.Set("Oriolebend-Request", id)
 	request.Header.Set("Oriolebend-Deadline", "2000")
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Oriolebend-Organisation", "forged")
 	response, err := c.Do(request)
 	if err != nil {
 		return 0, ""
@@ -81,8 +90,11 @@
 	t.Helper()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	good := 0
+	good, unserved := 0, 0
 	for _, c := range l.told {
+		if c.status == http.StatusTooManyRequests || c.status == http.StatusUnauthorized {
+			unserved++
+		}
 		ran := f.ran[c.id]
 		path := "safe"
 		if c.once {
@@ -95,18 +107,22 @@
 			t.Errorf("%s was answered %q", c.id, c.body)
 		case c.status == http.StatusOK && ran == 0:
 			t.Errorf("%s was answered and never ran", c.id)
-		case c.status == http.StatusServiceUnavailable && ran > 0:
+		case (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests) && ran > 0:
 			t.Errorf("%s was refused as not run and ran %d times: %s", c.id, ran, c.body)
 		case c.status == http.StatusNotFound:
 			t.Errorf("%s was told that there is no route", c.id)
+		case c.status == http.StatusUnauthorized && ownerOf(c.id) != stranger:
+			t.Errorf("%s was told that its key is not known", c.id)
+		case ownerOf(c.id) == stranger && ran > 0:
+			t.Errorf("%s ran, and nobody holds its key", c.id)
 		}
 		if c.status == http.StatusOK {
 			good++
 		}
 	}
 	t.Logf("%d of %d requests answered", good, len(l.told))
-	if good < len(l.told)/10 {
-		t.Errorf("only %d of %d requests were answered", good, len(l.told))
+	if asked := len(l.told) - unserved; good < asked/10 {
+		t.Errorf("only %d of %d requests were answered", good, asked)
 	}
 }
 
@@ -131,7 +147,7 @@
 		}
 	}
 	return oriolebend.Routing{
-		Version:  version,
+		Version: version, Organisations: organisations(version),
 		Services: []oriolebend.RouteService{{Name: "s"}},
 		Routes: []oriolebend.Route{
 			route("once", oriolebend.RepeatNever, 1), route("safe", oriolebend.RepeatIdempotent, 2),
@@ -174,6 +190,14 @@
 
 func (o *operator) wait() { o.group.Wait() }
 
+// keysInForce reports whether a forwarder knows the key of the last version, and not that
+// of the one before.
+func (o *operator) keysInForce(c *http.Client, address string) bool {
+	status, _ := askWith(c, address, "safe", "check", versionKey(o.accepted))
+	before, _ := askWith(c, address, "safe", "check", versionKey(o.accepted-1))
+	return status == http.StatusOK && before == http.StatusUnauthorized
+}
+
 // checkInForce waits until every forwarder obeys the last routing: its own route
 // is there, and that of the one before is not.
 func (o *operator) checkInForce(within time.Duration) {
@@ -184,7 +208,7 @@
 		for {
 			status, _ := ask(http, address, fmt.Sprintf("only-%d", o.accepted), "check")
 			before, _ := ask(http, address, fmt.Sprintf("only-%d", o.accepted-1), "check")
-			if status != 404 && status != 0 && before == 404 {
+			if status != 404 && status != 0 && before == 404 && o.keysInForce(http, address) {
 				break
 			}
 			if time.Now().After(deadline) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,8 +29,9 @@
 // and checks, from what callers, backend servers and operators see, that a
 // request that may run once runs once, that what was refused as not run never
 // ran, that every answer belongs to its request, that an accepted routing is
-// neither lost nor shown in an older state, and that a request which ends servers stops
-// reaching them.
+// neither lost nor shown in an older state, that a request which ends servers stops
+// reaching them, and that every request runs for the organisation that holds its key, within
+// its quota.
 func TestSoak(t *testing.T) {
 	list := append(failedSeeds, 1)
 	if *seeds != "" {
@@ -100,6 +101,7 @@
 	operator.checkInForce(settle)
 	load.check(t, fleet)
 	fleet.crashes.check(t, s)
+	fleet.callers.check(t)
 	if t.Failed() {
 		folder, err := os.MkdirTemp("", "soak-")
 		if err == nil {
