--- a/internal/operator/command/routing.go
+++ b/internal/operator/command/routing.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/peterbourgon/ff/v4"
@@ -137,7 +139,34 @@
 		})
 	}
 	fmt.Fprintf(out, "version %d\n", r.Version)
-	return printTable(out, "ROUTE HOST PREFIX REPEAT TIMEOUT ATTEMPTS TARGETS", rows)
+	if err := printTable(out, "ROUTE HOST PREFIX REPEAT TIMEOUT ATTEMPTS TARGETS", rows); err != nil {
+		return err
+	}
+	return printOrganisations(out, r.Organisations)
+}
+
+// printOrganisations lists who may call; a key's digest is cut to what tells it from others.
+func printOrganisations(out io.Writer, list []oriolebend.Organisation) error {
+	if len(list) == 0 {
+		return nil
+	}
+	rows := make([][]string, 0, len(list))
+	for _, o := range list {
+		rank, quota := "", ""
+		if o.Rank != nil {
+			rank = strconv.Itoa(*o.Rank)
+		}
+		if o.Quota.Bounded() {
+			quota = fmt.Sprintf("%g %s/s, burst %g", o.Quota.PerSecond, cmp.Or(o.Quota.Unit, oriolebend.QuotaRequests), o.Quota.Burst)
+		}
+		keys := make([]string, 0, len(o.Keys))
+		for _, key := range o.Keys {
+			keys = append(keys, key.Short())
+		}
+		rows = append(rows, []string{o.Name, orDash(rank), orDash(quota), orDash(strings.Join(keys, ","))})
+	}
+	fmt.Fprintln(out)
+	return printTable(out, "ORGANISATION RANK QUOTA KEYS", rows)
 }
 
 func printBackends(out io.Writer, list []oriolebend.Backend) error {
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -359,6 +359,17 @@
 	is.NoErr(json.Unmarshal(declared, &want))
 	is.NoErr(json.Unmarshal([]byte(text), &got))
 	is.Equal(got, want)
+	declared, err = os.ReadFile("../../examples/organisations.json")
+	is.NoErr(err)
+	status, _ = call(http.MethodPut, "/v1/routing", string(declared))
+	is.Equal(status, http.StatusOK)
+	want, got = oriolebend.Routing{}, oriolebend.Routing{}
+	status, text = call(http.MethodGet, "/v1/routing", "")
+	is.Equal(status, http.StatusOK)
+	is.NoErr(json.Unmarshal(declared, &want))
+	is.NoErr(json.Unmarshal([]byte(text), &got))
+	is.Equal(got, want)
+	is.True(!strings.Contains(text, "replace-by-a-long-random-key")) // keys are shown as digests
 	status, text = call(http.MethodPut, "/v1/routing", `{"version": 9, "colour": "red"}`)
 	is.Equal(status, http.StatusBadRequest)
 	is.True(strings.Contains(text, "colour"))
--- a/pkg/oriolebend/organisation.go
+++ b/pkg/oriolebend/organisation.go
@@ -69,6 +69,12 @@
 // String implements fmt.Stringer.
 func (d KeyDigest) String() string { return digestPrefix + hex.EncodeToString(d[:]) }
 
+// Short begins String: enough to tell the keys of one routing apart.
+func (d KeyDigest) Short() string { return digestPrefix + hex.EncodeToString(d[:shortDigest]) }
+
+// shortDigest is the bytes of a digest that Short shows.
+const shortDigest = 4
+
 // MarshalText implements encoding.TextMarshaler.
 func (d KeyDigest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
