dispatch, places: engines in the forwarder's failure domain are preferred

Change: a forwarder tells its failure domain with its session; an engine elsewhere is set back by three prompts of held memory, a prefill engine by 20 ms.

--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -68,7 +68,8 @@
 		Service: w.service.Name, Prompt: w.ask.Prompt, Output: w.ask.output(),
 		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received,
 		PauseWithin: time.Duration(w.route.PauseWithin), Returned: w.returned,
-		Tried: w.tried, Again: w.sent+w.prefills > 0,
+		FailureDomain: w.f.config.Dispatch.FailureDomain,
+		Tried:         w.tried, Again: w.sent+w.prefills > 0,
 	}
 }
 
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -18,8 +18,10 @@
 // places. It tells the places that the forwarder uses already: the control VM may
 // have become the leader a moment ago.
 type PlaceOpen struct {
-	Node string          `cbor:"node"`
-	Held []PlaceQuestion `cbor:"held,omitempty"`
+	Node string `cbor:"node"`
+	// FailureDomain is where the forwarder stands.
+	FailureDomain string          `cbor:"failureDomain,omitempty"`
+	Held          []PlaceQuestion `cbor:"held,omitempty"`
 }
 
 // PlaceQuestion is what a request asks of an engine. As part of a PlaceOpen,
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -46,6 +46,9 @@
 	// Returned is set if its caller has been refused before, or seems to have been:
 	// its target is missed.
 	Returned bool
+	// FailureDomain is where the forwarder stands that carries the request; empty means
+	// that it is not known.
+	FailureDomain string
 	// Tried are the instances that the request was sent to before.
 	Tried []string
 	// Again is set if this sending is beyond the request's first.
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -12,6 +12,24 @@
 // engine that holds three prompts more writes a tenth slower.
 const otherDomainMemory = 3.0
 
+const (
+	// awayMemory is what a decode engine in another failure domain than the forwarder's is
+	// set back by, in prompts that it holds, and awayRead what a prefill engine there is
+	// set back by.
+	//
+	// A stream between failure domains has each of its events on a link that loses packets
+	// or is cut more often than the network within one: a single one that is sent again
+	// makes the stream late. One notices it by callers who see pauses that neither the
+	// engine nor the forwarder has made.
+	awayMemory = 3.0
+	awayRead   = 20 * time.Millisecond
+)
+
+// away reports whether a server stands in another failure domain than the forwarder.
+func (n Need) away(c *server) bool {
+	return n.FailureDomain != "" && n.FailureDomain != c.FailureDomain
+}
+
 // placeGeneration chooses a decode engine, and the prefill engine that would be
 // done first. Without any prefill engine, or while the queue of the best one is long,
 // the decode engine reads the prompt itself: between the tokens of its other requests,
@@ -41,6 +59,9 @@
 		if reader != nil && c.FailureDomain != reader.FailureDomain {
 			load += otherDomainMemory * float64(e.Need.Prompt)
 		}
+		if e.Need.away(c) {
+			load += awayMemory * float64(e.Need.Prompt)
+		}
 		return load
 	})
 	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
@@ -114,7 +135,13 @@
 	if len(list) == 0 || service.standing(e.At, list[0]) == standingAvoided {
 		return nil
 	}
-	return s.least(list, func(c *server) float64 { return s.splitTime(c, service, e.Need.Prompt) })
+	return s.least(list, func(c *server) float64 {
+		took := s.splitTime(c, service, e.Need.Prompt)
+		if e.Need.away(c) {
+			took += float64(awayRead.Milliseconds())
+		}
+		return took
+	})
 }
 
 // splitTime is the time in milliseconds until a prefill engine has read a
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -31,6 +31,7 @@
 //	                        [start=N] a line
 //	service NAME [kv=N]     declares a service; kv makes it one of engines
 //	do                      ask NAME SERVICE [prompt=N] [pause=FOR] [again] [waited] [tried=A,B]
+//	                        [from=DOMAIN]
 //	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
 //	                        written NAME TOOK
 //	                        same NAME | still NAME | pass FOR
@@ -154,6 +155,8 @@
 			pause, err := time.ParseDuration(value)
 			is.New(s.t).NoErr(err)
 			need.PauseWithin = pause
+		case "from":
+			need.FailureDomain = value
 		case "again":
 			need.Again = true
 		case "waited":
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -65,7 +65,7 @@
 	}
 	process.endpoint, process.teller.Dialer = endpoint, endpoint
 	process.places = &PlaceClient{
-		Node: p.Settings.Node.Name, Dialer: endpoint, Logger: p.Logger,
+		Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Dialer: endpoint, Logger: p.Logger,
 		Leader: func() string { return process.follower.Leader() },
 	}
 	process.places.Prepare()
--- a/internal/role/placeclient.go
+++ b/internal/role/placeclient.go
@@ -29,8 +29,9 @@
 // PlaceClient asks the leading control VM for places at model engines. It
 // implements forwarder.Places.
 type PlaceClient struct {
-	Node   string
-	Dialer peer.Dialer
+	Node          string
+	FailureDomain string
+	Dialer        peer.Dialer
 	// Leader is the peer address of the control VM that leads, empty if none is
 	// known. The last one that did goes on giving places until another one leads.
 	Leader func() string
@@ -117,7 +118,7 @@
 func (c *PlaceClient) begin(o *outbox) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	open := message.PlaceOpen{Node: c.Node}
+	open := message.PlaceOpen{Node: c.Node, FailureDomain: c.FailureDomain}
 	for _, h := range c.held {
 		h.Age = time.Since(h.since)
 		open.Held = append(open.Held, h.PlaceQuestion)
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -41,7 +41,7 @@
 
 	mutex    sync.Mutex
 	state    *reducer.State
-	sessions map[uint64]*outbox
+	sessions map[uint64]placeSession
 	// nodes holds the session of each forwarder.
 	nodes   map[string]uint64
 	last    uint64
@@ -57,9 +57,16 @@
 
 var _ routewatch.Sink = (*Placer)(nil)
 
+// placeSession is a session of a forwarder.
+type placeSession struct {
+	*outbox
+	// failureDomain is where the forwarder stands.
+	failureDomain string
+}
+
 // Prepare makes the placer ready; it must be called before all else.
 func (p *Placer) Prepare() {
-	p.sessions, p.nodes = map[uint64]*outbox{}, map[string]uint64{}
+	p.sessions, p.nodes = map[uint64]placeSession{}, map[string]uint64{}
 	p.servers = registry.Servers{}
 	p.reset()
 }
@@ -118,8 +125,8 @@
 		if !ok {
 			continue
 		}
-		if o := p.sessions[answer.Key.Session]; o != nil {
-			o.put(answerMessage(answer))
+		if session, open := p.sessions[answer.Key.Session]; open {
+			session.put(answerMessage(answer))
 		}
 	}
 }
@@ -180,7 +187,8 @@
 		p.reduce(placement.SessionLost{At: time.Now(), Session: earlier})
 	}
 	p.last++
-	p.sessions[p.last], p.nodes[open.Node] = o, p.last
+	p.sessions[p.last] = placeSession{outbox: o, failureDomain: open.FailureDomain}
+	p.nodes[open.Node] = p.last
 	for _, q := range open.Held {
 		p.reduce(placement.Resumed{
 			At: time.Now().Add(-q.Age), Key: placement.Key{Session: p.last, ID: q.ID}, Need: needOf(q),
@@ -200,9 +208,9 @@
 
 // silence ends a session; its places are kept for a while. The mutex is held.
 func (p *Placer) silence(session uint64) {
-	if o := p.sessions[session]; o != nil {
+	if s, open := p.sessions[session]; open {
 		delete(p.sessions, session)
-		o.end()
+		s.end()
 		p.reduce(placement.SessionSilent{At: time.Now(), Session: session})
 	}
 }
@@ -223,8 +231,10 @@
 	switch m.Step {
 	case message.PlaceAsked:
 		if q := m.Question; q != nil {
+			need := needOf(*q)
+			need.FailureDomain = p.sessions[session].failureDomain
 			p.reduce(placement.Asked{
-				At: now, Key: key, Need: needOf(*q), Rank: q.Rank, Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
+				At: now, Key: key, Need: need, Rank: q.Rank, Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
 			})
 		}
 	case message.PlaceWithdrawn:
