forwarder: requests wait for the first routing

A caller has one more try, and many had spent it on a VM without power. Change: a request waits for the routing for up to a second, and up to six tenths of what its caller allows.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -60,6 +60,9 @@
 	start  time.Time
 
 	table atomic.Pointer[routing.Table]
+	// routed is closed once there is a routing.
+	routed     chan struct{}
+	routedOnce sync.Once
 
 	mutex sync.Mutex
 	state *dispatch.State
@@ -87,6 +90,7 @@
 		pool:      backend.NewPool(c.Pool),
 		start:     time.Now(),
 		state:     dispatch.New(c.Dispatch),
+		routed:    make(chan struct{}),
 		known:     map[string]int{},
 		addresses: map[string]string{},
 	}
@@ -105,6 +109,7 @@
 	table.After(f.table.Load())
 	f.table.Store(table)
 	f.reduce(dispatch.Services{Services: r.Services})
+	f.routedOnce.Do(func() { close(f.routed) })
 	f.config.Logger.Info("routing in force", "version", r.Version, "routes", len(r.Routes), "services", len(r.Services))
 }
 
@@ -230,18 +235,18 @@
 // Serve answers one request; it is an http1.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *http1.Request, a *http1.Answer) {
 	w := &work{f: f, request: r, answer: a}
-	table := f.table.Load()
-	if table == nil {
-		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
-		return
-	}
-	w.version = table.Routing.Version
 	ask, err := f.config.Dialect.Ask(r.Header)
 	w.ask = ask
 	if err != nil {
 		w.reject(http.StatusBadRequest, oriolebend.ReasonMalformed, err)
 		return
 	}
+	table := f.awaitRouting(ctx, ask.Within)
+	if table == nil {
+		w.refuse(refusal{reason: oriolebend.ReasonControlAway, after: retryUnready})
+		return
+	}
+	w.version = table.Routing.Version
 	if !w.admit(table) {
 		return
 	}
@@ -288,6 +293,37 @@
 	return true
 }
 
+const (
+	// unroutedMost is for how long a request waits for the first routing at most, and
+	// unroutedShare the part of its caller's time that it waits.
+	unroutedMost  = time.Second
+	unroutedShare = 0.6
+)
+
+// awaitRouting returns the routes in force, nil if there are none yet.
+//
+// A forwarder that starts has a routing as soon as control VMs have elected a leader, and
+// callers come before that. Who is told at once to come back has spent a try on it: after a
+// power loss of everything callers have spent another one on forwarders that were away, and
+// what they asked for is lost.
+func (f *Forwarder) awaitRouting(ctx context.Context, within time.Duration) *routing.Table {
+	if table := f.table.Load(); table != nil {
+		return table
+	}
+	wait := unroutedMost
+	if within > 0 {
+		wait = min(wait, time.Duration(unroutedShare*float64(within)))
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-f.routed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return f.table.Load()
+}
+
 // retryUnready is when a caller may come back to a forwarder that has just
 // started: it has the routing by then, or the balancer has looked away.
 const retryUnready = 500 * time.Millisecond
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -180,6 +180,29 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 }
 
+// Symptom: after a power loss of everything callers are refused for good who come in the
+// second before forwarders have their routing. Sequence: a caller's first try meets a VM
+// without power, its second one a forwarder that has started and waits for control VMs to
+// elect a leader; it has no third. Cause: a refusal by a process that is about to be able to
+// serve. A request waits for a part of what its caller allows, and no longer.
+func TestRequestsWaitForTheFirstRouting(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	s.server("a", "", answer("fresh"))
+	routing := s.forwarder.table.Load().Routing
+	s.forwarder.table.Store(nil)
+	s.forwarder.routed, s.forwarder.routedOnce = make(chan struct{}), sync.Once{}
+	began := time.Now()
+	status, _, body := s.ask("/once/", map[string]string{ownDeadline: "100"})
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, `{"reason":"controlAway","ran":"no"}`)
+	is.True(time.Since(began) >= 60*time.Millisecond)
+	time.AfterFunc(50*time.Millisecond, func() { s.forwarder.SetRouting(routing) })
+	status, _, body = s.ask("/once/", map[string]string{ownDeadline: "15000"})
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "fresh")
+}
+
 // Symptom: a call that may run once runs twice, or a caller is told "not run" of
 // one that ran. Sequence: the server dies after it has read the request. Cause: a
 // call sent again, or a refusal, after its outcome was lost.
