places: a control VM that does not answer is not waited for

Cause: a leader that is frozen, or without power, ends no session; another one leads a second later. Ruled out: a shorter wait for answers: a request may wait for memory for seconds. Change: while an answer is awaited and nothing has come for a tenth of a second, a forwarder asks for a sign of life; without one within a quarter of a second it looks for places itself until there is one.

--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -67,6 +67,8 @@
 	PlaceRead PlaceStep = "read"
 	// PlaceEnded gives the place back.
 	PlaceEnded PlaceStep = "ended"
+	// PlaceProbed asks for a sign of life: a PlaceAnswer without an ID.
+	PlaceProbed PlaceStep = "probed"
 )
 
 // PlaceEvent tells one step of one question.
--- a/internal/role/placeclient.go
+++ b/internal/role/placeclient.go
@@ -24,6 +24,10 @@
 	// answerMargin is how much later than the end of its wait a question's
 	// answer is still waited for; then the leader counts as gone.
 	answerMargin = 300 * time.Millisecond
+	// probeAfter is for how long nothing comes before a sign of life is asked for, and
+	// probeWithin how long that may take.
+	probeAfter  = 100 * time.Millisecond
+	probeWithin = 250 * time.Millisecond
 )
 
 // PlaceClient asks the leading control VM for places at model engines. It
@@ -43,6 +47,10 @@
 	// asked holds who waits for an answer, held the places that are in use.
 	asked map[uint64]chan message.PlaceAnswer
 	held  map[uint64]heldPlace
+	// heard is when something came over the session last, probed when a sign of life was
+	// asked for since, zero if none was. silent is set while none comes.
+	heard, probed time.Time
+	silent        bool
 }
 
 var _ forwarder.Places = (*PlaceClient)(nil)
@@ -125,6 +133,7 @@
 	}
 	o.put(open)
 	c.open = o
+	c.heard, c.probed, c.silent = time.Now(), time.Time{}, false
 }
 
 // end has those that wait look for places themselves.
@@ -141,6 +150,10 @@
 func (c *PlaceClient) answered(a message.PlaceAnswer) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.silent {
+		c.Logger.Info("the control VM that gives places answers again")
+	}
+	c.heard, c.probed, c.silent = time.Now(), time.Time{}, false
 	waiting := c.asked[a.ID]
 	if waiting == nil {
 		// The request has left meanwhile; its place must not stay taken.
@@ -166,13 +179,8 @@
 	if waiting == nil {
 		return nil, false
 	}
-	timer := time.NewTimer(q.Within + answerMargin)
-	defer timer.Stop()
-	select {
-	case answer, ok := <-waiting:
+	if answer, ok, came := c.await(ctx, waiting, q.Within+answerMargin); came {
 		return c.effect(q, answer), ok
-	case <-timer.C:
-	case <-ctx.Done():
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -187,10 +195,55 @@
 	return nil, false
 }
 
+// await waits for an answer. came is false if none has come; ok is false if the session
+// has ended.
+func (c *PlaceClient) await(ctx context.Context, waiting <-chan message.PlaceAnswer, within time.Duration) (answer message.PlaceAnswer, ok, came bool) {
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	probe := time.NewTicker(probeAfter)
+	defer probe.Stop()
+	for {
+		select {
+		case answer, ok = <-waiting:
+			return answer, ok, true
+		case <-probe.C:
+			if c.isSilent() {
+				return answer, false, false
+			}
+		case <-timer.C:
+			return answer, false, false
+		case <-ctx.Done():
+			return answer, false, false
+		}
+	}
+}
+
+// isSilent reports whether the control VM that gives places does not answer at all, and
+// asks it for a sign of life if nothing has come for a while.
+//
+// A request may wait for its place while memory is short, so that no answer to one question
+// tells little. A control VM that stands still ends no session, and another one leads only
+// after a second, in which each generation that is asked for waits for it and is late.
+func (c *PlaceClient) isSilent() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	switch {
+	case c.open == nil || now.Sub(c.heard) < probeAfter:
+	case c.probed.IsZero():
+		c.probed = now
+		c.tell(message.PlaceEvent{Step: message.PlaceProbed})
+	case !c.silent && now.Sub(c.probed) >= probeWithin:
+		c.silent = true
+		c.Logger.Info("the control VM that gives places does not answer", "silentMs", now.Sub(c.heard).Milliseconds())
+	}
+	return c.silent
+}
+
 func (c *PlaceClient) ask(q forwarder.PlaceRequest) (uint64, chan message.PlaceAnswer) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.open == nil {
+	if c.open == nil || c.silent {
 		return 0, nil
 	}
 	c.last++
--- a/internal/role/placer.go
+++ b/internal/role/placer.go
@@ -237,6 +237,10 @@
 				At: now, Key: key, Need: need, Rank: q.Rank, Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
 			})
 		}
+	case message.PlaceProbed:
+		if s, open := p.sessions[session]; open {
+			s.put(message.PlaceAnswer{})
+		}
 	case message.PlaceWithdrawn:
 		p.reduce(placement.Withdrawn{At: now, Key: key})
 	case message.PlaceRead:
--- a/internal/role/placer_test.go
+++ b/internal/role/placer_test.go
@@ -202,6 +202,31 @@
 	})
 }
 
+// Symptom: all generations are late that are asked for in the second after the leader has
+// frozen. Sequence: it does not end its sessions, and no other one leads yet; each request
+// waits for its answer. Cause: a wait for places that does not tell one who is asked and has
+// none from one who is not there. The forwarder looks for places itself meanwhile, and asks
+// again as soon as there is a sign of life; who waits while memory is short waits on.
+func TestSilentLeaderIsNotAwaited(t *testing.T) {
+	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
+		s.lead("one:1")
+		time.Sleep(time.Second)
+		s.granted(ctx, is, 900)
+		began := time.Now()
+		s.refused(ctx, is, 900) // its memory is short, and it lives
+		is.True(time.Since(began) >= time.Second)
+		s.network.Cut("one", "f")
+		began = time.Now()
+		_, asked := s.ask(ctx, 900)
+		is.True(!asked)
+		is.True(time.Since(began) < probeAfter+probeWithin+probeAfter)
+		began = time.Now()
+		_, asked = s.ask(ctx, 900)
+		is.True(!asked)
+		is.True(time.Since(began) == 0)
+	})
+}
+
 // Symptom: for seconds after the leader freezes requests wait and are then refused.
 // Sequence: a new leader is elected; the frozen one does not end its sessions, and
 // what was asked of it gets no answer. The forwarder turns to the new one.
