quota: callers who come back leave a part of it to those who can be in time

Change: a caller who was refused before takes from a quota only what leaves three tenths of the burst, unless it was promised a time; a quarter of a quota is promised in place of half. A prompt that was read is not given back.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -51,6 +51,8 @@
 	// Expected is the caller's estimate of the output's tokens; zero means that
 	// there is none.
 	Expected int
+	// Resumes is set if the caller has a part of the answer already.
+	Resumes bool
 	// Credential is what the caller shows of itself.
 	Credential Credential
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -257,6 +257,7 @@
 	w.deadline = r.Received.Add(within)
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
+	w.returned = f.patience.returned(w.route.Name, ask.Within)
 	if !w.charge(ctx) {
 		return
 	}
@@ -264,7 +265,6 @@
 		w.stream(ctx)
 		return
 	}
-	w.returned = f.patience.returned(w.route.Name, ask.Within)
 	w.call(ctx)
 }
 
--- a/internal/forwarder/own.go
+++ b/internal/forwarder/own.go
@@ -50,6 +50,7 @@
 	}
 	ask := Ask{ID: h.Get(ownRequest), Prompt: number(h, ownPrompt), Output: number(h, ownOutput), Expected: number(h, ownExpected)}
 	ask.Within = time.Duration(number(h, ownDeadline)) * time.Millisecond
+	ask.Resumes = h.Get(ownAfter) != ""
 	ask.Credential = CredentialOf(h[ownCredential], ownScheme)
 	if call := h.Get(ownCall); call != "" {
 		ask.Call = xxhash.Sum64String(call)
--- a/internal/forwarder/quota.go
+++ b/internal/forwarder/quota.go
@@ -25,6 +25,8 @@
 	Cost float64
 	// Call is the same for all tries of a caller at one request.
 	Call uint64
+	// Late is set if the caller was refused before, and has missed its target.
+	Late bool
 	// Keeper is who counted it, set by Take.
 	Keeper string
 }
@@ -59,7 +61,7 @@
 	}
 	charge := Charge{
 		Organisation: w.organisation.Name, Call: uint64(w.fingerprint),
-		Cost: w.organisation.Quota.Cost(w.ask.Prompt + w.ask.Output),
+		Cost: w.organisation.Quota.Cost(w.ask.Prompt + w.ask.Output), Late: w.returned && !w.ask.Resumes,
 	}
 	taken, state, err := quotas.Take(ctx, charge)
 	w.quota = state
@@ -80,9 +82,10 @@
 	return refusal{reason: problem.Reason, after: problem.RetryAfter}
 }
 
-// refund gives back what a request has taken that did not run: it got nothing for it.
+// refund gives back what a request has taken that did not run: it got nothing for it. One
+// whose prompt was read has cost an engine as much as one that ran.
 func (w *work) refund() {
-	if w.charged.Cost > 0 {
+	if w.charged.Cost > 0 && !w.prompted {
 		w.f.config.Quotas.Return(w.charged)
 		w.charged = Charge{}
 	}
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -121,6 +121,7 @@
 		return nil, nil
 	}
 	engine := *s.grant.Prefill
+	s.prompted = true
 	request := s.outgoing(Sending{Instance: engine.Instance, PrefillOnly: true})
 	began := s.f.now()
 	result, err := s.f.readPrompt(ctx, engine.Address, request)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -45,6 +45,8 @@
 	// prefills counts the prefills that were asked for in vain, before a sending that
 	// was not made. A second one counts as a repeat.
 	prefills int
+	// prompted is set once a prefill engine was asked to read the prompt.
+	prompted bool
 	// ran is what is known of the request over all sendings: "yes" or "unknown"
 	// once one of them may have run.
 	ran oriolebend.Ran
--- a/internal/message/quota.go
+++ b/internal/message/quota.go
@@ -15,6 +15,8 @@
 	Cost float64 `cbor:"2,keyasint"`
 	// Call is the same for all tries of a caller at one request.
 	Call uint64 `cbor:"3,keyasint,omitempty"`
+	// Late is set if the caller was refused before, and has missed its target.
+	Late bool `cbor:"5,keyasint,omitempty"`
 	// Return is set if the cost is given back. There is no answer then.
 	Return bool `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -52,7 +52,7 @@
 // Take implements forwarder.Quotas. It asks the leader, which alone knows what is left,
 // and others only if that does not answer.
 func (c *Client) Take(ctx context.Context, charge forwarder.Charge) (forwarder.Charge, forwarder.QuotaState, error) {
-	ask := message.QuotaAsk{Organisation: charge.Organisation, Cost: charge.Cost, Call: charge.Call}
+	ask := message.QuotaAsk{Organisation: charge.Organisation, Cost: charge.Cost, Call: charge.Call, Late: charge.Late}
 	var state forwarder.QuotaState
 	leader := c.Leader()
 	for _, address := range c.order(charge.Organisation, leader) {
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -130,7 +130,9 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.look()
-	effects := k.reduce(quota.Asked{At: time.Now(), Organisation: asked.Organisation, Cost: asked.Cost, Call: asked.Call})
+	effects := k.reduce(quota.Asked{
+		At: time.Now(), Organisation: asked.Organisation, Cost: asked.Cost, Call: asked.Call, Late: asked.Late,
+	})
 	a, _ := effects[0].(quota.Answer)
 	return message.QuotaAnswer{Granted: a.Granted, Known: a.Known, RetryAfter: a.After, Left: a.Left, Since: a.Since}
 }
--- a/internal/reducer/quota/event.go
+++ b/internal/reducer/quota/event.go
@@ -32,6 +32,8 @@
 	Cost         float64
 	// Call is the same for all tries of a caller at one request.
 	Call uint64
+	// Late is set if the caller was refused before, and has missed its target.
+	Late bool
 }
 
 // Returned gives back what was taken for a request that did not run.
--- a/internal/reducer/quota/promise.go
+++ b/internal/reducer/quota/promise.go
@@ -16,10 +16,18 @@
 	due  time.Time
 }
 
+// leftInTime is the share of the burst that callers who come back leave to those who can
+// still be in time.
+//
+// While an organisation asks for more than its quota some of its requests are refused,
+// whichever these are. Given to callers who come back, what there is serves as many, and
+// all of them late: for as long as it asks for too much hardly anything of it is in time.
+const leftInTime = 0.3
+
 const (
 	// promiseShare is the share of a quota that is promised to callers who come back; the
 	// rest is for those who come for the first time.
-	promiseShare = 0.5
+	promiseShare = 0.25
 	// promiseAhead is how far ahead promises are made. Callers wait for hardly longer.
 	promiseAhead = 4 * time.Second
 	// promiseHolds is for how long after it is due a promise is kept.
@@ -39,6 +47,7 @@
 		// there now.
 		toCome := promiseShare * a.bucket.PerSecond * a.promises.last.Sub(e.At).Seconds()
 		kept = max(0, a.promises.owed-p.cost-max(0, toCome))
+		kept += a.left(e)
 	}
 	if !a.bucket.Take(e.At, e.Cost, kept) {
 		return false
@@ -49,6 +58,14 @@
 	return true
 }
 
+// left is what a caller leaves to others in any case.
+func (a *account) left(e Asked) float64 {
+	if !e.Late {
+		return 0
+	}
+	return leftInTime * a.bucket.Burst
+}
+
 // promise is when a caller that is refused can be served. Callers that were all told the
 // time at which the first of them can be served would meet, and all but one be refused
 // again.
@@ -56,7 +73,7 @@
 	if p, promised := a.promises.byCall[e.Call]; promised {
 		return max(0, p.due.Sub(e.At))
 	}
-	due := e.At.Add(a.bucket.Wait(e.At, e.Cost))
+	due := e.At.Add(a.bucket.Wait(e.At, e.Cost+a.left(e)))
 	if len(a.promises.byCall) > 0 {
 		next := a.promises.last.Add(time.Duration(e.Cost / (promiseShare * a.bucket.PerSecond) * float64(time.Second)))
 		if next.After(due) {
--- a/internal/reducer/quota/script_test.go
+++ b/internal/reducer/quota/script_test.go
@@ -20,7 +20,7 @@
 //	excess WINDOW OVERSHOOT SLACK      begins anew, with these bounds
 //	quota ORGANISATION PERSECOND BURST [ORGANISATION …]   declares exactly these
 //	leads NAME|- [MEMBERS]             "self" is this control VM
-//	ask ORGANISATION COST [CALL] [xTIMES]   prints the answers
+//	ask ORGANISATION COST [CALL] [xTIMES] [late]   prints the answers
 //	return ORGANISATION COST
 //	doubt                              the VM was suspended
 //	pass FOR
@@ -74,8 +74,12 @@
 
 // ask asks once, or several times as several calls.
 func (s *script) ask(words []string, out *strings.Builder) {
-	call, times := uint64(0), 1
+	call, times, late := uint64(0), 1, false
 	for _, word := range words[3:] {
+		if word == "late" {
+			late = true
+			continue
+		}
 		if text, found := strings.CutPrefix(word, "x"); found {
 			times = int(s.number(text))
 			continue
@@ -83,7 +87,7 @@
 		call = uint64(s.number(word))
 	}
 	for range times {
-		a := Reduce(s.state, Asked{At: s.now, Organisation: words[1], Cost: s.number(words[2]), Call: call})[0]
+		a := Reduce(s.state, Asked{At: s.now, Organisation: words[1], Cost: s.number(words[2]), Call: call, Late: late})[0]
 		switch {
 		case a.Granted:
 			fmt.Fprintln(out, "granted")
