pools: the pace of engines from what generations wrote, not from what was expected of them

Cause: the pools were put right 12 s after a load began: of 56 engines 20 stood by for prefills, where 10 were wanted from the second peak on; at 4 s 15 to 16 were wanted by the same measure. In the first seconds those generations end that write least, and they counted with what they were expected to write, so that engines seemed faster than they are. Ruled out: moving more at once (the judgement itself was wrong); a longer wait. Change: an operator may declare how many tokens a part of a stream holds; what was written is then counted by its parts. Without it nothing changes.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -53,6 +53,8 @@
 	// streaming is set from the first event, which came at begun.
 	streaming bool
 	begun     time.Time
+	// parts is how many events came.
+	parts int
 }
 
 // ending is how a sending ended: done if the caller has its whole answer, or
@@ -174,6 +176,7 @@
 			s.first = time.Since(s.request.Received)
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
 		}
+		s.parts++
 		if event.id != "" && !later(event.id, s.after) {
 			continue
 		}
@@ -214,7 +217,7 @@
 		s.answer.End()
 		if s.streaming {
 			s.f.config.Quarantine.Answered(s.fingerprint)
-			s.f.reduce(dispatch.Written{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first})
+			s.f.reduce(dispatch.Written{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first, Parts: s.parts})
 		}
 		s.ended(s.grant, dispatch.OutcomeAnswered, 0)
 		s.log(response.Status, "", oriolebend.RanYes)
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -87,6 +87,8 @@
 type Written struct {
 	Need Need
 	Took time.Duration
+	// Parts is how many parts the stream had.
+	Parts int
 }
 
 // AskedSame asks whether a request may be sent once more to the server that has
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -56,9 +56,18 @@
 	return float64(tokens) / max(1, float64(took.Microseconds())/1e3)
 }
 
+// written counts what a generation wrote, and how long it took.
+//
+// In the first seconds of a load those end first that write least. Counted with what they
+// were expected to write, they make engines seem faster than they are: the decode pool seems
+// large enough, and the first peak meets engines that still stand by for prefills.
 func (s *State) written(e Written) {
 	if v := s.services[e.Need.Service]; v != nil {
-		v.load.Written += e.Need.Output
+		tokens := e.Need.Output
+		if engine := v.limits.Engine; engine != nil && engine.TokensPerPart > 0 && e.Parts > 0 {
+			tokens = e.Parts * engine.TokensPerPart
+		}
+		v.load.Written += tokens
 		v.load.Writing += e.Took
 	}
 }
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -29,11 +29,11 @@
 //
 //	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
 //	                        [start=N] a line
-//	service NAME [kv=N]     declares a service; kv makes it one of engines
+//	service NAME [kv=N] [part=N]   declares a service; kv makes it one of engines
 //	do                      ask NAME SERVICE [prompt=N] [pause=FOR] [again] [waited] [tried=A,B]
 //	                        [from=DOMAIN]
 //	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
-//	                        written NAME TOOK
+//	                        written NAME TOOK [PARTS]
 //	                        same NAME | still NAME | pass FOR
 //	loads                   prints what was done with engines
 func TestScripts(t *testing.T) {
@@ -101,9 +101,12 @@
 func declaredService(d *datadriven.TestData) oriolebend.RouteService {
 	declared := oriolebend.RouteService{Name: d.CmdArgs[0].Key}
 	for _, arg := range d.CmdArgs[1:] {
-		if arg.Key == "kv" {
-			tokens, _ := strconv.Atoi(arg.Vals[0])
+		tokens, _ := strconv.Atoi(arg.Vals[0])
+		switch arg.Key {
+		case "kv":
 			declared.Engine = &oriolebend.EngineLimits{KVTokens: tokens, TokenBytes: 18432, LinkMbps: 740000}
+		case "part":
+			declared.Engine.TokensPerPart = tokens
 		}
 	}
 	return declared
@@ -137,7 +140,12 @@
 	case "written":
 		took, err := time.ParseDuration(words[2])
 		is.NoErr(err)
-		Reduce(s.state, Written{Need: s.grants[words[1]].Need, Took: took})
+		written := Written{Need: s.grants[words[1]].Need, Took: took}
+		if len(words) > 3 {
+			written.Parts, err = strconv.Atoi(words[3])
+			is.NoErr(err)
+		}
+		Reduce(s.state, written)
 	case "failed":
 		Reduce(s.state, PromptRead{At: s.now, Grant: s.grants[words[1]], Failed: true})
 	}
--- a/pkg/oriolebend/routing.go
+++ b/pkg/oriolebend/routing.go
@@ -88,6 +88,9 @@
 	// KVTokens is the size of the KV memory, TokenBytes the bytes of one token.
 	KVTokens   int   `json:"kvTokens" cbor:"kvTokens"`
 	TokenBytes int64 `json:"tokenBytes" cbor:"tokenBytes"`
+	// TokensPerPart is how many tokens of output a part of a stream holds; zero means that
+	// it is not known.
+	TokensPerPart int `json:"tokensPerPart,omitempty" cbor:"tokensPerPart,omitempty"`
 	// LinkMbps is the rate of the engine's link for KV transfers.
 	LinkMbps float64 `json:"linkMbps" cbor:"linkMbps"`
 	// ResultLives is how long a prefill result is kept for its transfer.
