--- a/internal/forwarder/identity_test.go
+++ b/internal/forwarder/identity_test.go
@@ -154,6 +154,45 @@
 	return out.String()
 }
 
+// A key that is taken away while its request is on its way: the request goes on, also to a
+// second server, for the organisation that held the key when it came. The next one on the
+// same connection is refused.
+func TestKeyTakenAwayMeanwhile(t *testing.T) {
+	is := is.New(t)
+	s := newCallerSite(t)
+	with := func(version uint64, keys ...string) oriolebend.Routing {
+		r := s.forwarder.table.Load().Routing
+		r.Version, r.Organisations = version, []oriolebend.Organisation{{Name: "o"}}
+		for _, key := range keys {
+			r.Organisations[0].Keys = append(r.Organisations[0].Keys, oriolebend.DigestKey(key))
+		}
+		return r
+	}
+	s.forwarder.SetRouting(with(2, "k"))
+	s.server("a", "", func(w http.ResponseWriter, r *http.Request) {
+		s.forwarder.SetRouting(with(3))
+		abort(w, r)
+	})
+	s.server("b", "", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Header.Get(ownOrganisation)) })
+	caller := &http.Client{}
+	for _, want := range []struct {
+		status int
+		body   string
+	}{{http.StatusOK, "o"}, {http.StatusUnauthorized, `{"reason":"revokedKey","ran":"no"}`}} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.callers.Address()+"/safe/", nil)
+		is.NoErr(err)
+		request.Host = "h"
+		request.Header.Set(ownCredential, ownScheme+" k")
+		response, err := caller.Do(request)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.StatusCode, want.status)
+		is.Equal(string(body), want.body)
+	}
+}
+
 // Symptom: a caller's key stands in a log. Sequence: its request is refused, by each of the
 // reasons that there are for that, and logged. Cause: what a caller shows that is logged
 // with the rest of its request.
--- a/internal/reducer/quota/ways_test.go
+++ b/internal/reducer/quota/ways_test.go
@@ -153,7 +153,7 @@
 		exact[o] = wayBucket(1)
 	}
 	reach[0] = [3]int{1, 3, 4} // two of them are cut off
-	within, lost := 0.0, 0.0 // of callers that no cut concerns
+	within, lost := 0.0, 0.0   // of callers that no cut concerns
 	const step = 5 * time.Millisecond
 	for at := scriptStart; at.Before(scriptStart.Add(time.Minute)); at = at.Add(step) {
 		for o := range wayOrganisations {
