quota: a refused caller is always told a time, and what is granted is kept by who asked

Cause: read through as one who has not seen it: a caller whose promised time had passed was told no time at all, a grant that came in the moment in which its caller left was lost, an error was told by its type alone, and a field was read by tests only. Change: twenty milliseconds at least are told; a grant is taken as such and given back with the request; errors.As; the field is gone.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -61,8 +61,6 @@
 type Credential struct {
 	// Key is empty if none is shown, or not exactly one that can be read.
 	Key string
-	// Shown is set if anything is shown at all.
-	Shown bool
 }
 
 // LogValue implements slog.LogValuer: a key never gets into a log.
@@ -71,14 +69,14 @@
 // CredentialOf reads the only value of a header as "SCHEME KEY".
 func CredentialOf(values []string, scheme string) Credential {
 	if len(values) != 1 {
-		return Credential{Shown: len(values) > 0}
+		return Credential{}
 	}
 	named, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
 	key = strings.TrimSpace(key)
 	if !strings.EqualFold(named, scheme) || strings.ContainsAny(key, " ,\t") {
 		key = ""
 	}
-	return Credential{Key: key, Shown: true}
+	return Credential{Key: key}
 }
 
 // expected is the tokens of output that are likely.
--- a/internal/forwarder/quota.go
+++ b/internal/forwarder/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -75,8 +76,8 @@
 
 // quotaRefusal tells the caller of a charge that could not be made.
 func quotaRefusal(err error) refusal {
-	problem, ok := err.(*oriolebend.Problem)
-	if !ok {
+	var problem *oriolebend.Problem
+	if !errors.As(err, &problem) {
 		return refusal{reason: oriolebend.ReasonInternal, after: retryUnready}
 	}
 	return refusal{reason: problem.Reason, after: problem.RetryAfter}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -58,7 +58,7 @@
 	leader := c.Leader()
 	for _, address := range c.order(charge.Organisation, leader) {
 		answer, err := c.ask(ctx, address, address == leader, ask)
-		if ctx.Err() != nil {
+		if err != nil && ctx.Err() != nil {
 			break
 		}
 		if err != nil {
--- a/internal/reducer/quota/config.go
+++ b/internal/reducer/quota/config.go
@@ -33,7 +33,7 @@
 	return c.Overshoot*(perSecond*c.Window.Seconds()+burst) + c.Slack
 }
 
-// Shares of the excess. Together they leave a fifth of it, for what is counted twice: what
+// Shares of the excess. Together they leave a part of it for what is counted twice: what
 // reserves held before they were restarted, and what a leader gives that has been suspended
 // and does not know yet that another one leads.
 const (
--- a/internal/reducer/quota/promise.go
+++ b/internal/reducer/quota/promise.go
@@ -32,6 +32,8 @@
 	promiseAhead = 4 * time.Second
 	// promiseHolds is for how long after it is due a promise is kept.
 	promiseHolds = 500 * time.Millisecond
+	// promiseLeast is the shortest time that a refused caller is told.
+	promiseLeast = 20 * time.Millisecond
 	// promiseMost bounds the promises to one organisation.
 	promiseMost = 1024
 )
@@ -71,7 +73,7 @@
 // again.
 func (a *account) promise(e Asked) time.Duration {
 	if p, promised := a.promises.byCall[e.Call]; promised {
-		return max(0, p.due.Sub(e.At))
+		return max(promiseLeast, p.due.Sub(e.At), a.bucket.Wait(e.At, e.Cost))
 	}
 	due := e.At.Add(a.bucket.Wait(e.At, e.Cost+a.left(e)))
 	if len(a.promises.byCall) > 0 {
@@ -80,7 +82,7 @@
 			due = next
 		}
 	}
-	after := due.Sub(e.At)
+	after := max(promiseLeast, due.Sub(e.At))
 	if after <= promiseAhead && len(a.promises.byCall) < promiseMost {
 		a.promises.add(e.Call, promise{cost: e.Cost, due: due})
 	}
