--- a/internal/experiment/arrival.go
+++ b/internal/experiment/arrival.go
@@ -59,7 +59,7 @@
 	at := 0.0
 	for n := uint64(1); ; n++ {
 		at += rng.ExpFloat64() / rate
-		if at >= time.Duration(s.Duration).Seconds() {
+		if at >= time.Duration(min(s.Duration, c.Until)).Seconds() {
 			return drawn
 		}
 		a := arrival{
@@ -75,7 +75,9 @@
 		if c.Prefixes > 0 {
 			a.prefixID = mixed(uint64(rng.IntN(c.Prefixes)+1), uint64(len(c.Name)))
 		}
-		drawn = append(drawn, a)
+		if a.at >= time.Duration(c.From) {
+			drawn = append(drawn, a)
+		}
 	}
 }
 
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -94,8 +94,11 @@
 type Class struct {
 	Name    string             `toml:"name"`
 	Urgency oriolebend.Urgency `toml:"urgency"`
-	// Rate is how many arrive in a second.
-	Rate         float64 `toml:"rate"`
+	// Rate is how many arrive in a second, from From until Until. Zero means the beginning
+	// and the end, so that work which shifts is two classes, one after the other.
+	Rate         float64           `toml:"rate"`
+	From         settings.Duration `toml:"from"`
+	Until        settings.Duration `toml:"until"`
 	PromptTokens Range   `toml:"promptTokens"`
 	OutputTokens Range   `toml:"outputTokens"`
 	// Prefixes is how many prefixes of PrefixTokens the prompts begin with.
@@ -196,6 +199,7 @@
 	for i := range s.Classes {
 		c := &s.Classes[i]
 		setDefault(&c.Organisations, 3)
+		setDefault(&c.Until, s.Duration)
 		setDefault(&c.FirstWithin, settings.Duration(strictFirst))
 		setDefault(&c.BetweenWithin, settings.Duration(strictBetween))
 	}
@@ -239,6 +243,9 @@
 		if !c.PromptTokens.ordered() || !c.OutputTokens.ordered() {
 			return fmt.Sprintf("class %q: a range needs 1 <= min <= median <= max", c.Name)
 		}
+		if c.From < 0 || c.From >= c.Until {
+			return fmt.Sprintf("class %q: from must be before until", c.Name)
+		}
 	}
 	return ""
 }
