--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -99,8 +99,8 @@
 	Rate         float64           `toml:"rate"`
 	From         settings.Duration `toml:"from"`
 	Until        settings.Duration `toml:"until"`
-	PromptTokens Range   `toml:"promptTokens"`
-	OutputTokens Range   `toml:"outputTokens"`
+	PromptTokens Range             `toml:"promptTokens"`
+	OutputTokens Range             `toml:"outputTokens"`
 	// Prefixes is how many prefixes of PrefixTokens the prompts begin with.
 	Prefixes     int `toml:"prefixes"`
 	PrefixTokens int `toml:"prefixTokens"`
