--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -23,7 +23,8 @@
 	// Commands are what a reader runs to measure again, by a short name.
 	Commands map[string]string `toml:"commands"`
 	Slopes   []Slope           `toml:"slopes"`
-	Sweep    Sweep             `toml:"sweep"`
+	// Sweeps are by the name of their table on the page.
+	Sweeps map[string]Sweep `toml:"sweeps"`
 }
 
 // Size is the fleet that the users named.
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -53,11 +53,11 @@
 	if unused := s.unused(); len(unused) > 0 {
 		return nil, &UnusedError{Names: unused}
 	}
-	sweep, err := d.Sweep.table()
+	sweeps, err := d.sweeps()
 	if err != nil {
 		return nil, err
 	}
-	return append(tables, sweep, d.commandTable(), d.measured()), nil
+	return append(append(tables, sweeps...), d.commandTable(), d.measured()), nil
 }
 
 func (s *sums) line(name string) Line {
--- a/internal/capacity/sweep.go
+++ b/internal/capacity/sweep.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -75,8 +77,8 @@
 
 // table shows a sweep, and what it leads to at the size that is worked out: the last
 // value, carried on by the power, which is not let below zero.
-func (w Sweep) table() (Table, error) {
-	t := Table{Name: "sweep", Head: []string{fmt.Sprintf("measure (%s, run %s)", w.Site, w.Run)}}
+func (w Sweep) table(name string) (Table, error) {
+	t := Table{Name: name, Head: []string{fmt.Sprintf("measure (%s, run %s)", w.Site, w.Run)}}
 	if len(w.Servers) != len(w.VMs) {
 		return Table{}, &SweepError{What: "servers"}
 	}
@@ -101,6 +103,19 @@
 	return t, nil
 }
 
+// sweeps are the tables of all sweeps, in the order of their names.
+func (d Data) sweeps() ([]Table, error) {
+	var tables []Table
+	for _, name := range slices.Sorted(maps.Keys(d.Sweeps)) {
+		t, err := d.Sweeps[name].table(name)
+		if err != nil {
+			return nil, err
+		}
+		tables = append(tables, t)
+	}
+	return tables, nil
+}
+
 // figures lists values as the page shows them.
 func figures(values []float64) string {
 	var list []string
--- a/internal/reducer/quota/config.go
+++ b/internal/reducer/quota/config.go
@@ -1,30 +1,28 @@
 package quota
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 // Config states by how much quotas may be exceeded.
 type Config struct {
 	// Window is the time over which a quota is judged: what is let through within any
 	// such time may be that of Window and the burst, a share Overshoot of it more, and
-	// Slack units besides. Zero means the defaults.
+	// Slack units besides. Without a Window the defaults hold; an Overshoot of zero beside
+	// one is none.
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
 }
 
-// Defaults of Config, for a site that states no bounds of its own. A slack of zero is a
-// slack of zero.
+// Defaults of Config, for a site that states no bounds of its own.
 const (
 	DefaultWindow    = 8 * time.Second
 	DefaultOvershoot = 0.1
 )
 
 func (c Config) withDefaults() Config {
-	c.Window = cmp.Or(c.Window, DefaultWindow)
-	c.Overshoot = cmp.Or(c.Overshoot, DefaultOvershoot)
+	if c.Window == 0 {
+		c.Window, c.Overshoot = DefaultWindow, DefaultOvershoot
+	}
 	return c
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -155,7 +155,7 @@
 	LogBytes int64 `toml:"logBytes"`
 	// QuotaOvershoot and QuotaSlack are by how much the quota of an organisation may be
 	// exceeded within QuotaWindow: by that share, and by the slack besides, in the unit of
-	// the quota. Zero means 0.1, nothing and 8s.
+	// the quota. Without QuotaWindow they are 0.1, nothing and 8s.
 	QuotaOvershoot float64  `toml:"quotaOvershoot"`
 	QuotaSlack     float64  `toml:"quotaSlack"`
 	QuotaWindow    Duration `toml:"quotaWindow"`
