places: giver and client of places in a package of their own, out of role

Cause: internal/role holds five programs; what forwarders and control VMs say to each other about places stood there in two files whose names told it by halves. Change: package places with Giver (was Placer) and Client (was PlaceClient); moved, with names that no longer repeat the package; pause.For in place of a copy of it. Measured: no decision changes; tests moved with it and are as they were.

--- a/internal/role/placeclient.go
+++ b/internal/places/client.go
@@ -1,4 +1,4 @@
-package role
+package places
 
 import (
 	"cmp"
@@ -9,18 +9,19 @@
 
 	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 )
 
 const (
-	// placeAgain is the pause before another leader is asked for places.
-	placeAgain = 100 * time.Millisecond
+	// askAgain is the pause before another leader is asked for places.
+	askAgain = 100 * time.Millisecond
 	// otherSeen is how many times in a row another leader must be named, since a
 	// control VM that is cut off may name the last one for a moment.
 	otherSeen = 2
-	// placeOpenWithin bounds the opening of a session.
-	placeOpenWithin = time.Second
+	// openWithin bounds the opening of a session.
+	openWithin = time.Second
 	// answerMargin is how much later than the end of its wait a question's
 	// answer is still waited for; then the leader counts as gone.
 	answerMargin = 300 * time.Millisecond
@@ -30,9 +31,9 @@
 	probeWithin = 250 * time.Millisecond
 )
 
-// PlaceClient asks the leading control VM for places at model engines. It
+// Client asks the leading control VM for places at model engines. It
 // implements forwarder.Places.
-type PlaceClient struct {
+type Client struct {
 	Node          string
 	FailureDomain string
 	Dialer        peer.Dialer
@@ -53,7 +54,7 @@
 	silent        bool
 }
 
-var _ forwarder.Places = (*PlaceClient)(nil)
+var _ forwarder.Places = (*Client)(nil)
 
 // heldPlace is a place in use, and since when.
 type heldPlace struct {
@@ -62,28 +63,28 @@
 }
 
 // Prepare makes the client ready; it must be called before all else.
-func (c *PlaceClient) Prepare() {
+func (c *Client) Prepare() {
 	c.asked = map[uint64]chan message.PlaceAnswer{}
 	c.held = map[uint64]heldPlace{}
 }
 
 // Run keeps a session with the leader until ctx ends.
-func (c *PlaceClient) Run(ctx context.Context) {
+func (c *Client) Run(ctx context.Context) {
 	address := ""
 	for ctx.Err() == nil {
 		address = cmp.Or(c.Leader(), address)
 		if address != "" {
 			c.session(ctx, address)
 		}
-		wait(ctx, placeAgain)
+		pause.For(ctx, askAgain)
 	}
 }
 
 // awaitOther returns once another control VM than the one with an address has led
 // for a moment. A leader that is frozen or cut off does not end its sessions: what
 // is asked of it would wait for an answer until the caller leaves.
-func (c *PlaceClient) awaitOther(ctx context.Context, address string) {
-	for seen := 0; seen < otherSeen && ctx.Err() == nil; wait(ctx, placeAgain) {
+func (c *Client) awaitOther(ctx context.Context, address string) {
+	for seen := 0; seen < otherSeen && ctx.Err() == nil; pause.For(ctx, askAgain) {
 		leader := c.Leader()
 		if leader == "" || leader == address {
 			seen = 0
@@ -93,8 +94,8 @@
 	}
 }
 
-func (c *PlaceClient) session(ctx context.Context, address string) {
-	opening, cancel := context.WithTimeout(ctx, placeOpenWithin)
+func (c *Client) session(ctx context.Context, address string) {
+	opening, cancel := context.WithTimeout(ctx, openWithin)
 	defer cancel()
 	s, err := c.Dialer.Open(opening, address)
 	if err != nil {
@@ -123,7 +124,7 @@
 	}
 }
 
-func (c *PlaceClient) begin(o *peer.Outbox) {
+func (c *Client) begin(o *peer.Outbox) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	open := message.PlaceOpen{Node: c.Node, FailureDomain: c.FailureDomain}
@@ -137,7 +138,7 @@
 }
 
 // end has those that wait look for places themselves.
-func (c *PlaceClient) end() {
+func (c *Client) end() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.open = nil
@@ -147,7 +148,7 @@
 	}
 }
 
-func (c *PlaceClient) answered(a message.PlaceAnswer) {
+func (c *Client) answered(a message.PlaceAnswer) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.silent {
@@ -167,14 +168,14 @@
 }
 
 // tell sends an event, if there is a session. The mutex is held.
-func (c *PlaceClient) tell(e message.PlaceEvent) {
+func (c *Client) tell(e message.PlaceEvent) {
 	if c.open != nil {
 		c.open.Put(e)
 	}
 }
 
 // Place implements forwarder.Places.
-func (c *PlaceClient) Place(ctx context.Context, q forwarder.PlaceRequest) (dispatch.Effect, bool) {
+func (c *Client) Place(ctx context.Context, q forwarder.PlaceRequest) (dispatch.Effect, bool) {
 	id, waiting := c.ask(q)
 	if waiting == nil {
 		return nil, false
@@ -197,7 +198,7 @@
 
 // await waits for an answer. came is false if none has come; ok is false if the session
 // has ended.
-func (c *PlaceClient) await(ctx context.Context, waiting <-chan message.PlaceAnswer, within time.Duration) (answer message.PlaceAnswer, ok, came bool) {
+func (c *Client) await(ctx context.Context, waiting <-chan message.PlaceAnswer, within time.Duration) (answer message.PlaceAnswer, ok, came bool) {
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	probe := time.NewTicker(probeAfter)
@@ -224,7 +225,7 @@
 // A request may wait for its place while memory is short, so that no answer to one question
 // tells little. A control VM that stands still ends no session, and another one leads only
 // after a second, in which each generation that is asked for waits for it and is late.
-func (c *PlaceClient) isSilent() bool {
+func (c *Client) isSilent() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
@@ -240,7 +241,7 @@
 	return c.silent
 }
 
-func (c *PlaceClient) ask(q forwarder.PlaceRequest) (uint64, chan message.PlaceAnswer) {
+func (c *Client) ask(q forwarder.PlaceRequest) (uint64, chan message.PlaceAnswer) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.open == nil || c.silent {
@@ -257,7 +258,7 @@
 	return c.last, waiting
 }
 
-func (c *PlaceClient) effect(q forwarder.PlaceRequest, a message.PlaceAnswer) dispatch.Effect {
+func (c *Client) effect(q forwarder.PlaceRequest, a message.PlaceAnswer) dispatch.Effect {
 	if a.Server == nil {
 		return dispatch.Refused{Reason: a.Reason, RetryAfter: a.RetryAfter}
 	}
@@ -283,7 +284,7 @@
 // Found implements forwarder.Places. The place is told with the next session: while
 // there is none, forwarders find places themselves, and a new leader that did not
 // know of them would send requests to engines that are full.
-func (c *PlaceClient) Found(g dispatch.Grant) uint64 {
+func (c *Client) Found(g dispatch.Grant) uint64 {
 	question := placeOf(g.Need, g.Server, g.Prefill)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -297,7 +298,7 @@
 func number(g dispatch.Grant) uint64 { return cmp.Or(g.Remote, g.Told) }
 
 // PromptRead implements forwarder.Places.
-func (c *PlaceClient) PromptRead(e dispatch.PromptRead) {
+func (c *Client) PromptRead(e dispatch.PromptRead) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	id := number(e.Grant)
@@ -309,7 +310,7 @@
 }
 
 // Ended implements forwarder.Places.
-func (c *PlaceClient) Ended(e dispatch.Ended) {
+func (c *Client) Ended(e dispatch.Ended) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	id := number(e.Grant)
--- a/internal/role/placer_test.go
+++ b/internal/places/places_test.go
@@ -1,4 +1,4 @@
-package role
+package places
 
 import (
 	"context"
@@ -22,19 +22,19 @@
 // whoever leads.
 type placeSite struct {
 	network *peertest.Network
-	client  *PlaceClient
+	client  *Client
 	leader  atomic.Pointer[string]
-	placers map[string]*Placer
+	givers  map[string]*Giver
 	// frozen is the control VM that goes on as it was.
 	frozen atomic.Pointer[string]
 }
 
 func newPlaceSite(ctx context.Context) *placeSite {
-	s := &placeSite{network: peertest.NewNetwork(1), placers: map[string]*Placer{}}
+	s := &placeSite{network: peertest.NewNetwork(1), givers: map[string]*Giver{}}
 	s.lead("")
 	s.freeze("")
 	for _, name := range []string{"one", "two"} {
-		p := &Placer{
+		p := &Giver{
 			Leads:    func() bool { return s.view(name) == name+":1" },
 			Replaced: func() bool { leader := s.view(name); return leader != "" && leader != name+":1" },
 			Logger:   slog.New(slog.DiscardHandler),
@@ -47,11 +47,11 @@
 			{Instance: "p", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Prefill},
 			{Instance: "d", Service: "s", Phase: message.PhaseReady, Role: oriolebend.Decode},
 		}}, 1)
-		s.placers[name] = p
+		s.givers[name] = p
 		s.network.Listen(ctx, name+":1", name, p.Serve)
 		go p.Run(ctx)
 	}
-	s.client = &PlaceClient{
+	s.client = &Client{
 		Node: "f", Dialer: s.network.Dialer("f"), Leader: func() string { return *s.leader.Load() },
 		Logger: slog.New(slog.DiscardHandler),
 	}
@@ -197,8 +197,8 @@
 		s.granted(ctx, is, 900)
 		s.lead("two:1")
 		time.Sleep(time.Second)
-		is.True(!s.placers["one"].gives())
-		is.True(s.placers["two"].gives())
+		is.True(!s.givers["one"].gives())
+		is.True(s.givers["two"].gives())
 	})
 }
 
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -13,6 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/operator"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/places"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
@@ -44,7 +45,7 @@
 	routes    *routewatch.Server
 	joiner    *Joiner
 	pools     *PoolKeeper
-	placer    *Placer
+	places    *places.Giver
 	observer  *routewatch.Follower
 	crashes   *quarantine.Store
 	keeper    *crashreports.Keeper
@@ -84,7 +85,7 @@
 	if process.pools != nil {
 		go process.pools.Run(ctx)
 	}
-	go process.placer.Run(ctx)
+	go process.places.Run(ctx)
 	go process.observer.Run(ctx)
 	go func() {
 		defer close(process.done)
@@ -107,7 +108,7 @@
 		message.KindPermit:     members,
 		message.KindWatch:      func(ctx context.Context, s peer.Stream) { <-ready; c.watches.Serve(ctx, s) },
 		message.KindRouteWatch: func(ctx context.Context, s peer.Stream) { <-ready; c.routes.Serve(ctx, s) },
-		message.KindPlaceOpen:  func(ctx context.Context, s peer.Stream) { <-ready; c.placer.Serve(ctx, s) },
+		message.KindPlaceOpen:  func(ctx context.Context, s peer.Stream) { <-ready; c.places.Serve(ctx, s) },
 		message.KindCrashReports: func(ctx context.Context, s peer.Stream) {
 			<-ready
 			crashreports.Serve(c.crashes)(ctx, s)
--- a/internal/role/controlrouting.go
+++ b/internal/role/controlrouting.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/places"
 	"github.com/oriolebend/oriolebend/internal/reducer/control"
 	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
@@ -104,9 +105,9 @@
 // leads.
 func (c *ControlProcess) observe(name string) {
 	p := c.process
-	c.placer = &Placer{Leads: c.Leads, Replaced: c.replaced, Logger: p.Logger}
-	c.placer.Prepare()
-	sinks := routewatch.Sinks{c.placer}
+	c.places = &places.Giver{Leads: c.Leads, Replaced: c.replaced, Logger: p.Logger}
+	c.places.Prepare()
+	sinks := routewatch.Sinks{c.places}
 	if p.Orders != nil {
 		c.pools = &PoolKeeper{Self: name, Orders: p.Orders, Announce: c.routes.RoleChanges, Status: c.replica.Status, Leads: c.Leads, Logger: p.Logger}
 		c.pools.Prepare()
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -13,6 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/places"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
@@ -36,7 +37,7 @@
 	endpoint  *peer.Endpoint
 	forwarder *forwarder.Forwarder
 	follower  *routewatch.Follower
-	places    *PlaceClient
+	places    *places.Client
 	quotas    *quota.Client
 	crashes   *quarantine.Store
 	teller    *crashreports.Teller
@@ -64,7 +65,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	process.endpoint, process.teller.Dialer = endpoint, endpoint
-	process.places = &PlaceClient{
+	process.places = &places.Client{
 		Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Dialer: endpoint, Logger: p.Logger,
 		Leader: func() string { return process.follower.Leader() },
 	}
