--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,6 +57,18 @@
 	return g
 }
 
+// onGroup runs a test on control VMs, on the clock of synctest.
+func onGroup(t *testing.T, count int, q oriolebend.Quota, test func(context.Context, *testing.T, *is.I, *group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g := newGroup(ctx, t, count, q)
+		test(ctx, t, is.New(t), g)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // lead has a control VM lead, and forwarders know it.
 func (g *group) lead(address string) {
 	g.leader.Store(address)
@@ -93,10 +105,7 @@
 
 // The leader counts for all forwarders, and takes back what did not run.
 func TestLeaderCounts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		g := newGroup(ctx, t, 3, tenASecond)
+	onGroup(t, 3, tenASecond, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
 		g.lead("c0:1")
 		time.Sleep(5 * time.Second)
 		first, second := g.client(), g.client()
@@ -110,8 +119,6 @@
 		synctest.Wait()
 		keeper, _, _ := take(t, first, 5)
 		is.Equal(keeper, "c0:1")
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -120,10 +127,7 @@
 // a second later. Cause: a count that only the leader can make. Others give from their
 // reserves meanwhile, and after the first question nobody waits for the one that is away.
 func TestLeaderThatStandsStill(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		g := newGroup(ctx, t, 3, tenASecond)
+	onGroup(t, 3, tenASecond, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
 		g.lead("c0:1")
 		time.Sleep(5 * time.Second)
 		c := g.client()
@@ -140,9 +144,7 @@
 		time.Sleep(time.Second)
 		keeper, _, _ = take(t, c, 5)
 		is.Equal(keeper, "c1:1")
-		cancel()
 		g.network.Heal()
-		synctest.Wait()
 	})
 }
 
@@ -150,10 +152,7 @@
 // again. Sequence: a control VM that has just started gives from its reserve before it has
 // looked how many there are. Cause: a reserve that begins as large as that of all of them.
 func TestReserveOfOneThatHasJustStarted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		g := newGroup(ctx, t, 3, tenASecond)
+	onGroup(t, 3, tenASecond, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
 		synctest.Wait()
 		ask := func(cost float64) bool {
 			return g.keepers["c0:1"].answer(message.QuotaAsk{Organisation: "o", Cost: cost}).Granted
@@ -162,8 +161,6 @@
 		is.True(!ask(35))
 		is.True(ask(33))
 		is.True(!ask(1))
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -171,10 +168,7 @@
 // control VM that counts come too late, and nobody uses what they grant. Cause: a grant that
 // nobody gives back. It is given back as soon as it comes.
 func TestLateGrantIsGivenBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		g := newGroup(ctx, t, 1, tenASecond)
+	onGroup(t, 1, tenASecond, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
 		g.lead("c0:1")
 		time.Sleep(5 * time.Second)
 		c := g.client()
@@ -190,8 +184,6 @@
 		keeper, _, _ := take(t, c, 10)
 		is.Equal(keeper, "c0:1")
 		c.Close()
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -210,26 +202,18 @@
 // a control VM has led for long when the first question comes. Cause: a bucket that is
 // filled from the first question on.
 func TestBucketIsFullBeforeTheFirstQuestion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		g := newGroup(ctx, t, 1, oriolebend.Quota{PerSecond: 1000, Burst: 9000})
+	onGroup(t, 1, oriolebend.Quota{PerSecond: 1000, Burst: 9000}, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
 		g.lead("c0:1")
 		time.Sleep(10 * time.Second)
 		keeper, _, _ := take(t, g.client(), 9000)
 		is.Equal(keeper, "c0:1")
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // What is no question ends a session, and so does what is no answer: who waits for one is
 // told at once.
 func TestUnexpectedMessages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		g := newGroup(ctx, t, 1, tenASecond)
+	onGroup(t, 1, tenASecond, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
 		s, err := g.network.Dialer(client).Open(ctx, "c0:1")
 		is.NoErr(err)
 		is.NoErr(s.Send(message.QuotaAnswer{}))
@@ -244,8 +228,6 @@
 		var ended *EndedError
 		is.True(errors.As(err, &ended))
 		is.True(time.Since(began) < otherWithin)
-		cancel()
-		synctest.Wait()
 	})
 }
 
