forwarder: what servers say of themselves is read from every answer, and told in the log

Ruled out: lines for each sending that went well; nine of ten would tell nothing. Change: a notice is read at the one place through which every exchange with a server goes, for any status and any kind of call (plain answers, heads of streams, prompts read apart, engines' own calls), and kept for each start of a server. A line and a counter tell what is new. The strictest of several values counts; what can't be read has a line and a counter, and ends nothing. No decision uses it yet.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -106,7 +106,7 @@
 // exchange sends a plain call once and reads its whole answer.
 func (w *work) exchange(ctx context.Context, g dispatch.Grant, request backend.Request) result {
 	r := result{grant: g}
-	response, err := w.f.pool.Do(ctx, g.Server.Address, request)
+	response, err := w.f.send(ctx, g.Server, request)
 	if err != nil {
 		r.err = err
 		w.brokeEarly(g.Server, err)
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -11,6 +11,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/logging"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -25,6 +26,9 @@
 	Matches(answer http.Header, id string) bool
 	// Judge reads what a server says of its answer.
 	Judge(status int, answer http.Header, instance string) Verdict
+	// Notice reads what a server says of itself with an answer. The error is a
+	// *NoticeError if a part of it can't be read; the rest holds.
+	Notice(status int, answer http.Header) (dispatch.Notice, error)
 	// PrefillResult reads the body of the answer to a prefill.
 	PrefillResult(body []byte) (PrefillResult, error)
 	// Free is the request that frees a prefill result at its engine.
--- a/internal/forwarder/own.go
+++ b/internal/forwarder/own.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -27,6 +28,8 @@
 	ownHold     = "Oriolebend-Reservation"
 	ownRan      = "Oriolebend-Ran"
 	ownAfter    = "Last-Event-Id"
+	ownLeaving  = "Oriolebend-Leaving" // "1": the server takes no new work
+	ownLimit    = "Oriolebend-Limit"   // requests a second from all VMs
 
 	ownOrganisation = "Oriolebend-Organisation" // whose request it is, for servers
 	ownCredential   = "Authorization"
@@ -113,6 +116,11 @@
 	return v
 }
 
+// Notice implements Dialect.
+func (Own) Notice(status int, answer http.Header) (dispatch.Notice, error) {
+	return NoticeHeaders{Leaving: ownLeaving, Limit: ownLimit}.Read(status, answer)
+}
+
 // PrefillResult implements Dialect.
 func (Own) PrefillResult(body []byte) (PrefillResult, error) {
 	var answer struct {
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -90,7 +91,7 @@
 	}
 	call := s.f.config.Dialect.Hold(s.ask.Prompt+output, time.Duration(limits.HoldWithin))
 	call.Freshness = freshForRepeat
-	status, body, err := s.f.small(calling, s.grant.Server.Address, call)
+	status, body, err := s.f.own(calling, s.grant.Server, call)
 	if err == nil && status == http.StatusOK {
 		s.hold, err = s.f.config.Dialect.HoldResult(body)
 	}
@@ -124,7 +125,7 @@
 	s.prompted = true
 	request := s.outgoing(Sending{Instance: engine.Instance, PrefillOnly: true})
 	began := s.f.now()
-	result, err := s.f.readPrompt(ctx, engine.Address, request)
+	result, err := s.f.readPrompt(ctx, engine, request)
 	took := s.f.now().Sub(began)
 	s.f.promptRead(dispatch.PromptRead{
 		At: s.f.now(), Grant: s.grant, Took: took,
@@ -158,31 +159,25 @@
 	return fmt.Sprintf("prefill answered with status %d", e.Status)
 }
 
-func (f *Forwarder) readPrompt(ctx context.Context, address string, request backend.Request) (PrefillResult, error) {
-	status, body, err := f.small(ctx, address, request)
+func (f *Forwarder) readPrompt(ctx context.Context, engine message.BackendServer, request backend.Request) (PrefillResult, error) {
+	response, err := f.send(ctx, engine, request)
 	if err != nil {
 		return PrefillResult{}, err
 	}
-	if status != http.StatusOK {
-		return PrefillResult{}, &PrefillError{Status: status}
-	}
-	return f.config.Dialect.PrefillResult(body)
-}
-
-// small sends a request whose answer is short and reads it whole.
-func (f *Forwarder) small(ctx context.Context, address string, request backend.Request) (int, []byte, error) {
-	response, err := f.pool.Do(ctx, address, request)
+	body, err := response.Whole(maxSmallBytes)
 	if err != nil {
-		return 0, nil, err
+		return PrefillResult{}, err
 	}
-	body, err := response.Whole(maxSmallBytes)
-	return response.Status, body, err
+	if response.Status != http.StatusOK {
+		return PrefillResult{}, &PrefillError{Status: response.Status}
+	}
+	return f.config.Dialect.PrefillResult(body)
 }
 
 // dropHold gives the reservation back, if there is one.
 func (s *sending) dropHold() {
 	if s.hold != "" {
-		s.f.cleanUp(s.grant.Server.Address, s.f.config.Dialect.Drop(s.hold))
+		s.f.cleanUp(s.grant.Server, s.f.config.Dialect.Drop(s.hold))
 		s.hold = ""
 	}
 }
@@ -190,20 +185,20 @@
 // freeResult frees a prefill result that was not taken.
 func (s *sending) freeResult(r *PrefillResult) {
 	if r != nil {
-		s.f.cleanUp(s.grant.Prefill.Address, s.f.config.Dialect.Free(*r))
+		s.f.cleanUp(*s.grant.Prefill, s.f.config.Dialect.Free(*r))
 	}
 }
 
 // cleanUp sends a call that gives memory back, behind the request that it was
 // taken for. The engine frees the memory by itself a little later if the call is
 // lost.
-func (f *Forwarder) cleanUp(address string, call backend.Request) {
+func (f *Forwarder) cleanUp(engine message.BackendServer, call backend.Request) {
 	call.Freshness = freshForRepeat
 	f.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupWithin)
 		defer cancel()
-		if status, _, err := f.small(ctx, address, call); err != nil || status >= http.StatusBadRequest {
-			f.config.Logger.Info("memory not given back", "address", address, "target", call.Target, "status", status, "error", err)
+		if status, _, err := f.own(ctx, engine, call); err != nil || status >= http.StatusBadRequest {
+			f.config.Logger.Info("memory not given back", "address", engine.Address, "target", call.Target, "status", status, "error", err)
 		}
 	})
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -105,7 +105,7 @@
 	if source != nil {
 		sending.Source = s.grant.Prefill.Address + "/" + source.Handle
 	}
-	response, err := s.f.pool.Do(ctx, s.grant.Server.Address, s.outgoing(sending))
+	response, err := s.f.send(ctx, s.grant.Server, s.outgoing(sending))
 	if err != nil {
 		s.brokeEarly(s.grant.Server, err)
 		s.ended(s.grant, outcomeOf(err), 0)
--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -57,6 +57,7 @@
 	"follow.lost", "follow.malformed", "follow.returned",
 	"member.damped", "member.massLapse", "member.paused", "member.outdated",
 	"peer.denied", "peer.unserved",
+	"noticeUnreadable", "serverLeaves", "serverRests", "serverLimited", "serverUnlimited",
 }
 
 var knownEvents = func() map[string]bool {
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -82,7 +82,13 @@
 func (s *State) noteGone(at time.Time, server message.BackendServer) {
 	if at.Sub(s.goneLooked) >= goneFor { // not for each of thousands that go at once
 		s.goneLooked = at
-		maps.DeleteFunc(s.gone, func(_ Engine, since time.Time) bool { return at.Sub(since) >= goneFor })
+		maps.DeleteFunc(s.gone, func(start Engine, since time.Time) bool {
+			if at.Sub(since) < goneFor {
+				return false
+			}
+			delete(s.stated, start)
+			return true
+		})
 	}
 	s.gone[Engine{Instance: server.Instance, Incarnation: server.Incarnation}] = at
 }
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -51,6 +51,8 @@
 	// and go, so that no request pays for sorting, or for the servers of others.
 	inOrder  map[string][]*server
 	services map[string]*service
+	// stated is what starts of servers have said of themselves.
+	stated map[Engine]*stated
 	// gone holds the starts that were told of and have gone, and since when.
 	gone map[Engine]time.Time
 	// goneLooked is when gone was looked through last.
@@ -121,6 +123,7 @@
 		servers:    map[string]*server{},
 		inOrder:    map[string][]*server{},
 		services:   map[string]*service{},
+		stated:     map[Engine]*stated{},
 		gone:       map[Engine]time.Time{},
 		forwarders: unknownForwarders,
 	}
@@ -131,7 +134,7 @@
 const unknownForwarders = 32
 
 // Reduce moves the state on. Asked, AskedSame, AskedFresh, AskedStill and Counted have
-// exactly one effect, other events have none.
+// exactly one effect, Noticed at most one, other events have none.
 func Reduce(s *State, event Event) []Effect {
 	switch e := event.(type) {
 	case Fleet:
@@ -148,6 +151,8 @@
 		return []Effect{s.askedStill(e)}
 	case AskedFresh:
 		return []Effect{s.askedFresh(e)}
+	case Noticed:
+		return s.noticed(e)
 	case Read:
 		s.read(e)
 	case Written:
