peer, message: one session for many questions, one type for a start of a server

Cause: what counts limits of servers will ask control VMs as quotas do; the session for questions stood in package quota with its message types, its give-back message was built in three places (the last closing note), and two reducers had a type each for one start of a server. Ruled out: limits of servers as quotas of made-up organisations: the two differ in who knows the bound, and when it ends. Change: peer.Questions, generic in question and answer; message.ServerStart for dispatch.Engine and quarantine.Start; the detector of suspended VMs in package steady. No behaviour changes.

--- a/internal/forwarder/ended.go
+++ b/internal/forwarder/ended.go
@@ -8,7 +8,6 @@
 
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/message"
-	"github.com/oriolebend/oriolebend/internal/reducer/quarantine"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -27,7 +26,7 @@
 // endings finds out whether servers have ended.
 type endings struct {
 	mutex sync.Mutex
-	looks map[quarantine.Start]*look
+	looks map[message.ServerStart]*look
 }
 
 // look is what was found about one start of a server; ended holds once done is closed.
@@ -46,13 +45,13 @@
 			delete(e.looks, start)
 		}
 	}
-	start := quarantine.StartOf(server)
+	start := server.Start()
 	if l := e.looks[start]; l != nil {
 		return l, false
 	}
 	l := &look{began: time.Now(), done: make(chan struct{})}
 	if e.looks == nil {
-		e.looks = map[quarantine.Start]*look{}
+		e.looks = map[message.ServerStart]*look{}
 	}
 	e.looks[start] = l
 	return l, true
@@ -62,7 +61,7 @@
 func (e *endings) forget(server message.BackendServer) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	delete(e.looks, quarantine.StartOf(server))
+	delete(e.looks, server.Start())
 }
 
 // hasEnded reports whether the process of a server whose connection broke has ended.
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -69,11 +69,22 @@
 	Incarnation uint64 `cbor:"12,keyasint,omitempty"`
 }
 
+// ServerStart is one start of a backend server.
+type ServerStart struct {
+	Instance    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Start is the start that a server is.
+func (s BackendServer) Start() ServerStart {
+	return ServerStart{Instance: s.Instance, Incarnation: s.Incarnation}
+}
+
 // SameStart reports whether two servers are one start of one instance. What was
 // learnt of an earlier start (work in progress, reserved memory, failures) does not
 // hold for a later one, which begins empty.
 func (s BackendServer) SameStart(other BackendServer) bool {
-	return s.Instance == other.Instance && s.Incarnation == other.Incarnation
+	return s.Start() == other.Start()
 }
 
 // RouteWatch asks a control VM for the routing and the backend servers, and
--- a/internal/places/giver.go
+++ b/internal/places/giver.go
@@ -195,8 +195,8 @@
 	for _, q := range open.Held {
 		g.reduce(placement.Resumed{
 			At: time.Now().Add(-q.Age), Key: placement.Key{Session: g.last, ID: q.ID}, Need: needOf(q),
-			Server:  dispatch.Engine{Instance: q.Server, Incarnation: q.ServerStart},
-			Prefill: dispatch.Engine{Instance: q.Prefill, Incarnation: q.PrefillStart},
+			Server:  message.ServerStart{Instance: q.Server, Incarnation: q.ServerStart},
+			Prefill: message.ServerStart{Instance: q.Prefill, Incarnation: q.PrefillStart},
 		})
 	}
 	g.Logger.Info("gives places", "forwarder", open.Node, "held", len(open.Held), "forwarders", len(g.sessions))
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -67,7 +67,7 @@
 
 // Crashed notes that a server has ended while it began to work on a request.
 func (s *Store) Crashed(fingerprint Fingerprint, server message.BackendServer) {
-	s.reduce(quarantine.Crashed{At: s.now(), Fingerprint: fingerprint, Server: quarantine.StartOf(server)})
+	s.reduce(quarantine.Crashed{At: s.now(), Fingerprint: fingerprint, Server: server.Start()})
 }
 
 // Answered notes that a server has answered a request to its end.
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -38,16 +38,28 @@
 
 	mutex sync.Mutex
 	// away holds until when control VMs are asked last that did not answer.
-	away map[string]time.Time
-	// sessions are those that are open, by the address of the control VM.
-	sessions map[string]*session
+	away  map[string]time.Time
+	asked peer.Questions[message.QuotaAsk, message.QuotaAnswer]
 }
 
 var _ forwarder.Quotas = (*Client)(nil)
 
 // Prepare makes the client ready; it must be called before all else.
 func (c *Client) Prepare() {
-	c.away, c.sessions = map[string]time.Time{}, map[string]*session{}
+	c.away = map[string]time.Time{}
+	c.asked = peer.Questions[message.QuotaAsk, message.QuotaAnswer]{
+		Dialer:   c.Dialer,
+		Numbered: func(q message.QuotaAsk, number uint64) message.QuotaAsk { q.ID = number; return q },
+		Number:   func(a message.QuotaAnswer) uint64 { return a.ID },
+		Unwanted: func(q message.QuotaAsk, a message.QuotaAnswer) (message.Message, bool) {
+			return returned(q.Organisation, q.Cost), a.Granted
+		},
+	}
+}
+
+// returned gives back what was granted and is not used.
+func returned(organisation string, cost float64) message.QuotaAsk {
+	return message.QuotaAsk{Organisation: organisation, Cost: cost, Return: true}
 }
 
 // Take implements forwarder.Quotas. It asks the leader, which alone knows what is left,
@@ -102,16 +114,12 @@
 	return order
 }
 
-// failed notes that a control VM did not answer. The session with it is ended: it may be one
-// with a process that has been replaced, and those who wait there go on to others.
+// failed notes that a control VM did not answer. Those who wait there go on to others.
 func (c *Client) failed(address string, err error) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.away[address] = time.Now().Add(awayFor)
-	if s := c.sessions[address]; s != nil {
-		delete(c.sessions, address)
-		go s.end()
-	}
+	c.mutex.Unlock()
+	c.asked.Drop(address)
 	c.Logger.Info("quota not counted by a control VM", "control", address, "error", err)
 }
 
@@ -123,62 +131,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	s, err := c.session(ctx, address)
-	if err != nil {
-		return message.QuotaAnswer{}, err
-	}
-	return s.ask(ctx, ask)
-}
-
-// session returns the open session with a control VM, and opens one if there is none.
-func (c *Client) session(ctx context.Context, address string) (*session, error) {
-	c.mutex.Lock()
-	s := c.sessions[address]
-	c.mutex.Unlock()
-	if s != nil {
-		return s, nil
-	}
-	stream, err := c.Dialer.Open(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	s = newSession(stream)
-	c.mutex.Lock()
-	if other := c.sessions[address]; other != nil {
-		c.mutex.Unlock()
-		_ = stream.Close()
-		return other, nil
-	}
-	c.sessions[address] = s
-	c.mutex.Unlock()
-	go s.out.Write()
-	go func() {
-		s.read()
-		c.mutex.Lock()
-		defer c.mutex.Unlock()
-		if c.sessions[address] == s {
-			delete(c.sessions, address)
-		}
-	}()
-	return s, nil
+	return c.asked.Ask(ctx, address, ask)
 }
 
 // Return implements forwarder.Quotas. What does not arrive is lost to the organisation
 // until its bucket is full again.
 func (c *Client) Return(charge forwarder.Charge) {
-	c.mutex.Lock()
-	s := c.sessions[charge.Keeper]
-	c.mutex.Unlock()
-	if s != nil {
-		s.giveBack(charge.Organisation, charge.Cost)
-	}
+	c.asked.Tell(charge.Keeper, returned(charge.Organisation, charge.Cost))
 }
 
 // Close ends the sessions.
-func (c *Client) Close() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, s := range c.sessions {
-		go s.end()
-	}
-}
+func (c *Client) Close() { c.asked.Close() }
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/quota"
 	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/internal/steady"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -36,7 +37,7 @@
 	mutex sync.Mutex
 	state *quota.State
 	start time.Time
-	clock drift
+	clock steady.Drift
 }
 
 // Prepare makes the keeper ready; it must be called before all else.
@@ -143,30 +144,8 @@
 	now := time.Now()
 	leader := k.Leader()
 	k.reduce(quota.Leads{At: now, Lead: leader == k.Self, Leader: leader, Members: k.Members()})
-	if k.clock.moved(now.Sub(k.start), now) {
+	if k.clock.Moved(now.Sub(k.start), now) {
 		k.reduce(quota.Doubted{At: now})
 		k.Logger.Warn("quotas are counted anew, time has passed that the clock did not count")
 	}
 }
-
-// drift compares the clock that measures with the time of day.
-//
-// A VM that is suspended wakes up with a clock that stood still: its lease seems to run,
-// while another control VM leads and gives. The time of day has gone on meanwhile. A time
-// of day that was set looks the same, and costs what a change of the leader costs.
-type drift struct {
-	steady time.Duration
-	day    time.Time
-}
-
-// driftMost is by how much the two may part between two looks.
-const driftMost = 200 * time.Millisecond
-
-// moved reports whether the two have parted since the last look. steady is the time on the
-// clock that measures, day the time of day.
-func (d *drift) moved(steady time.Duration, day time.Time) bool {
-	parted := day.Round(0).Sub(d.day.Round(0)) - (steady - d.steady)
-	first := d.day.IsZero()
-	d.steady, d.day = steady, day
-	return !first && parted.Abs() > driftMost
-}
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -82,7 +82,7 @@
 func (s *State) noteGone(at time.Time, server message.BackendServer) {
 	if at.Sub(s.goneLooked) >= goneFor { // not for each of thousands that go at once
 		s.goneLooked = at
-		maps.DeleteFunc(s.gone, func(start Engine, since time.Time) bool {
+		maps.DeleteFunc(s.gone, func(start message.ServerStart, since time.Time) bool {
 			if at.Sub(since) < goneFor {
 				return false
 			}
@@ -90,12 +90,12 @@
 			return true
 		})
 	}
-	s.gone[Engine{Instance: server.Instance, Incarnation: server.Incarnation}] = at
+	s.gone[server.Start()] = at
 }
 
 // hasGone reports whether a server that is not known is known to have gone.
 func (s *State) hasGone(server message.BackendServer) bool {
-	_, gone := s.gone[Engine{Instance: server.Instance, Incarnation: server.Incarnation}]
+	_, gone := s.gone[server.Start()]
 	return gone
 }
 
@@ -172,20 +172,14 @@
 	return c
 }
 
-// Engine names one start of a backend server.
-type Engine struct {
-	Instance    string
-	Incarnation uint64
-}
-
 // known is the server of a name, nil if that start is not known.
-func (s *State) known(e Engine) *server {
+func (s *State) known(e message.ServerStart) *server {
 	return s.at(message.BackendServer{Instance: e.Instance, Incarnation: e.Incarnation})
 }
 
 // Resume takes up a place that was granted elsewhere; false means that its
 // server is not known, or has started again since.
-func Resume(s *State, n Need, server, prefill Engine) (Grant, bool) {
+func Resume(s *State, n Need, server, prefill message.ServerStart) (Grant, bool) {
 	c := s.known(server)
 	if c == nil {
 		return Grant{}, false
--- a/internal/reducer/dispatch/notice.go
+++ b/internal/reducer/dispatch/notice.go
@@ -60,7 +60,7 @@
 
 // noticed takes in what a server has said, and returns what of it is new.
 func (s *State) noticed(e Noticed) []Effect {
-	start := Engine{Instance: e.Server.Instance, Incarnation: e.Server.Incarnation}
+	start := e.Server.Start()
 	kept := s.stated[start]
 	if kept == nil {
 		if e.Notice == (Notice{}) {
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -52,9 +52,9 @@
 	inOrder  map[string][]*server
 	services map[string]*service
 	// stated is what starts of servers have said of themselves.
-	stated map[Engine]*stated
+	stated map[message.ServerStart]*stated
 	// gone holds the starts that were told of and have gone, and since when.
-	gone map[Engine]time.Time
+	gone map[message.ServerStart]time.Time
 	// goneLooked is when gone was looked through last.
 	goneLooked time.Time
 	// forwarders is how many forwarders share the retry budget.
@@ -123,8 +123,8 @@
 		servers:    map[string]*server{},
 		inOrder:    map[string][]*server{},
 		services:   map[string]*service{},
-		stated:     map[Engine]*stated{},
-		gone:       map[Engine]time.Time{},
+		stated:     map[message.ServerStart]*stated{},
+		gone:       map[message.ServerStart]time.Time{},
 		forwarders: unknownForwarders,
 	}
 }
--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 )
 
@@ -44,7 +45,7 @@
 	At              time.Time
 	Key             Key
 	Need            dispatch.Need
-	Server, Prefill dispatch.Engine
+	Server, Prefill message.ServerStart
 }
 
 // PromptRead tells that the prefill engine of a place is done.
--- a/internal/reducer/quarantine/event.go
+++ b/internal/reducer/quarantine/event.go
@@ -13,7 +13,7 @@
 type Crashed struct {
 	At          time.Time
 	Fingerprint Fingerprint
-	Server      Start
+	Server      message.ServerStart
 }
 
 // Answered tells that a server has answered a request to its end.
--- a/internal/reducer/quarantine/request.go
+++ b/internal/reducer/quarantine/request.go
@@ -33,7 +33,7 @@
 }
 
 // add notes the end of a start, in place of the oldest one if there are too many.
-func (r *request) add(at time.Time, start Start, refuted bool) {
+func (r *request) add(at time.Time, start message.ServerStart, refuted bool) {
 	if len(r.reports) >= mostReports {
 		delete(r.reports, r.oldest())
 	}
@@ -41,8 +41,8 @@
 	r.date()
 }
 
-func (r *request) oldest() Start {
-	return slices.MinFunc(slices.Collect(maps.Keys(r.reports)), func(a, b Start) int {
+func (r *request) oldest() message.ServerStart {
+	return slices.MinFunc(slices.Collect(maps.Keys(r.reports)), func(a, b message.ServerStart) int {
 		if c := r.reports[a].at.Compare(r.reports[b].at); c != 0 {
 			return c
 		}
@@ -60,7 +60,7 @@
 
 // merge takes in a report that another process told; true means that it was not known.
 func (r *request) merge(at time.Time, m message.CrashReport) bool {
-	start := Start{Instance: m.Instance, Incarnation: m.Incarnation}
+	start := message.ServerStart{Instance: m.Instance, Incarnation: m.Incarnation}
 	known := r.reports[start]
 	switch {
 	case known == nil:
--- a/internal/reducer/quarantine/state.go
+++ b/internal/reducer/quarantine/state.go
@@ -48,17 +48,6 @@
 // String writes a fingerprint as log lines do.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// Start is one start of a server.
-type Start struct {
-	Instance    string
-	Incarnation uint64
-}
-
-// StartOf is the start that a server is.
-func StartOf(server message.BackendServer) Start {
-	return Start{Instance: server.Instance, Incarnation: server.Incarnation}
-}
-
 // Config sets up a State.
 type Config struct {
 	// TellFrom is how many reports of a request there must be for them to be told.
@@ -83,7 +72,7 @@
 
 // request is what is known of one request.
 type request struct {
-	reports map[Start]*report
+	reports map[message.ServerStart]*report
 	// last is when a server ended under it last, as far as that is not refuted.
 	last time.Time
 }
@@ -224,7 +213,7 @@
 	if len(s.requests) >= mostRequests {
 		s.makeRoom()
 	}
-	r := &request{reports: map[Start]*report{}}
+	r := &request{reports: map[message.ServerStart]*report{}}
 	s.requests[fingerprint] = r
 	return r
 }
@@ -259,7 +248,7 @@
 	return list
 }
 
-func compareStarts(a, b Start) int {
+func compareStarts(a, b message.ServerStart) int {
 	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
