serverlimit, forwarder: a server's limit holds over all forwarders, on every way to it

Cause: what a server says of itself in an answer was passed on and not read, and no process knew what others sent to it. Evidence: TestServerThatNamesALimit fails on the code before: 44 requests within 4 s at a limit of 1.1, 12 allowed. Now 5, and 8 of 15 at 1.7; all callers are served by the others. Why this mends it: each request to a server with a limit needs a permission that the leading control VM counts over all forwarders; the check is made where requests are sent, for first and second sendings, prompts, generations, the same server once more and streams that go on (TestLimitHoldsOnEveryWay: 4 of 139 to 163 requests at two a second for two seconds). A new or suspended leader begins with nothing; without one nothing is permitted (TestLimitsWhileControlVMsAreLost: 9 to 10 of 23 allowed while the leader, then all control VMs are killed, slowest refusal 104 ms). The end of a limit reaches all forwarders through the leader (TestLimitEndsForAllForwarders). Refusals of a server in need are neither queue nor failure; the pools count it as no engine. Ruled out: reserves as quotas have; one request saved up in each of six control VMs is all that is allowed.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -18,7 +19,9 @@
 	header  http.Header
 	body    []byte
 	verdict Verdict
-	err     error
+	// declined is why a server that has said of itself that it takes less did not run it.
+	declined oriolebend.Reason
+	err      error
 }
 
 // good reports whether an answer is a success that can be passed on.
@@ -92,7 +95,7 @@
 
 // sendCall starts one sending; it returns how many were started.
 func (w *work) sendCall(ctx context.Context, results chan<- result) (int, *refusal) {
-	grant, refused := w.f.place(w.need())
+	grant, refused := w.placeCall(ctx)
 	if refused != nil {
 		return 0, refused
 	}
@@ -121,6 +124,7 @@
 		return r
 	}
 	r.verdict = w.f.config.Dialect.Judge(r.status, r.header, g.Server.Instance)
+	r.declined = w.f.declined(g.Server, r.verdict)
 	w.ended(g, r.outcome(), response.Took)
 	return r
 }
@@ -130,6 +134,8 @@
 	switch {
 	case r.verdict.Moved:
 		return dispatch.OutcomeMoved
+	case r.declined != "":
+		return dispatch.OutcomeDeclined
 	case r.verdict.Ran == oriolebend.RanNo:
 		return dispatch.OutcomeRefused
 	case !r.verdict.Signed:
@@ -163,7 +169,7 @@
 		reason = reasonOf(r.err)
 		w.mayHaveRun(ranOf(r.err))
 	case r.verdict.Ran == oriolebend.RanNo:
-		reason = oriolebend.ReasonQueueFull
+		reason = cmp.Or(r.declined, oriolebend.ReasonQueueFull)
 	case r.verdict.Signed:
 		reason = oriolebend.ReasonEngineFailed
 		w.mayHaveRun(oriolebend.RanYes)
@@ -203,13 +209,23 @@
 	if ctx.Err() != nil {
 		reason = backend.ReasonOfEnd(ctx)
 	}
-	w.giveUp(ctx, reason, retryRefused)
+	w.giveUpSoon(ctx, reason)
 }
 
 // retryRefused is when a caller may come back whose request servers refused for
 // lack of room: their queues are short.
 const retryRefused = 100 * time.Millisecond
 
+// giveUpSoon answers a request that no server served. Its caller may come back soon, or once
+// the first server takes something if none does now.
+func (w *work) giveUpSoon(ctx context.Context, reason oriolebend.Reason) {
+	if refused, closed := w.allClosed(); closed && w.notRun() {
+		w.giveUp(ctx, refused.reason, max(refused.after, retryRefused))
+		return
+	}
+	w.giveUp(ctx, reason, retryRefused)
+}
+
 // urgency sorts routes for the metrics: streams are long work.
 func urgency(r *oriolebend.Route) oriolebend.Urgency {
 	if r.Stream {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -43,6 +43,9 @@
 	// Quotas counts what organisations ask for, over all forwarders; nil has no quota
 	// enforced.
 	Quotas Quotas
+	// Limits counts what is sent to servers that have named a limit, over all forwarders;
+	// nil has the forwarder count for itself.
+	Limits Limits
 	// Current reports whether the routing in force is known to be the newest, as of a few
 	// seconds ago; nil means that it always is.
 	Current func() bool
@@ -85,6 +88,9 @@
 	if c.Quarantine == nil {
 		c.Quarantine = quarantine.New(quarantine.Config{Sends: true, Logger: c.Logger})
 	}
+	if c.Limits == nil {
+		c.Limits = newOwnLimits()
+	}
 	return &Forwarder{
 		config:    c,
 		pool:      backend.NewPool(c.Pool),
--- a/internal/forwarder/notice.go
+++ b/internal/forwarder/notice.go
@@ -125,8 +125,10 @@
 		f.config.Logger.Info("what a server says of itself can't be read", "server", server.Instance, "address", server.Address, "error", err)
 	}
 	for _, effect := range f.reduce(dispatch.Noticed{At: f.now(), Sent: sent, Server: server, Notice: said, Served: served && err == nil}) {
-		if learnt, ok := effect.(dispatch.Learnt); ok {
-			f.logLearnt(server, learnt)
+		learnt, _ := effect.(dispatch.Learnt)
+		f.logLearnt(server, learnt)
+		if learnt.Ended {
+			f.config.Limits.Ended(server, f.now().Sub(sent))
 		}
 	}
 }
--- a/internal/forwarder/notice_test.go
+++ b/internal/forwarder/notice_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
@@ -86,7 +87,10 @@
 	})
 	tells := func(want string) {
 		t.Helper()
-		s.ask("/once/", nil)
+		// A request may be refused by the limit that was named before.
+		for began := time.Now(); time.Since(began) < time.Second && !strings.Contains(s.log.String(), want); {
+			s.ask("/once/", nil)
+		}
 		is.True(strings.Contains(s.log.String(), want))
 	}
 	said.Set(ownLimit, "100")
--- a/internal/forwarder/places.go
+++ b/internal/forwarder/places.go
@@ -106,8 +106,9 @@
 func (w *work) placeElsewhere(ctx context.Context, waited bool) (dispatch.Grant, *refusal, bool) {
 	need := w.need()
 	need.Output = w.ask.expected()
+	need.Excluded = w.f.closed(need.Service)
 	if !waited {
-		effect := w.f.reduce(dispatch.Counted{At: w.f.now(), Service: need.Service, Again: need.Again})[0]
+		effect := w.f.reduce(dispatch.Counted{At: w.f.now(), Service: need.Service, Tried: need.Tried, Again: need.Again})[0]
 		if r, ok := effect.(dispatch.Refused); ok {
 			return dispatch.Grant{}, &refusal{reason: r.Reason, after: r.RetryAfter}, true
 		}
@@ -130,6 +131,9 @@
 			}
 			need.Tried = append(slices.Clone(need.Tried), e.Grant.Server.Instance)
 		case dispatch.Refused:
+			if refused, closed := w.allClosed(); closed {
+				return dispatch.Grant{}, &refused, true
+			}
 			return dispatch.Grant{}, &refusal{reason: e.Reason, after: e.RetryAfter}, true
 		}
 	}
@@ -185,7 +189,7 @@
 
 // refusesWork is why a server takes no new work, empty if it does.
 func (f *Forwarder) refusesWork(server message.BackendServer) oriolebend.Reason {
-	if r, refused := f.reduce(dispatch.AskedFresh{Server: server})[0].(dispatch.Refused); refused {
+	if r, refused := f.reduce(dispatch.AskedFresh{At: f.now(), Server: server})[0].(dispatch.Refused); refused {
 		return r.Reason
 	}
 	return ""
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -43,8 +43,10 @@
 			return nil, refused
 		}
 		waited = true
-		s := &sending{work: w, grant: grant}
-		if s.takeHold(ctx) {
+		s := &sending{work: w, grant: grant, permits: permits{}}
+		if !w.permitGrant(ctx, s.permits, grant) {
+			s.withheld()
+		} else if s.takeHold(ctx) {
 			return s, nil
 		}
 		if ctx.Err() != nil {
@@ -76,6 +78,12 @@
 	return gap, float64(age+gap) <= waitTargets*float64(target)
 }
 
+// withheld gives back a place at a server that has no room for the request by its limit.
+func (s *sending) withheld() {
+	s.unusedPrefill()
+	s.ended(s.grant, dispatch.OutcomeWithheld, 0)
+}
+
 // takeHold reserves memory at the grant's server, if its engine takes
 // reservations. On false the grant has been given back.
 func (s *sending) takeHold(ctx context.Context) bool {
@@ -83,6 +91,9 @@
 	if limits == nil || limits.HoldWithin <= 0 || s.ask.Prompt == 0 {
 		return true
 	}
+	if _, limited := s.f.limit(s.grant.Server); limited {
+		return true // the reservation would be one more request
+	}
 	calling, cancel := context.WithTimeout(ctx, holdWithin)
 	defer cancel()
 	output := s.ask.output()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -35,7 +35,11 @@
 		}
 		after = s.after
 		if !w.mayGoOn(ctx) {
-			w.giveUp(ctx, end.reason, cmp.Or(end.after, retryRefused))
+			if end.after > 0 {
+				w.giveUp(ctx, end.reason, end.after)
+				return
+			}
+			w.giveUpSoon(ctx, end.reason)
 			return
 		}
 		w.f.config.Observer.Count("retry", end.reason, "")
@@ -45,7 +49,8 @@
 // sending is one sending of a stream's request.
 type sending struct {
 	*work
-	grant dispatch.Grant
+	grant   dispatch.Grant
+	permits permits
 	// hold names the reservation at the grant's server, empty if there is none.
 	hold string
 	// after is the last event that the caller was given.
@@ -87,6 +92,10 @@
 		s.logSending(s.grant, "server left while the prompt was read", 0, oriolebend.ReasonLeaving, nil)
 		return s.giveBack(source, ending{reason: oriolebend.ReasonLeaving, unsent: true})
 	}
+	if !s.permit(ctx, s.permits, s.grant.Server) {
+		s.logSending(s.grant, "server reached its limit while the prompt was read", 0, oriolebend.ReasonServerLimit, nil)
+		return s.giveBack(source, ending{reason: oriolebend.ReasonServerLimit, unsent: true})
+	}
 	return s.decode(ctx, source)
 }
 
@@ -119,12 +128,19 @@
 	if response.Status == http.StatusOK && verdict.Signed && verdict.Ran != oriolebend.RanNo {
 		return s.pump(response)
 	}
-	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved && s.f.mayRepeatAt(s.grant) {
+	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved && s.mayRepeat(ctx) {
 		return s.decodeAgain(ctx, response)
 	}
 	return s.notStreaming(response, verdict)
 }
 
+// mayRepeat reports whether the request may be sent to the same server once more. The
+// permission that it had is used up.
+func (s *sending) mayRepeat(ctx context.Context) bool {
+	delete(s.permits, s.grant.Server.Start())
+	return s.permit(ctx, s.permits, s.grant.Server) && s.f.mayRepeatAt(s.grant)
+}
+
 // decodeAgain sends the request once more to a server that could not get the
 // KV cache, which it then computes itself: the result has lapsed or its engine
 // is gone, and the place at this server is still free.
@@ -141,11 +157,14 @@
 // notStreaming takes in an answer that is not the stream.
 func (s *sending) notStreaming(response *backend.Response, verdict Verdict) ending {
 	body, err := response.Whole(maxSmallBytes)
-	r := result{grant: s.grant, status: response.Status, header: response.Header, body: body, verdict: verdict, err: err}
+	r := result{
+		grant: s.grant, status: response.Status, header: response.Header, body: body,
+		verdict: verdict, declined: s.f.declined(s.grant.Server, verdict), err: err,
+	}
 	s.ended(s.grant, r.outcome(), 0)
 	s.note(r)
 	if verdict.Ran == oriolebend.RanNo {
-		return ending{reason: oriolebend.ReasonQueueFull}
+		return ending{reason: cmp.Or(r.declined, oriolebend.ReasonQueueFull)}
 	}
 	final := !s.route.Repeat.Repeatable() || s.sent >= s.route.Attempts
 	if r.passable() && final && !s.answer.Begun() {
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -43,6 +43,8 @@
 	PauseWithin time.Duration `cbor:"16,keyasint,omitempty"`
 	// Tried are instances that are not to be chosen.
 	Tried []string `cbor:"8,keyasint,omitempty"`
+	// Excluded are further instances that are not to be chosen, nor to read the prompt.
+	Excluded []string `cbor:"17,keyasint,omitempty"`
 	// Call is the same for all tries of a caller at one request.
 	Call uint64 `cbor:"11,keyasint,omitempty"`
 	// Server and Prefill are the place of a question that has one, Age how long it
--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -252,7 +252,7 @@
 	c.asked[c.last] = waiting
 	c.tell(message.PlaceEvent{ID: c.last, Step: message.PlaceAsked, Question: &message.PlaceQuestion{
 		ID: c.last, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Rank: q.Rank, Call: q.Call,
-		InTime: q.InTime, Within: q.Within, Tried: q.Need.Tried,
+		InTime: q.InTime, Within: q.Within, Tried: q.Need.Tried, Excluded: q.Need.Excluded,
 		FirstWithin: q.Need.FirstWithin, PauseWithin: q.Need.PauseWithin,
 	}})
 	return c.last, waiting
--- a/internal/places/giver.go
+++ b/internal/places/giver.go
@@ -220,7 +220,7 @@
 
 func needOf(q message.PlaceQuestion) dispatch.Need {
 	return dispatch.Need{
-		Service: q.Service, Prompt: q.Prompt, Output: q.Output, Tried: q.Tried,
+		Service: q.Service, Prompt: q.Prompt, Output: q.Output, Tried: q.Tried, Excluded: q.Excluded,
 		FirstWithin: q.FirstWithin, PauseWithin: q.PauseWithin,
 	}
 }
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -65,9 +65,12 @@
 // counted counts a request for which another process chooses the server.
 func (s *State) counted(e Counted) Effect {
 	service := s.services[e.Service]
+	refused, closed := s.AllClosed(e.At, Need{Service: e.Service, Tried: e.Tried})
 	switch {
 	case service == nil:
 		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
+	case closed:
+		return refused
 	case !e.Again:
 		service.budget.request(e.At, s.config.RetryWindow)
 	case !s.mayRepeat(service, e.At):
@@ -123,6 +126,9 @@
 	if c == nil && s.hasGone(e.Server) || c != nil && !c.takesWork() {
 		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
 	}
+	if until, reason := s.closed(e.At, e.Server); reason != "" {
+		return Refused{Reason: reason, RetryAfter: until.Sub(e.At)}
+	}
 	return Granted{}
 }
 
@@ -144,6 +150,9 @@
 func (s *State) place(e Asked, service *service) (Grant, *Refused) {
 	candidates := s.candidates(e)
 	if len(candidates) == 0 {
+		if refused, closed := s.AllClosed(e.At, e.Need); closed {
+			return Grant{}, &refused
+		}
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
 	}
 	defer s.scratch.clear()
@@ -161,23 +170,23 @@
 
 // candidates are the servers that may take the request.
 func (s *State) candidates(e Asked) []*server {
-	s.scratch.candidates = s.collect(s.scratch.candidates, e.Need.Service, func(c *server) bool {
+	s.scratch.candidates = s.collect(s.scratch.candidates, e, func(c *server) bool {
 		return c.Role != oriolebend.Prefill && !slices.Contains(e.Need.Tried, c.Instance)
 	})
 	return s.scratch.candidates
 }
 
-// collect lists the servers of a service that take work and are wanted. The list begins
-// with one that the seed has chosen: among equals the first is taken.
-func (s *State) collect(list []*server, service string, wanted func(*server) bool) []*server {
-	all, list := s.inOrder[service], list[:0]
+// collect lists the servers of a service that take work from this forwarder and are wanted.
+// The list begins with one that the seed has chosen: among equals the first is taken.
+func (s *State) collect(list []*server, e Asked, wanted func(*server) bool) []*server {
+	all, list := s.inOrder[e.Need.Service], list[:0]
 	if len(all) == 0 {
 		return list
 	}
 	first := s.random.IntN(len(all))
 	for _, part := range [][]*server{all[first:], all[:first]} {
 		for _, c := range part {
-			if c.takesWork() && wanted(c) {
+			if c.takesWork() && wanted(c) && s.open(e, c) {
 				list = append(list, c)
 			}
 		}
@@ -185,6 +194,12 @@
 	return list
 }
 
+// open reports whether a server takes something from whoever asks.
+func (s *State) open(e Asked, c *server) bool {
+	_, reason := s.closed(e.At, c.BackendServer)
+	return reason == "" && !slices.Contains(e.Need.Excluded, c.Instance)
+}
+
 // scratch holds the lists that a choice goes through. The process that gives places for
 // a site makes thousands of choices a second in a peak, each among all its engines; made
 // anew each time, the lists cost as much as the choice.
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -51,6 +51,9 @@
 	FailureDomain string
 	// Tried are the instances that the request was sent to before.
 	Tried []string
+	// Excluded are further instances that are not to be chosen, neither to answer nor to
+	// read the prompt: those that take nothing from the forwarder now.
+	Excluded []string
 	// Again is set if this sending is beyond the request's first.
 	Again bool
 	// Waited is set if the request has asked before and found no room.
@@ -68,6 +71,8 @@
 type Counted struct {
 	At      time.Time
 	Service string
+	// Tried are the instances that the request was sent to before.
+	Tried []string
 	// Again is set for a sending beyond the first.
 	Again bool
 }
@@ -100,7 +105,10 @@
 
 // AskedFresh asks whether a server of a place that another process has just given
 // takes new work, as far as is known here.
-type AskedFresh struct{ Server message.BackendServer }
+type AskedFresh struct {
+	At     time.Time
+	Server message.BackendServer
+}
 
 // AskedStill asks whether a request may still be sent to the server that has its
 // place. Its prompt was read meanwhile, which can take seconds in a peak.
@@ -121,6 +129,12 @@
 	OutcomeRefused Outcome = "refused"
 	// OutcomeFull is a reservation refused for lack of memory; nothing was sent.
 	OutcomeFull Outcome = "full"
+	// OutcomeWithheld means that the server has no room for the request by a limit that it
+	// has named; nothing was sent.
+	OutcomeWithheld Outcome = "withheld"
+	// OutcomeDeclined is an answer that the request was not run, by a server that has said
+	// of itself that it takes less.
+	OutcomeDeclined Outcome = "declined"
 	// OutcomeBroken is no answer, half of one, or one that can't be believed.
 	OutcomeBroken Outcome = "broken"
 	// OutcomeCut is half of an answer whose server may still work on the request.
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -130,7 +130,7 @@
 
 // reader is the prefill engine that would be done first, nil if there is none.
 func (s *State) reader(e Asked, service *service) *server {
-	s.scratch.readers = s.collect(s.scratch.readers, e.Need.Service, func(c *server) bool { return c.Role == oriolebend.Prefill })
+	s.scratch.readers = s.collect(s.scratch.readers, e, func(c *server) bool { return c.Role == oriolebend.Prefill })
 	list := s.best(e.At, service, s.scratch.readers)
 	if len(list) == 0 || service.standing(e.At, list[0]) == standingAvoided {
 		return nil
--- a/internal/reducer/dispatch/notice.go
+++ b/internal/reducer/dispatch/notice.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Notice is what a server says of itself with an answer, whatever the answer is.
@@ -54,20 +56,38 @@
 	restUntil time.Time
 	limited   bool
 	perSecond float64
-	// named is when an answer named the limit last.
-	named time.Time
+	// named is when an answer named the limit last, next from when a permission to send is
+	// worth asking for.
+	named, next time.Time
 }
 
+// Withheld tells that a permission to send to a server with a limit was refused.
+type Withheld struct {
+	At     time.Time
+	Server message.BackendServer
+	// After is when another one may be asked for.
+	After time.Duration
+}
+
+// LimitEnded tells that a server is known to have named no limit since a time.
+type LimitEnded struct {
+	At     time.Time
+	Server message.BackendServer
+}
+
+func (Withheld) isDispatchEvent() {}
+
+func (LimitEnded) isDispatchEvent() {}
+
 // noticed takes in what a server has said, and returns what of it is new.
 func (s *State) noticed(e Noticed) []Effect {
-	start := e.Server.Start()
-	kept := s.stated[start]
+	kept := s.stated[e.Server.Start()]
 	if kept == nil {
 		if e.Notice == (Notice{}) {
 			return nil
 		}
 		kept = &stated{}
-		s.stated[start] = kept
+		s.stated[e.Server.Start()] = kept
 	}
 	learnt := kept.take(e)
 	if learnt == (Learnt{}) {
@@ -96,3 +116,89 @@
 	}
 	return learnt
 }
+
+func (s *State) withheld(e Withheld) {
+	if kept := s.stated[e.Server.Start()]; kept != nil {
+		kept.next = e.At.Add(e.After)
+	}
+}
+
+func (s *State) limitEnded(e LimitEnded) {
+	if kept := s.stated[e.Server.Start()]; kept != nil && !kept.named.After(e.At) {
+		kept.limited = false
+	}
+}
+
+// Limit is the limit that a server has named.
+type Limit struct {
+	PerSecond float64
+	// Named is when an answer named it last.
+	Named time.Time
+}
+
+// Limit returns the limit of a server, false if it has none as far as is known.
+func (s *State) Limit(server message.BackendServer) (Limit, bool) {
+	kept := s.stated[server.Start()]
+	if kept == nil || !kept.limited {
+		return Limit{}, false
+	}
+	return Limit{PerSecond: kept.perSecond, Named: kept.named}, true
+}
+
+// closed is until when a server takes nothing from this forwarder, by what it has said of
+// itself, and why; the reason is empty if it does.
+func (s *State) closed(at time.Time, server message.BackendServer) (time.Time, oriolebend.Reason) {
+	if len(s.stated) == 0 {
+		return time.Time{}, ""
+	}
+	kept := s.stated[server.Start()]
+	if kept == nil {
+		return time.Time{}, ""
+	}
+	return kept.closed(at)
+}
+
+func (k *stated) closed(at time.Time) (time.Time, oriolebend.Reason) {
+	if k.limited && at.Before(k.next) {
+		return k.next, oriolebend.ReasonServerLimit
+	}
+	return time.Time{}, ""
+}
+
+// Closed lists the servers of a service that take nothing from this forwarder now.
+func (s *State) Closed(at time.Time, name string) []string {
+	if len(s.stated) == 0 {
+		return nil
+	}
+	var list []string
+	for _, c := range s.inOrder[name] {
+		if _, reason := s.closed(at, c.BackendServer); reason != "" {
+			list = append(list, c.Instance)
+		}
+	}
+	return list
+}
+
+// retryClosed is the shortest time that a caller is told whom no server takes.
+const retryClosed = 50 * time.Millisecond
+
+// AllClosed reports whether no server of a service takes a request for what the servers have
+// said of themselves, and then why and when the first of them may.
+func (s *State) AllClosed(at time.Time, n Need) (Refused, bool) {
+	var first time.Time
+	var refused Refused
+	for _, c := range s.inOrder[n.Service] {
+		if !c.takesWork() || c.Role == oriolebend.Prefill || slices.Contains(n.Tried, c.Instance) {
+			continue
+		}
+		until, reason := s.closed(at, c.BackendServer)
+		if reason == "" {
+			return Refused{}, false
+		}
+		if refused.Reason == "" || until.Before(first) {
+			first, refused.Reason = until, reason
+		}
+	}
+	refused.RetryAfter = max(retryClosed, first.Sub(at))
+	return refused, refused.Reason != ""
+}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -59,7 +59,7 @@
 	}
 	if service := s.services[e.Grant.Need.Service]; service != nil {
 		service.observe(e)
-		if e.Outcome == OutcomeFull && e.Grant.Need.Again {
+		if (e.Outcome == OutcomeFull || e.Outcome == OutcomeWithheld) && e.Grant.Need.Again {
 			service.budget.withdraw(e.At, s.config.RetryWindow)
 		}
 	}
@@ -91,7 +91,7 @@
 		c.fail(e.At)
 	case OutcomeMoved:
 		c.avoidUntil = e.At.Add(avoidMoved)
-	case OutcomeCancelled:
+	case OutcomeCancelled, OutcomeWithheld, OutcomeDeclined:
 	}
 }
 
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -30,11 +30,13 @@
 //	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
 //	                        [start=N] a line
 //	service NAME [kv=N] [part=N]   declares a service; kv makes it one of engines
-//	do                      ask NAME SERVICE [prompt=N] [pause=FOR] [again] [waited] [tried=A,B]
+//	do                      ask NAME SERVICE [prompt=N] [pause=FOR] [again] [waited] [tried=A,B] [excluded=A,B]
 //	                        [from=DOMAIN]
 //	                        end NAME OUTCOME [TOOK] | read NAME TOOK | failed NAME
 //	                        written NAME TOOK [PARTS]
-//	                        same NAME | still NAME | pass FOR
+//	                        same NAME | still NAME | fresh NAME | pass FOR
+//	                        says SERVER [limit=N] [rest=FOR] [leaving] [nothing] [sent=AGO] [failed]
+//	                        withheld SERVER FOR | ended SERVER
 //	loads                   prints what was done with engines
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -146,11 +148,55 @@
 			is.NoErr(err)
 		}
 		Reduce(s.state, written)
+	case "fresh":
+		effects := Reduce(s.state, AskedFresh{At: s.now, Server: s.grants[words[1]].Server})
+		if _, taken := effects[0].(Granted); taken {
+			fmt.Fprintln(out, words[1], "taken")
+			return
+		}
+		print(out, words[1], effects)
+	case "says":
+		s.says(words, out)
+	case "withheld":
+		after, err := time.ParseDuration(words[2])
+		is.NoErr(err)
+		Reduce(s.state, Withheld{At: s.now, Server: message.BackendServer{Instance: words[1]}, After: after})
+	case "unlimited":
+		Reduce(s.state, LimitEnded{At: s.now, Server: message.BackendServer{Instance: words[1]}})
 	case "failed":
 		Reduce(s.state, PromptRead{At: s.now, Grant: s.grants[words[1]], Failed: true})
 	}
 }
 
+// says has a server say things of itself, with a served answer to a request sent just now.
+func (s *script) says(words []string, out *strings.Builder) {
+	is := is.New(s.t)
+	e := Noticed{At: s.now, Sent: s.now, Server: message.BackendServer{Instance: words[1]}, Served: true}
+	for _, option := range words[2:] {
+		key, value, _ := strings.Cut(option, "=")
+		var err error
+		switch key {
+		case "limit":
+			e.Notice.Limited = true
+			e.Notice.PerSecond, err = strconv.ParseFloat(value, 64)
+		case "rest":
+			e.Notice.Rest, err = time.ParseDuration(value)
+		case "leaving":
+			e.Notice.Leaving = true
+		case "sent":
+			var ago time.Duration
+			ago, err = time.ParseDuration(value)
+			e.Sent = s.now.Add(-ago)
+		case "failed":
+			e.Served = false
+		}
+		is.NoErr(err)
+	}
+	for _, effect := range Reduce(s.state, e) {
+		fmt.Fprintf(out, "%s learnt %+v\n", words[1], effect)
+	}
+}
+
 func (s *script) ask(name, service string, options []string, out *strings.Builder) {
 	need := Need{Service: service, FirstWithin: 900 * time.Millisecond, Arrived: s.now}
 	for _, option := range options {
@@ -171,6 +217,8 @@
 			need.Waited = true
 		case "tried":
 			need.Tried = strings.Split(value, ",")
+		case "excluded":
+			need.Excluded = strings.Split(value, ",")
 		}
 	}
 	effects := Reduce(s.state, Asked{At: s.now, Need: need})
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -153,6 +153,10 @@
 		return []Effect{s.askedFresh(e)}
 	case Noticed:
 		return s.noticed(e)
+	case Withheld:
+		s.withheld(e)
+	case LimitEnded:
+		s.limitEnded(e)
 	case Read:
 		s.read(e)
 	case Written:
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -100,7 +100,9 @@
 		if answer, done := s.try(r.at, q); done {
 			return answer, true
 		}
-		r.tooLarge[q.need.Service] = memory
+		if len(q.need.Excluded) == 0 { // to others more engines are open
+			r.tooLarge[q.need.Service] = memory
+		}
 	}
 	if s.hopeless(r, q) {
 		s.counted.Hopeless++
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -20,6 +20,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/reducer/serverlimit"
 )
 
 // Event is the Event of one part.
@@ -30,19 +31,20 @@
 
 // State holds the parts that a process runs; the others are nil.
 type State struct {
-	Agreement  *agreement.State
-	Dispatch   *dispatch.State
-	Entry      *entry.State
-	Follow     *follow.State
-	Gate       *gate.State
-	Member     *member.State
-	Order      *order.State
-	Placement  *placement.State
-	Pools      *pools.State
-	Quarantine *quarantine.State
-	Quota      *quota.State
-	Recovery   *recovery.State
-	Registry   *registry.State
+	Agreement   *agreement.State
+	Dispatch    *dispatch.State
+	Entry       *entry.State
+	Follow      *follow.State
+	Gate        *gate.State
+	Member      *member.State
+	Order       *order.State
+	Placement   *placement.State
+	Pools       *pools.State
+	Quarantine  *quarantine.State
+	Quota       *quota.State
+	Recovery    *recovery.State
+	Registry    *registry.State
+	ServerLimit *serverlimit.State
 }
 
 // UnknownEventError is an event that belongs to no part. It is a mistake in
@@ -83,6 +85,8 @@
 		return effects(quota.Reduce(s.Quota, e))
 	case registry.Event:
 		return effects(registry.Reduce(s.Registry, e))
+	case serverlimit.Event:
+		return effects(serverlimit.Reduce(s.ServerLimit, e))
 	case recovery.Event:
 		return effects(recovery.Reduce(s.Recovery, e))
 	default:
--- /dev/null
+++ b/internal/reducer/serverlimit/event.go
@@ -0,0 +1,62 @@
+package serverlimit
+
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// Event changes a State.
+type Event interface{ isServerLimitEvent() }
+
+// Leads tells whether this control VM counts.
+type Leads struct {
+	At   time.Time
+	Lead bool
+	// Term numbers the times that control VMs began to lead.
+	Term uint64
+	// Doubted is set if time may have passed that the clock did not count, as while the VM
+	// was suspended: another control VM may have led meanwhile.
+	Doubted bool
+}
+
+// Asked asks for the permission to send one request to a server.
+type Asked struct {
+	At     time.Time
+	Server message.ServerStart
+	// PerSecond is the limit that the server named to the forwarder at Named.
+	PerSecond float64
+	Named     time.Time
+}
+
+// Returned gives back a permission that was not used.
+type Returned struct {
+	At     time.Time
+	Server message.ServerStart
+}
+
+// Ended tells that a server's answer to a request that was sent at Sent named no limit.
+type Ended struct {
+	At     time.Time
+	Server message.ServerStart
+	Sent   time.Time
+}
+
+func (Leads) isServerLimitEvent() {}
+
+func (Asked) isServerLimitEvent() {}
+
+func (Returned) isServerLimitEvent() {}
+
+func (Ended) isServerLimitEvent() {}
+
+// Answer answers an Asked. It is the only effect.
+type Answer struct {
+	// Counted is set if this control VM counts; otherwise the rest tells nothing.
+	Counted bool
+	Granted bool
+	// Ended is set if the server is known to have no limit any more.
+	Ended bool
+	// After is when a forwarder that is refused may ask again.
+	After time.Duration
+}
--- /dev/null
+++ b/internal/reducer/serverlimit/script_test.go
@@ -0,0 +1,108 @@
+package serverlimit
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+var scriptStart = time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts runs the files of testdata/scripts. Each line of a block is an event:
+//
+//	leads TERM | follows TERM | doubt
+//	ask SERVER PERSECOND [AGO] [xTIMES]   the limit was named so long ago; prints the answers
+//	return SERVER
+//	ended SERVER AGO                      a request sent so long ago was answered without a limit
+//	pass FOR
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{is: is.New(t), now: scriptStart, state: New()}
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				s.step(strings.Fields(line), &out)
+			}
+			return out.String()
+		})
+	})
+}
+
+type script struct {
+	is    *is.I
+	now   time.Time
+	term  uint64
+	lead  bool
+	state *State
+}
+
+func (s *script) step(words []string, out *strings.Builder) {
+	switch words[0] {
+	case "leads", "follows":
+		s.lead, s.term = words[0] == "leads", uint64(s.number(words[1]))
+		Reduce(s.state, Leads{At: s.now, Lead: s.lead, Term: s.term})
+	case "doubt":
+		Reduce(s.state, Leads{At: s.now, Lead: s.lead, Term: s.term, Doubted: true})
+	case "ask":
+		s.ask(words, out)
+	case "return":
+		Reduce(s.state, Returned{At: s.now, Server: start(words[1])})
+	case "ended":
+		Reduce(s.state, Ended{At: s.now, Server: start(words[1]), Sent: s.now.Add(-s.duration(words[2]))})
+	case "pass":
+		s.now = s.now.Add(s.duration(words[1]))
+	}
+}
+
+// start reads INSTANCE or INSTANCE/INCARNATION.
+func start(word string) message.ServerStart {
+	instance, incarnation, _ := strings.Cut(word, "/")
+	number, err := strconv.ParseUint(incarnation, 10, 64)
+	if err != nil {
+		number = 0
+	}
+	return message.ServerStart{Instance: instance, Incarnation: number}
+}
+
+func (s *script) ask(words []string, out *strings.Builder) {
+	ago, times := time.Duration(0), 1
+	for _, word := range words[3:] {
+		if text, found := strings.CutPrefix(word, "x"); found {
+			times = int(s.number(text))
+			continue
+		}
+		ago = s.duration(word)
+	}
+	for range times {
+		a := Reduce(s.state, Asked{At: s.now, Server: start(words[1]), PerSecond: s.number(words[2]), Named: s.now.Add(-ago)})[0]
+		switch {
+		case a.Ended:
+			fmt.Fprintln(out, "no limit any more")
+		case a.Granted:
+			fmt.Fprintln(out, "granted")
+		case a.Counted:
+			fmt.Fprintln(out, "refused, again after", a.After.Round(time.Millisecond))
+		default:
+			fmt.Fprintln(out, "not counted here")
+		}
+	}
+}
+
+func (s *script) number(word string) float64 {
+	value, err := strconv.ParseFloat(word, 64)
+	s.is.NoErr(err)
+	return value
+}
+
+func (s *script) duration(word string) time.Duration {
+	value, err := time.ParseDuration(word)
+	s.is.NoErr(err)
+	return value
+}
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -22,6 +22,7 @@
 	"github.com/oriolebend/oriolebend/internal/replica"
 	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/internal/serverlimit"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -50,6 +51,7 @@
 	crashes   *quarantine.Store
 	keeper    *crashreports.Keeper
 	quotas    *quota.Keeper
+	limits    *serverlimit.Keeper
 	cancel    context.CancelFunc
 	// done is closed once the log has ended, with ended as its error.
 	done  chan struct{}
@@ -79,6 +81,7 @@
 	go process.routes.Run(ctx)
 	go process.keeper.Run(ctx)
 	go process.quotas.Run(ctx)
+	go process.limits.Run(ctx)
 	if process.joiner != nil {
 		go process.joiner.Run(ctx)
 	}
@@ -114,6 +117,7 @@
 			crashreports.Serve(c.crashes)(ctx, s)
 		},
 		message.KindQuotaAsk: func(ctx context.Context, s peer.Stream) { <-ready; c.quotas.Serve(ctx, s) },
+		message.KindLimitAsk: func(ctx context.Context, s peer.Stream) { <-ready; c.limits.Serve(ctx, s) },
 		message.KindJoin:     func(ctx context.Context, s peer.Stream) { <-ready; c.join(ctx, s) },
 		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
@@ -184,7 +188,7 @@
 	})
 	c.keeper = &crashreports.Keeper{Folder: p.Settings.Control.DataFolder, Store: c.crashes, Logger: p.Logger}
 	c.keeper.Load()
-	c.quotas = c.newQuotas()
+	c.quotas, c.limits = c.newQuotas(), c.newLimits()
 	c.routes = &routewatch.Server{
 		Store:     c.routing,
 		Confirmed: func() (time.Duration, bool) { return c.confirmer.Age(time.Now()) },
@@ -329,6 +333,15 @@
 	return k
 }
 
+// newLimits counts what is sent to backend servers that have named a limit.
+func (c *ControlProcess) newLimits() *serverlimit.Keeper {
+	k := &serverlimit.Keeper{
+		Leads: c.Leads, Term: func() uint64 { return c.replica.Status().Term }, Logger: c.process.Logger,
+	}
+	k.Prepare()
+	return k
+}
+
 func recordLimits(p settings.Policy) record.Limits {
 	return record.Limits{
 		KeepRecords: time.Duration(p.KeepRecords),
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -18,6 +18,7 @@
 	"github.com/oriolebend/oriolebend/internal/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/routewatch"
+	"github.com/oriolebend/oriolebend/internal/serverlimit"
 	"github.com/oriolebend/oriolebend/internal/settings"
 )
 
@@ -39,6 +40,7 @@
 	follower  *routewatch.Follower
 	places    *places.Client
 	quotas    *quota.Client
+	limits    *serverlimit.Client
 	crashes   *quarantine.Store
 	teller    *crashreports.Teller
 	callers   *http1.Server
@@ -76,12 +78,18 @@
 		Controls: func() []string { return process.follower.Open() },
 	}
 	process.quotas.Prepare()
+	process.limits = &serverlimit.Client{
+		Dialer: endpoint, Logger: p.Logger,
+		Leader: func() string { return process.follower.Leader() },
+	}
+	process.limits.Prepare()
 	process.forwarder = forwarder.New(forwarder.Config{
 		Dialect:    dialect,
 		Dispatch:   dispatchConfig(p.Settings),
 		Places:     process.places,
 		Quarantine: process.crashes,
 		Quotas:     process.quotas,
+		Limits:     process.limits,
 		Current:    func() bool { return process.follower.InTouch() },
 		Observer:   p.observer(),
 		Logger:     p.Logger,
@@ -196,6 +204,7 @@
 	p.callers.Stop(within)
 	p.forwarder.Wait()
 	p.quotas.Close()
+	p.limits.Close()
 	p.cancel()
 	<-p.done
 	return p.process.stopped(closeEndpoint(p.endpoint), p.metrics.close())
--- a/internal/role/limited_test.go
+++ b/internal/role/limited_test.go
@@ -261,3 +261,57 @@
 	}
 	return all
 }
+
+// Symptom: a server in need gets its limit several times over while control VMs are lost.
+// Sequence: all servers have named limits; the control VM that counts is killed, and later all
+// of them are. Cause: forwarders that count for themselves meanwhile, or a count that begins
+// full. Who is refused meanwhile is told so at once.
+func TestLimitsWhileControlVMsAreLost(t *testing.T) {
+	is := is.New(t)
+	s := startNeedySite(t, 2)
+	const limit = 3
+	for _, server := range s.servers {
+		server.nameLimit(strconv.Itoa(limit))
+	}
+	go func() {
+		wait(t.Context(), limitSettle+time.Second)
+		lost := s.leader()
+		s.kill(lost)
+		wait(t.Context(), 2*time.Second)
+		s.startControl(lost, false)
+		for _, ip := range seededControls {
+			s.kill(ip)
+		}
+		for _, ip := range seededControls {
+			s.startControl(ip, false)
+		}
+	}()
+	load := s.run(limitSettle + 2*limitWindow)
+	for _, server := range s.servers {
+		most, allowed := server.worst(limit)
+		t.Logf("limit %d: %d requests within %v, allowed %.0f", limit, most, limitWindow, allowed)
+		is.True(float64(most) <= allowed)
+	}
+	t.Logf("answers %v, slowest refusal %v, soonest return %.3f s", load.statuses, load.slowest, load.soonest)
+	is.Equal(load.statuses[http.StatusOK]+load.statuses[http.StatusServiceUnavailable], sum(load.statuses))
+	is.True(load.statuses[http.StatusOK] >= 20) // most of what the limits allow while a control VM counts
+	is.True(load.slowest < 300*time.Millisecond)
+	is.True(load.soonest > 0)
+}
+
+// Symptom: a server whose need is over stands idle. Sequence: it names no limit any more, in
+// the few answers that it gives; each of six forwarders would have to be told by one of its
+// own. Cause: the end of a limit that stays with the forwarder that heard of it.
+func TestLimitEndsForAllForwarders(t *testing.T) {
+	is := is.New(t)
+	s := startNeedySite(t, 1)
+	s.servers[0].nameLimit("0.5")
+	limited := s.run(2 * time.Second)
+	is.True(limited.statuses[http.StatusServiceUnavailable] > limited.statuses[http.StatusOK])
+	s.servers[0].nameLimit("")
+	// Once one is let through, the next question of each forwarder tells it.
+	s.run(5 * time.Second)
+	after := s.run(2 * time.Second)
+	t.Logf("answers while limited %v, after it %v", limited.statuses, after.statuses)
+	is.Equal(after.statuses[http.StatusOK], sum(after.statuses))
+}
--- a/internal/role/permission.go
+++ b/internal/role/permission.go
@@ -44,6 +44,7 @@
 		message.KindPlaceOpen:    {peer.RoleForwarder},
 		message.KindCrashReports: {peer.RoleForwarder},
 		message.KindQuotaAsk:     {peer.RoleForwarder},
+		message.KindLimitAsk:     {peer.RoleForwarder},
 		message.KindJoin:         {peer.RoleControl},
 	}
 	for _, kind := range message.AgreementKinds() {
--- a/internal/role/poolkeeper.go
+++ b/internal/role/poolkeeper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,7 +54,10 @@
 	// whether its lease runs at this moment.
 	Status func() replica.Status
 	Leads  func() bool
-	Logger *slog.Logger
+	// Limited reports whether an engine has named a limit: for as long it does the work of
+	// no engine, and the others have to do.
+	Limited func(message.BackendServer) bool
+	Logger  *slog.Logger
 
 	mutex   sync.Mutex
 	state   *reducer.State
@@ -145,6 +149,7 @@
 	k.mutex.Lock()
 	known := pools.Engines{Services: k.routing.Services, Servers: k.servers.List()}
 	k.mutex.Unlock()
+	known.Servers = slices.DeleteFunc(known.Servers, k.Limited)
 	k.reduce(known)
 }
 
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -30,6 +30,7 @@
 	ReasonRetryBudget     Reason = "retryBudget"     // the retry budget is spent
 	ReasonDeadline        Reason = "deadline"        // the deadline passed, or would
 	ReasonConcurrency     Reason = "concurrency"     // the adaptive concurrency limit is reached
+	ReasonServerLimit     Reason = "serverLimit"     // every server is at the limit that it has named
 	ReasonNoServer        Reason = "noServer"        // no backend server serves this now
 	ReasonControlAway     Reason = "controlAway"     // no quorum of control VMs answers
 	ReasonNotLeader       Reason = "notLeader"       // this control VM does not lead
--- a/pkg/oriolebend/reasons.go
+++ b/pkg/oriolebend/reasons.go
@@ -22,6 +22,7 @@
 	ReasonRetryBudget,
 	ReasonDeadline,
 	ReasonConcurrency,
+	ReasonServerLimit,
 	ReasonNoServer,
 	ReasonControlAway,
 	ReasonNotLeader,
