forwarder: servers that ask for rest get it, and those that say in answers that they leave are left

Cause: any refusal was taken for one of a full queue and the server avoided for 60 ms, whatever time it asked for; a server that refuses at once is then the one with the least work. Nothing read the time, nor what a server says in answers of its leaving. Why this mends it: the word is kept for the start of the server until its time, the server is passed over when servers are chosen and when places given elsewhere are taken, and looked at once more after a prompt was read and before a second sending to it; nothing that can be done without (reservations, calls that give memory back) goes there. Where all servers rest the caller is told at once when the first has rested (TestAllServersRest). Such a refusal is no queue (TestRestIsNoQueue) and no failure. Ruled out: telling others of a rest; it binds the VM that was answered. Using the two requests that are allowed in a rest for prompts that are read already: the server wants none.

--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -37,6 +37,7 @@
 	oriolebend.ReasonDeadline:        {http.StatusGatewayTimeout, "The deadline passed, or would"},
 	oriolebend.ReasonConcurrency:     {http.StatusServiceUnavailable, "The concurrency limit is reached"},
 	oriolebend.ReasonServerLimit:     {http.StatusServiceUnavailable, "Every server is at its limit"},
+	oriolebend.ReasonServerRests:     {http.StatusServiceUnavailable, "Every server has asked for rest"},
 	oriolebend.ReasonNoServer:        {http.StatusServiceUnavailable, "No backend server serves this now"},
 	oriolebend.ReasonControlAway:     {http.StatusServiceUnavailable, "No quorum of control VMs answers"},
 	oriolebend.ReasonNotLeader:       {http.StatusServiceUnavailable, "This control VM does not lead"},
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -170,6 +170,7 @@
 		w.mayHaveRun(ranOf(r.err))
 	case r.verdict.Ran == oriolebend.RanNo:
 		reason = cmp.Or(r.declined, oriolebend.ReasonQueueFull)
+		w.declined = r.declined
 	case r.verdict.Signed:
 		reason = oriolebend.ReasonEngineFailed
 		w.mayHaveRun(oriolebend.RanYes)
@@ -204,7 +205,7 @@
 	}
 	reason := oriolebend.ReasonOutcomeLost
 	if w.notRun() {
-		reason = oriolebend.ReasonQueueFull
+		reason = cmp.Or(w.declined, oriolebend.ReasonQueueFull)
 	}
 	if ctx.Err() != nil {
 		reason = backend.ReasonOfEnd(ctx)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -216,11 +216,12 @@
 	return granted
 }
 
-// mayStillSend asks the reducer whether the server of a grant still serves those that
-// have a place.
-func (f *Forwarder) mayStillSend(g dispatch.Grant) bool {
-	_, granted := f.reduce(dispatch.AskedStill{At: f.now(), Grant: g})[0].(dispatch.Granted)
-	return granted
+// refusesStill is why the server of a grant is not sent its request any more, empty if it is.
+func (f *Forwarder) refusesStill(g dispatch.Grant) oriolebend.Reason {
+	if r, refused := f.reduce(dispatch.AskedStill{At: f.now(), Grant: g})[0].(dispatch.Refused); refused {
+		return r.Reason
+	}
+	return ""
 }
 
 // readTime is how long a prefill engine takes for a prompt.
--- a/internal/forwarder/permit.go
+++ b/internal/forwarder/permit.go
@@ -125,12 +125,26 @@
 	if v.Ran != oriolebend.RanNo || v.Moved {
 		return ""
 	}
-	if _, limited := f.limit(server); limited {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if reason := f.state.Why(f.now(), server); reason != "" {
+		return reason
+	}
+	if _, limited := f.state.Limit(server); limited {
 		return oriolebend.ReasonServerLimit
 	}
 	return ""
 }
 
+// leaveAlone reports whether a server is better not asked for what can be done without: it
+// rests, or has named a limit.
+func (f *Forwarder) leaveAlone(server message.BackendServer) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	_, limited := f.state.Limit(server)
+	return limited || f.state.Why(f.now(), server) == oriolebend.ReasonServerRests
+}
+
 // placeCall finds a server for a plain call that may be sent to it.
 func (w *work) placeCall(ctx context.Context) (dispatch.Grant, *refusal) {
 	need := w.need()
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -91,7 +91,7 @@
 	if limits == nil || limits.HoldWithin <= 0 || s.ask.Prompt == 0 {
 		return true
 	}
-	if _, limited := s.f.limit(s.grant.Server); limited {
+	if s.f.leaveAlone(s.grant.Server) {
 		return true // the reservation would be one more request
 	}
 	calling, cancel := context.WithTimeout(ctx, holdWithin)
@@ -111,9 +111,12 @@
 	}
 	s.unusedPrefill()
 	outcome := dispatch.OutcomeFull
-	if err != nil {
+	switch {
+	case err != nil:
 		outcome = dispatch.OutcomeBroken
 		s.logSending(s.grant, "memory not reserved", status, oriolebend.ReasonServerLost, err)
+	case s.f.leaveAlone(s.grant.Server):
+		outcome = dispatch.OutcomeWithheld // it has said so just now, and not that it is full
 	}
 	s.ended(s.grant, outcome, 0)
 	return false
@@ -202,8 +205,11 @@
 
 // cleanUp sends a call that gives memory back, behind the request that it was
 // taken for. The engine frees the memory by itself a little later if the call is
-// lost.
+// lost, or if it wants to be left alone.
 func (f *Forwarder) cleanUp(engine message.BackendServer, call backend.Request) {
+	if f.leaveAlone(engine) {
+		return
+	}
 	call.Freshness = freshForRepeat
 	f.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupWithin)
--- a/internal/forwarder/rest_test.go
+++ b/internal/forwarder/rest_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +79,58 @@
 		})
 	}
 }
+
+// A request for which every server rests is refused at once, as not run, with the time at which
+// the first has rested; then it is served.
+func TestAllServersRest(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	var need atomic.Bool
+	need.Store(true)
+	for _, rest := range []string{"1", "0.6"} {
+		s.server("a", "", func(w http.ResponseWriter, _ *http.Request) {
+			if need.Load() {
+				w.Header().Set(retryAfter, rest)
+				notRun(w)
+			}
+		})
+	}
+	refused := func() float64 {
+		t.Helper()
+		status, header, body := s.ask("/once/", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(body, `{"reason":"serverRests","ran":"no"}`)
+		after, err := strconv.ParseFloat(header.Get(retryAfter), 64)
+		is.NoErr(err)
+		return after
+	}
+	refused()
+	refused()
+	began := time.Now()
+	after := refused()
+	is.True(time.Since(began) < 100*time.Millisecond)
+	is.True(after > 0.4 && after <= 0.6)
+	need.Store(false)
+	time.Sleep(time.Duration(after * float64(time.Second)))
+	status, _, _ := s.ask("/once/", nil)
+	is.Equal(status, http.StatusOK)
+}
+
+// Symptom: plain requests are refused as overloaded while a second server is idle. Sequence: one
+// of two servers refuses and asks for rest. Cause: its refusals taken for a queue that is full.
+func TestRestIsNoQueue(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	s.server("a", "", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(retryAfter, "0.02")
+		notRun(w)
+	})
+	s.server("b", "", answer("good"))
+	for range 60 {
+		status, _, _ := s.ask("/safe/", nil)
+		is.Equal(status, http.StatusOK)
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(s.counts.seen["retry serverRests"] > 4)
+	is.Equal(s.counts.seen["refusal overloaded"], 0)
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -88,13 +88,13 @@
 	if left, held := s.f.config.Quarantine.Held(s.fingerprint); held {
 		return s.giveBack(source, ending{reason: oriolebend.ReasonCrashesServers, after: left, unsent: true})
 	}
-	if !s.f.mayStillSend(s.grant) {
-		s.logSending(s.grant, "server left while the prompt was read", 0, oriolebend.ReasonLeaving, nil)
-		return s.giveBack(source, ending{reason: oriolebend.ReasonLeaving, unsent: true})
+	reason := s.f.refusesStill(s.grant)
+	if reason == "" && !s.permit(ctx, s.permits, s.grant.Server) {
+		reason = oriolebend.ReasonServerLimit
 	}
-	if !s.permit(ctx, s.permits, s.grant.Server) {
-		s.logSending(s.grant, "server reached its limit while the prompt was read", 0, oriolebend.ReasonServerLimit, nil)
-		return s.giveBack(source, ending{reason: oriolebend.ReasonServerLimit, unsent: true})
+	if reason != "" {
+		s.logSending(s.grant, "server takes nothing any more, the prompt was read in vain", 0, reason, nil)
+		return s.giveBack(source, ending{reason: reason, unsent: true})
 	}
 	return s.decode(ctx, source)
 }
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -42,6 +42,9 @@
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
 	tried []string
+	// declined is why the last server that refused it did, if it had said of itself that it
+	// takes less.
+	declined oriolebend.Reason
 	// prefills counts the prefills that were asked for in vain, before a sending that
 	// was not made. A second one counts as a repeat.
 	prefills int
--- a/internal/reducer/dispatch/admit.go
+++ b/internal/reducer/dispatch/admit.go
@@ -82,8 +82,11 @@
 // its target, since a full queue is what makes answers late.
 func (v *service) observe(e Ended) {
 	took := e.Took
-	if e.Outcome == OutcomeRefused {
+	switch e.Outcome {
+	case OutcomeRefused:
 		took = e.Grant.Need.FirstWithin
+	case OutcomeDeclined:
+		return // it tells of the server's need, and of no queue
 	}
 	if took <= 0 || e.Grant.Need.Prompt > 0 {
 		return
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -84,6 +84,9 @@
 // askedSame counts one more sending to the same server against the budget.
 func (s *State) askedSame(e AskedSame) Effect {
 	service := s.services[e.Grant.Need.Service]
+	if s.resting(e.At, e.Grant.Server) {
+		return Refused{Reason: oriolebend.ReasonServerRests, RetryAfter: retryUnknown}
+	}
 	if service == nil || !s.mayRepeat(service, e.At) {
 		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
 	}
@@ -96,6 +99,9 @@
 // leaving is acknowledged, and it is acknowledged when forwarders know of it.
 const leavingFor = time.Second
 
+// left reports whether a server that leaves since a time is sent nothing any more.
+func left(at, leaving time.Time) bool { return !leaving.IsZero() && at.Sub(leaving) >= leavingFor }
+
 // askedStill answers whether the server of a grant may still be sent its request.
 //
 // A prompt that waits in the queue of its prefill engine can outlast the time in which
@@ -103,8 +109,16 @@
 // ended, or that its operator believes to be free of work.
 func (s *State) askedStill(e AskedStill) Effect {
 	c := s.at(e.Grant.Server)
-	if c == nil && s.hasGone(e.Grant.Server) || c != nil && !c.leaving.IsZero() && e.At.Sub(c.leaving) >= leavingFor {
+	if c == nil && s.hasGone(e.Grant.Server) || c != nil && left(e.At, c.leaving) {
+		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
+	}
+	kept := s.stated[e.Grant.Server.Start()]
+	switch {
+	case kept == nil:
+	case left(e.At, kept.leaving):
 		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
+	case e.At.Before(kept.restUntil):
+		return Refused{Reason: oriolebend.ReasonServerRests, RetryAfter: kept.restUntil.Sub(e.At)}
 	}
 	return Granted{Grant: e.Grant}
 }
--- a/internal/reducer/dispatch/notice.go
+++ b/internal/reducer/dispatch/notice.go
@@ -52,7 +52,8 @@
 // stated is what one start of a server has said of itself. It is kept apart from what control
 // VMs tell of the server: one that is forgotten and told of anew has said it all the same.
 type stated struct {
-	leaving   bool
+	// leaving is since when it says that it leaves, zero if it does not.
+	leaving   time.Time
 	restUntil time.Time
 	limited   bool
 	perSecond float64
@@ -98,8 +99,8 @@
 
 func (k *stated) take(e Noticed) Learnt {
 	var learnt Learnt
-	if e.Notice.Leaving && !k.leaving {
-		k.leaving, learnt.Leaving = true, true
+	if e.Notice.Leaving && k.leaving.IsZero() {
+		k.leaving, learnt.Leaving = e.At, true
 	}
 	if until := e.At.Add(e.Notice.Rest); e.Notice.Rest > 0 && until.After(k.restUntil) {
 		k.restUntil, learnt.Rest = until, e.Notice.Rest
@@ -145,6 +146,12 @@
 	return Limit{PerSecond: kept.perSecond, Named: kept.named}, true
 }
 
+// Why is why a server takes nothing from this forwarder now, empty if it does.
+func (s *State) Why(at time.Time, server message.BackendServer) oriolebend.Reason {
+	_, reason := s.closed(at, server)
+	return reason
+}
+
 // closed is until when a server takes nothing from this forwarder, by what it has said of
 // itself, and why; the reason is empty if it does.
 func (s *State) closed(at time.Time, server message.BackendServer) (time.Time, oriolebend.Reason) {
@@ -159,12 +166,23 @@
 }
 
 func (k *stated) closed(at time.Time) (time.Time, oriolebend.Reason) {
-	if k.limited && at.Before(k.next) {
+	switch {
+	case !k.leaving.IsZero():
+		return at.Add(retryUnknown), oriolebend.ReasonLeaving
+	case at.Before(k.restUntil):
+		return k.restUntil, oriolebend.ReasonServerRests
+	case k.limited && at.Before(k.next):
 		return k.next, oriolebend.ReasonServerLimit
 	}
 	return time.Time{}, ""
 }
 
+// resting reports whether a server has asked for rest that is not over.
+func (s *State) resting(at time.Time, server message.BackendServer) bool {
+	kept := s.stated[server.Start()]
+	return kept != nil && at.Before(kept.restUntil)
+}
+
 // Closed lists the servers of a service that take nothing from this forwarder now.
 func (s *State) Closed(at time.Time, name string) []string {
 	if len(s.stated) == 0 {
@@ -192,8 +210,11 @@
 			continue
 		}
 		until, reason := s.closed(at, c.BackendServer)
-		if reason == "" {
+		switch reason {
+		case "":
 			return Refused{}, false
+		case oriolebend.ReasonLeaving:
+			continue // it takes nothing any more
 		}
 		if refused.Reason == "" || until.Before(first) {
 			first, refused.Reason = until, reason
--- a/internal/requestlog/life.go
+++ b/internal/requestlog/life.go
@@ -178,6 +178,7 @@
 	"noServer":        "no backend server of its service took work: see the lines of its servers",
 	"outcomeLost":     "the connection to its server broke after it was sent, so that it may have run: see the server's lines, then other requests on that server",
 	"serverLimit":     "every server of its service was at the limit that it had named",
+	"serverRests":     "every server of its service had asked for rest",
 	"queueFull":       "as many requests waited already as may wait, here or at its server",
 	"resultExpired":   "the prefill result was no longer held when decode asked for it",
 	"retryBudget":     "its server failed and the share of requests that may be sent again was used up",
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -31,6 +31,7 @@
 	ReasonDeadline        Reason = "deadline"        // the deadline passed, or would
 	ReasonConcurrency     Reason = "concurrency"     // the adaptive concurrency limit is reached
 	ReasonServerLimit     Reason = "serverLimit"     // every server is at the limit that it has named
+	ReasonServerRests     Reason = "serverRests"     // every server has asked to be left alone for a while
 	ReasonNoServer        Reason = "noServer"        // no backend server serves this now
 	ReasonControlAway     Reason = "controlAway"     // no quorum of control VMs answers
 	ReasonNotLeader       Reason = "notLeader"       // this control VM does not lead
--- a/pkg/oriolebend/reasons.go
+++ b/pkg/oriolebend/reasons.go
@@ -23,6 +23,7 @@
 	ReasonDeadline,
 	ReasonConcurrency,
 	ReasonServerLimit,
+	ReasonServerRests,
 	ReasonNoServer,
 	ReasonControlAway,
 	ReasonNotLeader,
