pools, platform: an engine that asks for rest gets no order for as long

What callers saw: nothing. Cause: an engine that refused a control VM's question, and asked for rest with it, was asked again each second, as one that could not be reached. Ruled out: a pause for every order that was not sent: one lost question would hold up a whole division of the pools.

--- a/internal/reducer/pools/event.go
+++ b/internal/reducer/pools/event.go
@@ -36,6 +36,8 @@
 	Accepted bool
 	// Unsure is set if the order may still be carried out.
 	Unsure bool
+	// Rest is for how long the engine wants to be left alone.
+	Rest time.Duration
 }
 
 func (Leads) isPoolsEvent() {}
--- a/internal/reducer/pools/script_test.go
+++ b/internal/reducer/pools/script_test.go
@@ -24,7 +24,7 @@
 //	pass SECONDS [prompt=N requests=N held=N [written=N]]   each second with such a
 //	                            load, whose generations hold so many tokens of memory;
 //	                            those that ended have written 10,000 tokens, or N
-//	answer unsure | refused     the outcome of the last order
+//	answer unsure | refused | rest SECONDS   the outcome of the last order
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s, now, last := New(), scriptStart, Order{}
@@ -44,7 +44,11 @@
 				case "follow":
 					Reduce(s, Leads{At: now})
 				case "answer":
-					Reduce(s, Answered{At: now, Order: last, Unsure: words[1] == "unsure"}) // not accepted in either case
+					answered := Answered{At: now, Order: last, Unsure: words[1] == "unsure"} // never accepted
+					if words[1] == "rest" {
+						answered.Rest = time.Duration(number(t, words[2])) * time.Second
+					}
+					Reduce(s, answered)
 				case "pass":
 					for range number(t, words[1]) {
 						now = now.Add(time.Second)
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -91,9 +91,10 @@
 	moving map[string]move
 	// shortSince is since when the prefill pool is too small, zero if it is not.
 	shortSince time.Time
-	// unsure is until when an engine may still carry out an earlier order, also one
-	// that its earlier start was given: the name is all that such an order goes by.
-	unsure map[string]time.Time
+	// leaveAlone is until when an engine gets no order: it has asked for rest, or may still
+	// carry out an earlier order, also one that its earlier start was given: the name is all
+	// that such an order goes by.
+	leaveAlone map[string]time.Time
 }
 
 // move is a start of an engine on its way to another pool.
@@ -143,7 +144,7 @@
 		}
 		kept := s.services[declared.Name]
 		if kept == nil {
-			kept = &service{unsure: map[string]time.Time{}, moving: map[string]move{}}
+			kept = &service{leaveAlone: map[string]time.Time{}, moving: map[string]move{}}
 		}
 		kept.limits = *declared.Engine
 		kept.engines = map[string]message.BackendServer{}
@@ -194,9 +195,12 @@
 	}
 	switch {
 	case e.Unsure:
-		v.unsure[e.Order.Engine.Instance] = e.At.Add(unsureFor)
+		v.leaveAlone[e.Order.Engine.Instance] = e.At.Add(unsureFor)
 	case !e.Accepted:
 		delete(v.moving, e.Order.Engine.Instance)
+		if e.Rest > 0 {
+			v.leaveAlone[e.Order.Engine.Instance] = e.At.Add(e.Rest)
+		}
 	}
 }
 
@@ -296,7 +300,7 @@
 	v := s.services[order.Service]
 	pool = slices.DeleteFunc(slices.Clone(pool), func(e message.BackendServer) bool {
 		_, moving := v.moving[e.Instance]
-		return moving || e.Changing || at.Before(v.unsure[e.Instance])
+		return moving || e.Changing || at.Before(v.leaveAlone[e.Instance])
 	})
 	var orders []Order
 	for len(orders) < count && len(pool) > 0 {
--- a/internal/role/poolkeeper.go
+++ b/internal/role/poolkeeper.go
@@ -35,7 +35,11 @@
 }
 
 // NotOrderedError means that an order was not sent.
-type NotOrderedError struct{ Cause error }
+type NotOrderedError struct {
+	Cause error
+	// Rest is for how long the engine wants to be left alone; zero means that it does not say.
+	Rest time.Duration
+}
 
 // Error implements error.
 func (e *NotOrderedError) Error() string { return fmt.Sprintf("order not sent: %v", e.Cause) }
@@ -107,8 +111,13 @@
 		"role", o.Role, "fencing", o.Fencing, "accepted", accepted, "error", err,
 		"prefillEngines", o.Grounds.PrefillEngines, "decodeEngines", o.Grounds.DecodeEngines,
 		"prefillWork", o.Grounds.PrefillWork, "decodeWork", o.Grounds.DecodeWork, "wantedPrefill", o.Grounds.Wanted)
-	var notSent *NotOrderedError
-	k.reduce(pools.Answered{At: time.Now(), Order: o, Accepted: accepted, Unsure: err != nil && !errors.As(err, &notSent)})
+	answered := pools.Answered{At: time.Now(), Order: o, Accepted: accepted}
+	notSent, known := errors.AsType[*NotOrderedError](err)
+	if known {
+		answered.Rest = notSent.Rest
+	}
+	answered.Unsure = err != nil && !known
+	k.reduce(answered)
 }
 
 // order announces an order and sends it, unless another control VM may lead by
