soak, forwarder: servers in need by turns, and places at engines that take nothing

Change: two of the four servers name a limit, ask for rest or leave by turns, drawn among the other faults; what reached them is held against what they had said, for each forwarder, with those excused that something was done to. A forwarder test holds the same for places that another process gives: closed engines are told with the question, and a place at one that has closed since is returned.

--- a/internal/forwarder/places_test.go
+++ b/internal/forwarder/places_test.go
@@ -25,7 +25,7 @@
 
 func (o *outdated) Place(_ context.Context, r PlaceRequest) (dispatch.Effect, bool) {
 	for i, e := range o.engines {
-		if !slices.Contains(r.Need.Tried, e.Instance) {
+		if !slices.Contains(r.Need.Tried, e.Instance) && !slices.Contains(r.Need.Excluded, e.Instance) {
 			return dispatch.Granted{Grant: dispatch.Grant{Need: r.Need, Server: e, Remote: uint64(i) + 1}}, true
 		}
 	}
@@ -67,6 +67,41 @@
 	is.Equal(places.ended[:2], []dispatch.Outcome{dispatch.OutcomeLeft, dispatch.OutcomeLeft})
 }
 
+// Symptom: prompts are read for engines that take nothing from the forwarder. Sequence: the
+// control VM that gives places does not know what engines say to forwarders; it gives the place
+// at an engine that rests, and at one that is at its limit. Cause: what is known to who sends and
+// not to who chooses. The forwarder says with each question which engines are closed to it, and
+// returns a place at one that has closed since.
+func TestPlaceAtAnEngineThatTakesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 10000)
+	rests, limited, stays := &engine{}, &engine{}, &engine{}
+	for _, e := range []*engine{rests, limited, stays} {
+		s.server("a", oriolebend.Decode, e.ServeHTTP)
+	}
+	places := &outdated{engines: slices.Clone(s.servers)}
+	s.forwarder.config.Places = places
+	said := func(i int, n dispatch.Notice) {
+		s.forwarder.reduce(dispatch.Noticed{At: s.forwarder.now(), Server: s.servers[i], Notice: n})
+	}
+	said(1, dispatch.Notice{Limited: true, PerSecond: 0.1})
+	status, _ := s.generation("/cut/")
+	is.Equal(status, http.StatusOK) // nothing is known of the first one yet
+	said(0, dispatch.Notice{Rest: time.Minute})
+	for range 2 {
+		status, _ = s.generation("/cut/")
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(rests.seen(), "POST /reservations; POST /cut/ reserved=h1")
+	is.Equal(limited.seen(), "") // the leader has no permission for it yet
+	is.Equal(stays.seen(), "POST /reservations; POST /cut/ reserved=h1; POST /reservations; POST /cut/ reserved=h1")
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	is.Equal(places.ended, []dispatch.Outcome{
+		dispatch.OutcomeAnswered, dispatch.OutcomeWithheld, dispatch.OutcomeAnswered, dispatch.OutcomeAnswered,
+	})
+}
+
 // Symptom: in the second after a restart of everything each request asks for a place four
 // times, and is then placed by a forwarder that knows a quarter of the engines. Sequence:
 // the leader has heard of an engine, the forwarder has not yet. Cause: an engine that was
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -77,6 +77,7 @@
 	if v.ended.Swap(true) {
 		return // two tries reached it at the same moment
 	}
+	v.needs.breaks()
 	v.proxy.stop()
 	time.AfterFunc(backAfter, func() {
 		v.restart()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -39,6 +39,7 @@
 	fleet    *fleet
 	name     string
 	proxy    *proxy
+	needs    needs
 	sequence atomic.Uint64
 	instance atomic.Pointer[string]
 	starts   atomic.Int32
@@ -72,6 +73,7 @@
 func (v *server) restart() {
 	name := fmt.Sprintf("%s.%d", v.name, v.starts.Add(1))
 	v.instance.Store(&name)
+	v.needs.end()
 }
 
 // ServeHTTP runs a request, or does what a faulty server does.
@@ -84,6 +86,9 @@
 	}
 	id := r.Header.Get("Oriolebend-Request")
 	v.fleet.callers.note(r)
+	if v.needs.meet(w, r, *v.instance.Load()) {
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/"+crashing+"/") {
 		v.crash(id)
 		panic(http.ErrAbortHandler)
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -73,6 +73,7 @@
 	request.Header.Set("Oriolebend-Deadline", "2000")
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("Oriolebend-Organisation", "forged")
+	request.Header.Set(senderHeader, address)
 	response, err := c.Do(request)
 	if err != nil {
 		return 0, ""
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,7 @@
 // request that may run once runs once, that what was refused as not run never
 // ran, that every answer belongs to its request, that an accepted routing is
 // neither lost nor shown in an older state, that a request which ends servers stops
-// reaching them, and that every request runs for the organisation that holds its key, within
+// reaching them, that servers in need get no more than they have said, and that every request runs for the organisation that holds its key, within
 // its quota.
 func TestSoak(t *testing.T) {
 	list := append(failedSeeds, 1)
@@ -102,6 +102,7 @@
 	load.check(t, fleet)
 	fleet.crashes.check(t, s)
 	fleet.callers.check(t)
+	fleet.checkNeeds(t)
 	if t.Failed() {
 		folder, err := os.MkdirTemp("", "soak-")
 		if err == nil {
@@ -127,10 +128,11 @@
 		{"kill " + p.name, func() { p.kill(); p.startAfter(after) }},
 		{"terminate " + p.name, func() { p.terminate(); p.startAfter(after) }},
 		{"pause " + p.name, func() { p.pause(after) }},
-		{"reset connections of " + server.name, func() { server.proxy.reset() }},
-		{"silence " + server.name, func() { server.proxy.silence(after) }},
-		{"delay " + server.name, func() { server.proxy.delay(after) }},
+		{"reset connections of " + server.name, func() { server.needs.breaks(); server.proxy.reset() }},
+		{"silence " + server.name, func() { server.needs.breaks(); server.proxy.silence(after) }},
+		{"delay " + server.name, func() { server.needs.breaks(); server.proxy.delay(after) }},
 		{"restart " + server.name, func() { server.restart() }},
+		randomNeed(random, f),
 	}
 	return faults[random.IntN(len(faults))]
 }
