quarantine: a server that ends again before anybody tells of its new start counts again

Cause: ends of servers are told apart by the start that control VMs tell of. Without them a server that runs again is known as the start before, so that its second end adds nothing. Why this mends it: a report counts the lives of a start. One that was told of the new start and one that was not are one end if they lie within 250 ms, less than a server takes to be back. Ruled out: ends told apart by time alone; those that see one end see it up to 0.2 s apart, and servers can be back after 0.3 s.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -37,6 +37,8 @@
 	Ran oriolebend.Ran
 	// Reused is set if the connection had carried a request before.
 	Reused bool
+	// Opened is when the connection was opened, zero if there was none.
+	Opened time.Time
 	Detail string
 	Cause  error
 }
@@ -132,7 +134,7 @@
 }
 
 func (x *exchange) lost(ran oriolebend.Ran, detail string, cause error) *Error {
-	return &Error{Reason: oriolebend.ReasonOutcomeLost, Ran: ran, Reused: x.conn.reused, Detail: detail, Cause: cause}
+	return &Error{Reason: oriolebend.ReasonOutcomeLost, Ran: ran, Reused: x.conn.reused, Opened: x.conn.opened, Detail: detail, Cause: cause}
 }
 
 // maxStrayAnswers bounds the answers to other requests that are passed over.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -68,6 +68,8 @@
 	idleSince time.Time
 	idleFor   time.Duration
 	reused    bool
+	// opened is when it was.
+	opened time.Time
 }
 
 // readerBytes is the read buffer of a connection to a server.
@@ -144,7 +146,7 @@
 	p.dialled++
 	p.mutex.Unlock()
 	return &connection{
-		Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readerBytes), idleFor: p.config.IdleFor,
+		Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readerBytes), idleFor: p.config.IdleFor, opened: time.Now(),
 	}, nil
 }
 
--- a/internal/crashreports/teller_test.go
+++ b/internal/crashreports/teller_test.go
@@ -70,7 +70,7 @@
 			nodes = append(nodes, newNode(ctx, network, address, nobody, func() []string { return peers }))
 		}
 		for i := range quarantine.Limit {
-			nodes[i*10].store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)})
+			nodes[i*10].store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)}, time.Time{})
 		}
 		time.Sleep(settle / 3)
 		synctest.Wait()
@@ -96,7 +96,7 @@
 			func() []string { return *controls.Load() }, func() []string { return []string{"second:1"} })
 		second := newNode(ctx, network, "second:1", nobody, nobody)
 		for i := range quarantine.Limit {
-			first.store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)})
+			first.store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)}, time.Time{})
 		}
 		is.True(first.held())
 		time.Sleep(deliverAgain / 2)
--- a/internal/forwarder/ended.go
+++ b/internal/forwarder/ended.go
@@ -113,7 +113,7 @@
 	}
 	w.f.background.Go(func() {
 		if w.f.hasEnded(server) {
-			w.f.config.Quarantine.Crashed(w.fingerprint, server)
+			w.f.config.Quarantine.Crashed(w.fingerprint, server, broke.Opened)
 		}
 	})
 }
--- a/internal/message/crash.go
+++ b/internal/message/crash.go
@@ -17,6 +17,8 @@
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 	// Refuted is set once a server has answered the same request.
 	Refuted bool `cbor:"5,keyasint,omitempty"`
+	// Life counts the lives of a start, as far as nobody has told that it began anew.
+	Life int `cbor:"6,keyasint,omitempty"`
 }
 
 // Same reports whether two reports are of the same end of a server under the same request,
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -65,9 +65,14 @@
 // through before the first has told what it did.
 const mostSpread = 0.5
 
-// Crashed notes that a server has ended while it began to work on a request.
-func (s *Store) Crashed(fingerprint Fingerprint, server message.BackendServer) {
-	s.reduce(quarantine.Crashed{At: s.now(), Fingerprint: fingerprint, Server: server.Start()})
+// Crashed notes that a server has ended while it began to work on a request, on a connection
+// that was opened then; a zero time is one that is not known.
+func (s *Store) Crashed(fingerprint Fingerprint, server message.BackendServer, opened time.Time) {
+	now := s.now()
+	if !opened.IsZero() {
+		opened = now.Add(-time.Since(opened))
+	}
+	s.reduce(quarantine.Crashed{At: now, Fingerprint: fingerprint, Server: server.Start(), Opened: opened})
 }
 
 // Answered notes that a server has answered a request to its end.
--- a/internal/quarantine/store_test.go
+++ b/internal/quarantine/store_test.go
@@ -31,7 +31,7 @@
 		for i := range Limit {
 			_, held := s.Held(1)
 			is.True(!held)
-			s.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)})
+			s.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)}, time.Time{})
 			is.Equal(told, i+1)
 		}
 		left, held := s.Held(1)
@@ -41,7 +41,7 @@
 		time.Sleep(15 * time.Minute)
 		_, held = s.Held(1)
 		is.True(!held)
-		s.Crashed(1, message.BackendServer{Instance: "again"})
+		s.Crashed(1, message.BackendServer{Instance: "again"}, time.Time{})
 		_, held = s.Held(1)
 		is.True(held)
 		s.Answered(1)
--- a/internal/reducer/quarantine/event.go
+++ b/internal/reducer/quarantine/event.go
@@ -14,6 +14,9 @@
 	At          time.Time
 	Fingerprint Fingerprint
 	Server      message.ServerStart
+	// Opened is when the connection to the server was opened, zero if that is not known: the
+	// server ran then.
+	Opened time.Time
 }
 
 // Answered tells that a server has answered a request to its end.
--- a/internal/reducer/quarantine/request.go
+++ b/internal/reducer/quarantine/request.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,12 +9,56 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 )
 
-// count is how many starts of servers ended under the request, as far as that is not
-// refuted.
+// life is one life of a server, from the start of its process to its end. Control VMs tell of
+// each start; one that nobody has told of yet is a further life of the start before.
+type life struct {
+	message.ServerStart
+	number int
+}
+
+func compareLives(a, b life) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.number, b.number))
+}
+
+// lifeOf is the life of a server that a connection was opened to: a later one than those
+// that had ended before.
+//
+// While no control VM tells of starts, a server that a request has ended and that runs again
+// is known as the start before. Counted as that, its second end adds nothing, and the request
+// ends servers that take turns until a third one is among them.
+func (r *request) lifeOf(start message.ServerStart, opened time.Time) life {
+	lives := life{ServerStart: start}
+	for l, p := range r.reports {
+		if l.ServerStart == start && p.at.Before(opened) {
+			lives.number = max(lives.number, l.number+1)
+		}
+	}
+	return lives
+}
+
+// sameEnd is by how much reports of one end differ at most that name it differently.
+const sameEnd = 250 * time.Millisecond
+
+// toldOtherwise reports whether the end of a further life is also known as that of another
+// start: who reported it had not been told of that start yet.
+func (r *request) toldOtherwise(l life) bool {
+	if l.number == 0 {
+		return false
+	}
+	for other, p := range r.reports {
+		if other.Instance == l.Instance && other.Incarnation != l.Incarnation && !p.refuted &&
+			p.at.Sub(r.reports[l].at).Abs() <= sameEnd {
+			return true
+		}
+	}
+	return false
+}
+
+// count is how many lives of servers ended under the request, as far as that is not refuted.
 func (r *request) count() int {
 	count := 0
-	for _, p := range r.reports {
-		if !p.refuted {
+	for l, p := range r.reports {
+		if !p.refuted && !r.toldOtherwise(l) {
 			count++
 		}
 	}
@@ -23,30 +68,30 @@
 // servers lists the instances that ended under the request.
 func (r *request) servers() []string {
 	var list []string
-	for start, p := range r.reports {
-		if !p.refuted {
-			list = append(list, start.Instance)
+	for l, p := range r.reports {
+		if !p.refuted && !r.toldOtherwise(l) {
+			list = append(list, l.Instance)
 		}
 	}
 	slices.Sort(list)
 	return list
 }
 
-// add notes the end of a start, in place of the oldest one if there are too many.
-func (r *request) add(at time.Time, start message.ServerStart, refuted bool) {
+// add notes the end of a life, in place of the oldest one if there are too many.
+func (r *request) add(at time.Time, ended life, refuted bool) {
 	if len(r.reports) >= mostReports {
 		delete(r.reports, r.oldest())
 	}
-	r.reports[start] = &report{at: at, refuted: refuted}
+	r.reports[ended] = &report{at: at, refuted: refuted}
 	r.date()
 }
 
-func (r *request) oldest() message.ServerStart {
-	return slices.MinFunc(slices.Collect(maps.Keys(r.reports)), func(a, b message.ServerStart) int {
+func (r *request) oldest() life {
+	return slices.MinFunc(slices.Collect(maps.Keys(r.reports)), func(a, b life) int {
 		if c := r.reports[a].at.Compare(r.reports[b].at); c != 0 {
 			return c
 		}
-		return compareStarts(a, b)
+		return compareLives(a, b)
 	})
 }
 
@@ -60,15 +105,15 @@
 
 // merge takes in a report that another process told; true means that it was not known.
 func (r *request) merge(at time.Time, m message.CrashReport) bool {
-	start := message.ServerStart{Instance: m.Instance, Incarnation: m.Incarnation}
-	known := r.reports[start]
+	told := life{message.ServerStart{Instance: m.Instance, Incarnation: m.Incarnation}, m.Life}
+	known := r.reports[told]
 	switch {
 	case known == nil:
 		ended := at.Add(-max(0, m.Age))
 		if len(r.reports) >= mostReports && !ended.After(r.reports[r.oldest()].at) {
 			return false // older than all that there is room for
 		}
-		r.add(ended, start, m.Refuted)
+		r.add(ended, told, m.Refuted)
 		return true
 	case m.Refuted && !known.refuted:
 		known.refuted = true
--- a/internal/reducer/quarantine/script_test.go
+++ b/internal/reducer/quarantine/script_test.go
@@ -26,7 +26,8 @@
 // TestScripts runs the files of testdata/scripts. Each line of a block "run" is an event:
 //
 //	forwarder NAME | control NAME	a process that knows nothing
-//	crash NAME REQUEST INSTANCE[@N]	a server ended while it began to work on a request
+//	crash NAME REQUEST INSTANCE[@N] [AGO]	a server ended while it began to work on a request,
+//		on a connection that was opened so long ago
 //	answer NAME REQUEST	a server answered it
 //	tell NAME REPORTER	a process hears all that another one tells
 //	pass FOR	time passes
@@ -63,7 +64,13 @@
 	case "crash":
 		instance, incarnation, _ := strings.Cut(words[3], "@")
 		start := message.ServerStart{Instance: instance, Incarnation: uint64(len(incarnation))}
-		s.show(words[1], out, Reduce(s.processes[words[1]], Crashed{At: s.now, Fingerprint: s.fingerprint(words[2]), Server: start}))
+		crashed := Crashed{At: s.now, Fingerprint: s.fingerprint(words[2]), Server: start}
+		if len(words) > 4 {
+			ago, err := time.ParseDuration(words[4])
+			is.New(t).NoErr(err)
+			crashed.Opened = s.now.Add(-ago)
+		}
+		s.show(words[1], out, Reduce(s.processes[words[1]], crashed))
 	case "answer":
 		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Fingerprint: s.fingerprint(words[2])}))
 	case "tell":
--- a/internal/reducer/quarantine/state.go
+++ b/internal/reducer/quarantine/state.go
@@ -72,12 +72,12 @@
 
 // request is what is known of one request.
 type request struct {
-	reports map[message.ServerStart]*report
+	reports map[life]*report
 	// last is when a server ended under it last, as far as that is not refuted.
 	last time.Time
 }
 
-// report is the end of one start of a server.
+// report is the end of one life of a server.
 type report struct {
 	at      time.Time
 	refuted bool
@@ -142,11 +142,12 @@
 
 func (s *State) crashed(e Crashed) []Effect {
 	r := s.request(e.Fingerprint)
-	if r.reports[e.Server] != nil {
+	ended := r.lifeOf(e.Server, e.Opened)
+	if r.reports[ended] != nil {
 		return nil
 	}
 	before := r.count()
-	r.add(e.At, e.Server, s.answered.recently(e.At, e.Fingerprint))
+	r.add(e.At, ended, s.answered.recently(e.At, e.Fingerprint))
 	return s.changed(e.At, e.Fingerprint, before, true)
 }
 
@@ -213,7 +214,7 @@
 	if len(s.requests) >= mostRequests {
 		s.makeRoom()
 	}
-	r := &request{reports: map[message.ServerStart]*report{}}
+	r := &request{reports: map[life]*report{}}
 	s.requests[fingerprint] = r
 	return r
 }
@@ -239,19 +240,15 @@
 func (s *State) reportsOf(at time.Time, fingerprint Fingerprint) []message.CrashReport {
 	r := s.requests[fingerprint]
 	var list []message.CrashReport
-	for _, start := range slices.SortedFunc(maps.Keys(r.reports), compareStarts) {
+	for _, l := range slices.SortedFunc(maps.Keys(r.reports), compareLives) {
 		list = append(list, message.CrashReport{
-			Fingerprint: uint64(fingerprint), Instance: start.Instance, Incarnation: start.Incarnation,
-			Age: at.Sub(r.reports[start].at), Refuted: r.reports[start].refuted,
+			Fingerprint: uint64(fingerprint), Instance: l.Instance, Incarnation: l.Incarnation, Life: l.number,
+			Age: at.Sub(r.reports[l].at), Refuted: r.reports[l].refuted,
 		})
 	}
 	return list
 }
 
-func compareStarts(a, b message.ServerStart) int {
-	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
 func byFingerprint(reports []message.CrashReport) map[Fingerprint][]message.CrashReport {
 	groups := map[Fingerprint][]message.CrashReport{}
 	for _, m := range reports {
--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -206,7 +206,7 @@
 }
 
 // startCrashSite starts control VMs, forwarders and servers that crash.
-func startCrashSite(t *testing.T) (*routeSite, *fragileFleet, []*ForwarderProcess) {
+func startCrashSite(t *testing.T, servers int) (*routeSite, *fragileFleet, []*ForwarderProcess) {
 	t.Helper()
 	is := is.New(t)
 	s := newRouteSite(t)
@@ -221,7 +221,7 @@
 		t.Cleanup(func() { _ = f.Kill() })
 		forwarders = append(forwarders, f)
 	}
-	fleet := newFragileFleet(t, s, 4)
+	fleet := newFragileFleet(t, s, servers)
 	for i, f := range forwarders {
 		s.eventually("the forwarder is ready", f.Ready)
 		s.eventually("requests are served", func() bool {
@@ -240,14 +240,25 @@
 // forwarder. Proof: at each end the same method, path and body was the only work that
 // the server had not begun to answer, and no server without it ended.
 func TestRequestThatCrashesServers(t *testing.T) {
-	_, fleet, forwarders := startCrashSite(t)
+	_, fleet, forwarders := startCrashSite(t, 4)
 	checkCrashes(t, fleet, forwarders)
 }
 
 // The same while no control VM runs: what one forwarder learns reaches the others all
 // the same.
 func TestRequestThatCrashesServersWithoutControl(t *testing.T) {
-	s, fleet, forwarders := startCrashSite(t)
+	s, fleet, forwarders := startCrashSite(t, 4)
+	for _, ip := range seededControls {
+		s.kill(ip)
+	}
+	checkCrashes(t, fleet, forwarders)
+}
+
+// Symptom: a request ends two servers by turns for as long as it comes. Sequence: no control VM
+// runs, and nobody tells of the new starts of the two. Cause: a server that starts again counts
+// as the start before, so that its further ends add nothing.
+func TestRequestThatCrashesTwoServersWithoutControl(t *testing.T) {
+	s, fleet, forwarders := startCrashSite(t, 2)
 	for _, ip := range seededControls {
 		s.kill(ip)
 	}
@@ -259,7 +270,7 @@
 // on disk; the request goes on coming. Cause: what is known of it is in memory alone.
 func TestHeldRequestStaysHeldAfterARestartOfEverything(t *testing.T) {
 	is := is.New(t)
-	s, fleet, forwarders := startCrashSite(t)
+	s, fleet, forwarders := startCrashSite(t, 4)
 	var load crashingLoad
 	load.run(t.Context(), forwarders, 2*time.Second)
 	before, _ := fleet.later(0)
