pools: a surplus that is sure with a few requests is moved after a few

Cause: a judgement waits for thirty requests of late, which a second forgets 13 in 100 of; while memory is short three or four a second are served, and refused ones tell nothing, so that it came after 35 s, as the load ended. Ruled out: a lower threshold for all; sizes of ten requests differ by a third in their mean. Change: with ten to thirty requests a pool is moved that is off by two standard deviations more than the margin. With thirty nothing is different: no line of the other scripts changed.

--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -28,8 +29,14 @@
 	// settleFor is added to the time in which an engine changes its role before
 	// the pools are judged anew.
 	settleFor = 3 * time.Second
-	// enoughRequests is how many requests must have been seen for a judgement.
+	// enoughRequests is how many requests must have been seen for a judgement of any surplus,
+	// and fewRequests for one that is sure with as few.
 	enoughRequests = 30
+	fewRequests    = 10
+	// sureBy is by how many standard deviations of what is wanted the pool must be off with
+	// fewer than enoughRequests, beyond the margin. Sizes of requests differ by about as much
+	// as their mean.
+	sureBy = 2.0
 	// memory is the weight with which the measures of a second are forgotten:
 	// half of them in about five seconds.
 	memory = 0.87
@@ -240,7 +247,7 @@
 		return nil
 	}
 	work := v.decode()
-	if v.requests < enoughRequests || v.written < enoughWritten || v.prefill+work <= 0 {
+	if v.requests < fewRequests || v.written < enoughWritten || v.prefill+work <= 0 {
 		return nil
 	}
 	prefill, decode := v.pool(oriolebend.Prefill), v.pool(oriolebend.Decode)
@@ -251,7 +258,7 @@
 		PrefillWork: v.prefill, DecodeWork: work, Wanted: wanted,
 	}
 	off := float64(len(prefill)) - wanted
-	margin := max(worthMoving, worthMovingShare*float64(total))
+	margin := max(worthMoving, worthMovingShare*float64(total)) + v.unsureOf(wanted)
 	if off > -margin {
 		v.shortSince = time.Time{}
 	}
@@ -269,6 +276,19 @@
 	return nil
 }
 
+// unsureOf is by how much what is wanted may be off, seen from few requests.
+//
+// While memory is short hardly any request is served, and what is seen of them never comes to
+// enoughRequests: with most of its engines in the wrong pool a service would stay short for as
+// long as it is asked for too much. One notices it by a pool that stands idle for half a minute
+// beside one that is full.
+func (v *service) unsureOf(wanted float64) float64 {
+	if v.requests >= enoughRequests {
+		return 0
+	}
+	return sureBy * wanted / math.Sqrt(v.requests)
+}
+
 // decode is how many engines' worth of decoding the prompts read of late bring. The
 // time that a token takes is applied here, to all of them: before the first answers
 // have ended it is not known.
