placement: sizes of requests that have fallen far behind in a shortage go first

What callers saw: of long prompts and long outputs hardly any is served for as long as memory is short, where all are served every second time. Cause: the large wait alike, and are turned away at a shorter queue; what becomes free goes to whoever fits first. Neither has a bound on what it costs them. Change: how often five classes of sizes are served of late is counted; while one is served less than 0.6 times as often as all, each class is taken to meet a queue as long as it is ahead, and a request of the class behind that fits nowhere has the engine with the most room kept for it, of half of the engines at most.

--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -117,6 +118,24 @@
 	return int(float64(v.limits.Engine.KVTokens) * s.config.Overcommit)
 }
 
+// Roomiest returns the engine with the most room for a generation among those that it may have,
+// and how many these are.
+func Roomiest(s *State, at time.Time, n Need) (instance string, engines int) {
+	service := s.services[n.Service]
+	if service == nil || service.limits.Engine == nil {
+		return "", 0
+	}
+	candidates := s.candidates(Asked{At: at, Need: n})
+	defer s.scratch.clear()
+	least, usable := math.MaxInt, s.usable(at, service, candidates)
+	for _, c := range usable {
+		if c.held < least {
+			instance, least = c.Instance, c.held
+		}
+	}
+	return instance, len(usable)
+}
+
 // untilRoom is when the first of some full servers is worth another try.
 func untilRoom(at time.Time, list []*server) time.Duration {
 	first := retryFull
--- a/internal/reducer/placement/flow.go
+++ b/internal/reducer/placement/flow.go
@@ -18,6 +18,8 @@
 	size float64
 	// ended counts the places that were learnt from.
 	ended int
+	// sizes is how often requests of different sizes were served of late.
+	sizes sizes
 	// nextReturn is when the next refused caller is asked to come back.
 	nextReturn time.Time
 }
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -23,6 +23,8 @@
 	queued bool
 	// returned is set if the caller was refused before.
 	returned bool
+	// class is its class of sizes.
+	class int
 }
 
 // late reports whether the request has missed its target.
@@ -38,6 +40,7 @@
 		q.inTime, q.returned = first, true
 		s.counted.Returned++
 	}
+	q.class = s.flow(e.Need.Service).sizes.of(e.Need.Memory())
 	s.waiting = append(s.waiting, q)
 	return s.serve(e.At)
 }
@@ -56,6 +59,7 @@
 // would wait in vain.
 func (s *State) serve(at time.Time) []Answer {
 	var answers []Answer
+	s.release()
 	s.sort(at)
 	r := round{at: at, ahead: map[string]int{}, inTime: map[string]int{}, tooLarge: map[string]int{}}
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *question) bool {
@@ -95,15 +99,20 @@
 	}
 	ahead, memory := r.ahead[q.need.Service], q.need.Memory()
 	tooLarge, full := r.tooLarge[q.need.Service]
+	first := s.goesFirst(r.at, q)
+	_, kept := s.kept[q.key]
 	// A late one must not take the room that one in time waits for.
-	if (!full || memory < tooLarge) && (ahead == 0 || !q.late(r.at)) {
+	if (!full || memory < tooLarge || kept) && (ahead == 0 || !q.late(r.at)) {
 		if answer, done := s.try(r.at, q); done {
 			return answer, true
 		}
-		if len(q.need.Excluded) == 0 { // to others more engines are open
+		if len(q.need.Excluded) == 0 && !kept { // to others more engines are open
 			r.tooLarge[q.need.Service] = memory
 		}
 	}
+	if first {
+		s.keepEngine(r.at, q)
+	}
 	if s.hopeless(r, q) {
 		s.counted.Hopeless++
 		return s.refuse(r.at, q), true
@@ -119,14 +128,17 @@
 func (s *State) try(at time.Time, q *question) (Answer, bool) {
 	need := q.need
 	need.Waited = true // the forwarder has counted it
+	need.Excluded = s.keptFromOthers(q)
 	switch e := dispatch.Reduce(s.engines, dispatch.Asked{At: at, Need: need})[0].(type) {
 	case dispatch.Granted:
 		s.places[q.key] = place{Grant: e.Grant, since: at}
 		s.flow(need.Service).take(need.Memory())
+		s.flow(need.Service).sizes.settled(at, q.class, true)
 		s.counted.Granted++
+		delete(s.kept, q.key)
 		return Answer{Key: q.key, Grant: &e.Grant}, true
 	case dispatch.Refused:
-		if e.Reason != oriolebend.ReasonNoMemory {
+		if e.Reason != oriolebend.ReasonNoMemory && len(need.Excluded) == len(q.need.Excluded) {
 			return Answer{Key: q.key, Refused: &e}, true
 		}
 	}
@@ -147,7 +159,7 @@
 	case !q.late(r.at):
 		q.queued = true
 		wait, known := service.wait(ahead, inTimeDrain)
-		wait = time.Duration(float64(wait) * service.weight(q.need))
+		wait = time.Duration(float64(wait) * service.weight(q.need) * service.sizes.handicap(q.class))
 		return known && r.at.Add(wait).After(q.inTime)
 	case !q.returned:
 		// Others in time would go first for as long as the peak lasts.
@@ -159,6 +171,12 @@
 	}
 }
 
+// goesFirst reports whether a request is of sizes that have fallen behind, and can still be in
+// time.
+func (s *State) goesFirst(at time.Time, q *question) bool {
+	return !q.late(at) && s.flow(q.need.Service).sizes.behind(q.class)
+}
+
 // inTimeDrain is the share of the memory becoming free that the queue of those in
 // time is taken to get. The rest is lost on pieces too small for the next one and on
 // late ones. With all of it the queue is as long as the target allows, and nearly
@@ -174,6 +192,7 @@
 // refuse refuses a request for lack of memory.
 func (s *State) refuse(at time.Time, q *question) Answer {
 	s.refused.note(at, q)
+	s.flow(q.need.Service).sizes.settled(at, q.class, false)
 	after := s.flow(q.need.Service).returnAfter(at, q.need.Memory())
 	return Answer{Key: q.key, Refused: &dispatch.Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: after}}
 }
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -38,6 +38,8 @@
 	flows map[string]*flow
 	// refused are the calls that were refused and may come back.
 	refused returning
+	// kept names the engines that are kept for requests which wait.
+	kept map[Key]string
 	// arrivals counts questions.
 	arrivals uint64
 	counted  Summary
@@ -60,6 +62,7 @@
 		places:  map[Key]place{},
 		flows:   map[string]*flow{},
 		refused: returning{calls: map[uint64]refusedCall{}},
+		kept:    map[Key]string{},
 	}
 }
 
