--- a/internal/forwarder/notice.go
+++ b/internal/forwarder/notice.go
@@ -101,9 +101,9 @@
 	return response, nil
 }
 
-// own calls an engine's own interface and reads the whole answer, which is short. What the
+// callEngine calls an engine's own interface and reads the whole answer, which is short. What the
 // engine says of itself there counts, but it may leave out there what it says to callers.
-func (f *Forwarder) own(ctx context.Context, server message.BackendServer, r backend.Request) (int, []byte, error) {
+func (f *Forwarder) callEngine(ctx context.Context, server message.BackendServer, r backend.Request) (int, []byte, error) {
 	began := f.now()
 	response, err := f.pool.Do(ctx, server.Address, r)
 	if err != nil {
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -102,7 +102,7 @@
 	}
 	call := s.f.config.Dialect.Hold(s.ask.Prompt+output, time.Duration(limits.HoldWithin))
 	call.Freshness = freshForRepeat
-	status, body, err := s.f.own(calling, s.grant.Server, call)
+	status, body, err := s.f.callEngine(calling, s.grant.Server, call)
 	if err == nil && status == http.StatusOK {
 		s.hold, err = s.f.config.Dialect.HoldResult(body)
 	}
@@ -214,7 +214,7 @@
 	f.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupWithin)
 		defer cancel()
-		if status, _, err := f.own(ctx, engine, call); err != nil || status >= http.StatusBadRequest {
+		if status, _, err := f.callEngine(ctx, engine, call); err != nil || status >= http.StatusBadRequest {
 			f.config.Logger.Info("memory not given back", "address", engine.Address, "target", call.Target, "status", status, "error", err)
 		}
 	})
--- a/internal/reducer/dispatch/notice.go
+++ b/internal/reducer/dispatch/notice.go
@@ -146,8 +146,8 @@
 	return Limit{PerSecond: kept.perSecond, Named: kept.named}, true
 }
 
-// Why is why a server takes nothing from this forwarder now, empty if it does.
-func (s *State) Why(at time.Time, server message.BackendServer) oriolebend.Reason {
+// ClosedReason is why a server takes nothing from this forwarder now, empty if it does.
+func (s *State) ClosedReason(at time.Time, server message.BackendServer) oriolebend.Reason {
 	_, reason := s.closed(at, server)
 	return reason
 }
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -40,7 +40,7 @@
 		q.inTime, q.returned = first, true
 		s.counted.Returned++
 	}
-	q.class = s.flow(e.Need.Service).sizes.of(e.Need.Memory())
+	q.class = s.flow(e.Need.Service).sizes.classOf(e.Need.Memory())
 	s.waiting = append(s.waiting, q)
 	return s.serve(e.At)
 }
--- a/internal/reducer/placement/sizes.go
+++ b/internal/reducer/placement/sizes.go
@@ -44,8 +44,8 @@
 	behindFrom = 0.6
 )
 
-// of returns the class of sizes of a request that asks.
-func (z *sizes) of(memory int) int {
+// classOf returns the class of sizes of a request that asks.
+func (z *sizes) classOf(memory int) int {
 	if z.usual == 0 {
 		z.usual = float64(memory)
 	}
