dispatch: what a start has said outlasts that it was forgotten for a moment

What callers saw: nothing yet; found when the change was read once more. A server that control VMs forgot and told of anew, as the same start, lost what it had said of itself half a minute later: one that leaves got requests again. Cause: the look through what has gone dropped the words of each start that was ever told as gone, whether it was back or not. Why this mends it: the words of a start that is told of are kept; those of one that has left go as before.

--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -86,7 +86,9 @@
 			if at.Sub(since) < goneFor {
 				return false
 			}
-			delete(s.stated, start)
+			if c := s.known(start); c == nil || c.left { // it has not been told of anew
+				delete(s.stated, start)
+			}
 			return true
 		})
 	}
