--- a/internal/peer/questions.go
+++ b/internal/peer/questions.go
@@ -108,6 +108,22 @@
 	return s, nil
 }
 
+// AnswerQuestions answers the questions of a session until it or ctx ends, or a message comes that
+// is no question. The second result of answer is false for one that needs no answer.
+func AnswerQuestions[Q, A message.Message](ctx context.Context, s Stream, answer func(Q) (A, bool)) {
+	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	for {
+		m, err := s.Receive()
+		question, ok := m.(Q)
+		if err != nil || !ok {
+			return
+		}
+		if a, answers := answer(question); answers && s.Send(a) != nil {
+			return
+		}
+	}
+}
+
 // questionSession is one open session.
 type questionSession[Q, A message.Message] struct {
 	questions *Questions[Q, A]
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -101,24 +101,13 @@
 
 // Serve is the peer.Handler for forwarders. A session carries any number of questions.
 func (k *Keeper) Serve(ctx context.Context, s peer.Stream) {
-	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
-	for {
-		m, err := s.Receive()
-		if err != nil {
-			return
-		}
-		asked, ok := m.(message.QuotaAsk)
-		if !ok {
-			return
-		}
+	peer.AnswerQuestions(ctx, s, func(asked message.QuotaAsk) (message.QuotaAnswer, bool) {
 		if asked.Return {
 			k.returned(asked)
-			continue
+			return message.QuotaAnswer{}, false
 		}
-		if err := s.Send(k.answer(asked)); err != nil {
-			return
-		}
-	}
+		return k.answer(asked), true
+	})
 }
 
 func (k *Keeper) returned(asked message.QuotaAsk) {
