--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -246,3 +246,45 @@
 	is.Equal(e.Ran, oriolebend.RanUnknown)
 	is.NoErr(<-gone)
 }
+
+// Guards against a server that does not read its request and has this process hold it until
+// the caller's time is over.
+func TestServerThatReadsNothingIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	pool := NewPool(PoolConfig{})
+	began := time.Now()
+	_, err = pool.Do(t.Context(), listener.Addr().String(), Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 16<<20), Freshness: time.Second,
+	})
+	var lost *Error
+	is.True(errors.As(err, &lost))
+	is.Equal(lost.Ran, oriolebend.RanUnknown)
+	is.True(time.Since(began) < takesWithin+time.Second)
+}
+
+// Guards against an answer that came before its request was read to the end, and that is
+// thrown away with it.
+func TestEarlyAnswerToALongRequestIsTaken(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		<-t.Context().Done()
+		_ = conn.Close()
+	}()
+	response, err := NewPool(PoolConfig{}).Do(t.Context(), listener.Addr().String(), Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 16<<20), Freshness: time.Second,
+	})
+	is.NoErr(err)
+	is.Equal(response.Status, http.StatusRequestEntityTooLarge)
+	response.Close()
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -65,6 +67,8 @@
 	exchange *exchange
 	body     io.ReadCloser
 	closes   bool
+	// length is that of the body, negative if the server does not tell it.
+	length int64
 }
 
 // exchange is one request on one connection.
@@ -116,13 +120,15 @@
 }
 
 func (x *exchange) send(r Request) (*Response, error) {
-	n, err := x.conn.Write(encode(r))
-	x.written = n > 0
+	err := x.write(r)
 	if err != nil && !x.written {
 		return nil, x.lost(oriolebend.RanNo, "write", err)
 	}
 	// A server may answer before it has read the whole request, so a failed
-	// write is no reason not to read.
+	// write is no reason not to read. One that does not read on answers now or never.
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = x.conn.SetReadDeadline(time.Now().Add(answersWithin))
+	}
 	response, readErr := x.read(r)
 	if readErr != nil {
 		return nil, x.lost(oriolebend.RanUnknown, "read the answer", errors.Join(err, readErr))
@@ -133,6 +139,41 @@
 	return response, nil
 }
 
+const (
+	// onePieceBytes is the longest body that is written together with its head, which needs
+	// a copy of it.
+	onePieceBytes = 16 << 10
+	// sendPieceBytes is the most of a body that is written at a time.
+	sendPieceBytes = 32 << 10
+	// takesWithin bounds the writing of a piece. A server that takes less holds the memory of
+	// this process for a request that it will not answer in time.
+	takesWithin = 2 * time.Second
+	// answersWithin is for how long the answer of a server is waited for that has not taken
+	// its request in time: a round trip between failure domains.
+	answersWithin = 100 * time.Millisecond
+)
+
+// write writes the request. A long body is not copied, and its server has to take it at a
+// pace.
+func (x *exchange) write(r Request) error {
+	body := r.Body
+	if len(body) <= onePieceBytes {
+		n, err := x.conn.Write(append(encodeHead(r), body...))
+		x.written = n > 0
+		return err
+	}
+	n, err := x.conn.Write(encodeHead(r))
+	x.written = n > 0
+	for piece := range slices.Chunk(body, sendPieceBytes) {
+		if err != nil {
+			return err
+		}
+		_ = x.conn.SetWriteDeadline(time.Now().Add(takesWithin))
+		_, err = x.conn.Write(piece)
+	}
+	return err
+}
+
 func (x *exchange) lost(ran oriolebend.Ran, detail string, cause error) *Error {
 	return &Error{Reason: oriolebend.ReasonOutcomeLost, Ran: ran, Reused: x.conn.reused, Opened: x.conn.opened, Detail: detail, Cause: cause}
 }
@@ -166,6 +207,7 @@
 			return &Response{
 				Status: answer.StatusCode, Header: answer.Header, exchange: x,
 				body: answer.Body, closes: answer.Close || strays > 0 || unframed(answer),
+				length: bodyLength(r.Method, answer),
 			}, nil
 		}
 		strays++
@@ -183,6 +225,14 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
+// bodyLength is the length of the body that follows a head, negative if it is not known.
+func bodyLength(method string, answer *http.Response) int64 {
+	if method == http.MethodHead {
+		return 0
+	}
+	return answer.ContentLength
+}
+
 // learnIdle takes how long the server keeps unused connections, less a margin
 // for the way there.
 func (x *exchange) learnIdle(h http.Header) {
@@ -199,8 +249,8 @@
 	x.conn.idleFor = time.Duration(float64(seconds) * margin * float64(time.Second))
 }
 
-// encode writes the request in one piece.
-func encode(r Request) []byte {
+// encodeHead writes all of the request but its body.
+func encodeHead(r Request) []byte {
 	var out bytes.Buffer
 	out.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&out) // a buffer takes every write
@@ -208,7 +258,6 @@
 		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(r.Body)
 	return out.Bytes()
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -161,13 +161,20 @@
 	return false
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
-const tcpUserTimeout = 18
+const (
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+	tcpUserTimeout = 18
+	// socketBytes is what the kernel keeps for a server that does not read. Left to itself it
+	// keeps megabytes, which count as memory of the VM.
+	socketBytes = 64 << 10
+)
 
 func (p *Pool) control(_, _ string, raw syscall.RawConn) error {
 	var set error
 	err := raw.Control(func(fd uintptr) {
 		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(p.config.Silence.Milliseconds()))
+		// A kernel that refuses keeps its own bound.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes)
 	})
 	return cmp.Or(err, set)
 }
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -32,9 +32,10 @@
 	}
 	control := http.NewResponseController(c.Response())
 	h.ignoreUnsupported(control.SetReadDeadline(time.Now().Add(h.Caller.BodyTimeout.Or(defaultBodyTimeout))))
-	body, err := io.ReadAll(limited)
+	held, _ := c.Get(heldKey).(*heldbytes.Holding)
+	body, err := held.Read(limited, r.ContentLength)
 	if err != nil {
-		return nil, bodyProblem(err, limit)
+		return nil, bodyProblem(r, err, limit)
 	}
 	// The deadline must go once the body is there: while the answer is written
 	// the server still reads, to notice a caller that leaves, and would take a
@@ -43,20 +44,18 @@
 	return body, nil
 }
 
+// heldKey is where the memory of a request's body stands among the values of its context.
+const heldKey = "held"
+
 // holdBody bounds the memory of all bodies together, from before one is read to
 // the end of its answer. Without it, callers that each stay within the bound of
 // one body could together take all memory of the entry, and every request in
 // progress would be lost with it.
 func (h *handler) holdBody(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c *echo.Context) error {
-		size := c.Request().ContentLength
-		if size < 0 || size > h.Caller.MaxBodyBytes {
-			size = min(h.Caller.MaxBodyBytes, h.Caller.MaxHeldBytes)
-		}
-		if !h.bodies.TryAcquire(size) {
-			return overloadedBodies(c.Request())
-		}
-		defer h.bodies.Release(size)
+		held := h.Held.Open(heldbytes.Request, heldbytes.PeerOf(c.Request().RemoteAddr))
+		defer held.Close()
+		c.Set(heldKey, held)
 		return next(c)
 	}
 }
@@ -81,7 +80,10 @@
 	}
 }
 
-func bodyProblem(err error, limit int64) error {
+func bodyProblem(r *http.Request, err error, limit int64) error {
+	if _, full := errors.AsType[*heldbytes.FullError](err); full {
+		return overloadedBodies(r)
+	}
 	var overLimit *http.MaxBytesError
 	if errors.As(err, &overLimit) {
 		return tooLarge(limit)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -8,8 +9,8 @@
 
 	"github.com/labstack/echo/v5"
 	"github.com/labstack/echo/v5/middleware"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 	"github.com/oriolebend/oriolebend/internal/reducer/entry"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -58,6 +59,9 @@
 	CountTokens func(prompt string) int
 	// Prefix hashes the leading blocks of a prompt; nil means no hashes.
 	Prefix func(model, prompt string) []uint64
+	// Held counts the bodies of requests in progress; nil counts them here.
+	// Caller.MaxHeldBytes goes before it.
+	Held *heldbytes.Account
 	// WriteTimeout ends a caller that takes no output for so long; zero means
 	// 10s.
 	WriteTimeout time.Duration
@@ -66,7 +70,6 @@
 // Defaults of settings.Caller and Config.
 const (
 	defaultBodyBytes    = 8 << 20
-	defaultHeldBytes    = 64 << 20
 	defaultPromptTokens = 65536
 	defaultOutputTokens = 4096
 	// unsaidOutputTokens bounds the output of a request that does not say.
@@ -81,8 +84,6 @@
 	organisations identities
 	operations    map[string]settings.Operation
 	services      map[string]settings.ServiceRoute
-	// bodies is the memory that requests in progress may take.
-	bodies *semaphore.Weighted
 }
 
 // New returns the HTTP handler towards callers.
@@ -107,7 +108,6 @@
 
 func newHandler(c Config) *handler {
 	h := &handler{Config: withDefaults(c)}
-	h.bodies = semaphore.NewWeighted(h.Caller.MaxHeldBytes)
 	h.organisations = newIdentities(c.Organisations)
 	h.operations = map[string]settings.Operation{}
 	for _, o := range c.Operations {
@@ -124,8 +124,8 @@
 	if c.Caller.MaxBodyBytes == 0 {
 		c.Caller.MaxBodyBytes = defaultBodyBytes
 	}
-	if c.Caller.MaxHeldBytes == 0 {
-		c.Caller.MaxHeldBytes = defaultHeldBytes
+	if c.Held == nil || c.Caller.MaxHeldBytes > 0 {
+		c.Held = heldbytes.New(heldbytes.Config{Limit: cmp.Or(c.Caller.MaxHeldBytes, settings.Node{}.HeldBytes())})
 	}
 	if c.Caller.MaxPromptTokens == 0 {
 		c.Caller.MaxPromptTokens = defaultPromptTokens
--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -31,6 +31,7 @@
 	oriolebend.ReasonOverloaded:      {http.StatusServiceUnavailable, "The latency targets can't be met now"},
 	oriolebend.ReasonQueueFull:       {http.StatusServiceUnavailable, "The queue is full"},
 	oriolebend.ReasonNoMemory:        {http.StatusServiceUnavailable, "No KV memory is free in time"},
+	oriolebend.ReasonMemoryShort:     {http.StatusServiceUnavailable, "Too many bytes are held"},
 	oriolebend.ReasonRateLimited:     {http.StatusTooManyRequests, "The organisation is over its share"},
 	oriolebend.ReasonQuota:           {http.StatusTooManyRequests, "The organisation's quota is used up"},
 	oriolebend.ReasonRetryBudget:     {http.StatusServiceUnavailable, "The retry budget is spent"},
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -84,6 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
 	}
+	role.BoundMemory(s.Node)
 	running, err := start(role.Process{Settings: s, Credentials: credentials, Logger: logger})
 	if err != nil {
 		return err
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
+	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -14,10 +16,11 @@
 // result is what one sending of a plain call brought.
 type result struct {
 	grant dispatch.Grant
-	// status, header and body are the server's whole answer, if err is nil.
+	// status, header and body are the server's answer, if err is nil. What there was no
+	// room for of the body is still to be read.
 	status  int
 	header  http.Header
-	body    []byte
+	body    http1.Body
 	verdict Verdict
 	// declined is why a server that has said of itself that it takes less did not run it.
 	declined oriolebend.Reason
@@ -35,7 +38,9 @@
 	return r.err == nil && r.verdict.Signed && r.verdict.Ran != oriolebend.RanNo
 }
 
-// call carries a request whose answer is held whole before it is passed on.
+// call carries a request whose answer is held whole before it is passed on, unless there is
+// no room for it: a caller that reads slowly is then kept waiting for its server, as the
+// memory of this process would not suffice for all such callers.
 //
 // Sendings of an idempotent request overlap: once the first has been out for a
 // part of the target without an answer, a second server is asked beside it, and
@@ -43,6 +48,7 @@
 // noticed only when the caller's time is gone.
 func (w *work) call(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
+	defer w.releaseAnswers()
 	defer cancel()
 	results := make(chan result, max(1, w.route.Attempts))
 	running, refused := w.sendCall(ctx, results)
@@ -56,7 +62,7 @@
 		select {
 		case r := <-results:
 			running--
-			if w.settle(r, &spare) {
+			if w.settle(ctx, r, &spare) {
 				return
 			}
 		case <-w.hedge(running, exhausted):
@@ -102,12 +108,22 @@
 	w.sent++
 	w.tried = append(w.tried, grant.Server.Instance)
 	request := w.outgoing(Sending{Instance: grant.Server.Instance})
-	w.f.background.Go(func() { results <- w.exchange(ctx, grant, request) })
+	held := w.f.config.Held.Open(heldbytes.Answer, grant.Server.Address)
+	w.answers = append(w.answers, held)
+	w.f.background.Go(func() { results <- w.exchange(ctx, grant, request, held) })
 	return 1, nil
 }
 
-// exchange sends a plain call once and reads its whole answer.
-func (w *work) exchange(ctx context.Context, g dispatch.Grant, request backend.Request) result {
+// releaseAnswers gives back the memory of all answers, also of those that are still being
+// read.
+func (w *work) releaseAnswers() {
+	for _, held := range w.answers {
+		held.Close()
+	}
+}
+
+// exchange sends a plain call once and reads its answer.
+func (w *work) exchange(ctx context.Context, g dispatch.Grant, request backend.Request, held *heldbytes.Holding) result {
 	r := result{grant: g}
 	response, err := w.f.send(ctx, g.Server, request)
 	if err != nil {
@@ -117,7 +133,8 @@
 		return r
 	}
 	r.status, r.header = response.Status, response.Header
-	r.body, r.err = response.Whole(w.f.config.MaxAnswerBytes)
+	body, err := response.Hold(held, w.f.config.MaxAnswerBytes)
+	r.body, r.err = body, err
 	if r.err != nil {
 		w.brokeEarly(g.Server, r.err)
 		w.ended(g, outcomeOf(r.err), 0)
@@ -149,9 +166,9 @@
 // settle takes a result in. It returns true once the request is answered; an
 // answer that tells of a failure is kept aside while another server may do
 // better.
-func (w *work) settle(r result, spare **result) bool {
+func (w *work) settle(ctx context.Context, r result, spare **result) bool {
 	if r.good() {
-		w.pass(r)
+		w.pass(ctx, r)
 		return true
 	}
 	w.note(r)
@@ -167,6 +184,9 @@
 	switch {
 	case r.err != nil:
 		reason = reasonOf(r.err)
+		if reason == oriolebend.ReasonMemoryShort {
+			w.passedOver(reason)
+		}
 		w.mayHaveRun(ranOf(r.err))
 	case r.verdict.Ran == oriolebend.RanNo:
 		reason = cmp.Or(r.declined, oriolebend.ReasonQueueFull)
@@ -181,16 +201,39 @@
 	w.logSending(r.grant, "sending brought no success", r.status, reason, r.err)
 }
 
+// passedOver takes in that a sending was not made, as its server has not taken yet what it was
+// sent before: another one can be asked. Where all are like that, the request ends.
+func (w *work) passedOver(reason oriolebend.Reason) {
+	w.declined = reason
+	if w.passes++; w.passes <= mostPlaces {
+		w.sent--
+	}
+}
+
 // pass gives the caller the server's answer.
-func (w *work) pass(r result) {
+func (w *work) pass(ctx context.Context, r result) {
 	if r.good() {
 		w.f.config.Quarantine.Answered(w.fingerprint)
 	}
-	w.answer.Whole(r.status, r.header, r.body)
+	if err := w.answer.From(r.status, r.header, r.body); err != nil {
+		w.brokenOff(ctx, r, err)
+		return
+	}
+	if !w.answer.Reached() {
+		w.f.config.Observer.Count("givenUp", oriolebend.ReasonCallerCancelled, "")
+	}
 	w.log(r.status, "", oriolebend.RanYes)
 	w.f.config.Observer.Observe("answer", urgency(w.route), time.Since(w.request.Received).Seconds())
 }
 
+// brokenOff takes in that a server broke off an answer that was passed on as it came. The
+// caller sees that it is not whole.
+func (w *work) brokenOff(ctx context.Context, r result, err error) {
+	w.mayHaveRun(oriolebend.RanUnknown)
+	w.logSending(r.grant, "answer broken off", r.status, reasonOf(err), err)
+	w.giveUp(ctx, reasonOf(err), 0)
+}
+
 // abandoned ends a request whose time is over or whose caller has left.
 func (w *work) abandoned(ctx context.Context) {
 	w.mayHaveRun(oriolebend.RanUnknown)
@@ -200,7 +243,7 @@
 // conclude answers a request that no server answered with success.
 func (w *work) conclude(ctx context.Context, spare *result) {
 	if spare != nil {
-		w.pass(*spare)
+		w.pass(ctx, *spare)
 		return
 	}
 	reason := oriolebend.ReasonOutcomeLost
@@ -217,6 +260,10 @@
 // lack of room: their queues are short.
 const retryRefused = 100 * time.Millisecond
 
+// retryHeld is when a caller may come back whose request is longer than servers take now: one
+// that takes nothing is given up within a few seconds.
+const retryHeld = time.Second
+
 // giveUpSoon answers a request that no server served. Its caller may come back soon, or once
 // the first server takes something if none does now.
 func (w *work) giveUpSoon(ctx context.Context, reason oriolebend.Reason) {
@@ -224,7 +271,11 @@
 		w.giveUp(ctx, refused.reason, max(refused.after, retryRefused))
 		return
 	}
-	w.giveUp(ctx, reason, retryRefused)
+	after := retryRefused
+	if reason == oriolebend.ReasonMemoryShort {
+		after = retryHeld
+	}
+	w.giveUp(ctx, reason, after)
 }
 
 // urgency sorts routes for the metrics: streams are long work.
--- a/internal/forwarder/ended.go
+++ b/internal/forwarder/ended.go
@@ -112,7 +112,7 @@
 		return // it answered otherwise, the caller left, or nothing was sent
 	}
 	w.f.background.Go(func() {
-		if w.f.hasEnded(server) {
+		if w.f.hasEnded(server) && !w.crowded(server) {
 			w.f.config.Quarantine.Crashed(w.fingerprint, server, broke.Opened)
 		}
 	})
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -8,6 +8,8 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 )
 
 // event is one whole event of a stream.
@@ -21,13 +23,41 @@
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
+// usualEventBytes is how long events are as a rule; only what is beyond counts as held.
+const usualEventBytes = 4 << 10
+
 // eventReader cuts a stream into events.
 type eventReader struct {
 	reader *bufio.Reader
+	// held is the memory of an event that is longer than usual, counted how much of it.
+	held    *heldbytes.Holding
+	counted int
+}
+
+func newEventReader(r io.Reader, held *heldbytes.Holding) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), held: held}
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+// hold counts the bytes of the event that is being read.
+func (e *eventReader) hold(length int) error {
+	more := length - usualEventBytes - e.counted
+	if more <= 0 {
+		return nil
+	}
+	more = max(more, usualEventBytes)
+	if err := e.held.Grow(int64(more)); err != nil {
+		return err
+	}
+	e.counted += more
+	return nil
+}
+
+// release gives back the memory of the event before.
+func (e *eventReader) release() {
+	if e.counted > 0 {
+		e.held.Shrink(int64(e.counted))
+		e.counted = 0
+	}
 }
 
 // LongEventError is an event over the bound.
@@ -39,6 +69,7 @@
 // next returns the next whole event. The error is io.EOF at the proper end of a
 // stream, and io.ErrUnexpectedEOF if it ended in the middle of an event.
 func (e *eventReader) next() (event, error) {
+	e.release()
 	var current event
 	begin := 0 // of the line that is being read
 	for {
@@ -47,6 +78,9 @@
 		if len(current.raw) > maxEventBytes {
 			return event{}, &LongEventError{Most: maxEventBytes}
 		}
+		if err := e.hold(len(current.raw)); err != nil {
+			return event{}, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
@@ -49,9 +50,11 @@
 	// Current reports whether the routing in force is known to be the newest, as of a few
 	// seconds ago; nil means that it always is.
 	Current func() bool
-	// MaxAnswerBytes bounds the answers of plain calls, which are held whole;
-	// zero means 16 MiB.
+	// MaxAnswerBytes bounds what is held of the answer of a plain call; the rest is passed on
+	// as it comes. Zero means 16 MiB.
 	MaxAnswerBytes int64
+	// Held counts the answers that are held, beside the bodies of requests; nil counts nothing.
+	Held *heldbytes.Account
 }
 
 const defaultMaxAnswerBytes = 16 << 20
@@ -75,6 +78,7 @@
 
 	patience patience
 	endings  endings
+	crowds   crowds
 
 	background sync.WaitGroup
 }
@@ -99,6 +103,7 @@
 		routed:    make(chan struct{}),
 		known:     map[string]int{},
 		addresses: map[string]string{},
+		crowds:    crowds{most: int64(heldbytes.DefaultPeerShare * float64(c.Held.Limit()))},
 	}
 }
 
@@ -177,6 +182,7 @@
 
 // Expire closes connections to servers that are not in use.
 func (f *Forwarder) Expire() {
+	f.crowds.expire()
 	f.pool.Expire(func(address string) bool {
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -52,20 +52,26 @@
 // newSite declares three routes to the service "s": /safe/ may be repeated,
 // /once/ may not, and /stream/ is a resumable stream; "cut" is a stream that may
 // not be resumed. kv makes the service one of engines.
-func newSite(t *testing.T, kv int) *site {
+func newSite(t *testing.T, kv int, options ...func(*Config)) *site {
 	t.Helper()
 	is := is.New(t)
 	c := &counts{seen: map[string]int{}}
 	log := &recorder{}
 	logger, err := logging.New(settings.Log{Format: "json"}, log)
 	is.NoErr(err)
-	f := New(Config{
+	config := Config{
 		Dialect: Own{}, Dispatch: dispatch.Config{FailureDomain: "a", Seed: 1, RetrySlack: 1000}, Observer: c,
 		Logger: logger,
-	})
+	}
+	for _, set := range options {
+		set(&config)
+	}
+	f := New(config)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	s := &site{t: t, forwarder: f, counts: c, log: log, callers: http1.Serve(listener, http1.Config{Handler: f.Serve, Limits: f.Limits})}
+	s := &site{t: t, forwarder: f, counts: c, log: log, callers: http1.Serve(listener, http1.Config{
+		Handler: f.Serve, Limits: f.Limits, Held: config.Held,
+	})}
 	t.Cleanup(s.callers.Close)
 	target := []oriolebend.RouteTarget{{Service: "s", Weight: 1}}
 	route := func(name string, repeat oriolebend.RepeatRule, stream bool, attempts int) oriolebend.Route {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
+	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -121,7 +123,7 @@
 		s.mayHaveRun(ranOf(err))
 		s.logSending(s.grant, "stream not begun", 0, reasonOf(err), err)
 		s.freeResult(source)
-		return ending{reason: reasonOf(err)}
+		return ending{reason: reasonOf(err), unsent: reasonOf(err) == oriolebend.ReasonMemoryShort}
 	}
 	defer response.Close()
 	verdict := s.f.config.Dialect.Judge(response.Status, response.Header, s.grant.Server.Instance)
@@ -131,7 +133,7 @@
 	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved && s.mayRepeat(ctx) {
 		return s.decodeAgain(ctx, response)
 	}
-	return s.notStreaming(response, verdict)
+	return s.notStreaming(ctx, response, verdict)
 }
 
 // mayRepeat reports whether the request may be sent to the same server once more. The
@@ -155,10 +157,10 @@
 }
 
 // notStreaming takes in an answer that is not the stream.
-func (s *sending) notStreaming(response *backend.Response, verdict Verdict) ending {
+func (s *sending) notStreaming(ctx context.Context, response *backend.Response, verdict Verdict) ending {
 	body, err := response.Whole(maxSmallBytes)
 	r := result{
-		grant: s.grant, status: response.Status, header: response.Header, body: body,
+		grant: s.grant, status: response.Status, header: response.Header, body: (*http1.Bytes)(&body),
 		verdict: verdict, declined: s.f.declined(s.grant.Server, verdict), err: err,
 	}
 	s.ended(s.grant, r.outcome(), 0)
@@ -168,7 +170,7 @@
 	}
 	final := !s.route.Repeat.Repeatable() || s.sent >= s.route.Attempts
 	if r.passable() && final && !s.answer.Begun() {
-		s.pass(r)
+		s.pass(ctx, r)
 		return ending{done: true}
 	}
 	return ending{reason: oriolebend.ReasonEngineFailed}
@@ -178,7 +180,9 @@
 // may stop in the middle of one, and another server then goes on behind the
 // last whole one.
 func (s *sending) pump(response *backend.Response) ending {
-	events := newEventReader(response)
+	held := s.f.config.Held.Open(heldbytes.Answer, s.grant.Server.Address)
+	defer held.Close()
+	events := newEventReader(response, held)
 	last := time.Now()
 	for {
 		event, err := events.next()
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
@@ -39,12 +40,17 @@
 	// returned is set if the caller seems to have been refused before.
 	returned bool
 
+	// answers are the memory of answers to its sendings.
+	answers []*heldbytes.Holding
+
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
 	tried []string
 	// declined is why the last server that refused it did, if it had said of itself that it
 	// takes less.
 	declined oriolebend.Reason
+	// passes counts the servers that could not be sent it, as they take too slowly.
+	passes int
 	// prefills counts the prefills that were asked for in vain, before a sending that
 	// was not made. A second one counts as a repeat.
 	prefills int
@@ -161,6 +167,8 @@
 	switch reasonOf(err) {
 	case oriolebend.ReasonCallerCancelled:
 		return dispatch.OutcomeCancelled
+	case oriolebend.ReasonMemoryShort:
+		return dispatch.OutcomeWithheld // nothing was sent
 	}
 	return dispatch.OutcomeBroken
 }
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -12,7 +15,37 @@
 // writeWithin bounds one write to a caller that does not read.
 const writeWithin = 10 * time.Second
 
-// Answer is the answer to one request: Whole, or Begin, any number of Write,
+// pieceBytes is the most of a whole answer that is written at a time: a caller that takes
+// less within writeWithin is cut off, and one that takes more gets its answer, however long
+// that lasts.
+const pieceBytes = 32 << 10
+
+// Body is the body of an answer, part by part.
+type Body interface {
+	// Length is that of all parts together, negative if it is not known.
+	Length() int64
+	// Next returns the next part, which holds until the next call. The error is io.EOF
+	// behind the last part of a whole body.
+	Next() ([]byte, error)
+}
+
+// Bytes is a body in one part.
+type Bytes []byte
+
+// Length implements Body.
+func (b *Bytes) Length() int64 { return int64(len(*b)) }
+
+// Next implements Body.
+func (b *Bytes) Next() ([]byte, error) {
+	if len(*b) == 0 {
+		return nil, io.EOF
+	}
+	part := *b
+	*b = nil
+	return part, nil
+}
+
+// Answer is the answer to one request: Whole or From, or Begin, any number of Write,
 // and End. An answer that is begun and not ended is cut.
 type Answer struct {
 	conn    net.Conn
@@ -36,12 +69,71 @@
 		out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	if !a.head {
+	if a.head {
+		body = nil
+	}
+	if len(body) <= pieceBytes {
 		out.Write(body)
+		body = nil
 	}
-	a.ended = a.send(out.Bytes())
+	a.ended = a.send(out.Bytes()) && a.sendPieces(body)
 }
 
+// sendPieces writes what may be too long for one write.
+func (a *Answer) sendPieces(data []byte) bool {
+	for piece := range slices.Chunk(data, pieceBytes) {
+		if !a.send(piece) {
+			return false
+		}
+	}
+	return !a.failed
+}
+
+// From sends an answer part by part. The error is that of the body; one of the caller's
+// connection is told by Reached.
+func (a *Answer) From(status int, header http.Header, body Body) error {
+	first, err := body.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	length := body.Length()
+	if errors.Is(err, io.EOF) || length == int64(len(first)) {
+		a.Whole(status, header, first)
+		return nil
+	}
+	if length < 0 {
+		a.Begin(status, header)
+		return a.copyParts(first, body, a.Write, a.End)
+	}
+	a.begun = true
+	var head bytes.Buffer
+	a.writeHead(&head, status, header)
+	head.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n\r\n")
+	a.send(head.Bytes())
+	return a.copyParts(first, body, a.sendPieces, func() { a.ended = !a.failed })
+}
+
+// copyParts writes all parts, and ends the answer behind the last one.
+func (a *Answer) copyParts(part []byte, body Body, write func([]byte) bool, end func()) error {
+	for {
+		if !write(part) {
+			return nil
+		}
+		next, err := body.Next()
+		if errors.Is(err, io.EOF) {
+			end()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		part = next
+	}
+}
+
+// Reached reports whether the caller took all that was written so far.
+func (a *Answer) Reached() bool { return !a.failed }
+
 // Begin sends the head of an answer whose length is not known.
 func (a *Answer) Begin(status int, header http.Header) bool {
 	a.begun, a.streaming = true, true
--- a/internal/http1/connection.go
+++ b/internal/http1/connection.go
@@ -8,9 +8,13 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // readerBytes is the read buffer of a connection. Longer header lines and
@@ -44,10 +48,15 @@
 
 	mutex sync.Mutex
 	phase phase
+	// idleSince is when the phase began, if it is phaseIdle.
+	idleSince time.Time
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	return &connection{server: s, conn: conn, reader: bufio.NewReaderSize(conn, readerBytes), phase: phaseIdle}
+	return &connection{
+		server: s, conn: conn, reader: bufio.NewReaderSize(conn, readerBytes),
+		phase: phaseIdle, idleSince: time.Now(),
+	}
 }
 
 // enter moves the connection on; it returns false if it was closed meanwhile.
@@ -58,17 +67,32 @@
 		return false
 	}
 	c.phase = p
+	if p == phaseIdle {
+		c.idleSince = time.Now()
+	}
+	return true
+}
+
+// closeIdle closes a connection between two requests; false means that it is at one.
+func (c *connection) closeIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == phaseBusy {
+		return false
+	}
+	c.phase = phaseClosed
+	_ = c.conn.Close()
 	return true
 }
 
-// closeIdle closes a connection between two requests.
-func (c *connection) closeIdle() {
+// idle is for how long the connection has lain between two requests, zero if it does not.
+func (c *connection) idle() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase == phaseIdle {
-		c.phase = phaseClosed
-		_ = c.conn.Close()
+	if c.phase != phaseIdle {
+		return 0
 	}
+	return time.Since(c.idleSince)
 }
 
 // serve answers requests until the connection ends.
@@ -132,14 +156,16 @@
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	body, err := readBody(c.reader, h, limits.MaxBodyBytes)
+	held := c.server.config.Held.Open(heldbytes.Request, heldbytes.PeerOf(c.conn.RemoteAddr().String()))
+	body, err := readBody(c.reader, h, limits.MaxBodyBytes, held)
 	if err != nil {
+		held.Close()
 		return nil, false, timeoutError(err, "body")
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	request := &Request{
 		Method: h.request.Method, Target: h.target, Host: h.request.Host,
-		Header: h.request.Header, Body: body, Received: received,
+		Header: h.request.Header, Body: body, Received: received, held: held,
 	}
 	return request, keeps(h.request), nil
 }
@@ -162,6 +188,7 @@
 func (c *connection) answer(request *Request, keep bool) (bool, <-chan error) {
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
+	defer request.held.Close()
 	ctx, cancel := context.WithCancelCause(c.server.ctx)
 	defer cancel(nil)
 	waiting := make(chan error, 1)
@@ -182,16 +209,46 @@
 // unread bytes resets the connection, and the refusal could be lost with it.
 const lingerFor = 200 * time.Millisecond
 
-// refuse answers a request that can't be read. After a connection that simply
-// ended there is nobody to answer.
+// retryHeld is when a caller may come back whose body there was no room for: bodies are
+// sent and answered within a few seconds.
+const retryHeld = time.Second
+
+// refusal tells how a request that was not read is answered. After a connection that simply
+// ended there is nobody to answer, and the status is zero.
+func refusal(err error) Refusal {
+	if full, ok := errors.AsType[*heldbytes.FullError](err); ok {
+		return Refusal{
+			Status: http.StatusServiceUnavailable, Reason: oriolebend.ReasonMemoryShort,
+			Detail: full.Error(), RetryAfter: retryHeld,
+		}
+	}
+	syntax, ok := errors.AsType[*SyntaxError](err)
+	if !ok {
+		return Refusal{}
+	}
+	reason := oriolebend.ReasonMalformed
+	switch syntax.Status {
+	case http.StatusRequestTimeout:
+		reason = oriolebend.ReasonDeadline
+	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		reason = oriolebend.ReasonTooLarge
+	}
+	return Refusal{Status: syntax.Status, Reason: reason, Detail: syntax.Detail}
+}
+
+// refuse answers a request that was not read.
 func (c *connection) refuse(err error) {
-	var syntax *SyntaxError
-	if !errors.As(err, &syntax) {
+	r := refusal(err)
+	if r.Status == 0 {
 		return
 	}
-	c.server.config.Refused(syntax.Status, syntax.Detail)
+	c.server.config.Refused(r)
+	header := http.Header{"Content-Type": {"text/plain"}}
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
 	a := &Answer{conn: c.conn, closing: &c.server.closing}
-	a.Whole(syntax.Status, http.Header{"Content-Type": {"text/plain"}}, []byte(syntax.Detail+"\n"))
+	a.Whole(r.Status, header, []byte(r.Detail+"\n"))
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
--- /dev/null
+++ b/internal/http1/held_test.go
@@ -0,0 +1,162 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const longBody = 100 << 10
+
+// Guards against uploads that each stay within their bound and together take all memory:
+// those beyond the bound are refused before they are read, and pings never.
+func TestLongBodiesAreRefusedWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	account := heldbytes.New(heldbytes.Config{Limit: 2 * longBody})
+	var refused atomic.Pointer[Refusal]
+	begun, release := make(chan struct{}), make(chan struct{})
+	_, dial := startServer(t, Config{
+		Held:    account,
+		Refused: func(r Refusal) { refused.Store(&r) },
+		Handler: func(_ context.Context, r *Request, a *Answer) {
+			if r.Path() == "/slow" {
+				close(begun)
+				<-release
+			}
+			a.Whole(http.StatusOK, http.Header{}, []byte(r.Path()))
+		},
+	})
+	send := func(path string, length int) (net.Conn, *bufio.Reader) {
+		conn := dial()
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, make([]byte, length))
+		is.NoErr(err)
+		return conn, bufio.NewReader(conn)
+	}
+	_, slow := send("/slow", longBody)
+	<-begun
+	is.Equal(account.Held(heldbytes.Request), int64(longBody))
+	_, second := send("/second", longBody)
+	answer, err := http.ReadResponse(second, nil)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(answer.Header.Get("Retry-After"), "1.000")
+	is.Equal(refused.Load().Reason, oriolebend.ReasonMemoryShort)
+	_, ping := send("/ping", 100)
+	answer, err = http.ReadResponse(ping, nil)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	close(release)
+	answer, err = http.ReadResponse(slow, nil)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	for began := time.Now(); account.Held(heldbytes.Request) != 0; time.Sleep(time.Millisecond) {
+		is.True(time.Since(began) < 5*time.Second) // bytes stay held
+	}
+}
+
+// Guards against an upload that never ends and keeps its memory.
+func TestUnendedBodyGivesItsMemoryBack(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 100000", "Transfer-Encoding: chunked"} {
+		t.Run(framing, func(t *testing.T) {
+			is := is.New(t)
+			account := heldbytes.New(heldbytes.Config{Limit: 4 * longBody})
+			limits := Limits{HeaderTimeout: 100 * time.Millisecond}
+			_, dial := startServer(t, Config{Handler: echo, Held: account, Limits: func() Limits { return limits }})
+			conn := dial()
+			_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n%x\r\n%s", framing, longBody, make([]byte, longBody/2))
+			is.NoErr(err)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, http.StatusRequestTimeout)
+			is.Equal(account.Held(heldbytes.Request), int64(0))
+		})
+	}
+}
+
+// parts is a body in parts; one that ends with an error is not whole.
+type parts struct {
+	length int64
+	left   []string
+	end    error
+}
+
+func (p *parts) Length() int64 { return p.length }
+
+func (p *parts) Next() ([]byte, error) {
+	if len(p.left) == 0 {
+		return nil, p.end
+	}
+	part := p.left[0]
+	p.left = p.left[1:]
+	return []byte(part), nil
+}
+
+// Guards against an answer that is passed on as it comes, ends early and looks whole.
+func TestAnswerInParts(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		body   parts
+		status int
+		text   string
+		cut    bool
+	}{
+		{name: "known length", body: parts{length: 8, left: []string{"half", "half"}, end: io.EOF}, status: 200, text: "halfhalf"},
+		{name: "unknown length", body: parts{length: -1, left: []string{"half", "half"}, end: io.EOF}, status: 200, text: "halfhalf"},
+		{name: "one part", body: parts{length: 4, left: []string{"half"}, end: io.EOF}, status: 200, text: "half"},
+		{name: "nothing", body: parts{length: 0, end: io.EOF}, status: 200},
+		{name: "broken off", body: parts{length: 8, left: []string{"half"}, end: io.ErrUnexpectedEOF}, status: 200, text: "half", cut: true},
+		{name: "broken off, unknown length", body: parts{length: -1, left: []string{"half"}, end: io.ErrUnexpectedEOF}, status: 200, text: "half", cut: true},
+		{name: "broken off at once", body: parts{length: 8, end: io.ErrUnexpectedEOF}, status: 502},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, dial := startServer(t, Config{Handler: func(_ context.Context, _ *Request, a *Answer) {
+				if err := a.From(http.StatusOK, http.Header{}, &test.body); err != nil && !a.Begun() {
+					a.Whole(http.StatusBadGateway, http.Header{}, nil)
+				}
+			}})
+			conn := dial()
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, test.status)
+			text, err := io.ReadAll(answer.Body)
+			is.Equal(err != nil, test.cut)
+			is.True(strings.HasPrefix(test.text, string(text)))
+			is.True(test.cut || string(text) == test.text)
+		})
+	}
+}
+
+// Guards against idle connections that shut all other callers out.
+func TestNewConnectionTakesThePlaceOfAnIdleOne(t *testing.T) {
+	is := is.New(t)
+	s, dial := startServer(t, Config{Handler: echo, MaxConnections: 3})
+	oldest := dial()
+	for range 5 {
+		time.Sleep(5 * time.Millisecond)
+		conn := dial()
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(answer.StatusCode, http.StatusOK)
+	}
+	_, err := oldest.Read(make([]byte, 1))
+	is.True(errors.Is(err, io.EOF)) // it was closed properly
+	is.True(s.Connections() <= 3)
+}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -16,6 +16,8 @@
 	"net/http/httputil"
 	"strings"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 )
 
 // Request is one whole request of a caller.
@@ -28,6 +30,9 @@
 	Body   []byte
 	// Received is when its first line had been read.
 	Received time.Time
+
+	// held is the memory that the body takes.
+	held *heldbytes.Holding
 }
 
 // Path is the target without its query.
@@ -159,20 +164,16 @@
 }
 
 // readBody reads the whole body.
-func readBody(r *bufio.Reader, h head, most int64) ([]byte, error) {
+func readBody(r *bufio.Reader, h head, most int64, held *heldbytes.Holding) ([]byte, error) {
 	if h.length > most {
 		return nil, tooLarge(most)
 	}
 	if h.length >= 0 {
-		body := make([]byte, h.length)
-		if _, err := io.ReadFull(r, body); err != nil {
-			return nil, err
-		}
-		return body, nil
+		return held.Read(r, h.length)
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), most+1))
+	body, err := held.Read(io.LimitReader(httputil.NewChunkedReader(r), most+1), -1)
 	if err != nil {
-		if errors.Is(err, io.ErrUnexpectedEOF) {
+		if _, full := errors.AsType[*heldbytes.FullError](err); full || errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil, err
 		}
 		return nil, malformed("chunks", err)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -8,7 +8,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Limits bounds what a caller may send.
@@ -50,15 +54,43 @@
 	// Limits returns the bounds in force; nil means DefaultLimits.
 	Limits func() Limits
 	Logger *slog.Logger
-	// Refused is told of requests that can't be read; nil is told nothing.
-	Refused func(status int, detail string)
+	// Refused is told of requests that were not read; nil is told nothing.
+	Refused func(Refusal)
 	// MaxConnections bounds open connections; zero means 3,000, under the
-	// 4,096 descriptors that small VMs allow.
+	// 4,096 descriptors that small VMs allow. Beyond it a new connection takes the place of
+	// the one that has lain idle for longest.
 	MaxConnections int
+	// Held counts the bodies of requests; nil counts nothing.
+	Held *heldbytes.Account
+}
+
+// Refusal tells how a request that was not read was answered.
+type Refusal struct {
+	Status int
+	Reason oriolebend.Reason
+	Detail string
+	// RetryAfter is when the caller may come back, zero if that will not help it.
+	RetryAfter time.Duration
 }
 
 const defaultMaxConnections = 3000
 
+// socketBytes is what the kernel keeps of a connection for a peer that does not send or read
+// on. Left to itself it keeps megabytes, which count as memory of the VM.
+const socketBytes = 64 << 10
+
+// Listen opens a port for callers whose connections take little memory of the kernel.
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// A kernel that refuses keeps its own bounds.
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes)
+		})
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // Server accepts callers' connections.
 type Server struct {
 	config   Config
@@ -87,7 +119,7 @@
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	if c.Refused == nil {
-		c.Refused = func(int, string) {}
+		c.Refused = func(Refusal) {}
 	}
 	c.MaxConnections = cmp.Or(c.MaxConnections, defaultMaxConnections)
 	s := &Server{config: c, listener: listener, connections: map[*connection]struct{}{}}
@@ -120,16 +152,36 @@
 	}
 }
 
+// keep notes a new connection; false means that there is no room for it.
 func (s *Server) keep(c *connection) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.ctx.Err() != nil || len(s.connections) >= s.config.MaxConnections {
+	if s.ctx.Err() != nil || (len(s.connections) >= s.config.MaxConnections && !s.closeLongestIdle()) {
 		return false
 	}
 	s.connections[c] = struct{}{}
 	return true
 }
 
+// closeLongestIdle makes room for a connection; false means that all are at work. The mutex
+// is held.
+//
+// Callers that open connections and leave them idle would otherwise shut all others out.
+func (s *Server) closeLongestIdle() bool {
+	var longest *connection
+	var most time.Duration
+	for c := range s.connections {
+		if idle := c.idle(); idle > most {
+			longest, most = c, idle
+		}
+	}
+	if longest == nil || !longest.closeIdle() {
+		return false
+	}
+	delete(s.connections, longest)
+	return true
+}
+
 func (s *Server) forget(c *connection) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/role/controlprocess.go
+++ b/internal/role/controlprocess.go
@@ -237,7 +237,7 @@
 		Registry:      c.process.metrics.Registerer(),
 		Logger:        c.process.Logger,
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	server := &http.Server{Handler: c.process.Guard(handler), ReadHeaderTimeout: operatorHeaderTimeout}
 	if c.process.Operators != nil {
 		c.operators = serveOn(c.process.Operators, server, c.process.Logger)
 		return nil
--- a/internal/role/entryprocess.go
+++ b/internal/role/entryprocess.go
@@ -64,6 +64,7 @@
 	handler := caller.New(caller.Config{
 		Router:        e,
 		Caller:        p.Settings.Caller,
+		Held:          p.Held,
 		Organisations: p.Settings.Organisations,
 		Operations:    p.Settings.Operations,
 		Services:      p.Settings.Services,
--- a/internal/role/forwarderprocess.go
+++ b/internal/role/forwarderprocess.go
@@ -1,10 +1,10 @@
 package role
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -93,6 +93,7 @@
 		Current:    func() bool { return process.follower.InTouch() },
 		Observer:   p.observer(),
 		Logger:     p.Logger,
+		Held:       p.Held,
 	})
 	process.follower = &routewatch.Follower{
 		Dialer: endpoint,
@@ -140,7 +141,8 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", p.process.Settings.Forward.Listen)
+	s := p.process.Settings
+	listener, err := http1.Listen(s.Forward.Listen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for callers: %w", err), p.metrics.close())
 	}
@@ -148,14 +150,19 @@
 		Handler:        p.forwarder.Serve,
 		Limits:         p.forwarder.Limits,
 		Logger:         p.process.Logger,
-		MaxConnections: p.process.Settings.Forward.MaxConnections,
-		Refused: func(status int, detail string) {
-			p.process.Logger.Info("request not readable", "status", status, "detail", detail)
-		},
+		MaxConnections: cmp.Or(s.Forward.MaxConnections, s.Node.Connections()),
+		Held:           p.process.Held,
+		Refused:        p.refused,
 	})
 	return nil
 }
 
+// refused takes in a request that was not read.
+func (p *ForwarderProcess) refused(r http1.Refusal) {
+	p.process.observer().Count("refusal", r.Reason, "")
+	p.process.Logger.Info("request not read", "status", r.Status, "reason", r.Reason, "detail", r.Detail)
+}
+
 func (p *ForwarderProcess) publish() {
 	gauge := p.process.metrics.Gauge
 	gauge("routing_version", "Version of the routing in force.", func() float64 { return float64(p.forwarder.Version()) })
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
@@ -32,6 +33,9 @@
 	// Observer takes counts and measures in place of the role's metrics; nil
 	// means those.
 	Observer Observer
+	// Held counts the bytes of bodies that the process holds; nil has it count them with the
+	// bound of its settings.
+	Held *heldbytes.Account
 	// Orders gives orders to the model engines of routes; nil leaves them as
 	// they are. Only control VMs use it.
 	Orders EngineOrders
@@ -52,6 +56,10 @@
 		organisations = append(organisations, o.Name)
 	}
 	p.metrics = metrics.New(metrics.Config{Role: role, Node: node, Organisations: organisations, Logger: p.Logger})
+	if p.Held == nil {
+		p.Held = heldbytes.New(heldbytes.Config{Limit: p.Settings.Node.HeldBytes()})
+	}
+	p.publishHeld()
 	return p
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,6 +34,7 @@
 	f.address("operator.listen", s.Operator.Listen)
 	f.address("metrics.listen", s.Metrics.Listen)
 	f.portClash(s)
+	f.node(s.Node)
 	f.caller(s.Caller)
 	f.forward(s.Forward)
 	f.seeds(s.Control)
@@ -46,6 +47,15 @@
 	f.dev(s)
 }
 
+// node checks the memory of a process.
+func (f *faults) node(n Node) {
+	atLeast(f, "node.memoryMB", n.MemoryMB, 0)
+	atLeast(f, "node.maxHeldBytes", n.MaxHeldBytes, 0)
+	if n.MemoryMB > 0 && n.MaxHeldBytes > n.bytes() {
+		f.add("node.maxHeldBytes", CodeClash, "more than the process may use (node.memoryMB is %d)", n.MemoryMB)
+	}
+}
+
 // enum checks a value that may be left out.
 func (f *faults) enum(key, value string, values []string) {
 	if value != "" && !slices.Contains(values, value) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,8 +37,45 @@
 	// MemoryMB is what the process may use; its garbage is collected more
 	// often as it comes near. Zero means no bound.
 	MemoryMB int `toml:"memoryMB"`
+	// MaxHeldBytes bounds the bodies of requests and answers that the process holds for
+	// others, all together; zero means 0.3 of memoryMB, or 64 MiB without it.
+	MaxHeldBytes int64 `toml:"maxHeldBytes"`
 }
 
+const (
+	// heldShare leaves the rest of the memory to the program, its connections, what it knows
+	// of the fleet, and what the collector has not yet freed.
+	heldShare        = 0.3
+	defaultHeldBytes = 64 << 20
+	// connectionShare is the part of the memory for callers' connections, connectionBytes
+	// what an idle one takes: its goroutines, buffers and socket.
+	connectionShare = 0.25
+	connectionBytes = 20 << 10
+	// mostConnections is under the 4,096 descriptors that small VMs allow.
+	mostConnections = 3000
+)
+
+// HeldBytes is how many bytes of bodies the process holds at most.
+func (n Node) HeldBytes() int64 {
+	switch {
+	case n.MaxHeldBytes > 0:
+		return n.MaxHeldBytes
+	case n.MemoryMB > 0:
+		return int64(heldShare * float64(n.bytes()))
+	}
+	return defaultHeldBytes
+}
+
+// Connections is how many connections of callers the process has room for.
+func (n Node) Connections() int {
+	if n.MemoryMB == 0 {
+		return mostConnections
+	}
+	return min(mostConnections, int(connectionShare*float64(n.bytes()))/connectionBytes)
+}
+
+func (n Node) bytes() int64 { return int64(n.MemoryMB) << 20 }
+
 // Log sets what is logged and how.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error"; empty means "info".
@@ -79,7 +116,8 @@
 // Forward sets the HTTP side towards callers of routes.
 type Forward struct {
 	Listen string `toml:"listen"`
-	// MaxConnections bounds the callers' connections; zero means 3,000.
+	// MaxConnections bounds the callers' connections; zero means as many as node.memoryMB has
+	// room for, 3,000 at most.
 	MaxConnections int `toml:"maxConnections"`
 	// StopDelay is how long a stopping process fails its balancer check before
 	// it closes idle connections; zero means 3s.
@@ -101,7 +139,7 @@
 	// MaxBodyBytes bounds a request's body; zero means 8 MiB.
 	MaxBodyBytes int64 `toml:"maxBodyBytes"`
 	// MaxHeldBytes bounds the bodies of all requests in progress; zero means
-	// 64 MiB.
+	// node.maxHeldBytes.
 	MaxHeldBytes int64 `toml:"maxHeldBytes"`
 	// MaxPromptTokens bounds a prompt; zero means 65,536.
 	MaxPromptTokens int `toml:"maxPromptTokens"`
--- /dev/null
+++ b/internal/soak/memory_test.go
@@ -0,0 +1,333 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+const (
+	// slowPeers are the callers that each kind of load has at a forwarder at a time.
+	slowPeers = 120
+	// idleConnections are more than a VM of memoryMB has room for.
+	idleConnections = 3000
+	// longAnswer, longEvent and longBody are the bytes of long answers, events of streams and
+	// requests.
+	longAnswer = 2 << 20
+	longEvent  = 1000 << 10
+	longBody   = 3900 << 10
+	// slowFor is for how long slow callers stay.
+	slowFor = 8 * time.Second
+	// pingWithin is the target of a ping, inTimeShare how many must meet it.
+	pingWithin  = 300 * time.Millisecond
+	inTimeShare = 0.99
+)
+
+// memorySite is the product with servers that answer at once, with long answers, and not at
+// all.
+type memorySite struct {
+	t         *testing.T
+	system    *system
+	forwarder *process
+	address   string
+}
+
+// TestMemoryHoldsUnderSlowPeers guards against callers and servers that each stay within their
+// bounds, send or read slowly, and together take the memory of a small VM.
+func TestMemoryHoldsUnderSlowPeers(t *testing.T) {
+	s := startMemorySite(t)
+	for _, load := range []struct {
+		name string
+		peer func(ctx context.Context, n int)
+		max  int
+	}{
+		{"callers that read nothing", s.readsNothing, slowPeers},
+		{"uploads that do not end", s.uploadsForEver, slowPeers},
+		{"uploads of unknown length that do not end", s.uploadsChunksForEver, slowPeers},
+		{"servers that read nothing", s.asksDeafServer, slowPeers},
+		{"streams of one event that does not end", s.readsEndlessEvent, slowPeers},
+		{"idle connections", s.staysIdle, idleConnections},
+	} {
+		t.Run(load.name, func(t *testing.T) { s.run(t, load.max, load.peer) })
+	}
+	t.Run("all at once", func(t *testing.T) {
+		all := []func(context.Context, int){
+			s.readsNothing, s.uploadsForEver, s.uploadsChunksForEver, s.asksDeafServer, s.readsEndlessEvent,
+		}
+		s.run(t, slowPeers*len(all), func(ctx context.Context, n int) { all[n%len(all)](ctx, n) })
+	})
+}
+
+func startMemorySite(t *testing.T) *memorySite {
+	t.Helper()
+	is := is.New(t)
+	system := startSystem(t, build(t))
+	s := &memorySite{t: t, system: system, address: system.callers[0]}
+	s.forwarder = system.forwarderAt(s.address)
+	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "pong")
+	}))
+	long := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", strconv.Itoa(longAnswer))
+		_, _ = w.Write(make([]byte, longAnswer))
+	}))
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(make([]byte, longEvent))
+		<-r.Context().Done()
+	}))
+	t.Cleanup(endless.CloseClientConnections)
+	t.Cleanup(quick.Close)
+	t.Cleanup(long.CloseClientConnections)
+	deaf, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = deaf.Close() })
+	go acceptDeaf(deaf)
+	s.declare()
+	go s.announce("quick", quick.Listener.Addr().String())
+	go s.announce("long", long.Listener.Addr().String())
+	go s.announce("deaf", deaf.Addr().String())
+	go s.announce("endless", endless.Listener.Addr().String())
+	system.awaitReady(settle)
+	deadline := time.Now().Add(settle)
+	for s.ping() > pingWithin {
+		is.True(time.Now().Before(deadline)) // no ping is answered
+		time.Sleep(50 * time.Millisecond)
+	}
+	return s
+}
+
+// acceptDeaf accepts connections and reads nothing.
+func acceptDeaf(listener net.Listener) {
+	var kept []net.Conn
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			for _, c := range kept {
+				_ = c.Close()
+			}
+			return
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		kept = append(kept, conn)
+	}
+}
+
+func (s *memorySite) declare() {
+	s.t.Helper()
+	routing := oriolebend.Routing{Version: 1, Limits: oriolebend.CallerLimits{MaxBodyBytes: 4 << 20}}
+	for _, name := range []string{"quick", "long", "deaf", "endless"} {
+		routing.Services = append(routing.Services, oriolebend.RouteService{Name: name})
+		routing.Routes = append(routing.Routes, oriolebend.Route{
+			Name: name, Host: "soak.example", PathPrefix: "/" + name + "/", Repeat: oriolebend.RepeatIdempotent, Attempts: 2,
+			Stream:  name == "endless",
+			Timeout: oriolebend.Duration(5 * time.Second), AnswerWithin: oriolebend.Duration(pingWithin),
+			Targets: []oriolebend.RouteTarget{{Service: name, Weight: 1}},
+		})
+	}
+	ctx, cancel := context.WithTimeout(s.t.Context(), settle)
+	defer cancel()
+	_, err := s.system.operator().DeclareRouting(ctx, routing)
+	is.New(s.t).NoErr(err)
+}
+
+// announce tells control VMs of a server of the service that has its name.
+func (s *memorySite) announce(name, address string) {
+	for n := uint64(1); s.t.Context().Err() == nil; n++ {
+		body, err := json.Marshal(oriolebend.Backend{Service: name, Address: address, Sequence: n})
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		url := fmt.Sprintf("http://%s:%d/v1/backends/%s", s.system.controls[0], s.system.port, name)
+		request, err := http.NewRequestWithContext(s.t.Context(), http.MethodPut, url, bytes.NewReader(body))
+		if err == nil {
+			request.Header.Set("Authorization", "Bearer "+token)
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// run has peers load the forwarder, with pings beside them, and checks its memory.
+func (s *memorySite) run(t *testing.T, peers int, peer func(ctx context.Context, n int)) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), slowFor)
+	defer cancel()
+	var group sync.WaitGroup
+	for n := range peers {
+		group.Go(func() { peer(ctx, n) })
+	}
+	pings, inTime := 0, 0
+	for ctx.Err() == nil {
+		if pings++; s.ping() <= pingWithin {
+			inTime++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	peak, err := s.peakBytes()
+	is.NoErr(err) // the process is gone
+	t.Logf("peak %d MB, %d of %d pings in time", peak>>20, inTime, pings)
+	is.True(peak <= memoryMB<<20)
+	is.True(float64(inTime) >= inTimeShare*float64(pings))
+	deadline := time.Now().Add(settle)
+	for s.held() != 0 {
+		is.True(time.Now().Before(deadline)) // bytes stay held
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// peakBytes is the most memory that the forwarder had so far.
+func (s *memorySite) peakBytes() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.forwarder.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	kilobytes, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	value, err := strconv.ParseInt(kilobytes, 10, 64)
+	return value << 10, err
+}
+
+// held is how many bytes the forwarder says that it holds; -1 if it does not say.
+func (s *memorySite) held() int64 {
+	ip, _, _ := net.SplitHostPort(s.address)
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", ip, s.system.port+2))
+	if err != nil {
+		return -1
+	}
+	defer response.Body.Close()
+	sum, found := int64(0), 0
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), "} ")
+		if strings.Contains(name, "_bytes_held{") {
+			bytes, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return -1
+			}
+			sum, found = sum+int64(bytes), found+1
+		}
+	}
+	if found == 0 {
+		return -1
+	}
+	return sum
+}
+
+var pinger = &http.Client{Timeout: 2 * time.Second}
+
+// ping is how long a ping took; one that is not answered took for ever.
+func (s *memorySite) ping() time.Duration {
+	const never = time.Hour
+	began := time.Now()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.address+"/quick/x", strings.NewReader("ping"))
+	if err != nil {
+		return never
+	}
+	request.Host = "soak.example"
+	response, err := pinger.Do(request)
+	if err != nil {
+		return never
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		return never
+	}
+	return time.Since(began)
+}
+
+// dial opens a connection that keeps little in the kernel.
+func (s *memorySite) dial() net.Conn {
+	conn, err := net.DialTimeout("tcp", s.address, time.Second)
+	if err != nil {
+		return nil
+	}
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
+	return conn
+}
+
+// again does something on new connections until the context ends, with a pause.
+func (s *memorySite) again(ctx context.Context, do func(conn net.Conn)) {
+	for ctx.Err() == nil {
+		if conn := s.dial(); conn != nil {
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			do(conn)
+			stop()
+			_ = conn.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *memorySite) readsNothing(ctx context.Context, _ int) {
+	s.again(ctx, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "GET /long/x HTTP/1.1\r\nHost: soak.example\r\n\r\n")
+		<-ctx.Done()
+	})
+}
+
+func (s *memorySite) readsEndlessEvent(ctx context.Context, _ int) {
+	s.again(ctx, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "POST /endless/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+func (s *memorySite) uploadsForEver(ctx context.Context, _ int) {
+	s.again(ctx, func(conn net.Conn) {
+		_, err := fmt.Fprintf(conn, "POST /quick/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: %d\r\n\r\n", longBody)
+		if err == nil {
+			_, _ = conn.Write(make([]byte, longBody-1))
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+func (s *memorySite) uploadsChunksForEver(ctx context.Context, _ int) {
+	s.again(ctx, func(conn net.Conn) {
+		_, err := io.WriteString(conn, "POST /quick/x HTTP/1.1\r\nHost: soak.example\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for sent := 0; err == nil && sent < longBody; sent += 64 << 10 {
+			_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", 64<<10, make([]byte, 64<<10))
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+func (s *memorySite) asksDeafServer(ctx context.Context, _ int) {
+	s.again(ctx, func(conn net.Conn) {
+		_, err := fmt.Fprintf(conn, "POST /deaf/x HTTP/1.1\r\nHost: soak.example\r\nContent-Length: %d\r\n\r\n", longAnswer)
+		if err == nil {
+			_, _ = conn.Write(make([]byte, longAnswer))
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+func (s *memorySite) staysIdle(ctx context.Context, _ int) {
+	s.again(ctx, func(conn net.Conn) {
+		_, _ = io.Copy(io.Discard, conn)
+		time.Sleep(time.Second) // it was closed for another one
+	})
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -45,6 +45,9 @@
 
 const token = "operator-token-of-the-soak"
 
+// memoryMB is what each process may use.
+const memoryMB = 112
+
 func startSystem(t *testing.T, program string) *system {
 	t.Helper()
 	s := &system{t: t, program: program, folder: t.TempDir(), port: freePort(t)}
@@ -83,9 +86,9 @@
 func (s *system) add(role, ip, control string) {
 	p := &process{system: s, name: role + "-" + ip, role: role, settings: filepath.Join(s.folder, ip+".toml")}
 	p.write = func(found bool) error {
-		text := fmt.Sprintf("[node]\nname = %q\nregion = \"r\"\nfailureDomain = %q\n[log]\nformat = \"json\"\n"+
+		text := fmt.Sprintf("[node]\nname = %q\nregion = \"r\"\nfailureDomain = %q\nmemoryMB = %d\n[log]\nformat = \"json\"\n"+
 			"[peer]\nlisten = \"%s:%d\"\ntrust = \"network\"\n[metrics]\nlisten = \"%s:%d\"\n",
-			p.name, ip, ip, s.port, ip, s.port+2)
+			p.name, ip, memoryMB, ip, s.port, ip, s.port+2)
 		if role == "control" {
 			text += fmt.Sprintf("[operator]\nlisten = \"%s:%d\"\ntokens = [\"soak=%s\"]\n", ip, s.port, token)
 		} else {
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -25,6 +25,7 @@
 	ReasonOverloaded      Reason = "overloaded"      // the latency targets can't be met now
 	ReasonQueueFull       Reason = "queueFull"       // the gate's queue is at its bound
 	ReasonNoMemory        Reason = "noMemory"        // no KV memory free at the time needed
+	ReasonMemoryShort     Reason = "memoryShort"     // this process holds as many bytes of bodies as it may
 	ReasonRateLimited     Reason = "rateLimited"     // the organisation is over its share
 	ReasonQuota           Reason = "quota"           // the organisation's quota is used up
 	ReasonRetryBudget     Reason = "retryBudget"     // the retry budget is spent
--- a/pkg/oriolebend/reasons.go
+++ b/pkg/oriolebend/reasons.go
@@ -17,6 +17,7 @@
 	ReasonOverloaded,
 	ReasonQueueFull,
 	ReasonNoMemory,
+	ReasonMemoryShort,
 	ReasonRateLimited,
 	ReasonQuota,
 	ReasonRetryBudget,
