agreement: a group that has started anew as a whole elects at once

Cause: a member that starts gives no vote for 0.3 s, since it may have granted a lease a moment before it ended. Ruled out: serving the routing on a control VM's own word before a leader is there (an entry on its disk may never have been agreed on, and would be taken back); a note of each granted lease on disk (a write for each heartbeat). Change: members that have followed nobody since their start tell so, with the number of that start. A member to which all voters of the same list of members have told it stands at once, one after the other by name; a voter waives its wait only for a candidate that names this very start of it. Whoever led or voted since is not fresh, whoever started once more has another number, a voter that is away leaves all as it was.

--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -99,9 +99,12 @@
 	Pre bool `cbor:"pre,omitempty"`
 	// Transfer is set if the leader itself asked the sender to campaign; the
 	// receivers then need not wait for the leader's lease to end.
-	Transfer  bool   `cbor:"transfer,omitempty"`
-	LastIndex uint64 `cbor:"lastIndex"`
-	LastTerm  uint64 `cbor:"lastTerm"`
+	Transfer bool `cbor:"transfer,omitempty"`
+	// Starts names the start of every voter, where each has told that it has followed
+	// nobody since: no lease runs then that receivers have to wait for.
+	Starts    map[string]uint64 `cbor:"starts,omitempty"`
+	LastIndex uint64            `cbor:"lastIndex"`
+	LastTerm  uint64            `cbor:"lastTerm"`
 }
 
 // VoteAnswer answers a Vote once the vote is synced.
@@ -109,6 +112,12 @@
 	Agreement
 	Pre     bool `cbor:"pre,omitempty"`
 	Granted bool `cbor:"granted"`
+	// Start is that of a sender that has followed nobody since; zero otherwise. It then
+	// would give its vote if Would is set, but for a lease that it may have granted before
+	// it started. MembersIndex is that of the members that it knows.
+	Start        uint64 `cbor:"start,omitempty"`
+	Would        bool   `cbor:"would,omitempty"`
+	MembersIndex uint64 `cbor:"membersIndex,omitempty"`
 }
 
 // Chunk carries a part of a snapshot to a member whose next entry the leader
--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -42,6 +42,9 @@
 	Founders []message.Member
 	// Seed makes the election timing of members differ.
 	Seed uint64
+	// Start tells this start of the member from its others; zero has it wait for leases that
+	// it may have granted before, whatever the others say.
+	Start uint64
 	// HeartbeatTicks is the time between two heartbeats of a leader.
 	HeartbeatTicks uint64
 	// ElectionTicks is how long a member waits for its leader: it grants no
--- a/internal/reducer/agreement/election.go
+++ b/internal/reducer/agreement/election.go
@@ -8,6 +8,7 @@
 		s.leaderTicked()
 		return
 	}
+	s.restartTicked()
 	if s.now < s.electionDue {
 		return
 	}
@@ -67,7 +68,7 @@
 	s.Leader = ""
 	s.election = election{votes: map[string]bool{s.Config.Name: true}, began: s.now}
 	if s.elected() {
-		s.campaign(false)
+		s.campaign(message.Vote{})
 		return
 	}
 	part := s.part()
@@ -75,8 +76,9 @@
 	s.askVotes(message.Vote{Agreement: part, Pre: true}, afterNothing)
 }
 
-// campaign stands for election in a new term.
-func (s *State) campaign(transfer bool) {
+// campaign stands for election in a new term; the vote tells why receivers need not wait.
+func (s *State) campaign(vote message.Vote) {
+	s.restart.fresh = false
 	s.Role = Candidate
 	s.Leader = ""
 	s.Hard.Term++
@@ -86,10 +88,11 @@
 	s.election = election{
 		votes:    map[string]bool{},
 		began:    s.now,
-		transfer: transfer,
+		transfer: vote.Transfer,
 		ownVote:  s.saving.sequence + 1,
 	}
-	s.askVotes(message.Vote{Agreement: s.part(), Transfer: transfer}, afterHard)
+	vote.Agreement = s.part()
+	s.askVotes(vote, afterHard)
 }
 
 func (s *State) askVotes(vote message.Vote, what after) {
@@ -117,7 +120,7 @@
 	}
 	switch s.Role {
 	case PreCandidate:
-		s.campaign(false)
+		s.campaign(message.Vote{})
 	case Candidate:
 		s.becomeLeader()
 	}
@@ -145,8 +148,12 @@
 // preVoteAsked answers whether a vote would be given.
 func (s *State) preVoteAsked(m message.Vote) {
 	answer := message.VoteAnswer{Agreement: s.part(), Pre: true}
-	if m.Term > s.Hard.Term && !s.loyal() && s.electable(m) {
-		answer.Granted = true
+	if m.Term > s.Hard.Term {
+		answer.Start, answer.MembersIndex = s.startOf(), s.MembersIndex
+		answer.Would = answer.Start != 0 && s.electable(m)
+		answer.Granted = !s.loyal() && s.electable(m)
+	}
+	if answer.Granted || answer.Start != 0 {
 		answer.Term = m.Term
 	}
 	s.send(m.From, answer, afterHard)
@@ -179,6 +186,7 @@
 	free := s.Hard.Vote == "" || s.Hard.Vote == m.From
 	if s.mayVote(m) && free && s.electable(m) {
 		answer.Granted = true
+		s.restart.fresh = false
 		s.heard = s.now
 		s.resetElection()
 		if s.Hard.Vote != m.From {
@@ -191,7 +199,17 @@
 
 func (s *State) mayVote(m message.Vote) bool {
 	idle := s.Role == Follower || s.Role == PreCandidate
-	return idle && s.Leader == "" && (m.Transfer || !s.loyal())
+	return idle && s.Leader == "" && (m.Transfer || !s.loyal() || s.waived(m))
+}
+
+// preVoteAnswered takes in a vote that would be given, and that another voter has just started.
+func (s *State) preVoteAnswered(m message.VoteAnswer) {
+	if m.Granted {
+		s.preVoteGranted(m)
+	}
+	if m.Start != 0 {
+		s.startTold(m)
+	}
 }
 
 func (s *State) preVoteGranted(m message.VoteAnswer) {
@@ -213,6 +231,6 @@
 // campaignAsked stands for election at once, since the leader is stopping.
 func (s *State) campaignAsked() {
 	if s.Role == Follower && s.mayCampaign() {
-		s.campaign(true)
+		s.campaign(message.Vote{Transfer: true})
 	}
 }
--- a/internal/reducer/agreement/follow.go
+++ b/internal/reducer/agreement/follow.go
@@ -51,6 +51,7 @@
 		return false
 	}
 	s.follow(s.Hard.Term, leader)
+	s.restart.fresh = false
 	s.heard = s.now
 	s.resetElection()
 	if s.Hard.Vote == "" {
--- a/internal/reducer/agreement/reduce.go
+++ b/internal/reducer/agreement/reduce.go
@@ -116,12 +116,12 @@
 			s.preVoteAsked(m)
 			return false
 		}
-		if s.loyal() && !m.Transfer {
+		if s.loyal() && !m.Transfer && !s.waived(m) {
 			return false
 		}
 	case message.VoteAnswer:
-		if m.Pre && m.Granted {
-			s.preVoteGranted(m)
+		if m.Pre && (m.Granted || m.Start != 0) {
+			s.preVoteAnswered(m)
 			return false
 		}
 	}
--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -25,6 +25,9 @@
 	// read has seen.
 	acked   uint64
 	nextID  uint64
+	// tellStarts has members tell each other that they have just started, numbered by starts.
+	tellStarts bool
+	starts     uint64
 	reads   map[uint64]uint64
 	refused map[string]int
 	failure string
@@ -47,11 +50,14 @@
 	index   uint64
 }
 
-func newSim(names []string, founders int, config Config) *sim {
+func newSim(names []string, founders int, config Config, options ...func(*sim)) *sim {
 	s := &sim{
 		config: config, now: 1, cut: map[[2]string]bool{}, leaders: map[uint64]string{},
 		agreed: map[uint64]uint64{}, reads: map[uint64]uint64{}, refused: map[string]int{},
 	}
+	for _, set := range options {
+		set(s)
+	}
 	for i, name := range names {
 		if i < founders {
 			s.config.Founders = append(s.config.Founders,
@@ -65,6 +71,9 @@
 	return s
 }
 
+// tellingStarts has members tell each other that they have just started.
+func tellingStarts(s *sim) { s.tellStarts = true }
+
 func (s *sim) fail(format string, args ...any) {
 	if s.failure == "" {
 		s.failure = fmt.Sprintf(format, args...)
@@ -80,6 +89,10 @@
 	config := s.config
 	config.Name = v.name
 	config.Seed = uint64(v.name[0])<<32 + s.now
+	if s.tellStarts {
+		s.starts++
+		config.Start = s.starts
+	}
 	v.alive = true
 	v.pending = nil
 	v.index, v.hash = 0, 0
--- a/internal/reducer/agreement/state.go
+++ b/internal/reducer/agreement/state.go
@@ -64,6 +64,7 @@
 	electionDue uint64
 	// election holds the answers to a campaign.
 	election election
+	restart  restart
 	lead     leadership
 	incoming incoming
 	// previous is the snapshot before the newest, which the disk still holds.
@@ -94,6 +95,7 @@
 		now:      tick,
 		heard:    tick,
 		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+		restart:  restart{fresh: config.Start != 0},
 	}
 	s.log = restoredLog(restored)
 	s.Commit = restored.Snapshot.Index
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -128,6 +129,7 @@
 		Group:        groupName(r.config.Group, r.store.Identity().Generation),
 		Founders:     r.config.founders(),
 		Seed:         r.config.Seed,
+		Start:        rand.Uint64() | 1, // never zero
 		MaxUnapplied: r.config.MaxUnapplied,
 		TailEntries:  r.config.TailEntries,
 		TailBytes:    int(min(agreement.DefaultTailBytes, r.config.SnapshotBytes/partsOfLog)),
