routewatch: forwarders open their sessions in turn, and the first one brings the routing

Change: one opening at a time for each forwarder, by the order in which control VMs are to tell it routings, and a rest of four times what it took before the next: a control VM that has many to open is left alone for longer. One that does not answer holds the others up for 0.1 s.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -102,6 +102,8 @@
 	Incarnation uint64 `cbor:"incarnation"`
 	// Listen is where other forwarders reach a forwarder.
 	Listen string `cbor:"listen,omitempty"`
+	// Alone is set if the watcher watches no other control VM yet.
+	Alone bool `cbor:"alone,omitempty"`
 }
 
 // RouteUpdate tells what has changed since the last one on the stream. The
--- a/internal/routewatch/feed.go
+++ b/internal/routewatch/feed.go
@@ -117,7 +117,21 @@
 	if f.behindSince.IsZero() || has != f.behindAt {
 		f.behindSince, f.behindAt = time.Now(), has
 	}
-	return max(0, time.Duration(f.place())*standInAfter-time.Since(f.behindSince))
+	place := f.place()
+	if has == 0 {
+		place = f.placeAtStart(place)
+	}
+	return max(0, time.Duration(place)*standInAfter-time.Since(f.behindSince))
+}
+
+// placeAtStart is this control VM's place for a watcher without any routing: the first that it
+// watches tells it. The others in its order it may not have reached yet, and after a restart of
+// everything it would wait for each of them in vain.
+func (f *feed) placeAtStart(place int) int {
+	if f.watch.alone {
+		return 0
+	}
+	return max(1, place)
 }
 
 // place is this control VM's place in the watcher's order, counted from zero.
--- a/internal/routewatch/feed_test.go
+++ b/internal/routewatch/feed_test.go
@@ -55,13 +55,18 @@
 }
 
 func newFeedSite(ctx context.Context, controls, forwarders int) *feedSite {
+	return newPartFeedSite(ctx, controls, controls, forwarders)
+}
+
+// newPartFeedSite is newFeedSite with only the first few of the control VMs up.
+func newPartFeedSite(ctx context.Context, controls, up, forwarders int) *feedSite {
 	s := &feedSite{network: peertest.NewNetwork(1)}
 	s.network.Degrade(0, time.Millisecond)
 	var addresses []string
 	for i := range controls {
 		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
 	}
-	for _, address := range addresses {
+	for _, address := range addresses[:up] {
 		r := newServer(func(r *Server) {
 			r.Self = address
 			r.Controls = func() []string { return addresses }
@@ -146,3 +151,24 @@
 		time.Sleep(time.Second) // what is under way arrives, and all end
 	})
 }
+
+// Symptom: after a restart of everything forwarders have the routing half a second after the
+// leader is there. Sequence: each has reached one control VM by then, and opens the other
+// sessions in turn; that one leaves the routing to those before it in the forwarder's order.
+// Cause: an order that counts control VMs which the forwarder does not watch yet.
+func TestRoutingComesFromTheFirstControlVMAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newPartFeedSite(ctx, 8, 1, 40)
+		time.Sleep(time.Second)
+		declared := s.declare(t, 1)
+		time.Sleep(time.Second)
+		for _, sink := range s.sinks {
+			is.Equal(sink.Version(), uint64(1))
+			is.True(sink.since[1].Sub(declared) <= 10*time.Millisecond)
+		}
+		cancel()
+		time.Sleep(time.Second) // what is under way arrives, and all end
+	})
+}
--- a/internal/routewatch/follower.go
+++ b/internal/routewatch/follower.go
@@ -70,6 +70,9 @@
 	confirmed time.Time
 	ctx       context.Context
 	group     sync.WaitGroup
+	turns     turns
+	// first is the first link over which a session was opened.
+	first *link
 }
 
 // Run follows until ctx ends.
--- a/internal/routewatch/link.go
+++ b/internal/routewatch/link.go
@@ -9,6 +9,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/reducer/retry"
 )
 
@@ -68,11 +69,23 @@
 	return false
 }
 
+// open opens a session with a control VM. Forwarders begin with different ones: each with the
+// one that is to tell it routings.
+func (f *Follower) open(l *link) (peer.Stream, error) {
+	var s peer.Stream
+	err := f.turns.run(f.ctx, ^policy.Rendezvous(f.Watch.Node, l.address), func() error {
+		opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
+		defer cancel()
+		var err error
+		s, err = f.Dialer.Open(opening, l.address)
+		return err
+	})
+	return s, err
+}
+
 // session watches one control VM until the session ends.
 func (f *Follower) session(l *link) {
-	opening, cancel := context.WithTimeout(f.ctx, openWatchWithin)
-	defer cancel()
-	s, err := f.Dialer.Open(opening, l.address)
+	s, err := f.open(l)
 	if err != nil {
 		f.Logger.Debug("control VM not reached", "control", l.address, "error", err)
 		return
@@ -80,7 +93,7 @@
 	defer s.Close()
 	defer context.AfterFunc(f.ctx, func() { _ = s.Close() })()
 	watch := f.Watch
-	watch.Version = f.Sink.Version()
+	watch.Version, watch.Alone = f.Sink.Version(), f.alone(l)
 	if err := s.Send(watch); err != nil {
 		return
 	}
@@ -110,6 +123,17 @@
 	}
 }
 
+// alone reports whether the session with a control VM is the first one. It is so for one at a
+// time, until that ends.
+func (f *Follower) alone(l *link) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.first == nil {
+		f.first = l
+	}
+	return f.first == l
+}
+
 // tellVersion tells the other control VMs that a routing is known.
 func (f *Follower) tellVersion(from *link, version uint64) {
 	f.mutex.Lock()
@@ -147,5 +171,8 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	l.stream = nil
+	if f.first == l {
+		f.first = nil
+	}
 	f.view.Lost(time.Now(), l.address)
 }
--- a/internal/routewatch/watch.go
+++ b/internal/routewatch/watch.go
@@ -17,6 +17,8 @@
 	listen string
 	// observes is set for control VMs, which send no requests to servers.
 	observes bool
+	// alone is set if it watched no other control VM when it began.
+	alone bool
 	// pending are the servers to tell with the next update, number its number.
 	pending map[string]message.BackendServer
 	number  uint64
@@ -86,7 +88,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w := &watcher{
-		node: watch.Node, version: watch.Version, listen: watch.Listen, observes: watch.Observes, address: watch.Address, pending: map[string]message.BackendServer{},
+		node: watch.Node, version: watch.Version, listen: watch.Listen, observes: watch.Observes, alone: watch.Alone, address: watch.Address, pending: map[string]message.BackendServer{},
 		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), news: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
