peer: the shorter key exchange where the network is trusted

Cause: a control VM that hundreds of forwarders reach again after a restart of everything has a handshake for each. The library's own choice of key exchange withstands quantum computers; where every peer is let in and each key can be computed from a name, it protects nothing. Change: X25519 for peers that trust the network. With certificates all is as before.

--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -174,6 +174,21 @@
 	}
 }
 
+// BenchmarkNetworkConnection is BenchmarkConnection between processes that trust the network.
+func BenchmarkNetworkConnection(b *testing.B) {
+	credentials, err := NetworkCredentials(Identity{Role: RoleForwarder, Name: "f"})
+	noError(b, err)
+	x := newBench(b)
+	x.material = Material(credentials.(Fixed))
+	gate := x.listen(nil)
+	for b.Loop() {
+		entry, err := Listen(Config{Address: "127.0.0.1:0", Credentials: credentials})
+		noError(b, err)
+		oneSession(b, entry, gate.Address())
+		_ = entry.Close()
+	}
+}
+
 // Bytes of UDP payload in both directions.
 func BenchmarkWireBytes(b *testing.B) {
 	ways := map[string]func(*testing.B, *Endpoint, string) func(){
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -89,12 +89,23 @@
 		ClientAuth:             tls.RequireAnyClientCert,
 		InsecureSkipVerify:     true,
 		SessionTicketsDisabled: true,
+		CurvePreferences:       curves(m),
 		VerifyConnection: func(s tls.ConnectionState) error {
 			return verify(s, m.Authority)
 		},
 	}
 }
 
+// curves are the key exchanges to use, nil for the library's own choice. Where every peer is
+// let in, one that withstands quantum computers protects nothing and only makes handshakes
+// longer, of which hundreds of processes that start together have many.
+func curves(m Material) []tls.CurveID {
+	if m.Authority != nil {
+		return nil
+	}
+	return []tls.CurveID{tls.X25519}
+}
+
 func verify(s tls.ConnectionState, authority *x509.CertPool) error {
 	if len(s.PeerCertificates) == 0 {
 		return errorf(CodeNoName, "", nil, "the peer sent no certificate")
