places: a place given in the moment in which its caller leaves goes back

Cause: a caller that has left and an answer that has come are both ready, and the wait takes either. With the answer, the place was handed to a caller that is gone; forwarders look for that and return it, others that ask need not, and the engine's memory stays taken. Ruled out: load. Under it the moment is met more often; eight processes that repeat the test alone fail 30 times in 24,000 runs. Change: who has left gets no place, whichever was seen first. Evidence: 24,000 runs of the same test, race detector, none fails.

--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -180,13 +180,18 @@
 	if waiting == nil {
 		return nil, false
 	}
-	if answer, ok, came := c.await(ctx, waiting, q.Within+answerMargin); came {
+	answer, ok, came := c.await(ctx, waiting, q.Within+answerMargin)
+	if came && ctx.Err() == nil {
 		return c.effect(q, answer), ok
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.asked[id] == nil { // the answer came in this moment
-		if answer, ok := <-waiting; ok && answer.Server != nil {
+	if !came && c.asked[id] == nil { // the answer came in this moment
+		answer, came = <-waiting
+		ok = came
+	}
+	if came {
+		if ok && answer.Server != nil {
 			c.tell(message.PlaceEvent{ID: id, Step: message.PlaceEnded, Outcome: string(dispatch.OutcomeCancelled)})
 		}
 		return nil, false
