backend: a piece of an answer counts until its caller has taken it

Found in reading the whole change once more; callers have not seen it. Cause: Next gave a piece's memory back when it returned the piece, before it was written, so that up to 32 KiB a slow caller were not counted; and the list kept each piece that was taken, so that a long answer stayed in memory whole until its end, though given back. Change: a piece is given back when the next one is asked for, as the comment says, and is let go of. Body.Whole, which nobody called, is gone; longBytes takes the body in place of a request that was made for it. Evidence: TestPieceCountsUntilTheNextIsAskedFor failed before, passes now; tests of backend, heldbytes, http1 and forwarder pass with the race detector.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -20,6 +20,8 @@
 type Body struct {
 	held   *heldbytes.Holding
 	pieces [][]byte
+	// given is how many bytes the piece holds that was returned last.
+	given int64
 	// rest is what follows the pieces, nil if nothing does.
 	rest   *Response
 	buffer []byte
@@ -73,11 +75,10 @@
 // Length is the length of the body, negative if it is not known.
 func (b *Body) Length() int64 { return b.length }
 
-// Whole reports whether all of the body is held.
-func (b *Body) Whole() bool { return b.rest == nil }
-
 // Next returns the next piece, and gives back the memory of the one before.
 func (b *Body) Next() ([]byte, error) {
+	b.held.Shrink(b.given)
+	b.given = 0
 	if b.buffer != nil {
 		return b.readOn()
 	}
@@ -89,8 +90,9 @@
 		return b.readOn()
 	}
 	piece := b.pieces[0]
+	b.pieces[0] = nil // it would stay in memory with those behind it
 	b.pieces = b.pieces[1:]
-	b.held.Shrink(int64(cap(piece)))
+	b.given = int64(cap(piece))
 	return piece, nil
 }
 
--- /dev/null
+++ b/internal/backend/body_test.go
@@ -0,0 +1,41 @@
+package backend
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/heldbytes"
+)
+
+// Guards against a piece of an answer that is not counted any more while a slow caller takes it.
+func TestPieceCountsUntilTheNextIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	const length = 2*pieceBytes + 10
+	s := startFake(t, func(int32) step {
+		return step{answer: "HTTP/1.1 200 OK\r\nContent-Length: 65546\r\n\r\n" + strings.Repeat("x", length)}
+	})
+	response, err := NewPool(PoolConfig{}).Do(t.Context(), s.address, Request{
+		Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Freshness: time.Second,
+	})
+	is.NoErr(err)
+	account := heldbytes.New(heldbytes.Config{Limit: 1 << 20})
+	body, err := response.Hold(account.Open(heldbytes.Answer, "s"), length)
+	is.NoErr(err)
+	is.Equal(body.Length(), int64(length))
+	for left := int64(length); left > 0; {
+		is.True(account.Held(heldbytes.Answer) >= left)
+		piece, err := body.Next()
+		is.NoErr(err)
+		is.True(account.Held(heldbytes.Answer) >= left) // the caller has not taken it yet
+		left -= int64(len(piece))
+	}
+	_, err = body.Next()
+	is.Equal(err, io.EOF)
+	body.Release()
+	is.Equal(account.Held(heldbytes.Answer), int64(0))
+}
--- a/internal/forwarder/crowd.go
+++ b/internal/forwarder/crowd.go
@@ -41,12 +41,12 @@
 	bytes int64
 }
 
-// longBytes is what a request counts for.
-func longBytes(r backend.Request) int64 {
-	if len(r.Body) <= heldbytes.SmallBytes {
+// longBytes is what a request with a body counts for.
+func longBytes(body []byte) int64 {
+	if len(body) <= heldbytes.SmallBytes {
 		return 0
 	}
-	return int64(len(r.Body))
+	return int64(len(body))
 }
 
 // enter counts a request that is sent to a server; false means that the server has not taken
@@ -137,7 +137,7 @@
 // against the request that was there when it happened three times, and refused to everybody
 // though it harms no server alone.
 func (w *work) crowded(server message.BackendServer) bool {
-	own := longBytes(backend.Request{Body: w.request.Body})
+	own := longBytes(w.request.Body)
 	others := w.f.crowds.beside(server.Address, w.request.Received, own)
 	if others < crowdBytes {
 		return false
--- a/internal/forwarder/held_test.go
+++ b/internal/forwarder/held_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/heldbytes"
 )
 
@@ -134,9 +133,9 @@
 
 func BenchmarkCrowdOfUsualRequests(b *testing.B) {
 	c := &crowds{most: roomBytes}
-	request := backend.Request{Body: make([]byte, 5000)}
+	body := make([]byte, 5000)
 	for b.Loop() {
-		n := longBytes(request)
+		n := longBytes(body)
 		c.enter("server", n)
 		c.leave("server", n)
 	}
--- a/internal/forwarder/notice.go
+++ b/internal/forwarder/notice.go
@@ -92,7 +92,7 @@
 // send sends a request of a caller to a server, and takes in what the server says of itself
 // with its answer.
 func (f *Forwarder) send(ctx context.Context, server message.BackendServer, r backend.Request) (*backend.Response, error) {
-	bytes := longBytes(r)
+	bytes := longBytes(r.Body)
 	if !f.crowds.enter(server.Address, bytes) {
 		return nil, crowdedError()
 	}
