--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -17,7 +17,11 @@
 	urgencies  = []string{string(oriolebend.Urgent), string(oriolebend.Patient)}
 	peerTrusts = []string{string(TrustCertificates), string(TrustNetwork)}
 	poolRoles  = []string{string(oriolebend.Prefill), string(oriolebend.Decode), string(oriolebend.Service)}
-	methods    = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
+	features   = []string{
+		string(FeatureQuotaLeases), string(FeatureQuotaRanks), string(FeatureMemoryRanks),
+		string(FeatureEngineSpeeds), string(FeatureRestoredServers),
+	}
+	methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
 )
 
 // identityPlaceholder is replaced by the identity of a call in a status path.
@@ -143,6 +147,9 @@
 	atLeast(f, "control.quotaOvershoot", c.QuotaOvershoot, 0)
 	atLeast(f, "control.quotaSlack", c.QuotaSlack, 0)
 	atLeast(f, "control.quotaWindow", c.QuotaWindow, 0)
+	for i, feature := range c.Disable {
+		f.enum(elementPath("control.disable", i), string(feature), features)
+	}
 	if len(c.Seeds) > 0 && len(c.Members) > 0 {
 		f.add("control.seeds", CodeClash, "control VMs are either listed or found through seeds; remove this or control.members")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,11 @@
 // errors at once, each with its file and line, before a process opens a port.
 package settings
 
-import "github.com/oriolebend/oriolebend/pkg/oriolebend"
+import (
+	"slices"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
 
 // Settings is the content of a process's settings file. Each role reads the tables that
 // it needs; the other tables may be omitted.
@@ -198,8 +202,30 @@
 	QuotaOvershoot float64  `toml:"quotaOvershoot"`
 	QuotaSlack     float64  `toml:"quotaSlack"`
 	QuotaWindow    Duration `toml:"quotaWindow"`
+	// Disable lists the features that this control VM does not use.
+	Disable []Feature `toml:"disable"`
 }
 
+// Feature is a part of the decisions under load that operators can disable.
+type Feature string
+
+const (
+	// FeatureQuotaLeases lets control VMs without a leader grant quotas under leases.
+	FeatureQuotaLeases Feature = "quotaLeases"
+	// FeatureQuotaRanks refuses the least urgent requests of an organisation first once
+	// its quota is short.
+	FeatureQuotaRanks Feature = "quotaRanks"
+	// FeatureMemoryRanks keeps engine memory free for urgent requests in a shortage.
+	FeatureMemoryRanks Feature = "memoryRanks"
+	// FeatureEngineSpeeds chooses engines by their speed.
+	FeatureEngineSpeeds Feature = "engineSpeeds"
+	// FeatureRestoredServers keeps the list of backend servers over a restart.
+	FeatureRestoredServers Feature = "restoredServers"
+)
+
+// Enabled reports whether a feature is in use.
+func (c Control) Enabled(f Feature) bool { return !slices.Contains(c.Disable, f) }
+
 // Member is one control VM.
 type Member struct {
 	Name          string `toml:"name"`
