routewatch: apply announcements before the first forwarder watches

Cause: after a power loss of all VMs the servers' announcements reached the control VMs 0.3 s before the first forwarder had connected. They were refused and lost, and the next ones came after the retry delay of a second: 123 plain requests found no server. Ruled out: the election (0.6 s after the start, before most forwarders were ready). Change: an announcement is applied also while no forwarder watches; it is still not acknowledged then.

--- a/internal/routewatch/server.go
+++ b/internal/routewatch/server.go
@@ -114,13 +114,18 @@
 
 // Announce applies an announcement of a backend server. The error is a
 // *oriolebend.Problem if the server should announce itself to another control VM.
+//
+// An announcement is applied even while no forwarder watches, though it is not acknowledged
+// then: after a restart of the whole system servers announce themselves before the forwarders
+// have connected, and the next announcement comes only after a retry delay. Without this, the
+// first forwarders find no server for a second.
 func (r *Server) Announce(ctx context.Context, server message.BackendServer) error {
-	if r.Forwarders() == 0 {
-		return notAcknowledged("no forwarder watches this control VM")
-	}
 	announced := registry.Announced{At: time.Now(), Server: server}
 	if server.Phase == message.PhaseReady {
 		r.reduce(announced)
+		if r.Forwarders() == 0 {
+			return notAcknowledged("no forwarder watches this control VM")
+		}
 		return nil
 	}
 	return r.awaitAcknowledged(ctx, r.reduceNumbered(announced))
--- a/internal/routewatch/server_test.go
+++ b/internal/routewatch/server_test.go
@@ -229,6 +229,23 @@
 	<-answered
 }
 
+// Guards against requests refused for lack of a server after a restart of the whole system: a
+// server announced itself before the first forwarder watched, and its announcement was lost.
+func TestAnnouncementBeforeTheFirstForwarder(t *testing.T) {
+	is := is.New(t)
+	routes := newServer(func(*Server) {})
+	server := message.BackendServer{Instance: "i-1", Address: "a:1", Phase: message.PhaseReady, Sequence: 1}
+	is.True(routes.Announce(t.Context(), server) != nil) // not acknowledged: no forwarder watches
+	near, far := peertest.Pair("forwarder-1", "control-1")
+	go routes.Serve(t.Context(), far)
+	is.NoErr(near.Send(message.RouteWatch{Node: "forwarder-1"}))
+	first, err := near.Receive()
+	is.NoErr(err)
+	is.Equal(first.(message.RouteUpdate).Servers, []message.BackendServer{server})
+	is.NoErr(routes.Announce(t.Context(), server)) // repeated after the refusal
+	is.NoErr(near.Close())
+}
+
 // Guards against a deadlock that blocks a control VM for forwarders and servers: a forwarder
 // begins to watch and is sent the known crash reports while another forwarder reports a crash.
 // Each of the two goroutines took one lock and waited for the other's.
