registry: restore servers as unconfirmed

After all processes were killed, a backend server is known again only once it has announced itself, up to 1.2 s later. The registry of a control VM now takes the servers known before the restart as unconfirmed and drops those that do not announce themselves within 3 s. An announcement or a withdrawal of the same or a later incarnation replaces a restored server, whatever its sequence number. In a View, an announced report replaces an unconfirmed one of the same incarnation, a reported end is not undone, and a control VM that restarts does not take back a drain or role change that it had reported.

BackendServer has the optional field 13, Unconfirmed.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -67,8 +67,15 @@
 	// since 1970 by the server's own clock: of two incarnations the later one has the
 	// higher number. It is zero if the server does not report it.
 	Incarnation uint64 `cbor:"12,keyasint,omitempty"`
+	// Unconfirmed is set if the control VM restored the server from its data folder, and has
+	// received no announcement of it since. A server that is both unconfirmed and silent is no
+	// longer reported by that control VM.
+	Unconfirmed bool `cbor:"13,keyasint,omitempty"`
 }
 
+// Dropped reports whether a control VM no longer reports a server that it had restored.
+func (s BackendServer) Dropped() bool { return s.Unconfirmed && s.Silent }
+
 // ServerStart identifies one incarnation of a backend server.
 type ServerStart struct {
 	Instance    string `cbor:"1,keyasint"`
--- a/internal/reducer/registry/address.go
+++ b/internal/reducer/registry/address.go
@@ -58,6 +58,8 @@
 		return b.Silent
 	case a.Incarnation != 0 && b.Incarnation != 0 && a.Incarnation != b.Incarnation:
 		return a.Incarnation > b.Incarnation
+	case a.Unconfirmed != b.Unconfirmed:
+		return b.Unconfirmed
 	case i.complete && other.complete && a.Sequence != b.Sequence:
 		// Neither was observed to start. The instance with fewer announcements is younger.
 		return a.Sequence < b.Sequence
--- a/internal/reducer/registry/script_test.go
+++ b/internal/reducer/registry/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -30,8 +31,9 @@
 // control VM, a block "view" one forwarder; each line of a block is an event:
 //
 //	announce INSTANCE ADDRESS PHASE SEQUENCE [ROLE]
+//	restore INSTANCE ADDRESS PHASE SEQUENCE [ROLE] | ended-elsewhere INSTANCE
 //	withdraw INSTANCE | change-role INSTANCE DURATION | wait DURATION
-//	report CONTROL [complete] INSTANCE[/HOST]:PHASE:SEQUENCE[:silent]...
+//	report CONTROL [complete] INSTANCE[/HOST]:PHASE:SEQUENCE[:silent][:unconfirmed][:changing]...
 //	lost CONTROL
 //
 // INSTANCE@N is incarnation N of an instance that reports its incarnation. HOST is the host of its
@@ -65,7 +67,7 @@
 	t.Helper()
 	var event Event
 	switch words[0] {
-	case "announce":
+	case "announce", "restore":
 		name, incarnation := start(t, words[1])
 		server := message.BackendServer{
 			Instance: name, Incarnation: incarnation, Address: words[2], Service: "s",
@@ -75,6 +77,12 @@
 			server.Role = oriolebend.PoolRole(words[5])
 		}
 		event = Announced{At: s.now, Server: server}
+		if words[0] == "restore" {
+			event = Restored{At: s.now, Servers: []message.BackendServer{server}}
+		}
+	case "ended-elsewhere":
+		name, incarnation := start(t, words[1])
+		event = EndedElsewhere{Instance: name, Incarnation: incarnation}
 	case "withdraw":
 		name, incarnation := start(t, words[1])
 		event = Withdrawn{At: s.now, Instance: name, Incarnation: incarnation}
@@ -86,6 +94,10 @@
 		event = Ticked{At: s.now}
 	}
 	for _, effect := range Reduce(s.state, event) {
+		if dropped, ok := effect.(Dropped); ok {
+			fmt.Fprintln(out, "drop "+text(dropped.Server))
+			continue
+		}
 		fmt.Fprintln(out, "send "+text(effect.(Changed).Server))
 	}
 }
@@ -115,7 +127,8 @@
 				}
 				servers = append(servers, message.BackendServer{
 					Instance: name, Incarnation: incarnation, Address: host + ":1", Phase: message.ServerPhase(parts[1]),
-					Sequence: count(t, parts[2]), Silent: len(parts) > 3,
+					Sequence: count(t, parts[2]), Silent: slices.Contains(parts[3:], "silent"),
+					Unconfirmed: slices.Contains(parts[3:], "unconfirmed"), Changing: slices.Contains(parts[3:], "changing"),
 				})
 			}
 		}
@@ -135,6 +148,9 @@
 	if s.Silent {
 		words = append(words, "silent")
 	}
+	if s.Unconfirmed {
+		words = append(words, "unconfirmed")
+	}
 	if s.Changing {
 		words = append(words, "changing")
 	}
--- a/internal/reducer/registry/state.go
+++ b/internal/reducer/registry/state.go
@@ -21,6 +21,9 @@
 	// delayed announcement of a server that has left can be distinguished from a
 	// new server.
 	DefaultForgetAfter = 2 * time.Minute
+	// DefaultConfirmWithin is two announcements at the longest period in use (1.5 s): a
+	// server that still runs has announced itself by then.
+	DefaultConfirmWithin = 3 * time.Second
 )
 
 // Config sets up a State.
@@ -31,6 +34,9 @@
 	// ForgetAfter is how long a server is kept that has left or is silent; zero
 	// means DefaultForgetAfter.
 	ForgetAfter time.Duration
+	// ConfirmWithin is how long a restored server is kept that does not announce
+	// itself; zero means DefaultConfirmWithin.
+	ConfirmWithin time.Duration
 }
 
 // State holds the servers that one control VM knows. Only Reduce changes it.
@@ -62,6 +68,7 @@
 func New(c Config) *State {
 	c.SilentAfter = cmp.Or(c.SilentAfter, DefaultSilentAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.ConfirmWithin = cmp.Or(c.ConfirmWithin, DefaultConfirmWithin)
 	return &State{config: c, servers: map[string]*entry{}, changing: map[string]roleChange{}, holders: map[string]string{}}
 }
 
@@ -117,6 +124,10 @@
 		return s.applyRoleChange(e)
 	case Ticked:
 		return s.expire(e.At)
+	case Restored:
+		return s.restore(e)
+	case EndedElsewhere:
+		return s.applyEndElsewhere(e)
 	}
 	return nil
 }
@@ -172,7 +183,9 @@
 		// ended.
 		return nil
 	}
-	if e.Server.Sequence <= k.server.Sequence {
+	// A restored server may have restarted without reporting an incarnation, and numbers its
+	// announcements from the beginning then.
+	if e.Server.Sequence <= k.server.Sequence && !k.server.Unconfirmed {
 		// A delayed or duplicate announcement. If it were applied, a draining
 		// server would count as ready again.
 		return nil
@@ -249,12 +262,13 @@
 	if k.server.Phase == message.PhaseGone {
 		return nil
 	}
-	k.server.Phase = message.PhaseGone
+	k.server.Phase, k.server.Unconfirmed = message.PhaseGone, false
 	return []Effect{Changed{Server: k.server}}
 }
 
 // expire ends role changes whose time has passed, marks servers without recent announcements as
-// silent, and drops those without announcements for ForgetAfter.
+// silent, and drops those without announcements for ForgetAfter and those that were restored and have
+// not announced themselves.
 func (s *State) expire(at time.Time) []Effect {
 	var effects []Effect
 	for _, name := range slices.Sorted(maps.Keys(s.changing)) {
@@ -266,6 +280,12 @@
 	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
 		k := s.servers[name]
 		silence := at.Sub(k.announcedAt)
+		if k.server.Unconfirmed {
+			if silence >= s.config.ConfirmWithin {
+				effects = append(effects, s.drop(name))
+			}
+			continue
+		}
 		if silence >= s.config.ForgetAfter {
 			delete(s.servers, name)
 			continue
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -98,8 +98,10 @@
 // Update applies a report of a control VM. A complete report replaces all its earlier reports.
 func (v *View) Update(at time.Time, control string, complete bool, servers []message.BackendServer) {
 	s := v.sources[control]
+	var earlier map[string]message.BackendServer
 	if s != nil && complete {
 		v.markStale(s)
+		earlier = s.servers
 	}
 	if s == nil || complete {
 		s = &source{servers: map[string]message.BackendServer{}}
@@ -108,8 +110,12 @@
 	}
 	s.lost, s.complete = time.Time{}, complete
 	for _, server := range servers {
-		s.servers[server.Instance] = server
 		v.stale[server.Instance] = struct{}{}
+		if server.Dropped() {
+			delete(s.servers, server.Instance)
+			continue
+		}
+		s.servers[server.Instance] = keepLeaving(earlier[server.Instance], server)
 		if server.Phase == message.PhaseGone && server.Incarnation >= v.ended[server.Instance].incarnation {
 			v.ended[server.Instance] = ending{incarnation: server.Incarnation, reportedAt: at}
 		}
@@ -180,7 +186,8 @@
 // reported it in a complete list. usable is false if the instance has left, or if its address is
 // not known. The latest incarnation of an instance counts. Its phase is the most advanced phase
 // that any control VM reports; the rest is its latest announcement. It is silent if every control
-// VM that reports it reports it as silent.
+// VM that reports it reports it as silent. A report that a control VM restored counts only if no
+// other one has received an announcement of that incarnation.
 func (v *View) merge(name string) (merged message.BackendServer, complete, usable bool) {
 	for _, control := range v.sourceOrder {
 		s := v.sources[control]
@@ -220,6 +227,19 @@
 	})
 }
 
+// keepLeaving returns a report of a control VM, with the drain or role change that it had reported
+// before its restart. The list that it restored may be from before that.
+func keepLeaving(before, reported message.BackendServer) message.BackendServer {
+	if !reported.Unconfirmed || !before.SameStart(reported) {
+		return reported
+	}
+	if before.Phase.After(reported.Phase) {
+		reported.Phase = before.Phase
+	}
+	reported.Changing = reported.Changing || before.Changing
+	return reported
+}
+
 // merge merges the reports of two control VMs on one instance.
 func merge(a, b message.BackendServer) message.BackendServer {
 	switch {
@@ -227,6 +247,10 @@
 		return b
 	case b.Incarnation < a.Incarnation:
 		return a
+	case a.Unconfirmed && !b.Unconfirmed:
+		return confirm(a, b)
+	case b.Unconfirmed && !a.Unconfirmed:
+		return confirm(b, a)
 	}
 	newer, older := a, b
 	if b.Sequence > a.Sequence || a.Address == "" {
@@ -239,3 +263,19 @@
 	newer.Changing = a.Changing || b.Changing
 	return newer
 }
+
+// confirm merges an unconfirmed report on an instance with an announced one, which counts. An
+// announced report without an address is about a role change or an end that the control VM knows of
+// without knowing the server.
+func confirm(unconfirmed, announced message.BackendServer) message.BackendServer {
+	merged := announced
+	if announced.Address == "" {
+		merged = unconfirmed
+	}
+	merged.Phase = announced.Phase
+	if unconfirmed.Phase.After(merged.Phase) {
+		merged.Phase = unconfirmed.Phase
+	}
+	merged.Changing = announced.Changing || unconfirmed.Changing
+	return merged
+}
--- a/internal/reducer/registry/view_test.go
+++ b/internal/reducer/registry/view_test.go
@@ -78,6 +78,8 @@
 			}).Draw(t, "phase"),
 			Sequence: rapid.Uint64Range(1, 3).Draw(t, "sequence"),
 			Silent:   rapid.Bool().Draw(t, "silent"),
+
+			Unconfirmed: rapid.Bool().Draw(t, "unconfirmed"),
 		})
 	}
 	return list
