routewatch: send restored servers with the first session

A control VM sends the servers that it restored with the first update to the forwarder that watches it first, without waiting for a leader, and drops those that are not confirmed within 3 s. Other control VMs send theirs only if the forwarder's first acknowledgement says that it has received none: otherwise a restart of the whole system would send the list of all servers from every control VM to every forwarder. A restored server that another control VM reports as draining, ended, restarted or changing its role is dropped at once. A view drops restored servers by itself after 4 s, in case that their control VM fails again or freezes.

Tests: go test -race ./internal/routewatch ./internal/reducer/registry ./internal/message ./docs pass.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -152,6 +152,9 @@
 	// Connected is set if a control VM recently reported to the sender that a quorum
 	// confirmed its state.
 	Connected bool `cbor:"inTouch,omitempty"`
+	// Restored is set if the watcher received unconfirmed servers from a control VM a short time
+	// ago, and needs no others.
+	Restored bool `cbor:"restored,omitempty"`
 	// Loads are the loads since they were last sent, about once a second.
 	Loads []ServiceLoad `cbor:"loads,omitempty"`
 }
--- a/internal/reducer/registry/restored.go
+++ b/internal/reducer/registry/restored.go
@@ -12,20 +12,22 @@
 	Servers []message.BackendServer
 }
 
-// EndedElsewhere reports that another control VM knows that a server accepts no new work. Incarnation
-// is the highest one to which that applies.
-type EndedElsewhere struct {
-	Instance    string
-	Incarnation uint64
-}
+// ReportedElsewhere reports the state of a server as of the merged reports of all control VMs; its phase
+// is PhaseGone if it has left.
+type ReportedElsewhere struct{ Server message.BackendServer }
 
 // Dropped requests that watchers be told to use a restored server no longer, unless another control
 // VM reports it.
-type Dropped struct{ Server message.BackendServer }
+type Dropped struct {
+	// Server has no address: watchers need only its name.
+	Server message.BackendServer
+	// Elsewhere is set if the server has announced itself to another control VM.
+	Elsewhere bool
+}
 
-func (Restored) isRegistryEvent()       {}
-func (EndedElsewhere) isRegistryEvent() {}
-func (Dropped) isRegistryEffect()       {}
+func (Restored) isRegistryEvent()          {}
+func (ReportedElsewhere) isRegistryEvent() {}
+func (Dropped) isRegistryEffect()          {}
 
 // Restorable reports whether a server may be restored after a restart: it accepted new work when it
 // was last reported.
@@ -48,19 +50,35 @@
 	return effects
 }
 
-// applyEndElsewhere drops a restored server that has ended or drains. Watchers that do not receive the
-// reports of the other control VM would use it until it expires.
-func (s *State) applyEndElsewhere(e EndedElsewhere) []Effect {
-	k := s.servers[e.Instance]
-	if k == nil || !k.server.Unconfirmed || k.server.Incarnation > e.Incarnation {
+// applyElsewhere drops a restored server that has restarted or accepts no new work, as far as another
+// control VM knows. Watchers that do not receive the reports of that control VM would otherwise use
+// it until it expires.
+func (s *State) applyElsewhere(server message.BackendServer) []Effect {
+	k := s.servers[server.Instance]
+	if k == nil || !k.server.Unconfirmed || k.server.Incarnation > server.Incarnation {
 		return nil
 	}
-	return []Effect{s.drop(e.Instance)}
+	if k.server.Incarnation < server.Incarnation || server.Phase != message.PhaseReady || server.Changing {
+		return []Effect{s.drop(server.Instance)}
+	}
+	k.elsewhere = k.elsewhere || !server.Unconfirmed
+	return nil
+}
+
+// Unconfirmed returns the number of restored servers that have not announced themselves yet.
+func (s *State) Unconfirmed() int {
+	count := 0
+	for _, k := range s.servers {
+		if k.server.Unconfirmed {
+			count++
+		}
+	}
+	return count
 }
 
 // drop removes a restored server.
 func (s *State) drop(name string) Effect {
-	server := s.servers[name].server
+	server, elsewhere := s.servers[name].server, s.servers[name].elsewhere
 	delete(s.servers, name)
 	if s.holders[server.Address] == name {
 		delete(s.holders, server.Address)
@@ -68,6 +86,6 @@
 	if _, changing := s.changing[name]; changing {
 		return Changed{Server: s.published(name)}
 	}
-	server.Silent = true
-	return Dropped{Server: server}
+	left := message.BackendServer{Instance: name, Incarnation: server.Incarnation, Phase: message.PhaseReady, Unconfirmed: true, Silent: true}
+	return Dropped{Server: left, Elsewhere: elsewhere}
 }
--- a/internal/reducer/registry/script_test.go
+++ b/internal/reducer/registry/script_test.go
@@ -31,7 +31,8 @@
 // control VM, a block "view" one forwarder; each line of a block is an event:
 //
 //	announce INSTANCE ADDRESS PHASE SEQUENCE [ROLE]
-//	restore INSTANCE ADDRESS PHASE SEQUENCE [ROLE] | ended-elsewhere INSTANCE
+//	restore INSTANCE ADDRESS PHASE SEQUENCE [ROLE]
+//	elsewhere INSTANCE PHASE [unconfirmed|changing]
 //	withdraw INSTANCE | change-role INSTANCE DURATION | wait DURATION
 //	report CONTROL [complete] INSTANCE[/HOST]:PHASE:SEQUENCE[:silent][:unconfirmed][:changing]...
 //	lost CONTROL
@@ -80,9 +81,12 @@
 		if words[0] == "restore" {
 			event = Restored{At: s.now, Servers: []message.BackendServer{server}}
 		}
-	case "ended-elsewhere":
+	case "elsewhere":
 		name, incarnation := start(t, words[1])
-		event = EndedElsewhere{Instance: name, Incarnation: incarnation}
+		event = ReportedElsewhere{Server: message.BackendServer{
+			Instance: name, Incarnation: incarnation, Phase: message.ServerPhase(words[2]),
+			Unconfirmed: slices.Contains(words, "unconfirmed"), Changing: slices.Contains(words, "changing"),
+		}}
 	case "withdraw":
 		name, incarnation := start(t, words[1])
 		event = Withdrawn{At: s.now, Instance: name, Incarnation: incarnation}
@@ -95,7 +99,7 @@
 	}
 	for _, effect := range Reduce(s.state, event) {
 		if dropped, ok := effect.(Dropped); ok {
-			fmt.Fprintln(out, "drop "+text(dropped.Server))
+			fmt.Fprintln(out, "drop "+text(dropped.Server), "elsewhere:", dropped.Elsewhere)
 			continue
 		}
 		fmt.Fprintln(out, "send "+text(effect.(Changed).Server))
--- a/internal/reducer/registry/state.go
+++ b/internal/reducer/registry/state.go
@@ -56,6 +56,8 @@
 	announcedAt time.Time
 	// superseded is set while another instance holds the address.
 	superseded bool
+	// elsewhere is set if a restored server has announced itself to another control VM.
+	elsewhere bool
 }
 
 // roleChange is a role change of one incarnation of an instance, and when it ends at the latest.
@@ -126,8 +128,8 @@
 		return s.expire(e.At)
 	case Restored:
 		return s.restore(e)
-	case EndedElsewhere:
-		return s.applyEndElsewhere(e)
+	case ReportedElsewhere:
+		return s.applyElsewhere(e.Server)
 	}
 	return nil
 }
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -13,6 +13,10 @@
 	// session with it has ended: its servers announce themselves to another one
 	// within two periods, and a control VM that restarts is up again in seconds.
 	sourceLifetime = 10 * time.Second
+	// unconfirmedLifetime is how long restored servers are used that a control VM neither confirms
+	// nor drops, because it failed again or is frozen. It is a second longer than the control VM
+	// takes to drop them, so that usually its report comes first.
+	unconfirmedLifetime = DefaultConfirmWithin + time.Second
 	// endingLifetime is how long the end of an instance is recorded in a view.
 	endingLifetime = DefaultForgetAfter
 )
@@ -85,6 +89,8 @@
 	lost time.Time
 	// complete is set while the only report is a complete list.
 	complete bool
+	// unconfirmedUntil is when the unconfirmed servers are dropped, zero if there are none.
+	unconfirmedUntil time.Time
 }
 
 // NewView returns an empty view.
@@ -115,6 +121,9 @@
 			delete(s.servers, server.Instance)
 			continue
 		}
+		if server.Unconfirmed && s.unconfirmedUntil.IsZero() {
+			s.unconfirmedUntil = at.Add(unconfirmedLifetime)
+		}
 		s.servers[server.Instance] = keepLeaving(earlier[server.Instance], server)
 		if server.Phase == message.PhaseGone && server.Incarnation >= v.ended[server.Instance].incarnation {
 			v.ended[server.Instance] = ending{incarnation: server.Incarnation, reportedAt: at}
@@ -129,6 +138,17 @@
 	}
 }
 
+// Unconfirmed reports whether a control VM that is still connected has reported restored servers a short
+// time ago.
+func (v *View) Unconfirmed(at time.Time) bool {
+	for _, s := range v.sources {
+		if s.lost.IsZero() && at.Before(s.unconfirmedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // Changes returns the differences since its previous call.
 func (v *View) Changes(at time.Time) Changes {
 	v.expire(at)
@@ -207,8 +227,25 @@
 	}
 }
 
-// expire drops the reports of control VMs whose session ended long ago, and old endings.
+// dropUnconfirmed drops the unconfirmed servers of a source.
+func (v *View) dropUnconfirmed(s *source) {
+	s.unconfirmedUntil = time.Time{}
+	maps.DeleteFunc(s.servers, func(name string, server message.BackendServer) bool {
+		if server.Unconfirmed {
+			v.stale[name] = struct{}{}
+		}
+		return server.Unconfirmed
+	})
+}
+
+// expire drops the reports of control VMs whose session ended long ago, restored servers that were
+// not confirmed, and old endings.
 func (v *View) expire(at time.Time) {
+	for _, s := range v.sources {
+		if !s.unconfirmedUntil.IsZero() && !at.Before(s.unconfirmedUntil) {
+			v.dropUnconfirmed(s)
+		}
+	}
 	v.sourceOrder = slices.DeleteFunc(v.sourceOrder, func(name string) bool {
 		s := v.sources[name]
 		old := !s.lost.IsZero() && at.Sub(s.lost) >= sourceLifetime
--- a/internal/routewatch/server.go
+++ b/internal/routewatch/server.go
@@ -71,6 +71,9 @@
 	observers  []string
 	// listens are the addresses at which forwarders reach each other, sorted.
 	listens []string
+	// restored counts the restored servers, dropped those that did not announce themselves to any
+	// control VM.
+	restored, dropped int
 }
 
 // Prepare initializes the server; it must be called before any other method.
@@ -203,21 +206,35 @@
 
 // apply is reduce. The mutex is held.
 func (r *Server) apply(e registry.Event) {
+	var dropped []string
 	for _, effect := range reducer.Reduce(&reducer.State{Registry: r.state}, e) {
-		changed, ok := effect.(registry.Changed)
-		if !ok {
+		switch effect := effect.(type) {
+		case registry.Changed:
+			s := effect.Server
+			r.Logger.Info("backend server", "instance", s.Instance, "address", s.Address, "service", s.Service,
+				"phase", s.Phase, "role", s.Role, "silent", s.Silent, "sequence", s.Sequence, "incarnation", s.Incarnation)
+			r.queue(s)
+		case registry.Dropped:
+			r.queue(effect.Server)
+			if !effect.Elsewhere {
+				dropped = append(dropped, effect.Server.Instance)
+			}
+		}
+	}
+	r.countDropped(dropped)
+}
+
+// queue queues a server for all watchers. The mutex is held.
+func (r *Server) queue(s message.BackendServer) {
+	for w := range r.watches {
+		if s.Dropped() && w.withholds {
 			continue
 		}
-		s := changed.Server
-		r.Logger.Info("backend server", "instance", s.Instance, "address", s.Address, "service", s.Service,
-			"phase", s.Phase, "role", s.Role, "silent", s.Silent, "sequence", s.Sequence, "incarnation", s.Incarnation)
-		for w := range r.watches {
-			w.pending[s.Instance] = s
-			if s.Phase != message.PhaseReady || s.Changing {
-				signal(w.urgent) // forwarders send requests to the server until they receive this
-			} else {
-				signal(w.wake)
-			}
+		w.pending[s.Instance] = s
+		if s.Phase != message.PhaseReady || s.Changing || s.Dropped() {
+			signal(w.urgent) // forwarders send requests to the server until they receive this
+		} else {
+			signal(w.wake)
 		}
 	}
 }
--- a/internal/routewatch/watch.go
+++ b/internal/routewatch/watch.go
@@ -20,6 +20,9 @@
 	observes bool
 	// alone is the Alone of the RouteWatch with which the process began to watch.
 	alone bool
+	// withholds is set while unconfirmed servers are not sent to the process: until it acknowledges
+	// its first update, and on if it has received those of another control VM.
+	withholds bool
 	// pending are the servers to send with the next update, number is the number of the last
 	// update.
 	pending map[string]message.BackendServer
@@ -91,10 +94,13 @@
 	defer r.mutex.Unlock()
 	w := &watcher{
 		node: watch.Node, version: watch.Version, listen: watch.Listen, observes: watch.Observes, alone: watch.Alone, address: watch.Address, pending: map[string]message.BackendServer{},
-		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), progress: make(chan struct{}),
+		withholds: !watch.Alone && !watch.Observes,
+		wake:      make(chan struct{}, 1), urgent: make(chan struct{}, 1), progress: make(chan struct{}),
 	}
 	for _, server := range r.state.Servers() {
-		w.pending[server.Instance] = server
+		if !server.Unconfirmed || !w.withholds {
+			w.pending[server.Instance] = server
+		}
 	}
 	if r.Reports != nil {
 		w.reports = r.Reports()
@@ -143,6 +149,9 @@
 		}
 		if ack, ok := m.(message.RouteAcknowledged); ok {
 			r.mutex.Lock()
+			if w.acknowledged == 0 && !ack.Restored {
+				r.sendUnconfirmed(w)
+			}
 			w.acknowledged, w.version, w.connected = max(w.acknowledged, ack.Number), max(w.version, ack.Version), ack.Connected
 			close(w.progress)
 			w.progress = make(chan struct{})
