role: restore backend servers at the start of a control VM

A control VM writes the servers that it and the other control VMs report to its data folder, and restores them before it serves any peer. A forwarder that starts thus has servers with its first session, before a leader is elected and before any server has announced itself. The list is written only while the control VM watches itself, since it would otherwise lack the servers that only this VM restored. control.disable = ["restoredServers"] turns all of it off. Gauges count the servers restored, confirmed and dropped, and failed writes of the list.

--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -49,6 +49,7 @@
 	pools        *PoolController
 	places       *placements.Allocator
 	observer     *routewatch.Follower
+	known        *knownServers // nil if restored servers are disabled
 	crashes      *quarantine.Store
 	crashReports *crashreports.DiskStore
 	quotas       *quota.Server
@@ -91,6 +92,9 @@
 	}
 	go process.places.Run(ctx)
 	go process.observer.Run(ctx)
+	if process.known != nil {
+		go process.known.list.Run(ctx)
+	}
 	go func() {
 		defer close(process.done)
 		process.runErr = process.replica.Run(ctx)
@@ -210,11 +214,13 @@
 		Logger:    p.Logger,
 	}
 	c.routes.Prepare()
+	c.restoreServers()
 	c.buildObserver(name)
 	if len(p.Settings.Control.Seeds) > 0 {
 		c.joiner = c.newJoiner(name)
 	}
 	c.registerMetrics(reached)
+	c.registerRestored()
 	c.metrics, err = p.serveMetrics(c.Ready)
 	if err != nil {
 		return err
--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -117,6 +117,9 @@
 		c.routes.Loads = c.pools.ApplyLoads
 		sinks = append(sinks, c.pools)
 	}
+	if c.known != nil {
+		sinks = append(sinks, c.known)
+	}
 	c.observer = &routewatch.Follower{
 		Dialer: c.endpoint,
 		Seeds:  slices.Concat(p.controlAddresses(), c.memberAddresses()),
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -34,6 +34,8 @@
 	folder string
 	port   int
 	seeds  []string
+	// disable lists the features that control VMs do not use.
+	disable []settings.Feature
 
 	mutex   sync.Mutex
 	running map[string]*ControlProcess
@@ -64,6 +66,7 @@
 	p.Settings.Peer = settings.Peer{Listen: fmt.Sprintf("%s:%d", ip, s.port), Trust: settings.TrustNetwork}
 	p.Settings.Control.Found = found
 	p.Settings.Control.MinFreeBytes = 1
+	p.Settings.Control.Disable = s.disable
 	for _, seed := range s.seeds {
 		p.Settings.Control.Seeds = append(p.Settings.Control.Seeds, fmt.Sprintf("%s:%d", seed, s.port))
 	}
