dispatch, forwarder: avoid a restored server that can't be reached

A restored server may have ended before the restart. If a send to it fails, the server is avoided until it announces itself or is dropped, in place of 250 ms. If nothing was sent, the send does not count as one of the request's attempts, so that a route with a single attempt tries another server.

Tests: go test -race ./internal/reducer/dispatch ./internal/forwarder pass.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -9,6 +9,7 @@
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/memorybudget"
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -201,6 +202,8 @@
 		reason = reasonOf(r.err)
 		if reason == oriolebend.ReasonMemoryShort {
 			w.recordNotSent(reason)
+		} else if notReached(r.grant.Server, r.err) {
+			w.skipServer()
 		}
 		w.recordRan(ranOf(r.err))
 	case r.verdict.Ran == oriolebend.RanNo:
@@ -221,11 +224,23 @@
 // further one counts as a send, so that the request ends if all servers are like that.
 func (w *work) recordNotSent(reason oriolebend.Reason) {
 	w.declined = reason
+	w.skipServer()
+}
+
+// skipServer does not count a send that was not made, for a few servers.
+func (w *work) skipServer() {
 	if w.skipped++; w.skipped <= maxSkippedServers {
 		w.sent--
 	}
 }
 
+// notReached reports whether a send failed before anything was sent, to a server that a control VM
+// restored and that has not announced itself since. It may have ended before the restart, so that the
+// send does not count as one of the request's attempts.
+func notReached(server message.BackendServer, err error) bool {
+	return server.Unconfirmed && ranOf(err) == oriolebend.RanNo
+}
+
 // forwardAnswer forwards the server's answer to the caller.
 func (w *work) forwardAnswer(ctx context.Context, r result) {
 	if r.succeeded() {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -125,7 +125,8 @@
 		s.recordRan(ranOf(err))
 		s.logSend(s.grant, "stream not begun", 0, reasonOf(err), err)
 		s.freeResult(source)
-		return streamResult{reason: reasonOf(err), unsent: reasonOf(err) == oriolebend.ReasonMemoryShort}
+		unsent := reasonOf(err) == oriolebend.ReasonMemoryShort || notReached(s.grant.Server, err)
+		return streamResult{reason: reasonOf(err), unsent: unsent}
 	}
 	defer response.Close()
 	verdict := s.f.config.Dialect.Verdict(response.Status, response.Header, s.grant.Server.Instance)
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -53,6 +53,9 @@
 	if kept.Role != current.Role {
 		kept.latency = average{}
 	}
+	if kept.Unconfirmed && !current.Unconfirmed {
+		kept.failedInRow, kept.avoidUntil = 0, time.Time{} // its announcement shows that it runs
+	}
 	kept.BackendServer, kept.removed = current, false
 	kept.updateLeaving(at)
 	if !listed {
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -18,6 +18,9 @@
 	// its new role is reported. If it were avoided for good, a server whose answer crossed
 	// the report of its new role would stay idle.
 	avoidMoved = 5 * time.Second
+	// avoidUnconfirmed is how long a restored server is avoided that failed before it announced
+	// itself: until its control VM drops it, or until its announcement ends the avoidance.
+	avoidUnconfirmed = 3 * time.Second
 )
 
 // releasePrefill releases the prefill part of a grant.
@@ -147,6 +150,9 @@
 	if c.failedInRow < 5 {
 		pause = min(avoidMost, avoidFirst<<c.failedInRow)
 	}
+	if c.Unconfirmed {
+		pause = avoidUnconfirmed
+	}
 	c.failedInRow++
 	c.avoidUntil = at.Add(pause)
 }
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -28,7 +28,7 @@
 // TestScripts runs the files of testdata/scripts. Their commands:
 //
 //	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
-//	                        [start=N] a line
+//	                        [unconfirmed] [start=N] a line
 //	service NAME [kv=N] [part=N]   declares a service; kv makes it a service of engines
 //	do                      place NAME SERVICE [prompt=N] [pause=FOR] [retry] [waited] [tried=A,B] [excluded=A,B]
 //	                        [from=DOMAIN]
@@ -89,6 +89,8 @@
 				server.Silent = true
 			case "changing":
 				server.Changing = true
+			case "unconfirmed":
+				server.Unconfirmed = true
 			default:
 				server.Phase = message.ServerPhase(word)
 			}
