--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -13,6 +13,10 @@
 	// session with it has ended: its servers announce themselves to another one
 	// within two periods, and a control VM that restarts is up again in seconds.
 	sourceLifetime = 10 * time.Second
+	// unconfirmedLifetime is how long restored servers are used that a control VM neither confirms
+	// nor drops, because it failed again or is frozen. It is a second longer than the control VM
+	// takes to drop them, so that usually its report comes first.
+	unconfirmedLifetime = DefaultConfirmWithin + time.Second
 	// endingLifetime is how long the end of an instance is recorded in a view.
 	endingLifetime = DefaultForgetAfter
 )
@@ -85,6 +89,8 @@
 	lost time.Time
 	// complete is set while the only report is a complete list.
 	complete bool
+	// unconfirmedUntil is when the unconfirmed servers are dropped, zero if there are none.
+	unconfirmedUntil time.Time
 }
 
 // NewView returns an empty view.
@@ -98,8 +104,10 @@
 // Update applies a report of a control VM. A complete report replaces all its earlier reports.
 func (v *View) Update(at time.Time, control string, complete bool, servers []message.BackendServer) {
 	s := v.sources[control]
+	var earlier map[string]message.BackendServer
 	if s != nil && complete {
 		v.markStale(s)
+		earlier = s.servers
 	}
 	if s == nil || complete {
 		s = &source{servers: map[string]message.BackendServer{}}
@@ -108,8 +116,15 @@
 	}
 	s.lost, s.complete = time.Time{}, complete
 	for _, server := range servers {
-		s.servers[server.Instance] = server
 		v.stale[server.Instance] = struct{}{}
+		if server.Dropped() {
+			delete(s.servers, server.Instance)
+			continue
+		}
+		if server.Unconfirmed && s.unconfirmedUntil.IsZero() {
+			s.unconfirmedUntil = at.Add(unconfirmedLifetime)
+		}
+		s.servers[server.Instance] = keepLeaving(earlier[server.Instance], server)
 		if server.Phase == message.PhaseGone && server.Incarnation >= v.ended[server.Instance].incarnation {
 			v.ended[server.Instance] = ending{incarnation: server.Incarnation, reportedAt: at}
 		}
@@ -123,6 +138,9 @@
 	}
 }
 
+// Len returns the number of backend servers, as of the last call of Changes.
+func (v *View) Len() int { return len(v.instances) }
+
 // Changes returns the differences since its previous call.
 func (v *View) Changes(at time.Time) Changes {
 	v.expire(at)
@@ -180,7 +198,8 @@
 // reported it in a complete list. usable is false if the instance has left, or if its address is
 // not known. The latest incarnation of an instance counts. Its phase is the most advanced phase
 // that any control VM reports; the rest is its latest announcement. It is silent if every control
-// VM that reports it reports it as silent.
+// VM that reports it reports it as silent. A report that a control VM restored counts only if no
+// other one has received an announcement of that incarnation.
 func (v *View) merge(name string) (merged message.BackendServer, complete, usable bool) {
 	for _, control := range v.sourceOrder {
 		s := v.sources[control]
@@ -200,8 +219,25 @@
 	}
 }
 
-// expire drops the reports of control VMs whose session ended long ago, and old endings.
+// dropUnconfirmed drops the unconfirmed servers of a source.
+func (v *View) dropUnconfirmed(s *source) {
+	s.unconfirmedUntil = time.Time{}
+	maps.DeleteFunc(s.servers, func(name string, server message.BackendServer) bool {
+		if server.Unconfirmed {
+			v.stale[name] = struct{}{}
+		}
+		return server.Unconfirmed
+	})
+}
+
+// expire drops the reports of control VMs whose session ended long ago, restored servers that were
+// not confirmed, and old endings.
 func (v *View) expire(at time.Time) {
+	for _, s := range v.sources {
+		if !s.unconfirmedUntil.IsZero() && !at.Before(s.unconfirmedUntil) {
+			v.dropUnconfirmed(s)
+		}
+	}
 	v.sourceOrder = slices.DeleteFunc(v.sourceOrder, func(name string) bool {
 		s := v.sources[name]
 		old := !s.lost.IsZero() && at.Sub(s.lost) >= sourceLifetime
@@ -220,6 +256,19 @@
 	})
 }
 
+// keepLeaving returns a report of a control VM, with the drain or role change that it had reported
+// before its restart. The list that it restored may be from before that.
+func keepLeaving(before, reported message.BackendServer) message.BackendServer {
+	if !reported.Unconfirmed || !before.SameStart(reported) {
+		return reported
+	}
+	if before.Phase.After(reported.Phase) {
+		reported.Phase = before.Phase
+	}
+	reported.Changing = reported.Changing || before.Changing
+	return reported
+}
+
 // merge merges the reports of two control VMs on one instance.
 func merge(a, b message.BackendServer) message.BackendServer {
 	switch {
@@ -227,6 +276,10 @@
 		return b
 	case b.Incarnation < a.Incarnation:
 		return a
+	case a.Unconfirmed && !b.Unconfirmed:
+		return confirm(a, b)
+	case b.Unconfirmed && !a.Unconfirmed:
+		return confirm(b, a)
 	}
 	newer, older := a, b
 	if b.Sequence > a.Sequence || a.Address == "" {
@@ -239,3 +292,19 @@
 	newer.Changing = a.Changing || b.Changing
 	return newer
 }
+
+// confirm merges an unconfirmed report on an instance with an announced one, which counts. An
+// announced report without an address is about a role change or an end that the control VM knows of
+// without knowing the server.
+func confirm(unconfirmed, announced message.BackendServer) message.BackendServer {
+	merged := announced
+	if announced.Address == "" {
+		merged = unconfirmed
+	}
+	merged.Phase = announced.Phase
+	if unconfirmed.Phase.After(merged.Phase) {
+		merged.Phase = unconfirmed.Phase
+	}
+	merged.Changing = announced.Changing || unconfirmed.Changing
+	return merged
+}
