reducer/speed: estimate of the relative speed of servers

No decision uses how fast a server is. This package estimates, for each incarnation of a server, the time for a unit of work relative to the other servers of its service: a factor for each server, a common base and slope over the batch, and the spread of the factor. Single reports count with a bounded step, so that pauses move the estimate little; reports that can't be right are ignored. A factor within its spread of the median is exactly one. Observations of other processes can be merged, for a new leader.

Tests: go test -race ./internal/reducer/speed ./docs pass.

--- /dev/null
+++ b/internal/reducer/speed/merge.go
@@ -0,0 +1,45 @@
+package speed
+
+import (
+	"math"
+	"time"
+)
+
+// Observation is what one process has seen of a server: the number of its reports and the
+// geometric mean of the time for a unit.
+type Observation struct {
+	Count int
+	Mean  time.Duration
+}
+
+const (
+	// mostMerged is how many reports an observation of another process counts at most: it contains
+	// no batch, and later reports correct it.
+	mostMerged = 4
+	// keptFor is how long a process passes on what it has seen of a server.
+	keptFor = 2 * time.Minute
+)
+
+// Observation returns what was seen of a server; false if nothing was seen recently.
+func (v *Service) Observation(at time.Time, c *Server) (Observation, bool) {
+	if c.direct == 0 || at.Sub(c.last) > keptFor {
+		return Observation{}, false
+	}
+	mean := math.Exp(c.log) * v.predict(v.batch)
+	return Observation{Count: c.direct, Mean: time.Duration(mean * float64(time.Second))}, true
+}
+
+// Merge adds what another process has seen of a server. It returns false if the observation was
+// ignored: because it can't be right, or because there are enough own reports, which probably
+// include those of the observation.
+func (v *Service) Merge(c *Server, at time.Time, o Observation) bool {
+	per, valid := Report{Took: o.Mean, Units: 1}.perUnit()
+	if !valid || o.Count <= 0 || c.direct >= enoughReports {
+		return false
+	}
+	if v.count == 0 {
+		v.add(0, per)
+	}
+	v.observe(c, at, v.batch, per, min(o.Count, mostMerged))
+	return true
+}
--- /dev/null
+++ b/internal/reducer/speed/service.go
@@ -0,0 +1,110 @@
+// Package speed estimates how fast the servers of one service are relative to each other, from
+// reports of the time that a server needed for a number of units of work: the events of a stream,
+// the tokens of a prompt, or one plain answer. It is pure: time comes in reports.
+//
+// A unit is assumed to take factor x (base + slope x batch), where the batch is the number of
+// requests that the server works on at the same time. Base and slope are common to the service, the
+// factor belongs to one incarnation of a server. All estimates are in logarithms, so that half and
+// twice the speed count the same.
+package speed
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// usualSlope is the part of the base by which each request in the batch is assumed to lengthen
+	// a unit until reports with different batches show it.
+	usualSlope = 0.03
+	// slopeConfidence is the variance of the batch, in squared requests, from which on the reports
+	// count more than usualSlope. A batch that varies by less than one request shows no slope.
+	slopeConfidence = 1.0
+	// largestSlopePart bounds the part of the mean time that the batch can cause, so that the base
+	// stays positive whatever the reports are.
+	largestSlopePart = 0.5
+	// serviceWeight is the weight of a report in the common base and slope. One server that
+	// changes its speed must not shift the base of a service, which fifty others share.
+	serviceWeight = 0.01
+)
+
+// Service is the common base and slope of the servers of a service. The zero value knows nothing.
+type Service struct {
+	count int
+	// batch and value are the means of the batch and of the seconds for a unit at factor one,
+	// variance and covariance their second moments.
+	batch, value         float64
+	variance, covariance float64
+}
+
+// add adds the seconds for a unit at factor one.
+func (v *Service) add(batch, value float64) {
+	v.count++
+	weight := max(serviceWeight, 1/float64(v.count))
+	b, y := batch-v.batch, value-v.value
+	v.batch += weight * b
+	v.value += weight * y
+	v.variance = (1 - weight) * (v.variance + weight*b*b)
+	v.covariance = (1 - weight) * (v.covariance + weight*b*y)
+}
+
+// slope is by how many seconds each request in the batch lengthens a unit.
+func (v *Service) slope() float64 {
+	assumed := v.value * usualSlope / (1 + usualSlope*v.batch)
+	slope := (v.covariance + slopeConfidence*assumed) / (v.variance + slopeConfidence)
+	return min(max(0, slope), largestSlopePart*v.value/max(1, v.batch))
+}
+
+// Known reports whether there were enough reports for a prediction.
+func (v *Service) Known() bool { return v.count >= enoughReports }
+
+// predict is the seconds for a unit of a server with factor one.
+func (v *Service) predict(batch float64) float64 {
+	slope := v.slope()
+	return max(v.value-slope*v.batch, (1-largestSlopePart)*v.value) + slope*batch
+}
+
+// Predict is how long a server needs for a number of units. It is meaningful only if the service is
+// Known.
+func (v *Service) Predict(c *Server, batch, units float64) time.Duration {
+	return time.Duration(c.Factor() * v.predict(batch) * units * float64(time.Second))
+}
+
+// Compare compares the servers of a service and sets their factors. The median of the servers with
+// enough reports becomes factor one.
+func (v *Service) Compare(at time.Time, servers []*Server) {
+	if middle, known := medianOf(servers); known {
+		v.shift(servers, middle)
+	}
+	for _, c := range servers {
+		c.factor = c.difference(at)
+	}
+}
+
+// shift makes a logarithm of a factor the new zero of all servers. The predictions stay the same.
+func (v *Service) shift(servers []*Server, by float64) {
+	scale := math.Exp(by)
+	v.value, v.covariance = v.value*scale, v.covariance*scale
+	for _, c := range servers {
+		if c.count > 0 {
+			c.log, c.recent = c.log-by, c.recent-by
+		}
+	}
+}
+
+// medianOf returns the median logarithm of the servers with enough reports; false if there are too
+// few to compare.
+func medianOf(servers []*Server) (float64, bool) {
+	logs := make([]float64, 0, len(servers))
+	for _, c := range servers {
+		if c.count >= enoughReports {
+			logs = append(logs, c.log)
+		}
+	}
+	if len(logs) < 2 {
+		return 0, false
+	}
+	slices.Sort(logs)
+	return (logs[(len(logs)-1)/2] + logs[len(logs)/2]) / 2, true
+}
