forwarder, message, placements: report how long an engine wrote

The allocator does not know how fast engines are. A forwarder now reports with the end of a placement the time from the first to the last event of the stream and the number of events: also for a stream that broke off, without the silence before its end. The fields are optional, so that old and new processes can work together. A report of a time longer than its placement is dropped.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -60,8 +60,9 @@
 	// streaming is set from the first event on, which was received at started.
 	streaming bool
 	started   time.Time
-	// events counts the received events.
-	events int
+	// events counts the received events, the last of which was received at lastReceived.
+	events       int
+	lastReceived time.Time
 }
 
 // streamResult is the result of a send. done is set if the caller has received the complete answer,
@@ -201,11 +202,12 @@
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
 		}
 		s.events++
+		s.lastReceived = last
 		if event.id != "" && !follows(event.id, s.lastEvent) {
 			continue
 		}
 		if !s.deliver(response, event) {
-			s.reportEnded(s.grant, dispatch.OutcomeCancelled, 0)
+			s.reportStreamEnded(dispatch.OutcomeCancelled)
 			s.log(0, oriolebend.ReasonCallerCancelled, oriolebend.RanUnknown)
 			return streamResult{done: true}
 		}
@@ -232,6 +234,15 @@
 	return s.answer.Write(event.raw)
 }
 
+// reportStreamEnded reports the end of the send, and how long the engine wrote how many events. A
+// silence before the end of a stream that broke off is not included: it says nothing about the
+// engine's speed.
+func (s *streamSend) reportStreamEnded(outcome dispatch.Outcome) {
+	s.f.reportEnded(dispatch.Ended{
+		At: s.f.now(), Grant: s.grant, Outcome: outcome, Writing: s.lastReceived.Sub(s.started), Events: s.events,
+	})
+}
+
 // finishStream handles the end of a server's stream.
 func (s *streamSend) finishStream(response *backend.Response, err error) streamResult {
 	if errors.Is(err, io.EOF) {
@@ -243,7 +254,7 @@
 			s.f.config.Quarantine.Answered(s.fingerprint)
 			s.f.reduce(dispatch.GenerationMeasured{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first, Parts: s.events})
 		}
-		s.reportEnded(s.grant, dispatch.OutcomeAnswered, 0)
+		s.reportStreamEnded(dispatch.OutcomeAnswered)
 		s.log(response.Status, "", oriolebend.RanYes)
 		return streamResult{done: true}
 	}
@@ -256,7 +267,7 @@
 	if !s.streaming || time.Since(s.started) < earlyStreamPeriod {
 		s.detectCrash(s.grant.Server, failed)
 	}
-	s.reportEnded(s.grant, outcome, 0)
+	s.reportStreamEnded(outcome)
 	s.logSend(s.grant, "stream broken off", response.Status, reason, failed)
 	return streamResult{reason: reason}
 }
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -88,6 +88,10 @@
 	// not used.
 	Failed bool `cbor:"6,keyasint,omitempty"`
 	Unused bool `cbor:"7,keyasint,omitempty"`
+	// Writing is the time from the first to the last event of a stream whose placement ended, and
+	// Events the number of its events.
+	Writing time.Duration `cbor:"8,keyasint,omitempty"`
+	Events  int           `cbor:"9,keyasint,omitempty"`
 }
 
 // PlaceAnswer answers a placement request with a placement or a refusal.
--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -249,7 +249,9 @@
 	case message.PlaceRead:
 		a.reduce(placement.PrefillEnded{At: now, Key: key, Took: m.Took, Failed: m.Failed, Unused: m.Unused})
 	case message.PlaceEnded:
-		a.reduce(placement.Ended{At: now, Key: key, Outcome: dispatch.Outcome(m.Outcome), Took: m.Took})
+		a.reduce(placement.Ended{
+			At: now, Key: key, Outcome: dispatch.Outcome(m.Outcome), Took: m.Took, Writing: m.Writing, Events: m.Events,
+		})
 	}
 }
 
--- a/internal/placements/client.go
+++ b/internal/placements/client.go
@@ -323,5 +323,7 @@
 	defer c.mutex.Unlock()
 	id := placementID(e.Grant)
 	delete(c.held, id)
-	c.sendEvent(message.PlaceEvent{ID: id, Step: message.PlaceEnded, Outcome: string(e.Outcome), Took: e.Took})
+	c.sendEvent(message.PlaceEvent{
+		ID: id, Step: message.PlaceEnded, Outcome: string(e.Outcome), Took: e.Took, Writing: e.Writing, Events: e.Events,
+	})
 }
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -156,6 +156,10 @@
 	Outcome Outcome
 	// Took is the time to the first part of the response, zero if there is none.
 	Took time.Duration
+	// Writing is the time from the first event of a stream to the last one that was received, and
+	// Events how many there were; zero for other responses.
+	Writing time.Duration
+	Events  int
 }
 
 // PrefillEnded reports that the prefill engine of a grant is no longer needed for it, also
@@ -213,6 +217,9 @@
 	Prefill *message.BackendServer
 	// Ahead is the prompt tokens that Prefill had to process before this request's.
 	Ahead int
+	// Batch is how many other requests Server worked on when the placement was granted, as far as
+	// they are known here.
+	Batch int
 	// Remote numbers a placement that another process granted; zero means that it was
 	// granted here.
 	Remote uint64
--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -63,6 +63,9 @@
 	Key     Key
 	Outcome dispatch.Outcome
 	Took    time.Duration
+	// Writing is the time from the first to the last event of a stream, Events their number.
+	Writing time.Duration
+	Events  int
 }
 
 // SessionDisconnected reports that a session broke off. Its placement requests are dropped; its
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -149,30 +149,41 @@
 // whose engine turned out to be full frees nothing; in a peak most ends are of this kind.
 func (s *State) end(e Ended) []Answer {
 	if e.Outcome == dispatch.OutcomeCut {
-		s.cut(e.At, e.Key)
+		s.cut(e)
 		return nil
 	}
-	s.release(e.At, e.Key, e.Outcome, e.Took)
+	s.release(e)
 	if e.Outcome == dispatch.OutcomeFull {
 		return nil
 	}
 	return s.serve(e.At)
 }
 
-func (s *State) release(at time.Time, key Key, outcome dispatch.Outcome, took time.Duration) {
-	p, found := s.placements[key]
+// release ends a placement, if it is known.
+func (s *State) release(e Ended) {
+	p, found := s.placements[e.Key]
 	if !found {
 		return
 	}
-	delete(s.placements, key)
-	s.flow(p.Need.Service).free(at, p, outcome)
-	if outcome == dispatch.OutcomeFull {
+	delete(s.placements, e.Key)
+	s.flow(p.Need.Service).free(e.At, p, e.Outcome)
+	if e.Outcome == dispatch.OutcomeFull {
 		s.counted.Full++
 	}
 	if p.Prefill != nil {
-		dispatch.Reduce(s.engines, dispatch.PrefillEnded{At: at, Grant: p.Grant, Unused: true})
+		dispatch.Reduce(s.engines, dispatch.PrefillEnded{At: e.At, Grant: p.Grant, Unused: true})
+	}
+	dispatch.Reduce(s.engines, p.ended(e))
+}
+
+// ended returns the end of a placement for the engines. A stream that is reported to have taken
+// longer than its placement was measured wrongly.
+func (p placement) ended(e Ended) dispatch.Ended {
+	ended := dispatch.Ended{At: e.At, Grant: p.Grant, Outcome: e.Outcome, Took: e.Took}
+	if e.Writing <= e.At.Sub(p.since) {
+		ended.Writing, ended.Events = e.Writing, e.Events
 	}
-	dispatch.Reduce(s.engines, dispatch.Ended{At: at, Grant: p.Grant, Outcome: outcome, Took: took})
+	return ended
 }
 
 // disconnectedFactor is the factor on the usual time of a placement for which a placement is
@@ -201,13 +212,13 @@
 // An engine whose response is lost on the network keeps working until it notices, if it
 // does. A network that reset one response in ten on half of the engines made memory that was
 // in use seem free: five in six placements then granted met a full engine.
-func (s *State) cut(at time.Time, key Key) {
-	p, found := s.placements[key]
+func (s *State) cut(e Ended) {
+	p, found := s.placements[e.Key]
 	if !found {
 		return
 	}
-	dispatch.Reduce(s.engines, dispatch.OutcomeObserved{At: at, Grant: p.Grant, Outcome: dispatch.OutcomeCut})
-	s.retain(at, key)
+	dispatch.Reduce(s.engines, dispatch.OutcomeObserved(p.ended(e)))
+	s.retain(e.At, e.Key)
 }
 
 // retain keeps a placement until its work is likely to have ended.
@@ -225,7 +236,7 @@
 func (s *State) releaseOverdue(at time.Time) {
 	for _, key := range slices.SortedFunc(maps.Keys(s.placements), compareKeys) {
 		if p := s.placements[key]; !p.until.IsZero() && !at.Before(p.until) {
-			s.release(at, key, dispatch.OutcomeCancelled, 0)
+			s.release(Ended{At: at, Key: key, Outcome: dispatch.OutcomeCancelled})
 		}
 	}
 }
@@ -240,7 +251,7 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *request) bool { return q.key.Session == e.Session })
 	for _, key := range slices.SortedFunc(maps.Keys(s.placements), compareKeys) {
 		if key.Session == e.Session {
-			s.release(e.At, key, dispatch.OutcomeCancelled, 0)
+			s.release(Ended{At: e.At, Key: key, Outcome: dispatch.OutcomeCancelled})
 		}
 	}
 }
