reducer/dispatch: choose the decode engine by its speed

The allocator chose the engine with the least held memory, whatever its speed, so that slow engines wrote as many streams as fast ones. The chosen engine is now the one with the least predicted time x memory, for the request and those already there: (held memory + need) x the third power of the engine's time for an event relative to the service. Failure domains count as before.

Tests: go test -race ./internal/reducer/dispatch ./internal/reducer/placement ./internal/reducer/speed ./internal/placements ./docs pass.

--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -40,6 +40,8 @@
 	// Leads reports whether this control VM leads, Replaced whether another one is known to lead.
 	Leads, Replaced func() bool
 	Logger          *slog.Logger
+	// IgnoreSpeeds makes no difference between fast and slow engines.
+	IgnoreSpeeds bool
 
 	mutex    sync.Mutex
 	state    *reducer.State
@@ -77,6 +79,9 @@
 // allocator yet.
 func (a *Allocator) reset() {
 	a.state = &reducer.State{Placement: placement.New(uint64(time.Now().UnixNano()))}
+	if a.IgnoreSpeeds {
+		a.state.Placement.IgnoreSpeeds()
+	}
 	a.reduce(a.fleet())
 }
 
--- a/internal/reducer/dispatch/bench_test.go
+++ b/internal/reducer/dispatch/bench_test.go
@@ -13,12 +13,21 @@
 // forwarders, as the leader does for all of them.
 func BenchmarkPlacementRequested(b *testing.B) {
 	for _, engines := range []int{60, 180, 1100} {
-		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkPlacementRequested(b, engines) })
+		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkPlacementRequested(b, engines, true) })
 	}
 }
 
-func benchmarkPlacementRequested(b *testing.B, engines int) {
-	s := New(Config{Seed: 1})
+// BenchmarkEngineSpeeds compares the choice among engines of unequal speed with the choice that
+// ignores speeds. A generation arrives each millisecond and reports its writing time.
+func BenchmarkEngineSpeeds(b *testing.B) {
+	for _, engines := range []int{56, 655} {
+		b.Run(fmt.Sprint(engines, "/ignored"), func(b *testing.B) { benchmarkPlacementRequested(b, engines, true) })
+		b.Run(fmt.Sprint(engines, "/used"), func(b *testing.B) { benchmarkPlacementRequested(b, engines, false) })
+	}
+}
+
+func benchmarkPlacementRequested(b *testing.B, engines int, ignoreSpeeds bool) {
+	s := New(Config{Seed: 1, IgnoreSpeeds: ignoreSpeeds})
 	at := time.Unix(1, 0)
 	Reduce(s, Services{Services: []oriolebend.RouteService{{Name: "s", Engine: &oriolebend.EngineLimits{KVTokens: 1 << 40}}}})
 	var fleet Fleet
@@ -38,6 +47,7 @@
 		if !ok {
 			b.Fatal("not granted")
 		}
-		Reduce(s, Ended{At: at, Grant: granted.Grant, Outcome: OutcomeCancelled})
+		at = at.Add(time.Millisecond)
+		Reduce(s, Ended{At: at, Grant: granted.Grant, Outcome: OutcomeCancelled, Writing: time.Second, Events: 20 + at.Nanosecond()%3})
 	}
 }
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/speed"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -175,6 +176,7 @@
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
 	}
 	defer s.scratch.clear()
+	s.compareSpeeds(e.At, e.Need.Service, service)
 	if service.limits.Engine == nil || e.Need.Prompt == 0 {
 		if !s.admitted(e, service) {
 			refused := s.refuseOverloaded()
@@ -224,7 +226,10 @@
 // scratch holds the lists that a choice uses. The allocator makes thousands of choices a
 // second in a peak, each among all engines of a site; allocating the lists each time costs
 // as much as the choice itself.
-type scratch struct{ candidates, usable, fitting, prefillEngines []*server }
+type scratch struct {
+	candidates, usable, fitting, prefillEngines []*server
+	speeds                                      []*speed.Server
+}
 
 // clear drops the pointers, so that no removed server is kept alive.
 func (c *scratch) clear() {
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -187,7 +187,7 @@
 	if c == nil {
 		return Grant{}, false
 	}
-	grant := Grant{Need: n, Server: c.BackendServer}
+	grant := Grant{Need: n, Server: c.BackendServer, Batch: c.inProgress}
 	if p := s.serverByStart(prefill); p != nil {
 		prefillServer := p.BackendServer
 		grant.Prefill = &prefillServer
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -31,7 +31,7 @@
 	return n.FailureDomain != "" && n.FailureDomain != c.FailureDomain
 }
 
-// chooseEngines chooses a decode engine, and the prefill engine that would finish
+// chooseEngines chooses the decode engine with the least predicted time x memory, and the prefill engine that would finish
 // first. Without any prefill engine, or while the queue of the best one is long, the decode
 // engine prefills the prompt itself, between the tokens of its other requests; each of these
 // then pauses for as long as the prefill takes.
@@ -63,9 +63,9 @@
 		if e.Need.inOtherDomain(c) {
 			load += forwarderDomainMemory * float64(e.Need.Prompt)
 		}
-		return load
+		return c.weightedMemory(load, e.Need)
 	})
-	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
+	grant := Grant{Need: e.Need, Server: decoder.BackendServer, Batch: decoder.inProgress}
 	if prefiller != nil {
 		prefill := prefiller.BackendServer
 		grant.Prefill, grant.Ahead = &prefill, prefiller.pendingPrompt
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -73,6 +73,7 @@
 		return
 	}
 	service := s.services[e.Grant.Need.Service]
+	s.observeWriting(e, c, service)
 	switch e.Outcome {
 	case OutcomeAnswered:
 		c.failedInRow, c.avoidUntil, c.refusedLast = 0, time.Time{}, false
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -34,6 +34,7 @@
 //	                        [from=DOMAIN]
 //	                        end NAME OUTCOME [TOOK] | prefilled NAME TOOK | prefill-failed NAME
 //	                        generated NAME TOOK [PARTS]
+//	                        wrote SERVER TIME-FOR-AN-EVENT COUNT   COUNT streams that ended there
 //	                        resend NAME | send NAME | offer NAME | pass FOR
 //	                        notice SERVER [limit=N] [backoff=FOR] [leaving] [sent=AGO] [failed]
 //	                        no-permit SERVER FOR | unlimited SERVER
@@ -139,6 +140,8 @@
 		is.NoErr(err)
 		Reduce(s.state, PrefillEnded{At: s.now, Grant: s.grants[words[1]], Took: took})
 		Reduce(s.state, PrefillMeasured{Need: s.grants[words[1]].Need, Took: took, Ahead: s.grants[words[1]].Ahead})
+	case "wrote":
+		s.wrote(words[1], words[2], words[3])
 	case "generated":
 		took, err := time.ParseDuration(words[2])
 		is.NoErr(err)
@@ -168,6 +171,22 @@
 	}
 }
 
+// wrote reports streams of eleven events that have ended at a server.
+func (s *script) wrote(server, event, count string) {
+	is := is.New(s.t)
+	took, err := time.ParseDuration(event)
+	is.NoErr(err)
+	times, err := strconv.Atoi(count)
+	is.NoErr(err)
+	c := s.state.servers[server]
+	for range times {
+		Reduce(s.state, OutcomeObserved{
+			At: s.now, Grant: Grant{Need: Need{Service: c.Service, Prompt: 1}, Server: c.BackendServer, Batch: c.inProgress},
+			Outcome: OutcomeAnswered, Writing: 10 * took, Events: 11,
+		})
+	}
+}
+
 // notice has a server report its state with a served response to a request sent just now.
 func (s *script) notice(words []string, out *strings.Builder) {
 	is := is.New(s.t)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/speed"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -32,6 +33,8 @@
 	// Overcommit is the factor by which an engine's KV memory is granted; zero selects
 	// one. Above one, the engine's own reservation decides.
 	Overcommit float64
+	// IgnoreSpeeds makes no difference between fast and slow servers.
+	IgnoreSpeeds bool
 }
 
 // Defaults of Config for a site that sets no retry budget. One retry in five requests
@@ -81,6 +84,7 @@
 	// sojourn is the usual time to the answer of a plain request in seconds, as of lastAnswer.
 	sojourn    median
 	lastAnswer time.Time
+	speeds     serviceSpeeds
 	// load is the work done since the last call of Loads.
 	load message.ServiceLoad
 }
@@ -115,6 +119,8 @@
 	refusedLast bool
 	failures    average
 	latency     average
+	// writing is the speed at which an engine writes events.
+	writing speed.Server
 }
 
 // New returns a state without any server.
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -67,6 +67,10 @@
 	}
 }
 
+// IgnoreSpeeds makes no difference between fast and slow engines. It must be called before the first
+// event.
+func (s *State) IgnoreSpeeds() { dispatch.IgnoreSpeeds(s.engines) }
+
 // Reduce applies an event to the state and returns the answers to send.
 func Reduce(s *State, event Event) []Answer {
 	switch e := event.(type) {
