reducer/dispatch: prefill engines, plain servers and suspicion by speed

Prefill engines, decode engines that prefill a prompt themselves, and plain servers were chosen as if all were equally fast, and a server of constantly high latency was taken for a failing one. A prefill engine now counts with its own rate; a decode engine that prefills itself with its speed of writing; a plain server with the shortest of every eight answers, so that time in its queue does not count as speed. Forwarders that see no requests of others choose among uneven plain servers at random, in about the proportion of their speeds: otherwise all would send to the fastest one. An engine is suspected if its last reports are 2.5 times slower than its own factor.

--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -151,7 +151,7 @@
 		s.detectCrash(engine, err)
 		return nil, err
 	}
-	s.f.reduce(dispatch.PrefillMeasured{Need: s.expectedNeed(), Took: took, Ahead: s.grant.Ahead})
+	s.f.reduce(dispatch.PrefillMeasured{At: s.f.now(), Need: s.expectedNeed(), Server: s.grant.Prefill, Took: took, Ahead: s.grant.Ahead})
 	return &result, nil
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -218,7 +218,7 @@
 // pool would have done.
 func (s *streamSend) recordLocalPrefill() {
 	if s.grant.Prefill == nil && s.info.Prompt > 0 {
-		s.f.reduce(dispatch.PrefillMeasured{Need: s.expectedNeed(), Took: time.Since(s.request.Received), AtDecodeEngine: true})
+		s.f.reduce(dispatch.PrefillMeasured{At: s.f.now(), Need: s.expectedNeed(), Took: time.Since(s.request.Received)})
 	}
 }
 
--- a/internal/reducer/dispatch/bench_test.go
+++ b/internal/reducer/dispatch/bench_test.go
@@ -48,6 +48,8 @@
 			b.Fatal("not granted")
 		}
 		at = at.Add(time.Millisecond)
-		Reduce(s, Ended{At: at, Grant: granted.Grant, Outcome: OutcomeCancelled, Writing: time.Second, Events: 20 + at.Nanosecond()%3})
+		instance := granted.Grant.Server.Instance
+		writing := time.Duration(1+instance[len(instance)-1]%3) * time.Second
+		Reduce(s, Ended{At: at, Grant: granted.Grant, Outcome: OutcomeCancelled, Writing: writing, Events: 30})
 	}
 }
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -58,7 +58,7 @@
 	s.addWork(grant)
 	if grant.Prefill == nil && e.Need.Prompt > 0 {
 		c := s.servers[grant.Server.Instance]
-		c.prefillsUntil = e.At.Add(service.decodePrefillTime(e.Need.Prompt))
+		c.prefillsUntil = e.At.Add(service.decodePrefillTime(c, e.Need.Prompt))
 	}
 	return Granted{Grant: grant}
 }
@@ -183,7 +183,11 @@
 			return Grant{}, &refused
 		}
 		healthiest := s.healthiest(e.At, service, candidates)
-		chosen := s.leastLoaded(healthiest, func(c *server) float64 { return s.plainLoad(c) })
+		load := s.plainLoad
+		if service.speeds.answers.Uneven() {
+			load = s.plainEnd
+		}
+		chosen := s.leastLoaded(healthiest, load)
 		return Grant{Need: e.Need, Server: chosen.BackendServer}, nil
 	}
 	return s.chooseEngines(e, service, candidates)
@@ -252,7 +256,8 @@
 
 // healthOf compares a server with the others of its service. A share of failures or
 // a latency that all servers have is a property of the service, and says nothing
-// about a single server.
+// about a single server. A server whose speed differs from the others for long is
+// compared with its own speed: it is chosen less often, but it does not fail.
 func (v *service) healthOf(at time.Time, c *server) health {
 	switch {
 	case at.Before(c.avoidUntil):
@@ -261,7 +266,9 @@
 		return healthSilent
 	case c.failures.valueOr(0) > failuresAllowed+failuresFactor*v.failures.valueOr(0):
 		return healthSuspect
-	case c.latency.valueOr(0) > latencyFactor*v.latency.valueOr(math.Inf(1)):
+	case c.latency.valueOr(0) > latencyFactor*max(1, c.answers.Factor())*v.latency.valueOr(math.Inf(1)):
+		return healthSuspect
+	case c.writing.Slowed(at), c.prefills.Slowed(at):
 		return healthSuspect
 	}
 	return healthGood
@@ -288,6 +295,16 @@
 	return load
 }
 
+// plainEnd is when a further request would end at a server of plain requests that differ in speed,
+// relative to the others.
+//
+// Other forwarders send to the same servers, and most have no request in progress at any. If all
+// of them chose the fastest server, its queue would be the longest. The random part stands for the
+// requests of others: servers without requests from here are chosen about as often as they are fast.
+func (s *State) plainEnd(c *server) float64 {
+	return (s.plainLoad(c) + s.random.Float64()) * c.answers.Factor()
+}
+
 // addWork counts a grant as work in progress.
 func (s *State) addWork(g Grant) {
 	c := s.servers[g.Server.Instance]
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -80,12 +80,13 @@
 // PrefillMeasured reports how long the prefill of a prompt took, for a placement that was
 // granted here or elsewhere.
 type PrefillMeasured struct {
+	At   time.Time
 	Need Need
-	Took time.Duration
+	// Server is the prefill engine, nil if the decode engine prefilled the prompt itself.
+	Server *message.BackendServer
+	Took   time.Duration
 	// Ahead is Grant.Ahead of the placement.
 	Ahead int
-	// AtDecodeEngine is set if the decode engine prefilled the prompt itself.
-	AtDecodeEngine bool
 }
 
 // GenerationMeasured reports that a generation has ended, and how long the engine wrote.
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -167,7 +167,7 @@
 // prefillAndMoveMillis is the time in milliseconds until a prefill engine has processed
 // a prompt, behind those in its queue, and its KV cache has been moved.
 func (s *State) prefillAndMoveMillis(c *server, service *service, prompt int) float64 {
-	prefill := float64(c.pendingPrompt+prompt) / service.rate()
+	prefill := float64(c.pendingPrompt+prompt) / service.rate() * c.prefills.Factor()
 	limits := service.limits.Engine
 	const bitsPerByte, perMilli = 8, 1e3
 	move := 0.0
--- a/internal/reducer/dispatch/load.go
+++ b/internal/reducer/dispatch/load.go
@@ -42,7 +42,8 @@
 	if v == nil {
 		return
 	}
-	if !e.AtDecodeEngine {
+	if e.Server != nil {
+		s.observePrefill(e, v)
 		v.prefillRate.add(tokensPerMilli(e.Need.Prompt+e.Ahead, e.Took))
 		v.highRate.add(tokensPerMilli(e.Need.Prompt, e.Took))
 	}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -76,6 +76,7 @@
 	s.observeWriting(e, c, service)
 	switch e.Outcome {
 	case OutcomeAnswered:
+		s.observeAnswer(e, c, service)
 		c.failedInRow, c.avoidUntil, c.refusedLast = 0, time.Time{}, false
 		c.addResult(service, false, e.Took)
 	case OutcomeFailed:
--- a/internal/reducer/dispatch/overflow.go
+++ b/internal/reducer/dispatch/overflow.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// overflowAfter is the part of the target for the first event that a prompt may wait
@@ -41,10 +38,14 @@
 	if !v.queueExceeds(e, prefiller, overflowAfter) {
 		return nil
 	}
-	if v.decodePrefillTime(e.Need.Prompt) > time.Duration(overflowPause*float64(e.Need.PauseWithin)) {
-		return nil
+	longest := time.Duration(overflowPause * float64(e.Need.PauseWithin))
+	var list []*server
+	for _, c := range fitting {
+		if !e.At.Before(c.prefillsUntil) && v.decodePrefillTime(c, e.Need.Prompt) <= longest {
+			list = append(list, c)
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(fitting), func(c *server) bool { return e.At.Before(c.prefillsUntil) })
+	return list
 }
 
 // backlogged reports whether a prompt would wait in the queue of a prefill engine until
@@ -59,7 +60,8 @@
 // queueExceeds reports whether the queue of a prefill engine takes longer than a part of
 // the target for the first event.
 func (v *service) queueExceeds(e PlacementRequested, prefiller *server, part float64) bool {
-	return v.prefillTime(prefiller.pendingPrompt) > time.Duration(part*float64(e.Need.FirstWithin))
+	queue := float64(v.prefillTime(prefiller.pendingPrompt)) * prefiller.prefills.Factor()
+	return time.Duration(queue) > time.Duration(part*float64(e.Need.FirstWithin))
 }
 
 // PrefillTime is how long a prefill engine of a service takes to prefill a prompt.
@@ -84,7 +86,8 @@
 	return v.prefillRate.value
 }
 
-// decodePrefillTime is how long a decode engine takes to prefill a prompt.
-func (v *service) decodePrefillTime(prompt int) time.Duration {
-	return time.Duration(float64(v.prefillTime(prompt)) / overflowRate)
+// decodePrefillTime is how long a decode engine takes to prefill a prompt. An engine that writes
+// slowly is assumed to prefill as slowly: decode engines prefill too seldom to be measured.
+func (v *service) decodePrefillTime(c *server, prompt int) time.Duration {
+	return time.Duration(float64(v.prefillTime(prompt)) / overflowRate * c.writing.Factor())
 }
--- a/internal/reducer/dispatch/overload_test.go
+++ b/internal/reducer/dispatch/overload_test.go
@@ -27,6 +27,11 @@
 	// inTime, late and refused count requests by the second in which they arrived.
 	inTime, late, refused map[int]int
 	admit                 bool
+	// factors is how many times the usual time each server needs, nil if all need the same.
+	factors []float64
+	// served counts the answers of each server, total is the sum of their times.
+	served map[int]int
+	total  time.Duration
 }
 
 type plainServer struct {
@@ -73,7 +78,7 @@
 func newPlainSite(servers int, admit bool) *plainSite {
 	s := &plainSite{
 		random: rand.New(rand.NewPCG(1, 1)), now: scriptStart, admit: admit,
-		inTime: map[int]int{}, late: map[int]int{}, refused: map[int]int{},
+		inTime: map[int]int{}, late: map[int]int{}, refused: map[int]int{}, served: map[int]int{},
 	}
 	var fleet Fleet
 	for i := range servers {
@@ -142,12 +147,17 @@
 	s.servers[server].working++
 	const spread = 0.5
 	took := float64(plainWork) * math.Exp(spread*s.random.NormFloat64()-spread*spread/2)
+	if s.factors != nil {
+		took *= s.factors[server]
+	}
 	heap.Push(&s.events, plainEvent{at: s.now.Add(time.Duration(took) + plainNetwork), server: server, request: r})
 }
 
 func (s *plainSite) complete(server int, r plainRequest) {
 	v := s.servers[server]
 	v.working--
+	s.served[server]++
+	s.total += s.now.Sub(r.sent)
 	if s.now.Sub(r.arrived) <= plainTarget {
 		s.inTime[r.second]++
 	} else {
@@ -231,3 +241,27 @@
 		Reduce(s, Ended{At: now, Grant: granted.Grant, Outcome: OutcomeAnswered, Took: took})
 	}
 }
+
+// TestUnevenPlainServersAnswerSooner guards against plain servers that get equal shares of the
+// requests though one needs 1.6 times as long as usual, and against forwarders that all choose the
+// fastest.
+func TestUnevenPlainServersAnswerSooner(t *testing.T) {
+	is := is.New(t)
+	run := func(ignoreSpeeds bool) (time.Duration, map[int]int) {
+		s := newPlainSite(3, false)
+		s.factors = []float64{0.6, 1, 1.6}
+		for _, f := range s.forwarders {
+			f.config.IgnoreSpeeds = ignoreSpeeds
+		}
+		s.play(300, 20*time.Second)
+		s.total, s.served = 0, map[int]int{}
+		s.play(300, 20*time.Second)
+		answers := s.served[0] + s.served[1] + s.served[2]
+		t.Logf("ignoreSpeeds %v: mean %v, served %v", ignoreSpeeds, s.total/time.Duration(answers), s.served)
+		return s.total / time.Duration(answers), s.served
+	}
+	without, _ := run(true)
+	with, served := run(false)
+	is.True(with < without*9/10)
+	is.True(served[0] < 2*served[1])
+}
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -35,6 +35,7 @@
 //	                        end NAME OUTCOME [TOOK] | prefilled NAME TOOK | prefill-failed NAME
 //	                        generated NAME TOOK [PARTS]
 //	                        wrote SERVER TIME-FOR-AN-EVENT COUNT   COUNT streams that ended there
+//	                        read SERVER TIME COUNT   COUNT prompts of 1000 tokens were prefilled there
 //	                        resend NAME | send NAME | offer NAME | pass FOR
 //	                        notice SERVER [limit=N] [backoff=FOR] [leaving] [sent=AGO] [failed]
 //	                        no-permit SERVER FOR | unlimited SERVER
@@ -139,9 +140,10 @@
 		took, err := time.ParseDuration(words[2])
 		is.NoErr(err)
 		Reduce(s.state, PrefillEnded{At: s.now, Grant: s.grants[words[1]], Took: took})
-		Reduce(s.state, PrefillMeasured{Need: s.grants[words[1]].Need, Took: took, Ahead: s.grants[words[1]].Ahead})
-	case "wrote":
-		s.wrote(words[1], words[2], words[3])
+		g := s.grants[words[1]]
+		Reduce(s.state, PrefillMeasured{At: s.now, Need: g.Need, Server: g.Prefill, Took: took, Ahead: g.Ahead})
+	case "wrote", "read":
+		s.measured(words[0] == "wrote", words[1], words[2], words[3])
 	case "generated":
 		took, err := time.ParseDuration(words[2])
 		is.NoErr(err)
@@ -171,15 +173,19 @@
 	}
 }
 
-// wrote reports streams of eleven events that have ended at a server.
-func (s *script) wrote(server, event, count string) {
+// measured reports streams of eleven events that have ended at a server, or prompts.
+func (s *script) measured(stream bool, server, unit, count string) {
 	is := is.New(s.t)
-	took, err := time.ParseDuration(event)
+	took, err := time.ParseDuration(unit)
 	is.NoErr(err)
 	times, err := strconv.Atoi(count)
 	is.NoErr(err)
 	c := s.state.servers[server]
 	for range times {
+		if !stream {
+			Reduce(s.state, PrefillMeasured{At: s.now, Need: Need{Service: c.Service, Prompt: 1000}, Server: &c.BackendServer, Took: took})
+			continue
+		}
 		Reduce(s.state, OutcomeObserved{
 			At: s.now, Grant: Grant{Need: Need{Service: c.Service, Prompt: 1}, Server: c.BackendServer, Batch: c.inProgress},
 			Outcome: OutcomeAnswered, Writing: 10 * took, Events: 11,
--- a/internal/reducer/dispatch/speeds.go
+++ b/internal/reducer/dispatch/speeds.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/speed"
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 const (
@@ -14,13 +13,17 @@
 	// leastEvents is how many events of a stream are needed for a measurement: the time of a
 	// shorter one is mostly the delay of single packets.
 	leastEvents = 5
+	// answersPerReport is how many plain answers are one report of the shortest time among them.
+	// The time of most answers includes a wait in the server's queue, which says nothing about its
+	// speed; one of eight finds the queue empty unless the server is overloaded.
+	answersPerReport = 8
 )
 
-// serviceSpeeds are what the servers of a service have in common: the time of an event at decode
-// engines.
+// serviceSpeeds are what the servers of a service have in common: the time for an event of a
+// stream, for a token of a prompt, and for a plain answer.
 type serviceSpeeds struct {
-	writing  speed.Service
-	compared time.Time
+	writing, prefills, answers speed.Service
+	compared                   time.Time
 }
 
 // speedWeight is how much the memory on an engine counts by the factor of its time for an event.
@@ -53,21 +56,53 @@
 	})
 }
 
+// observePrefill adds the time that a prefill engine needed for a prompt and those ahead of it.
+func (s *State) observePrefill(e PrefillMeasured, v *service) {
+	if c := s.grantedServer(*e.Server); c != nil && !s.config.IgnoreSpeeds {
+		v.speeds.prefills.Observe(&c.prefills, speed.Report{At: e.At, Took: e.Took, Units: e.Need.Prompt + e.Ahead})
+	}
+}
+
+// observeAnswer adds the time of a plain answer.
+func (s *State) observeAnswer(e OutcomeObserved, c *server, v *service) {
+	if s.config.IgnoreSpeeds || v == nil || e.Took <= 0 || e.Grant.Need.Prompt > 0 {
+		return
+	}
+	if c.answered == 0 || e.Took < c.shortest {
+		c.shortest = e.Took
+	}
+	c.answered++
+	if c.answered == answersPerReport {
+		c.answered = 0
+		v.speeds.answers.Observe(&c.answers, speed.Report{At: e.At, Took: c.shortest, Units: 1})
+	}
+}
+
 // compareSpeeds updates the factors of a service's servers from the reports so far.
 func (s *State) compareSpeeds(at time.Time, name string, v *service) {
 	if s.config.IgnoreSpeeds || at.Sub(v.speeds.compared) < compareInterval {
 		return
 	}
 	v.speeds.compared = at
-	writing := s.scratch.speeds[:0]
-	for _, c := range s.inOrder[name] {
-		if c.Role != oriolebend.Prefill {
-			writing = append(writing, &c.writing)
-		}
+	list := s.inOrder[name]
+	s.compare(at, &v.speeds.answers, list, func(c *server) *speed.Server { return &c.answers })
+	if v.limits.Engine == nil {
+		return
+	}
+	s.compare(at, &v.speeds.writing, list, func(c *server) *speed.Server { return &c.writing })
+	s.compare(at, &v.speeds.prefills, list, func(c *server) *speed.Server { return &c.prefills })
+}
+
+// compare compares one speed of the servers in a list. Those without reports, such as the prefill
+// engines for events, have no influence.
+func (s *State) compare(at time.Time, v *speed.Service, list []*server, of func(*server) *speed.Server) {
+	speeds := s.scratch.speeds[:0]
+	for _, c := range list {
+		speeds = append(speeds, of(c))
 	}
-	v.speeds.writing.Compare(at, writing)
-	clear(writing)
-	s.scratch.speeds = writing
+	v.Compare(at, speeds)
+	clear(speeds)
+	s.scratch.speeds = speeds
 }
 
 // IgnoreSpeeds sets Config.IgnoreSpeeds of a state. It must be called before the first event.
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -119,8 +119,13 @@
 	refusedLast bool
 	failures    average
 	latency     average
-	// writing is the speed at which an engine writes events.
-	writing speed.Server
+	// writing is the speed at which an engine writes events, prefills that at which it processes
+	// prompts, and answers that of plain answers.
+	writing, prefills, answers speed.Server
+	// answered counts the plain answers since the last report of answers, and shortest is the
+	// shortest time of these.
+	answered int
+	shortest time.Duration
 }
 
 // New returns a state without any server.
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -142,7 +142,7 @@
 	}
 	dispatch.Reduce(s.engines, dispatch.PrefillEnded{At: e.At, Grant: p.Grant, Failed: e.Failed, Unused: e.Unused})
 	if !e.Failed && !e.Unused {
-		dispatch.Reduce(s.engines, dispatch.PrefillMeasured{Need: p.Need, Took: e.Took, Ahead: p.Ahead})
+		dispatch.Reduce(s.engines, dispatch.PrefillMeasured{At: e.At, Need: p.Need, Server: p.Prefill, Took: e.Took, Ahead: p.Ahead})
 	}
 	// The prefill part is over; a second report must not be counted.
 	p.Prefill = nil
--- a/internal/reducer/speed/server.go
+++ b/internal/reducer/speed/server.go
@@ -40,6 +40,8 @@
 	slowedFactor = 2.5
 )
 
+var slowedLog = math.Log(slowedFactor)
+
 // Server is the estimate for one incarnation of a server. The zero value knows nothing.
 type Server struct {
 	count int
@@ -146,5 +148,5 @@
 
 // Slowed reports whether the last few reports of a server are much slower than its own factor.
 func (c *Server) Slowed(at time.Time) bool {
-	return c.count >= enoughReports && c.recent-c.log > math.Log(slowedFactor) && at.Sub(c.last) <= freshFor
+	return c.count >= enoughReports && c.recent-c.log > slowedLog && at.Sub(c.last) <= freshFor
 }
--- a/internal/reducer/speed/service.go
+++ b/internal/reducer/speed/service.go
@@ -36,6 +36,7 @@
 	// variance and covariance their second moments.
 	batch, value         float64
 	variance, covariance float64
+	uneven               bool
 }
 
 // add adds the seconds for a unit at factor one.
@@ -77,11 +78,16 @@
 	if middle, known := medianOf(servers); known {
 		v.shift(servers, middle)
 	}
+	v.uneven = false
 	for _, c := range servers {
 		c.factor = c.difference(at)
+		v.uneven = v.uneven || c.factor != 1
 	}
 }
 
+// Uneven reports whether any factor differs from one.
+func (v *Service) Uneven() bool { return v.uneven }
+
 // shift makes a logarithm of a factor the new zero of all servers. The predictions stay the same.
 func (v *Service) shift(servers []*Server, by float64) {
 	scale := math.Exp(by)
