reducer/speed: fewer false differences among equal servers

Causes: the first reports of a server can be alike by chance, the median of few servers is an estimate as well, the first reports of a fast server moved the base of the service, and in an overload even the shortest of eight plain answers has waited in a queue. The spread is now at least that of all reports of the service, includes that of the median, and begins with a quarter; the base moves only by what the factor of the server does not explain; and plain answers count only while the usual answer takes at most three times as long as the shortest ones.

Tests: go test -race ./internal/reducer/speed ./internal/reducer/dispatch ./internal/reducer/placement ./docs pass.

--- a/internal/reducer/dispatch/overload_test.go
+++ b/internal/reducer/dispatch/overload_test.go
@@ -265,3 +265,23 @@
 	is.True(with < without*9/10)
 	is.True(served[0] < 2*served[1])
 }
+
+// TestEqualPlainServersAreChosenAsBefore checks that the random times of equal servers, and their queues
+// in a peak, change no decision.
+func TestEqualPlainServersAreChosenAsBefore(t *testing.T) {
+	is := is.New(t)
+	run := func(ignoreSpeeds bool) *plainSite {
+		s := newPlainSite(3, true)
+		for _, f := range s.forwarders {
+			f.config.IgnoreSpeeds = ignoreSpeeds
+		}
+		for _, rate := range []float64{450, 900, 450} {
+			s.play(rate, 8*time.Second)
+		}
+		return s
+	}
+	with, without := run(false), run(true)
+	is.Equal(with.served, without.served)
+	is.Equal(with.inTime, without.inTime)
+	is.Equal(with.refused, without.refused)
+}
--- a/internal/reducer/dispatch/speeds.go
+++ b/internal/reducer/dispatch/speeds.go
@@ -17,6 +17,10 @@
 	// The time of most answers includes a wait in the server's queue, which says nothing about its
 	// speed; one of eight finds the queue empty unless the server is overloaded.
 	answersPerReport = 8
+	// quietFactor is how many times the shortest answers the usual answer may take for a report to
+	// count. With random service times, the usual answer without a queue takes about twice as long
+	// as the shortest of eight; in an overload even the shortest answer has waited.
+	quietFactor = 3.0
 )
 
 // serviceSpeeds are what the servers of a service have in common: the time for an event of a
@@ -72,8 +76,11 @@
 		c.shortest = e.Took
 	}
 	c.answered++
-	if c.answered == answersPerReport {
-		c.answered = 0
+	if c.answered < answersPerReport {
+		return
+	}
+	c.answered = 0
+	if !v.speeds.answers.Known() || v.sojourn.value <= quietFactor*v.speeds.answers.Usual().Seconds() {
 		v.speeds.answers.Observe(&c.answers, speed.Report{At: e.At, Took: c.shortest, Units: 1})
 	}
 }
--- a/internal/reducer/speed/merge.go
+++ b/internal/reducer/speed/merge.go
@@ -15,7 +15,10 @@
 const (
 	// mostMerged is how many reports an observation of another process counts at most: it contains
 	// no batch, and later reports correct it.
-	mostMerged = 4
+	mostMerged = enoughReports
+	// assumedBatch is the batch of an observation while none is known: half of the generations that
+	// an engine has room for at the sites that this was built for.
+	assumedBatch = 4
 	// keptFor is how long a process passes on what it has seen of a server.
 	keptFor = 2 * time.Minute
 )
@@ -38,7 +41,7 @@
 		return false
 	}
 	if v.count == 0 {
-		v.add(0, per)
+		v.add(assumedBatch, per)
 	}
 	v.observe(c, at, v.batch, per, min(o.Count, mostMerged))
 	return true
--- a/internal/reducer/speed/server.go
+++ b/internal/reducer/speed/server.go
@@ -100,11 +100,16 @@
 func (v *Service) observe(c *Server, at time.Time, batch, per float64, reports int) {
 	usual := v.predict(batch)
 	x := math.Log(per / usual)
-	step := clamp(x-c.log, largestStep)
-	v.add(batch, usual*math.Exp(step))
+	step := clamp(x-c.log, largestStep*float64(reports))
 	c.count += reports
 	weight := max(1-math.Pow(1-reportWeight, float64(reports)), float64(reports)/float64(c.count))
 	c.log += weight * step
+	// What the factor of the server explains must not count as a change of the service: the first
+	// reports of a fast server would otherwise make all others seem slow.
+	v.add(batch, usual*math.Exp(step-weight*step))
+	if c.count > enoughReports {
+		v.spread += serviceWeight * (step*step - v.spread)
+	}
 	c.variance = (1 - weight) * (c.variance + weight*step*step)
 	if c.count == reports {
 		c.recent = c.log
@@ -126,21 +131,24 @@
 	return c.factor
 }
 
-// Spread is the standard error of the logarithm of the factor.
-func (c *Server) Spread() float64 {
-	return math.Sqrt(c.variance / float64(min(max(1, c.count), effectiveReports)))
+// standardError is the standard error of the logarithm of a server's factor, relative to a median
+// that is an estimate as well. Few reports of a server can be alike by chance, so that its reports are
+// assumed to vary at least as much as those of all servers.
+func (v *Service) standardError(c *Server) float64 {
+	reports := float64(min(max(1, c.count), effectiveReports))
+	return math.Sqrt(max(c.variance, v.spread) / reports * (1 + 2/float64(max(1, v.compared))))
 }
 
-// difference returns the factor, one if it does not differ from the median.
-func (c *Server) difference(at time.Time) float64 {
-	if c.count < enoughReports {
+// difference returns the factor of a server, one if it does not differ from the median.
+func (v *Service) difference(c *Server, at time.Time) float64 {
+	if c.count < enoughReports || v.compared < 2 {
 		return 1
 	}
 	log := c.log
 	if stale := at.Sub(c.last) - freshFor; stale > 0 {
 		log *= math.Exp(-stale.Seconds() / fades.Seconds())
 	}
-	if math.Abs(log) <= max(leastDifference, spreads*c.Spread()) {
+	if math.Abs(log) <= max(leastDifference, spreads*v.standardError(c)) {
 		return 1
 	}
 	return math.Exp(log)
--- a/internal/reducer/speed/service.go
+++ b/internal/reducer/speed/service.go
@@ -27,6 +27,9 @@
 	// serviceWeight is the weight of a report in the common base and slope. One server that
 	// changes its speed must not shift the base of a service, which fifty others share.
 	serviceWeight = 0.01
+	// usualSpread is the assumed variance of the logarithm of single reports until reports show it:
+	// a stream takes a quarter more or less than usual, since it meets pauses or none.
+	usualSpread = 0.06
 )
 
 // Service is the common base and slope of the servers of a service. The zero value knows nothing.
@@ -36,12 +39,19 @@
 	// variance and covariance their second moments.
 	batch, value         float64
 	variance, covariance float64
-	uneven               bool
+	// spread is the variance of the logarithm of single reports around the factors of their servers.
+	spread float64
+	uneven bool
+	// compared is how many servers the last median was taken of.
+	compared int
 }
 
 // add adds the seconds for a unit at factor one.
 func (v *Service) add(batch, value float64) {
 	v.count++
+	if v.count == 1 {
+		v.spread = usualSpread
+	}
 	weight := max(serviceWeight, 1/float64(v.count))
 	b, y := batch-v.batch, value-v.value
 	v.batch += weight * b
@@ -72,15 +82,19 @@
 	return time.Duration(c.Factor() * v.predict(batch) * units * float64(time.Second))
 }
 
+// Usual is the mean time for a unit, at factor one.
+func (v *Service) Usual() time.Duration { return time.Duration(v.value * float64(time.Second)) }
+
 // Compare compares the servers of a service and sets their factors. The median of the servers with
 // enough reports becomes factor one.
 func (v *Service) Compare(at time.Time, servers []*Server) {
-	if middle, known := medianOf(servers); known {
+	middle, compared := medianOf(servers)
+	if v.compared = compared; compared > 1 {
 		v.shift(servers, middle)
 	}
 	v.uneven = false
 	for _, c := range servers {
-		c.factor = c.difference(at)
+		c.factor = v.difference(c, at)
 		v.uneven = v.uneven || c.factor != 1
 	}
 }
@@ -99,18 +113,17 @@
 	}
 }
 
-// medianOf returns the median logarithm of the servers with enough reports; false if there are too
-// few to compare.
-func medianOf(servers []*Server) (float64, bool) {
+// medianOf returns the median logarithm of the servers with enough reports, and how many these are.
+func medianOf(servers []*Server) (float64, int) {
 	logs := make([]float64, 0, len(servers))
 	for _, c := range servers {
 		if c.count >= enoughReports {
 			logs = append(logs, c.log)
 		}
 	}
-	if len(logs) < 2 {
-		return 0, false
+	if len(logs) == 0 {
+		return 0, 0
 	}
 	slices.Sort(logs)
-	return (logs[(len(logs)-1)/2] + logs[len(logs)/2]) / 2, true
+	return (logs[(len(logs)-1)/2] + logs[len(logs)/2]) / 2, len(logs)
 }
