placements: a new leader learns speeds at once, and logs changes

A new leader knew no speeds until enough streams had ended. Each forwarder now keeps what it has seen of the engines' speeds and sends it with PlaceOpen (optional field, at most 64 engines); the allocator merges the reports until it has enough of its own. Engines that have restarted since are skipped. The allocator logs each change of an engine's factor by more than a third (at most ten lines a second), counts it as event engineSpeedChanged, and every ten seconds logs the engines that differ with factor, generations and held memory.

Tests: go test -race ./internal/placements ./internal/message ./internal/metrics ./internal/reducer/dispatch ./internal/reducer/placement ./docs pass.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -181,6 +181,13 @@
 	return f.state.Loads()
 }
 
+// EngineSpeeds returns how fast model engines wrote for this forwarder recently.
+func (f *Forwarder) EngineSpeeds() []message.EngineSpeed {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return dispatch.EngineSpeeds(f.state, f.now())
+}
+
 // Expire drops outdated load history, and closes connections that were idle for too long or lead to
 // addresses without a known server.
 func (f *Forwarder) Expire() {
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -22,6 +22,17 @@
 	// FailureDomain is the failure domain of the forwarder.
 	FailureDomain string             `cbor:"failureDomain,omitempty"`
 	Held          []PlacementRequest `cbor:"held,omitempty"`
+	// Speeds is how fast engines wrote for this forwarder recently.
+	Speeds []EngineSpeed `cbor:"speeds,omitempty"`
+}
+
+// EngineSpeed is what a forwarder has seen of the speed of an engine.
+type EngineSpeed struct {
+	Instance    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	// Streams counts the streams, and Event is the mean time for one of their events.
+	Streams int           `cbor:"3,keyasint"`
+	Event   time.Duration `cbor:"4,keyasint"`
 }
 
 // PlacementRequest requests a placement for one request. As part of a PlaceOpen, Server
--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -55,6 +55,7 @@
 	"duplicatePart", "outdatedMessage", "stray", "unowned",
 	"follow.gap", "follow.older", "follow.unconfirmed", "follow.stale",
 	"follow.lost", "follow.malformed", "follow.returned",
+	"engineSpeedChanged",
 	"member.damped", "member.massLapse", "member.paused", "member.outdated",
 	"peer.denied", "peer.unserved",
 	"noticeUnreadable", "serverLeaves", "serverRests", "serverLimited", "serverUnlimited",
--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -42,6 +42,8 @@
 	Logger          *slog.Logger
 	// IgnoreSpeeds makes no difference between fast and slow engines.
 	IgnoreSpeeds bool
+	// Count counts an event for the metrics; nil counts nothing.
+	Count func(event string)
 
 	mutex    sync.Mutex
 	state    *reducer.State
@@ -57,6 +59,8 @@
 	// were granted during that time, each forwarder would search for the last free memory on its
 	// own.
 	active bool
+	// speedsLogged is when the speeds of the engines were last logged.
+	speedsLogged time.Time
 }
 
 var _ routewatch.Sink = (*Allocator)(nil)
@@ -94,6 +98,7 @@
 		if a.active && time.Since(summarized) >= summaryInterval {
 			summarized = time.Now()
 			a.summarize(summarized)
+			a.logSpeeds(summarized)
 		}
 		if a.active && !leads && replaced {
 			a.stepDown()
@@ -197,6 +202,7 @@
 	a.lastSession++
 	a.sessions[a.lastSession] = session{Outbox: o, failureDomain: open.FailureDomain}
 	a.nodes[open.Node] = a.lastSession
+	a.reduce(placement.SpeedsReported{At: time.Now(), Speeds: open.Speeds})
 	for _, q := range open.Held {
 		a.reduce(placement.Resumed{
 			At: time.Now().Add(-q.Age), Key: placement.Key{Session: a.lastSession, ID: q.ID}, Need: needOf(q),
--- a/internal/placements/client.go
+++ b/internal/placements/client.go
@@ -41,6 +41,8 @@
 	// Leader returns the peer address of the leading control VM, empty if none is known. The
 	// previous leader goes on granting placements until another one leads.
 	Leader func() string
+	// Speeds returns how fast engines wrote for this forwarder; nil if it does not measure that.
+	Speeds func() []message.EngineSpeed
 	Logger *slog.Logger
 
 	mutex  sync.Mutex
@@ -128,9 +130,12 @@
 }
 
 func (c *Client) startSession(o *peer.Outbox) {
+	open := message.PlaceOpen{Node: c.Node, FailureDomain: c.FailureDomain}
+	if c.Speeds != nil {
+		open.Speeds = c.Speeds()
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	open := message.PlaceOpen{Node: c.Node, FailureDomain: c.FailureDomain}
 	for _, h := range c.held {
 		h.Age = time.Since(h.since)
 		open.Held = append(open.Held, h.PlacementRequest)
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -97,6 +97,12 @@
 	Parts int
 }
 
+// SpeedsReported reports how fast engines wrote for another process.
+type SpeedsReported struct {
+	At     time.Time
+	Speeds []message.EngineSpeed
+}
+
 // ResendRequested asks whether a request may be sent again to the server of its
 // placement.
 type ResendRequested struct {
@@ -196,6 +202,8 @@
 
 func (GenerationMeasured) isDispatchEvent() {}
 
+func (SpeedsReported) isDispatchEvent() {}
+
 func (Ended) isDispatchEvent() {}
 
 func (PrefillEnded) isDispatchEvent() {}
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -126,6 +126,8 @@
 	// shortest time of these.
 	answered int
 	shortest time.Duration
+	// toldFactor is the factor of writing that SpeedChanges has returned last, zero if none.
+	toldFactor float64
 }
 
 // New returns a state without any server.
@@ -180,6 +182,8 @@
 		s.countPrefill(e)
 	case GenerationMeasured:
 		s.countGeneration(e)
+	case SpeedsReported:
+		s.mergeSpeeds(e)
 	case RequestCounted:
 		return []Effect{s.countRequest(e)}
 	case OutcomeObserved:
--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -81,6 +81,9 @@
 	Session uint64
 }
 
+// SpeedsReported reports how fast engines wrote for a forwarder.
+type SpeedsReported dispatch.SpeedsReported
+
 // Ticked reports the current time.
 type Ticked struct{ At time.Time }
 
@@ -102,6 +105,8 @@
 
 func (SessionLost) isPlacementEvent() {}
 
+func (SpeedsReported) isPlacementEvent() {}
+
 func (Ticked) isPlacementEvent() {}
 
 // Answer sends a forwarder its placement, or the reason for a refusal. It is the only
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -89,6 +89,8 @@
 		s.releasePrefill(e)
 	case Ended:
 		return s.end(e)
+	case SpeedsReported:
+		dispatch.Reduce(s.engines, dispatch.SpeedsReported(e))
 	case SessionDisconnected:
 		s.disconnect(e)
 		return s.serve(e.At)
@@ -116,6 +118,16 @@
 	FreeShare map[string]float64
 }
 
+// SpeedChanges returns the engines whose speed has changed since the last call.
+func (s *State) SpeedChanges(at time.Time) []dispatch.SpeedChange {
+	return dispatch.SpeedChanges(s.engines, at)
+}
+
+// UnevenEngines returns up to a number of engines that differ in speed, the most different first.
+func (s *State) UnevenEngines(most int) []dispatch.UnevenEngine {
+	return dispatch.UnevenEngines(s.engines, most)
+}
+
 // Summarize returns a summary and resets its counters.
 func (s *State) Summarize(at time.Time) Summary {
 	summary := s.counted
--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -111,6 +111,7 @@
 	c.places = &placements.Allocator{
 		Leads: c.Leads, Replaced: c.otherLeads, Logger: p.Logger,
 		IgnoreSpeeds: !p.Settings.Control.Enabled(settings.FeatureEngineSpeeds),
+		Count:        func(event string) { p.observer().Count(event, "", "") },
 	}
 	c.places.Prepare()
 	sinks := routewatch.Sinks{c.places}
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -71,6 +71,7 @@
 	process.places = &placements.Client{
 		Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Dialer: endpoint, Logger: p.Logger,
 		Leader: func() string { return process.follower.Leader() },
+		Speeds: func() []message.EngineSpeed { return process.forwarder.EngineSpeeds() },
 	}
 	process.places.Prepare()
 	process.quotas = &quota.Client{
