reducer/dispatch: no placement at an engine that would end too late

On a slow engine a stream may end after its caller has given up: it holds memory and its output is thrown away. A forwarder now tells the allocator for how long the caller still waits (optional field of PlaceEvent), and engines whose predicted end is later are not chosen. If only such engines have room, the request is refused at once (deadline, 503, not run): waiting for a fast engine, it would keep the requests behind it from the memory of the slow ones. The check holds only where engines differ, and not for a further send, of which a part may have been delivered. The events of a stream are predicted from the expected output by the mean of the streams so far.

--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -34,6 +34,9 @@
 	// InTime is how much longer the request can wait and still meet its target, Within how long it
 	// may wait at all.
 	InTime, Within time.Duration
+	// Remaining is for how long the caller still waits for the end of the response, zero if a part of
+	// it may have been delivered.
+	Remaining time.Duration
 }
 
 // reportPromptRead reports that the prefill engine of a placement is done: to the allocator if it
@@ -151,8 +154,12 @@
 func (w *work) sendPlacementRequest(ctx context.Context, need dispatch.Need) (dispatch.Effect, bool) {
 	target := float64(w.route.AnswerWithin)
 	age := time.Since(w.request.Received)
+	remaining := w.remaining()
+	if need.Retry {
+		remaining = 0
+	}
 	return w.f.config.Places.Place(ctx, PlacementRequest{
-		Need: need, Rank: w.rank(), Call: w.info.Call,
+		Need: need, Rank: w.rank(), Call: w.info.Call, Remaining: remaining,
 		InTime: w.placementSlack(age),
 		Within: min(time.Duration(maxWaitFactor*target)-age, w.remaining()),
 	})
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -78,7 +78,7 @@
 func (w *work) need() dispatch.Need {
 	return dispatch.Need{
 		Service: w.service.Name, Prompt: w.info.Prompt, Output: w.info.output(),
-		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received,
+		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received, Deadline: w.deadline,
 		PauseWithin: time.Duration(w.route.PauseWithin), Returned: w.retried,
 		FailureDomain: w.f.config.Dispatch.FailureDomain,
 		Tried:         w.tried, Retry: w.sent+w.prefills > 0,
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -103,6 +103,9 @@
 	// Events the number of its events.
 	Writing time.Duration `cbor:"8,keyasint,omitempty"`
 	Events  int           `cbor:"9,keyasint,omitempty"`
+	// Remaining is, with PlaceAsked, for how long the caller still waits for the end of the response;
+	// zero if that is unknown, or if a part of the response was delivered.
+	Remaining time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // PlaceAnswer answers a placement request with a placement or a refusal.
--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -247,6 +247,9 @@
 		if q := m.Request; q != nil {
 			need := needOf(*q)
 			need.FailureDomain = a.sessions[session].failureDomain
+			if m.Remaining > 0 {
+				need.Deadline = now.Add(m.Remaining)
+			}
 			a.reduce(placement.Requested{
 				At: now, Key: key, Need: need, Rank: q.Rank, Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
 			})
--- a/internal/placements/speeds_test.go
+++ b/internal/placements/speeds_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
@@ -57,14 +58,16 @@
 	})
 }
 
-// Guards against reports of writing times that do not reach the allocator.
+// Guards against reports of writing times, and times of callers, that do not reach the allocator.
 func TestWritingTimesReachTheAllocator(t *testing.T) {
 	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		s.addEngines("one", 4)
 		s.lead("one:1")
 		time.Sleep(time.Second)
+		request := forwarder.PlacementRequest{Need: dispatch.Need{Service: "s", Prompt: 100, Output: 100}, InTime: time.Second, Within: time.Second}
 		for range 80 {
-			grant := s.granted(ctx, is, 200)
+			effect, _ := s.client.Place(ctx, request)
+			grant := effect.(dispatch.Granted).Grant
 			event := 3 * time.Millisecond
 			if grant.Server.Instance == "e1" {
 				event = 9 * time.Millisecond
@@ -74,6 +77,9 @@
 			s.client.Ended(dispatch.Ended{Grant: grant, Outcome: dispatch.OutcomeAnswered, Writing: 10 * event, Events: 11})
 		}
 		time.Sleep(time.Second)
+		request.Remaining = 20 * time.Millisecond // eleven events take 33 ms
+		effect, _ := s.client.Place(ctx, request)
+		is.Equal(effect.(dispatch.Refused).Reason, oriolebend.ReasonDeadline)
 		a := s.allocators["one"]
 		a.mutex.Lock()
 		defer a.mutex.Unlock()
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -40,6 +40,8 @@
 	// response.
 	FirstWithin time.Duration
 	Arrived     time.Time
+	// Deadline is when the caller gives up, zero if that is unknown.
+	Deadline time.Time
 	// PauseWithin is the target for the pause between two parts of a stream, zero if
 	// there is none.
 	PauseWithin time.Duration
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -41,6 +42,11 @@
 	if len(fitting) == 0 {
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: untilRetry(e.At, usable)}
 	}
+	if late := s.endsTooLate(e, service); late != nil {
+		if fitting = slices.DeleteFunc(fitting, late); len(fitting) == 0 {
+			return Grant{}, &Refused{Reason: oriolebend.ReasonDeadline, RetryAfter: retryFull}
+		}
+	}
 	fitting = s.healthiest(e.At, service, fitting)
 	prefiller := s.choosePrefillEngine(e, service)
 	if prefiller != nil {
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -31,7 +31,7 @@
 //	                        [start=N] a line
 //	service NAME [kv=N] [part=N]   declares a service; kv makes it a service of engines
 //	do                      place NAME SERVICE [prompt=N] [pause=FOR] [retry] [waited] [tried=A,B] [excluded=A,B]
-//	                        [from=DOMAIN]
+//	                        [from=DOMAIN] [within=FOR]
 //	                        end NAME OUTCOME [TOOK] | prefilled NAME TOOK | prefill-failed NAME
 //	                        generated NAME TOOK [PARTS]
 //	                        wrote SERVER TIME-FOR-AN-EVENT COUNT   COUNT streams that ended there
@@ -187,7 +187,7 @@
 			continue
 		}
 		Reduce(s.state, OutcomeObserved{
-			At: s.now, Grant: Grant{Need: Need{Service: c.Service, Prompt: 1}, Server: c.BackendServer, Batch: c.inProgress},
+			At: s.now, Grant: Grant{Need: Need{Service: c.Service, Prompt: 1, Output: 100}, Server: c.BackendServer, Batch: c.inProgress},
 			Outcome: OutcomeAnswered, Writing: 10 * took, Events: 11,
 		})
 	}
@@ -234,6 +234,10 @@
 			pause, err := time.ParseDuration(value)
 			is.New(s.t).NoErr(err)
 			need.PauseWithin = pause
+		case "within":
+			within, err := time.ParseDuration(value)
+			is.New(s.t).NoErr(err)
+			need.Deadline = s.now.Add(within)
 		case "from":
 			need.FailureDomain = value
 		case "retry":
--- a/internal/reducer/dispatch/speeds.go
+++ b/internal/reducer/dispatch/speeds.go
@@ -27,6 +27,7 @@
 // stream, for a token of a prompt, and for a plain answer.
 type serviceSpeeds struct {
 	writing, prefills, answers speed.Service
+	output                     outputSpeed
 	compared                   time.Time
 }
 
@@ -55,9 +56,11 @@
 	if s.config.IgnoreSpeeds || v == nil || v.limits.Engine == nil || e.Events < leastEvents {
 		return
 	}
-	v.speeds.writing.Observe(&c.writing, speed.Report{
+	if v.speeds.writing.Observe(&c.writing, speed.Report{
 		At: e.At, Took: e.Writing, Units: e.Events - 1, Batch: float64(e.Grant.Batch+c.inProgress) / 2,
-	})
+	}) {
+		v.observeOutput(e)
+	}
 }
 
 // observePrefill adds the time that a prefill engine needed for a prompt and those ahead of it.
--- a/internal/reducer/speed/script_test.go
+++ b/internal/reducer/speed/script_test.go
@@ -70,7 +70,7 @@
 				for word := range strings.FieldsSeq(d.Input) {
 					batch, err := strconv.ParseFloat(word, 64)
 					is.NoErr(err)
-					fmt.Fprintf(&out, "%s %v\n", word, v.Predict(&Server{}, batch, 1).Round(100*time.Microsecond))
+					fmt.Fprintf(&out, "%s %v\n", word, time.Duration(v.predict(batch)*float64(time.Second)).Round(100*time.Microsecond))
 				}
 			}
 			return out.String()
--- a/internal/reducer/speed/service.go
+++ b/internal/reducer/speed/service.go
@@ -67,19 +67,19 @@
 	return min(max(0, slope), largestSlopePart*v.value/max(1, v.batch))
 }
 
-// Known reports whether there were enough reports for a prediction.
+// Known reports whether there were enough reports to know the usual time.
 func (v *Service) Known() bool { return v.count >= enoughReports }
 
-// predict is the seconds for a unit of a server with factor one.
-func (v *Service) predict(batch float64) float64 {
-	slope := v.slope()
-	return max(v.value-slope*v.batch, (1-largestSlopePart)*v.value) + slope*batch
+// Line returns the base and the slope of the seconds for a unit, at factor one.
+func (v *Service) Line() (base, slope float64) {
+	slope = v.slope()
+	return max(v.value-slope*v.batch, (1-largestSlopePart)*v.value), slope
 }
 
-// Predict is how long a server needs for a number of units. It is meaningful only if the service is
-// Known.
-func (v *Service) Predict(c *Server, batch, units float64) time.Duration {
-	return time.Duration(c.Factor() * v.predict(batch) * units * float64(time.Second))
+// predict is the seconds for a unit of a server with factor one.
+func (v *Service) predict(batch float64) float64 {
+	base, slope := v.Line()
+	return base + slope*batch
 }
 
 // Usual is the mean time for a unit, at factor one.
