--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -22,6 +22,17 @@
 	// FailureDomain is the failure domain of the forwarder.
 	FailureDomain string             `cbor:"failureDomain,omitempty"`
 	Held          []PlacementRequest `cbor:"held,omitempty"`
+	// Speeds is how fast engines wrote for this forwarder recently.
+	Speeds []EngineSpeed `cbor:"speeds,omitempty"`
+}
+
+// EngineSpeed is what a forwarder has seen of the speed of an engine.
+type EngineSpeed struct {
+	Instance    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	// Streams counts the streams, and Event is the mean time for one of their events.
+	Streams int           `cbor:"3,keyasint"`
+	Event   time.Duration `cbor:"4,keyasint"`
 }
 
 // PlacementRequest requests a placement for one request. As part of a PlaceOpen, Server
@@ -88,6 +99,13 @@
 	// not used.
 	Failed bool `cbor:"6,keyasint,omitempty"`
 	Unused bool `cbor:"7,keyasint,omitempty"`
+	// Writing is the time from the first to the last event of a stream whose placement ended, and
+	// Events the number of its events.
+	Writing time.Duration `cbor:"8,keyasint,omitempty"`
+	Events  int           `cbor:"9,keyasint,omitempty"`
+	// Remaining is, with PlaceAsked, for how long the caller still waits for the end of the response;
+	// zero if that is unknown, or if a part of the response was delivered.
+	Remaining time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // PlaceAnswer answers a placement request with a placement or a refusal.
--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -40,6 +40,10 @@
 	// Leads reports whether this control VM leads, Replaced whether another one is known to lead.
 	Leads, Replaced func() bool
 	Logger          *slog.Logger
+	// IgnoreSpeeds makes no difference between fast and slow engines.
+	IgnoreSpeeds bool
+	// Count counts an event for the metrics; nil counts nothing.
+	Count func(event string)
 
 	mutex    sync.Mutex
 	state    *reducer.State
@@ -55,6 +59,8 @@
 	// were granted during that time, each forwarder would search for the last free memory on its
 	// own.
 	active bool
+	// speedsLogged is when the speeds of the engines were last logged.
+	speedsLogged time.Time
 }
 
 var _ routewatch.Sink = (*Allocator)(nil)
@@ -77,6 +83,9 @@
 // allocator yet.
 func (a *Allocator) reset() {
 	a.state = &reducer.State{Placement: placement.New(uint64(time.Now().UnixNano()))}
+	if a.IgnoreSpeeds {
+		a.state.Placement.IgnoreSpeeds()
+	}
 	a.reduce(a.fleet())
 }
 
@@ -89,6 +98,7 @@
 		if a.active && time.Since(summarized) >= summaryInterval {
 			summarized = time.Now()
 			a.summarize(summarized)
+			a.logSpeeds(summarized)
 		}
 		if a.active && !leads && replaced {
 			a.stepDown()
@@ -192,6 +202,7 @@
 	a.lastSession++
 	a.sessions[a.lastSession] = session{Outbox: o, failureDomain: open.FailureDomain}
 	a.nodes[open.Node] = a.lastSession
+	a.reduce(placement.SpeedsReported{At: time.Now(), Speeds: open.Speeds})
 	for _, q := range open.Held {
 		a.reduce(placement.Resumed{
 			At: time.Now().Add(-q.Age), Key: placement.Key{Session: a.lastSession, ID: q.ID}, Need: needOf(q),
@@ -236,6 +247,9 @@
 		if q := m.Request; q != nil {
 			need := needOf(*q)
 			need.FailureDomain = a.sessions[session].failureDomain
+			if m.Remaining > 0 {
+				need.Deadline = now.Add(m.Remaining)
+			}
 			a.reduce(placement.Requested{
 				At: now, Key: key, Need: need, Rank: q.Rank, Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
 			})
@@ -249,7 +263,9 @@
 	case message.PlaceRead:
 		a.reduce(placement.PrefillEnded{At: now, Key: key, Took: m.Took, Failed: m.Failed, Unused: m.Unused})
 	case message.PlaceEnded:
-		a.reduce(placement.Ended{At: now, Key: key, Outcome: dispatch.Outcome(m.Outcome), Took: m.Took})
+		a.reduce(placement.Ended{
+			At: now, Key: key, Outcome: dispatch.Outcome(m.Outcome), Took: m.Took, Writing: m.Writing, Events: m.Events,
+		})
 	}
 }
 
--- a/internal/placements/client.go
+++ b/internal/placements/client.go
@@ -41,6 +41,8 @@
 	// Leader returns the peer address of the leading control VM, empty if none is known. The
 	// previous leader goes on granting placements until another one leads.
 	Leader func() string
+	// Speeds returns how fast engines wrote for this forwarder; nil if it does not measure that.
+	Speeds func() []message.EngineSpeed
 	Logger *slog.Logger
 
 	mutex  sync.Mutex
@@ -128,9 +130,12 @@
 }
 
 func (c *Client) startSession(o *peer.Outbox) {
+	open := message.PlaceOpen{Node: c.Node, FailureDomain: c.FailureDomain}
+	if c.Speeds != nil {
+		open.Speeds = c.Speeds()
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	open := message.PlaceOpen{Node: c.Node, FailureDomain: c.FailureDomain}
 	for _, h := range c.held {
 		h.Age = time.Since(h.since)
 		open.Held = append(open.Held, h.PlacementRequest)
@@ -258,7 +263,7 @@
 	c.lastID++
 	waiting := make(chan message.PlaceAnswer, 1)
 	c.pending[c.lastID] = waiting
-	c.sendEvent(message.PlaceEvent{ID: c.lastID, Step: message.PlaceAsked, Request: &message.PlacementRequest{
+	c.sendEvent(message.PlaceEvent{ID: c.lastID, Step: message.PlaceAsked, Remaining: q.Remaining, Request: &message.PlacementRequest{
 		ID: c.lastID, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Rank: q.Rank, Call: q.Call,
 		InTime: q.InTime, Within: q.Within, Tried: q.Need.Tried, Excluded: q.Need.Excluded,
 		FirstWithin: q.Need.FirstWithin, PauseWithin: q.Need.PauseWithin,
@@ -323,5 +328,7 @@
 	defer c.mutex.Unlock()
 	id := placementID(e.Grant)
 	delete(c.held, id)
-	c.sendEvent(message.PlaceEvent{ID: id, Step: message.PlaceEnded, Outcome: string(e.Outcome), Took: e.Took})
+	c.sendEvent(message.PlaceEvent{
+		ID: id, Step: message.PlaceEnded, Outcome: string(e.Outcome), Took: e.Took, Writing: e.Writing, Events: e.Events,
+	})
 }
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -40,6 +40,8 @@
 	// response.
 	FirstWithin time.Duration
 	Arrived     time.Time
+	// Deadline is when the caller gives up, zero if that is unknown.
+	Deadline time.Time
 	// PauseWithin is the target for the pause between two parts of a stream, zero if
 	// there is none.
 	PauseWithin time.Duration
@@ -80,12 +82,13 @@
 // PrefillMeasured reports how long the prefill of a prompt took, for a placement that was
 // granted here or elsewhere.
 type PrefillMeasured struct {
+	At   time.Time
 	Need Need
-	Took time.Duration
+	// Server is the prefill engine, nil if the decode engine prefilled the prompt itself.
+	Server *message.BackendServer
+	Took   time.Duration
 	// Ahead is Grant.Ahead of the placement.
 	Ahead int
-	// AtDecodeEngine is set if the decode engine prefilled the prompt itself.
-	AtDecodeEngine bool
 }
 
 // GenerationMeasured reports that a generation has ended, and how long the engine wrote.
@@ -96,6 +99,12 @@
 	Parts int
 }
 
+// SpeedsReported reports how fast engines wrote for another process.
+type SpeedsReported struct {
+	At     time.Time
+	Speeds []message.EngineSpeed
+}
+
 // ResendRequested asks whether a request may be sent again to the server of its
 // placement.
 type ResendRequested struct {
@@ -156,6 +165,10 @@
 	Outcome Outcome
 	// Took is the time to the first part of the response, zero if there is none.
 	Took time.Duration
+	// Writing is the time from the first event of a stream to the last one that was received, and
+	// Events how many there were; zero for other responses.
+	Writing time.Duration
+	Events  int
 }
 
 // PrefillEnded reports that the prefill engine of a grant is no longer needed for it, also
@@ -191,6 +204,8 @@
 
 func (GenerationMeasured) isDispatchEvent() {}
 
+func (SpeedsReported) isDispatchEvent() {}
+
 func (Ended) isDispatchEvent() {}
 
 func (PrefillEnded) isDispatchEvent() {}
@@ -213,6 +228,9 @@
 	Prefill *message.BackendServer
 	// Ahead is the prompt tokens that Prefill had to process before this request's.
 	Ahead int
+	// Batch is how many other requests Server worked on when the placement was granted, as far as
+	// they are known here.
+	Batch int
 	// Remote numbers a placement that another process granted; zero means that it was
 	// granted here.
 	Remote uint64
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -31,7 +32,7 @@
 	return n.FailureDomain != "" && n.FailureDomain != c.FailureDomain
 }
 
-// chooseEngines chooses a decode engine, and the prefill engine that would finish
+// chooseEngines chooses the decode engine with the least predicted time x memory, and the prefill engine that would finish
 // first. Without any prefill engine, or while the queue of the best one is long, the decode
 // engine prefills the prompt itself, between the tokens of its other requests; each of these
 // then pauses for as long as the prefill takes.
@@ -41,6 +42,11 @@
 	if len(fitting) == 0 {
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: untilRetry(e.At, usable)}
 	}
+	if late := s.endsTooLate(e, service); late != nil {
+		if fitting = slices.DeleteFunc(fitting, late); len(fitting) == 0 {
+			return Grant{}, &Refused{Reason: oriolebend.ReasonDeadline, RetryAfter: retryFull}
+		}
+	}
 	fitting = s.healthiest(e.At, service, fitting)
 	prefiller := s.choosePrefillEngine(e, service)
 	if prefiller != nil {
@@ -63,9 +69,9 @@
 		if e.Need.inOtherDomain(c) {
 			load += forwarderDomainMemory * float64(e.Need.Prompt)
 		}
-		return load
+		return c.weightedMemory(load, e.Need)
 	})
-	grant := Grant{Need: e.Need, Server: decoder.BackendServer}
+	grant := Grant{Need: e.Need, Server: decoder.BackendServer, Batch: decoder.inProgress}
 	if prefiller != nil {
 		prefill := prefiller.BackendServer
 		grant.Prefill, grant.Ahead = &prefill, prefiller.pendingPrompt
@@ -167,7 +173,7 @@
 // prefillAndMoveMillis is the time in milliseconds until a prefill engine has processed
 // a prompt, behind those in its queue, and its KV cache has been moved.
 func (s *State) prefillAndMoveMillis(c *server, service *service, prompt int) float64 {
-	prefill := float64(c.pendingPrompt+prompt) / service.rate()
+	prefill := float64(c.pendingPrompt+prompt) / service.rate() * c.prefills.Factor()
 	limits := service.limits.Engine
 	const bitsPerByte, perMilli = 8, 1e3
 	move := 0.0
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -31,9 +31,11 @@
 //	                        [unconfirmed] [start=N] a line
 //	service NAME [kv=N] [part=N]   declares a service; kv makes it a service of engines
 //	do                      place NAME SERVICE [prompt=N] [pause=FOR] [retry] [waited] [tried=A,B] [excluded=A,B]
-//	                        [from=DOMAIN]
+//	                        [from=DOMAIN] [within=FOR]
 //	                        end NAME OUTCOME [TOOK] | prefilled NAME TOOK | prefill-failed NAME
 //	                        generated NAME TOOK [PARTS]
+//	                        wrote SERVER TIME-FOR-AN-EVENT COUNT   COUNT streams that ended there
+//	                        read SERVER TIME COUNT   COUNT prompts of 1000 tokens were prefilled there
 //	                        resend NAME | send NAME | offer NAME | pass FOR
 //	                        notice SERVER [limit=N] [backoff=FOR] [leaving] [sent=AGO] [failed]
 //	                        no-permit SERVER FOR | unlimited SERVER
@@ -140,7 +142,10 @@
 		took, err := time.ParseDuration(words[2])
 		is.NoErr(err)
 		Reduce(s.state, PrefillEnded{At: s.now, Grant: s.grants[words[1]], Took: took})
-		Reduce(s.state, PrefillMeasured{Need: s.grants[words[1]].Need, Took: took, Ahead: s.grants[words[1]].Ahead})
+		g := s.grants[words[1]]
+		Reduce(s.state, PrefillMeasured{At: s.now, Need: g.Need, Server: g.Prefill, Took: took, Ahead: g.Ahead})
+	case "wrote", "read":
+		s.measured(words[0] == "wrote", words[1], words[2], words[3])
 	case "generated":
 		took, err := time.ParseDuration(words[2])
 		is.NoErr(err)
@@ -170,6 +175,26 @@
 	}
 }
 
+// measured reports streams of eleven events that have ended at a server, or prompts.
+func (s *script) measured(stream bool, server, unit, count string) {
+	is := is.New(s.t)
+	took, err := time.ParseDuration(unit)
+	is.NoErr(err)
+	times, err := strconv.Atoi(count)
+	is.NoErr(err)
+	c := s.state.servers[server]
+	for range times {
+		if !stream {
+			Reduce(s.state, PrefillMeasured{At: s.now, Need: Need{Service: c.Service, Prompt: 1000}, Server: &c.BackendServer, Took: took})
+			continue
+		}
+		Reduce(s.state, OutcomeObserved{
+			At: s.now, Grant: Grant{Need: Need{Service: c.Service, Prompt: 1, Output: 100}, Server: c.BackendServer, Batch: c.inProgress},
+			Outcome: OutcomeAnswered, Writing: 10 * took, Events: 11,
+		})
+	}
+}
+
 // notice has a server report its state with a served response to a request sent just now.
 func (s *script) notice(words []string, out *strings.Builder) {
 	is := is.New(s.t)
@@ -211,6 +236,10 @@
 			pause, err := time.ParseDuration(value)
 			is.New(s.t).NoErr(err)
 			need.PauseWithin = pause
+		case "within":
+			within, err := time.ParseDuration(value)
+			is.New(s.t).NoErr(err)
+			need.Deadline = s.now.Add(within)
 		case "from":
 			need.FailureDomain = value
 		case "retry":
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/speed"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -32,6 +33,8 @@
 	// Overcommit is the factor by which an engine's KV memory is granted; zero selects
 	// one. Above one, the engine's own reservation decides.
 	Overcommit float64
+	// IgnoreSpeeds makes no difference between fast and slow servers.
+	IgnoreSpeeds bool
 }
 
 // Defaults of Config for a site that sets no retry budget. One retry in five requests
@@ -81,6 +84,7 @@
 	// sojourn is the usual time to the answer of a plain request in seconds, as of lastAnswer.
 	sojourn    median
 	lastAnswer time.Time
+	speeds     serviceSpeeds
 	// load is the work done since the last call of Loads.
 	load message.ServiceLoad
 }
@@ -115,6 +119,15 @@
 	refusedLast bool
 	failures    average
 	latency     average
+	// writing is the speed at which an engine writes events, prefills that at which it processes
+	// prompts, and answers that of plain answers.
+	writing, prefills, answers speed.Server
+	// answered counts the plain answers since the last report of answers, and shortest is the
+	// shortest time of these.
+	answered int
+	shortest time.Duration
+	// toldFactor is the factor of writing that SpeedChanges has returned last, zero if none.
+	toldFactor float64
 }
 
 // New returns a state without any server.
@@ -169,6 +182,8 @@
 		s.countPrefill(e)
 	case GenerationMeasured:
 		s.countGeneration(e)
+	case SpeedsReported:
+		s.mergeSpeeds(e)
 	case RequestCounted:
 		return []Effect{s.countRequest(e)}
 	case OutcomeObserved:
--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -63,6 +63,9 @@
 	Key     Key
 	Outcome dispatch.Outcome
 	Took    time.Duration
+	// Writing is the time from the first to the last event of a stream, Events their number.
+	Writing time.Duration
+	Events  int
 }
 
 // SessionDisconnected reports that a session broke off. Its placement requests are dropped; its
@@ -78,6 +81,9 @@
 	Session uint64
 }
 
+// SpeedsReported reports how fast engines wrote for a forwarder.
+type SpeedsReported dispatch.SpeedsReported
+
 // Ticked reports the current time.
 type Ticked struct{ At time.Time }
 
@@ -99,6 +105,8 @@
 
 func (SessionLost) isPlacementEvent() {}
 
+func (SpeedsReported) isPlacementEvent() {}
+
 func (Ticked) isPlacementEvent() {}
 
 // Answer sends a forwarder its placement, or the reason for a refusal. It is the only
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -67,6 +67,10 @@
 	}
 }
 
+// IgnoreSpeeds makes no difference between fast and slow engines. It must be called before the first
+// event.
+func (s *State) IgnoreSpeeds() { dispatch.IgnoreSpeeds(s.engines) }
+
 // Reduce applies an event to the state and returns the answers to send.
 func Reduce(s *State, event Event) []Answer {
 	switch e := event.(type) {
@@ -85,6 +89,8 @@
 		s.releasePrefill(e)
 	case Ended:
 		return s.end(e)
+	case SpeedsReported:
+		dispatch.Reduce(s.engines, dispatch.SpeedsReported(e))
 	case SessionDisconnected:
 		s.disconnect(e)
 		return s.serve(e.At)
@@ -112,6 +118,16 @@
 	FreeShare map[string]float64
 }
 
+// SpeedChanges returns the engines whose speed has changed since the last call.
+func (s *State) SpeedChanges(at time.Time) []dispatch.SpeedChange {
+	return dispatch.SpeedChanges(s.engines, at)
+}
+
+// UnevenEngines returns up to a number of engines that differ in speed, the most different first.
+func (s *State) UnevenEngines(most int) []dispatch.UnevenEngine {
+	return dispatch.UnevenEngines(s.engines, most)
+}
+
 // Summarize returns a summary and resets its counters.
 func (s *State) Summarize(at time.Time) Summary {
 	summary := s.counted
@@ -138,7 +154,7 @@
 	}
 	dispatch.Reduce(s.engines, dispatch.PrefillEnded{At: e.At, Grant: p.Grant, Failed: e.Failed, Unused: e.Unused})
 	if !e.Failed && !e.Unused {
-		dispatch.Reduce(s.engines, dispatch.PrefillMeasured{Need: p.Need, Took: e.Took, Ahead: p.Ahead})
+		dispatch.Reduce(s.engines, dispatch.PrefillMeasured{At: e.At, Need: p.Need, Server: p.Prefill, Took: e.Took, Ahead: p.Ahead})
 	}
 	// The prefill part is over; a second report must not be counted.
 	p.Prefill = nil
@@ -149,30 +165,41 @@
 // whose engine turned out to be full frees nothing; in a peak most ends are of this kind.
 func (s *State) end(e Ended) []Answer {
 	if e.Outcome == dispatch.OutcomeCut {
-		s.cut(e.At, e.Key)
+		s.cut(e)
 		return nil
 	}
-	s.release(e.At, e.Key, e.Outcome, e.Took)
+	s.release(e)
 	if e.Outcome == dispatch.OutcomeFull {
 		return nil
 	}
 	return s.serve(e.At)
 }
 
-func (s *State) release(at time.Time, key Key, outcome dispatch.Outcome, took time.Duration) {
-	p, found := s.placements[key]
+// release ends a placement, if it is known.
+func (s *State) release(e Ended) {
+	p, found := s.placements[e.Key]
 	if !found {
 		return
 	}
-	delete(s.placements, key)
-	s.flow(p.Need.Service).free(at, p, outcome)
-	if outcome == dispatch.OutcomeFull {
+	delete(s.placements, e.Key)
+	s.flow(p.Need.Service).free(e.At, p, e.Outcome)
+	if e.Outcome == dispatch.OutcomeFull {
 		s.counted.Full++
 	}
 	if p.Prefill != nil {
-		dispatch.Reduce(s.engines, dispatch.PrefillEnded{At: at, Grant: p.Grant, Unused: true})
+		dispatch.Reduce(s.engines, dispatch.PrefillEnded{At: e.At, Grant: p.Grant, Unused: true})
 	}
-	dispatch.Reduce(s.engines, dispatch.Ended{At: at, Grant: p.Grant, Outcome: outcome, Took: took})
+	dispatch.Reduce(s.engines, p.ended(e))
+}
+
+// ended returns the end of a placement for the engines. A stream that is reported to have taken
+// longer than its placement was measured wrongly.
+func (p placement) ended(e Ended) dispatch.Ended {
+	ended := dispatch.Ended{At: e.At, Grant: p.Grant, Outcome: e.Outcome, Took: e.Took}
+	if e.Writing <= e.At.Sub(p.since) {
+		ended.Writing, ended.Events = e.Writing, e.Events
+	}
+	return ended
 }
 
 // disconnectedFactor is the factor on the usual time of a placement for which a placement is
@@ -201,13 +228,13 @@
 // An engine whose response is lost on the network keeps working until it notices, if it
 // does. A network that reset one response in ten on half of the engines made memory that was
 // in use seem free: five in six placements then granted met a full engine.
-func (s *State) cut(at time.Time, key Key) {
-	p, found := s.placements[key]
+func (s *State) cut(e Ended) {
+	p, found := s.placements[e.Key]
 	if !found {
 		return
 	}
-	dispatch.Reduce(s.engines, dispatch.OutcomeObserved{At: at, Grant: p.Grant, Outcome: dispatch.OutcomeCut})
-	s.retain(at, key)
+	dispatch.Reduce(s.engines, dispatch.OutcomeObserved(p.ended(e)))
+	s.retain(e.At, e.Key)
 }
 
 // retain keeps a placement until its work is likely to have ended.
@@ -225,7 +252,7 @@
 func (s *State) releaseOverdue(at time.Time) {
 	for _, key := range slices.SortedFunc(maps.Keys(s.placements), compareKeys) {
 		if p := s.placements[key]; !p.until.IsZero() && !at.Before(p.until) {
-			s.release(at, key, dispatch.OutcomeCancelled, 0)
+			s.release(Ended{At: at, Key: key, Outcome: dispatch.OutcomeCancelled})
 		}
 	}
 }
@@ -240,7 +267,7 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *request) bool { return q.key.Session == e.Session })
 	for _, key := range slices.SortedFunc(maps.Keys(s.placements), compareKeys) {
 		if key.Session == e.Session {
-			s.release(e.At, key, dispatch.OutcomeCancelled, 0)
+			s.release(Ended{At: e.At, Key: key, Outcome: dispatch.OutcomeCancelled})
 		}
 	}
 }
