forwarder, peer: ends are noted before the answer's last byte

Cause: three tests read a state a moment too early or met two results at once. A stream's end was reported to the allocator after the last byte had been sent, so the caller's next request could come before the report; a caller that reads slowly also kept the placement for as long as its last write took, and one that had gone before an empty stream ended kept it for good. A request whose context had ended could be granted all the same, since select chooses at random between two ready cases. A log line follows its answer. RequestClient checks the context before it returns an answer, and gives an unwanted grant back. TestKeysAreNotLogged waits until its server has stopped, as TestIDLeadsToTheCause does, and also counts the two lines, which it did not: without them the search for a key proved nothing.

--- a/internal/forwarder/identity_test.go
+++ b/internal/forwarder/identity_test.go
@@ -211,6 +211,8 @@
 		status, _, _ := s.send("/once/", map[string]string{headerCredential: credentialScheme + " " + key})
 		is.True(status >= 400)
 	}
+	s.callers.Stop(t.Context()) // the lines are written a moment after the answers
+	is.Equal(strings.Count(s.log.String(), `"msg":"request answered"`), 2)
 	is.True(strings.Contains(s.log.String(), `"organisation":"o"`))
 	is.True(!strings.Contains(s.log.String(), "secret"))
 	is.Equal(Credential{Key: "secret"}.LogValue().String(), "[withheld]")
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -235,15 +235,16 @@
 // finishStream handles the end of a server's stream.
 func (s *streamSend) finishStream(response *backend.Response, err error) streamResult {
 	if errors.Is(err, io.EOF) {
-		if !s.answer.Begun() && !s.answer.Begin(response.Status, response.Header) {
-			return streamResult{done: true}
-		}
-		s.answer.End()
 		if s.streaming {
 			s.f.config.Quarantine.Answered(s.fingerprint)
 			s.f.reduce(dispatch.GenerationMeasured{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first, Parts: s.events})
 		}
+		// The engine has finished, however long the caller takes to read the rest.
 		s.reportEnded(s.grant, dispatch.OutcomeAnswered, 0)
+		if !s.answer.Begun() && !s.answer.Begin(response.Status, response.Header) {
+			return streamResult{done: true}
+		}
+		s.answer.End()
 		s.log(response.Status, "", oriolebend.RanYes)
 		return streamResult{done: true}
 	}
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -146,7 +146,8 @@
 }
 
 // send sends one request and waits for its answer. A cancelled request is kept until its
-// answer arrives, so that the peer can be notified by Unwanted.
+// answer arrives, so that the peer can be notified by Unwanted. Once ctx has ended, an answer
+// that has arrived is unwanted too.
 func (s *requestSession[Q, A]) send(ctx context.Context, request Q) (A, error) {
 	var none A
 	number, answers, open := s.enqueue(request)
@@ -158,6 +159,10 @@
 		if !received {
 			return none, &SessionEndedError{Peer: s.stream.Peer()}
 		}
+		if err := ctx.Err(); err != nil { // both cases were ready
+			s.notifyUnwanted(request, answer)
+			return none, err
+		}
 		return answer, nil
 	case <-ctx.Done():
 		s.cancel(number, request, answers)
