role: crash reports are tested among forwarders that know each other

Cause: TestRequestThatCrashesTwoServersWithoutControl and its twin killed the control VMs right after the last forwarder had started. A control VM names a new forwarder to the others with its next update, up to a second later. Reports were neither late nor lost. Change: both tests wait until each forwarder knows all others before the control VMs are killed. Every bound stays as it was. A forwarder that is younger than one update when all control VMs are lost still learns only from its own crashes; sending each new forwarder to all others at once would cost an update to nearly every forwarder for each one that starts.

--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -235,6 +235,19 @@
 	return s, fleet, forwarders
 }
 
+// killControls kills all control VMs once the forwarders know each other. A control VM names a new
+// forwarder to the others with its next update, up to a second later. Without control VMs nobody
+// sends crash reports to a forwarder that is not known yet.
+func killControls(s *routeSite, forwarders []*ForwarderProcess) {
+	s.t.Helper()
+	for _, f := range forwarders {
+		s.waitFor("the forwarder knows the others", func() bool { return len(f.follower.Peers()) == len(forwarders)-1 })
+	}
+	for _, ip := range seededControls {
+		s.kill(ip)
+	}
+}
+
 // Guards against one request that crashes ten model servers within ten seconds, each with
 // all its work, on an otherwise healthy site. The request crashes each server
 // that begins to run it, and its forwarder only sees a lost server. The caller sends the
@@ -251,9 +264,7 @@
 // forwarder must reach the others directly.
 func TestRequestThatCrashesServersWithoutControl(t *testing.T) {
 	s, fleet, forwarders := startCrashSite(t, 4)
-	for _, ip := range seededControls {
-		s.kill(ip)
-	}
+	killControls(s, forwarders)
 	checkCrashes(t, fleet, forwarders)
 }
 
@@ -262,9 +273,7 @@
 // server counted as its previous incarnation, its further crashes would not be counted.
 func TestRequestThatCrashesTwoServersWithoutControl(t *testing.T) {
 	s, fleet, forwarders := startCrashSite(t, 2)
-	for _, ip := range seededControls {
-		s.kill(ip)
-	}
+	killControls(s, forwarders)
 	checkCrashes(t, fleet, forwarders)
 }
 
