routing: compress large commands of the replicated log

Cause: a valid configuration with 1,476 routes more was never acknowledged, and the group of control VMs changed its leader every 0.6 s for ten seconds. The command has half a megabyte (the routing and the operator's document). The leader sends it to five members over a link of 100 Mbit/s; its heartbeats wait behind it for longer than its lease of 225 ms, and the next leader fails in the same way. Ruled out: the file of restored servers (the old code has none). Change: a command from 32 KiB on is compressed with deflate. Commands of earlier programs are read as before; an earlier program can't read a compressed one, so that all control VMs must be upgraded before such a routing is declared.

--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -21,7 +21,7 @@
 // values; after one with reason notLeader the caller should try the VM that
 // LeaderIP names.
 func (c *ControlProcess) Declare(ctx context.Context, r oriolebend.Routing, document []byte) (routing.Replaced, error) {
-	command, err := cbor.Marshal(routing.Replace{Routing: r, Document: document})
+	command, err := routing.EncodeReplace(routing.Replace{Routing: r, Document: document})
 	if err != nil {
 		return routing.Replaced{}, &control.MalformedError{What: "routing", Cause: err}
 	}
--- a/internal/routing/store.go
+++ b/internal/routing/store.go
@@ -5,18 +5,8 @@
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
-
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// Replace is the command that brings a routing into force.
-type Replace struct {
-	Routing oriolebend.Routing `cbor:"routing"`
-	// Document is the routing as the operator wrote it. Operators read it back byte for
-	// byte.
-	Document []byte `cbor:"document"`
-}
-
 // Replaced is the result of a Replace.
 type Replaced struct {
 	// Version is the version in force after the command.
@@ -56,8 +46,8 @@
 // version changes the routing: an older change that arrives again, or the second of two
 // changes with the same version, must be neither applied nor read back.
 func (s *Store) Apply(_ uint64, command []byte) []byte {
-	var replace Replace
-	if len(command) == 0 || cbor.Unmarshal(command, &replace) != nil {
+	replace, err := decodeReplace(command)
+	if err != nil {
 		return nil // a command that can't be decoded changes nothing on any control VM
 	}
 	s.mutex.Lock()
