reducer/dispatch: keep what a choice reads of a speed beside its load

The weight and the suspicion are now kept beside the load and updated with reports, and the estimates are allocated separately.

--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -266,9 +266,11 @@
 		return healthSilent
 	case c.failures.valueOr(0) > failuresAllowed+failuresFactor*v.failures.valueOr(0):
 		return healthSuspect
-	case c.latency.valueOr(0) > latencyFactor*max(1, c.answers.Factor())*v.latency.valueOr(math.Inf(1)):
-		return healthSuspect
-	case c.writing.Slowed(at), c.prefills.Slowed(at):
+	case c.latency.valueOr(0) > latencyFactor*v.latency.valueOr(math.Inf(1)):
+		if c.latency.value > latencyFactor*v.latency.value*c.answers.Factor() {
+			return healthSuspect
+		}
+	case c.slowed:
 		return healthSuspect
 	}
 	return healthGood
--- a/internal/reducer/dispatch/speeds.go
+++ b/internal/reducer/dispatch/speeds.go
@@ -31,6 +31,19 @@
 	compared                   time.Time
 }
 
+// serverSpeeds are the speeds of one server.
+type serverSpeeds struct {
+	// writing is the speed at which an engine writes events, prefills that at which it processes
+	// prompts, and answers that of plain answers.
+	writing, prefills, answers speed.Server
+	// answered counts the plain answers since the last report of answers, and shortest is the
+	// shortest time of these.
+	answered int
+	shortest time.Duration
+	// toldFactor is the factor of writing that SpeedChanges has returned last, zero if none.
+	toldFactor float64
+}
+
 // speedWeight is how much the memory on an engine counts by the factor of its time for an event.
 //
 // The chosen engine is the one with the least predicted time x memory, for the request and those
@@ -48,7 +61,7 @@
 // by the engine's time for an event. Without a difference in speed it orders engines as their held
 // memory does.
 func (c *server) weightedMemory(load float64, n Need) float64 {
-	return (load + float64(n.Memory())) * speedWeight(c.writing.Factor())
+	return (load + float64(n.Memory())) * c.weight
 }
 
 // observeWriting adds the time that an engine needed for the events of a stream.
@@ -60,13 +73,21 @@
 		At: e.At, Took: e.Writing, Units: e.Events - 1, Batch: float64(e.Grant.Batch+c.inProgress) / 2,
 	}) {
 		v.observeOutput(e)
+		c.updateSpeed(e.At)
 	}
 }
 
+// updateSpeed updates what each choice reads.
+func (c *server) updateSpeed(at time.Time) {
+	c.weight = speedWeight(c.writing.Factor())
+	c.slowed = c.writing.Slowed(at) || c.prefills.Slowed(at)
+}
+
 // observePrefill adds the time that a prefill engine needed for a prompt and those ahead of it.
 func (s *State) observePrefill(e PrefillMeasured, v *service) {
 	if c := s.grantedServer(*e.Server); c != nil && !s.config.IgnoreSpeeds {
 		v.speeds.prefills.Observe(&c.prefills, speed.Report{At: e.At, Took: e.Took, Units: e.Need.Prompt + e.Ahead})
+		c.updateSpeed(e.At)
 	}
 }
 
@@ -101,6 +122,9 @@
 	}
 	s.compare(at, &v.speeds.writing, list, func(c *server) *speed.Server { return &c.writing })
 	s.compare(at, &v.speeds.prefills, list, func(c *server) *speed.Server { return &c.prefills })
+	for _, c := range list {
+		c.updateSpeed(at)
+	}
 }
 
 // compare compares one speed of the servers in a list. Those without reports, such as the prefill
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -99,6 +99,10 @@
 	// there.
 	pendingPrompt int
 	heldMemory    int
+	// weight is speedWeight of the engine's factor, and slowed is set while it is much slower than its
+	// own factor. They are kept here because each choice reads them for each engine.
+	weight float64
+	slowed bool
 	// prefillsUntil is when a decode engine finishes prefilling a prompt itself, between the
 	// tokens of its generations.
 	prefillsUntil time.Time
@@ -119,15 +123,8 @@
 	refusedLast bool
 	failures    average
 	latency     average
-	// writing is the speed at which an engine writes events, prefills that at which it processes
-	// prompts, and answers that of plain answers.
-	writing, prefills, answers speed.Server
-	// answered counts the plain answers since the last report of answers, and shortest is the
-	// shortest time of these.
-	answered int
-	shortest time.Duration
-	// toldFactor is the factor of writing that SpeedChanges has returned last, zero if none.
-	toldFactor float64
+	// serverSpeeds is allocated separately: a choice reads each server, but not these.
+	*serverSpeeds
 }
 
 // New returns a state without any server.
