registry: property test of unconfirmed reports

For random reports of three control VMs, an unconfirmed report hides no announcement, drain or end of the same incarnation. The test fails if the merge prefers the unconfirmed report.

--- a/internal/reducer/registry/view_test.go
+++ b/internal/reducer/registry/view_test.go
@@ -37,6 +37,32 @@
 	})
 }
 
+// TestUnconfirmedReportsNeverOverride checks that a restored report neither hides that another control
+// VM has received an announcement of the incarnation, nor its drain or end.
+func TestUnconfirmedReportsNeverOverride(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewView()
+		followed := Servers{}
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			control := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "control")
+			v.Update(scriptStart, control, rapid.Bool().Draw(t, "complete"), drawServers(t))
+		}
+		followed.Apply(v.Changes(scriptStart))
+		for control, s := range v.sources {
+			for name, report := range s.servers {
+				server, known := followed[name]
+				switch {
+				case !known || report.Incarnation != server.Incarnation:
+				case report.Phase == message.PhaseGone || report.Phase.After(server.Phase):
+					t.Fatalf("%v is used, %s reports %v", server, control, report)
+				case !report.Unconfirmed && report.Address != "" && (server.Unconfirmed || server.Silent && !report.Silent):
+					t.Fatalf("%v overrides %v of %s", server, report, control)
+				}
+			}
+		}
+	})
+}
+
 // mergeAll merges all reports of a view from the beginning.
 func mergeAll(v *View) Servers {
 	all := Servers{}
