placement: engine memory and prefill queues are kept for urgent ranks

Cause: in a shortage rank 0 is refused for lack of memory nearly as often as the other ranks although it goes first in the queue. A simulation of the allocator shows why: with too few prefill engines, a request may wait in a prefill queue for 0.6 of its own target. Rank 2, with 2 s, fills the queues beyond the 0.48 s that rank 0 may wait, and rank 0 gets no placement or a late one. The memory queue itself orders ranks well, but nothing bounds how seldom the last rank is served.

Change: where several ranks are in use, a request gets a placement only if the prefill queue is short enough for its own target and for half the slack of more urgent ranks, and if it leaves the memory that these request until as much memory is free, at most a quarter of all. A less urgent request is refused once those ahead use its time. A rank served less than 0.65 times as often as all is exempt from the memory held and sorts after the most urgent rank only. control.disable = ["memoryRanks"] lets ranks only order the queue. The counts by rank that quotas use move to reducer/ranks.

--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -39,7 +39,9 @@
 type Allocator struct {
 	// Leads reports whether this control VM leads, Replaced whether another one is known to lead.
 	Leads, Replaced func() bool
-	Logger          *slog.Logger
+	// DisableRanks lets ranks only order the waiting requests.
+	DisableRanks bool
+	Logger       *slog.Logger
 
 	mutex    sync.Mutex
 	state    *reducer.State
@@ -77,6 +79,7 @@
 // allocator yet.
 func (a *Allocator) reset() {
 	a.state = &reducer.State{Placement: placement.New(uint64(time.Now().UnixNano()))}
+	a.reduce(placement.Configured{DisableRanks: a.DisableRanks})
 	a.reduce(a.fleet())
 }
 
--- a/internal/reducer/dispatch/overflow.go
+++ b/internal/reducer/dispatch/overflow.go
@@ -41,12 +41,17 @@
 	if !v.queueExceeds(e, prefiller, overflowAfter) {
 		return nil
 	}
-	if v.decodePrefillTime(e.Need.Prompt) > time.Duration(overflowPause*float64(e.Need.PauseWithin)) {
+	if !v.pauseAllowed(e.Need) {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(fitting), func(c *server) bool { return e.At.Before(c.prefillsUntil) })
 }
 
+// pauseAllowed reports whether the generations of a decode engine may pause for a prompt.
+func (v *service) pauseAllowed(n Need) bool {
+	return v.decodePrefillTime(n.Prompt) <= time.Duration(overflowPause*float64(n.PauseWithin))
+}
+
 // backlogged reports whether a prompt would wait in the queue of a prefill engine until
 // its first event is late. With a placement, the request would withhold memory from others
 // for as long as it waits there. It waits for its placement instead, in a queue where the
--- a/internal/reducer/placement/event.go
+++ b/internal/reducer/placement/event.go
@@ -10,6 +10,12 @@
 // Event changes a State.
 type Event interface{ isPlacementEvent() }
 
+// Configured sets which decisions are in use; at first all are.
+type Configured struct {
+	// DisableRanks lets ranks only order the waiting requests, and reserves nothing.
+	DisableRanks bool
+}
+
 // Fleet replaces the lists of engines and services.
 type Fleet struct {
 	Servers  dispatch.Fleet
@@ -81,6 +87,8 @@
 // Ticked reports the current time.
 type Ticked struct{ At time.Time }
 
+func (Configured) isPlacementEvent() {}
+
 func (Fleet) isPlacementEvent() {}
 
 func (FleetChanged) isPlacementEvent() {}
--- a/internal/reducer/placement/flow.go
+++ b/internal/reducer/placement/flow.go
@@ -21,6 +21,8 @@
 	ended int
 	// sizes is how often requests of different sizes were served recently.
 	sizes sizes
+	// demand is what was requested recently by rank.
+	demand demand
 	// nextReturn is when the next refused caller is asked to return.
 	nextReturn time.Time
 }
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -6,14 +6,19 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // request is a placement request that waits.
 type request struct {
-	key    Key
-	need   dispatch.Need
-	rank   int
+	key  Key
+	need dispatch.Need
+	rank int
+	// level is the rank by which the request is counted.
+	level int
+	// order is the rank by which the request is sorted.
+	order  int
 	call   uint64
 	inTime time.Time
 	until  time.Time
@@ -33,7 +38,7 @@
 func (s *State) enqueue(e Requested) []Answer {
 	s.arrivals++
 	q := &request{
-		key: e.Key, need: e.Need, rank: e.Rank, call: e.Call,
+		key: e.Key, need: e.Need, rank: e.Rank, level: ranks.Limit(e.Rank), call: e.Call,
 		inTime: e.InTime, until: e.Until, arrival: s.arrivals,
 	}
 	if first, returned := s.refused.inTimeOf(e.Call); returned && first.Before(q.inTime) {
@@ -41,6 +46,9 @@
 		s.counted.Returned++
 	}
 	q.class = s.flow(e.Need.Service).sizes.classOf(e.Need.Memory())
+	if !q.returned {
+		s.flow(e.Need.Service).demand.observe(q, e.At)
+	}
 	s.waiting = append(s.waiting, q)
 	return s.serve(e.At)
 }
@@ -52,6 +60,11 @@
 	// for, and inTime the part of it for requests that are in time. tooLarge is the smallest
 	// amount of memory that no engine of the service has room for.
 	ahead, inTime, tooLarge map[string]int
+	// prompts is, for each service, the prompts of the requests before the current one.
+	prompts map[string]int
+	// rooms is the room of each service for a request of the usual urgent size, as long as
+	// nothing is granted.
+	rooms map[string]dispatch.Room
 }
 
 // serve grants placements to waiting requests as far as there is room: first to requests
@@ -61,7 +74,10 @@
 	var answers []Answer
 	s.releaseReserved()
 	s.sort(at)
-	r := round{at: at, ahead: map[string]int{}, inTime: map[string]int{}, tooLarge: map[string]int{}}
+	r := round{
+		at: at, ahead: map[string]int{}, inTime: map[string]int{}, tooLarge: map[string]int{},
+		prompts: map[string]int{}, rooms: map[string]dispatch.Room{},
+	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(q *request) bool {
 		answer, done := s.settle(&r, q)
 		if done {
@@ -75,10 +91,13 @@
 // sort sorts the requests into the order in which they are tried: those in time before late
 // ones, then by rank, then by the time left.
 func (s *State) sort(at time.Time) {
+	for _, q := range s.waiting {
+		q.order = s.order(q)
+	}
 	slices.SortFunc(s.waiting, func(a, b *request) int {
 		return cmp.Or(
 			cmp.Compare(number(a.late(at)), number(b.late(at))),
-			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.order, b.order),
 			a.inTime.Compare(b.inTime),
 			cmp.Compare(a.arrival, b.arrival),
 		)
@@ -102,8 +121,9 @@
 	preferred := s.preferred(r.at, q)
 	_, reserved := s.reserved[q.key]
 	// A late request must not take the room that a request in time waits for.
-	if (!full || memory < tooLarge || reserved) && (ahead == 0 || !q.late(r.at)) {
+	if (!full || memory < tooLarge || reserved) && (ahead == 0 || !q.late(r.at)) && s.leavesRoom(r, q) {
 		if answer, done := s.try(r.at, q); done {
+			delete(r.rooms, q.need.Service)
 			return answer, true
 		}
 		if len(q.need.Excluded) == 0 && !reserved { // more engines may be available to other requests
@@ -113,11 +133,12 @@
 	if preferred {
 		s.reserveEngine(r.at, q)
 	}
-	if s.unservable(r, q) {
+	if s.unservable(r, q) || s.overtaken(r, q) {
 		s.counted.Unservable++
 		return s.refuse(r.at, q), true
 	}
 	r.ahead[q.need.Service] += memory
+	r.prompts[q.need.Service] += q.need.Prompt
 	if !q.late(r.at) {
 		r.inTime[q.need.Service] += memory
 	}
@@ -134,6 +155,7 @@
 		s.placements[q.key] = placement{Grant: e.Grant, since: at}
 		s.flow(need.Service).hold(need.Memory())
 		s.flow(need.Service).sizes.countSettled(at, q.class, true)
+		s.flow(need.Service).demand.settled(q, at, true)
 		s.counted.Granted++
 		delete(s.reserved, q.key)
 		return Answer{Key: q.key, Grant: &e.Grant}, true
@@ -191,6 +213,7 @@
 func (s *State) refuse(at time.Time, q *request) Answer {
 	s.refused.add(at, q)
 	s.flow(q.need.Service).sizes.countSettled(at, q.class, false)
+	s.flow(q.need.Service).demand.settled(q, at, false)
 	after := s.flow(q.need.Service).retryDelay(at, q.need.Memory())
 	return Answer{Key: q.key, Refused: &dispatch.Refused{Reason: oriolebend.ReasonNoMemory, RetryAfter: after}}
 }
--- a/internal/reducer/placement/script_test.go
+++ b/internal/reducer/placement/script_test.go
@@ -23,6 +23,7 @@
 //	request SESSION/ID TOKENS [rank=N] [late] [call=N]
 //	withdraw SESSION/ID | prefilled SESSION/ID | end SESSION/ID OUTCOME
 //	resume SESSION/ID TOKENS ENGINE   a placement that an earlier leader granted
+//	disable-ranks                     ranks only order the waiting requests
 //	lost SESSION | disconnect SESSION | pass FOR
 //	flow COUNT TOKENS HELD      the number of requests, and how long each holds its memory
 //
@@ -54,6 +55,8 @@
 		return
 	case "engines":
 		event = s.engines(words)
+	case "disable-ranks":
+		event = Configured{DisableRanks: true}
 	case "request":
 		event = s.request(words)
 	case "withdraw":
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -43,6 +43,8 @@
 	// arrivals counts placement requests.
 	arrivals uint64
 	counted  Summary
+	// ranksDisabled is set if ranks only order the queue.
+	ranksDisabled bool
 }
 
 // placement is a granted placement.
@@ -70,6 +72,8 @@
 // Reduce applies an event to the state and returns the answers to send.
 func Reduce(s *State, event Event) []Answer {
 	switch e := event.(type) {
+	case Configured:
+		s.ranksDisabled = e.DisableRanks
 	case Fleet:
 		dispatch.Reduce(s.engines, e.Services)
 		dispatch.Reduce(s.engines, e.Servers)
--- a/internal/reducer/quota/config.go
+++ b/internal/reducer/quota/config.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
+)
 
 // Config states by how much quotas may be exceeded.
 type Config struct {
@@ -34,7 +38,7 @@
 	if c.DisableRanks {
 		return 0
 	}
-	return min(max(rank, 0), maxRanks-1)
+	return ranks.Limit(rank)
 }
 
 // excess returns the number of units by which a quota may be exceeded within a window.
--- a/internal/reducer/quota/promise.go
+++ b/internal/reducer/quota/promise.go
@@ -1,14 +1,18 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
+)
 
 // promises holds the retry times that were sent to refused callers.
 type promises struct {
 	byCall map[uint64]promise
 	// lines holds the promises by rank.
-	lines [maxRanks]line
-	// ranks is how much is requested by rank.
-	ranks ranks
+	lines [ranks.Max]line
+	// demand is how much the organisation requests.
+	demand demand
 }
 
 // line is the promises made to requests of one rank. Each falls due after the one before.
@@ -59,7 +63,7 @@
 func (a *account) take(e Requested) bool {
 	a.promises.expire(e.At)
 	p, promised := a.promises.byCall[e.Call]
-	a.promises.ranks.observe(e, &a.bucket, promised)
+	a.promises.demand.observe(e, &a.bucket, promised)
 	kept := 0.0
 	if !promised || e.At.Before(p.due) {
 		kept = a.promises.kept(e.At, a.bucket.PerSecond, p) + a.keptForOthers(e)
@@ -67,7 +71,7 @@
 	if !a.bucket.Take(e.At, e.Cost, kept) {
 		return false
 	}
-	a.promises.ranks.countServed(e.Rank)
+	a.promises.demand.ranks.Settle(e.Rank, 0, 1)
 	if promised {
 		a.promises.drop(e.Call)
 	}
@@ -91,7 +95,7 @@
 // bucket can hold besides the request.
 func (a *account) reservedFor(e Requested) float64 {
 	room := max(0, a.bucket.Burst-min(e.Cost, a.bucket.Burst)-a.keptByLate(e))
-	return min(room, a.promises.ranks.reserved(e.Rank, &a.bucket))
+	return min(room, a.promises.demand.reserved(e.Rank, &a.bucket))
 }
 
 // promise returns when a refused caller can be served, and records that as a promise. Each
@@ -101,7 +105,7 @@
 	if p, promised := a.promises.byCall[e.Call]; promised {
 		return max(minRetryAfter, p.due.Sub(e.At), a.bucket.Wait(e.At, e.Cost))
 	}
-	available := a.promises.ranks.available(e.Rank, &a.bucket)
+	available := a.promises.demand.available(e.Rank, &a.bucket)
 	wait := a.bucket.Wait(e.At, e.Cost+a.keptForOthers(e))
 	due := e.At.Add(time.Duration(float64(wait) / available))
 	if last, found := a.promises.lastUpTo(e.Rank); found {
@@ -112,7 +116,7 @@
 	}
 	after := max(minRetryAfter, due.Sub(e.At))
 	if after <= promiseAhead && a.promises.room(e.Cost, a.bucket.PerSecond) {
-		a.promises.add(e.Call, promise{cost: e.Cost, due: due, line: a.promises.ranks.line(e.Rank)})
+		a.promises.add(e.Call, promise{cost: e.Cost, due: due, line: a.promises.demand.line(e.Rank)})
 	}
 	return after
 }
@@ -137,7 +141,7 @@
 // lastUpTo returns when the last promise to a request of this or a more urgent rank is due;
 // false if there is none. Promises to less urgent ranks delay no request.
 func (p *promises) lastUpTo(rank int) (last time.Time, found bool) {
-	for _, l := range p.lines[:p.ranks.line(rank)+1] {
+	for _, l := range p.lines[:p.demand.line(rank)+1] {
 		if l.count > 0 && (!found || l.last.After(last)) {
 			last, found = l.last, true
 		}
--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -108,7 +108,10 @@
 // placements and divides model engines between prefill and decode by that state.
 func (c *ControlProcess) buildObserver(name string) {
 	p := c.process
-	c.places = &placements.Allocator{Leads: c.Leads, Replaced: c.otherLeads, Logger: p.Logger}
+	c.places = &placements.Allocator{
+		Leads: c.Leads, Replaced: c.otherLeads, Logger: p.Logger,
+		DisableRanks: !p.Settings.Control.Enabled(settings.FeatureMemoryRanks),
+	}
 	c.places.Prepare()
 	sinks := routewatch.Sinks{c.places}
 	if p.Orders != nil {
