--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -34,7 +34,9 @@
 	Dispatch dispatch.Config
 	Pool     backend.PoolConfig
 	Observer Observer
-	Logger   *slog.Logger
+	// RefusedRank counts a refused request by its rank; nil counts nothing.
+	RefusedRank func(rank int, reason oriolebend.Reason)
+	Logger      *slog.Logger
 	// Places grants placements at model engines; if nil, the forwarder chooses engines itself.
 	Places Places
 	// Quarantine knows the requests that crash servers; if nil, the forwarder uses a store of its
--- a/internal/forwarder/quota.go
+++ b/internal/forwarder/quota.go
@@ -53,7 +53,7 @@
 	}
 	return []slog.Attr{
 		slog.Float64("quotaPerSecond", o.Quota.PerSecond), slog.Float64("quotaBurst", o.Quota.Burst),
-		slog.Float64("quotaLeft", s.Left), slog.String("quotaKeeper", s.CountedBy),
+		slog.Float64("quotaLeft", s.Left), slog.Float64("quotaReserved", s.Reserved), slog.String("quotaKeeper", s.CountedBy),
 		slog.Int64("quotaKnownMs", s.Since.Milliseconds()),
 	}
 }
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -175,6 +175,9 @@
 // refuse answers a request that has not run and will not, with a retry delay.
 func (w *work) refuse(r refusal) {
 	w.f.config.Observer.Count("refusal", r.reason, w.organisationName())
+	if w.f.config.RefusedRank != nil && w.route != nil {
+		w.f.config.RefusedRank(w.rank(), r.reason)
+	}
 	w.refund()
 	header := http.Header{}
 	if r.after > 0 {
@@ -262,6 +265,9 @@
 	if reason != "" {
 		attributes = append(attributes, slog.String("reason", string(reason)))
 	}
+	if reason != "" && w.route != nil {
+		attributes = append(attributes, slog.Int("rank", w.rank()))
+	}
 	w.f.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request answered", attributes...)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -41,6 +42,7 @@
 	byReason       map[string]*prometheus.CounterVec
 	events         *prometheus.CounterVec
 	byOrganisation *prometheus.CounterVec
+	byRank         *prometheus.CounterVec
 	wastedTokens   *prometheus.CounterVec
 	measures       map[string]*prometheus.HistogramVec
 }
@@ -83,6 +85,7 @@
 	for _, event := range events {
 		m.events.WithLabelValues(event)
 	}
+	m.byRank = m.counter("refusals_by_rank_total", "Requests refused, by rank and reason.", "rank", "reason")
 	m.wastedTokens = m.counter("wasted_prefill_tokens_total", "Prompt tokens whose prefill was computed and not used.", "urgency")
 	for _, urgency := range urgencies {
 		m.wastedTokens.WithLabelValues(string(urgency))
@@ -139,6 +142,16 @@
 	m.Count(eventRefusal, reason, "")
 }
 
+// maxRanks is the number of ranks that are counted apart; less urgent ones count as the last.
+const maxRanks = 10
+
+// RefusedRank counts a refused request by its rank. The counter of a rank and a reason exists from
+// their first refusal on, since most ranks are not in use.
+func (m *Metrics) RefusedRank(rank int, reason oriolebend.Reason) {
+	rank = min(max(rank, 0), maxRanks-1)
+	m.byRank.WithLabelValues(strconv.Itoa(rank), string(reason)).Inc()
+}
+
 // Observe records a measurement of one request: in seconds, as a ratio, or, for wasted
 // prefill, in tokens.
 func (m *Metrics) Observe(measure string, urgency oriolebend.Urgency, value float64) {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -40,6 +40,8 @@
 	m.Count("refusal", oriolebend.ReasonOverloaded, "lintang")
 	m.Count("refusal", oriolebend.ReasonOverloaded, "made up by a caller")
 	m.Refused(oriolebend.ReasonMalformed)
+	m.RefusedRank(2, oriolebend.ReasonQuota)
+	m.RefusedRank(4000, oriolebend.ReasonQuota)
 	m.Count("retry", oriolebend.ReasonServerLost, "lintang")
 	other.Count("cancel", "", "")
 	m.Observe("firstToken", oriolebend.Urgent, 1.2)
@@ -52,6 +54,8 @@
 		`oriolebend_refusals_total{node="entry-1",reason="malformed",role="entry"} 1`,
 		`oriolebend_refusals_by_organisation_total{node="entry-1",organisation="lintang",role="entry"} 1`,
 		`oriolebend_refusals_by_organisation_total{node="entry-1",organisation="other",role="entry"} 1`,
+		`oriolebend_refusals_by_rank_total{node="entry-1",rank="2",reason="quota",role="entry"} 1`,
+		`oriolebend_refusals_by_rank_total{node="entry-1",rank="9",reason="quota",role="entry"} 1`,
 		`oriolebend_retries_total{node="entry-1",reason="serverLost",role="entry"} 1`,
 		`oriolebend_events_total{event="cancel",node="planner-1",role="sidecar"} 1`,
 		`oriolebend_time_to_first_token_seconds_bucket{node="entry-1",role="entry",urgency="urgent",le="1.2"} 1`,
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -165,6 +165,30 @@
 	})
 }
 
+// Guards against a rank that is lost on the way to the control VM that counts: beyond the quota, a
+// request of a less urgent rank leaves units to more urgent ones, and the answer says how many.
+func TestRankReachesTheCounter(t *testing.T) {
+	testGroup(t, 1, tenASecond, func(_ context.Context, t *testing.T, is *is.I, g *group) {
+		g.setLeader("c0:1")
+		time.Sleep(5 * time.Second)
+		c := g.client()
+		request := func(call uint64, rank int) (forwarder.QuotaState, error) {
+			_, state, err := c.Take(t.Context(), forwarder.Charge{Organisation: "o", Cost: 1, Call: call, Rank: rank})
+			return state, err
+		}
+		for call := range uint64(10) {
+			_, err := request(call, int(call%2)*2)
+			is.NoErr(err)
+		}
+		state, err := request(11, 2)
+		is.True(err != nil)
+		is.True(state.Reserved >= 1)
+		state, err = request(12, 0)
+		is.True(err != nil)
+		is.Equal(state.Reserved, 0.0)
+	})
+}
+
 // Guards against a refusal of an organisation that has used little of its quota. Answers of the
 // leader arrive after the requests were cancelled, so that their grants are not used. A late grant
 // is given back as soon as it arrives.
--- a/internal/reducer/placement/rank.go
+++ b/internal/reducer/placement/rank.go
@@ -90,7 +90,11 @@
 	// What more urgent ranks request until as much memory as this request takes is free.
 	own := float64(q.need.Memory()) / urgent.Size()
 	held := min(math.Round(own*urgent.Load(rate)), math.Floor(mostHeld*float64(room.All)))
-	return float64(room.Places-1) >= held
+	if float64(room.Places-1) >= held {
+		return true
+	}
+	s.counted.Reserved = max(s.counted.Reserved, int(held))
+	return false
 }
 
 // room returns the room for a request of the usual size of more urgent requests.
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
 )
 
 const (
@@ -114,6 +115,11 @@
 	Granted, Full, Unservable, Returned int
 	// FreeShare is the share of free KV memory of each service.
 	FreeShare map[string]float64
+	// RefusedByRank counts, since the last summary, the requests refused for lack of memory, and
+	// Reserved is the largest number of places that one of them, or a waiting request, had to
+	// leave to more urgent ranks.
+	RefusedByRank [ranks.Max]int
+	Reserved      int
 }
 
 // Summarize returns a summary and resets its counters.
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -95,6 +95,8 @@
 		Observer:   p.observer(),
 		Logger:     p.Logger,
 		Held:       p.Held,
+
+		RefusedRank: p.refusedRank,
 	})
 	process.follower = &routewatch.Follower{
 		Dialer: endpoint,
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -70,6 +70,13 @@
 	return p.Observer
 }
 
+// refusedRank counts a refused request by its rank.
+func (p Process) refusedRank(rank int, reason oriolebend.Reason) {
+	if p.metrics != nil {
+		p.metrics.RefusedRank(rank, reason)
+	}
+}
+
 // countUnreadable counts an announcement that names no usable server.
 func (p Process) countUnreadable(reason oriolebend.Reason) {
 	p.observer().Count("announcementRefused", reason, "")
