--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -44,6 +44,8 @@
 	IgnoreSpeeds bool
 	// Count counts an event for the metrics; nil counts nothing.
 	Count func(event string)
+	// DisableRanks lets ranks only order the waiting requests.
+	DisableRanks bool
 
 	mutex    sync.Mutex
 	state    *reducer.State
@@ -86,6 +88,7 @@
 	if a.IgnoreSpeeds {
 		a.state.Placement.IgnoreSpeeds()
 	}
+	a.reduce(placement.Configured{DisableRanks: a.DisableRanks})
 	a.reduce(a.fleet())
 }
 
@@ -118,7 +121,8 @@
 	}
 	for service, free := range s.FreeShare {
 		a.Logger.Info("places are short", "service", service, "freeShare", free, "waiting", s.Waiting,
-			"places", s.Placements, "granted", s.Granted, "full", s.Full, "hopeless", s.Unservable, "returned", s.Returned)
+			"places", s.Placements, "granted", s.Granted, "full", s.Full, "hopeless", s.Unservable, "returned", s.Returned,
+			"refusedByRank", s.RefusedByRank, "reserved", s.Reserved)
 	}
 }
 
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -58,7 +58,7 @@
 	s.addWork(grant)
 	if grant.Prefill == nil && e.Need.Prompt > 0 {
 		c := s.servers[grant.Server.Instance]
-		c.prefillsUntil = e.At.Add(service.decodePrefillTime(c, e.Need.Prompt))
+		c.prefillsUntil = e.At.Add(service.decodePrefillTime(c.writing.Factor(), e.Need.Prompt))
 	}
 	return Granted{Grant: grant}
 }
--- a/internal/reducer/dispatch/overflow.go
+++ b/internal/reducer/dispatch/overflow.go
@@ -38,16 +38,21 @@
 	if !v.queueExceeds(e, prefiller, overflowAfter) {
 		return nil
 	}
-	longest := time.Duration(overflowPause * float64(e.Need.PauseWithin))
 	var list []*server
 	for _, c := range fitting {
-		if !e.At.Before(c.prefillsUntil) && v.decodePrefillTime(c, e.Need.Prompt) <= longest {
+		if !e.At.Before(c.prefillsUntil) && v.pauseAllowed(e.Need, c.writing.Factor()) {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// pauseAllowed reports whether the generations of a decode engine may pause for a prompt. factor is
+// the engine's time for an event, relative to the usual one.
+func (v *service) pauseAllowed(n Need, factor float64) bool {
+	return v.decodePrefillTime(factor, n.Prompt) <= time.Duration(overflowPause*float64(n.PauseWithin))
+}
+
 // backlogged reports whether a prompt would wait in the queue of a prefill engine until
 // its first event is late. With a placement, the request would withhold memory from others
 // for as long as it waits there. It waits for its placement instead, in a queue where the
@@ -88,6 +93,6 @@
 
 // decodePrefillTime is how long a decode engine takes to prefill a prompt. An engine that writes
 // slowly is assumed to prefill as slowly: decode engines prefill too seldom to be measured.
-func (v *service) decodePrefillTime(c *server, prompt int) time.Duration {
-	return time.Duration(float64(v.prefillTime(prompt)) / overflowRate * c.writing.Factor())
+func (v *service) decodePrefillTime(factor float64, prompt int) time.Duration {
+	return time.Duration(float64(v.prefillTime(prompt)) / overflowRate * factor)
 }
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
 )
 
 const (
@@ -43,6 +44,8 @@
 	// arrivals counts placement requests.
 	arrivals uint64
 	counted  Summary
+	// ranksDisabled is set if ranks only order the queue.
+	ranksDisabled bool
 }
 
 // placement is a granted placement.
@@ -74,6 +77,8 @@
 // Reduce applies an event to the state and returns the answers to send.
 func Reduce(s *State, event Event) []Answer {
 	switch e := event.(type) {
+	case Configured:
+		s.ranksDisabled = e.DisableRanks
 	case Fleet:
 		dispatch.Reduce(s.engines, e.Services)
 		dispatch.Reduce(s.engines, e.Servers)
@@ -116,6 +121,11 @@
 	Granted, Full, Unservable, Returned int
 	// FreeShare is the share of free KV memory of each service.
 	FreeShare map[string]float64
+	// RefusedByRank counts, since the last summary, the requests refused for lack of memory, and
+	// Reserved is the largest number of places that one of them, or a waiting request, had to
+	// leave to more urgent ranks.
+	RefusedByRank [ranks.Max]int
+	Reserved      int
 }
 
 // SpeedChanges returns the engines whose speed has changed since the last call.
--- a/internal/reducer/quota/config.go
+++ b/internal/reducer/quota/config.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
+)
 
 // Config states by how much quotas may be exceeded.
 type Config struct {
@@ -12,6 +16,8 @@
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
+	// DisableRanks treats the requests of all ranks alike.
+	DisableRanks bool
 }
 
 // Defaults of Config, for a site that configures no bounds.
@@ -27,6 +33,14 @@
 	return c
 }
 
+// rank returns the rank by which a request is treated.
+func (c Config) rank(rank int) int {
+	if c.DisableRanks {
+		return 0
+	}
+	return ranks.Limit(rank)
+}
+
 // excess returns the number of units by which a quota may be exceeded within a window.
 func (c Config) excess(perSecond, burst float64) float64 {
 	return c.Overshoot*(perSecond*c.Window.Seconds()+burst) + c.Slack
--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -112,6 +112,7 @@
 		Leads: c.Leads, Replaced: c.otherLeads, Logger: p.Logger,
 		IgnoreSpeeds: !p.Settings.Control.Enabled(settings.FeatureEngineSpeeds),
 		Count:        func(event string) { p.observer().Count(event, "", "") },
+		DisableRanks: !p.Settings.Control.Enabled(settings.FeatureMemoryRanks),
 	}
 	c.places.Prepare()
 	sinks := routewatch.Sinks{c.places}
