reducer/quotalease, reducer/quota: shares of quotas without a leader

Cause: while control VMs are partitioned three and three there is no leader, and each control VM grants quotas from a small reserve only, which is empty after about a second.

Change: the new reducer quotalease lets a member that has known no leader for 500 ms lease to one candidate at a time. A candidate with the leases of half of the members grants half of each quota, one with more than half all of it. A new leader asks the members for leases in force and grants the rest of the quota once none can give another holder a share. The quota reducer counts with the share that it may grant. It keeps the contents of its buckets from one share to the next, less what others may have been granted between them. Without leases its decisions are as before.

Result: go test -race ./internal/reducer/quota ./internal/reducer/quotalease passes.

--- a/internal/reducer/quota/script_test.go
+++ b/internal/reducer/quota/script_test.go
@@ -20,6 +20,7 @@
 //	excess WINDOW OVERSHOOT SLACK      starts with a new state that has these bounds
 //	quota ORGANISATION PERSECOND BURST [ORGANISATION …]   replaces the declared organisations
 //	leads NAME|- [MEMBERS]             "self" is this control VM
+//	share SHARE NAME|- MEMBERS [lent]  quota leases: the share that this control VM may grant
 //	request ORGANISATION COST [CALL] [xTIMES] [late]   prints the answers
 //	return ORGANISATION COST
 //	clock-jumped                       the VM was suspended
@@ -61,6 +62,11 @@
 			members = int(s.number(words[2]))
 		}
 		Reduce(s.state, LeadershipObserved{At: s.now, Lead: words[1] == "self", Leader: strings.Trim(words[1], "-"), Members: members})
+	case "share":
+		leases := Leases{Share: s.number(words[1]), Lent: len(words) > 4}
+		Reduce(s.state, LeadershipObserved{
+			At: s.now, Lead: words[2] == "self", Leader: strings.Trim(words[2], "-"), Members: int(s.number(words[3])), Leases: &leases,
+		})
 	case "request":
 		s.request(words, out)
 	case "return":
--- a/internal/reducer/quota/state.go
+++ b/internal/reducer/quota/state.go
@@ -12,6 +12,7 @@
 	config  Config
 	lead    bool
 	members int
+	share   share
 	// leader is the last known leader, empty if none was ever known, and leaderSince when
 	// it became known. began is when this process first observed the leadership.
 	leader             string
@@ -22,8 +23,8 @@
 // account is the accounting of one organisation.
 type account struct {
 	quota oriolebend.Quota
-	// bucket is the organisation's bucket while this control VM leads; since is when this
-	// control VM began to count it.
+	// bucket is the organisation's bucket while this control VM may grant a share of the quota;
+	// since is when this control VM began to count it.
 	bucket limit.Bucket
 	since  time.Time
 	// reserve is this control VM's own reserve, whether it leads or not.
@@ -49,7 +50,7 @@
 	case Returned:
 		s.applyReturned(e)
 	case ClockJumped:
-		s.resetBuckets(e.At, 0)
+		s.applyClockJump(e.At)
 	}
 	return nil
 }
@@ -73,9 +74,7 @@
 // setQuota applies a quota to an account. The units saved up under the previous quota are
 // kept, up to the new burst.
 func (s *State) setQuota(a *account, q oriolebend.Quota, at time.Time) {
-	a.bucket.Level(at)
-	a.bucket.PerSecond, a.bucket.Burst = q.PerSecond, q.Burst
-	a.bucket.Level(at)
+	a.setBucket(q, s.share.granted, at)
 	fresh := a.quota == oriolebend.Quota{}
 	a.quota = q
 	s.resizeReserve(a, at)
@@ -84,6 +83,18 @@
 	}
 }
 
+// setBucket applies a quota, of which a share is granted, to the bucket. Without a share the
+// bucket's contents are kept for a later one.
+func (a *account) setBucket(q oriolebend.Quota, granted float64, at time.Time) {
+	a.bucket.Level(at)
+	if granted > 0 {
+		a.bucket.PerSecond, a.bucket.Burst = granted*q.PerSecond, granted*q.Burst
+	} else {
+		a.bucket.Burst = min(a.bucket.Burst, q.Burst)
+	}
+	a.bucket.Level(at)
+}
+
 // resizeReserve sets the size of this control VM's part of the reserves.
 func (s *State) resizeReserve(a *account, at time.Time) {
 	a.reserve.Level(at)
@@ -103,8 +114,8 @@
 	if s.began.IsZero() {
 		s.began = e.At
 	}
+	s.applyShare(e)
 	if e.Lead && !s.lead {
-		s.resetBuckets(e.At, s.startShare(e.At))
 		s.leaderSince = e.At
 	}
 	if e.Leader != "" && e.Leader != s.leader {
@@ -114,7 +125,7 @@
 }
 
 // startShare returns the share of the excess that the buckets begin with when this control VM
-// becomes the leader. Each earlier leader began with such a share too, so that every change of
+// becomes the leader or a holder of leases. Each earlier leader began with such a share too, so that every change of
 // the leader within a window adds one: a control VM that has seen a change within the last
 // window begins with nothing.
 func (s *State) startShare(at time.Time) float64 {
@@ -123,6 +134,8 @@
 		since = s.began
 	}
 	switch {
+	case !s.share.changed.IsZero() && at.Sub(s.share.changed) < s.config.Window:
+		return 0
 	case at.Sub(since) >= s.config.Window:
 		return stableStart
 	case s.leader == "":
@@ -131,25 +144,12 @@
 	return 0
 }
 
-// resetBuckets starts all buckets again with a share of the excess. This control VM does not
-// know what another leader has just granted: with full buckets, each change of the leader
-// would grant every organisation its burst once more.
-func (s *State) resetBuckets(at time.Time, share float64) {
-	for _, a := range s.accounts {
-		a.bucket = limit.Bucket{PerSecond: a.quota.PerSecond, Burst: a.quota.Burst}
-		a.bucket.Level(at)
-		a.bucket.Return(share * s.config.excess(a.quota.PerSecond, a.quota.Burst))
-		a.since = at
-		a.promises = promises{}
-	}
-}
-
 func (s *State) applyRequest(e Requested) Answer {
 	a := s.accounts[e.Organisation]
 	if a == nil {
 		return Answer{}
 	}
-	if !s.lead {
+	if s.share.granted == 0 {
 		left := a.reserve.Level(e.At)
 		return Answer{Granted: a.takeReserve(e), Left: left}
 	}
@@ -182,7 +182,7 @@
 // applyReturned gives units back to the bucket, also if they came from the reserve: it is not
 // recorded which of the two granted them. The reserve is refilled only over time.
 func (s *State) applyReturned(e Returned) {
-	if a := s.accounts[e.Organisation]; a != nil && s.lead && e.Cost > 0 {
+	if a := s.accounts[e.Organisation]; a != nil && s.share.granted > 0 && e.Cost > 0 {
 		a.bucket.Level(e.At)
 		a.bucket.Return(e.Cost)
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -18,6 +18,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/pools"
 	"github.com/oriolebend/oriolebend/internal/reducer/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/quota"
+	"github.com/oriolebend/oriolebend/internal/reducer/quotalease"
 	"github.com/oriolebend/oriolebend/internal/reducer/recovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/reducer/serverlimit"
@@ -42,6 +43,7 @@
 	Pools       *pools.State
 	Quarantine  *quarantine.State
 	Quota       *quota.State
+	QuotaLease  *quotalease.State
 	Recovery    *recovery.State
 	Registry    *registry.State
 	ServerLimit *serverlimit.State
@@ -83,6 +85,8 @@
 		return effects(quarantine.Reduce(s.Quarantine, e))
 	case quota.Event:
 		return effects(quota.Reduce(s.Quota, e))
+	case quotalease.Event:
+		return effects(quotalease.Reduce(s.QuotaLease, e))
 	case registry.Event:
 		return effects(registry.Reduce(s.Registry, e))
 	case serverlimit.Event:
