quota, role: control VMs without a leader grant quotas under leases

Cause: the shares of package quotalease had no effect yet. While there is no leader, forwarders were refused as soon as the reserves were empty.

Change: control VMs exchange quotaLease messages every 100 ms while they know no leader, and after an election until the new leader knows the leases in force. An answer that is not final names the holder of the lease, and a holder of half says so. Forwarders query the holders that they know first, and the other holder before a refusal by one of half is final. They search for a second holder at most every 200 ms. The replica tells since when no leader is known. control.disable = ["quotaLeases"] switches it off. There are log lines for leases held and ended, and metrics for the share and the requests granted.

--- a/internal/message/quota.go
+++ b/internal/message/quota.go
@@ -11,7 +11,8 @@
 // QuotaAsk charges the cost of a request to an organisation's quota at a control VM.
 type QuotaAsk struct {
 	// ID identifies the request in its session.
-	ID           uint64 `cbor:"6,keyasint,omitempty"`
+	ID uint64 `cbor:"6,keyasint,omitempty"`
+	// Organisation is empty if the request only asks who holds quota leases.
 	Organisation string `cbor:"1,keyasint"`
 	// Cost is in the unit of the quota.
 	Cost float64 `cbor:"2,keyasint"`
@@ -36,6 +37,12 @@
 	// Left is the remaining quota, and Since is how long the control VM has counted it.
 	Left  float64       `cbor:"4,keyasint,omitempty"`
 	Since time.Duration `cbor:"5,keyasint,omitempty"`
+	// Holder is the address of the control VM that holds the quota lease of the sender; the
+	// forwarder asks it next.
+	Holder string `cbor:"7,keyasint,omitempty"`
+	// Share is the share of each quota that the sender grants, if it is less than the whole; zero
+	// otherwise. Another control VM may grant the rest.
+	Share float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// Counter publishes a counter that another component keeps. The name is without the prefix
+// "oriolebend_" and must not be published twice.
+func (m *Metrics) Counter(name, help string, value func() float64) {
+	m.labelled.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
 // Gauge publishes a value that is read at each scrape. The name is without the prefix
 // "oriolebend_" and must not be published twice.
 func (m *Metrics) Gauge(name, help string, value func() float64) {
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -15,13 +15,18 @@
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
-// benchServer returns a server that counts for one organisation with a quota.
+// benchServer returns a leading server that counts for one organisation with a quota.
 func benchServer(perSecond float64) *Server {
 	s := &Server{
 		Routing: routing.NewStore(), Logger: slog.New(slog.DiscardHandler),
 		Self: "c", Leader: func() string { return "c" }, Members: func() int { return 3 },
+		Leases: &Leases{
+			Members: func() []message.Member { return []message.Member{{Name: "c"}} },
+			Lost:    func() time.Time { return time.Time{} },
+		},
 	}
 	s.Prepare()
+	s.Leases.checkMembers(time.Now())
 	s.reduce(quota.Declared{At: time.Now(), Organisations: []oriolebend.Organisation{{
 		Name: "o", Quota: oriolebend.Quota{PerSecond: perSecond, Burst: perSecond},
 	}}})
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -39,6 +39,7 @@
 	mutex sync.Mutex
 	// unreachable holds, for each control VM that did not answer, until when it is queried last.
 	unreachable map[string]time.Time
+	holders     holders
 	requests    peer.RequestClient[message.QuotaAsk, message.QuotaAnswer]
 }
 
@@ -47,6 +48,7 @@
 // Prepare initialises the client; it must be called before any other method.
 func (c *Client) Prepare() {
 	c.unreachable = map[string]time.Time{}
+	c.holders.named = map[string]time.Time{}
 	c.requests = peer.RequestClient[message.QuotaAsk, message.QuotaAnswer]{
 		Dialer:   c.Dialer,
 		Numbered: func(q message.QuotaAsk, number uint64) message.QuotaAsk { q.ID = number; return q },
@@ -63,12 +65,16 @@
 }
 
 // Take implements forwarder.Quotas. It queries the leader, which alone knows how much of the quota
-// is left, and other control VMs only if the leader does not answer.
+// is left, and other control VMs only if the leader does not answer. Without a leader it queries the
+// holders of quota leases first.
 func (c *Client) Take(ctx context.Context, charge forwarder.Charge) (forwarder.Charge, forwarder.QuotaState, error) {
 	request := message.QuotaAsk{Organisation: charge.Organisation, Cost: charge.Cost, Call: charge.Call, Late: charge.Late}
 	var state forwarder.QuotaState
+	var refusal *oriolebend.Problem
 	leader := c.Leader()
-	for _, address := range c.order(charge.Organisation, leader) {
+	queue := c.order(charge.Organisation, leader)
+	for i := 0; i < len(queue); i++ {
+		address := queue[i]
 		answer, err := c.request(ctx, address, address == leader, request)
 		if err != nil && ctx.Err() != nil {
 			break
@@ -83,27 +89,41 @@
 			return charge, state, nil
 		}
 		if answer.Known {
-			return forwarder.Charge{}, state, &oriolebend.Problem{
-				Reason: oriolebend.ReasonQuota, Ran: oriolebend.RanNo, RetryAfter: answer.RetryAfter,
+			refusal = &oriolebend.Problem{Reason: oriolebend.ReasonQuota, Ran: oriolebend.RanNo, RetryAfter: answer.RetryAfter}
+			if answer.Share == 0 {
+				break
 			}
+			// Only another holder may grant more. The reserves of others are not for this.
+			queue = append(queue[:i+1], c.otherHolders(ctx, charge.Organisation, queue[:i+1])...)
+		} else if holder := answer.Holder; holder != "" && !slices.Contains(queue[:i+1], holder) && c.reachable(holder) {
+			queue = slices.Insert(queue, i+1, holder)
 		}
 	}
+	if refusal != nil {
+		return forwarder.Charge{}, state, refusal
+	}
 	return forwarder.Charge{}, state, &oriolebend.Problem{
 		Reason: oriolebend.ReasonControlAway, Ran: oriolebend.RanNo, RetryAfter: retryUncounted,
 	}
 }
 
-// order lists the control VMs to query: the leader, then some others, which differ between
-// organisations so that all reserves are used. Control VMs that did not answer recently come last.
+// order lists the control VMs to query: the leader, then the holders of quota leases, then some
+// others, which differ between organisations so that all reserves are used. Control VMs that did not
+// answer recently come last.
 func (c *Client) order(organisation, leader string) []string {
 	controls := slices.DeleteFunc(c.Controls(), func(a string) bool { return a == leader })
 	order := policy.Nearest(organisation, controls, maxFollowers)
-	if leader != "" {
-		order = slices.Insert(order, 0, leader)
-	}
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	for _, holder := range c.holders.list(now) {
+		order = slices.DeleteFunc(order, func(a string) bool { return a == holder })
+		order = slices.Insert(order, 0, holder)
+	}
+	if leader != "" {
+		order = slices.DeleteFunc(order, func(a string) bool { return a == leader })
+		order = slices.Insert(order, 0, leader)
+	}
 	rank := func(a string) int {
 		if now.Before(c.unreachable[a]) {
 			return 1
@@ -114,6 +134,13 @@
 	return order
 }
 
+// reachable reports whether a control VM has not failed to answer recently.
+func (c *Client) reachable(address string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !time.Now().Before(c.unreachable[address])
+}
+
 // markUnreachable records that a control VM did not answer, and closes its session. Requests that
 // wait there continue with another control VM.
 func (c *Client) markUnreachable(address string, err error) {
@@ -132,7 +159,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.requests.Request(ctx, address, request)
+	answer, err := c.requests.Request(ctx, address, request)
+	if err == nil && (!leads || answer.Holder != "" || answer.Share > 0) {
+		c.noteHolder(address, answer)
+	}
+	return answer, err
 }
 
 // Return implements forwarder.Quotas. If the message is lost, the organisation lacks the units
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -32,8 +32,9 @@
 
 const client = "f:1"
 
-// newGroup starts control VMs with one declared organisation that has a quota.
-func newGroup(ctx context.Context, t *testing.T, count int, q oriolebend.Quota) *group {
+// newGroup starts control VMs with one declared organisation that has a quota. change changes a server
+// before it is started.
+func newGroup(ctx context.Context, t *testing.T, count int, q oriolebend.Quota, change ...func(*group, *Server)) *group {
 	t.Helper()
 	g := &group{network: peertest.NewNetwork(1), servers: map[string]*Server{}}
 	store := routing.NewStore()
@@ -49,10 +50,13 @@
 			Config: Config{Slack: 1000}, Routing: store, Logger: slog.New(slog.DiscardHandler),
 			Self: address, Leader: func() string { return loadAddress(&g.leader) }, Members: func() int { return count },
 		}
+		for _, f := range change {
+			f(g, s)
+		}
 		s.Prepare()
 		g.servers[address] = s
 		go s.Run(ctx)
-		g.network.Listen(ctx, address, address, s.Serve)
+		g.network.Listen(ctx, address, address, serveAll(s))
 	}
 	return g
 }
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -33,18 +33,28 @@
 	Leader func() string
 	// Members returns the number of control VMs.
 	Members func() int
-	Logger  *slog.Logger
+	// Leases lets control VMs without a leader grant quotas; nil disables it.
+	Leases *Leases
+	Logger *slog.Logger
 
 	mutex sync.Mutex
 	state *quota.State
 	start time.Time
 	clock clockdrift.Drift
+	// leads is set while this control VM leads; elected then has Run send the first requests of a
+	// new leader without delay.
+	leads   bool
+	elected chan struct{}
 }
 
 // Prepare initialises the server; it must be called before any other method.
 func (s *Server) Prepare() {
 	s.state = quota.New(s.Config)
 	s.start = time.Now()
+	s.elected = make(chan struct{}, 1)
+	if s.Leases != nil {
+		s.Leases.prepare(s.Self, s.start)
+	}
 }
 
 // leaderCheckInterval is the interval at which the leadership is checked: a bucket fills from the
@@ -76,6 +86,9 @@
 			s.mutex.Lock()
 			s.updateLeadership()
 			s.mutex.Unlock()
+			s.checkLeases(ctx)
+		case <-s.elected:
+			s.checkLeases(ctx)
 		}
 	}
 }
@@ -121,22 +134,37 @@
 func (s *Server) answer(request message.QuotaAsk) message.QuotaAnswer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.updateLeadership()
+	now := s.updateLeadership()
 	effects := s.reduce(quota.Requested{
-		At: time.Now(), Organisation: request.Organisation, Cost: request.Cost, Call: request.Call, Late: request.Late,
+		At: now, Organisation: request.Organisation, Cost: request.Cost, Call: request.Call, Late: request.Late,
 	})
 	a, _ := effects[0].(quota.Answer)
-	return message.QuotaAnswer{ID: request.ID, Granted: a.Granted, Known: a.Exhausted, RetryAfter: a.RetryAfter, Left: a.Left, Since: a.Since}
+	answer := message.QuotaAnswer{ID: request.ID, Granted: a.Granted, Known: a.Exhausted, RetryAfter: a.RetryAfter, Left: a.Left, Since: a.Since}
+	s.addLease(&answer, now)
+	return answer
 }
 
-// updateLeadership passes the current leadership, and jumps of the clock, to the reducer. The
-// caller holds the mutex.
-func (s *Server) updateLeadership() {
+// updateLeadership passes the current leadership, and jumps of the clock, to the reducers, and
+// returns the time of both. The caller holds the mutex.
+func (s *Server) updateLeadership() time.Time {
 	now := time.Now()
-	leader := s.Leader()
-	s.reduce(quota.LeadershipObserved{At: now, Lead: leader == s.Self, Leader: leader, Members: s.Members()})
-	if s.clock.Jumped(now.Sub(s.start), now) {
+	jumped := s.clock.Jumped(now.Sub(s.start), now)
+	observed := quota.LeadershipObserved{At: now, Leader: s.Leader(), Members: s.Members()}
+	observed.Lead = observed.Leader == s.Self
+	if s.Leases != nil {
+		observed.Leases = s.Leases.observe(now, observed.Leader, jumped)
+	}
+	s.reduce(observed)
+	if jumped {
 		s.reduce(quota.ClockJumped{At: now})
 		s.Logger.Warn("quotas are counted anew, time has passed that the clock did not count")
 	}
+	if observed.Lead && !s.leads {
+		select {
+		case s.elected <- struct{}{}:
+		default: // Run is already due to check
+		}
+	}
+	s.leads = observed.Lead
+	return now
 }
--- a/internal/reducer/quota/event.go
+++ b/internal/reducer/quota/event.go
@@ -23,12 +23,13 @@
 	Lead    bool
 	Leader  string
 	Members int
-	// Leases is nil if quotas are granted by the leader only.
-	Leases *Leases
+	Leases  Leases
 }
 
 // Leases reports the quota leases as this control VM knows them.
 type Leases struct {
+	// Enabled is false if quotas are granted by the leader only.
+	Enabled bool
 	// Share is the share of each quota that this control VM may grant, as leader or under leases.
 	Share float64
 	// Lent is set while a lease of this control VM to another one is in force.
--- a/internal/reducer/quota/script_test.go
+++ b/internal/reducer/quota/script_test.go
@@ -63,9 +63,9 @@
 		}
 		Reduce(s.state, LeadershipObserved{At: s.now, Lead: words[1] == "self", Leader: strings.Trim(words[1], "-"), Members: members})
 	case "share":
-		leases := Leases{Share: s.number(words[1]), Lent: len(words) > 4}
+		leases := Leases{Enabled: true, Share: s.number(words[1]), Lent: len(words) > 4}
 		Reduce(s.state, LeadershipObserved{
-			At: s.now, Lead: words[2] == "self", Leader: strings.Trim(words[2], "-"), Members: int(s.number(words[3])), Leases: &leases,
+			At: s.now, Lead: words[2] == "self", Leader: strings.Trim(words[2], "-"), Members: int(s.number(words[3])), Leases: leases,
 		})
 	case "request":
 		s.request(words, out)
--- a/internal/reducer/quota/share.go
+++ b/internal/reducer/quota/share.go
@@ -25,7 +25,7 @@
 func (s *State) applyShare(e LeadershipObserved) {
 	granted := 0.0
 	switch {
-	case e.Leases != nil:
+	case e.Leases.Enabled:
 		granted = e.Leases.Share
 	case e.Lead:
 		granted = 1
@@ -49,7 +49,7 @@
 // applyLent records the end of a time in which this control VM has leased to another. Whoever held
 // the leases has begun with a share of the excess.
 func (s *State) applyLent(e LeadershipObserved) {
-	lent := e.Leases != nil && e.Leases.Lent
+	lent := e.Leases.Lent
 	if s.share.lent && !lent {
 		s.share.changed = e.At
 	}
@@ -62,10 +62,10 @@
 	if !e.Lead || !s.lead {
 		s.share.start = s.startShare(e.At)
 	}
-	if e.Leases != nil && !e.Lead {
+	if !e.Lead {
 		s.share.changed = e.At
 	}
-	keeps := e.Leases != nil && s.share.keeps
+	keeps := e.Leases.Enabled && s.share.keeps
 	for _, a := range s.accounts {
 		level := granted * s.share.start * s.config.excess(a.quota.PerSecond, a.quota.Burst)
 		if keeps {
--- a/internal/reducer/quotalease/fleet_test.go
+++ b/internal/reducer/quotalease/fleet_test.go
@@ -58,9 +58,9 @@
 	f.expire(name)
 	jumped := n.jumped
 	f.observe(name)
-	leases := quota.Leases{Share: n.state.Share(at), Lent: n.state.Holder(at) != ""}
+	leases := quota.Leases{Enabled: true, Share: n.state.Share(at), Lent: n.state.Holder(at) != ""}
 	quota.Reduce(c, quota.LeadershipObserved{
-		At: at, Lead: n.leader == name, Leader: n.leader, Members: len(f.names), Leases: &leases,
+		At: at, Lead: n.leader == name, Leader: n.leader, Members: len(f.names), Leases: leases,
 	})
 	if jumped {
 		quota.Reduce(c, quota.ClockJumped{At: at})
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -111,6 +111,7 @@
 		is.Equal(problem(t, old.Confirm(t.Context())).Ran, oriolebend.RanNo)
 		name, _ := old.Leader()
 		is.Equal(name, "") // it does not report itself as leader
+		is.True(!old.Leaderless().IsZero() && !old.Leaderless().After(time.Now()))
 		for _, other := range g.others(old) {
 			now, _ := other.Leader()
 			is.True(now == "" || now == old.config.Name) // and no other member has a new leader yet
@@ -119,6 +120,7 @@
 		is.Equal(len(accepted), 10)
 		g.network.Heal()
 		g.checkApplied(accepted)
+		is.True(old.Leaderless().IsZero())
 		is.True(!strings.Contains(string(old.machine.encoded()), "lost"))
 	})
 }
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -46,6 +46,20 @@
 	name, address string
 	// until is the end of the lease, on the leader itself only; zero means none.
 	until time.Time
+	// lost is when the last leader ceased to be known; it is used while name is empty.
+	lost time.Time
+}
+
+// Leaderless returns since when no leader has been known, the zero time if one is known.
+func (r *Replica) Leaderless() time.Time {
+	view := r.leader.Load()
+	switch {
+	case view.name == "":
+		return view.lost
+	case !view.until.IsZero() && !time.Now().Before(view.until):
+		return view.until
+	}
+	return time.Time{}
 }
 
 // Leader implements control.Log. A leading member returns its own name only until its lease
@@ -94,7 +108,18 @@
 		view.until = r.start.Add(time.Duration(s.LeaseEnd()) * r.config.TickEvery)
 	}
 	old := r.leader.Load()
+	if view.name == "" {
+		view.lost = lostAt(old)
+	}
 	if old == nil || *old != view {
 		r.leader.Store(&view)
 	}
 }
+
+// lostAt returns since when there is no leader, if there is none now and old was published last.
+func lostAt(old *leaderView) time.Time {
+	if old == nil || old.name != "" {
+		return time.Now()
+	}
+	return old.lost
+}
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	controlpeer "github.com/oriolebend/oriolebend/internal/control"
@@ -119,6 +120,10 @@
 			crashreports.Serve(c.crashes)(ctx, s)
 		},
 		message.KindQuotaAsk: func(ctx context.Context, s peer.Stream) { <-ready; c.quotas.Serve(ctx, s) },
+		message.KindQuotaLease: func(ctx context.Context, s peer.Stream) {
+			<-ready
+			c.quotas.ServeLeases(ctx, s)
+		},
 		message.KindLimitAsk: func(ctx context.Context, s peer.Stream) { <-ready; c.limits.Serve(ctx, s) },
 		message.KindJoin:     func(ctx context.Context, s peer.Stream) { <-ready; c.serveJoin(ctx, s) },
 		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
@@ -337,10 +342,23 @@
 		},
 		Members: func() int { return len(c.replica.Status().Members) },
 	}
+	if s.Enabled(settings.FeatureQuotaLeases) {
+		k.Leases = &quota.Leases{Dialer: c.endpoint, Members: c.voters, Lost: c.replica.Leaderless}
+	}
 	k.Prepare()
 	return k
 }
 
+// voters returns the voting members, none while this control VM has lost its log and may not know
+// them.
+func (c *ControlProcess) voters() []message.Member {
+	status := c.replica.Status()
+	if status.Recovering {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(status.Members), func(m message.Member) bool { return !m.Voter })
+}
+
 // newLimits returns the server that counts the requests sent to backend servers
 // that have reported a limit.
 func (c *ControlProcess) newLimits() *serverlimit.Server {
--- a/internal/role/control_status.go
+++ b/internal/role/control_status.go
@@ -43,6 +43,12 @@
 	c.process.metrics.Gauge("control_followers", "Processes whose report of the state in force is known to this control VM.", func() float64 {
 		return float64(len(followers.List()))
 	})
+	c.process.metrics.Gauge("quota_lease_share", "Share of each quota that this control VM grants under leases.", func() float64 {
+		return c.quotas.LeaseStatus().Share
+	})
+	c.process.metrics.Counter("quota_lease_granted_total", "Requests granted under quota leases.", func() float64 {
+		return float64(c.quotas.LeaseStatus().Granted)
+	})
 	c.process.metrics.CounterByReason("control_refusals_total", "Proposals, changes and confirmations refused, by reason.", func(r oriolebend.Reason) float64 {
 		return float64(c.replica.Status().Refusals[r])
 	})
--- a/internal/role/organisations_test.go
+++ b/internal/role/organisations_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,9 +27,11 @@
 	sequence   atomic.Uint64
 }
 
-func newOrganisationSite(t *testing.T) *organisationSite {
+// newOrganisationSite starts a site. more are control VMs besides the usual three.
+func newOrganisationSite(t *testing.T, more ...string) *organisationSite {
 	s := &organisationSite{routeSite: newRouteSite(t)}
-	for _, ip := range seededControls {
+	s.seeds = append(slices.Clone(seededControls), more...)
+	for _, ip := range s.seeds {
 		s.startControl(ip, true)
 	}
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/role/permission.go
+++ b/internal/role/permission.go
@@ -45,6 +45,7 @@
 		message.KindPlaceOpen:    {peer.RoleForwarder},
 		message.KindCrashReports: {peer.RoleForwarder},
 		message.KindQuotaAsk:     {peer.RoleForwarder},
+		message.KindQuotaLease:   {peer.RoleControl},
 		message.KindLimitAsk:     {peer.RoleForwarder},
 		message.KindJoin:         {peer.RoleControl},
 	}
