reducer/quota: a restarted leader begins with its share of the excess

Cause: after a loss of everything, the new leader learns the organisations from the log only after its election. The buckets were started at the election, when there were none, so that each organisation began without any units, as if its whole burst was used up, and not with the share that is meant for a restart.

Change: the first organisations that a process learns begin as if they had been known when it began to count: with the share of the excess and what was refilled since. It has granted them nothing in between. Organisations that are declared later begin without units, as before.

Result: TestOrganisationsKnownAfterTheElection fails without the change and passes with it.

--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -38,11 +38,9 @@
 	t.Helper()
 	g := &group{network: peertest.NewNetwork(1), servers: map[string]*Server{}}
 	store := routing.NewStore()
-	command, err := cbor.Marshal(routing.Replace{Routing: oriolebend.Routing{
-		Version: 1, Organisations: []oriolebend.Organisation{{Name: "o", Quota: q}},
-	}})
-	is.New(t).NoErr(err)
-	store.Apply(1, command)
+	if q.Bounded() {
+		declareQuota(t, store, q)
+	}
 	for i := range count {
 		address := fmt.Sprintf("c%d:1", i)
 		g.addresses = append(g.addresses, address)
@@ -61,6 +59,16 @@
 	return g
 }
 
+// declareQuota declares an organisation with a quota.
+func declareQuota(t *testing.T, store *routing.Store, q oriolebend.Quota) {
+	t.Helper()
+	command, err := cbor.Marshal(routing.Replace{Routing: oriolebend.Routing{
+		Version: 1, Organisations: []oriolebend.Organisation{{Name: "o", Quota: q}},
+	}})
+	is.New(t).NoErr(err)
+	store.Apply(1, command)
+}
+
 // testGroup runs a test with control VMs, on the clock of synctest.
 func testGroup(t *testing.T, count int, q oriolebend.Quota, test func(context.Context, *testing.T, *is.I, *group)) {
 	t.Helper()
@@ -219,6 +227,22 @@
 	})
 }
 
+// Guards against refusing organisations that have hardly used their quota after all control VMs were
+// killed. The new leader learns the organisations from the log only after its election, and must
+// still begin with its share of the excess.
+func TestOrganisationsKnownAfterTheElection(t *testing.T) {
+	testGroup(t, 3, oriolebend.Quota{}, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
+		time.Sleep(300 * time.Millisecond)
+		g.setLeader("c0:1")
+		time.Sleep(leaderCheckInterval)
+		declareQuota(t, g.servers["c0:1"].Routing, oriolebend.Quota{PerSecond: 10, Burst: 100})
+		synctest.Wait()
+		// The excess is 1,018, of which a restarted leader begins with 0.15, up to the burst. A reserve
+		// has less.
+		is.True(g.servers["c0:1"].answer(message.QuotaAsk{Organisation: "o", Cost: 100}).Granted)
+	})
+}
+
 // A message that is not a request ends a session at the server, and a message that is not an answer
 // ends it at the client, whose waiting requests fail at once.
 func TestUnexpectedMessages(t *testing.T) {
--- a/internal/reducer/quota/share.go
+++ b/internal/reducer/quota/share.go
@@ -11,6 +11,8 @@
 	granted float64
 	// start is the share of the excess with which buckets begin that may grant the whole quota.
 	start float64
+	// begun is when the present share was obtained.
+	begun time.Time
 	// until is when this control VM was last known to have a share. keeps is set if its buckets
 	// have counted up to then.
 	until time.Time
@@ -65,6 +67,7 @@
 	if !e.Lead {
 		s.share.changed = e.At
 	}
+	s.share.begun = e.At
 	keeps := e.Leases.Enabled && s.share.keeps
 	for _, a := range s.accounts {
 		level := granted * s.share.start * s.config.excess(a.quota.PerSecond, a.quota.Burst)
@@ -77,6 +80,18 @@
 	s.share.keeps = true
 }
 
+// beginDeclared starts the bucket of an organisation that was not known when this control VM began to
+// count, because its process had just started: a restarted leader learns the organisations from the
+// log only after its election. It has granted nothing to them since.
+func (s *State) beginDeclared(a *account, at time.Time) {
+	if s.share.granted == 0 {
+		return
+	}
+	level := s.share.start*s.config.excess(a.quota.PerSecond, a.quota.Burst) + a.quota.PerSecond*at.Sub(s.share.begun).Seconds()
+	a.begin(at, s.share.granted, s.share.granted*level)
+	a.since = s.share.begun
+}
+
 // begin starts the bucket with a share of the quota and a level.
 func (a *account) begin(at time.Time, granted, level float64) {
 	a.bucket = limit.Bucket{PerSecond: granted * a.quota.PerSecond, Burst: granted * a.quota.Burst}
@@ -95,6 +110,7 @@
 // resizeShare changes the share of a control VM that goes on counting, or ends it. A share that
 // grows adds its part of what the buckets began with.
 func (s *State) resizeShare(at time.Time, granted float64) {
+	s.share.begun = at
 	for _, a := range s.accounts {
 		if granted == 0 {
 			a.freeze(s.share.until)
@@ -111,7 +127,7 @@
 // applyClockJump empties all buckets: another control VM may have granted the whole quota in the
 // time that the clock did not count.
 func (s *State) applyClockJump(at time.Time) {
-	s.share.start = 0
+	s.share.start, s.share.begun = 0, at
 	if s.share.lent {
 		s.share.changed = at
 	}
--- a/internal/reducer/quota/state.go
+++ b/internal/reducer/quota/state.go
@@ -13,6 +13,8 @@
 	lead    bool
 	members int
 	share   share
+	// declared is set once organisations have been declared.
+	declared bool
 	// leader is the last known leader, empty if none was ever known, and leaderSince when
 	// it became known. began is when this process first observed the leadership.
 	leader             string
@@ -62,13 +64,18 @@
 			continue
 		}
 		a := s.accounts[o.Name]
-		if a == nil {
+		known := a != nil
+		if !known {
 			a = &account{since: e.At}
 		}
 		s.setQuota(a, o.Quota, e.At)
+		if !known && !s.declared {
+			s.beginDeclared(a, e.At)
+		}
 		accounts[o.Name] = a
 	}
 	s.accounts = accounts
+	s.declared = true
 }
 
 // setQuota applies a quota to an account. The units saved up under the previous quota are
