--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -32,16 +32,15 @@
 
 const client = "f:1"
 
-// newGroup starts control VMs with one declared organisation that has a quota.
-func newGroup(ctx context.Context, t *testing.T, count int, q oriolebend.Quota) *group {
+// newGroup starts control VMs with one declared organisation that has a quota. change changes a server
+// before it is started.
+func newGroup(ctx context.Context, t *testing.T, count int, q oriolebend.Quota, change ...func(*group, *Server)) *group {
 	t.Helper()
 	g := &group{network: peertest.NewNetwork(1), servers: map[string]*Server{}}
 	store := routing.NewStore()
-	command, err := cbor.Marshal(routing.Replace{Routing: oriolebend.Routing{
-		Version: 1, Organisations: []oriolebend.Organisation{{Name: "o", Quota: q}},
-	}})
-	is.New(t).NoErr(err)
-	store.Apply(1, command)
+	if q.Bounded() {
+		declareQuota(t, store, q)
+	}
 	for i := range count {
 		address := fmt.Sprintf("c%d:1", i)
 		g.addresses = append(g.addresses, address)
@@ -49,14 +48,27 @@
 			Config: Config{Slack: 1000}, Routing: store, Logger: slog.New(slog.DiscardHandler),
 			Self: address, Leader: func() string { return loadAddress(&g.leader) }, Members: func() int { return count },
 		}
+		for _, f := range change {
+			f(g, s)
+		}
 		s.Prepare()
 		g.servers[address] = s
 		go s.Run(ctx)
-		g.network.Listen(ctx, address, address, s.Serve)
+		g.network.Listen(ctx, address, address, serveAll(s))
 	}
 	return g
 }
 
+// declareQuota declares an organisation with a quota.
+func declareQuota(t *testing.T, store *routing.Store, q oriolebend.Quota) {
+	t.Helper()
+	command, err := cbor.Marshal(routing.Replace{Routing: oriolebend.Routing{
+		Version: 1, Organisations: []oriolebend.Organisation{{Name: "o", Quota: q}},
+	}})
+	is.New(t).NoErr(err)
+	store.Apply(1, command)
+}
+
 // testGroup runs a test with control VMs, on the clock of synctest.
 func testGroup(t *testing.T, count int, q oriolebend.Quota, test func(context.Context, *testing.T, *is.I, *group)) {
 	t.Helper()
@@ -239,6 +251,22 @@
 	})
 }
 
+// Guards against refusing organisations that have hardly used their quota after all control VMs were
+// killed. The new leader learns the organisations from the log only after its election, and must
+// still begin with its share of the excess.
+func TestOrganisationsKnownAfterTheElection(t *testing.T) {
+	testGroup(t, 3, oriolebend.Quota{}, func(ctx context.Context, t *testing.T, is *is.I, g *group) {
+		time.Sleep(300 * time.Millisecond)
+		g.setLeader("c0:1")
+		time.Sleep(leaderCheckInterval)
+		declareQuota(t, g.servers["c0:1"].Routing, oriolebend.Quota{PerSecond: 10, Burst: 100})
+		synctest.Wait()
+		// The excess is 1,018, of which a restarted leader begins with 0.15, up to the burst. A reserve
+		// has less.
+		is.True(g.servers["c0:1"].answer(message.QuotaAsk{Organisation: "o", Cost: 100}).Granted)
+	})
+}
+
 // A message that is not a request ends a session at the server, and a message that is not an answer
 // ends it at the client, whose waiting requests fail at once.
 func TestUnexpectedMessages(t *testing.T) {
