reducer/placement: test that disabled speeds have no effect

Guards control.disable with engineSpeeds, and forwarders of an earlier release: reports must change no decision while speeds are disabled, and without reports each decision must be the one made before.

Tests: go test -race ./internal/reducer/placement ./docs pass.

--- a/internal/reducer/placement/uneven_test.go
+++ b/internal/reducer/placement/uneven_test.go
@@ -27,6 +27,8 @@
 	decisions    []string
 	peak, trough meanTime
 	refused      int
+	// unmeasured is set if the ends of streams are reported as by a forwarder that measures nothing.
+	unmeasured bool
 }
 
 type meanTime struct {
@@ -166,7 +168,11 @@
 			s.trough.add(took)
 		}
 	}
-	s.apply(Reduce(s.state, Ended{At: s.now, Key: v.key, Outcome: dispatch.OutcomeAnswered, Writing: took, Events: v.events}))
+	ended := Ended{At: s.now, Key: v.key, Outcome: dispatch.OutcomeAnswered}
+	if !s.unmeasured {
+		ended.Writing, ended.Events = took, v.events
+	}
+	s.apply(Reduce(s.state, ended))
 }
 
 // TestUnevenEnginesEndSooner guards against streams that take long because slow engines get as much
@@ -197,3 +203,18 @@
 	}
 	is.Equal(run(false), run(true))
 }
+
+// TestSpeedsWithoutEffect checks that reports change no decision while speeds are disabled, and that forwarders
+// of an earlier release, which report no writing times, get the decisions made before.
+func TestSpeedsWithoutEffect(t *testing.T) {
+	is := is.New(t)
+	run := func(ignoreSpeeds, unmeasured bool) []string {
+		s := newUnevenSite([]float64{0.6, 1, 1.6}, ignoreSpeeds)
+		s.unmeasured = unmeasured
+		s.run(70, 2*unevenPeriod)
+		return s.decisions
+	}
+	before := run(true, true)
+	is.Equal(run(true, false), before)
+	is.Equal(run(false, true), before)
+}
