--- a/internal/reducer/speed/server.go
+++ b/internal/reducer/speed/server.go
@@ -19,8 +19,8 @@
 	largestStep = math.Ln2
 	// spreads is how many standard errors a factor must differ from the median to count, and
 	// leastDifference the smallest difference, as a logarithm, that counts. Servers are compared
-	// four times a second: with three standard errors, one of 48 equal engines seemed to differ in
-	// two minutes. A difference of a tenth is what three more generations on an engine cost.
+	// four times a second: with three standard errors, one of fifty equal engines would seem to differ
+	// every few minutes. A difference of a tenth is what three more generations on an engine cost.
 	spreads         = 3.5
 	leastDifference = 0.1
 	// freshFor is how long a factor holds without reports, and fades the time in which it then
