--- a/internal/role/cluster_test.go
+++ b/internal/role/cluster_test.go
@@ -346,6 +346,17 @@
 	return len(work)
 }
 
+// decodeCount counts the requests for which the decode engines hold memory, over all of them.
+func (c *cluster) decodeCount() int {
+	count := 0
+	for name := range c.Engines {
+		if strings.HasPrefix(name, string(oriolebend.Decode)) {
+			count += c.workCount(name)
+		}
+	}
+	return count
+}
+
 // waitUntilIdle waits until no engine holds memory for a request.
 func (c *cluster) waitUntilIdle() {
 	c.t.Helper()
