load, examples: routes of forwarders, three ranks under a quota, uneven engines

Cause: "oriolebend load" spoke to entries only, which have neither ranks nor quotas, so that the load of competing callers could not be described. No example had engines of unequal speed. Change: classes of kind "route" send along declared routes with the organisation's key and the token counts, and read refusals and streams of forwarders; a stream whose numbered events don't count from one is damaged. examples/ranks.json and examples/load/ranks.toml: three ranks under a quota of 1.8 times their use, with bursts beyond it. examples/uneven.toml and examples/load/uneven-engines.toml: six decode engines at 0.6, 1 and 1.6 times the usual speed. The test of examples counts two more of them. The engines of the soak take their room and the number of parts from their use.

--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -60,6 +60,8 @@
 	gaps        []gap
 	tokens      int
 	text        string
+	// damage describes a stream whose events are not complete and in order; empty if they are.
+	damage string
 }
 
 // gap is the time per token of one piece of output, counted from the piece before,
@@ -71,7 +73,9 @@
 
 // httpMessage is the HTTP message of a request. Every attempt sends the same.
 type httpMessage struct {
-	kind   Kind
+	kind Kind
+	// host is the host of a route; empty means that of the entry.
+	host   string
 	path   string
 	header http.Header
 	body   []byte
@@ -83,7 +87,7 @@
 	if err != nil {
 		return attempt{outcome: OutcomeLost, reason: reasonConnection}
 	}
-	request.Header = m.header.Clone()
+	request.Header, request.Host = m.header.Clone(), m.host
 	response, err := client.Do(request)
 	if err != nil {
 		return attempt{outcome: OutcomeLost, reason: lossReason(ctx)}
@@ -98,6 +102,8 @@
 		a.readProblem(ctx, response.Body)
 	case m.kind == KindCall:
 		a.readCall(ctx, response)
+	case m.kind == KindRoute:
+		a.readRoute(ctx, response)
 	default:
 		a.readStream(ctx, response.Body)
 	}
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -75,8 +75,13 @@
 	case KindCall:
 		c.require(class.StatusPath == "" || strings.Contains(class.StatusPath, identityPlaceholder), "class %q: statusPath must hold %s", class.Name, identityPlaceholder)
 		c.require(class.Path != "" && class.Path[0] == '/', "class %q needs a path such as /services/dispatch-api/arrivals", class.Name)
+	case KindRoute:
+		c.require(class.Path != "" && class.Path[0] == '/', "class %q needs a path such as /plans/", class.Name)
+		c.require(class.OutputTokens.valid(), "class %q: outputTokens needs 0 < min <= median <= max", class.Name)
+		c.require(class.PrefixTokens <= class.PromptTokens.Min, "class %q: prefixTokens must not be above promptTokens.min", class.Name)
+		c.require(class.DuplicateShare == 0, "class %q: a route remembers no keys; againShare must be 0", class.Name)
 	default:
-		c.require(false, "class %q: kind %q is not completion, chat or call", class.Name, class.Kind)
+		c.require(false, "class %q: kind %q is not completion, chat, call or route", class.Name, class.Kind)
 	}
 }
 
--- a/internal/load/description.go
+++ b/internal/load/description.go
@@ -103,6 +103,8 @@
 	KindChat Kind = "chat"
 	// KindCall calls a service.
 	KindCall Kind = "call"
+	// KindRoute requests a stream along a declared route of a forwarder.
+	KindRoute Kind = "route"
 )
 
 // Class describes requests with the same distribution.
@@ -122,8 +124,10 @@
 	Prefixes     int `toml:"prefixes"`
 	PrefixTokens int `toml:"prefixTokens"`
 	// Path is the path of a call on the entry, such as
-	// "/services/dispatch-api/arrivals"; the call is a POST.
+	// "/services/dispatch-api/arrivals", or of a route; the request is a POST.
 	Path string `toml:"path"`
+	// Host is the host of a route; empty means that of the entry's URL.
+	Host string `toml:"host"`
 	// StatusPath, if set, is queried after the load for each call that was reported
 	// to its caller as not run; "{identity}" in it is replaced by the identity of
 	// the call. A status of 200 or 202 shows that the call did run.
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -313,7 +313,7 @@
 	is := is.New(t)
 	files, err := filepath.Glob("../../examples/load/*.toml")
 	is.NoErr(err)
-	is.Equal(len(files), 4) // a peak and a schedule of failures for each user
+	is.Equal(len(files), 6) // a peak and a schedule of failures for each user, ranks, uneven engines
 	for _, file := range files {
 		d, err := Read(file)
 		is.NoErr(err)
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -175,6 +175,8 @@
 	var err error
 	r := result.Request
 	switch class.Kind {
+	case KindRoute:
+		result.Damage = a.damage
 	case KindCall:
 		result.Damage, result.Doubled = verifyCall(a.text)
 	case KindChat:
@@ -211,6 +213,9 @@
 // buildMessage builds the HTTP message of a request.
 func (s *sender) buildMessage(r Request) httpMessage {
 	class, organisation := s.description.Classes[r.Class], s.description.Organisations[r.Organisation]
+	if class.Kind == KindRoute {
+		return s.routeMessage(r, class)
+	}
 	header := http.Header{}
 	header.Set("Content-Type", "application/json")
 	header.Set(caller.HeaderKey, idempotencyKey(s.run, r))
--- a/internal/settings/examples_test.go
+++ b/internal/settings/examples_test.go
@@ -13,6 +13,7 @@
 	examples := map[string]settings.Role{
 		"lintang.toml":              settings.RoleDev,
 		"association.toml":          settings.RoleDev,
+		"uneven.toml":               settings.RoleDev,
 		"production/entry.toml":     settings.RoleEntry,
 		"production/forwarder.toml": settings.RoleForwarder,
 		"production/sidecar.toml":   settings.RoleSidecar,
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -19,7 +19,7 @@
 	promptTokens     = 400
 	generationParts  = 20
 	generationTokens = promptTokens + generationParts
-	// engineRoom is how many generations an engine has memory for.
+	// engineRoom is how many generations an engine of the seeded run has memory for.
 	engineRoom = 3
 	// engineStep is the time for one part at speed 1 without other generations. Each further
 	// generation of the engine adds the share batchShare to it.
@@ -40,6 +40,8 @@
 // engine is the state of a server that is a model engine.
 type engine struct {
 	speed float64
+	// room is how many generations it has memory for.
+	room int
 
 	mutex   sync.Mutex
 	running int
@@ -52,7 +54,7 @@
 func (e *engine) admit() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.running >= engineRoom {
+	if e.running >= e.room {
 		e.refused++
 		return false
 	}
@@ -93,13 +95,17 @@
 	if v.fleet.noteRan(id) == 1 {
 		v.fleet.callers.noteTokens(generationTokens)
 	}
+	last, err := strconv.Atoi(r.Header.Get("Oriolebend-Output-Tokens"))
+	if err != nil {
+		last = generationParts
+	}
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
 		after = 0 // the first send of the generation
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	began := time.Now()
-	for n := after + 1; n <= generationParts; n++ {
+	for n := after + 1; n <= last; n++ {
 		time.Sleep(v.engine.step())
 		if _, err := fmt.Fprint(w, part(id, n)); err != nil {
 			return
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -38,6 +38,7 @@
 type server struct {
 	fleet    *fleet
 	name     string
+	service  string
 	proxy    *proxy
 	notices  notices
 	sequence atomic.Uint64
@@ -53,15 +54,16 @@
 	t.Helper()
 	f := &fleet{t: t, system: s, random: random, ran: map[string]int{}}
 	for i := range servers {
-		f.start(&server{fleet: f, name: fmt.Sprintf("server-%d", i)})
+		f.start(&server{name: fmt.Sprintf("server-%d", i), service: "s"})
 	}
 	for i, speed := range engineSpeeds {
-		f.start(&server{fleet: f, name: fmt.Sprintf("engine-%d", i), engine: &engine{speed: speed}})
+		f.start(&server{name: fmt.Sprintf("engine-%d", i), service: generating, engine: &engine{speed: speed, room: engineRoom}})
 	}
 	return f
 }
 
 func (f *fleet) start(v *server) {
+	v.fleet = f
 	v.restart()
 	backend := httptest.NewServer(v)
 	f.t.Cleanup(backend.Close)
@@ -140,9 +142,9 @@
 )
 
 func (v *server) announcement() oriolebend.Backend {
-	b := oriolebend.Backend{Service: "s", Address: v.proxy.address(), Sequence: v.sequence.Add(1)}
+	b := oriolebend.Backend{Service: v.service, Address: v.proxy.address(), Sequence: v.sequence.Add(1)}
 	if v.engine != nil {
-		b.Service, b.Role = generating, oriolebend.Decode
+		b.Role = oriolebend.Decode
 	}
 	return b
 }
