forwarder: the route's rank counts among requests of organisations of one rank

Cause: an organisation's rank replaced the rank of its routes. All requests of one organisation had the same rank, so that ranks in quotas had no effect: of one that asked for four times its quota, urgent requests were refused as often (52%) as others (53%, 46%). Change: the rank of the organisation goes first, then the route's; within a quota the route's rank decides. A hundred ranks are told apart in place of ten. Without ranks of organisations the order is the same as before.

--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -45,10 +45,18 @@
 	return w.organisation.Name
 }
 
-// rank returns the rank of the request among the requests that compete with it.
+// routeRanks is the number of ranks of routes that are told apart within the same rank of an
+// organisation.
+const routeRanks = 10
+
+// rank returns the rank of the request among those of all organisations: by the rank of its
+// organisation, then by that of its route. Without a rank of the organisation, the rank of the route
+// takes its place. Otherwise the least urgent work of an organisation would compete as equal with its
+// most urgent work.
 func (w *work) rank() int {
+	first := w.route.Rank
 	if w.organisation != nil && w.organisation.Rank != nil {
-		return *w.organisation.Rank
+		first = *w.organisation.Rank
 	}
-	return w.route.Rank
+	return first*routeRanks + min(w.route.Rank, routeRanks-1)
 }
--- a/internal/forwarder/quota.go
+++ b/internal/forwarder/quota.go
@@ -68,7 +68,7 @@
 	charge := Charge{
 		Organisation: w.organisation.Name, Call: uint64(w.fingerprint),
 		Cost: w.organisation.Quota.Cost(w.info.Prompt + w.info.Output), Late: w.retried && !w.info.Resumes,
-		Rank: w.rank(),
+		Rank: w.route.Rank,
 	}
 	taken, state, err := quotas.Take(ctx, charge)
 	w.quota = state
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -176,7 +176,7 @@
 func (w *work) refuse(r refusal) {
 	w.f.config.Observer.Count("refusal", r.reason, w.organisationName())
 	if w.f.config.RefusedRank != nil && w.route != nil {
-		w.f.config.RefusedRank(w.rank(), r.reason)
+		w.f.config.RefusedRank(w.route.Rank, r.reason)
 	}
 	w.refund()
 	header := http.Header{}
@@ -266,7 +266,7 @@
 		attributes = append(attributes, slog.String("reason", string(reason)))
 	}
 	if reason != "" && w.route != nil {
-		attributes = append(attributes, slog.Int("rank", w.rank()))
+		attributes = append(attributes, slog.Int("rank", w.route.Rank))
 	}
 	w.f.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request answered", attributes...)
 }
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -212,6 +212,9 @@
 // refuse refuses a request for lack of memory.
 func (s *State) refuse(at time.Time, q *request) Answer {
 	s.refused.add(at, q)
+	if s.counted.RefusedByRank == nil {
+		s.counted.RefusedByRank = map[int]int{}
+	}
 	s.counted.RefusedByRank[q.level]++
 	s.flow(q.need.Service).sizes.countSettled(at, q.class, false)
 	s.flow(q.need.Service).demand.settled(q, at, false)
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
-	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
 )
 
 const (
@@ -124,7 +123,7 @@
 	// RefusedByRank counts, since the last summary, the requests refused for lack of memory, and
 	// Reserved is the largest number of places that one of them, or a waiting request, had to
 	// leave to more urgent ranks.
-	RefusedByRank [ranks.Max]int
+	RefusedByRank map[int]int
 	Reserved      int
 }
 
--- a/internal/reducer/ranks/uses.go
+++ b/internal/reducer/ranks/uses.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// Max is the number of ranks that are told apart; less urgent ones count as the last.
-const Max = 10
+// Max is the number of ranks that are told apart; less urgent ones count as the last. Ranks of
+// organisations and of their routes together make ten times ten.
+const Max = 100
 
 // Limit returns the rank by which a request is counted.
 func Limit(rank int) int { return min(max(rank, 0), Max-1) }
