quota, replica: leases begin 500 ms after the last message of a leader

Cause: a member named its leader until it stood for election itself, 300 to 600 ms after the last message, and waited for a lease time only then. In a partition three and three, a side has its holder when the last of its three members leases, after about a second with nothing but reserves.

Change: the lease time counts from when a member has last led or heard a leader. The lease of a leader (225 ms) has ended by then, and most elections too. A request of a new leader for leases is kept apart from it.

Result: TestSilentLeaderIsLost is new.

--- a/internal/quota/leases.go
+++ b/internal/quota/leases.go
@@ -21,7 +21,8 @@
 	Dialer peer.Dialer
 	// Members returns the voting members of the group, none if this control VM does not know them.
 	Members func() []message.Member
-	// Lost returns since when no leader has been known; it is used while none is known.
+	// Lost returns since when this control VM has neither led nor heard a leader, the zero time if
+	// there is a leader.
 	Lost func() time.Time
 
 	state    *quotalease.State
@@ -60,9 +61,9 @@
 	if jumped {
 		l.reduce(quotalease.ClockJumped{At: at})
 	}
-	lost := time.Time{}
-	if leader == "" {
-		lost = l.Lost()
+	lost := l.Lost()
+	if !lost.IsZero() {
+		leader = "" // one that is still known is silent
 	}
 	if leader != l.leader || lost != l.lost {
 		l.leader, l.lost = leader, lost
--- a/internal/reducer/agreement/election.go
+++ b/internal/reducer/agreement/election.go
@@ -40,6 +40,9 @@
 	return s.Role == Leader || s.now < s.lastContact+s.Config.ElectionTicks
 }
 
+// LastContact returns the tick of the last message from a leader or of the last vote granted.
+func (s *State) LastContact() uint64 { return s.lastContact }
+
 // becomeFollower makes the member a follower in a term; the leader may not be known yet.
 func (s *State) becomeFollower(term uint64, leader string) {
 	wasLeader := s.Role == Leader
--- a/internal/reducer/quotalease/candidate.go
+++ b/internal/reducer/quotalease/candidate.go
@@ -68,7 +68,7 @@
 	answer := Answer{Number: e.Ask.Number}
 	switch {
 	case e.Ask.Leads:
-		s.lost = e.At // the sender has heard from a quorum, also if this member does not know it yet
+		s.asked = e.At // this member may not know yet that the sender leads
 		s.endCandidacy()
 	case s.Leaderless(e.At) && !e.At.Before(s.quietUntil):
 		answer.Granted = s.lend(e)
--- a/internal/reducer/quotalease/event.go
+++ b/internal/reducer/quotalease/event.go
@@ -11,7 +11,8 @@
 	// Leader names the leader, empty if none is known. It is this member only while its
 	// leadership has not expired.
 	Leader string
-	// Lost is when the last leader ceased to be known; it is used while Leader is empty.
+	// Lost is since when this member has neither led nor heard a leader; it is used while Leader is
+	// empty.
 	Lost time.Time
 	// Members names the voting members; it is empty if they are not known.
 	Members []string
--- a/internal/reducer/quotalease/state.go
+++ b/internal/reducer/quotalease/state.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Lease is the duration of a lease. It is longer than the lease of a leader (450 ms), so that a
-// member that has known no leader for a Lease supports none.
+// Lease is the duration of a lease. It is longer than the lease of a leader (225 ms), so that a
+// member that has heard no leader for a Lease supports none, and than an election usually takes.
 const Lease = 500 * time.Millisecond
 
 const (
@@ -21,8 +21,9 @@
 	self    string
 	members members
 	leader  string
-	// lost is when the last leader ceased to be known or this member heard from a new one.
-	lost time.Time
+	// lost is since when this member has neither led nor heard a leader, and asked is when a new
+	// leader last asked it for its lease.
+	lost, asked time.Time
 	// quietUntil is the time before which this member grants no lease.
 	quietUntil time.Time
 	// grant is the lease that this member has granted last, possibly to itself.
@@ -85,18 +86,18 @@
 		s.beginReign(e.At)
 	}
 	s.leader = e.Leader
-	switch {
-	case e.Leader != "" && e.Leader != s.self:
-		s.lost = e.At
+	if e.Leader != "" && e.Leader != s.self {
 		s.endCandidacy()
-	case e.Leader == "" && e.Lost.After(s.lost):
+	}
+	s.lost = e.At
+	if e.Leader == "" && !e.Lost.IsZero() {
 		s.lost = e.Lost
 	}
 }
 
 // Leaderless reports whether this member has known no leader for a Lease.
 func (s *State) Leaderless(at time.Time) bool {
-	return s.leader == "" && at.Sub(s.lost) >= Lease
+	return s.leader == "" && at.Sub(s.lost) >= Lease && at.Sub(s.asked) >= Lease
 }
 
 // Holder names the candidate to which this member has leased, empty if there is none.
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -19,6 +19,7 @@
 	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer/peertest"
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -125,6 +126,33 @@
 	})
 }
 
+// Guards against control VMs that do without a leader too late or too early: a member that hears no
+// leader knows since when, also while it still names the leader.
+func TestSilentLeaderIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGroup(t, Config{TickEvery: time.Second}, "a", "b", "c")
+		defer g.haltAll()
+		name, _ := g.leader().Leader()
+		began := time.Now()
+		g.isolate(name)
+		for _, m := range g.running {
+			is.True(m.Leaderless().IsZero())
+		}
+		time.Sleep(agreement.DefaultElectionTicks * time.Second)
+		for _, m := range g.running {
+			named, _ := m.Leader()
+			lost := m.Leaderless().Sub(began)
+			switch {
+			case m == g.running[name]:
+				is.True(lost > 0 && lost <= agreement.DefaultLeaseTicks*time.Second)
+			case named == "" || named == name: // otherwise the others have elected a leader already
+				is.True(lost > -2*agreement.DefaultHeartbeatTicks*time.Second && lost <= 0)
+			}
+		}
+	})
+}
+
 // Guards against commands that are lost, applied twice or applied in a different order on some VM:
 // every link loses one message in ten and delays the others, while the leadership moves and members
 // restart. A resend that skips or repeats entries would cause this.
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -46,18 +46,26 @@
 	name, address string
 	// until is the end of the lease, on the leader itself only; zero means none.
 	until time.Time
-	// lost is when the last leader ceased to be known; it is used while name is empty.
+	// leads is set on the leader itself. On other members, heard is when the leader was heard last.
+	leads bool
+	heard time.Time
+	// lost is when the last leader was heard, or this member ceased to lead; it is used while name is
+	// empty.
 	lost time.Time
 }
 
-// Leaderless returns since when no leader has been known, the zero time if one is known.
+// Leaderless returns since when this member has neither led nor heard a leader, the zero time if
+// there is a leader. A leader that was silent for the election timeout counts as lost, although Leader
+// names it until this member stands for election.
 func (r *Replica) Leaderless() time.Time {
 	view := r.leader.Load()
-	switch {
+	switch now := time.Now(); {
 	case view.name == "":
 		return view.lost
-	case !view.until.IsZero() && !time.Now().Before(view.until):
+	case !view.until.IsZero() && !now.Before(view.until):
 		return view.until
+	case !view.leads && now.Sub(view.heard) >= time.Duration(r.state.Config.ElectionTicks)*r.config.TickEvery:
+		return view.heard
 	}
 	return time.Time{}
 }
@@ -104,7 +112,11 @@
 	s := r.state
 	leader, _ := s.Member(s.Leader)
 	view := leaderView{name: leader.Name, address: leader.Address}
-	if s.Role == agreement.Leader && len(s.Members) > 1 {
+	view.leads = s.Role == agreement.Leader
+	if !view.leads && view.name != "" {
+		view.heard = r.start.Add(time.Duration(s.LastContact()) * r.config.TickEvery)
+	}
+	if view.leads && len(s.Members) > 1 {
 		view.until = r.start.Add(time.Duration(s.LeaseEnd()) * r.config.TickEvery)
 	}
 	old := r.leader.Load()
@@ -118,8 +130,11 @@
 
 // lostAt returns since when there is no leader, if there is none now and old was published last.
 func lostAt(old *leaderView) time.Time {
-	if old == nil || old.name != "" {
-		return time.Now()
+	switch {
+	case old != nil && old.name == "":
+		return old.lost
+	case old != nil && !old.leads:
+		return old.heard
 	}
-	return old.lost
+	return time.Now()
 }
