role: tests of the timing and the setting of quota leases

Cause: quota leases rely on the timing of the agreement, and nothing checked that control.disable reaches them.

Change: one test that a quota lease is longer than the lease of a leader, and one that the setting disables quota leases.

--- a/internal/role/quota_leases_test.go
+++ b/internal/role/quota_leases_test.go
@@ -1,15 +1,36 @@
 package role
 
 import (
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
+	"github.com/oriolebend/oriolebend/internal/reducer/quotalease"
+	"github.com/oriolebend/oriolebend/internal/replica"
+	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
+// Guards against a change of the agreement's timing after which a control VM may lease a quota while
+// a leader may still rely on its last acknowledgement.
+func TestQuotaLeaseIsLongerThanALeaders(t *testing.T) {
+	is.New(t).True(quotalease.Lease > (agreement.DefaultLeaseTicks+1)*replica.DefaultTickEvery)
+}
+
+// Guards against quota leases that operators can't disable.
+func TestQuotaLeasesCanBeDisabled(t *testing.T) {
+	is := is.New(t)
+	c := &ControlProcess{process: Process{Logger: slog.New(slog.DiscardHandler)}, routing: routing.NewStore()}
+	is.True(c.newQuotas().Leases != nil)
+	c.process.Settings.Control.Disable = []settings.Feature{settings.FeatureQuotaLeases}
+	is.True(c.newQuotas().Leases == nil)
+}
+
 // Guards against refusing an organisation below its quota while half of the control VMs are lost, so
 // that there is no leader. The others hold half of the quota under leases.
 func TestQuotaWithHalfOfTheControls(t *testing.T) {
