reducer/speed: no assumed batch, an infinite batch is ignored

Cause: while only observations of other processes are known, the batch was assumed to be 4, half of the generations that an engine has room for at one site. Where the usual batch is another one, own reports and merged ones give different factors. An infinite batch passed the check of reports and would make the base and slope of the service NaN. Change: the batch of the first own report applies to the observations before it. A report with an infinite batch is ignored.

--- a/internal/reducer/speed/merge.go
+++ b/internal/reducer/speed/merge.go
@@ -16,10 +16,7 @@
 	// mostMerged is how many reports an observation of another process counts at most: it contains
 	// no batch, and later reports correct it.
 	mostMerged = 10
-	// assumedBatch is the batch of an observation while none is known: half of the generations that
-	// an engine has room for at the sites that this was built for.
-	assumedBatch = 4
-	// keptFor is how long a process passes on what it has seen of a server.
+	// keptFor is how long a process passes on its observations of a server.
 	keptFor = 2 * time.Minute
 )
 
@@ -32,16 +29,17 @@
 	return Observation{Count: c.direct, Mean: time.Duration(mean * float64(time.Second))}, true
 }
 
-// Merge adds what another process has seen of a server. It returns false if the observation was
-// ignored: because it can't be right, or because there are enough own reports, which probably
-// include those of the observation.
+// Merge adds an observation of another process. It returns false if the observation was ignored.
+// That is so if it can't be right, or if there are enough own reports: these probably include those
+// of the observation.
 func (v *Service) Merge(c *Server, at time.Time, o Observation) bool {
 	per, valid := Report{Took: o.Mean, Units: 1}.perUnit()
 	if !valid || o.Count <= 0 || c.direct >= enoughReports {
 		return false
 	}
 	if v.count == 0 {
-		v.add(assumedBatch, per)
+		v.add(0, per)
+		v.batchUnknown = true
 	}
 	v.observe(c, at, v.batch, per, min(o.Count, mostMerged))
 	return true
--- a/internal/reducer/speed/server.go
+++ b/internal/reducer/speed/server.go
@@ -79,7 +79,7 @@
 
 // perUnit returns the seconds for a unit; false if the report can't be right.
 func (r Report) perUnit() (float64, bool) {
-	if r.Took <= 0 || r.Units <= 0 || r.Units > mostUnits || !(r.Batch >= 0) {
+	if r.Took <= 0 || r.Units <= 0 || r.Units > mostUnits || !(r.Batch >= 0) || math.IsInf(r.Batch, 1) {
 		return 0, false
 	}
 	per := r.Took.Seconds() / float64(r.Units)
@@ -95,6 +95,9 @@
 	if v.count == 0 {
 		v.add(r.Batch, per)
 	}
+	if v.batchUnknown {
+		v.batch, v.batchUnknown = r.Batch, false
+	}
 	c.direct++
 	v.observe(c, r.At, r.Batch, per, 1)
 	return true
--- a/internal/reducer/speed/service.go
+++ b/internal/reducer/speed/service.go
@@ -44,6 +44,10 @@
 	variance, covariance float64
 	// spread is the variance of the logarithm of single reports around the factors of their servers.
 	spread float64
+	// batchUnknown is set while there are only observations of other processes, which have no
+	// batch. They are assumed to have that of the first own report.
+	batchUnknown bool
+	// uneven is set if the factor of any server differs from one.
 	uneven bool
 	// compared is how many servers the last median was taken of.
 	compared int
