--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -46,7 +46,8 @@
 		if kept != nil {
 			s.noteRemoved(at, kept.BackendServer)
 		}
-		kept = &server{weight: 1, serverSpeeds: &serverSpeeds{}} // a restarted server has none of the work of its earlier incarnation
+		// A restarted server has neither the work nor the speeds of its earlier incarnation.
+		kept = &server{weight: 1, serverSpeeds: &serverSpeeds{}}
 		s.servers[current.Instance] = kept
 	}
 	listed := kept.Instance != ""
--- a/internal/reducer/dispatch/generation.go
+++ b/internal/reducer/dispatch/generation.go
@@ -32,10 +32,10 @@
 	return n.FailureDomain != "" && n.FailureDomain != c.FailureDomain
 }
 
-// chooseEngines chooses the decode engine with the least predicted time x memory, and the prefill engine that would finish
-// first. Without any prefill engine, or while the queue of the best one is long, the decode
-// engine prefills the prompt itself, between the tokens of its other requests; each of these
-// then pauses for as long as the prefill takes.
+// chooseEngines chooses the decode engine with the least predicted time x memory, and the prefill
+// engine that would finish first. Without any prefill engine, or while the queue of the best one is
+// long, the decode engine prefills the prompt itself, between the tokens of its other requests; each
+// of these then pauses for as long as the prefill takes.
 func (s *State) chooseEngines(e PlacementRequested, service *service, decoders []*server) (Grant, *Refused) {
 	usable := s.usable(e.At, service, decoders)
 	fitting := s.fitting(e, service, usable)
--- a/internal/reducer/dispatch/speed_reports.go
+++ b/internal/reducer/dispatch/speed_reports.go
@@ -10,12 +10,11 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/speed"
 )
 
-// mostSpeeds bounds the engines of which the speed is passed on, to a few kilobytes. At sites with more
-// engines, each forwarder reports others.
+// mostSpeeds bounds the engines in a report of speeds, which then has a few kilobytes. At sites with
+// more engines, each forwarder reports others.
 const mostSpeeds = 64
 
-// EngineSpeeds returns how fast engines wrote recently, for a process that has seen nothing of them
-// yet.
+// EngineSpeeds returns the recent speeds of engines, for a process that has no reports of them yet.
 func EngineSpeeds(s *State, at time.Time) []message.EngineSpeed {
 	var list []message.EngineSpeed
 	for _, c := range s.servers {
@@ -37,7 +36,7 @@
 	return slices.Concat(list[first:], list[:first])[:mostSpeeds]
 }
 
-// mergeSpeeds adds what another process has seen of the speeds of engines.
+// mergeSpeeds adds the speeds of engines that another process has observed.
 func (s *State) mergeSpeeds(e SpeedsReported) {
 	if s.config.IgnoreSpeeds {
 		return
@@ -53,8 +52,8 @@
 	}
 }
 
-// toldChange is by how much the factor of an engine must change to be worth a line in the log.
-const toldChange = 4.0 / 3
+// reportedChange is the ratio by which the factor of an engine must change to be reported.
+const reportedChange = 4.0 / 3
 
 // SpeedChange is a change of an engine's time for an event, relative to the other engines.
 type SpeedChange struct {
@@ -69,9 +68,9 @@
 	for name, v := range s.services {
 		s.compareSpeeds(at, name, v)
 		for _, c := range s.inOrder[name] {
-			before, now := cmp.Or(c.toldFactor, 1), c.writing.Factor()
-			if now > before*toldChange || before > now*toldChange {
-				c.toldFactor = now
+			before, now := cmp.Or(c.reportedFactor, 1), c.writing.Factor()
+			if now > before*reportedChange || before > now*reportedChange {
+				c.reportedFactor = now
 				changes = append(changes, SpeedChange{Service: name, Instance: c.Instance, Before: before, Factor: now})
 			}
 		}
--- a/internal/reducer/dispatch/speeds.go
+++ b/internal/reducer/dispatch/speeds.go
@@ -14,8 +14,8 @@
 	// shorter one is mostly the delay of single packets.
 	leastEvents = 5
 	// answersPerReport is how many plain answers are one report of the shortest time among them.
-	// The time of most answers includes a wait in the server's queue, which says nothing about its
-	// speed; one of eight finds the queue empty unless the server is overloaded.
+	// The time of most answers includes a wait in the server's queue, which does not depend on its
+	// speed alone. One of eight finds the queue empty unless the server is overloaded.
 	answersPerReport = 8
 	// quietFactor is how many times the shortest answers the usual answer may take for a report to
 	// count. With random service times, the usual answer without a queue takes about twice as long
@@ -40,21 +40,18 @@
 	// shortest time of these.
 	answered int
 	shortest time.Duration
-	// toldFactor is the factor of writing that SpeedChanges has returned last, zero if none.
-	toldFactor float64
+	// reportedFactor is the factor of writing that SpeedChanges has returned last, zero if none.
+	reportedFactor float64
 }
 
 // speedWeight is how much the memory on an engine counts by the factor of its time for an event.
 //
 // The chosen engine is the one with the least predicted time x memory, for the request and those
-// already there: it holds memory for the shortest time. The exponent is larger than one because a
-// request on a slow engine costs more than its own time. With an exponent of one the work in
-// progress at an engine is inverse to its factor, and slow engines still write a share of the
-// streams that makes the mean time long. The sum of all times would be least if an engine got
-// work only when the next faster ones are full: a further generation lengthens those of its engine
-// by a few percent, less than the difference between two speeds. But then only the fastest engines
-// would be measured, and their loss would break off nearly all streams. The third power is between
-// the two.
+// already there. With an exponent of one, the work in progress at an engine is inverse to its
+// factor, and slow engines write so many streams that the mean time is long. With a very large one,
+// an engine gets work only when the faster ones are full. The mean time is then shortest, but only
+// the fastest engines are measured, and their loss breaks off nearly all streams. The third power
+// is between the two.
 func speedWeight(factor float64) float64 { return factor * factor * factor }
 
 // weightedMemory is the memory that a request would hold together with those on an engine, weighted
--- a/internal/reducer/registry/restored.go
+++ b/internal/reducer/registry/restored.go
@@ -16,8 +16,8 @@
 // is PhaseGone if it has left.
 type ReportedElsewhere struct{ Server message.BackendServer }
 
-// Dropped requests that watchers be told to use a restored server no longer, unless another control
-// VM reports it.
+// Dropped requests a report to watchers that a restored server is no longer used, unless another
+// control VM reports it.
 type Dropped struct {
 	// Server has no address: watchers need only its name.
 	Server message.BackendServer
--- a/internal/reducer/speed/merge.go
+++ b/internal/reducer/speed/merge.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Observation is what one process has seen of a server: the number of its reports and the
-// geometric mean of the time for a unit.
+// Observation is the summary of one process's reports of a server: their number and the geometric
+// mean of the time for a unit.
 type Observation struct {
 	Count int
 	Mean  time.Duration
@@ -20,7 +20,7 @@
 	keptFor = 2 * time.Minute
 )
 
-// Observation returns what was seen of a server; false if nothing was seen recently.
+// Observation returns the summary of a server's reports; false if there are no recent ones.
 func (v *Service) Observation(at time.Time, c *Server) (Observation, bool) {
 	if c.direct == 0 || at.Sub(c.last) > keptFor {
 		return Observation{}, false
--- a/internal/reducer/speed/server.go
+++ b/internal/reducer/speed/server.go
@@ -11,16 +11,16 @@
 	// reportWeight is the weight of a report in the factor of its server: about the last twenty
 	// count, the generations of an engine during a few seconds.
 	reportWeight = 0.1
-	// sharedReports and independentReports are how many independent reports the estimate is worth at
-	// most. The streams of one engine share its pauses, so that twenty reports are worth fewer.
+	// sharedReports and independentReports bound the number of independent reports in the standard
+	// error. The streams of one engine share its pauses, so that twenty of them count as fewer.
 	sharedReports, independentReports = 10, 20
 	// largestStep bounds the difference, as a logarithm, with which a report counts: a stream that
 	// paused for seconds counts like one that took twice as long.
 	largestStep = math.Ln2
 	// spreads is how many standard errors a factor must differ from the median to count, and
 	// leastDifference the smallest difference, as a logarithm, that counts. Servers are compared
-	// four times a second: with three standard errors, one of fifty equal engines would seem to differ
-	// every few minutes. A difference of a tenth is what three more generations on an engine cost.
+	// several times a second: with three standard errors, one of some tens of equal engines would
+	// seem to differ every few minutes. A tenth is the effect of three more requests at usualSlope.
 	spreads         = 3.5
 	leastDifference = 0.1
 	// freshFor is how long a factor holds without reports, and fades the time in which it then
@@ -35,18 +35,18 @@
 	// determine, and largestRecentStep bounds a single report so that one outlier is no suspicion.
 	recentWeight      = 0.4
 	largestRecentStep = 1.6
-	// slowedFactor is how many times slower than usual a server that has slowed down is. A pause
-	// that takes 2.5 times as long for a whole stream is usual at some engines.
+	// slowedFactor is how many times slower than its own factor a server must be to count as slowed.
+	// One report changes the recent factor by 1.9 times at most: a single outlier is not enough.
 	slowedFactor = 2.5
-	// recoveredFactor is how many times faster than usual a server that has recovered is: its factor
-	// becomes the recent one at once. A server that was slow gets few requests, so that its factor
-	// would take long to follow.
+	// recoveredFactor is how many times faster than its own factor a server must be to count as
+	// recovered. Its factor then becomes the recent one at once: a server that was slow gets few
+	// requests, and its factor would take long to follow.
 	recoveredFactor = 1.8
 )
 
 var slowedLog, recoveredLog = math.Log(slowedFactor), math.Log(recoveredFactor)
 
-// Server is the estimate for one incarnation of a server. The zero value knows nothing.
+// Server is the estimate for one incarnation of a server. The zero value has no reports.
 type Server struct {
 	count int
 	// direct counts the reports that were not merged from others.
--- a/internal/reducer/speed/service.go
+++ b/internal/reducer/speed/service.go
@@ -25,14 +25,14 @@
 	// stays positive whatever the reports are.
 	largestSlopePart = 0.5
 	// serviceWeight is the weight of a report in the common base and slope. One server that
-	// changes its speed must not shift the base of a service, which fifty others share.
+	// changes its speed must not shift the base, which all servers of the service share.
 	serviceWeight = 0.01
 	// usualSpread is the assumed variance of the logarithm of single reports until reports show it:
 	// a stream takes a quarter more or less than usual, since it meets pauses or none.
 	usualSpread = 0.06
 )
 
-// Service is the common base and slope of the servers of a service. The zero value knows nothing.
+// Service is the common base and slope of the servers of a service. The zero value has no reports.
 type Service struct {
 	// Independent is set if the reports of a server do not overlap in time: each then says more.
 	Independent bool
