ranks: hold only the ranks that were requested

Cause: with a hundred possible ranks, each request copied and visited a hundred entries several times, for the uses and for the lines of promises. Both arrays had 100 entries of 40 bytes. Change: Uses holds the ranks that were requested, in order; promises hold lines up to the least urgent rank that was promised a time. Decisions are the same.

--- a/internal/reducer/quota/promise.go
+++ b/internal/reducer/quota/promise.go
@@ -1,16 +1,12 @@
 package quota
 
-import (
-	"time"
-
-	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
-)
+import "time"
 
 // promises holds the retry times that were sent to refused callers.
 type promises struct {
 	byCall map[uint64]promise
-	// lines holds the promises by rank.
-	lines [ranks.Max]line
+	// lines holds the promises by rank, up to the least urgent rank that was promised one.
+	lines []line
 	// demand is how much the organisation requests.
 	demand demand
 }
@@ -141,7 +137,7 @@
 // lastUpTo returns when the last promise to a request of this or a more urgent rank is due;
 // false if there is none. Promises to less urgent ranks delay no request.
 func (p *promises) lastUpTo(rank int) (last time.Time, found bool) {
-	for _, l := range p.lines[:p.demand.line(rank)+1] {
+	for _, l := range p.lines[:min(p.demand.line(rank)+1, len(p.lines))] {
 		if l.count > 0 && (!found || l.last.After(last)) {
 			last, found = l.last, true
 		}
@@ -166,6 +162,9 @@
 		p.byCall = map[uint64]promise{}
 	}
 	p.byCall[call] = made
+	if missing := made.line + 1 - len(p.lines); missing > 0 {
+		p.lines = append(p.lines, make([]line, missing)...)
+	}
 	l := &p.lines[made.line]
 	l.count, l.owed, l.last = l.count+1, l.owed+made.cost, made.due
 }
--- a/internal/reducer/ranks/uses.go
+++ b/internal/reducer/ranks/uses.go
@@ -3,7 +3,9 @@
 package ranks
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -17,12 +19,15 @@
 // Uses is what is requested and served by rank. Rank 0 is the most urgent. The zero value knows
 // of no request.
 type Uses struct {
-	at   time.Time
-	uses [Max]use
+	at time.Time
+	// uses holds the ranks that were requested, ordered by rank. Each request visits all of them,
+	// and few of the possible ranks are requested.
+	uses []use
 }
 
 // use is how much is requested at one rank.
 type use struct {
+	rank int
 	// requests and units decay with rateDecay.
 	requests, units float64
 	// settled and served count requests and decay with shareDecay.
@@ -66,15 +71,37 @@
 	u.at = at
 }
 
+// search returns the index of a rank in uses, or the one at which it would be inserted.
+func (u *Uses) search(rank int) (index int, found bool) {
+	return slices.BinarySearchFunc(u.uses, rank, func(r use, rank int) int { return cmp.Compare(r.rank, rank) })
+}
+
+// find returns the use of a rank, which is empty if the rank was never requested.
+func (u *Uses) find(rank int) use {
+	if i, found := u.search(rank); found {
+		return u.uses[i]
+	}
+	return use{rank: rank}
+}
+
+// add returns the use of a rank for a change.
+func (u *Uses) add(rank int) *use {
+	i, found := u.search(rank)
+	if !found {
+		u.uses = slices.Insert(u.uses, i, use{rank: rank})
+	}
+	return &u.uses[i]
+}
+
 // Request counts a new request.
 func (u *Uses) Request(rank int, units float64) {
-	r := &u.uses[rank]
+	r := u.add(rank)
 	r.requests, r.units = r.requests+1, r.units+units
 }
 
 // Settle counts requests that were decided, and how many of them were served.
 func (u *Uses) Settle(rank, settled, served int) {
-	r := &u.uses[rank]
+	r := u.add(rank)
 	r.settled, r.served = r.settled+float64(settled), r.served+float64(served)
 	u.compare()
 }
@@ -96,7 +123,7 @@
 }
 
 // Behind reports whether a rank is served too seldom.
-func (u *Uses) Behind(rank int) bool { return u.uses[rank].behind }
+func (u *Uses) Behind(rank int) bool { return u.find(rank).behind }
 
 // Part is the part of all requested units that is requested at a rank.
 func (u *Uses) Part(rank int) float64 {
@@ -107,17 +134,19 @@
 	if all == 0 {
 		return 0
 	}
-	return u.uses[rank].units / all
+	return u.find(rank).units / all
 }
 
 // InUse reports whether enough requests of a rank were seen to treat it as a rank of its own.
-func (u *Uses) InUse(rank int) bool { return u.uses[rank].requests >= enoughRequests }
+func (u *Uses) InUse(rank int) bool { return u.find(rank).inUse() }
+
+func (r use) inUse() bool { return r.requests >= enoughRequests }
 
 // MostUrgent returns the most urgent rank in use.
 func (u *Uses) MostUrgent() int {
-	for rank := range u.uses {
-		if u.InUse(rank) {
-			return rank
+	for _, r := range u.uses {
+		if r.inUse() {
+			return r.rank
 		}
 	}
 	return 0
@@ -126,8 +155,8 @@
 // Several reports whether more than one rank is in use.
 func (u *Uses) Several() bool {
 	count := 0
-	for rank := range u.uses {
-		if u.InUse(rank) {
+	for _, r := range u.uses {
+		if r.inUse() {
 			count++
 		}
 	}
@@ -140,8 +169,8 @@
 // MoreUrgent returns the demand of the ranks before a rank. Those with few requests are left out.
 func (u *Uses) MoreUrgent(rank int) Demand {
 	var d Demand
-	for i, r := range u.uses[:rank] {
-		if u.InUse(i) {
+	for _, r := range u.uses {
+		if r.rank < rank && r.inUse() {
 			d.requests, d.units = d.requests+r.requests, d.units+r.units
 		}
 	}
