quota: a share that falls and rises begins the buckets once

Cause: whenever the share of a control VM grew, its buckets got a part of the excess that new counters begin with. A holder whose share changes between a half and the whole, because one member freezes again and again, granted an eighth of the excess more each time. A leader that lost its leases before it had settled began with its share twice. Change: the state keeps the largest share that the buckets have begun with, and a growing share adds only what is beyond it.

--- a/internal/reducer/quota/share.go
+++ b/internal/reducer/quota/share.go
@@ -11,6 +11,9 @@
 	granted float64
 	// start is the share of the excess with which buckets begin that may grant the whole quota.
 	start float64
+	// started is the largest share that the buckets have begun with since start was set. A share
+	// that falls and rises again adds no more.
+	started float64
 	// begun is when the present share was obtained.
 	begun time.Time
 	// until is when this control VM was last known to have a share. keeps is set if its buckets
@@ -34,7 +37,7 @@
 	}
 	s.applyLent(e)
 	if e.Lead && !s.lead && granted == 0 {
-		s.share.start = s.startShare(e.At) // used once this leader has a share
+		s.setStart(s.startShare(e.At)) // used once this leader has a share
 	}
 	switch {
 	case granted > 0 && s.share.granted == 0:
@@ -62,15 +65,16 @@
 // its buckets held when it lost its last share, less what others may have been granted since.
 func (s *State) beginCounting(e LeadershipObserved, granted float64) {
 	if !e.Lead || !s.lead {
-		s.share.start = s.startShare(e.At)
+		s.setStart(s.startShare(e.At))
 	}
 	if !e.Lead {
 		s.share.changed = e.At
 	}
 	s.share.begun = e.At
+	added := s.takeStart(granted)
 	keeps := e.Leases.Enabled && s.share.keeps
 	for _, a := range s.accounts {
-		level := granted * s.share.start * s.config.excess(a.quota.PerSecond, a.quota.Burst)
+		level := added * s.config.excess(a.quota.PerSecond, a.quota.Burst)
 		if keeps {
 			kept := a.bucket.Level(e.At) - a.quota.PerSecond*e.At.Sub(s.share.until).Seconds()
 			level = max(level, kept)
@@ -80,6 +84,17 @@
 	s.share.keeps = true
 }
 
+// setStart sets the share of the excess that the buckets begin with.
+func (s *State) setStart(start float64) { s.share.start, s.share.started = start, 0 }
+
+// takeStart returns the share of the excess that buckets with a share of the quota begin with, less
+// what they have begun with already.
+func (s *State) takeStart(granted float64) float64 {
+	added := max(0, granted-s.share.started) * s.share.start
+	s.share.started = max(s.share.started, granted)
+	return added
+}
+
 // beginDeclared starts the bucket of an organisation that was not known when this control VM began to
 // count, because its process had just started: a restarted leader learns the organisations from the
 // log only after its election. It has granted nothing to them since.
@@ -111,6 +126,7 @@
 // grows adds its part of what the buckets began with.
 func (s *State) resizeShare(at time.Time, granted float64) {
 	s.share.begun = at
+	added := s.takeStart(granted)
 	for _, a := range s.accounts {
 		if granted == 0 {
 			a.freeze(s.share.until)
@@ -118,7 +134,6 @@
 		}
 		a.bucket.Level(at)
 		a.bucket.PerSecond, a.bucket.Burst = granted*a.quota.PerSecond, granted*a.quota.Burst
-		added := max(0, granted-s.share.granted) * s.share.start
 		a.bucket.Return(added * s.config.excess(a.quota.PerSecond, a.quota.Burst))
 		a.bucket.Level(at)
 	}
@@ -127,7 +142,8 @@
 // applyClockJump empties all buckets: another control VM may have granted the whole quota in the
 // time that the clock did not count.
 func (s *State) applyClockJump(at time.Time) {
-	s.share.start, s.share.begun = 0, at
+	s.setStart(0)
+	s.share.begun = at
 	if s.share.lent {
 		s.share.changed = at
 	}
