forwarder: bound the ranks of organisations and routes

Cause: the rank of an organisation is multiplied by ten. A very large rank overflowed and became the most urgent, and a route's rank below zero put its requests before those of organisations with a more urgent rank. Neither rank is checked when a routing is applied. Change: the rank of the organisation is bounded to a million either way, and that of the route within it to 0 to 9. Measured: the new lines of TestRankOfOrganisationThenOfRoute failed before and pass.

--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -49,14 +49,18 @@
 // organisation.
 const routeRanks = 10
 
-// rank returns the rank of the request among those of all organisations: by the rank of its
-// organisation, then by that of its route. Without a rank of the organisation, the rank of the route
-// takes its place. Otherwise the least urgent work of an organisation would compete as equal with its
-// most urgent work.
+// maxRank bounds the rank of an organisation, so that its product with routeRanks does not overflow.
+const maxRank = 1 << 20
+
+// rank returns the rank of the request among those of all organisations. The rank of its organisation
+// goes first, or that of its route if the organisation has none. The rank of the route then orders
+// requests of equal organisations: their least urgent requests must not compete as equal with their
+// most urgent ones.
 func (w *work) rank() int {
 	first := w.route.Rank
 	if w.organisation != nil && w.organisation.Rank != nil {
 		first = *w.organisation.Rank
 	}
-	return first*routeRanks + min(w.route.Rank, routeRanks-1)
+	first = max(-maxRank, min(first, maxRank))
+	return first*routeRanks + max(0, min(w.route.Rank, routeRanks-1))
 }
--- a/internal/forwarder/identify_test.go
+++ b/internal/forwarder/identify_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -25,4 +26,8 @@
 	is.Equal(len(slices.Compact(inOrder)), 6)
 	is.Equal(rank(-1, 1), rank(1, 1)) // without a rank of the organisation, the route's takes its place
 	is.True(rank(-1, 0) < rank(-1, 1))
+	// Ranks beyond what the product can hold, or below zero, do not change the order.
+	is.True(rank(math.MaxInt, 0) > rank(1, 0))
+	is.True(rank(-1, math.MaxInt) > rank(-1, 1))
+	is.True(rank(1, -20) > rank(0, 0))
 }
