quota: query a named holder once

Cause: an answer that names the holder put it into the list of control VMs to query, in which it could already be. A request waited twice for a holder that had failed (120 ms). Change: a named holder is moved to the front. What follows an answer is a function of its own.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -70,7 +70,7 @@
 func (c *Client) Take(ctx context.Context, charge forwarder.Charge) (forwarder.Charge, forwarder.QuotaState, error) {
 	request := message.QuotaAsk{Organisation: charge.Organisation, Cost: charge.Cost, Call: charge.Call, Late: charge.Late, Rank: charge.Rank}
 	var state forwarder.QuotaState
-	var refusal *oriolebend.Problem
+	refusal := &oriolebend.Problem{Reason: oriolebend.ReasonControlAway, Ran: oriolebend.RanNo, RetryAfter: retryUncounted}
 	leader := c.Leader()
 	queue := c.order(charge.Organisation, leader)
 	for i := 0; i < len(queue); i++ {
@@ -90,21 +90,10 @@
 		}
 		if answer.Known {
 			refusal = &oriolebend.Problem{Reason: oriolebend.ReasonQuota, Ran: oriolebend.RanNo, RetryAfter: answer.RetryAfter}
-			if answer.Share == 0 {
-				break
-			}
-			// Only another holder may grant more. The reserves of others are not for this.
-			queue = append(queue[:i+1], c.otherHolders(ctx, charge.Organisation, queue[:i+1])...)
-		} else if holder := answer.Holder; holder != "" && !slices.Contains(queue[:i+1], holder) && c.reachable(holder) {
-			queue = slices.Insert(queue, i+1, holder)
 		}
+		queue = c.queueAfter(ctx, charge.Organisation, queue, i+1, answer)
 	}
-	if refusal != nil {
-		return forwarder.Charge{}, state, refusal
-	}
-	return forwarder.Charge{}, state, &oriolebend.Problem{
-		Reason: oriolebend.ReasonControlAway, Ran: oriolebend.RanNo, RetryAfter: retryUncounted,
-	}
+	return forwarder.Charge{}, state, refusal
 }
 
 // order lists the control VMs to query: the leader, then the holders of quota leases, then some
@@ -117,12 +106,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, holder := range c.holders.list(now) {
-		order = slices.DeleteFunc(order, func(a string) bool { return a == holder })
-		order = slices.Insert(order, 0, holder)
+		order = queueNext(order, 0, holder)
 	}
 	if leader != "" {
-		order = slices.DeleteFunc(order, func(a string) bool { return a == leader })
-		order = slices.Insert(order, 0, leader)
+		order = queueNext(order, 0, leader)
 	}
 	rank := func(a string) int {
 		if now.Before(c.unreachable[a]) {
--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -57,6 +57,29 @@
 	}
 }
 
+// queueAfter returns the control VMs to query after an answer that granted nothing. The first queried of
+// them were queried already.
+func (c *Client) queueAfter(ctx context.Context, organisation string, queue []string, queried int, answer message.QuotaAnswer) []string {
+	done := queue[:queried]
+	holder := answer.Holder
+	switch {
+	case answer.Known && answer.Share == 0:
+		return done // the answer counts for the whole quota
+	case answer.Known:
+		// Only another holder may grant more. The reserves of others are not for this.
+		return append(done, c.otherHolders(ctx, organisation, done)...)
+	case holder != "" && !slices.Contains(done, holder) && c.reachable(holder):
+		return queueNext(queue, queried, holder)
+	}
+	return queue
+}
+
+// queueNext moves or inserts an address at an index of the queue, so that it is queried only once.
+func queueNext(queue []string, index int, address string) []string {
+	rest := slices.DeleteFunc(queue[index:], func(a string) bool { return a == address })
+	return slices.Insert(queue[:index+len(rest)], index, address)
+}
+
 // otherHolders returns the holders to query after a holder of half has refused.
 func (c *Client) otherHolders(ctx context.Context, organisation string, queried []string) []string {
 	others := c.unqueried(queried)
