placements, routewatch: lists in log lines are texts

Cause: the log of a process withholds lists and maps. In a run of the soak test, the lines 'engines differ in speed' and 'restored server dropped' had '[withheld] []string' for the engines and the servers. refusedByRank of 'places are short' is a map and would be withheld too. The tests used a logger that withholds nothing, or none. Change: the values are texts, of at most 8 engines (16 before) and 16 servers (20 before), since the log shortens a longer text. The tests use the logger of a process. Measured: TestDroppedServersAreLogged and TestNewLeaderLearnsSpeeds failed before. go test -race ./internal/placements ./internal/routewatch ./docs passes.

--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -122,7 +122,7 @@
 	for service, free := range s.FreeShare {
 		a.Logger.Info("places are short", "service", service, "freeShare", free, "waiting", s.Waiting,
 			"places", s.Placements, "granted", s.Granted, "full", s.Full, "hopeless", s.Unservable, "returned", s.Returned,
-			"refusedByRank", s.RefusedByRank, "reserved", s.Reserved)
+			"refusedByRank", rankCounts(s.RefusedByRank), "reserved", s.Reserved)
 	}
 }
 
--- a/internal/placements/speeds.go
+++ b/internal/placements/speeds.go
@@ -2,17 +2,18 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
 const (
 	// speedsInterval is how often the engines that differ in speed are logged.
 	speedsInterval = 10 * time.Second
-	// mostSpeedLines bounds the lines about changed speeds at a time; when a site starts, all of
-	// its engines may turn out to differ.
+	// mostSpeedLines bounds the lines about changed speeds at a time: after the start of a system,
+	// the factors of all engines may change at once.
 	mostSpeedLines = 10
-	// mostUneven is how many engines a line lists.
-	mostUneven = 16
+	// mostUneven is how many engines a line lists. The log shortens a longer text.
+	mostUneven = 8
 )
 
 // logSpeeds logs the engines whose speed has changed, and from time to time those that differ from
@@ -37,7 +38,7 @@
 		for i, e := range uneven {
 			list[i] = fmt.Sprintf("%s=%.2f/%d/%d", e.Instance, e.Factor, e.Generations, e.HeldMemory)
 		}
-		a.Logger.Info("engines differ in speed", "factorGenerationsMemory", list)
+		a.Logger.Info("engines differ in speed", "factorGenerationsMemory", strings.Join(list, " "))
 	}
 }
 
--- a/internal/placements/speeds_test.go
+++ b/internal/placements/speeds_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -12,9 +11,11 @@
 	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/forwarder"
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -27,13 +28,15 @@
 	s.allocators[name].ChangeServers(registry.Changes{Servers: list, Left: []string{"d"}}, 1)
 }
 
-// Guards against a new leader that gives slow engines as much work as fast ones until it has seen
-// enough streams end. Forwarders tell it what they have seen when they open their session; reports
-// about engines that have restarted since have no effect.
+// Guards against a new leader that gives slow engines as much work as fast ones until enough streams
+// have ended. Forwarders send it their observations when they open their session. Reports about
+// engines that have restarted since have no effect.
 func TestNewLeaderLearnsSpeeds(t *testing.T) {
 	onPlaceSite(t, func(ctx context.Context, is *is.I, s *placeSite) {
 		var log bytes.Buffer
-		s.allocators["two"].Logger = slog.New(slog.NewTextHandler(&log, nil))
+		logger, err := logging.New(settings.Log{}, &log) // as in a process: it withholds some values
+		is.NoErr(err)
+		s.allocators["two"].Logger = logger
 		s.addEngines("two", 5)
 		s.client.Speeds = func() []message.EngineSpeed {
 			speeds := []message.EngineSpeed{{Instance: "e0", Streams: 9, Event: 20 * time.Millisecond}}
@@ -54,7 +57,7 @@
 		defer s.allocators["two"].mutex.Unlock()
 		is.True(strings.Contains(log.String(), `msg="engine speed changed" service=s server=e2 factor=2 before=1`))
 		is.True(!strings.Contains(log.String(), "server=e4"))
-		is.True(strings.Contains(log.String(), `factorGenerationsMemory="[e2=`))
+		is.True(strings.Contains(log.String(), `factorGenerationsMemory="e2=2.00/`))
 	})
 }
 
--- a/internal/routewatch/restored.go
+++ b/internal/routewatch/restored.go
@@ -1,15 +1,16 @@
 package routewatch
 
 import (
+	"strings"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
 
-// droppedNames is the number of dropped servers that a log line names: after the loss of a site,
-// hundreds are dropped together.
-const droppedNames = 20
+// droppedNames is the number of dropped servers that a log line names. Hundreds may be dropped together,
+// and the log shortens a longer text.
+const droppedNames = 16
 
 // RestoredCounts counts the servers that were restored at the start.
 type RestoredCounts struct {
@@ -103,5 +104,6 @@
 		return
 	}
 	r.dropped += len(instances)
-	r.Logger.Info("restored server dropped", "servers", len(instances), "instances", instances[:min(droppedNames, len(instances))])
+	named := strings.Join(instances[:min(droppedNames, len(instances))], " ")
+	r.Logger.Info("restored server dropped", "servers", len(instances), "instances", named)
 }
--- a/internal/routewatch/restored_test.go
+++ b/internal/routewatch/restored_test.go
@@ -1,18 +1,22 @@
 package routewatch
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer/peertest"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/internal/settings"
 )
 
 // serversSink holds the servers of a forwarder.
@@ -96,6 +100,25 @@
 	})
 }
 
+// Guards against a line that does not name the dropped servers: the log of a process withholds values
+// that are not texts or numbers.
+func TestDroppedServersAreLogged(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	logger, err := logging.New(settings.Log{}, &log)
+	is.NoErr(err)
+	r := newServer(func(r *Server) { r.Logger = logger })
+	var servers []message.BackendServer
+	for i := range 2 {
+		servers = append(servers, message.BackendServer{
+			Instance: fmt.Sprint("i-", i), Address: fmt.Sprintf("10.1.0.%d:1", i), Phase: message.PhaseReady,
+		})
+	}
+	r.Restore(servers, nil)
+	r.reduce(registry.Ticked{At: time.Now().Add(registry.DefaultConfirmWithin)})
+	is.True(strings.Contains(log.String(), `msg="restored server dropped" servers=2 instances="i-0 i-1"`))
+}
+
 // Guards against forwarders that lack servers although they keep running, and against those that receive
 // the list of every control VM: a control VM sends the servers that had announced themselves to it, and
 // all of them to a forwarder that watches it first or knows too few.
