placements: wait for the first session once a leader is known

Cause: after a restart of the whole system the requests that waited for the first routing are released together, before the sessions with the allocator are open. Each forwarder chooses engines by itself, and prompts crowd at a few prefill engines. Change: until a forwarder has had a session it looks for a leader every 10 ms in place of 100 ms, and a request waits for up to 100 ms for that session if a leader is known.

--- a/internal/placements/client.go
+++ b/internal/placements/client.go
@@ -21,6 +21,11 @@
 	// leaderConfirmations is how many times in a row another leader must be seen, since a control
 	// VM that is cut off may name the previous one for a moment.
 	leaderConfirmations = 2
+	// firstLeaderDelay is the pause between two checks for a leader until one is known.
+	firstLeaderDelay = 10 * time.Millisecond
+	// firstSessionTimeout bounds the wait of a request for the first session, once a leader is known.
+	// A session is open within a few round trips, and a placement by the allocator is worth that.
+	firstSessionTimeout = 100 * time.Millisecond
 	// openTimeout bounds the opening of a session.
 	openTimeout = time.Second
 	// answerMargin is how much longer than a placement request may wait its answer is awaited. After
@@ -45,6 +50,9 @@
 	Speeds func() []message.EngineSpeed
 	Logger *slog.Logger
 
+	// opened is closed when the first session has started.
+	opened chan struct{}
+
 	mutex  sync.Mutex
 	lastID uint64
 	outbox *peer.Outbox
@@ -69,6 +77,7 @@
 
 // Prepare initializes the client; it must be called before any other method.
 func (c *Client) Prepare() {
+	c.opened = make(chan struct{})
 	c.pending = map[uint64]chan message.PlaceAnswer{}
 	c.held = map[uint64]heldPlacement{}
 }
@@ -78,9 +87,11 @@
 	address := ""
 	for ctx.Err() == nil {
 		address = cmp.Or(c.Leader(), address)
-		if address != "" {
-			c.runSession(ctx, address)
+		if address == "" {
+			pause.For(ctx, firstLeaderDelay)
+			continue
 		}
+		c.runSession(ctx, address)
 		pause.For(ctx, reconnectDelay)
 	}
 }
@@ -142,6 +153,11 @@
 	}
 	o.Put(open)
 	c.outbox = o
+	select {
+	case <-c.opened:
+	default:
+		close(c.opened)
+	}
 	c.lastReceived, c.probeSent, c.unresponsive = time.Now(), time.Time{}, false
 }
 
@@ -184,6 +200,7 @@
 
 // Place implements forwarder.Places.
 func (c *Client) Place(ctx context.Context, q forwarder.PlacementRequest) (dispatch.Effect, bool) {
+	c.awaitFirstSession(ctx)
 	id, waiting := c.sendRequest(q)
 	if waiting == nil {
 		return nil, false
@@ -209,6 +226,29 @@
 	return nil, false
 }
 
+// awaitFirstSession waits for a moment until this forwarder has had a session, if a leader is known.
+//
+// After a restart of the whole system, the requests that have waited for the first routing are
+// released together. Without a session each forwarder would choose engines by itself, knowing of no
+// other's work: many prompts would wait at a few prefill engines while others are idle.
+func (c *Client) awaitFirstSession(ctx context.Context) {
+	select {
+	case <-c.opened:
+		return
+	default:
+	}
+	if c.Leader() == "" {
+		return
+	}
+	timer := time.NewTimer(firstSessionTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.opened:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // await waits for an answer. received is false if none has arrived; ok is false if the session has
 // ended.
 func (c *Client) await(ctx context.Context, waiting <-chan message.PlaceAnswer, within time.Duration) (answer message.PlaceAnswer, ok, received bool) {
--- a/internal/placements/placements_test.go
+++ b/internal/placements/placements_test.go
@@ -242,3 +242,25 @@
 		s.granted(ctx, is, 900)
 	})
 }
+
+// Guards against prompts that crowd at a few prefill engines after a restart of the whole system: a
+// request that comes just before the first session has opened waits for it, and one without any
+// leader does not wait.
+func TestRequestWaitsForTheFirstSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newPlaceSite(ctx)
+		began := time.Now()
+		_, asked := s.client.Place(ctx, forwarder.PlacementRequest{Need: dispatch.Need{Service: "s", Prompt: 100}, Within: time.Second})
+		is.True(!asked)
+		is.Equal(time.Since(began), time.Duration(0))
+		s.lead("one:1")
+		effect, asked := s.client.Place(ctx, forwarder.PlacementRequest{Need: dispatch.Need{Service: "s", Prompt: 100}, Within: time.Second})
+		is.True(asked)
+		_, granted := effect.(dispatch.Granted)
+		is.True(granted)
+		is.True(time.Since(began) <= firstSessionTimeout)
+	})
+}
