placement: requests that no engine can hold do not count for the reservation

Cause: a caller states the size of its prompt, and that size counted as demand of its rank. After one request of 10^12 tokens at rank 0, less urgent requests of all organisations were refused for more than 30 s while half of the memory was free. Change: a request larger than the memory of an engine is neither counted as requested nor as refused.

--- a/internal/reducer/dispatch/room.go
+++ b/internal/reducer/dispatch/room.go
@@ -46,6 +46,12 @@
 	}
 }
 
+// Fits reports whether an engine of the service could hold a generation if it held nothing else.
+func Fits(s *State, n Need) bool {
+	v := s.services[n.Service]
+	return v == nil || v.limits.Engine == nil || n.Memory() <= s.capacity(v)
+}
+
 // MayOverflow reports whether a decode engine may prefill a prompt itself if the queues of the
 // prefill engines are long.
 func MayOverflow(s *State, n Need) bool {
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -17,6 +17,8 @@
 	rank int
 	// level is the rank by which the request is counted.
 	level int
+	// fits is false if no engine can hold the request.
+	fits bool
 	// order is the rank by which the request is sorted.
 	order  int
 	call   uint64
@@ -39,7 +41,7 @@
 	s.arrivals++
 	q := &request{
 		key: e.Key, need: e.Need, rank: e.Rank, level: ranks.Limit(e.Rank), call: e.Call,
-		inTime: e.InTime, until: e.Until, arrival: s.arrivals,
+		inTime: e.InTime, until: e.Until, arrival: s.arrivals, fits: dispatch.Fits(s.engines, e.Need),
 	}
 	if first, returned := s.refused.inTimeOf(e.Call); returned && first.Before(q.inTime) {
 		q.inTime, q.returned = first, true
--- a/internal/reducer/placement/rank.go
+++ b/internal/reducer/placement/rank.go
@@ -28,8 +28,12 @@
 	urgentQueue = 0.5
 )
 
-// observe counts a new request.
+// observe counts a new request. One that no engine can hold takes no memory; its size would reserve
+// all memory until it has decayed.
 func (d *demand) observe(q *request, at time.Time) {
+	if !q.fits {
+		return
+	}
 	d.ranks.Advance(at)
 	d.ranks.Request(q.level, float64(q.need.Memory()))
 	slack := &d.slack[q.level]
@@ -44,6 +48,9 @@
 
 // settled counts a request that was granted a placement or refused.
 func (d *demand) settled(q *request, at time.Time, served bool) {
+	if !q.fits {
+		return
+	}
 	d.ranks.Advance(at)
 	granted := 0
 	if served {
