placement: without an engine of good health ranks reserve nothing

Cause: the room for urgent requests counted only engines of good health. While the leader received no announcements of any engine, requests still went to the engines, but there was no room, so that less urgent ranks waited and were refused. Without a prefill engine of good health the queue was computed as if there were one. Change: if the memory of no engine is known, nothing is reserved; if no prefill engine is, no request is refused for their queue.

--- a/internal/reducer/placement/rank.go
+++ b/internal/reducer/placement/rank.go
@@ -91,7 +91,8 @@
 	}
 	urgent := f.demand.ranks.MoreUrgent(q.level)
 	rate, known := f.freeRate()
-	if urgent.None() || !known || f.demand.ranks.Behind(q.level) {
+	// Without an engine of good health no memory is known, and the best of the others are used.
+	if room.All == 0 || urgent.None() || !known || f.demand.ranks.Behind(q.level) {
 		return true
 	}
 	// What more urgent ranks request until as much memory as this request takes is free.
@@ -131,8 +132,11 @@
 		return false
 	}
 	room := s.room(r, f, q)
+	if room.Prefill == 0 {
+		return false
+	}
 	prompts := s.engines.PrefillTime(q.need.Service, r.prompts[q.need.Service])
-	queue := room.Queue + prompts/time.Duration(max(1, room.Prefill)) - f.demand.queueLimit(r.at, q)
+	queue := room.Queue + prompts/time.Duration(room.Prefill) - f.demand.queueLimit(r.at, q)
 	return r.at.Add(queue).After(q.inTime)
 }
 
--- a/internal/reducer/placement/script_test.go
+++ b/internal/reducer/placement/script_test.go
@@ -19,7 +19,7 @@
 
 // TestScripts runs the files of testdata/scripts. Each line is an event:
 //
-//	engines PREFILL DECODE TOKENS     the number of engines, and the memory of each
+//	engines PREFILL DECODE TOKENS [silent]   the number of engines, and the memory of each
 //	request SESSION/ID TOKENS [rank=N] [late] [call=N]
 //	withdraw SESSION/ID | prefilled SESSION/ID | end SESSION/ID OUTCOME
 //	resume SESSION/ID TOKENS ENGINE   a placement that an earlier leader granted
@@ -106,7 +106,7 @@
 	add := func(count int, name string, role oriolebend.PoolRole) {
 		for i := range count {
 			list = append(list, message.BackendServer{
-				Instance: fmt.Sprintf("%s%d", name, i), Service: "s", Phase: message.PhaseReady, Role: role,
+				Instance: fmt.Sprintf("%s%d", name, i), Service: "s", Phase: message.PhaseReady, Role: role, Silent: len(words) > 4,
 			})
 		}
 	}
