quota: a request counts as demand of its rank up to the burst

Cause: the cost of a request counted in full. After one request of 10^12 tokens, half of the burst was reserved for its rank and callers of less urgent ranks had to wait for 20 s, for as long as the organisation exceeded its quota and the size had not decayed. Change: a request counts up to the burst, which is what the bucket must hold for it.

--- a/internal/reducer/quota/rank.go
+++ b/internal/reducer/quota/rank.go
@@ -36,7 +36,7 @@
 		return
 	}
 	d.spare = max(d.spare-e.Cost, -excessMemory.Seconds()*b.PerSecond)
-	d.ranks.Request(e.Rank, e.Cost)
+	d.ranks.Request(e.Rank, min(e.Cost, b.Burst)) // the bucket need not hold more for a request
 	d.ranks.Settle(e.Rank, 1, 0)
 }
 
