placements: the rank on the wire keeps its meaning

Cause: forwarders sent the rank of the organisation times ten plus that of the route in the field that held the rank before. During an update, requests of rank 2 of an earlier forwarder went before those of rank 1 of others. Change: the field holds the rank as before. The rank of the route is a new optional field, 18, and the allocator combines both (ranks.Combine).

--- a/internal/forwarder/identify.go
+++ b/internal/forwarder/identify.go
@@ -45,22 +45,10 @@
 	return w.organisation.Name
 }
 
-// routeRanks is the number of ranks of routes that are told apart within the same rank of an
-// organisation.
-const routeRanks = 10
-
-// maxRank bounds the rank of an organisation, so that its product with routeRanks does not overflow.
-const maxRank = 1 << 20
-
-// rank returns the rank of the request among those of all organisations. The rank of its organisation
-// goes first, or that of its route if the organisation has none. The rank of the route then orders
-// requests of equal organisations: their least urgent requests must not compete as equal with their
-// most urgent ones.
+// rank returns the rank of the organisation, or that of the route if the organisation has none.
 func (w *work) rank() int {
-	first := w.route.Rank
 	if w.organisation != nil && w.organisation.Rank != nil {
-		first = *w.organisation.Rank
+		return *w.organisation.Rank
 	}
-	first = max(-maxRank, min(first, maxRank))
-	return first*routeRanks + max(0, min(w.route.Rank, routeRanks-1))
+	return w.route.Rank
 }
--- a/internal/forwarder/identify_test.go
+++ b/internal/forwarder/identify_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -19,7 +20,7 @@
 		if organisation >= 0 {
 			w.organisation.Rank = &organisation
 		}
-		return w.rank()
+		return ranks.Combine(w.rank(), w.route.Rank)
 	}
 	inOrder := []int{rank(0, 0), rank(0, 2), rank(0, 40), rank(1, 0), rank(1, 1), rank(2, 0)}
 	is.True(slices.IsSorted(inOrder))
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -28,7 +28,10 @@
 // PlacementRequest describes the placement that a request needs.
 type PlacementRequest struct {
 	Need dispatch.Need
+	// Rank is the rank of the organisation, or that of the route if the organisation has none.
 	Rank int
+	// RouteRank orders requests of one Rank.
+	RouteRank int
 	// Call is the same for all tries of a caller at one request.
 	Call uint64
 	// InTime is how much longer the request can wait and still meet its target, Within how long it
@@ -159,7 +162,7 @@
 		remaining = 0
 	}
 	return w.f.config.Places.Place(ctx, PlacementRequest{
-		Need: need, Rank: w.rank(), Call: w.info.Call, Remaining: remaining,
+		Need: need, Rank: w.rank(), RouteRank: w.route.Rank, Call: w.info.Call, Remaining: remaining,
 		InTime: w.placementSlack(age),
 		Within: min(time.Duration(maxWaitFactor*target)-age, w.remaining()),
 	})
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -44,6 +44,8 @@
 	Output  int    `cbor:"4,keyasint"`
 	// Rank orders requests that compete; 0 goes first.
 	Rank int `cbor:"5,keyasint,omitempty"`
+	// RouteRank orders requests of one Rank.
+	RouteRank int `cbor:"18,keyasint,omitempty"`
 	// InTime is how much longer the request can wait and still meet its target,
 	// Within is how long it may wait at most.
 	InTime time.Duration `cbor:"6,keyasint,omitempty"`
--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -15,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/placement"
+	"github.com/oriolebend/oriolebend/internal/reducer/ranks"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -255,7 +256,7 @@
 				need.Deadline = now.Add(m.Remaining)
 			}
 			a.reduce(placement.Requested{
-				At: now, Key: key, Need: need, Rank: q.Rank, Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
+				At: now, Key: key, Need: need, Rank: ranks.Combine(q.Rank, q.RouteRank), Call: q.Call, InTime: now.Add(q.InTime), Until: now.Add(q.Within),
 			})
 		}
 	case message.PlaceProbed:
--- a/internal/placements/client.go
+++ b/internal/placements/client.go
@@ -264,7 +264,7 @@
 	waiting := make(chan message.PlaceAnswer, 1)
 	c.pending[c.lastID] = waiting
 	c.sendEvent(message.PlaceEvent{ID: c.lastID, Step: message.PlaceAsked, Remaining: q.Remaining, Request: &message.PlacementRequest{
-		ID: c.lastID, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Rank: q.Rank, Call: q.Call,
+		ID: c.lastID, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Rank: q.Rank, RouteRank: q.RouteRank, Call: q.Call,
 		InTime: q.InTime, Within: q.Within, Tried: q.Need.Tried, Excluded: q.Need.Excluded,
 		FirstWithin: q.Need.FirstWithin, PauseWithin: q.Need.PauseWithin,
 	}})
