quotalease, quota, replica: exact names and comments

Cause: comments and names used figurative words (heard, silent, told, owed, reign, quiet), and some doc comments were one long sentence. Change: names and comments only: messages received, election timeout, reported. No field on the wire, log message or metric is renamed. Measured: go test -race of quotalease, quota, internal/quota and replica passes.

--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -66,7 +66,7 @@
 	case answer.Known && answer.Share == 0:
 		return done // the answer counts for the whole quota
 	case answer.Known:
-		// Only another holder may grant more. The reserves of others are not for this.
+		// Only another holder may grant more. Reserves must not serve requests beyond the quota.
 		return append(done, c.otherHolders(ctx, organisation, done)...)
 	case holder != "" && !slices.Contains(done, holder) && c.reachable(holder):
 		return queueNext(queue, queried, holder)
--- a/internal/quota/leases.go
+++ b/internal/quota/leases.go
@@ -21,8 +21,8 @@
 	Dialer peer.Dialer
 	// Members returns the voting members of the group, none if this control VM does not know them.
 	Members func() []message.Member
-	// Lost returns since when this control VM has neither led nor heard a leader, the zero time if
-	// there is a leader.
+	// Lost returns when this control VM ceased to lead or last received a message of a leader, and the
+	// zero time if there is a leader.
 	Lost func() time.Time
 
 	state    *quotalease.State
@@ -33,7 +33,7 @@
 	names     []string
 	addresses map[string]string
 	waiting   map[string]bool
-	// leader and lost are what the reducer was last told, and held the share that was last logged.
+	// leader and lost were last reported to the reducer, and held is the share that was last logged.
 	leader  string
 	lost    time.Time
 	held    float64
@@ -55,15 +55,15 @@
 	return reducer.Reduce(&reducer.State{QuotaLease: l.state}, e)
 }
 
-// observe reports the leadership if it has changed. It runs for each request, so that a control VM
-// stops to grant under leases as soon as it knows a leader.
+// observe reports the leadership to the reducer if it has changed. It runs for each request, so that a
+// control VM stops granting under leases as soon as it knows a leader.
 func (l *Leases) observe(at time.Time, leader string, jumped bool) quota.Leases {
 	if jumped {
 		l.reduce(quotalease.ClockJumped{At: at})
 	}
 	lost := l.Lost()
 	if !lost.IsZero() {
-		leader = "" // one that is still known is silent
+		leader = "" // no messages of one that is still known were received for the election timeout
 	}
 	if leader != l.leader || lost != l.lost {
 		l.leader, l.lost = leader, lost
--- a/internal/reducer/quota/event.go
+++ b/internal/reducer/quota/event.go
@@ -32,7 +32,7 @@
 	Enabled bool
 	// Share is the share of each quota that this control VM may grant, as leader or under leases.
 	Share float64
-	// Lent is set while a lease of this control VM to another one is in force.
+	// Lent is set while this control VM has leased to another one.
 	Lent bool
 }
 
--- a/internal/reducer/quota/promise.go
+++ b/internal/reducer/quota/promise.go
@@ -14,9 +14,9 @@
 // line is the promises made to requests of one rank. Each falls due after the one before.
 type line struct {
 	count int
-	// owed is the sum of the promises' costs, and last the time at which the latest one is
+	// cost is the sum of the promises' costs, and last the time at which the latest one is
 	// due.
-	owed float64
+	cost float64
 	last time.Time
 }
 
@@ -126,10 +126,10 @@
 			continue
 		}
 		if rank == own.line {
-			l.owed -= own.cost
+			l.cost -= own.cost
 		}
 		refill := promiseShare * perSecond * l.last.Sub(at).Seconds()
-		kept += max(0, l.owed-max(0, refill))
+		kept += max(0, l.cost-max(0, refill))
 	}
 	return kept
 }
@@ -147,14 +147,14 @@
 
 // room reports whether another cost can be promised.
 func (p *promises) room(cost, perSecond float64) bool {
-	lines, owed := 0, cost
+	lines, promised := 0, cost
 	for _, l := range p.lines {
 		if l.count > 0 {
-			lines, owed = lines+1, owed+l.owed
+			lines, promised = lines+1, promised+l.cost
 		}
 	}
 	most := promiseMost * perSecond * promiseAhead.Seconds()
-	return len(p.byCall) < maxPromises && (lines <= 1 || owed <= most)
+	return len(p.byCall) < maxPromises && (lines <= 1 || promised <= most)
 }
 
 func (p *promises) add(call uint64, made promise) {
@@ -166,16 +166,16 @@
 		p.lines = append(p.lines, make([]line, missing)...)
 	}
 	l := &p.lines[made.line]
-	l.count, l.owed, l.last = l.count+1, l.owed+made.cost, made.due
+	l.count, l.cost, l.last = l.count+1, l.cost+made.cost, made.due
 }
 
 func (p *promises) drop(call uint64) {
 	made := p.byCall[call]
 	delete(p.byCall, call)
 	l := &p.lines[made.line]
-	l.count, l.owed = l.count-1, l.owed-made.cost
+	l.count, l.cost = l.count-1, l.cost-made.cost
 	if l.count == 0 {
-		l.owed = 0
+		l.cost = 0
 	}
 }
 
--- a/internal/reducer/quota/share.go
+++ b/internal/reducer/quota/share.go
@@ -20,8 +20,8 @@
 	// have counted up to then.
 	until time.Time
 	keeps bool
-	// changed is when another control VM may last have begun to count without being known here
-	// as a leader, or when this one began to count under leases.
+	// changed is when another control VM may last have begun to count under leases, which is not
+	// known here as a change of the leader, or when this one did.
 	changed time.Time
 	lent    bool
 }
@@ -51,8 +51,8 @@
 	}
 }
 
-// applyLent records the end of a time in which this control VM has leased to another. Whoever held
-// the leases has begun with a share of the excess.
+// applyLent records when a lease of this control VM to another one ends. The holder of the lease has
+// begun with a share of the excess.
 func (s *State) applyLent(e LeadershipObserved) {
 	lent := e.Leases.Lent
 	if s.share.lent && !lent {
@@ -96,8 +96,8 @@
 }
 
 // beginDeclared starts the bucket of an organisation that was not known when this control VM began to
-// count, because its process had just started: a restarted leader learns the organisations from the
-// log only after its election. It has granted nothing to them since.
+// count. A restarted leader learns the organisations from the log only after its election, and has
+// granted nothing to them since.
 func (s *State) beginDeclared(a *account, at time.Time) {
 	if s.share.granted == 0 {
 		return
--- a/internal/reducer/quota/state.go
+++ b/internal/reducer/quota/state.go
@@ -132,9 +132,9 @@
 }
 
 // startShare returns the share of the excess that the buckets begin with when this control VM
-// becomes the leader or a holder of leases. Each earlier leader began with such a share too, so that every change of
-// the leader within a window adds one: a control VM that has seen a change within the last
-// window begins with nothing.
+// becomes the leader or a holder of leases. Each earlier one began with such a share too, so that
+// every change within a window adds one. A control VM that has seen a change within the last window
+// therefore begins with nothing.
 func (s *State) startShare(at time.Time) float64 {
 	since := s.leaderSince
 	if s.leader == "" {
--- a/internal/reducer/quotalease/agreement_test.go
+++ b/internal/reducer/quotalease/agreement_test.go
@@ -14,7 +14,7 @@
 )
 
 // agreement simulates the election of leaders in a group. A member votes only if it has neither
-// heard from a leader nor voted nor started within the election timeout.
+// received a message of a leader nor voted nor started within the election timeout.
 type agreement struct {
 	*group
 	random *rand.Rand
@@ -69,7 +69,7 @@
 			continue
 		}
 		a.expire(name)
-		a.loseSilent(name)
+		a.expireLeader(name)
 		switch v := a.voters[name]; {
 		case v.leads && a.now.Sub(start)%heartbeats == 0:
 			a.heartbeat(name)
@@ -90,8 +90,9 @@
 	}
 }
 
-// loseSilent has a member lose a leader that it has not heard for long.
-func (a *agreement) loseSilent(name string) {
+// expireLeader ends the leader of a member that has received none of its messages for the election
+// timeout.
+func (a *agreement) expireLeader(name string) {
 	v := a.voters[name]
 	if !v.leads && a.nodes[name].leader != "" && a.clock(name).Sub(v.contact) >= electionTimeout {
 		a.setLeader(name, "")
--- a/internal/reducer/quotalease/candidate.go
+++ b/internal/reducer/quotalease/candidate.go
@@ -35,7 +35,7 @@
 // mayRequest reports whether this member is a candidate. A holder does not give way to a lower
 // name, so that a member that returns does not interrupt it.
 func (s *State) mayRequest(at time.Time) bool {
-	if !s.Leaderless(at) || at.Before(s.quietUntil) || !s.members.has(s.self) || s.Holder(at) != "" {
+	if !s.Leaderless(at) || at.Before(s.noGrantUntil) || !s.members.has(s.self) || s.Holder(at) != "" {
 		return false
 	}
 	if s.Share(at) > 0 {
@@ -68,17 +68,17 @@
 	answer := Answer{Number: e.Ask.Number}
 	switch {
 	case e.Ask.Leads:
-		s.asked = e.At // this member may not know yet that the sender leads
+		s.leaderAsked = e.At // this member may not know yet that the sender leads
 		s.endCandidacy()
-	case s.Leaderless(e.At) && !e.At.Before(s.quietUntil):
-		answer.Granted = s.lend(e)
+	case s.Leaderless(e.At) && !e.At.Before(s.noGrantUntil):
+		answer.Granted = s.grantLease(e)
 	}
 	answer.LeasedTo, answer.Members = s.leasedTo(e.At), s.members.count()
 	return answer
 }
 
-// lend grants the lease of this member to a candidate, unless another one has it.
-func (s *State) lend(e Asked) bool {
+// grantLease grants the lease of this member to a candidate, unless another one has it.
+func (s *State) grantLease(e Asked) bool {
 	if e.From < s.self {
 		s.lowerAsked = e.At
 		if s.leasedTo(e.At) == s.self && s.Share(e.At) == 0 {
@@ -100,7 +100,7 @@
 	}
 	delete(s.asks, e.Answer.Number)
 	if s.leader == s.self {
-		s.reign.applyAnswer(e)
+		s.election.applyAnswer(e)
 		return
 	}
 	if e.Answer.Granted && s.leasedTo(e.At) == s.self {
--- a/internal/reducer/quotalease/event.go
+++ b/internal/reducer/quotalease/event.go
@@ -11,8 +11,8 @@
 	// Leader names the leader, empty if none is known. It is this member only while its
 	// leadership has not expired.
 	Leader string
-	// Lost is since when this member has neither led nor heard a leader; it is used while Leader is
-	// empty.
+	// Lost is when this member ceased to lead or last received a message of a leader. It is used while
+	// Leader is empty.
 	Lost time.Time
 	// Members names the voting members; it is empty if they are not known.
 	Members []string
--- a/internal/reducer/quotalease/leader.go
+++ b/internal/reducer/quotalease/leader.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// reign is what a leader knows of the leases that were in force at its election.
-type reign struct {
+// election is what a leader knows of the leases that were in force at its election.
+type election struct {
 	since time.Time
 	// first is the number of the last request before the election.
 	first uint64
@@ -16,16 +16,17 @@
 	done     bool
 }
 
-// unknownShare is the share that a new leader grants until it knows which leases are in force,
-// if it has itself not been without a leader for a Lease. Then others seldom have been.
+// unknownShare is the share that a new leader grants until it knows which leases are in force. It
+// grants nothing if it has itself been without a leader for a Lease, as others may then hold the
+// whole.
 const unknownShare = 0.5
 
-func (s *State) beginReign(at time.Time) {
-	s.reign = reign{since: at, first: s.number, leasedTo: map[string]string{}}
-	s.reign.holder = s.leasedShare(at) > 0
+func (s *State) beginLeading(at time.Time) {
+	s.election = election{since: at, first: s.number, leasedTo: map[string]string{}}
+	s.election.holder = s.leasedShare(at) > 0
 	s.candidateSince = time.Time{}
 	if !s.Leaderless(at) {
-		s.reign.share = unknownShare
+		s.election.share = unknownShare
 	}
 }
 
@@ -33,26 +34,26 @@
 	switch {
 	case s.settled(at):
 		return 1
-	case s.reign.holder:
+	case s.election.holder:
 		return s.leasedShare(at)
 	}
-	return s.reign.share
+	return s.election.share
 }
 
-func (r *reign) applyAnswer(e Answered) {
-	if e.Answer.Number > r.first {
-		r.leasedTo[e.From] = e.Answer.LeasedTo
+func (l *election) applyAnswer(e Answered) {
+	if e.Answer.Number > l.first {
+		l.leasedTo[e.From] = e.Answer.LeasedTo
 	}
 }
 
 // settled reports whether too few leases can be in force for another holder to have a share.
 func (s *State) settled(at time.Time) bool {
-	if s.reign.done {
+	if s.election.done {
 		return true
 	}
 	free := 0
 	for _, name := range s.members.names {
-		leasedTo, ended := s.reign.leasedTo[name]
+		leasedTo, ended := s.election.leasedTo[name]
 		if name == s.self {
 			leasedTo, ended = s.Holder(at), true
 		}
@@ -60,12 +61,12 @@
 			free++
 		}
 	}
-	s.reign.done = 2*(s.members.count()-free) < s.members.count() || at.Sub(s.reign.since) >= settleTimeout
-	return s.reign.done
+	s.election.done = 2*(s.members.count()-free) < s.members.count() || at.Sub(s.election.since) >= settleTimeout
+	return s.election.done
 }
 
 // stopped reports whether a candidate is known to grant under no lease.
 func (s *State) stopped(name string) bool {
-	_, answered := s.reign.leasedTo[name]
+	_, answered := s.election.leasedTo[name]
 	return name == "" || name == s.self || answered
 }
--- a/internal/reducer/quotalease/state.go
+++ b/internal/reducer/quotalease/state.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Lease is the duration of a lease. It is longer than the lease of a leader (225 ms), so that a
-// member that has heard no leader for a Lease supports none, and than an election usually takes.
+// Lease is the duration of a lease. It is longer than the lease of a leader (225 ms): a member that
+// has received no message of a leader for a Lease supports none. It is also longer than most elections.
 const Lease = 500 * time.Millisecond
 
 const (
@@ -21,11 +21,11 @@
 	self    string
 	members members
 	leader  string
-	// lost is since when this member has neither led nor heard a leader, and asked is when a new
-	// leader last asked it for its lease.
-	lost, asked time.Time
-	// quietUntil is the time before which this member grants no lease.
-	quietUntil time.Time
+	// lost is when this member ceased to lead or last received a message of a leader. leaderAsked is
+	// when a new leader last requested the lease in force.
+	lost, leaderAsked time.Time
+	// noGrantUntil is the time before which this member grants no lease.
+	noGrantUntil time.Time
 	// grant is the lease that this member has granted last, possibly to itself.
 	grant lease
 	// lowerAsked is when a candidate with a lower name has asked last.
@@ -36,9 +36,9 @@
 	// held maps a member to the end of its lease to this member.
 	held map[string]time.Time
 	// asks holds the requests sent within a Lease, by number.
-	asks   map[uint64]ask
-	number uint64
-	reign  reign
+	asks     map[uint64]ask
+	number   uint64
+	election election
 }
 
 type lease struct {
@@ -55,7 +55,7 @@
 // may have granted one just before.
 func New(self string, at time.Time) *State {
 	return &State{
-		self: self, lost: at, quietUntil: at.Add(Lease),
+		self: self, lost: at, noGrantUntil: at.Add(Lease),
 		held: map[string]time.Time{}, asks: map[uint64]ask{},
 	}
 }
@@ -72,7 +72,7 @@
 	case Answered:
 		s.applyAnswered(e)
 	case ClockJumped:
-		s.quietUntil = e.At.Add(Lease)
+		s.noGrantUntil = e.At.Add(Lease)
 		clear(s.asks) // a lease counts from the request, whose time by this clock is too late now
 		s.endCandidacy()
 	}
@@ -83,7 +83,7 @@
 	s.members.names = e.Members
 	s.members.note(e.At, len(e.Members))
 	if e.Leader == s.self && s.leader != s.self {
-		s.beginReign(e.At)
+		s.beginLeading(e.At)
 	}
 	s.leader = e.Leader
 	if e.Leader != "" && e.Leader != s.self {
@@ -97,7 +97,7 @@
 
 // Leaderless reports whether this member has known no leader for a Lease.
 func (s *State) Leaderless(at time.Time) bool {
-	return s.leader == "" && at.Sub(s.lost) >= Lease && at.Sub(s.asked) >= Lease
+	return s.leader == "" && at.Sub(s.lost) >= Lease && at.Sub(s.leaderAsked) >= Lease
 }
 
 // Holder names the candidate to which this member has leased, empty if there is none.
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -46,17 +46,18 @@
 	name, address string
 	// until is the end of the lease, on the leader itself only; zero means none.
 	until time.Time
-	// leads is set on the leader itself. On other members, heard is when the leader was heard last.
-	leads bool
-	heard time.Time
-	// lost is when the last leader was heard, or this member ceased to lead; it is used while name is
-	// empty.
+	// leads is set on the leader itself. On other members, lastContact is when the last message of
+	// the leader was received.
+	leads       bool
+	lastContact time.Time
+	// lost is when this member ceased to lead or received the last message of a leader. It is used
+	// while name is empty.
 	lost time.Time
 }
 
-// Leaderless returns since when this member has neither led nor heard a leader, the zero time if
-// there is a leader. A leader that was silent for the election timeout counts as lost, although Leader
-// names it until this member stands for election.
+// Leaderless returns when this member ceased to lead or last received a message of a leader, and the
+// zero time if there is a leader. A leader without messages for the election timeout counts as lost,
+// although Leader names it until this member stands for election.
 func (r *Replica) Leaderless() time.Time {
 	view := r.leader.Load()
 	switch now := time.Now(); {
@@ -64,8 +65,8 @@
 		return view.lost
 	case !view.until.IsZero() && !now.Before(view.until):
 		return view.until
-	case !view.leads && now.Sub(view.heard) >= time.Duration(r.state.Config.ElectionTicks)*r.config.TickEvery:
-		return view.heard
+	case !view.leads && now.Sub(view.lastContact) >= time.Duration(r.state.Config.ElectionTicks)*r.config.TickEvery:
+		return view.lastContact
 	}
 	return time.Time{}
 }
@@ -114,7 +115,7 @@
 	view := leaderView{name: leader.Name, address: leader.Address}
 	view.leads = s.Role == agreement.Leader
 	if !view.leads && view.name != "" {
-		view.heard = r.start.Add(time.Duration(s.LastContact()) * r.config.TickEvery)
+		view.lastContact = r.start.Add(time.Duration(s.LastContact()) * r.config.TickEvery)
 	}
 	if view.leads && len(s.Members) > 1 {
 		view.until = r.start.Add(time.Duration(s.LeaseEnd()) * r.config.TickEvery)
@@ -128,13 +129,13 @@
 	}
 }
 
-// lostAt returns since when there is no leader, if there is none now and old was published last.
+// lostAt returns since when there is no leader, if none is known now and old was published last.
 func lostAt(old *leaderView) time.Time {
 	switch {
 	case old != nil && old.name == "":
 		return old.lost
 	case old != nil && !old.leads:
-		return old.heard
+		return old.lastContact
 	}
 	return time.Now()
 }
