--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -235,8 +235,8 @@
 }
 
 // notReached reports whether a send failed before anything was sent, to a server that a control VM
-// restored and that has not announced itself since. It may have ended before the restart, so that the
-// send does not count as one of the request's attempts.
+// restored and that has not announced itself since. Such a server may have ended before the restart,
+// and the send does not count as one of the request's attempts.
 func notReached(server message.BackendServer, err error) bool {
 	return server.Unconfirmed && ranOf(err) == oriolebend.RanNo
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -235,9 +235,8 @@
 	return s.answer.Write(event.raw)
 }
 
-// reportStreamEnded reports the end of the send, and how long the engine wrote how many events. A
-// silence before the end of a stream that broke off is not included: it says nothing about the
-// engine's speed.
+// reportStreamEnded reports the end of the send, how many events the engine wrote, and how long that
+// took. The time after the last event is not included: in a stream that broke off it is a timeout.
 func (s *streamSend) reportStreamEnded(outcome dispatch.Outcome) {
 	s.f.reportEnded(dispatch.Ended{
 		At: s.f.now(), Grant: s.grant, Outcome: outcome, Writing: s.lastReceived.Sub(s.started), Events: s.events,
--- a/internal/reducer/placement/rank.go
+++ b/internal/reducer/placement/rank.go
@@ -22,9 +22,8 @@
 	mostHeld = 0.25
 	// slackWeight is the weight of each request in the usual slack of its rank.
 	slackWeight = 0.1
-	// urgentQueue is the part of the slack of more urgent requests for which a less urgent
-	// prompt may wait in the queue of a prefill engine. The rest is for urgent prompts that
-	// arrive together.
+	// urgentQueue is the largest queue of a prefill engine to which a less urgent prompt is added, as
+	// a part of the slack of more urgent requests. The rest is for urgent prompts that arrive together.
 	urgentQueue = 0.5
 )
 
--- a/internal/reducer/ranks/uses.go
+++ b/internal/reducer/ranks/uses.go
@@ -1,5 +1,5 @@
-// Package ranks tracks how much is requested at each rank and how often each rank is served. It
-// is part of the reducers that share something scarce between ranks; time comes in calls.
+// Package ranks tracks how much is requested at each rank and how often each rank is served. Reducers
+// that divide a quota or memory between ranks use it. It is pure: time is an argument of its methods.
 package ranks
 
 import (
