soak: checks of refusals by rank and of restored servers

Cause: refusals by rank, and refusals without a server after the restart of everything, were only logged. Change: rank 0 may be refused by quota at most half as often as rank 2, and no request may be refused without a server later than 0.5 s after the first answer. Its callers repeated refused generations at once, so that rank 0 alone requested 2.4 times the quota and the bound could not be met by any order. Callers now begin a generation every 0.3 s, twice the quota in all. Bodies now differ. The loss of everything counts from the exit of all processes: answers from before the kill counted as answers after it (1 ms).

--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -79,11 +80,11 @@
 }
 
 func sendWithKey(c *http.Client, address, path, id, key string) (int, string) {
-	return sendWithHeader(c, address, path, id, key, nil)
+	return sendWithBody(c, address, path, id, key, "", nil)
 }
 
-func sendWithHeader(c *http.Client, address, path, id, key string, header map[string]string) (int, string) {
-	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/x", address, path), nil)
+func sendWithBody(c *http.Client, address, path, id, key, content string, header map[string]string) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/x", address, path), strings.NewReader(content))
 	if err != nil {
 		return 0, ""
 	}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -145,13 +145,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// killAll kills every process at once and returns the time of that.
+// killAll kills every process at once and returns a time at which all are killed: a request that begins
+// later can only be answered after the restart.
 func (s *system) killAll() time.Time {
-	at := time.Now()
+	var exited []<-chan struct{}
 	for _, p := range s.processes {
-		p.kill()
+		exited = append(exited, p.signal(syscall.SIGKILL))
 	}
-	return at
+	for _, done := range exited {
+		<-done
+	}
+	return time.Now()
 }
 
 // restore resumes every paused process and starts every stopped one.
@@ -235,13 +239,15 @@
 	}
 }
 
-func (p *process) signal(s os.Signal) {
+// signal sends a signal to the process if it runs. The returned channel is closed when it has exited.
+func (p *process) signal(s os.Signal) <-chan struct{} {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.command != nil && p.running() {
 		_ = p.command.Process.Signal(s) // the process may have just exited
 		p.signalled = append(p.signalled, time.Now())
 	}
+	return p.done
 }
 
 // disturbed reports whether the process or a control VM was started or signalled in the
--- a/internal/soak/ranks_test.go
+++ b/internal/soak/ranks_test.go
@@ -17,16 +17,23 @@
 	// ranks is the number of ranks of the generations, rankCallers the number of callers of each.
 	ranks       = 3
 	rankCallers = 4
-	// rankPause is the longest pause of a caller between two generations.
-	rankPause = 100 * time.Millisecond
+	// rankInterval is the mean time between the starts of two generations of a caller, whether they
+	// are answered or refused. A caller that repeated refused ones at once would request more of
+	// rank 0 alone than the quota, and no order of ranks could keep its refusals below half of the
+	// others'.
+	rankInterval = 300 * time.Millisecond
 	// onceRank is the rank whose generations may neither be repeated nor resumed.
 	onceRank = 1
 	// noServerWithin is the time after the first answer since a loss of everything in which
 	// refusals for lack of a server are expected.
 	noServerWithin = 500 * time.Millisecond
+	// mostUrgentRefused bounds the share of rank 0 that quota refuses, as a part of that of the
+	// least urgent rank.
+	mostUrgentRefused = 0.5
 )
 
-// rankedQuota allows about half of the generations that the callers of all ranks request.
+// rankedQuota allows about half of the generations that the callers of all ranks request, and all of
+// rank 0.
 var rankedQuota = oriolebend.Quota{Unit: oriolebend.QuotaTokens, PerSecond: 8000, Burst: 8000}
 
 func rankPath(rank int) string { return fmt.Sprintf("rank-%d", rank) }
@@ -60,34 +67,61 @@
 		t := result{id: fmt.Sprintf("g%d-%d-%d", rank, caller, n), once: rank == onceRank}
 		t.want = parts(t.id)
 		began := time.Now()
-		t.status, t.body = sendWithHeader(callers, s.callers[random.IntN(len(s.callers))], rankPath(rank), t.id, keyOf(ranked), header)
+		// The bodies differ: quotas count requests with equal bodies as tries at one request.
+		t.status, t.body = sendWithBody(
+			callers, s.callers[random.IntN(len(s.callers))], rankPath(rank), t.id, keyOf(ranked), t.id, header,
+		)
 		l.note(t, began)
-		time.Sleep(time.Duration(random.Int64N(int64(rankPause))))
+		time.Sleep(time.Until(began.Add(rankInterval/2 + time.Duration(random.Int64N(int64(rankInterval))))))
 	}
 }
 
-// checkRanks guards against a rank that is not served at all while ranks compete for one quota.
+// rankCount counts the generations of one rank by their status.
+type rankCount struct {
+	sent     int
+	statuses map[int]int
+}
+
+// refusedShare is the share of the generations that were refused by quota.
+func (c rankCount) refusedShare() float64 {
+	return float64(c.statuses[http.StatusTooManyRequests]) / float64(max(1, c.sent))
+}
+
+func (l *load) countRank(rank int) rankCount {
+	c := rankCount{statuses: map[int]int{}}
+	for _, r := range l.results {
+		if strings.HasPrefix(r.id, fmt.Sprintf("g%d-", rank)) {
+			c.sent++
+			c.statuses[r.status]++
+		}
+	}
+	return c
+}
+
+// checkRanks guards against a rank that is not served at all while ranks compete for one quota, and
+// against a quota that refuses the most urgent rank nearly as often as the least urgent one.
 func (l *load) checkRanks(t *testing.T) {
 	t.Helper()
+	var counts [ranks]rankCount
 	for rank := range ranks {
-		counts := map[int]int{}
-		sent := 0
-		for _, r := range l.results {
-			if strings.HasPrefix(r.id, fmt.Sprintf("g%d-", rank)) {
-				sent++
-				counts[r.status]++
-			}
-		}
-		t.Logf("rank %d: %d generations, %d answered, %d refused by quota, %d refused otherwise",
-			rank, sent, counts[http.StatusOK], counts[http.StatusTooManyRequests], counts[http.StatusServiceUnavailable])
-		if counts[http.StatusOK] == 0 {
+		c := l.countRank(rank)
+		counts[rank] = c
+		t.Logf("rank %d: %d generations, %d answered, %d refused by quota, %d refused otherwise", rank, c.sent,
+			c.statuses[http.StatusOK], c.statuses[http.StatusTooManyRequests], c.statuses[http.StatusServiceUnavailable])
+		if c.statuses[http.StatusOK] == 0 {
 			t.Errorf("no generation of rank %d was answered", rank)
 		}
 	}
+	urgent, least := counts[0].refusedShare(), counts[ranks-1].refusedShare()
+	if urgent > mostUrgentRefused*least {
+		t.Errorf("quota refused %.3f of rank 0 and %.3f of rank %d, at most %.1f times as many are allowed",
+			urgent, least, ranks-1, mostUrgentRefused)
+	}
 }
 
-// reportRestart logs how requests fared after the loss of everything at a time.
-func (l *load) reportRestart(t *testing.T, lost time.Time) {
+// checkRestart guards against backend servers that are not known at once after the loss of everything
+// at a time, although control VMs have restored them.
+func (l *load) checkRestart(t *testing.T, lost time.Time) {
 	t.Helper()
 	var first time.Time
 	for _, r := range l.results {
@@ -100,6 +134,7 @@
 		return
 	}
 	early, late := 0, 0
+	var last time.Time
 	for _, r := range l.results {
 		switch {
 		case r.began.Before(lost) || !strings.Contains(r.body, string(oriolebend.ReasonNoServer)):
@@ -107,8 +142,15 @@
 			early++
 		default:
 			late++
+			if r.ended.After(last) {
+				last = r.ended
+			}
 		}
 	}
 	t.Logf("first answer %s after the loss of everything; refused without a server: %d until %s after that, %d later",
 		first.Sub(lost).Round(time.Millisecond), early, noServerWithin, late)
+	if late > 0 {
+		t.Errorf("%d requests were refused without a server, the last %s after the first answer; %s is allowed",
+			late, last.Sub(first).Round(time.Millisecond), noServerWithin)
+	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -112,7 +112,7 @@
 	operator.checkInForce(settle)
 	load.check(t, fleet)
 	load.checkRanks(t)
-	load.reportRestart(t, lost)
+	load.checkRestart(t, lost)
 	fleet.checkEngines(t)
 	fleet.crashes.check(t, s)
 	fleet.callers.check(t)
