registry, dispatch, routewatch, serverlist: comments

Cause: long sentences and lines, and comments without the reason of a value. Change: shorter sentences, lines of at most 100 columns. No change of behaviour. Measured: go test -race on these packages and ./docs passes.

--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -301,9 +301,9 @@
 // relative to the others.
 //
 // Other forwarders send to the same servers, and most have no request in progress at any. If all
-// of them chose the fastest server, its queue would be the longest. The random part stands for the
-// requests of others: servers without requests from here are chosen in proportion to their speeds, as
-// the least of exponential times is.
+// of them chose the fastest server, its queue would be the longest. The random part represents the
+// requests of others. The least of several exponential times is distributed by their rates, so that
+// servers without requests from here are chosen in proportion to their speeds.
 func (s *State) plainEnd(c *server) float64 {
 	return (s.plainLoad(c) + s.random.ExpFloat64()) * c.answers.Factor()
 }
--- a/internal/reducer/registry/restored.go
+++ b/internal/reducer/registry/restored.go
@@ -12,8 +12,8 @@
 	Servers []message.BackendServer
 }
 
-// ReportedElsewhere reports the state of a server as of the merged reports of all control VMs; its phase
-// is PhaseGone if it has left.
+// ReportedElsewhere reports the state of a server as of the merged reports of all control VMs. Its
+// phase is PhaseGone if it has left.
 type ReportedElsewhere struct{ Server message.BackendServer }
 
 // Dropped requests a report to watchers that a restored server is no longer used, unless another
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -293,9 +293,9 @@
 	return newer
 }
 
-// confirm merges an unconfirmed report on an instance with an announced one, which counts. An
-// announced report without an address is about a role change or an end that the control VM knows of
-// without knowing the server.
+// confirm merges an unconfirmed report on an instance with an announced one. The announced one
+// counts, except for its address if it has none: a control VM may report a role change or an end
+// without having received an announcement of the server.
 func confirm(unconfirmed, announced message.BackendServer) message.BackendServer {
 	merged := announced
 	if announced.Address == "" {
--- a/internal/routewatch/restored.go
+++ b/internal/routewatch/restored.go
@@ -8,8 +8,8 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
 
-// droppedNames is the number of dropped servers that a log line names. Hundreds may be dropped together,
-// and the log shortens a longer text.
+// droppedNames is the number of dropped servers that a log line names. Hundreds may be dropped
+// together, and the log shortens a longer text.
 const droppedNames = 16
 
 // RestoredCounts counts the servers that were restored at the start.
@@ -21,13 +21,14 @@
 	Dropped int
 }
 
-// enoughServers is the share of the restored servers that a forwarder must know so that the others are
-// not sent to it: lists of several control VMs differ by the last changes before the restart.
+// enoughServers is the share of the restored servers that a forwarder must know so that the others
+// are not sent to it. It is below one because the lists of control VMs differ by the last changes
+// before the restart.
 const enoughServers = 0.9
 
-// Restore adds the servers that were known before a restart as unconfirmed; fromOthers names those that
-// had last announced themselves to another control VM. It must be called before Serve, so that the first
-// update of each watcher carries them.
+// Restore adds the servers that were known before a restart as unconfirmed. fromOthers names those
+// that had last announced themselves to another control VM. It must be called before Serve, so that
+// the first update of each watcher has them.
 func (r *Server) Restore(servers []message.BackendServer, fromOthers map[string]struct{}) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -37,12 +38,12 @@
 
 // withheld reports whether a server is not sent to a watcher. The mutex is held.
 //
-// After a restart of the whole system every control VM has restored all servers, and a forwarder needs
-// them once: hundreds of servers from ten control VMs to hundreds of forwarders would take the links for
-// seconds. The control VM that a forwarder watches first sends all servers with its first update, the
-// others send those that had announced themselves to them, and the rest only if the forwarder knows too
-// few, for example because the first control VM has lost its disk. Control VMs are few and receive all
-// lists: they compare them, and write what they know.
+// After a restart of the whole system every control VM has restored all servers. A forwarder needs
+// them once: hundreds of servers from ten control VMs to hundreds of forwarders would occupy the
+// links for seconds. The control VM that a forwarder watches first sends all servers with its first
+// update. The others send those that had announced themselves to them. They send the rest only if
+// the forwarder knows too few, for example because the first control VM has lost its disk. Control
+// VMs are few and receive all lists: they merge them, and write the result.
 func (r *Server) withheld(w *watcher, server message.BackendServer) bool {
 	_, fromOther := r.fromOthers[server.Instance]
 	return server.Unconfirmed && w.withholds && fromOther
--- a/internal/serverlist/file.go
+++ b/internal/serverlist/file.go
@@ -66,7 +66,8 @@
 	return ""
 }
 
-// restorable returns the servers of the file that may still run, and the times at which they were known.
+// restorable returns the servers of the file that may still run, and the times at which they were
+// known.
 func (c content) restorable(now time.Time) (List, map[message.ServerStart]int64) {
 	l, known := List{Others: map[string]struct{}{}}, map[message.ServerStart]int64{}
 	for _, listed := range c.Servers {
