placement: the room is of the usual size over all ranks

Cause: comments said that the room is for a request of the usual urgent size; it is computed over all ranks in use, and the request was passed only for its service. Change: comments and the parameter; no decision differs. Measured: go test -race ./internal/reducer/placement passes.

--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -64,8 +64,7 @@
 	ahead, inTime, tooLarge map[string]int
 	// prompts is, for each service, the prompts of the requests before the current one.
 	prompts map[string]int
-	// rooms is the room of each service for a request of the usual urgent size, as long as
-	// nothing is granted.
+	// rooms is the room of each service for a request of the usual size, until the next grant.
 	rooms map[string]dispatch.Room
 }
 
--- a/internal/reducer/placement/rank.go
+++ b/internal/reducer/placement/rank.go
@@ -84,7 +84,7 @@
 	if !s.inUse(f) {
 		return true
 	}
-	room := s.room(r, f, q)
+	room := s.room(r, f, q.need.Service)
 	if room.Queue > f.demand.queueLimit(r.at, q) && !dispatch.MayOverflow(s.engines, q.need) {
 		return false
 	}
@@ -104,9 +104,8 @@
 	return false
 }
 
-// room returns the room for a request of the usual size of more urgent requests.
-func (s *State) room(r *round, f *flow, q *request) dispatch.Room {
-	service := q.need.Service
+// room returns the room of a service for a request of the usual size, over all ranks in use.
+func (s *State) room(r *round, f *flow, service string) dispatch.Room {
 	room, known := r.rooms[service]
 	if !known {
 		size := f.demand.ranks.MoreUrgent(ranks.Max).Size()
@@ -130,7 +129,7 @@
 	if dispatch.MayOverflow(s.engines, q.need) {
 		return false
 	}
-	room := s.room(r, f, q)
+	room := s.room(r, f, q.need.Service)
 	if room.Prefill == 0 {
 		return false
 	}
