quota: the sooner of two holders decides the retry delay

Cause: if two holders of half refused a request, the caller was sent the time of the one that was asked last, also if the other one had promised an earlier time. Change: the shorter delay is returned. Measured: TestSoonestHolderDecidesTheRetry failed before (2 s, not 100 ms) and passes; go test -race -count 3 ./internal/quota passes.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -89,13 +89,22 @@
 			return charge, state, nil
 		}
 		if answer.Known {
-			refusal = &oriolebend.Problem{Reason: oriolebend.ReasonQuota, Ran: oriolebend.RanNo, RetryAfter: answer.RetryAfter}
+			refusal = soonerRefusal(refusal, answer.RetryAfter)
 		}
 		queue = c.queueAfter(ctx, charge.Organisation, queue, i+1, answer)
 	}
 	return forwarder.Charge{}, state, refusal
 }
 
+// soonerRefusal returns the refusal for lack of quota with the shorter retry delay: the caller can be
+// served by any control VM that has promised it a time.
+func soonerRefusal(refusal *oriolebend.Problem, after time.Duration) *oriolebend.Problem {
+	if refusal.Reason == oriolebend.ReasonQuota && refusal.RetryAfter <= after {
+		return refusal
+	}
+	return &oriolebend.Problem{Reason: oriolebend.ReasonQuota, Ran: oriolebend.RanNo, RetryAfter: after}
+}
+
 // order lists the control VMs to query: the leader, then the holders of quota leases, then some
 // others, which differ between organisations so that all reserves are used. Control VMs that did not
 // answer recently come last.
