--- a/internal/placements/placements_test.go
+++ b/internal/placements/placements_test.go
@@ -243,7 +243,7 @@
 	})
 }
 
-// Guards against prompts that crowd at a few prefill engines after a restart of the whole system: a
+// Guards against prompts that queue at a few prefill engines after a restart of the whole system: a
 // request that comes just before the first session has opened waits for it, and one without any
 // leader does not wait.
 func TestRequestWaitsForTheFirstSession(t *testing.T) {
--- a/internal/reducer/ranks/combine.go
+++ b/internal/reducer/ranks/combine.go
@@ -1,7 +1,7 @@
 package ranks
 
 const (
-	// routeRanks is the number of ranks of routes that are told apart within the same rank of an
+	// routeRanks is the number of ranks of routes that are distinguished within the same rank of an
 	// organisation.
 	routeRanks = 10
 	// maxRank bounds the rank of an organisation, so that its product with routeRanks does not
--- a/internal/reducer/ranks/uses.go
+++ b/internal/reducer/ranks/uses.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Max is the number of ranks that are told apart; less urgent ones count as the last. Ranks of
+// Max is the number of ranks that are distinguished; less urgent ones count as the last. Ranks of
 // organisations and of their routes together make ten times ten.
 const Max = 100
 
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -126,7 +126,7 @@
 	})
 }
 
-// Guards against control VMs that do without a leader too late or too early: a member that hears no
+// Guards against leases that begin too late or too early: a member that receives no message from a
 // leader knows since when, also while it still names the leader.
 func TestSilentLeaderIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/replace_test.go
+++ b/internal/routing/replace_test.go
@@ -18,7 +18,7 @@
 	for n := range 1500 {
 		name := fmt.Sprintf("route-%d-%x", n, n*7919)
 		large.Routing.Routes = append(large.Routing.Routes, oriolebend.Route{Name: name, Host: "h.example", PathPrefix: "/" + name + "/"})
-		large.Document = fmt.Appendf(large.Document, `{"name":%q,"host":"h.example","path-prefix":"/%s/"},`, name, name)
+		large.Document = fmt.Appendf(large.Document, `{"name":%q,"host":"h.example","pathPrefix":"/%s/"},`, name, name)
 	}
 	plain, err := cbor.Marshal(large)
 	is.NoErr(err)
