registry, forwarder: software versions of servers, and resumed streams, in logs

An announcement's software version was checked and dropped, and nothing named the try that a request resumes. Change: a backend server has a software version, under a name of its own beside the versions of weights. It holds for a whole incarnation: an announcement or an earlier release of a control VM that lacks it does not erase it. 'request answered' and the lines of failed sends name it, and 'resumes' names the try that began the stream. No server is chosen by it yet. Evidence: scripts of the registry (software) and of announcements.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -121,8 +121,7 @@
 	if refused != nil {
 		return 0, refused
 	}
-	w.sent++
-	w.tried = append(w.tried, grant.Server.Instance)
+	w.recordSend(grant.Server)
 	request := w.outgoing(SendOptions{Instance: grant.Server.Instance})
 	held := w.f.config.Held.Open(memorybudget.Answer, grant.Server.Address)
 	w.answers = append(w.answers, held)
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -57,6 +57,9 @@
 	Expected int
 	// Resumes is set if the caller already has a part of the answer.
 	Resumes bool
+	// FirstTry is the ID of the caller's try whose answer brought the first event of the stream
+	// that the request resumes; empty if the caller did not state it.
+	FirstTry string
 	// Credential is the caller's credential.
 	Credential Credential
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -24,8 +24,7 @@
 			w.giveUp(ctx, refused.reason, refused.after)
 			return
 		}
-		w.sent++
-		w.tried = append(w.tried, s.grant.Server.Instance)
+		w.recordSend(s.grant.Server)
 		s.lastEvent = lastEvent
 		end := s.run(ctx)
 		if end.done {
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -12,6 +12,7 @@
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/memorybudget"
+	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -47,6 +48,9 @@
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
 	tried []string
+	// softwareVersion is the software version of the server that the request was sent to last,
+	// as far as this forwarder knew it then.
+	softwareVersion string
 	// declined is the reason of the last server that did not run the request because of a limit, a
 	// backoff period or its leaving that it had reported before; empty if the last refusal was for
 	// another reason.
@@ -85,6 +89,13 @@
 	}
 }
 
+// recordSend records that the request is about to be sent to a server.
+func (w *work) recordSend(server message.BackendServer) {
+	w.sent++
+	w.tried = append(w.tried, server.Instance)
+	w.softwareVersion = server.SoftwareVersion
+}
+
 // recordRan records that a send may have run the request.
 func (w *work) recordRan(ran oriolebend.Ran) {
 	if ran != oriolebend.RanNo && w.ran != oriolebend.RanYes {
@@ -260,7 +271,10 @@
 		attributes = append(attributes, w.quota.attributes(w.organisation)...)
 	}
 	if len(w.tried) > 0 {
-		attributes = append(attributes, slog.String("server", w.tried[len(w.tried)-1]))
+		attributes = append(attributes, slog.String("server", w.tried[len(w.tried)-1]), slog.String("softwareVersion", w.softwareVersion))
+	}
+	if w.info.Resumes || w.info.FirstTry != "" {
+		attributes = append(attributes, slog.String("resumes", w.info.FirstTry))
 	}
 	if reason != "" {
 		attributes = append(attributes, slog.String("reason", string(reason)))
@@ -277,6 +291,7 @@
 		slog.String("request", w.info.ID), slog.String("fingerprint", w.fingerprint.String()),
 		slog.String("server", g.Server.Instance),
 		slog.String("address", g.Server.Address), slog.String("reason", string(reason)),
+		slog.String("softwareVersion", g.Server.SoftwareVersion),
 	}
 	if g.Prefill != nil {
 		attributes = append(attributes, slog.String("prefill", g.Prefill.Instance))
--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -71,6 +71,9 @@
 	// received no announcement of it since. A server that is both unconfirmed and silent is no
 	// longer reported by that control VM.
 	Unconfirmed bool `cbor:"13,keyasint,omitempty"`
+	// SoftwareVersion is the version of the server's software, which is the same for a whole
+	// incarnation; empty if it is unknown. It is not the version of a model's weights.
+	SoftwareVersion string `cbor:"14,keyasint,omitempty"`
 }
 
 // Dropped reports whether a control VM no longer reports a server that it had restored.
--- a/internal/reducer/registry/script_test.go
+++ b/internal/reducer/registry/script_test.go
@@ -30,11 +30,11 @@
 // TestScripts runs the files of testdata/scripts. A block "control" feeds one
 // control VM, a block "view" one forwarder; each line of a block is an event:
 //
-//	announce INSTANCE ADDRESS PHASE SEQUENCE [ROLE]
+//	announce INSTANCE ADDRESS PHASE SEQUENCE [ROLE] [software=VERSION]
 //	restore INSTANCE ADDRESS PHASE SEQUENCE [ROLE]
 //	elsewhere INSTANCE PHASE [unconfirmed|changing]
 //	withdraw INSTANCE | change-role INSTANCE DURATION | wait DURATION
-//	report CONTROL [complete] INSTANCE[/HOST]:PHASE:SEQUENCE[:silent][:unconfirmed][:changing]...
+//	report CONTROL [complete] INSTANCE[/HOST]:PHASE:SEQUENCE[:silent][:unconfirmed][:changing][:software=VERSION]...
 //	lost CONTROL
 //
 // INSTANCE@N is incarnation N of an instance that reports its incarnation. HOST is the host of its
@@ -74,7 +74,8 @@
 			Instance: name, Incarnation: incarnation, Address: words[2], Service: "s",
 			Phase: message.ServerPhase(words[3]), Sequence: count(t, words[4]),
 		}
-		if len(words) > 5 {
+		server.SoftwareVersion = software(words[5:])
+		if len(words) > 5 && server.SoftwareVersion == "" {
 			server.Role = oriolebend.PoolRole(words[5])
 		}
 		event = Announced{At: s.now, Server: server}
@@ -133,6 +134,7 @@
 					Instance: name, Incarnation: incarnation, Address: host + ":1", Phase: message.ServerPhase(parts[1]),
 					Sequence: count(t, parts[2]), Silent: slices.Contains(parts[3:], "silent"),
 					Unconfirmed: slices.Contains(parts[3:], "unconfirmed"), Changing: slices.Contains(parts[3:], "changing"),
+					SoftwareVersion: software(parts[3:]),
 				})
 			}
 		}
@@ -158,9 +160,25 @@
 	if s.Changing {
 		words = append(words, "changing")
 	}
+	if s.SoftwareVersion != "" {
+		words = append(words, softwarePrefix+s.SoftwareVersion)
+	}
 	return strings.Join(words, " ")
 }
 
+// softwarePrefix precedes a software version.
+const softwarePrefix = "software="
+
+// software returns the software version among the words, empty if there is none.
+func software(words []string) string {
+	for _, word := range words {
+		if version, found := strings.CutPrefix(word, softwarePrefix); found {
+			return version
+		}
+	}
+	return ""
+}
+
 // start parses INSTANCE or INSTANCE@N.
 func start(t *testing.T, word string) (string, uint64) {
 	t.Helper()
--- a/internal/reducer/registry/state.go
+++ b/internal/reducer/registry/state.go
@@ -194,6 +194,7 @@
 	}
 	before := s.published(e.Server.Instance)
 	phase := k.server.Phase
+	e.Server.SoftwareVersion = cmp.Or(e.Server.SoftwareVersion, k.server.SoftwareVersion)
 	k.server, k.announcedAt = e.Server, e.At
 	if phase.After(k.server.Phase) {
 		k.server.Phase = phase
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -288,6 +289,7 @@
 	if older.Phase.After(newer.Phase) {
 		newer.Phase = older.Phase
 	}
+	newer.SoftwareVersion = cmp.Or(newer.SoftwareVersion, older.SoftwareVersion)
 	newer.Silent = a.Silent && b.Silent
 	newer.Changing = a.Changing || b.Changing
 	return newer
@@ -301,6 +303,7 @@
 	if announced.Address == "" {
 		merged = unconfirmed
 	}
+	merged.SoftwareVersion = cmp.Or(announced.SoftwareVersion, unconfirmed.SoftwareVersion)
 	merged.Phase = announced.Phase
 	if unconfirmed.Phase.After(merged.Phase) {
 		merged.Phase = unconfirmed.Phase
