forwarder: a failing test of streams of two software versions

Cause: no server is chosen by its software version (hypothesis 1). Evidence: on the code as it is, a stream that a server of v1 begins goes on at v2 inside one answer (200 v1 v1 v1 v2 v2 v2), and at the caller's next try (200 v2 v2 v2). Hypothesis 2 is refuted: the first of the two needs no other forwarder. Hypothesis 3 is too: no server restarts in it.

--- /dev/null
+++ b/internal/forwarder/softwareversions_test.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
+)
+
+// lastEvent is the last event of each stream in the scripts.
+const lastEvent = 6
+
+// TestStreamSoftwareVersions guards against a stream with events from servers of two software
+// versions, and against a stream that can go on and is refused.
+//
+// It runs the files of testdata/softwareversions. Servers in the failure domain "a" are preferred.
+//
+// A block "site" begins anew, a block "then" continues. Each line of a block is one of:
+//
+//	server VERSION DOMAIN [after=N]   adds a server, "-" if its version is unknown, which with
+//	                                  after=N breaks each stream after event N
+//	crash SERVER | restart SERVER VERSION     SERVER counts from 0
+//	stream PATH ID [resumes=ID] [after=EVENT]   prints the status, the reason or the version of each event
+func TestStreamSoftwareVersions(t *testing.T) {
+	datadriven.Walk(t, "testdata/softwareversions", func(t *testing.T, path string) {
+		var s *site
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			if d.Cmd == "site" {
+				s = newSite(t, 0)
+			}
+			for line := range strings.Lines(d.Input) {
+				words := strings.Fields(line)
+				switch words[0] {
+				case "server":
+					breakAfter := lastEvent
+					if len(words) > 3 {
+						breakAfter = index(t, strings.TrimPrefix(words[3], "after="))
+					}
+					s.server(words[2], oriolebend.Decode, versionedStream(words[1], breakAfter))
+					s.setSoftware(len(s.servers)-1, words[1], 1)
+				case "crash":
+					s.crash(index(t, words[1]))
+				case "restart":
+					s.setSoftware(index(t, words[1]), words[2], 2)
+				case "stream":
+					fmt.Fprintln(&out, s.resumableStream(words[1:]))
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+func index(t *testing.T, word string) int {
+	t.Helper()
+	i, err := strconv.Atoi(word)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return i
+}
+
+// versionedStream writes events whose data is the version, from the one after the caller's last, and
+// breaks the stream after an event other than the last one.
+func versionedStream(version string, breakAfter int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get(headerAfter)) // 0 if there is none
+		for i := last + 1; i <= min(breakAfter, lastEvent); i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, version)
+			w.(http.Flusher).Flush()
+		}
+		if breakAfter < lastEvent {
+			abort(nil, nil)
+		}
+	}
+}
+
+// setSoftware sets the software version and the incarnation of a server.
+func (s *site) setSoftware(index int, version string, incarnation uint64) {
+	s.servers[index].SoftwareVersion = strings.Trim(version, "-")
+	s.servers[index].Incarnation = incarnation
+	s.servers[index].Phase = message.PhaseReady
+	s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
+}
+
+// crash removes a server that has ended.
+func (s *site) crash(index int) {
+	s.servers[index].Phase = message.PhaseGone
+	s.forwarder.ChangeServers(registry.Changes{Left: []string{s.servers[index].Instance}}, 1)
+}
+
+var (
+	eventData     = regexp.MustCompile(`data: (\S+)`)
+	problemReason = regexp.MustCompile(`"reason":"(\w+)","ran":"(\w+)"`)
+)
+
+// resumableStream sends one request for a stream and describes the answer.
+func (s *site) resumableStream(words []string) string {
+	header := map[string]string{headerRequest: words[1]}
+	for _, word := range words[2:] {
+		name, value, _ := strings.Cut(word, "=")
+		header[map[string]string{"resumes": headerFirstTry, "after": headerAfter}[name]] = value
+	}
+	status, answer, body := s.send(words[0], header)
+	line := []string{strconv.Itoa(status)}
+	if problem := problemReason.FindStringSubmatch(body); problem != nil {
+		line = append(line, problem[1], "ran:"+problem[2], "retry-after:"+answer.Get("Retry-After"))
+	}
+	for _, data := range eventData.FindAllStringSubmatch(body, -1) {
+		line = append(line, data[1])
+	}
+	if strings.HasSuffix(body, "[cut]") {
+		line = append(line, "[cut]")
+	}
+	return strings.Join(line, " ")
+}
