forwarder, streamrecord: a stream goes on only at the software version that began it

A server's software version was dropped where it entered, and no choice of a server knew which version had begun a stream. Class: state of a caller's answer that outlives the process that holds it, and was kept nowhere. Change: the server of the first event determines the origin of a stream (service and version; the incarnation if the version is unknown). Forwarders and the allocator choose only servers that the origin permits, for the first sending after a resumption, internal retries and resumptions by callers; a forwarder rejects grants of an earlier allocator that ignores it. The forwarder records the origin at two control VMs; another one looks it up and never guesses. A version that no server has is refused at once ('versionGone'), an unknown origin too ('originUnknown'). Requests of other versions do not wait behind a stream that only some engines can continue. Ruled out: telling all forwarders, asking all, deriving it, the allocator, a quorum (docs/design/021). TestStreamIsResumedAtItsSoftwareVersion: resumed at another forwarder after three control VMs restarted in turn and after the first forwarder and a control VM were lost. Tests changed: the test site's servers have the version v1, since a stream may no longer continue between servers of unknown versions; what the tests check is the same.

--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -52,6 +52,8 @@
 	oriolebend.ReasonWrongModel:      {http.StatusServiceUnavailable, "The backend server does not hold this model"},
 	oriolebend.ReasonWrongRole:       {http.StatusServiceUnavailable, "The backend server has another pool role"},
 	oriolebend.ReasonServerLost:      {http.StatusBadGateway, "The backend server is gone"},
+	oriolebend.ReasonVersionGone:     {http.StatusServiceUnavailable, "No backend server has the stream's software version"},
+	oriolebend.ReasonOriginUnknown:   {http.StatusServiceUnavailable, "It is not known which backend server began the stream"},
 	oriolebend.ReasonEngineFailed:    {http.StatusBadGateway, "The engine failed"},
 	oriolebend.ReasonTransferStalled: {http.StatusBadGateway, "The KV transfer stalled"},
 	oriolebend.ReasonResultExpired:   {http.StatusBadGateway, "The prefill result is no longer held"},
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -64,6 +64,9 @@
 	Credential Credential
 }
 
+// resumesStream reports whether the request resumes a stream.
+func (i RequestInfo) resumesStream() bool { return i.Resumes || i.FirstTry != "" }
+
 // Credential is the key that a caller shows. It must not be logged.
 type Credential struct {
 	// Key is empty unless the request has exactly one key that can be parsed.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routing"
+	"github.com/oriolebend/oriolebend/internal/streamrecord"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -48,6 +49,8 @@
 	// Limits counts the requests that are sent to servers with a reported limit, over all
 	// forwarders; if nil, the forwarder counts its own requests.
 	Limits Limits
+	// Streams knows the origins of streams; if nil, the forwarder knows those of its own streams.
+	Streams Streams
 	// Current reports whether the routing in force was known to be the newest a few seconds ago;
 	// nil means that it always is.
 	Current func() bool
@@ -98,6 +101,9 @@
 	if c.Limits == nil {
 		c.Limits = newLocalLimits()
 	}
+	if c.Streams == nil {
+		c.Streams = streamrecord.NewClient(streamrecord.Config{})
+	}
 	return &Forwarder{
 		config:    c,
 		pool:      backend.NewPool(c.Pool),
@@ -281,7 +287,7 @@
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	w.retried = f.retries.isRetry(w.route.Name, info.Within)
-	if !w.charge(ctx) {
+	if !w.resolveOrigin(ctx, table) || !w.charge(ctx) {
 		return
 	}
 	if w.route.Stream {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -106,7 +106,7 @@
 	address := backend.Listener.Addr().String()
 	s.servers = append(s.servers, message.BackendServer{
 		Instance: fmt.Sprintf("i%d", len(s.servers)), Service: "s", Address: address, FailureDomain: domain,
-		Phase: message.PhaseReady, Role: role,
+		Phase: message.PhaseReady, Role: role, SoftwareVersion: "v1",
 	})
 	s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
 	return address
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -116,7 +116,7 @@
 	need.Output = w.info.expected()
 	need.Excluded = w.f.closedServers(need.Service)
 	if !waited {
-		effect := w.f.reduce(dispatch.RequestCounted{At: w.f.now(), Service: need.Service, Tried: need.Tried, Retry: need.Retry})[0]
+		effect := w.f.reduce(dispatch.RequestCounted{At: w.f.now(), Service: need.Service, Tried: need.Tried, Origin: need.Origin, Retry: need.Retry})[0]
 		if r, ok := effect.(dispatch.Refused); ok {
 			return dispatch.Grant{}, &refusal{reason: r.Reason, after: r.RetryAfter}, true
 		}
@@ -172,6 +172,10 @@
 // work, as far as this forwarder knows. If it returns false, the placement has been released and
 // the allocator knows the reason.
 func (w *work) acceptPlacement(g dispatch.Grant) bool {
+	if !w.origin.Permits(g.Server) { // the allocator is of an earlier release
+		w.rejectPlacement(g, oriolebend.ReasonVersionGone, dispatch.OutcomeCancelled)
+		return false
+	}
 	if reason := w.f.refusalForNewWork(g.Server); reason != "" {
 		outcome := dispatch.OutcomeCancelled
 		if reason == oriolebend.ReasonLeaving {
--- a/internal/forwarder/softwareversions_test.go
+++ b/internal/forwarder/softwareversions_test.go
@@ -69,16 +69,21 @@
 	return i
 }
 
-// versionedStream writes events whose data is the version, from the one after the caller's last, and
-// breaks the stream after an event other than the last one.
+// versionedStream writes events whose data is the version, from the one after the caller's last. It
+// breaks a stream from the beginning after an event other than the last one.
 func versionedStream(version string, breakAfter int) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		last, _ := strconv.Atoi(r.Header.Get(headerAfter)) // 0 if there is none
-		for i := last + 1; i <= min(breakAfter, lastEvent); i++ {
+		breaks := last == 0 && breakAfter < lastEvent
+		end := lastEvent
+		if breaks {
+			end = breakAfter
+		}
+		for i := last + 1; i <= end; i++ {
 			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, version)
 			w.(http.Flusher).Flush()
 		}
-		if breakAfter < lastEvent {
+		if breaks {
 			abort(nil, nil)
 		}
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -225,6 +225,7 @@
 // deliver writes an event to the caller. It returns false if the caller can't be reached.
 func (s *streamSend) deliver(response *backend.Response, event event) bool {
 	s.recordRan(oriolebend.RanUnknown)
+	s.recordOrigin(s.grant.Server)
 	if !s.answer.Begun() && !s.answer.Begin(response.Status, response.Header) {
 		return false
 	}
@@ -255,6 +256,7 @@
 			return streamResult{done: true}
 		}
 		s.answer.End()
+		s.f.config.Streams.Finished(s.streamID())
 		s.log(response.Status, "", oriolebend.RanYes)
 		return streamResult{done: true}
 	}
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -45,6 +45,11 @@
 	// answers holds the memory of the answers to the sends of this request.
 	answers []*memorybudget.Holding
 
+	// origin is the origin of the stream that the request resumes, or of the stream that it has
+	// begun; nil until one of them is known. recorded is set once it has been recorded.
+	origin   *message.StreamOrigin
+	recorded bool
+
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
 	tried []string
@@ -85,7 +90,7 @@
 		FirstWithin: time.Duration(w.route.AnswerWithin), Arrived: w.request.Received, Deadline: w.deadline,
 		PauseWithin: time.Duration(w.route.PauseWithin), Returned: w.retried,
 		FailureDomain: w.f.config.Dispatch.FailureDomain,
-		Tried:         w.tried, Retry: w.sent+w.prefills > 0,
+		Tried:         w.tried, Origin: w.origin, Retry: w.sent+w.prefills > 0,
 	}
 }
 
@@ -273,7 +278,7 @@
 	if len(w.tried) > 0 {
 		attributes = append(attributes, slog.String("server", w.tried[len(w.tried)-1]), slog.String("softwareVersion", w.softwareVersion))
 	}
-	if w.info.Resumes || w.info.FirstTry != "" {
+	if w.info.resumesStream() {
 		attributes = append(attributes, slog.String("resumes", w.info.FirstTry))
 	}
 	if reason != "" {
--- a/internal/message/place.go
+++ b/internal/message/place.go
@@ -59,6 +59,9 @@
 	// Excluded are further instances that must be chosen neither for the request nor
 	// for its prefill.
 	Excluded []string `cbor:"17,keyasint,omitempty"`
+	// Origin is the origin of the stream that the server must continue, nil if it may be any.
+	// Earlier releases of a control VM ignore it.
+	Origin *StreamOrigin `cbor:"19,keyasint,omitempty"`
 	// Call is the same for all attempts of a caller at one request.
 	Call uint64 `cbor:"11,keyasint,omitempty"`
 	// Server and Prefill are the placement of a request that has one, and Age is how
--- a/internal/placements/allocator.go
+++ b/internal/placements/allocator.go
@@ -237,7 +237,7 @@
 func needOf(q message.PlacementRequest) dispatch.Need {
 	return dispatch.Need{
 		Service: q.Service, Prompt: q.Prompt, Output: q.Output, Tried: q.Tried, Excluded: q.Excluded,
-		FirstWithin: q.FirstWithin, PauseWithin: q.PauseWithin,
+		FirstWithin: q.FirstWithin, PauseWithin: q.PauseWithin, Origin: q.Origin,
 	}
 }
 
--- a/internal/placements/client.go
+++ b/internal/placements/client.go
@@ -306,7 +306,7 @@
 	c.sendEvent(message.PlaceEvent{ID: c.lastID, Step: message.PlaceAsked, Remaining: q.Remaining, Request: &message.PlacementRequest{
 		ID: c.lastID, Service: q.Need.Service, Prompt: q.Need.Prompt, Output: q.Need.Output, Rank: q.Rank, RouteRank: q.RouteRank, Call: q.Call,
 		InTime: q.InTime, Within: q.Within, Tried: q.Need.Tried, Excluded: q.Need.Excluded,
-		FirstWithin: q.Need.FirstWithin, PauseWithin: q.Need.PauseWithin,
+		FirstWithin: q.Need.FirstWithin, PauseWithin: q.Need.PauseWithin, Origin: q.Need.Origin,
 	}})
 	return c.lastID, waiting
 }
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -66,7 +66,7 @@
 // countRequest counts a request whose server another process chooses.
 func (s *State) countRequest(e RequestCounted) Effect {
 	service := s.services[e.Service]
-	refused, closed := s.AllUnavailable(e.At, Need{Service: e.Service, Tried: e.Tried})
+	refused, closed := s.AllUnavailable(e.At, Need{Service: e.Service, Tried: e.Tried, Origin: e.Origin})
 	switch {
 	case service == nil:
 		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
@@ -156,6 +156,8 @@
 const (
 	// retryUnknown is how long a starting server takes to announce itself.
 	retryUnknown = 500 * time.Millisecond
+	// retryVersionGone is how long a server that has crashed takes to restart and to announce itself.
+	retryVersionGone = 2 * time.Second
 	// retryBudget is a tenth of the default window of the retry budget.
 	retryBudget = time.Second
 	// retryFull is about the time of one generation.
@@ -173,6 +175,9 @@
 		if refused, closed := s.AllUnavailable(e.At, e.Need); closed {
 			return Grant{}, &refused
 		}
+		if e.Need.Origin != nil {
+			return Grant{}, &Refused{Reason: oriolebend.ReasonVersionGone, RetryAfter: retryVersionGone}
+		}
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
 	}
 	defer s.scratch.clear()
@@ -196,7 +201,7 @@
 // candidates returns the servers to which the request may be sent.
 func (s *State) candidates(e PlacementRequested) []*server {
 	s.scratch.candidates = s.collect(s.scratch.candidates, e, func(c *server) bool {
-		return c.Role != oriolebend.Prefill && !slices.Contains(e.Need.Tried, c.Instance)
+		return c.Role != oriolebend.Prefill && !slices.Contains(e.Need.Tried, c.Instance) && e.Need.Origin.Permits(c.BackendServer)
 	})
 	return s.scratch.candidates
 }
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -56,6 +56,9 @@
 	// Excluded are further instances that must not be chosen, neither for the response nor
 	// for the prefill, because they currently accept nothing from the forwarder.
 	Excluded []string
+	// Origin is the origin of the stream that the server must continue, nil if it may be any
+	// server.
+	Origin *message.StreamOrigin
 	// Retry is set if this is not the first send of the request.
 	Retry bool
 	// Waited is set if a placement was requested before and no server had room.
@@ -75,6 +78,9 @@
 	Service string
 	// Tried are the instances that the request was sent to before.
 	Tried []string
+	// Origin is the origin of the stream that the server must continue, nil if it may be any
+	// server.
+	Origin *message.StreamOrigin
 	// Retry is set if this is not the first send of the request.
 	Retry bool
 }
--- a/internal/reducer/dispatch/notice.go
+++ b/internal/reducer/dispatch/notice.go
@@ -211,7 +211,7 @@
 	var first time.Time
 	var refused Refused
 	for _, c := range s.inOrder[n.Service] {
-		if !c.acceptsWork() || c.Role == oriolebend.Prefill || slices.Contains(n.Tried, c.Instance) {
+		if !c.acceptsWork() || c.Role == oriolebend.Prefill || slices.Contains(n.Tried, c.Instance) || !n.Origin.Permits(c.BackendServer) {
 			continue
 		}
 		until, reason := s.unavailableUntil(at, c.BackendServer)
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -28,10 +28,10 @@
 // TestScripts runs the files of testdata/scripts. Their commands:
 //
 //	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
-//	                        [unconfirmed] [start=N] a line
+//	                        [unconfirmed] [start=N] [software=VERSION] a line
 //	service NAME [kv=N] [part=N]   declares a service; kv makes it a service of engines
 //	do                      place NAME SERVICE [prompt=N] [pause=FOR] [retry] [waited] [tried=A,B] [excluded=A,B]
-//	                        [from=DOMAIN] [within=FOR]
+//	                        [from=DOMAIN] [within=FOR] [origin=VERSION]
 //	                        end NAME OUTCOME [TOOK] | prefilled NAME TOOK | prefill-failed NAME
 //	                        generated NAME TOOK [PARTS]
 //	                        wrote SERVER TIME-FOR-AN-EVENT COUNT   COUNT streams that ended there
@@ -84,6 +84,10 @@
 				server.Incarnation, _ = strconv.ParseUint(number, 10, 64)
 				continue
 			}
+			if version, found := strings.CutPrefix(word, "software="); found {
+				server.SoftwareVersion = version
+				continue
+			}
 			switch word {
 			case "prefill", "decode":
 				server.Role = oriolebend.PoolRole(word)
@@ -246,6 +250,8 @@
 			need.Retry = true
 		case "waited":
 			need.Waited = true
+		case "origin":
+			need.Origin = &message.StreamOrigin{Service: service, SoftwareVersion: value}
 		case "tried":
 			need.Tried = strings.Split(value, ",")
 		case "excluded":
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -37,6 +37,9 @@
 // late reports whether the request has missed its target.
 func (q *request) late(at time.Time) bool { return !at.Before(q.inTime) }
 
+// restricted reports whether only some of the engines may serve the request.
+func (q *request) restricted() bool { return len(q.need.Excluded) > 0 || q.need.Origin != nil }
+
 func (s *State) enqueue(e Requested) []Answer {
 	s.arrivals++
 	q := &request{
@@ -127,7 +130,7 @@
 			delete(r.rooms, q.need.Service)
 			return answer, true
 		}
-		if len(q.need.Excluded) == 0 && !reserved { // more engines may be available to other requests
+		if !q.restricted() && !reserved { // more engines may be available to other requests
 			r.tooLarge[q.need.Service] = memory
 		}
 	}
@@ -138,6 +141,10 @@
 		s.counted.Unservable++
 		return s.refuse(r.at, q), true
 	}
+	if q.need.Origin != nil {
+		// Other requests are not to wait for one that only engines of one version can serve.
+		return Answer{}, false
+	}
 	r.ahead[q.need.Service] += memory
 	r.prompts[q.need.Service] += q.need.Prompt
 	if !q.late(r.at) {
--- a/internal/reducer/placement/script_test.go
+++ b/internal/reducer/placement/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -20,7 +21,8 @@
 // TestScripts runs the files of testdata/scripts. Each line is an event:
 //
 //	engines PREFILL DECODE TOKENS [silent]   the number of engines, and the memory of each
-//	request SESSION/ID TOKENS [rank=N] [late] [call=N]
+//	software ENGINE VERSION                  the software version of an engine
+//	request SESSION/ID TOKENS [rank=N] [late] [call=N] [origin=VERSION]
 //	withdraw SESSION/ID | prefilled SESSION/ID | end SESSION/ID OUTCOME
 //	resume SESSION/ID TOKENS ENGINE   a placement that an earlier leader granted
 //	disable-ranks                     ranks only order the waiting requests
@@ -45,6 +47,8 @@
 	t     *testing.T
 	now   time.Time
 	state *State
+	// servers are the engines.
+	servers []message.BackendServer
 }
 
 func (s *script) line(words []string, out *strings.Builder) {
@@ -55,6 +59,10 @@
 		return
 	case "engines":
 		event = s.engines(words)
+	case "software":
+		i := slices.IndexFunc(s.servers, func(e message.BackendServer) bool { return e.Instance == words[1] })
+		s.servers[i].SoftwareVersion = words[2]
+		event = FleetChanged{At: s.now, Servers: s.servers[i : i+1], Forwarders: 1}
 	case "disable-ranks":
 		event = Configured{DisableRanks: true}
 	case "request":
@@ -112,6 +120,7 @@
 	}
 	add(s.number(words[1]), "p", oriolebend.Prefill)
 	add(s.number(words[2]), "d", oriolebend.Decode)
+	s.servers = list
 	limits := &oriolebend.EngineLimits{KVTokens: s.number(words[3])}
 	return Fleet{
 		Services: dispatch.Services{Services: []oriolebend.RouteService{{Name: "s", Engine: limits}}},
@@ -128,6 +137,9 @@
 		if option == "late" {
 			requested.InTime = s.now
 		}
+		if version, found := strings.CutPrefix(option, "origin="); found {
+			requested.Need.Origin = &message.StreamOrigin{Service: "s", SoftwareVersion: version}
+		}
 		if rank, found := strings.CutPrefix(option, "rank="); found {
 			requested.Rank = s.number(rank)
 		}
--- a/internal/requestlog/history.go
+++ b/internal/requestlog/history.go
@@ -181,6 +181,8 @@
 	"noServer":        "no backend server of its service took work: see the lines of its servers",
 	"outcomeLost":     "the connection to its server broke after it was sent, so that it may have run: see the server's lines, then other requests on that server",
 	"serverLimit":     "every server of its service was at the limit that it had named",
+	"versionGone":     "no server had the software version that began its stream, or its route had moved to other services",
+	"originUnknown":   "nobody could say which server began its stream: see the lines of the request that it resumes",
 	"serverRests":     "every server of its service had asked for rest",
 	"queueFull":       "as many requests waited already as may wait, here or at its server",
 	"resultExpired":   "the prefill result was no longer held when decode asked for it",
--- a/internal/requestlog/history_test.go
+++ b/internal/requestlog/history_test.go
@@ -93,6 +93,7 @@
 		oriolebend.ReasonNoMemory, oriolebend.ReasonNoServer, oriolebend.ReasonOutcomeLost,
 		oriolebend.ReasonQueueFull, oriolebend.ReasonResultExpired, oriolebend.ReasonRetryBudget,
 		oriolebend.ReasonServerLost, oriolebend.ReasonStopping, oriolebend.ReasonUnknownService,
+		oriolebend.ReasonVersionGone, oriolebend.ReasonOriginUnknown,
 	} {
 		if causeByReason[string(reason)] == "" {
 			t.Errorf("reason %s has no explanation", reason)
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -25,6 +25,7 @@
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/serverlimit"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/internal/streamrecord"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -55,6 +56,7 @@
 	crashReports *crashreports.DiskStore
 	quotas       *quota.Server
 	limits       *serverlimit.Server
+	streams      streamrecord.Server
 	cancel       context.CancelFunc
 	// done is closed once the replica has stopped; runErr is its error.
 	done   chan struct{}
@@ -85,6 +87,7 @@
 	go process.crashReports.Run(ctx)
 	go process.quotas.Run(ctx)
 	go process.limits.Run(ctx)
+	go process.streams.Run(ctx)
 	if process.joiner != nil {
 		go process.joiner.Run(ctx)
 	}
@@ -128,9 +131,11 @@
 			<-ready
 			c.quotas.ServeLeases(ctx, s)
 		},
-		message.KindLimitAsk: func(ctx context.Context, s peer.Stream) { <-ready; c.limits.Serve(ctx, s) },
-		message.KindJoin:     func(ctx context.Context, s peer.Stream) { <-ready; c.serveJoin(ctx, s) },
-		message.KindConfirm:  func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
+		message.KindLimitAsk:            func(ctx context.Context, s peer.Stream) { <-ready; c.limits.Serve(ctx, s) },
+		message.KindStreamRecordRequest: c.streams.Serve,
+
+		message.KindJoin:    func(ctx context.Context, s peer.Stream) { <-ready; c.serveJoin(ctx, s) },
+		message.KindConfirm: func(ctx context.Context, s peer.Stream) { <-ready; c.confirmer.Serve(ctx, s) },
 	}
 	for _, kind := range message.AgreementKinds() {
 		handlers[kind] = agreement
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -20,6 +20,7 @@
 	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/serverlimit"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/internal/streamrecord"
 )
 
 const (
@@ -42,6 +43,7 @@
 	places        *placements.Client
 	quotas        *quota.Client
 	limits        *serverlimit.Client
+	streams       *streamrecord.Client
 	crashes       *quarantine.Store
 	crashReporter *crashreports.Sender
 	callers       *http1.Server
@@ -85,6 +87,10 @@
 		Leader: func() string { return process.follower.Leader() },
 	}
 	process.limits.Prepare()
+	process.streams = streamrecord.NewClient(streamrecord.Config{
+		Dialer: endpoint, Logger: p.Logger,
+		Controls: func() []string { return process.follower.Open() },
+	})
 	process.forwarder = forwarder.New(forwarder.Config{
 		Dialect:    dialect,
 		Dispatch:   dispatchConfig(p.Settings),
@@ -92,6 +98,7 @@
 		Quarantine: process.crashes,
 		Quotas:     process.quotas,
 		Limits:     process.limits,
+		Streams:    process.streams,
 		Current:    func() bool { return process.follower.Connected() },
 		Observer:   p.observer(),
 		Logger:     p.Logger,
@@ -108,8 +115,11 @@
 		},
 		Sink:    process.forwarder,
 		Reports: func(reports []message.CrashReport) { process.crashes.ApplyReports(reports, false) },
-		Found:   func(address string) { process.crashReporter.SendTo(address, process.crashes.Reports()) },
-		Logger:  p.Logger,
+		Found: func(address string) {
+			process.crashReporter.SendTo(address, process.crashes.Reports())
+			process.streams.Restarted(address)
+		},
+		Logger: p.Logger,
 	}
 	if err := process.serve(); err != nil {
 		return nil, errors.Join(err, endpoint.Close())
@@ -122,6 +132,7 @@
 		var running sync.WaitGroup
 		running.Go(func() { process.places.Run(ctx) })
 		running.Go(func() { process.crashReporter.Run(ctx) })
+		running.Go(func() { process.streams.Run(ctx) })
 		process.follower.Run(ctx)
 		running.Wait()
 	}()
--- a/internal/role/relay_process.go
+++ b/internal/role/relay_process.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/routewatch"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/internal/settings"
+	"github.com/oriolebend/oriolebend/internal/streamrecord"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -26,6 +27,7 @@
 	metrics  *httpServer
 	routes   *routewatch.Server
 	follower *routewatch.Follower
+	streams  streamrecord.Server
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -49,6 +51,7 @@
 	r.routes.Prepare()
 	endpoint, err := p.listen(map[message.Kind]peer.Handler{
 		message.KindRouteWatch: r.routes.Serve, message.KindCrashReports: crashreports.Serve(crashes),
+		message.KindStreamRecordRequest: r.streams.Serve,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
@@ -71,6 +74,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	go r.routes.Run(ctx)
+	go r.streams.Run(ctx)
 	go func() {
 		defer close(r.done)
 		r.follower.Run(ctx)
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -189,6 +189,13 @@
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+f.Address()+"/x", nil)
 	is.NoErr(err)
 	request.Host = "h"
+	return readAll(t, request)
+}
+
+// readAll sends a request and returns the status and the whole body of the response.
+func readAll(t *testing.T, request *http.Request) (int, string) {
+	t.Helper()
+	is := is.New(t)
 	response, err := http.DefaultClient.Do(request)
 	is.NoErr(err)
 	defer response.Body.Close()
--- a/pkg/oriolebend/reason.go
+++ b/pkg/oriolebend/reason.go
@@ -57,6 +57,8 @@
 	ReasonAttemptClosed   Reason = "attemptClosed"   // the attempt was closed before it arrived
 	ReasonAttemptUsed     Reason = "attemptUsed"     // the attempt was already admitted once
 	ReasonOutdatedOrder   Reason = "outdatedOrder"   // the fencing number is lower than one already seen
+	ReasonVersionGone     Reason = "versionGone"     // no backend server has the software version that began the stream
+	ReasonOriginUnknown   Reason = "originUnknown"   // it is not known which backend server began the stream
 	ReasonOutcomeLost     Reason = "outcomeLost"     // the request was dispatched and its outcome is not known
 	ReasonCrashesServers  Reason = "crashesServers"  // several backend servers crashed while running this request
 	ReasonRecordsFull     Reason = "recordsFull"     // the number of request records is at its bound
--- a/pkg/oriolebend/reasons.go
+++ b/pkg/oriolebend/reasons.go
@@ -45,6 +45,8 @@
 	ReasonAttemptClosed,
 	ReasonAttemptUsed,
 	ReasonOutdatedOrder,
+	ReasonVersionGone,
+	ReasonOriginUnknown,
 	ReasonOutcomeLost,
 	ReasonCrashesServers,
 	ReasonRecordsFull,
