pools: the last decode engine of a software version keeps its role

What callers would see: streams that can't go on although two engines of their version run. Cause: engines for the prefill pool were picked by failure domain alone. If the only decode engine of a version becomes a prefill engine, the streams that the version began have no engine left. Change: such an engine is not picked; another one is, or none.

--- a/internal/reducer/pools/script_test.go
+++ b/internal/reducer/pools/script_test.go
@@ -18,6 +18,7 @@
 
 // TestScripts runs the files of testdata/scripts. Each line is an event:
 //
+//	software VERSION ENGINE...  the software version of some engines, set by the next engines
 //	engines PREFILL DECODE [start=N]   the number of engines of each pool, in three failure
 //	                            domains, all of the given incarnation
 //	lead TERM | follow          whether this control VM leads
@@ -28,13 +29,21 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s, now, last := New(), scriptStart, Order{}
+		software := map[string]string{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			for line := range strings.Lines(d.Input) {
 				words := strings.Fields(line)
 				switch words[0] {
+				case "software":
+					for _, engine := range words[2:] {
+						software[engine] = words[1]
+					}
 				case "engines":
 					e := engines(number(t, words[1]), number(t, words[2]))
+					for i := range e.Servers {
+						e.Servers[i].SoftwareVersion = software[e.Servers[i].Instance]
+					}
 					if len(words) > 3 {
 						setIncarnation(&e, uint64(number(t, strings.TrimPrefix(words[3], "start="))))
 					}
--- a/internal/reducer/pools/state.go
+++ b/internal/reducer/pools/state.go
@@ -323,7 +323,13 @@
 		return moving || e.Changing || at.Before(v.noOrderUntil[e.Instance])
 	})
 	var orders []Order
-	for len(orders) < count && len(pool) > 0 {
+	for len(orders) < count {
+		if order.Role == oriolebend.Prefill {
+			pool = slices.DeleteFunc(pool, v.lastDecoderOfVersion)
+		}
+		if len(pool) == 0 {
+			break
+		}
 		domains := map[string]int{}
 		for _, e := range pool {
 			domains[e.FailureDomain]++
@@ -348,6 +354,14 @@
 	return orders
 }
 
+// lastDecoderOfVersion reports whether no other decode engine has the software version of an engine.
+// Without it no stream that the version began could continue.
+func (v *service) lastDecoderOfVersion(e message.BackendServer) bool {
+	return !slices.ContainsFunc(v.pool(oriolebend.Decode), func(other message.BackendServer) bool {
+		return other.Instance != e.Instance && other.SoftwareVersion == e.SoftwareVersion
+	})
+}
+
 // pool lists the engines of a role, including those that move to it, sorted by instance.
 func (v *service) pool(role oriolebend.PoolRole) []message.BackendServer {
 	var list []message.BackendServer
