forwarder: a stream that breaks off waits for its placement from the break on

Cause: the time that a request may wait for a placement is counted from its arrival, three times the target for the first event. A stream that is older when it breaks off has none left, and the allocator refuses it before it looks for room. Change: once a stream has broken off after an event, its wait is counted from the break. Evidence: TestBrokenStreamWaitsFromItsBreak failed before (no time left) and passes. TestPlacementAtAnotherSoftwareVersionIsRejected holds what an allocator of an earlier release grants; it passed before this change.

--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -156,7 +156,7 @@
 // sendPlacementRequest requests a placement once.
 func (w *work) sendPlacementRequest(ctx context.Context, need dispatch.Need) (dispatch.Effect, bool) {
 	target := float64(w.route.AnswerWithin)
-	age := time.Since(w.request.Received)
+	age := w.waited()
 	remaining := w.remaining()
 	if need.Retry {
 		remaining = 0
--- a/internal/forwarder/placement_test.go
+++ b/internal/forwarder/placement_test.go
@@ -21,9 +21,14 @@
 	engines []message.BackendServer
 	mutex   sync.Mutex
 	ended   []dispatch.Outcome
+	// within is how long each placement request could wait.
+	within []time.Duration
 }
 
 func (o *outdatedPlaces) Place(_ context.Context, r PlacementRequest) (dispatch.Effect, bool) {
+	o.mutex.Lock()
+	o.within = append(o.within, r.Within)
+	o.mutex.Unlock()
 	for i, e := range o.engines {
 		if !slices.Contains(r.Need.Tried, e.Instance) && !slices.Contains(r.Need.Excluded, e.Instance) {
 			return dispatch.Granted{Grant: dispatch.Grant{Need: r.Need, Server: e, Remote: uint64(i) + 1}}, true
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -60,7 +60,7 @@
 func (w *work) awaitMemory(ctx context.Context, gap time.Duration) bool {
 	// Forwarders that wait for the same engine must not all retry at the same time.
 	spread := 0.5 + rand.Float64()
-	gap, worthwhile := retryDelay(time.Since(w.request.Received), time.Duration(w.route.AnswerWithin), gap, spread)
+	gap, worthwhile := retryDelay(w.waited(), time.Duration(w.route.AnswerWithin), gap, spread)
 	if !worthwhile || w.remaining() < gap {
 		return false
 	}
--- a/internal/forwarder/softwareversions_test.go
+++ b/internal/forwarder/softwareversions_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -128,3 +133,59 @@
 	}
 	return strings.Join(line, " ")
 }
+
+// versionedEngine is a model engine that streams as versionedStream does.
+func versionedEngine(version string, breakAfter int, before time.Duration) http.HandlerFunc {
+	stream := versionedStream(version, breakAfter)
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/reservations" {
+			_, _ = io.WriteString(w, `{"reservation":"h1"}`)
+			return
+		}
+		time.Sleep(before)
+		stream(w, r)
+	}
+}
+
+// newVersionedEngines returns a site whose allocator does not know software versions. Its first engine
+// breaks its streams some time after the arrival of their requests; the last one is of its version.
+func newVersionedEngines(t *testing.T, before time.Duration) (*site, *outdatedPlaces) {
+	s := newSite(t, 10000)
+	for i, version := range []string{"v1", "v2", "v2", "v1"} {
+		breakAfter, delay := lastEvent, time.Duration(0)
+		if i == 0 {
+			breakAfter, delay = 3, before
+		}
+		s.server("a", oriolebend.Decode, versionedEngine(version, breakAfter, delay))
+		s.setSoftware(i, version, 1)
+	}
+	places := &outdatedPlaces{engines: slices.Clone(s.servers)}
+	s.forwarder.config.Places = places
+	return s, places
+}
+
+// Guards against a stream of two software versions while the control VM that grants placements is of
+// an earlier release, which ignores the origin of the stream.
+func TestPlacementAtAnotherSoftwareVersionIsRejected(t *testing.T) {
+	is := is.New(t)
+	s, places := newVersionedEngines(t, 0)
+	status, body := s.generation("/stream/")
+	is.Equal(status, http.StatusOK)
+	is.Equal(strings.Count(body, "v1"), lastEvent)
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	is.Equal(places.ended[1:3], []dispatch.Outcome{dispatch.OutcomeCancelled, dispatch.OutcomeCancelled})
+}
+
+// Guards against a long stream that breaks off and is not continued, because its wait for a placement
+// is counted from the arrival of its request.
+func TestBrokenStreamWaitsFromItsBreak(t *testing.T) {
+	is := is.New(t)
+	s, places := newVersionedEngines(t, 700*time.Millisecond) // beyond maxWaitFactor times the target
+	status, body := s.generation("/stream/")
+	is.Equal(status, http.StatusOK)
+	is.Equal(strings.Count(body, "v1"), lastEvent)
+	places.mutex.Lock()
+	defer places.mutex.Unlock()
+	is.True(places.within[len(places.within)-1] > 500*time.Millisecond)
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -35,6 +35,9 @@
 			w.prefills++
 		}
 		lastEvent = s.lastEvent
+		if w.recorded {
+			w.interrupted = time.Now()
+		}
 		if !w.maySendAgain(ctx) {
 			if end.retryAfter > 0 {
 				w.giveUp(ctx, end.reason, end.retryAfter)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -70,6 +70,8 @@
 	prompted bool
 	// ran is the combined result of all sends: "yes" or "unknown" once one of them may have run.
 	ran oriolebend.Ran
+	// interrupted is when the stream last broke off after an event, zero if it did not.
+	interrupted time.Time
 	// placed, prefilled and first are the times from the arrival of a stream's request to its
 	// placement, the end of its prefill and its first event; zero if that did not happen.
 	placed, prefilled, first time.Duration
@@ -111,6 +113,15 @@
 // notRun reports whether no send can have run the request.
 func (w *work) notRun() bool { return w.ran == "" || w.ran == oriolebend.RanNo }
 
+// waited returns how long the caller has waited for an event: since the arrival of its request, or
+// since its stream broke off.
+func (w *work) waited() time.Duration {
+	if !w.interrupted.IsZero() {
+		return time.Since(w.interrupted)
+	}
+	return time.Since(w.request.Received)
+}
+
 // remaining returns what remains of the caller's time.
 func (w *work) remaining() time.Duration { return time.Until(w.deadline) }
 
