--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -33,13 +33,18 @@
 	}
 )
 
-// offering is a handler that answers each message with an offer.
+// offering is a handler that answers each message with an offer, and a record with its answer.
 func offering(_ context.Context, s Stream) {
 	for {
-		if _, err := s.Receive(); err != nil {
+		m, err := s.Receive()
+		if err != nil {
 			return
 		}
-		if s.Send(benchOffer) != nil {
+		var answer message.Message = benchOffer
+		if r, ok := m.(message.StreamRecordRequest); ok {
+			answer = message.StreamRecordAnswer{ID: r.ID}
+		}
+		if s.Send(answer) != nil {
 			return
 		}
 	}
@@ -117,6 +122,19 @@
 	}
 }
 
+// benchRecord is what a forwarder sends to a control VM when a stream begins.
+var benchRecord = message.StreamRecordRequest{ID: 1000, Records: []message.StreamRecord{{
+	Stream: 1 << 60, Content: 1 << 61, ResumableFor: 14 * time.Second,
+	Origin: message.StreamOrigin{Service: "planner-lm", SoftwareVersion: "v1.2.0"},
+}}}
+
+func recordExchange(b *testing.B, s Stream) {
+	b.Helper()
+	noError(b, s.Send(benchRecord))
+	_, err := s.Receive()
+	noError(b, err)
+}
+
 func oneSession(b *testing.B, e *Endpoint, address string) {
 	s, err := e.Open(context.Background(), address)
 	if err != nil {
@@ -204,6 +222,11 @@
 			exchange(b, s)
 			return func() { exchange(b, s) }
 		},
+		"streamRecord": func(b *testing.B, e *Endpoint, address string) func() {
+			s, err := e.Open(context.Background(), address)
+			noError(b, err)
+			return func() { recordExchange(b, s) }
+		},
 	}
 	for name, prepare := range cases {
 		b.Run(name, func(b *testing.B) {
@@ -227,6 +250,20 @@
 	}
 }
 
+// BenchmarkStreamRecord measures one exchange of a record on an open session, both sides together.
+func BenchmarkStreamRecord(b *testing.B) {
+	x := newBench(b)
+	gate, entry := x.listen(nil), x.listen(nil)
+	s, err := entry.Open(context.Background(), gate.Address())
+	noError(b, err)
+	recordExchange(b, s)
+	began := cpuTime()
+	for b.Loop() {
+		recordExchange(b, s)
+	}
+	b.ReportMetric(float64((cpuTime()-began).Microseconds())/float64(b.N), "cpu-µs/op")
+}
+
 func BenchmarkCodec(b *testing.B) {
 	for _, m := range []message.Message{benchReserve, benchOffer, message.Part{Attempt: benchReserve.Attempt, Offset: 40, Tokens: 1, Text: " bridge"}} {
 		b.Run(string(m.Kind()), func(b *testing.B) {
