operator: backend servers state their software version

What callers would see: resumable streams of servers that announce themselves by the product's own interface break off for good, as no other server may continue them. Cause: only the platform's announcements carried the version; the product's Backend had no field for it. Change: softwareVersion in announcements, lists and 'routing backends'.

--- a/internal/operator/command/routing.go
+++ b/internal/operator/command/routing.go
@@ -180,7 +180,8 @@
 		}
 		rows = append(rows, []string{
 			b.Instance, b.Service, b.Address, orDash(b.FailureDomain), orDash(string(b.Role)), b.Phase, contact,
+			orDash(b.SoftwareVersion),
 		})
 	}
-	return printTable(out, "INSTANCE SERVICE ADDRESS FAILUREDOMAIN ROLE PHASE HEARD", rows)
+	return printTable(out, "INSTANCE SERVICE ADDRESS FAILUREDOMAIN ROLE PHASE HEARD SOFTWARE", rows)
 }
--- a/internal/operator/routing.go
+++ b/internal/operator/routing.go
@@ -96,7 +96,7 @@
 		list = append(list, oriolebend.Backend{
 			Instance: s.Instance, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
 			Slots: s.Slots, Role: s.Role, Phase: string(s.Phase), Sequence: s.Sequence, Incarnation: s.Incarnation,
-			SlowFor: oriolebend.Duration(s.SlowFor), Silent: s.Silent,
+			SlowFor: oriolebend.Duration(s.SlowFor), Silent: s.Silent, SoftwareVersion: s.SoftwareVersion,
 		})
 	}
 	return a.writeOK(c, outcomeOK, list)
@@ -120,6 +120,7 @@
 	err := a.Routing.Announce(c.Request().Context(), message.BackendServer{
 		Instance: c.Param("instance"), Service: b.Service, Address: b.Address, FailureDomain: b.FailureDomain,
 		Slots: b.Slots, Role: b.Role, Phase: phase, Sequence: b.Sequence, Incarnation: b.Incarnation,
+		SoftwareVersion: b.SoftwareVersion,
 	})
 	return a.acknowledge(c, err)
 }
--- a/pkg/oriolebend/backend.go
+++ b/pkg/oriolebend/backend.go
@@ -20,6 +20,10 @@
 	Sequence uint64 `json:"sequence"`
 	// SlowFor is how long the server remains slow after its start.
 	SlowFor Duration `json:"slowFor,omitempty"`
+	// SoftwareVersion is the version of the server's software, the same for a whole
+	// incarnation. A stream that one version began goes on only at servers of that version;
+	// empty means that the server does not report its version.
+	SoftwareVersion string `json:"softwareVersion,omitempty"`
 	// Silent is true if no announcement of the server has arrived for a while.
 	Silent bool `json:"silent,omitempty"`
 }
