soak: engines of two software versions, and callers who resume their streams

Cause: no test had servers of two versions, and no caller of the soak resumed a stream. Change: two engines of each version, whose version alternates with each restart; a quarter of the callers of resumable streams close their connection midway; each resumes a broken stream at any forwarder, up to three times. Checked: no stream has events of two versions, and of 12 resumptions or more one at least goes on.

--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -1,10 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,8 +27,9 @@
 	batchShare = 0.035
 )
 
-// engineSpeeds are the speeds of the engines, relative to the usual one.
-var engineSpeeds = []float64{0.6, 1, 1.6}
+// engineSpeeds are the speeds of the engines, relative to the usual one. At the start two engines
+// have each of the two software versions.
+var engineSpeeds = []float64{0.6, 1, 1.6, 1}
 
 func engineService() oriolebend.RouteService {
 	return oriolebend.RouteService{Name: generating, Engine: &oriolebend.EngineLimits{
@@ -104,10 +105,11 @@
 		after = 0 // the first send of the generation
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	began := time.Now()
+	began, software := time.Now(), softwareOf(r.Header.Get("Oriolebend-Instance"))
+	stream := cmp.Or(r.Header.Get(headerFirstTry), id)
 	for n := after + 1; n <= last; n++ {
 		time.Sleep(v.engine.step())
-		if _, err := fmt.Fprint(w, part(id, n)); err != nil {
+		if _, err := fmt.Fprint(w, part(stream, n, software)); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
@@ -115,16 +117,18 @@
 	v.engine.noteComplete(time.Since(began))
 }
 
-// part returns one event of a generation.
-func part(id string, n int) string { return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", n, n, id) }
-
-// parts returns the complete stream of a generation.
-func parts(id string) string {
-	var all strings.Builder
-	for n := range generationParts {
-		all.WriteString(part(id, n+1))
+// softwareOf returns the software version of an instance. It alternates with each restart.
+func softwareOf(instance string) string {
+	var index, start int
+	if _, err := fmt.Sscanf(instance, "engine-%d.%d", &index, &start); err != nil {
+		return ""
 	}
-	return all.String()
+	return fmt.Sprintf("v%d", 1+(index+start)%2)
+}
+
+// part returns one event of a stream, as an engine of a software version writes it.
+func part(stream string, n int, software string) string {
+	return fmt.Sprintf("id: %d\ndata: part %d of %s\n: %s\n\n", n, n, stream, software)
 }
 
 // noteRan counts a run of a request and returns how often it has run.
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -141,8 +141,10 @@
 	announceRetry = 200 * time.Millisecond
 )
 
-func (v *server) announcement() oriolebend.Backend {
-	b := oriolebend.Backend{Service: v.service, Address: v.proxy.address(), Sequence: v.sequence.Add(1)}
+func (v *server) announcement(instance string) oriolebend.Backend {
+	b := oriolebend.Backend{
+		Service: v.service, Address: v.proxy.address(), Sequence: v.sequence.Add(1), SoftwareVersion: softwareOf(instance),
+	}
 	if v.engine != nil {
 		b.Role = oriolebend.Decode
 	}
@@ -153,12 +155,13 @@
 func (v *server) announce(ctx context.Context) {
 	controls := append([]string{"127.0.2.9"}, v.fleet.system.controls...)
 	for n := 0; ctx.Err() == nil; n++ {
-		body, err := json.Marshal(v.announcement())
+		instance := *v.instance.Load()
+		body, err := json.Marshal(v.announcement(instance))
 		if err != nil {
 			v.fleet.t.Error(err)
 			return
 		}
-		url := fmt.Sprintf("http://%s:%d/v1/backends/%s", controls[n%len(controls)], v.fleet.system.port, *v.instance.Load())
+		url := fmt.Sprintf("http://%s:%d/v1/backends/%s", controls[n%len(controls)], v.fleet.system.port, instance)
 		pause := announceRetry
 		calling, cancel := context.WithTimeout(ctx, time.Second)
 		request, err := http.NewRequestWithContext(calling, http.MethodPut, url, bytes.NewReader(body))
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -31,10 +32,12 @@
 	group   sync.WaitGroup
 	mutex   sync.Mutex
 	results []result
+	streams resumedStreams
 }
 
 func startLoad(ctx context.Context, s *system, f *fleet, count int, seed uint64) *load {
 	l := &load{}
+	l.streams = resumedStreams{load: l, ends: map[string]int{}}
 	for n := range count {
 		l.group.Go(func() { l.call(ctx, s, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
 	}
@@ -84,9 +87,22 @@
 }
 
 func sendWithBody(c *http.Client, address, path, id, key, content string, header map[string]string) (int, string) {
+	status, body, complete := sendOnce(c, address, path, id, key, content, header, wholeBody)
+	if !complete {
+		return 0, ""
+	}
+	return status, body
+}
+
+// wholeBody is the limit of a caller that reads the whole body.
+const wholeBody = math.MaxInt64
+
+// sendOnce sends a request and returns the status and what arrived of the body, of which the caller
+// reads no more than a limit. complete is false if there is no response, or a part of it is missing.
+func sendOnce(c *http.Client, address, path, id, key, content string, header map[string]string, limit int64) (status int, body string, complete bool) {
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/x", address, path), strings.NewReader(content))
 	if err != nil {
-		return 0, ""
+		return 0, "", false
 	}
 	request.Host = "soak.example"
 	request.Header.Set("Oriolebend-Request", id)
@@ -99,14 +115,11 @@
 	}
 	response, err := c.Do(request)
 	if err != nil {
-		return 0, ""
+		return 0, "", false
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(body)
+	read, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	return response.StatusCode, string(read), err == nil && int64(len(read)) < limit
 }
 
 // check compares the results of callers with the requests that servers ran.
--- a/internal/soak/ranks_test.go
+++ b/internal/soak/ranks_test.go
@@ -22,6 +22,10 @@
 	// rank 0 alone than the quota, and no order of ranks could keep its refusals below half of the
 	// others'.
 	rankInterval = 300 * time.Millisecond
+	// One of leavingShare callers whose stream may be resumed closes its connection within the first
+	// leavingBytes, about half of the stream, and resumes it.
+	leavingShare = 4
+	leavingBytes = 400
 	// onceRank is the rank whose generations may neither be repeated nor resumed.
 	onceRank = 1
 	// noServerWithin is the time after the first answer since a loss of everything in which
@@ -64,14 +68,15 @@
 		"Oriolebend-Prompt-Tokens": strconv.Itoa(promptTokens), "Oriolebend-Output-Tokens": strconv.Itoa(generationParts),
 	}
 	for n := 0; ctx.Err() == nil; n++ {
-		t := result{id: fmt.Sprintf("g%d-%d-%d", rank, caller, n), once: rank == onceRank}
-		t.want = parts(t.id)
+		g := &generation{
+			load: l, callers: callers, id: fmt.Sprintf("g%d-%d-%d", rank, caller, n), rank: rank, header: header,
+			leavesAfter: wholeBody,
+		}
+		if rank != onceRank && random.IntN(leavingShare) == 0 {
+			g.leavesAfter = 1 + random.Int64N(leavingBytes)
+		}
 		began := time.Now()
-		// The bodies differ: quotas count requests with equal bodies as tries at one request.
-		t.status, t.body = sendWithBody(
-			callers, s.callers[random.IntN(len(s.callers))], rankPath(rank), t.id, keyOf(ranked), t.id, header,
-		)
-		l.note(t, began)
+		g.run(func() string { return s.callers[random.IntN(len(s.callers))] })
 		time.Sleep(time.Until(began.Add(rankInterval/2 + time.Duration(random.Int64N(int64(rankInterval))))))
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,7 +39,8 @@
 //   - servers that report a limit, a backoff period or that they leave are sent no more than
 //     that allows,
 //   - every request runs for the organisation that holds its key, within its quota,
-//   - a stream of a generation has each event once and in order, also after a resumption.
+//   - a stream of a generation has each event once and in order, also after a resumption by the
+//     router or its caller, and all of them from engines of one software version.
 //
 // At the end of the fault injection all processes are killed at once and started again.
 func TestSoak(t *testing.T) {
@@ -112,6 +113,7 @@
 	operator.checkInForce(settle)
 	load.check(t, fleet)
 	load.checkRanks(t)
+	load.checkStreams(t)
 	load.checkRestart(t, lost)
 	fleet.checkEngines(t)
 	fleet.crashes.check(t, s)
