streamrecord: bounds and names, a gauge of the records held

The streams of one forwarder whose records are to be stored had no bound of their own; the list of control VMs was read with the lock held that each first event takes; a field named stream also held contents. Change: a bound, the lock, the name; oriolebend_stream_records. Evidence: no behaviour changes below the bound; tests of streamrecord, role and forwarder pass.

--- a/internal/forwarder/origin.go
+++ b/internal/forwarder/origin.go
@@ -62,13 +62,20 @@
 		return false
 	}
 	w.origin, w.service = &origin, table.Service(origin.Service)
-	if w.service == nil || !slices.ContainsFunc(w.route.Targets, func(t oriolebend.RouteTarget) bool { return t.Service == origin.Service && t.Weight > 0 }) {
+	if w.service == nil || !leadsTo(w.route, origin.Service) {
 		w.refuse(refusal{reason: oriolebend.ReasonVersionGone}) // the route has moved to other services
 		return false
 	}
 	return true
 }
 
+// leadsTo reports whether a route sends requests to a service.
+func leadsTo(r *oriolebend.Route, service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t oriolebend.RouteTarget) bool {
+		return t.Service == service && t.Weight > 0
+	})
+}
+
 // lookupOrigin returns the origin of the stream that the caller states, or of the streams of the
 // request's content if it states none.
 func (w *work) lookupOrigin(ctx context.Context) (message.StreamOrigin, error) {
--- a/internal/message/streamrecord.go
+++ b/internal/message/streamrecord.go
@@ -53,13 +53,13 @@
 	Content uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// StreamRecordRequest stores records, or looks up a stream if it has none.
+// StreamRecordRequest stores records, or looks up an origin if it has none.
 type StreamRecordRequest struct {
 	// ID identifies the request in its session.
 	ID      uint64         `cbor:"1,keyasint"`
 	Records []StreamRecord `cbor:"2,keyasint,omitempty"`
-	// Stream is the stream to look up, or the content of its request.
-	Stream uint64 `cbor:"3,keyasint,omitempty"`
+	// Key is the stream to look up, or the content of its request.
+	Key uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // StreamRecordAnswer answers a StreamRecordRequest.
--- a/internal/role/control_status.go
+++ b/internal/role/control_status.go
@@ -49,6 +49,9 @@
 	c.process.metrics.Counter("quota_lease_granted_total", "Requests granted under quota leases.", func() float64 {
 		return float64(c.quotas.LeaseStatus().Granted)
 	})
+	c.process.metrics.Gauge("stream_records", "Origins of streams, and of contents of requests, that this control VM holds.", func() float64 {
+		return float64(c.streams.Len())
+	})
 	c.process.metrics.CounterByReason("control_refusals_total", "Proposals, changes and confirmations refused, by reason.", func(r oriolebend.Reason) float64 {
 		return float64(c.replica.Status().Refusals[r])
 	})
--- a/internal/streamrecord/client.go
+++ b/internal/streamrecord/client.go
@@ -23,6 +23,8 @@
 	// holders is the number of control VMs that hold the record of a stream, so that one of them
 	// may be lost together with the forwarder of the stream.
 	holders = 2
+	// maxUnfinished bounds the streams of one forwarder whose records control VMs must hold.
+	maxUnfinished = DefaultLimit / 4
 	// storeTimeout bounds the storing of records at one control VM. After a failure no records are
 	// sent there for unreachableFor.
 	storeTimeout   = 500 * time.Millisecond
@@ -112,6 +114,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.known.Add(now, r)
+	if len(c.unfinished) >= maxUnfinished && c.unfinished[r.Stream] == nil {
+		return // control VMs don't learn of it: another forwarder will refuse to resume the stream
+	}
 	c.unfinished[r.Stream] = &unfinished{record: r, until: now.Add(min(r.ResumableFor, maxResumable))}
 	c.notify()
 }
@@ -176,9 +181,10 @@
 // takeMissing returns the records that each control VM should hold and has not stored. A control VM
 // that is storing records gets the next ones together, once it has answered.
 func (c *Client) takeMissing(now time.Time) map[string][]message.StreamRecord {
+	controls := c.config.Controls()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	controls := slices.DeleteFunc(c.config.Controls(), func(control string) bool { return now.Before(c.unreachable[control]) })
+	controls = slices.DeleteFunc(controls, func(control string) bool { return now.Before(c.unreachable[control]) })
 	missing := map[string][]message.StreamRecord{}
 	for _, s := range c.unfinished {
 		for _, control := range policy.Nearest(s.key(), controls, holders) {
@@ -324,7 +330,7 @@
 
 // query looks a key up in one control VM. It returns nil if the control VM does not answer.
 func (c *Client) query(ctx context.Context, control string, key uint64) *message.StreamRecordAnswer {
-	answer, err := c.requests.Request(ctx, control, message.StreamRecordRequest{Stream: key})
+	answer, err := c.requests.Request(ctx, control, message.StreamRecordRequest{Key: key})
 	if err != nil {
 		return nil
 	}
--- a/internal/streamrecord/server.go
+++ b/internal/streamrecord/server.go
@@ -51,7 +51,7 @@
 		s.table.Add(at, r)
 	}
 	if len(request.Records) == 0 {
-		answer.Origin, answer.Conflict = s.table.Find(at, request.Stream)
+		answer.Origin, answer.Conflict = s.table.Find(at, request.Key)
 	}
 	return answer
 }
--- a/internal/streamrecord/table.go
+++ b/internal/streamrecord/table.go
@@ -95,7 +95,7 @@
 		delete(t.entries, key)
 		return true
 	})
-	t.origins = nil
+	t.origins = nil // those still in use are shared again from the next record on
 }
 
 // makeRoom drops the oldest entry if there are as many as allowed, and the expired one of a key.
