role: the start of a forwarder in parts

Change: the clients, the configuration and the follower are built by methods of their own. No behaviour changes. Evidence: tests of role that start forwarders pass.

--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -70,57 +70,9 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	process.endpoint, process.crashReporter.Dialer = endpoint, endpoint
-	process.places = &placements.Client{
-		Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Dialer: endpoint, Logger: p.Logger,
-		Leader: func() string { return process.follower.Leader() },
-		Speeds: func() []message.EngineSpeed { return process.forwarder.EngineSpeeds() },
-	}
-	process.places.Prepare()
-	process.quotas = &quota.Client{
-		Dialer: endpoint, Logger: p.Logger,
-		Leader:   func() string { return process.follower.Leader() },
-		Controls: func() []string { return process.follower.Open() },
-	}
-	process.quotas.Prepare()
-	process.limits = &serverlimit.Client{
-		Dialer: endpoint, Logger: p.Logger,
-		Leader: func() string { return process.follower.Leader() },
-	}
-	process.limits.Prepare()
-	process.streams = streamrecord.NewClient(streamrecord.Config{
-		Dialer: endpoint, Logger: p.Logger,
-		Controls: func() []string { return process.follower.Open() },
-	})
-	process.forwarder = forwarder.New(forwarder.Config{
-		Dialect:    dialect,
-		Dispatch:   dispatchConfig(p.Settings),
-		Places:     process.places,
-		Quarantine: process.crashes,
-		Quotas:     process.quotas,
-		Limits:     process.limits,
-		Streams:    process.streams,
-		Current:    func() bool { return process.follower.Connected() },
-		Observer:   p.observer(),
-		Logger:     p.Logger,
-		Held:       p.Held,
-
-		RefusedRank: p.refusedRank,
-	})
-	process.follower = &routewatch.Follower{
-		Dialer: endpoint,
-		Seeds:  p.controlAddresses(),
-		Watch: message.RouteWatch{
-			Node: p.Settings.Node.Name, FailureDomain: p.Settings.Node.FailureDomain, Incarnation: newIncarnation(),
-			Listen: p.Settings.Peer.Listen,
-		},
-		Sink:    process.forwarder,
-		Reports: func(reports []message.CrashReport) { process.crashes.ApplyReports(reports, false) },
-		Found: func(address string) {
-			process.crashReporter.SendTo(address, process.crashes.Reports())
-			process.streams.Restarted(address)
-		},
-		Logger: p.Logger,
-	}
+	process.buildClients()
+	process.forwarder = forwarder.New(process.forwarderConfig(dialect))
+	process.follower = process.newFollower()
 	if err := process.serve(); err != nil {
 		return nil, errors.Join(err, endpoint.Close())
 	}
@@ -139,6 +91,60 @@
 	return process, nil
 }
 
+// buildClients builds the clients of the forwarder's control VMs.
+func (p *ForwarderProcess) buildClients() {
+	s, logger := p.process.Settings, p.process.Logger
+	leader := func() string { return p.follower.Leader() }
+	controls := func() []string { return p.follower.Open() }
+	p.places = &placements.Client{
+		Node: s.Node.Name, FailureDomain: s.Node.FailureDomain, Dialer: p.endpoint, Logger: logger, Leader: leader,
+		Speeds: func() []message.EngineSpeed { return p.forwarder.EngineSpeeds() },
+	}
+	p.places.Prepare()
+	p.quotas = &quota.Client{Dialer: p.endpoint, Logger: logger, Leader: leader, Controls: controls}
+	p.quotas.Prepare()
+	p.limits = &serverlimit.Client{Dialer: p.endpoint, Logger: logger, Leader: leader}
+	p.limits.Prepare()
+	p.streams = streamrecord.NewClient(streamrecord.Config{Dialer: p.endpoint, Logger: logger, Controls: controls})
+}
+
+func (p *ForwarderProcess) forwarderConfig(dialect forwarder.Dialect) forwarder.Config {
+	return forwarder.Config{
+		Dialect:    dialect,
+		Dispatch:   dispatchConfig(p.process.Settings),
+		Places:     p.places,
+		Quarantine: p.crashes,
+		Quotas:     p.quotas,
+		Limits:     p.limits,
+		Streams:    p.streams,
+		Current:    func() bool { return p.follower.Connected() },
+		Observer:   p.process.observer(),
+		Logger:     p.process.Logger,
+		Held:       p.process.Held,
+
+		RefusedRank: p.process.refusedRank,
+	}
+}
+
+// newFollower returns the follower that keeps the forwarder's routing and servers up to date.
+func (p *ForwarderProcess) newFollower() *routewatch.Follower {
+	s := p.process.Settings
+	return &routewatch.Follower{
+		Dialer: p.endpoint,
+		Seeds:  p.process.controlAddresses(),
+		Watch: message.RouteWatch{
+			Node: s.Node.Name, FailureDomain: s.Node.FailureDomain, Incarnation: newIncarnation(), Listen: s.Peer.Listen,
+		},
+		Sink:    p.forwarder,
+		Reports: func(reports []message.CrashReport) { p.crashes.ApplyReports(reports, false) },
+		Found: func(address string) {
+			p.crashReporter.SendTo(address, p.crashes.Reports())
+			p.streams.Restarted(address)
+		},
+		Logger: p.process.Logger,
+	}
+}
+
 func dispatchConfig(s settings.Settings) dispatch.Config {
 	return dispatch.Config{
 		FailureDomain: s.Node.FailureDomain,
