registry: a report without an address does not hide an announcement

What callers would see: a server that runs is taken for one that was only restored, and is dropped sooner if no control VM confirms it. Cause: of two reports of an incarnation the one with the higher number counted, also if it had no address. The next, restored report then counted in place of both. Reports without an address have the number 0 today, so that only the test draws the case. Change: a report without an address never counts before one that has one.

--- a/internal/reducer/registry/script_test.go
+++ b/internal/reducer/registry/script_test.go
@@ -38,7 +38,7 @@
 //	lost CONTROL
 //
 // INSTANCE@N is incarnation N of an instance that reports its incarnation. HOST is the host of its
-// address; the default is the instance's name.
+// address; the default is the instance's name, and "none" stands for a report without an address.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := &script{now: scriptStart, state: New(Config{}), view: NewView(), followed: Servers{}}
@@ -130,8 +130,12 @@
 				if !elsewhere {
 					host = name
 				}
+				address := host + ":1"
+				if host == "none" {
+					address = ""
+				}
 				servers = append(servers, message.BackendServer{
-					Instance: name, Incarnation: incarnation, Address: host + ":1", Phase: message.ServerPhase(parts[1]),
+					Instance: name, Incarnation: incarnation, Address: address, Phase: message.ServerPhase(parts[1]),
 					Sequence: count(t, parts[2]), Silent: slices.Contains(parts[3:], "silent"),
 					Unconfirmed: slices.Contains(parts[3:], "unconfirmed"), Changing: slices.Contains(parts[3:], "changing"),
 					SoftwareVersion: software(parts[3:]),
--- a/internal/reducer/registry/view.go
+++ b/internal/reducer/registry/view.go
@@ -283,7 +283,7 @@
 		return confirm(b, a)
 	}
 	newer, older := a, b
-	if b.Sequence > a.Sequence || a.Address == "" {
+	if b.Address != "" && b.Sequence > a.Sequence || a.Address == "" {
 		newer, older = b, a
 	}
 	if older.Phase.After(newer.Phase) {
