entry: a request stays at one version of the model's weights

What callers would see, on the product's own path: a caller who names no version, while servers hold two of them, gets an answer computed by one version from the KV cache of the other, or one that begins at one version and goes on at the other. Cause: each step of a request chose among the servers of all versions, and neither KV caches nor delivered output were bound to the version that made them. Change: the entry chooses a version before the prefill, one that decode servers hold too, in proportion to the prefill servers; it stands while a decode reservation is open, and for good once there is output. Reservations name it. Left: a request with output whose version is unloaded everywhere waits for it until its deadline.

--- a/internal/reducer/entry/prefill.go
+++ b/internal/reducer/entry/prefill.go
@@ -12,6 +12,7 @@
 // compute is the caller's prompt followed by that output.
 func (s *State) openPrefill(r *request) {
 	r.attempt++
+	s.chooseVersion(r)
 	reserve := s.newReservation(r, message.PhasePrefill)
 	reserve.PromptTokens = r.PromptTokens + r.output.tokens
 	reserve.Prefix = r.Prefix
--- a/internal/reducer/entry/reserve.go
+++ b/internal/reducer/entry/reserve.go
@@ -150,7 +150,7 @@
 		Organisation: r.Scope.Organisation,
 		Urgency:      r.Urgency,
 		Model:        r.Model,
-		Version:      r.Version,
+		Version:      r.weightsVersion(),
 		Adapter:      r.Adapter,
 		Service:      r.Service,
 		Waited:       s.now.Sub(r.arrived).Truncate(waitedUnit),
--- a/internal/reducer/entry/script_test.go
+++ b/internal/reducer/entry/script_test.go
@@ -78,10 +78,16 @@
 	Reduce(w.state, ServersChanged{At: w.now, Complete: true, Servers: scriptServers(names...)})
 }
 
+// scriptServers returns servers of the model "m". A name such as d2.5 stands for a server that holds
+// version 5 of it, any other for one that holds version 1.
 func scriptServers(names ...string) []oriolebend.Server {
-	models := []oriolebend.LoadedModel{{Model: "m", Version: "1"}}
 	servers := make([]oriolebend.Server, 0, len(names))
 	for _, name := range names {
+		_, version, found := strings.Cut(name, ".")
+		if !found {
+			version = "1"
+		}
+		models := []oriolebend.LoadedModel{{Model: "m", Version: version}}
 		v := oriolebend.Server{
 			Name: name, FailureDomain: "a", GateAddress: name + ":1", Models: models,
 			State: oriolebend.ServerServing, LinkBytes: 1e9, Incarnation: 1,
--- a/internal/reducer/entry/servers.go
+++ b/internal/reducer/entry/servers.go
@@ -68,7 +68,7 @@
 	if role == oriolebend.Service {
 		return poolKey{role: role, service: r.Service}
 	}
-	return poolKey{role: role, model: r.Model, version: r.Version, adapter: r.Adapter}
+	return poolKey{role: role, model: r.Model, version: r.weightsVersion(), adapter: r.Adapter}
 }
 
 // pool holds the servers that can serve one kind of request in one phase.
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -131,6 +131,10 @@
 	holdsSlot bool
 	due       [alarmCount]time.Time
 
+	// chosenVersion is the version of the model's weights that was chosen for a
+	// request whose caller names none; empty until then.
+	chosenVersion string
+
 	// attempt is the number of the last attempt, firstAttempt the lowest number
 	// that this ownership of the record may use, and decodeAttempt the last
 	// number that a decode round used.
