--- a/internal/forwarder/native_dialect.go
+++ b/internal/forwarder/native_dialect.go
@@ -28,7 +28,7 @@
 	headerHold     = "Oriolebend-Reservation"
 	headerRan      = "Oriolebend-Ran"
 	headerAfter    = "Last-Event-Id"
-	headerFirstTry = "Oriolebend-Resumes" // the request whose answer began the stream that is resumed
+	headerResumes  = "Oriolebend-Resumes" // the request whose answer began the stream that is resumed
 	headerLeaving  = "Oriolebend-Leaving" // "1": the server accepts no new work
 	headerLimit    = "Oriolebend-Limit"   // requests per second from all VMs
 
@@ -54,7 +54,7 @@
 	info := RequestInfo{ID: h.Get(headerRequest), Prompt: number(h, headerPrompt), Output: number(h, headerOutput), Expected: number(h, headerExpected)}
 	info.Within = time.Duration(number(h, headerDeadline)) * time.Millisecond
 	info.Resumes = h.Get(headerAfter) != ""
-	info.FirstTry = h.Get(headerFirstTry)
+	info.FirstTry = h.Get(headerResumes)
 	info.Credential = CredentialOf(h[headerCredential], credentialScheme)
 	if call := h.Get(headerCall); call != "" {
 		info.Call = xxhash.Sum64String(call)
--- a/internal/forwarder/origin.go
+++ b/internal/forwarder/origin.go
@@ -88,10 +88,10 @@
 // recordOrigin records the origin of the stream, before its first event is sent to the caller. From
 // then on only servers that the origin permits continue the stream.
 func (w *work) recordOrigin(server message.BackendServer) {
-	if w.recorded {
+	if w.originRecorded {
 		return
 	}
-	w.recorded = true
+	w.originRecorded = true
 	if w.origin == nil {
 		origin := message.OriginOf(server)
 		w.origin = &origin
--- a/internal/forwarder/softwareversions_test.go
+++ b/internal/forwarder/softwareversions_test.go
@@ -118,7 +118,7 @@
 	header := map[string]string{headerRequest: words[1]}
 	for _, word := range words[2:] {
 		name, value, _ := strings.Cut(word, "=")
-		header[map[string]string{"resumes": headerFirstTry, "after": headerAfter}[name]] = value
+		header[map[string]string{"resumes": headerResumes, "after": headerAfter}[name]] = value
 	}
 	status, answer, body := s.send(words[0], header)
 	line := []string{strconv.Itoa(status)}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -35,7 +35,7 @@
 			w.prefills++
 		}
 		lastEvent = s.lastEvent
-		if w.recorded {
+		if w.originRecorded {
 			w.interrupted = time.Now()
 		}
 		if !w.maySendAgain(ctx) {
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -46,9 +46,10 @@
 	answers []*memorybudget.Holding
 
 	// origin is the origin of the stream that the request resumes, or of the stream that it has
-	// begun; nil until one of them is known. recorded is set once it has been recorded.
-	origin   *message.StreamOrigin
-	recorded bool
+	// begun; nil until one of them is known. originRecorded is set once an event of the stream is
+	// about to be sent to the caller.
+	origin         *message.StreamOrigin
+	originRecorded bool
 
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -106,7 +106,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	began, software := time.Now(), softwareOf(r.Header.Get("Oriolebend-Instance"))
-	stream := cmp.Or(r.Header.Get(headerFirstTry), id)
+	stream := cmp.Or(r.Header.Get(headerResumes), id)
 	for n := after + 1; n <= last; n++ {
 		time.Sleep(v.engine.step())
 		if _, err := fmt.Fprint(w, part(stream, n, software)); err != nil {
--- a/internal/soak/resume_test.go
+++ b/internal/soak/resume_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	headerFirstTry = "Oriolebend-Resumes"
+	headerResumes = "Oriolebend-Resumes"
 	// resumeDelay is the pause before the first resumption of a stream; the next ones are longer.
 	resumeDelay = 100 * time.Millisecond
 	// maxResumptions is how often a caller resumes one stream.
@@ -53,7 +53,7 @@
 func (g *generation) try(id, forwarder string, limit int64) result {
 	header := maps.Clone(g.header)
 	if g.received > 0 {
-		header[headerFirstTry], header["Last-Event-Id"] = g.id, strconv.Itoa(g.received)
+		header[headerResumes], header["Last-Event-Id"] = g.id, strconv.Itoa(g.received)
 	}
 	t := result{id: id, once: g.rank == onceRank, want: events(g.id, g.received+1)}
 	began := time.Now()
