dispatch: versionGone names a retry delay only where a server may be back

What callers would see: after a release has replaced all servers of a version, the callers of its streams are told to come back in two seconds, for nothing. Read from the code. Cause: the delay, which a crashed server needs to restart, was named whatever had become of the version. Change: it is named if a server of the version is listed that is not leaving: one that was tried, or reads prompts only. Otherwise there is none.

--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -176,7 +176,8 @@
 			return Grant{}, &refused
 		}
 		if e.Need.Origin != nil {
-			return Grant{}, &Refused{Reason: oriolebend.ReasonVersionGone, RetryAfter: retryVersionGone}
+			refused := s.refuseVersionGone(e.Need)
+			return Grant{}, &refused
 		}
 		return Grant{}, &Refused{Reason: oriolebend.ReasonNoServer, RetryAfter: retryUnknown}
 	}
@@ -198,6 +199,19 @@
 	return s.chooseEngines(e, service, candidates)
 }
 
+// refuseVersionGone refuses a stream that no server can continue now. It names a retry delay only if
+// the control VMs list a server of the version that is not leaving, such as one that has crashed:
+// callers would otherwise come back for nothing.
+func (s *State) refuseVersionGone(n Need) Refused {
+	refused := Refused{Reason: oriolebend.ReasonVersionGone}
+	for _, c := range s.inOrder[n.Service] {
+		if n.Origin.Permits(c.BackendServer) && c.Phase == message.PhaseReady {
+			refused.RetryAfter = retryVersionGone
+		}
+	}
+	return refused
+}
+
 // candidates returns the servers to which the request may be sent.
 func (s *State) candidates(e PlacementRequested) []*server {
 	s.scratch.candidates = s.collect(s.scratch.candidates, e, func(c *server) bool {
