forwarder, requestlog: shared parts of prompts in log lines and in explain crashes

Callers saw streams break off under one server after the other; the logs could not tell whether the requests had a part of their prompts in common. Cause: no line names anything that requests with different contents share.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -55,6 +55,9 @@
 	// Expected is the caller's estimate of the number of output tokens; zero means that there is
 	// none.
 	Expected int
+	// Parts are the IDs of the parts of the prompt that other requests may share, in order. The part
+	// that belongs to this request alone is left out.
+	Parts []string
 	// Resumes is set if the caller already has a part of the answer.
 	Resumes bool
 	// FirstTry is the ID of the caller's try whose answer brought the first event of the stream
--- a/internal/forwarder/fingerprint_test.go
+++ b/internal/forwarder/fingerprint_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,3 +34,20 @@
 	is.True(fingerprintOf(request("POST", "h", "/a?b", "body", "r1"), "other") != first)
 	is.Equal(len(first.String()), 16)
 }
+
+// The shared parts of a prompt have one fingerprint each, which differs from service to service.
+func TestPartFingerprints(t *testing.T) {
+	is := is.New(t)
+	parts := partFingerprints("s", []string{"a", "b", "a"})
+	is.Equal(len(parts), 2)
+	is.Equal(partFingerprints("s", []string{"b"})[0], parts[1])
+	is.True(partFingerprints("other", []string{"a"})[0] != parts[0])
+	is.Equal(len(partFingerprints("s", nil)), 0)
+	is.Equal(partsText(parts), parts[0].String()+" "+parts[1].String())
+	var many []string
+	for i := range 2 * maxParts {
+		many = append(many, strconv.Itoa(i))
+	}
+	is.Equal(len(partFingerprints("s", many)), maxParts)
+	is.Equal(len(strings.Fields(partsText(partFingerprints("s", many)))), maxLoggedParts)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -310,8 +310,7 @@
 		return false
 	}
 	w.fingerprint = fingerprintOf(w.request, w.organisationName())
-	w.service = table.Service(routing.Target(w.route, rand.Float64()))
-	if w.service == nil {
+	if !w.setService(table.Service(routing.Target(w.route, rand.Float64()))) {
 		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryNotReady})
 		return false
 	}
@@ -322,6 +321,16 @@
 	return true
 }
 
+// setService sets the service of a request. It returns false if there is none.
+func (w *work) setService(service *oriolebend.RouteService) bool {
+	w.service = service
+	if service == nil {
+		return false
+	}
+	w.parts = partFingerprints(service.Name, w.info.Parts)
+	return true
+}
+
 const (
 	// maxRoutingWait bounds how long a request waits for the first routing, and routingWaitShare is
 	// the share of its caller's time that it waits at most.
--- a/internal/forwarder/native_dialect.go
+++ b/internal/forwarder/native_dialect.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,7 @@
 	headerPrompt   = "Oriolebend-Prompt-Tokens"
 	headerOutput   = "Oriolebend-Output-Tokens"
 	headerExpected = "Oriolebend-Expected-Tokens"
+	headerParts    = "Oriolebend-Prompt-Parts" // the IDs of the parts that other requests may share
 	headerInstance = "Oriolebend-Instance"
 	headerPhase    = "Oriolebend-Phase"
 	headerSource   = "Oriolebend-Source"
@@ -55,6 +57,7 @@
 	info.Within = time.Duration(number(h, headerDeadline)) * time.Millisecond
 	info.Resumes = h.Get(headerAfter) != ""
 	info.FirstTry = h.Get(headerResumes)
+	info.Parts = PartIDs(h.Get(headerParts))
 	info.Credential = CredentialOf(h[headerCredential], credentialScheme)
 	if call := h.Get(headerCall); call != "" {
 		info.Call = xxhash.Sum64String(call)
@@ -62,6 +65,17 @@
 	return info, nil
 }
 
+// PartIDs splits a list of IDs that are separated by commas. Empty IDs are left out.
+func PartIDs(list string) []string {
+	var ids []string
+	for id := range strings.SplitSeq(list, ",") {
+		if id = strings.TrimSpace(id); id != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // number parses a header that holds a non-negative integer; any other value counts as missing.
 func number(h http.Header, name string) int {
 	value, err := strconv.Atoi(h.Get(name))
--- a/internal/forwarder/origin.go
+++ b/internal/forwarder/origin.go
@@ -61,8 +61,8 @@
 		w.refuse(refusal{reason: oriolebend.ReasonOriginUnknown})
 		return false
 	}
-	w.origin, w.service = &origin, table.Service(origin.Service)
-	if w.service == nil || !leadsTo(w.route, origin.Service) {
+	w.origin = &origin
+	if !w.setService(table.Service(origin.Service)) || !leadsTo(w.route, origin.Service) {
 		w.refuse(refusal{reason: oriolebend.ReasonVersionGone}) // the route has moved to other services
 		return false
 	}
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -39,6 +39,8 @@
 	deadline time.Time
 	// fingerprint identifies the content of the request over all tries of its caller.
 	fingerprint quarantine.Fingerprint
+	// parts identify the parts of the prompt that other requests to the service may share.
+	parts []quarantine.Fingerprint
 	// retried is set if the caller seems to have been refused before.
 	retried bool
 
@@ -281,6 +283,9 @@
 			slog.Int64("placedMs", w.placed.Milliseconds()), slog.Int64("readMs", w.prefilled.Milliseconds()),
 			slog.Int64("firstMs", w.first.Milliseconds()), slog.Int64("pauseMs", w.pause.Milliseconds()))
 	}
+	if len(w.parts) > 0 {
+		attributes = append(attributes, slog.String("parts", partsText(w.parts)))
+	}
 	if w.identified {
 		attributes = append(attributes, slog.String("organisation", w.organisationName()))
 	}
@@ -313,6 +318,9 @@
 	if g.Prefill != nil {
 		attributes = append(attributes, slog.String("prefill", g.Prefill.Instance))
 	}
+	if len(w.parts) > 0 {
+		attributes = append(attributes, slog.String("parts", partsText(w.parts)))
+	}
 	if status != 0 {
 		attributes = append(attributes, slog.Int("status", status))
 	}
--- a/internal/operator/command/crashes.go
+++ b/internal/operator/command/crashes.go
@@ -63,10 +63,10 @@
 	rows = nil
 	for _, s := range found.Suspects[:min(maxSuspectRows, len(found.Suspects))] {
 		rows = append(rows, []string{
-			s.Fingerprint, s.Route, strconv.Itoa(len(s.Servers)), strconv.Itoa(len(s.Tries)), strconv.Itoa(s.Answered), strconv.FormatBool(s.Held),
+			string(s.Kind), s.Fingerprint, s.Route, strconv.Itoa(len(s.Servers)), strconv.Itoa(len(s.Tries)), strconv.Itoa(s.Answered), strconv.FormatBool(s.Held),
 		})
 	}
-	if err := printTable(out, "FINGERPRINT ROUTE SERVERS TRIES ANSWERED HELD", rows); err != nil {
+	if err := printTable(out, "KIND FINGERPRINT ROUTE SERVERS TRIES ANSWERED HELD", rows); err != nil {
 		return err
 	}
 	if found.Unread > 0 {
--- a/internal/requestlog/crashes.go
+++ b/internal/requestlog/crashes.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -14,6 +14,11 @@
 	"stream broken off": true, "stream not begun": true, "sending brought no success": true, "prefill brought no result": true,
 }
 
+// quarantineMessages are the messages of a request or a part that is quarantined.
+var quarantineMessages = map[string]bool{
+	"request held back, servers ended under it": true, "part of prompts held back, servers ended under it": true,
+}
+
 // messageServerEnded is the message of a server's crash.
 const messageServerEnded = "server has ended"
 
@@ -36,10 +41,21 @@
 	JustBegun []string `json:"justBegun"`
 }
 
-// Suspect is a request fingerprint that servers had just started to process when they crashed.
+// SuspectKind is what the fingerprint of a suspect identifies.
+type SuspectKind string
+
+// Kinds of suspects.
+const (
+	SuspectRequest SuspectKind = "request" // everything that a request asks for
+	SuspectPart    SuspectKind = "part"    // a part of a prompt, which other requests may share
+)
+
+// Suspect is the fingerprint of a request, or of a part of prompts, that servers had just started to
+// process when they crashed.
 type Suspect struct {
-	Fingerprint string `json:"fingerprint"`
-	Route       string `json:"route"`
+	Kind        SuspectKind `json:"kind"`
+	Fingerprint string      `json:"fingerprint"`
+	Route       string      `json:"route"`
 	// Servers are the servers that crashed. Tries are the IDs of the requests with this
 	// fingerprint that they were processing.
 	Servers []string `json:"servers"`
@@ -60,7 +76,7 @@
 
 // FindCrashes finds the crashes of servers and their suspects in the logs of forwarders.
 func FindCrashes(logs ...Log) (Crashes, error) {
-	f := crashFinder{requests: map[string]*trackedRequest{}, crashedAt: map[string]time.Time{}, answered: map[string]int{}, quarantined: map[string]bool{}}
+	f := crashFinder{requests: map[string]*trackedRequest{}, crashedAt: map[string]time.Time{}, answered: map[suspectKey]int{}, quarantined: map[string]bool{}}
 	var found Crashes
 	for _, log := range logs {
 		unread, err := scan(log.Reader, f.addLine)
@@ -76,15 +92,31 @@
 // trackedRequest is one request with the servers at which it failed.
 type trackedRequest struct {
 	id, fingerprint, route string
+	parts                  []string
 	first, took            time.Duration
 	failedAt               map[string]time.Time // by server
 }
 
+// suspectKey identifies a suspect.
+type suspectKey struct {
+	kind        SuspectKind
+	fingerprint string
+}
+
+// keys returns the suspects that a request stands for: itself, and the parts of its prompt.
+func (r *trackedRequest) keys() []suspectKey {
+	keys := []suspectKey{{kind: SuspectRequest, fingerprint: r.fingerprint}}
+	for _, part := range r.parts {
+		keys = append(keys, suspectKey{kind: SuspectPart, fingerprint: part})
+	}
+	return keys
+}
+
 // crashFinder collects log lines, which may arrive in any order.
 type crashFinder struct {
 	requests    map[string]*trackedRequest
 	crashedAt   map[string]time.Time
-	answered    map[string]int
+	answered    map[suspectKey]int
 	quarantined map[string]bool
 }
 
@@ -99,7 +131,7 @@
 		r.failedAt[cmp.Or(prefillServer(l), l.Server)] = l.Time
 	case l.Message == messageAnswered:
 		f.addAnswer(l)
-	case l.Message == "request held back, servers ended under it":
+	case quarantineMessages[l.Message]:
 		f.quarantined[l.Fingerprint] = true
 	}
 }
@@ -116,7 +148,9 @@
 	r := f.trackRequest(l)
 	r.first, r.took = l.FirstMs.duration(), l.TookMs.duration()
 	if l.Status >= http.StatusOK && l.Status < http.StatusMultipleChoices {
-		f.answered[l.Fingerprint]++
+		for _, key := range r.keys() {
+			f.answered[key]++
+		}
 	}
 }
 
@@ -127,6 +161,9 @@
 		f.requests[l.Request] = r
 	}
 	r.fingerprint, r.route = cmp.Or(l.Fingerprint, r.fingerprint), cmp.Or(l.Route, r.route)
+	if l.Parts != "" {
+		r.parts = strings.Fields(l.Parts)
+	}
 	return r
 }
 
@@ -162,34 +199,44 @@
 	return list
 }
 
-// suspects returns the fingerprints that had just started at a server that crashed, ordered
-// by descending number of servers, then by ascending number of successful responses.
+// suspects returns the requests and parts that had just started at a server that crashed, ordered
+// by descending number of servers, then by ascending number of successful responses. A request goes
+// before its parts: if only one request has a part, nothing distinguishes the two.
 func (f *crashFinder) suspects() []Suspect {
-	byFingerprint := map[string]*Suspect{}
+	byKey := map[suspectKey]*Suspect{}
 	for _, r := range f.requests {
 		for server := range r.failedAt {
-			if !f.failedInCrash(r, server) || !r.justStarted() {
-				continue
-			}
-			s := byFingerprint[r.fingerprint]
-			if s == nil {
-				s = &Suspect{Fingerprint: r.fingerprint, Answered: f.answered[r.fingerprint], Held: f.quarantined[r.fingerprint]}
-				byFingerprint[r.fingerprint] = s
+			if f.failedInCrash(r, server) && r.justStarted() {
+				f.addSuspects(byKey, r, server)
 			}
-			s.Route = cmp.Or(s.Route, r.route)
-			s.Servers, s.Tries = append(s.Servers, server), append(s.Tries, r.id)
 		}
 	}
-	list := make([]Suspect, 0, len(byFingerprint))
-	for _, fingerprint := range slices.Sorted(maps.Keys(byFingerprint)) {
-		s := byFingerprint[fingerprint]
+	list := make([]Suspect, 0, len(byKey))
+	for _, s := range byKey {
 		slices.Sort(s.Servers)
 		slices.Sort(s.Tries)
 		s.Servers, s.Tries = slices.Compact(s.Servers), slices.Compact(s.Tries)
 		list = append(list, *s)
 	}
-	slices.SortStableFunc(list, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(len(b.Servers), len(a.Servers)), cmp.Compare(a.Answered, b.Answered))
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Servers), len(a.Servers)), cmp.Compare(a.Answered, b.Answered),
+			-cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	return list
 }
+
+// addSuspects adds the crash of a server to the suspects that a request stands for.
+func (f *crashFinder) addSuspects(byKey map[suspectKey]*Suspect, r *trackedRequest, server string) {
+	for _, key := range r.keys() {
+		s := byKey[key]
+		if s == nil {
+			s = &Suspect{
+				Kind: key.kind, Fingerprint: key.fingerprint,
+				Answered: f.answered[key], Held: f.quarantined[key.fingerprint],
+			}
+			byKey[key] = s
+		}
+		s.Route = cmp.Or(s.Route, r.route)
+		s.Servers, s.Tries = append(s.Servers, server), append(s.Tries, r.id)
+	}
+}
--- a/internal/requestlog/line.go
+++ b/internal/requestlog/line.go
@@ -34,6 +34,8 @@
 	Sent        int       `json:"sent"`
 	Fingerprint string    `json:"fingerprint"`
 	Route       string    `json:"route"`
+	// Parts are the fingerprints of the shared parts of the prompt, separated by spaces.
+	Parts string `json:"parts"`
 	// FirstMs and TookMs are the times from the arrival of the request to the first
 	// event and to the end of its response.
 	FirstMs milliseconds `json:"firstMs"`
