role: a failing test of a part of prompts that crashes servers

Their load and the new one are the same code; it now also checks that other requests are served at the end.

--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -30,10 +30,20 @@
 	crashKnownAfter = crashSettle / 3
 	// crashingBody is the body of the request that crashes servers.
 	crashingBody = "crashing"
+	// crashingPart is the part of prompts that crashes servers, sharedPart a part that is in the
+	// same prompts and in those of other callers.
+	crashingPart = "crashing-part"
+	sharedPart   = "shared-part"
+	// partCrashLimit is the number of server crashes after which a part is known to crash
+	// servers.
+	partCrashLimit = 5
 	// restartDelay is how long a crashed server takes to start again.
 	restartDelay = 300 * time.Millisecond
 )
 
+// partsHeader lists the parts of a request's prompt that other requests may share.
+const partsHeader = "Oriolebend-Prompt-Parts"
+
 // crashingFleet is a set of backend servers whose processes exit as soon as they begin to
 // run one particular request, and are started again a moment later.
 type crashingFleet struct {
@@ -105,7 +115,7 @@
 	const usual = 30 * time.Millisecond
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		if string(body) != crashingBody {
+		if string(body) != crashingBody && !strings.Contains(r.Header.Get(partsHeader), crashingPart) {
 			time.Sleep(usual)
 			_, _ = io.WriteString(w, "answered")
 			return
@@ -134,13 +144,13 @@
 	}
 }
 
-// countCrashes counts the crashes of servers, and those later than a time after the
-// third one.
-func (f *crashingFleet) countCrashes(than time.Duration) (all, later int) {
+// countCrashes counts the crashes of servers, and those later than a time after the crash
+// with the number limit.
+func (f *crashingFleet) countCrashes(limit int, than time.Duration) (all, later int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for i, at := range f.crashes {
-		if i >= crashLimit && at.Sub(f.crashes[crashLimit-1]) > than {
+		if i >= limit && at.Sub(f.crashes[limit-1]) > than {
 			later++
 		}
 	}
@@ -149,13 +159,14 @@
 
 // sendBody sends a request with a body to a forwarder. It returns the status, 0 without a
 // complete answer, and the Retry-After in seconds, 0 without one.
-func sendBody(ctx context.Context, f *ForwarderProcess, id, body string) (int, float64) {
+func sendBody(ctx context.Context, f *ForwarderProcess, id, body string, parts ...string) (int, float64) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Address()+"/x", strings.NewReader(body))
 	if err != nil {
 		return 0, 0
 	}
 	request.Host = "h"
 	request.Header.Set("Oriolebend-Request", id)
+	request.Header.Set(partsHeader, strings.Join(parts, ","))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, 0
@@ -171,36 +182,71 @@
 	return response.StatusCode, after
 }
 
-// crashingLoad sends the request that crashes servers to one forwarder after the other,
-// together with different requests of other callers.
+// crashingLoad sends requests that crash servers to one forwarder after the other, together with
+// different requests of other callers.
 type crashingLoad struct {
+	// limit is the number of crashes after which the cause is known.
+	limit int
+	// crash sends the request number n that crashes servers.
+	crash func(ctx context.Context, f *ForwarderProcess, n int)
+	// parts are the parts of the prompts of other callers.
+	parts []string
 	// answered, lost and refusedLong count the requests of other callers. refusedLong
 	// counts refusals with a Retry-After of more than a second: a server restarts sooner.
 	answered, lost, refusedLong atomic.Int32
+	// settled and settledAnswered count those that were sent in the last two seconds.
+	settled, settledAnswered atomic.Int32
+}
+
+// newRequestLoad returns the load of one request that crashes servers.
+func newRequestLoad() *crashingLoad {
+	return &crashingLoad{limit: crashLimit, crash: func(ctx context.Context, f *ForwarderProcess, n int) {
+		_, _ = sendBody(ctx, f, fmt.Sprintf("again-%d", n), crashingBody)
+	}}
+}
+
+// newPartLoad returns the load of different requests that share the part that crashes servers.
+// Other callers' prompts share their first part with them.
+func newPartLoad() *crashingLoad {
+	return &crashingLoad{limit: partCrashLimit, parts: []string{sharedPart}, crash: func(ctx context.Context, f *ForwarderProcess, n int) {
+		id := fmt.Sprintf("part-%d", n)
+		_, _ = sendBody(ctx, f, id, "body of "+id, sharedPart, crashingPart)
+	}}
 }
 
 // run sends requests for a time; the request that crashes servers is sent four times a
 // second.
 func (l *crashingLoad) run(ctx context.Context, forwarders []*ForwarderProcess, length time.Duration) {
+	settled := time.Now().Add(length - 2*time.Second)
 	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	var group sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		f := forwarders[n%len(forwarders)]
-		group.Go(func() { _, _ = sendBody(ctx, f, fmt.Sprintf("again-%d", n), crashingBody) })
+		group.Go(func() { l.crash(ctx, f, n) })
 		for i := range 5 {
-			group.Go(func() { l.other(ctx, f, fmt.Sprintf("other-%d-%d", n, i)) })
+			group.Go(func() { l.other(ctx, f, fmt.Sprintf("other-%d-%d", n, i), settled) })
 			wait(ctx, 50*time.Millisecond)
 		}
 	}
 	group.Wait()
 }
 
-func (l *crashingLoad) other(ctx context.Context, f *ForwarderProcess, id string) {
-	status, after := sendBody(ctx, f, id, "body of "+id)
+func (l *crashingLoad) other(ctx context.Context, f *ForwarderProcess, id string, settled time.Time) {
+	late := time.Now().After(settled)
+	status, after := sendBody(ctx, f, id, "body of "+id, l.parts...)
+	if ctx.Err() != nil {
+		return // the end of the load
+	}
+	if late {
+		l.settled.Add(1)
+	}
 	switch {
 	case status == http.StatusOK:
 		l.answered.Add(1)
+		if late {
+			l.settledAnswered.Add(1)
+		}
 	case after > 1:
 		l.refusedLong.Add(1)
 	default:
@@ -257,7 +303,7 @@
 // answer, and no server without it crashed.
 func TestRequestThatCrashesServers(t *testing.T) {
 	_, fleet, forwarders := startCrashSite(t, 4)
-	checkCrashes(t, fleet, forwarders)
+	checkCrashes(t, fleet, forwarders, newRequestLoad())
 }
 
 // Guards against the same failure while no control VM runs: the crash reports of one
@@ -265,7 +311,7 @@
 func TestRequestThatCrashesServersWithoutControl(t *testing.T) {
 	s, fleet, forwarders := startCrashSite(t, 4)
 	killControls(s, forwarders)
-	checkCrashes(t, fleet, forwarders)
+	checkCrashes(t, fleet, forwarders, newRequestLoad())
 }
 
 // Guards against a request that crashes two servers in turn for as long as it is sent. No
@@ -274,7 +320,7 @@
 func TestRequestThatCrashesTwoServersWithoutControl(t *testing.T) {
 	s, fleet, forwarders := startCrashSite(t, 2)
 	killControls(s, forwarders)
-	checkCrashes(t, fleet, forwarders)
+	checkCrashes(t, fleet, forwarders, newRequestLoad())
 }
 
 // Guards against a quarantined request that crashes servers again after a power loss of the
@@ -284,9 +330,8 @@
 func TestQuarantineSurvivesARestartOfEverything(t *testing.T) {
 	is := is.New(t)
 	s, fleet, forwarders := startCrashSite(t, 4)
-	var load crashingLoad
-	load.run(t.Context(), forwarders, 2*time.Second)
-	before, _ := fleet.countCrashes(0)
+	newRequestLoad().run(t.Context(), forwarders, 2*time.Second)
+	before, _ := fleet.countCrashes(crashLimit, 0)
 	is.True(before >= crashLimit)
 	for _, f := range forwarders {
 		is.NoErr(f.Kill())
@@ -305,22 +350,36 @@
 		status, _ := sendBody(t.Context(), f, "first", "first after the restart")
 		return status == http.StatusOK
 	})
-	load.run(t.Context(), []*ForwarderProcess{f}, 2*time.Second)
-	after, _ := fleet.countCrashes(0)
+	newRequestLoad().run(t.Context(), []*ForwarderProcess{f}, 2*time.Second)
+	after, _ := fleet.countCrashes(crashLimit, 0)
 	is.Equal(after, before)
 }
 
-func checkCrashes(t *testing.T, fleet *crashingFleet, forwarders []*ForwarderProcess) {
+// Guards against a part of prompts that crashes one server after the other: no two requests with it
+// are alike, so that a fingerprint of the whole request never comes twice.
+func TestPartThatCrashesServers(t *testing.T) {
+	_, fleet, forwarders := startCrashSite(t, 4)
+	checkCrashes(t, fleet, forwarders, newPartLoad())
+}
+
+// Guards against the same failure while no control VM runs.
+func TestPartThatCrashesServersWithoutControl(t *testing.T) {
+	s, fleet, forwarders := startCrashSite(t, 4)
+	killControls(s, forwarders)
+	checkCrashes(t, fleet, forwarders, newPartLoad())
+}
+
+func checkCrashes(t *testing.T, fleet *crashingFleet, forwarders []*ForwarderProcess, load *crashingLoad) {
 	t.Helper()
 	is := is.New(t)
-	var load crashingLoad
 	load.run(t.Context(), forwarders, crashSettle+4*time.Second)
-	all, later := fleet.countCrashes(crashSettle)
-	_, unknown := fleet.countCrashes(crashKnownAfter)
-	t.Logf("%d servers crashed, %d of them late; of other requests %d were answered, %d lost, %d refused for long",
-		all, later, load.answered.Load(), load.lost.Load(), load.refusedLong.Load())
-	is.True(all >= crashLimit)                  // the request did crash servers
-	is.True(later <= crashLimit)                // and was soon no longer sent
-	is.Equal(unknown, 0)                        // all forwarders know it well before that time
-	is.Equal(load.refusedLong.Load(), int32(0)) // other requests are not refused with it
+	all, later := fleet.countCrashes(load.limit, crashSettle)
+	_, unknown := fleet.countCrashes(load.limit, crashKnownAfter)
+	t.Logf("%d servers crashed, %d of them late; of other requests %d were answered, %d lost, %d refused for long; %d of the last %d answered",
+		all, later, load.answered.Load(), load.lost.Load(), load.refusedLong.Load(), load.settledAnswered.Load(), load.settled.Load())
+	is.True(all >= crashLimit)                                    // the request did crash servers
+	is.True(later <= crashLimit)                                  // and was soon no longer sent
+	is.Equal(unknown, 0)                                          // all forwarders know it well before that time
+	is.Equal(load.refusedLong.Load(), int32(0))                   // other requests are not refused with it
+	is.True(2*load.settledAnswered.Load() >= load.settled.Load()) // but served again
 }
