quarantine: parts of prompts that crash servers are known and held back

Cause: crashes were attributed to whole requests only. Requests that share the part which crashes servers, and nothing else, were new to the quarantine each time. Ruled out: requests that are known and still sent (no fingerprint of that kind came twice); chance (one kind of request at nearly every end, and the test crashes servers with nothing else wrong). Change: a crash is reported for the request and for each shared part of its prompt. The causes are the fewest suspects that explain the crashes, chosen greedily; crashes within a tenth of a second count once for a part, since a failure domain that is lost takes many requests along; a part needs crashes under two different requests; parts that came together at each crash are refused together only; a suspect that servers answered not long before needs five crashes and goes last. An answer refutes all crashes before it began, where it refuted also those of the next minute: a part that turns deadly is not spared for a minute. Refutations carry the time of the answer; one of the processes that know it sends it. Requests that wait, or whose server has sent no event, are cancelled when a quarantine has lasted 250 ms; the second send to one server is checked too. Callers return after a second at first, as another process may know an answer. Changed expectations: in the script bystander crashes and answers of one instant lie apart now, since an answer no longer refutes later crashes; TestOrderOfReportsDoesNotMatter checks times of answers in place of flags.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -115,9 +115,18 @@
 	return e
 }
 
+// CancelError is the cause of a context that the router itself cancelled.
+type CancelError struct{ Reason oriolebend.Reason }
+
+// Error implements error.
+func (e *CancelError) Error() string { return "backend: cancelled: " + string(e.Reason) }
+
 // ContextReason returns the reason for which the context of a request ended: its
-// deadline, or a caller that cancelled.
+// deadline, a caller that cancelled, or the reason for which the router cancelled it.
 func ContextReason(ctx context.Context) oriolebend.Reason {
+	if cancelled, ok := errors.AsType[*CancelError](context.Cause(ctx)); ok {
+		return cancelled.Reason
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return oriolebend.ReasonDeadline
 	}
--- a/internal/crashreports/sender.go
+++ b/internal/crashreports/sender.go
@@ -57,6 +57,8 @@
 	address  string
 	reports  []message.CrashReport
 	attempts int
+	// queued is when the ages of the reports were right.
+	queued time.Time
 }
 
 // Prepare initialises the sender; it must be called before any other method.
@@ -64,13 +66,13 @@
 
 // Send queues reports for their receivers.
 func (s *Sender) Send(reports []message.CrashReport) {
-	s.queue.Put(delivery{reports: reports})
+	s.queue.Put(delivery{reports: reports, queued: time.Now()})
 }
 
 // SendTo queues reports for one process that was just discovered.
 func (s *Sender) SendTo(address string, reports []message.CrashReport) {
 	if len(reports) > 0 {
-		s.queue.Put(delivery{address: address, reports: reports})
+		s.queue.Put(delivery{address: address, reports: reports, queued: time.Now()})
 	}
 }
 
@@ -92,7 +94,9 @@
 // byAddress merges the deliveries to the same process.
 func (s *Sender) byAddress(list []delivery) map[string]delivery {
 	all := map[string]delivery{}
+	now := time.Now()
 	for _, d := range list {
+		d = d.older(now)
 		if d.address != "" {
 			all[d.address] = all[d.address].merge(d, d.reports...)
 			continue
@@ -106,13 +110,29 @@
 	return all
 }
 
-// merge adds reports of another delivery, except duplicates: a report whose delivery to several
-// processes failed is queued once for each of them.
+// older returns the delivery as it is at a later time.
+func (d delivery) older(at time.Time) delivery {
+	by := at.Sub(d.queued)
+	d.queued = at
+	d.reports = slices.Clone(d.reports)
+	for i := range d.reports {
+		d.reports[i] = d.reports[i].Older(by)
+	}
+	return d
+}
+
+// merge adds reports of another delivery. Of two reports of one crash the one with the later answer
+// is kept: a report whose delivery to several processes failed is queued once for each of them.
 func (d delivery) merge(other delivery, reports ...message.CrashReport) delivery {
-	d.attempts = max(d.attempts, other.attempts)
+	d.attempts, d.queued = max(d.attempts, other.attempts), other.queued
 	for _, report := range reports {
-		if !slices.ContainsFunc(d.reports, report.Same) {
+		at := slices.IndexFunc(d.reports, report.SameCrash)
+		switch {
+		case at < 0:
 			d.reports = append(d.reports, report)
+		case report.AnsweredAge > 0 && (d.reports[at].AnsweredAge == 0 || report.AnsweredAge < d.reports[at].AnsweredAge),
+			len(report.Requests) > len(d.reports[at].Requests):
+			d.reports[at] = report
 		}
 	}
 	return d
@@ -130,19 +150,19 @@
 // deliver sends reports to one process. If that fails, it queues them again for the receivers that
 // are connected then.
 func (s *Sender) deliver(ctx context.Context, address string, d delivery) {
-	err := s.transmit(ctx, address, d.reports)
+	err := s.transmit(ctx, address, d)
 	if err == nil {
 		return
 	}
 	d.attempts++
 	s.Logger.Info("crash reports not delivered", "to", address, "reports", len(d.reports), "tries", d.attempts, "error", err)
 	if d.attempts < maxDeliveries && pause.For(ctx, redeliveryDelay) {
-		s.queue.Put(delivery{reports: d.reports, attempts: d.attempts})
+		s.queue.Put(delivery{reports: d.reports, attempts: d.attempts, queued: d.queued})
 	}
 }
 
 // transmit sends reports over a new session. The peer closes the session once it has applied them.
-func (s *Sender) transmit(ctx context.Context, address string, reports []message.CrashReport) error {
+func (s *Sender) transmit(ctx context.Context, address string, d delivery) error {
 	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
 	defer cancel()
 	session, err := s.Dialer.Open(ctx, address)
@@ -151,7 +171,7 @@
 	}
 	defer session.Close()
 	defer context.AfterFunc(ctx, func() { _ = session.Close() })()
-	if err := session.Send(message.CrashReports{Reports: reports}); err != nil {
+	if err := session.Send(message.CrashReports{Reports: d.older(time.Now()).reports}); err != nil {
 		return err
 	}
 	if _, err = session.Receive(); errors.Is(err, io.EOF) && ctx.Err() == nil {
--- a/internal/crashreports/sender_test.go
+++ b/internal/crashreports/sender_test.go
@@ -46,7 +46,7 @@
 func none() []string { return nil }
 
 func (n *node) quarantined() bool {
-	_, quarantined := n.store.Quarantined(1)
+	_, quarantined := n.store.Quarantined(quarantine.Suspects{Request: 1})
 	return quarantined
 }
 
@@ -70,7 +70,7 @@
 			nodes = append(nodes, newNode(ctx, network, address, none, func() []string { return peers }))
 		}
 		for i := range quarantine.Limit {
-			nodes[i*10].store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)}, time.Time{})
+			nodes[i*10].store.Crashed(quarantine.Suspects{Request: 1}, message.BackendServer{Instance: fmt.Sprint(i)}, time.Now(), time.Time{})
 		}
 		time.Sleep(propagationBound / 3)
 		synctest.Wait()
@@ -96,7 +96,7 @@
 			func() []string { return *controls.Load() }, func() []string { return []string{"second:1"} })
 		second := newNode(ctx, network, "second:1", none, none)
 		for i := range quarantine.Limit {
-			first.store.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)}, time.Time{})
+			first.store.Crashed(quarantine.Suspects{Request: 1}, message.BackendServer{Instance: fmt.Sprint(i)}, time.Now(), time.Time{})
 		}
 		is.True(first.quarantined())
 		time.Sleep(redeliveryDelay / 2)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -243,7 +243,7 @@
 // forwardAnswer forwards the server's answer to the caller.
 func (w *work) forwardAnswer(ctx context.Context, r result) {
 	if r.succeeded() {
-		w.f.config.Quarantine.Answered(w.fingerprint)
+		w.f.config.Quarantine.Answered(w.suspects(), time.Now())
 	}
 	if err := w.answer.SendBody(r.status, r.header, r.body); err != nil {
 		w.handleCutAnswer(ctx, r, err)
@@ -295,8 +295,12 @@
 const retryAfterBacklog = time.Second
 
 // giveUpWithRetry answers a request that no server served. The caller may retry soon, or, if all
-// servers are closed, when the first of them accepts requests again.
+// servers are closed, when the first of them accepts requests again, or at the end of a quarantine.
 func (w *work) giveUpWithRetry(ctx context.Context, reason oriolebend.Reason) {
+	if hold, held := w.quarantined(); held && w.notRun() {
+		w.giveUp(ctx, oriolebend.ReasonCrashesServers, hold.After)
+		return
+	}
 	if refused, closed := w.allClosed(); closed && w.notRun() {
 		w.giveUp(ctx, refused.reason, max(refused.after, retryAfterRefusal))
 		return
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -111,9 +111,10 @@
 	if !ok || failure.Reason != oriolebend.ReasonOutcomeLost {
 		return // the server answered in another way, the caller disconnected, or nothing was sent
 	}
+	broken := time.Now()
 	w.f.background.Go(func() {
 		if w.f.hasExited(server) && !w.overloadedByOthers(server) {
-			w.f.config.Quarantine.Crashed(w.fingerprint, server, failure.Opened)
+			w.f.config.Quarantine.Crashed(w.suspects(), server, broken, failure.Opened)
 		}
 	})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -314,8 +314,8 @@
 		w.refuse(refusal{reason: oriolebend.ReasonUnknownService, after: retryNotReady})
 		return false
 	}
-	if left, held := w.f.config.Quarantine.Quarantined(w.fingerprint); held {
-		w.refuse(refusal{reason: oriolebend.ReasonCrashesServers, after: left})
+	if hold, held := w.quarantined(); held {
+		w.refuse(refusal{reason: oriolebend.ReasonCrashesServers, after: hold.After})
 		return false
 	}
 	return true
--- a/internal/forwarder/held_test.go
+++ b/internal/forwarder/held_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/memorybudget"
+	"github.com/oriolebend/oriolebend/internal/quarantine"
 )
 
 const (
@@ -127,7 +128,7 @@
 		s.awaitProbes()
 	}
 	is.True(reached.Load() > 4)
-	_, held := s.forwarder.config.Quarantine.Quarantined(bodyFingerprint("/safe/"))
+	_, held := s.forwarder.config.Quarantine.Quarantined(quarantine.Suspects{Request: bodyFingerprint("/safe/")})
 	is.True(!held)
 }
 
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -93,8 +93,7 @@
 			s.send("/once/", nil)
 			s.awaitProbes()
 		}
-		_, held := s.forwarder.config.Quarantine.Reported()
-		is.Equal(held, 0)
+		is.Equal(s.forwarder.config.Quarantine.Reported(quarantine.KindRequest).Held, 0)
 	})
 	t.Run("answered before", func(t *testing.T) {
 		is := is.New(t)
@@ -108,9 +107,7 @@
 			s.send("/safe/", nil)
 			s.awaitProbes()
 		}
-		reported, held := s.forwarder.config.Quarantine.Reported()
-		is.Equal(reported, 1)
-		is.Equal(held, 0)
+		is.Equal(s.forwarder.config.Quarantine.Reported(quarantine.KindRequest), quarantine.Counts{Reported: 1})
 	})
 	t.Run("stream that has run for a while", func(t *testing.T) {
 		is := is.New(t)
@@ -125,8 +122,7 @@
 			s.send("/cut/", nil)
 			s.awaitProbes()
 		}
-		reported, _ := s.forwarder.config.Quarantine.Reported()
-		is.Equal(reported, 0)
+		is.Equal(s.forwarder.config.Quarantine.Reported(quarantine.KindRequest).Reported, 0)
 	})
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -17,13 +17,16 @@
 
 // stream forwards a request whose answer is a stream of events.
 func (w *work) stream(ctx context.Context) {
+	ctx, endWatch := w.cancelIfQuarantined(ctx)
+	defer endWatch()
 	lastEvent := ""
 	for {
 		s, refused := w.reserve(ctx)
 		if refused != nil {
-			w.giveUp(ctx, refused.reason, refused.after)
+			w.giveUpRefused(ctx, *refused)
 			return
 		}
+		s.begun = endWatch
 		w.recordSend(s.grant.Server)
 		s.lastEvent = lastEvent
 		end := s.run(ctx)
@@ -39,10 +42,6 @@
 			w.interrupted = time.Now()
 		}
 		if !w.maySendAgain(ctx) {
-			if end.retryAfter > 0 {
-				w.giveUp(ctx, end.reason, end.retryAfter)
-				return
-			}
 			w.giveUpWithRetry(ctx, end.reason)
 			return
 		}
@@ -50,6 +49,15 @@
 	}
 }
 
+// giveUpRefused answers a stream's request for which there is no placement.
+func (w *work) giveUpRefused(ctx context.Context, r refusal) {
+	if r.reason == oriolebend.ReasonCrashesServers {
+		w.giveUpWithRetry(ctx, r.reason)
+		return
+	}
+	w.giveUp(ctx, r.reason, r.after)
+}
+
 // streamSend is one send of a stream's request.
 type streamSend struct {
 	*work
@@ -62,6 +70,10 @@
 	// streaming is set from the first event on, which was received at started.
 	streaming bool
 	started   time.Time
+	// begun is called at the first event. sound is set once the request is known not to crash the
+	// server.
+	begun func()
+	sound bool
 	// events counts the received events, the last of which was received at lastReceived.
 	events       int
 	lastReceived time.Time
@@ -74,26 +86,23 @@
 	reason oriolebend.Reason
 	// unsent is set if nothing was sent to the server; another server can be tried.
 	unsent bool
-	// retryAfter is the retry delay for the caller if the request is given up; zero means a short
-	// delay.
-	retryAfter time.Duration
 }
 
 // run makes one send: it requests the prefill, checks that the request may still be sent to the
 // decode engine, and sends it.
 func (s *streamSend) run(ctx context.Context) streamResult {
 	s.placed = time.Since(s.request.Received)
-	if left, held := s.f.config.Quarantine.Quarantined(s.fingerprint); held {
+	if _, held := s.quarantined(); held {
 		s.releasePrefill()
-		return s.abandon(nil, streamResult{reason: oriolebend.ReasonCrashesServers, retryAfter: left, unsent: true})
+		return s.abandon(nil, streamResult{reason: oriolebend.ReasonCrashesServers, unsent: true})
 	}
 	source, err := s.prefill(ctx)
 	s.prefilled = time.Since(s.request.Received)
 	if err != nil && ctx.Err() != nil {
 		return s.abandon(nil, streamResult{reason: backend.ContextReason(ctx)})
 	}
-	if left, held := s.f.config.Quarantine.Quarantined(s.fingerprint); held {
-		return s.abandon(source, streamResult{reason: oriolebend.ReasonCrashesServers, retryAfter: left, unsent: true})
+	if _, held := s.quarantined(); held {
+		return s.abandon(source, streamResult{reason: oriolebend.ReasonCrashesServers, unsent: true})
 	}
 	reason := s.f.refusalForGrant(s.grant)
 	if reason == "" && !s.acquirePermission(ctx, s.permissions, s.grant.Server) {
@@ -145,6 +154,9 @@
 // mayRepeat reports whether the request may be sent to the same server once more. It acquires a new
 // permission if one is needed, since the previous send has used up the earlier one.
 func (s *streamSend) mayRepeat(ctx context.Context) bool {
+	if _, held := s.quarantined(); held {
+		return false
+	}
 	delete(s.permissions, s.grant.Server.Start())
 	return s.acquirePermission(ctx, s.permissions, s.grant.Server) && s.f.mayResend(s.grant)
 }
@@ -200,12 +212,14 @@
 		}
 		if !s.streaming {
 			s.streaming, s.started = true, last
+			s.begun()
 			s.recordLocalPrefill()
 			s.first = time.Since(s.request.Received)
 			s.f.config.Observer.Observe("firstToken", urgency(s.route), time.Since(s.request.Received).Seconds())
 		}
 		s.events++
 		s.lastReceived = last
+		s.recordSound(last)
 		if event.id != "" && !follows(event.id, s.lastEvent) {
 			continue
 		}
@@ -250,7 +264,9 @@
 func (s *streamSend) finishStream(response *backend.Response, err error) streamResult {
 	if errors.Is(err, io.EOF) {
 		if s.streaming {
-			s.f.config.Quarantine.Answered(s.fingerprint)
+			if !s.sound {
+				s.f.config.Quarantine.Answered(s.suspects(), s.started)
+			}
 			s.f.reduce(dispatch.GenerationMeasured{Need: s.expectedNeed(), Took: time.Since(s.request.Received) - s.first, Parts: s.events})
 		}
 		// The engine has finished, however long the caller takes to read the rest.
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -135,7 +135,7 @@
 	if ctx.Err() != nil || w.sent >= max(1, w.route.Attempts) || w.remaining() < worthwhile {
 		return false
 	}
-	if _, held := w.f.config.Quarantine.Quarantined(w.fingerprint); held {
+	if _, held := w.quarantined(); held {
 		return false
 	}
 	return w.notRun() || w.route.Repeat.Repeatable()
@@ -194,7 +194,7 @@
 // outcomeOf classifies a failed exchange for the reducer.
 func outcomeOf(err error) dispatch.Outcome {
 	switch reasonOf(err) {
-	case oriolebend.ReasonCallerCancelled:
+	case oriolebend.ReasonCallerCancelled, oriolebend.ReasonCrashesServers:
 		return dispatch.OutcomeCancelled
 	case oriolebend.ReasonMemoryShort:
 		return dispatch.OutcomeWithheld // nothing was sent
--- a/internal/quarantine/store_test.go
+++ b/internal/quarantine/store_test.go
@@ -24,29 +24,81 @@
 		logger, err := logging.New(settings.Log{}, &log) // this logger withholds values that may come from a caller
 		is.NoErr(err)
 		sent := 0
+		request := Suspects{Request: 1}
 		s := New(Config{
 			SendsRequests: true, Logger: logger,
 			SendReports: func(reports []message.CrashReport) { sent = len(reports) },
 		})
 		for i := range Limit {
-			_, quarantined := s.Quarantined(1)
+			_, quarantined := s.Quarantined(request)
 			is.True(!quarantined)
-			s.Crashed(1, message.BackendServer{Instance: fmt.Sprint(i)}, time.Time{})
+			s.Crashed(request, message.BackendServer{Instance: fmt.Sprint(i)}, time.Now(), time.Time{})
 			is.Equal(sent, i+1)
 		}
-		left, quarantined := s.Quarantined(1)
+		hold, quarantined := s.Quarantined(request)
 		is.True(quarantined)
-		is.True(left >= 10*time.Minute)
-		is.True(strings.Contains(log.String(), `"request held back, servers ended under it" fingerprint=0000000000000001 servers="0 1 2"`))
+		is.True(hold.Left >= 10*time.Minute)
+		is.Equal(hold.After, hold.Left)
+		is.True(strings.Contains(log.String(), `"request held back, servers ended under it" fingerprint=0000000000000001 together=0000000000000001 servers="0 1 2"`))
 		time.Sleep(15 * time.Minute)
-		_, quarantined = s.Quarantined(1)
+		_, quarantined = s.Quarantined(request)
 		is.True(!quarantined)
-		s.Crashed(1, message.BackendServer{Instance: "again"}, time.Time{})
-		_, quarantined = s.Quarantined(1)
+		s.Crashed(request, message.BackendServer{Instance: "again"}, time.Now(), time.Time{})
+		_, quarantined = s.Quarantined(request)
 		is.True(quarantined)
-		s.Answered(1)
-		_, quarantined = s.Quarantined(1)
+		time.Sleep(time.Second)
+		s.Answered(request, time.Now())
+		_, quarantined = s.Quarantined(request)
 		is.True(!quarantined)
 		is.True(strings.Contains(log.String(), "not held back any more"))
 	})
 }
+
+// Guards against callers who are sent away for ten minutes for a part that crashes no servers. Another
+// process that knows an answer to a request with the part says so within a second.
+func TestStoreOfAPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sent := 0
+		s := New(Config{SendsRequests: true, SendReports: func(reports []message.CrashReport) { sent++ }})
+		request := func(n int) Suspects { return Suspects{Request: Fingerprint(n + 10), Parts: []Fingerprint{1}} }
+		cancelled := 0
+		s.Watch(request(100), func(Hold) { cancelled++ })
+		s.Watch(Suspects{Request: 200}, func(Hold) { cancelled += 100 })
+		s.Watch(request(300), func(Hold) { cancelled += 100 })() // ends at once
+		for i := range Limit {
+			s.Crashed(request(i), message.BackendServer{Instance: fmt.Sprint(i)}, time.Now(), time.Time{})
+			time.Sleep(200 * time.Millisecond)
+		}
+		hold, quarantined := s.Quarantined(request(100))
+		is.True(quarantined)
+		is.Equal(hold.Kind, KindPart)
+		is.Equal(hold.After, time.Second)
+		is.Equal(cancelled, 0)
+		time.Sleep(watchDelay)
+		is.Equal(cancelled, 1)
+		time.Sleep(time.Second)
+		hold, _ = s.Quarantined(request(100))
+		is.True(hold.After > 9*time.Minute)
+		is.Equal(len(s.Entries()), 1)
+		is.True(!s.Release(2))
+		is.True(s.Release(1))
+		_, quarantined = s.Quarantined(request(100))
+		is.True(!quarantined)
+		is.Equal(s.Reported(KindPart), Counts{Reported: 1})
+
+		// The answer of this process is sent once, and not if another process has sent one.
+		before := sent
+		s.ApplyReports([]message.CrashReport{{Fingerprint: 1, Part: true, Instance: "other"}}, false)
+		time.Sleep(100 * time.Millisecond)
+		s.Answered(request(1), time.Now())
+		time.Sleep(maxRefutationDelay)
+		is.Equal(sent, before+1)
+		s.ApplyReports([]message.CrashReport{{Fingerprint: 1, Part: true, Instance: "another"}}, false)
+		time.Sleep(100 * time.Millisecond)
+		s.Answered(request(1), time.Now())
+		s.ApplyReports([]message.CrashReport{{Fingerprint: 1, Part: true, Instance: "another", AnsweredAge: time.Millisecond}}, false)
+		time.Sleep(maxRefutationDelay)
+		is.Equal(sent, before+1)
+	})
+}
--- a/internal/reducer/quarantine/script_test.go
+++ b/internal/reducer/quarantine/script_test.go
@@ -26,14 +26,15 @@
 // TestScripts runs the files of testdata/scripts. Each line of a block "run" is an event:
 //
 //	forwarder NAME | control NAME	starts a process without reports
-//	crash NAME REQUEST INSTANCE[@N] [AGE]	a server crashed while it began to work on a request;
-//		the connection to it was opened AGE ago
-//	answer NAME REQUEST	a server answered the request
+//	crash NAME REQUEST[+PART…] INSTANCE[@N] [AGE]	a server crashed while it began to work on a
+//		request whose prompt has these parts; the connection to it was opened AGE ago
+//	answer NAME REQUEST[+PART…]	a server answered the request
 //	receive NAME SENDER	a process receives all reports of another process
+//	release NAME REQUEST	an operator ends a quarantine
 //	wait DURATION
-//	status NAME REQUEST	prints whether the request is quarantined, and for how long
+//	status NAME REQUEST[+PART…]	prints whether the request is quarantined, and for how long
 //
-// The effects are printed after the name of the process.
+// The effects are printed after the name of the process. Refutations are due at once.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := &script{now: scriptStart, processes: map[string]*State{}}
@@ -64,7 +65,7 @@
 	case "crash":
 		instance, incarnation, _ := strings.Cut(words[3], "@")
 		start := message.ServerStart{Instance: instance, Incarnation: uint64(len(incarnation))}
-		crashed := Crashed{At: s.now, Fingerprint: s.fingerprint(words[2]), Server: start}
+		crashed := Crashed{At: s.now, Suspects: s.suspects(words[2]), Server: start}
 		if len(words) > 4 {
 			ago, err := time.ParseDuration(words[4])
 			is.New(t).NoErr(err)
@@ -72,16 +73,15 @@
 		}
 		s.show(words[1], out, Reduce(s.processes[words[1]], crashed))
 	case "answer":
-		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Fingerprint: s.fingerprint(words[2])}))
+		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Suspects: s.suspects(words[2])}))
+	case "release":
+		s.show(words[1], out, Reduce(s.processes[words[1]], ReleaseRequested{At: s.now, Fingerprint: s.fingerprint(words[2])}))
 	case "receive":
 		reports := s.processes[words[2]].Reports(s.now)
 		s.show(words[1], out, Reduce(s.processes[words[1]], ReportsReceived{At: s.now, Reports: reports, Forward: true}))
 	case "status":
-		left, quarantined := s.processes[words[1]].Quarantined(s.now, s.fingerprint(words[2]))
-		if !quarantined {
-			left = 0
-		}
-		fmt.Fprintf(out, "%s: %s quarantined %v %s\n", words[1], words[2], quarantined, left)
+		held, quarantined := s.processes[words[1]].Quarantined(s.now, s.suspects(words[2]))
+		fmt.Fprintf(out, "%s: %s quarantined %v %s\n", words[1], words[2], quarantined, held.Left)
 	default:
 		t.Fatalf("unknown event %q", words[0])
 	}
@@ -95,19 +95,42 @@
 	return Fingerprint(slices.Index(s.fingerprints, name) + 1)
 }
 
+// suspects returns the suspects of a request with the parts of its prompt.
+func (s *script) suspects(text string) Suspects {
+	request, parts, _ := strings.Cut(text, "+")
+	list := Suspects{Request: s.fingerprint(request)}
+	for part := range strings.SplitSeq(parts, "+") {
+		if part != "" {
+			list.Parts = append(list.Parts, s.fingerprint(part))
+		}
+	}
+	return list
+}
+
 func (s *script) show(process string, out *strings.Builder, effects []Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case SendReports:
 			fmt.Fprintf(out, "%s: send %s\n", process, s.text(e.Reports))
+		case ScheduleRefutation:
+			s.show(process, out, Reduce(s.processes[process], RefutationDue{At: s.now, Fingerprint: e.Fingerprint}))
 		case Quarantined:
-			fmt.Fprintf(out, "%s: quarantine %s for %s, crashed: %s\n", process, s.fingerprints[e.Fingerprint-1], e.For, strings.Join(e.Servers, " "))
+			fmt.Fprintf(out, "%s: quarantine %s for %s, crashed: %s\n", process, s.names(e.Together), e.For, strings.Join(e.Servers, " "))
 		case Released:
-			fmt.Fprintf(out, "%s: release %s\n", process, s.fingerprints[e.Fingerprint-1])
+			fmt.Fprintf(out, "%s: release %s, %s\n", process, s.fingerprints[e.Fingerprint-1], e.Reason)
 		}
 	}
 }
 
+// names returns the names of requests and parts.
+func (s *script) names(fingerprints []Fingerprint) string {
+	var words []string
+	for _, fingerprint := range fingerprints {
+		words = append(words, s.fingerprints[fingerprint-1])
+	}
+	return strings.Join(words, "+")
+}
+
 func (s *script) text(reports []message.CrashReport) string {
 	var words []string
 	for _, m := range reports {
@@ -127,19 +150,19 @@
 	is := is.New(t)
 	s := New(Config{TrackAnswers: true})
 	for i := range 2 * Limit {
-		Reduce(s, Crashed{At: scriptStart, Fingerprint: 1, Server: message.ServerStart{Instance: fmt.Sprint(i)}})
+		Reduce(s, Crashed{At: scriptStart, Suspects: Suspects{Request: 1}, Server: message.ServerStart{Instance: fmt.Sprint(i)}})
 	}
-	for i := range 4 * maxRequests {
-		Reduce(s, Crashed{At: scriptStart.Add(time.Duration(i)), Fingerprint: Fingerprint(2 + i), Server: message.ServerStart{Instance: "a"}})
+	for i := range 4 * maxSuspects {
+		Reduce(s, Crashed{At: scriptStart.Add(time.Duration(i)), Suspects: Suspects{Request: Fingerprint(2 + i)}, Server: message.ServerStart{Instance: "a"}})
 	}
-	reported, quarantined := s.Reported(scriptStart)
-	is.True(reported <= maxRequests)
-	is.True(reported >= maxRequests/2)
-	is.Equal(quarantined, 1)
+	counts := s.Reported(scriptStart)[KindRequest]
+	is.True(counts.Reported <= maxSuspects)
+	is.True(counts.Reported >= maxSuspects/2)
+	is.Equal(counts.Held, 1)
 	for i := range 4 * maxReports {
-		Reduce(s, Crashed{At: scriptStart, Fingerprint: 1, Server: message.ServerStart{Instance: "b", Incarnation: uint64(i)}})
+		Reduce(s, Crashed{At: scriptStart, Suspects: Suspects{Request: 1}, Server: message.ServerStart{Instance: "b", Incarnation: uint64(i)}})
 	}
-	is.Equal(len(s.requests[1].reports), maxReports)
+	is.Equal(len(s.suspects[1].reports), maxReports)
 }
 
 // TestOrderOfReportsDoesNotMatter checks that processes that receive the same reports have the same
@@ -148,10 +171,10 @@
 	is := is.New(t)
 	var reports []message.CrashReport
 	for i := range 4 {
-		reports = append(reports, message.CrashReport{
-			Fingerprint: 1, Instance: fmt.Sprint(i), Age: time.Duration(i) * time.Minute, Refuted: i == 3,
-		})
+		reports = append(reports, message.CrashReport{Fingerprint: 1, Instance: fmt.Sprint(i), Age: time.Duration(i) * 10 * time.Minute})
 	}
+	// The last answer refutes the crash of half an hour ago; an earlier one refutes nothing more.
+	reports[0].AnsweredAge, reports[3].AnsweredAge = 28*time.Minute, 25*time.Minute
 	var want []message.CrashReport
 	for shift := range reports {
 		s := New(Config{})
@@ -162,7 +185,8 @@
 			want = s.Reports(scriptStart)
 		}
 		is.Equal(s.Reports(scriptStart), want)
-		_, quarantined := s.Quarantined(scriptStart, 1)
+		_, quarantined := s.Quarantined(scriptStart, Suspects{Request: 1})
 		is.True(quarantined)
+		is.Equal(len(s.suspects[1].crashes()), 3)
 	}
 }
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -191,13 +191,18 @@
 	gauge("control_links", "Control VMs that this forwarder watches.", func() float64 { return float64(p.follower.Links()) })
 	gauge("requests_in_progress", "Requests that are read and not yet answered.", func() float64 { return float64(p.callers.Active()) })
 	gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(p.callers.Connections()) })
+	counts := p.crashes.Reported
 	gauge("requests_crash_reported", "Requests during which servers crashed, as far as this forwarder knows.", func() float64 {
-		reported, _ := p.crashes.Reported()
-		return float64(reported)
+		return float64(counts(quarantine.KindRequest).Reported)
 	})
 	gauge("requests_held", "Requests that are quarantined, as several servers crashed during them.", func() float64 {
-		_, held := p.crashes.Reported()
-		return float64(held)
+		return float64(counts(quarantine.KindRequest).Held)
+	})
+	gauge("prompt_parts_crash_reported", "Parts of prompts during which servers crashed, as far as this forwarder knows.", func() float64 {
+		return float64(counts(quarantine.KindPart).Reported)
+	})
+	gauge("prompt_parts_held", "Parts of prompts that are quarantined, as several servers crashed during requests with them.", func() float64 {
+		return float64(counts(quarantine.KindPart).Held)
 	})
 	gauge("server_connections_opened", "Connections to backend servers opened so far.", func() float64 { return float64(p.forwarder.Dialled()) })
 }
