saturation, http1: a forwarder at the capacity of its VM refuses new connections unread

Cause: nothing bounds what one forwarder accepts but connections and bytes of bodies. A small VM's link carries 10 Mbit/s; with more, each answer waits for all others. Change: a meter counts the bytes of callers' and servers' connections, and measures how long work waits for the processor. Answers announce the end of their connections, and after half a second the forwarder is not ready. New settings node.linkMbps and node.maxProcessorWait; without them nothing is measured. Ruled out: the lateness of timers as the measure, since the runtime runs them first.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/saturation"
 )
 
 // Defaults of PoolConfig.
@@ -37,6 +39,8 @@
 	IdleFor        time.Duration
 	MaxIdle        int
 	UnackedTimeout time.Duration
+	// Meter measures the traffic with servers; it may be nil.
+	Meter *saturation.Meter
 }
 
 // Pool keeps connections to backend servers.
@@ -142,6 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = p.config.Meter.Wrap(conn)
 	p.mutex.Lock()
 	p.dialled++
 	p.mutex.Unlock()
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 )
 
@@ -53,9 +52,8 @@
 	keepAlive bool
 	// headOnly is true for a request with method HEAD.
 	headOnly bool
-	// closing is shared with the server; once it is true, the answer announces the end of
-	// the connection.
-	closing *atomic.Bool
+	// closing reports whether the answer must announce the end of the connection.
+	closing func() bool
 
 	begun, ended, failed bool
 	streaming            bool
@@ -169,7 +167,7 @@
 // writeHead writes the head without the lines for the body's length and without the
 // empty line.
 func (a *Answer) writeHead(out *bytes.Buffer, status int, header http.Header) {
-	if a.closing.Load() {
+	if a.closing() {
 		a.keepAlive = false
 	}
 	out.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
@@ -199,7 +197,7 @@
 	if a.ended && !a.failed {
 		return a.keepAlive
 	}
-	if tcp, ok := a.conn.(*net.TCPConn); ok && a.begun {
+	if tcp, ok := a.conn.(interface{ SetLinger(seconds int) error }); ok && a.begun {
 		_ = tcp.SetLinger(0)
 	}
 	return false
--- a/internal/http1/connection.go
+++ b/internal/http1/connection.go
@@ -205,7 +205,7 @@
 		}
 		waiting <- err
 	}()
-	a := &Answer{conn: c.conn, keepAlive: keepAlive, headOnly: request.Method == http.MethodHead, closing: &c.server.closing}
+	a := &Answer{conn: c.conn, keepAlive: keepAlive, headOnly: request.Method == http.MethodHead, closing: c.server.closes}
 	c.server.config.Handler(ctx, request, a)
 	return a.finish(), waiting
 }
@@ -252,7 +252,7 @@
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	a := &Answer{conn: c.conn, closing: &c.server.closing}
+	a := &Answer{conn: c.conn, closing: c.server.closes}
 	a.SendBytes(r.Status, header, []byte(r.Detail+"\n"))
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/memorybudget"
+	"github.com/oriolebend/oriolebend/internal/saturation"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -63,6 +65,9 @@
 	MaxConnections int
 	// Held accounts for the bodies of requests; nil accounts for none.
 	Held *memorybudget.Account
+	// Meter measures the traffic with callers. While it reports that the process is saturated, new
+	// connections are reset before anything is read from them. It may be nil.
+	Meter *saturation.Meter
 }
 
 // Refusal describes the answer to a request that was not read.
@@ -96,15 +101,20 @@
 
 // Server accepts callers' connections.
 type Server struct {
-	config   Config
-	listener net.Listener
+	config  Config
+	address string
 
 	ctx    context.Context
 	cancel context.CancelFunc
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
-	active      atomic.Int64
+	// listener is nil while the server does not listen; paused is then set unless it has stopped.
+	listener net.Listener
+	paused   bool
+	active   atomic.Int64
+	// turnedAway counts the connections that were reset because the process was saturated.
+	turnedAway atomic.Int64
 	// closing is true once the server drains: each answer then announces the end of its
 	// connection.
 	closing atomic.Bool
@@ -126,19 +136,55 @@
 		c.Refused = func(Refusal) {}
 	}
 	c.MaxConnections = cmp.Or(c.MaxConnections, defaultMaxConnections)
-	s := &Server{config: c, listener: listener, connections: map[*connection]struct{}{}}
+	s := &Server{config: c, address: listener.Addr().String(), listener: listener, connections: map[*connection]struct{}{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.done.Go(s.accept)
+	s.done.Go(func() { s.accept(listener) })
 	return s
 }
 
+// Pause closes the port, so that new connections are refused before callers send anything. Open
+// connections are served on.
+func (s *Server) Pause() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.listener == nil {
+		return
+	}
+	s.paused = true
+	s.closeListener()
+}
+
+// Resume opens the port after Pause.
+func (s *Server) Resume() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.paused {
+		return nil
+	}
+	listener, err := Listen(s.address)
+	if err != nil {
+		return fmt.Errorf("listen for callers again: %w", err)
+	}
+	s.listener, s.paused = listener, false
+	s.done.Go(func() { s.accept(listener) })
+	return nil
+}
+
+// closeListener closes the port. The mutex must be held.
+func (s *Server) closeListener() {
+	if s.listener != nil {
+		_ = s.listener.Close()
+		s.listener = nil
+	}
+}
+
 // acceptRetryDelay is the delay after a failed accept, such as one for lack of
 // descriptors: retrying at once would use a whole processor.
 const acceptRetryDelay = 20 * time.Millisecond
 
-func (s *Server) accept() {
+func (s *Server) accept(listener net.Listener) {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) || s.ctx.Err() != nil {
 			return
 		}
@@ -147,7 +193,10 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConnection(s, conn)
+		if s.turnsAway(conn) {
+			continue
+		}
+		c := newConnection(s, s.config.Meter.Wrap(conn))
 		if !s.register(c) {
 			_ = conn.Close()
 			continue
@@ -156,6 +205,24 @@
 	}
 }
 
+// turnsAway resets a new connection if the process is saturated. A caller whose request was not read
+// may send it again, whatever it is, and to another process: a request that is read here would wait
+// together with all others.
+func (s *Server) turnsAway(conn net.Conn) bool {
+	if !s.config.Meter.Saturated() {
+		return false
+	}
+	s.turnedAway.Add(1)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+	return true
+}
+
+// TurnedAway returns the number of connections that were reset because the process was saturated.
+func (s *Server) TurnedAway() int64 { return s.turnedAway.Load() }
+
 // register adds a new connection; it returns false if the server is closed, or if
 // MaxConnections are open and none of them can be closed.
 func (s *Server) register(c *connection) bool {
@@ -204,7 +271,11 @@
 }
 
 // Address returns the address on which the server listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
+
+// closes reports whether answers announce the end of their connections: while the server drains,
+// and while the process is saturated, so that callers open their next connection elsewhere.
+func (s *Server) closes() bool { return s.closing.Load() || s.config.Meter.Saturated() }
 
 // Drain makes each further answer announce the end of its connection. Requests are
 // still accepted, on old and new connections.
@@ -218,8 +289,9 @@
 func (s *Server) Stop(ctx context.Context) {
 	s.Drain()
 	s.stopping.Store(true)
-	_ = s.listener.Close()
 	s.mutex.Lock()
+	s.paused = false
+	s.closeListener()
 	for c := range s.connections {
 		c.closeIdle()
 	}
@@ -240,9 +312,10 @@
 // Close closes all connections, also those with requests in progress.
 func (s *Server) Close() {
 	s.cancel()
-	_ = s.listener.Close()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.paused = false
+	s.closeListener()
 	for c := range s.connections {
 		_ = c.conn.Close()
 	}
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/crashreports"
 	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/http1"
@@ -18,6 +19,7 @@
 	"github.com/oriolebend/oriolebend/internal/quota"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/routewatch"
+	"github.com/oriolebend/oriolebend/internal/saturation"
 	"github.com/oriolebend/oriolebend/internal/serverlimit"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/internal/streamrecord"
@@ -32,6 +34,9 @@
 	defaultForwardStopWithin = 30 * time.Second
 	// stopMargin is the part of a stop that is reserved for closing the ports.
 	stopMargin = 800 * time.Millisecond
+	// unreadyAfter is for how long a forwarder is saturated until the load balancer is asked to
+	// send callers elsewhere.
+	unreadyAfter = 500 * time.Millisecond
 )
 
 // ForwarderProcess is the running process of a forwarder with its ports.
@@ -47,6 +52,7 @@
 	crashes       *quarantine.Store
 	crashReporter *crashreports.Sender
 	callers       *http1.Server
+	meter         *saturation.Meter
 	metrics       *httpServer
 	stopping      chan struct{}
 	cancel        context.CancelFunc
@@ -58,6 +64,9 @@
 func StartForwarder(p Process, dialect forwarder.Dialect) (*ForwarderProcess, error) {
 	p = p.withMetrics(peer.RoleForwarder)
 	process := &ForwarderProcess{process: p, stopping: make(chan struct{}), done: make(chan struct{})}
+	process.meter = saturation.New(saturation.Config{
+		LinkBytes: p.Settings.Node.LinkBytes(), MaxWait: time.Duration(p.Settings.Node.MaxProcessorWait), Changed: process.applySaturation,
+	})
 	process.crashReporter = &crashreports.Sender{
 		Controls: func() []string { return process.follower.Open() },
 		Peers:    func() []string { return process.follower.Peers() },
@@ -85,6 +94,7 @@
 		running.Go(func() { process.places.Run(ctx) })
 		running.Go(func() { process.crashReporter.Run(ctx) })
 		running.Go(func() { process.streams.Run(ctx) })
+		running.Go(func() { process.meter.Run(ctx) })
 		process.follower.Run(ctx)
 		running.Wait()
 	}()
@@ -112,6 +122,7 @@
 	return forwarder.Config{
 		Dialect:    dialect,
 		Dispatch:   dispatchConfig(p.process.Settings),
+		Pool:       backend.PoolConfig{Meter: p.meter},
 		Places:     p.places,
 		Quarantine: p.crashes,
 		Quotas:     p.quotas,
@@ -173,6 +184,7 @@
 		Logger:         p.process.Logger,
 		MaxConnections: cmp.Or(s.Forward.MaxConnections, s.Node.Connections()),
 		Held:           p.process.Held,
+		Meter:          p.meter,
 		Refused:        p.recordRefusal,
 	})
 	return nil
@@ -184,6 +196,18 @@
 	p.process.Logger.Info("request not read", "status", r.Status, "reason", r.Reason, "detail", r.Detail)
 }
 
+// applySaturation closes the port for callers while the link is full: a caller that connects sends
+// its request at once, which takes capacity of the link even if its connection is reset unread.
+func (p *ForwarderProcess) applySaturation(state saturation.State, use saturation.Use) {
+	if state == saturation.Link {
+		p.callers.Pause()
+	} else if err := p.callers.Resume(); err != nil {
+		p.process.Logger.Error("new connections of callers", "error", err)
+	}
+	p.process.Logger.Info("new connections of callers", "accepted", state == saturation.Free, "saturated", string(state),
+		"sent", use.Sent, "received", use.Received, "waitMs", use.Wait.Milliseconds(), "turnedAway", p.callers.TurnedAway())
+}
+
 // registerMetrics registers the gauges of the forwarder.
 func (p *ForwarderProcess) registerMetrics() {
 	gauge := p.process.metrics.Gauge
@@ -191,6 +215,9 @@
 	gauge("control_links", "Control VMs that this forwarder watches.", func() float64 { return float64(p.follower.Links()) })
 	gauge("requests_in_progress", "Requests that are read and not yet answered.", func() float64 { return float64(p.callers.Active()) })
 	gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(p.callers.Connections()) })
+	gauge("caller_connections_turned_away", "Connections of callers that were reset unread while the process was saturated.", func() float64 {
+		return float64(p.callers.TurnedAway())
+	})
 	counts := p.crashes.Reported
 	gauge("requests_crash_reported", "Requests during which servers crashed, as far as this forwarder knows.", func() float64 {
 		return float64(counts(quarantine.KindRequest).Reported)
@@ -213,7 +240,7 @@
 	case <-p.stopping:
 		return false
 	default:
-		return p.follower.Ready()
+		return p.follower.Ready() && !p.meter.SaturatedFor(unreadyAfter)
 	}
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -55,6 +55,8 @@
 func (f *faults) node(n Node) {
 	atLeast(f, "node.memoryMB", n.MemoryMB, 0)
 	atLeast(f, "node.maxHeldBytes", n.MaxHeldBytes, 0)
+	atLeast(f, "node.linkMbps", n.LinkMbps, 0)
+	atLeast(f, "node.maxProcessorWait", n.MaxProcessorWait, 0)
 	if n.MemoryMB > 0 && n.MaxHeldBytes > n.bytes() {
 		f.add("node.maxHeldBytes", CodeClash, "more than the process may use (node.memoryMB is %d)", n.MemoryMB)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,8 +43,17 @@
 	// MaxHeldBytes bounds the total size of the bodies of requests and answers that the
 	// process holds for others; zero means 0.3 of memoryMB, or 64 MiB without memoryMB.
 	MaxHeldBytes int64 `toml:"maxHeldBytes"`
+	// LinkMbps is the capacity of the VM's network link in megabits per second; zero means that it
+	// is not known.
+	LinkMbps float64 `toml:"linkMbps"`
+	// MaxProcessorWait is the mean time for which work may wait for the processor until a forwarder
+	// refuses new connections; zero means that it is not measured.
+	MaxProcessorWait Duration `toml:"maxProcessorWait"`
 }
 
+// LinkBytes returns the capacity of the VM's network link in bytes per second.
+func (n Node) LinkBytes() float64 { return n.LinkMbps * 1e6 / 8 }
+
 const (
 	// heldShare is the part of the memory for held bodies. The rest is for the program, its
 	// connections, its state of the fleet, and garbage that has not been collected yet.
