forwarder: an answer that ends with its connection is checked for a crash of its server

Cause: when a process exits, its connections are closed like after a complete answer. With a length or chunks that shows; without, only an end inside an event or a reset did. Change: when such an answer has ended, the server is probed: at once for a call, and once more after 30 ms for the end of a stream. If it refuses connections the answer counts as broken off: a resumable stream goes on elsewhere, other callers see the cut.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -64,6 +64,9 @@
 	Header http.Header
 	// Took is the time from the start of the write until the head was read.
 	Took time.Duration
+	// Unframed is true if the end of the answer is the end of its connection: it has neither a
+	// length nor chunks.
+	Unframed bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -225,7 +228,7 @@
 			return &Response{
 				Status: answer.StatusCode, Header: answer.Header, exchange: x,
 				body: answer.Body, closes: answer.Close || strays > 0 || unframed(answer),
-				length: bodyLength(r.Method, answer),
+				length: bodyLength(r.Method, answer), Unframed: r.Method != http.MethodHead && unframed(answer),
 			}, nil
 		}
 		strays++
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -148,6 +149,10 @@
 	}
 	r.status, r.header = response.Status, response.Header
 	body, err := response.Hold(held, w.f.config.MaxAnswerBytes)
+	if err == nil && w.f.cutByCrash(g.Server, response, unframedCallDelays) {
+		body.Release()
+		err = response.BodyError("read the body", io.ErrUnexpectedEOF)
+	}
 	r.body, r.err = body, err
 	if r.err != nil {
 		w.detectCrash(g.Server, r.err)
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -75,7 +75,7 @@
 		<-p.done
 		return p.exited
 	}
-	p.exited = f.refusesConnections(server.Address)
+	p.exited = f.refusesConnections(server.Address, probeDelays)
 	if p.exited {
 		f.config.Logger.Info("server has ended", "server", server.Instance, "incarnation", server.Incarnation, "address", server.Address)
 	} else {
@@ -85,10 +85,23 @@
 	return p.exited
 }
 
-// refusesConnections probes an address until it refuses connections, at most once for each of
-// probeDelays.
-func (f *Forwarder) refusesConnections(address string) bool {
-	for _, pause := range probeDelays {
+// The pauses before each probe of a server whose answer ended with its connection. They delay the
+// complete answer to a call, and the end of a stream.
+var (
+	unframedCallDelays   = []time.Duration{0}
+	unframedStreamDelays = []time.Duration{0, 30 * time.Millisecond}
+)
+
+// cutByCrash reports whether an answer that has neither a length nor chunks ended because its server
+// crashed. The connections of a process that has exited are closed like that of a complete answer.
+func (f *Forwarder) cutByCrash(server message.BackendServer, response *backend.Response, delays []time.Duration) bool {
+	return response.Unframed && f.refusesConnections(server.Address, delays)
+}
+
+// refusesConnections probes an address until it refuses connections, at most once for each of the
+// delays.
+func (f *Forwarder) refusesConnections(address string, delays []time.Duration) bool {
+	for _, pause := range delays {
 		time.Sleep(pause)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		refuses := f.pool.Refuses(ctx, address)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -207,6 +207,9 @@
 			s.pause = max(s.pause, time.Since(last))
 		}
 		last = time.Now()
+		if errors.Is(err, io.EOF) && s.f.cutByCrash(s.grant.Server, response, unframedStreamDelays) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return s.finishStream(response, err)
 		}
