forwarder: requests do not ask lost engines for memory in a loop

Cause: a placement at an engine that refuses connections is released and asked for again at once; the allocator grants it there once more, as it has no other engine.

--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -25,6 +25,15 @@
 	// maxLateRetryDelay bounds the retry delay of late requests: a quarter of a second on average
 	// leaves each a few tries before it is refused.
 	maxLateRetryDelay = 400 * time.Millisecond
+	// maxLostEngines is the number of engines in a row that a request tries without a pause if they
+	// can't be reached. After the crash of all engines there is none to go to for seconds, and the
+	// allocator grants placements at them all the same.
+	maxLostEngines = 2
+	// lostRetryDelay is the delay until the next try after that.
+	lostRetryDelay = 60 * time.Millisecond
+	// retryEnginesLost is the retry delay of a request whose engines can't be reached: a server that
+	// has crashed takes about that long to start again.
+	retryEnginesLost = 2 * time.Second
 	// reserveTimeout bounds one call for a reservation to several round trips between failure
 	// domains.
 	reserveTimeout = 300 * time.Millisecond
@@ -37,6 +46,7 @@
 // has memory, the request waits.
 func (w *work) reserve(ctx context.Context) (*streamSend, *refusal) {
 	waited := false
+	lost := 0 // engines that could not be reached, in a row
 	for {
 		grant, refused := w.placeGeneration(ctx, waited)
 		if refused != nil {
@@ -44,11 +54,18 @@
 		}
 		waited = true
 		s := &streamSend{work: w, grant: grant, permissions: permissions{}}
+		outcome := dispatch.OutcomeWithheld
 		if !w.acquirePermissions(ctx, s.permissions, grant) {
 			s.releaseWithheld()
-		} else if s.reserveMemory(ctx) {
+		} else if outcome = s.reserveMemory(ctx); outcome == "" {
 			return s, nil
 		}
+		if lost++; outcome != dispatch.OutcomeBroken {
+			lost = 0
+		}
+		if lost > maxLostEngines && !w.awaitMemory(ctx, lostRetryDelay) && ctx.Err() == nil {
+			return nil, &refusal{reason: oriolebend.ReasonNoServer, after: retryEnginesLost}
+		}
 		if ctx.Err() != nil {
 			return nil, &refusal{reason: backend.ContextReason(ctx)}
 		}
@@ -86,14 +103,14 @@
 }
 
 // reserveMemory reserves memory at the server of the grant if its engine takes reservations. If it
-// returns false, the grant has been released.
-func (s *streamSend) reserveMemory(ctx context.Context) bool {
+// returns an outcome, no memory was reserved, and the grant has been released with that outcome.
+func (s *streamSend) reserveMemory(ctx context.Context) dispatch.Outcome {
 	limits := s.service.Engine
 	if limits == nil || limits.HoldWithin <= 0 || s.info.Prompt == 0 {
-		return true
+		return ""
 	}
 	if s.f.avoidsOptionalCalls(s.grant.Server) {
-		return true // a reservation would be one more request
+		return "" // a reservation would be one more request
 	}
 	calling, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
@@ -108,7 +125,7 @@
 		s.reservation, err = s.f.config.Dialect.HoldResult(body)
 	}
 	if s.reservation != "" {
-		return true
+		return ""
 	}
 	s.releasePrefill()
 	outcome := dispatch.OutcomeFull
@@ -120,7 +137,7 @@
 		outcome = dispatch.OutcomeWithheld // the engine has just reported a limit or a backoff period; it is not full
 	}
 	s.reportEnded(s.grant, outcome, 0)
-	return false
+	return outcome
 }
 
 // releasePrefill reports to the reducer that the grant's prefill engine is not used.
