soak: a part of prompts that crashes servers, and callers who share another part with it

Nothing that callers saw: the soak had one request that crashes servers, and prompts without parts. Now different requests with one part crash servers beside it, and all ordinary callers share the first part of these prompts; in the calm at the end less than half of them may be refused for it. Two records of crashes share the code of one.

--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,17 +15,30 @@
 const (
 	// crashing is the path of a request that crashes every server that starts to run it.
 	crashing = "crashes"
-	// crashLimit is how many servers the request may crash. Later than crashSettle after the
-	// last of these crashes, it may crash as many servers again through forwarders that, like
-	// all control VMs, were undisturbed for crashSettle.
-	crashLimit  = 3
-	crashSettle = 3 * time.Second
+	// crashingPart is a part of prompts that crashes every server that starts to run a request
+	// with it, and sharedPart one that is in the same prompts and in those of other callers.
+	crashingPart = "crashing-part"
+	sharedPart   = "shared-part"
+	headerParts  = "Oriolebend-Prompt-Parts"
+	// crashLimit and partCrashLimit are how many servers the request and the part may crash. Later
+	// than crashSettle after the last of these crashes, allowedLate more may crash through forwarders
+	// that, like all control VMs, were undisturbed for crashSettle.
+	crashLimit     = 3
+	partCrashLimit = 5
+	allowedLate    = 3
+	crashSettle    = 3 * time.Second
 	// restartDelay is for how long a crashed server is unreachable.
 	restartDelay = 300 * time.Millisecond
 )
 
-// crashes records the sends of the request that crashes servers, and the crashes.
+// crashes records the sends of requests that crash servers, and the crashes.
 type crashes struct {
+	// cause names what crashes the servers, limit is the number of crashes after which it is known.
+	cause string
+	limit int
+	// send sends one try.
+	send func(callers *http.Client, address, try string)
+
 	mutex   sync.Mutex
 	crashed []crash
 	// sent holds the address of the forwarder to which each try was sent.
@@ -53,16 +67,31 @@
 	c.crashed = append(c.crashed, crash{at: time.Now(), try: try})
 }
 
-// sendCrashing repeats the request through randomly chosen forwarders, sometimes without
-// waiting between two tries.
-func (l *load) sendCrashing(ctx context.Context, s *system, f *fleet, random *rand.Rand) {
+// newRequestCrashes returns the record of one request that is repeated.
+func newRequestCrashes() *crashes {
+	return &crashes{cause: "request", limit: crashLimit, send: func(callers *http.Client, address, try string) {
+		_, _ = send(callers, address, crashing, try)
+	}}
+}
+
+// newPartCrashes returns the record of different requests with the part that crashes servers.
+func newPartCrashes() *crashes {
+	header := map[string]string{headerParts: sharedPart + "," + crashingPart}
+	return &crashes{cause: "part", limit: partCrashLimit, send: func(callers *http.Client, address, try string) {
+		_, _ = sendWithBody(callers, address, "safe", try, keyOf(regular), "body of "+try, header)
+	}}
+}
+
+// sendCrashing sends requests that crash servers through randomly chosen forwarders, sometimes
+// without waiting between two tries.
+func (c *crashes) sendCrashing(ctx context.Context, s *system, random *rand.Rand) {
 	callers := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	var group sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		address := s.callers[random.IntN(len(s.callers))]
-		try := fmt.Sprintf("crash-%d", n)
-		f.crashes.noteSent(try, address)
-		group.Go(func() { _, _ = send(callers, address, crashing, try) })
+		try := fmt.Sprintf("crash-%s-%d", c.cause, n)
+		c.noteSent(try, address)
+		group.Go(func() { c.send(callers, address, try) })
 		if random.IntN(4) > 0 {
 			time.Sleep(time.Duration(50+random.IntN(200)) * time.Millisecond)
 		}
@@ -70,10 +99,21 @@
 	group.Wait()
 }
 
+// crashesOf returns the record of a request that crashes servers, nil for any other request.
+func (f *fleet) crashesOf(r *http.Request) *crashes {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/"+crashing+"/"):
+		return f.crashes
+	case strings.Contains(r.Header.Get(headerParts), crashingPart):
+		return f.partCrashes
+	}
+	return nil
+}
+
 // crash simulates a crash of the server: its connections are reset and new ones are
 // refused until it restarts as a new instance at the same address.
-func (v *server) crash(try string) {
-	v.fleet.crashes.noteCrash(try)
+func (v *server) crash(c *crashes, try string) {
+	c.noteCrash(try)
 	if v.down.Swap(true) {
 		return // two tries reached the server at the same moment
 	}
@@ -111,8 +151,8 @@
 
 // check counts the late crashes that came through undisturbed forwarders.
 //
-// It guards against a request that keeps crashing servers while processes are killed,
-// paused and restarted. Only one process knew that the request crashes servers and it has
+// It guards against a request or a part that keeps crashing servers while processes are killed,
+// paused and restarted. Only one process knew that it crashes servers and it has
 // exited, or the crashes were reported only once, to a process that was paused.
 func (c *crashes) check(t *testing.T, s *system) {
 	t.Helper()
@@ -120,15 +160,35 @@
 	defer c.mutex.Unlock()
 	late := 0
 	for i, e := range c.crashed {
-		if i < crashLimit || e.at.Sub(c.crashed[crashLimit-1].at) <= crashSettle {
+		if i < c.limit || e.at.Sub(c.crashed[c.limit-1].at) <= crashSettle {
 			continue
 		}
 		if !s.forwarderAt(c.sent[e.try]).disturbed(e.at) {
 			late++
 		}
 	}
-	t.Logf("%d servers crashed under one request, %d of them late", len(c.crashed), late)
-	if late > crashLimit {
-		t.Errorf("%d servers crashed late under a request, %d are allowed", late, crashLimit)
+	t.Logf("%d servers crashed under one %s, %d of them late", len(c.crashed), c.cause, late)
+	if late > allowedLate {
+		t.Errorf("%d servers crashed late under a %s, %d are allowed", late, c.cause, allowedLate)
+	}
+}
+
+// checkSharedPart guards against callers who are refused because their prompts share a harmless part
+// with those that crash servers. It looks at the requests since a time at which all processes ran.
+func (l *load) checkSharedPart(t *testing.T, since time.Time) {
+	t.Helper()
+	sent, refused := 0, 0
+	for _, r := range l.results {
+		if !strings.HasPrefix(r.id, "c") || r.began.Before(since) {
+			continue
+		}
+		sent++
+		if strings.Contains(r.body, "crashesServers") {
+			refused++
+		}
+	}
+	t.Logf("%d of %d requests with the shared part were refused as crashing servers", refused, sent)
+	if 2*refused > sent {
+		t.Errorf("%d of %d requests with a harmless part were refused as crashing servers", refused, sent)
 	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -26,8 +26,10 @@
 	t       *testing.T
 	system  *system
 	servers []*server
-	crashes crashes
-	callers identities
+	crashes *crashes
+	// partCrashes records the crashes under a part of prompts.
+	partCrashes *crashes
+	callers     identities
 
 	mutex  sync.Mutex
 	random *rand.Rand
@@ -52,7 +54,9 @@
 
 func startFleet(t *testing.T, s *system, random *rand.Rand) *fleet {
 	t.Helper()
-	f := &fleet{t: t, system: s, random: random, ran: map[string]int{}}
+	f := &fleet{
+		t: t, system: s, random: random, ran: map[string]int{}, crashes: newRequestCrashes(), partCrashes: newPartCrashes(),
+	}
 	for i := range servers {
 		f.start(&server{name: fmt.Sprintf("server-%d", i), service: "s"})
 	}
@@ -103,8 +107,8 @@
 	if v.notices.apply(w, r, *v.instance.Load()) {
 		return
 	}
-	if strings.HasPrefix(r.URL.Path, "/"+crashing+"/") {
-		v.crash(id)
+	if c := v.fleet.crashesOf(r); c != nil {
+		v.crash(c, id)
 		panic(http.ErrAbortHandler)
 	}
 	v.fleet.mutex.Lock()
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -41,7 +41,8 @@
 	for n := range count {
 		l.group.Go(func() { l.call(ctx, s, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
 	}
-	l.group.Go(func() { l.sendCrashing(ctx, s, f, rand.New(rand.NewPCG(seed, 3))) })
+	l.group.Go(func() { f.crashes.sendCrashing(ctx, s, rand.New(rand.NewPCG(seed, 3))) })
+	l.group.Go(func() { f.partCrashes.sendCrashing(ctx, s, rand.New(rand.NewPCG(seed, 4))) })
 	for n := range hotCallers {
 		l.group.Go(func() { l.sendOrganisations(ctx, s, rand.New(rand.NewPCG(seed, uint64(200+n)))) })
 	}
@@ -64,6 +65,7 @@
 // call sends requests to randomly chosen forwarders over persistent connections.
 func (l *load) call(ctx context.Context, s *system, caller int, random *rand.Rand) {
 	http := &http.Client{Timeout: 5 * time.Second}
+	header := map[string]string{headerParts: sharedPart}
 	for n := 0; ctx.Err() == nil; n++ {
 		path := "once"
 		if random.IntN(2) == 0 {
@@ -72,7 +74,7 @@
 		t := result{id: fmt.Sprintf("c%d-%d", caller, n), once: path == "once"}
 		t.want = "ran " + t.id + " on " + path
 		began := time.Now()
-		t.status, t.body = send(http, s.callers[random.IntN(len(s.callers))], path, t.id)
+		t.status, t.body = sendWithBody(http, s.callers[random.IntN(len(s.callers))], path, t.id, keyOf(regular), "", header)
 		l.note(t, began)
 		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,7 +35,8 @@
 //   - a request that was refused as not run never ran,
 //   - every response belongs to its request,
 //   - an accepted routing is neither lost nor replaced by an older one in a read,
-//   - a request that crashes servers stops reaching them,
+//   - a request that crashes servers stops reaching them, and so do all requests with a part that
+//     crashes them, while those with another part of the same prompts are served,
 //   - servers that report a limit, a backoff period or that they leave are sent no more than
 //     that allows,
 //   - every request runs for the organisation that holds its key, within its quota,
@@ -104,6 +105,7 @@
 	s.restore()
 	fleet.clearFaults()
 	s.awaitReady(settle)
+	restored := time.Now()
 	time.Sleep(calm)
 	cancel()
 	load.wait()
@@ -117,6 +119,8 @@
 	load.checkRestart(t, lost)
 	fleet.checkEngines(t)
 	fleet.crashes.check(t, s)
+	fleet.partCrashes.check(t, s)
+	load.checkSharedPart(t, restored)
 	fleet.callers.check(t)
 	fleet.checkNotices(t)
 	if t.Failed() {
