--- a/internal/reducer/quarantine/state.go
+++ b/internal/reducer/quarantine/state.go
@@ -49,8 +49,8 @@
 	// for how long answers are remembered: over a longer time a part of many prompts is at several
 	// crashes by chance.
 	evidencePeriod = 10 * time.Minute
-	// maxSuspects and maxReports bound the memory to about a megabyte. When a whole failure
-	// domain is lost, thousands of requests are reported once; the requests that were
+	// maxSuspects and maxReports bound the memory to a few megabytes. When a whole failure
+	// domain is lost, thousands of requests and parts are reported once; those that were
 	// reported last are kept.
 	maxSuspects = 2048
 	maxReports  = 12
