operator: quarantines are listed and released

Operators could let go what is held back only by an answer of a server, which does not come while it is held back, or by waiting ten minutes; a part is shared by many callers. Change: GET and DELETE /v1/quarantines of any control VM, oriolebend quarantine list and release. Evidence: TestOperatorReleasesAPart: requests with the part reach servers again through each of three forwarders.

--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -77,7 +77,7 @@
 		auditCommand(out),
 		advanceCommand(out),
 		groupCommand(out),
-		routingCommand(out),
+		routingCommand(out), quarantineCommand(out),
 		folderCommand(out),
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,6 +29,8 @@
 	// Routing is the declared routing; nil means that the API has no routes for
 	// it.
 	Routing Routing
+	// Quarantine knows what crashes servers; nil means that the API has no routes for it.
+	Quarantine Quarantine
 	// Reports returns the revision that each follower has in force; nil means
 	// that there are no reports.
 	Reports func() []reached.Report
@@ -138,4 +140,5 @@
 	e.POST("/v1/advance", a.advance)
 	a.groupRoutes(e)
 	a.routingRoutes(e)
+	a.quarantineRoutes(e)
 }
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -246,7 +246,9 @@
 		Store:   store,
 		Group:   c.replica,
 		Routing: c,
-		Reports: reached.List,
+
+		Quarantine: c.crashes,
+		Reports:    reached.List,
 		// Only the leader receives announcements, so operators must query it for
 		// the progress of servers.
 		Announcements: c.members.Announcements,
--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/forwarder"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/pkg/oriolebend/client"
 )
 
 const (
@@ -369,6 +370,36 @@
 	checkCrashes(t, fleet, forwarders, newPartLoad())
 }
 
+// Guards against a part that operators can't let go once its servers are repaired.
+func TestOperatorReleasesAPart(t *testing.T) {
+	is := is.New(t)
+	s, fleet, forwarders := startCrashSite(t, 4)
+	load := newPartLoad()
+	load.run(t.Context(), forwarders, 3*time.Second)
+	before, _ := fleet.countCrashes(partCrashLimit, 0)
+	is.True(before >= crashLimit)
+	api := client.New(client.Config{
+		Addresses: []string{fmt.Sprintf("http://%s:%d", seededControls[0], s.port)}, Token: operatorToken,
+	})
+	list, err := api.Quarantines(t.Context())
+	is.NoErr(err)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Kind, "part")
+	is.True(len(list[0].Servers) >= crashLimit)
+	is.True(api.ReleaseQuarantine(t.Context(), "no fingerprint") != nil)
+	is.True(api.ReleaseQuarantine(t.Context(), "0000000000000001") != nil)
+	is.NoErr(api.ReleaseQuarantine(t.Context(), list[0].Fingerprint))
+	for i, f := range forwarders {
+		s.waitFor("the forwarder sends requests with the part", func() bool {
+			id := fmt.Sprintf("released-%d-%d", i, time.Now().UnixNano())
+			status, _ := sendBody(t.Context(), f, id, "body of "+id, sharedPart, crashingPart)
+			return status != http.StatusServiceUnavailable
+		})
+	}
+	after, _ := fleet.countCrashes(partCrashLimit, 0)
+	is.True(after > before)
+}
+
 func checkCrashes(t *testing.T, fleet *crashingFleet, forwarders []*ForwarderProcess, load *crashingLoad) {
 	t.Helper()
 	is := is.New(t)
