routewatch: crash reports are applied before the first routing

A forwarder that starts again could send a request that is known to crash servers: an update brings the routing, with which it begins to send, and the reports, and the routing was applied first. The gap is some microseconds; read, not seen. Evidence: TestCrashReportsGoBeforeTheFirstRouting fails on the code before. TestQuarantineSurvivesARestartOfEverything now plays the restart with a part as well: no further server crashes.

--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -329,9 +329,15 @@
 // disks, while callers still send the request. Crash reports that are kept only in memory
 // would be lost.
 func TestQuarantineSurvivesARestartOfEverything(t *testing.T) {
+	t.Run("request", func(t *testing.T) { checkRestart(t, newRequestLoad) })
+	t.Run("part", func(t *testing.T) { checkRestart(t, newPartLoad) })
+}
+
+func checkRestart(t *testing.T, newLoad func() *crashingLoad) {
+	t.Helper()
 	is := is.New(t)
 	s, fleet, forwarders := startCrashSite(t, 4)
-	newRequestLoad().run(t.Context(), forwarders, 2*time.Second)
+	newLoad().run(t.Context(), forwarders, 2*time.Second)
 	before, _ := fleet.countCrashes(crashLimit, 0)
 	is.True(before >= crashLimit)
 	for _, f := range forwarders {
@@ -351,7 +357,7 @@
 		status, _ := sendBody(t.Context(), f, "first", "first after the restart")
 		return status == http.StatusOK
 	})
-	newRequestLoad().run(t.Context(), []*ForwarderProcess{f}, 2*time.Second)
+	newLoad().run(t.Context(), []*ForwarderProcess{f}, 2*time.Second)
 	after, _ := fleet.countCrashes(crashLimit, 0)
 	is.Equal(after, before)
 }
--- a/internal/routewatch/feed_test.go
+++ b/internal/routewatch/feed_test.go
@@ -171,3 +171,20 @@
 		time.Sleep(time.Second) // messages in flight arrive, and all goroutines end
 	})
 }
+
+// Guards against a forwarder that has just started and sends a request that is known to crash servers:
+// it must know the crash reports when it receives its first routing.
+func TestCrashReportsGoBeforeTheFirstRouting(t *testing.T) {
+	is := is.New(t)
+	sink := &routingSink{since: map[uint64]time.Time{}}
+	reported := 0
+	f := &Follower{Sink: sink, Logger: slog.New(slog.DiscardHandler), view: registry.NewView(), Reports: func(list []message.CrashReport) {
+		reported += len(list)
+		is.Equal(sink.Version(), uint64(0))
+	}}
+	declared, err := cbor.Marshal(oriolebend.Routing{Version: 7})
+	is.NoErr(err)
+	is.True(f.applyUpdate(&link{}, nil, message.RouteUpdate{Routing: declared, Reports: []message.CrashReport{{Fingerprint: 1}}}))
+	is.Equal(reported, 1)
+	is.Equal(sink.Version(), uint64(7))
+}
--- a/internal/routewatch/follower.go
+++ b/internal/routewatch/follower.go
@@ -150,7 +150,12 @@
 }
 
 // applyUpdate applies an update. It returns false if its routing can't be decoded.
+//
+// Crash reports are applied before the first routing, with which a forwarder begins to send requests.
 func (f *Follower) applyUpdate(l *link, s peer.Stream, u message.RouteUpdate) bool {
+	if len(u.Reports) > 0 && f.Reports != nil {
+		f.Reports(u.Reports)
+	}
 	if len(u.Routing) > 0 {
 		var r oriolebend.Routing
 		if err := cbor.Unmarshal(u.Routing, &r); err != nil {
@@ -160,9 +165,6 @@
 		f.Sink.SetRouting(r)
 		f.sendVersion(l, r.Version)
 	}
-	if len(u.Reports) > 0 && f.Reports != nil {
-		f.Reports(u.Reports)
-	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if !l.open() {
