forwarder: tests of parts that crash servers on every way to a server

The tests hold: plain calls, calls that may run once, streams, streams that have just begun; a request that waits for its placement; one whose server has not begun; a second send to one server. No request with a part reaches more than three servers, or six where each is sent to two.

--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/http1"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -150,3 +152,135 @@
 	s.forwarder.Wait()
 	is.Equal(decode.seen(), "POST /reservations; DELETE /reservations/h1")
 }
+
+// partReports returns reports by which two parts are quarantined: each crashed servers under
+// different requests.
+func partReports(service string, parts ...string) []message.CrashReport {
+	var reports []message.CrashReport
+	for _, fingerprint := range partFingerprints(service, parts) {
+		for i := range quarantine.Limit {
+			reports = append(reports, message.CrashReport{
+				Fingerprint: uint64(fingerprint), Part: true, Requests: []uint64{uint64(i)}, Instance: fmt.Sprint(i),
+				Age: time.Duration(i) * time.Second,
+			})
+		}
+	}
+	return reports
+}
+
+// Guards against a part of prompts that crashes all servers of a service, on every kind of route: no
+// two requests with it are alike. Requests with another part of the same prompts are served.
+func TestPartThatCrashesServersIsRefused(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		// events are forwarded before the server crashes.
+		events int
+		// sends is to how many servers a request is sent.
+		sends int32
+	}{
+		{name: "plain", path: "/safe/", sends: 2},
+		{name: "plain, once", path: "/once/", sends: 1},
+		{name: "stream", path: "/stream/", sends: 2},
+		{name: "stream that has just begun", path: "/stream/", events: 2, sends: 2},
+		{name: "stream, once", path: "/cut/", events: 1, sends: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 0)
+			reached := s.crashers(10, "", test.events)
+			deadly := map[string]string{headerParts: "shared, deadly"}
+			for i := range 8 {
+				s.send(fmt.Sprintf("%s%d", test.path, i), deadly)
+				s.awaitProbes()
+				time.Sleep(100 * time.Millisecond) // crashes of one moment count once
+			}
+			is.True(reached.Load() >= quarantine.Limit)
+			is.True(reached.Load() <= test.sends*quarantine.Limit)
+			status, header, body := s.send(test.path+"last", deadly)
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(body, `{"reason":"crashesServers","ran":"no"}`)
+			after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(after > 0)
+			for i := range s.servers {
+				s.drain(i)
+			}
+			s.server("a", "", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2) })
+			status, _, _ = s.send(test.path+"other", map[string]string{headerParts: "shared, sound"})
+			is.Equal(status, http.StatusOK)
+		})
+	}
+}
+
+// blockingPlaces grants no placement.
+type blockingPlaces struct {
+	outdatedPlaces
+	waiting chan struct{}
+}
+
+func (p *blockingPlaces) Place(ctx context.Context, _ PlacementRequest) (dispatch.Effect, bool) {
+	close(p.waiting)
+	<-ctx.Done()
+	return dispatch.Refused{}, true
+}
+
+// Guards against a request that waits for its placement, although it is known meanwhile that it must
+// not be sent to any server. It is refused at once, and not at its deadline.
+func TestRequestThatWaitsForItsPlacementIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 10000)
+	s.server("a", oriolebend.Decode, (&engine{}).ServeHTTP)
+	places := &blockingPlaces{waiting: make(chan struct{})}
+	s.forwarder.config.Places = places
+	go func() {
+		<-places.waiting
+		s.forwarder.config.Quarantine.ApplyReports(partReports("s", "deadly"), false)
+	}()
+	began := time.Now()
+	status, header, body := s.send("/cut/", map[string]string{headerPrompt: "100", headerOutput: "50", headerParts: "shared,deadly"})
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, `{"reason":"crashesServers","ran":"no"}`)
+	is.Equal(header.Get("Retry-After"), "1.000")
+	is.True(time.Since(began) < time.Second) // the route allows 2 s
+}
+
+// Guards against a server that crashes under a request that it has in its queue when it becomes known
+// that the request crashes servers. The request is cancelled there, and may have run.
+func TestRequestThatHasNotBegunIsCancelled(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 0)
+	cancelled := make(chan struct{})
+	s.server("a", "", func(w http.ResponseWriter, r *http.Request) {
+		s.forwarder.config.Quarantine.ApplyReports(partReports("s", "deadly"), false)
+		stall(w, r)
+		close(cancelled)
+	})
+	status, _, body := s.send("/cut/", map[string]string{headerParts: "deadly"})
+	is.Equal(status, http.StatusBadGateway)
+	is.Equal(body, `{"reason":"crashesServers","ran":"unknown"}`)
+	<-cancelled
+}
+
+// Guards against a request that is sent a second time to a server whose KV cache has expired, although
+// it is known meanwhile that it crashes servers.
+func TestNoSecondSendOfAQuarantinedRequest(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 10000)
+	sends := &atomic.Int32{}
+	s.server("a", oriolebend.Prefill, (&engine{}).ServeHTTP)
+	decode := &engine{}
+	s.server("a", oriolebend.Decode, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/cut/" {
+			decode.ServeHTTP(w, r)
+			return
+		}
+		sends.Add(1)
+		s.forwarder.config.Quarantine.ApplyReports(partReports("s", "deadly"), false)
+		w.Header().Set(headerRan, string(oriolebend.RanNo)) // the KV cache can't be fetched
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	status, _, body := s.send("/cut/", map[string]string{headerPrompt: "100", headerOutput: "50", headerParts: "deadly"})
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, `{"reason":"crashesServers","ran":"no"}`)
+	is.Equal(sends.Load(), int32(1))
+}
