crashreports: a saved answer keeps its age

A part that a server had answered before it turned deadly would be sent to servers again after a restart of everything: reading the note aged the crashes and not the answer, which then refuted them. Read, not seen. Evidence: TestSavedAnswerKeepsItsAge fails on the code before.

--- a/internal/crashreports/disk_store.go
+++ b/internal/crashreports/disk_store.go
@@ -55,7 +55,7 @@
 	}
 	since := max(0, time.Since(time.UnixMilli(saved.At)))
 	for i := range saved.Reports {
-		saved.Reports[i].Age += since
+		saved.Reports[i] = saved.Reports[i].Older(since)
 	}
 	s.Store.ApplyReports(saved.Reports, false)
 	s.Logger.Info("crash reports read", "reports", len(saved.Reports), "ageMs", since.Milliseconds())
--- a/internal/crashreports/disk_store_test.go
+++ b/internal/crashreports/disk_store_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 )
@@ -80,3 +81,26 @@
 	}
 	is.Equal(len(s.Store.Reports()), quarantine.Limit)
 }
+
+// Guards against a part that crashes servers and is sent to them again after a power loss: a server
+// answered it before it turned deadly, and the answer must not become younger than the crashes.
+func TestSavedAnswerKeepsItsAge(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	var list []message.CrashReport
+	for i := range quarantine.Limit {
+		list = append(list, message.CrashReport{
+			Fingerprint: 1, Part: true, Requests: []uint64{uint64(i + 2)}, Instance: fmt.Sprint(i),
+			Age: time.Duration(i) * time.Second, AnsweredAge: time.Hour,
+		})
+	}
+	is.NoErr(disk.WriteNote(disk.OS{}, folder, noteName, savedReports{
+		At: time.Now().Add(-2 * time.Hour).UnixMilli(), Reports: list,
+	}))
+	loaded := loadDiskStore(folder).Store.Reports()
+	is.Equal(len(loaded), quarantine.Limit)
+	for _, report := range loaded {
+		is.True(!report.Refuted)
+		is.True(report.AnsweredAge >= 3*time.Hour)
+	}
+}
