--- a/internal/reducer/quarantine/bench_test.go
+++ b/internal/reducer/quarantine/bench_test.go
@@ -19,7 +19,7 @@
 			at := scriptStart.Add(time.Duration(n) * time.Second)
 			first := Fingerprint(4*i+1) << 40
 			Reduce(s, Crashed{
-				At: at, Server: message.ServerStart{Instance: fmt.Sprintf("i-%d-%d", i, n)},
+				At: at, Server: message.ServerStart{Instance: fmt.Sprintf("i-%05x%05x", i, n)},
 				Suspects: Suspects{Request: first, Parts: []Fingerprint{first + 1, first + 2, first + 3}},
 			})
 		}
@@ -40,7 +40,7 @@
 			for b.Loop() {
 				s.decide(scriptStart)
 			}
-			report, err := cbor.Marshal(s.reportsOf(scriptStart, 1<<40+1)[0])
+			report, err := cbor.Marshal(s.reportsOf(scriptStart.Add(time.Second), 1<<40+1)[0])
 			if err != nil {
 				b.Fatal(err)
 			}
