quarantine, http1: two tests that failed by the order of goroutines

In 15 runs of the touched packages TestNewConnectionsAreResetWhileSaturated failed once: its dial returned ECONNRESET. Cause: both are faults of the tests. In the first, time.Sleep ends at the same instant of the test's clock at which a timer of the store runs, so that the test reads counters while the timer changes them; and a timer of a bubble is not ordered after what the test has read before. In the second the server resets a connection that the kernel has not yet reported as open to the caller; the test expected the reset only after the dial. Change: the counters are atomic and the test waits for timers of the same instant; a reset is expected from the dial on. What is asserted is the same.

--- a/internal/http1/saturated_test.go
+++ b/internal/http1/saturated_test.go
@@ -60,6 +60,17 @@
 	return conn
 }
 
+// postOverNewConnection sends a request over a new connection. A connection that is reset may fail as
+// soon as it is opened.
+func postOverNewConnection(s *Server) error {
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		return err
+	}
+	_, err = post(conn, 10)
+	return errors.Join(err, conn.Close())
+}
+
 // Guards against callers who wait at a process that can't serve them all: a load balancer hands it
 // most new connections. It resets them before it reads a request, and has callers open their next
 // connection elsewhere, until it is below its capacity again.
@@ -74,8 +85,7 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK) // what was read is answered
 	is.True(response.Close)
-	refused := dialServer(t, s)
-	_, err = post(refused, 10)
+	err = postOverNewConnection(s)
 	is.True(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF))
 	is.Equal(read.Load(), int32(2))
 	is.Equal(s.TurnedAway(), int64(1))
--- a/internal/quarantine/store_test.go
+++ b/internal/quarantine/store_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,17 +24,17 @@
 		var log bytes.Buffer
 		logger, err := logging.New(settings.Log{}, &log) // this logger withholds values that may come from a caller
 		is.NoErr(err)
-		sent := 0
+		var sent atomic.Int32
 		request := Suspects{Request: 1}
 		s := New(Config{
 			SendsRequests: true, Logger: logger,
-			SendReports: func(reports []message.CrashReport) { sent = len(reports) },
+			SendReports: func(reports []message.CrashReport) { sent.Store(int32(len(reports))) },
 		})
 		for i := range Limit {
 			_, quarantined := s.Quarantined(request)
 			is.True(!quarantined)
 			s.Crashed(request, message.BackendServer{Instance: fmt.Sprint(i)}, time.Now(), time.Time{})
-			is.Equal(sent, i+1)
+			is.Equal(sent.Load(), int32(i+1))
 		}
 		hold, quarantined := s.Quarantined(request)
 		is.True(quarantined)
@@ -59,13 +60,12 @@
 func TestStoreOfAPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		sent := 0
-		s := New(Config{SendsRequests: true, SendReports: func(reports []message.CrashReport) { sent++ }})
+		var sent, cancelled atomic.Int32 // a timer may change them
+		s := New(Config{SendsRequests: true, SendReports: func([]message.CrashReport) { sent.Add(1) }})
 		request := func(n int) Suspects { return Suspects{Request: Fingerprint(n + 10), Parts: []Fingerprint{1}} }
-		cancelled := 0
-		s.Watch(request(100), func(Hold) { cancelled++ })
-		s.Watch(Suspects{Request: 200}, func(Hold) { cancelled += 100 })
-		s.Watch(request(300), func(Hold) { cancelled += 100 })() // ends at once
+		s.Watch(request(100), func(Hold) { cancelled.Add(1) })
+		s.Watch(Suspects{Request: 200}, func(Hold) { cancelled.Add(100) })
+		s.Watch(request(300), func(Hold) { cancelled.Add(100) })() // ends at once
 		for i := range Limit {
 			s.Crashed(request(i), message.BackendServer{Instance: fmt.Sprint(i)}, time.Now(), time.Time{})
 			time.Sleep(200 * time.Millisecond)
@@ -74,9 +74,10 @@
 		is.True(quarantined)
 		is.Equal(hold.Kind, KindPart)
 		is.Equal(hold.After, time.Second)
-		is.Equal(cancelled, 0)
+		is.Equal(cancelled.Load(), int32(0))
 		time.Sleep(watchDelay)
-		is.Equal(cancelled, 1)
+		synctest.Wait()
+		is.Equal(cancelled.Load(), int32(1))
 		time.Sleep(time.Second)
 		hold, _ = s.Quarantined(request(100))
 		is.True(hold.After > 9*time.Minute)
@@ -88,17 +89,19 @@
 		is.Equal(s.Reported(KindPart), Counts{Reported: 1})
 
 		// The answer of this process is sent once, and not if another process has sent one.
-		before := sent
+		before := sent.Load()
 		s.ApplyReports([]message.CrashReport{{Fingerprint: 1, Part: true, Instance: "other"}}, false)
 		time.Sleep(100 * time.Millisecond)
 		s.Answered(request(1), time.Now())
 		time.Sleep(maxRefutationDelay)
-		is.Equal(sent, before+1)
+		synctest.Wait()
+		is.Equal(sent.Load(), before+1)
 		s.ApplyReports([]message.CrashReport{{Fingerprint: 1, Part: true, Instance: "another"}}, false)
 		time.Sleep(100 * time.Millisecond)
 		s.Answered(request(1), time.Now())
 		s.ApplyReports([]message.CrashReport{{Fingerprint: 1, Part: true, Instance: "another", AnsweredAge: time.Millisecond}}, false)
 		time.Sleep(maxRefutationDelay)
-		is.Equal(sent, before+1)
+		synctest.Wait()
+		is.Equal(sent.Load(), before+1)
 	})
 }
