role, http1: the port for callers is opened again until that succeeds

What callers would see: after a moment of a full link a forwarder refuses all connections for good, and counts as ready, so that the load balancer goes on sending callers to it. Cause: the meter reports each state once. If the port can't be opened at that moment, such as for lack of descriptors under the very crowd that filled the link, the error was logged and nothing tried again; readiness looked at the meter only, which says free. Read in the code, not seen in a run. Change: the port is tried every tenth of a second until it is open; the meter does not measure meanwhile. A forwarder whose port has been closed for half a second is not ready, whatever the meter says.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -109,9 +109,10 @@
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
-	// listener is nil while the server does not listen; paused is then set unless it has stopped.
+	// listener is nil while the server does not listen. paused is when it was paused, zero if it
+	// listens or has stopped.
 	listener net.Listener
-	paused   bool
+	paused   time.Time
 	active   atomic.Int64
 	// turnedAway counts the connections that were reset because the process was saturated.
 	turnedAway atomic.Int64
@@ -150,7 +151,7 @@
 	if s.listener == nil {
 		return
 	}
-	s.paused = true
+	s.paused = time.Now()
 	s.closeListener()
 }
 
@@ -158,18 +159,25 @@
 func (s *Server) Resume() error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.paused {
+	if s.paused.IsZero() {
 		return nil
 	}
 	listener, err := Listen(s.address)
 	if err != nil {
 		return fmt.Errorf("listen for callers again: %w", err)
 	}
-	s.listener, s.paused = listener, false
+	s.listener, s.paused = listener, time.Time{}
 	s.done.Go(func() { s.accept(listener) })
 	return nil
 }
 
+// PausedFor reports whether the port has been closed by Pause for a time.
+func (s *Server) PausedFor(length time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.paused.IsZero() && time.Since(s.paused) >= length
+}
+
 // closeListener closes the port. The mutex must be held.
 func (s *Server) closeListener() {
 	if s.listener != nil {
@@ -290,7 +298,7 @@
 	s.Drain()
 	s.stopping.Store(true)
 	s.mutex.Lock()
-	s.paused = false
+	s.paused = time.Time{}
 	s.closeListener()
 	for c := range s.connections {
 		c.closeIdle()
@@ -314,7 +322,7 @@
 	s.cancel()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.paused = false
+	s.paused = time.Time{}
 	s.closeListener()
 	for c := range s.connections {
 		_ = c.conn.Close()
--- a/internal/role/crowded_test.go
+++ b/internal/role/crowded_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/oriolebend/oriolebend/internal/saturation"
 )
 
 // callersLoad counts the requests of callers who open a connection for each of them.
@@ -76,3 +79,30 @@
 	is.True(before.share() > 0.9)
 	is.True(crowded.share() >= 0.75*before.share())
 }
+
+// Guards against a forwarder that stays closed to callers, and is ready all the same, because its port
+// could not be opened again at once after its link was full.
+func TestPortForCallersIsOpenedAgain(t *testing.T) {
+	is := is.New(t)
+	_, _, forwarders := startCrashSite(t, 2)
+	f := forwarders[0]
+	is.True(f.Ready())
+	f.applySaturation(saturation.Link, saturation.Use{})
+	taken, err := net.Listen("tcp", f.Address())
+	is.NoErr(err)
+	opened := make(chan struct{})
+	go func() {
+		f.applySaturation(saturation.Free, saturation.Use{})
+		close(opened)
+	}()
+	time.Sleep(unreadyAfter + resumeRetryDelay)
+	is.True(!f.Ready())
+	is.NoErr(taken.Close())
+	select {
+	case <-opened:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the port was not opened again")
+	}
+	is.True(f.Ready())
+	is.Equal(sendOverNewConnection(t.Context(), f, "after"), http.StatusOK)
+}
--- a/internal/role/forwarder_metrics.go
+++ b/internal/role/forwarder_metrics.go
@@ -1,22 +1,36 @@
 package role
 
 import (
+	"time"
+
 	"github.com/oriolebend/oriolebend/internal/quarantine"
 	"github.com/oriolebend/oriolebend/internal/saturation"
 )
 
+// resumeRetryDelay is the delay until the next try to open the port for callers.
+const resumeRetryDelay = 100 * time.Millisecond
+
 // applySaturation closes the port for callers while the link is full: a caller that connects sends
 // its request at once, which takes capacity of the link even if its connection is reset unread.
 func (p *ForwarderProcess) applySaturation(state saturation.State, use saturation.Use) {
 	if state == saturation.Link {
 		p.callers.Pause()
-	} else if err := p.callers.Resume(); err != nil {
-		p.process.Logger.Error("new connections of callers", "error", err)
+	} else {
+		p.resumeCallers()
 	}
 	p.process.Logger.Info("new connections of callers", "accepted", state == saturation.Free, "saturated", string(state),
 		"sent", use.Sent, "received", use.Received, "waitMs", use.Wait.Milliseconds(), "turnedAway", p.callers.TurnedAway())
 }
 
+// resumeCallers opens the port for callers again, and tries until that succeeds, since nothing else
+// opens it. It also returns once the port is closed for good.
+func (p *ForwarderProcess) resumeCallers() {
+	for err := p.callers.Resume(); err != nil; err = p.callers.Resume() {
+		p.process.Logger.Error("the port for callers can't be opened", "error", err)
+		time.Sleep(resumeRetryDelay)
+	}
+}
+
 // registerMetrics registers the gauges of the forwarder.
 func (p *ForwarderProcess) registerMetrics() {
 	gauge := p.process.metrics.Gauge
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -34,8 +34,8 @@
 	defaultForwardStopWithin = 30 * time.Second
 	// stopMargin is the part of a stop that is reserved for closing the ports.
 	stopMargin = 800 * time.Millisecond
-	// unreadyAfter is for how long a forwarder is saturated until the load balancer is asked to
-	// send callers elsewhere.
+	// unreadyAfter is for how long a forwarder is saturated, or its port closed, until the load
+	// balancer is asked to send callers elsewhere.
 	unreadyAfter = 500 * time.Millisecond
 )
 
@@ -202,7 +202,7 @@
 	case <-p.stopping:
 		return false
 	default:
-		return p.follower.Ready() && !p.meter.SaturatedFor(unreadyAfter)
+		return p.follower.Ready() && !p.meter.SaturatedFor(unreadyAfter) && !p.callers.PausedFor(unreadyAfter)
 	}
 }
 
