forwarder, saturation: the process's own delays are not taken for an overload of servers

Cause: admission follows the time that answers take. On a full link that time is the process's own: at the same seconds 18 other forwarders saw answers of the same service after 16 to 26 ms and refused none, the crowded one after 56 to 77 ms with a target of 150 ms. Its processor waited 0 to 6 ms. Ruled out: an overload of the service (the others); the processor (the waits). Change: times that are measured while the process is near the capacity of its VM, or within a second of that, are left out: of answers, and of events of streams, which would also make engines look slow to all others. Near is above the level at which a saturated process is free again. What servers refuse for lack of room still counts.

--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -53,10 +53,20 @@
 	}
 }
 
+// ownDelayPeriod is for how long after the process was near the capacity of its VM the times of answers
+// may still include its own delays.
+const ownDelayPeriod = time.Second
+
 // reportEnded reports to the allocator, if it knows the placement, how the placement was used. The
 // outcome also updates this forwarder's view of the engine: while there is no allocator, the
 // forwarder chooses engines from that view.
+//
+// The times that a process near its capacity measures are left out: they include its own delays, and it
+// would refuse requests for an overload of servers that are not overloaded.
 func (f *Forwarder) reportEnded(e dispatch.Ended) {
+	if f.config.Pool.Meter.NearCapacityWithin(ownDelayPeriod) {
+		e.Took, e.Writing, e.Events = 0, 0, 0
+	}
 	if e.Grant.Remote != 0 || e.Grant.ReportedID != 0 {
 		f.config.Places.Ended(e)
 	}
--- a/internal/saturation/meter.go
+++ b/internal/saturation/meter.go
@@ -74,6 +74,8 @@
 	// state is the state of the last tick, since when it changed to or from Free.
 	state State
 	since time.Time
+	// nearCapacity is when the use was last above the level below which a saturated process is free.
+	nearCapacity time.Time
 	// wait is the mean time for which work waited for the processor, due when it is measured next.
 	wait time.Duration
 	due  time.Time
@@ -152,6 +154,17 @@
 	return m.state != Free && time.Since(m.since) >= length
 }
 
+// NearCapacityWithin reports whether the process was saturated, or would not yet have been free again,
+// within a time.
+func (m *Meter) NearCapacityWithin(length time.Duration) bool {
+	if m == nil {
+		return false
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return !m.nearCapacity.IsZero() && time.Since(m.nearCapacity) < length
+}
+
 // count adds the bytes of one read or write.
 func (m *Meter) count(sent, received int) {
 	if m == nil {
@@ -200,14 +213,24 @@
 
 // next returns the state that the use of the last window gives. The mutex must be held.
 func (m *Meter) next() State {
-	u := m.use()
 	link, wait := linkFull, m.config.MaxWait
 	switch m.state {
 	case Link:
 		link = linkFree
 	case Processor:
-		wait = time.Duration(waitFree * float64(wait))
+		wait = m.freeWait()
 	}
+	return m.exceeded(link, wait)
+}
+
+// freeWait is the mean wait for the processor below which the process is not saturated any more.
+func (m *Meter) freeWait() time.Duration {
+	return time.Duration(waitFree * float64(m.config.MaxWait))
+}
+
+// exceeded returns which of two levels the use of the last window exceeds. The mutex must be held.
+func (m *Meter) exceeded(link float64, wait time.Duration) State {
+	u := m.use()
 	switch {
 	case max(u.Sent, u.Received) > link:
 		return Link
@@ -227,6 +250,9 @@
 func (m *Meter) update() (bool, Use) {
 	next := m.next()
 	changed := next != m.state
+	if m.exceeded(linkFree, m.freeWait()) != Free {
+		m.nearCapacity = time.Now()
+	}
 	if (next == Free) != (m.state == Free) {
 		m.since = time.Now()
 	}
--- a/internal/saturation/meter_test.go
+++ b/internal/saturation/meter_test.go
@@ -61,6 +61,27 @@
 	fmt.Fprintf(out, "saturated %v, for half a second %v\n", m.Saturated(), m.SaturatedFor(time.Second/2))
 }
 
+// Guards against times that are taken for those of servers although the process delays answers itself:
+// it does so before it is saturated, and for some time afterwards.
+func TestNearCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := New(Config{LinkBytes: 1e6, MaxWait: 50 * time.Millisecond})
+		m.tick(0)
+		is.True(!m.NearCapacityWithin(time.Second))
+		m.count(int(0.47*1e6), 0)
+		m.tick(0)
+		is.True(!m.Saturated() && m.NearCapacityWithin(time.Second))
+		time.Sleep(windowSlots * slotLength)
+		m.tick(0)
+		is.True(!m.NearCapacityWithin(time.Second))
+		m.tick(90 * time.Millisecond) // a mean of 27 ms
+		is.True(!m.Saturated() && m.NearCapacityWithin(time.Second))
+		var none *Meter
+		is.True(!none.NearCapacityWithin(time.Minute))
+	})
+}
+
 // Guards against a process that accepts connections although it can't run: then it does not measure
 // either.
 func TestProcessThatCannotMeasure(t *testing.T) {
