role, saturation: a saturated forwarder is not ready until it has been free for 2.5 s

Cause: a load balancer asks once a second and removes a forwarder that is not ready twice in a row. The saturation ends each time that the VM refuses connections for a while, and begins again with the next ones, within 1.5 s; so did the answers about readiness. Change: once it was saturated for half a second a forwarder is not ready until it has been free for 2.5 s, longer than two questions. Evidence: TestSaturationThatComesAndGoes.

--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -37,6 +37,9 @@
 	// unreadyAfter is for how long a forwarder is saturated, or its port closed, until the load
 	// balancer is asked to send callers elsewhere.
 	unreadyAfter = 500 * time.Millisecond
+	// readyAfter is for how long it must then be free: a load balancer asks once a second, and
+	// removes a forwarder that has not been ready twice in a row.
+	readyAfter = 2500 * time.Millisecond
 )
 
 // ForwarderProcess is the running process of a forwarder with its ports.
@@ -202,7 +205,7 @@
 	case <-p.stopping:
 		return false
 	default:
-		return p.follower.Ready() && !p.meter.SaturatedFor(unreadyAfter) && !p.callers.PausedFor(unreadyAfter)
+		return p.follower.Ready() && !p.meter.SaturatedFor(unreadyAfter, readyAfter) && !p.callers.PausedFor(unreadyAfter)
 	}
 }
 
--- a/internal/saturation/meter.go
+++ b/internal/saturation/meter.go
@@ -74,6 +74,9 @@
 	// state is the state of the last tick, since when it changed to or from Free.
 	state State
 	since time.Time
+	// lastEnd is when the process was last saturated, and lastFor for how long it was until then.
+	lastEnd time.Time
+	lastFor time.Duration
 	// nearCapacity is when the use was last above the level below which a saturated process is free.
 	nearCapacity time.Time
 	// wait is the mean time for which work waited for the processor, due when it is measured next.
@@ -144,14 +147,18 @@
 	return m.next() != Free
 }
 
-// SaturatedFor reports whether the process has been saturated for a time.
-func (m *Meter) SaturatedFor(length time.Duration) bool {
+// SaturatedFor reports whether the process has been saturated for a time. If it is free again, the
+// report is the same until it has been free for another time.
+func (m *Meter) SaturatedFor(length, free time.Duration) bool {
 	if m == nil {
 		return false
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.state != Free && time.Since(m.since) >= length
+	if m.state != Free && time.Since(m.since) >= length {
+		return true
+	}
+	return m.lastFor >= length && time.Since(m.lastEnd) < free
 }
 
 // NearCapacityWithin reports whether the process was saturated, or would not yet have been free again,
@@ -254,6 +261,9 @@
 		m.nearCapacity = time.Now()
 	}
 	if (next == Free) != (m.state == Free) {
+		if next == Free {
+			m.lastEnd, m.lastFor = time.Now(), time.Since(m.since)
+		}
 		m.since = time.Now()
 	}
 	m.state = next
--- a/internal/saturation/meter_test.go
+++ b/internal/saturation/meter_test.go
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(out, "saturated %v, for half a second %v\n", m.Saturated(), m.SaturatedFor(time.Second/2))
+	fmt.Fprintf(out, "saturated %v, for half a second %v\n", m.Saturated(), m.SaturatedFor(time.Second/2, 0))
 }
 
 // Guards against times that are taken for those of servers although the process delays answers itself:
@@ -82,6 +82,29 @@
 	})
 }
 
+// Guards against a load balancer that never sees a saturated process as such, since it asks once a
+// second and the saturation comes and goes within that time.
+func TestSaturationThatComesAndGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := New(Config{MaxWait: 50 * time.Millisecond})
+		wait := func(length, wait time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(slotLength) {
+				m.tick(wait)
+			}
+		}
+		wait(slotLength, 200*time.Millisecond) // a mean of 60 ms, which falls by 30% each time
+		is.True(m.Saturated())
+		wait(time.Second, 0)
+		is.True(!m.SaturatedFor(500*time.Millisecond, 2*time.Second)) // too short
+		wait(2*time.Second, maxWait)
+		wait(1500*time.Millisecond, 0)
+		is.True(!m.Saturated() && m.SaturatedFor(500*time.Millisecond, 2*time.Second))
+		wait(2*time.Second, 0)
+		is.True(!m.SaturatedFor(500*time.Millisecond, 2*time.Second))
+	})
+}
+
 // Guards against a process that accepts connections although it can't run: then it does not measure
 // either.
 func TestProcessThatCannotMeasure(t *testing.T) {
@@ -98,7 +121,7 @@
 		is.True(m.Saturated())
 		is.True(!New(Config{}).Saturated())
 		var none *Meter
-		is.True(!none.Saturated() && !none.SaturatedFor(0))
+		is.True(!none.Saturated() && !none.SaturatedFor(0, time.Minute))
 	})
 }
 
