review: a faulty server's bytes fill the memory of forwarders

Cause: backend.exchange.read parses the head of an answer with http.ReadResponse without a bound, and the memory budget counts bodies only. Bytes without a line end are kept until the process passes its memory and the platform kills it.

The stand-ins end their processes on SIGTERM, too.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""Streams that all processes' restart interrupts can't be taken up again."""
+"""A faulty server's bytes fill the memory of forwarders until the platform kills them."""
 
+import collections
 import http.client
 import os
-import signal
+import socket
 import sys
 import threading
 import time
@@ -11,156 +12,189 @@
 import standins as st
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-NET = "127.0.62"
-STREAMS = 18
-EVENTS = 30
-EVENT_GAP_S = 0.2
-DEADLINE_MS = 14000
-SLO_MS = 2000  # clients abandon a stream after a gap of four times this
-BREAK_AT_S = 1.6
-BACK_AFTER_S = 0.6
-TAKE_UP_AFTER_S = 6.8  # more than twice the stable window after the processes are back
+NET = "127.0.63"
+SERVERS = 3  # one of them is faulty: share = 0.34
+SPOILT_EACH = 50  # of this many answers of the faulty server one is spoilt: x = 0.02
+LINK_BYTES_S = 100e6  # of a faulty answer; a link carries 1,000 Mbit/s
+MEMORY_KB = 284 * 1024  # limits.memory-mb of this site
+EVENTS = 8
+RUN_S = 80
+GIVE_UP_S = 3.6  # clients abandon a stream after a gap of four times slo-ms
 
 record = st.Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
 
 
-def engine(server, handler, _body):
-    """Writes the events of a stream after Last-Event-Id."""
-    request = handler.headers["Request-Id"]
-    last = int(handler.headers.get("Last-Event-Id") or 0)
-    record("server", server.id, "runs", request, "from event", last + 1)
-    handler.send_response(200)
-    for name, value in (("Content-Type", "text/event-stream"), ("Request-Id", request),
-                        ("Response-Seal", st.seal(server, request)), ("Transfer-Encoding", "chunked")):
-        handler.send_header(name, value)
-    handler.end_headers()
-    for number in range(last + 1, EVENTS + 1):
-        data = f"id: {number}\ndata: piece {number} of {server.version}\n\n".encode()
-        handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
-        handler.wfile.flush()
-        time.sleep(EVENT_GAP_S)
-    handler.wfile.write(b"0\r\n\r\n")
-
-
-class Client(threading.Thread):
-    """One client with one stream: its attempts, and the events that it has received."""
-
-    def __init__(self, site, number, begin):
-        super().__init__(daemon=True)
-        self.site, self.number, self.begin = site, number, begin
-        self.events, self.first, self.attempts, self.outcomes = 0, None, 0, []
-        self.complete = False
-        self.connection = None
-
-    def attempt(self, machine):
-        """Makes one client attempt; returns what came of it."""
-        self.attempts += 1
-        request = f"{self.number:08x}{self.attempts:08x}"
-        headers = {"Host": "h.example", "Request-Id": request, "Token-Count": "50,60", "Model": "m",
-                   "Prompt-Prefix": f"{self.number + 16:x}:50",
-                   "Request-Deadline": str(int(DEADLINE_MS - 1000 * (time.monotonic() - self.begin)))}
-        if self.events:
-            headers["Last-Event-Id"], headers["Resumes"] = str(self.events), self.first
-        record("client", self.number, "sends", request, "to", machine.name, "after event", self.events)
-        self.connection = http.client.HTTPConnection(*machine.front, timeout=8)
-        before = self.events
+class Engine:
+    """A server of streams on plain sockets."""
+
+    def __init__(self, site, ip, faulty):
+        self.site, self.service, self.zone, self.version, self.slots, self.stage = site, "planner", "a", "v1", 64, ""
+        self.id, self.born, self.faulty = f"i-{ip.replace('.', '')}", int(time.time() * 1000), faulty
+        self.answers, self.lock = 0, threading.Lock()
+        self.socket = socket.socket()
+        self.socket.bind((ip, 0))
+        self.socket.listen(256)
+        self.address = self.socket.getsockname()
+        self.beats = st.Heartbeats(self)
+        self.beats.start()
+        threading.Thread(target=self.accept, daemon=True).start()
+        site.servers.append(self)
+
+    def stop(self):
+        self.beats.ended.set()
+        self.socket.close()
+
+    def accept(self):
+        while True:
+            try:
+                c, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(c,), daemon=True).start()
+
+    def serve(self, c):
         try:
-            self.connection.request("POST", "/plans/x", b"plan", headers)
-            answer = self.connection.getresponse()
-            if answer.status != 200:
-                body = answer.read()
-                record("client", self.number, "gets", answer.status, body.decode(), "Retry-After", answer.headers.get("Retry-After"))
-                return str(answer.status)
-            while True:
-                line = answer.readline()
-                if not line:
-                    break
-                if line.startswith(b"id: "):
-                    self.events = int(line[4:])
-                    self.first = self.first or request
-            self.complete = self.events == EVENTS
-        except (OSError, http.client.HTTPException, AttributeError, ValueError) as e:
-            record("client", self.number, "is cut off after event", self.events, type(e).__name__)
+            reader = c.makefile("rb")
+            while self.answer(c, reader):
+                pass
+        except OSError:
+            pass
         finally:
-            self.connection.close()
-        return "goes on" if self.events > before else "nothing"
+            c.close()
+
+    def answer(self, c, reader):
+        line = reader.readline()
+        if not line:
+            return False
+        headers = http.client.parse_headers(reader)
+        reader.read(int(headers.get("Content-Length") or 0))
+        request = headers["Request-Id"]
+        if headers.get("Expect-Instance") not in (None, self.id):
+            c.sendall(f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {self.id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+            return True
+        with self.lock:
+            self.answers += 1
+            spoilt = TROUBLE and self.faulty and self.answers % SPOILT_EACH == 0
+        record("server", self.id, "runs", request, "and spoils its answer" if spoilt else "")
+        if spoilt:
+            return self.spoil(c, request)
+        c.sendall(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {request}\r\n"
+                  f"Response-Seal: {st.seal(self, request)}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+        for number in range(1, EVENTS + 1):
+            data = f"id: {number}\ndata: piece\n\n".encode()
+            c.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+            time.sleep(0.05)
+        c.sendall(b"0\r\n\r\n")
+        return True
+
+    def spoil(self, c, request):
+        """Sends bytes that are not a response, until the connection ends."""
+        piece, sent, began = b"x" * 250_000, 0, time.monotonic()
+        try:
+            while True:
+                c.sendall(piece)
+                sent += len(piece)
+                time.sleep(max(0, began + sent / LINK_BYTES_S - time.monotonic()))
+        except OSError:
+            record("server", self.id, "has sent", sent // 1_000_000, "MB for", request)
+        return False
+
+
+class Platform(threading.Thread):
+    """Kills a process that uses more than its memory, and starts it again after a short delay."""
+
+    def __init__(self, site):
+        super().__init__(daemon=True)
+        self.site, self.ends, self.peak = site, collections.Counter(), collections.Counter()
+        self.ended = threading.Event()
 
-    def break_off(self):
-        """Breaks the connection from the client's side."""
+    def run(self):
+        while not self.ended.wait(0.02):
+            for m in self.site.machines:
+                for role, p in list(m.processes.items()):
+                    self.check(m, role, p)
+
+    def check(self, m, role, p):
+        used = 0
         try:
-            self.connection.sock.shutdown(2)
-        except (OSError, AttributeError):
+            with open(f"/proc/{p.pid}/status", encoding="utf-8") as f:
+                used = next((int(line.split()[1]) for line in f if line.startswith("VmRSS")), 0)
+        except OSError:
             pass
+        self.peak[m.name, role] = max(self.peak[m.name, role], used // 1024)
+        if p.poll() is None and used <= MEMORY_KB:
+            return
+        if p.poll() is None:
+            record("platform:", role, "of", m.name, "uses", used // 1024, "MB of", MEMORY_KB // 1024, "and is killed")
+            p.kill()
+        else:
+            record("platform:", role, "of", m.name, "has ended by itself:", p.returncode)
+        p.wait()
+        self.ends[m.name] += 1
+        threading.Timer(0.5, self.restart, (m, role)).start()
+        m.processes.pop(role)
+
+    def restart(self, m, role):
+        if not self.ended.is_set():
+            m.start(role)
+
+
+def client(site, number, stop, outcomes):
+    """Begins one stream after the other, at the machines that are in."""
+    tries = 0
+    while not stop.is_set():
+        tries += 1
+        machine = site.machines[(number + tries) % len(site.machines)]
+        request = f"{number:08x}{tries:08x}"
+        c = http.client.HTTPConnection(*machine.front, timeout=GIVE_UP_S)
+        try:
+            c.request("POST", "/plans/x", f"plan {request}", {"Host": "h.example", "Request-Id": request, "Request-Deadline": "14000"})
+            r = c.getresponse()
+            body = r.read()
+            whole = r.status == 200 and body.count(b"id: ") == EVENTS
+            outcomes["whole" if whole else str(r.status)] += 1
+        except (OSError, http.client.HTTPException) as e:
+            record("client", request, "at", machine.name, "is cut off:", type(e).__name__)
+            outcomes["cut off"] += 1
+        finally:
+            c.close()
+        stop.wait(0.2)
 
 
 def main():
     site = st.Site(record, NET)
+    platform = Platform(site)
     try:
         site.seeds = [f"{NET}.{n}" for n in (1, 2, 3)]
-        machines = [site.add(n, zone, True) for n, zone in ((1, "a"), (2, "b"), (3, "c"))]
-        for m in machines:
-            m.start_all()
-        for n in range(2):
-            st.Server(site, "planner", f"{NET}.{101 + n}", engine, zone="ab"[n])
-        operator = st.Operator(site)
-        route = {"name": "r", "host": "h.example", "path-prefix": "/plans/", "route-type": "streaming", "timeout-ms": DEADLINE_MS,
-                 "slo-ms": SLO_MS, "priority": 1, "service": "planner", "attempts": 2, "session-affinity": True,
-                 "resumable": True, "itl-target-ms": 300}
+        for n, zone in ((1, "a"), (2, "b"), (3, "c")):
+            site.add(n, zone, True).start_all()
+        for n in range(SERVERS):
+            Engine(site, f"{NET}.{101 + n}", n == 0)
+        route = {"name": "r", "host": "h.example", "path-prefix": "/plans/", "route-type": "streaming", "timeout-ms": 14000, "slo-ms": 900,
+                 "priority": 1, "service": "planner", "attempts": 1, "session-affinity": True, "resumable": False, "itl-target-ms": 300}
         document = {"version": 5, "routes": [route],
                     "services": [{"name": "planner", "health-check": "/health", "max-connections": 390, "protocol": "h1", "tls": False}],
                     "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
-        if operator.replace(document) is None or not st.wait_until(lambda: all(m.is_ready() for m in machines), 15):
+        if st.Operator(site).replace(document) is None or not st.wait_until(lambda: all(m.is_ready() for m in site.machines), 15):
             return 2
-        time.sleep(st.STABLE_WINDOW_S + 1)
-
-        begin = time.monotonic()
-        clients = [Client(site, n, begin) for n in range(STREAMS)]
-        firsts = [threading.Thread(target=c.attempt, args=(machines[c.number % 3],), daemon=True) for c in clients]
-        for t in firsts:
+        time.sleep(1)
+        platform.start()
+        stop, outcomes = threading.Event(), collections.Counter()
+        clients = [threading.Thread(target=client, args=(site, n, stop, outcomes), daemon=True) for n in range(36)]
+        for t in clients:
             t.start()
-        time.sleep(BREAK_AT_S)
-        if not all(c.events for c in clients):
-            return 2
-        broken = time.monotonic()
-        if TROUBLE:
-            record("platform: all processes are killed")
-            for m in machines:
-                m.signal(signal.SIGKILL)
-            for m in machines:
-                m.kill()
-            time.sleep(max(0, broken + BACK_AFTER_S - time.monotonic()))
-            for m in machines:
-                m.start_all()
-            record("platform: all processes are started again")
-        else:
-            record("clients: all connections are broken off")
-            for c in clients:
-                c.break_off()
-        for t in firsts:
-            t.join()
-        received = [c.events for c in clients]
-        time.sleep(max(0, broken + TAKE_UP_AFTER_S - time.monotonic()))
-        record("ready:", [m.is_ready() for m in machines])
-
-        # Each stream is taken up at the next machine, and as many new streams begin.
-        fresh = [Client(site, STREAMS + n, time.monotonic()) for n in range(STREAMS)]
-        results, running = {}, []
-        for c in clients + fresh:
-            def one(c=c):
-                results[c.number] = c.attempt(machines[(c.number + 1) % 3])
-            t = threading.Thread(target=one, daemon=True)
-            running.append(t)
-            t.start()
-        for t in running:
-            t.join(14)
-        on = sum(c.events > received[c.number] for c in clients)
-        new = sum(c.events > 0 for c in fresh)
-        record("taken up:", STREAMS, "go on:", on, "of which complete:", sum(c.complete for c in clients), "new:", STREAMS, "begin:", new)
-        print(f"taken up {STREAMS}, go on {on}; new {STREAMS}, begin {new}")
-        if new < STREAMS / 2:
-            return 2
-        return 1 if on / STREAMS < 0.5 * new / STREAMS else 0
+        end = time.monotonic() + RUN_S
+        while time.monotonic() < end and sum(n >= 3 for n in platform.ends.values()) < 2:
+            time.sleep(0.2)
+        stop.set()
+        platform.ended.set()
+        time.sleep(1)
+        record("ends by machine:", dict(platform.ends), "peaks in MB:", dict(platform.peak), "streams:", dict(outcomes))
+        print("ends", dict(platform.ends), "peak MB", max(platform.peak.values()), "streams", dict(outcomes))
+        return 1 if sum(n >= 3 for n in platform.ends.values()) >= 2 else 0
     finally:
+        platform.ended.set()
+        time.sleep(0.6)
         site.close()
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -193,6 +193,7 @@
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
             self.roles = tomllib.load(f)["roles"]
         self.record = record
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # close() is called on the way out
         self.folder = tempfile.mkdtemp(prefix="oriolebend-review-")
         self.net = net
         self.port = free_port("127.0.0.1", 24)
