--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,8 +45,10 @@
                 "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
 
     def change(self, routes=ROUTES):
+        """Sends the next version; it must be acknowledged, or nothing can be said of it."""
         self.version += 1
-        return self.operator.replace(self.document(self.version, routes))
+        if self.operator.replace(self.document(self.version, routes)) is None:
+            raise RuntimeError(f"version {self.version} wasn't acknowledged")
 
     def held(self, machine):
         """The version in force on a machine, by its own metrics; the case is not decided by it."""
@@ -72,9 +74,15 @@
     def choose(self, forwarders):
         """Finds a follower that sends configurations to two forwarders or more, and two of these.
 
-        Without the follower that is the first of a forwarder, a configuration comes later.
+        Without the follower that is the first of a forwarder, a configuration comes later. One counted
+        machine may be lost at a time: the next one is frozen when the last one has caught up.
         """
+        if not TROUBLE:
+            self.victims = forwarders[:2]
+            self.new_log()
+            return self.followers()[0]
         for m in self.followers():
+            time.sleep(st.CATCH_UP_S)
             m.signal(signal.SIGSTOP)
             self.change()
             time.sleep(0.07)
@@ -135,7 +143,8 @@
             m.start_all()
         for n, service in enumerate(("svc-a", "svc-b")):
             st.Server(site, service, f"{NET}.{101 + n}", answer)
-        if case.change() is None or not st.wait_until(lambda: all(m.is_ready() for m in site.machines), 15):
+        case.change()
+        if not st.wait_until(lambda: all(m.is_ready() for m in site.machines), 15):
             return 2
         time.sleep(1)
         begin, rounds, leader, first = time.monotonic(), 0, None, None
@@ -154,6 +163,8 @@
         # All machines run undisturbed; from now on the newest version alone may be obeyed.
         record("round", rounds, "is the last; version", case.version, "was acknowledged; all is calm for", SETTLE_S, "s")
         time.sleep(SETTLE_S)
+        if rounds == 0 or not site.all_run():
+            return 2
         stale = {m.name: [case.served_by(m) for _ in range(5)].count("svc-b") for m in site.machines}
         record("requests that the service of the older version ran, of 5:", stale)
         print("rounds", rounds, "stale", stale)
@@ -162,4 +173,4 @@
         site.close()
 
 
-sys.exit(main())
+st.run(main)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,6 +15,7 @@
 NET = "127.0.63"
 SERVERS = 3  # one of them is faulty: share = 0.34
 SPOILT_EACH = 50  # of this many answers of the faulty server one is spoilt: x = 0.02
+FAULTY_S, EACH_S = 5.5, 8.0  # for_s, and how often the server turns faulty again
 LINK_BYTES_S = 100e6  # of a faulty answer; a link carries 1,000 Mbit/s
 MEMORY_KB = 284 * 1024  # limits.memory-mb of this site
 EVENTS = 8
@@ -30,7 +31,7 @@
     def __init__(self, site, ip, faulty):
         self.site, self.service, self.zone, self.version, self.slots, self.stage = site, "planner", "a", "v1", 64, ""
         self.id, self.born, self.faulty = f"i-{ip.replace('.', '')}", int(time.time() * 1000), faulty
-        self.answers, self.lock = 0, threading.Lock()
+        self.answers, self.lock, self.begin = 0, threading.Lock(), time.monotonic()
         self.socket = socket.socket()
         self.socket.bind((ip, 0))
         self.socket.listen(256)
@@ -73,8 +74,9 @@
             c.sendall(f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {self.id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         with self.lock:
-            self.answers += 1
-            spoilt = TROUBLE and self.faulty and self.answers % SPOILT_EACH == 0
+            now_faulty = TROUBLE and self.faulty and self.in_fault()
+            self.answers += now_faulty
+            spoilt = now_faulty and self.answers % SPOILT_EACH == 0
         record("server", self.id, "runs", request, "and spoils its answer" if spoilt else "")
         if spoilt:
             return self.spoil(c, request)
@@ -87,11 +89,14 @@
         c.sendall(b"0\r\n\r\n")
         return True
 
+    def in_fault(self):
+        return (time.monotonic() - self.begin) % EACH_S < FAULTY_S
+
     def spoil(self, c, request):
-        """Sends bytes that are not a response, until the connection ends."""
+        """Sends bytes that are not a response, until the connection or the fault ends."""
         piece, sent, began = b"x" * 250_000, 0, time.monotonic()
         try:
-            while True:
+            while self.in_fault():
                 c.sendall(piece)
                 sent += len(piece)
                 time.sleep(max(0, began + sent / LINK_BYTES_S - time.monotonic()))
@@ -198,4 +203,4 @@
         site.close()
 
 
-sys.exit(main())
+st.run(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -132,6 +132,8 @@
             for m in machines:
                 m.start_all()
             record("platform: all processes are started again")
+            if time.monotonic() - broken > 1:
+                return 2  # the core must be back within a second
         else:
             record("clients: all connections are broken off")
             for c in clients:
@@ -140,7 +142,8 @@
             t.join()
         received = [c.events for c in clients]
         time.sleep(max(0, broken + TAKE_UP_AFTER_S - time.monotonic()))
-        record("ready:", [m.is_ready() for m in machines])
+        if not all(m.is_ready() for m in machines) or not site.all_run():
+            return 2
 
         # Each stream is taken up at the next machine, and as many new streams begin.
         fresh = [Client(site, STREAMS + n, time.monotonic()) for n in range(STREAMS)]
@@ -164,4 +167,4 @@
         site.close()
 
 
-sys.exit(main())
+st.run(main)
--- a/review/standins.py
+++ b/review/standins.py
@@ -20,6 +20,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -27,6 +28,7 @@
 STABLE_WINDOW_S = 3.0
 CONFIG_APPLY_S = 2.0
 HEARTBEAT_S = 1.2
+CATCH_UP_S = 4.0  # a counted machine stays lost for so long after it is back
 
 
 class Record:
@@ -204,6 +206,10 @@
         self.machines.append(m)
         return m
 
+    def all_run(self):
+        """Reports whether every process that was started still runs."""
+        return all(p.poll() is None for m in self.machines for p in m.processes.values())
+
     def close(self):
         """Ends every process that was started, and removes the folder."""
         for s in self.servers:
@@ -387,3 +393,13 @@
             return True
         time.sleep(step)
     return False
+
+
+def run(main):
+    """Ends with the result of a case; a case that fails in itself couldn't run."""
+    try:
+        code = main()
+    except Exception:  # an exit code of 1 would say that the rule was broken
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
