forwarder, metrics: repeats by service and kind, and each forwarder's part of the retry budget

Change: one line and one count for each arrival beyond the first, with the budget's inputs and their age; gauges of the budget. Nothing decides differently.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -123,6 +123,7 @@
 		return 0, refused
 	}
 	w.recordSend(grant.Server)
+	w.recordArrival(dispatch.RepeatRetry)
 	request := w.outgoing(SendOptions{Instance: grant.Server.Instance})
 	held := w.f.config.Held.Open(memorybudget.Answer, grant.Server.Address)
 	w.answers = append(w.answers, held)
@@ -209,6 +210,7 @@
 		} else if notReached(r.grant.Server, r.err) {
 			w.skipServer()
 		}
+		w.recordNotArrived(r.err)
 		w.recordRan(ranOf(r.err))
 	case r.verdict.Ran == oriolebend.RanNo:
 		reason = cmp.Or(r.declined, oriolebend.ReasonQueueFull)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,7 +37,10 @@
 	Observer Observer
 	// RefusedRank counts a refused request by its rank; nil counts nothing.
 	RefusedRank func(rank int, reason oriolebend.Reason)
-	Logger      *slog.Logger
+	// Repeated counts an arrival of a request at a server of a service, beyond its first; nil counts
+	// nothing.
+	Repeated func(service string, kind dispatch.RepeatKind)
+	Logger   *slog.Logger
 	// Places grants placements at model engines; if nil, the forwarder chooses engines itself.
 	Places Places
 	// Quarantine knows the requests that crash servers; if nil, the forwarder uses a store of its
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -158,6 +158,7 @@
 	request := s.outgoing(SendOptions{Instance: engine.Instance, PrefillOnly: true})
 	began := s.f.now()
 	result, err := s.f.requestPrefill(ctx, engine, request)
+	s.recordPrompt(err)
 	took := s.f.now().Sub(began)
 	s.f.reportPromptRead(dispatch.PrefillEnded{
 		At: s.f.now(), Grant: s.grant, Took: took,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -112,6 +112,7 @@
 		s.logSend(s.grant, "server takes nothing any more, the prompt was read in vain", 0, reason, nil)
 		return s.abandon(source, streamResult{reason: reason, unsent: true})
 	}
+	s.recordArrival(dispatch.RepeatRetry)
 	return s.decode(ctx, source)
 }
 
@@ -134,6 +135,7 @@
 	if err != nil {
 		s.detectCrash(s.grant.Server, err)
 		s.reportEnded(s.grant, outcomeOf(err), 0)
+		s.recordNotArrived(err)
 		s.recordRan(ranOf(err))
 		s.logSend(s.grant, "stream not begun", 0, reasonOf(err), err)
 		s.freeResult(source)
@@ -171,6 +173,7 @@
 	s.f.config.Observer.Count("retry", oriolebend.ReasonResultExpired, "")
 	s.logSend(s.grant, "prefill result not taken", response.Status, oriolebend.ReasonResultExpired, nil)
 	s.reservation = ""
+	s.recordArrival(dispatch.RepeatResend)
 	return s.decode(ctx, nil)
 }
 
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -69,8 +69,12 @@
 	// prefills counts the prefills whose result was not used, because the send after them was not
 	// made. After the first of them, each further placement counts as a retry.
 	prefills int
-	// prompted is set once a prefill engine was asked to read the prompt.
-	prompted bool
+	// prompted is set once a prefill engine was asked to read the prompt, promptAccepted once one has
+	// accepted it.
+	prompted, promptAccepted bool
+	// arrivals counts the sends that have reached a server, or may have, without prompts that are
+	// prefilled separately.
+	arrivals int
 	// ran is the combined result of all sends: "yes" or "unknown" once one of them may have run.
 	ran oriolebend.Ran
 	// interrupted is when the stream last broke off after an event, zero if it did not.
@@ -301,6 +305,9 @@
 	if reason != "" {
 		attributes = append(attributes, slog.String("reason", string(reason)))
 	}
+	if reason == oriolebend.ReasonRetryBudget {
+		attributes = append(attributes, slog.Group("retryBudget", budgetAttributes(w.f.retryBudget(w.service.Name))...))
+	}
 	if reason != "" && w.route != nil {
 		attributes = append(attributes, slog.Int("rank", w.route.Rank))
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,7 @@
 	events         *prometheus.CounterVec
 	byOrganisation *prometheus.CounterVec
 	byRank         *prometheus.CounterVec
+	repeats        *prometheus.CounterVec
 	wastedTokens   *prometheus.CounterVec
 	measures       map[string]*prometheus.HistogramVec
 }
@@ -86,6 +87,7 @@
 		m.events.WithLabelValues(event)
 	}
 	m.byRank = m.counter("refusals_by_rank_total", "Requests refused, by rank and reason.", "rank", "reason")
+	m.repeats = m.counter("repeats_total", "Arrivals of requests at servers beyond the first of each, by service and kind.", "service", "kind")
 	m.wastedTokens = m.counter("wasted_prefill_tokens_total", "Prompt tokens whose prefill was computed and not used.", "urgency")
 	for _, urgency := range urgencies {
 		m.wastedTokens.WithLabelValues(string(urgency))
@@ -152,6 +154,12 @@
 	m.byRank.WithLabelValues(strconv.Itoa(rank), string(reason)).Inc()
 }
 
+// Repeated counts an arrival of a request at a server of a service, beyond the request's first. The
+// service must be a declared one, so that callers can't create label values.
+func (m *Metrics) Repeated(service, kind string) {
+	m.repeats.WithLabelValues(service, kind).Inc()
+}
+
 // Observe records a measurement of one request: in seconds, as a ratio, or, for wasted
 // prefill, in tokens.
 func (m *Metrics) Observe(measure string, urgency oriolebend.Urgency, value float64) {
--- a/internal/reducer/dispatch/budget.go
+++ b/internal/reducer/dispatch/budget.go
@@ -1,6 +1,24 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// RepeatKind is the way by which a request reaches a server of its service once more.
+type RepeatKind string
+
+const (
+	// RepeatRetry is a send to another server, after a send without success or beside it.
+	RepeatRetry RepeatKind = "retry"
+	// RepeatResend is a further send to the same server.
+	RepeatResend RepeatKind = "resend"
+	// RepeatPrompt is a prompt that is sent to a prefill engine after one has accepted it.
+	RepeatPrompt RepeatKind = "prompt"
+	// RepeatRejectedPrompt is a prompt that a prefill engine rejected.
+	RepeatRejectedPrompt RepeatKind = "rejectedPrompt"
+)
 
 // budgetSlices is the number of slices in the window of a budget; the oldest slice is
 // dropped as a whole.
@@ -59,6 +77,45 @@
 func (s *State) mayRetry(v *service, now time.Time) bool {
 	v.budget.advance(now, s.config.RetryWindow)
 	spent := v.budget.sum()
-	allowed := s.config.RetryShare*float64(spent.requests) + s.config.RetrySlack/float64(s.forwarders)
-	return float64(spent.retries+1) <= budgetMargin*allowed
+	return float64(spent.retries+1) <= s.allowedRetries(spent)
+}
+
+// allowedRetries is how many retries the window may hold in this forwarder.
+func (s *State) allowedRetries(spent counts) float64 {
+	return budgetMargin * (s.config.RetryShare*float64(spent.requests) + s.config.RetrySlack/float64(s.forwarders))
+}
+
+// BudgetStatus is the state of the retry budget of one service in this forwarder.
+type BudgetStatus struct {
+	Service string
+	// Requests and Spent are the requests and the counted repeats of the window.
+	Requests, Spent int
+	// Allowed is how many repeats the window may hold in this forwarder.
+	Allowed float64
+	// Forwarders is the number of forwarders by which the slack is divided, ForwardersAge the time
+	// since a control VM last reported one.
+	Forwarders    int
+	ForwardersAge time.Duration
+}
+
+// RetryBudget returns the state of the retry budget of a service.
+func (s *State) RetryBudget(now time.Time, name string) BudgetStatus {
+	status := BudgetStatus{Service: name, Forwarders: s.forwarders, ForwardersAge: now.Sub(s.forwardersAt)}
+	if v := s.services[name]; v != nil {
+		v.budget.advance(now, s.config.RetryWindow)
+		spent := v.budget.sum()
+		status.Requests, status.Spent = spent.requests, spent.retries
+		status.Allowed = s.allowedRetries(spent)
+	}
+	return status
+}
+
+// RetryBudgets returns the state of the retry budget of each service, sorted by name.
+func (s *State) RetryBudgets(now time.Time) []BudgetStatus {
+	var all []BudgetStatus
+	for name := range s.services {
+		all = append(all, s.RetryBudget(now, name))
+	}
+	slices.SortFunc(all, func(a, b BudgetStatus) int { return strings.Compare(a.Service, b.Service) })
+	return all
 }
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -28,7 +28,7 @@
 // applyServerChanges applies changes to the list of backend servers.
 func (s *State) applyServerChanges(e FleetChanged) {
 	if e.Forwarders > 0 {
-		s.forwarders = e.Forwarders
+		s.forwarders, s.forwardersAt = e.Forwarders, e.At
 	}
 	for _, current := range e.Servers {
 		s.updateServer(e.At, current)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -62,9 +62,10 @@
 	removed map[message.ServerStart]time.Time
 	// removedPruned is when removed was last pruned.
 	removedPruned time.Time
-	// forwarders is how many forwarders share the retry budget.
-	forwarders int
-	scratch    scratch
+	// forwarders is how many forwarders share the retry budget, as reported at forwardersAt.
+	forwarders   int
+	forwardersAt time.Time
+	scratch      scratch
 }
 
 // service is what is known about one service.
--- a/internal/role/forwarder_metrics.go
+++ b/internal/role/forwarder_metrics.go
@@ -34,6 +34,7 @@
 // registerMetrics registers the gauges of the forwarder.
 func (p *ForwarderProcess) registerMetrics() {
 	gauge := p.process.metrics.Gauge
+	p.process.metrics.Registerer().MustRegister(newRetryBudgetCollector(p.forwarder.RetryBudgets))
 	gauge("routing_version", "Version of the routing in force.", func() float64 { return float64(p.forwarder.Version()) })
 	gauge("control_links", "Control VMs that this forwarder watches.", func() float64 { return float64(p.follower.Links()) })
 	gauge("requests_in_progress", "Requests that are read and not yet answered.", func() float64 { return float64(p.callers.Active()) })
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -137,6 +137,7 @@
 		Held:       p.process.Held,
 
 		RefusedRank: p.process.refusedRank,
+		Repeated:    p.process.repeated,
 	}
 }
 
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -14,6 +14,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -70,6 +71,13 @@
 	return p.Observer
 }
 
+// repeated counts an arrival of a request at a server of a service, beyond its first.
+func (p Process) repeated(service string, kind dispatch.RepeatKind) {
+	if p.metrics != nil {
+		p.metrics.Repeated(service, string(kind))
+	}
+}
+
 // refusedRank counts a refused request by its rank.
 func (p Process) refusedRank(rank int, reason oriolebend.Reason) {
 	if p.metrics != nil {
