dispatch, forwarder: every arrival at a server counts against the retry budget

Cause: the budget counted what the code called a retry. A prompt that a prefill engine rejected and the prompt call of a retry are arrivals too, and were not counted. Besides, a request that could not be placed by an allocator was counted twice, as a request and as a repeat; and a repeat that was withdrawn later than its slice of the window made room for one more in the window after. Change: the forwarder counts a request once, asks for each arrival beyond the first, and takes back what did not reach a server. Rejected prompts are counted once they are known; while they have used up the budget, decode engines read prompts themselves. Script 'budget': the withdrawal made an eighth repeat on the old code's rule. Tests changed: the script 'budget' asked for repeats by placements, which no longer count; its new commands state the same bounds. 'waited' is gone from two scripts, as the word only kept a request from being counted twice.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -67,6 +67,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer w.releaseAnswers()
 	defer cancel()
+	w.countRequest()
 	results := make(chan result, max(1, w.route.Attempts))
 	running, refused := w.sendCall(ctx, results)
 	if refused != nil {
@@ -118,8 +119,12 @@
 
 // sendCall starts one send and returns the number of sends that it started.
 func (w *work) sendCall(ctx context.Context, results chan<- result) (int, *refusal) {
+	if refused := w.requestSend(); refused != nil {
+		return 0, refused
+	}
 	grant, refused := w.placeCall(ctx)
 	if refused != nil {
+		w.withdrawRepeats()
 		return 0, refused
 	}
 	w.recordSend(grant.Server)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -234,13 +234,6 @@
 	return dispatch.Grant{}, &refusal{reason: oriolebend.ReasonInternal}
 }
 
-// mayResend asks the reducer whether a request may be sent to the same server once more.
-func (f *Forwarder) mayResend(g dispatch.Grant) bool {
-	effects := f.reduce(dispatch.ResendRequested{At: f.now(), Grant: g})
-	_, granted := effects[0].(dispatch.Granted)
-	return granted
-}
-
 // refusalForGrant returns the reason why a request must not be sent any more to the server of its
 // grant, empty if it may be sent.
 func (f *Forwarder) refusalForGrant(g dispatch.Grant) oriolebend.Reason {
--- a/internal/forwarder/permit.go
+++ b/internal/forwarder/permit.go
@@ -161,7 +161,6 @@
 		}
 		w.reportEnded(grant, dispatch.OutcomeWithheld, 0)
 		need.Excluded = append(need.Excluded, grant.Server.Instance)
-		need.Waited = true // the request was counted at the first try
 		if ctx.Err() != nil {
 			return grant, &refusal{reason: backend.ContextReason(ctx)}
 		}
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -79,15 +79,14 @@
 
 // placeGeneration waits for a placement, from the allocator or, if no allocator can be asked, from
 // this forwarder's own view.
-func (w *work) placeGeneration(ctx context.Context, waited bool) (dispatch.Grant, *refusal) {
+func (w *work) placeGeneration(ctx context.Context) (dispatch.Grant, *refusal) {
 	if w.f.config.Places != nil && w.info.Prompt > 0 && w.service.Engine != nil {
-		if grant, refused, asked := w.requestPlacement(ctx, waited); asked {
+		if grant, refused, asked := w.requestPlacement(ctx); asked {
 			return grant, refused
 		}
 	}
 	for {
 		need := w.need()
-		need.Waited = waited
 		grant, refused := w.f.choose(need)
 		if refused == nil && w.f.config.Places != nil && need.Prompt > 0 {
 			grant.ReportedID = w.f.config.Places.RegisterLocal(grant)
@@ -98,7 +97,6 @@
 		if !w.awaitMemory(ctx, refused.after) {
 			return grant, &refusal{reason: refused.reason, after: dispatch.RetryLoaded}
 		}
-		waited = true
 	}
 }
 
@@ -121,15 +119,12 @@
 
 // requestPlacement requests a placement from the allocator; the last result is false if no
 // allocator could be asked.
-func (w *work) requestPlacement(ctx context.Context, waited bool) (dispatch.Grant, *refusal, bool) {
+func (w *work) requestPlacement(ctx context.Context) (dispatch.Grant, *refusal, bool) {
 	need := w.need()
 	need.Output = w.info.expected()
 	need.Excluded = w.f.closedServers(need.Service)
-	if !waited {
-		effect := w.f.reduce(dispatch.RequestCounted{At: w.f.now(), Service: need.Service, Tried: need.Tried, Origin: need.Origin, Retry: need.Retry})[0]
-		if r, ok := effect.(dispatch.Refused); ok {
-			return dispatch.Grant{}, &refusal{reason: r.Reason, after: r.RetryAfter}, true
-		}
+	if refused, closed := w.allClosed(); closed {
+		return dispatch.Grant{}, &refused, true
 	}
 	for range maxSkippedServers {
 		effect, asked := w.sendPlacementRequest(ctx, need)
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -45,14 +45,24 @@
 // the prefill, so that no prefill result is computed for which there is no memory. While no engine
 // has memory, the request waits.
 func (w *work) reserve(ctx context.Context) (*streamSend, *refusal) {
-	waited := false
+	if refused := w.requestSend(); refused != nil {
+		return nil, refused
+	}
+	s, refused := w.awaitReservation(ctx)
+	if refused != nil {
+		w.withdrawRepeats()
+	}
+	return s, refused
+}
+
+// awaitReservation is reserve without the retry budget.
+func (w *work) awaitReservation(ctx context.Context) (*streamSend, *refusal) {
 	lost := 0 // engines that could not be reached, in a row
 	for {
-		grant, refused := w.placeGeneration(ctx, waited)
+		grant, refused := w.placeGeneration(ctx)
 		if refused != nil {
 			return nil, refused
 		}
-		waited = true
 		s := &streamSend{work: w, grant: grant, permissions: permissions{}}
 		outcome := dispatch.OutcomeWithheld
 		if !w.acquirePermissions(ctx, s.permissions, grant) {
@@ -147,18 +157,25 @@
 	}
 }
 
-// prefill sends the prompt to the grant's prefill engine. If that fails, the decode engine reads
-// the prompt itself.
+// prefill sends the prompt to the grant's prefill engine. If that fails, or the retry budget does not
+// allow it, the decode engine reads the prompt itself.
 func (s *streamSend) prefill(ctx context.Context) (*PrefillResult, error) {
 	if s.grant.Prefill == nil {
 		return nil, nil
 	}
+	call, granted := s.requestPrompt()
+	if !granted {
+		s.logSend(s.grant, "prompt not sent to its prefill engine", 0, oriolebend.ReasonRetryBudget, nil)
+		s.f.returnPermission(s.permissions, *s.grant.Prefill)
+		s.releasePrefill()
+		return nil, nil
+	}
 	engine := *s.grant.Prefill
 	s.prompted = true
 	request := s.outgoing(SendOptions{Instance: engine.Instance, PrefillOnly: true})
 	began := s.f.now()
 	result, err := s.f.requestPrefill(ctx, engine, request)
-	s.recordPrompt(err)
+	s.recordPrompt(call, err)
 	took := s.f.now().Sub(began)
 	s.f.reportPromptRead(dispatch.PrefillEnded{
 		At: s.f.now(), Grant: s.grant, Took: took,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -17,6 +17,7 @@
 
 // stream forwards a request whose answer is a stream of events.
 func (w *work) stream(ctx context.Context) {
+	w.countRequest()
 	ctx, endWatch := w.cancelIfQuarantined(ctx)
 	defer endWatch()
 	lastEvent := ""
@@ -118,6 +119,7 @@
 
 // abandon releases what was acquired for a send that is not made.
 func (s *streamSend) abandon(source *PrefillResult, end streamResult) streamResult {
+	s.withdrawRepeats()
 	s.releaseReservation()
 	s.freeResult(source)
 	s.reportEnded(s.grant, dispatch.OutcomeCancelled, 0)
@@ -160,7 +162,7 @@
 		return false
 	}
 	delete(s.permissions, s.grant.Server.Start())
-	return s.acquirePermission(ctx, s.permissions, s.grant.Server) && s.f.mayResend(s.grant)
+	return s.acquirePermission(ctx, s.permissions, s.grant.Server) && s.requestResend()
 }
 
 // retryDecode sends the request once more to a server that could not fetch the KV cache and now
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -75,6 +75,8 @@
 	// arrivals counts the sends that have reached a server, or may have, without prompts that are
 	// prefilled separately.
 	arrivals int
+	// repeats are the times at which further arrivals were counted against the retry budget.
+	repeats []time.Time
 	// ran is the combined result of all sends: "yes" or "unknown" once one of them may have run.
 	ran oriolebend.Ran
 	// interrupted is when the stream last broke off after an event, zero if it did not.
--- a/internal/reducer/dispatch/budget.go
+++ b/internal/reducer/dispatch/budget.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // RepeatKind is the way by which a request reaches a server of its service once more.
@@ -24,18 +26,20 @@
 // dropped as a whole.
 const budgetSlices = 20
 
-// budget counts the requests and retries of one service in a sliding window.
+// budget counts the requests and repeats of one service in a sliding window.
 type budget struct {
 	slices [budgetSlices]counts
 	// newest is the number of the newest slice, counted from the Unix epoch.
 	newest int64
 }
 
-type counts struct{ requests, retries int }
+// counts are the requests and repeats of a slice. rejectedPrompts are those of the repeats that were
+// prompts, rejected by prefill engines.
+type counts struct{ requests, repeats, rejectedPrompts int }
 
 // advance drops the slices that have left the window and returns the newest one.
 func (b *budget) advance(now time.Time, window time.Duration) *counts {
-	newest := now.UnixNano() / int64(window/budgetSlices)
+	newest := sliceOf(now, window)
 	if newest-b.newest >= budgetSlices {
 		b.slices = [budgetSlices]counts{}
 		b.newest = newest
@@ -47,18 +51,26 @@
 	return &b.slices[b.newest%budgetSlices]
 }
 
-func (b *budget) addRequest(now time.Time, window time.Duration) { b.advance(now, window).requests++ }
-
-func (b *budget) addRetry(now time.Time, window time.Duration) { b.advance(now, window).retries++ }
+// sliceOf returns the number of the slice of a moment, counted from the Unix epoch.
+func sliceOf(at time.Time, window time.Duration) int64 {
+	return at.UnixNano() / int64(window/budgetSlices)
+}
 
-// withdrawRetry subtracts a retry that was not sent.
-func (b *budget) withdrawRetry(now time.Time, window time.Duration) { b.advance(now, window).retries-- }
+// withdraw subtracts a repeat that was counted earlier and did not reach a server. It is subtracted
+// from the slice that counted it: once that slice has left the window, there is nothing to subtract.
+func (b *budget) withdraw(now, counted time.Time, window time.Duration) {
+	b.advance(now, window)
+	if slice := sliceOf(counted, window); b.newest-slice < budgetSlices {
+		b.slices[slice%budgetSlices].repeats--
+	}
+}
 
 func (b *budget) sum() counts {
 	var all counts
 	for _, c := range b.slices {
 		all.requests += c.requests
-		all.retries += c.retries
+		all.repeats += c.repeats
+		all.rejectedPrompts += c.rejectedPrompts
 	}
 	return all
 }
@@ -68,20 +80,70 @@
 // moment in each of them.
 const budgetMargin = 0.7
 
-// mayRetry reports whether this forwarder's part of the retry budget that all forwarders
-// share has room for one more retry.
+// countRequest counts a request of a caller.
+func (s *State) countRequest(e RequestCounted) {
+	if v := s.services[e.Service]; v != nil {
+		v.budget.advance(e.At, s.config.RetryWindow).requests++
+	}
+}
+
+// requestRepeat counts one more arrival of a request, if this forwarder's part of the retry budget
+// that all forwarders share has room for it.
 //
 // Without a shared limit, a fault that makes all sends fail multiplies the load by the
 // number of attempts, and the servers stay overloaded after the fault has ended. The symptom
 // is that servers receive more requests than callers send.
-func (s *State) mayRetry(v *service, now time.Time) bool {
-	v.budget.advance(now, s.config.RetryWindow)
+func (s *State) requestRepeat(at time.Time, name string) Effect {
+	v := s.services[name]
+	if v == nil {
+		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
+	}
+	if !s.hasRoom(v, at) {
+		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
+	}
+	v.budget.advance(at, s.config.RetryWindow).repeats++
+	return Granted{}
+}
+
+// hasRoom reports whether this forwarder's part of the retry budget has room for one more repeat.
+func (s *State) hasRoom(v *service, at time.Time) bool {
+	v.budget.advance(at, s.config.RetryWindow)
 	spent := v.budget.sum()
-	return float64(spent.retries+1) <= s.allowedRetries(spent)
+	return float64(spent.repeats+1) <= s.allowedRepeats(spent)
+}
+
+// requestPrompt decides whether a prompt may be sent to a prefill engine, which may reject it. A
+// rejected prompt is one more arrival, and whether it is rejected shows afterwards.
+//
+// While the budget is spent, no prompt is sent if prefill engines have rejected others: decode
+// engines then read the prompts themselves. A budget that was spent in another way does not
+// stop prompts, since those that engines accept cost nothing.
+func (s *State) requestPrompt(e PromptRequested) Effect {
+	v := s.services[e.Service]
+	if v != nil && !s.hasRoom(v, e.At) && v.budget.sum().rejectedPrompts > 0 {
+		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
+	}
+	return Granted{}
+}
+
+// countRejectedPrompt counts a prompt that a prefill engine rejected.
+func (s *State) countRejectedPrompt(e PromptRejected) {
+	if v := s.services[e.Service]; v != nil {
+		newest := v.budget.advance(e.At, s.config.RetryWindow)
+		newest.repeats++
+		newest.rejectedPrompts++
+	}
+}
+
+// withdrawRepeat subtracts a repeat that did not reach a server.
+func (s *State) withdrawRepeat(e RepeatWithdrawn) {
+	if v := s.services[e.Service]; v != nil {
+		v.budget.withdraw(e.At, e.Counted, s.config.RetryWindow)
+	}
 }
 
-// allowedRetries is how many retries the window may hold in this forwarder.
-func (s *State) allowedRetries(spent counts) float64 {
+// allowedRepeats is how many repeats the window may hold in this forwarder.
+func (s *State) allowedRepeats(spent counts) float64 {
 	return budgetMargin * (s.config.RetryShare*float64(spent.requests) + s.config.RetrySlack/float64(s.forwarders))
 }
 
@@ -104,8 +166,8 @@
 	if v := s.services[name]; v != nil {
 		v.budget.advance(now, s.config.RetryWindow)
 		spent := v.budget.sum()
-		status.Requests, status.Spent = spent.requests, spent.retries
-		status.Allowed = s.allowedRetries(spent)
+		status.Requests, status.Spent = spent.requests, spent.repeats
+		status.Allowed = s.allowedRepeats(spent)
 	}
 	return status
 }
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -42,19 +42,10 @@
 	if service == nil {
 		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
 	}
-	if !e.Need.Retry && !e.Need.Waited {
-		service.budget.addRequest(e.At, s.config.RetryWindow)
-	}
-	if e.Need.Retry && !s.mayRetry(service, e.At) {
-		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
-	}
 	grant, refused := s.choose(e, service)
 	if refused != nil {
 		return *refused
 	}
-	if e.Need.Retry {
-		service.budget.addRetry(e.At, s.config.RetryWindow)
-	}
 	s.addWork(grant)
 	if grant.Prefill == nil && e.Need.Prompt > 0 {
 		c := s.servers[grant.Server.Instance]
@@ -63,36 +54,16 @@
 	return Granted{Grant: grant}
 }
 
-// countRequest counts a request whose server another process chooses.
-func (s *State) countRequest(e RequestCounted) Effect {
-	service := s.services[e.Service]
-	refused, closed := s.AllUnavailable(e.At, Need{Service: e.Service, Tried: e.Tried, Origin: e.Origin})
-	switch {
-	case service == nil:
-		return Refused{Reason: oriolebend.ReasonUnknownService, RetryAfter: retryUnknown}
-	case closed:
-		return refused
-	case !e.Retry:
-		service.budget.addRequest(e.At, s.config.RetryWindow)
-	case !s.mayRetry(service, e.At):
-		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
-	default:
-		service.budget.addRetry(e.At, s.config.RetryWindow)
-	}
-	return Granted{}
-}
-
 // checkResend counts a further send to the same server against the retry budget.
 func (s *State) checkResend(e ResendRequested) Effect {
-	service := s.services[e.Grant.Need.Service]
 	if s.inBackoff(e.At, e.Grant.Server) {
 		return Refused{Reason: oriolebend.ReasonServerRests, RetryAfter: retryUnknown}
 	}
-	if service == nil || !s.mayRetry(service, e.At) {
-		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
+	effect := s.requestRepeat(e.At, e.Grant.Need.Service)
+	if _, granted := effect.(Granted); granted {
+		return Granted{Grant: e.Grant}
 	}
-	service.budget.addRetry(e.At, s.config.RetryWindow)
-	return Granted{Grant: e.Grant}
+	return effect
 }
 
 // leavingGrace is for how long requests that have a placement at a server are still sent to
--- a/internal/reducer/dispatch/event.go
+++ b/internal/reducer/dispatch/event.go
@@ -59,10 +59,8 @@
 	// Origin is the origin of the stream that the server must continue, nil if it may be any
 	// server.
 	Origin *message.StreamOrigin
-	// Retry is set if this is not the first send of the request.
+	// Retry is set if this is not the first placement of the request that was used.
 	Retry bool
-	// Waited is set if a placement was requested before and no server had room.
-	Waited bool
 }
 
 // PlacementRequested requests a placement: the server to which a request is sent.
@@ -71,18 +69,37 @@
 	Need Need
 }
 
-// RequestCounted counts a request whose server another process chooses, so that its
-// retries stay within this forwarder's part of the retry budget.
+// RequestCounted counts a request of a caller for the retry budget of its service.
 type RequestCounted struct {
 	At      time.Time
 	Service string
-	// Tried are the instances that the request was sent to before.
-	Tried []string
-	// Origin is the origin of the stream that the server must continue, nil if it may be any
-	// server.
-	Origin *message.StreamOrigin
-	// Retry is set if this is not the first send of the request.
-	Retry bool
+}
+
+// RepeatRequested asks whether a request may reach one more server, or the same one again. If it is
+// granted, the repeat is counted.
+type RepeatRequested struct {
+	At      time.Time
+	Service string
+}
+
+// RepeatWithdrawn withdraws a repeat that was counted at Counted and did not reach a server.
+type RepeatWithdrawn struct {
+	At      time.Time
+	Service string
+	Counted time.Time
+}
+
+// PromptRequested asks whether a prompt may be sent to a prefill engine, for the first time or after
+// engines rejected it. It counts nothing.
+type PromptRequested struct {
+	At      time.Time
+	Service string
+}
+
+// PromptRejected reports that a prefill engine rejected a prompt.
+type PromptRejected struct {
+	At      time.Time
+	Service string
 }
 
 // PrefillMeasured reports how long the prefill of a prompt took, for a placement that was
@@ -206,6 +223,14 @@
 
 func (RequestCounted) isDispatchEvent() {}
 
+func (RepeatRequested) isDispatchEvent() {}
+
+func (RepeatWithdrawn) isDispatchEvent() {}
+
+func (PromptRequested) isDispatchEvent() {}
+
+func (PromptRejected) isDispatchEvent() {}
+
 func (PrefillMeasured) isDispatchEvent() {}
 
 func (GenerationMeasured) isDispatchEvent() {}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -62,9 +62,6 @@
 	}
 	if service := s.services[e.Grant.Need.Service]; service != nil {
 		service.observeSojourn(e)
-		if (e.Outcome == OutcomeFull || e.Outcome == OutcomeWithheld) && e.Grant.Need.Retry {
-			service.budget.withdrawRetry(e.At, s.config.RetryWindow)
-		}
 	}
 	s.applyOutcome(OutcomeObserved(e))
 }
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -23,6 +23,8 @@
 	now    time.Time
 	state  *State
 	grants map[string]Grant
+	// counted is when a repeat was last counted.
+	counted time.Time
 }
 
 // TestScripts runs the files of testdata/scripts. Their commands:
@@ -30,7 +32,7 @@
 //	fleet [forwarders=N]    INSTANCE SERVICE DOMAIN [ROLE] [PHASE] [silent] [changing]
 //	                        [unconfirmed] [start=N] [software=VERSION] a line
 //	service NAME [kv=N] [part=N]   declares a service; kv makes it a service of engines
-//	do                      place NAME SERVICE [prompt=N] [pause=FOR] [retry] [waited] [tried=A,B] [excluded=A,B]
+//	do                      place NAME SERVICE [prompt=N] [pause=FOR] [retry] [tried=A,B] [excluded=A,B]
 //	                        [from=DOMAIN] [within=FOR] [origin=VERSION]
 //	                        end NAME OUTCOME [TOOK] | prefilled NAME TOOK | prefill-failed NAME
 //	                        generated NAME TOOK [PARTS]
@@ -39,6 +41,9 @@
 //	                        resend NAME | send NAME | offer NAME | pass FOR
 //	                        notice SERVER [limit=N] [backoff=FOR] [leaving] [sent=AGO] [failed]
 //	                        no-permit SERVER FOR | unlimited SERVER
+//	                        requests SERVICE COUNT | repeat SERVICE MOST   repeats until one is refused
+//	                        withdraw SERVICE   the last repeat
+//	                        prompt SERVICE | rejected SERVICE   a prompt call, and one that was rejected
 //	loads                   prints the work done on engines
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -159,13 +164,22 @@
 			is.NoErr(err)
 		}
 		Reduce(s.state, written)
-	case "offer":
-		effects := Reduce(s.state, PlacementOffered{At: s.now, Server: s.grants[words[1]].Server})
-		if _, accepted := effects[0].(Granted); accepted {
-			fmt.Fprintln(out, words[1], "accepted")
-			return
+	case "requests":
+		count, err := strconv.Atoi(words[2])
+		is.NoErr(err)
+		for range count {
+			Reduce(s.state, RequestCounted{At: s.now, Service: words[1]})
 		}
-		print(out, words[1], effects)
+	case "repeat":
+		s.repeat(words[1], words[2], out)
+	case "withdraw":
+		Reduce(s.state, RepeatWithdrawn{At: s.now, Service: words[1], Counted: s.counted})
+	case "prompt":
+		printDecision(out, "prompt", Reduce(s.state, PromptRequested{At: s.now, Service: words[1]}))
+	case "rejected":
+		Reduce(s.state, PromptRejected{At: s.now, Service: words[1]})
+	case "offer":
+		printDecision(out, words[1], Reduce(s.state, PlacementOffered{At: s.now, Server: s.grants[words[1]].Server}))
 	case "notice":
 		s.notice(words, out)
 	case "no-permit":
@@ -248,8 +262,6 @@
 			need.FailureDomain = value
 		case "retry":
 			need.Retry = true
-		case "waited":
-			need.Waited = true
 		case "origin":
 			need.Origin = &message.StreamOrigin{Service: service, SoftwareVersion: value}
 		case "tried":
@@ -265,6 +277,29 @@
 	print(out, name, effects)
 }
 
+// repeat asks for repeats until one is refused, at most count times.
+func (s *script) repeat(service, count string, out *strings.Builder) {
+	most, err := strconv.Atoi(count)
+	is.New(s.t).NoErr(err)
+	granted := 0
+	for granted < most {
+		if _, ok := Reduce(s.state, RepeatRequested{At: s.now, Service: service})[0].(Granted); !ok {
+			break
+		}
+		granted, s.counted = granted+1, s.now
+	}
+	fmt.Fprintln(out, granted, "repeats")
+}
+
+// printDecision prints the effect of an event that grants no server.
+func printDecision(out *strings.Builder, name string, effects []Effect) {
+	if _, accepted := effects[0].(Granted); accepted {
+		fmt.Fprintln(out, name, "accepted")
+		return
+	}
+	print(out, name, effects)
+}
+
 func print(out *strings.Builder, name string, effects []Effect) {
 	switch e := effects[0].(type) {
 	case Granted:
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -152,7 +152,7 @@
 const assumedForwarders = 32
 
 // Reduce applies an event to the state. PlacementRequested, ResendRequested, SendRequested,
-// PlacementOffered and RequestCounted have exactly one effect, NoticeReceived at most one, other
+// PlacementOffered, RepeatRequested and PromptRequested have exactly one effect, NoticeReceived at most one, other
 // events have none.
 func Reduce(s *State, event Event) []Effect {
 	switch e := event.(type) {
@@ -183,7 +183,15 @@
 	case SpeedsReported:
 		s.mergeSpeeds(e)
 	case RequestCounted:
-		return []Effect{s.countRequest(e)}
+		s.countRequest(e)
+	case RepeatRequested:
+		return []Effect{s.requestRepeat(e.At, e.Service)}
+	case RepeatWithdrawn:
+		s.withdrawRepeat(e)
+	case PromptRequested:
+		return []Effect{s.requestPrompt(e)}
+	case PromptRejected:
+		s.countRejectedPrompt(e)
 	case OutcomeObserved:
 		s.applyOutcome(e)
 	case Ended:
--- a/internal/reducer/placement/queue.go
+++ b/internal/reducer/placement/queue.go
@@ -156,7 +156,6 @@
 // try grants one request, or refuses it for another reason than a lack of memory.
 func (s *State) try(at time.Time, q *request) (Answer, bool) {
 	need := q.need
-	need.Waited = true // the forwarder has counted the request
 	need.Excluded = s.excludedFor(q)
 	switch e := dispatch.Reduce(s.engines, dispatch.PlacementRequested{At: at, Need: need})[0].(type) {
 	case dispatch.Granted:
--- a/internal/reducer/placement/state.go
+++ b/internal/reducer/placement/state.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -61,7 +60,7 @@
 func New(seed uint64) *State {
 	return &State{
 		// Forwarders enforce the retry budget before they request a placement.
-		engines:    dispatch.New(dispatch.Config{Seed: seed, RetrySlack: math.MaxInt32, Overcommit: overcommit, FullFor: fullFor}),
+		engines:    dispatch.New(dispatch.Config{Seed: seed, Overcommit: overcommit, FullFor: fullFor}),
 		placements: map[Key]placement{},
 		flows:      map[string]*flow{},
 		refused:    refusedCalls{calls: map[uint64]refusedCall{}},
