dispatch, routewatch: the slack of the retry budget is divided by the highest recent number of forwarders, and not at all in a process's first window

Cause: a part was divided by the number of forwarders that one control VM had at that moment. One that has just started counts them as they connect, from 1; one in a partition counts a part of them; one with sessions of ended processes counts these too. And a restarted forwarder had a whole part again, whatever its earlier process had used.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -117,6 +117,10 @@
 	Alone bool `cbor:"alone,omitempty"`
 }
 
+// ForwardersPeriod is for how long a number of forwarders counts after it was seen. Regions may be
+// partitioned for minutes.
+const ForwardersPeriod = 10 * time.Minute
+
 // RouteUpdate carries the changes since the last update on the stream. The first update
 // is complete.
 type RouteUpdate struct {
@@ -134,7 +138,8 @@
 	Controls []string `cbor:"controls,omitempty"`
 	// Leader is the peer address of the leading control VM, empty if none is known.
 	Leader string `cbor:"leader,omitempty"`
-	// Forwarders is the number of forwarders that watch this control VM.
+	// Forwarders is the highest number of forwarders that watched this control VM in the last
+	// minutes.
 	Forwarders int `cbor:"forwarders,omitempty"`
 	// Confirmed is set if a quorum confirmed a short time ago that no newer
 	// routing was accepted.
--- a/internal/reducer/dispatch/budget.go
+++ b/internal/reducer/dispatch/budget.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -109,7 +110,7 @@
 func (s *State) hasRoom(v *service, at time.Time) bool {
 	v.budget.advance(at, s.config.RetryWindow)
 	spent := v.budget.sum()
-	return float64(spent.repeats+1) <= s.allowedRepeats(spent)
+	return float64(spent.repeats+1) <= s.allowedRepeats(at, spent)
 }
 
 // requestPrompt decides whether a prompt may be sent to a prefill engine, which may reject it. A
@@ -142,9 +143,30 @@
 	}
 }
 
+// assumedForwarders is the number of forwarders assumed until a control VM reports it.
+const assumedForwarders = 32
+
+// sharers returns the number of forwarders that share the slack.
+//
+// It is the highest of the reported numbers: a control VM that has started a moment ago, or that is
+// partitioned from others, knows only a part of the forwarders. If each took the last number,
+// hundreds of forwarders could divide the slack by one.
+func (s *State) sharers(at time.Time) int {
+	return max(1, cmp.Or(s.forwarders.Highest(at), assumedForwarders))
+}
+
+// slackPart is this forwarder's part of the slack. In the first window of the process it has none: an
+// earlier process of this forwarder may have used it.
+func (s *State) slackPart(at time.Time) float64 {
+	if at.Sub(s.config.Started) < s.config.RetryWindow {
+		return 0
+	}
+	return s.config.RetrySlack / float64(s.sharers(at))
+}
+
 // allowedRepeats is how many repeats the window may hold in this forwarder.
-func (s *State) allowedRepeats(spent counts) float64 {
-	return budgetMargin * (s.config.RetryShare*float64(spent.requests) + s.config.RetrySlack/float64(s.forwarders))
+func (s *State) allowedRepeats(at time.Time, spent counts) float64 {
+	return budgetMargin * (s.config.RetryShare*float64(spent.requests) + s.slackPart(at))
 }
 
 // BudgetStatus is the state of the retry budget of one service in this forwarder.
@@ -162,12 +184,12 @@
 
 // RetryBudget returns the state of the retry budget of a service.
 func (s *State) RetryBudget(now time.Time, name string) BudgetStatus {
-	status := BudgetStatus{Service: name, Forwarders: s.forwarders, ForwardersAge: now.Sub(s.forwardersAt)}
+	status := BudgetStatus{Service: name, Forwarders: s.sharers(now), ForwardersAge: now.Sub(s.forwardersAt)}
 	if v := s.services[name]; v != nil {
 		v.budget.advance(now, s.config.RetryWindow)
 		spent := v.budget.sum()
 		status.Requests, status.Spent = spent.requests, spent.repeats
-		status.Allowed = s.allowedRepeats(spent)
+		status.Allowed = s.allowedRepeats(now, spent)
 	}
 	return status
 }
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -28,7 +28,8 @@
 // applyServerChanges applies changes to the list of backend servers.
 func (s *State) applyServerChanges(e FleetChanged) {
 	if e.Forwarders > 0 {
-		s.forwarders, s.forwardersAt = e.Forwarders, e.At
+		s.forwarders.Report(e.At, e.Forwarders)
+		s.forwardersAt = e.At
 	}
 	for _, current := range e.Servers {
 		s.updateServer(e.At, current)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/peak"
 	"github.com/oriolebend/oriolebend/internal/reducer/speed"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -26,6 +27,9 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Started is when the process started. Within RetryWindow after it, this forwarder has no part
+	// of RetrySlack; zero means that it has run for longer.
+	Started time.Time
 	// FullFor is how long a server that refused for lack of memory counts as full
 	// unless work ends there; zero selects avoidFull. A process that knows all work
 	// ending at the server can use a longer time.
@@ -62,8 +66,8 @@
 	removed map[message.ServerStart]time.Time
 	// removedPruned is when removed was last pruned.
 	removedPruned time.Time
-	// forwarders is how many forwarders share the retry budget, as reported at forwardersAt.
-	forwarders   int
+	// forwarders is how many forwarders share the retry budget, as last reported at forwardersAt.
+	forwarders   peak.Peak[int]
 	forwardersAt time.Time
 	scratch      scratch
 }
@@ -143,14 +147,10 @@
 		services:   map[string]*service{},
 		reported:   map[message.ServerStart]*reportedState{},
 		removed:    map[message.ServerStart]time.Time{},
-		forwarders: assumedForwarders,
+		forwarders: peak.Peak[int]{Period: message.ForwardersPeriod},
 	}
 }
 
-// assumedForwarders is the number of forwarders assumed until a control VM reports it.
-// It is more than sites have today, so that the shared retry budget is not exceeded.
-const assumedForwarders = 32
-
 // Reduce applies an event to the state. PlacementRequested, ResendRequested, SendRequested,
 // PlacementOffered, RepeatRequested and PromptRequested have exactly one effect, NoticeReceived at most one, other
 // events have none.
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -167,6 +167,7 @@
 		RetryShare:    s.Forward.RetryShare,
 		RetrySlack:    s.Forward.RetrySlack,
 		RetryWindow:   time.Duration(s.Forward.RetryWindow),
+		Started:       time.Now(),
 	}
 }
 
--- a/internal/routewatch/server.go
+++ b/internal/routewatch/server.go
@@ -15,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/policy"
 	"github.com/oriolebend/oriolebend/internal/reducer"
+	"github.com/oriolebend/oriolebend/internal/reducer/peak"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/routing"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -65,10 +66,12 @@
 	mutex   sync.Mutex
 	state   *registry.State
 	watches map[*watcher]struct{}
-	// forwarders counts the watchers that are forwarders, observers lists the addresses at
+	// forwarders counts the forwarders that watch, observers lists the addresses at
 	// which the watchers that are control VMs can be watched themselves.
 	forwarders int
-	observers  []string
+	// highestForwarders is the number that forwarders receive.
+	highestForwarders peak.Peak[int]
+	observers         []string
 	// listens are the addresses at which forwarders reach each other, sorted.
 	listens []string
 	// restored counts the restored servers, dropped those that did not announce themselves to any
@@ -83,6 +86,7 @@
 func (r *Server) Prepare() {
 	r.state = registry.New(registry.Config{})
 	r.watches = map[*watcher]struct{}{}
+	r.highestForwarders.Period = message.ForwardersPeriod
 }
 
 // Run checks servers for missing announcements until ctx ends.
--- a/internal/routewatch/server_test.go
+++ b/internal/routewatch/server_test.go
@@ -194,6 +194,35 @@
 	}
 }
 
+// Guards against forwarders that divide the retry budget by a number that is too low or too high. A
+// control VM that loses half of them in a partition must go on to report all; one that a forwarder
+// watches twice, as the session of its earlier process is still open, must count it once.
+func TestHighestNumberOfForwardersIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newServer(func(*Server) {})
+		reported := func(w *watcher) int {
+			var update message.RouteUpdate
+			r.collect(w, &update)
+			return update.Forwarders
+		}
+		var watchers []*watcher
+		for i := range 30 {
+			watchers = append(watchers, r.add(message.RouteWatch{Node: fmt.Sprint(i)}))
+		}
+		first := r.add(message.RouteWatch{Node: "0"}) // restarted
+		is.Equal(reported(first), 30)
+		time.Sleep(time.Hour)
+		for _, w := range watchers[:20] {
+			r.remove(w)
+		}
+		is.Equal(reported(first), 30)
+		is.Equal(r.Forwarders(), 11)
+		time.Sleep(message.ForwardersPeriod + time.Second)
+		is.Equal(reported(first), 11)
+	})
+}
+
 // Guards against requests that reach a server long after its leaving was acknowledged: the
 // control VM acknowledged it without waiting for forwarders, from which it was partitioned.
 func TestLeavingIsAcknowledgedAfterForwarders(t *testing.T) {
--- a/internal/routewatch/watch.go
+++ b/internal/routewatch/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/peer"
@@ -122,12 +123,13 @@
 	r.Logger.Info("forwarder lost", "forwarder", w.node, "forwarders", r.forwarders)
 }
 
-// countWatchers updates forwarders, observers and listens from the watchers. The mutex is held.
+// countWatchers updates the numbers of forwarders, observers and listens from the watchers. The mutex is held.
 func (r *Server) countWatchers() {
-	r.forwarders, r.observers, r.listens = 0, nil, r.listens[:0]
+	r.observers, r.listens = nil, r.listens[:0]
+	nodes := make(map[string]struct{}, len(r.watches)) // sessions of an earlier process may still be open
 	for w := range r.watches {
 		if !w.observes {
-			r.forwarders++
+			nodes[w.node] = struct{}{}
 		}
 		if w.address != "" {
 			r.observers = append(r.observers, w.address)
@@ -137,6 +139,10 @@
 		}
 	}
 	slices.Sort(r.listens)
+	now := time.Now()
+	r.highestForwarders.Report(now, r.forwarders) // the number was this until now
+	r.forwarders = len(nodes)
+	r.highestForwarders.Report(now, r.forwarders)
 }
 
 // readAcknowledgements reads the acknowledgements of a watcher until the session ends.
@@ -169,7 +175,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	w.number++
-	u.Number, u.Forwarders = w.number, r.forwarders
+	u.Number, u.Forwarders = w.number, r.highestForwarders.Highest(time.Now())
 	for _, server := range w.pending {
 		u.Servers = append(u.Servers, server)
 	}
