forwarder: the test of the retry budget also counts requests

Evidence: on the code before the fix 'sends rejected without an allocator' counts 600 for 300 requests, and its case fails with the three others; it passes now. The window of the test is an hour, so that a slow machine can't divide its requests between two.

--- a/internal/forwarder/repeat_test.go
+++ b/internal/forwarder/repeat_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -121,6 +122,7 @@
 			seen, places := newArrivals(), &randomPlaces{away: test.away}
 			s := newSite(t, 1<<20, func(c *Config) {
 				c.Dispatch.RetrySlack = slack
+				c.Dispatch.RetryWindow = time.Hour
 				c.Places = places
 			})
 			for range servers {
@@ -137,6 +139,7 @@
 				s.send(test.path, map[string]string{headerRequest: fmt.Sprint(i), headerPrompt: "1000", headerOutput: "10"})
 			}
 			is.True(seen.repeats() <= dispatch.DefaultRetryShare*requests+slack)
+			is.Equal(s.forwarder.RetryBudgets()[0].Requests, requests)
 		})
 	}
 }
