backend: the head of an answer has a bound

Cause: http.ReadResponse keeps a head until it ends; net/http bounds it in its Transport, which is not used here. memorybudget counts bodies only. The error replaces the parser's, which quotes all of it. Elsewhere: control VMs read engines' answers by the same code; requests of callers have limits of their own.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -287,3 +289,46 @@
 	is.Equal(response.Status, http.StatusRequestEntityTooLarge)
 	response.Close()
 }
+
+// Guards against servers whose bytes fill the memory of this process: what stands in place of an
+// answer has no line end, or its head has lines without end.
+func TestHeadWithoutEndIsCutOff(t *testing.T) {
+	for _, test := range []struct{ name, start, piece string }{
+		{name: "no line end", piece: "x"},
+		{name: "lines without end", start: "HTTP/1.1 200 OK\r\n", piece: "X-A: b\r\n"},
+		{name: "one long line", start: "HTTP/1.1 200 OK\r\nX-A: ", piece: "b"},
+		{name: "after an interim answer", start: "HTTP/1.1 103 Early Hints\r\n\r\n", piece: "x"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFake(t, func(int32) step {
+				return step{answer: test.start + strings.Repeat(test.piece, 8<<20/len(test.piece)), close: true}
+			})
+			pool := NewPool(PoolConfig{})
+			_, err := pool.Do(t.Context(), f.address, Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			var tooLong *HeadTooLongError
+			is.True(errors.As(err, &tooLong))
+			var failed *Error
+			is.True(errors.As(err, &failed))
+			is.Equal(failed.Ran, oriolebend.RanUnknown)
+		})
+	}
+}
+
+// A head of usual length, and a body that is longer than a head may be, are read whole.
+func TestBodyMayBeLongerThanAHead(t *testing.T) {
+	is := is.New(t)
+	const length = 4 * maxHeadBytes
+	f := startFake(t, func(int32) step {
+		return step{answer: fmt.Sprintf("HTTP/1.1 200 OK\r\nX-A: %s\r\nContent-Length: %d\r\n\r\n%s",
+			strings.Repeat("a", maxHeadBytes/2), length, strings.Repeat("b", length))}
+	})
+	pool := NewPool(PoolConfig{})
+	for range 2 {
+		response, err := pool.Do(t.Context(), f.address, Request{Method: http.MethodGet, Target: "/", Host: "h", Freshness: time.Minute})
+		is.NoErr(err)
+		body, err := response.ReadBody(2 * length)
+		is.NoErr(err)
+		is.Equal(len(body), length)
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -216,7 +216,11 @@
 func (x *exchange) read(r Request) (*Response, error) {
 	strays := 0
 	for {
+		x.conn.head.expect()
 		answer, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		if tooLong := x.conn.head.ended(); tooLong != nil {
+			return nil, tooLong // the parser's error holds the whole head
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -65,7 +65,9 @@
 type connection struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader reads through head.
+	reader *bufio.Reader
+	head   *headLimit
 	// idleSince is when the connection was last returned to the pool, idleFor how long
 	// the server keeps it idle.
 	idleSince time.Time
@@ -150,8 +152,9 @@
 	p.mutex.Lock()
 	p.dialled++
 	p.mutex.Unlock()
+	head := &headLimit{Reader: conn}
 	return &connection{
-		Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readerBytes), idleFor: p.config.IdleFor, opened: time.Now(),
+		Conn: conn, address: address, reader: bufio.NewReaderSize(head, readerBytes), head: head, idleFor: p.config.IdleFor, opened: time.Now(),
 	}, nil
 }
 
