backend: the length of a request is stated once

Cause: the caller's Content-Length was passed on beside our own. Evidence: TestLengthIsStatedOnce; before, the head holds the line twice by its code, not run against it.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -332,3 +332,13 @@
 		is.Equal(len(body), length)
 	}
 }
+
+// Guards against servers that refuse requests because their length is stated twice.
+func TestLengthIsStatedOnce(t *testing.T) {
+	is := is.New(t)
+	head := string(encodeHead(Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Body: []byte("body"),
+		Header: http.Header{"Content-Length": {"4"}, "Host": {"other"}, "X-A": {"b"}},
+	}))
+	is.Equal(head, "POST / HTTP/1.1\r\nHost: h\r\nX-A: b\r\nContent-Length: 4\r\n\r\n")
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -277,11 +277,15 @@
 	x.conn.idleFor = time.Duration(float64(seconds) * margin * float64(time.Second))
 }
 
+// framing are the headers that encodeHead writes itself. A server may refuse a request that has one of
+// them twice.
+var framing = map[string]bool{"Content-Length": true, "Host": true, "Transfer-Encoding": true}
+
 // encodeHead returns the request without its body.
 func encodeHead(r Request) []byte {
 	var out bytes.Buffer
 	out.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	_ = r.Header.Write(&out) // writes to a buffer do not fail
+	_ = r.Header.WriteSubset(&out, framing) // writes to a buffer do not fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
