forwarder: of two routings that arrive at once the newer one stays in force

Cause: SetRouting checked the version in force, built its table and stored it, without a lock; each control VM's session calls it. No control VM sends again what a forwarder has received. Change: one routing is applied at a time, with the services of the reducer. Elsewhere: the routing store of control VMs and the other atomics were read: each is changed under a lock, or by one goroutine.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -73,7 +73,9 @@
 	pool   *backend.Pool
 	start  time.Time
 
-	table atomic.Pointer[routing.Table]
+	// table is stored with routingMutex held.
+	table        atomic.Pointer[routing.Table]
+	routingMutex sync.Mutex
 	// routed is closed when the first routing is applied.
 	routed     chan struct{}
 	routedOnce sync.Once
@@ -123,8 +125,11 @@
 // and retry budgets and the times for which servers are avoided must not jump with it.
 func (f *Forwarder) now() time.Time { return f.start.Add(time.Since(f.start)) }
 
-// SetRouting applies a routing, unless the routing in force is as new or newer.
+// SetRouting applies a routing, unless the routing in force is as new or newer. Several control VMs
+// may send routings at the same time.
 func (f *Forwarder) SetRouting(r oriolebend.Routing) {
+	f.routingMutex.Lock()
+	defer f.routingMutex.Unlock()
 	if current := f.table.Load(); current != nil && current.Routing.Version >= r.Version {
 		return
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -483,3 +483,32 @@
 	s.forwarder.Wait()
 	is.Equal(decode.seen(), "POST /reservations; DELETE /reservations/h1")
 }
+
+// Guards against a forwarder that goes back to an older routing and keeps it: two control VMs send two
+// versions at once, and the older one is stored last.
+func TestNewestOfConcurrentRoutingsIsInForce(t *testing.T) {
+	is := is.New(t)
+	const rounds, routes = 1000, 50
+	s := newSite(t, 0)
+	routing := s.forwarder.table.Load().Routing
+	for range routes {
+		route := routing.Routes[0]
+		route.Name = fmt.Sprintf("r%d", len(routing.Routes))
+		route.PathPrefix = "/" + route.Name + "/"
+		routing.Routes = append(routing.Routes, route)
+	}
+	for round := range uint64(rounds) {
+		newest := 2*round + 3
+		var group sync.WaitGroup
+		for _, version := range []uint64{newest - 1, newest} {
+			sent := routing
+			sent.Version = version
+			sent.Services = []oriolebend.RouteService{{Name: "s"}, {Name: fmt.Sprintf("v%d", version)}}
+			group.Go(func() { s.forwarder.SetRouting(sent) })
+		}
+		group.Wait()
+		is.Equal(s.forwarder.Version(), newest)
+		budgets := s.forwarder.RetryBudgets() // one for each service that the reducer knows
+		is.Equal(budgets[1].Service, fmt.Sprintf("v%d", newest))
+	}
+}
