streamrecord, role: control VMs save the origins of streams

Cause: origins of streams were in the memory of the forwarder and of two control VMs. Weighed: the agreed log (a round trip and a sync of a quorum for each stream, none without a quorum); a log of its own (segments, expiry); a file that is replaced, as for crash reports. The last: a table is short, at most five times a second, 1 MB/s at most. Change: each control VM writes its records to its data folder within 0.2 s of a change and reads them at its start. Contents are not saved: a second origin of a content may be among the moments that are lost, and a lookup by content must not miss it.

--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -57,6 +57,7 @@
 	quotas       *quota.Server
 	limits       *serverlimit.Server
 	streams      streamrecord.Server
+	streamStore  *streamrecord.DiskStore
 	cancel       context.CancelFunc
 	// done is closed once the replica has stopped; runErr is its error.
 	done   chan struct{}
@@ -88,6 +89,7 @@
 	go process.quotas.Run(ctx)
 	go process.limits.Run(ctx)
 	go process.streams.Run(ctx)
+	go process.streamStore.Run(ctx)
 	if process.joiner != nil {
 		go process.joiner.Run(ctx)
 	}
@@ -205,6 +207,8 @@
 	})
 	c.crashReports = &crashreports.DiskStore{Folder: p.Settings.Control.DataFolder, Store: c.crashes, Logger: p.Logger}
 	c.crashReports.Load()
+	c.streamStore = &streamrecord.DiskStore{Folder: p.Settings.Control.DataFolder, Server: &c.streams, Logger: p.Logger}
+	c.streamStore.Load()
 	c.quotas, c.limits = c.newQuotas(), c.newLimits()
 	c.routes = &routewatch.Server{
 		Store:     c.routing,
--- /dev/null
+++ b/internal/streamrecord/disk_store_test.go
@@ -0,0 +1,83 @@
+package streamrecord
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/oriolebend/oriolebend/internal/message"
+)
+
+// loadDiskStore returns a server that has loaded the records of a folder.
+func loadDiskStore(folder string) *DiskStore {
+	d := &DiskStore{Folder: folder, Server: &Server{}, Logger: slog.New(slog.DiscardHandler)}
+	d.Load()
+	return d
+}
+
+// Records are loaded after a restart, for as long as their streams may be resumed. A damaged file is
+// ignored.
+func TestDiskStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		folder := t.TempDir()
+		origin := message.StreamOrigin{Service: "s", SoftwareVersion: "v1"}
+		first := loadDiskStore(folder)
+		go first.Run(t.Context())
+		first.Server.answer(time.Now(), message.StreamRecordRequest{Records: []message.StreamRecord{
+			{Stream: 1, Content: 7, Origin: origin, ResumableFor: 10 * time.Second},
+			{Stream: 2, Content: 8, Origin: origin, ResumableFor: 40 * time.Second},
+			{Stream: 9, Content: 9, Origin: origin, ResumableFor: 40 * time.Second},
+		}})
+		time.Sleep(20 * time.Second)
+		find := func(d *DiskStore, key uint64) *message.StreamOrigin {
+			return d.Server.answer(time.Now(), message.StreamRecordRequest{Key: key}).Origin
+		}
+		second := loadDiskStore(folder)
+		is.Equal(find(second, 2), &origin)
+		is.Equal(second.Server.Len(), 1) // the first has expired, and contents are not saved
+		time.Sleep(21 * time.Second)
+		is.Equal(find(second, 2), nil)
+		is.NoErr(os.WriteFile(filepath.Join(folder, noteName), []byte("damaged"), 0o600))
+		is.Equal(loadDiskStore(folder).Server.Len(), 0)
+	})
+}
+
+// Guards against records that a control VM answers differently after its restart: it may forget some,
+// and must not know other origins.
+func TestSavedRecordsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2131, 3, 1, 0, 0, 0, 0, time.UTC)
+		var before, after Table
+		for range rapid.IntRange(0, 30).Draw(t, "records") {
+			before.Add(now, message.StreamRecord{
+				Stream: rapid.Uint64Range(1, 9).Draw(t, "stream"), Content: rapid.Uint64Range(0, 12).Draw(t, "content"),
+				Origin:       message.StreamOrigin{Service: "s", SoftwareVersion: fmt.Sprint(rapid.IntRange(1, 2).Draw(t, "version"))},
+				ResumableFor: time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second,
+			})
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+		}
+		age := time.Duration(rapid.IntRange(0, 15).Draw(t, "age")) * time.Second
+		after.restore(now.Add(age), age, before.saved(now))
+		for at := now.Add(age); at.Before(now.Add(time.Minute)); at = at.Add(time.Second) {
+			for key := range uint64(13) {
+				was, conflicted := before.Find(at, key)
+				is, conflicts := after.Find(at, key)
+				if is != nil && (was == nil || *was != *is) || conflicts && !conflicted {
+					t.Fatalf("key %d: %v, %t before, %v, %t after", key, was, conflicted, is, conflicts)
+				}
+				e := before.entries[key]
+				if (was != nil || conflicted) && !e.ofContent && is == nil && !conflicts {
+					t.Fatalf("stream %d forgotten: %v", key, e)
+				}
+			}
+		}
+	})
+}
--- a/internal/streamrecord/server.go
+++ b/internal/streamrecord/server.go
@@ -13,13 +13,18 @@
 // expireInterval is the interval at which expired records are dropped.
 const expireInterval = time.Second
 
-// Server holds records in one control VM. They are in memory only: the forwarders send the records
-// of running streams again to a control VM that has restarted. The zero value is ready to use.
+// Server holds records in one control VM. A DiskStore saves them; besides, the forwarders send the
+// records of running streams again to a control VM that has restarted. The zero value is ready to use.
 type Server struct {
 	mutex sync.Mutex
 	table Table
+	// changed is signalled after records were added, nil without a DiskStore.
+	changed chan struct{}
 }
 
+// prepare has the server signal changes.
+func (s *Server) prepare() { s.changed = make(chan struct{}, 1) }
+
 // Run drops expired records until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	for pause.For(ctx, expireInterval) {
@@ -50,7 +55,9 @@
 	for _, r := range request.Records {
 		s.table.Add(at, r)
 	}
-	if len(request.Records) == 0 {
+	if len(request.Records) > 0 {
+		s.requestSave()
+	} else {
 		answer.Origin, answer.Conflict = s.table.Find(at, request.Key)
 	}
 	return answer
--- a/internal/streamrecord/table.go
+++ b/internal/streamrecord/table.go
@@ -38,6 +38,8 @@
 type entry struct {
 	origin *message.StreamOrigin
 	until  time.Time
+	// ofContent is set if the key is a content.
+	ofContent bool
 }
 
 // Add adds a record. If another one of the stream, or of the same content, has another origin, the
@@ -48,8 +50,11 @@
 		return
 	}
 	t.add(at, r.Stream, r.Origin, until)
-	if r.Content != 0 && r.Content != r.Stream {
-		t.add(at, r.Content, r.Origin, until)
+	if r.Content != 0 {
+		if r.Content != r.Stream {
+			t.add(at, r.Content, r.Origin, until)
+		}
+		t.entries[r.Content].ofContent = true
 	}
 }
 
