--- a/internal/reducer/dispatch/budget.go
+++ b/internal/reducer/dispatch/budget.go
@@ -177,14 +177,17 @@
 	// Allowed is how many repeats the window may hold in this forwarder.
 	Allowed float64
 	// Forwarders is the number of forwarders by which the slack is divided, ForwardersAge the time
-	// since a control VM last reported one.
+	// since a control VM last reported one, negative if none did.
 	Forwarders    int
 	ForwardersAge time.Duration
 }
 
 // RetryBudget returns the state of the retry budget of a service.
 func (s *State) RetryBudget(now time.Time, name string) BudgetStatus {
-	status := BudgetStatus{Service: name, Forwarders: s.sharers(now), ForwardersAge: now.Sub(s.forwardersAt)}
+	status := BudgetStatus{Service: name, Forwarders: s.sharers(now), ForwardersAge: -time.Second}
+	if !s.forwardersAt.IsZero() {
+		status.ForwardersAge = now.Sub(s.forwardersAt)
+	}
 	if v := s.services[name]; v != nil {
 		v.budget.advance(now, s.config.RetryWindow)
 		spent := v.budget.sum()
--- a/internal/role/retry_budget_metrics.go
+++ b/internal/role/retry_budget_metrics.go
@@ -24,7 +24,7 @@
 		spent:      describe("spent", "Repeats of the last window that the retry budget counts."),
 		allowed:    describe("allowed", "Repeats that the window may hold in this forwarder."),
 		forwarders: describe("forwarders", "Number of forwarders by which the slack of the retry budget is divided."),
-		age:        describe("forwarders_age_seconds", "Time since a control VM last reported the number of forwarders."),
+		age:        describe("forwarders_age_seconds", "Time since a control VM last reported the number of forwarders; -1 means never."),
 	}
 }
 
--- a/internal/streamrecord/disk_store_test.go
+++ b/internal/streamrecord/disk_store_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,9 +14,45 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/message"
 )
 
+// files is the file system of the VM, on a disk that may be full.
+type files struct {
+	disk.OS
+	full atomic.Bool
+}
+
+func (f *files) Create(path string) (disk.File, error) {
+	if f.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	return f.OS.Create(path)
+}
+
+// Guards against a full disk that loses the records for good: the file of before stays, and is replaced
+// once there is space.
+func TestDiskFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &DiskStore{Folder: t.TempDir(), Server: &Server{}, Logger: slog.New(slog.DiscardHandler), Files: &files{}}
+		d.Load()
+		go d.Run(t.Context())
+		add := func(stream uint64) {
+			d.Server.answer(time.Now(), message.StreamRecordRequest{Records: []message.StreamRecord{{Stream: stream, ResumableFor: time.Minute}}})
+			time.Sleep(time.Second)
+		}
+		add(1)
+		d.Files.(*files).full.Store(true)
+		add(2)
+		is.Equal(loadDiskStore(d.Folder).Server.Len(), 1)
+		d.Files.(*files).full.Store(false)
+		time.Sleep(saveRetryDelay)
+		is.Equal(loadDiskStore(d.Folder).Server.Len(), 2)
+	})
+}
+
 // loadDiskStore returns a server that has loaded the records of a folder.
 func loadDiskStore(folder string) *DiskStore {
 	d := &DiskStore{Folder: folder, Server: &Server{}, Logger: slog.New(slog.DiscardHandler)}
