--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -205,10 +205,7 @@
 		},
 		Logger: p.Logger,
 	})
-	c.crashReports = &crashreports.DiskStore{Folder: p.Settings.Control.DataFolder, Store: c.crashes, Logger: p.Logger}
-	c.crashReports.Load()
-	c.streamStore = &streamrecord.DiskStore{Folder: p.Settings.Control.DataFolder, Server: &c.streams, Logger: p.Logger}
-	c.streamStore.Load()
+	c.loadSaved()
 	c.quotas, c.limits = c.newQuotas(), c.newLimits()
 	c.routes = &routewatch.Server{
 		Store:     c.routing,
@@ -242,6 +239,15 @@
 	return c.serveOperators(store, reached)
 }
 
+// loadSaved reads what this control VM has saved besides the log.
+func (c *ControlProcess) loadSaved() {
+	folder, logger := c.process.Settings.Control.DataFolder, c.process.Logger
+	c.crashReports = &crashreports.DiskStore{Folder: folder, Store: c.crashes, Logger: logger}
+	c.crashReports.Load()
+	c.streamStore = &streamrecord.DiskStore{Folder: folder, Server: &c.streams, Logger: logger}
+	c.streamStore.Load()
+}
+
 func (c *ControlProcess) serveOperators(store *operator.Store, reached *ReachedTable) error {
 	s := c.process.Settings
 	handler := operator.New(operator.Config{
