forwarder: one way to tell that a send wrote nothing

Cause: notWritten of this change asked what ranOf already answers: an error that is no backend.Error is "unknown" for both. A comment still said that unused prefills make placements count as retries. Change: ranOf serves; the comment names the field that is set. Behaviour is the same.

--- a/internal/forwarder/repeat.go
+++ b/internal/forwarder/repeat.go
@@ -4,7 +4,6 @@
 	"errors"
 	"time"
 
-	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -52,7 +51,7 @@
 
 // recordNotArrived takes an arrival back if the send failed before anything was written.
 func (w *work) recordNotArrived(err error) {
-	if w.arrivals > 0 && notWritten(err) {
+	if w.arrivals > 0 && ranOf(err) == oriolebend.RanNo {
 		w.arrivals--
 		w.withdrawRepeats()
 	}
@@ -95,7 +94,7 @@
 // repeat; one that an engine rejects is.
 func (w *work) recordPrompt(call promptCall, err error) {
 	switch {
-	case notWritten(err):
+	case ranOf(err) == oriolebend.RanNo:
 		if call.repeats {
 			w.withdrawRepeat(call.counted)
 		}
@@ -111,12 +110,6 @@
 	}
 }
 
-// notWritten reports whether an exchange failed before anything was written.
-func notWritten(err error) bool {
-	var e *backend.Error
-	return errors.As(err, &e) && e.Ran == oriolebend.RanNo
-}
-
 // rejectsPrompt reports whether a prefill engine may have rejected a prompt: it answered so, or its
 // answer is lost.
 func rejectsPrompt(err error) bool {
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -67,7 +67,7 @@
 	// slowly.
 	skipped int
 	// prefills counts the prefills whose result was not used, because the send after them was not
-	// made. After the first of them, each further placement counts as a retry.
+	// made. After the first of them, Need.Retry is set.
 	prefills int
 	// prompted is set once a prefill engine was asked to read the prompt, promptAccepted once one has
 	// accepted it.
