dispatch, peak: the window of a retry budget is advanced in one place, and the last report of the forwarders is kept once

Cause: three places advanced a budget and then added it up, which only works in this order; the time of the last report stood beside the reports that hold it; a bound of 1 guarded a number that is never reported below 1. Change: sum advances, Peak.LastReport, no bound. Behaviour is the same. Evidence: scripts, testdata/shares and the other tests of internal/reducer pass unchanged but for the call of sum.

--- a/internal/reducer/dispatch/budget.go
+++ b/internal/reducer/dispatch/budget.go
@@ -66,7 +66,9 @@
 	}
 }
 
-func (b *budget) sum() counts {
+// sum returns the counts of the window that ends now.
+func (b *budget) sum(now time.Time, window time.Duration) counts {
+	b.advance(now, window)
 	var all counts
 	for _, c := range b.slices {
 		all.requests += c.requests
@@ -108,8 +110,7 @@
 
 // hasRoom reports whether this forwarder's part of the retry budget has room for one more repeat.
 func (s *State) hasRoom(v *service, at time.Time) bool {
-	v.budget.advance(at, s.config.RetryWindow)
-	spent := v.budget.sum()
+	spent := v.budget.sum(at, s.config.RetryWindow)
 	return float64(spent.repeats+1) <= s.allowedRepeats(at, spent)
 }
 
@@ -121,7 +122,7 @@
 // stop prompts, since those that engines accept cost nothing.
 func (s *State) requestPrompt(e PromptRequested) Effect {
 	v := s.services[e.Service]
-	if v != nil && !s.hasRoom(v, e.At) && v.budget.sum().rejectedPrompts > 0 {
+	if v != nil && !s.hasRoom(v, e.At) && v.budget.sum(e.At, s.config.RetryWindow).rejectedPrompts > 0 {
 		return Refused{Reason: oriolebend.ReasonRetryBudget, RetryAfter: retryBudget}
 	}
 	return Granted{}
@@ -152,7 +153,7 @@
 // partitioned from others, knows only a part of the forwarders. If each took the last number,
 // hundreds of forwarders could divide the slack by one.
 func (s *State) sharers(at time.Time) int {
-	return max(1, cmp.Or(s.forwarders.Highest(at), assumedForwarders))
+	return cmp.Or(s.forwarders.Highest(at), assumedForwarders)
 }
 
 // slackPart is this forwarder's part of the slack. In the first window of the process it has none: an
@@ -185,12 +186,11 @@
 // RetryBudget returns the state of the retry budget of a service.
 func (s *State) RetryBudget(now time.Time, name string) BudgetStatus {
 	status := BudgetStatus{Service: name, Forwarders: s.sharers(now), ForwardersAge: -time.Second}
-	if !s.forwardersAt.IsZero() {
-		status.ForwardersAge = now.Sub(s.forwardersAt)
+	if reported := s.forwarders.LastReport(); !reported.IsZero() {
+		status.ForwardersAge = now.Sub(reported)
 	}
 	if v := s.services[name]; v != nil {
-		v.budget.advance(now, s.config.RetryWindow)
-		spent := v.budget.sum()
+		spent := v.budget.sum(now, s.config.RetryWindow)
 		status.Requests, status.Spent = spent.requests, spent.repeats
 		status.Allowed = s.allowedRepeats(now, spent)
 	}
--- a/internal/reducer/dispatch/budget_shares_test.go
+++ b/internal/reducer/dispatch/budget_shares_test.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	newest := s.pool.advance(s.now, c.RetryWindow)
-	if float64(s.pool.sum().repeats+1) > budgetMargin*sharesSlack {
+	if float64(s.pool.sum(s.now, c.RetryWindow).repeats+1) > budgetMargin*sharesSlack {
 		return false
 	}
 	newest.repeats++
--- a/internal/reducer/dispatch/fleet.go
+++ b/internal/reducer/dispatch/fleet.go
@@ -29,7 +29,6 @@
 func (s *State) applyServerChanges(e FleetChanged) {
 	if e.Forwarders > 0 {
 		s.forwarders.Report(e.At, e.Forwarders)
-		s.forwardersAt = e.At
 	}
 	for _, current := range e.Servers {
 		s.updateServer(e.At, current)
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -66,10 +66,9 @@
 	removed map[message.ServerStart]time.Time
 	// removedPruned is when removed was last pruned.
 	removedPruned time.Time
-	// forwarders is how many forwarders share the retry budget, as last reported at forwardersAt.
-	forwarders   peak.Peak[int]
-	forwardersAt time.Time
-	scratch      scratch
+	// forwarders is how many forwarders share the retry budget, as control VMs reported.
+	forwarders peak.Peak[int]
+	scratch    scratch
 }
 
 // service is what is known about one service.
--- a/internal/reducer/peak/peak.go
+++ b/internal/reducer/peak/peak.go
@@ -42,6 +42,14 @@
 	return p.reports[0].value
 }
 
+// LastReport returns the time of the last report, zero if there was none.
+func (p *Peak[V]) LastReport() time.Time {
+	if len(p.reports) == 0 {
+		return time.Time{}
+	}
+	return p.reports[len(p.reports)-1].at
+}
+
 func (p *Peak[V]) expire(at time.Time) {
 	for len(p.reports) > 1 && at.Sub(p.reports[0].at) > p.Period {
 		p.reports = p.reports[1:]
