streamrecord: the file of stream records has a version

What callers saw: nothing yet. A later release with other content would be misread by this one after a downgrade, and a stream resumed at a wrong software version. Change: a file of another version is ignored and logged, as for the list of servers. Evidence: TestDiskStore has the case and passes.

--- a/internal/streamrecord/disk_store.go
+++ b/internal/streamrecord/disk_store.go
@@ -13,6 +13,9 @@
 const (
 	// noteName is the name of the file in the data folder that holds the records.
 	noteName = "streams"
+	// noteVersion is increased with each change of the file's content. A file of another version is
+	// ignored.
+	noteVersion = 1
 	// saveInterval is the shortest time between two writes, and saveBytesPerSecond bounds what is
 	// written of a long table.
 	saveInterval       = 200 * time.Millisecond
@@ -38,6 +41,7 @@
 
 // savedRecords is the content of the file.
 type savedRecords struct {
+	Version int `cbor:"version"`
 	// At is when the records were saved, in milliseconds since 1970 by the clock of the VM.
 	At      int64                  `cbor:"at"`
 	Origins []message.StreamOrigin `cbor:"origins"`
@@ -69,6 +73,10 @@
 	if !found {
 		return
 	}
+	if saved.Version != noteVersion {
+		d.Logger.Info("stream records not used", "version", saved.Version)
+		return
+	}
 	age := max(0, time.Since(time.UnixMilli(saved.At)))
 	d.Server.restore(time.Now(), age, saved)
 	d.Logger.Info("stream records read", "streams", len(saved.Entries), "held", d.Server.Len(), "ageMs", age.Milliseconds())
@@ -83,7 +91,7 @@
 		case <-d.Server.changed:
 		}
 		saved := d.Server.saved(time.Now())
-		saved.At = time.Now().UnixMilli()
+		saved.Version, saved.At = noteVersion, time.Now().UnixMilli()
 		delay := saveInterval + time.Duration(len(saved.Entries))*savedEntryBytes*time.Second/saveBytesPerSecond
 		if err := disk.WriteNote(d.Files, d.Folder, noteName, saved); err != nil {
 			d.Logger.Warn("stream records not saved", "streams", len(saved.Entries), "error", err)
--- a/internal/streamrecord/disk_store_test.go
+++ b/internal/streamrecord/disk_store_test.go
@@ -83,6 +83,10 @@
 		is.Equal(second.Server.Len(), 1) // the first has expired, and contents are not saved
 		time.Sleep(21 * time.Second)
 		is.Equal(find(second, 2), nil)
+		other := savedRecords{Version: noteVersion + 1, At: time.Now().UnixMilli(), Origins: []message.StreamOrigin{origin}}
+		other.Entries = []savedEntry{{Stream: 3, LeftMs: time.Minute.Milliseconds()}}
+		is.NoErr(disk.WriteNote(disk.OS{}, folder, noteName, other))
+		is.Equal(loadDiskStore(folder).Server.Len(), 0)
 		is.NoErr(os.WriteFile(filepath.Join(folder, noteName), []byte("damaged"), 0o600))
 		is.Equal(loadDiskStore(folder).Server.Len(), 0)
 	})
