backend, forwarder: which connection and whose answer a refusal came with

Callers saw: refusals that were untrue; no line said whose answer the refusal was. Change: a failed send logs the bytes written, how many requests its connection has carried, how many answers were skipped before its own, whether the answer names the request, another one or none, and the value of the header that states "not run"; "request answered" counts arrivals, so that a refusal with none was never sent. Four events count bytes that belong to no request by what became of them. No decision changes.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -94,7 +94,12 @@
 	return Request{
 		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("body"),
 		Freshness: time.Minute,
-		Matches:   func(h http.Header) bool { return h.Get("Id") == "a" },
+		Owner: func(h http.Header) Owner {
+			if h.Get("Id") == "a" {
+				return OwnerSelf
+			}
+			return OwnerOther
+		},
 	}
 }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -24,9 +24,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether an answer with this header belongs to the request;
-	// nil accepts every answer.
-	Matches func(http.Header) bool
+	// Owner returns the request that an answer with this header names; nil if answers to the request
+	// name none.
+	Owner func(http.Header) Owner
 	// Freshness bounds how long a reused connection may have been idle; zero means a
 	// new connection.
 	Freshness time.Duration
@@ -36,9 +36,8 @@
 type Error struct {
 	Reason oriolebend.Reason
 	// Ran is "no" only if nothing of the request was written.
-	Ran oriolebend.Ran
-	// Reused is true if the connection was used for an earlier request.
-	Reused bool
+	Ran   oriolebend.Ran
+	Trace Trace
 	// Opened is when the connection was opened, zero if there is none.
 	Opened time.Time
 	Detail string
@@ -63,7 +62,8 @@
 	Status int
 	Header http.Header
 	// Took is the time from the start of the write until the head was read.
-	Took time.Duration
+	Took  time.Duration
+	Trace Trace
 	// Unframed is true if the end of the answer is the end of its connection: it has neither a
 	// length nor chunks.
 	Unframed bool
@@ -84,8 +84,7 @@
 	// unwatch cancels the function that closes the connection when the context ends. It is
 	// nil once the exchange has ended.
 	unwatch func() bool
-	// written is true if bytes of the request were written.
-	written bool
+	trace   Trace
 }
 
 // Do sends a request to a server and reads the head of its answer. The body must be
@@ -96,7 +95,8 @@
 	if err != nil {
 		return nil, withContextReason(ctx, &Error{Reason: oriolebend.ReasonServerLost, Ran: oriolebend.RanNo, Detail: "connect", Cause: err})
 	}
-	x := &exchange{pool: p, conn: conn, ctx: ctx}
+	conn.requests++
+	x := &exchange{pool: p, conn: conn, ctx: ctx, trace: Trace{Requests: conn.requests}}
 	x.unwatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	began := time.Now()
 	response, err := x.send(r)
@@ -139,7 +139,7 @@
 // send writes the request and reads the head of its answer.
 func (x *exchange) send(r Request) (*Response, error) {
 	err := x.write(r)
-	if err != nil && !x.written {
+	if err != nil && x.trace.Written == 0 {
 		return nil, x.outcomeLost(oriolebend.RanNo, "write", err)
 	}
 	// A server may answer before it has read the complete request, so the answer is
@@ -177,26 +177,29 @@
 func (x *exchange) write(r Request) error {
 	body := r.Body
 	if len(body) <= maxJoinedBytes {
-		n, err := x.conn.Write(append(encodeHead(r), body...))
-		x.written = n > 0
-		return err
+		return x.writeBytes(append(encodeHead(r), body...))
 	}
-	n, err := x.conn.Write(encodeHead(r))
-	x.written = n > 0
+	err := x.writeBytes(encodeHead(r))
 	for piece := range slices.Chunk(body, writePieceBytes) {
 		if err != nil {
 			return err
 		}
 		_ = x.conn.SetWriteDeadline(time.Now().Add(pieceWriteTimeout))
-		_, err = x.conn.Write(piece)
+		err = x.writeBytes(piece)
 	}
 	return err
 }
 
+func (x *exchange) writeBytes(data []byte) error {
+	n, err := x.conn.Write(data)
+	x.trace.Written += n
+	return err
+}
+
 // outcomeLost returns the error of an exchange that failed after the connection was
 // opened.
 func (x *exchange) outcomeLost(ran oriolebend.Ran, detail string, cause error) *Error {
-	return &Error{Reason: oriolebend.ReasonOutcomeLost, Ran: ran, Reused: x.conn.reused, Opened: x.conn.opened, Detail: detail, Cause: cause}
+	return &Error{Reason: oriolebend.ReasonOutcomeLost, Ran: ran, Trace: x.trace, Opened: x.conn.opened, Detail: detail, Cause: cause}
 }
 
 // maxStrayAnswers bounds the answers to other requests that are skipped.
@@ -214,7 +217,6 @@
 // second answer to an earlier request; that answer is skipped, and the connection is
 // not used again.
 func (x *exchange) read(r Request) (*Response, error) {
-	strays := 0
 	for {
 		x.conn.head.expect()
 		answer, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
@@ -227,24 +229,35 @@
 		if answer.StatusCode < http.StatusOK {
 			continue // an interim answer
 		}
-		if r.Matches == nil || r.Matches(answer.Header) {
+		x.trace.Owner = r.ownerOf(answer.Header)
+		if x.trace.Owner != OwnerOther {
 			x.applyKeepAlive(answer.Header)
 			return &Response{
-				Status: answer.StatusCode, Header: answer.Header, exchange: x,
-				body: answer.Body, closes: answer.Close || strays > 0 || unframed(answer),
+				Status: answer.StatusCode, Header: answer.Header, exchange: x, Trace: x.trace,
+				body: answer.Body, closes: answer.Close || x.trace.Skipped > 0 || unframed(answer),
 				length: bodyLength(r.Method, answer), Unframed: r.Method != http.MethodHead && unframed(answer),
 			}, nil
 		}
-		strays++
-		if unframed(answer) || strays > maxStrayAnswers {
+		if unframed(answer) || x.trace.Skipped == maxStrayAnswers {
+			x.pool.countStray(StrayEnded)
 			return nil, &StrayAnswerError{Status: answer.StatusCode}
 		}
+		x.trace.Skipped++
+		x.pool.countStray(StraySkipped)
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// ownerOf returns the request that an answer names.
+func (r Request) ownerOf(answer http.Header) Owner {
+	if r.Owner == nil {
+		return OwnerUnnamed
+	}
+	return r.Owner(answer)
+}
+
 // unframed reports whether the end of the answer is the end of its connection: it has
 // neither a length nor chunks.
 func unframed(r *http.Response) bool {
@@ -312,7 +325,11 @@
 	}
 	stopped := x.unwatch()
 	x.unwatch = nil
-	if r.closes || !stopped || x.conn.reader.Buffered() > 0 {
+	trailing := x.conn.reader.Buffered() > 0
+	if trailing {
+		x.pool.countStray(StrayTrailing)
+	}
+	if r.closes || !stopped || trailing {
 		_ = x.conn.Close()
 		return
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -41,6 +41,8 @@
 	UnackedTimeout time.Duration
 	// Meter measures the traffic with servers; it may be nil.
 	Meter *saturation.Meter
+	// CountStray counts bytes of servers that belong to no request, or to another one; it may be nil.
+	CountStray func(StrayKind)
 }
 
 // Pool keeps connections to backend servers.
@@ -72,7 +74,8 @@
 	// the server keeps it idle.
 	idleSince time.Time
 	idleFor   time.Duration
-	reused    bool
+	// requests counts the requests that the connection has carried.
+	requests int
 	// opened is when the connection was opened.
 	opened time.Time
 }
@@ -88,8 +91,7 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if c.reusable() {
-			c.reused = true
+		if p.reusable(c) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -117,10 +119,10 @@
 // reusable reports whether an idle connection is still open and has no data to read.
 // The server may have closed it, and a faulty server may have sent bytes that belong
 // to no request; the next request on the connection would then fail or read them.
-func (c *connection) reusable() bool {
+func (p *Pool) reusable(c *connection) bool {
 	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return ok && c.reader.Buffered() == 0
+	if !ok {
+		return false
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
@@ -129,8 +131,11 @@
 	reusable := false
 	err = control.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, received := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, received := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		reusable = received == syscall.EAGAIN
+		if n > 0 {
+			p.countStray(StrayIdle)
+		}
 		return true
 	})
 	return err == nil && reusable
@@ -224,6 +229,12 @@
 	}
 }
 
+func (p *Pool) countStray(kind StrayKind) {
+	if p.config.CountStray != nil {
+		p.config.CountStray(kind)
+	}
+}
+
 // Dialled returns the number of connections that were opened so far.
 func (p *Pool) Dialled() uint64 {
 	p.mutex.Lock()
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -24,6 +24,7 @@
 	header  http.Header
 	body    http1.Body
 	verdict Verdict
+	trace   backend.Trace
 	// declined is the reason why a server that had reported a limit, a backoff period or its
 	// leaving did not run the request.
 	declined oriolebend.Reason
@@ -153,7 +154,7 @@
 		w.reportEnded(g, outcomeOf(err), 0)
 		return r
 	}
-	r.status, r.header = response.Status, response.Header
+	r.status, r.header, r.trace = response.Status, response.Header, response.Trace
 	body, err := response.Hold(held, w.f.config.MaxAnswerBytes)
 	if err == nil && w.f.cutByCrash(g.Server, response, unframedCallDelays) {
 		body.Release()
@@ -227,7 +228,7 @@
 		w.recordRan(oriolebend.RanUnknown)
 	}
 	w.f.config.Observer.Count("retry", reason, "")
-	w.logSend(r.grant, "sending brought no success", r.status, reason, r.err)
+	w.logSend(r.grant, "sending brought no success", r.status, reason, r.err, r.details()...)
 }
 
 // recordNotSent records that a send was not made because its server has not yet read the requests
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -22,8 +22,8 @@
 	ParseRequest(h http.Header) (RequestInfo, error)
 	// Outgoing returns the header for one send of a request.
 	Outgoing(h http.Header, s SendOptions) http.Header
-	// Matches reports whether an answer belongs to the request with the ID.
-	Matches(answer http.Header, id string) bool
+	// Owner returns whether an answer names the request with the ID.
+	Owner(answer http.Header, id string) backend.Owner
 	// Verdict reads what a server states about its answer.
 	Verdict(status int, answer http.Header, instance string) Verdict
 	// Notice reads the state that a server reports in the headers of an answer. The error is a
@@ -155,6 +155,9 @@
 type Verdict struct {
 	// Ran is "no" if the server states that it did not run the request.
 	Ran oriolebend.Ran
+	// NotRun holds the values of the header in which the server states that it did not run the
+	// request.
+	NotRun []string
 	// Signed is set if the answer carries the server's signature.
 	Signed bool
 	// Moved is set if another instance answered.
--- a/internal/forwarder/native_dialect.go
+++ b/internal/forwarder/native_dialect.go
@@ -112,16 +112,26 @@
 	return out
 }
 
-// Matches implements Dialect.
-func (NativeDialect) Matches(answer http.Header, id string) bool {
-	named := answer.Get(headerRequest)
-	return named == "" || named == id
+// Owner implements Dialect.
+func (NativeDialect) Owner(answer http.Header, id string) backend.Owner {
+	return OwnerNamed(answer[headerRequest], id)
+}
+
+// OwnerNamed returns the owner of an answer from the values of the header that names its request.
+func OwnerNamed(values []string, id string) backend.Owner {
+	switch {
+	case len(values) == 0 || values[0] == "":
+		return backend.OwnerUnnamed
+	case values[0] == id:
+		return backend.OwnerSelf
+	}
+	return backend.OwnerOther
 }
 
 // Verdict implements Dialect. Servers sign nothing in this dialect: the framing of HTTP shows
 // whether an answer is complete.
 func (NativeDialect) Verdict(status int, answer http.Header, instance string) Verdict {
-	v := Verdict{Ran: oriolebend.RanUnknown, Signed: true}
+	v := Verdict{Ran: oriolebend.RanUnknown, NotRun: answer[headerRan], Signed: true}
 	if answer.Get(headerRan) == string(oriolebend.RanNo) || status == http.StatusMisdirectedRequest {
 		v.Ran = oriolebend.RanNo
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -184,7 +184,7 @@
 	body, err := response.ReadBody(maxSmallBytes)
 	r := result{
 		grant: s.grant, status: response.Status, header: response.Header, body: (*http1.Bytes)(&body),
-		verdict: verdict, declined: s.f.declineReason(s.grant.Server, verdict), err: err,
+		verdict: verdict, trace: response.Trace, declined: s.f.declineReason(s.grant.Server, verdict), err: err,
 	}
 	s.reportEnded(s.grant, r.outcome(), 0)
 	s.recordFailure(r)
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -154,7 +154,7 @@
 	return backend.Request{
 		Method: w.request.Method, Target: w.request.Target, Host: w.request.Host, Body: w.request.Body,
 		Header:    w.f.config.Dialect.Outgoing(http1.EndToEnd(w.request.Header), s),
-		Matches:   func(h http.Header) bool { return w.f.config.Dialect.Matches(h, w.info.ID) },
+		Owner:     func(h http.Header) backend.Owner { return w.f.config.Dialect.Owner(h, w.info.ID) },
 		Freshness: w.freshness(),
 	}
 }
@@ -276,7 +276,7 @@
 func (w *work) log(status int, reason oriolebend.Reason, ran oriolebend.Ran) {
 	attributes := []slog.Attr{
 		slog.String("request", w.info.ID), slog.String("fingerprint", w.fingerprint.String()), slog.Int("status", status),
-		slog.String("ran", string(ran)), slog.Int("sent", w.sent),
+		slog.String("ran", string(ran)), slog.Int("sent", w.sent), slog.Int("arrivals", w.arrivals),
 		slog.Int64("tookMs", time.Since(w.request.Received).Milliseconds()),
 		slog.Int64("withinMs", w.info.Within.Milliseconds()), slog.Uint64("routing", w.version),
 	}
@@ -316,8 +316,8 @@
 	w.f.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request answered", attributes...)
 }
 
-// logSend logs a send that did not bring the answer.
-func (w *work) logSend(g dispatch.Grant, text string, status int, reason oriolebend.Reason, err error) {
+// logSend logs a send that did not bring the answer. The details are added to the line.
+func (w *work) logSend(g dispatch.Grant, text string, status int, reason oriolebend.Reason, err error, details ...slog.Attr) {
 	attributes := []slog.Attr{
 		slog.String("request", w.info.ID), slog.String("fingerprint", w.fingerprint.String()),
 		slog.String("server", g.Server.Instance),
@@ -336,5 +336,5 @@
 	if err != nil {
 		attributes = append(attributes, slog.String("error", err.Error()))
 	}
-	w.f.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, text, attributes...)
+	w.f.config.Logger.LogAttrs(context.Background(), slog.LevelInfo, text, append(attributes, details...)...)
 }
