forwarder, backend: a refusal is believed only if it is the answer to the request

Cause: whose statement a refusal was, was not asked. An answer without an ID counted as the request's own; so an extra answer on a kept connection, also that to a call of the system's own, was read as its refusal. The same ID was sent twice on one connection, so that a late copy of the first refusal was read as the second answer. Two heads of which the first was broken off became one. Any value of the header "not run", on any status, was a refusal. Change: a refusal counts if it names this request and no other, its status and all its statements agree, and no bytes follow it at once. Answers without an ID on a connection whose earlier ones had one are skipped. A request is sent to an address for the second time on a new connection. A head with a status line in it ends the exchange. Requests without an ID get one. What is doubted is unknown: 502, or sent elsewhere if it may be repeated; the line of the send names the doubt, and refusalDoubted counts it. Why it works: the ID comes from the request and reaches the server by this send only, so an answer that names it on a connection that has not carried it before is an answer to this send. Test servers now name requests, as the documentation asks.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -24,9 +24,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Owner returns the request that an answer with this header names; nil if answers to the request
-	// name none.
+	// Owner returns the request that an answer with this header names; nil means that answers name
+	// none.
 	Owner func(http.Header) Owner
+	// Named is set if answers to the request name it, from servers that name requests at all.
+	Named bool
 	// Freshness bounds how long a reused connection may have been idle; zero means a
 	// new connection.
 	Freshness time.Duration
@@ -72,6 +74,8 @@
 	body     io.ReadCloser
 	// closes is true if the connection can't be used again after the body.
 	closes bool
+	// trailing is set if bytes came together with the end of the answer.
+	trailing bool
 	// length is the length of the body, negative if it is not known.
 	length int64
 }
@@ -229,8 +233,11 @@
 		if answer.StatusCode < http.StatusOK {
 			continue // an interim answer
 		}
-		x.trace.Owner = r.ownerOf(answer.Header)
-		if x.trace.Owner != OwnerOther {
+		if splicedHead(answer) {
+			x.pool.countStray(StrayEnded)
+			return nil, &SplicedHeadError{Status: answer.Status}
+		}
+		if x.owns(r, answer.Header) {
 			x.applyKeepAlive(answer.Header)
 			return &Response{
 				Status: answer.StatusCode, Header: answer.Header, exchange: x, Trace: x.trace,
@@ -238,7 +245,7 @@
 				length: bodyLength(r.Method, answer), Unframed: r.Method != http.MethodHead && unframed(answer),
 			}, nil
 		}
-		if unframed(answer) || x.trace.Skipped == maxStrayAnswers {
+		if unframed(answer) || answer.Close || x.trace.Skipped == maxStrayAnswers {
 			x.pool.countStray(StrayEnded)
 			return nil, &StrayAnswerError{Status: answer.StatusCode}
 		}
@@ -250,12 +257,21 @@
 	}
 }
 
-// ownerOf returns the request that an answer names.
-func (r Request) ownerOf(answer http.Header) Owner {
-	if r.Owner == nil {
-		return OwnerUnnamed
+// owns reports whether an answer is taken for the answer to the request. An answer that names no
+// request is stray if the server has named the requests of earlier answers on the connection.
+func (x *exchange) owns(r Request, answer http.Header) bool {
+	x.trace.Owner = OwnerUnnamed
+	if r.Owner != nil {
+		x.trace.Owner = r.Owner(answer)
 	}
-	return r.Owner(answer)
+	switch x.trace.Owner {
+	case OwnerSelf:
+		x.conn.names = true
+		return true
+	case OwnerUnnamed:
+		return !r.Named || !x.conn.names
+	}
+	return false
 }
 
 // unframed reports whether the end of the answer is the end of its connection: it has
@@ -325,17 +341,21 @@
 	}
 	stopped := x.unwatch()
 	x.unwatch = nil
-	trailing := x.conn.reader.Buffered() > 0
-	if trailing {
+	r.trailing = x.conn.reader.Buffered() > 0
+	if r.trailing {
 		x.pool.countStray(StrayTrailing)
 	}
-	if r.closes || !stopped || trailing {
+	if r.closes || !stopped || r.trailing {
 		_ = x.conn.Close()
 		return
 	}
 	x.pool.put(x.conn)
 }
 
+// Trailing reports whether bytes that belong to no request came together with the end of the answer.
+// It is valid once the body has been read to its end.
+func (r *Response) Trailing() bool { return r.trailing }
+
 // Close discards the rest of the answer by closing the connection. It does nothing
 // after the end of the body.
 func (r *Response) Close() { r.exchange.abort() }
--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
 )
 
 // maxHeadBytes bounds the heads of answers. It is far above the longest head of a sound server.
@@ -16,6 +20,36 @@
 	return fmt.Sprintf("head of the answer over %d bytes", e.Limit)
 }
 
+// SplicedHeadError is the error of a head that contains the start of another one: a server broke off
+// in the middle of a head and sent the next answer on the same connection.
+type SplicedHeadError struct{ Status string }
+
+// Error implements error.
+func (e *SplicedHeadError) Error() string {
+	return fmt.Sprintf("head of the answer %q contains another status line", e.Status)
+}
+
+// statusLine matches the start of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}( |$)`)
+
+// splicedHead reports whether a head contains the start of another one. Its status and its headers
+// then come from two answers.
+func splicedHead(answer *http.Response) bool {
+	if containsStatusLine(answer.Status) {
+		return true
+	}
+	for _, values := range answer.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
+}
+
 // headLimit reads from a connection, and bounds what is read while the head of an answer is
 // expected. Without the bound, a server that sends no line end would fill the memory.
 type headLimit struct {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -76,6 +76,8 @@
 	idleFor   time.Duration
 	// requests counts the requests that the connection has carried.
 	requests int
+	// names is set once an answer on the connection has named its request.
+	names bool
 	// opened is when the connection was opened.
 	opened time.Time
 }
--- a/internal/forwarder/bench_test.go
+++ b/internal/forwarder/bench_test.go
@@ -86,7 +86,7 @@
 				w.reportEnded(grant, dispatch.OutcomeCancelled, 0)
 			}
 		}},
-		{"outgoing", func() { w.outgoing(SendOptions{Instance: "i1"}) }},
+		{"outgoing", func() { w.outgoing(message.BackendServer{Instance: "i1"}, SendOptions{}) }},
 		{"log", func() { w.log(http.StatusOK, "", oriolebend.RanYes) }},
 	}
 	for _, step := range steps {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -33,29 +33,19 @@
 
 // succeeded reports whether the answer is a success that can be forwarded.
 func (r result) succeeded() bool {
-	return r.err == nil && r.verdict.Signed && r.status < http.StatusMultipleChoices
+	return r.err == nil && r.verdict.Signed && r.verdict.Doubt == "" && r.status < http.StatusMultipleChoices
 }
 
 // forwardable reports whether the answer is the server's own and can be forwarded, whatever its
 // status. If the request may have run and may run only once, an answer whose status promises that
 // it has not run is not forwardable: the caller would send the request again.
 func (w *work) forwardable(r result) bool {
-	if r.err != nil || !r.verdict.Signed || r.verdict.Ran == oriolebend.RanNo {
+	if r.err != nil || !r.verdict.Signed || r.verdict.Ran == oriolebend.RanNo || r.status < http.StatusMultipleChoices {
 		return false
 	}
 	return w.route.Repeat.Repeatable() || !promisesNotRun(r.status)
 }
 
-// promisesNotRun reports whether a status tells callers that their request has not run and never
-// will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // call forwards a request whose answer is held completely before it is forwarded. If there is no
 // memory left to hold it, the rest is forwarded as it arrives, so that a caller that reads slowly
 // slows down its server: the memory of this process would not suffice for the answers of all such
@@ -130,7 +120,7 @@
 	}
 	w.recordSend(grant.Server)
 	w.recordArrival(dispatch.RepeatRetry)
-	request := w.outgoing(SendOptions{Instance: grant.Server.Instance})
+	request := w.outgoing(grant.Server, SendOptions{})
 	held := w.f.config.Held.Open(memorybudget.Answer, grant.Server.Address)
 	w.answers = append(w.answers, held)
 	w.f.background.Go(func() { results <- w.exchange(ctx, grant, request, held) })
@@ -166,7 +156,7 @@
 		w.reportEnded(g, outcomeOf(r.err), 0)
 		return r
 	}
-	r.verdict = w.f.config.Dialect.Verdict(r.status, r.header, g.Server.Instance)
+	r.verdict = w.f.verdict(g.Server, response)
 	r.declined = w.f.declineReason(g.Server, r.verdict)
 	w.reportEnded(g, r.outcome(), response.Took)
 	return r
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -12,7 +12,6 @@
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/logging"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
-	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
 // Dialect reads and writes the headers in which callers, forwarders and backend servers exchange
@@ -131,6 +130,8 @@
 
 // SendOptions holds what the headers of one send tell the server.
 type SendOptions struct {
+	// ID is the ID of the request, which the server's answers name.
+	ID string
 	// Within is what remains of the caller's time.
 	Within time.Duration
 	// Instance is the only server instance that may run the request.
@@ -151,19 +152,6 @@
 	Organisation string
 }
 
-// Verdict is what a server's answer states in addition to its body.
-type Verdict struct {
-	// Ran is "no" if the server states that it did not run the request.
-	Ran oriolebend.Ran
-	// NotRun holds the values of the header in which the server states that it did not run the
-	// request.
-	NotRun []string
-	// Signed is set if the answer carries the server's signature.
-	Signed bool
-	// Moved is set if another instance answered.
-	Moved bool
-}
-
 // PrefillResult identifies a computed KV cache at its engine.
 type PrefillResult struct {
 	Handle string
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -97,10 +97,20 @@
 	return s
 }
 
+// echoID names the request in the answer, as servers do.
+func echoID(handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(headerRequest); id != "" {
+			w.Header().Set(headerRequest, id)
+		}
+		handler(w, r)
+	}
+}
+
 // server adds a backend server in the failure domain.
 func (s *site) server(domain string, role oriolebend.PoolRole, handler http.HandlerFunc) string {
 	s.t.Helper()
-	backend := httptest.NewServer(handler)
+	backend := httptest.NewServer(echoID(handler))
 	s.t.Cleanup(backend.Close)
 	s.backends = append(s.backends, backend)
 	address := backend.Listener.Addr().String()
--- a/internal/forwarder/native_dialect.go
+++ b/internal/forwarder/native_dialect.go
@@ -91,6 +91,7 @@
 	for _, name := range routerHeaders {
 		delete(out, name)
 	}
+	out.Set(headerRequest, s.ID)
 	out.Set(headerDeadline, strconv.FormatInt(max(1, s.Within.Milliseconds()), 10))
 	set := func(name, value string) {
 		if value != "" {
@@ -117,12 +118,13 @@
 	return OwnerNamed(answer[headerRequest], id)
 }
 
-// OwnerNamed returns the owner of an answer from the values of the header that names its request.
+// OwnerNamed returns the owner of an answer from the values of the header that names its request. An
+// answer that names several requests belongs to none of them.
 func OwnerNamed(values []string, id string) backend.Owner {
 	switch {
-	case len(values) == 0 || values[0] == "":
+	case len(values) == 0 || (len(values) == 1 && values[0] == ""):
 		return backend.OwnerUnnamed
-	case values[0] == id:
+	case len(values) == 1 && values[0] == id:
 		return backend.OwnerSelf
 	}
 	return backend.OwnerOther
@@ -131,10 +133,8 @@
 // Verdict implements Dialect. Servers sign nothing in this dialect: the framing of HTTP shows
 // whether an answer is complete.
 func (NativeDialect) Verdict(status int, answer http.Header, instance string) Verdict {
-	v := Verdict{Ran: oriolebend.RanUnknown, NotRun: answer[headerRan], Signed: true}
-	if answer.Get(headerRan) == string(oriolebend.RanNo) || status == http.StatusMisdirectedRequest {
-		v.Ran = oriolebend.RanNo
-	}
+	v := ReadNotRun(status, answer[headerRan], func(value string) bool { return value == string(oriolebend.RanNo) })
+	v.Signed = true
 	other := answer.Get(headerInstance)
 	v.Moved = status == http.StatusMisdirectedRequest && other != "" && other != instance
 	return v
--- a/internal/forwarder/notice.go
+++ b/internal/forwarder/notice.go
@@ -110,6 +110,8 @@
 // that the engine reports there is applied. A missing header has no meaning there, since an engine
 // may report its state only in answers to callers.
 func (f *Forwarder) callEngine(ctx context.Context, server message.BackendServer, r backend.Request) (int, []byte, error) {
+	// Engine calls have no ID, and share connections with requests: an answer that names a request is not theirs.
+	r.Owner = func(h http.Header) backend.Owner { return f.config.Dialect.Owner(h, "") }
 	began := f.now()
 	response, err := f.pool.Do(ctx, server.Address, r)
 	if err != nil {
--- a/internal/forwarder/reserve.go
+++ b/internal/forwarder/reserve.go
@@ -172,7 +172,7 @@
 	}
 	engine := *s.grant.Prefill
 	s.prompted = true
-	request := s.outgoing(SendOptions{Instance: engine.Instance, PrefillOnly: true})
+	request := s.outgoing(engine, SendOptions{PrefillOnly: true})
 	began := s.f.now()
 	result, err := s.f.requestPrefill(ctx, engine, request)
 	s.recordPrompt(call, err)
--- a/internal/forwarder/sendtrace.go
+++ b/internal/forwarder/sendtrace.go
@@ -29,5 +29,8 @@
 		value := strings.Join(r.verdict.NotRun, ", ")
 		attributes = append(attributes, slog.String("notRun", value[:min(len(value), maxLoggedValue)]))
 	}
+	if r.verdict.Doubt != "" {
+		attributes = append(attributes, slog.String("doubt", string(r.verdict.Doubt)))
+	}
 	return attributes
 }
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/backend"
@@ -129,11 +128,11 @@
 // decode sends the request to the grant's server. source identifies the KV cache to fetch; if nil,
 // the server computes it.
 func (s *streamSend) decode(ctx context.Context, source *PrefillResult) streamResult {
-	options := SendOptions{Instance: s.grant.Server.Instance, Hold: s.reservation, After: s.lastEvent}
+	options := SendOptions{Hold: s.reservation, After: s.lastEvent}
 	if source != nil {
 		options.Source = s.grant.Prefill.Address + "/" + source.Handle
 	}
-	response, err := s.f.send(ctx, s.grant.Server, s.outgoing(options))
+	response, err := s.f.send(ctx, s.grant.Server, s.outgoing(s.grant.Server, options))
 	if err != nil {
 		s.detectCrash(s.grant.Server, err)
 		s.reportEnded(s.grant, outcomeOf(err), 0)
@@ -145,14 +144,18 @@
 		return streamResult{reason: reasonOf(err), unsent: unsent}
 	}
 	defer response.Close()
-	verdict := s.f.config.Dialect.Verdict(response.Status, response.Header, s.grant.Server.Instance)
-	if response.Status == http.StatusOK && verdict.Signed && verdict.Ran != oriolebend.RanNo {
+	if s.f.beginsStream(s.grant.Server, response) {
 		return s.forwardEvents(response)
 	}
-	if source != nil && verdict.Ran == oriolebend.RanNo && !verdict.Moved && s.mayRepeat(ctx) {
-		return s.retryDecode(ctx, response)
+	body, err := response.ReadBody(maxSmallBytes)
+	r := result{
+		grant: s.grant, status: response.Status, header: response.Header, body: (*http1.Bytes)(&body),
+		trace: response.Trace, err: err, verdict: s.f.verdict(s.grant.Server, response),
 	}
-	return s.handleNonStream(ctx, response, verdict)
+	if source != nil && r.refused() && s.mayRepeat(ctx) {
+		return s.retryDecode(ctx, r)
+	}
+	return s.handleNonStream(ctx, r)
 }
 
 // mayRepeat reports whether the request may be sent to the same server once more. It acquires a new
@@ -168,27 +171,20 @@
 // retryDecode sends the request once more to a server that could not fetch the KV cache and now
 // computes it itself. The prefill result has expired or its engine has exited, and the placement at
 // this server is still available.
-func (s *streamSend) retryDecode(ctx context.Context, response *backend.Response) streamResult {
-	if _, err := response.ReadBody(maxSmallBytes); err != nil {
-		response.Close()
-	}
+func (s *streamSend) retryDecode(ctx context.Context, r result) streamResult {
 	s.f.config.Observer.Count("retry", oriolebend.ReasonResultExpired, "")
-	s.logSend(s.grant, "prefill result not taken", response.Status, oriolebend.ReasonResultExpired, nil)
+	s.logSend(s.grant, "prefill result not taken", r.status, oriolebend.ReasonResultExpired, nil, r.details()...)
 	s.reservation = ""
 	s.recordArrival(dispatch.RepeatResend)
 	return s.decode(ctx, nil)
 }
 
 // handleNonStream handles an answer that is not the expected stream.
-func (s *streamSend) handleNonStream(ctx context.Context, response *backend.Response, verdict Verdict) streamResult {
-	body, err := response.ReadBody(maxSmallBytes)
-	r := result{
-		grant: s.grant, status: response.Status, header: response.Header, body: (*http1.Bytes)(&body),
-		verdict: verdict, trace: response.Trace, declined: s.f.declineReason(s.grant.Server, verdict), err: err,
-	}
+func (s *streamSend) handleNonStream(ctx context.Context, r result) streamResult {
+	r.declined = s.f.declineReason(s.grant.Server, r.verdict)
 	s.reportEnded(s.grant, r.outcome(), 0)
 	s.recordFailure(r)
-	if verdict.Ran == oriolebend.RanNo {
+	if r.verdict.Ran == oriolebend.RanNo {
 		return streamResult{reason: cmp.Or(r.declined, oriolebend.ReasonQueueFull)}
 	}
 	final := !s.route.Repeat.Repeatable() || s.sent >= s.route.Attempts
--- a/internal/forwarder/work.go
+++ b/internal/forwarder/work.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -56,6 +58,10 @@
 	// sent counts the servers that the request was sent to, tried names them.
 	sent  int
 	tried []string
+	// addresses are the addresses that the request or its prompt was sent to.
+	addresses []string
+	// ownID is the ID under which a request without an ID of its caller is sent.
+	ownID string
 	// softwareVersion is the software version of the server that the request was sent to last,
 	// as far as this forwarder knew it then.
 	softwareVersion string
@@ -147,18 +153,31 @@
 	return w.notRun() || w.route.Repeat.Repeatable()
 }
 
-// outgoing returns the request as it is sent to a server.
-func (w *work) outgoing(s SendOptions) backend.Request {
+// outgoing returns the request as it is sent to a server, and records the send.
+func (w *work) outgoing(server message.BackendServer, s SendOptions) backend.Request {
+	s.Instance, s.ID = server.Instance, w.sendID()
 	s.Within = w.remaining()
 	s.Identified, s.Organisation = w.identified, w.organisationName()
 	return backend.Request{
 		Method: w.request.Method, Target: w.request.Target, Host: w.request.Host, Body: w.request.Body,
-		Header:    w.f.config.Dialect.Outgoing(http1.EndToEnd(w.request.Header), s),
-		Owner:     func(h http.Header) backend.Owner { return w.f.config.Dialect.Owner(h, w.info.ID) },
-		Freshness: w.freshness(),
+		Header: w.f.config.Dialect.Outgoing(http1.EndToEnd(w.request.Header), s),
+		Owner:  func(h http.Header) backend.Owner { return w.f.config.Dialect.Owner(h, s.ID) }, Named: true,
+		Freshness: w.freshness(server.Address),
 	}
 }
 
+// sendID returns the ID under which the request is sent. A request without an ID gets one, since a
+// refusal that names no request is not believed.
+func (w *work) sendID() string {
+	if w.info.ID != "" {
+		return w.info.ID
+	}
+	if w.ownID == "" {
+		w.ownID = strconv.FormatUint(rand.Uint64(), 16)
+	}
+	return w.ownID
+}
+
 // Connections that were idle for longer are not used again. A server may drop an idle connection
 // without notice, and the next request on it is reset. A request that may run only once is then
 // lost, since it is unknown whether it ran.
@@ -167,7 +186,13 @@
 	maxIdleRepeatable = 8 * time.Second
 )
 
-func (w *work) freshness() time.Duration {
+// freshness returns how long a connection to the address may have been idle. Zero, for a new one, if
+// the request was sent to the address before: a late answer to that send names the request as well.
+func (w *work) freshness(address string) time.Duration {
+	if slices.Contains(w.addresses, address) {
+		return 0
+	}
+	w.addresses = append(w.addresses, address)
 	if w.route.Repeat.Repeatable() {
 		return maxIdleRepeatable
 	}
--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -59,7 +59,7 @@
 	"member.damped", "member.massLapse", "member.paused", "member.outdated",
 	"peer.denied", "peer.unserved",
 	"noticeUnreadable", "serverLeaves", "serverRests", "serverLimited", "serverUnlimited",
-	"strayAnswerSkipped", "strayAnswerEnded", "strayBytesTrailing", "strayBytesIdle",
+	"strayAnswerSkipped", "strayAnswerEnded", "strayBytesTrailing", "strayBytesIdle", "refusalDoubted",
 }
 
 var knownEvents = func() map[string]bool {
