backend: answers without a known end share a part of the link

Callers saw: while a server of another service sends bytes without end, forwarders turn their new connections away; at a link of 10 Mbit/s one such answer is enough. Cause: an answer is read as fast as it comes, and the link's use alone decides whether new callers are accepted, whoever uses it. Heads end at 16 KiB (64 before: sixteen of them fill the smallest link for a second), interim answers at 16, a skipped answer without a known end at 64 KiB. Ruled out: pacing all long answers, which slows honest ones that state their length; turning callers away by who uses the link, which leaves the link full. What it costs: honest answers in chunks of unknown length beyond the first part, while others like them use the share up.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -71,11 +71,11 @@
 	Unframed bool
 
 	exchange *exchange
-	body     io.ReadCloser
 	// closes is true if the connection can't be used again after the body.
 	closes bool
 	// trailing is set if bytes came together with the end of the answer.
 	trailing bool
+	paced    pacedBody
 	// length is the length of the body, negative if it is not known.
 	length int64
 }
@@ -206,8 +206,22 @@
 	return &Error{Reason: oriolebend.ReasonOutcomeLost, Ran: ran, Trace: x.trace, Opened: x.conn.opened, Detail: detail, Cause: cause}
 }
 
-// maxStrayAnswers bounds the answers to other requests that are skipped.
-const maxStrayAnswers = 2
+const (
+	// maxStrayAnswers bounds the answers to other requests that are skipped, maxStrayBytes the body of
+	// each that has no known end.
+	maxStrayAnswers = 2
+	maxStrayBytes   = 64 << 10
+	// maxInterimAnswers bounds the interim answers before the answer to a request.
+	maxInterimAnswers = 16
+)
+
+// InterimAnswersError is the error of an exchange with too many interim answers.
+type InterimAnswersError struct{ Limit int }
+
+// Error implements error.
+func (e *InterimAnswersError) Error() string {
+	return fmt.Sprintf("more than %d interim answers", e.Limit)
+}
 
 // StrayAnswerError is an answer that belongs to another request.
 type StrayAnswerError struct{ Status int }
@@ -221,7 +235,7 @@
 // second answer to an earlier request; that answer is skipped, and the connection is
 // not used again.
 func (x *exchange) read(r Request) (*Response, error) {
-	for {
+	for interim := 0; ; {
 		x.conn.head.expect()
 		answer, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if tooLong := x.conn.head.ended(); tooLong != nil {
@@ -231,32 +245,50 @@
 			return nil, err
 		}
 		if answer.StatusCode < http.StatusOK {
-			continue // an interim answer
+			if interim++; interim > maxInterimAnswers {
+				return nil, &InterimAnswersError{Limit: maxInterimAnswers}
+			}
+			continue
 		}
 		if splicedHead(answer) {
-			x.pool.countStray(StrayEnded)
+			x.pool.count(StrayEnded)
 			return nil, &SplicedHeadError{Status: answer.Status}
 		}
 		if x.owns(r, answer.Header) {
 			x.applyKeepAlive(answer.Header)
 			return &Response{
 				Status: answer.StatusCode, Header: answer.Header, exchange: x, Trace: x.trace,
-				body: answer.Body, closes: answer.Close || x.trace.Skipped > 0 || unframed(answer),
+				closes: answer.Close || x.trace.Skipped > 0 || unframed(answer),
 				length: bodyLength(r.Method, answer), Unframed: r.Method != http.MethodHead && unframed(answer),
+				paced: x.pacedBody(answer, bodyLength(r.Method, answer)),
 			}, nil
 		}
 		if unframed(answer) || answer.Close || x.trace.Skipped == maxStrayAnswers {
-			x.pool.countStray(StrayEnded)
+			x.pool.count(StrayEnded)
 			return nil, &StrayAnswerError{Status: answer.StatusCode}
 		}
 		x.trace.Skipped++
-		x.pool.countStray(StraySkipped)
-		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-			return nil, err
+		x.pool.count(StraySkipped)
+		if err := x.skip(answer); err != nil {
+			return nil, errors.Join(&StrayAnswerError{Status: answer.StatusCode}, err)
 		}
 	}
 }
 
+// skip reads the body of a stray answer.
+func (x *exchange) skip(answer *http.Response) error {
+	body := x.pacedBody(answer, answer.ContentLength)
+	if !unbounded(answer.ContentLength) {
+		_, err := io.Copy(io.Discard, &body)
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(&body, maxStrayBytes))
+	if err == nil && n == maxStrayBytes {
+		err = &TooLongError{Limit: maxStrayBytes}
+	}
+	return err
+}
+
 // owns reports whether an answer is taken for the answer to the request. An answer that names no
 // request is stray if the server has named the requests of earlier answers on the connection.
 func (x *exchange) owns(r Request, answer http.Header) bool {
@@ -325,7 +357,7 @@
 // Read implements io.Reader for the body. At the end of the body the connection is
 // kept, if the server keeps it too.
 func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
+	n, err := r.paced.Read(p)
 	if err == io.EOF {
 		r.finish()
 	}
@@ -343,7 +375,7 @@
 	x.unwatch = nil
 	r.trailing = x.conn.reader.Buffered() > 0
 	if r.trailing {
-		x.pool.countStray(StrayTrailing)
+		x.pool.count(StrayTrailing)
 	}
 	if r.closes || !stopped || r.trailing {
 		_ = x.conn.Close()
@@ -356,6 +388,10 @@
 // It is valid once the body has been read to its end.
 func (r *Response) Trailing() bool { return r.trailing }
 
+// CountForwarded counts further bytes that forwarding the answer takes, such as the headers of packets
+// of short parts.
+func (r *Response) CountForwarded(n int) { r.paced.count(n) }
+
 // Close discards the rest of the answer by closing the connection. It does nothing
 // after the end of the body.
 func (r *Response) Close() { r.exchange.abort() }
--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -10,7 +10,7 @@
 )
 
 // maxHeadBytes bounds the heads of answers. It is far above the longest head of a sound server.
-const maxHeadBytes = 64 << 10
+const maxHeadBytes = 16 << 10
 
 // HeadTooLongError is the error of an answer whose head does not end within maxHeadBytes.
 type HeadTooLongError struct{ Limit int }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -41,13 +41,14 @@
 	UnackedTimeout time.Duration
 	// Meter measures the traffic with servers; it may be nil.
 	Meter *saturation.Meter
-	// CountStray counts bytes of servers that belong to no request, or to another one; it may be nil.
-	CountStray func(StrayKind)
+	// Count counts an event; it may be nil.
+	Count func(Event)
 }
 
 // Pool keeps connections to backend servers.
 type Pool struct {
 	config PoolConfig
+	pace   pace
 	mutex  sync.Mutex
 	idle   map[string][]*connection
 	// dialled counts the connections that were opened.
@@ -60,7 +61,7 @@
 	c.IdleFor = cmp.Or(c.IdleFor, DefaultIdleFor)
 	c.MaxIdle = cmp.Or(c.MaxIdle, DefaultMaxIdle)
 	c.UnackedTimeout = cmp.Or(c.UnackedTimeout, DefaultUnackedTimeout)
-	return &Pool{config: c, idle: map[string][]*connection{}}
+	return &Pool{config: c, pace: newPace(c.Meter.LinkBytes()), idle: map[string][]*connection{}}
 }
 
 // connection is one connection to a backend server.
@@ -136,7 +137,7 @@
 		n, _, received := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		reusable = received == syscall.EAGAIN
 		if n > 0 {
-			p.countStray(StrayIdle)
+			p.count(StrayIdle)
 		}
 		return true
 	})
@@ -231,9 +232,9 @@
 	}
 }
 
-func (p *Pool) countStray(kind StrayKind) {
-	if p.config.CountStray != nil {
-		p.config.CountStray(kind)
+func (p *Pool) count(e Event) {
+	if p.config.Count != nil {
+		p.config.Count(e)
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -103,8 +103,8 @@
 	if c.Quarantine == nil {
 		c.Quarantine = quarantine.New(quarantine.Config{SendsRequests: true, Logger: c.Logger})
 	}
-	if c.Pool.CountStray == nil {
-		c.Pool.CountStray = func(kind backend.StrayKind) { c.Observer.Count(string(kind), "", "") }
+	if c.Pool.Count == nil {
+		c.Pool.Count = func(e backend.Event) { c.Observer.Count(string(e), "", "") }
 	}
 	if c.Limits == nil {
 		c.Limits = newLocalLimits()
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -243,6 +243,10 @@
 	}
 }
 
+// eventOverheadBytes is what an event takes of the link in addition to its own bytes: the headers of a
+// packet, and the framing of a chunk.
+const eventOverheadBytes = 70
+
 // deliver writes an event to the caller. It returns false if the caller can't be reached.
 func (s *streamSend) deliver(response *backend.Response, event event) bool {
 	s.recordRan(oriolebend.RanUnknown)
@@ -253,6 +257,7 @@
 	if event.id != "" {
 		s.lastEvent = event.id
 	}
+	response.CountForwarded(eventOverheadBytes)
 	return s.answer.Write(event.raw)
 }
 
--- a/internal/metrics/name.go
+++ b/internal/metrics/name.go
@@ -59,7 +59,7 @@
 	"member.damped", "member.massLapse", "member.paused", "member.outdated",
 	"peer.denied", "peer.unserved",
 	"noticeUnreadable", "serverLeaves", "serverRests", "serverLimited", "serverUnlimited",
-	"strayAnswerSkipped", "strayAnswerEnded", "strayBytesTrailing", "strayBytesIdle", "refusalDoubted",
+	"strayAnswerSkipped", "strayAnswerEnded", "strayBytesTrailing", "strayBytesIdle", "refusalDoubted", "answerPaced",
 }
 
 var knownEvents = func() map[string]bool {
--- a/internal/saturation/meter.go
+++ b/internal/saturation/meter.go
@@ -92,6 +92,14 @@
 	return &Meter{config: c, start: time.Now(), state: Free}
 }
 
+// LinkBytes returns the capacity of the link in bytes per second, zero if it is not measured.
+func (m *Meter) LinkBytes() float64 {
+	if m == nil {
+		return 0
+	}
+	return m.config.LinkBytes
+}
+
 // Run measures the processor until ctx ends.
 func (m *Meter) Run(ctx context.Context) {
 	timer := time.NewTimer(slotLength)
