agreement: a member that lost its disk follows only a leader that is certainly the newest

Callers would see: an acknowledged configuration is gone (LOST). The member has forgotten the newer term, accepts the old leader, and the two commit other entries at the same indexes. Cause: recovery ended with the entries of any leader; the term of the last vote was lost with the disk and nothing brought it back. Change: a recovering member's answers count for no quorum, neither of entries nor of the lease, and it votes again only when its leader is confirmed: so many others have answered a round since the member returned (voters less quorum) that every quorum which could have elected a later leader with its forgotten vote includes one of them. The leader begins that round at once, and tells the member at once. What it costs: with a lost disk and another member away at the same time nothing is agreed until one is back; a control VM of an earlier release confirms nobody, so that a disk lost while releases are mixed recovers with the newer leader. The simulation has members that are suspended with their clocks.

--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -64,6 +64,9 @@
 	// Last is the index of the leader's last entry.
 	Last  uint64 `cbor:"last"`
 	Round Round  `cbor:"round"`
+	// Confirmed is set for a member that is recovering once other members have followed the leader
+	// since that member started, so that it can't have voted for a later leader.
+	Confirmed bool `cbor:"confirmed,omitempty"`
 }
 
 // Round identifies one round of messages from the leader to all members. Answers repeat
--- a/internal/reducer/agreement/follower.go
+++ b/internal/reducer/agreement/follower.go
@@ -12,7 +12,8 @@
 		return
 	}
 	answer := message.AppendAnswer{Agreement: s.header(), PrevIndex: m.PrevIndex, Round: m.Round}
-	answer.Recovering = s.recovering()
+	s.confirmLeader(m)
+	answer.Recovering = s.incomplete(m.Last)
 	if m.PrevIndex < s.Commit {
 		answer.Accepted = true
 		answer.Match = s.Commit
@@ -29,7 +30,7 @@
 	if !s.storeEntries(m.Entries) {
 		return
 	}
-	answer.Recovering = s.recovering()
+	answer.Recovering = s.incomplete(m.Last)
 	answer.Accepted = true
 	answer.Match = m.PrevIndex + uint64(len(m.Entries))
 	s.Commit = max(s.Commit, min(m.Commit, answer.Match))
@@ -62,6 +63,24 @@
 	return true
 }
 
+// incomplete reports whether the member may lack what it held before it lost its data folder, given
+// the last index of the leader's log.
+func (s *State) incomplete(leaderLast uint64) bool {
+	return s.recovering() || (s.empty() && leaderLast > foundingIndex)
+}
+
+// confirmLeader ends the wait of a recovering member for a leader that is certainly the newest.
+//
+// The member has forgotten the term in which it voted last. A leader that was replaced with that vote
+// and stood still since then, together with its clock, could otherwise commit entries with it.
+func (s *State) confirmLeader(m message.Append) {
+	if !m.Confirmed || s.leaderConfirmed {
+		return
+	}
+	s.leaderConfirmed = true
+	s.endRecovery()
+}
+
 // beginRecovery records the index that a member with an empty log must reach before it votes.
 //
 // A member that lost its data folder may have been the second of two members that held a
--- a/internal/reducer/agreement/leader.go
+++ b/internal/reducer/agreement/leader.go
@@ -40,12 +40,23 @@
 	// ackRound is the newest round that the member answered, ackTick the start of that round.
 	ackRound, ackTick uint64
 	acked             bool
-	// recovering is true while the member grants no vote.
-	recovering bool
+	// recovering is true while the member grants no vote; its answers then count for no quorum.
+	// recoveringSince is the newest round when it first answered so, confirmed is set once it was told
+	// that others have answered a later one.
+	recovering      bool
+	recoveringSince uint64
+	confirmed       bool
 	// chunk is the snapshot transfer in progress to the member, if any.
 	chunk *chunkProgress
 }
 
+func (p *progress) setRecovering(recovering bool, round uint64) {
+	if recovering && !p.recovering {
+		p.recoveringSince, p.confirmed = round, false
+	}
+	p.recovering = recovering
+}
+
 func (s *State) becomeLeader() {
 	s.Role = Leader
 	s.Leader = s.Config.Name
@@ -151,7 +162,12 @@
 			values = append(values, own)
 			continue
 		}
-		values = append(values, value(s.lead.progress[m.Name]))
+		p := s.lead.progress[m.Name]
+		if p.recovering {
+			values = append(values, 0)
+			continue
+		}
+		values = append(values, value(p))
 	}
 	if len(values) == 0 {
 		return 0
--- a/internal/reducer/agreement/random_test.go
+++ b/internal/reducer/agreement/random_test.go
@@ -149,7 +149,7 @@
 	case actRestart:
 		s.restart(d, v)
 	case actTransfer:
-		s.feed(v, TransferRequested{s.now})
+		s.feed(v, TransferRequested{s.clock(v)})
 	case actChange:
 		s.changeMembers(d, v)
 	case actCut:
@@ -164,7 +164,7 @@
 	s.now += []uint64{1, 1, 1, 3, 14}[d.IntN(5)]
 	for _, v := range s.vms {
 		if !d.oneIn(5) {
-			s.feed(v, Ticked{s.now})
+			s.feed(v, Ticked{s.clock(v)})
 		}
 	}
 }
--- a/internal/reducer/agreement/replicate.go
+++ b/internal/reducer/agreement/replicate.go
@@ -24,7 +24,7 @@
 	switch {
 	case p.chunk != nil:
 		s.retryChunk(m, p)
-		s.send(m.Name, s.newAppend(0, 0, nil), afterNothing)
+		s.sendAppend(m, p, s.newAppend(0, 0, nil))
 	case p.probing:
 		s.sendEntries(m, p)
 	default:
@@ -33,10 +33,43 @@
 			s.beginChunks(m, p)
 			return
 		}
-		s.send(m.Name, s.newAppend(p.next-1, term, nil), afterNothing)
+		s.sendAppend(m, p, s.newAppend(p.next-1, term, nil))
 	}
 }
 
+func (s *State) sendAppend(m message.Member, p *progress, a message.Append) {
+	a.Confirmed = p.recovering && s.confirmedBeside(m.Name, p)
+	s.send(m.Name, a, afterNothing)
+}
+
+// sendConfirmations sends to recovering members at once that this leader is confirmed. Until then the
+// group can't bear the loss of another member.
+func (s *State) sendConfirmations() {
+	for _, m := range s.Members {
+		p := s.lead.progress[m.Name]
+		if p != nil && p.recovering && !p.confirmed && s.confirmedBeside(m.Name, p) {
+			p.confirmed = true
+			s.sendRound(m)
+		}
+	}
+}
+
+// confirmedBeside reports whether so many members have answered a round since a recovering member
+// started that every quorum which could have elected a later leader includes one of them.
+func (s *State) confirmedBeside(recovering string, p *progress) bool {
+	answered := 0
+	for _, m := range s.Members {
+		other := s.lead.progress[m.Name]
+		if !m.Voter || m.Name == recovering || other == nil || other.recovering {
+			continue
+		}
+		if other.acked && other.ackRound > p.recoveringSince {
+			answered++
+		}
+	}
+	return answered >= s.voters()-s.quorum()
+}
+
 // sendEntries sends the entries from p.next on, or a snapshot if they are no longer held. It
 // reports whether p.next has advanced.
 func (s *State) sendEntries(m message.Member, p *progress) bool {
@@ -49,7 +82,7 @@
 	if p.next <= s.log.last() {
 		entries = s.log.slice(p.next, s.Config.AppendBytes)
 	}
-	s.send(m.Name, s.newAppend(p.next-1, term, entries), afterNothing)
+	s.sendAppend(m, p, s.newAppend(p.next-1, term, entries))
 	if p.probing || len(entries) == 0 {
 		return false
 	}
@@ -74,7 +107,13 @@
 	if s.Role != Leader || p == nil {
 		return
 	}
+	begun := m.Recovering && !p.recovering
+	p.setRecovering(m.Recovering, s.lead.round.Number)
+	if begun {
+		s.beginRound() // the answers of the others to it confirm this leader
+	}
 	s.recordAck(p, m.Round)
+	s.sendConfirmations()
 	if m.Accepted {
 		s.handleAccepted(m, p)
 		return
@@ -93,7 +132,6 @@
 }
 
 func (s *State) handleAccepted(m message.AppendAnswer, p *progress) {
-	p.recovering = m.Recovering
 	p.matchRound = max(p.matchRound, m.Round.Number)
 	if m.Match > s.log.last() {
 		return
--- a/internal/reducer/agreement/script_test.go
+++ b/internal/reducer/agreement/script_test.go
@@ -17,7 +17,7 @@
 //	group names=(a,b,c) founders=3
 //	do          one action a line: run TICKS, propose VM N, sync VM N,
 //	            confirm VM, cut A B, heal, crash VM [WRITTEN], start VM,
-//	            wipe VM, hold VM, release VM, snapshot VM, transfer VM,
+//	            wipe VM, suspend VM, resume VM, hold VM, release VM, snapshot VM, transfer VM,
 //	            add VM NAME, remove VM NAME, and on the oldest message from
 //	            one VM to another: deliver, drop, double, delay FROM TO
 //	status      the state of all members, and the refusals since the last report
@@ -85,6 +85,10 @@
 		s.wipe(vm())
 	case "hold":
 		vm().noSync = true
+	case "suspend":
+		vm().suspended = true
+	case "resume":
+		vm().suspended = false
 	case "release":
 		vm().noSync = false
 	case "sync":
--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -40,15 +40,19 @@
 }
 
 type vm struct {
-	name    string
-	state   *State
-	alive   bool
-	noSync  bool
-	durable Restored
-	stored  []Snapshot
-	pending []Persist
-	hash    uint64
-	index   uint64
+	name   string
+	state  *State
+	alive  bool
+	noSync bool
+	// suspended is set while the member stands still with its clock; behind is how much its clock has
+	// lost by that.
+	suspended bool
+	behind    uint64
+	durable   Restored
+	stored    []Snapshot
+	pending   []Persist
+	hash      uint64
+	index     uint64
 }
 
 func newSim(names []string, founders int, config Config, options ...func(*sim)) *sim {
@@ -81,6 +85,9 @@
 	}
 }
 
+// clock returns the time of a member's own clock.
+func (s *sim) clock(v *vm) uint64 { return s.now - v.behind }
+
 func (s *sim) vm(name string) *vm {
 	at := slices.IndexFunc(s.vms, func(v *vm) bool { return v.name == name })
 	return s.vms[at]
@@ -102,7 +109,7 @@
 	}
 	restored := v.durable
 	restored.Entries = slices.Clone(restored.Entries)
-	v.state = New(config, restored, s.now)
+	v.state = New(config, restored, s.clock(v))
 }
 
 // crash loses the writes that are not synced. The given number of them reached the disk, although
@@ -121,7 +128,7 @@
 }
 
 func (s *sim) feed(v *vm, e Event) {
-	if !v.alive || s.failure != "" {
+	if !v.alive || v.suspended || s.failure != "" {
 		return
 	}
 	for _, effect := range Reduce(v.state, e) {
@@ -146,7 +153,7 @@
 	case Restore:
 		v.restore(e.Snapshot.Data)
 		s.checkHash(v)
-		s.feed(v, Applied{s.now, v.index})
+		s.feed(v, Applied{s.clock(v), v.index})
 	case Confirmed:
 		if v.index < s.reads[e.ID] {
 			s.fail("%s confirmed a read at index %d after index %d had been confirmed", v.name, v.index, s.reads[e.ID])
@@ -175,10 +182,10 @@
 func (s *sim) checkLeaders() {
 	leading := ""
 	for _, v := range s.vms {
-		if !v.alive || v.state.Role != Leader {
+		if !v.alive || v.suspended || v.state.Role != Leader {
 			continue
 		}
-		if s.now >= v.state.LeaseEnd() && v.state.voters() > 1 {
+		if s.clock(v) >= v.state.LeaseEnd() && v.state.voters() > 1 {
 			continue
 		}
 		if leading != "" {
@@ -201,7 +208,7 @@
 			s.acked = max(s.acked, v.index)
 		}
 	}
-	s.feed(v, Applied{s.now, v.index})
+	s.feed(v, Applied{s.clock(v), v.index})
 }
 
 func (s *sim) checkHash(v *vm) {
@@ -264,7 +271,7 @@
 	for _, p := range done {
 		v.write(p)
 	}
-	s.feed(v, Persisted{s.now, done[len(done)-1].Sequence})
+	s.feed(v, Persisted{s.clock(v), done[len(done)-1].Sequence})
 }
 
 func (s *sim) makeSnapshot(v *vm) {
@@ -275,7 +282,7 @@
 	meta.Term, _ = v.state.log.term(v.index)
 	v.keep(Snapshot{Meta: meta, Data: v.snapshot()})
 	v.durable.Snapshot = meta
-	s.feed(v, SnapshotMade{s.now, meta})
+	s.feed(v, SnapshotMade{s.clock(v), meta})
 }
 
 // membersAt returns the members in force at an index that the log holds.
@@ -297,7 +304,7 @@
 	if s.cut[[2]string{w.from, w.to}] {
 		return
 	}
-	s.feed(s.vm(w.to), Received{s.now, w.m})
+	s.feed(s.vm(w.to), Received{s.clock(s.vm(w.to)), w.m})
 }
 
 func (s *sim) propose(v *vm, count int) {
@@ -309,18 +316,18 @@
 		s.nextID++
 		proposals = append(proposals, Proposal{s.nextID, fmt.Appendf(nil, "%s%d", v.name, s.nextID)})
 	}
-	s.feed(v, Proposed{s.now, proposals})
+	s.feed(v, Proposed{s.clock(v), proposals})
 }
 
 func (s *sim) confirm(v *vm) {
 	s.nextID++
 	s.reads[s.nextID] = s.acked
-	s.feed(v, ConfirmRequested{s.now, s.nextID})
+	s.feed(v, ConfirmRequested{s.clock(v), s.nextID})
 }
 
 func (s *sim) change(v *vm, action ChangeAction, name string) {
 	s.nextID++
-	s.feed(v, ChangeRequested{s.now, s.nextID, action, message.Member{Name: name, Address: name}})
+	s.feed(v, ChangeRequested{s.clock(v), s.nextID, action, message.Member{Name: name, Address: name}})
 }
 
 // run advances the clock tick by tick; every message is delivered and every write is synced,
@@ -329,7 +336,10 @@
 	for range ticks {
 		s.now++
 		for _, v := range s.vms {
-			s.feed(v, Ticked{s.now})
+			if v.suspended {
+				v.behind++
+			}
+			s.feed(v, Ticked{s.clock(v)})
 		}
 		for range 6 {
 			for n := len(s.inFlight); n > 0; n-- {
--- a/internal/reducer/agreement/state.go
+++ b/internal/reducer/agreement/state.go
@@ -69,6 +69,9 @@
 	restart  restart
 	lead     leadership
 	incoming incoming
+	// leaderConfirmed is set once a leader is known to be the newest that this member can have voted
+	// for; it counts while the member is recovering.
+	leaderConfirmed bool
 	// previous is the snapshot before the newest; it is still stored on disk.
 	previous SnapshotMeta
 	saving   saving
@@ -172,6 +175,8 @@
 // founding reports whether the log ends at or before the founding entry.
 func (s *State) founding() bool { return s.log.last() <= foundingIndex }
 
-// recovering reports whether the member lacks entries that it may have accepted before it lost
-// its data folder.
-func (s *State) recovering() bool { return s.Synced < s.Hard.RecoverTo }
+// recovering reports whether the member may lack entries that it accepted, or a term in which it
+// voted, before it lost its data folder.
+func (s *State) recovering() bool {
+	return s.Hard.RecoverTo > 0 && (s.Synced < s.Hard.RecoverTo || !s.leaderConfirmed)
+}
