routing: two routes whose hosts differ in case or port only are refused

Callers would see: requests to one host and prefix go to either of two services, which one is left to the order of a sort. Cause: Routing.Check compared hosts letter for letter, the table of the forwarders without case and port. Change: one function, HostKey, serves both.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -36,7 +36,7 @@
 		owners:   identity.Keys[*oriolebend.Organisation]{},
 	}
 	for i := range r.Routes {
-		host := hostKey(r.Routes[i].Host)
+		host := oriolebend.HostKey(r.Routes[i].Host)
 		t.hosts[host] = append(t.hosts[host], &r.Routes[i])
 	}
 	for _, routes := range t.hosts {
@@ -90,7 +90,7 @@
 // Match returns the route of the host with the longest matching prefix of the path, nil if
 // there is none. The path is compared as it was sent, without its query.
 func (t *Table) Match(host, path string) *oriolebend.Route {
-	for _, route := range t.hosts[hostKey(host)] {
+	for _, route := range t.hosts[oriolebend.HostKey(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
@@ -122,12 +122,3 @@
 	}
 	return last
 }
-
-// hostKey returns a host in lower case without its port, since routes match regardless
-// of case and port.
-func hostKey(host string) string {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:at]
-	}
-	return strings.ToLower(host)
-}
--- a/pkg/oriolebend/routing.go
+++ b/pkg/oriolebend/routing.go
@@ -1,6 +1,9 @@
 package oriolebend
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Routing determines where callers' plain HTTP requests may be sent. It is declared
 // and replaced as a whole: two operators who each changed a part could otherwise
@@ -128,7 +131,7 @@
 	prefixes := map[[2]string]bool{}
 	for i, route := range r.Routes {
 		route.check(c, i, services)
-		prefix := [2]string{route.Host, route.PathPrefix}
+		prefix := [2]string{HostKey(route.Host), route.PathPrefix}
 		if prefixes[prefix] {
 			c.add(indexed("routes", i, "pathPrefix"), "is taken by another route of the host", "one route for each host and prefix")
 		}
@@ -141,6 +144,15 @@
 	return nil
 }
 
+// HostKey returns a host in lower case without its port, since routes match regardless of case and
+// port.
+func HostKey(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
 func (r Route) check(c *checker, at int, services map[string]bool) {
 	if r.Host == "" {
 		c.add(indexed("routes", at, "host"), "is empty", "a host name")
