--- a/internal/role/failures_page_test.go
+++ b/internal/role/failures_page_test.go
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	is.Equal(cells, 22*18)
+	is.Equal(cells, 23*18)
 	is.True(strings.Contains(string(page), fmt.Sprintf("Open cells: %d of %d.", open, cells)))
 }
 
