--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,7 +45,7 @@
 //   - a stream of a generation has each event once and in order, also after a resumption by the
 //     router or its caller, and all of them from engines of one software version.
 //
-// Servers also send bytes on kept connections that belong to no request.
+// Servers also send bytes on kept connections that belong to no request, once or without end.
 //
 // At the end of the fault injection all processes are killed at once and started again.
 func TestSoak(t *testing.T) {
@@ -99,10 +99,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	load := startLoad(ctx, s, fleet, callers, seed)
 	go operator.run(ctx, rand.New(rand.NewPCG(seed, 2)))
-	strayRandom := rand.New(rand.NewPCG(seed, 6))
+	strayRandom, endlessRandom := rand.New(rand.NewPCG(seed, 6)), rand.New(rand.NewPCG(seed, 7))
 	for end := time.Now().Add(*runs); time.Now().Before(end); {
-		for _, fault := range []fault{randomFault(random, s, fleet), randomStrays(strayRandom, fleet)} {
-			t.Log(fault.name)
+		for _, fault := range []fault{randomFault(random, s, fleet), randomStrays(strayRandom, fleet), randomEndless(endlessRandom, fleet)} {
+			if fault.name != "" {
+				t.Log(fault.name)
+			}
 			fault.inject()
 		}
 		time.Sleep(time.Duration(100+random.IntN(500)) * time.Millisecond)
@@ -144,6 +146,9 @@
 	inject func()
 }
 
+// noFault is a fault that changes nothing.
+var noFault = fault{inject: func() {}}
+
 // randomFault draws a fault. Faults overlap: the next one is injected before the system
 // has recovered from the last one.
 func randomFault(random *rand.Rand, s *system, f *fleet) fault {
--- a/internal/soak/stray_test.go
+++ b/internal/soak/stray_test.go
@@ -18,27 +18,33 @@
 // strayAnswers are bytes that a server sends on a kept connection after a complete answer. They
 // reach the forwarder once it has sent the next request, before that request's answer.
 type strayAnswers struct {
-	mutex sync.Mutex
-	bytes []byte
-	until time.Time
+	mutex   sync.Mutex
+	current stray
+	until   time.Time
 }
 
-func (s *strayAnswers) begin(bytes []byte, length time.Duration) {
+// stray is what is sent ahead of an answer, once or until the connection is closed.
+type stray struct {
+	bytes   []byte
+	endless bool
+}
+
+func (s *strayAnswers) begin(what stray, length time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.bytes, s.until = bytes, time.Now().Add(length)
+	s.current, s.until = what, time.Now().Add(length)
 }
 
-func (s *strayAnswers) end() { s.begin(nil, 0) }
+func (s *strayAnswers) end() { s.begin(stray{}, 0) }
 
-// current returns the bytes to send now, nil if there are none.
-func (s *strayAnswers) current() []byte {
+// next returns what to send now.
+func (s *strayAnswers) next() stray {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if time.Now().After(s.until) {
-		return nil
+		return stray{}
 	}
-	return s.bytes
+	return s.current
 }
 
 // ahead returns a writer to the server that sends the bytes to the forwarder ahead of each request
@@ -56,8 +62,12 @@
 
 // Write implements io.Writer. It is called with one request at a time.
 func (w *strayWriter) Write(request []byte) (int, error) {
-	if stray := w.strays.current(); stray != nil && w.reused {
-		if _, err := w.forwarder.Write(stray); err != nil {
+	if next := w.strays.next(); w.reused {
+		_, err := w.forwarder.Write(next.bytes)
+		for err == nil && next.endless {
+			_, err = w.forwarder.Write(next.bytes)
+		}
+		if err != nil {
 			return 0, err
 		}
 	}
@@ -80,7 +90,7 @@
 	name := files[random.IntN(len(files))].Name()
 	server := f.servers[random.IntN(len(f.servers))]
 	if random.Float64() >= strayShare {
-		return fault{"no stray bytes", func() {}}
+		return noFault
 	}
 	bytes, err := strayFiles.ReadFile("testdata/strays/" + name)
 	if err != nil {
@@ -88,6 +98,23 @@
 	}
 	return fault{"stray bytes of " + server.name + ": " + strings.TrimSuffix(name, ".http"), func() {
 		server.notices.noteFault()
-		server.proxy.strays.begin(bytes, strayFor)
+		server.proxy.strays.begin(stray{bytes: bytes}, strayFor)
+	}}
+}
+
+// endlessShare is the share of the faults that come with a server that sends without end.
+const endlessShare = 0.1
+
+// randomEndless draws a server that sends a head or a body without end, or nothing.
+func randomEndless(random *rand.Rand, f *fleet) fault {
+	parts := []string{"HTTP/1.1 200 OK\r\n", "X: y\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nbody"}
+	part := parts[random.IntN(len(parts))]
+	server := f.servers[random.IntN(len(f.servers))]
+	if random.Float64() >= endlessShare {
+		return noFault
+	}
+	return fault{"endless bytes of " + server.name + ": " + strings.TrimSpace(part), func() {
+		server.notices.noteFault()
+		server.proxy.strays.begin(stray{bytes: []byte(strings.Repeat(part, 64)), endless: true}, strayFor)
 	}}
 }
