registry: the holder of an address does not depend on the order of reports

What callers would see: two forwarders that know the same three instances at one address use different ones, and one of them sends requests to an instance that has ended (refused by the wrong instance) until its next announcement. Cause: instances were compared in pairs, by incarnations only where both report one. Among an instance without an incarnation, a restored one and a third one the pairs are a circle: each supersedes the next, and the holder was whichever the list began with. Ruled out: a difference of merged reports; applied and merged lists agree in all but the phase. Change: the holder is narrowed down by one criterion after the other over all instances at the address, so that there is no pair to contradict another. With two instances nothing changes. The test's own merge asked the pairs too; it now asks the choice over the instances in the order of a map, which is random, so that it still fails where the choice depends on an order.

--- a/internal/reducer/registry/address.go
+++ b/internal/reducer/registry/address.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -28,12 +30,7 @@
 // crashed twice.
 func (v *View) resolveAddress(address string) []message.BackendServer {
 	var changed []message.BackendServer
-	var holder *instance
-	for _, name := range v.byAddress[address] {
-		if i := v.instances[name]; holder == nil || i.supersedes(holder) {
-			holder = i
-		}
-	}
+	holder := holderOf(v.instancesAt(address))
 	for _, name := range v.byAddress[address] {
 		i := v.instances[name]
 		server := i.merged
@@ -48,27 +45,65 @@
 	return changed
 }
 
-// supersedes reports whether an instance has taken over the address of another one. An instance
-// that continues to announce itself takes precedence over a silent one: a delayed announcement of
-// an instance that has ended can arrive after those of its successor.
-func (i *instance) supersedes(other *instance) bool {
-	a, b := i.merged, other.merged
-	switch {
-	case a.Silent != b.Silent:
-		return b.Silent
-	case a.Incarnation != 0 && b.Incarnation != 0 && a.Incarnation != b.Incarnation:
-		return a.Incarnation > b.Incarnation
-	case a.Unconfirmed != b.Unconfirmed:
-		return b.Unconfirmed
-	case i.complete && other.complete && a.Sequence != b.Sequence:
-		// Neither was observed to start. The instance with fewer announcements is younger.
-		return a.Sequence < b.Sequence
-	case i.appeared != other.appeared:
-		return i.appeared > other.appeared
-	case a.Sequence != b.Sequence:
-		return a.Sequence < b.Sequence
+func (v *View) instancesAt(address string) []*instance {
+	list := make([]*instance, 0, len(v.byAddress[address]))
+	for _, name := range v.byAddress[address] {
+		list = append(list, v.instances[name])
+	}
+	return list
+}
+
+// holderOf returns the one of several instances that has their address, nil if there are none. An
+// instance that continues to announce itself takes precedence over a silent one: a delayed
+// announcement of an instance that has ended can arrive after those of its successor.
+//
+// Each criterion is applied to all instances that remain. Compared in pairs, instances of which only
+// some report an incarnation could each supersede the next one in a circle, and the holder would
+// depend on the order in which they became known.
+func holderOf(instances []*instance) *instance {
+	switch len(instances) {
+	case 0:
+		return nil
+	case 1:
+		return instances[0]
+	}
+	rest := preferred(instances, func(i *instance) bool { return !i.merged.Silent })
+	if every(rest, func(i *instance) bool { return i.merged.Incarnation != 0 }) {
+		rest = highest(rest, func(i *instance) uint64 { return i.merged.Incarnation })
+	}
+	rest = preferred(rest, func(i *instance) bool { return !i.merged.Unconfirmed })
+	if every(rest, func(i *instance) bool { return i.complete }) {
+		// None was observed to start. The instance with the fewest announcements is the youngest.
+		rest = lowest(rest, func(i *instance) uint64 { return i.merged.Sequence })
 	}
-	return a.Instance > b.Instance
+	rest = highest(rest, func(i *instance) uint64 { return i.appeared })
+	rest = lowest(rest, func(i *instance) uint64 { return i.merged.Sequence })
+	return slices.MaxFunc(rest, func(a, b *instance) int { return byName(a.merged, b.merged) })
+}
+
+// preferred returns the instances that meet a condition, or all if none does.
+func preferred(all []*instance, meets func(*instance) bool) []*instance {
+	met := slices.DeleteFunc(slices.Clone(all), func(i *instance) bool { return !meets(i) })
+	if len(met) == 0 {
+		return all
+	}
+	return met
+}
+
+func every(all []*instance, meets func(*instance) bool) bool {
+	return !slices.ContainsFunc(all, func(i *instance) bool { return !meets(i) })
+}
+
+// highest returns the instances with the highest number.
+func highest(all []*instance, number func(*instance) uint64) []*instance {
+	most := number(slices.MaxFunc(all, func(a, b *instance) int { return cmp.Compare(number(a), number(b)) }))
+	return preferred(all, func(i *instance) bool { return number(i) == most })
+}
+
+// lowest returns the instances with the lowest number.
+func lowest(all []*instance, number func(*instance) uint64) []*instance {
+	least := number(slices.MinFunc(all, func(a, b *instance) int { return cmp.Compare(number(a), number(b)) }))
+	return preferred(all, func(i *instance) bool { return number(i) == least })
 }
 
 func byName(a, b message.BackendServer) int {
--- a/internal/reducer/registry/view_test.go
+++ b/internal/reducer/registry/view_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,15 +83,32 @@
 	return all
 }
 
-// superseded reports whether another instance has taken over the address of an instance.
+// superseded reports whether another instance has taken over the address of an instance, whatever the
+// order in which the instances at the address are compared.
 func superseded(v *View, name string) bool {
 	i := v.instances[name]
-	for _, other := range v.instances {
-		if other != i && other.merged.Address == i.merged.Address && other.supersedes(i) {
-			return true
+	sharing := slices.DeleteFunc(slices.Collect(maps.Values(v.instances)), func(other *instance) bool {
+		return other.merged.Address != i.merged.Address
+	})
+	return holderOf(sharing) != i
+}
+
+// TestHolderOfAnAddress guards against forwarders that use different instances at one address, since
+// they learned of them in different orders.
+func TestHolderOfAnAddress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sharing []*instance
+		for n, server := range append(drawServers(t), drawServers(t)...) {
+			server.Instance = fmt.Sprintf("i-%d", n)
+			sharing = append(sharing, &instance{
+				merged: server, appeared: rapid.Uint64Range(1, 3).Draw(t, "appeared"), complete: rapid.Bool().Draw(t, "complete"),
+			})
 		}
-	}
-	return false
+		first := holderOf(sharing)
+		if other := holderOf(rapid.Permutation(sharing).Draw(t, "order")); other != first {
+			t.Fatalf("holders %v and %v", first.merged, other.merged)
+		}
+	})
 }
 
 func drawServers(t *rapid.T) []message.BackendServer {
