agreement: an answer from before a member lost its disk counts for nothing

What callers would see: an acknowledged configuration is gone after the loss of two VMs one after the other, of which one had already come back with an empty disk (LOST). Cause: a member stores entries, its answer is delayed, and it loses its data folder. It returns and says that it is recovering; then the old answer arrives, and the leader took the member for recovered and its entries for stored. The group committed entries that only the leader held. Ruled out: an old answer that arrives before the member's first one since it returned can't be told apart, and is the loss of one disk right after an acknowledgement, which is allowed. Change: while a member is recovering, answers that do not say so and belong to a round up to the one in which it began are dropped. Each message since then has a later round.

--- a/internal/reducer/agreement/leader.go
+++ b/internal/reducer/agreement/leader.go
@@ -57,6 +57,12 @@
 	p.recovering = recovering
 }
 
+// precedesRecovery reports whether an answer was sent before the member lost its data folder: what it
+// had stored by then is gone. All messages since it returned have a later round.
+func (p *progress) precedesRecovery(m message.AppendAnswer) bool {
+	return p.recovering && !m.Recovering && m.Round.Number <= p.recoveringSince
+}
+
 func (s *State) becomeLeader() {
 	s.Role = Leader
 	s.Leader = s.Config.Name
--- a/internal/reducer/agreement/random_test.go
+++ b/internal/reducer/agreement/random_test.go
@@ -54,7 +54,7 @@
 	seed := rapid.SliceOfN(rapid.Byte(), chachaSeedBytes, chachaSeedBytes).Draw(t, "seed")
 	seed[0] ^= byte(shard)
 	d := dice{rand.New(rand.NewChaCha8([chachaSeedBytes]byte(seed)))}
-	s := newSim(names, []int{1, 3, 3, 3, 5}[d.IntN(5)], smallConfig(), func(s *sim) { s.exchangeStarts = shard%2 == 1 })
+	s := newSim(names, []int{1, 3, 3, 3, 5}[d.IntN(5)], smallConfig(), func(s *sim) { s.exchangeStarts, s.outlives = shard%2 == 1, shard >= shards/2 })
 	s.run(40)
 	weights := drawWeights(d)
 	for range rapid.IntRange(50, 400).Draw(t, "steps") {
--- a/internal/reducer/agreement/replicate.go
+++ b/internal/reducer/agreement/replicate.go
@@ -107,6 +107,9 @@
 	if s.Role != Leader || p == nil {
 		return
 	}
+	if p.precedesRecovery(m) {
+		return
+	}
 	begun := m.Recovering && !p.recovering
 	p.setRecovering(m.Recovering, s.lead.round.Number)
 	if begun {
--- a/internal/reducer/agreement/script_test.go
+++ b/internal/reducer/agreement/script_test.go
@@ -19,7 +19,8 @@
 //	            confirm VM, cut A B, heal, crash VM [WRITTEN], start VM,
 //	            wipe VM, suspend VM, resume VM, hold VM, release VM, snapshot VM, transfer VM,
 //	            add VM NAME, remove VM NAME, and on the oldest message from
-//	            one VM to another: deliver, drop, double, delay FROM TO
+//	            one VM to another: deliver, drop, double, delay, keep FROM TO; a
+//	            kept message survives a crash of its sender and is sent on by "late"
 //	status      the state of all members, and the refusals since the last report
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -101,6 +102,8 @@
 		s.change(vm(), ChangeAdd, words[2])
 	case "remove":
 		s.change(vm(), ChangeRemove, words[2])
+	case "late":
+		s.inFlight, s.kept = append(s.inFlight, s.kept...), nil
 	default:
 		s.actOnMessage(t, words)
 	}
@@ -117,6 +120,9 @@
 		s.deliver(at)
 	case "drop":
 		s.inFlight = slices.Delete(s.inFlight, at, at+1)
+	case "keep":
+		s.kept = append(s.kept, s.inFlight[at])
+		s.inFlight = slices.Delete(s.inFlight, at, at+1)
 	case "double":
 		s.inFlight = append(s.inFlight, s.inFlight[at])
 	case "delay":
--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -17,6 +17,10 @@
 	vms      []*vm
 	now      uint64
 	inFlight []envelope
+	// kept holds messages that were kept on their way.
+	kept []envelope
+	// outlives is set if the messages of a member that crashes still arrive.
+	outlives bool
 	cut      map[[2]string]bool
 	leaders  map[uint64]string
 	// agreed maps each applied index to the hash of the log up to it.
@@ -119,7 +123,9 @@
 		v.write(p)
 	}
 	v.alive, v.pending = false, nil
-	s.inFlight = slices.DeleteFunc(s.inFlight, func(w envelope) bool { return w.from == v.name })
+	if !s.outlives {
+		s.inFlight = slices.DeleteFunc(s.inFlight, func(w envelope) bool { return w.from == v.name })
+	}
 }
 
 func (s *sim) wipe(v *vm) {
