settings: control.found is removed, as nothing used it

Seen by the review: the platform's bootstrap is rendered into control.found and read by no code. Weighed: to use it, so that a VM with an empty disk that is told bootstrap=false takes no part in founding. Against it: a group is founded by the votes of all seeds only, and a seed that holds a log gives none (design 003, scripts of agreement), so that no wrong group was found to come of it; but a seed that restarts before the group is founded is told false, and if all are killed in their first second the group would never be founded. A settings file that still has it is refused with its line, as any unknown key is.

--- a/internal/role/crashing_test.go
+++ b/internal/role/crashing_test.go
@@ -261,7 +261,7 @@
 	is := is.New(t)
 	s := newRouteSite(t)
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	s.declare(1, "s")
 	var forwarders []*ForwarderProcess
@@ -347,7 +347,7 @@
 		s.kill(ip)
 	}
 	for _, ip := range seededControls {
-		s.startControl(ip, false)
+		s.startControl(ip)
 	}
 	f, err := StartForwarder(s.forwarderProcess("127.0.1.9"), forwarder.NativeDialect{})
 	is.NoErr(err)
--- a/internal/role/limited_test.go
+++ b/internal/role/limited_test.go
@@ -135,7 +135,7 @@
 	is := is.New(t)
 	s := &limitSite{routeSite: newRouteSite(t)}
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	s.declare(1, "s")
 	for i := range 6 {
@@ -278,12 +278,12 @@
 		lost := s.leader()
 		s.kill(lost)
 		wait(t.Context(), 2*time.Second)
-		s.startControl(lost, false)
+		s.startControl(lost)
 		for _, ip := range seededControls {
 			s.kill(ip)
 		}
 		for _, ip := range seededControls {
-			s.startControl(ip, false)
+			s.startControl(ip)
 		}
 	}()
 	load := s.run(limitSettle + 2*limitWindow)
--- a/internal/role/organisations_test.go
+++ b/internal/role/organisations_test.go
@@ -32,7 +32,7 @@
 	s := &organisationSite{routeSite: newRouteSite(t)}
 	s.seeds = append(slices.Clone(seededControls), more...)
 	for _, ip := range s.seeds {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.ran.Add(1)
@@ -121,7 +121,7 @@
 	status, _ := s.sendWithKey(restarted, "key-old")
 	is.Equal(status, http.StatusServiceUnavailable) // it has no routing, and must not report a key as wrong
 	for _, ip := range seededControls {
-		s.startControl(ip, false)
+		s.startControl(ip)
 	}
 	s.waitFor("ready again", restarted.Ready)
 	status, _ = s.sendWithKey(restarted, "key-old")
@@ -157,7 +157,7 @@
 		s.kill(ip)
 	}
 	for _, ip := range seededControls {
-		s.startControl(ip, false)
+		s.startControl(ip)
 	}
 	overload(4 * time.Second)
 	bound := (quota.PerSecond*time.Since(began).Seconds() + quota.Burst) * 1.1
--- a/internal/role/restored_servers_test.go
+++ b/internal/role/restored_servers_test.go
@@ -65,7 +65,7 @@
 	is := is.New(t)
 	s := newRouteSite(t)
 	s.disable = disable
-	f := s.startAll(true)
+	f := s.startAll()
 	s.declare(1, "s")
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, "served as "+r.Header.Get("Oriolebend-Instance"))
@@ -82,7 +82,7 @@
 		is.NoErr(f.Kill())
 		is.NoErr(os.RemoveAll(filepath.Join(s.folder, seededControls[0])))
 		began := time.Now()
-		f = s.startAll(false)
+		f = s.startAll()
 		s.waitFor("the forwarder is ready again", f.Ready)
 		t.Logf("ready after %v", time.Since(began))
 		if time.Since(began) < registry.DefaultConfirmWithin-time.Second {
@@ -94,13 +94,13 @@
 }
 
 // startAll starts the control VMs and a forwarder.
-func (s *routeSite) startAll(found bool) *ForwarderProcess {
+func (s *routeSite) startAll() *ForwarderProcess {
 	s.t.Helper()
 	f, err := StartForwarder(s.forwarderProcess("127.0.1.6"), forwarder.NativeDialect{})
 	is.New(s.t).NoErr(err)
 	s.t.Cleanup(func() { _ = f.Kill() })
 	for _, ip := range seededControls {
-		s.startControl(ip, found)
+		s.startControl(ip)
 	}
 	return f
 }
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -59,12 +59,11 @@
 	}
 }
 
-func (s *routeSite) process(role, ip string, found bool) Process {
+func (s *routeSite) process(role, ip string) Process {
 	s.t.Helper()
 	var p Process
 	p.Settings.Node = settings.Node{Name: role + "-" + ip, Region: "r", FailureDomain: "fd-" + ip}
 	p.Settings.Peer = settings.Peer{Listen: fmt.Sprintf("%s:%d", ip, s.port), Trust: settings.TrustNetwork}
-	p.Settings.Control.Found = found
 	p.Settings.Control.MinFreeBytes = 1
 	p.Settings.Control.Disable = s.disable
 	for _, seed := range s.seeds {
@@ -82,9 +81,9 @@
 	return p
 }
 
-func (s *routeSite) startControl(ip string, found bool) *ControlProcess {
+func (s *routeSite) startControl(ip string) *ControlProcess {
 	s.t.Helper()
-	p := s.process(peer.RoleControl, ip, found)
+	p := s.process(peer.RoleControl, ip)
 	p.Settings.Control.DataFolder = filepath.Join(s.folder, ip)
 	c, err := StartControl(p)
 	is.New(s.t).NoErr(err)
@@ -215,10 +214,10 @@
 	defer f.Kill()
 	is.True(!f.Ready())
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
-	s.startControl("127.0.1.4", true) // not a seed, so it joins
-	relay, err := StartRelay(s.process(peer.RoleControl, "127.0.1.5", true))
+	s.startControl("127.0.1.4") // not a seed, so it joins
+	relay, err := StartRelay(s.process(peer.RoleControl, "127.0.1.5"))
 	is.NoErr(err)
 	defer func() { is.NoErr(relay.Stop(t.Context())) }()
 	is.True(!f.Ready())
@@ -246,7 +245,7 @@
 }
 
 func (s *routeSite) forwarderProcess(ip string) Process {
-	p := s.process(peer.RoleForwarder, ip, true)
+	p := s.process(peer.RoleForwarder, ip)
 	p.Settings.Forward = settings.Forward{
 		Listen: ip + ":0", StopDelay: oriolebend.Duration(time.Millisecond), StopWithin: oriolebend.Duration(3 * time.Second),
 	}
@@ -260,21 +259,21 @@
 	is := is.New(t)
 	s := newRouteSite(t)
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	s.declare(3, "s")
 	for _, ip := range seededControls {
 		s.kill(ip)
 	}
 	s.seeds = []string{"127.0.1.5"}
-	relay, err := StartRelay(s.process(peer.RoleControl, "127.0.1.5", false))
+	relay, err := StartRelay(s.process(peer.RoleControl, "127.0.1.5"))
 	is.NoErr(err)
 	defer func() { is.NoErr(relay.Stop(t.Context())) }()
 	f, err := StartForwarder(s.forwarderProcess("127.0.1.6"), forwarder.NativeDialect{})
 	is.NoErr(err)
 	defer f.Kill()
 	for _, ip := range seededControls {
-		s.startControl(ip, false)
+		s.startControl(ip)
 	}
 	s.waitFor("the forwarder is ready", f.Ready)
 	s.waitFor("the relay knows the leader", func() bool { return relay.LeaderIP() != "" })
@@ -287,7 +286,7 @@
 func TestReplacedMemberIsRemovedSoon(t *testing.T) {
 	s := newRouteSite(t)
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	s.declare(1, "s")
 	lost := seededControls[0]
@@ -295,7 +294,7 @@
 		lost = seededControls[1]
 	}
 	s.kill(lost)
-	s.startControl("127.0.1.4", false)
+	s.startControl("127.0.1.4")
 	s.waitFor("four vote", func() bool { return s.voters() == 4 })
 	voted := time.Now()
 	s.waitFor("three vote", func() bool { return s.voters() == 3 })
@@ -309,14 +308,14 @@
 	is := is.New(t)
 	s := newRouteSite(t)
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	for round := range uint64(3) {
 		s.declare(round+1, "s")
 		lost := s.leader()
 		s.kill(lost)
 		is.NoErr(os.RemoveAll(filepath.Join(s.folder, lost)))
-		s.startControl(lost, false)
+		s.startControl(lost)
 		s.waitFor("the newest routing is read", func() bool {
 			for _, c := range s.running {
 				current, err := c.Routing(t.Context())
@@ -338,7 +337,7 @@
 	is := is.New(t)
 	s := newRouteSite(t)
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	f, err := StartForwarder(s.forwarderProcess("127.0.1.6"), forwarder.NativeDialect{})
 	is.NoErr(err)
--- a/internal/role/stream_origin_test.go
+++ b/internal/role/stream_origin_test.go
@@ -50,7 +50,7 @@
 func newVersionedSite(t *testing.T) *versionedSite {
 	s := &versionedSite{routeSite: newRouteSite(t), release: make(chan struct{})}
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	r := routingTo(1, "s")
 	r.Routes[0].Repeat, r.Routes[0].Stream = oriolebend.RepeatResumable, true
@@ -150,7 +150,7 @@
 	is.True(resumed("two"))
 	for _, ip := range seededControls {
 		s.kill(ip)
-		s.startControl(ip, true)
+		s.startControl(ip)
 		s.waitFor("two control VMs or more hold the record", func() bool { return s.recordHolders() >= 2 })
 	}
 	s.waitFor("the other forwarder has connected again", func() bool { return resumed("three") })
@@ -185,7 +185,7 @@
 		s.kill(ip)
 	}
 	for _, ip := range seededControls {
-		s.startControl(ip, true)
+		s.startControl(ip)
 	}
 	f = s.startForwarder("127.0.1.6")
 	for _, instance := range []string{"b", "c", "d"} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -197,9 +197,6 @@
 	// SeedPort is the peer port of every control VM, if the addresses in Seeds carry a
 	// different port; zero means that they carry the peer port.
 	SeedPort int `toml:"seedPort"`
-	// Found makes the seeds create the group of control VMs. It is set only on the first
-	// start of the whole system.
-	Found bool `toml:"found"`
 	// MinFreeBytes is the free disk space below which changes are refused; zero means
 	// 64 MiB.
 	MinFreeBytes int64 `toml:"minFreeBytes"`
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -91,11 +91,10 @@
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-// add adds a process, which writes its settings at each start. Only the first start founds
-// the group of control VMs.
+// add adds a process, which writes its settings at each start.
 func (s *system) add(role, ip, control string) {
 	p := &process{system: s, name: role + "-" + ip, role: role, settings: filepath.Join(s.folder, ip+".toml")}
-	p.write = func(found bool) error {
+	p.write = func() error {
 		text := fmt.Sprintf("[node]\nname = %q\nregion = \"r\"\nfailureDomain = %q\nmemoryMB = %d\n[log]\nformat = \"json\"\n"+
 			"[peer]\nlisten = \"%s:%d\"\ntrust = \"network\"\n[metrics]\nlisten = \"%s:%d\"\n",
 			p.name, ip, s.memoryMB, ip, s.port, ip, s.port+2)
@@ -104,7 +103,7 @@
 		} else {
 			text += fmt.Sprintf("[forward]\nlisten = \"%s:%d\"\nstopDelay = \"200ms\"\nstopWithin = \"4s\"\n", ip, s.port+1)
 		}
-		text += "[control]\nminFreeBytes = 1\n" + control + fmt.Sprintf("found = %t\nseeds = [", found)
+		text += "[control]\nminFreeBytes = 1\n" + control + "seeds = ["
 		for _, seed := range s.controls {
 			text += fmt.Sprintf("\"%s:%d\",", seed, s.port)
 		}
@@ -196,10 +195,9 @@
 	name     string
 	role     string
 	settings string
-	write    func(found bool) error
+	write    func() error
 
-	mutex   sync.Mutex
-	started bool
+	mutex sync.Mutex
 	// signalled holds the times at which the process was started or received a signal.
 	signalled []time.Time
 	command   *exec.Cmd
@@ -213,7 +211,7 @@
 	if p.command != nil && p.running() {
 		return
 	}
-	if err := p.write(!p.started); err != nil {
+	if err := p.write(); err != nil {
 		p.system.t.Error(err)
 		return
 	}
@@ -230,7 +228,7 @@
 		return
 	}
 	done := make(chan struct{})
-	p.command, p.done, p.started = command, done, true
+	p.command, p.done = command, done
 	p.signalled = append(p.signalled, time.Now())
 	go func() {
 		_ = command.Wait() // the exit status does not matter: faults kill the process
