httpserver: connections whose heads are refused keep out nobody

Cause: net/http reports a connection as active while it refuses a head as too long, which takes half a second; the listener took it for one with a request in progress and closed the newest instead. Change: a connection counts as handled from the call of the handler until it is idle again.

--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -51,9 +52,7 @@
 			return nil, err
 		}
 		peer := memorybudget.PeerOf(conn.RemoteAddr().String())
-		c := &connection{
-			Conn: conn, listener: l, peer: peer, held: l.held.Open(memorybudget.Head, peer), waiting: true, since: time.Now(),
-		}
+		c := &connection{Conn: conn, listener: l, peer: peer, held: l.held.Open(memorybudget.Head, peer), since: time.Now()}
 		if l.admit(c) {
 			return c, nil
 		}
@@ -92,7 +91,7 @@
 		if c.peer == newcomer {
 			open++
 		}
-		if open == most && c.waiting && (longest == nil || c.since.Before(longest.since)) {
+		if open == most && !c.handled && (longest == nil || c.since.Before(longest.since)) {
 			longest = c
 		}
 	}
@@ -135,20 +134,35 @@
 	peer     string
 	held     *memorybudget.Holding
 
-	// waiting is true while no complete head has been read; since is when that began. Both are guarded
-	// by the listener's mutex.
-	waiting bool
+	// handled is true from the call of the handler until the connection is idle again; since is when it
+	// was last idle. Both are guarded by the listener's mutex.
+	handled bool
 	since   time.Time
 }
 
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// markHandled returns a handler that marks the connection of each request while it is handled. The state
+// that net/http reports does not tell: it is active, too, while a head is refused as too long, which takes
+// half a second, and connections in that state would keep out all others.
+func markHandled(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+			c.setHandled(true)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // setState follows the state of a connection, which net/http reports.
 func setState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*connection)
-	if !ok {
-		return
-	}
-	c.setWaiting(state == http.StateNew || state == http.StateIdle)
-	if state == http.StateIdle {
+	if c, ok := conn.(*connection); ok && state == http.StateIdle {
+		c.setHandled(false)
 		c.held.Shrink(maxHeldHead)
 	}
 }
@@ -156,25 +170,25 @@
 // maxHeldHead is more than a head is counted for.
 const maxHeldHead = 1 << 30
 
-func (c *connection) setWaiting(waiting bool) {
+func (c *connection) setHandled(handled bool) {
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
-	if waiting && !c.waiting {
+	c.handled = handled
+	if !handled {
 		c.since = time.Now()
 	}
-	c.waiting = waiting
 }
 
-func (c *connection) isWaiting() bool {
+func (c *connection) isHandled() bool {
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
-	return c.waiting
+	return c.handled
 }
 
 // Read implements net.Conn. It fails with a *memorybudget.FullError if there is no memory for a head.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 || !c.isWaiting() {
+	if n == 0 || c.isHandled() {
 		return n, err
 	}
 	if full := c.held.Grow(int64(n) * headCost); full != nil {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -75,6 +75,8 @@
 	s.http.IdleTimeout = cmp.Or(s.http.IdleTimeout, DefaultIdleTimeout)
 	s.http.ErrorLog = cmp.Or(s.http.ErrorLog, slog.NewLogLogger(c.Logger.Handler(), slog.LevelDebug))
 	s.http.ConnState = setState
+	s.http.ConnContext = withConnection
+	s.http.Handler = markHandled(s.http.Handler)
 	go func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			c.Logger.Error("HTTP server failed", "address", s.Address(), "error", err)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -100,6 +100,21 @@
 	is.True(s.TurnedAway() >= 2*most)
 }
 
+// Guards against connections that keep out all others while their heads are refused as too long.
+func TestRefusedHeadsDoNotKeepOutOthers(t *testing.T) {
+	is := is.New(t)
+	const most = 8
+	s := start(t, Config{MaxConnections: most}, closedChannel())
+	for range most {
+		conn := dialFrom(t, "127.0.0.2", s)
+		_, _ = io.WriteString(conn, request+"X-Long: "+strings.Repeat("x", 20<<10))
+		_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+	}
+	for range 2 * most {
+		is.NoErr(answered(dialFrom(t, "127.0.0.2", s)))
+	}
+}
+
 // Guards against a connection that is closed for a new one while its request is handled.
 func TestRequestInProgressIsNotClosed(t *testing.T) {
 	is := is.New(t)
