forwarder: a resumption whose origin may be known later is refused with Retry-After

What callers saw: after a loss of processes a resumption was refused as originUnknown without Retry-After, also if a control VM that may hold the record was away; the page told them to begin anew. Change: while a known control VM was not asked or did not answer, the refusal has a Retry-After of 1 s, in which one that has restarted is connected again; without it the stream is gone for good. Evidence: TestStreamIsResumedAtItsSoftwareVersion failed before ("away") and passes, with the end of it too: once all control VMs are asked there is none.

--- a/internal/forwarder/origin.go
+++ b/internal/forwarder/origin.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -33,6 +34,10 @@
 // resumableMargin is added to the time that a caller waits: its resumption is on its way for a while.
 const resumableMargin = time.Second
 
+// originRetryAfter is the retry delay of a resumption whose origin a control VM may know that could not
+// be asked. Control VMs that have restarted are connected within a second.
+const originRetryAfter = time.Second
+
 // streamID returns the identity of the caller's stream: that of the request whose answer began it, or
 // that of its content if the request has no ID.
 func (w *work) streamID() uint64 {
@@ -58,7 +63,11 @@
 		w.f.config.Logger.LogAttrs(ctx, slog.LevelInfo, "stream can't be resumed",
 			slog.String("request", w.info.ID), slog.String("fingerprint", w.fingerprint.String()),
 			slog.String("resumes", w.info.FirstTry), slog.String("error", err.Error()))
-		w.refuse(refusal{reason: oriolebend.ReasonOriginUnknown})
+		refused := refusal{reason: oriolebend.ReasonOriginUnknown}
+		if unknown, ok := errors.AsType[*streamrecord.UnknownError](err); ok && unknown.Temporary() {
+			refused.after = originRetryAfter
+		}
+		w.refuse(refused)
 		return false
 	}
 	w.origin = &origin
--- a/internal/role/forwarder_process.go
+++ b/internal/role/forwarder_process.go
@@ -119,7 +119,9 @@
 	p.quotas.Prepare()
 	p.limits = &serverlimit.Client{Dialer: p.endpoint, Logger: logger, Leader: leader}
 	p.limits.Prepare()
-	p.streams = streamrecord.NewClient(streamrecord.Config{Dialer: p.endpoint, Logger: logger, Controls: controls})
+	p.streams = streamrecord.NewClient(streamrecord.Config{
+		Dialer: p.endpoint, Logger: logger, Controls: controls, Known: func() int { return p.follower.Known() },
+	})
 }
 
 func (p *ForwarderProcess) forwarderConfig(dialect forwarder.Dialect) forwarder.Config {
--- a/internal/role/stream_origin_test.go
+++ b/internal/role/stream_origin_test.go
@@ -157,6 +157,16 @@
 	is.NoErr(first.Kill())
 	s.kill(seededControls[0])
 	is.True(resumed("four"))
+	retryAfter := func(id string) string {
+		response, err := http.DefaultClient.Do(s.streamRequest(second, id, map[string]string{"Last-Event-Id": "2", "Oriolebend-Resumes": "unknown"}))
+		is.NoErr(err)
+		defer response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		return response.Header.Get("Retry-After")
+	}
+	is.True(retryAfter("away") != "") // a control VM that may know the origin is away
+	s.startControl(seededControls[0])
+	s.waitFor("all control VMs are asked", func() bool { return retryAfter("gone") == "" })
 	status, body := s.resume(second, "five", "unknown")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(strings.Contains(body, string(oriolebend.ReasonOriginUnknown)))
--- a/internal/routewatch/follower.go
+++ b/internal/routewatch/follower.go
@@ -142,6 +142,16 @@
 	return open
 }
 
+// Known returns the number of control VMs, as far as it is known.
+func (f *Follower) Known() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.current) == 0 {
+		return len(f.Seeds)
+	}
+	return len(f.current)
+}
+
 // Peers lists some other forwarders.
 func (f *Follower) Peers() []string {
 	f.mutex.Lock()
--- a/internal/streamrecord/client.go
+++ b/internal/streamrecord/client.go
@@ -45,7 +45,9 @@
 	Dialer peer.Dialer
 	// Controls returns the peer addresses of the connected control VMs.
 	Controls func() []string
-	Logger   *slog.Logger
+	// Known returns the number of control VMs that exist; nil means that all are connected.
+	Known  func() int
+	Logger *slog.Logger
 }
 
 // Client records and looks up streams for one forwarder.
@@ -240,8 +242,8 @@
 // UnknownError is returned for a stream whose origin can't be determined.
 type UnknownError struct {
 	// Asked is the number of control VMs that were asked, and Answered how many of them answered in
-	// the last round.
-	Asked, Answered int
+	// the last round. Known is the number of control VMs that exist.
+	Asked, Answered, Known int
 	// Conflict is set if different origins were recorded for the stream.
 	Conflict bool
 }
@@ -251,6 +253,10 @@
 	return fmt.Sprintf("streamrecord: origin unknown: %d control VMs asked, %d answered, conflicting records: %t", e.Asked, e.Answered, e.Conflict)
 }
 
+// Temporary reports whether the origin may be found later: a control VM that was not asked, or did not
+// answer, may have a record of it.
+func (e *UnknownError) Temporary() bool { return !e.Conflict && e.Answered < max(e.Asked, e.Known) }
+
 // Lookup returns the origin of a stream. Its error is an *UnknownError.
 func (c *Client) Lookup(ctx context.Context, stream uint64) (message.StreamOrigin, error) {
 	return c.lookup(ctx, stream, false)
@@ -297,7 +303,10 @@
 		return *found, nil
 	}
 	controls := c.config.Controls()
-	unknown.Asked = len(controls)
+	unknown.Asked, unknown.Known = len(controls), len(controls)
+	if c.config.Known != nil {
+		unknown.Known = c.config.Known()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan *message.StreamRecordAnswer, len(controls))
