http1, httpserver: unfinished requests of one peer keep out nobody

Cause: at the bound of connections only idle ones were closed for new ones. Change: at the bound the peer with the most connections loses the one that has waited longest for a complete request, idle or half sent. One set serves both HTTP servers; a request that is complete is never dropped. A draining server still serves a request that has begun to arrive. The soak's flood now comes from an address of its own, and stalled heads with more connections than any listener has.

--- a/internal/http1/connection.go
+++ b/internal/http1/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,13 +32,15 @@
 // Unwrap returns the cause.
 func (e *CallerDisconnectedError) Unwrap() error { return e.Cause }
 
-// phase is the state of a connection: between requests, in a request, or closed.
+// phase is the state of a connection: between requests, while a request is read, until it is answered,
+// or closed.
 type phase string
 
 const (
-	phaseIdle   phase = "idle"
-	phaseBusy   phase = "busy"
-	phaseClosed phase = "closed"
+	phaseIdle    phase = "idle"
+	phaseReading phase = "reading"
+	phaseBusy    phase = "busy"
+	phaseClosed  phase = "closed"
 )
 
 // connection is one connection of a caller.
@@ -45,17 +48,20 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	// peer is the IP of the caller.
+	peer string
 
 	mutex sync.Mutex
 	phase phase
-	// idleSince is when phaseIdle began; it is valid only in that phase.
-	idleSince time.Time
+	// since is when the phase began.
+	since time.Time
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
 	return &connection{
 		server: s, conn: conn, reader: bufio.NewReaderSize(conn, readerBytes),
-		phase: phaseIdle, idleSince: time.Now(),
+		peer:  memorybudget.PeerOf(conn.RemoteAddr().String()),
+		phase: phaseIdle, since: time.Now(),
 	}
 }
 
@@ -67,34 +73,37 @@
 	if c.phase == phaseClosed {
 		return false
 	}
-	c.phase = p
-	if p == phaseIdle {
-		c.idleSince = time.Now()
-	}
+	c.phase, c.since = p, time.Now()
 	return true
 }
 
-// closeIdle closes the connection unless it serves a request; it reports whether the
+// closeIdle closes the connection unless a request has begun to arrive.
+func (c *connection) closeIdle() { c.closeIn(phaseIdle) }
+
+// closeWaiting closes the connection unless it serves a complete request; it reports whether the
 // connection is closed.
-func (c *connection) closeIdle() bool {
+func (c *connection) closeWaiting() bool { return c.closeIn(phaseIdle, phaseReading) }
+
+// closeIn closes the connection in some phases; it reports whether the connection is closed.
+func (c *connection) closeIn(phases ...phase) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase == phaseBusy {
-		return false
+	if c.phase == phaseClosed || !slices.Contains(phases, c.phase) {
+		return c.phase == phaseClosed
 	}
 	c.phase = phaseClosed
 	_ = c.conn.Close()
 	return true
 }
 
-// idleFor returns how long the connection has been idle, zero if it is not idle.
-func (c *connection) idleFor() time.Duration {
+// Peer implements connlimit.Conn.
+func (c *connection) Peer() string { return c.peer }
+
+// WaitingSince implements connlimit.Conn.
+func (c *connection) WaitingSince() (time.Time, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase != phaseIdle {
-		return 0
-	}
-	return time.Since(c.idleSince)
+	return c.since, c.phase == phaseIdle || c.phase == phaseReading
 }
 
 // serve answers requests until the connection ends.
@@ -108,7 +117,7 @@
 		if err := <-waiting; err != nil {
 			return
 		}
-		if !c.setPhase(phaseBusy) {
+		if !c.setPhase(phaseReading) {
 			return
 		}
 		request, keepAlive, err := c.read(limits)
@@ -116,6 +125,10 @@
 			c.refuse(err)
 			return
 		}
+		if !c.setPhase(phaseBusy) {
+			request.held.Close()
+			return
+		}
 		var reusable bool
 		reusable, waiting = c.answer(request, keepAlive)
 		if !reusable || !c.setPhase(phaseIdle) {
@@ -158,7 +171,7 @@
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	held := c.server.config.Held.Open(memorybudget.Request, memorybudget.PeerOf(c.conn.RemoteAddr().String()))
+	held := c.server.config.Held.Open(memorybudget.Request, c.peer)
 	body, err := readBody(c.reader, h, limits.MaxBodyBytes, held)
 	if err != nil {
 		held.Close()
--- a/internal/http1/held_test.go
+++ b/internal/http1/held_test.go
@@ -160,3 +160,36 @@
 	is.True(errors.Is(err, io.EOF)) // the server closed the connection without a reset
 	is.True(s.Connections() <= 3)
 }
+
+// Guards against unfinished requests that keep out all other callers until their time is up.
+func TestNewConnectionReplacesAnUnfinishedRequest(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	_, dial := startServer(t, Config{MaxConnections: 3, Handler: func(_ context.Context, r *Request, a *Answer) {
+		if r.Path() == "/slow" {
+			close(begun)
+			<-release
+		}
+		a.SendBytes(http.StatusOK, http.Header{}, nil)
+	}})
+	send := func(text string) *bufio.Reader {
+		conn := dial()
+		_, err := io.WriteString(conn, text)
+		is.NoErr(err)
+		return bufio.NewReader(conn)
+	}
+	answered := func(from *bufio.Reader) {
+		answer, err := http.ReadResponse(from, nil)
+		is.NoErr(err)
+		is.Equal(answer.StatusCode, http.StatusOK)
+	}
+	slow := send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-begun
+	for range 5 {
+		send("GET / HTTP/1.1\r\nHost: h\r\nX-Half: ")
+		send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+		answered(send("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	}
+	close(release)
+	answered(slow) // a complete request is never dropped
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/connlimit"
 	"github.com/oriolebend/oriolebend/internal/memorybudget"
 	"github.com/oriolebend/oriolebend/internal/saturation"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -60,8 +61,8 @@
 	// nil.
 	Refused func(Refusal)
 	// MaxConnections bounds open connections; zero means 3,000, which is under the
-	// 4,096 descriptors that small VMs allow. At the limit, the connection that has been
-	// idle for longest is closed for a new one.
+	// 4,096 descriptors that small VMs allow. At the limit, the peer with the most connections
+	// loses the one that has waited longest for a complete request.
 	MaxConnections int
 	// Held accounts for the bodies of requests; nil accounts for none.
 	Held *memorybudget.Account
@@ -108,7 +109,7 @@
 	cancel context.CancelFunc
 
 	mutex       sync.Mutex
-	connections map[*connection]struct{}
+	connections connlimit.Set[*connection]
 	// listener is nil while the server does not listen. paused is when it was paused, zero if it
 	// listens or has stopped.
 	listener net.Listener
@@ -137,7 +138,7 @@
 		c.Refused = func(Refusal) {}
 	}
 	c.MaxConnections = cmp.Or(c.MaxConnections, defaultMaxConnections)
-	s := &Server{config: c, address: listener.Addr().String(), listener: listener, connections: map[*connection]struct{}{}}
+	s := &Server{config: c, address: listener.Addr().String(), listener: listener}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.done.Go(func() { s.accept(listener) })
 	return s
@@ -236,36 +237,28 @@
 func (s *Server) register(c *connection) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.ctx.Err() != nil || (len(s.connections) >= s.config.MaxConnections && !s.closeLongestIdle()) {
+	if s.ctx.Err() != nil || (s.connections.Len() >= s.config.MaxConnections && !s.makeRoom(c)) {
 		return false
 	}
-	s.connections[c] = struct{}{}
+	s.connections.Add(c)
 	return true
 }
 
-// closeLongestIdle closes the connection that has been idle for longest; it returns false if
-// no connection could be closed. The caller must hold the mutex.
-//
-// Without it, callers that open connections and leave them idle would keep out all others.
-func (s *Server) closeLongestIdle() bool {
-	var longest *connection
-	var longestIdle time.Duration
-	for c := range s.connections {
-		if idle := c.idleFor(); idle > longestIdle {
-			longest, longestIdle = c, idle
-		}
-	}
-	if longest == nil || !longest.closeIdle() {
+// makeRoom closes a connection for a new one; it returns false if none could be closed. The caller must
+// hold the mutex.
+func (s *Server) makeRoom(newcomer *connection) bool {
+	closable, found := s.connections.Closable(newcomer.peer)
+	if !found || !closable.closeWaiting() {
 		return false
 	}
-	delete(s.connections, longest)
+	s.connections.Remove(closable)
 	return true
 }
 
 func (s *Server) unregister(c *connection) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	delete(s.connections, c)
+	s.connections.Remove(c)
 }
 
 // Active returns the number of requests that were read and are not yet answered.
@@ -275,7 +268,7 @@
 func (s *Server) Connections() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.connections)
+	return s.connections.Len()
 }
 
 // Address returns the address on which the server listens.
@@ -300,9 +293,7 @@
 	s.mutex.Lock()
 	s.paused = time.Time{}
 	s.closeListener()
-	for c := range s.connections {
-		c.closeIdle()
-	}
+	s.connections.All(func(c *connection) { c.closeIdle() })
 	s.mutex.Unlock()
 	finished := make(chan struct{})
 	go func() {
@@ -324,7 +315,5 @@
 	defer s.mutex.Unlock()
 	s.paused = time.Time{}
 	s.closeListener()
-	for c := range s.connections {
-		_ = c.conn.Close()
-	}
+	s.connections.All(func(c *connection) { _ = c.conn.Close() })
 }
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/oriolebend/oriolebend/internal/connlimit"
 	"github.com/oriolebend/oriolebend/internal/memorybudget"
 )
 
@@ -39,9 +40,7 @@
 	turnedAway atomic.Int64
 
 	mutex       sync.Mutex
-	connections map[*connection]struct{}
-	// peers counts the connections by the IP of the peer.
-	peers map[string]int
+	connections connlimit.Set[*connection]
 }
 
 // Accept implements net.Listener.
@@ -64,64 +63,30 @@
 func (l *listener) admit(c *connection) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if len(l.connections) >= l.most {
-		closed := l.closable(c.peer)
-		l.reject(closed, c)
-		if closed == nil {
+	if l.connections.Len() >= l.most {
+		closable, found := l.connections.Closable(c.peer)
+		if !found {
+			l.countTurnedAway(c)
 			return false
 		}
-		_ = closed.Conn.Close()
-		l.remove(closed)
+		l.countTurnedAway(closable)
+		_ = closable.Conn.Close()
+		l.connections.Remove(closable)
 	}
-	l.connections[c] = struct{}{}
-	l.peers[c.peer]++
+	l.connections.Add(c)
 	return true
 }
 
-// closable returns the connection to be closed for a new one of a peer, nil if there is none. The
-// caller must hold the mutex.
-func (l *listener) closable(newcomer string) *connection {
-	most := l.peers[newcomer] + 1
-	for _, open := range l.peers {
-		most = max(most, open)
-	}
-	var longest *connection
-	for c := range l.connections {
-		open := l.peers[c.peer]
-		if c.peer == newcomer {
-			open++
-		}
-		if open == most && !c.handled && (longest == nil || c.since.Before(longest.since)) {
-			longest = c
-		}
-	}
-	return longest
-}
-
-// reject counts and logs that a connection is closed to stay within the bound. The caller must hold
-// the mutex.
-func (l *listener) reject(closed, newcomer *connection) {
-	if closed == nil {
-		closed = newcomer
-	}
+// countTurnedAway counts and logs a connection that is closed to stay within the bound. The caller must
+// hold the mutex.
+func (l *listener) countTurnedAway(c *connection) {
 	l.turnedAway.Add(1)
-	err := &TooManyConnectionsError{Peer: closed.peer, Open: l.peers[closed.peer], Limit: l.most}
+	err := &TooManyConnectionsError{Peer: c.peer, Open: l.connections.LenOf(c.peer), Limit: l.most}
 	l.sometimes.Do(func() {
 		l.logger.Warn("connection turned away", "address", l.Addr().String(), "turnedAway", l.turnedAway.Load(), "error", err)
 	})
 }
 
-// remove unregisters a connection. The caller must hold the mutex.
-func (l *listener) remove(c *connection) {
-	if _, open := l.connections[c]; !open {
-		return
-	}
-	delete(l.connections, c)
-	if l.peers[c.peer]--; l.peers[c.peer] == 0 {
-		delete(l.peers, c.peer)
-	}
-}
-
 // headCost is the memory of a parsed head for each byte that was read. Header lines of a few bytes
 // take the most.
 const headCost = 8
@@ -140,6 +105,12 @@
 	since   time.Time
 }
 
+// Peer implements connlimit.Conn.
+func (c *connection) Peer() string { return c.peer }
+
+// WaitingSince implements connlimit.Conn. The caller must hold the listener's mutex.
+func (c *connection) WaitingSince() (time.Time, bool) { return c.since, !c.handled }
+
 // connectionKey is the key of the connection in the context of a request.
 type connectionKey struct{}
 
@@ -201,7 +172,7 @@
 func (c *connection) Close() error {
 	c.held.Close()
 	c.listener.mutex.Lock()
-	c.listener.remove(c)
+	c.listener.connections.Remove(c)
 	c.listener.mutex.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -67,7 +67,7 @@
 func Serve(open net.Listener, c Config) *Server {
 	l := &listener{
 		Listener: open, most: cmp.Or(c.MaxConnections, DefaultMaxConnections), held: c.Held, logger: c.Logger,
-		sometimes: rate.Sometimes{Interval: turnedAwayLogInterval}, connections: map[*connection]struct{}{}, peers: map[string]int{},
+		sometimes: rate.Sometimes{Interval: turnedAwayLogInterval},
 	}
 	s := &Server{listener: l, http: c.Server}
 	s.http.MaxHeaderBytes = cmp.Or(s.http.MaxHeaderBytes, DefaultMaxHeaderBytes)
--- a/internal/soak/listener_test.go
+++ b/internal/soak/listener_test.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// floodConnections is the number of connections of one peer that never ends its requests.
-	floodConnections = 256
-	floodFor         = 3 * time.Second
+	// floodConnections is the number of connections of one peer that never ends its requests,
+	// stalledConnections is above the bound of each listener.
+	floodConnections   = 256
+	stalledConnections = 1400
+	floodAddress       = "127.0.0.9"
+	floodFor           = 3 * time.Second
 	// soundShare of the sound calls beside a flood must be answered in time.
 	soundShare = 0.95
 )
@@ -38,29 +41,30 @@
 		{"metrics of a control VM", fmt.Sprintf("%s:%d", s.system.controls[0], s.system.port+2), control},
 	} {
 		for _, flood := range []struct {
-			name string
-			send func(io.Writer)
+			name        string
+			connections int
+			send        func(io.Writer)
 		}{
-			{"header lines", sendHeaderLines},
-			{"one header line", sendHeaderLine},
-			{"heads that stall", sendHalfHead},
-			{"bodies", sendHalfBody},
+			{"header lines", floodConnections, sendHeaderLines},
+			{"one header line", floodConnections, sendHeaderLine},
+			{"heads that stall", stalledConnections, sendHalfHead},
+			{"bodies", floodConnections, sendHalfBody},
 		} {
 			t.Run(listener.name+", "+flood.name, func(t *testing.T) {
-				s.flood(t, listener.address, listener.process, flood.send)
+				s.flood(t, listener.address, listener.process, flood.connections, flood.send)
 			})
 		}
 	}
 }
 
-// flood sends requests without end to an address, sends pings at the same time, and checks the pings
+// flood sends requests without end from one address to another, sends pings at the same time, and checks the pings
 // and the memory of the process.
-func (s *memorySite) flood(t *testing.T, address string, p *process, send func(io.Writer)) {
+func (s *memorySite) flood(t *testing.T, address string, p *process, connections int, send func(io.Writer)) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), floodFor)
 	defer cancel()
 	var group sync.WaitGroup
-	for range floodConnections {
+	for range connections {
 		group.Go(func() {
 			for ctx.Err() == nil {
 				floodOnce(ctx, address, send)
@@ -86,7 +90,8 @@
 
 // floodOnce sends on one connection until the other side or the context ends it.
 func floodOnce(ctx context.Context, address string, send func(io.Writer)) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(floodAddress)}, Timeout: time.Second}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
 	}
