routewatch: an earlier leader that a control VM names late gives way to a later one

What callers would see: for up to a second after a control VM was frozen or cut off, requests for places, quota units and limits go to a control VM that leads no more, and are refused or granted from reserves. Change: an update names the term, and one with a lower term than the known leader's is passed over, while that leader was named within 2.5 s: a group that has lost all its disks counts its terms anew. A control VM of an earlier release names no term, and counts as before.

--- a/internal/message/routing.go
+++ b/internal/message/routing.go
@@ -138,6 +138,9 @@
 	Controls []string `cbor:"controls,omitempty"`
 	// Leader is the peer address of the leading control VM, empty if none is known.
 	Leader string `cbor:"leader,omitempty"`
+	// LeaderTerm is the term in which Leader leads; zero means unknown, as from a control VM of an
+	// earlier release.
+	LeaderTerm uint64 `cbor:"leaderTerm,omitempty"`
 	// Forwarders is the highest number of forwarders that watched this control VM in the last
 	// minutes.
 	Forwarders int `cbor:"forwarders,omitempty"`
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -221,6 +221,7 @@
 			_, address := c.replica.Leader()
 			return address
 		},
+		Term:      func() uint64 { return c.replica.Status().Term },
 		Connected: func() bool { return c.LeaderIP() != "" },
 		Reports:   c.crashes.Reports,
 		Logger:    p.Logger,
--- a/internal/role/relay_process.go
+++ b/internal/role/relay_process.go
@@ -45,6 +45,7 @@
 		Confirmed: func() (time.Duration, bool) { return 0, false },
 		Controls:  func() []string { return nil },
 		Leader:    r.leader,
+		Term:      func() uint64 { return r.follower.LeaderTerm() },
 		Connected: func() bool { return r.follower.Connected() },
 		Reports:   crashes.Reports,
 		Logger:    p.Logger,
--- a/internal/routewatch/feed.go
+++ b/internal/routewatch/feed.go
@@ -79,6 +79,9 @@
 // routing is still left to another control VM.
 func (f *feed) next(current routing.InForce) (message.RouteUpdate, time.Duration) {
 	update := message.RouteUpdate{Leader: f.server.Leader(), Controls: f.server.controlAddresses()}
+	if f.server.Term != nil {
+		update.LeaderTerm = f.server.Term()
+	}
 	left := f.routingDue(current.Version)
 	if left == 0 && current.Version > f.knownVersion() {
 		update.Version, update.Routing = current.Version, current.Encoded
--- a/internal/routewatch/follower.go
+++ b/internal/routewatch/follower.go
@@ -64,7 +64,7 @@
 	view    *registry.View
 	links   map[string]*link
 	current []string // the control VMs, by the last update that listed them
-	leader  string   // the leader, by the last update that named one
+	leader  knownLeader
 	peers   []string // some other forwarders, by the last update that listed them
 	ready   atomic.Bool
 	// confirmed is when the last update with a confirmation was received.
@@ -107,12 +107,18 @@
 // was sent, together with the servers.
 func (f *Follower) Ready() bool { return f.ready.Load() }
 
-// Leader returns the peer address of the leading control VM by the last update that
-// named one, empty if none did.
+// Leader returns the peer address of the leading control VM, empty if no update has named one.
 func (f *Follower) Leader() string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.leader
+	return f.leader.address
+}
+
+// LeaderTerm returns the term of Leader, zero if it is not known.
+func (f *Follower) LeaderTerm() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leader.term
 }
 
 // Connected reports whether a control VM recently reported that a quorum confirmed its
@@ -188,9 +194,7 @@
 		f.view.Update(time.Now(), l.address, u.Whole, u.Servers)
 		f.updateServers()
 	}
-	if u.Leader != "" {
-		f.leader = u.Leader
-	}
+	f.leader.update(time.Now(), u.Leader, u.LeaderTerm)
 	if len(u.Peers) > 0 {
 		f.peers = u.Peers
 	}
--- a/internal/routewatch/server.go
+++ b/internal/routewatch/server.go
@@ -53,6 +53,8 @@
 	// Leader returns the peer address of the leading control VM, empty if none is
 	// known.
 	Leader func() string
+	// Term returns the term of the leader; nil means that it is not known.
+	Term func() uint64
 	// Connected reports whether this control VM is connected to the leader; nil means
 	// always.
 	Connected func() bool
