--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -33,29 +33,17 @@
 // its connection is closed.
 func endlessServer(t *testing.T, begin, part string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, begin)
-				block := strings.Repeat(part, 1+(16<<10)/len(part))
-				for err == nil {
-					_, err = io.WriteString(conn, block)
-				}
-			}()
+	return listenRaw(t, func(conn net.Conn, _ func()) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		_, err := io.WriteString(conn, begin)
+		block := strings.Repeat(part, 1+(16<<10)/len(part))
+		for err == nil {
+			_, err = io.WriteString(conn, block)
+		}
+	})
 }
 
 // declareEndless adds a server that answers without end, and routes to it.
--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -11,7 +11,6 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
@@ -63,20 +62,9 @@
 // start adds the server to a site.
 func (v *scriptedServer) start(s *site, role oriolebend.PoolRole) {
 	s.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(s.t).NoErr(err)
-	s.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go v.serve(conn)
-		}
-	}()
+	address := listenRaw(s.t, func(conn net.Conn, _ func()) { v.serve(conn) })
 	s.servers = append(s.servers, message.BackendServer{
-		Instance: fmt.Sprintf("i%d", len(s.servers)), Service: "s", Address: listener.Addr().String(),
+		Instance: fmt.Sprintf("i%d", len(s.servers)), Service: "s", Address: address,
 		FailureDomain: "a", Phase: message.PhaseReady, Role: role, SoftwareVersion: "v1",
 	})
 	s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -28,36 +28,25 @@
 // counts the connections on which it read a request.
 func (s *site) unframedServer(body string, e ending) *atomic.Int32 {
 	s.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(s.t).NoErr(err)
-	s.t.Cleanup(func() { _ = listener.Close() })
 	requests := &atomic.Int32{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return // a probe
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				requests.Add(1)
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+body)
-				switch e {
-				case endsReset:
-					_ = conn.(*net.TCPConn).SetLinger(0)
-				case endsCrashed:
-					_ = listener.Close()
-				}
-				_ = conn.Close()
-			}()
+	address := listenRaw(s.t, func(conn net.Conn, stop func()) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return // a probe
 		}
-	}()
+		_, _ = io.Copy(io.Discard, request.Body)
+		requests.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+body)
+		switch e {
+		case endsReset:
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		case endsCrashed:
+			stop()
+		}
+		_ = conn.Close()
+	})
 	s.servers = append(s.servers, message.BackendServer{
-		Instance: "unframed", Service: "s", Address: listener.Addr().String(), FailureDomain: "a",
+		Instance: "unframed", Service: "s", Address: address, FailureDomain: "a",
 		Phase: message.PhaseReady, SoftwareVersion: "v1",
 	})
 	s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
--- a/internal/soak/listener_test.go
+++ b/internal/soak/listener_test.go
@@ -72,14 +72,7 @@
 			}
 		})
 	}
-	pings, inTime := 0, 0
-	for ctx.Err() == nil {
-		pings++
-		if s.pingInTime() {
-			inTime++
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	pings, inTime := s.pingUntilDone(ctx)
 	group.Wait()
 	peak, err := p.peakBytes()
 	is.NoErr(err) // the process has exited
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -184,14 +184,7 @@
 	for n := range peers {
 		group.Go(func() { peer(ctx, n) })
 	}
-	pings, inTime := 0, 0
-	for ctx.Err() == nil {
-		pings++
-		if s.pingInTime() {
-			inTime++
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	pings, inTime := s.pingUntilDone(ctx)
 	group.Wait()
 	peak, err := s.forwarder.peakBytes()
 	is.NoErr(err) // the process has exited
@@ -255,6 +248,18 @@
 
 var pinger = &http.Client{Timeout: 2 * time.Second}
 
+// pingUntilDone sends pings until the context ends, and returns how many, and how many were in time.
+func (s *memorySite) pingUntilDone(ctx context.Context) (pings, inTime int) {
+	for ctx.Err() == nil {
+		pings++
+		if s.pingInTime() {
+			inTime++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return pings, inTime
+}
+
 // pingInTime reports whether a ping is in time. The duration of a concurrent ping without the
 // product is subtracted, since this process runs hundreds of peers and the machine may be busy.
 func (s *memorySite) pingInTime() bool {
