--- a/internal/role/stream_origin_test.go
+++ b/internal/role/stream_origin_test.go
@@ -173,41 +173,62 @@
 }
 
 // Guards against streams that can't be resumed after a power loss of all VMs, because their origins
-// were in memory only.
+// were in memory only: also if it comes twice, and if a VM that held the record loses its disk.
 func TestStreamIsResumedAfterARestartOfAllProcesses(t *testing.T) {
-	s := newVersionedSite(t)
-	is := is.New(t)
-	f := s.startForwarder("127.0.1.6")
-	s.announce("a", "v1")
-	s.begin(f, "one")
-	s.waitFor("two control VMs have saved the record", func() bool {
-		saved := 0
-		for _, c := range s.running {
-			if _, err := os.Stat(filepath.Join(c.process.Settings.Control.DataFolder, "streams")); err == nil {
-				saved++
+	for _, test := range []struct {
+		name     string
+		restarts int
+		wiped    bool
+	}{
+		{name: "once", restarts: 1},
+		{name: "twice", restarts: 2},
+		{name: "once, and a disk is lost", restarts: 1, wiped: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newVersionedSite(t)
+			f := s.startForwarder("127.0.1.6")
+			s.announce("a", "v1")
+			s.begin(f, "one")
+			s.waitFor("two control VMs have saved the record", func() bool { return len(s.recordFiles()) == 2 })
+			close(s.release)
+			for range test.restarts {
+				is.NoErr(f.Kill())
+				for _, ip := range seededControls {
+					s.kill(ip)
+				}
+				if test.wiped {
+					is.NoErr(os.RemoveAll(filepath.Dir(s.recordFiles()[0])))
+				}
+				for _, ip := range seededControls {
+					s.startControl(ip)
+				}
+				f = s.startForwarder("127.0.1.6")
 			}
-		}
-		return saved == 2
-	})
-	close(s.release)
-	is.NoErr(f.Kill())
-	for _, ip := range seededControls {
-		s.kill(ip)
+			for _, instance := range []string{"b", "c", "d"} {
+				s.announce(instance, "v2")
+			}
+			s.announce("e", "v1")
+			s.waitFor("the stream is resumed", func() bool {
+				status, body := s.resume(f, "two", "one")
+				is.True(!strings.Contains(body, "v2"))
+				return status == http.StatusOK && strings.Count(body, "data: v1") == lastVersionedEvent-2
+			})
+			status, body := s.resume(f, "three", "unknown")
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(body, string(oriolebend.ReasonOriginUnknown)))
+		})
 	}
+}
+
+// recordFiles lists the files in which control VMs have saved stream records.
+func (s *versionedSite) recordFiles() []string {
+	var files []string
 	for _, ip := range seededControls {
-		s.startControl(ip)
-	}
-	f = s.startForwarder("127.0.1.6")
-	for _, instance := range []string{"b", "c", "d"} {
-		s.announce(instance, "v2")
+		file := filepath.Join(s.folder, ip, "streams")
+		if _, err := os.Stat(file); err == nil {
+			files = append(files, file)
+		}
 	}
-	s.announce("e", "v1")
-	s.waitFor("the stream is resumed", func() bool {
-		status, body := s.resume(f, "two", "one")
-		is.True(!strings.Contains(body, "v2"))
-		return status == http.StatusOK && strings.Count(body, "data: v1") == lastVersionedEvent-2
-	})
-	status, body := s.resume(f, "three", "unknown")
-	is.Equal(status, http.StatusServiceUnavailable)
-	is.True(strings.Contains(body, string(oriolebend.ReasonOriginUnknown)))
+	return files
 }
