--- a/internal/soak/listener_test.go
+++ b/internal/soak/listener_test.go
@@ -72,13 +72,13 @@
 			}
 		})
 	}
-	pings, inTime := s.pingUntilDone(ctx)
+	pings := s.pingsOfAnotherProcess(t, floodFor)
 	group.Wait()
 	peak, err := p.peakBytes()
 	is.NoErr(err) // the process has exited
-	t.Logf("peak %d MB, %d of %d pings in time", peak>>20, inTime, pings)
+	t.Logf("peak %d MB, %s", peak>>20, pings)
 	is.True(peak <= smallestMemoryMB<<20)
-	is.True(float64(inTime) >= soundShare*float64(pings))
+	is.True(float64(pings.InTime) >= soundShare*float64(pings.Sent))
 }
 
 // floodOnce sends on one connection until the other side or the context ends it.
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -113,7 +113,7 @@
 	system.awaitReady(settle)
 	deadline := time.Now().Add(settle)
 	s.direct = quick.Listener.Addr().String()
-	for s.ping(s.address) > pingWithin {
+	for ping(s.address) > pingWithin {
 		is.True(time.Now().Before(deadline)) // no ping is answered in time
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -184,13 +184,13 @@
 	for n := range peers {
 		group.Go(func() { peer(ctx, n) })
 	}
-	pings, inTime := s.pingUntilDone(ctx)
+	pings := s.pingsOfAnotherProcess(t, slowFor)
 	group.Wait()
 	peak, err := s.forwarder.peakBytes()
 	is.NoErr(err) // the process has exited
-	t.Logf("peak %d MB, %d of %d pings in time", peak>>20, inTime, pings)
+	t.Logf("peak %d MB, %s", peak>>20, pings)
 	is.True(peak <= memoryMB<<20)
-	is.True(float64(inTime) >= inTimeShare*float64(pings))
+	is.True(float64(pings.InTime) >= inTimeShare*float64(pings.Sent))
 	deadline := time.Now().Add(settle)
 	for s.held() != 0 {
 		is.True(time.Now().Before(deadline)) // bytes are not released
@@ -246,55 +246,6 @@
 	chunk = fmt.Appendf(nil, "%x\r\n%s\r\n", chunkBytes, zeros[:chunkBytes])
 )
 
-var pinger = &http.Client{Timeout: 2 * time.Second}
-
-// pingUntilDone sends pings until the context ends, and returns how many, and how many were in time.
-func (s *memorySite) pingUntilDone(ctx context.Context) (pings, inTime int) {
-	for ctx.Err() == nil {
-		pings++
-		if s.pingInTime() {
-			inTime++
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return pings, inTime
-}
-
-// pingInTime reports whether a ping is in time. The duration of a concurrent ping without the
-// product is subtracted, since this process runs hundreds of peers and the machine may be busy.
-func (s *memorySite) pingInTime() bool {
-	direct := make(chan time.Duration, 1)
-	go func() { direct <- s.ping(s.direct) }()
-	took, alone := s.ping(s.address), <-direct
-	inTime := took <= pingWithin || alone < never && took-alone <= pingWithin
-	if !inTime {
-		s.t.Logf("a ping took %s, and %s without the product", took, alone)
-	}
-	return inTime
-}
-
-// never is the duration that ping returns for a ping that was not answered.
-const never = time.Hour
-
-// ping returns the duration of a ping to an address.
-func (s *memorySite) ping(address string) time.Duration {
-	began := time.Now()
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/quick/x", strings.NewReader("ping"))
-	if err != nil {
-		return never
-	}
-	request.Host = "soak.example"
-	response, err := pinger.Do(request)
-	if err != nil {
-		return never
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
-		return never
-	}
-	return time.Since(began)
-}
-
 // dial opens a connection with small kernel buffers.
 func (s *memorySite) dial() net.Conn {
 	conn, err := net.DialTimeout("tcp", s.address, time.Second)
