settings, platform: a control VM has room for the connections of all servers after a loss of everything

Where all servers connect at once, waiting connections were closed for new ones, and their servers tried again. Change: control VMs hold no requests of callers, so that half of their memory counts for connections, at most 3,000.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,7 +62,9 @@
 	// connectionShare is the part of the memory for callers' connections, connectionBytes
 	// the size of an idle connection: its goroutines, buffers and socket.
 	connectionShare = 0.25
-	connectionBytes = 20 << 10
+	// controlConnectionShare is that part in a control VM, which holds no requests of callers.
+	controlConnectionShare = 0.5
+	connectionBytes        = 20 << 10
 	// maxDefaultConnections is below the 4,096 file descriptors that small VMs allow.
 	maxDefaultConnections = 3000
 )
@@ -79,11 +81,17 @@
 }
 
 // Connections returns how many callers' connections fit into the memory of the process.
-func (n Node) Connections() int {
+func (n Node) Connections() int { return n.connectionsWithin(connectionShare) }
+
+// ControlConnections returns how many connections of backend servers and operators fit into the memory
+// of a control VM. After a loss of everything all servers connect at once.
+func (n Node) ControlConnections() int { return n.connectionsWithin(controlConnectionShare) }
+
+func (n Node) connectionsWithin(share float64) int {
 	if n.MemoryMB == 0 {
 		return maxDefaultConnections
 	}
-	return min(maxDefaultConnections, int(connectionShare*float64(n.bytes()))/connectionBytes)
+	return min(maxDefaultConnections, int(share*float64(n.bytes()))/connectionBytes)
 }
 
 func (n Node) bytes() int64 { return int64(n.MemoryMB) << 20 }
