--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -42,7 +42,11 @@
                 return body
             body += stream.read(size)
             stream.readline()
-    return stream.read(int(field(fields, "Content-Length") or 0))
+    length = int(field(fields, "Content-Length") or 0)
+    body = stream.read(length)
+    if len(body) < length:
+        raise OSError("the request was broken off")
+    return body
 
 
 class Request:
