--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -117,8 +117,7 @@
         self.random = random.Random()
         base = next(p for p in iter(lambda: random.randint(20000, 29000), None) if all(port_is_free(p + i) for i in range(16)))
         self.ports = {"front": base, "ready": base + 1, "control": base + 2, "peer": base + 4, "app": base + 8}
-        self.next_operator = base + 10
-        self.last_operator = base + 15
+        self.operators = base + 9  # the operators' port of machine N is this + N
         self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.processes = {}
         self.closers = []
@@ -143,8 +142,7 @@
         if role == "control":
             operator = "127.0.0.1:%d" % self.ports["peer"]
             assert operator in settings
-            settings = settings.replace(operator, "127.0.0.1:%d" % self.next_operator)
-            self.next_operator += 1
+            settings = settings.replace(operator, "127.0.0.1:%d" % (self.operators + number))
         path = self.tmp / ("%s-%d.conf" % (role, number))
         path.write_text(settings)
         command = render(deploy["run"], fields).split(" ")
