--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -271,7 +271,11 @@
 
 def main(folder, case):
     """Runs a case, which returns the reason why the rule was broken, or None; exits as run.sh must."""
-    site = Site(folder)
+    try:
+        site = Site(folder)
+    except Exception as e:
+        print("could not run: %r" % e)
+        sys.exit(NOT_RUN)
 
     def expired(*_):
         raise CannotRun("time is over")
@@ -287,9 +291,9 @@
         code = BROKEN if broken else HELD
         site.record("result: %s" % (broken or "the rule held"))
         print(broken or "the rule held")
-    except CannotRun as e:
-        site.record("result: could not run: %s" % e)
-        print("could not run:", e)
+    except Exception as e:  # a fault of the script itself says nothing about the rule either
+        site.record("result: could not run: %r" % e)
+        print("could not run: %r" % e)
     finally:
         signal.alarm(0)
         site.stop()
