--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,8 +4,8 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
-import harness  # noqa: E402
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness2 as harness  # noqa: E402
 
 REPLACEMENT = 4
 PLANNED_GAP_S = 2.0  # the new machine first, then SIGTERM
@@ -67,4 +67,4 @@
     return None
 
 
-harness.main(pathlib.Path(__file__).parent, case)
+harness.main(case)
--- a/review/lib-2/harness.py
+++ b/review/harness2.py
@@ -22,7 +22,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -43,8 +43,8 @@
 class Record:
     """Writes what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", buffering=1)
+    def __init__(self, path):
+        self.file = open(path, "w", buffering=1)
         self.start = time.monotonic()
         self.lock = threading.Lock()
 
@@ -97,11 +97,11 @@
     return re.sub(r"\{\{([^}#/^]+)\}\}", lambda m: text_of(lookup(fields, m.group(1))), out)
 
 
-def port_is_free(port):
+def port_is_free(host, port):
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as s:
             try:
-                s.bind(("0.0.0.0", port))
+                s.bind((host, port))
             except OSError:
                 return False
     return True
@@ -110,12 +110,12 @@
 class Site:
     """The processes of one small deployment."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record):
+        self.record = Record(record)
         self.tmp = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.net = "127.%d.%d" % (random.randint(10, 250), random.randint(1, 250))
         self.random = random.Random()
-        base = next(p for p in iter(lambda: random.randint(20000, 29000), None) if all(port_is_free(p + i) for i in range(16)))
+        base = next(p for p in iter(lambda: random.randint(20000, 29000), None) if all(port_is_free(host, p + i) for host in ("127.0.0.1", self.net + ".1") for i in range(16)))
         self.ports = {"front": base, "ready": base + 1, "control": base + 2, "peer": base + 4, "app": base + 8}
         self.operators = base + 9  # the operators' port of machine N is this + N
         self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
@@ -269,10 +269,13 @@
     site.record("forwarders ready")
 
 
-def main(folder, case):
-    """Runs a case, which returns the reason why the rule was broken, or None; exits as run.sh must."""
+def main(case):
+    """Runs a case, which returns the reason why the rule was broken, or None; exits as run.sh must.
+
+    The first argument is the path of the record.
+    """
     try:
-        site = Site(folder)
+        site = Site(sys.argv[1])
     except Exception as e:
         print("could not run: %r" % e)
         sys.exit(NOT_RUN)
--- a/review/lib-2/standins.py
+++ b/review/standins2.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-import harness
+import harness2 as harness
 
 
 def read_head(stream):
