--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -92,8 +92,10 @@
 	HintTerm  uint64 `cbor:"hintTerm,omitempty"`
 	// Recovering is true while the member grants no vote, because it started with an
 	// empty data folder and has not caught up.
-	Recovering bool  `cbor:"recovering,omitempty"`
-	Round      Round `cbor:"round"`
+	Recovering bool `cbor:"recovering,omitempty"`
+	// Leaving is true while the process of the member stops.
+	Leaving bool  `cbor:"leaving,omitempty"`
+	Round   Round `cbor:"round"`
 }
 
 // Vote requests a vote or, with Pre set, asks whether a vote would be granted.
--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -8,18 +8,20 @@
 
 // Default values of the fields of Config.
 const (
-	DefaultHeartbeatTicks    = 2
-	DefaultElectionTicks     = 12
-	DefaultPreVoteTicks      = 2
-	DefaultLeaseTicks        = 9
-	DefaultMaxUnapplied      = 8192
-	DefaultMaxUnappliedBytes = 64 << 20
-	DefaultMaxCommandBytes   = 8 << 20
-	DefaultAppendBytes       = 256 << 10
-	DefaultChunkBytes        = 256 << 10
-	DefaultWindowEntries     = 4096
-	DefaultTailEntries       = 4096
-	DefaultTailBytes         = 16 << 20
+	DefaultHeartbeatTicks     = 2
+	DefaultElectionTicks      = 12
+	DefaultPreVoteTicks       = 2
+	DefaultLeaseTicks         = 9
+	DefaultRemoveTicks        = 320
+	DefaultRemoveSurplusTicks = 60
+	DefaultMaxUnapplied       = 8192
+	DefaultMaxUnappliedBytes  = 64 << 20
+	DefaultMaxCommandBytes    = 8 << 20
+	DefaultAppendBytes        = 256 << 10
+	DefaultChunkBytes         = 256 << 10
+	DefaultWindowEntries      = 4096
+	DefaultTailEntries        = 4096
+	DefaultTailBytes          = 16 << 20
 )
 
 // Limits of the size of a group.
@@ -70,6 +72,16 @@
 	ChunkBytes  int
 	// WindowEntries bounds the entries in flight to one member.
 	WindowEntries uint64
+	// MinVoters is the number of voters that the group keeps when it removes members that leave or do
+	// not answer. Zero means that it removes none.
+	MinVoters int
+	// RemoveTicks is how long a member may be unreachable before it is removed. The time is several
+	// times as long as a restart and longer than a partition of a few seconds. A member that returns
+	// later joins again.
+	RemoveTicks uint64
+	// RemoveSurplusTicks applies in place of RemoveTicks if the group can bear more losses without
+	// the member.
+	RemoveSurplusTicks uint64
 	// TailEntries is the number of entries before a snapshot that are kept, for members that lag
 	// slightly.
 	TailEntries uint64
@@ -82,6 +94,8 @@
 	c.ElectionTicks = cmp.Or(c.ElectionTicks, DefaultElectionTicks)
 	c.PreVoteTicks = cmp.Or(c.PreVoteTicks, DefaultPreVoteTicks)
 	c.LeaseTicks = cmp.Or(c.LeaseTicks, DefaultLeaseTicks)
+	c.RemoveTicks = cmp.Or(c.RemoveTicks, DefaultRemoveTicks)
+	c.RemoveSurplusTicks = cmp.Or(c.RemoveSurplusTicks, DefaultRemoveSurplusTicks)
 	c.MaxUnapplied = cmp.Or(c.MaxUnapplied, DefaultMaxUnapplied)
 	c.MaxUnappliedBytes = cmp.Or(c.MaxUnappliedBytes, DefaultMaxUnappliedBytes)
 	c.MaxCommandBytes = cmp.Or(c.MaxCommandBytes, DefaultMaxCommandBytes)
--- a/internal/reducer/agreement/effect.go
+++ b/internal/reducer/agreement/effect.go
@@ -97,6 +97,14 @@
 	Leader message.Member
 }
 
+// MemberRemoved reports that this leader removes a member that is leaving, or that has not answered
+// for Away ticks.
+type MemberRemoved struct {
+	Member  message.Member
+	Leaving bool
+	Away    uint64
+}
+
 // Fatal stops the process, because continuing would violate a guarantee of the agreement.
 type Fatal struct{ Detail string }
 
@@ -109,4 +117,5 @@
 func (Confirmed) agreementEffect()         {}
 func (Refused) agreementEffect()           {}
 func (LeadershipChanged) agreementEffect() {}
+func (MemberRemoved) agreementEffect()     {}
 func (Fatal) agreementEffect()             {}
--- a/internal/reducer/agreement/event.go
+++ b/internal/reducer/agreement/event.go
@@ -57,6 +57,10 @@
 // proposals until the transfer has succeeded or failed.
 type TransferRequested struct{ Tick uint64 }
 
+// StopRequested reports that the process of this member stops. A leader transfers its leadership as
+// after TransferRequested; the member reports in its answers that it leaves.
+type StopRequested struct{ Tick uint64 }
+
 // Persisted reports that all Persist effects up to Sequence are synced.
 type Persisted struct {
 	Tick     uint64
@@ -88,6 +92,7 @@
 func (e ConfirmRequested) tick() uint64  { return e.Tick }
 func (e ChangeRequested) tick() uint64   { return e.Tick }
 func (e TransferRequested) tick() uint64 { return e.Tick }
+func (e StopRequested) tick() uint64     { return e.Tick }
 func (e Persisted) tick() uint64         { return e.Tick }
 func (e Applied) tick() uint64           { return e.Tick }
 func (e SnapshotMade) tick() uint64      { return e.Tick }
--- a/internal/reducer/agreement/follower.go
+++ b/internal/reducer/agreement/follower.go
@@ -11,7 +11,7 @@
 	if !s.acceptLeader(m.From) {
 		return
 	}
-	answer := message.AppendAnswer{Agreement: s.header(), PrevIndex: m.PrevIndex, Round: m.Round}
+	answer := message.AppendAnswer{Agreement: s.header(), PrevIndex: m.PrevIndex, Round: m.Round, Leaving: s.leaving}
 	s.confirmLeader(m)
 	answer.Recovering = s.incomplete(m.Last)
 	if m.PrevIndex < s.Commit {
--- a/internal/reducer/agreement/leader.go
+++ b/internal/reducer/agreement/leader.go
@@ -46,6 +46,10 @@
 	recovering      bool
 	recoveringSince uint64
 	confirmed       bool
+	// leaving is true while the process of the member stops. awaySince is the tick since which the
+	// member has not answered, zero while it answers.
+	leaving   bool
+	awaySince uint64
 	// chunk is the snapshot transfer in progress to the member, if any.
 	chunk *chunkProgress
 }
@@ -138,6 +142,7 @@
 
 func (s *State) tickLeader() {
 	s.expireTransfer()
+	s.removeAway()
 	if s.now < s.lead.heartbeatDue {
 		return
 	}
--- a/internal/reducer/agreement/reduce.go
+++ b/internal/reducer/agreement/reduce.go
@@ -20,6 +20,8 @@
 		s.handleChange(e)
 	case TransferRequested:
 		s.handleTransfer()
+	case StopRequested:
+		s.handleStop()
 	case Persisted:
 		s.handlePersisted(e.Sequence)
 	case Applied:
--- a/internal/reducer/agreement/replicate.go
+++ b/internal/reducer/agreement/replicate.go
@@ -110,6 +110,7 @@
 	if p.precedesRecovery(m) {
 		return
 	}
+	p.leaving = m.Leaving
 	begun := m.Recovering && !p.recovering
 	p.setRecovering(m.Recovering, s.lead.round.Number)
 	if begun {
--- a/internal/reducer/agreement/script_test.go
+++ b/internal/reducer/agreement/script_test.go
@@ -14,10 +14,10 @@
 // TestScripts runs the scenarios in testdata. Each file begins with the failure that it guards
 // against and how that comes about. Commands:
 //
-//	group names=(a,b,c) founders=3
+//	group names=(a,b,c) founders=3 minVoters=3
 //	do          one action a line: run TICKS, propose VM N, sync VM N,
 //	            confirm VM, cut A B, heal, crash VM [WRITTEN], start VM,
-//	            wipe VM, suspend VM, resume VM, hold VM, release VM, snapshot VM, transfer VM,
+//	            wipe VM, suspend VM, resume VM, hold VM, release VM, snapshot VM, transfer VM, stop VM,
 //	            add VM NAME, remove VM NAME, and on the oldest message from
 //	            one VM to another: deliver, drop, double, delay, keep FROM TO; a
 //	            kept message survives a crash of its sender and is sent on by "late"
@@ -32,7 +32,9 @@
 				founders := 3
 				d.ScanArgs(t, "names", &names)
 				d.MaybeScanArgs(t, "founders", &founders)
-				s = newSim(names, founders, smallConfig())
+				config := smallConfig()
+				d.MaybeScanArgs(t, "minVoters", &config.MinVoters)
+				s = newSim(names, founders, config)
 			case "do":
 				for line := range strings.Lines(d.Input) {
 					s.act(t, strings.Fields(line))
@@ -98,6 +100,8 @@
 		s.makeSnapshot(vm())
 	case "transfer":
 		s.feed(vm(), TransferRequested{s.now})
+	case "stop":
+		s.feed(vm(), StopRequested{s.now})
 	case "add":
 		s.change(vm(), ChangeAdd, words[2])
 	case "remove":
--- a/internal/reducer/agreement/state.go
+++ b/internal/reducer/agreement/state.go
@@ -69,6 +69,8 @@
 	restart  restart
 	lead     leadership
 	incoming incoming
+	// leaving is set once the process of this member stops.
+	leaving bool
 	// leaderConfirmed is set once a leader is known to be the newest that this member can have voted
 	// for; it counts while the member is recovering.
 	leaderConfirmed bool
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -37,6 +37,9 @@
 	// members are then accepted too, and the caller of Serve must admit only control VMs. If it is
 	// nil, only the messages of known members are accepted.
 	AddressOf func(name string) string
+	// MinVoters is the number of voters that the group keeps when it removes members that leave or do
+	// not answer; zero means that it removes none.
+	MinVoters int
 	// DataFolder holds the log and the snapshots.
 	DataFolder string
 	// Dialer opens streams to the other members.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -57,6 +57,8 @@
 	stopping bool
 	// transferring is set while a stopping member that led transfers its leadership.
 	transferring bool
+	// leaveBy is until when a stopping member waits for its removal.
+	leaveBy time.Time
 	// groupStops is set if the whole group is about to stop.
 	groupStops atomic.Bool
 	// transferred is set once the stopping member has stepped down as leader.
@@ -130,6 +132,7 @@
 		Founders:     r.config.founders(),
 		Seed:         r.config.Seed,
 		Start:        rand.Uint64() | 1, // never zero
+		MinVoters:    r.config.MinVoters,
 		MaxUnapplied: r.config.MaxUnapplied,
 		TailEntries:  r.config.TailEntries,
 		TailBytes:    int(min(agreement.DefaultTailBytes, r.config.SnapshotBytes/logParts)),
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -62,7 +62,8 @@
 		}
 		if r.transferring && r.state.Role != agreement.Leader {
 			r.transferring, r.transferred = false, true
-			stopBy = time.Now().Add(transferWaitTicks * r.config.TickEvery)
+			stopBy = time.Now().Add((transferWaitTicks + leaveWaitTicks) * r.config.TickEvery)
+			r.leaveBy = stopBy
 		}
 		select {
 		case <-ticker.C:
@@ -85,7 +86,8 @@
 				continue
 			}
 			r.transferring = r.state.Role == agreement.Leader && len(r.state.Members) > 1
-			r.step(agreement.TransferRequested{Tick: r.tick()})
+			r.step(agreement.StopRequested{Tick: r.tick()})
+			r.leaveBy = time.Now().Add(leaveWaitTicks * r.config.TickEvery)
 		}
 		if err := r.failure(); err != nil {
 			return err
@@ -99,9 +101,12 @@
 // After that time the message that starts the election has been delivered or is lost.
 const transferWaitTicks = 12
 
-// canStop reports whether a stopping member has no calls left and has transferred its leadership. A
-// former leader stays until it knows another one: the message that asks the successor to start an
-// election could be lost if this process ended.
+// leaveWaitTicks bounds, in ticks, how long a stopping member waits until the leader has removed it.
+const leaveWaitTicks = 40
+
+// canStop reports whether a stopping member has no calls left, has transferred its leadership, and was
+// removed if the group can bear more losses without it. A former leader stays until it knows another
+// one: the message that asks the successor to start an election could be lost if this process ended.
 func (r *Replica) canStop() bool {
 	if len(r.waiting) > 0 {
 		return false
@@ -109,7 +114,16 @@
 	if r.state.Role == agreement.Leader {
 		return !r.state.Transferring()
 	}
-	return !(r.transferring || r.transferred) || r.state.Leader != ""
+	if (r.transferring || r.transferred) && r.state.Leader == "" {
+		return false
+	}
+	return r.groupStops.Load() || r.hasLeft() || time.Now().After(r.leaveBy)
+}
+
+// hasLeft reports whether this member need not wait for its removal, which is durable here: it then
+// joins again as soon as it returns.
+func (r *Replica) hasLeft() bool {
+	return !r.state.AwaitsRemoval() && r.state.Synced >= r.state.MembersIndex
 }
 
 func (r *Replica) failure() error { return errors.Join(r.disk.fatal, r.applier.failure()) }
@@ -184,6 +198,9 @@
 		r.handleRefusal(e)
 	case agreement.LeadershipChanged:
 		r.logLeadership(e)
+	case agreement.MemberRemoved:
+		r.config.Logger.Info("control VM removed", "member", e.Member.Name, "leaving", e.Leaving,
+			"awayMs", (time.Duration(e.Away) * r.config.TickEvery).Milliseconds())
 	case agreement.Fatal:
 		r.disk.fatal = &FatalError{Detail: e.Detail}
 	}
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -166,6 +166,7 @@
 			control.PartRouting:  c.routing,
 		}),
 		Logger:        p.Logger,
+		MinVoters:     p.minVoters(),
 		MinFreeBytes:  uint64(p.Settings.Control.MinFreeBytes),
 		SnapshotBytes: p.Settings.Control.LogBytes,
 	})
--- a/internal/role/joiner.go
+++ b/internal/role/joiner.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
@@ -20,31 +19,17 @@
 	// member.
 	membershipCheckInterval = 500 * time.Millisecond
 	// joinDelay is how long a control VM without a leader waits before it requests to
-	// join: elections take a second at most.
-	joinDelay = 2 * time.Second
+	// join: elections take half a second as a rule.
+	joinDelay = time.Second
 	// joinTimeout bounds one request to join, to add a member or to remove one.
 	joinTimeout = 2 * time.Second
-	// removeAfter is how long a member may be unreachable before the leader
-	// removes it from a group that is large enough without it. The time is several
-	// times as long as a restart and longer than a partition of a few seconds. A
-	// member that returns later requests to join again.
-	removeAfter = 8 * time.Second
-	// removeReplacedAfter applies in place of removeAfter while a VM that joined a
-	// short time ago replaces a lost one. Until the lost VM is removed it counts towards the
-	// quorum, and the next loss would leave the group without one. The time is
-	// longer than a restart takes.
-	removeReplacedAfter = 2500 * time.Millisecond
-	// replacementWindow is how long after a join an unreachable member counts as
-	// replaced.
-	replacementWindow = 30 * time.Second
 	// maxJoinRedirects bounds how often a request to join is redirected to the
 	// leader.
 	maxJoinRedirects = 3
 )
 
-// Joiner keeps a control VM that knows only the seeds a member of their group. It
-// requests to join. On the leader it also admits other VMs and removes members
-// that stay unreachable.
+// Joiner keeps a control VM that knows only some control VMs a member of their group. It requests to
+// join. On the leader it also admits other VMs; the leader itself removes those that leave.
 //
 // Otherwise a VM that is replaced by an empty one at another address would count
 // as a missing member permanently, and the next loss would leave no quorum.
@@ -57,26 +42,15 @@
 
 	mutex      sync.Mutex // guards Seeds once Run has begun
 	lastMember time.Time
-	// unreachableSince is when each member stopped answering this leader.
-	unreachableSince map[string]time.Time
-	nextTarget       int
-	// lastAdmission is when this VM last admitted another one, nil if it never
-	// did. It keeps its monotonic clock reading, as the wall clock may jump.
-	lastAdmission atomic.Pointer[time.Time]
 }
 
-// Run requests to join and removes unreachable members until ctx ends.
+// Run requests to join until this VM is a member, and again if it no longer is, until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
-	j.lastMember, j.unreachableSince = time.Now(), map[string]time.Time{}
-	for wait(ctx, membershipCheckInterval); ctx.Err() == nil; wait(ctx, membershipCheckInterval) {
+	j.lastMember = time.Now()
+	for ; ctx.Err() == nil; wait(ctx, membershipCheckInterval) {
 		status := j.Replica.Status()
-		if status.Role == agreement.Leader {
-			j.lastMember = time.Now()
-			j.removeUnreachable(ctx, status)
-			continue
-		}
-		clear(j.unreachableSince)
-		if status.Leader != "" && isVoter(status.Members, j.Self.Name) {
+		leads := status.Role == agreement.Leader
+		if leads || (status.Leader != "" && isVoter(status.Members, j.Self.Name)) {
 			j.lastMember = time.Now()
 			continue
 		}
@@ -101,23 +75,32 @@
 	return slices.ContainsFunc(members, func(m message.Member) bool { return m.Name == name && m.Voter })
 }
 
-// requestJoin sends a request to join to the next control VM in turn, and follows
-// its redirects to the leader.
+// requestJoin sends a request to join to every control VM that may lead or know the leader.
 func (j *Joiner) requestJoin(ctx context.Context, status replica.Status) {
+	var requests sync.WaitGroup
+	for _, address := range j.targets(status) {
+		requests.Go(func() { j.requestJoinAt(ctx, address) })
+	}
+	requests.Wait()
+}
+
+// targets lists the control VMs that are known: the seeds, which may all be relays or down, the members
+// in the log.
+func (j *Joiner) targets(status replica.Status) []string {
 	j.mutex.Lock()
 	targets := slices.Clone(j.Seeds)
 	j.mutex.Unlock()
 	for _, m := range status.Members {
-		if !slices.Contains(targets, m.Address) {
-			targets = append(targets, m.Address)
-		}
-	}
-	targets = slices.DeleteFunc(targets, func(a string) bool { return a == j.Self.Address })
-	if len(targets) == 0 {
-		return
+		targets = append(targets, m.Address)
 	}
-	j.nextTarget++
-	address := targets[j.nextTarget%len(targets)]
+	slices.Sort(targets)
+	targets = slices.Compact(targets)
+	return slices.DeleteFunc(targets, func(a string) bool { return a == j.Self.Address || a == "" })
+}
+
+// requestJoinAt sends a request to join to a control VM, and follows its redirects to the leader.
+func (j *Joiner) requestJoinAt(ctx context.Context, address string) {
+	asked := address
 	for range maxJoinRedirects {
 		answer, err := j.sendJoin(ctx, address)
 		if err != nil {
@@ -125,7 +108,7 @@
 			return
 		}
 		if answer.Leader == "" || answer.Leader == address {
-			j.Logger.Info("asked to join", "asked", address, "refused", answer.Reason)
+			j.Logger.Info("asked to join", "first", asked, "asked", address, "refused", answer.Reason)
 			return
 		}
 		address = answer.Leader
@@ -180,42 +163,10 @@
 	if err := j.Replica.AddMember(ctx, m); err != nil {
 		return message.Joined{Reason: err.Error()}
 	}
-	now := time.Now()
-	j.lastAdmission.Store(&now)
 	j.Logger.Info("control VM joins", "member", m.Name, "address", m.Address, "failureDomain", m.FailureDomain)
 	return message.Joined{}
 }
 
-// removeUnreachable removes one member that has been unreachable for too long.
-func (j *Joiner) removeUnreachable(ctx context.Context, status replica.Status) {
-	voters := 0
-	for _, p := range status.Peers {
-		if p.Voter {
-			voters++
-		}
-		if p.Active {
-			delete(j.unreachableSince, p.Name)
-		} else if _, known := j.unreachableSince[p.Name]; !known {
-			j.unreachableSince[p.Name] = time.Now()
-		}
-	}
-	limit := removeAfter
-	if joined := j.lastAdmission.Load(); joined != nil && time.Since(*joined) < replacementWindow {
-		limit = removeReplacedAfter
-	}
-	for _, p := range status.Peers {
-		lost, unreachable := j.unreachableSince[p.Name]
-		if !unreachable || time.Since(lost) < limit || (p.Voter && voters <= agreement.MinVoters) {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-		err := j.Replica.RemoveMember(ctx, p.Name)
-		cancel()
-		j.Logger.Info("control VM removed", "member", p.Name, "awayMs", time.Since(lost).Milliseconds(), "error", err)
-		return
-	}
-}
-
 // membersFromSeeds returns the members of a group that is founded by seeds. Each
 // is named by its IP, the only thing that is known of it.
 func membersFromSeeds(seeds []string) []message.Member {
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -15,6 +15,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/metrics"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/agreement"
 	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/internal/reducer/follow"
 	"github.com/oriolebend/oriolebend/internal/settings"
@@ -153,6 +154,16 @@
 	return membersFromSettings(p.Settings.Control.Members)
 }
 
+// minVoters returns the number of voters that the control VMs keep when they remove members, zero if
+// the settings list all members. A quorum of the rest must hold a copy more than disks may be lost.
+func (p Process) minVoters() int {
+	c := p.Settings.Control
+	if len(c.Seeds) == 0 {
+		return 0
+	}
+	return max(agreement.MinVoters, 2*c.LostDisks+1)
+}
+
 // addressOf returns a function that maps the name of a control VM to its peer
 // address, or nil unless control VMs are found through seeds. Such VMs are named
 // by their IP and listen on the same port.
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -279,6 +279,9 @@
 	s.waitFor("the relay knows the leader", func() bool { return relay.LeaderIP() != "" })
 }
 
+// catchUpTime is how long after the start of its successor a VM that was replaced still counts as lost.
+const catchUpTime = 4 * time.Second
+
 // Guards against a group without a quorum after a second loss, right after a replacement
 // has caught up. A control VM is lost for good, and another one joins at a new address and
 // votes. The lost VM counts as a member until it is removed, so it must be removed earlier
@@ -298,7 +301,48 @@
 	s.waitFor("four vote", func() bool { return s.voters() == 4 })
 	voted := time.Now()
 	s.waitFor("three vote", func() bool { return s.voters() == 3 })
-	is.New(t).True(time.Since(voted) < removeAfter/2)
+	is.New(t).True(time.Since(voted) < catchUpTime)
+}
+
+// stop ends a control VM as SIGTERM does.
+func (s *routeSite) stop(ip string) {
+	s.t.Helper()
+	s.mutex.Lock()
+	c := s.running[ip]
+	delete(s.running, ip)
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(s.t.Context(), waitTimeout)
+	defer cancel()
+	is.New(s.t).NoErr(c.Stop(ctx))
+}
+
+// loseDisk kills a control VM, which starts again with an empty data folder.
+func (s *routeSite) loseDisk(ip string) {
+	s.t.Helper()
+	s.kill(ip)
+	is.New(s.t).NoErr(os.RemoveAll(filepath.Join(s.folder, ip)))
+	s.startControl(ip)
+}
+
+// Guards against a group without a quorum for good: the leader is replaced as planned work, and a
+// disk is lost right after it has stopped.
+func TestDiskLostAfterAReplacedLeader(t *testing.T) {
+	s := newRouteSite(t)
+	for _, ip := range seededControls {
+		s.startControl(ip)
+	}
+	s.declare(1, "s")
+	s.startControl("127.0.1.4")
+	s.waitFor("four vote", func() bool { return s.voters() == 4 })
+	replaced := s.leader()
+	s.stop(replaced)
+	for _, ip := range seededControls {
+		if ip != replaced && ip != s.leader() {
+			s.loseDisk(ip)
+			break
+		}
+	}
+	s.declare(2, "s")
 }
 
 // Guards against the loss of an accepted routing. The control VM that acknowledged it loses
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -144,6 +144,7 @@
 		f.address(elementPath("control.seeds", i), seed)
 	}
 	atLeast(f, "control.seedPort", c.SeedPort, 0)
+	atLeast(f, "control.lostDisks", c.LostDisks, 0)
 	atLeast(f, "control.minFreeBytes", c.MinFreeBytes, 0)
 	atLeast(f, "control.logBytes", c.LogBytes, 0)
 	atLeast(f, "control.quotaOvershoot", c.QuotaOvershoot, 0)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -205,6 +205,9 @@
 	// SeedPort is the peer port of every control VM, if the addresses in Seeds carry a
 	// different port; zero means that they carry the peer port.
 	SeedPort int `toml:"seedPort"`
+	// LostDisks is the number of control VMs found through seeds that may lose their disks at the same
+	// time; zero means one.
+	LostDisks int `toml:"lostDisks"`
 	// MinFreeBytes is the free disk space below which changes are refused; zero means
 	// 64 MiB.
 	MinFreeBytes int64 `toml:"minFreeBytes"`
