--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -106,6 +106,10 @@
 // server would run a request that no caller sent. Such requests are refused and their
 // connection is closed.
 func parseHead(raw []byte) (head, error) {
+	target, err := requestTarget(raw)
+	if err != nil {
+		return head{}, err
+	}
 	if err := checkLines(raw); err != nil {
 		return head{}, err
 	}
@@ -113,12 +117,7 @@
 	if err != nil {
 		return head{}, malformed("header", err)
 	}
-	line, _, _ := bytes.Cut(raw, []byte("\n"))
-	parts := strings.Fields(string(line))
-	if len(parts) != 3 || !strings.HasPrefix(parts[1], "/") {
-		return head{}, malformed("the request line has no path", nil)
-	}
-	h := head{request: request, target: parts[1], length: request.ContentLength}
+	h := head{request: request, target: target, length: request.ContentLength}
 	if len(request.TransferEncoding) > 0 {
 		h.length = -1
 	}
@@ -126,46 +125,6 @@
 	return h, nil
 }
 
-// checkLines refuses header lines that net/http would repair silently.
-func checkLines(raw []byte) error {
-	lines := bytes.Split(raw, []byte("\n"))
-	lengths, codings, hosts := 0, 0, 0
-	for _, line := range lines[1:] {
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		if len(line) == 0 {
-			continue
-		}
-		if line[0] == ' ' || line[0] == '\t' {
-			return malformed("folded header line", nil)
-		}
-		if bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
-			return malformed("control character in the header", nil)
-		}
-		name, _, found := bytes.Cut(line, []byte(":"))
-		if !found {
-			return malformed("header line without a colon", nil)
-		}
-		switch strings.ToLower(string(name)) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			codings++
-		case "host":
-			hosts++
-		}
-	}
-	if lengths > 1 || codings > 1 || (lengths > 0 && codings > 0) {
-		return malformed("the length of the body is given twice", nil)
-	}
-	if codings > 0 && bytes.HasSuffix(bytes.TrimRight(lines[0], "\r"), []byte("HTTP/1.0")) {
-		return malformed("chunks in HTTP/1.0", nil)
-	}
-	if hosts != 1 {
-		return malformed("not one Host line", nil)
-	}
-	return nil
-}
-
 // readBody reads the complete body.
 func readBody(r *bufio.Reader, h head, limit int64, held *memorybudget.Holding) ([]byte, error) {
 	if h.length > limit {
@@ -187,27 +146,6 @@
 	return body, readTrailer(r)
 }
 
-// maxTrailerBytes bounds the lines after the last chunk.
-const maxTrailerBytes = 4 << 10
-
-// readTrailer reads and discards the lines after the last chunk.
-func readTrailer(r *bufio.Reader) error {
-	read := 0
-	for {
-		line, err := r.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		read += len(line)
-		if read > maxTrailerBytes {
-			return malformed("long trailer", nil)
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-}
-
 func tooLarge(limit int64) error {
 	return &SyntaxError{Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("body over %d bytes", limit)}
 }
--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -92,7 +92,9 @@
 // the seeds of the control VMs.
 func (c *ControlProcess) Reload(s settings.Settings) {
 	if c.joiner != nil {
-		c.joiner.SetSeeds(Process{Settings: s}.seeds())
+		seeds := Process{Settings: s}.seeds()
+		c.joiner.SetSeeds(seeds)
+		c.observer.SetSeeds(seeds)
 	}
 }
 
@@ -147,6 +149,7 @@
 		Seeds:   p.seeds(),
 		Replica: c.replica,
 		Dialer:  c.endpoint,
+		Known:   func() []string { return append(c.observer.Open(), c.observer.Leader()) },
 		Logger:  p.Logger,
 	}
 }
--- a/internal/role/joiner.go
+++ b/internal/role/joiner.go
@@ -38,7 +38,9 @@
 	Seeds   []string
 	Replica *replica.Replica
 	Dialer  peer.Dialer
-	Logger  *slog.Logger
+	// Known lists further control VMs, which this VM has found since its start; nil means none.
+	Known  func() []string
+	Logger *slog.Logger
 
 	mutex      sync.Mutex // guards Seeds once Run has begun
 	lastMember time.Time
@@ -85,7 +87,7 @@
 }
 
 // targets lists the control VMs that are known: the seeds, which may all be relays or down, the members
-// in the log.
+// in the log, and those that relays have named.
 func (j *Joiner) targets(status replica.Status) []string {
 	j.mutex.Lock()
 	targets := slices.Clone(j.Seeds)
@@ -93,6 +95,9 @@
 	for _, m := range status.Members {
 		targets = append(targets, m.Address)
 	}
+	if j.Known != nil {
+		targets = append(targets, j.Known()...)
+	}
 	slices.Sort(targets)
 	targets = slices.Compact(targets)
 	return slices.DeleteFunc(targets, func(a string) bool { return a == j.Self.Address || a == "" })
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -345,6 +345,27 @@
 	s.declare(2, "s")
 }
 
+// Guards against a replaced control VM that remains a voter for good: its successor knows only relays.
+func TestSuccessorThatKnowsOnlyRelaysJoins(t *testing.T) {
+	is := is.New(t)
+	s := newRouteSite(t)
+	for _, ip := range seededControls {
+		s.startControl(ip)
+	}
+	s.declare(1, "s")
+	s.seeds = append(s.seeds, "127.0.1.5")
+	relay, err := StartRelay(s.process(peer.RoleControl, "127.0.1.5"))
+	is.NoErr(err)
+	defer func() { is.NoErr(relay.Stop(t.Context())) }()
+	s.waitFor("the relay knows the leader", func() bool { return relay.LeaderIP() != "" })
+	s.kill(s.leader())
+	s.seeds = []string{"127.0.1.5"}
+	s.startControl("127.0.1.4")
+	s.waitFor("the successor votes in place of the lost VM", func() bool {
+		return s.voters() == 3 && s.running["127.0.1.4"].replica.Status().Leader != ""
+	})
+}
+
 // Guards against the loss of an accepted routing. The control VM that acknowledged it loses
 // its disk immediately and restarts empty; then another one is lost. An empty member must
 // not vote before it has received again the entries that it had accepted.
