--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -48,6 +48,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(answer); err != nil {
+			return nil, err
+		}
 		if answer.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimAnswers {
 				return nil, &InterimAnswersError{Limit: maxInterimAnswers}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -320,6 +320,24 @@
 	}
 }
 
+// Guards against answers whose body has another length for the caller than for the server.
+func TestMalformedHeadIsRefused(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length : 2",
+		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding : chunked\r\nContent-Length: 2",
+		"HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2",
+		"HTTP/2.0 200 OK\r\nId: a\r\nContent-Length: 2",
+		"HTTP/1.7 200 OK\r\nId: a\r\nContent-Length: 2",
+	} {
+		t.Run(head, func(t *testing.T) {
+			is := is.New(t)
+			_, err := exchangeOnPipe(t, head+"\r\n\r\nok")
+			_, malformed := errors.AsType[*MalformedHeadError](err)
+			is.True(malformed)
+		})
+	}
+}
+
 // A head of usual length, and a body that is longer than a head may be, are read whole.
 func TestBodyMayBeLongerThanAHead(t *testing.T) {
 	is := is.New(t)
--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"slices"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxHeadBytes bounds the heads of answers. It is far above the longest head of a sound server.
@@ -20,6 +22,28 @@
 	return fmt.Sprintf("head of the answer over %d bytes", e.Limit)
 }
 
+// MalformedHeadError is the error of a head that net/http accepts, but that other parsers may read in
+// another way.
+type MalformedHeadError struct{ Detail string }
+
+// Error implements error.
+func (e *MalformedHeadError) Error() string { return "malformed head of the answer: " + e.Detail }
+
+// checkHead refuses a head that is not of HTTP/1.0 or HTTP/1.1, or has an invalid header name.
+// "Content-Length " would be another header than Content-Length: the answer would have another body here
+// than for the server.
+func checkHead(answer *http.Response) error {
+	if answer.ProtoMajor != 1 || answer.ProtoMinor > 1 {
+		return &MalformedHeadError{Detail: fmt.Sprintf("version %q", answer.Proto)}
+	}
+	for name := range answer.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedHeadError{Detail: fmt.Sprintf("header name %q", name)}
+		}
+	}
+	return nil
+}
+
 // SplicedHeadError is the error of a head that contains the start of another one: a server broke off
 // in the middle of a head and sent the next answer on the same connection.
 type SplicedHeadError struct{ Status string }
