http1: nothing follows an answer that has no body

Cause: Answer.End wrote the last chunk for HEAD, too; 204 and 304 could be given chunks or a body. SendBytes alone knew of HEAD.

Change: an answer knows from its head whether a body may follow; Write and End send nothing then. HEAD without a body no longer states the length 0.

--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -57,6 +57,8 @@
 
 	begun, ended, failed bool
 	streaming            bool
+	// bodiless is set once an answer was begun that has no body, whatever its headers say.
+	bodiless bool
 }
 
 // Begun reports whether a part of the answer may have been sent to the caller.
@@ -67,11 +69,12 @@
 	a.begun = true
 	var out bytes.Buffer
 	a.writeHead(&out, status, header)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	// The body of a GET may have another length than that of the answer to HEAD.
+	if !hasNoBody(status) && (!a.headOnly || len(body) > 0) {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	if a.headOnly {
+	if a.bodiless {
 		body = nil
 	}
 	if len(body) <= writePieceBytes {
@@ -99,7 +102,7 @@
 		return err
 	}
 	length := body.Length()
-	if errors.Is(err, io.EOF) || length == int64(len(first)) {
+	if errors.Is(err, io.EOF) || length == int64(len(first)) || hasNoBody(status) {
 		a.SendBytes(status, header, first)
 		return nil
 	}
@@ -112,6 +115,10 @@
 	a.writeHead(&head, status, header)
 	head.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n\r\n")
 	a.send(head.Bytes())
+	if a.bodiless {
+		a.ended = !a.failed
+		return nil
+	}
 	return a.copyParts(first, body, a.sendPieces, func() { a.ended = !a.failed })
 }
 
@@ -141,14 +148,17 @@
 	a.begun, a.streaming = true, true
 	var out bytes.Buffer
 	a.writeHead(&out, status, header)
-	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	if !hasNoBody(status) {
+		out.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	out.WriteString("\r\n")
 	return a.send(out.Bytes())
 }
 
 // Write sends a part of an answer that was begun; it returns false if a write to the
 // caller's connection failed.
 func (a *Answer) Write(part []byte) bool {
-	if len(part) == 0 {
+	if len(part) == 0 || a.bodiless {
 		return !a.failed
 	}
 	out := make([]byte, 0, len(part)+16)
@@ -161,15 +171,26 @@
 
 // End ends an answer that was begun and marks it as complete.
 func (a *Answer) End() {
+	if a.bodiless {
+		a.ended = !a.failed
+		return
+	}
 	a.ended = a.send([]byte("0\r\n\r\n"))
 }
 
+// hasNoBody reports whether answers with a status end with their head. A byte after it would be read as
+// the start of the next answer.
+func hasNoBody(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // writeHead writes the head without the lines for the body's length and without the
 // empty line.
 func (a *Answer) writeHead(out *bytes.Buffer, status int, header http.Header) {
 	if a.closing() {
 		a.keepAlive = false
 	}
+	a.bodiless = a.headOnly || hasNoBody(status)
 	out.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	header = EndToEnd(header)
 	delete(header, "Content-Length")
--- a/internal/http1/script_test.go
+++ b/internal/http1/script_test.go
@@ -32,6 +32,14 @@
 		}
 		a.End()
 		return
+	case r.Path() == "/none":
+		a.Begin(http.StatusNoContent, http.Header{})
+		a.Write([]byte("body"))
+		a.End()
+		return
+	case r.Path() == "/unchanged":
+		a.SendBytes(http.StatusNotModified, http.Header{}, []byte("body"))
+		return
 	}
 	body := fmt.Sprintf("%s %s host=%s body=%q x=%q", r.Method, r.Target, r.Host, r.Body, r.Header.Get("X"))
 	a.SendBytes(http.StatusOK, http.Header{"Content-Length": {"1"}, "X": {"y"}}, []byte(body))
