--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolebend/oriolebend/internal/backend"
 	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/dispatch"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -77,6 +78,7 @@
 	}
 	p.exited = f.refusesConnections(server.Address, probeDelays)
 	if p.exited {
+		f.reduce(dispatch.ServerExited{At: f.now(), Server: server})
 		f.config.Logger.Info("server has ended", "server", server.Instance, "incarnation", server.Incarnation, "address", server.Address)
 	} else {
 		f.crashes.forget(server) // it may exit a moment later, under another request
@@ -120,9 +122,9 @@
 // detectCrash reports the request to the quarantine if the server crashed under it, for a send that
 // broke before the server began to answer or shortly afterwards.
 func (w *work) detectCrash(server message.BackendServer, err error) {
-	failure, ok := errors.AsType[*backend.Error](err)
-	if !ok || failure.Reason != oriolebend.ReasonOutcomeLost {
-		return // the server answered in another way, the caller disconnected, or nothing was sent
+	failure, lost := lostOutcome(err)
+	if !lost {
+		return
 	}
 	broken := time.Now()
 	w.f.background.Go(func() {
@@ -131,3 +133,17 @@
 		}
 	})
 }
+
+// detectExit probes a server whose connection broke in the middle of an answer.
+func (w *work) detectExit(server message.BackendServer, err error) {
+	if _, lost := lostOutcome(err); lost {
+		w.f.background.Go(func() { w.f.hasExited(server) })
+	}
+}
+
+// lostOutcome returns the error of a connection that broke, and false if the server answered in another
+// way, the caller disconnected, or nothing was sent.
+func lostOutcome(err error) (*backend.Error, bool) {
+	failure, ok := errors.AsType[*backend.Error](err)
+	return failure, ok && failure.Reason == oriolebend.ReasonOutcomeLost
+}
--- a/internal/forwarder/origin.go
+++ b/internal/forwarder/origin.go
@@ -102,6 +102,9 @@
 	}
 	w.originRecorded = true
 	if w.origin == nil {
+		if w.f.exited(server) {
+			server.SoftwareVersion = "" // another start of it answers, which may have another version
+		}
 		origin := message.OriginOf(server)
 		w.origin = &origin
 	}
--- a/internal/forwarder/permit.go
+++ b/internal/forwarder/permit.go
@@ -106,11 +106,19 @@
 	return f.state.Limit(server)
 }
 
-// closedServers lists the servers of a service that accept nothing from this forwarder now.
-func (f *Forwarder) closedServers(service string) []string {
+// closedServers lists the servers that accept nothing from this forwarder now, or can't continue the
+// stream of the request.
+func (f *Forwarder) closedServers(n dispatch.Need) []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.state.Unavailable(f.now(), service)
+	return f.state.Unavailable(f.now(), n.Service, n.Origin)
+}
+
+// exited reports whether the process of a server has exited, and no later start has been announced.
+func (f *Forwarder) exited(server message.BackendServer) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Exited(f.now(), server)
 }
 
 // allClosed reports whether the state that the servers report leaves no server for the request. The
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -122,7 +122,7 @@
 func (w *work) requestPlacement(ctx context.Context) (dispatch.Grant, *refusal, bool) {
 	need := w.need()
 	need.Output = w.info.expected()
-	need.Excluded = w.f.closedServers(need.Service)
+	need.Excluded = w.f.closedServers(need)
 	if refused, closed := w.allClosed(); closed {
 		return dispatch.Grant{}, &refused, true
 	}
@@ -177,7 +177,8 @@
 // work, as far as this forwarder knows. If it returns false, the placement has been released and
 // the allocator knows the reason.
 func (w *work) acceptPlacement(g dispatch.Grant) bool {
-	if !w.origin.Permits(g.Server) { // the allocator is of an earlier release
+	// The allocator may be of an earlier release, or the server has exited since.
+	if !w.origin.Permits(g.Server) || (w.origin != nil && w.f.exited(g.Server)) {
 		w.rejectPlacement(g, oriolebend.ReasonVersionGone, dispatch.OutcomeCancelled)
 		return false
 	}
--- a/internal/forwarder/softwareversions_test.go
+++ b/internal/forwarder/softwareversions_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"slices"
 	"strconv"
@@ -32,7 +34,9 @@
 //
 //	server VERSION DOMAIN [after=N]   adds a server, "-" if its version is unknown, which with
 //	                                  after=N breaks each stream after event N
-//	crash SERVER | restart SERVER VERSION     SERVER counts from 0
+//	exits SERVER              its process exits when a stream breaks there; SERVER counts from 0
+//	back SERVER VERSION       its next process listens, and is not announced yet
+//	crash SERVER | restart SERVER VERSION     announces that it has ended, or its next start
 //	stream PATH ID [resumes=ID] [after=EVENT]   prints the status, the reason or the version of each event
 func TestStreamSoftwareVersions(t *testing.T) {
 	datadriven.Walk(t, "testdata/softwareversions", func(t *testing.T, path string) {
@@ -52,6 +56,10 @@
 					}
 					s.server(words[2], oriolebend.Decode, versionedStream(words[1], breakAfter))
 					s.setSoftware(len(s.servers)-1, words[1], 1)
+				case "exits":
+					s.exitsOnBreak(index(t, words[1]))
+				case "back":
+					s.listenAgain(index(t, words[1]), versionedStream(words[2], lastEvent))
 				case "crash":
 					s.crash(index(t, words[1]))
 				case "restart":
@@ -102,6 +110,37 @@
 	s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
 }
 
+// exitsOnBreak closes the port of a server before its handler breaks a stream.
+func (s *site) exitsOnBreak(index int) {
+	backend := s.backends[index]
+	handler := backend.Config.Handler
+	backend.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			if broken := recover(); broken != nil {
+				_ = backend.Listener.Close()
+				panic(broken)
+			}
+		}()
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// listenAgain starts another process at the address of a server, once this forwarder has found that the
+// one before has exited.
+func (s *site) listenAgain(index int, handler http.HandlerFunc) {
+	is := is.New(s.t)
+	for start := time.Now(); !s.forwarder.exited(s.servers[index]); time.Sleep(time.Millisecond) {
+		is.True(time.Since(start) < 5*time.Second) // the exit is not noticed
+	}
+	listener, err := net.Listen("tcp", s.servers[index].Address)
+	is.NoErr(err)
+	backend := httptest.NewUnstartedServer(echoID(handler))
+	_ = backend.Listener.Close()
+	backend.Listener = listener
+	backend.Start()
+	s.t.Cleanup(backend.Close)
+}
+
 // crash removes a server that has ended.
 func (s *site) crash(index int) {
 	s.servers[index].Phase = message.PhaseGone
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -296,6 +296,8 @@
 	}
 	if !s.streaming || time.Since(s.started) < earlyStreamPeriod {
 		s.detectCrash(s.grant.Server, failed)
+	} else {
+		s.detectExit(s.grant.Server, failed)
 	}
 	s.reportStreamEnded(outcome)
 	s.logSend(s.grant, "stream broken off", response.Status, reason, failed)
--- a/internal/reducer/dispatch/choose.go
+++ b/internal/reducer/dispatch/choose.go
@@ -87,6 +87,9 @@
 	if c == nil && s.wasRemoved(e.Grant.Server) || c != nil && graceOver(e.At, c.leavingSince) {
 		return Refused{Reason: oriolebend.ReasonLeaving, RetryAfter: retryUnknown}
 	}
+	if e.Grant.Need.Origin != nil && c != nil && c.exited(e.At) {
+		return Refused{Reason: oriolebend.ReasonVersionGone, RetryAfter: retryVersionGone}
+	}
 	kept := s.reported[e.Grant.Server.Start()]
 	switch {
 	case kept == nil:
@@ -186,7 +189,7 @@
 // candidates returns the servers to which the request may be sent.
 func (s *State) candidates(e PlacementRequested) []*server {
 	s.scratch.candidates = s.collect(s.scratch.candidates, e, func(c *server) bool {
-		return c.Role != oriolebend.Prefill && !slices.Contains(e.Need.Tried, c.Instance) && e.Need.Origin.Permits(c.BackendServer)
+		return c.Role != oriolebend.Prefill && !slices.Contains(e.Need.Tried, c.Instance) && c.continues(e.At, e.Need.Origin)
 	})
 	return s.scratch.candidates
 }
--- a/internal/reducer/dispatch/notice.go
+++ b/internal/reducer/dispatch/notice.go
@@ -187,14 +187,16 @@
 	return kept != nil && at.Before(kept.backoffUntil)
 }
 
-// Unavailable lists the servers of a service that currently accept nothing from this forwarder.
-func (s *State) Unavailable(at time.Time, name string) []string {
-	if len(s.reported) == 0 {
+// Unavailable lists the servers of a service that currently accept nothing from this forwarder, and those
+// that have exited if a stream with an origin is to be continued.
+func (s *State) Unavailable(at time.Time, name string, origin *message.StreamOrigin) []string {
+	if len(s.reported) == 0 && origin == nil {
 		return nil
 	}
 	var list []string
 	for _, c := range s.inOrder[name] {
-		if _, reason := s.unavailableUntil(at, c.BackendServer); reason != "" {
+		_, reason := s.unavailableUntil(at, c.BackendServer)
+		if reason != "" || origin != nil && c.exited(at) {
 			list = append(list, c.Instance)
 		}
 	}
@@ -211,7 +213,7 @@
 	var first time.Time
 	var refused Refused
 	for _, c := range s.inOrder[n.Service] {
-		if !c.acceptsWork() || c.Role == oriolebend.Prefill || slices.Contains(n.Tried, c.Instance) || !n.Origin.Permits(c.BackendServer) {
+		if !c.acceptsWork() || c.Role == oriolebend.Prefill || slices.Contains(n.Tried, c.Instance) || !c.continues(at, n.Origin) {
 			continue
 		}
 		until, reason := s.unavailableUntil(at, c.BackendServer)
--- a/internal/reducer/dispatch/script_test.go
+++ b/internal/reducer/dispatch/script_test.go
@@ -38,7 +38,7 @@
 //	                        generated NAME TOOK [PARTS]
 //	                        wrote SERVER TIME-FOR-AN-EVENT COUNT   COUNT streams that ended there
 //	                        read SERVER TIME COUNT   COUNT prompts of 1000 tokens were prefilled there
-//	                        resend NAME | send NAME | offer NAME | pass FOR
+//	                        resend NAME | send NAME | offer NAME | exited SERVER | pass FOR
 //	                        notice SERVER [limit=N] [backoff=FOR] [leaving] [sent=AGO] [failed]
 //	                        no-permit SERVER FOR | unlimited SERVER
 //	                        requests SERVICE COUNT | repeat SERVICE MOST   repeats until one is refused
@@ -180,6 +180,8 @@
 		Reduce(s.state, PromptRejected{At: s.now, Service: words[1]})
 	case "offer":
 		printDecision(out, words[1], Reduce(s.state, PlacementOffered{At: s.now, Server: s.grants[words[1]].Server}))
+	case "exited":
+		Reduce(s.state, ServerExited{At: s.now, Server: s.state.servers[words[1]].BackendServer})
 	case "notice":
 		s.notice(words, out)
 	case "no-permit":
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -116,6 +116,8 @@
 	// leavingSince is when the server was first known to accept no new work, zero if it
 	// accepts new work.
 	leavingSince time.Time
+	// exitedUntil is until when the process counts as exited, unless a later start is announced.
+	exitedUntil time.Time
 	// removed is set once the server is no longer in the list of servers.
 	removed bool
 	// fullUntil is until when the server counts as having no room for fullAt tokens or
@@ -165,6 +167,8 @@
 		return []Effect{s.requestPlacement(e)}
 	case ResendRequested:
 		return []Effect{s.checkResend(e)}
+	case ServerExited:
+		s.recordExit(e)
 	case SendRequested:
 		return []Effect{s.checkSend(e)}
 	case PlacementOffered:
