--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -130,10 +130,40 @@
 	w.f.background.Go(func() {
 		if w.f.hasExited(server) && !w.overloadedByOthers(server) {
 			w.f.config.Quarantine.Crashed(w.suspects(), server, broken, failure.Opened)
+			w.f.observeDomain(server, broken, domainDelays)
 		}
 	})
 }
 
+// domainDelays are the pauses before each check whether the failure domain of a server that crashed still
+// serves: a domain may be lost over a quarter of a second.
+var domainDelays = []time.Duration{300 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, time.Second}
+
+// observeDomain reports to the quarantine once another server of the same service and failure domain has
+// answered since a crash.
+func (f *Forwarder) observeDomain(server message.BackendServer, crashed time.Time, delays []time.Duration) {
+	if len(delays) == 0 {
+		return
+	}
+	time.AfterFunc(delays[0], func() {
+		if f.domainServed(server, crashed.Add(domainLossTime)) {
+			f.config.Quarantine.DomainServed(server, crashed)
+			return
+		}
+		f.observeDomain(server, crashed, delays[1:])
+	})
+}
+
+// domainLossTime is how long after the crash of one server the others of a lost failure domain may still
+// answer.
+const domainLossTime = 250 * time.Millisecond
+
+func (f *Forwarder) domainServed(server message.BackendServer, since time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.DomainServed(f.now().Add(-time.Since(since)), server)
+}
+
 // detectExit probes a server whose connection broke in the middle of an answer.
 func (w *work) detectExit(server message.BackendServer, err error) {
 	if _, lost := lostOutcome(err); lost {
--- a/internal/message/crash.go
+++ b/internal/message/crash.go
@@ -28,6 +28,9 @@
 	// Requests are the fingerprints of some requests with the part that were at the crash; empty if
 	// Fingerprint identifies a request.
 	Requests []uint64 `cbor:"9,keyasint,omitempty"`
+	// DomainServes is set if a server of the same service and failure domain has answered since the
+	// crash, so that the domain was not lost.
+	DomainServes bool `cbor:"10,keyasint,omitempty"`
 }
 
 // SameCrash reports whether two reports describe the same crash of a server under the same request
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -115,6 +115,12 @@
 	s.reduce(quarantine.Crashed{At: s.convert(at), Suspects: suspects, Server: server.Start(), Opened: opened})
 }
 
+// DomainServed records that another server of the same service and failure domain has answered since a
+// server crashed at a time.
+func (s *Store) DomainServed(server message.BackendServer, crashed time.Time) {
+	s.reduce(quarantine.DomainServed{At: s.now(), Server: server.Start(), Crashed: s.convert(crashed)})
+}
+
 // Answered records that a server has answered a request, and that its answer began at a time. It is
 // complete, or has lasted for so long that its beginning can't crash the server any more.
 func (s *Store) Answered(suspects Suspects, began time.Time) {
--- a/internal/reducer/dispatch/exited.go
+++ b/internal/reducer/dispatch/exited.go
@@ -40,3 +40,10 @@
 func (c *server) continues(at time.Time, origin *message.StreamOrigin) bool {
 	return origin == nil || !c.exited(at) && origin.Permits(c.BackendServer)
 }
+
+// DomainServed reports whether a server of the same service and failure domain as a given one has answered
+// since a time.
+func (s *State) DomainServed(since time.Time, server message.BackendServer) bool {
+	service := s.services[server.Service]
+	return service != nil && service.answeredIn[server.FailureDomain].After(since)
+}
--- a/internal/reducer/dispatch/outcome.go
+++ b/internal/reducer/dispatch/outcome.go
@@ -77,6 +77,9 @@
 	switch e.Outcome {
 	case OutcomeAnswered:
 		s.observeAnswer(e, c, service)
+		if service != nil {
+			service.answeredIn[c.FailureDomain] = e.At
+		}
 		c.failedInRow, c.avoidUntil, c.refusedLast = 0, time.Time{}, false
 		c.addResult(service, false, e.Took)
 	case OutcomeFailed:
--- a/internal/reducer/dispatch/state.go
+++ b/internal/reducer/dispatch/state.go
@@ -88,6 +88,8 @@
 	// sojourn is the usual time to the answer of a plain request in seconds, as of lastAnswer.
 	sojourn    median
 	lastAnswer time.Time
+	// answeredIn is when a server of each failure domain last answered.
+	answeredIn map[string]time.Time
 	speeds     serviceSpeeds
 	// load is the work done since the last call of Loads.
 	load message.ServiceLoad
@@ -210,7 +212,7 @@
 	for _, limits := range e.Services {
 		kept := s.services[limits.Name]
 		if kept == nil {
-			kept = &service{speeds: serviceSpeeds{answers: speed.Service{Independent: true}}}
+			kept = &service{speeds: serviceSpeeds{answers: speed.Service{Independent: true}}, answeredIn: map[string]time.Time{}}
 		}
 		kept.limits = limits
 		services[limits.Name] = kept
--- a/internal/reducer/quarantine/cause.go
+++ b/internal/reducer/quarantine/cause.go
@@ -65,6 +65,9 @@
 			moment = crashed.at
 		}
 	}
+	if c.batch() {
+		return max(Limit, count)
+	}
 	return count
 }
 
@@ -215,7 +218,7 @@
 // sameRun reports whether two crashes are the same one. Two suspects may know a run by different
 // numbers and incarnations, and the time of its crash from different reporters.
 func sameRun(a, b crash) bool {
-	return a.run.Instance == b.run.Instance && a.at.Sub(b.at).Abs() <= sameCrash
+	return a.run.Instance == b.run.Instance && sameTime(a.at, b.at)
 }
 
 // explains reports whether a crash is in a list.
--- a/internal/reducer/quarantine/event.go
+++ b/internal/reducer/quarantine/event.go
@@ -47,6 +47,14 @@
 	Opened time.Time
 }
 
+// DomainServed reports that another server of the same service and failure domain has answered since a
+// crash of a server.
+type DomainServed struct {
+	At      time.Time
+	Server  message.ServerStart
+	Crashed time.Time
+}
+
 // Answered reports that a server has answered a request, and that its answer began at a time. It
 // is complete, or has lasted for so long that its beginning can't crash the server any more.
 type Answered struct {
@@ -81,6 +89,8 @@
 
 func (Crashed) isQuarantineEvent() {}
 
+func (DomainServed) isQuarantineEvent() {}
+
 func (Answered) isQuarantineEvent() {}
 
 func (ReportsReceived) isQuarantineEvent() {}
--- a/internal/reducer/quarantine/reports.go
+++ b/internal/reducer/quarantine/reports.go
@@ -74,7 +74,7 @@
 		list = append(list, message.CrashReport{
 			Fingerprint: uint64(fingerprint), Part: suspected.kind == KindPart, Requests: numbers(p.requests),
 			Instance: crashed.Instance, Incarnation: crashed.Incarnation, Life: crashed.number,
-			Age: at.Sub(p.at), Refuted: !p.at.After(suspected.answeredAt), AnsweredAge: answeredAge,
+			Age: at.Sub(p.at), Refuted: !p.at.After(suspected.answeredAt), AnsweredAge: answeredAge, DomainServes: p.domainServes,
 		})
 	}
 	return list
--- a/internal/reducer/quarantine/script_test.go
+++ b/internal/reducer/quarantine/script_test.go
@@ -48,6 +48,9 @@
 	})
 }
 
+// domainCheck is how long after a crash "domain-serves" follows.
+const domainCheck = 500 * time.Millisecond
+
 func (s *script) step(t *testing.T, words []string, out *strings.Builder) {
 	t.Helper()
 	switch words[0] {
@@ -72,6 +75,11 @@
 			crashed.Opened = s.now.Add(-ago)
 		}
 		s.show(words[1], out, Reduce(s.processes[words[1]], crashed))
+	case "domain-serves":
+		for _, instance := range words[2:] {
+			served := DomainServed{At: s.now, Server: message.ServerStart{Instance: instance}, Crashed: s.now.Add(-domainCheck)}
+			s.show(words[1], out, Reduce(s.processes[words[1]], served))
+		}
 	case "answer":
 		s.show(words[1], out, Reduce(s.processes[words[1]], Answered{At: s.now, Suspects: s.suspects(words[2])}))
 	case "release":
--- a/internal/reducer/quarantine/state.go
+++ b/internal/reducer/quarantine/state.go
@@ -29,6 +29,8 @@
 	Limit = 3
 	// AnsweredLimit is used in place of Limit if servers answered it not long before.
 	AnsweredLimit = 5
+	// batchLimit is used in place of Limit for crashes that came at one moment.
+	batchLimit = 5
 )
 
 const (
@@ -111,6 +113,8 @@
 		return s.applyCrash(e)
 	case Answered:
 		return s.applyAnswer(e)
+	case DomainServed:
+		return s.applyDomainServed(e)
 	case ReportsReceived:
 		return s.applyReports(e)
 	case RefutationDue:
--- a/internal/reducer/quarantine/suspect.go
+++ b/internal/reducer/quarantine/suspect.go
@@ -27,6 +27,8 @@
 	at time.Time
 	// requests are some requests with the part that were at the crash; empty for a request itself.
 	requests []Fingerprint
+	// domainServes is set if the failure domain of the server was not lost with it.
+	domainServes bool
 }
 
 // maxRequests bounds the requests of one report.
@@ -94,7 +96,7 @@
 	}
 	for other, p := range s.reports {
 		if other.Instance == c.run.Instance && other.Incarnation != c.run.Incarnation && p.at.After(s.answeredAt) &&
-			p.at.Sub(c.at).Abs() <= sameCrash {
+			sameTime(p.at, c.at) {
 			return true
 		}
 	}
@@ -188,6 +190,8 @@
 		known.at = crashedAt
 	}
 	merged, more := known.with(requests...)
+	more = more || m.DomainServes && !merged.domainServes
+	merged.domainServes = merged.domainServes || m.DomainServes
 	if !found {
 		s.add(crashed, merged)
 		return true
