--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -76,7 +76,7 @@
 	strictLine  = regexp.MustCompile(`^([!#$%&'*+.^_` + "`" + `|~0-9A-Za-z-]+) (/[^ #\x00-\x20\x7f]*) HTTP/1\.[01]$`)
 	strictField = regexp.MustCompile(`^([!#$%&'*+.^_` + "`" + `|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)$`)
 	strictChunk = regexp.MustCompile(`^([0-9A-Fa-f]+)[ \t]*(;.*)?$`)
-	strictEnd   = errors.New("not HTTP/1.1")
+	errStrict   = errors.New("not HTTP/1.1")
 )
 
 // readStrictly returns the requests in data up to the first that RFC 9112 does not allow, as far as the
@@ -105,7 +105,7 @@
 	}
 	parts := strictLine.FindStringSubmatch(line)
 	if err != nil || parts == nil {
-		return exchange{}, strictEnd
+		return exchange{}, errStrict
 	}
 	fields, err := readStrictFields(r)
 	if err != nil {
@@ -128,7 +128,7 @@
 		}
 		parts := strictField.FindStringSubmatch(line)
 		if parts == nil {
-			return nil, strictEnd
+			return nil, errStrict
 		}
 		name := strings.ToLower(parts[1])
 		fields[name] = append(fields[name], strings.Trim(parts[2], " \t"))
@@ -141,9 +141,9 @@
 	case len(lengths)+len(codings) == 0:
 		return "", nil
 	case len(lengths)+len(codings) > 1:
-		return "", strictEnd
+		return "", errStrict
 	case len(codings) == 1 && !strings.EqualFold(codings[0], "chunked"):
-		return "", strictEnd
+		return "", errStrict
 	case len(codings) == 1:
 		return readStrictChunks(r)
 	}
@@ -164,7 +164,7 @@
 		line, err := strictReadLine(r)
 		parts := strictChunk.FindStringSubmatch(line)
 		if err != nil || parts == nil {
-			return "", strictEnd
+			return "", errStrict
 		}
 		n, err := strconv.ParseUint(parts[1], 16, 62)
 		if err != nil {
@@ -179,7 +179,7 @@
 		}
 		end := make([]byte, 2)
 		if _, err := io.ReadFull(r, end); err != nil || string(end) != "\r\n" {
-			return "", strictEnd
+			return "", errStrict
 		}
 	}
 }
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -154,22 +154,7 @@
 	records := controlpeer.NewRecords()
 	store := operator.NewStore()
 	c.routing = routing.NewStore()
-	log, err := replica.New(replica.Config{
-		Name:       name,
-		Members:    p.initialMembers(),
-		AddressOf:  p.addressOf(),
-		DataFolder: p.Settings.Control.DataFolder,
-		Dialer:     c.endpoint,
-		Machine: control.NewMux(map[control.PartName]control.Machine{
-			control.PartRecords:  records,
-			control.PartDeclared: control.Enveloped{Machine: store, Part: control.PartDeclared},
-			control.PartRouting:  c.routing,
-		}),
-		Logger:        p.Logger,
-		MinVoters:     p.minVoters(),
-		MinFreeBytes:  uint64(p.Settings.Control.MinFreeBytes),
-		SnapshotBytes: p.Settings.Control.LogBytes,
-	})
+	log, err := c.newReplica(records, store)
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
 	}
@@ -242,6 +227,28 @@
 	return c.serveOperators(store, reached)
 }
 
+// newReplica opens the replicated log of the control VM, whose commands change the request records, the
+// declared state and the routing.
+func (c *ControlProcess) newReplica(records *controlpeer.Records, store *operator.Store) (*replica.Replica, error) {
+	p := c.process
+	return replica.New(replica.Config{
+		Name:       p.self(),
+		Members:    p.initialMembers(),
+		AddressOf:  p.addressOf(),
+		DataFolder: p.Settings.Control.DataFolder,
+		Dialer:     c.endpoint,
+		Machine: control.NewMux(map[control.PartName]control.Machine{
+			control.PartRecords:  records,
+			control.PartDeclared: control.Enveloped{Machine: store, Part: control.PartDeclared},
+			control.PartRouting:  c.routing,
+		}),
+		Logger:        p.Logger,
+		MinVoters:     p.minVoters(),
+		MinFreeBytes:  uint64(p.Settings.Control.MinFreeBytes),
+		SnapshotBytes: p.Settings.Control.LogBytes,
+	})
+}
+
 // loadSaved reads what this control VM has saved besides the log.
 func (c *ControlProcess) loadSaved() {
 	folder, logger := c.process.Settings.Control.DataFolder, c.process.Logger
