crashreports: a delivery keeps what either report knows of the failure domain

Cause: a forwarder sends all reports of a part when one changes. Two changes within the 10 ms for which reports are collected are merged by crash, and the first report stayed, without the mark that the domain serves. With exactly five crashes one mark too few leaves the batch unknown.

One forwarder of three held the part back 1.2 s after the batch, the two others only after the next one, though all reports but that mark had reached them. TestDeliveryKeepsThatADomainServes fails without the change.

--- a/internal/crashreports/sender.go
+++ b/internal/crashreports/sender.go
@@ -122,7 +122,8 @@
 }
 
 // merge adds reports of another delivery. Of two reports of one crash the one with the later answer
-// is kept: a report whose delivery to several processes failed is queued once for each of them.
+// is kept: a report whose delivery to several processes failed is queued once for each of them. What
+// either knows of the failure domain is kept in any case.
 func (d delivery) merge(other delivery, reports ...message.CrashReport) delivery {
 	d.attempts, d.queued = max(d.attempts, other.attempts), other.queued
 	for _, report := range reports {
@@ -132,7 +133,10 @@
 			d.reports = append(d.reports, report)
 		case report.AnsweredAge > 0 && (d.reports[at].AnsweredAge == 0 || report.AnsweredAge < d.reports[at].AnsweredAge),
 			len(report.Requests) > len(d.reports[at].Requests):
+			report.DomainServes = report.DomainServes || d.reports[at].DomainServes
 			d.reports[at] = report
+		case report.DomainServes:
+			d.reports[at].DomainServes = true
 		}
 	}
 	return d
--- a/internal/crashreports/sender_test.go
+++ b/internal/crashreports/sender_test.go
@@ -127,3 +127,20 @@
 	is.Equal(sent, quarantine.Limit)
 	is.Equal(len(store.Reports()), quarantine.Limit) // also for processes that connect later
 }
+
+// Guards against a batch of crashes that other processes take for a lost failure domain: of two reports of
+// one crash in one delivery, the one that knows less is kept.
+func TestDeliveryKeepsThatADomainServes(t *testing.T) {
+	is := is.New(t)
+	early := message.CrashReport{Fingerprint: 1, Instance: "i", Requests: []uint64{1}}
+	late := early
+	late.DomainServes = true
+	more := early
+	more.Requests = []uint64{1, 2}
+	for _, order := range [][]message.CrashReport{{early, late, more}, {late, more, early}, {more, early, late}} {
+		merged := delivery{}.merge(delivery{}, order...)
+		is.Equal(len(merged.reports), 1)
+		is.True(merged.reports[0].DomainServes)
+		is.Equal(len(merged.reports[0].Requests), 2)
+	}
+}
