--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -370,7 +370,6 @@
 // its disk immediately and restarts empty; then another one is lost. An empty member must
 // not vote before it has received again the entries that it had accepted.
 func TestRoutingSurvivesALostDisk(t *testing.T) {
-	is := is.New(t)
 	s := newRouteSite(t)
 	for _, ip := range seededControls {
 		s.startControl(ip)
@@ -378,9 +377,7 @@
 	for round := range uint64(3) {
 		s.declare(round+1, "s")
 		lost := s.leader()
-		s.kill(lost)
-		is.NoErr(os.RemoveAll(filepath.Join(s.folder, lost)))
-		s.startControl(lost)
+		s.loseDisk(lost)
 		s.waitFor("the newest routing is read", func() bool {
 			for _, c := range s.running {
 				current, err := c.Routing(t.Context())
