--- a/internal/reducer/agreement/replacement_test.go
+++ b/internal/reducer/agreement/replacement_test.go
@@ -55,7 +55,11 @@
 
 var losses = []loss{lossPlanned, lossReplaced, lossRestarted, lossKilled, lossDisk}
 
-// replacements is one run of the search: a group in which one member at a time is lost.
+// relays is the number of relays in the search.
+const relays = 2
+
+// replacements is one run of the search: a group in which one member at a time is lost, and whose
+// members find each other through seeds, some of them by way of relays.
 type replacements struct {
 	*sim
 	t    *testing.T
@@ -65,6 +69,9 @@
 	core  []*vm
 	spare []string
 	trace []string
+	// controls are all control VMs, those that are gone too. seeds are those that settings name now.
+	controls []*controlVM
+	seeds    []string
 }
 
 func replaceMembers(t *testing.T, size int, seed uint64) {
@@ -78,22 +85,62 @@
 	s := newSim(names, founders, config, withStarts)
 	r := &replacements{sim: s, t: t, seed: seed, dice: dice{rand.New(rand.NewPCG(seed, 0))}, spare: names[founders:]}
 	r.core = slices.Clone(s.vms[:founders])
+	r.seeds = names[:founders]
+	for _, v := range r.core {
+		r.addControl(v.name, v)
+	}
+	for i := range relays {
+		r.addControl("relay"+strconv.Itoa(i), nil)
+	}
 	for len(r.core) < size {
 		r.join()
 	}
 	r.advance(catchUpTicks)
 	for range 1 + r.dice.IntN(maxLosses) {
+		r.changeRest()
 		r.lose()
 	}
 	r.check()
 }
 
+// changeRest changes what does not count as a loss: the seeds, the relays, or all processes at once.
+func (r *replacements) changeRest() {
+	if r.dice.oneIn(2) {
+		r.trace = append(r.trace, "seeds")
+		r.changeSeeds()
+	}
+	if r.dice.oneIn(2) {
+		r.trace = append(r.trace, "relays")
+		r.restartRelays()
+	}
+	if r.dice.oneIn(4) {
+		r.trace = append(r.trace, "all")
+		r.restartAll()
+	}
+}
+
+// addControl starts the process of a control VM; member is nil for a relay.
+func (r *replacements) addControl(name string, member *vm) {
+	c := &controlVM{name: name, member: member, seeds: r.seeds}
+	c.start()
+	r.controls = append(r.controls, c)
+}
+
 // join starts a new member.
 func (r *replacements) join() {
 	v := r.vm(r.spare[0])
 	r.spare = r.spare[1:]
-	r.start(v)
 	r.core = append(r.core, v)
+	r.start(v)
+	r.addControl(v.name, v)
+}
+
+// begin starts the process of a member again.
+func (r *replacements) begin(v *vm) {
+	r.start(v)
+	c := r.control(v.name)
+	c.seeds = r.seeds
+	c.start()
 }
 
 // lose plays one loss of a member, until it no longer counts.
@@ -104,6 +151,7 @@
 	r.trace = append(r.trace, v.name+" "+string(kind))
 	switch kind {
 	case lossPlanned:
+		r.requireSeed(v.name)
 		r.join()
 		started := r.now
 		r.advance(r.dice.IntN(2 * catchUpTicks))
@@ -111,25 +159,28 @@
 		r.core = slices.Delete(r.core, at, at+1)
 		r.advance(max(0, int(started+catchUpTicks)-int(r.now)))
 	case lossReplaced:
-		r.crash(v, r.dice.IntN(3))
+		r.kill(v)
 		r.core = slices.Delete(r.core, at, at+1)
 		r.advance(r.dice.IntN(catchUpTicks))
+		r.requireSeed("")
 		r.join()
 		r.advance(catchUpTicks)
 	case lossRestarted:
 		r.stop(v)
 		r.advance(r.dice.IntN(catchUpTicks))
-		r.start(v)
+		r.begin(v)
 		r.advance(catchUpTicks)
 	case lossKilled:
-		r.crash(v, r.dice.IntN(3))
+		r.kill(v)
 		r.advance(r.dice.IntN(catchUpTicks))
-		r.start(v)
+		r.begin(v)
 		r.advance(catchUpTicks)
 	case lossDisk:
+		r.kill(v)
 		r.wipe(v)
+		r.control(v.name).saved = nil
 		r.advance(r.dice.IntN(catchUpTicks))
-		r.start(v)
+		r.begin(v)
 		r.advance(catchUpTicks)
 	}
 }
@@ -144,22 +195,27 @@
 		}
 	}
 	r.crash(v, len(v.pending))
+	r.control(v.name).alive = false
+}
+
+// kill ends a process as SIGKILL does.
+func (r *replacements) kill(v *vm) {
+	r.crash(v, r.dice.IntN(3))
+	r.control(v.name).alive = false
 }
 
 // advance lets time pass; members that the leader does not know join meanwhile.
 func (r *replacements) advance(ticks int) {
 	for range ticks {
 		r.run(1)
-		leader := r.leader()
-		if leader == nil || r.now%20 != 0 {
+		if r.now%exchangeTicks != 0 {
 			continue
 		}
-		for _, v := range r.core {
-			if _, known := leader.state.Member(v.name); !known && v.alive && !v.state.leaving {
-				r.change(leader, ChangeAdd, v.name)
-			}
+		r.exchange()
+		if leader := r.leader(); leader != nil {
+			r.findGroup(leader)
+			r.propose(leader, r.dice.IntN(2))
 		}
-		r.propose(leader, r.dice.IntN(2))
 	}
 }
 
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -11,6 +11,7 @@
 
 	controlpeer "github.com/oriolebend/oriolebend/internal/control"
 	"github.com/oriolebend/oriolebend/internal/crashreports"
+	"github.com/oriolebend/oriolebend/internal/disk"
 	"github.com/oriolebend/oriolebend/internal/httpserver"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/operator"
@@ -52,6 +53,7 @@
 	pools        *PoolController
 	places       *placements.Allocator
 	observer     *routewatch.Follower
+	controls     *disk.NoteWriter[savedControls]
 	known        *knownServers // nil if restored servers are disabled
 	crashes      *quarantine.Store
 	crashReports *crashreports.DiskStore
@@ -99,6 +101,7 @@
 	}
 	go process.places.Run(ctx)
 	go process.observer.Run(ctx)
+	go process.controls.Run(ctx)
 	if process.known != nil {
 		go process.known.list.Run(ctx)
 	}
--- a/internal/role/control_routing.go
+++ b/internal/role/control_routing.go
@@ -127,9 +127,14 @@
 	if c.known != nil {
 		sinks = append(sinks, c.known)
 	}
+	former := c.loadControls()
 	c.observer = &routewatch.Follower{
-		Dialer: c.endpoint,
-		Seeds:  slices.Concat(p.controlAddresses(), c.memberAddresses()),
+		Dialer:    c.endpoint,
+		Seeds:     slices.Concat(p.controlAddresses(), c.memberAddresses()),
+		Former:    former,
+		MaxFormer: maxFormerControls,
+		Changed:   c.controls.RequestSave,
+		Observers: c.routes.Observers,
 		Watch: message.RouteWatch{
 			Node: name, FailureDomain: p.Settings.Node.FailureDomain,
 			Observes: true, Address: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
@@ -149,7 +154,7 @@
 		Seeds:   p.seeds(),
 		Replica: c.replica,
 		Dialer:  c.endpoint,
-		Known:   func() []string { return append(c.observer.Open(), c.observer.Leader()) },
+		Known:   func() []string { return append(c.observer.Addresses(), c.observer.Leader()) },
 		Logger:  p.Logger,
 	}
 }
--- a/internal/role/joiner.go
+++ b/internal/role/joiner.go
@@ -38,11 +38,12 @@
 	Seeds   []string
 	Replica *replica.Replica
 	Dialer  peer.Dialer
-	// Known lists further control VMs, which this VM has found since its start; nil means none.
+	// Known lists further control VMs that this VM has found; nil means none.
 	Known  func() []string
 	Logger *slog.Logger
 
-	mutex      sync.Mutex // guards Seeds once Run has begun
+	mutex      sync.Mutex // guards Seeds once Run has begun, and pending
+	pending    map[string]bool
 	lastMember time.Time
 }
 
@@ -77,17 +78,42 @@
 	return slices.ContainsFunc(members, func(m message.Member) bool { return m.Name == name && m.Voter })
 }
 
-// requestJoin sends a request to join to every control VM that may lead or know the leader.
+// requestJoin sends a request to join to every control VM that may lead or know the leader, unless an
+// earlier one there is still pending. A control VM that is down does not delay the next round.
 func (j *Joiner) requestJoin(ctx context.Context, status replica.Status) {
-	var requests sync.WaitGroup
 	for _, address := range j.targets(status) {
-		requests.Go(func() { j.requestJoinAt(ctx, address) })
+		if !j.begin(address) {
+			continue
+		}
+		go func() {
+			defer j.end(address)
+			j.requestJoinAt(ctx, address)
+		}()
+	}
+}
+
+// begin reports whether a request to join may be sent to an address, and records it as pending.
+func (j *Joiner) begin(address string) bool {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if j.pending[address] {
+		return false
+	}
+	if j.pending == nil {
+		j.pending = map[string]bool{}
 	}
-	requests.Wait()
+	j.pending[address] = true
+	return true
+}
+
+func (j *Joiner) end(address string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	delete(j.pending, address)
 }
 
 // targets lists the control VMs that are known: the seeds, which may all be relays or down, the members
-// in the log, and those that relays have named.
+// in the log, and those that other control VMs have listed.
 func (j *Joiner) targets(status replica.Status) []string {
 	j.mutex.Lock()
 	targets := slices.Clone(j.Seeds)
--- a/internal/role/relay_process.go
+++ b/internal/role/relay_process.go
@@ -60,8 +60,10 @@
 	}
 	r.endpoint = endpoint
 	r.follower = &routewatch.Follower{
-		Dialer: endpoint,
-		Seeds:  p.seeds(),
+		Dialer:    endpoint,
+		Seeds:     p.seeds(),
+		MaxFormer: maxFormerControls,
+		Observers: r.routes.Observers,
 		Watch: message.RouteWatch{
 			Node: p.self(), FailureDomain: p.Settings.Node.FailureDomain,
 			Observes: true, Address: p.Settings.Peer.Listen, Incarnation: newIncarnation(),
--- a/internal/routewatch/follower.go
+++ b/internal/routewatch/follower.go
@@ -13,6 +13,7 @@
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
+	"github.com/oriolebend/oriolebend/internal/reducer/discovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -23,6 +24,8 @@
 	// whole system all forwarders dial at the same moment.
 	watchBackoffBase = 100 * time.Millisecond
 	watchBackoffMax  = time.Second
+	// formerBackoffMax bounds it for a control VM that is no longer listed and may be gone for good.
+	formerBackoffMax = 2 * time.Second
 	// openTimeout is the timeout for opening a session.
 	openTimeout = 2 * time.Second
 	// reviewInterval is how often the known servers are checked for entries that have
@@ -51,7 +54,16 @@
 type Follower struct {
 	Dialer peer.Dialer
 	// Seeds are the control VMs that are known from the start.
-	Seeds  []string
+	Seeds []string
+	// Former are the control VMs that an earlier process knew. MaxFormer bounds those that are watched
+	// on when no control VM lists them any more; zero means none. Changed is called when the known
+	// control VMs have changed; it may be nil.
+	Former    []string
+	MaxFormer int
+	Changed   func()
+	// Observers lists the control VMs that watch this process; nil means none.
+	Observers func() []string
+
 	Watch  message.RouteWatch
 	Sink   Sink
 	Logger *slog.Logger
@@ -60,13 +72,13 @@
 	Reports func([]message.CrashReport)
 	Found   func(address string)
 
-	mutex   sync.Mutex
-	view    *registry.View
-	links   map[string]*link
-	current []string // the control VMs, by the last update that listed them
-	leader  knownLeader
-	peers   []string // some other forwarders, by the last update that listed them
-	ready   atomic.Bool
+	mutex    sync.Mutex
+	view     *registry.View
+	links    map[string]*link
+	controls discovery.Controls
+	leader   knownLeader
+	peers    []string // some other forwarders, by the last update that listed them
+	ready    atomic.Bool
 	// confirmed is when the last update with a confirmation was received.
 	confirmed time.Time
 	ctx       context.Context
@@ -81,10 +93,14 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.mutex.Lock()
 	f.ctx, f.view, f.links = ctx, registry.NewView(), map[string]*link{}
-	f.watchNew(f.Seeds)
+	f.controls.MaxFormer = f.MaxFormer
+	f.controls.SetSeeds(f.Seeds)
+	f.controls.Restore(f.Former)
+	f.watchNew()
 	f.mutex.Unlock()
 	for pause.For(ctx, reviewInterval) {
 		f.mutex.Lock()
+		f.updateObservers()
 		f.updateServers()
 		f.storeLoads(f.Sink.Loads())
 		f.mutex.Unlock()
@@ -99,7 +115,8 @@
 	defer f.mutex.Unlock()
 	f.Seeds = seeds
 	if f.links != nil {
-		f.watchNew(seeds)
+		f.controls.SetSeeds(seeds)
+		f.watchNew()
 	}
 }
 
@@ -152,10 +169,14 @@
 func (f *Follower) Known() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if len(f.current) == 0 {
-		return len(f.Seeds)
-	}
-	return len(f.current)
+	return f.controls.Count()
+}
+
+// Addresses lists the control VMs that are known, also those that are down or no longer listed.
+func (f *Follower) Addresses() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.controls.Addresses()
 }
 
 // Peers lists some other forwarders.
@@ -199,8 +220,8 @@
 		f.peers = u.Peers
 	}
 	if len(u.Controls) > 0 {
-		f.current = u.Controls
-		f.watchNew(u.Controls)
+		f.controls.List(l.address, u.Controls)
+		f.watchNew()
 	}
 	if u.Confirmed && f.Sink.Version() > 0 && !f.ready.Swap(true) {
 		f.Logger.Info("ready", "version", f.Sink.Version())
@@ -208,6 +229,14 @@
 	return true
 }
 
+// updateObservers starts watching the control VMs that watch this process. The mutex is held.
+func (f *Follower) updateObservers() {
+	if f.Observers != nil {
+		f.controls.SetObservers(f.Observers())
+		f.watchNew()
+	}
+}
+
 // updateServers passes changed servers to the sink. The mutex is held.
 func (f *Follower) updateServers() {
 	forwarders := 0
--- a/internal/routewatch/link.go
+++ b/internal/routewatch/link.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/internal/peer"
 	"github.com/oriolebend/oriolebend/internal/policy"
+	"github.com/oriolebend/oriolebend/internal/reducer/discovery"
 	"github.com/oriolebend/oriolebend/internal/reducer/retry"
 )
 
@@ -29,14 +29,20 @@
 func (l *link) open() bool { return l.stream != nil }
 
 // watchNew starts watching the control VMs that were not known yet. The mutex is held.
-func (f *Follower) watchNew(addresses []string) {
-	for _, address := range addresses {
+func (f *Follower) watchNew() {
+	found := 0
+	for _, address := range f.controls.Addresses() {
 		if f.links[address] != nil || f.ctx.Err() != nil {
 			continue
 		}
 		l := &link{address: address}
 		f.links[address] = l
 		f.group.Go(func() { f.follow(l) })
+		f.Logger.Info("control VM found", "control", address, "standing", f.controls.Standing(address))
+		found++
+	}
+	if found > 0 && f.Changed != nil {
+		f.Changed()
 	}
 }
 
@@ -51,18 +57,26 @@
 		if time.Since(began) > watchBackoffMax {
 			tries = 0
 		}
-		pause.For(f.ctx, retry.FullJitter(random, watchBackoffBase, watchBackoffMax, tries))
+		pause.For(f.ctx, retry.FullJitter(random, watchBackoffBase, f.maxBackoff(l), tries))
 		tries++
 	}
 }
 
-// isKnown reports whether an address is still known as that of a control VM. A control
-// VM that was replaced is removed; a seed never is, as it may be the only one left
-// to connect to.
+// maxBackoff returns the longest backoff before the next attempt to watch a control VM.
+func (f *Follower) maxBackoff(l *link) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.controls.Standing(l.address) == discovery.Former {
+		return formerBackoffMax
+	}
+	return watchBackoffMax
+}
+
+// isKnown reports whether an address is still known as that of a control VM.
 func (f *Follower) isKnown(l *link) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if slices.Contains(f.Seeds, l.address) || slices.Contains(f.current, l.address) {
+	if f.controls.Standing(l.address) != discovery.Unknown {
 		return true
 	}
 	delete(f.links, l.address)
@@ -195,6 +209,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	l.stream = nil
+	f.controls.Ended(l.address)
 	if f.first == l {
 		f.first = nil
 	}
--- a/internal/routewatch/server.go
+++ b/internal/routewatch/server.go
@@ -112,14 +112,18 @@
 	return r.forwarders
 }
 
+// Observers lists the peer addresses of the control VMs that watch this one.
+func (r *Server) Observers() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.observers)
+}
+
 // controlAddresses lists the addresses of the control VMs that forwarders can watch: the members,
 // and the control VMs that watch this one. The seeds in the settings may be relays only;
 // members know each other from their log, and no other process would find the members.
 func (r *Server) controlAddresses() []string {
-	addresses := r.Controls()
-	r.mutex.Lock()
-	addresses = append(addresses, r.observers...)
-	r.mutex.Unlock()
+	addresses := append(r.Controls(), r.Observers()...)
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
