--- a/internal/disk/identity.go
+++ b/internal/disk/identity.go
@@ -24,6 +24,9 @@
 	// Generation is increased by each restore; members of different generations ignore each other's
 	// messages.
 	Generation uint64 `json:"generation"`
+	// Founder is set if the folder was created at the first start of a founder of the group. A folder
+	// that replaces a lost one is not a founder's.
+	Founder bool `json:"founder,omitempty"`
 }
 
 // readIdentity returns the folder's identity; it reports false for a new folder.
--- a/internal/disk/load.go
+++ b/internal/disk/load.go
@@ -17,7 +17,7 @@
 		return Loaded{}, err
 	}
 	if !exists {
-		id = Identity{Group: s.config.Group, Name: s.config.Name, Generation: 1}
+		id = Identity{Group: s.config.Group, Name: s.config.Name, Generation: 1, Founder: s.config.Founder}
 		if err := writeIdentity(s.fs, s.config.Folder, id); err != nil {
 			return Loaded{}, err
 		}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -27,6 +27,8 @@
 	// Group and Name must be those that the folder was created for.
 	Group string
 	Name  string
+	// Founder is recorded in the identity of a new folder.
+	Founder bool
 	// SegmentBytes is the size of a segment file; zero means 16 MiB.
 	SegmentBytes int64
 	// FileSystem replaces the VM's own file system if it is not nil.
--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -43,6 +43,10 @@
 	Group string
 	// Founders are the initial members of a group that has no log yet.
 	Founders []message.Member
+	// JoinOnly is set if the member may have lost its data folder. While its log is empty it then does
+	// not stand for election, as it would found a second group if no other founder has a log; it still
+	// votes.
+	JoinOnly bool
 	// Seed seeds the random part of the election timing, so that it differs between members.
 	Seed uint64
 	// Start identifies this incarnation of the member. If it is zero, the member waits for leases
--- a/internal/reducer/agreement/election.go
+++ b/internal/reducer/agreement/election.go
@@ -23,7 +23,7 @@
 }
 
 func (s *State) mayCampaign() bool {
-	return s.isVoter(s.Config.Name) && !s.recovering()
+	return s.isVoter(s.Config.Name) && !s.recovering() && !(s.Config.JoinOnly && s.empty())
 }
 
 func (s *State) resetElection() {
--- a/internal/reducer/agreement/finding_test.go
+++ b/internal/reducer/agreement/finding_test.go
@@ -35,12 +35,12 @@
 
 // lists returns the control VMs that the control VM sends to those that watch it.
 func (c *controlVM) lists() []string {
-	return append(slices.Clone(c.observers), c.logged()...)
+	return append(slices.Clone(c.observers), c.members()...)
 }
 
-// logged lists the members in the log of the control VM.
-func (c *controlVM) logged() []string {
-	if c.member == nil || !c.alive || c.member.state.empty() {
+// members lists the members that the control VM knows.
+func (c *controlVM) members() []string {
+	if c.member == nil || !c.alive {
 		return nil
 	}
 	var names []string
@@ -84,7 +84,7 @@
 
 // knownAddresses lists the control VMs that the control VM contacts.
 func (c *controlVM) knownAddresses() []string {
-	known := append(c.controls.Addresses(), c.logged()...)
+	known := append(c.controls.Addresses(), c.members()...)
 	slices.Sort(known)
 	return slices.Compact(known)
 }
--- a/internal/reducer/agreement/replacement_test.go
+++ b/internal/reducer/agreement/replacement_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/oriolebend/oriolebend/internal/message"
 )
 
 // searchRuns is the number of random orders of losses that TestQuorumSurvivesReplacements plays for
@@ -131,18 +133,28 @@
 	v := r.vm(r.spare[0])
 	r.spare = r.spare[1:]
 	r.core = append(r.core, v)
-	r.start(v)
+	r.startWithSeeds(v)
 	r.addControl(v.name, v)
 }
 
 // begin starts the process of a member again.
 func (r *replacements) begin(v *vm) {
-	r.start(v)
+	r.startWithSeeds(v)
 	c := r.control(v.name)
 	c.seeds = r.seeds
 	c.start()
 }
 
+// startWithSeeds starts a member after the first start of the group. While its log is empty, it takes the
+// seeds for the members.
+func (r *replacements) startWithSeeds(v *vm) {
+	r.config.Founders, r.config.JoinOnly = nil, true
+	for _, name := range r.seeds {
+		r.config.Founders = append(r.config.Founders, message.Member{Name: name, Address: name, Voter: true})
+	}
+	r.start(v)
+}
+
 // lose plays one loss of a member, until it no longer counts.
 func (r *replacements) lose() {
 	at := r.dice.IntN(len(r.core))
--- a/internal/reducer/agreement/sim_test.go
+++ b/internal/reducer/agreement/sim_test.go
@@ -97,6 +97,11 @@
 	return s.vms[at]
 }
 
+// hasVM reports whether a member of this name exists; a relay has no member.
+func (s *sim) hasVM(name string) bool {
+	return slices.ContainsFunc(s.vms, func(v *vm) bool { return v.name == name })
+}
+
 func (s *sim) start(v *vm) {
 	config := s.config
 	config.Name = v.name
@@ -307,7 +312,7 @@
 func (s *sim) deliver(i int) {
 	w := s.inFlight[i]
 	s.inFlight = slices.Delete(s.inFlight, i, i+1)
-	if s.cut[[2]string{w.from, w.to}] {
+	if s.cut[[2]string{w.from, w.to}] || !s.hasVM(w.to) {
 		return
 	}
 	s.feed(s.vm(w.to), Received{s.clock(s.vm(w.to)), w.m})
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -32,6 +32,10 @@
 	// Members are the founders of the group on its first start, and the processes whose messages
 	// are accepted. Once a log exists, the voting members are those agreed in the log.
 	Members []message.Member
+	// JoinOnly is set unless this is the first start of a founder. A member whose data folder is new then
+	// founds no group. The folder records the first start, so that a founder that restarts before the
+	// group is founded may still found it.
+	JoinOnly bool
 	// AddressOf returns the address of a process by its name. It is for groups whose Members do not
 	// list every process that may become a member: messages of processes that are not known as
 	// members are then accepted too, and the caller of Serve must admit only control VMs. If it is
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -91,6 +91,7 @@
 		Folder:     config.DataFolder,
 		Group:      config.Group,
 		Name:       config.Name,
+		Founder:    !config.JoinOnly,
 		FileSystem: config.FileSystem,
 		// Only complete segments are dropped, so they must be small compared with the log.
 		SegmentBytes: min(disk.DefaultSegmentBytes, config.SnapshotBytes/logParts),
@@ -130,6 +131,7 @@
 		Name:         r.config.Name,
 		Group:        groupName(r.config.Group, r.store.Identity().Generation),
 		Founders:     r.config.founders(),
+		JoinOnly:     r.config.JoinOnly && !r.store.Identity().Founder,
 		Seed:         r.config.Seed,
 		Start:        rand.Uint64() | 1, // never zero
 		MinVoters:    r.config.MinVoters,
--- a/internal/role/control_process.go
+++ b/internal/role/control_process.go
@@ -237,6 +237,7 @@
 	return replica.New(replica.Config{
 		Name:       p.self(),
 		Members:    p.initialMembers(),
+		JoinOnly:   p.joinOnly(),
 		AddressOf:  p.addressOf(),
 		DataFolder: p.Settings.Control.DataFolder,
 		Dialer:     c.endpoint,
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -154,6 +154,16 @@
 	return membersFromSettings(p.Settings.Control.Members)
 }
 
+// joinOnly reports whether this control VM may only join a group: it is found through seeds, and is not
+// one of them or is not told that it founds the group.
+func (p Process) joinOnly() bool {
+	c := p.Settings.Control
+	if len(c.Seeds) == 0 {
+		return false
+	}
+	return !c.MayFound() || !isMember(p.initialMembers(), p.self())
+}
+
 // minVoters returns the number of voters that the control VMs keep when they remove members, zero if
 // the settings list all members. A quorum of the rest must hold a copy more than disks may be lost.
 func (p Process) minVoters() int {
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -36,6 +36,8 @@
 	seeds  []string
 	// disable lists the features that control VMs do not use.
 	disable []settings.Feature
+	// restarted is set once the whole system has started for the first time.
+	restarted bool
 
 	mutex   sync.Mutex
 	running map[string]*ControlProcess
@@ -66,6 +68,8 @@
 	p.Settings.Peer = settings.Peer{Listen: fmt.Sprintf("%s:%d", ip, s.port), Trust: settings.TrustNetwork}
 	p.Settings.Control.MinFreeBytes = 1
 	p.Settings.Control.Disable = s.disable
+	found := !s.restarted
+	p.Settings.Control.Found = &found
 	for _, seed := range s.seeds {
 		p.Settings.Control.Seeds = append(p.Settings.Control.Seeds, fmt.Sprintf("%s:%d", seed, s.port))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -205,6 +205,9 @@
 	// SeedPort is the peer port of every control VM, if the addresses in Seeds carry a
 	// different port; zero means that they carry the peer port.
 	SeedPort int `toml:"seedPort"`
+	// Found is whether this control VM founds the group with the other seeds if its data folder is
+	// new; nil means true. It should be false on every start but the first of the whole system.
+	Found *bool `toml:"found"`
 	// LostDisks is the number of control VMs found through seeds that may lose their disks at the same
 	// time; zero means one.
 	LostDisks int `toml:"lostDisks"`
@@ -240,6 +243,9 @@
 	FeatureRestoredServers Feature = "restoredServers"
 )
 
+// MayFound reports whether a control VM with a new data folder founds the group with the other seeds.
+func (c Control) MayFound() bool { return c.Found == nil || *c.Found }
+
 // Enabled reports whether a feature is in use.
 func (c Control) Enabled(f Feature) bool { return !slices.Contains(c.Disable, f) }
 
