--- a/internal/settings/shape.go
+++ b/internal/settings/shape.go
@@ -45,6 +45,8 @@
 		return value, s.duration(path, value)
 	}
 	switch t.Kind() {
+	case reflect.Pointer:
+		return s.value(path, value, t.Elem())
 	case reflect.Struct:
 		tree, ok := value.(map[string]any)
 		if !ok {
