--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -146,7 +146,7 @@
 	}
 	r.status, r.header, r.trace = response.Status, response.Header, response.Trace
 	body, err := response.Hold(held, w.f.config.MaxAnswerBytes)
-	if err == nil && w.f.cutByCrash(g.Server, response, unframedCallDelays) {
+	if err == nil && w.f.cutByCrash(g.Server, response) {
 		body.Release()
 		err = response.BodyError("read the body", io.ErrUnexpectedEOF)
 	}
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -94,10 +94,11 @@
 	unframedStreamDelays = []time.Duration{0, 30 * time.Millisecond}
 )
 
-// cutByCrash reports whether an answer that has neither a length nor chunks ended because its server
-// crashed. The connections of a process that has exited are closed like that of a complete answer.
-func (f *Forwarder) cutByCrash(server message.BackendServer, response *backend.Response, delays []time.Duration) bool {
-	return response.Unframed && f.refusesConnections(server.Address, delays)
+// cutByCrash reports whether an answer in one piece that has neither a length nor chunks ended because
+// its server crashed. The connections of a process that has exited are closed like that of a complete
+// answer.
+func (f *Forwarder) cutByCrash(server message.BackendServer, response *backend.Response) bool {
+	return response.Unframed && f.refusesConnections(server.Address, unframedCallDelays)
 }
 
 // refusesConnections probes an address until it refuses connections, at most once for each of the
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -208,7 +208,7 @@
 			s.pause = max(s.pause, time.Since(last))
 		}
 		last = time.Now()
-		if errors.Is(err, io.EOF) && s.f.cutByCrash(s.grant.Server, response, unframedStreamDelays) {
+		if errors.Is(err, io.EOF) && s.brokeOff(response) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -235,6 +235,16 @@
 	}
 }
 
+// brokeOff reports whether a server broke off a stream that ends with its connection, between two events
+// or before the first one. A stream that is resumed after its last event has no further one.
+func (s *streamSend) brokeOff(response *backend.Response) bool {
+	if !response.Unframed {
+		return false
+	}
+	resumes := s.lastEvent != "" || s.info.resumesStream()
+	return !s.streaming && !resumes || s.f.refusesConnections(s.grant.Server.Address, unframedStreamDelays)
+}
+
 // recordLocalPrefill counts a prompt that the decode engine read itself, as work that the prefill
 // pool would have done.
 func (s *streamSend) recordLocalPrefill() {
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -66,6 +66,8 @@
 		{name: "stream that may be resumed", path: "/stream/", body: whole, ending: endsInOrder, want: whole},
 		{name: "stream that ends inside an event", path: "/cut/", body: whole + "id: 3\nda", ending: endsInOrder, want: whole + "[cut]"},
 		{name: "stream that lacks the empty line", path: "/cut/", body: whole + "id: 3\ndata: c\n", ending: endsInOrder, want: whole + "[cut]"},
+		{name: "stream without an event", path: "/cut/", ending: endsInOrder, want: `{"reason":"outcomeLost","ran":"unknown"}`},
+		{name: "stream without an event that may be resumed", path: "/stream/", ending: endsInOrder, want: `{"reason":"noServer","ran":"unknown"}`},
 		{name: "stream that is reset", path: "/cut/", body: whole, ending: endsReset, want: "[cut]"},
 		{name: "stream of a server that crashes", path: "/cut/", body: whole, ending: endsCrashed, want: whole + "[cut]"},
 		{name: "call", path: "/once/", body: whole, ending: endsInOrder, want: whole},
--- a/internal/load/route.go
+++ b/internal/load/route.go
@@ -62,6 +62,9 @@
 		return
 	}
 	a.outcome = OutcomeAnswered
+	if a.tokens == 0 {
+		a.damage = "a success without an event"
+	}
 }
 
 // addEvent adds an event of a stream. Events that are numbered must count from one: a stream that
