--- a/internal/engine/transfer.go
+++ b/internal/engine/transfer.go
@@ -37,11 +37,19 @@
 		return err
 	}
 	defer response.Body.Close()
-	lines := bufio.NewScanner(response.Body)
+	reader := &bodyReader{Reader: response.Body, cut: unframed(response)}
+	lines := bufio.NewScanner(reader)
 	lines.Buffer(nil, c.config.MaxLineBytes)
 	for lines.Scan() {
 		idle.Reset(c.config.IdleTimeout)
-		last, err := handleLine(lines.Bytes(), handle)
+		line, err := decodeLine(lines.Bytes())
+		if err != nil {
+			return reader.decodeError(ctx, "unreadable line", lines.Bytes(), err)
+		}
+		if line == nil {
+			continue
+		}
+		last, err := handleLine(*line, handle)
 		if err != nil || last {
 			return err
 		}
@@ -49,22 +57,65 @@
 	return streamError(ctx, lines.Err())
 }
 
-// handleLine decodes one line and passes it to handle. It skips empty lines.
-func handleLine(text []byte, handle func(Line) (bool, error)) (bool, error) {
+// decodeLine decodes one line; it returns nil for an empty one.
+func decodeLine(text []byte) (*Line, error) {
 	text = bytes.TrimSpace(text)
 	if len(text) == 0 {
-		return false, nil
+		return nil, nil
 	}
 	var line Line
 	if err := json.Unmarshal(text, &line); err != nil {
-		return false, &Error{Reason: oriolebend.ReasonEngineFailed, Detail: "unreadable line", Cause: err}
+		return nil, err
 	}
+	return &line, nil
+}
+
+// handleLine passes one line to handle, unless it has an error.
+func handleLine(line Line, handle func(Line) (bool, error)) (bool, error) {
 	if line.Error != nil {
 		return false, restrictReason(line.Error)
 	}
 	return handle(line)
 }
 
+// bodyReader reads the body of a response, and records whether it may have ended before its end.
+type bodyReader struct {
+	io.Reader
+	ended error
+	// cut is set from the start if the end of the body is the end of the connection.
+	cut bool
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		b.ended = err
+	}
+	return n, err
+}
+
+// decodeError returns the error of a part of the body that can't be decoded. The last part of a body that
+// was broken off is that of an engine that was lost, not of a faulty one.
+func (b *bodyReader) decodeError(ctx context.Context, detail string, text []byte, err error) *Error {
+	brokenOff := b.ended != nil && (b.cut || !errors.Is(b.ended, io.EOF))
+	if brokenOff && truncated(text, err) {
+		return connectionError(ctx, io.ErrUnexpectedEOF)
+	}
+	return &Error{Reason: oriolebend.ReasonEngineFailed, Detail: detail, Cause: err}
+}
+
+// truncated reports whether a JSON text is valid as far as it goes.
+func truncated(text []byte, err error) bool {
+	syntax, ok := errors.AsType[*json.SyntaxError](err)
+	return ok && syntax.Offset >= int64(len(text))
+}
+
+// unframed reports whether the end of a response is the end of its connection.
+func unframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // streamError returns the typed error of a stream that ended before its last line.
 func streamError(ctx context.Context, err error) *Error {
 	if errors.Is(err, bufio.ErrTooLong) {
@@ -88,7 +139,8 @@
 	if out == nil {
 		return nil
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxBodyBytes+1))
+	reader := &bodyReader{Reader: response.Body, cut: unframed(response)}
+	text, err := io.ReadAll(io.LimitReader(reader, c.config.MaxBodyBytes+1))
 	if err != nil {
 		return connectionError(ctx, err)
 	}
@@ -96,7 +148,7 @@
 		return engineFailure("answer over %d bytes", c.config.MaxBodyBytes)
 	}
 	if err := json.Unmarshal(text, out); err != nil {
-		return &Error{Reason: oriolebend.ReasonEngineFailed, Detail: "unreadable answer", Cause: err}
+		return reader.decodeError(ctx, "unreadable answer", text, err)
 	}
 	return nil
 }
--- a/internal/standin/memory_network.go
+++ b/internal/standin/memory_network.go
@@ -118,15 +118,16 @@
 
 func (w *memoryWriter) response(r *http.Request, body io.ReadCloser) *http.Response {
 	return &http.Response{
-		Status:        fmt.Sprintf("%d %s", w.status, http.StatusText(w.status)),
-		StatusCode:    w.status,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		Header:        w.sent,
-		Body:          body,
-		ContentLength: -1,
-		Request:       r,
+		Status:           fmt.Sprintf("%d %s", w.status, http.StatusText(w.status)),
+		StatusCode:       w.status,
+		Proto:            "HTTP/1.1",
+		ProtoMajor:       1,
+		ProtoMinor:       1,
+		Header:           w.sent,
+		Body:             body,
+		ContentLength:    -1,
+		TransferEncoding: []string{"chunked"}, // as net/http answers; the pipe tells the end of the body
+		Request:          r,
 	}
 }
 
