--- a/internal/reducer/entry/claim.go
+++ b/internal/reducer/entry/claim.go
@@ -84,6 +84,7 @@
 			return
 		}
 	}
+	r.claimed = s.now
 	r.unstarted = r.lane.unstarted(r.Urgency).PushBack(r)
 	r.accepted = r.Urgency != oriolebend.Urgent
 	s.enqueue(r)
--- a/internal/reducer/entry/predict.go
+++ b/internal/reducer/entry/predict.go
@@ -33,7 +33,9 @@
 // of one urgency are served roughly in the order of their arrival, so that a
 // new request waits about as long as the oldest one without output has waited.
 // That age is known now, while a mean of finished waits describes the load of
-// some seconds ago.
+// some seconds ago. The time until a request was claimed does not count: it is
+// that of the control VMs, and a second without a leader would refuse requests
+// to idle servers.
 //
 // Without this check an overloaded pool serves every request just after its
 // target, so that all of them fail. The symptom would be a goodput that falls
@@ -43,7 +45,7 @@
 	if oldest == nil {
 		return 0
 	}
-	waited := now.Sub(oldest.Value.(*request).arrived)
+	waited := now.Sub(oldest.Value.(*request).claimed)
 	work := time.Duration(l.costs.perToken * float64(r.PromptTokens) * float64(time.Second))
 	limit := time.Duration(admitShare * float64(r.FirstWithin))
 	if waited+work <= limit || r.Urgency == oriolebend.Patient && !l.queueTooLong(r, now) {
--- a/internal/reducer/entry/state.go
+++ b/internal/reducer/entry/state.go
@@ -112,6 +112,8 @@
 	lane    *lane
 	org     *organisation
 	arrived time.Time
+	// claimed is when the entry's claim was answered, from which on the request waits for servers.
+	claimed time.Time
 	// accepted is true once the request must be answered and is no longer
 	// refused. A patient request is accepted on admission, an urgent one when
 	// in addition the offer of a gate was chosen for it.
