--- a/internal/memorybudget/account.go
+++ b/internal/memorybudget/account.go
@@ -23,9 +23,10 @@
 	Request Kind = "request" // request bodies, until the request is answered
 	Answer  Kind = "answer"  // answer bodies, until the caller has read them
 	Head    Kind = "head"    // heads of requests, until the request is answered
+	Frame   Kind = "frame"   // frames of other processes of the system, until they are decoded
 )
 
-// Kinds lists every kind.
+// Kinds lists the kinds of bytes that are held for callers and servers.
 func Kinds() []Kind { return []Kind{Request, Answer, Head} }
 
 // Defaults of Config.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/oriolebend/oriolebend/internal/memorybudget"
 	"github.com/oriolebend/oriolebend/internal/message"
 )
 
@@ -87,23 +88,36 @@
 // otherwise an *Error with CodeTooLarge, CodeUnknownKind or CodeGarbled, or the
 // error of r.
 func (c Codec) Read(r Reader) (message.Message, error) {
-	length, err := readLength(r)
+	length, err := c.readLength(r)
 	if err != nil {
 		return nil, err
 	}
-	if length > uint64(c.maxFrameBytes()) {
-		return nil, errorf(CodeTooLarge, "", nil, "frame of %d bytes exceeds the limit of %d", length, c.maxFrameBytes())
+	return readMessage(r, length, nil)
+}
+
+// readLength reads the length of the next frame.
+func (c Codec) readLength(r io.ByteReader) (int, error) {
+	length, err := readVarint(r)
+	if err == nil && length > uint64(c.maxFrameBytes()) {
+		err = errorf(CodeTooLarge, "", nil, "frame of %d bytes exceeds the limit of %d", length, c.maxFrameBytes())
 	}
-	frame, err := readFrame(r, int(length))
+	return int(length), err
+}
+
+// readMessage reads the rest of a frame, and counts the bytes of a large one until it is
+// decoded. The error has CodeNoMemory if there is no room for them.
+func readMessage(r io.Reader, length int, held *memorybudget.Holding) (message.Message, error) {
+	defer held.Shrink(int64(length))
+	frame, err := readFrame(r, length, held)
 	if err != nil {
 		return nil, err
 	}
 	return decodeFrame(frame)
 }
 
-// readLength reads an unsigned varint. It returns io.EOF before the first byte,
+// readVarint reads an unsigned varint. It returns io.EOF before the first byte,
 // which is a clean end, and CodeGarbled for a length that is incomplete or too long.
-func readLength(r io.ByteReader) (uint64, error) {
+func readVarint(r io.ByteReader) (uint64, error) {
 	var length uint64
 	for i := range maxLengthBytes {
 		b, err := r.ReadByte()
@@ -124,11 +138,14 @@
 // readFrame reads a frame into a buffer that grows as the bytes arrive. Otherwise a
 // corrupt length would make a receiver allocate megabytes for a peer that sent four
 // bytes, and a thousand such sessions would crash the process.
-func readFrame(r io.Reader, length int) ([]byte, error) {
+func readFrame(r io.Reader, length int, held *memorybudget.Holding) ([]byte, error) {
 	frame := make([]byte, 0, min(length, readStep))
 	for len(frame) < length {
 		have := len(frame)
 		step := min(length-have, max(have, readStep))
+		if err := held.Grow(int64(step)); err != nil {
+			return nil, errorf(CodeNoMemory, "", err, "frame of %d bytes", length)
+		}
 		frame = slices.Grow(frame, step)[:have+step]
 		n, err := io.ReadFull(r, frame[have:])
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/memorybudget"
 	"github.com/oriolebend/oriolebend/internal/message"
 )
 
@@ -102,3 +104,26 @@
 		}
 	})
 }
+
+// Guards against frames whose memory is not counted, or is counted on after they were decoded.
+func TestLargeFrameNeedsMemory(t *testing.T) {
+	i := is.New(t)
+	account := memorybudget.New(memorybudget.Config{Limit: 1 << 20, PeerShare: 1, SmallShare: 0.01})
+	frame, err := Codec{}.Append(nil, message.Prefill{Prompt: strings.Repeat("x", 600<<10)})
+	i.NoErr(err)
+	read := func() error {
+		r := bytes.NewReader(frame)
+		length, err := Codec{}.readLength(r)
+		i.NoErr(err)
+		_, err = readMessage(r, length, account.Open(memorybudget.Frame, "p"))
+		return err
+	}
+	i.NoErr(read())
+	i.Equal(account.Held(memorybudget.Frame), int64(0))
+	other := account.Open(memorybudget.Frame, "q")
+	i.NoErr(other.Grow(600 << 10))
+	i.Equal(CodeOf(read()), CodeNoMemory)
+	i.Equal(account.Held(memorybudget.Frame), int64(600<<10))
+	other.Close()
+	i.NoErr(read())
+}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"github.com/oriolebend/oriolebend/internal/memorybudget"
 )
 
 // Defaults of Config.
@@ -46,6 +48,9 @@
 	Protocols []string
 	// Codec bounds frames.
 	Codec Codec
+	// Frames bounds the memory of the large frames that are being received in all
+	// sessions; nil means no bound.
+	Frames *memorybudget.Account
 	// Silence is how long a peer with open sessions may send nothing, not even
 	// acknowledgements, before its connection is closed; zero means
 	// DefaultSilence.
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -22,6 +22,7 @@
 	CodeLost        Code = "lost"        // the connection broke or the peer restarted
 	CodeSilent      Code = "silent"      // the peer sent nothing for Config.Silence
 	CodeTooLarge    Code = "tooLarge"    // a frame exceeds the size limit
+	CodeNoMemory    Code = "noMemory"    // a frame would exceed the memory for frames
 	CodeUnknownKind Code = "unknownKind" // a frame's kind is not registered
 	CodeGarbled     Code = "garbled"     // a frame can't be decoded
 	CodeDenied      Code = "denied"      // the peer's role may not open such a session
@@ -76,7 +77,7 @@
 // Codes lists every code.
 func Codes() []Code {
 	return []Code{
-		CodeClosed, CodePeerClosed, CodeReset, CodeStopping, CodeLost, CodeSilent, CodeTooLarge,
+		CodeClosed, CodePeerClosed, CodeReset, CodeStopping, CodeLost, CodeSilent, CodeTooLarge, CodeNoMemory,
 		CodeUnknownKind, CodeGarbled, CodeDenied, CodeUnreachable, CodeVersion, CodeAddress, CodeCancelled,
 		CodeMissingFile, CodeMalformedFile, CodeKeyMismatch, CodeExpired, CodeWrongAuthority, CodeNoName, CodeRefused,
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/oriolebend/oriolebend/internal/memorybudget"
 	"github.com/oriolebend/oriolebend/internal/message"
 )
 
@@ -23,6 +25,8 @@
 	reader     *bufio.Reader
 	codec      Codec
 	traffic    traffic
+	// held counts the large frame that is being read.
+	held *memorybudget.Holding
 
 	sendLock sync.Mutex
 	buffer   []byte
@@ -43,6 +47,7 @@
 		reader:     bufio.NewReaderSize(counted, readerBytes),
 		codec:      c.endpoint.config.Codec,
 		traffic:    traffic,
+		held:       c.endpoint.config.Frames.Open(memorybudget.Frame, c.peer.Name),
 	}
 }
 
@@ -75,7 +80,7 @@
 	if s.readError != nil {
 		return nil, s.readError
 	}
-	m, err := s.codec.Read(s.reader)
+	m, err := s.readMessage()
 	if err == nil {
 		s.traffic.framesReceived.Inc()
 		return m, nil
@@ -90,10 +95,33 @@
 	return nil, s.readError
 }
 
+// largeFrameTimeout bounds the time in which the rest of a large frame must arrive. The
+// largest frame takes half of it on a link of 10 Mbit/s.
+const largeFrameTimeout = 30 * time.Second
+
+// readMessage reads the next message. A peer that stops in the middle of a large frame
+// would otherwise hold its memory for as long as the session is open.
+func (s *session) readMessage() (message.Message, error) {
+	length, err := s.codec.readLength(s.reader)
+	if err != nil {
+		return nil, err
+	}
+	if length <= readStep {
+		return readMessage(s.reader, length, nil)
+	}
+	_ = s.stream.SetReadDeadline(time.Now().Add(largeFrameTimeout))
+	defer func() { _ = s.stream.SetReadDeadline(time.Time{}) }()
+	m, err := readMessage(s.reader, length, s.held)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, errorf(CodeGarbled, "", err, "frame of %d bytes not complete within %v", length, largeFrameTimeout)
+	}
+	return m, err
+}
+
 // breaksFraming reports whether, after an error, the next bytes may not begin a
 // frame, or the message that could not be read may matter to the session.
 func breaksFraming(c Code) bool {
-	return c == CodeGarbled || c == CodeTooLarge || c == CodeUnknownKind
+	return c == CodeGarbled || c == CodeTooLarge || c == CodeNoMemory || c == CodeUnknownKind
 }
 
 // recordError adds the peer's name to an error and counts the error.
--- a/internal/role/process.go
+++ b/internal/role/process.go
@@ -219,6 +219,7 @@
 		Handler:     dispatch.Serve,
 		Logger:      p.Logger,
 		Metrics:     counts,
+		Frames:      p.frames(),
 		Silence:     p.idleTimeout(),
 	})
 }
@@ -228,6 +229,25 @@
 // seconds, even if a connection was lost just before.
 const seededIdleTimeout = 1500 * time.Millisecond
 
+// frames returns the account of the large frames that the process receives from other processes.
+func (p Process) frames() *memorybudget.Account {
+	a := memorybudget.New(memorybudget.Config{
+		Limit: p.Settings.Node.FrameBytes(), PeerShare: framePeerShare, SmallShare: frameSmallShare,
+	})
+	gauge := p.metrics.Gauge
+	gauge("frame_bytes_limit", "Bytes of large frames that may be received at the same time.", func() float64 { return float64(a.Limit()) })
+	gauge("frame_bytes_held", "Bytes of large frames that are being received.", func() float64 { return float64(a.Held(memorybudget.Frame)) })
+	gauge("frame_bytes_refused", "How often a large frame was refused for lack of memory so far.", func() float64 { return float64(a.Refused(memorybudget.Frame)) })
+	return a
+}
+
+// Shares of the memory for large frames: one peer may send the largest frame, and leaves room for a
+// routing of others. Small frames are not counted.
+const (
+	framePeerShare  = 0.75
+	frameSmallShare = 0.01
+)
+
 // idleTimeout returns how long a connection to a peer may receive nothing; zero
 // means the default.
 func (p Process) idleTimeout() time.Duration {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,10 @@
 	// connections, its state of the fleet, and garbage that has not been collected yet.
 	heldShare        = 0.3
 	defaultHeldBytes = 64 << 20
+	// frameShare is the part of the memory for large frames of other processes; minFrameBytes has room
+	// for the largest frame and several routings.
+	frameShare    = 0.2
+	minFrameBytes = 24 << 20
 	// connectionShare is the part of the memory for callers' connections, connectionBytes
 	// the size of an idle connection: its goroutines, buffers and socket.
 	connectionShare = 0.25
@@ -80,6 +84,10 @@
 	return defaultHeldBytes
 }
 
+// FrameBytes returns the bound on the bytes of large frames that the process receives from other
+// processes of the system at the same time.
+func (n Node) FrameBytes() int64 { return max(minFrameBytes, int64(frameShare*float64(n.bytes()))) }
+
 // Connections returns how many callers' connections fit into the memory of the process.
 func (n Node) Connections() int { return n.connectionsWithin(connectionShare) }
 
