--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/http1/http1test"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -37,21 +38,11 @@
 
 func startFake(t *testing.T, script func(n int32) step) *fakeServer {
 	t.Helper()
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	f := &fakeServer{address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			f.connections.Add(1)
-			go f.serve(conn.(*net.TCPConn), script)
-		}
-	}()
+	f := &fakeServer{}
+	f.address = http1test.Listen(t, func(conn *net.TCPConn, _ func()) {
+		f.connections.Add(1)
+		f.serve(conn, script)
+	})
 	return f
 }
 
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/http1"
+	"github.com/oriolebend/oriolebend/internal/http1/http1test"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/internal/saturation"
@@ -33,7 +34,7 @@
 // its connection is closed.
 func endlessServer(t *testing.T, begin, part string) string {
 	t.Helper()
-	return listenRaw(t, func(conn net.Conn, _ func()) {
+	return http1test.Listen(t, func(conn *net.TCPConn, _ func()) {
 		defer conn.Close()
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/oriolebend/oriolebend/internal/http1/http1test"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
@@ -62,7 +63,7 @@
 // start adds the server to a site.
 func (v *scriptedServer) start(s *site, role oriolebend.PoolRole) {
 	s.t.Helper()
-	address := listenRaw(s.t, func(conn net.Conn, _ func()) { v.serve(conn) })
+	address := http1test.Listen(s.t, func(conn *net.TCPConn, _ func()) { v.serve(conn) })
 	s.servers = append(s.servers, message.BackendServer{
 		Instance: fmt.Sprintf("i%d", len(s.servers)), Service: "s", Address: address,
 		FailureDomain: "a", Phase: message.PhaseReady, Role: role, SoftwareVersion: "v1",
--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/oriolebend/oriolebend/internal/http1/http1test"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
@@ -29,7 +30,7 @@
 func (s *site) unframedServer(body string, e ending) *atomic.Int32 {
 	s.t.Helper()
 	requests := &atomic.Int32{}
-	address := listenRaw(s.t, func(conn net.Conn, stop func()) {
+	address := http1test.Listen(s.t, func(conn *net.TCPConn, stop func()) {
 		request, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return // a probe
@@ -39,7 +40,7 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+body)
 		switch e {
 		case endsReset:
-			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.SetLinger(0)
 		case endsCrashed:
 			stop()
 		}
--- a/internal/http1/http1test/http1test.go
+++ b/internal/http1/http1test/http1test.go
@@ -99,24 +99,33 @@
 	requests int
 }
 
-// Serve starts a server on loopback that ends with the test.
-func Serve(t *testing.T) *Server {
+// Listen starts a server on loopback and returns its address. It passes each connection to serve, which
+// closes it, together with a function that ends the server.
+func Listen(t *testing.T, serve func(conn *net.TCPConn, stop func())) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &Server{Address: listener.Addr().String()}
+	stop := func() { _ = listener.Close() }
+	t.Cleanup(stop)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(conn.(*net.TCPConn))
+			go serve(conn.(*net.TCPConn), stop)
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// Serve starts a server on loopback that ends with the test.
+func Serve(t *testing.T) *Server {
+	t.Helper()
+	s := &Server{}
+	s.Address = Listen(t, func(conn *net.TCPConn, _ func()) { s.serve(conn) })
 	return s
 }
 
