--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -46,9 +46,15 @@
 }
 
 func controlCommand(errOut io.Writer) *ff.Command {
-	return roleCommand(errOut, settings.RoleControl, "store declared state and request records on a control VM", func(p role.Process) (stoppable, error) {
-		return role.StartControl(p)
-	})
+	return roleCommand(errOut, settings.RoleControl, "store declared state and request records on a control VM", startControl)
+}
+
+// startControl starts a control VM, which is a relay if it is found through seeds and has no disk.
+func startControl(p role.Process) (stoppable, error) {
+	if p.Settings.Control.DataFolder == "" && len(p.Settings.Control.Seeds) > 0 {
+		return role.StartRelay(p)
+	}
+	return role.StartControl(p)
 }
 
 // roleCommand returns a subcommand that runs one role until its context ends.
@@ -65,22 +71,27 @@
 			if err := noArguments(string(r), args); err != nil {
 				return err
 			}
-			s, err := overrides.Load(r)
+			load := func() (settings.Settings, error) { return overrides.Load(r) }
+			s, err := load()
 			if err != nil {
 				return err
 			}
-			return runRole(ctx, errOut, r, s, start)
+			return runRole(ctx, errOut, r, s, load, start)
 		},
 	}
 }
 
-func runRole(ctx context.Context, errOut io.Writer, r settings.Role, s settings.Settings, start func(role.Process) (stoppable, error)) error {
+// runRole runs one role until ctx ends. load reads the settings again, at each SIGHUP.
+func runRole(ctx context.Context, errOut io.Writer, r settings.Role, s settings.Settings, load func() (settings.Settings, error), start func(role.Process) (stoppable, error)) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // a signal while the process starts would end it
+	defer signal.Stop(hangups)
 	base, err := logging.New(s.Log, errOut)
 	if err != nil {
 		return err
 	}
 	logger := base.With("node", s.Node.Name)
-	credentials, watch, err := credentials(r, s, logger)
+	credentials, files, err := credentials(r, s)
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
 	}
@@ -92,47 +103,68 @@
 	logger.Info("started")
 	watchContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch(watchContext)
+	if files != nil {
+		go files.Watch(watchContext, 0, logger)
+	}
+	go reloadOnHangup(watchContext, hangups, logger, func() { reload(files, running, load, logger) })
 	<-ctx.Done()
 	logger.Info("stopping; work in progress ends first")
 	return stop(running)
 }
 
-// credentials returns the credentials that the process presents to its peers, and a
-// function that applies changes of their files until its context ends.
-func credentials(r settings.Role, s settings.Settings, logger *slog.Logger) (peer.Credentials, func(context.Context), error) {
+// credentials returns the credentials that the process presents to its peers, and their files if they
+// are read from files.
+func credentials(r settings.Role, s settings.Settings) (peer.Credentials, *peer.FileCredentials, error) {
 	if s.Peer.Trust == settings.TrustNetwork {
 		c, err := peer.NetworkCredentials(peer.Identity{Role: string(r), Name: role.MemberName(s)})
-		return c, func(context.Context) {}, err
+		return c, nil, err
 	}
 	files, err := peer.LoadFiles(peer.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority})
 	if err != nil {
 		return nil, nil, err
 	}
-	return files, func(ctx context.Context) {
-		go files.Watch(ctx, 0, logger)
-		go reloadOnHangup(ctx, files, logger)
-	}, nil
+	return files, files, nil
 }
 
-// reloadOnHangup reloads the files of the certificate at each SIGHUP, without waiting for
-// their next periodic check.
-func reloadOnHangup(ctx context.Context, files *peer.FileCredentials, logger *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// reloadOnHangup calls reload at each SIGHUP until ctx ends.
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, logger *slog.Logger, reload func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
-			if err := files.Reload(); err != nil {
-				logger.Warn("certificate not taken up", "error", err)
-				continue
-			}
+			logger.Info("reload requested")
+			reload()
+		}
+	}
+}
+
+// reloadable is a process that applies changed settings while it runs.
+type reloadable interface {
+	Reload(s settings.Settings)
+}
+
+// reload reads the files of the certificate again, without waiting for their next periodic check, and the
+// settings. What can't be read changes nothing.
+func reload(files *peer.FileCredentials, running stoppable, load func() (settings.Settings, error), logger *slog.Logger) {
+	if files != nil {
+		if err := files.Reload(); err != nil {
+			logger.Warn("certificate not taken up", "error", err)
+		} else {
 			logger.Info("certificate taken up", "file", files.Name())
 		}
 	}
+	process, ok := running.(reloadable)
+	if !ok {
+		return
+	}
+	s, err := load()
+	if err != nil {
+		logger.Warn("can't reload settings", "error", err)
+		return
+	}
+	process.Reload(s)
+	logger.Info("settings taken up", "seeds", len(s.Control.Seeds))
 }
 
 // CutError means that a process was stopped before its work in progress had ended.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -42,6 +42,10 @@
 	processes []*process
 	controls  []string
 	callers   []string
+	// seeds are the control VMs that settings name from now on; founded is set once the control VMs have
+	// started for the first time.
+	seeds   []string
+	founded bool
 }
 
 const token = "operator-token-of-the-soak"
@@ -60,27 +64,57 @@
 func startSystemWithMemory(t *testing.T, program string, megabytes int) *system {
 	t.Helper()
 	s := &system{t: t, program: program, folder: t.TempDir(), port: freePort(t), memoryMB: megabytes}
-	for i := range 3 {
-		s.controls = append(s.controls, fmt.Sprintf("127.0.2.%d", i+1))
-	}
-	for _, ip := range s.controls {
-		s.add("control", ip, fmt.Sprintf("dataFolder = %q\n", filepath.Join(s.folder, ip)))
-	}
+	s.addControls()
 	s.add("control", "127.0.2.9", "") // a relay
 	for i := range forwarders {
 		ip := fmt.Sprintf("127.0.2.%d", 20+i)
 		s.callers = append(s.callers, fmt.Sprintf("%s:%d", ip, s.port+1))
 		s.add("forwarder", ip, "")
 	}
+	s.start()
+	return s
+}
+
+// addControls adds the control VMs that found the group.
+func (s *system) addControls() {
+	for i := range 3 {
+		s.controls = append(s.controls, fmt.Sprintf("127.0.2.%d", i+1))
+	}
+	s.seeds = s.controls
+	for _, ip := range s.controls {
+		s.add("control", ip, s.dataFolder(ip))
+	}
+}
+
+// dataFolder returns the setting of a control VM with a disk.
+func (s *system) dataFolder(ip string) string {
+	return fmt.Sprintf("dataFolder = %q\n", filepath.Join(s.folder, ip))
+}
+
+// start starts all processes for the first time; they end with the test.
+func (s *system) start() {
 	for _, p := range s.processes {
 		p.start()
 	}
-	t.Cleanup(func() {
+	s.founded = true
+	s.t.Cleanup(func() {
 		for _, p := range s.processes {
 			p.kill()
 		}
 	})
-	return s
+}
+
+// checkRunning requires that no process has ended by itself.
+func (s *system) checkRunning() {
+	s.t.Helper()
+	for _, p := range s.processes {
+		p.mutex.Lock()
+		running := p.running()
+		p.mutex.Unlock()
+		if !running {
+			s.t.Errorf("%s has ended by itself", p.name)
+		}
+	}
 }
 
 func freePort(t *testing.T) int {
@@ -103,8 +137,8 @@
 		} else {
 			text += fmt.Sprintf("[forward]\nlisten = \"%s:%d\"\nstopDelay = \"200ms\"\nstopWithin = \"4s\"\n", ip, s.port+1)
 		}
-		text += "[control]\nminFreeBytes = 1\n" + control + "seeds = ["
-		for _, seed := range s.controls {
+		text += fmt.Sprintf("[control]\nminFreeBytes = 1\nfound = %t\n", !s.founded) + control + "seeds = ["
+		for _, seed := range s.seeds {
 			text += fmt.Sprintf("\"%s:%d\",", seed, s.port)
 		}
 		return os.WriteFile(p.settings, []byte(text+"]\n"), 0o600)
@@ -177,6 +211,18 @@
 	}
 }
 
+// keepLogs copies the logs of a failed test to a folder that is not removed.
+func (s *system) keepLogs() {
+	if !s.t.Failed() {
+		return
+	}
+	folder, err := os.MkdirTemp("", "soak-")
+	if err == nil {
+		s.copyLogs(folder)
+		s.t.Log("logs are in", folder)
+	}
+}
+
 func (s *system) copyLogs(folder string) {
 	for _, p := range s.processes {
 		data, err := os.ReadFile(p.settings + ".log")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -122,6 +121,7 @@
 	s.awaitReady(settle)
 	operator.declare(t.Context())
 	operator.checkInForce(settle)
+	s.checkRunning()
 	load.check(t, fleet)
 	load.checkRanks(t)
 	load.checkStreams(t)
@@ -132,13 +132,7 @@
 	load.checkSharedPart(t, restored)
 	fleet.callers.check(t)
 	fleet.checkNotices(t)
-	if t.Failed() {
-		folder, err := os.MkdirTemp("", "soak-")
-		if err == nil {
-			s.copyLogs(folder)
-			t.Log("logs are in", folder)
-		}
-	}
+	s.keepLogs()
 }
 
 // fault is a fault that the test can inject.
