--- a/internal/soak/replacement_test.go
+++ b/internal/soak/replacement_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -60,7 +62,9 @@
 	if r.random.IntN(3) > 0 {
 		r.restartRelays()
 	}
-	r.replace(lost, "127.0.2.4")
+	const successor = "127.0.2.4"
+	r.replace(lost, successor)
+	r.awaitListening(successor)
 	time.Sleep(catchUp)
 	r.declare()
 	r.loseDisk(r.controls[r.random.IntN(len(r.controls))])
@@ -69,6 +73,18 @@
 	r.checkRunning()
 }
 
+// awaitListening waits until a process serves its metrics. On a busy machine it takes seconds to start.
+func (r *replacement) awaitListening(ip string) {
+	address := net.JoinHostPort(ip, strconv.Itoa(r.port+2))
+	for deadline := time.Now().Add(settle); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", address); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	r.t.Fatalf("%s does not listen within %s", ip, settle)
+}
+
 // declare declares the next routing, which must be accepted within the time to recover.
 func (r *replacement) declare() {
 	r.version++
