agreement: a member that grants its vote ends its own pre-vote

What callers would see: for up to a lease (225 ms) two control VMs answer as leader and both grant quotas.

Cause: a pre-candidate may vote for a faster candidate. It went on counting the answers to its own pre-vote and stood for election in the next term, within the lease that it had granted with its vote.

Change: a member that grants a vote is a follower, and its pre-vote has ended.

--- a/internal/reducer/agreement/election.go
+++ b/internal/reducer/agreement/election.go
@@ -191,6 +191,8 @@
 	if s.mayVote(m) && free && s.electable(m) {
 		answer.Granted = true
 		s.restart.fresh = false
+		s.Role = Follower
+		s.election = election{} // answers to an earlier pre-vote must not make this member a rival
 		s.lastContact = s.now
 		s.resetElection()
 		if s.Hard.Vote != m.From {
--- a/internal/reducer/agreement/slow_test.go
+++ b/internal/reducer/agreement/slow_test.go
@@ -50,7 +50,9 @@
 	for len(g.sent) > 0 && g.sent[0].arrives <= g.now {
 		w := g.sent[0]
 		g.sent = g.sent[1:]
-		g.feed(g.vm(w.to), Received{g.now, w.m})
+		if !g.cut[[2]string{w.from, w.to}] {
+			g.feed(g.vm(w.to), Received{g.now, w.m})
+		}
 	}
 }
 
