--- a/internal/message/agreement.go
+++ b/internal/message/agreement.go
@@ -52,6 +52,11 @@
 	Term uint64 `cbor:"term"`
 	// From is the name of the sending member.
 	From string `cbor:"from"`
+	// TimeoutScale is the factor by which the sender's timeouts are longer than the configured ones; zero
+	// stands for one.
+	TimeoutScale uint64 `cbor:"timeoutScale,omitempty"`
+	// TimeoutScaleRound is the round of the term since which TimeoutScale applies, zero for the election.
+	TimeoutScaleRound uint64 `cbor:"timeoutScaleRound,omitempty"`
 }
 
 // Append carries entries from the leader, or none as a heartbeat.
--- a/internal/reducer/agreement/config.go
+++ b/internal/reducer/agreement/config.go
@@ -55,7 +55,8 @@
 	Start uint64
 	// HeartbeatTicks is the interval between two heartbeats of a leader.
 	HeartbeatTicks uint64
-	// ElectionTicks is the election timeout. A member grants no vote until this long after the
+	// ElectionTicks is the election timeout; it and the times that depend on it are longer in a term of
+	// which messages arrive late (State.TimeoutScale). A member grants no vote until this long after the
 	// last message from its leader, and stands for election after this and a random time of up to
 	// as much again.
 	ElectionTicks uint64
--- a/internal/reducer/agreement/effect.go
+++ b/internal/reducer/agreement/effect.go
@@ -31,6 +31,10 @@
 	Term uint64 `cbor:"term"`
 	// Vote is the member that this member voted for, or follows, in this term.
 	Vote string `cbor:"vote,omitempty"`
+	// TimeoutScale is the factor by which the timeouts are longer than the configured ones, zero for one.
+	// TimeoutScaleRound is the round of the term since which it applies.
+	TimeoutScale      uint64 `cbor:"timeoutScale,omitempty"`
+	TimeoutScaleRound uint64 `cbor:"timeoutScaleRound,omitempty"`
 	// RecoverTo is set while a member that started with an empty data folder lacks entries that
 	// it may have accepted before: it grants no vote until its log reaches this index.
 	RecoverTo uint64 `cbor:"recoverTo,omitempty"`
@@ -90,11 +94,13 @@
 	RetryAfter time.Duration
 }
 
-// LeadershipChanged reports a new role, term or leader.
+// LeadershipChanged reports a new role, term, leader or factor of the timeouts.
 type LeadershipChanged struct {
 	Role   Role
 	Term   uint64
 	Leader message.Member
+	// TimeoutScale is the factor by which the timeouts are longer than the configured ones.
+	TimeoutScale uint64
 }
 
 // MemberRemoved reports that this leader removes a member that is leaving, or that has not answered
--- a/internal/reducer/agreement/election.go
+++ b/internal/reducer/agreement/election.go
@@ -27,7 +27,7 @@
 }
 
 func (s *State) resetElection() {
-	s.electionDue = s.now + s.Config.ElectionTicks + s.random.Uint64N(s.Config.ElectionTicks)
+	s.electionDue = s.now + s.electionTicks() + s.random.Uint64N(s.electionTicks())
 }
 
 // inLease reports whether a leader may still hold a lease that this member has granted, or
@@ -37,19 +37,20 @@
 // be replaced while its lease still runs, and two members would answer as leader at the same
 // time.
 func (s *State) inLease() bool {
-	return s.leads() || s.now < s.lastContact+s.Config.ElectionTicks
+	return s.leads() || s.now < s.lastContact+s.electionTicks()
 }
 
-// LastContact returns the tick of the last message from a leader or of the last vote granted.
-func (s *State) LastContact() uint64 { return s.lastContact }
+// LastContact returns the tick of the last message from a leader or of the last vote granted. It is later
+// by as much as the election timeout is longer than the configured one.
+func (s *State) LastContact() uint64 {
+	return s.lastContact + s.electionTicks() - s.Config.ElectionTicks
+}
 
 // becomeFollower makes the member a follower in a term; the leader may not be known yet.
 func (s *State) becomeFollower(term uint64, leader string) {
 	wasLeader := s.Role == Leader
 	if term > s.Hard.Term {
-		s.Hard.Term = term
-		s.Hard.Vote = ""
-		s.markHardStateDirty()
+		s.enterTerm(term)
 	}
 	s.Role = Follower
 	s.Leader = leader
@@ -87,9 +88,10 @@
 	s.restart.fresh = false
 	s.Role = Candidate
 	s.Leader = ""
-	s.Hard.Term++
+	s.enterTerm(s.Hard.Term + 1)
 	s.Hard.Vote = s.Config.Name
-	s.markHardStateDirty()
+	s.plannedTerm(vote)
+	s.slowDownCandidate()
 	s.resetElection()
 	s.election = election{
 		votes:           map[string]bool{},
@@ -194,11 +196,12 @@
 		s.Role = Follower
 		s.election = election{} // answers to an earlier pre-vote must not make this member a rival
 		s.lastContact = s.now
-		s.resetElection()
 		if s.Hard.Vote != m.From {
 			s.Hard.Vote = m.From
+			s.setTimeoutScale(m.TimeoutScale, 0)
 			s.markHardStateDirty()
 		}
+		s.resetElection()
 	}
 	s.send(m.From, answer, afterHardState)
 }
--- a/internal/reducer/agreement/follower.go
+++ b/internal/reducer/agreement/follower.go
@@ -8,7 +8,7 @@
 
 // handleAppend handles entries or a heartbeat from a leader.
 func (s *State) handleAppend(m message.Append) {
-	if !s.acceptLeader(m.From) {
+	if !s.acceptLeader(m.Agreement) {
 		return
 	}
 	answer := message.AppendAnswer{Agreement: s.header(), PrevIndex: m.PrevIndex, Round: m.Round, Leaving: s.leaving}
@@ -44,9 +44,10 @@
 	s.send(m.From, answer, afterAll)
 }
 
-// acceptLeader accepts the sender as the leader of the current term. If this member leads the term
-// itself, it emits Fatal and returns false.
-func (s *State) acceptLeader(leader string) bool {
+// acceptLeader accepts the sender of a message as the leader of the current term. If this member leads
+// the term itself, it emits Fatal and returns false.
+func (s *State) acceptLeader(header message.Agreement) bool {
+	leader := header.From
 	if s.Role == Leader {
 		s.emit(Fatal{Detail: fmt.Sprintf("two leaders in term %d: %s and %s",
 			s.Hard.Term, s.Config.Name, leader)})
@@ -55,6 +56,7 @@
 	s.becomeFollower(s.Hard.Term, leader)
 	s.restart.fresh = false
 	s.lastContact = s.now
+	s.adoptTimeoutScale(header)
 	s.resetElection()
 	if s.Hard.Vote == "" {
 		s.Hard.Vote = leader
--- a/internal/reducer/agreement/leader.go
+++ b/internal/reducer/agreement/leader.go
@@ -40,6 +40,8 @@
 	// ackRound is the newest round that the member answered, ackTick the start of that round.
 	ackRound, ackTick uint64
 	acked             bool
+	// leaseScale is the factor of the timeouts that the member stated when it answered that round.
+	leaseScale uint64
 	// recovering is true while the member grants no vote; its answers then count for no quorum.
 	// recoveringSince is the newest round when it first answered so, confirmed is set once it was told
 	// that others have answered a later one.
@@ -70,6 +72,7 @@
 func (s *State) becomeLeader() {
 	s.Role = Leader
 	s.Leader = s.Config.Name
+	s.resetPace()
 	s.lead = leadership{
 		progress:       map[string]*progress{},
 		lastBeforeTerm: s.log.last(),
@@ -79,8 +82,8 @@
 	s.trackMembers()
 	for name := range s.election.votes {
 		if p := s.lead.progress[name]; p != nil {
-			// A member that granted a vote grants no other for ElectionTicks, just as one that
-			// answered a round.
+			// A member that granted a vote grants no other for an election timeout, just as one
+			// that answered a round. The factor that it stated is not known here.
 			p.acked, p.ackTick = true, s.election.began
 		}
 	}
@@ -154,6 +157,7 @@
 	s.lead.heartbeatDue = s.now + s.Config.HeartbeatTicks
 	s.lead.round.Number++
 	s.lead.round.Tick = s.now
+	s.adaptTimeouts()
 	for _, m := range s.Members {
 		if m.Name != s.Config.Name {
 			s.sendRound(m)
@@ -202,7 +206,7 @@
 	if expired >= s.Config.HeartbeatTicks {
 		s.refuseWaiting()
 	}
-	if expired >= s.Config.GraceTicks {
+	if expired >= s.graceTicks() {
 		s.becomeFollower(s.Hard.Term, "")
 	}
 }
@@ -210,14 +214,15 @@
 // leads reports whether this member holds a lease as leader.
 //
 // A leader that is cut off must not answer as leader after the other members have elected another one:
-// callers would be directed to a leader that can accept nothing. Followers wait for ElectionTicks, which
-// is longer than a lease, before they elect another.
+// callers would be directed to a leader that can accept nothing. Followers wait for an election
+// timeout, which is longer than a lease, before they elect another.
 func (s *State) leads() bool { return s.Role == Leader && s.now < s.LeaseEnd() }
 
 // LeaseEnd returns, on a leader, the tick at which its lease ends unless a quorum answers before.
 func (s *State) LeaseEnd() uint64 {
-	since := s.quorumValue(s.now, func(p *progress) uint64 { return p.ackTick })
-	return since + s.Config.LeaseTicks
+	return s.quorumValue(s.now+s.leaseTicks(), func(p *progress) uint64 {
+		return p.ackTick + s.Config.LeaseTicks*min(max(1, p.leaseScale), s.TimeoutScale())
+	})
 }
 
 // advanceCommit commits the entries that a quorum has synced.
--- a/internal/reducer/agreement/members.go
+++ b/internal/reducer/agreement/members.go
@@ -131,7 +131,7 @@
 		return true
 	}
 	p := s.lead.progress[name]
-	return p != nil && p.acked && s.now < p.ackTick+s.Config.LeaseTicks
+	return p != nil && p.acked && s.now < p.ackTick+s.leaseTicks()
 }
 
 // mayGrantVotes reports whether a member answers and grants votes.
--- a/internal/reducer/agreement/reduce.go
+++ b/internal/reducer/agreement/reduce.go
@@ -68,7 +68,7 @@
 // reportLeadership emits a LeadershipChanged when the role, term or leader has changed.
 func (s *State) reportLeadership() {
 	leader, _ := s.Member(s.Leader)
-	now := LeadershipChanged{Role: s.Role, Term: s.Hard.Term, Leader: leader}
+	now := LeadershipChanged{Role: s.Role, Term: s.Hard.Term, Leader: leader, TimeoutScale: s.TimeoutScale()}
 	if now == s.reported {
 		return
 	}
@@ -128,6 +128,9 @@
 		}
 	}
 	s.becomeFollower(header.Term, "")
+	if vote, ok := m.(message.Vote); ok {
+		s.plannedTerm(vote)
+	}
 	return true
 }
 
@@ -148,5 +151,8 @@
 }
 
 func (s *State) header() message.Agreement {
-	return message.Agreement{Group: s.Config.Group, Term: s.Hard.Term, From: s.Config.Name}
+	return message.Agreement{
+		Group: s.Config.Group, Term: s.Hard.Term, From: s.Config.Name,
+		TimeoutScale: s.Hard.TimeoutScale, TimeoutScaleRound: s.Hard.TimeoutScaleRound,
+	}
 }
--- a/internal/reducer/agreement/replicate.go
+++ b/internal/reducer/agreement/replicate.go
@@ -116,7 +116,7 @@
 	if begun {
 		s.beginRound() // the answers of the others to it confirm this leader
 	}
-	s.recordAck(p, m.Round)
+	s.recordAck(p, m.Agreement, m.Round)
 	s.sendConfirmations()
 	if m.Accepted {
 		s.handleAccepted(m, p)
@@ -126,11 +126,14 @@
 }
 
 // recordAck records the newest round that a member has answered.
-func (s *State) recordAck(p *progress, round message.Round) {
+func (s *State) recordAck(p *progress, header message.Agreement, round message.Round) {
 	if !p.acked || round.Number > p.ackRound {
 		p.acked = true
 		p.ackRound = round.Number
 		p.ackTick = max(p.ackTick, round.Tick)
+		if round.Number >= s.Hard.TimeoutScaleRound {
+			p.leaseScale = header.TimeoutScale
+		}
 		s.answerReads()
 	}
 }
--- a/internal/reducer/agreement/slow_test.go
+++ b/internal/reducer/agreement/slow_test.go
@@ -60,12 +60,13 @@
 // answers on busy VMs arrive about as late as a lease lasts.
 func TestSlowGroupKeepsALeader(t *testing.T) {
 	const ticks = 4000 // 100 s
-	for _, delay := range []uint64{1, 2, 3} {
+	for _, delay := range []uint64{1, 2, 3, 4, 6, 8, 12, 16} {
 		is := is.New(t)
 		g := &slowGroup{sim: newSim([]string{"a", "b", "c"}, 3, smallConfig()), messageTicks: delay, syncTicks: delay}
 		led := g.run(ticks)
 		is.Equal(g.failure, "")
-		t.Logf("messages %d ms late: led in %d of %d ticks, term %d", 25*delay, led, ticks, g.vms[0].state.Hard.Term)
+		t.Logf("messages %d ms late: led in %d of %d ticks, term %d, scale %d", 25*delay, led, ticks,
+			g.vms[0].state.Hard.Term, g.vms[0].state.TimeoutScale())
 		is.True(led > ticks/2) // a leader must hold its lease most of the time
 		g.propose(g.leader(), 1)
 		before := g.acked
--- a/internal/reducer/agreement/snapshot.go
+++ b/internal/reducer/agreement/snapshot.go
@@ -81,10 +81,10 @@
 	})
 }
 
-// retryChunk sends a chunk again that was not answered within ElectionTicks, or restarts the
+// retryChunk sends a chunk again that was not answered within the election timeout, or restarts the
 // transfer if that snapshot is no longer stored.
 func (s *State) retryChunk(m message.Member, p *progress) {
-	if s.now < p.chunk.sent+s.Config.ElectionTicks {
+	if s.now < p.chunk.sent+s.electionTicks() {
 		return
 	}
 	if !s.sendable(p.chunk.meta) {
@@ -98,7 +98,7 @@
 	if s.Role != Leader || p == nil {
 		return
 	}
-	s.recordAck(p, m.Round)
+	s.recordAck(p, m.Agreement, m.Round)
 	if p.chunk == nil || p.chunk.meta.Index != m.Index {
 		return
 	}
@@ -125,7 +125,7 @@
 
 // handleChunk handles a part of a leader's snapshot.
 func (s *State) handleChunk(m message.Chunk) {
-	if !s.acceptLeader(m.From) {
+	if !s.acceptLeader(m.Agreement) {
 		return
 	}
 	answer := message.ChunkAnswer{Agreement: s.header(), Index: m.Index, Round: m.Round}
--- a/internal/reducer/agreement/state.go
+++ b/internal/reducer/agreement/state.go
@@ -60,13 +60,14 @@
 	now    uint64
 	random *rand.Rand
 
-	// lastContact is the tick of the last message from a leader, or of the last vote granted; for
-	// ElectionTicks from then this member grants no vote.
+	// lastContact is the tick of the last message from a leader, or of the last vote granted; for an
+	// election timeout from then this member grants no vote.
 	lastContact uint64
 	electionDue uint64
 	// election is the campaign in progress.
 	election election
 	restart  restart
+	pace     pace
 	lead     leadership
 	incoming incoming
 	// leaving is set once the process of this member stops.
--- a/internal/reducer/agreement/transfer.go
+++ b/internal/reducer/agreement/transfer.go
@@ -8,7 +8,7 @@
 		return
 	}
 	s.lead.transferTo = s.successor()
-	s.lead.transferEnd = s.now + s.Config.ElectionTicks
+	s.lead.transferEnd = s.now + s.electionTicks()
 }
 
 // Transferring reports whether a transfer of leadership is in progress.
--- a/internal/reducer/agreement/unsteady_test.go
+++ b/internal/reducer/agreement/unsteady_test.go
@@ -10,7 +10,7 @@
 )
 
 // unsteadyGroup delivers messages late, in another order and twice, cuts links, restarts members, and
-// makes elections due early.
+// makes members believe that their timeouts are too short or too long, or that an election is due.
 type unsteadyGroup struct {
 	*slowGroup
 	random *rand.Rand
@@ -35,6 +35,8 @@
 		g.start(v)
 	case g.oneIn(100):
 		g.crash(v, g.random.IntN(3))
+	case g.oneIn(30):
+		v.state.pace.failedTerms = failedTermsToSlow
 	case !v.state.inLease() && g.oneIn(4):
 		v.state.electionDue = g.now
 	case g.oneIn(60):
@@ -45,13 +47,23 @@
 	if g.oneIn(40) {
 		g.slow = !g.slow
 	}
-	if leader := g.leader(); leader != nil && g.oneIn(80) {
-		g.isolate(leader)
+	if leader := g.leader(); leader != nil {
+		g.troubleLeader(leader)
 	}
 	g.delayNew()
 	g.deliverDue()
 }
 
+// troubleLeader makes a leader believe that its timeouts are too long, or isolates it.
+func (g *unsteadyGroup) troubleLeader(leader *vm) {
+	switch {
+	case g.oneIn(30):
+		leader.state.pace.calmSince, leader.state.pace.oldestAck = 0, 0
+	case g.oneIn(80):
+		g.isolate(leader)
+	}
+}
+
 // isolate cuts all links of a member.
 func (g *unsteadyGroup) isolate(v *vm) {
 	for _, other := range g.vms {
@@ -79,13 +91,13 @@
 }
 
 // Guards against two members that answer as leader at the same time, since one of them relies on a vote
-// of the other.
+// of the other, or on longer timeouts than those that its voters keep to.
 func TestUnsteadyGroupHasOneLeader(t *testing.T) {
 	const (
 		groups = 200
 		ticks  = 1500
 	)
-	terms := uint64(0)
+	terms, scales := uint64(0), map[uint64]int{}
 	for seed := range uint64(groups) {
 		names := []string{"a", "b", "c", "d", "e"}[:3+2*(seed%2)]
 		g := &unsteadyGroup{
@@ -95,9 +107,12 @@
 		g.exchangeStarts, g.outlives = seed%4 >= 2, true
 		for range ticks {
 			g.tick()
+			if leader := g.leader(); leader != nil && leader.state.leads() {
+				scales[leader.state.TimeoutScale()]++
+			}
 		}
 		is.New(t).Equal(fmt.Sprint("seed ", seed, ": ", g.failure), fmt.Sprint("seed ", seed, ": "))
 		terms += g.vms[0].state.Hard.Term
 	}
-	t.Logf("terms %d", terms)
+	t.Logf("terms %d, ticks with a lease by factor %v", terms, scales)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -118,6 +118,7 @@
 	}
 	r.saver = newSaver(store)
 	r.applier = newApplier(config, store, loaded)
+	r.start = time.Now()
 	r.state = agreement.New(r.reducerConfig(), loaded.Restored, 0)
 	if loaded.CutBytes > 0 {
 		config.Logger.Warn("dropped a write that a crash cut short", "bytes", loaded.CutBytes)
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -221,7 +221,8 @@
 }
 
 func (r *Replica) logLeadership(e agreement.LeadershipChanged) {
-	r.config.Logger.Info("agreement", "role", e.Role, "term", e.Term, "leader", e.Leader.Name)
+	r.config.Logger.Info("agreement", "role", e.Role, "term", e.Term, "leader", e.Leader.Name,
+		"timeoutScale", e.TimeoutScale)
 }
 
 // newJobs turns committed entries into jobs for the applier, which also answers their proposers.
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -23,6 +23,9 @@
 	// Recovering is true while the member grants no vote, because it started with an empty data
 	// folder in a group that has a log.
 	Recovering bool
+	// TimeoutScale is the factor by which the timeouts of elections and leases are longer than the
+	// configured ones.
+	TimeoutScale uint64
 	// DiskFull is true while a write waits for free disk space, or less than the minimum is free.
 	DiskFull bool
 	// Peers reports, on the leader, the progress of each member.
@@ -93,6 +96,7 @@
 		Name: s.Config.Name, Role: s.Role, Term: s.Hard.Term, Leader: s.Leader, Members: s.Members,
 		Last: s.Last(), Synced: s.Synced, Committed: s.Commit, Applied: s.Applied,
 		Snapshot: s.Snapshot.Index, Recovering: s.Hard.RecoverTo > 0, DiskFull: r.disk.full(),
+		TimeoutScale: s.TimeoutScale(),
 	}
 	if old != nil && len(old.Refusals) == len(r.refusals) && maps.Equal(old.Refusals, r.refusals) {
 		status.Refusals = old.Refusals
@@ -115,27 +119,35 @@
 	view := leaderView{name: leader.Name, address: leader.Address}
 	view.leads = s.Role == agreement.Leader
 	if !view.leads && view.name != "" {
-		view.lastContact = r.start.Add(time.Duration(s.LastContact()) * r.config.TickEvery)
+		view.lastContact = r.timeOf(s.LastContact())
 	}
 	if view.leads && len(s.Members) > 1 {
-		view.until = r.start.Add(time.Duration(s.LeaseEnd()) * r.config.TickEvery)
+		view.until = r.timeOf(s.LeaseEnd())
 	}
 	old := r.leader.Load()
 	if view.name == "" {
-		view.lost = lostAt(old)
+		view.lost = r.lostAt(old)
 	}
 	if old == nil || *old != view {
 		r.leader.Store(&view)
 	}
 }
 
-// lostAt returns since when there is no leader, if none is known now and old was published last.
-func lostAt(old *leaderView) time.Time {
+// lostAt returns since when there is no leader, if none is known now and old was published last. A member
+// that has just started counts as one that has received a message of a leader.
+func (r *Replica) lostAt(old *leaderView) time.Time {
 	switch {
-	case old != nil && old.name == "":
+	case old == nil:
+		return r.timeOf(r.state.LastContact())
+	case old.name == "":
 		return old.lost
-	case old != nil && !old.leads:
+	case !old.leads:
 		return old.lastContact
 	}
 	return time.Now()
 }
+
+// timeOf returns the time of a tick.
+func (r *Replica) timeOf(tick uint64) time.Time {
+	return r.start.Add(time.Duration(tick) * r.config.TickEvery)
+}
--- a/internal/role/control_status.go
+++ b/internal/role/control_status.go
@@ -29,6 +29,7 @@
 	gauge("leads", "1 while this control VM leads.", func(s replica.Status) float64 { return boolToFloat(s.Role == agreement.Leader) })
 	gauge("has_leader", "1 while this control VM knows a leader.", func(s replica.Status) float64 { return boolToFloat(s.Leader != "") })
 	gauge("term", "Term of the replicated log.", func(s replica.Status) float64 { return float64(s.Term) })
+	gauge("timeout_scale", "Factor by which the timeouts of elections and leases are longer than configured, as messages arrive late.", func(s replica.Status) float64 { return float64(s.TimeoutScale) })
 	gauge("committed", "Index up to which the log is committed.", func(s replica.Status) float64 { return float64(s.Committed) })
 	gauge("applied", "Index up to which the log is applied.", func(s replica.Status) float64 { return float64(s.Applied) })
 	gauge("recovering", "1 while this control VM grants no vote, as it lost its data folder.", func(s replica.Status) float64 { return boolToFloat(s.Recovering) })
