http1: the length of an answer is asked for before its first part is taken

Cause: SendBody took the first part of the body and then asked for its length; http1.Bytes, which carries the short answers of streaming routes, is empty by then.

Evidence: raw bytes at a caller: "HTTP/1.1 500 Internal Server Error ... Content-Length: 0\r\n\r\nwrong". Ruled out: the server's own framing (its answer states five bytes and has five), plain routes (backend.Body keeps its length).

Change: the length is asked for first; the comment of Body.Length says what it counts.

Measured: TestAnswerOfBytes failed before ("" != "whole"), passes now; the package passes.

--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -21,7 +21,7 @@
 
 // Body is the body of an answer, part by part.
 type Body interface {
-	// Length returns the length of all parts together, negative if it is not known.
+	// Length returns the length of the parts that Next has not returned yet, negative if it is not known.
 	Length() int64
 	// Next returns the next part, which is valid until the next call. The error is io.EOF
 	// after the last part of a complete body.
@@ -97,11 +97,11 @@
 // SendBody sends an answer part by part. It returns an error of the body only; WritesSucceeded
 // reports an error of the caller's connection.
 func (a *Answer) SendBody(status int, header http.Header, body Body) error {
+	length := body.Length()
 	first, err := body.Next()
 	if err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
-	length := body.Length()
 	if errors.Is(err, io.EOF) || length == int64(len(first)) || hasNoBody(status) {
 		a.SendBytes(status, header, first)
 		return nil
--- a/internal/http1/held_test.go
+++ b/internal/http1/held_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// Guards against the body of an answer that is read as the beginning of the next one, because its head
+// states a length of zero.
+func TestAnswerOfBytes(t *testing.T) {
+	is := is.New(t)
+	_, dial := startServer(t, Config{Handler: func(_ context.Context, _ *Request, a *Answer) {
+		body := Bytes("whole")
+		is.NoErr(a.SendBody(http.StatusInternalServerError, http.Header{}, &body))
+	}})
+	conn := dial()
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		answer, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(answer.StatusCode, http.StatusInternalServerError)
+		text, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.Equal(string(text), "whole")
+	}
+}
+
 // Guards against idle connections that keep out all other callers.
 func TestNewConnectionReplacesAnIdleOne(t *testing.T) {
 	is := is.New(t)
