http1/strict: one strict reader for the fuzz test of requests and for the judge of conversations

What was seen: the strict reader of HTTP/1.1 stood twice, in the fuzz test of http1 and in internal/adversary; and prove.sh did not find two faults, since the judge took a request whose length is stated twice for allowed, and answers were seldom cut at the end of a line.

Cause: the second reader was written for answers and requests together, with the leniency that answers need.

Change: internal/http1/strict reads both; equal lengths count once in answers only, a chunk ends with CR LF exactly, as in the fuzz test before. Requests that a server can't read count as violations whatever is wrong with them. Half of the cuts are at the end of a line. prove.sh takes a part of a name.

--- a/internal/adversary/fault.go
+++ b/internal/adversary/fault.go
@@ -47,17 +47,25 @@
 	}
 }
 
-// cutAnswer ends the answer at any byte.
+// cut returns the beginning of a text, up to any byte or up to the end of a line.
+func cut(random *rand.Rand, text string) string {
+	if random.IntN(2) == 0 {
+		return text[:random.IntN(len(text)+1)]
+	}
+	lines := strings.SplitAfter(text, "\n")
+	return strings.Join(lines[:random.IntN(len(lines)+1)], "")
+}
+
+// cutAnswer ends the answer early.
 func cutAnswer(random *rand.Rand, e *Exchange) {
-	text := e.text()
 	end := Step{Action: pick(random, Close, Reset, Pause), Length: maxPause}
-	e.Steps = []Step{{Action: Write, Bytes: text[:random.IntN(len(text)+1)]}, end}
+	e.Steps = []Step{{Action: Write, Bytes: cut(random, e.text())}, end}
 }
 
-// cutAndAnswerAgain ends the answer at any byte, and sends the whole answer after it.
+// cutAndAnswerAgain ends the answer early, and sends the whole answer after it.
 func cutAndAnswerAgain(random *rand.Rand, e *Exchange) {
 	text := e.text()
-	e.setText(text[:random.IntN(len(text)+1)] + text)
+	e.setText(cut(random, text) + text)
 }
 
 func doubleAnswer(_ *rand.Rand, e *Exchange) { e.setText(e.text() + e.text()) }
@@ -145,8 +153,8 @@
 // spliceHeads sends the beginning of a refusal, then the answer, without the end of the first head.
 func spliceHeads(random *rand.Rand, e *Exchange) {
 	e.runs(random)
-	first := refusal(503, OwnID)
-	e.setText(first[:random.IntN(strings.Index(first, "\r\n\r\n"))] + e.text())
+	first, _, _ := strings.Cut(refusal(503, OwnID), "\r\n\r\n")
+	e.setText(cut(random, first) + e.text())
 }
 
 func wrongLength(random *rand.Rand, e *Exchange) {
@@ -187,9 +195,8 @@
 
 // floodAfter sends bytes without end after a part of the answer.
 func floodAfter(random *rand.Rand, e *Exchange) {
-	text := e.text()
 	part := pick(random, "X: y\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n", "1\r\nx\r\n", ": comment\n", "x", "data: x\n")
-	e.Steps = []Step{{Action: Write, Bytes: text[:random.IntN(len(text)+1)]}, {Action: Flood, Bytes: part}}
+	e.Steps = []Step{{Action: Write, Bytes: cut(random, e.text())}, {Action: Flood, Bytes: part}}
 }
 
 func trailingBytes(random *rand.Rand, e *Exchange) {
@@ -209,13 +216,13 @@
 // cutRequest makes the caller send a part of a request only.
 func cutRequest(random *rand.Rand, e *Exchange) {
 	text := soundRequest(e.Route)
-	e.Request = text[:1+random.IntN(len(text)-1)]
+	e.Request = cut(random, text[:len(text)-1])
 }
 
 // joinRequests makes the caller send two requests at once, the first of them cut or whole.
 func joinRequests(random *rand.Rand, e *Exchange) {
 	text := soundRequest(e.Route)
-	e.Request = text[:random.IntN(len(text)+1)] + text
+	e.Request = cut(random, text) + text
 }
 
 // badRequest makes the caller send two requests of which the bounds are in doubt.
--- a/internal/adversary/judge.go
+++ b/internal/adversary/judge.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/http1/strict"
 )
 
 // Violation is the kind of promise that was broken.
@@ -108,9 +110,9 @@
 // stated reports whether the first answer that names a request says that it has not run. A server that
 // says so of a request that it runs has broken the promise itself.
 func (a *arrival) stated() bool {
-	for _, m := range readAnswers(a.sent, a.method) {
-		if m.id() == a.id {
-			return slices.Equal(m.fields[strings.ToLower(RanHeader)], []string{"no"})
+	for _, answer := range strict.ReadAnswers(a.sent, a.method) {
+		if namedID(answer.Fields) == a.id {
+			return slices.Equal(answer.Fields.Values(RanHeader), []string{"no"})
 		}
 	}
 	return false
@@ -120,14 +122,15 @@
 // other request.
 func sentTo(arrivals []*arrival, route Route, body string) bool {
 	for _, a := range arrivals {
-		for _, m := range readAnswers(a.sent, a.method) {
+		for _, answer := range strict.ReadAnswers(a.sent, a.method) {
 			if route == Cut {
-				m.body = withoutRepeats(m.body)
+				answer.Body = withoutRepeats(answer.Body)
 			}
-			if route == Cut && m.unframed() && m.body == "" && a.method != http.MethodHead {
+			if route == Cut && answer.Unframed() && answer.Body == "" && a.method != http.MethodHead {
 				continue // a server that broke off before the first event ends its connection like this
 			}
-			if m.status == http.StatusOK && m.body == body && (m.id() == "" || m.id() == a.id) {
+			id := namedID(answer.Fields)
+			if answer.Status == http.StatusOK && answer.Body == body && (id == "" || id == a.id) {
 				return true
 			}
 		}
@@ -142,8 +145,8 @@
 		if slices.Contains(mine, a) {
 			return false
 		}
-		for _, m := range readAnswers(a.sent, a.method) {
-			if m.id() == "" {
+		for _, answer := range strict.ReadAnswers(a.sent, a.method) {
+			if namedID(answer.Fields) == "" {
 				return true
 			}
 		}
@@ -185,8 +188,8 @@
 			sent[e.method()+" /"+string(e.Route)+"/ "+soundBody(e.method(), id)] = true
 			continue
 		}
-		for _, m := range readRequests(expand(e.Request, p.prefix, i)) {
-			sent[m.method+" "+m.target+" "+m.body] = true
+		for _, r := range strict.ReadRequests(expand(e.Request, p.prefix, i)) {
+			sent[r.Method+" "+r.Target+" "+r.Body] = true
 		}
 	}
 	var found []Finding
--- a/internal/adversary/player.go
+++ b/internal/adversary/player.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/http1/strict"
 )
 
 const (
@@ -110,12 +112,9 @@
 	}
 	_, _ = io.WriteString(c.conn, "\r\n"+body)
 	_ = c.conn.SetReadDeadline(began.Add(answerTimeout))
-	m, err := readAnswer(c.reader, method)
-	for err == nil && m.status < http.StatusOK {
-		m, err = readAnswer(c.reader, method)
-	}
-	r := reply{status: m.status, body: m.body, complete: err == nil, took: time.Since(began)}
-	if err != nil || m.closes(method) {
+	answer, err := strict.ReadAnswer(c.reader, method)
+	r := reply{status: answer.Status, body: answer.Body, complete: err == nil, took: time.Since(began)}
+	if err != nil || answer.Closes(method) {
 		c.close()
 		return r
 	}
--- a/internal/adversary/prove.sh
+++ b/internal/adversary/prove.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Takes mends of earlier faults out, one at a time, on a copy of the project, and measures how long the search
 # needs to find each. Prints a table for docs/adversary.md.
-#   prove.sh [SECONDS [SEED]]    SECONDS bounds each search (default 60)
+#   prove.sh [SECONDS [SEED [PART]]]    SECONDS bounds each search (default 60); PART selects faults by a part of their name
 set -u
-seconds=${1:-60} seed=${2:-1}
+seconds=${1:-60} seed=${2:-1} part=${3:-}
 root=$(cd "$(dirname "$0")/../.." && pwd)
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
@@ -18,6 +18,7 @@
 
 # prove NAME FILE SED: takes one mend out.
 prove() {
+  case $1 in *"$part"*) ;; *) return ;; esac
   cp "$copy/$2" "$copy/kept"
   sed -i "$3" "$copy/$2"
   if cmp -s "$copy/$2" "$copy/kept"; then
@@ -40,7 +41,7 @@
 prove "the length of a request is stated twice (issue 60)" internal/backend/exchange.go 's/"Content-Length": true, //'
 prove "a space before the colon of a length (027)" internal/http1/syntax.go 's/ValidHeaderFieldName(before)/ValidHeaderFieldName(strings.TrimRight(before, " "))/'
 prove "a body follows an answer to HEAD (027)" internal/http1/answer.go 's/a.bodiless = a.headOnly || hasNoBody(status)/a.bodiless = false/'
-prove "a stream without an event is whole (032)" internal/forwarder/stream.go 's/return !s.streaming \&\& !resumes || /return /'
+prove "a stream without an event is whole (032)" internal/forwarder/stream.go 's/return !s.streaming \&\& !resumes || /return false \&\& resumes || /'
 prove "the text of a failure follows its answer (036)" internal/http1/answer.go '/^func (a \*Answer) SendBody/,/^}/{/length := body.Length()/d;s/if errors.Is(err, io.EOF) || length/length := body.Length()\n\tif errors.Is(err, io.EOF) || length/}'
-prove "one ID twice on a connection (022)" internal/forwarder/work.go '/if slices.Contains(w.addresses, address) {/,+2d'
+prove "one ID twice on a connection (022)" internal/forwarder/work.go 's/if slices.Contains(w.addresses, address) {/if false \&\& slices.Contains(w.addresses, address) {/'
 prove "an endless answer takes the link (025)" internal/backend/pace.go 's/^\(func newPace(.*{\)$/\1\n\tlinkBytes = 0/'
--- a/internal/adversary/server.go
+++ b/internal/adversary/server.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/http1/strict"
 )
 
 // Headers of the exchanges with servers.
@@ -105,14 +107,14 @@
 	}()
 	reader := bufio.NewReader(conn)
 	for {
-		m, err := readRequest(reader)
-		if errors.Is(err, errNotHTTP) && m.method != "" {
+		request, err := strict.ReadRequest(reader)
+		if errors.Is(err, strict.ErrNotAllowed) {
 			s.record(&arrival{malformed: true})
 		}
 		if err != nil {
 			return
 		}
-		a := &arrival{id: m.id(), method: m.method, target: m.target, body: m.body}
+		a := &arrival{id: namedID(request.Fields), method: request.Method, target: request.Target, body: request.Body}
 		if !s.play(conn, a, s.record(a)) {
 			return
 		}
@@ -132,6 +134,9 @@
 	return []Step{{Action: Write, Bytes: "HTTP/1.1 200 OK\r\n" + RequestHeader + ": " + a.id + "\r\nContent-Length: 0\r\n\r\n"}}
 }
 
+// namedID returns the request that a message names, empty if it names none.
+func namedID(f strict.Fields) string { return strings.Join(f.Values(RequestHeader), " and ") }
+
 func exchangeID(prefix string, i int) string { return fmt.Sprintf("%s-%d", prefix, i) }
 
 func expand(text, prefix string, i int) string {
