--- a/internal/adversary/fault.go
+++ b/internal/adversary/fault.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 )
 
@@ -125,19 +126,19 @@
 func refuseAsOther(random *rand.Rand, e *Exchange) {
 	e.runs(random)
 	after := pick(random, "", e.text())
-	e.Steps = []Step{{Action: Write, Bytes: refusal(pick(random, 503, 429, 408, 421), OtherID) + after}}
+	e.Steps = []Step{{Action: Write, Bytes: drawRefusal(random, OtherID) + after}}
 }
 
 // refuseAsNone sends a refusal that names no request. The server runs the request.
 func refuseAsNone(random *rand.Rand, e *Exchange) {
 	e.runs(random)
-	e.Steps = []Step{{Action: Write, Bytes: refusal(pick(random, 503, 429, 408, 421), "")}}
+	e.Steps = []Step{{Action: Write, Bytes: drawRefusal(random, "")}}
 }
 
 // refuseAfterwards sends a refusal of the request after its complete answer.
 func refuseAfterwards(random *rand.Rand, e *Exchange) {
 	e.runs(random)
-	e.Steps = append(e.Steps, drawPause(random), Step{Action: Write, Bytes: refusal(503, pick(random, OwnID, ""))})
+	e.Steps = append(e.Steps, drawPause(random), Step{Action: Write, Bytes: refusal(http.StatusServiceUnavailable, pick(random, OwnID, ""))})
 }
 
 // lateCopy sends the answer once more, later.
@@ -153,7 +154,7 @@
 // spliceHeads sends the beginning of a refusal, then the answer, without the end of the first head.
 func spliceHeads(random *rand.Rand, e *Exchange) {
 	e.runs(random)
-	first, _, _ := strings.Cut(refusal(503, OwnID), "\r\n\r\n")
+	first, _, _ := strings.Cut(head(http.StatusServiceUnavailable, pick(random, OwnID, ""), RanHeader+": no", "Server: busy"), "\r\n\r\n")
 	e.setText(cut(random, first) + e.text())
 }
 
--- a/internal/adversary/grammar.go
+++ b/internal/adversary/grammar.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"time"
 )
@@ -46,6 +47,7 @@
 	return changed[max(0, len(changed)-2*maxExchanges):]
 }
 
+// pick draws one of the values.
 func pick[T any](random *rand.Rand, values ...T) T { return values[random.IntN(len(values))] }
 
 // drawExchange draws a valid exchange.
@@ -55,7 +57,7 @@
 	switch random.IntN(8) {
 	case 0:
 		e.Refuses = true
-		answer = refusal(pick(random, 503, 429, 408, 421), OwnID)
+		answer = drawRefusal(random, OwnID)
 	case 1:
 		answer = head(500, OwnID, "Content-Length: 5") + "wrong"
 	}
@@ -82,10 +84,17 @@
 	return text + "\r\n"
 }
 
+// refusal returns an answer which states that the request it names has not run.
 func refusal(status int, id string) string {
 	return head(status, id, RanHeader+": no", "Content-Length: 4") + "busy"
 }
 
+// drawRefusal returns a refusal with one of the statuses that promise that the request has not run.
+func drawRefusal(random *rand.Rand, id string) string {
+	status := pick(random, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest)
+	return refusal(status, id)
+}
+
 func drawSuccess(random *rand.Rand, route Route) string {
 	body, contentType := "own "+OwnID+" whole", "Content-Type: text/plain"
 	if route == Cut {
@@ -100,7 +109,7 @@
 	return head(200, OwnID, contentType) + body
 }
 
-// lengthPlaceholder stands for the length of a body with its placeholders replaced.
+// lengthOf returns the header line with the length of a body, with its placeholder replaced.
 func lengthOf(body string) string {
 	return fmt.Sprintf("Content-Length: %d", len(body)+idBytes-len(OwnID))
 }
--- a/internal/adversary/judge.go
+++ b/internal/adversary/judge.go
@@ -111,13 +111,24 @@
 // says so of a request that it runs has broken the promise itself.
 func (a *arrival) stated() bool {
 	for _, answer := range strict.ReadAnswers(a.sent, a.method) {
-		if namedID(answer.Fields) == a.id {
+		if namedID(answer.Fields) == a.id && !joined(answer) {
 			return slices.Equal(answer.Fields.Values(RanHeader), []string{"no"})
 		}
 	}
 	return false
 }
 
+// joined reports whether a head contains the beginning of another one: the server broke off in it. What it
+// states is not stated by one answer.
+func joined(answer strict.Answer) bool {
+	for _, values := range answer.Fields {
+		if strings.Contains(strings.Join(values, " "), "HTTP/1.") {
+			return true
+		}
+	}
+	return false
+}
+
 // sentTo reports whether the server sent an answer with this body to one of the arrivals, which names no
 // other request.
 func sentTo(arrivals []*arrival, route Route, body string) bool {
@@ -130,7 +141,7 @@
 				continue // a server that broke off before the first event ends its connection like this
 			}
 			id := namedID(answer.Fields)
-			if answer.Status == http.StatusOK && answer.Body == body && (id == "" || id == a.id) {
+			if answer.Status == http.StatusOK && answer.Body == body && (id == "" || id == a.id) && !joined(answer) {
 				return true
 			}
 		}
