test: the two control VMs of TestQuotaWithHalfOfTheControls are lost at once

Cause, by the logs of that run: the kills of the two control VMs were 1.3 s apart on the busy machine, and the leader of those that were left removed the first one, which had been away for 1.5 s. The group of three went on with two, under a leader, so that no quota lease was needed. The product did what it is meant to do: the group survived.

Change: kill takes several addresses and kills them at the same time, as the test's name says. What it checks is the same.

--- a/internal/role/quota_leases_test.go
+++ b/internal/role/quota_leases_test.go
@@ -41,8 +41,8 @@
 	for _, f := range s.forwarders {
 		s.waitFor("served", func() bool { status, _ := s.sendWithKey(f, "key-a"); return status == http.StatusOK })
 	}
-	s.kill(seededControls[0])
-	s.kill(seededControls[1])
+	// Both are lost at once: after a second and a half the group would continue without the first one.
+	s.kill(seededControls[:2]...)
 	s.waitFor("half of the quota is leased", func() bool {
 		share := 0.0
 		for _, c := range s.controls() {
--- a/internal/role/routes_test.go
+++ b/internal/role/routes_test.go
@@ -105,12 +105,18 @@
 	return slices.Collect(maps.Values(s.running))
 }
 
-func (s *routeSite) kill(ip string) {
+func (s *routeSite) kill(ips ...string) {
 	s.t.Helper()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	_ = s.running[ip].Kill() // errors of a killed process don't matter here
-	delete(s.running, ip)
+	var kills sync.WaitGroup
+	for _, ip := range ips {
+		kills.Go(func() { _ = s.running[ip].Kill() }) // errors of a killed process don't matter here
+	}
+	kills.Wait()
+	for _, ip := range ips {
+		delete(s.running, ip)
+	}
 }
 
 // declare declares a routing of one service at the leader.
