adversary: the comment of shorten names what it leaves out

It said that bytes are left out, too; only exchanges and steps are. Found by reading the change once more.

Change: one comment.

--- a/internal/adversary/search.go
+++ b/internal/adversary/search.go
@@ -106,7 +106,7 @@
 // shortenTries bounds the plays that shorten a conversation.
 const shortenTries = 60
 
-// shorten leaves out exchanges, steps and bytes for as long as the violation remains.
+// shorten leaves out exchanges and steps for as long as the violation remains.
 func (s *Search) shorten(ctx context.Context, c Conversation, f Finding) (Conversation, Finding) {
 	tries := 0
 	for again := true; again; {
