backend: a reset that a write has received is an error of the answer, too

Cause: the kernel reports a reset once. The write of the upload received it; the reads after it returned the part and then io.EOF, as if the server had closed in order, and an answer without a length or chunks is complete then.

Ruled out: answers with a length or chunks, in all ways; requests that fit into the buffers.

Change: a connection to a server keeps the error of a failed write and returns it in place of io.EOF. A timeout of a write is no such error: nothing was reported yet. So the answer is broken off by RFC 9112, section 8: an error was indicated by the connection. Why not judge by the unfinished upload: a server that answers early, reads the rest and closes in order has answered completely.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -10,7 +10,9 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -79,6 +81,8 @@
 	requests int
 	// names is set once an answer on the connection has named its request.
 	names bool
+	// writeError is the error that ended the connection during a write.
+	writeError error
 	// opened is when the connection was opened.
 	opened time.Time
 }
@@ -160,10 +164,30 @@
 	p.mutex.Lock()
 	p.dialled++
 	p.mutex.Unlock()
-	head := &headLimit{Reader: conn}
-	return &connection{
-		Conn: conn, address: address, reader: bufio.NewReaderSize(head, readerBytes), head: head, idleFor: p.config.IdleFor, opened: time.Now(),
-	}, nil
+	c := &connection{Conn: conn, address: address, idleFor: p.config.IdleFor, opened: time.Now()}
+	c.head = &headLimit{Reader: c}
+	c.reader = bufio.NewReaderSize(c.head, readerBytes)
+	return c, nil
+}
+
+// Write implements net.Conn. After a timeout the connection can still be read.
+func (c *connection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writeError = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. The kernel reports a reset once. If a write has received it, reads return the
+// bytes that came before and then io.EOF, as if the server had closed the connection in order: an answer
+// that ends with its connection would look complete.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.writeError != nil {
+		err = c.writeError
+	}
+	return n, err
 }
 
 // Refuses reports whether the address refuses connections: its VM answers, but no process
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -131,9 +131,15 @@
 // send sends a request and returns the status, header and body of the answer; a body that is cut off
 // ends with "[cut]".
 func (s *site) send(path string, header map[string]string) (int, http.Header, string) {
+	s.t.Helper()
+	return s.sendBody(path, header, "body")
+}
+
+// sendBody is like send with a body of its own.
+func (s *site) sendBody(path string, header map[string]string, content string) (int, http.Header, string) {
 	s.t.Helper()
 	is := is.New(s.t)
-	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+s.callers.Address()+path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+s.callers.Address()+path, strings.NewReader(content))
 	is.NoErr(err)
 	request.Host = "h"
 	request.Header.Set(headerRequest, "r1")
--- a/internal/http1/http1test/http1test.go
+++ b/internal/http1/http1test/http1test.go
@@ -107,6 +107,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	accept(t, listener, serve)
+	return listener.Addr().String()
+}
+
+// accept passes each connection to serve, until the test or serve ends the server.
+func accept(t *testing.T, listener net.Listener, serve func(conn *net.TCPConn, stop func())) {
 	stop := func() { _ = listener.Close() }
 	t.Cleanup(stop)
 	go func() {
@@ -118,7 +124,6 @@
 			go serve(conn.(*net.TCPConn), stop)
 		}
 	}()
-	return listener.Addr().String()
 }
 
 // Serve starts a server on loopback that ends with the test.
