httpclient: a reset that the write of a call has received is an error of the answer of a plain service

Cause: net/http writes a request and reads its answer at the same time, and the kernel reports a reset once, to either. If the write receives it, the read returns io.EOF; net/http takes that for the end of the answer before the write has reported anything.

Evidence: TestEarlyAnswerOfAService ten times on: 1 of the 480 answers that end by a reset or with the upload unread was complete (unframedClose, closed with the upload unread). TestEndOfAnEarlyAnswer makes the order certain with a connection of its own: without the change 6 of 6 failed ("reset", a request of one byte; the run ends there).

Change: new package httpclient. Its connection returns io.EOF only once the request has been written, and the error of a failed write in its place. Ruled out: internal/backend for these calls. It writes the complete request before it reads, so a service that answers early and reads nothing more would cost its caller the whole timeout of the call.

Measured: TestEarlyAnswerOfAService 30 times: 0 of 1,440 complete, no answer lost that ends in order or states its end; TestEndOfAnEarlyAnswer 50 of 50 with -race. Packages service and role (services, calls) pass.

--- /dev/null
+++ b/internal/httpclient/transport.go
@@ -0,0 +1,43 @@
+// Package httpclient adds to net/http's client what it does not detect: answers that were broken off by a
+// reset which the write of the request has received.
+package httpclient
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport sends requests through another transport. If that one opens its connections with Dial, a reset
+// is an error of the answer, too.
+type Transport struct{ Base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = connOf(info.Conn) },
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if conn != nil {
+				conn.end()
+			}
+		},
+	}
+	return t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// connOf returns the Conn below a connection, nil if there is none.
+func connOf(conn net.Conn) *Conn {
+	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = secure.NetConn()
+	}
+	c, _ := conn.(*Conn)
+	return c
+}
+
+// CloseIdleConnections closes the idle connections of the other transport.
+func (t *Transport) CloseIdleConnections() {
+	if idle, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		idle.CloseIdleConnections()
+	}
+}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -65,7 +66,7 @@
 		c.Transport = newTransport()
 	}
 	// Following a redirect would run the call a second time at another address.
-	client := &http.Client{Transport: c.Transport, CheckRedirect: noRedirect}
+	client := &http.Client{Transport: &httpclient.Transport{Base: c.Transport}, CheckRedirect: noRedirect}
 	return &Client{config: c, http: client}
 }
 
@@ -76,7 +77,9 @@
 // then run twice, and only the service itself could detect it. Each connection is
 // therefore used for one request only.
 func newTransport() *http.Transport {
-	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxConnsPerHost: defaultConnections}
+	return &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, MaxConnsPerHost: defaultConnections, DialContext: httpclient.Dial,
+	}
 }
 
 func noRedirect(*http.Request, []*http.Request) error {
