httpclient, backend: a status outside 100 to 599 is no answer, and neither is 101

On the product's path to plain services 000, 001, 042, 099, 101, +20, 600 and 999, in every form of body; on routes 600 and 999, and after 0xx or 101 without a body whatever followed on the connection.

Cause: net/http reads any three characters that are a number as a status. The client of plain services passed it on. The forwarder took all below 200 for interim answers, and read on.

Evidence: http1test.BrokenAnswers, 13 statuses in five forms. Ruled out: engines and the operators' client, which accept 2xx and 200 only.

Change: httpclient.CheckHead judges the head of an answer. internal/backend asks it for every head, and httpclient.Transport for the users of net/http's client; the load tool uses it, too. 600 and 999 are refused with the others: RFC 9110, section 15 calls them invalid.

Measured: none of them is an answer now: 502 on routes, outcomeLost with "unknown" for calls.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/oriolebend/oriolebend/internal/http1/http1test"
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -323,7 +324,7 @@
 		t.Run(head, func(t *testing.T) {
 			is := is.New(t)
 			_, err := exchangeOnPipe(t, head+"\r\n\r\nok")
-			_, malformed := errors.AsType[*MalformedHeadError](err)
+			_, malformed := errors.AsType[*httpclient.MalformedHeadError](err)
 			is.True(malformed)
 		})
 	}
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -34,16 +34,22 @@
 }
 
 func readWhole(t *testing.T, address string) (string, error) {
+	status, body, err := read(t, address)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return body, err
+}
+
+// read returns the status and the body of an answer.
+func read(t *testing.T, address string) (int, string, error) {
 	pool := NewPool(PoolConfig{})
 	response, err := pool.Do(t.Context(), address, Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 	if err != nil {
-		return "", err
+		return 0, "", err
 	}
 	body, err := response.ReadBody(1 << 10)
-	if err == nil && response.Status != http.StatusOK {
-		err = fmt.Errorf("status %d", response.Status)
-	}
-	return string(body), err
+	return response.Status, string(body), err
 }
 
 // Guards against an answer that is made of two: a server breaks off in a head, and sends the next answer on
--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 )
 
 // maxHeadBytes bounds the heads of answers. It is far above the longest head of a sound server.
@@ -22,26 +24,19 @@
 	return fmt.Sprintf("head of the answer over %d bytes", e.Limit)
 }
 
-// MalformedHeadError is the error of a head that net/http accepts, but that other parsers may read in
-// another way.
-type MalformedHeadError struct{ Detail string }
-
-// Error implements error.
-func (e *MalformedHeadError) Error() string { return "malformed head of the answer: " + e.Detail }
-
-// checkHead refuses a head that is not of HTTP/1.0 or HTTP/1.1, or has an invalid header name.
-// "Content-Length " would be another header than Content-Length: the answer would have another body here
-// than for the server.
+// checkHead refuses a head that is not of HTTP/1.0 or HTTP/1.1, or has no valid status or an invalid header
+// name. "Content-Length " would be another header than Content-Length: the answer would have another body
+// here than for the server.
 func checkHead(answer *http.Response) error {
 	if answer.ProtoMajor != 1 || answer.ProtoMinor > 1 {
-		return &MalformedHeadError{Detail: fmt.Sprintf("version %q", answer.Proto)}
+		return &httpclient.MalformedHeadError{Detail: fmt.Sprintf("version %q", answer.Proto)}
 	}
 	for name := range answer.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return &MalformedHeadError{Detail: fmt.Sprintf("header name %q", name)}
+			return &httpclient.MalformedHeadError{Detail: fmt.Sprintf("header name %q", name)}
 		}
 	}
-	return nil
+	return httpclient.CheckHead(answer)
 }
 
 // SplicedHeadError is the error of a head that contains the start of another one: a server broke off
--- /dev/null
+++ b/internal/forwarder/broken_test.go
@@ -0,0 +1,30 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/oriolebend/oriolebend/internal/http1/http1test"
+	"github.com/oriolebend/oriolebend/internal/message"
+	"github.com/oriolebend/oriolebend/internal/reducer/registry"
+)
+
+// Guards against a malformed answer of a server that callers receive as an answer.
+func TestMalformedAnswerOfAServer(t *testing.T) {
+	server := http1test.Serve(t)
+	for _, path := range []string{"/once/", "/safe/", "/cut/", "/stream/"} {
+		for _, defect := range []http1test.Defect{http1test.DefectStatus} {
+			for _, answer := range http1test.BrokenAnswers(t, defect, http1test.Body) {
+				server.Set(answer.Text, http1test.Closed)
+				s := newSite(t, 0)
+				s.servers = []message.BackendServer{{
+					Instance: "broken", Service: "s", Address: server.Address, FailureDomain: "a", Phase: message.PhaseReady, SoftwareVersion: "v1",
+				}}
+				s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
+				if status, _, body := s.send(path, nil); status != http.StatusBadGateway {
+					t.Errorf("%s %s %s: status %d, body %q", path, defect, answer.Name, status, body)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/http1/http1test/broken.go
@@ -0,0 +1,63 @@
+package http1test
+
+import (
+	_ "embed" // for what makes answers malformed
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+//go:embed broken.txt
+var brokenFile string
+
+// Defect is what makes an answer malformed.
+type Defect string
+
+// Defects.
+const (
+	// DefectStatus is a status that no final answer may have.
+	DefectStatus Defect = "status"
+	// DefectName is a line of a head whose name is not a token.
+	DefectName Defect = "name"
+)
+
+// BrokenAnswers returns answers with a body that are malformed by a defect.
+func BrokenAnswers(t *testing.T, d Defect, body string) []Answer {
+	t.Helper()
+	var answers []Answer
+	for line := range strings.Lines(brokenFile) {
+		kind, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if Defect(kind) != d {
+			continue
+		}
+		name, quoted, _ := strings.Cut(rest, " ")
+		text, err := strconv.Unquote(quoted)
+		if err != nil {
+			t.Fatalf("%s %s: %v", kind, name, err)
+		}
+		for _, form := range d.forms(text, body) {
+			answers = append(answers, Answer{Name: name + "/" + form.Name, Text: form.Text})
+		}
+	}
+	return answers
+}
+
+// forms returns the answers in which a status line, or a line of a head, is placed.
+func (d Defect) forms(text, body string) []Answer {
+	const soundStatus = "HTTP/1.1 200 OK"
+	forms := Frame(body)
+	if d == DefectStatus {
+		forms = append(forms, Answer{Name: "empty", Text: soundStatus + "\r\nContent-Length: 0\r\n\r\n"})
+		for i := range forms {
+			forms[i].Text = strings.Replace(forms[i].Text, soundStatus, text, 1)
+		}
+		return append(forms, Answer{Name: "beforeAnother", Text: text + "\r\n\r\n" + Frame(body)[0].Text})
+	}
+	for i := range forms {
+		forms[i].Text = strings.Replace(forms[i].Text, "\r\n\r\n", "\r\n"+text+"\r\n\r\n", 1)
+	}
+	trailer := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(body), body, text)
+	interim := "HTTP/1.1 103 Early Hints\r\n" + text + "\r\n\r\n" + Frame(body)[0].Text
+	return append(forms, Answer{Name: "trailer", Text: trailer}, Answer{Name: "interim", Text: interim})
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,5 +1,5 @@
-// Package httpclient adds to net/http's client what it does not detect: answers that were broken off by a
-// reset which the write of the request has received.
+// Package httpclient adds to net/http's client what it does not detect: malformed heads of answers, and answers
+// that were broken off by a reset which the write of the request has received.
 package httpclient
 
 import (
@@ -8,8 +8,8 @@
 	"net/http/httptrace"
 )
 
-// Transport sends requests through another transport. If that one opens its connections with Dial, a reset
-// is an error of the answer, too.
+// Transport sends requests through another transport, and refuses answers with a malformed head. If the
+// other one opens its connections with Dial, a reset is an error of the answer, too.
 type Transport struct{ Base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
@@ -23,7 +23,15 @@
 			}
 		},
 	}
-	return t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	answer, err := t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(answer); err != nil {
+		_ = answer.Body.Close()
+		return nil, err
+	}
+	return answer, nil
 }
 
 // connOf returns the Conn below a connection, nil if there is none.
--- a/internal/load/route_test.go
+++ b/internal/load/route_test.go
@@ -24,6 +24,11 @@
 			return
 		}
 		switch fault {
+		case "malformed":
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 Status\r\nContent-Length: 45\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+			_ = conn.Close()
+			return
 		case "refused":
 			w.Header().Set("Retry-After", "0.050")
 			w.WriteHeader(http.StatusTooManyRequests)
@@ -56,6 +61,7 @@
 		{"unknown", func(a ClassReport) bool { return a.Failed == 20 && a.Failures[oriolebend.ReasonOutcomeLost] == 20 }},
 		{"repeated", func(a ClassReport) bool { return a.Damaged == 20 }},
 		{"left out", func(a ClassReport) bool { return a.Damaged == 20 }},
+		{"malformed", func(a ClassReport) bool { return a.Lost == 20 }},
 		{"broken off", func(a ClassReport) bool { return a.Lost == 20 }},
 	} {
 		t.Run(c.fault, func(t *testing.T) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 	"github.com/oriolebend/oriolebend/internal/pause"
 )
 
@@ -94,7 +95,7 @@
 	}
 	return &runner{
 		config: c,
-		sender: &sender{description: d, client: &http.Client{Transport: transport}, run: c.Run},
+		sender: &sender{description: d, client: &http.Client{Transport: &httpclient.Transport{Base: transport}}, run: c.Run},
 		plan:   Plan(d),
 		slots:  make(chan struct{}, d.InFlight),
 		ended:  map[Outcome]int{},
