httpclient: an answer with a name that is no token is none, for every reader and in trailers

"Transfer-Encoding : chunked" left the caller the framing of the chunks as its body, "Content-Length : 2" another length than the server's.

Cause: net/http keeps a name with a blank as the name of a field.

Evidence: http1test.BrokenAnswers, 15 names in heads (a length, chunks, neither), interim heads and trailers. Ruled out: control bytes, which net/http refuses; heads on routes.

Change: httpclient.CheckHead judges names, CheckTrailer those of trailers. internal/backend and httpclient.Transport use both; the clients of engines and of operators use that transport. An engine with a malformed head is faulty (engineFailed), not lost: a lost one would count towards requests that crash servers. MalformedHeadError is MalformedError of httpclient now. A stream with a malformed trailer is broken off, as it was for control bytes: a second reader refuses that answer, and a resumable stream goes on after its last event.

Measured: none of them is an answer now, in five packages (TestMalformedAnswer...), also with -race.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 )
 
 const (
@@ -57,6 +59,7 @@
 			}
 			continue
 		}
+		httpclient.CheckTrailer(answer)
 		if splicedHead(answer) {
 			x.pool.count(StrayEnded)
 			return nil, &SplicedHeadError{Status: answer.Status}
--- a/internal/backend/head.go
+++ b/internal/backend/head.go
@@ -8,8 +8,6 @@
 	"slices"
 	"strings"
 
-	"golang.org/x/net/http/httpguts"
-
 	"github.com/oriolebend/oriolebend/internal/httpclient"
 )
 
@@ -24,17 +22,10 @@
 	return fmt.Sprintf("head of the answer over %d bytes", e.Limit)
 }
 
-// checkHead refuses a head that is not of HTTP/1.0 or HTTP/1.1, or has no valid status or an invalid header
-// name. "Content-Length " would be another header than Content-Length: the answer would have another body
-// here than for the server.
+// checkHead refuses a malformed head, and one that is not of HTTP/1.0 or HTTP/1.1.
 func checkHead(answer *http.Response) error {
 	if answer.ProtoMajor != 1 || answer.ProtoMinor > 1 {
-		return &httpclient.MalformedHeadError{Detail: fmt.Sprintf("version %q", answer.Proto)}
-	}
-	for name := range answer.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &httpclient.MalformedHeadError{Detail: fmt.Sprintf("header name %q", name)}
-		}
+		return &httpclient.MalformedError{Detail: fmt.Sprintf("version %q", answer.Proto)}
 	}
 	return httpclient.CheckHead(answer)
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 	"github.com/oriolebend/oriolebend/internal/message"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -57,7 +58,7 @@
 	if c.Transport == nil {
 		c.Transport = newTransport()
 	}
-	return &Client{config: c, http: &http.Client{Transport: c.Transport}}
+	return &Client{config: c, http: &http.Client{Transport: &httpclient.Transport{Base: c.Transport}}}
 }
 
 func newTransport() *http.Transport {
--- a/internal/engine/transfer.go
+++ b/internal/engine/transfer.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
 
@@ -187,10 +188,13 @@
 
 // connectionError returns the typed error of a failed connection. The cancellation
 // cause of the context distinguishes a caller that cancelled the call from an
-// unreachable engine.
+// unreachable engine. An engine whose answer is malformed is faulty, not unreachable.
 func connectionError(ctx context.Context, err error) *Error {
 	cause := context.Cause(ctx)
+	_, malformed := errors.AsType[*httpclient.MalformedError](err)
 	switch {
+	case malformed:
+		return &Error{Reason: oriolebend.ReasonEngineFailed, Cause: err}
 	case cause == nil:
 		return &Error{Reason: oriolebend.ReasonServerLost, Cause: err}
 	case errors.Is(cause, errIdleTimeout):
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,22 +1,24 @@
-// Package httpclient adds to net/http's client what it does not detect: malformed heads of answers, and answers
-// that were broken off by a reset which the write of the request has received.
+// Package httpclient adds to net/http's client what it does not detect: malformed heads and trailers of answers,
+// and answers that were broken off by a reset which the write of the request has received.
 package httpclient
 
 import (
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 )
 
-// Transport sends requests through another transport, and refuses answers with a malformed head. If the
-// other one opens its connections with Dial, a reset is an error of the answer, too.
+// Transport sends requests through another transport, and refuses malformed answers. If the other one
+// opens its connections with Dial, a reset is an error of the answer, too.
 type Transport struct{ Base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn *Conn
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = connOf(info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { conn = connOf(info.Conn) },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(http.Header(header)) },
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if conn != nil {
 				conn.end()
@@ -31,6 +33,7 @@
 		_ = answer.Body.Close()
 		return nil, err
 	}
+	CheckTrailer(answer)
 	return answer, nil
 }
 
--- a/pkg/oriolebend/client/client.go
+++ b/pkg/oriolebend/client/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/oriolebend/oriolebend/internal/httpclient"
 	"github.com/oriolebend/oriolebend/internal/pause"
 	"github.com/oriolebend/oriolebend/pkg/oriolebend"
 )
@@ -67,6 +68,10 @@
 	if config.HTTP != nil {
 		httpClient = *config.HTTP
 	}
+	if httpClient.Transport == nil {
+		httpClient.Transport = http.DefaultTransport
+	}
+	httpClient.Transport = &httpclient.Transport{Base: httpClient.Transport}
 	// net/http would follow a redirect to another VM without the token.
 	httpClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{config: config, http: &httpClient}
