--- a/internal/forwarder/broken_test.go
+++ b/internal/forwarder/broken_test.go
@@ -6,8 +6,6 @@
 	"testing"
 
 	"github.com/oriolebend/oriolebend/internal/http1/http1test"
-	"github.com/oriolebend/oriolebend/internal/message"
-	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
 
 // Guards against a malformed answer of a server that callers receive as an answer.
@@ -18,10 +16,7 @@
 			for _, answer := range http1test.BrokenAnswers(t, defect, http1test.Body) {
 				server.Set(answer.Text, http1test.Closed)
 				s := newSite(t, 0)
-				s.servers = []message.BackendServer{{
-					Instance: "broken", Service: "s", Address: server.Address, FailureDomain: "a", Phase: message.PhaseReady, SoftwareVersion: "v1",
-				}}
-				s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
+				s.setServer(server.Address)
 				status, _, body := s.send(path, nil)
 				brokenOff := defect == http1test.DefectTrailer && strings.HasSuffix(body, "[cut]") // events come before a trailer
 				if status != http.StatusBadGateway && !brokenOff {
--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -6,8 +6,6 @@
 	"testing"
 
 	"github.com/oriolebend/oriolebend/internal/http1/http1test"
-	"github.com/oriolebend/oriolebend/internal/message"
-	"github.com/oriolebend/oriolebend/internal/reducer/registry"
 )
 
 // Guards against a success that looks complete to callers although the server broke off in the head or
@@ -20,10 +18,7 @@
 				for n := range len(answer.Text) {
 					server.Set(answer.Text[:n], http1test.Closed)
 					s := newSite(t, 0)
-					s.servers = []message.BackendServer{{
-						Instance: "cut", Service: "s", Address: server.Address, FailureDomain: "a", Phase: message.PhaseReady,
-					}}
-					s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
+					s.setServer(server.Address)
 					status, _, body := s.send(path, nil)
 					complete := status == http.StatusOK && !strings.HasSuffix(body, "[cut]")
 					if complete && (answer.Framed() || n < answer.HeadBytes()) {
--- a/internal/forwarder/early_test.go
+++ b/internal/forwarder/early_test.go
@@ -54,13 +54,41 @@
 	return answers
 }
 
+// Guards against a stream that looks complete after its caller has resumed it, because its server broke off
+// before the next event.
+func TestEarlyAnswerToAResumedStream(t *testing.T) {
+	events := http1test.Frame(http1test.Body)[0].Text
+	for _, early := range http1test.EarlyCases("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n") {
+		t.Run(early.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 0)
+			s.setServer(http1test.ServeEarly(t, http1test.Early{Answer: events, Ending: http1test.EarlyDrained}))
+			_, _, first := s.sendBody("/stream/", nil, upload)
+			s.setServer(http1test.ServeEarly(t, early))
+			status, _, rest := s.sendBody("/stream/", map[string]string{headerRequest: "r2", headerResumes: "r1", headerAfter: "2"}, upload)
+			complete := status == http.StatusOK && rest == ""
+			if first != http1test.Body || complete != early.Ending.InOrder() {
+				t.Errorf("first %q, then status %d, body %q", first, status, rest)
+			}
+		})
+	}
+}
+
+// upload is the body of a long request.
+var upload = strings.Repeat("u", http1test.UploadBytes)
+
 // uploadEarly sends a long request to a server that answers early.
 func uploadEarly(t *testing.T, path string, e http1test.Early) (int, string) {
 	s := newSite(t, 0)
+	s.setServer(http1test.ServeEarly(t, e))
+	status, _, body := s.sendBody(path, nil, upload)
+	return status, body
+}
+
+// setServer makes the only server of the site the one with an address.
+func (s *site) setServer(address string) {
 	s.servers = []message.BackendServer{{
-		Instance: "early", Service: "s", Address: http1test.ServeEarly(t, e), FailureDomain: "a", Phase: message.PhaseReady, SoftwareVersion: "v1",
+		Instance: "only", Service: "s", Address: address, FailureDomain: "a", Phase: message.PhaseReady, SoftwareVersion: "v1",
 	}}
 	s.forwarder.ChangeServers(registry.Changes{Servers: s.servers}, 1)
-	status, _, body := s.sendBody(path, nil, strings.Repeat("u", http1test.UploadBytes))
-	return status, body
 }
