backend: the framing of chunks counts towards the share of answers without a known end

What callers saw: a server that sends chunks of one byte without end made callers of other, sound servers lose half of their requests while its request ran: the forwarder took its link for saturated.

Cause: the share of the link counted the bytes of the body. A chunk of one byte takes six bytes of the link, so 0.15 of it became 0.9.

Change: pacedBody counts what was read from the connection.

--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -58,7 +58,7 @@
 	exchange  *exchange
 	body      io.Reader
 	unbounded bool
-	// counted is the number of bytes that were counted, delay the time until the next read.
+	// counted is the number of bytes of the link that were counted, delay the time until the next read.
 	counted int
 	delay   time.Duration
 	slowed  bool
@@ -79,8 +79,9 @@
 		pace := b.exchange.pool.pace
 		p = p[:min(len(p), max(pace.pieceBytes, pace.freeBytes-b.counted))]
 	}
+	received := b.exchange.conn.received
 	n, err := b.body.Read(p)
-	b.count(n)
+	b.count(b.exchange.conn.received - received) // with the framing of chunks
 	return n, err
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -81,6 +81,8 @@
 	requests int
 	// names is set once an answer on the connection has named its request.
 	names bool
+	// received is the number of bytes that were read.
+	received int
 	// writeError is the error that ended the connection during a write.
 	writeError error
 	// opened is when the connection was opened.
@@ -184,6 +186,7 @@
 // that ends with its connection would look complete.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.received += n
 	if errors.Is(err, io.EOF) && c.writeError != nil {
 		err = c.writeError
 	}
