adversary: servers answer uploads early, with statuses and names that no answer has

Cause: its servers read the complete request before they answered, and no fault changed a status or put a blank into a name.

Change: an exchange may be an upload, which the server answers before it has read the body; "drain" reads the rest. Faults answerEarly, oddStatus, badName, badTrailer. The judge takes an answer that ends with its connection for complete only if that ended neither by a reset nor with the request unread; the strict reader refuses statuses above 599 and 101. Both are stricter than before.

--- a/internal/adversary/conversation.go
+++ b/internal/adversary/conversation.go
@@ -39,6 +39,8 @@
 	// Flood writes the bytes again and again until the connection is closed.
 	Flood Action = "flood"
 	Pause Action = "pause"
+	// Drain reads the rest of the request of an Upload.
+	Drain Action = "drain"
 	Close Action = "close"
 	Reset Action = "reset"
 )
@@ -56,6 +58,8 @@
 	Route Route
 	// Head is set if a sound request has the method HEAD; it is POST otherwise.
 	Head bool
+	// Upload is set if a sound request is long, and the server answers before it has read its body.
+	Upload bool
 	// Refuses is set if the server does not run the request.
 	Refuses bool
 	// Request holds the bytes that the caller sends; if it is empty, a sound request is sent.
@@ -86,6 +90,9 @@
 		if e.Head {
 			text.WriteString(" head")
 		}
+		if e.Upload {
+			text.WriteString(" upload")
+		}
 		if e.Refuses {
 			text.WriteString(" refuses")
 		}
@@ -140,7 +147,10 @@
 		if len(words) == 0 {
 			return errNoRoute
 		}
-		*c = append(*c, Exchange{Route: Route(words[0]), Head: slices.Contains(words, "head"), Refuses: slices.Contains(words, "refuses")})
+		*c = append(*c, Exchange{
+			Route: Route(words[0]), Head: slices.Contains(words, "head"),
+			Upload: slices.Contains(words, "upload"), Refuses: slices.Contains(words, "refuses"),
+		})
 		return nil
 	}
 	if len(*c) == 0 {
@@ -158,7 +168,7 @@
 		s.Bytes, err = strconv.Unquote(rest)
 	case Pause:
 		s.Length, err = time.ParseDuration(rest)
-	case Close, Reset:
+	case Drain, Close, Reset:
 	default:
 		err = fmt.Errorf("unknown action %q", word)
 	}
--- a/internal/adversary/fault.go
+++ b/internal/adversary/fault.go
@@ -15,7 +15,7 @@
 	cutAnswer, cutAnswer, cutAndAnswerAgain, doubleAnswer, doubleLine, dropLine, swapLines, nameOther, nameNone, nameTwo,
 	refuseAsOther, refuseAsNone, refuseAfterwards, lateCopy, interim, spliceHeads, wrongLength, wrongChunk, contradict,
 	tinyPieces, floodAfter, trailingBytes, stall, badRequest, badRequest,
-	cutRequest, joinRequests,
+	cutRequest, joinRequests, answerEarly, answerEarly, oddStatus, badName, badTrailer,
 }
 
 func spoil(random *rand.Rand, e *Exchange) { faults[random.IntN(len(faults))](random, e) }
@@ -209,6 +209,49 @@
 	e.Steps = append([]Step{{Action: Pause, Length: maxPause}}, e.Steps...)
 }
 
+// answerEarly makes the server answer a long request before it has read it, all or a part of the answer.
+func answerEarly(random *rand.Rand, e *Exchange) {
+	e.Head, e.Upload = false, true
+	text := pick(random, e.text(), cut(random, e.text()))
+	e.Steps = []Step{{Action: Write, Bytes: text}}
+	if random.IntN(2) == 0 {
+		e.Steps = append(e.Steps, drawPause(random))
+	}
+	if random.IntN(3) == 0 {
+		e.Steps = append(e.Steps, Step{Action: Drain})
+	}
+	e.Steps = append(e.Steps, Step{Action: pick(random, Close, Reset)})
+}
+
+// oddStatus replaces the status by one that no answer has, or sends a head with such a status before the
+// answer.
+func oddStatus(random *rand.Rand, e *Exchange) {
+	status := pick(random, "000", "001", "042", "099", "101", "20", "2000", "+20", "-20", "600", "999")
+	if random.IntN(2) == 0 {
+		e.setText("HTTP/1.1 " + status + " Status\r\n\r\n" + e.text())
+		return
+	}
+	version, rest, _ := strings.Cut(e.text(), " ")
+	_, rest, found := strings.Cut(rest, " ")
+	if found {
+		e.setText(version + " " + status + " " + rest)
+	}
+}
+
+// badNames are lines of a head whose name is no token.
+var badNames = []string{"X Y: 1", "X : 1", "X\t: 1", "X\x01: 1", "\x01: 1", "X\x00Y: 1", "Content-Length : 2", "Transfer-Encoding : chunked", ": 1"}
+
+// badName adds a line whose name is no token to the head.
+func badName(random *rand.Rand, e *Exchange) {
+	line := pick(random, badNames...)
+	e.changeHead(func(lines []string) []string { return append(lines, line) })
+}
+
+// badTrailer adds such a line to the trailer of an answer in chunks.
+func badTrailer(random *rand.Rand, e *Exchange) {
+	e.setText(strings.Replace(e.text(), "\r\n0\r\n\r\n", "\r\n0\r\n"+pick(random, badNames...)+"\r\n\r\n", 1))
+}
+
 // soundRequest returns the bytes of a request.
 func soundRequest(route Route) string {
 	return fmt.Sprintf("POST /%s/ HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", route, RequestHeader, OwnID)
--- a/internal/adversary/judge.go
+++ b/internal/adversary/judge.go
@@ -137,6 +137,9 @@
 			if route == Cut {
 				answer.Body = withoutRepeats(answer.Body)
 			}
+			if answer.Unframed() && a.brokenOff && a.method != http.MethodHead {
+				continue // it would end with its connection
+			}
 			if route == Cut && answer.Unframed() && answer.Body == "" && a.method != http.MethodHead {
 				continue // a server that broke off before the first event ends its connection like this
 			}
@@ -195,8 +198,11 @@
 	sent := map[string]bool{}
 	for i, e := range c {
 		if e.Request == "" {
-			id := exchangeID(p.prefix, i)
-			sent[e.method()+" /"+string(e.Route)+"/ "+soundBody(e.method(), id)] = true
+			body := e.soundBody(exchangeID(p.prefix, i))
+			if e.Upload {
+				body = "" // is not read before the answer
+			}
+			sent[e.method()+" /"+string(e.Route)+"/ "+body] = true
 			continue
 		}
 		for _, r := range strict.ReadRequests(expand(e.Request, p.prefix, i)) {
--- a/internal/adversary/judge_test.go
+++ b/internal/adversary/judge_test.go
@@ -32,16 +32,26 @@
 // Guards against a judge that accepts whatever a forwarder does.
 func TestJudge(t *testing.T) {
 	const own = "HTTP/1.1 200 OK\r\nOriolebend-Request: c-0\r\nContent-Length: 2\r\n\r\nok"
+	const unframed = "HTTP/1.1 200 OK\r\nOriolebend-Request: c-0\r\n\r\nok"
 	arrived := func(sent string) *arrival {
 		return &arrival{id: "c-0", method: "POST", target: "/once/", body: "ask c-0", sent: sent}
 	}
+	brokenOff := func(sent string) *arrival {
+		a := arrived(sent)
+		a.brokenOff = true
+		return a
+	}
+	whole := []reply{{status: 200, body: "ok", complete: true}}
 	sound := []reply{{status: 200, body: "sound", complete: true}}
 	for _, test := range []struct {
 		name   string
 		played played
 		want   Violation
 	}{
-		{name: "served", played: played{replies: []reply{{status: 200, body: "ok", complete: true}}, arrivals: []*arrival{arrived(own)}}},
+		{name: "served", played: played{replies: whole, arrivals: []*arrival{arrived(own)}}},
+		{name: "reset after a complete answer", played: played{replies: whole, arrivals: []*arrival{brokenOff(own)}}},
+		{name: "ends in order", played: played{replies: whole, arrivals: []*arrival{arrived(unframed)}}},
+		{name: "ends by a reset", played: played{replies: whole, arrivals: []*arrival{brokenOff(unframed)}}, want: NotItsAnswer},
 		{name: "told broken", played: played{replies: []reply{{status: 200, body: "o"}}, arrivals: []*arrival{arrived(own)}}},
 		{name: "short", played: played{replies: []reply{{status: 200, body: "o", complete: true}}, arrivals: []*arrival{arrived(own)}}, want: NotItsAnswer},
 		{name: "refused", played: played{replies: []reply{{status: 503}}, arrivals: []*arrival{arrived(own)}}, want: RefusedAndRan},
--- a/internal/adversary/player.go
+++ b/internal/adversary/player.go
@@ -91,21 +91,27 @@
 	return nil
 }
 
+// uploadBytes is the length of a long request. It does not fit into the buffers between a forwarder and a
+// Server, and a few of them do not saturate the link of the forwarder.
+const uploadBytes = 192 << 10
+
 // soundBody returns the body of a sound request.
-func soundBody(method, id string) string {
-	if method == http.MethodHead {
+func (e Exchange) soundBody(id string) string {
+	switch {
+	case e.Head:
 		return ""
+	case e.Upload:
+		return "ask " + id + strings.Repeat(" ", uploadBytes)
 	}
 	return "ask " + id
 }
 
 // send sends a sound request, and reads its answer and what follows it without a request.
-func (c *client) send(ctx context.Context, method, path, id string) reply {
+func (c *client) send(ctx context.Context, method, path, id, body string) reply {
 	began := time.Now()
 	if err := c.open(ctx); err != nil {
 		return reply{}
 	}
-	body := soundBody(method, id)
 	_, _ = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", method, path, c.target.Host, RequestHeader, id)
 	if method != http.MethodHead {
 		_, _ = fmt.Fprintf(c.conn, "Content-Length: %d\r\n", len(body))
@@ -178,7 +184,7 @@
 			p.replies = append(p.replies, caller.sendRaw(ctx, expand(e.Request, p.prefix, i)))
 			continue
 		}
-		p.replies = append(p.replies, caller.send(ctx, e.method(), "/"+string(e.Route)+"/", id))
+		p.replies = append(p.replies, caller.send(ctx, e.method(), "/"+string(e.Route)+"/", id, e.soundBody(id)))
 	}
 	close(ended)
 	sound.Wait()
@@ -210,7 +216,7 @@
 	defer caller.close()
 	var replies []reply
 	for {
-		replies = append(replies, caller.send(ctx, http.MethodPost, SoundPath, fmt.Sprintf("sound-%d", len(replies))))
+		replies = append(replies, caller.send(ctx, http.MethodPost, SoundPath, fmt.Sprintf("sound-%d", len(replies)), "ask"))
 		caller.close() // a forwarder that takes itself for saturated refuses new connections only
 		select {
 		case <-ended:
--- a/internal/adversary/prove.sh
+++ b/internal/adversary/prove.sh
@@ -45,3 +45,7 @@
 prove "the text of a failure follows its answer (036)" internal/http1/answer.go '/^func (a \*Answer) SendBody/,/^}/{/length := body.Length()/d;s/if errors.Is(err, io.EOF) || length/length := body.Length()\n\tif errors.Is(err, io.EOF) || length/}'
 prove "one ID twice on a connection (022)" internal/forwarder/work.go 's/if slices.Contains(w.addresses, address) {/if false \&\& slices.Contains(w.addresses, address) {/'
 prove "an endless answer takes the link (025)" internal/backend/pace.go 's/^\(func newPace(.*{\)$/\1\n\tlinkBytes = 0/'
+prove "a part of an answer to an upload is whole (037)" internal/backend/pool.go 's/\t\terr = c.writeError$/\t\t_ = c.writeError/'
+prove "a status that no answer has (038)" internal/httpclient/head.go 's/case status < http.StatusContinue, status > maxStatus:/case false:/'
+prove "a name with a blank in a head (027)" internal/httpclient/head.go 's/return checkNames(answer.Header)/return nil/'
+prove "a name with a blank in a trailer (038)" internal/httpclient/head.go 's/if len(answer.TransferEncoding) > 0 {/if false {/'
--- a/internal/adversary/server.go
+++ b/internal/adversary/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/oriolebend/oriolebend/internal/http1/http1test"
 	"github.com/oriolebend/oriolebend/internal/http1/strict"
 )
 
@@ -23,13 +25,15 @@
 // memory of the test.
 const floodBytes = 64 << 20
 
-// arrival is a request that reached the server, and what the server sent from then on until the next
-// request on the connection.
+// arrival is a request that reached the server, without the body of an Upload, and what the server sent from
+// then on until the next request on the connection.
 type arrival struct {
 	id, method, target, body string
 	sent                     string
 	// malformed is set if the request can't be read.
 	malformed bool
+	// brokenOff is set if the connection ended by a reset, or with the body unread.
+	brokenOff bool
 }
 
 // Server plays the part of the backend server in a conversation.
@@ -45,7 +49,7 @@
 
 // Listen starts a server on loopback.
 func Listen() (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := http1test.ListenSmall(context.Background())
 	if err != nil {
 		return nil, fmt.Errorf("adversary: listen: %w", err)
 	}
@@ -105,33 +109,69 @@
 		s.mutex.Unlock()
 		_ = conn.Close()
 	}()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := strict.ReadRequest(reader)
-		if errors.Is(err, strict.ErrNotAllowed) {
-			s.record(&arrival{malformed: true})
-		}
-		if err != nil {
-			return
-		}
-		a := &arrival{id: namedID(request.Fields), method: request.Method, target: request.Target, body: request.Body}
-		if !s.play(conn, a, s.record(a)) {
-			return
-		}
+	c := &connection{Server: s, conn: conn, reader: bufio.NewReader(conn)}
+	for c.exchange() {
 	}
 }
 
-// record adds an arrival, and returns the steps with which it is answered.
-func (s *Server) record(a *arrival) []Step {
+// connection is one connection of a forwarder.
+type connection struct {
+	*Server
+	conn   *net.TCPConn
+	reader *bufio.Reader
+	// request is the current request, unread is set while its body has not been read.
+	request strict.Request
+	unread  bool
+}
+
+// exchange reads a request and answers it. It returns false once the connection has ended.
+func (c *connection) exchange() bool {
+	var err error
+	c.request, err = strict.ReadRequestHead(c.reader)
+	id := namedID(c.request.Fields)
+	e, i := c.find(id)
+	c.unread = true
+	if early := e.Upload && e.Request == ""; err == nil && !early {
+		err = c.drain()
+	}
+	if errors.Is(err, strict.ErrNotAllowed) {
+		c.record(&arrival{malformed: true})
+	}
+	if err != nil {
+		return false
+	}
+	a := &arrival{id: id, method: c.request.Method, target: c.request.Target, body: c.request.Body}
+	c.record(a)
+	return c.play(a, resolve(e.Steps, c.prefix, i)) && c.drain() == nil
+}
+
+// drain reads the rest of the request.
+func (c *connection) drain() error {
+	if !c.unread {
+		return nil
+	}
+	c.unread = false
+	return c.request.ReadBody(c.reader)
+}
+
+// find returns the exchange of a request and its index. A request of no exchange is answered at once.
+func (s *Server) find(id string) (Exchange, int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.arrivals = append(s.arrivals, a)
 	for i, e := range s.conversation {
-		if a.id == exchangeID(s.prefix, i) {
-			return resolve(e.Steps, s.prefix, i)
+		if id == exchangeID(s.prefix, i) {
+			return e, i
 		}
 	}
-	return []Step{{Action: Write, Bytes: "HTTP/1.1 200 OK\r\n" + RequestHeader + ": " + a.id + "\r\nContent-Length: 0\r\n\r\n"}}
+	answer := "HTTP/1.1 200 OK\r\n" + RequestHeader + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
+	return Exchange{Steps: []Step{{Action: Write, Bytes: answer}}}, 0
+}
+
+// record adds an arrival.
+func (s *Server) record(a *arrival) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.arrivals = append(s.arrivals, a)
 }
 
 // namedID returns the request that a message names, empty if it names none.
@@ -154,40 +194,56 @@
 }
 
 // play carries out the steps; it returns false once the connection has ended.
-func (s *Server) play(conn *net.TCPConn, a *arrival, steps []Step) bool {
+func (c *connection) play(a *arrival, steps []Step) bool {
 	for _, step := range steps {
 		switch step.Action {
 		case Write:
-			s.mutex.Lock()
-			a.sent += step.Bytes
-			s.mutex.Unlock()
-			if _, err := io.WriteString(conn, step.Bytes); err != nil {
+			c.recordSent(a, step.Bytes)
+			if _, err := io.WriteString(c.conn, step.Bytes); err != nil {
 				return false
 			}
 		case Flood:
-			s.flood(conn, a, step.Bytes)
+			c.flood(a, step.Bytes)
 			return false
 		case Pause:
 			time.Sleep(step.Length)
+		case Drain:
+			if c.drain() != nil {
+				return false
+			}
 		case Reset:
-			_ = conn.SetLinger(0)
+			c.recordBrokenOff(a)
+			_ = c.conn.SetLinger(0)
 			return false
 		case Close:
+			if c.unread {
+				c.recordBrokenOff(a)
+			}
 			return false
 		}
 	}
 	return true
 }
 
+func (s *Server) recordSent(a *arrival, text string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	a.sent += text
+}
+
+func (s *Server) recordBrokenOff(a *arrival) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	a.brokenOff = true
+}
+
 // flood writes a part until the connection is closed. The first block is recorded, which is longer than
 // any answer of a conversation.
-func (s *Server) flood(conn net.Conn, a *arrival, part string) {
+func (c *connection) flood(a *arrival, part string) {
 	block := strings.Repeat(part, 1+(16<<10)/max(1, len(part)))
-	s.mutex.Lock()
-	a.sent += block
-	s.mutex.Unlock()
+	c.recordSent(a, block)
 	for sent := 0; sent < floodBytes; sent += len(block) {
-		if _, err := io.WriteString(conn, block); err != nil {
+		if _, err := io.WriteString(c.conn, block); err != nil {
 			return
 		}
 	}
--- a/internal/http1/http1test/early.go
+++ b/internal/http1/http1test/early.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,8 +17,8 @@
 // of ServeEarly.
 const UploadBytes = 600 << 10
 
-// earlyReceiveBytes is the size of the receive buffer of the server of ServeEarly.
-const earlyReceiveBytes = 4 << 10
+// smallReceiveBytes is the size of the receive buffers of ListenSmall.
+const smallReceiveBytes = 4 << 10
 
 // EarlyEnding is how a server ends a connection on which it has answered before it has read the request.
 type EarlyEnding string
@@ -71,17 +73,7 @@
 // address.
 func ServeEarly(t *testing.T, e Early) string {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, earlyReceiveBytes)
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	listener, err := ListenSmall(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,6 +81,19 @@
 	return listener.Addr().String()
 }
 
+// ListenSmall listens on loopback with a small receive buffer: the write of a long request ends only when the
+// server has read most of it.
+func ListenSmall(ctx context.Context) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBytes)
+		})
+		return cmp.Or(controlErr, err)
+	}}
+	return config.Listen(ctx, "tcp", "127.0.0.1:0")
+}
+
 func (e Early) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
--- a/internal/http1/strict/strict.go
+++ b/internal/http1/strict/strict.go
@@ -18,7 +18,7 @@
 
 var (
 	requestLine = regexp.MustCompile("^(" + token + ") (/[^ #\\x00-\\x20\\x7f]*) HTTP/1\\.[01]$")
-	statusLine  = regexp.MustCompile(`^HTTP/1\.[01] ([1-9][0-9][0-9])( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+	statusLine  = regexp.MustCompile(`^HTTP/1\.[01] ([1-5][0-9][0-9])( [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 	fieldLine   = regexp.MustCompile("^(" + token + "):[ \\t]*([^\\x00-\\x08\\x0a-\\x1f\\x7f]*)$")
 	chunkLine   = regexp.MustCompile(`^([0-9A-Fa-f]+)[ \t]*(;.*)?$`)
 )
@@ -72,6 +72,16 @@
 
 // ReadRequest reads a request. With the error ErrNotAllowed it returns what it has read.
 func ReadRequest(r *bufio.Reader) (Request, error) {
+	request, err := ReadRequestHead(r)
+	if err != nil {
+		return request, err
+	}
+	err = request.ReadBody(r)
+	return request, err
+}
+
+// ReadRequestHead reads a request without its body. With the error ErrNotAllowed it returns what it has read.
+func ReadRequestHead(r *bufio.Reader) (Request, error) {
 	line, err := readLine(r)
 	for err == nil && strings.Trim(line, "\r") == "" {
 		line, err = readLine(r)
@@ -84,18 +94,22 @@
 		return Request{}, ErrNotAllowed
 	}
 	request := Request{Method: parts[1], Target: parts[2]}
-	if request.Fields, err = readFields(r); err != nil {
-		return request, err
-	}
-	lengths, codings := len(request.Fields["content-length"]), len(request.Fields["transfer-encoding"])
+	request.Fields, err = readFields(r)
+	return request, err
+}
+
+// ReadBody reads the body of a request whose head has been read.
+func (q *Request) ReadBody(r *bufio.Reader) error {
+	lengths, codings := len(q.Fields["content-length"]), len(q.Fields["transfer-encoding"])
 	switch {
 	case lengths+codings == 0:
-		return request, nil
+		return nil
 	case lengths > 1:
-		return request, ErrNotAllowed
+		return ErrNotAllowed
 	}
-	request.Body, err = readBody(r, request.Fields)
-	return request, err
+	var err error
+	q.Body, err = readBody(r, q.Fields)
+	return err
 }
 
 // ReadAnswers returns the final answers to requests of a method in the bytes of a server after which its
@@ -119,6 +133,9 @@
 		if err != nil || answer.Status >= http.StatusOK {
 			return answer, err
 		}
+		if answer.Status == http.StatusSwitchingProtocols { // no request here asks for it
+			return Answer{}, ErrNotAllowed
+		}
 	}
 }
 
