httpclient, backend: names of the connection of one request; a body that has ended reads its connection no more

Cause: since a read after the end of a body looked at the counter of a connection that may carry another request by then: a data race, and bytes of the other request might have counted.

Change: pacedBody returns the error that ended it. requestConn is not exported; endRequest says what ends.

--- a/internal/adversary/judge.go
+++ b/internal/adversary/judge.go
@@ -138,7 +138,7 @@
 				answer.Body = withoutRepeats(answer.Body)
 			}
 			if answer.Unframed() && a.brokenOff && a.method != http.MethodHead {
-				continue // it would end with its connection
+				continue // it is not complete: its end is that of the connection
 			}
 			if route == Cut && answer.Unframed() && answer.Body == "" && a.method != http.MethodHead {
 				continue // a server that broke off before the first event ends its connection like this
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -62,6 +62,9 @@
 	counted int
 	delay   time.Duration
 	slowed  bool
+	// end is the error of the last read, nil while the body has not ended. The connection may have carried
+	// another request since then.
+	end error
 }
 
 func (x *exchange) pacedBody(answer *http.Response, length int64) pacedBody {
@@ -71,6 +74,9 @@
 // Read implements io.Reader. It waits first if earlier reads were too fast, at most until the context
 // of the exchange ends.
 func (b *pacedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	if b.delay > 0 {
 		pause.For(b.exchange.ctx, b.delay)
 		b.delay = 0
@@ -82,6 +88,7 @@
 	received := b.exchange.conn.received
 	n, err := b.body.Read(p)
 	b.count(b.exchange.conn.received - received) // with the framing of chunks
+	b.end = err
 	return n, err
 }
 
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -14,12 +14,12 @@
 // request unread.
 const unreadTimeout = 2 * time.Second
 
-// Conn is a connection that carries one request of a Transport.
+// requestConn is a connection that carries one request of a Transport.
 //
 // The kernel reports a reset once. If the write of the request receives it, reads return what came before it
 // and then io.EOF, and a part of an answer that ends with its connection would look complete. So Read returns
 // io.EOF only when the request has been written, and the error of the write in its place.
-type Conn struct {
+type requestConn struct {
 	net.Conn
 	// written is closed once no more of the request will be written.
 	written chan struct{}
@@ -29,36 +29,37 @@
 	writeError error
 }
 
-// Dial opens a Conn. It is the DialContext of an http.Transport with DisableKeepAlives.
+// Dial opens a connection for one request of a Transport. It is the DialContext of an http.Transport with
+// DisableKeepAlives below that Transport.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(conn), nil
+	return newRequestConn(conn), nil
 }
 
-func newConn(conn net.Conn) *Conn {
-	return &Conn{Conn: conn, written: make(chan struct{}), writing: make(chan struct{}, 1)}
+func newRequestConn(conn net.Conn) *requestConn {
+	return &requestConn{Conn: conn, written: make(chan struct{}), writing: make(chan struct{}, 1)}
 }
 
-// end records that no more of the request will be written.
-func (c *Conn) end() { c.once.Do(func() { close(c.written) }) }
+// endRequest records that no more of the request will be written.
+func (c *requestConn) endRequest() { c.once.Do(func() { close(c.written) }) }
 
 // Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
+func (c *requestConn) Write(p []byte) (int, error) {
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.writeError = err
-		c.end()
+		c.endRequest()
 	}
 	return n, err
 }
 
 // Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
+func (c *requestConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = cmp.Or(c.awaitWrite(), err)
@@ -68,7 +69,7 @@
 
 // awaitWrite waits until the request has been written, and returns the error of the write that failed. It
 // returns nil if the server does not read the rest of the request.
-func (c *Conn) awaitWrite() error {
+func (c *requestConn) awaitWrite() error {
 	timeout := time.NewTimer(unreadTimeout)
 	defer timeout.Stop()
 	select {
@@ -87,8 +88,8 @@
 }
 
 // Close implements net.Conn.
-func (c *Conn) Close() error {
+func (c *requestConn) Close() error {
 	err := c.Conn.Close()
-	c.end()
+	c.endRequest()
 	return err
 }
--- a/internal/httpclient/conn_test.go
+++ b/internal/httpclient/conn_test.go
@@ -109,7 +109,7 @@
 func exchange(t *testing.T, conn net.Conn, length int) (*http.Response, error) {
 	base := &http.Transport{
 		DisableKeepAlives: true,
-		DialContext:       func(context.Context, string, string) (net.Conn, error) { return newConn(conn), nil },
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return newRequestConn(conn), nil },
 	}
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/", strings.NewReader(strings.Repeat("u", length)))
 	if err != nil {
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -10,18 +10,18 @@
 )
 
 // Transport sends requests through another transport, and refuses malformed answers. If the other one
-// opens its connections with Dial, a reset is an error of the answer, too.
+// opens its connections with Dial, an answer is not complete if the write of its request failed.
 type Transport struct{ Base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn *Conn
+	var conn *requestConn
 	trace := &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn = connOf(info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { conn = requestConnOf(info.Conn) },
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(http.Header(header)) },
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if conn != nil {
-				conn.end()
+				conn.endRequest()
 			}
 		},
 	}
@@ -37,12 +37,12 @@
 	return answer, nil
 }
 
-// connOf returns the Conn below a connection, nil if there is none.
-func connOf(conn net.Conn) *Conn {
+// requestConnOf returns the requestConn below a connection, nil if there is none.
+func requestConnOf(conn net.Conn) *requestConn {
 	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = secure.NetConn()
 	}
-	c, _ := conn.(*Conn)
+	c, _ := conn.(*requestConn)
 	return c
 }
 
