httpclient: a complete early answer of a plain service is not lost to the reset that follows it

What callers saw: a plain service refused a long call early, with a status and a stated length, and reset the connection at once; some of these calls ended as outcomeLost ("unknown") in place of the service's own answer. On routes none did.

Cause: net/http writes and reads at the same time, and discards an answer that it has not read yet when the write fails.

Change: requestConn.Write discards the rest of a request once a write has failed, and Read reports the failure after the bytes that came before. Ruled out as a risk: a second send (connections carry one request, and net/http sends nothing again on a new one); "not run" (a call that was connected is "unknown" whatever its writes returned).

--- a/internal/backend/early_test.go
+++ b/internal/backend/early_test.go
@@ -21,9 +21,6 @@
 				if err == nil && !complete {
 					t.Errorf("body %q", body)
 				}
-				if answer.Framed() && !early.Ending.InOrder() && early.After == 0 {
-					return // the reset may overtake the last bytes
-				}
 				if complete != (answer.Framed() || early.Ending.InOrder()) {
 					t.Errorf("complete is %t, body %q, error %v", complete, body, err)
 				}
--- a/internal/forwarder/early_test.go
+++ b/internal/forwarder/early_test.go
@@ -27,9 +27,6 @@
 					if complete && body != answer.body {
 						t.Errorf("body %q", body)
 					}
-					if answer.Framed() && !early.Ending.InOrder() && early.After == 0 {
-						return // the reset may overtake the last bytes
-					}
 					if complete != (answer.Framed() || early.Ending.InOrder()) {
 						t.Errorf("status %d, body %q", status, body)
 					}
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -18,7 +18,8 @@
 //
 // The kernel reports a reset once. If the write of the request receives it, reads return what came before it
 // and then io.EOF, and a part of an answer that ends with its connection would look complete. So Read returns
-// io.EOF only when the request has been written, and the error of the write in its place.
+// io.EOF only when the request has been written, and the error of the write in its place. net/http would discard
+// a complete answer that came before the error, so Write does not return it.
 type requestConn struct {
 	net.Conn
 	// written is closed once no more of the request will be written.
@@ -46,16 +47,18 @@
 // endRequest records that no more of the request will be written.
 func (c *requestConn) endRequest() { c.once.Do(func() { close(c.written) }) }
 
-// Write implements net.Conn.
+// Write implements net.Conn. Once a write has failed, it discards the rest of the request.
 func (c *requestConn) Write(p []byte) (int, error) {
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
-	n, err := c.Conn.Write(p)
-	if err != nil {
+	if c.writeError != nil {
+		return len(p), nil
+	}
+	if _, err := c.Conn.Write(p); err != nil {
 		c.writeError = err
 		c.endRequest()
 	}
-	return n, err
+	return len(p), nil
 }
 
 // Read implements net.Conn.
